--- /dev/null
+++ b/components/client/src/lib.rs
@@ -0,0 +1,7 @@
+//! Calls to the operators' door of an entry, and publishing of weights.
+
+mod operator;
+mod publish;
+
+pub use operator::Operator;
+pub use publish::publish;
--- /dev/null
+++ b/components/client/src/publish.rs
@@ -0,0 +1,16 @@
+//! Hands a file of weights to the platform.
+
+use errors::Result;
+use fleet::Manifest;
+use platform::Platform;
+
+/// Stores the bytes at the origin and then the manifest in the object store, so that a manifest
+/// never names bytes that are not there.
+pub async fn publish(platform: &Platform, manifest: &Manifest, content: Vec<u8>) -> Result<()> {
+    let version = manifest.version();
+    platform.weights.publish(version, content).await?;
+    platform
+        .objects
+        .put(&format!("manifests/{version}"), manifest.encode())
+        .await
+}
--- /dev/null
+++ b/components/errors/src/code.rs
@@ -0,0 +1,277 @@
+//! The numbered result codes. `docs/CODES.md` holds the same table for readers.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Whether a request that ended with a code may have been run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ran {
+    /// It was certainly not run.
+    NotRun,
+    /// It may have been run, wholly or in part.
+    Unknown,
+}
+
+/// A result code. Numbers are stable: they are never reused for another meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Code {
+    /// The request could not be read: its path, headers or body are wrong.
+    BadRequest,
+    /// No deployment or plain service of this name exists.
+    UnknownTarget,
+    /// No upstream serves the target at the moment.
+    NoUpstream,
+    /// Every upstream is at its limit and the queue is full.
+    Overloaded,
+    /// The request could no longer be answered before its deadline.
+    TooLate,
+    /// The upstream is leaving and takes no new work.
+    Leaving,
+    /// The upstream does not serve the version asked for.
+    NotServing,
+    /// The process is stopping and takes no new work.
+    Stopping,
+    /// The workspace has used up its share.
+    WorkspaceLimit,
+    /// No connection to the upstream could be made; nothing was sent.
+    Unreachable,
+    /// The table service could not record the claim that a request of this kind needs.
+    ClaimUnavailable,
+    /// The head or body is larger than the stated bound.
+    TooLarge,
+    /// The process does not yet know whether its configuration is current.
+    NotReady,
+    /// A request with this idempotency key was run before; this one was not.
+    AlreadyRun,
+    /// The first try did not run and the share of retries is used up.
+    RetryBudget,
+    /// The upstream's reply ended before it was whole.
+    CutShort,
+    /// The upstream did not answer in time.
+    TimedOut,
+    /// The upstream answered with an error of its own.
+    UpstreamFailed,
+    /// The connection to the upstream was lost after the request was sent.
+    ConnectionLost,
+    /// A request with this idempotency key may be running; ask again later.
+    InProgress,
+    /// The operator token is absent or wrong.
+    Unauthorized,
+    /// The intent could not be read or contradicts itself.
+    BadIntent,
+    /// No plan of this id exists.
+    PlanNotFound,
+    /// The plan was not confirmed in time.
+    PlanExpired,
+    /// Another change got in between the plan and its confirmation.
+    RevisionConflict,
+    /// The table service cannot be asked; nothing was written.
+    TableUnavailable,
+    /// The table's answer was lost and could not be settled; confirm the same plan again.
+    OutcomeUnknown,
+    /// Fewer live instances fit the intent than it asks for.
+    NotEnoughInstances,
+    /// The change would take away the last live replica of a deployment.
+    LastReplica,
+    /// No manifest of this version is published.
+    UnknownVersion,
+    /// No instance of this name is listed.
+    UnknownInstance,
+    /// A message between daemons could not be read.
+    BadFrame,
+    /// A message between daemons carried a wrong authentication code.
+    BadAuthentication,
+    /// A message between daemons is larger than the stated bound.
+    FrameTooLarge,
+    /// The peer does not hold the chunk it was asked for.
+    ChunkMissing,
+    /// A chunk's digest differs from the manifest.
+    ChunkCorrupt,
+    /// The peer's upload slots are all taken.
+    PeerBusy,
+    /// A chunk did not arrive before its deadline.
+    PeerStalled,
+    /// The order's epoch is lower than one already seen.
+    OldEpoch,
+    /// The version was replaced while it was in flight.
+    Replaced,
+    /// The settings file has faults.
+    BadSettings,
+    /// A listening address could not be taken.
+    AddressInUse,
+    /// A fault of silverdock itself.
+    Internal,
+    /// A service of the platform did not answer.
+    PlatformUnavailable,
+    /// A service of the platform refused the call by its rate limit.
+    PlatformBusy,
+    /// A service of the platform refused the call.
+    PlatformRefused,
+    /// The row in the table is not the one the write was based on.
+    RowChanged,
+    /// The platform holds no object of this name.
+    NotFound,
+}
+
+/// What is known of one code.
+struct Row {
+    code: Code,
+    number: u16,
+    name: &'static str,
+    ran: Ran,
+    retry: bool,
+    status: u16,
+    meaning: &'static str,
+}
+
+impl Code {
+    /// Every code, in the order of the numbers.
+    pub fn all() -> impl Iterator<Item = Code> {
+        ROWS.iter().map(|row| row.code)
+    }
+
+    /// The stable number.
+    pub fn number(self) -> u16 {
+        self.row().number
+    }
+
+    /// The name, as it stands in logs and answers.
+    pub fn name(self) -> &'static str {
+        self.row().name
+    }
+
+    /// Whether the request may have been run.
+    pub fn ran(self) -> Ran {
+        self.row().ran
+    }
+
+    /// Whether the caller may send the same request again.
+    pub fn may_retry(self) -> bool {
+        self.row().retry
+    }
+
+    /// The HTTP status that goes with the code.
+    pub fn status(self) -> u16 {
+        self.row().status
+    }
+
+    /// A sentence for the reader.
+    pub fn meaning(self) -> &'static str {
+        self.row().meaning
+    }
+
+    /// Finds a code by its number.
+    pub fn from_number(number: u16) -> Option<Code> {
+        ROWS.iter()
+            .find(|row| row.number == number)
+            .map(|row| row.code)
+    }
+
+    fn row(self) -> &'static Row {
+        &ROWS[self as usize]
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.name())
+    }
+}
+
+#[rustfmt::skip]
+const ROWS: &[Row] = &[
+    Row { code: Code::BadRequest, number: 100, name: "BadRequest", ran: Ran::NotRun, retry: false, status: 400, meaning: "The request could not be read: its path, headers or body are wrong." },
+    Row { code: Code::UnknownTarget, number: 101, name: "UnknownTarget", ran: Ran::NotRun, retry: false, status: 404, meaning: "No deployment or plain service of this name exists." },
+    Row { code: Code::NoUpstream, number: 102, name: "NoUpstream", ran: Ran::NotRun, retry: true, status: 503, meaning: "No upstream serves the target at the moment." },
+    Row { code: Code::Overloaded, number: 103, name: "Overloaded", ran: Ran::NotRun, retry: true, status: 503, meaning: "Every upstream is at its limit and the queue is full." },
+    Row { code: Code::TooLate, number: 104, name: "TooLate", ran: Ran::NotRun, retry: true, status: 503, meaning: "The request could no longer be answered before its deadline." },
+    Row { code: Code::Leaving, number: 105, name: "Leaving", ran: Ran::NotRun, retry: true, status: 503, meaning: "The upstream is leaving and takes no new work." },
+    Row { code: Code::NotServing, number: 106, name: "NotServing", ran: Ran::NotRun, retry: true, status: 503, meaning: "The upstream does not serve the version asked for." },
+    Row { code: Code::Stopping, number: 107, name: "Stopping", ran: Ran::NotRun, retry: true, status: 503, meaning: "The process is stopping and takes no new work." },
+    Row { code: Code::WorkspaceLimit, number: 108, name: "WorkspaceLimit", ran: Ran::NotRun, retry: true, status: 429, meaning: "The workspace has used up its share." },
+    Row { code: Code::Unreachable, number: 109, name: "Unreachable", ran: Ran::NotRun, retry: true, status: 503, meaning: "No connection to the upstream could be made; nothing was sent." },
+    Row { code: Code::ClaimUnavailable, number: 110, name: "ClaimUnavailable", ran: Ran::NotRun, retry: true, status: 503, meaning: "The table service could not record the claim that a request of this kind needs." },
+    Row { code: Code::TooLarge, number: 111, name: "TooLarge", ran: Ran::NotRun, retry: false, status: 413, meaning: "The head or body is larger than the stated bound." },
+    Row { code: Code::NotReady, number: 112, name: "NotReady", ran: Ran::NotRun, retry: true, status: 503, meaning: "The process does not yet know whether its configuration is current." },
+    Row { code: Code::AlreadyRun, number: 113, name: "AlreadyRun", ran: Ran::NotRun, retry: false, status: 409, meaning: "A request with this idempotency key was run before; this one was not." },
+    Row { code: Code::RetryBudget, number: 114, name: "RetryBudget", ran: Ran::NotRun, retry: true, status: 503, meaning: "The first try did not run and the share of retries is used up." },
+    Row { code: Code::CutShort, number: 200, name: "CutShort", ran: Ran::Unknown, retry: false, status: 502, meaning: "The upstream's reply ended before it was whole." },
+    Row { code: Code::TimedOut, number: 201, name: "TimedOut", ran: Ran::Unknown, retry: false, status: 504, meaning: "The upstream did not answer in time." },
+    Row { code: Code::UpstreamFailed, number: 202, name: "UpstreamFailed", ran: Ran::Unknown, retry: false, status: 502, meaning: "The upstream answered with an error of its own." },
+    Row { code: Code::ConnectionLost, number: 203, name: "ConnectionLost", ran: Ran::Unknown, retry: false, status: 502, meaning: "The connection to the upstream was lost after the request was sent." },
+    Row { code: Code::InProgress, number: 204, name: "InProgress", ran: Ran::Unknown, retry: true, status: 409, meaning: "A request with this idempotency key may be running; ask again later." },
+    Row { code: Code::Unauthorized, number: 300, name: "Unauthorized", ran: Ran::NotRun, retry: false, status: 401, meaning: "The operator token is absent or wrong." },
+    Row { code: Code::BadIntent, number: 301, name: "BadIntent", ran: Ran::NotRun, retry: false, status: 400, meaning: "The intent could not be read or contradicts itself." },
+    Row { code: Code::PlanNotFound, number: 302, name: "PlanNotFound", ran: Ran::NotRun, retry: false, status: 404, meaning: "No plan of this id exists." },
+    Row { code: Code::PlanExpired, number: 303, name: "PlanExpired", ran: Ran::NotRun, retry: false, status: 410, meaning: "The plan was not confirmed in time." },
+    Row { code: Code::RevisionConflict, number: 304, name: "RevisionConflict", ran: Ran::NotRun, retry: false, status: 409, meaning: "Another change got in between the plan and its confirmation." },
+    Row { code: Code::TableUnavailable, number: 305, name: "TableUnavailable", ran: Ran::NotRun, retry: true, status: 503, meaning: "The table service cannot be asked; nothing was written." },
+    Row { code: Code::OutcomeUnknown, number: 306, name: "OutcomeUnknown", ran: Ran::Unknown, retry: true, status: 503, meaning: "The table's answer was lost and could not be settled; confirm the same plan again." },
+    Row { code: Code::NotEnoughInstances, number: 307, name: "NotEnoughInstances", ran: Ran::NotRun, retry: false, status: 409, meaning: "Fewer live instances fit the intent than it asks for." },
+    Row { code: Code::LastReplica, number: 308, name: "LastReplica", ran: Ran::NotRun, retry: false, status: 409, meaning: "The change would take away the last live replica of a deployment." },
+    Row { code: Code::UnknownVersion, number: 309, name: "UnknownVersion", ran: Ran::NotRun, retry: false, status: 404, meaning: "No manifest of this version is published." },
+    Row { code: Code::UnknownInstance, number: 310, name: "UnknownInstance", ran: Ran::NotRun, retry: false, status: 404, meaning: "No instance of this name is listed." },
+    Row { code: Code::BadFrame, number: 400, name: "BadFrame", ran: Ran::NotRun, retry: false, status: 400, meaning: "A message between daemons could not be read." },
+    Row { code: Code::BadAuthentication, number: 401, name: "BadAuthentication", ran: Ran::NotRun, retry: false, status: 401, meaning: "A message between daemons carried a wrong authentication code." },
+    Row { code: Code::FrameTooLarge, number: 402, name: "FrameTooLarge", ran: Ran::NotRun, retry: false, status: 413, meaning: "A message between daemons is larger than the stated bound." },
+    Row { code: Code::ChunkMissing, number: 403, name: "ChunkMissing", ran: Ran::NotRun, retry: true, status: 404, meaning: "The peer does not hold the chunk it was asked for." },
+    Row { code: Code::ChunkCorrupt, number: 404, name: "ChunkCorrupt", ran: Ran::NotRun, retry: true, status: 502, meaning: "A chunk's digest differs from the manifest." },
+    Row { code: Code::PeerBusy, number: 405, name: "PeerBusy", ran: Ran::NotRun, retry: true, status: 503, meaning: "The peer's upload slots are all taken." },
+    Row { code: Code::PeerStalled, number: 406, name: "PeerStalled", ran: Ran::NotRun, retry: true, status: 504, meaning: "A chunk did not arrive before its deadline." },
+    Row { code: Code::OldEpoch, number: 407, name: "OldEpoch", ran: Ran::NotRun, retry: false, status: 409, meaning: "The order's epoch is lower than one already seen." },
+    Row { code: Code::Replaced, number: 408, name: "Replaced", ran: Ran::NotRun, retry: false, status: 409, meaning: "The version was replaced while it was in flight." },
+    Row { code: Code::BadSettings, number: 500, name: "BadSettings", ran: Ran::NotRun, retry: false, status: 500, meaning: "The settings file has faults." },
+    Row { code: Code::AddressInUse, number: 501, name: "AddressInUse", ran: Ran::NotRun, retry: false, status: 500, meaning: "A listening address could not be taken." },
+    Row { code: Code::Internal, number: 502, name: "Internal", ran: Ran::Unknown, retry: false, status: 500, meaning: "A fault of silverdock itself." },
+    Row { code: Code::PlatformUnavailable, number: 503, name: "PlatformUnavailable", ran: Ran::Unknown, retry: true, status: 503, meaning: "A service of the platform did not answer." },
+    Row { code: Code::PlatformBusy, number: 504, name: "PlatformBusy", ran: Ran::NotRun, retry: true, status: 503, meaning: "A service of the platform refused the call by its rate limit." },
+    Row { code: Code::PlatformRefused, number: 505, name: "PlatformRefused", ran: Ran::NotRun, retry: false, status: 502, meaning: "A service of the platform refused the call." },
+    Row { code: Code::RowChanged, number: 506, name: "RowChanged", ran: Ran::NotRun, retry: false, status: 409, meaning: "The row in the table is not the one the write was based on." },
+    Row { code: Code::NotFound, number: 507, name: "NotFound", ran: Ran::NotRun, retry: false, status: 404, meaning: "The platform holds no object of this name." },
+];
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The table that operators read.
+    const PAGE: &str = include_str!("../../../docs/CODES.md");
+
+    #[test]
+    fn rows_stand_in_the_order_of_the_enum() {
+        for (index, row) in ROWS.iter().enumerate() {
+            assert_eq!(row.code as usize, index);
+        }
+    }
+
+    #[test]
+    fn numbers_rise_and_are_found_again() {
+        assert!(ROWS.windows(2).all(|pair| pair[0].number < pair[1].number));
+        assert!(Code::all().all(|code| Code::from_number(code.number()) == Some(code)));
+    }
+
+    #[test]
+    fn page_and_enum_hold_the_same_rows() {
+        let lines: Vec<&str> = PAGE
+            .lines()
+            .filter(|line| line.starts_with("| "))
+            .skip(2)
+            .collect();
+        let expected: Vec<String> = ROWS.iter().map(page_line).collect();
+        assert_eq!(lines, expected);
+    }
+
+    fn page_line(row: &Row) -> String {
+        let ran = match row.ran {
+            Ran::NotRun => "not run",
+            Ran::Unknown => "unknown",
+        };
+        let retry = if row.retry { "yes" } else { "no" };
+        let (number, name, meaning) = (row.number, row.name, row.meaning);
+        format!(
+            "| {number} | {name} | {meaning} | {ran} | {retry} | {} |",
+            row.status
+        )
+    }
+}
--- /dev/null
+++ b/components/fleet/src/lib.rs
@@ -0,0 +1,22 @@
+//! Types that describe the fleet: instances, versions, intents, plans and configuration.
+
+mod bitmap;
+mod configuration;
+mod id;
+mod instance;
+mod intent;
+mod manifest;
+mod plan;
+mod report;
+
+pub use bitmap::Bitmap;
+pub use configuration::{Change, ChangeRecord, Configuration, Deployment, Release, Role};
+pub use id::{
+    Hall, Incarnation, InstanceId, Millis, ModelName, PlanId, Region, RequestId, Revision,
+    ServiceName, VersionId, WorkspaceId,
+};
+pub use instance::{Instance, ListedState, Place, Process};
+pub use intent::Intent;
+pub use manifest::{Manifest, MAX_CHUNKS, MAX_CHUNK_BYTES, MIN_CHUNK_BYTES};
+pub use plan::{Plan, Source, Step};
+pub use report::{DeploymentStatus, MemberStatus, PlanReply, RolloutStatus, Status};
--- /dev/null
+++ b/components/fleet/src/manifest.rs
@@ -0,0 +1,149 @@
+//! The manifest of a version of weights.
+
+use errors::{Code, Error, Result};
+use serde::{Deserialize, Serialize};
+
+use crate::VersionId;
+
+/// The most chunks a version may have, so that a summary of them fits one datagram.
+pub const MAX_CHUNKS: u32 = 8192;
+/// The smallest chunk, in bytes.
+pub const MIN_CHUNK_BYTES: u32 = 4 * 1024;
+/// The largest chunk, in bytes.
+pub const MAX_CHUNK_BYTES: u32 = 64 * 1024 * 1024;
+/// How many chunks a file is cut into where the bounds allow it.
+const USUAL_CHUNKS: u64 = 512;
+
+/// Names every byte of a version: its length, its chunks and their digests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Manifest {
+    /// What people call the file, for example `tips-v7`.
+    pub label: String,
+    /// The length of the whole file in bytes.
+    pub bytes: u64,
+    /// The length of each chunk but the last, in bytes.
+    pub chunk_bytes: u32,
+    /// The BLAKE3 digest of each chunk.
+    pub digests: Vec<VersionId>,
+}
+
+impl Manifest {
+    /// Cuts a file into chunks of the usual size and names them.
+    pub fn describe(label: &str, content: &[u8]) -> Result<Self> {
+        Self::describe_with(label, content, usual_chunk_bytes(content.len() as u64))
+    }
+
+    /// Cuts a file into chunks of `chunk_bytes` and names them.
+    pub fn describe_with(label: &str, content: &[u8], chunk_bytes: u32) -> Result<Self> {
+        if content.is_empty() || chunk_bytes == 0 {
+            return Err(Error::new(
+                Code::BadIntent,
+                "a file of weights cannot be empty",
+            ));
+        }
+        let digests = content
+            .chunks(chunk_bytes as usize)
+            .map(|chunk| VersionId(*blake3::hash(chunk).as_bytes()))
+            .collect();
+        let manifest = Self {
+            label: label.to_owned(),
+            bytes: content.len() as u64,
+            chunk_bytes,
+            digests,
+        };
+        manifest.check()?;
+        Ok(manifest)
+    }
+
+    /// The identity of the version: the digest of this manifest.
+    pub fn version(&self) -> VersionId {
+        VersionId(*blake3::hash(&self.encode()).as_bytes())
+    }
+
+    /// The bytes that the object store keeps.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("a manifest has no type that cannot be encoded")
+    }
+
+    /// Reads a manifest and checks that it is the one asked for.
+    pub fn decode(version: VersionId, bytes: &[u8]) -> Result<Self> {
+        if blake3::hash(bytes).as_bytes() != &version.0 {
+            return Err(Error::new(
+                Code::ChunkCorrupt,
+                "the manifest's digest differs",
+            ));
+        }
+        let manifest: Self = postcard::from_bytes(bytes)
+            .map_err(|_| Error::new(Code::ChunkCorrupt, "the manifest cannot be read"))?;
+        manifest.check()?;
+        Ok(manifest)
+    }
+
+    /// How many chunks there are.
+    pub fn chunks(&self) -> u32 {
+        self.digests.len() as u32
+    }
+
+    /// Where a chunk starts and how long it is, in bytes.
+    pub fn range(&self, index: u32) -> (u64, u32) {
+        let start = u64::from(index) * u64::from(self.chunk_bytes);
+        let len = u64::from(self.chunk_bytes).min(self.bytes.saturating_sub(start));
+        (start, len as u32)
+    }
+
+    /// Whether these bytes are the chunk of this number.
+    pub fn verify(&self, index: u32, bytes: &[u8]) -> bool {
+        let Some(digest) = self.digests.get(index as usize) else {
+            return false;
+        };
+        bytes.len() == self.range(index).1 as usize && blake3::hash(bytes).as_bytes() == &digest.0
+    }
+
+    fn check(&self) -> Result<()> {
+        let expected = self.bytes.div_ceil(u64::from(self.chunk_bytes.max(1)));
+        if self.chunk_bytes == 0 || expected != self.digests.len() as u64 || self.bytes == 0 {
+            return Err(Error::new(
+                Code::ChunkCorrupt,
+                "the manifest's sizes do not agree",
+            ));
+        }
+        if self.chunks() > MAX_CHUNKS || self.chunk_bytes > MAX_CHUNK_BYTES {
+            return Err(Error::new(
+                Code::TooLarge,
+                "the manifest has too many or too large chunks",
+            ));
+        }
+        Ok(())
+    }
+}
+
+fn usual_chunk_bytes(bytes: u64) -> u32 {
+    let wanted = (bytes / USUAL_CHUNKS).next_power_of_two();
+    wanted.clamp(u64::from(MIN_CHUNK_BYTES), u64::from(MAX_CHUNK_BYTES)) as u32
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn can_find_and_verify_every_chunk() {
+        let content: Vec<u8> = (0..10_000u32).map(|n| n as u8).collect();
+        let manifest = Manifest::describe_with("m", &content, 4096).unwrap();
+        assert_eq!(manifest.chunks(), 3);
+        assert_eq!(manifest.range(2), (8192, 1808));
+        assert!(manifest.verify(2, &content[8192..]));
+        assert!(!manifest.verify(1, &content[8192..]));
+    }
+
+    #[test]
+    fn errors_on_a_manifest_of_another_version() {
+        let manifest = Manifest::describe_with("m", &[1; 5000], 4096).unwrap();
+        let bytes = manifest.encode();
+        assert_eq!(
+            Manifest::decode(manifest.version(), &bytes).unwrap(),
+            manifest
+        );
+        assert!(Manifest::decode(VersionId([0; 32]), &bytes).is_err());
+    }
+}
--- /dev/null
+++ b/components/lab/src/fleet.rs
@@ -0,0 +1,352 @@
+//! A fleet in one process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_executor::Executor;
+use async_io::Timer;
+use client::Operator;
+use errors::{Code, Error, Result};
+use fleet::{
+    Hall, Instance, InstanceId, Intent, ListedState, Manifest, ModelName, Place, Process, Region,
+    Revision, Role, ServiceName, VersionId,
+};
+use net::{Bounds, Handler, Server, Tasks};
+use node::{AgentNode, AgentSetup, EntryNode, EntrySetup, Host, Identity, TokenRing, Upstream};
+use platform::{HttpUpstream, Platform};
+use standins::{Engine, PlatformOptions, PlatformStandIn, Service};
+use telemetry::Metrics;
+use wire::KeyRing;
+
+use crate::{LabOptions, LinkFaults};
+
+/// The cluster key of every lab.
+const CLUSTER_KEY: &str = "cluster-key-of-the-lab";
+/// The operators' token of every lab.
+const TOKEN: &str = "operator-token-of-the-lab";
+/// How often a lab looks whether what it waits for has happened.
+const POLL: Duration = Duration::from_millis(5);
+/// The memory that the list states for every instance, in bytes.
+const MEMORY_BYTES: u64 = 1 << 40;
+/// The largest body a lab's servers take, in bytes.
+const BODY_BYTES: u64 = 64 << 20;
+
+/// An agent and the upstream beside it.
+pub struct Agent {
+    /// Its name.
+    pub id: InstanceId,
+    /// The daemon.
+    pub node: AgentNode,
+    /// The engine, if it stands beside one.
+    pub engine: Option<Arc<Engine>>,
+    /// The plain service, if it stands beside one.
+    pub service: Option<Arc<Service>>,
+    /// The faults of its link.
+    pub link: Arc<LinkFaults>,
+    /// The daemon's metrics.
+    pub metrics: Arc<Metrics>,
+    upstream: Server,
+}
+
+/// The fleet.
+pub struct Lab {
+    /// The platform.
+    pub platform: PlatformStandIn,
+    /// Every agent.
+    pub agents: Vec<Agent>,
+    /// Every entry.
+    pub entries: Vec<EntryNode>,
+    /// The metrics of each entry.
+    pub entry_metrics: Vec<Arc<Metrics>>,
+    options: LabOptions,
+    tasks: Tasks,
+    keys: KeyRing,
+}
+
+impl Lab {
+    /// Starts a fleet on an executor that others run.
+    pub async fn start(executor: &Arc<Executor<'static>>, options: LabOptions) -> Result<Self> {
+        let tasks = Tasks::new(executor);
+        let rates = PlatformOptions {
+            origin_bytes_per_s: options.origin_bytes_per_s,
+        };
+        let platform = PlatformStandIn::start(&tasks, rates).await?;
+        let keys = KeyRing::parse(CLUSTER_KEY)?;
+        let mut lab = Self {
+            platform,
+            agents: Vec::new(),
+            entries: Vec::new(),
+            entry_metrics: Vec::new(),
+            options,
+            tasks,
+            keys,
+        };
+        for number in 0..lab.options.engines {
+            lab.add_engine(&format!("engine-{number:03}")).await?;
+        }
+        for (name, count) in lab.options.services.clone() {
+            for number in 0..count {
+                lab.add_service(&name, number).await?;
+            }
+        }
+        for number in 0..lab.options.entries {
+            lab.add_entry(number).await?;
+        }
+        Ok(lab)
+    }
+
+    /// Runs an executor on as many threads as there are cores, until the process ends.
+    pub fn run_threads(executor: &Arc<Executor<'static>>) {
+        let threads = std::thread::available_parallelism().map_or(2, usize::from);
+        for _ in 0..threads {
+            let executor = executor.clone();
+            std::thread::spawn(move || {
+                async_io::block_on(executor.run(futures_lite::future::pending::<()>()));
+            });
+        }
+    }
+
+    /// Adds an instance with a model engine, or replaces the one of the same name.
+    pub async fn add_engine(&mut self, name: &str) -> Result<()> {
+        let engine = Arc::new(Engine::new(&self.tasks, self.options.engine));
+        let upstream = self.serve(engine.clone()).await?;
+        let behind = Upstream::Engine(Arc::new(HttpUpstream(upstream.address())));
+        let mut agent = self
+            .start_agent(name, Process::Engine, behind, upstream)
+            .await?;
+        agent.engine = Some(engine);
+        self.agents.retain(|it| it.id != agent.id);
+        self.agents.push(agent);
+        Ok(())
+    }
+
+    async fn add_service(&mut self, name: &str, number: usize) -> Result<()> {
+        let service = Arc::new(Service::new(self.options.service_work));
+        let upstream = self.serve(service.clone()).await?;
+        let kind = ServiceName(name.to_owned());
+        let address = Arc::new(HttpUpstream(upstream.address()));
+        let behind = Upstream::Service(kind.clone(), address);
+        let id = format!("{name}-{number}");
+        let mut agent = self
+            .start_agent(&id, Process::Service(kind), behind, upstream)
+            .await?;
+        agent.service = Some(service);
+        self.agents.push(agent);
+        Ok(())
+    }
+
+    async fn start_agent(
+        &self,
+        name: &str,
+        process: Process,
+        behind: Upstream,
+        upstream: Server,
+    ) -> Result<Agent> {
+        let id = InstanceId(name.to_owned());
+        let link = Arc::new(LinkFaults::default());
+        let host = self.host()?;
+        let metrics = host.metrics.clone();
+        let setup = AgentSetup {
+            host,
+            identity: self.identity(&id, self.agents.len()),
+            upstream: behind,
+            weights_listen: loopback(),
+            options: self.options.agent(),
+            interference: Some(link.clone()),
+        };
+        let place = setup.identity.place.clone();
+        let node = AgentNode::start(setup).await?;
+        self.list(&id, place, process, node.address());
+        Ok(Agent {
+            id,
+            node,
+            engine: None,
+            service: None,
+            link,
+            metrics,
+            upstream,
+        })
+    }
+
+    async fn add_entry(&mut self, number: usize) -> Result<()> {
+        let id = InstanceId(format!("entry-{number}"));
+        let host = self.host()?;
+        self.entry_metrics.push(host.metrics.clone());
+        let setup = EntrySetup {
+            host,
+            identity: self.identity(&id, number),
+            callers: loopback(),
+            kinds: self.options.kinds.clone(),
+            deadline: Duration::from_secs(60),
+            body_bytes: BODY_BYTES,
+            options: self.options.entry(),
+        };
+        let place = setup.identity.place.clone();
+        let node = EntryNode::start(setup).await?;
+        self.list(&id, place, Process::Entry, node.address());
+        self.entries.push(node);
+        Ok(())
+    }
+
+    /// The door of operators at an entry.
+    pub fn operator(&self, entry: usize) -> Operator {
+        Operator::new(self.entries[entry].operators(), TOKEN)
+    }
+
+    /// Adapters to the platform, as the daemons use them.
+    pub fn connect(&self) -> Platform {
+        self.platform.connect()
+    }
+
+    /// Hands weights to the platform.
+    pub async fn publish(&self, label: &str, content: &[u8]) -> Result<Manifest> {
+        let manifest = Manifest::describe(label, content)?;
+        client::publish(&self.connect(), &manifest, content.to_vec()).await?;
+        Ok(manifest)
+    }
+
+    /// Declares that a model runs on a number of instances, and confirms the plan.
+    pub async fn deploy(
+        &self,
+        model: &str,
+        version: VersionId,
+        replicas: usize,
+    ) -> Result<Revision> {
+        let operator = self.operator(0);
+        let plan = operator
+            .plan(&deploy_intent(model, version, replicas))
+            .await?;
+        operator.confirm(&plan.id).await
+    }
+
+    /// Waits until every entry is ready and sees every agent alive.
+    pub async fn wait_ready(&self, time: Duration) -> Result<()> {
+        let expected = self.agents.len();
+        self.wait(time, || {
+            self.entries.iter().all(|entry| {
+                entry.inspect(|state| {
+                    let up = state.control.members.others().filter(|it| it.is_up());
+                    let heard = up.filter(|it| it.record.incarnation.0 > 0 && it.listed);
+                    state.control.is_current() && heard.count() >= expected
+                })
+            })
+        })
+        .await
+    }
+
+    /// Waits until this many agents serve a version.
+    pub async fn wait_live(&self, version: VersionId, count: usize, time: Duration) -> Result<()> {
+        self.wait(time, || self.live(version).len() >= count).await
+    }
+
+    /// Waits until every entry has heard that this many agents serve a version.
+    pub async fn wait_routed(&self, version: VersionId, count: usize) -> Result<()> {
+        self.wait(Duration::from_secs(20), || {
+            self.entries.iter().all(|entry| {
+                entry.inspect(|state| {
+                    let members = state.control.members.others();
+                    let serving = members.filter(|it| {
+                        it.record
+                            .serving
+                            .iter()
+                            .any(|serving| serving.version == version)
+                    });
+                    serving.count() >= count
+                })
+            })
+        })
+        .await
+    }
+
+    /// The agents that serve a version.
+    pub fn live(&self, version: VersionId) -> Vec<&Agent> {
+        let serves = |it: &&Agent| {
+            it.node
+                .inspect(|agent| agent.serving().iter().any(|it| it.version == version))
+        };
+        self.agents.iter().filter(serves).collect()
+    }
+
+    /// Waits until something has happened.
+    pub async fn wait(&self, time: Duration, happened: impl Fn() -> bool) -> Result<()> {
+        let start = Instant::now();
+        while !happened() {
+            if start.elapsed() > time {
+                return Err(Error::new(
+                    Code::TimedOut,
+                    "what the lab waited for did not happen",
+                ));
+            }
+            Timer::after(POLL).await;
+        }
+        Ok(())
+    }
+
+    fn host(&self) -> Result<Host> {
+        Ok(Host {
+            tasks: self.tasks.group(),
+            platform: self.platform.connect(),
+            keys: self.keys.clone(),
+            tokens: TokenRing::parse(TOKEN)?,
+            metrics: Arc::new(Metrics::start()?),
+        })
+    }
+
+    fn identity(&self, id: &InstanceId, number: usize) -> Identity {
+        let hall = Hall(format!("hall-{}", number % self.options.halls));
+        let place = Place {
+            region: Region("region-0".to_owned()),
+            hall,
+        };
+        Identity {
+            id: id.clone(),
+            place,
+            listen: loopback(),
+            operators: loopback(),
+        }
+    }
+
+    fn list(&self, id: &InstanceId, place: Place, process: Process, address: SocketAddr) {
+        self.platform.instances.add(Instance {
+            id: id.clone(),
+            place,
+            process,
+            address,
+            memory_bytes: MEMORY_BYTES,
+            state: ListedState::Live,
+        });
+    }
+
+    async fn serve(&self, handler: Arc<dyn Handler>) -> Result<Server> {
+        let bounds = Bounds {
+            body_bytes: BODY_BYTES,
+            ..Bounds::default()
+        };
+        Server::start(&self.tasks.group(), loopback(), bounds, handler).await
+    }
+}
+
+impl Agent {
+    /// Where its upstream listens, for callers that go around silverdock.
+    pub fn upstream_address(&self) -> SocketAddr {
+        self.upstream.address()
+    }
+}
+
+/// The intent that a model runs on a number of instances anywhere.
+pub fn deploy_intent(model: &str, version: VersionId, replicas: usize) -> Intent {
+    Intent::Deploy {
+        model: ModelName::from(model),
+        version,
+        replicas: replicas as u32,
+        role: Role::Serve,
+        halls: Vec::new(),
+        adapter_of: None,
+        priority: 1,
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- /dev/null
+++ b/components/net/src/pacer.rs
@@ -0,0 +1,59 @@
+//! Holds a flow of bytes to the rate of a link.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+
+/// Unused time that a link may make up for, so that timers that fire late do not slow it down.
+const SLACK: Duration = Duration::from_millis(20);
+
+/// A link that carries one byte after the other, in the order in which callers ask.
+pub struct Pacer {
+    bytes_per_s: f64,
+    /// When the bytes promised so far will have passed.
+    busy_until: Mutex<Instant>,
+}
+
+impl Pacer {
+    /// A link of `bytes_per_s`.
+    pub fn new(bytes_per_s: u64) -> Self {
+        Self {
+            bytes_per_s: bytes_per_s as f64,
+            busy_until: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Waits until `bytes` more have passed.
+    pub async fn pass(&self, bytes: usize) {
+        let done = self.reserve(bytes);
+        if done > Instant::now() {
+            Timer::at(done).await;
+        }
+    }
+
+    fn reserve(&self, bytes: usize) -> Instant {
+        let span = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        let mut busy_until = self.busy_until.lock().expect("the lock is never poisoned");
+        let earliest = Instant::now()
+            .checked_sub(SLACK)
+            .unwrap_or_else(Instant::now);
+        *busy_until = (*busy_until).max(earliest) + span;
+        *busy_until
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn can_hold_a_flow_to_its_rate() {
+        let pacer = Pacer::new(1000);
+        let start = Instant::now();
+        pacer.reserve(500);
+        let done = pacer.reserve(500);
+        let span = done.duration_since(start);
+        assert!(span >= Duration::from_millis(970) && span <= Duration::from_millis(1500));
+    }
+}
--- /dev/null
+++ b/components/node/src/agent/staging.rs
@@ -0,0 +1,92 @@
+//! Verified chunks in memory. Instances have no disk.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use fleet::{Manifest, VersionId};
+
+/// The chunks of one version.
+struct Staged {
+    manifest: Arc<Manifest>,
+    chunks: Vec<Option<Arc<Vec<u8>>>>,
+}
+
+/// Every chunk that this agent holds. Only verified chunks are put in.
+#[derive(Clone, Default)]
+pub(crate) struct Staging(Arc<Mutex<HashMap<VersionId, Staged>>>);
+
+impl Staging {
+    /// Makes room for a version.
+    pub(crate) fn open(&self, manifest: &Arc<Manifest>) {
+        let mut versions = self.0.lock().expect("the lock is never poisoned");
+        versions
+            .entry(manifest.version())
+            .or_insert_with(|| Staged {
+                manifest: manifest.clone(),
+                chunks: vec![None; manifest.chunks() as usize],
+            });
+    }
+
+    /// The manifest of a version.
+    pub(crate) fn manifest(&self, version: VersionId) -> Option<Arc<Manifest>> {
+        let versions = self.0.lock().expect("the lock is never poisoned");
+        versions.get(&version).map(|it| it.manifest.clone())
+    }
+
+    /// Puts a chunk in if it is the one the manifest names; tells whether it is.
+    pub(crate) fn put(&self, version: VersionId, index: u32, bytes: Vec<u8>) -> bool {
+        let Some(manifest) = self.manifest(version) else {
+            return false;
+        };
+        // Digests are computed without the lock, which uploads need as well.
+        if !manifest.verify(index, &bytes) {
+            return false;
+        }
+        let mut versions = self.0.lock().expect("the lock is never poisoned");
+        if let Some(staged) = versions.get_mut(&version) {
+            staged.chunks[index as usize] = Some(Arc::new(bytes));
+        }
+        true
+    }
+
+    /// Reads a chunk.
+    pub(crate) fn get(&self, version: VersionId, index: u32) -> Option<Arc<Vec<u8>>> {
+        let versions = self.0.lock().expect("the lock is never poisoned");
+        versions.get(&version)?.chunks.get(index as usize)?.clone()
+    }
+
+    /// Lets go of a version.
+    pub(crate) fn drop_version(&self, version: VersionId) {
+        self.0
+            .lock()
+            .expect("the lock is never poisoned")
+            .remove(&version);
+    }
+
+    /// The bytes held.
+    pub(crate) fn bytes(&self) -> u64 {
+        let versions = self.0.lock().expect("the lock is never poisoned");
+        let chunks = versions.values().flat_map(|it| it.chunks.iter().flatten());
+        chunks.map(|chunk| chunk.len() as u64).sum()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn takes_only_the_chunks_that_the_manifest_names() {
+        let content = vec![7; 10_000];
+        let manifest = Arc::new(Manifest::describe_with("m", &content, 4096).unwrap());
+        let staging = Staging::default();
+        staging.open(&manifest);
+        let version = manifest.version();
+        assert!(!staging.put(version, 0, vec![8; 4096]));
+        assert!(!staging.put(version, 9, vec![7; 4096]));
+        assert!(staging.put(version, 0, vec![7; 4096]));
+        assert_eq!(staging.bytes(), 4096);
+        staging.drop_version(version);
+        assert!(staging.get(version, 0).is_none());
+    }
+}
--- /dev/null
+++ b/components/node/src/tokens.rs
@@ -0,0 +1,89 @@
+//! The operators' tokens, of which two are valid during a change.
+
+use std::sync::{Arc, RwLock};
+
+use errors::{Code, Error, Result};
+use http_types::Request;
+use net::bearer;
+
+/// The shortest line accepted as a token, in characters.
+const MIN_TOKEN_CHARS: usize = 16;
+/// How many tokens may be valid at once.
+const MAX_TOKENS: usize = 2;
+
+/// The valid tokens, kept as digests.
+#[derive(Clone)]
+pub struct TokenRing(Arc<RwLock<Vec<blake3::Hash>>>);
+
+impl TokenRing {
+    /// Reads tokens from the text of a token file: one or two lines.
+    pub fn parse(text: &str) -> Result<Self> {
+        Ok(Self(Arc::new(RwLock::new(parse(text)?))))
+    }
+
+    /// Takes the tokens of a changed file into use.
+    pub fn replace(&self, text: &str) -> Result<()> {
+        *self.0.write().expect("the lock is never poisoned") = parse(text)?;
+        Ok(())
+    }
+
+    /// Checks the token of a request.
+    pub(crate) fn check(&self, request: &Request) -> Result<()> {
+        let given = bearer(request).map(|token| blake3::hash(token.as_bytes()));
+        let valid = self.0.read().expect("the lock is never poisoned");
+        // `blake3::Hash` compares in constant time.
+        if given.is_some_and(|given| valid.contains(&given)) {
+            return Ok(());
+        }
+        Err(Error::new(
+            Code::Unauthorized,
+            "the operator token is absent or wrong",
+        ))
+    }
+}
+
+// A derived implementation would print the digests into a log.
+impl std::fmt::Debug for TokenRing {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("TokenRing(..)")
+    }
+}
+
+fn parse(text: &str) -> Result<Vec<blake3::Hash>> {
+    let lines: Vec<&str> = text
+        .lines()
+        .map(str::trim)
+        .filter(|line| !line.is_empty())
+        .collect();
+    let too_short = lines.iter().any(|line| line.len() < MIN_TOKEN_CHARS);
+    if lines.is_empty() || lines.len() > MAX_TOKENS || too_short {
+        let expected = "a token file holds one or two lines of at least 16 characters";
+        return Err(Error::new(Code::BadSettings, expected));
+    }
+    Ok(lines
+        .iter()
+        .map(|line| blake3::hash(line.as_bytes()))
+        .collect())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use http_types::{Method, Url};
+
+    fn request(token: &str) -> Request {
+        let mut request = Request::new(Method::Get, Url::parse("http://127.0.0.1/").unwrap());
+        request.insert_header("authorization", format!("Bearer {token}"));
+        request
+    }
+
+    #[test]
+    fn can_use_two_tokens_during_a_change() {
+        let ring = TokenRing::parse("token-number-one-1\ntoken-number-two-2\n").unwrap();
+        assert!(ring.check(&request("token-number-one-1")).is_ok());
+        assert!(ring.check(&request("token-number-two-2")).is_ok());
+        ring.replace("token-number-two-2").unwrap();
+        let refused = ring.check(&request("token-number-one-1")).unwrap_err();
+        assert_eq!(refused.code, Code::Unauthorized);
+    }
+}
--- /dev/null
+++ b/components/reducer/src/lib.rs
@@ -0,0 +1,35 @@
+//! Every decision of the daemons as pure reducers.
+//!
+//! Nothing here does input or output, reads a clock or draws a random number: times and seeds come
+//! with the events, and what is to be done goes out as effects.
+
+mod admission;
+mod agent;
+mod changes;
+mod claims;
+mod control;
+mod entry;
+mod members;
+mod planner;
+mod retry;
+mod routing;
+mod seed;
+mod spread;
+
+pub use admission::Admission;
+pub use agent::{Agent, AgentEffect, AgentEvent, AgentOptions, Order};
+pub use changes::{ChangeEffect, ChangeEvent, Changes, Head, Outcome};
+pub use claims::{Claim, ClaimState};
+pub use control::{Control, ControlEffect, ControlEvent};
+pub use entry::{
+    Arrival, AttemptId, Entry, EntryEffect, EntryEvent, EntryOptions, Failure, Target,
+};
+pub use members::{Member, Members};
+pub use planner::{plan, Candidate, Estimate, Fleet};
+pub use retry::RetryBudget;
+pub use routing::{Router, Upstream};
+pub use seed::Seed;
+pub use spread::{
+    Draw, DrawSource, Gate, Neighbour, Participant, Spread, SpreadEffect, SpreadOptions,
+    SpreadPhase,
+};
--- /dev/null
+++ b/components/reducer/src/members.rs
@@ -0,0 +1,525 @@
+//! Which daemons exist and what each is doing, learned from the platform's list and from each
+//! other: probes with acknowledgements, suspicion before death, and news that spreads by gossip
+//! (after "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership Protocol").
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use fleet::{Incarnation, Instance, InstanceId, ListedState, Millis, Revision};
+use wire::{Datagram, DatagramBody, MemberRecord, MemberState, Serving};
+
+use crate::Seed;
+
+/// Time between two probes, in milliseconds.
+const PROBE_EVERY: u64 = 1000;
+/// How long an acknowledgement may take before others are asked to probe, in milliseconds.
+const ACK_TIME: u64 = 400;
+/// How long an acknowledgement may take before the member is suspected, in milliseconds.
+const PROBE_TIME: u64 = 900;
+/// How long a member is suspected before it is taken for dead, in milliseconds.
+const SUSPECT_TIME: u64 = 4000;
+/// How many others are asked to probe.
+const PROBE_HELPERS: usize = 2;
+/// After this many failed probes in a row the fault is taken to be on this side.
+const OWN_FAULT_PROBES: u32 = 3;
+/// Every so many rounds a dead member that is still listed is probed, so that halls that were cut
+/// off find each other again.
+const DEAD_PROBE_ROUNDS: u64 = 5;
+/// Time between two rounds of news while there is news, in milliseconds.
+const NEWS_EVERY: u64 = 100;
+/// How many members news goes to in a round.
+const NEWS_FANOUT: usize = 2;
+/// Records in one datagram; with a version in each they stay below the datagram's bound.
+const RECORDS_PER_DATAGRAM: usize = 8;
+/// News is passed on this many times the logarithm of the fleet.
+const NEWS_FACTOR: u32 = 3;
+/// How long a dead member that is no longer listed is remembered, in milliseconds.
+const FORGET_TIME: u64 = 60_000;
+/// Bytes that may be saved up for a burst of news.
+const BURST_BYTES: f64 = 16_000.0;
+/// What a datagram costs besides its records, in bytes.
+const DATAGRAM_BYTES: f64 = 120.0;
+/// What a record costs, in bytes.
+const RECORD_BYTES: f64 = 110.0;
+
+/// What this daemon knows of another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// The latest record.
+    pub record: MemberRecord,
+    /// When its state last changed here.
+    pub since: Millis,
+    /// Whether the platform's list names it.
+    pub listed: bool,
+    /// How often the record is still to be passed on.
+    sends_left: u32,
+}
+
+impl Member {
+    /// Whether it can be asked for something.
+    pub fn is_up(&self) -> bool {
+        matches!(self.record.state, MemberState::Alive | MemberState::Suspect)
+    }
+}
+
+/// A probe on its way.
+struct Probe {
+    target: InstanceId,
+    nonce: u64,
+    sent: Millis,
+    helpers_asked: bool,
+}
+
+impl Probe {
+    /// Helpers answer with a nonce that is derived from the target.
+    fn is_answered_by(&self, nonce: u64) -> bool {
+        self.nonce == nonce || (self.helpers_asked && relay_nonce(&self.target) == nonce)
+    }
+}
+
+/// The members.
+pub struct Members {
+    me: MemberRecord,
+    my_sends_left: u32,
+    members: BTreeMap<InstanceId, Member>,
+    instances: BTreeMap<InstanceId, Instance>,
+    probe: Option<Probe>,
+    /// Probes made for others: the nonce of ours, who asked and their nonce.
+    relayed: BTreeMap<u64, (SocketAddr, u64)>,
+    failed_probes: u32,
+    round: u64,
+    next_probe: Millis,
+    next_news: Millis,
+    budget: f64,
+    budget_at: Millis,
+    bytes_per_s: f64,
+}
+
+/// A datagram to send.
+pub type Outgoing = (SocketAddr, Datagram);
+
+impl Members {
+    /// Starts with this daemon alone; `bytes_per_s` is what news may cost.
+    pub fn new(me: MemberRecord, bytes_per_s: u64) -> Self {
+        Self {
+            me,
+            my_sends_left: 1,
+            members: BTreeMap::new(),
+            instances: BTreeMap::new(),
+            probe: None,
+            relayed: BTreeMap::new(),
+            failed_probes: 0,
+            round: 0,
+            next_probe: Millis(0),
+            next_news: Millis(0),
+            budget: BURST_BYTES,
+            budget_at: Millis(0),
+            bytes_per_s: bytes_per_s as f64,
+        }
+    }
+
+    /// This daemon's own record.
+    pub fn me(&self) -> &MemberRecord {
+        &self.me
+    }
+
+    /// Every other daemon.
+    pub fn others(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// One other daemon.
+    pub fn get(&self, id: &InstanceId) -> Option<&Member> {
+        self.members.get(id)
+    }
+
+    /// What the platform's list says of an instance.
+    pub fn listed(&self, id: &InstanceId) -> Option<&Instance> {
+        self.instances.get(id)
+    }
+
+    /// Whether the platform's list says that an instance leaves.
+    pub fn is_listed_leaving(&self, id: &InstanceId) -> bool {
+        self.listed(id)
+            .is_some_and(|it| it.state == ListedState::Leaving)
+    }
+
+    /// How many daemons there are, this one included.
+    pub fn count(&self) -> usize {
+        self.members.len() + 1
+    }
+
+    /// Sets what this daemon serves; a change becomes news.
+    pub fn set_serving(&mut self, serving: Vec<Serving>) {
+        if self.me.serving != serving {
+            self.me.serving = serving;
+            self.renew();
+        }
+    }
+
+    /// Says that this daemon takes no new work.
+    pub fn set_leaving(&mut self) {
+        if self.me.state != MemberState::Leaving {
+            self.me.state = MemberState::Leaving;
+            self.renew();
+        }
+    }
+
+    /// Takes in the platform's list.
+    pub fn take_list(&mut self, now: Millis, list: Vec<Instance>) {
+        for member in self.members.values_mut() {
+            member.listed = false;
+        }
+        self.instances = list.into_iter().map(|it| (it.id.clone(), it)).collect();
+        for instance in self.instances.values() {
+            if instance.id == self.me.id {
+                continue;
+            }
+            let member = self
+                .members
+                .entry(instance.id.clone())
+                .or_insert_with(|| Member::from_list(now, instance));
+            member.listed = true;
+        }
+        let forgotten = |it: &Member| {
+            let dead = it.record.state == MemberState::Dead;
+            dead && !it.listed && now.since(it.since) >= Millis(FORGET_TIME)
+        };
+        self.members.retain(|_, member| !forgotten(member));
+    }
+
+    /// Takes in a datagram and gives the answers to it.
+    pub fn receive(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        datagram: &Datagram,
+        revision: Revision,
+        seed: &mut Seed,
+    ) -> Vec<Outgoing> {
+        for record in &datagram.records {
+            self.merge(now, record);
+        }
+        self.hear(now, &datagram.from, datagram.incarnation);
+        match &datagram.body {
+            DatagramBody::Ping { nonce } => {
+                vec![(
+                    from,
+                    self.build(DatagramBody::Ack { nonce: *nonce }, revision),
+                )]
+            }
+            DatagramBody::Ack { nonce } => self.take_ack(*nonce, revision),
+            DatagramBody::PingFor { target } => self.relay(from, target, revision, seed),
+            DatagramBody::News | DatagramBody::Summary { .. } => Vec::new(),
+        }
+    }
+
+    /// Does what is due: probes, suspicions and news.
+    pub fn tick(&mut self, now: Millis, revision: Revision, seed: &mut Seed) -> Vec<Outgoing> {
+        self.refill(now);
+        self.expire_suspects(now);
+        let mut outgoing = self.check_probe(now, revision, seed);
+        if now >= self.next_probe && self.probe.is_none() {
+            self.next_probe = now.plus(PROBE_EVERY);
+            outgoing.extend(self.start_probe(now, revision, seed));
+        }
+        if now >= self.next_news && self.has_news() {
+            self.next_news = now.plus(NEWS_EVERY);
+            outgoing.extend(self.spread_news(revision, seed));
+        }
+        outgoing
+    }
+
+    /// Sends a datagram to a few members at once, for something that cannot wait.
+    pub fn push(&mut self, revision: Revision, fanout: usize, seed: &mut Seed) -> Vec<Outgoing> {
+        let targets = self.up_addresses();
+        let targets = seed.sample(&targets, fanout);
+        targets
+            .into_iter()
+            .map(|to| (*to, self.build(DatagramBody::News, revision)))
+            .collect()
+    }
+
+    /// Builds a datagram with as many records as fit, news first.
+    pub fn build(&mut self, body: DatagramBody, revision: Revision) -> Datagram {
+        let records = match body {
+            DatagramBody::Summary { .. } => Vec::new(),
+            _ => self.take_records(),
+        };
+        self.budget -= DATAGRAM_BYTES + RECORD_BYTES * records.len() as f64;
+        Datagram {
+            from: self.me.id.clone(),
+            incarnation: self.me.incarnation,
+            revision,
+            body,
+            records,
+        }
+    }
+
+    fn renew(&mut self) {
+        self.me.serial += 1;
+        self.my_sends_left = self.news_sends();
+    }
+
+    fn news_sends(&self) -> u32 {
+        NEWS_FACTOR * (self.count() as u32 + 1).ilog2().max(1)
+    }
+
+    fn has_news(&self) -> bool {
+        self.my_sends_left > 0 || self.members.values().any(|it| it.sends_left > 0)
+    }
+
+    fn refill(&mut self, now: Millis) {
+        let span = now.since(self.budget_at).0 as f64 / 1000.0;
+        self.budget = (self.budget + span * self.bytes_per_s).min(BURST_BYTES);
+        self.budget_at = now;
+    }
+
+    fn spread_news(&mut self, revision: Revision, seed: &mut Seed) -> Vec<Outgoing> {
+        if self.budget <= 0.0 {
+            return Vec::new();
+        }
+        self.push(revision, NEWS_FANOUT, seed)
+    }
+
+    fn up_addresses(&self) -> Vec<SocketAddr> {
+        self.members
+            .values()
+            .filter(|it| it.is_up())
+            .map(|it| it.record.address)
+            .collect()
+    }
+
+    /// The records that were passed on least, this daemon's own first.
+    fn take_records(&mut self) -> Vec<MemberRecord> {
+        let mut records = Vec::new();
+        if self.my_sends_left > 0 {
+            self.my_sends_left -= 1;
+            records.push(self.me.clone());
+        }
+        let mut news: Vec<&mut Member> = self
+            .members
+            .values_mut()
+            .filter(|it| it.sends_left > 0)
+            .collect();
+        news.sort_by_key(|it| std::cmp::Reverse(it.sends_left));
+        for member in news.into_iter().take(RECORDS_PER_DATAGRAM - records.len()) {
+            member.sends_left -= 1;
+            records.push(member.record.clone());
+        }
+        records
+    }
+
+    /// Takes in what another daemon says of a third, or of this one.
+    fn merge(&mut self, now: Millis, record: &MemberRecord) {
+        if record.id == self.me.id {
+            self.refute(record);
+            return;
+        }
+        let sends = self.news_sends();
+        match self.members.get_mut(&record.id) {
+            Some(member) if is_newer(record, &member.record) => {
+                if member.record.state != record.state {
+                    member.since = now;
+                }
+                member.record = record.clone();
+                member.sends_left = sends;
+            }
+            Some(_) => {}
+            None => {
+                let member = Member {
+                    record: record.clone(),
+                    since: now,
+                    listed: self.instances.contains_key(&record.id),
+                    sends_left: sends,
+                };
+                self.members.insert(record.id.clone(), member);
+            }
+        }
+    }
+
+    /// Contradicts a record that takes this daemon for suspect or dead.
+    fn refute(&mut self, record: &MemberRecord) {
+        let ours = (self.me.incarnation, self.me.serial);
+        let theirs = (record.incarnation, record.serial);
+        if record.state != self.me.state && theirs >= ours && record.incarnation == ours.0 {
+            self.me.serial = record.serial;
+            self.renew();
+        }
+    }
+
+    /// A datagram straight from a member shows that it is up.
+    fn hear(&mut self, now: Millis, id: &InstanceId, incarnation: Incarnation) {
+        let Some(member) = self.members.get_mut(id) else {
+            return;
+        };
+        let same_run = member.record.incarnation == incarnation;
+        if same_run && member.record.state == MemberState::Suspect {
+            member.record.state = MemberState::Alive;
+            member.since = now;
+        }
+    }
+
+    fn take_ack(&mut self, nonce: u64, revision: Revision) -> Vec<Outgoing> {
+        if self
+            .probe
+            .as_ref()
+            .is_some_and(|probe| probe.is_answered_by(nonce))
+        {
+            self.probe = None;
+            self.failed_probes = 0;
+        }
+        match self.relayed.remove(&nonce) {
+            Some((asker, nonce)) => {
+                vec![(asker, self.build(DatagramBody::Ack { nonce }, revision))]
+            }
+            None => Vec::new(),
+        }
+    }
+
+    /// Probes a member for another daemon. The asker's nonce is not in the message: it is derived
+    /// from the target, which the asker has only one probe for.
+    fn relay(
+        &mut self,
+        asker: SocketAddr,
+        target: &InstanceId,
+        revision: Revision,
+        seed: &mut Seed,
+    ) -> Vec<Outgoing> {
+        let Some(address) = self.members.get(target).map(|it| it.record.address) else {
+            return Vec::new();
+        };
+        let nonce = seed.below(u64::MAX);
+        if self.relayed.len() >= self.count() {
+            self.relayed.pop_first();
+        }
+        self.relayed.insert(nonce, (asker, relay_nonce(target)));
+        vec![(address, self.build(DatagramBody::Ping { nonce }, revision))]
+    }
+
+    fn start_probe(&mut self, now: Millis, revision: Revision, seed: &mut Seed) -> Vec<Outgoing> {
+        self.round += 1;
+        let want_dead = self.round.is_multiple_of(DEAD_PROBE_ROUNDS);
+        let mut targets = self.probe_targets(want_dead);
+        if targets.is_empty() {
+            targets = self.probe_targets(false);
+        }
+        let Some((target, address)) = seed.pick(&targets).cloned() else {
+            return Vec::new();
+        };
+        let nonce = seed.below(u64::MAX);
+        self.probe = Some(Probe {
+            target,
+            nonce,
+            sent: now,
+            helpers_asked: false,
+        });
+        vec![(address, self.build(DatagramBody::Ping { nonce }, revision))]
+    }
+
+    fn probe_targets(&self, dead: bool) -> Vec<(InstanceId, SocketAddr)> {
+        let members = self.members.iter();
+        let wanted = members.filter(|(_, it)| {
+            let is_dead = it.record.state == MemberState::Dead;
+            is_dead == dead && (!dead || it.listed)
+        });
+        wanted
+            .map(|(id, it)| (id.clone(), it.record.address))
+            .collect()
+    }
+
+    /// Asks helpers when an acknowledgement is late, and suspects the target when it stays out.
+    fn check_probe(&mut self, now: Millis, revision: Revision, seed: &mut Seed) -> Vec<Outgoing> {
+        let Some(probe) = &mut self.probe else {
+            return Vec::new();
+        };
+        let waited = now.since(probe.sent).0;
+        if waited >= PROBE_TIME {
+            let target = probe.target.clone();
+            self.probe = None;
+            self.failed_probes += 1;
+            self.suspect(now, &target);
+            return Vec::new();
+        }
+        if waited < ACK_TIME || probe.helpers_asked {
+            return Vec::new();
+        }
+        probe.helpers_asked = true;
+        let target = probe.target.clone();
+        let others = self.up_addresses();
+        let helpers = seed.sample(&others, PROBE_HELPERS);
+        let body = DatagramBody::PingFor { target };
+        helpers
+            .into_iter()
+            .map(|to| (*to, self.build(body.clone(), revision)))
+            .collect()
+    }
+
+    fn suspect(&mut self, now: Millis, target: &InstanceId) {
+        // When probe after probe fails, it is this daemon that is cut off.
+        if self.failed_probes >= OWN_FAULT_PROBES {
+            return;
+        }
+        let sends = self.news_sends();
+        let Some(member) = self.members.get_mut(target) else {
+            return;
+        };
+        if member.record.state == MemberState::Alive {
+            member.record.state = MemberState::Suspect;
+            member.since = now;
+            member.sends_left = sends;
+        }
+    }
+
+    fn expire_suspects(&mut self, now: Millis) {
+        if self.failed_probes >= OWN_FAULT_PROBES {
+            return;
+        }
+        let sends = self.news_sends();
+        for member in self.members.values_mut() {
+            let suspect = member.record.state == MemberState::Suspect;
+            if suspect && now.since(member.since) >= Millis(SUSPECT_TIME) {
+                member.record.state = MemberState::Dead;
+                member.since = now;
+                member.sends_left = sends;
+            }
+        }
+    }
+}
+
+impl Member {
+    /// What the list says before the daemon itself has been heard of.
+    fn from_list(now: Millis, instance: &Instance) -> Self {
+        let record = MemberRecord {
+            id: instance.id.clone(),
+            incarnation: Incarnation(0),
+            serial: 0,
+            state: MemberState::Alive,
+            place: instance.place.clone(),
+            process: instance.process.clone(),
+            address: instance.address,
+            serving: Vec::new(),
+        };
+        Self {
+            record,
+            since: now,
+            listed: true,
+            sends_left: 0,
+        }
+    }
+}
+
+/// Whether a record replaces another: a later run, a later change, or a worse state of the same.
+fn is_newer(new: &MemberRecord, old: &MemberRecord) -> bool {
+    let key = |it: &MemberRecord| (it.incarnation, it.serial, it.state);
+    key(new) > key(old)
+}
+
+/// The nonce that answers for a target when helpers probe it.
+fn relay_nonce(target: &InstanceId) -> u64 {
+    crate::seed::shared_hash(&[b"relay", target.0.as_bytes()])
+}
+
+#[cfg(test)]
+#[path = "members_tests.rs"]
+mod tests;
--- /dev/null
+++ b/components/reducer/src/spread/gate.rs
@@ -0,0 +1,188 @@
+//! Who may draw a chunk from the origin, and when.
+//!
+//! Receivers that share one copy form a group. Each chunk has an owner in the group, found by
+//! everyone alike from the configuration, and a moment on the origin's timetable. When the owner is
+//! dead the next one steps in at once; when it is alive but slow, after some patience. Nothing is
+//! written to the table.
+
+use std::collections::BTreeSet;
+
+use fleet::{Hall, InstanceId, Millis, Place, VersionId};
+
+use crate::seed::shared_hash;
+
+/// The shortest time a receiver waits for the one before it in rank, in milliseconds.
+const MIN_PATIENCE: u64 = 2000;
+/// The part of the ideal spread that a receiver waits for the one before it in rank.
+const PATIENCE_SHARE: f64 = 0.25;
+/// How many ranks of patience a receiver waits at most before it draws as a last resort.
+const LAST_RESORT_RANKS: u64 = 6;
+
+/// The timetable and the ranks of one version at one receiver.
+#[derive(Debug)]
+pub struct Gate {
+    /// The receivers of this group in an order that everyone derives alike.
+    order: Vec<InstanceId>,
+    /// Which of them are up, by position.
+    up: Vec<bool>,
+    /// Where this instance stands in the order.
+    mine: usize,
+    chunks: u32,
+    /// The chunk this group starts with, so that groups draw different ones.
+    first_chunk: u32,
+    /// Milliseconds between two chunks of this group.
+    step_ms: f64,
+    patience_ms: u64,
+}
+
+/// What a gate is made from.
+pub struct GateOptions {
+    /// How many copies may be drawn; each group of halls draws one.
+    pub copies: u32,
+    /// Milliseconds the origin's link takes for one chunk.
+    pub chunk_ms: f64,
+    /// Milliseconds this instance's link takes for the whole version.
+    pub version_ms: f64,
+}
+
+impl Gate {
+    /// Ranks the receivers of a version.
+    pub fn new(
+        me: &InstanceId,
+        version: VersionId,
+        chunks: u32,
+        receivers: &[(InstanceId, Place)],
+        options: &GateOptions,
+    ) -> Self {
+        let halls: BTreeSet<&Hall> = receivers.iter().map(|(_, place)| &place.hall).collect();
+        let groups = options.copies.clamp(1, halls.len().max(1) as u32);
+        let group_of = |hall: &Hall| halls.iter().position(|it| *it == hall).unwrap_or(0) as u32;
+        let my_hall = receivers
+            .iter()
+            .find(|(id, _)| id == me)
+            .map(|(_, place)| &place.hall);
+        let group = my_hall.map_or(0, |hall| group_of(hall) % groups);
+        let in_group = receivers
+            .iter()
+            .filter(|(_, it)| group_of(&it.hall) % groups == group);
+        let mut order: Vec<InstanceId> = in_group.map(|(id, _)| id.clone()).collect();
+        if !order.contains(me) {
+            order.push(me.clone());
+        }
+        order.sort_by_key(|id| (shared_hash(&[&version.0, id.0.as_bytes()]), id.clone()));
+        let mine = order.iter().position(|id| id == me).unwrap_or(0);
+        let patience = (options.version_ms * PATIENCE_SHARE) as u64;
+        Self {
+            up: vec![true; order.len()],
+            order,
+            mine,
+            chunks,
+            first_chunk: (u64::from(chunks) * u64::from(group) / u64::from(groups)) as u32,
+            step_ms: options.chunk_ms * f64::from(groups),
+            patience_ms: patience.max(MIN_PATIENCE),
+        }
+    }
+
+    /// Whether an instance shares this group's copy.
+    pub fn is_in_group(&self, id: &InstanceId) -> bool {
+        self.order.contains(id)
+    }
+
+    /// Takes in which receivers are up.
+    pub fn set_up(&mut self, is_up: impl Fn(&InstanceId) -> bool) {
+        for (index, id) in self.order.iter().enumerate() {
+            self.up[index] = index == self.mine || is_up(id);
+        }
+    }
+
+    /// How many receivers that are up come before this one for a chunk.
+    pub fn rank(&self, chunk: u32) -> u64 {
+        let len = self.order.len();
+        let owner = chunk as usize % len;
+        let distance = (self.mine + len - owner) % len;
+        (0..distance)
+            .filter(|step| self.up[(owner + step) % len])
+            .count() as u64
+    }
+
+    /// When this receiver may draw a chunk, if nobody in its group holds it by then.
+    pub fn due(&self, started: Millis, chunk: u32) -> Millis {
+        let rank = self.rank(chunk);
+        self.timetable(started, chunk)
+            .plus(rank.saturating_mul(self.patience_ms))
+    }
+
+    /// When this receiver may draw a chunk although peers say that they hold it.
+    pub fn last_resort(&self, started: Millis, chunk: u32) -> Millis {
+        let ranks = self.rank(chunk).min(LAST_RESORT_RANKS) + LAST_RESORT_RANKS;
+        self.timetable(started, chunk)
+            .plus(ranks * self.patience_ms)
+    }
+
+    fn timetable(&self, started: Millis, chunk: u32) -> Millis {
+        let position = (chunk + self.chunks - self.first_chunk) % self.chunks.max(1);
+        started.plus((f64::from(position) * self.step_ms) as u64)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn receivers(count: usize) -> Vec<(InstanceId, Place)> {
+        let place = |n: usize| Place {
+            region: "r".into(),
+            hall: Hall(format!("h{}", n % 3)),
+        };
+        (0..count)
+            .map(|n| (InstanceId(format!("i{n}")), place(n)))
+            .collect()
+    }
+
+    fn gates(count: usize, copies: u32) -> Vec<Gate> {
+        let all = receivers(count);
+        let options = GateOptions {
+            copies,
+            chunk_ms: 10.0,
+            version_ms: 4000.0,
+        };
+        let version = VersionId([3; 32]);
+        all.iter()
+            .map(|(id, _)| Gate::new(id, version, 20, &all, &options))
+            .collect()
+    }
+
+    #[test]
+    fn gives_each_chunk_one_owner_for_each_copy() {
+        for copies in 1..=3 {
+            let gates = gates(12, copies);
+            for chunk in 0..20 {
+                let owners = gates.iter().filter(|gate| gate.rank(chunk) == 0).count();
+                assert_eq!(owners, copies as usize);
+            }
+        }
+    }
+
+    #[test]
+    fn puts_the_next_receiver_in_the_place_of_a_dead_owner() {
+        let mut gates = gates(12, 1);
+        let owner = gates.iter().position(|gate| gate.rank(5) == 0).unwrap();
+        let dead = InstanceId(format!("i{owner}"));
+        gates
+            .iter_mut()
+            .for_each(|gate| gate.set_up(|id| id != &dead));
+        let heirs = gates
+            .iter()
+            .enumerate()
+            .filter(|(n, gate)| *n != owner && gate.rank(5) == 0);
+        assert_eq!(heirs.count(), 1);
+    }
+
+    #[test]
+    fn spreads_the_draws_over_the_origins_timetable() {
+        let gates = gates(12, 1);
+        let owner = |chunk| gates.iter().find(|gate| gate.rank(chunk) == 0).unwrap();
+        assert_eq!(owner(0).due(Millis(100), 0), Millis(100));
+        assert_eq!(owner(7).due(Millis(100), 7), Millis(170));
+    }
+}
--- /dev/null
+++ b/components/reducer/src/spread/mod.rs
@@ -0,0 +1,12 @@
+//! How one version reaches this instance: which chunk is drawn next, from whom, and when the origin
+//! may be asked. Every receiver decides for itself; there is no coordinator.
+
+mod gate;
+mod neighbour;
+mod version;
+
+pub use gate::Gate;
+pub use neighbour::Neighbour;
+pub use version::{
+    Draw, DrawSource, Participant, Spread, SpreadEffect, SpreadOptions, SpreadPhase,
+};
--- /dev/null
+++ b/components/reducer/src/spread/neighbour.rs
@@ -0,0 +1,74 @@
+//! What a receiver knows of another daemon that it exchanges chunks with.
+
+use std::net::SocketAddr;
+
+use fleet::{Bitmap, Millis};
+
+/// Corrupt or stalled chunks after which a neighbour is put aside.
+const STRIKES: u32 = 3;
+/// How long it is put aside, in milliseconds.
+const ASIDE_TIME: u64 = 10_000;
+/// The part of a new measurement in the smoothed one.
+const SMOOTHING: f64 = 0.25;
+
+/// A neighbour.
+#[derive(Clone, Debug)]
+pub struct Neighbour {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Zero in the same hall, one in the same region, two beyond.
+    pub distance: u32,
+    /// Whether it shares this group's copy from the origin.
+    pub in_group: bool,
+    /// The chunks it said it holds.
+    pub have: Bitmap,
+    /// Chunks asked of it and not yet answered.
+    pub outstanding: u32,
+    /// Chunks in its upload queue when it last said so.
+    pub uploads: u32,
+    /// Not to be asked before this moment.
+    pub not_before: Millis,
+    /// Failures since the last good chunk.
+    strikes: u32,
+    /// Smoothed time from asking to arrival, in milliseconds.
+    time_ms: Option<f64>,
+}
+
+impl Neighbour {
+    /// A neighbour that has said nothing yet.
+    pub fn new(address: SocketAddr, distance: u32, in_group: bool, chunks: u32) -> Self {
+        Self {
+            address,
+            distance,
+            in_group,
+            have: Bitmap::new(chunks),
+            outstanding: 0,
+            uploads: 0,
+            not_before: Millis(0),
+            strikes: 0,
+            time_ms: None,
+        }
+    }
+
+    /// How long a chunk from it takes, in milliseconds.
+    pub fn usual_time(&self, otherwise: f64) -> f64 {
+        self.time_ms.unwrap_or(otherwise)
+    }
+
+    /// Counts a good chunk.
+    pub fn reward(&mut self, took: Millis) {
+        self.strikes = 0;
+        let took = took.0 as f64;
+        let before = self.time_ms.unwrap_or(took);
+        self.time_ms = Some(before + SMOOTHING * (took - before));
+    }
+
+    /// Counts a failure; after a few the neighbour is put aside for a while.
+    pub fn punish(&mut self, now: Millis) {
+        self.strikes += 1;
+        if self.strikes >= STRIKES {
+            self.strikes = 0;
+            self.not_before = now.plus(ASIDE_TIME);
+        }
+    }
+}
--- /dev/null
+++ b/components/standins/src/platform.rs
@@ -0,0 +1,86 @@
+//! All services of the platform together.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use errors::Result;
+use net::{Bounds, Handler, Server, Tasks};
+use platform::{HttpInstances, HttpObjects, HttpTable, HttpWeights, Platform};
+
+use crate::{Instances, Objects, Origin, Table};
+
+/// The largest body a stand-in takes; weights are published in one piece.
+const BODY_BYTES: u64 = 1 << 31;
+
+/// How the platform behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformOptions {
+    /// The origin's link, in bytes a second.
+    pub origin_bytes_per_s: u64,
+}
+
+/// The platform's services, each on a loopback address of its own.
+pub struct PlatformStandIn {
+    /// The table.
+    pub table: Arc<Table>,
+    /// The object store.
+    pub objects: Arc<Objects>,
+    /// The origin.
+    pub origin: Arc<Origin>,
+    /// The instance list.
+    pub instances: Arc<Instances>,
+    servers: [Server; 4],
+}
+
+impl PlatformStandIn {
+    /// Starts every service.
+    pub async fn start(tasks: &Tasks, options: PlatformOptions) -> Result<Self> {
+        let table = Arc::new(Table::default());
+        let objects = Arc::new(Objects::default());
+        let origin = Arc::new(Origin::new(tasks, options.origin_bytes_per_s));
+        let instances = Arc::new(Instances::default());
+        let servers = [
+            serve(tasks, table.clone()).await?,
+            serve(tasks, objects.clone()).await?,
+            serve(tasks, origin.clone()).await?,
+            serve(tasks, instances.clone()).await?,
+        ];
+        Ok(Self {
+            table,
+            objects,
+            origin,
+            instances,
+            servers,
+        })
+    }
+
+    /// Where the table, the object store, the origin and the list listen.
+    pub fn addresses(&self) -> [SocketAddr; 4] {
+        [0, 1, 2, 3].map(|index| self.servers[index].address())
+    }
+
+    /// Adapters that speak to the services over HTTP.
+    pub fn connect(&self) -> Platform {
+        let [table, objects, weights, instances] = self.addresses();
+        Platform {
+            table: Arc::new(HttpTable(table)),
+            objects: Arc::new(HttpObjects(objects)),
+            weights: Arc::new(HttpWeights(weights)),
+            instances: Arc::new(HttpInstances(instances)),
+        }
+    }
+}
+
+async fn serve(tasks: &Tasks, handler: Arc<dyn Handler>) -> Result<Server> {
+    let bounds = Bounds {
+        body_bytes: BODY_BYTES,
+        ..Bounds::default()
+    };
+    Server::start(
+        tasks,
+        SocketAddr::from(([127, 0, 0, 1], 0)),
+        bounds,
+        handler,
+    )
+    .await
+}
--- /dev/null
+++ b/components/telemetry/src/logs.rs
@@ -0,0 +1,80 @@
+//! Logs as JSON lines on standard error.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use errors::{Code, Error, Result};
+use log::kv::{self, VisitSource};
+use log::{LevelFilter, Record};
+use serde_json::{Map, Value};
+
+/// Starts logging for the process: one JSON object a line on standard error.
+pub fn start_logs(instance: &str, level: &str) -> Result<()> {
+    let level: LevelFilter = level
+        .parse()
+        .map_err(|_| Error::new(Code::BadSettings, "unknown log level"))?;
+    let instance = instance.to_owned();
+    fern::Dispatch::new()
+        .level(level)
+        .format(move |out, message, record| {
+            out.finish(format_args!(
+                "{}",
+                render(&instance, &message.to_string(), record)
+            ))
+        })
+        .chain(std::io::stderr())
+        .apply()
+        .map_err(|error| Error::new(Code::Internal, error.to_string()))
+}
+
+/// One line: time, level, instance, module, message, then the fields of the record.
+fn render(instance: &str, message: &str, record: &Record<'_>) -> Value {
+    let mut line = Map::new();
+    line.insert("ts_ms".into(), unix_millis().into());
+    line.insert("level".into(), record.level().as_str().into());
+    line.insert("instance".into(), instance.into());
+    line.insert("module".into(), record.target().into());
+    line.insert("message".into(), message.into());
+    let _ = record.key_values().visit(&mut Fields(&mut line));
+    Value::Object(line)
+}
+
+fn unix_millis() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |span| span.as_millis() as u64)
+}
+
+/// Copies the fields of a record into the line.
+struct Fields<'a>(&'a mut Map<String, Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let value = match value.to_u64() {
+            Some(number) => number.into(),
+            None => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn can_render_fields_as_json() {
+        let fields = [
+            ("request", kv::Value::from("1-2")),
+            ("code", kv::Value::from(105u64)),
+        ];
+        let record = Record::builder()
+            .key_values(&fields)
+            .level(log::Level::Warn)
+            .build();
+        let line = render("agent-1", "refused", &record);
+        assert_eq!(line["request"], "1-2");
+        assert_eq!(line["code"], 105);
+        assert_eq!(line["instance"], "agent-1");
+    }
+}
--- /dev/null
+++ b/components/wire/src/keys.rs
@@ -0,0 +1,115 @@
+//! The cluster key, of which two are valid during a change.
+
+use std::sync::{Arc, RwLock};
+
+use errors::{Code, Error, Result};
+
+/// The length of an authentication code in bytes.
+pub const TAG_BYTES: usize = 32;
+/// An authentication code.
+pub type Tag = [u8; TAG_BYTES];
+
+/// The shortest line accepted as a key, in characters.
+const MIN_KEY_CHARS: usize = 16;
+/// How many keys may be valid at once.
+const MAX_KEYS: usize = 2;
+/// Separates silverdock's keys from other uses of the same text.
+const KEY_CONTEXT: &str = "silverdock 2026 cluster key v1";
+
+/// The cluster keys. The first signs; each of them verifies.
+#[derive(Clone)]
+pub struct KeyRing {
+    keys: Arc<RwLock<Vec<Tag>>>,
+}
+
+impl KeyRing {
+    /// Reads keys from the text of a key file: one or two lines, the signing key first.
+    pub fn parse(text: &str) -> Result<Self> {
+        Ok(Self {
+            keys: Arc::new(RwLock::new(parse_keys(text)?)),
+        })
+    }
+
+    /// Takes the keys of a changed key file into use, for every holder of this ring.
+    pub fn replace(&self, text: &str) -> Result<()> {
+        let keys = parse_keys(text)?;
+        *self.keys.write().expect("the key lock is never poisoned") = keys;
+        Ok(())
+    }
+
+    /// Signs a message given in parts.
+    pub fn sign(&self, parts: &[&[u8]]) -> Tag {
+        let keys = self.keys.read().expect("the key lock is never poisoned");
+        digest(&keys[0], parts)
+    }
+
+    /// Whether one of the valid keys signed the message.
+    pub fn verify(&self, parts: &[&[u8]], tag: &Tag) -> bool {
+        let keys = self.keys.read().expect("the key lock is never poisoned");
+        // `blake3::Hash` compares in constant time.
+        keys.iter()
+            .any(|key| blake3::Hash::from(digest(key, parts)) == blake3::Hash::from(*tag))
+    }
+}
+
+// A derived implementation would print the keys into a log.
+impl std::fmt::Debug for KeyRing {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("KeyRing(..)")
+    }
+}
+
+fn parse_keys(text: &str) -> Result<Vec<Tag>> {
+    let lines: Vec<&str> = text
+        .lines()
+        .map(str::trim)
+        .filter(|line| !line.is_empty())
+        .collect();
+    let too_short = lines.iter().any(|line| line.len() < MIN_KEY_CHARS);
+    if lines.is_empty() || lines.len() > MAX_KEYS || too_short {
+        let expected = "a key file holds one or two lines of at least 16 characters";
+        return Err(Error::new(Code::BadSettings, expected));
+    }
+    Ok(lines
+        .iter()
+        .map(|line| blake3::derive_key(KEY_CONTEXT, line.as_bytes()))
+        .collect())
+}
+
+fn digest(key: &Tag, parts: &[&[u8]]) -> Tag {
+    let mut hasher = blake3::Hasher::new_keyed(key);
+    for part in parts {
+        // The length keeps two different cuts of the same bytes apart.
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    *hasher.finalize().as_bytes()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn can_verify_with_either_key_during_a_change() {
+        let old = KeyRing::parse("old-key-old-key-old-key").unwrap();
+        let both = KeyRing::parse("new-key-new-key-new-key\nold-key-old-key-old-key").unwrap();
+        let tag = old.sign(&[b"hello"]);
+        assert!(both.verify(&[b"hello"], &tag));
+        assert!(!old.verify(&[b"hello"], &both.sign(&[b"hello"])));
+        old.replace("new-key-new-key-new-key").unwrap();
+        assert!(old.verify(&[b"hello"], &both.sign(&[b"hello"])));
+    }
+
+    #[test]
+    fn errors_on_a_short_key_and_on_three_keys() {
+        assert!(KeyRing::parse("short").is_err());
+        assert!(KeyRing::parse(&"a-long-enough-key-1\n".repeat(3)).is_err());
+    }
+
+    #[test]
+    fn does_not_print_keys() {
+        let ring = KeyRing::parse("a-very-secret-cluster-key").unwrap();
+        assert_eq!(format!("{ring:?}"), "KeyRing(..)");
+    }
+}
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,13 @@
+//! Authenticated messages between silverdock daemons: frames over TCP and datagrams over UDP.
+
+mod datagram;
+mod frame;
+mod keys;
+mod message;
+
+pub use datagram::{open_datagram, seal_datagram, MAX_DATAGRAM_BYTES};
+pub use frame::{accept_session, dial_session, Frame, FrameReader, FrameWriter};
+pub use keys::{KeyRing, Tag};
+pub use message::{
+    Call, Datagram, DatagramBody, Load, MemberRecord, MemberState, Message, Serving,
+};
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Client.
+fn main() {}
