Client and daemon programs; never say not run after a try that may have run

Cause: the first test that killed an agent process in the middle of a stream found a false promise. The first try had begun to run, was lost (203, unknown), and was repeated as its kind allows; the second try found nobody listening and the caller was told 109, not run.

Ruled out: the agent's own report (it was dead and reported nothing) and the frame layer (the loss was seen as 203).

Change: a request remembers that a try may have run; every later ending that would say not run is turned into that earlier code. Stand-in faults now fall on an even share of calls instead of random ones, so that tests give the same verdict every time.

--- a/components/client/src/publish.rs
+++ b/components/client/src/publish.rs
@@ -2,15 +2,19 @@
 
 use errors::Result;
 use fleet::Manifest;
-use platform::Platform;
+use platform::{ObjectStore, WeightStore};
 
 /// Stores the bytes at the origin and then the manifest in the object store, so that a manifest
 /// never names bytes that are not there.
-pub async fn publish(platform: &Platform, manifest: &Manifest, content: Vec<u8>) -> Result<()> {
+pub async fn publish(
+    weights: &dyn WeightStore,
+    objects: &dyn ObjectStore,
+    manifest: &Manifest,
+    content: Vec<u8>,
+) -> Result<()> {
     let version = manifest.version();
-    platform.weights.publish(version, content).await?;
-    platform
-        .objects
+    weights.publish(version, content).await?;
+    objects
         .put(&format!("manifests/{version}"), manifest.encode())
         .await
 }
--- a/components/lab/src/fleet.rs
+++ b/components/lab/src/fleet.rs
@@ -202,7 +202,9 @@
     /// Hands weights to the platform.
     pub async fn publish(&self, label: &str, content: &[u8]) -> Result<Manifest> {
         let manifest = Manifest::describe(label, content)?;
-        client::publish(&self.connect(), &manifest, content.to_vec()).await?;
+        let platform = self.connect();
+        let (weights, objects) = (&*platform.weights, &*platform.objects);
+        client::publish(weights, objects, &manifest, content.to_vec()).await?;
         Ok(manifest)
     }
 
--- a/components/lab/src/interference.rs
+++ b/components/lab/src/interference.rs
@@ -4,45 +4,42 @@
 use std::time::Duration;
 
 use node::Interference;
-use rand::Rng;
+use standins::Share;
 
-/// Stalls and damages chunks with stated probabilities.
+/// Stalls and damages stated shares of the chunks.
 #[derive(Default)]
 pub struct LinkFaults {
-    corrupt_percent: AtomicU64,
-    stall_percent: AtomicU64,
+    corruption: Share,
+    stalls: Share,
     stall_ms: AtomicU64,
-    corrupted: AtomicU64,
 }
 
 impl LinkFaults {
     /// Damages this share of the chunks.
     pub fn set_corrupt_percent(&self, percent: u64) {
-        self.corrupt_percent.store(percent, Ordering::Relaxed);
+        self.corruption.set_percent(percent);
     }
 
     /// Holds this share of the chunks back for a time.
     pub fn set_stall(&self, percent: u64, time: Duration) {
-        self.stall_percent.store(percent, Ordering::Relaxed);
+        self.stalls.set_percent(percent);
         self.stall_ms
             .store(time.as_millis() as u64, Ordering::Relaxed);
     }
 
     /// How many chunks were damaged.
     pub fn corrupted(&self) -> u64 {
-        self.corrupted.load(Ordering::Relaxed)
+        self.corruption.hits()
     }
 }
 
 impl Interference for LinkFaults {
     fn on_upload(&self, chunk: &mut Vec<u8>) -> Duration {
-        let mut random = rand::rng();
-        if random.random_range(0..100) < self.corrupt_percent.load(Ordering::Relaxed) {
-            let at = random.random_range(0..chunk.len());
-            chunk[at] ^= 1;
-            self.corrupted.fetch_add(1, Ordering::Relaxed);
+        if self.corruption.hit() {
+            let middle = chunk.len() / 2;
+            chunk[middle] ^= 1;
         }
-        if random.random_range(0..100) < self.stall_percent.load(Ordering::Relaxed) {
+        if self.stalls.hit() {
             return Duration::from_millis(self.stall_ms.load(Ordering::Relaxed));
         }
         Duration::ZERO
--- a/components/reducer/src/entry.rs
+++ b/components/reducer/src/entry.rs
@@ -176,6 +176,9 @@
     at: Option<InstanceId>,
     /// Whether a part of the answer went to the caller.
     started: bool,
+    /// How an earlier try ended that may have run. Whatever happens to later tries, the caller is
+    /// then not told that the request was not run.
+    unknown: Option<Code>,
     waiting: bool,
 }
 
@@ -381,6 +384,7 @@
             tried: Vec::new(),
             at: None,
             started: false,
+            unknown: None,
             waiting: false,
         };
         self.requests.insert(request, progress);
@@ -529,18 +533,19 @@
             let healthy = failure.code == Code::Overloaded;
             self.router.end(now, &agent, failure.load, !healthy);
         }
+        if failure.code.ran() == Ran::Unknown {
+            progress.unknown = Some(failure.code);
+        }
         let request = attempt.request;
-        let mut effects = match self.may_retry(&progress, failure.code) {
+        let decision = self.may_retry(&progress, failure.code);
+        self.requests.insert(request, progress);
+        let mut effects = match decision {
             Ok(()) => {
-                self.requests.insert(request, progress);
                 let mut effects = vec![EntryEffect::CountRetry(failure.code)];
                 effects.extend(self.route(now, request));
                 effects
             }
-            Err(code) => vec![EntryEffect::Refuse {
-                request,
-                error: Error::new(code, failure.code.meaning()),
-            }],
+            Err(code) => self.refuse(request, Error::new(code, failure.code.meaning())),
         };
         effects.extend(self.after_end(now));
         effects
@@ -588,8 +593,13 @@
         self.requests.remove(&attempt.request)
     }
 
-    fn refuse(&mut self, request: RequestId, error: Error) -> Vec<EntryEffect> {
-        self.requests.remove(&request);
+    /// Ends a request with a code that is true of all its tries.
+    fn refuse(&mut self, request: RequestId, mut error: Error) -> Vec<EntryEffect> {
+        let progress = self.requests.remove(&request);
+        let unknown = progress.and_then(|it| it.unknown);
+        if let (Some(code), Ran::NotRun) = (unknown, error.code.ran()) {
+            error = Error::new(code, format!("{}; then: {error}", code.meaning()));
+        }
         let mut effects = vec![EntryEffect::Refuse { request, error }];
         effects.extend(self.drained());
         effects
--- a/components/settings/src/settings.rs
+++ b/components/settings/src/settings.rs
@@ -66,6 +66,8 @@
     pub origin_weight: f64,
     /// The origin's link in bytes a second.
     pub origin_bytes_per_s: u64,
+    /// An instance's link in bytes a second, for estimates in plans.
+    pub link_bytes_per_s: u64,
 }
 
 impl ProfileSettings {
@@ -152,6 +154,13 @@
     pub serving_percent: u64,
 }
 
+impl LinkSettings {
+    /// What is left of a rate for weights once the share for serving is kept back.
+    pub fn for_weights(&self, bytes_per_s: u64) -> u64 {
+        (bytes_per_s * (100 - self.serving_percent) / 100).max(1)
+    }
+}
+
 const ADDRESS: &str = "an address such as 127.0.0.1:7400";
 const BYTES: (u64, u64) = (1024, 1 << 50);
 const DEFAULT_MEMORY: u64 = 16 << 30;
@@ -240,6 +249,7 @@
         time_weight: file.bounded(section, "time_weight", 1.0, (0.0, 1000.0)),
         origin_weight: file.bounded(section, "origin_weight", 1.0, (0.0, 1000.0)),
         origin_bytes_per_s: file.bounded(section, "origin_bytes_per_s", DEFAULT_LINK, BYTES),
+        link_bytes_per_s: file.bounded(section, "link_bytes_per_s", DEFAULT_LINK, BYTES),
     };
     if profile.time_weight + profile.origin_weight <= 0.0 {
         let value = profile.origin_weight.to_string();
@@ -326,3 +336,67 @@
         serving_percent: file.bounded("link", "serving_percent", 10, (0, 90)),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ENTRY: &str = include_str!("../../../examples/settings/entry.ini");
+    const AGENT: &str = include_str!("../../../examples/settings/agent.ini");
+
+    #[test]
+    fn can_read_the_example_of_each_role() {
+        let entry = Settings::parse(ENTRY).unwrap();
+        let RoleSettings::Entry(role) = entry.role else {
+            panic!("not an entry")
+        };
+        assert_eq!(role.kinds[0].service, Some(ServiceName("ledger".into())));
+        assert!(!role.kinds[0].repeatable);
+        let agent = Settings::parse(AGENT).unwrap();
+        assert!(matches!(agent.role, RoleSettings::Agent(_)));
+    }
+
+    #[test]
+    fn can_read_the_settings_of_both_deployments() {
+        let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/settings/");
+        let copies = [("mizani", "ledger", 3), ("authority", "register", 1)];
+        for (deployment, service, copies) in copies {
+            for file in ["entry", "runner", service] {
+                let path = format!("{folder}{deployment}/{file}.ini");
+                let text = std::fs::read_to_string(&path).unwrap();
+                let settings = Settings::parse(&text).unwrap_or_else(|it| panic!("{path}: {it}"));
+                assert_eq!(settings.profile.origin_copies(), copies, "{path}");
+            }
+        }
+    }
+
+    #[test]
+    fn errors_on_every_fault_at_once() {
+        let text = AGENT
+            .replace("listen = 127.0.0.1:7410", "listen = nowhere")
+            .replace("concurrency = 16", "concurrency = 0")
+            .replace("log_level = info", "log_level = loud")
+            .replace("hall = hall-a", "hal = hall-a");
+        let faults = Settings::parse(&text).unwrap_err().0;
+        let keys: Vec<&str> = faults.iter().map(|fault| fault.key.as_str()).collect();
+        assert_eq!(keys, ["hall", "log_level", "listen", "concurrency", "hal"]);
+    }
+
+    #[test]
+    fn errors_on_a_section_nobody_asks_for() {
+        let faults = Settings::parse(&format!("{AGENT}\n[typo]\nkey = 1\n"))
+            .unwrap_err()
+            .0;
+        assert_eq!(faults[0].section, "typo");
+    }
+
+    #[test]
+    fn can_keep_a_share_of_the_link_for_serving() {
+        let link = LinkSettings {
+            upload_bytes_per_s: 1,
+            download_bytes_per_s: 1,
+            serving_percent: 25,
+        };
+        assert_eq!(link.for_weights(1000), 750);
+    }
+}
--- a/components/standins/src/faults.rs
+++ b/components/standins/src/faults.rs
@@ -7,15 +7,13 @@
 use async_io::Timer;
 use http_types::{Response, StatusCode};
 use net::Reply;
-use rand::Rng;
 
 /// The switches of one service.
 #[derive(Default)]
 pub struct Faults {
     down: AtomicBool,
     slow_ms: AtomicU64,
-    lost_percent: AtomicU64,
-    lost: AtomicU64,
+    losses: Share,
 }
 
 impl Faults {
@@ -32,12 +30,12 @@
 
     /// Loses the answers of this share of calls after they took effect.
     pub fn set_lost_percent(&self, percent: u64) {
-        self.lost_percent.store(percent, Ordering::Relaxed);
+        self.losses.set_percent(percent);
     }
 
     /// How many answers were lost.
     pub fn lost(&self) -> u64 {
-        self.lost.load(Ordering::Relaxed)
+        self.losses.hits()
     }
 
     /// Whether the service is down.
@@ -55,15 +53,43 @@
 
     /// Passes an answer on, or loses it.
     pub fn deliver(&self, response: Response) -> Reply {
-        let percent = self.lost_percent.load(Ordering::Relaxed);
-        if percent > 0 && rand::rng().random_range(0..100) < percent {
-            self.lost.fetch_add(1, Ordering::Relaxed);
+        if self.losses.hit() {
             return Reply::HangUp;
         }
         Reply::Answer(response)
     }
 }
 
+/// Picks a share of events evenly: at 50 every second one, whatever the seed.
+#[derive(Default)]
+pub struct Share {
+    percent: AtomicU64,
+    /// Hundredths of a hit gathered so far.
+    gathered: AtomicU64,
+    hits: AtomicU64,
+}
+
+impl Share {
+    /// Sets the share.
+    pub fn set_percent(&self, percent: u64) {
+        self.percent.store(percent, Ordering::Relaxed);
+    }
+
+    /// Whether the next event is picked.
+    pub fn hit(&self) -> bool {
+        let percent = self.percent.load(Ordering::Relaxed);
+        let before = self.gathered.fetch_add(percent, Ordering::Relaxed);
+        let hit = before / 100 != (before + percent) / 100;
+        self.hits.fetch_add(u64::from(hit), Ordering::Relaxed);
+        hit
+    }
+
+    /// How many events were picked.
+    pub fn hits(&self) -> u64 {
+        self.hits.load(Ordering::Relaxed)
+    }
+}
+
 /// A limit on calls a second.
 pub struct Allowance {
     per_second: f64,
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use engine::{Engine, EngineOptions};
 pub use engine_text::{answer_text, token_text};
-pub use faults::{Allowance, Faults};
+pub use faults::{Allowance, Faults, Share};
 pub use instances::Instances;
 pub use objects::Objects;
 pub use origin::Origin;
--- a/components/standins/src/origin.rs
+++ b/components/standins/src/origin.rs
@@ -7,9 +7,8 @@
 use async_trait::async_trait;
 use http_types::{Method, Request, Response, StatusCode};
 use net::{stream_body, BodySender, Caller, Handler, Pacer, Reply, Tasks};
-use rand::Rng;
 
-use crate::faults::{empty, Allowance, Faults};
+use crate::faults::{empty, Allowance, Faults, Share};
 
 /// How much passes the link at once, in bytes; calls at the same time take turns.
 const PIECE_BYTES: usize = 4 * 1024;
@@ -27,7 +26,7 @@
     reads_allowed: Allowance,
     contents: Mutex<HashMap<String, Arc<Vec<u8>>>>,
     sent: Arc<AtomicU64>,
-    corrupt_percent: AtomicU64,
+    corruption: Share,
 }
 
 impl Origin {
@@ -40,7 +39,7 @@
             reads_allowed: Allowance::new(READS_PER_S),
             contents: Mutex::default(),
             sent: Arc::default(),
-            corrupt_percent: AtomicU64::new(0),
+            corruption: Share::default(),
         }
     }
 
@@ -51,7 +50,7 @@
 
     /// Flips a bit in this share of the answers.
     pub fn set_corrupt_percent(&self, percent: u64) {
-        self.corrupt_percent.store(percent, Ordering::Relaxed);
+        self.corruption.set_percent(percent);
     }
 
     fn read(&self, name: &str, request: &Request) -> Response {
@@ -67,7 +66,7 @@
         };
         let (sender, body) = stream_body(PARTS_AHEAD);
         let mut piece = content[start..end].to_vec();
-        if rand::rng().random_range(0..100) < self.corrupt_percent.load(Ordering::Relaxed) {
+        if self.corruption.hit() {
             let at = piece.len() / 2;
             piece[at] ^= 1;
         }
--- /dev/null
+++ b/daemon/src/setup.rs
@@ -0,0 +1,135 @@
+//! From settings to a running daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use errors::Result;
+use net::Tasks;
+use node::{AgentNode, AgentSetup, EntryNode, EntrySetup, Host, Identity, Upstream};
+use platform::{HttpInstances, HttpObjects, HttpTable, HttpUpstream, HttpWeights, Platform};
+use reducer::{AgentOptions, EntryOptions, Estimate, SpreadOptions};
+use settings::{AgentSettings, EntrySettings, RoleSettings, Settings};
+use telemetry::Metrics;
+
+use crate::secrets::Secrets;
+
+/// A running daemon of either role.
+pub enum Daemon {
+    /// An entry.
+    Entry(EntryNode),
+    /// An agent.
+    Agent(AgentNode),
+}
+
+impl Daemon {
+    /// Starts the daemon that the settings describe.
+    pub async fn start(tasks: &Tasks, settings: &Settings, secrets: &Secrets) -> Result<Self> {
+        let host = Host {
+            tasks: tasks.group(),
+            platform: connect(settings),
+            keys: secrets.keys.clone(),
+            tokens: secrets.tokens.clone(),
+            metrics: Arc::new(Metrics::start()?),
+        };
+        let identity = Identity {
+            id: settings.node.name.clone(),
+            place: settings.node.place.clone(),
+            listen: settings.node.listen,
+            operators: settings.node.operators,
+        };
+        match &settings.role {
+            RoleSettings::Entry(entry) => {
+                let setup = entry_setup(host, identity, settings, entry);
+                EntryNode::start(setup).await.map(Self::Entry)
+            }
+            RoleSettings::Agent(agent) => {
+                let setup = agent_setup(host, identity, settings, agent);
+                AgentNode::start(setup).await.map(Self::Agent)
+            }
+        }
+    }
+
+    /// Asks for a planned stop.
+    pub async fn stop(&self) {
+        match self {
+            Self::Entry(node) => node.stop().await,
+            Self::Agent(node) => node.stop().await,
+        }
+    }
+
+    /// Waits until the stop is done, or the grace is over. `true` if nothing was cut off.
+    pub async fn stopped(&self, grace: Duration) -> bool {
+        match self {
+            Self::Entry(node) => node.stopped(grace).await,
+            Self::Agent(node) => node.stopped(grace).await,
+        }
+    }
+}
+
+fn connect(settings: &Settings) -> Platform {
+    let platform = &settings.platform;
+    Platform {
+        table: Arc::new(HttpTable(platform.table)),
+        objects: Arc::new(HttpObjects(platform.objects)),
+        weights: Arc::new(HttpWeights(platform.weights)),
+        instances: Arc::new(HttpInstances(platform.instances)),
+    }
+}
+
+fn entry_setup(
+    host: Host,
+    identity: Identity,
+    settings: &Settings,
+    entry: &EntrySettings,
+) -> EntrySetup {
+    let origin = settings.profile.origin_bytes_per_s as f64;
+    EntrySetup {
+        host,
+        identity,
+        callers: entry.callers,
+        kinds: entry.kinds.clone(),
+        deadline: Duration::from_secs(entry.deadline_s),
+        body_bytes: entry.body_limit_bytes,
+        options: EntryOptions {
+            queue_limit: entry.queue_limit,
+            retry_share: entry.retry_share,
+            control_bytes_per_s: settings.node.control_bytes_per_s,
+            estimate: Estimate {
+                origin_bytes_per_s: origin,
+                link_bytes_per_s: settings.profile.link_bytes_per_s as f64,
+                copies: settings.profile.origin_copies(),
+            },
+        },
+    }
+}
+
+fn agent_setup(
+    host: Host,
+    identity: Identity,
+    settings: &Settings,
+    agent: &AgentSettings,
+) -> AgentSetup {
+    let upstream = Arc::new(HttpUpstream(agent.upstream));
+    let upstream = match &agent.service {
+        Some(name) => Upstream::Service(name.clone(), upstream),
+        None => Upstream::Engine(upstream),
+    };
+    AgentSetup {
+        host,
+        identity,
+        upstream,
+        weights_listen: agent.weights_listen,
+        options: AgentOptions {
+            concurrency: agent.concurrency,
+            memory_bytes: agent.memory_bytes,
+            upload_bytes_per_s: agent.link.for_weights(agent.link.upload_bytes_per_s),
+            spread: SpreadOptions {
+                copies: settings.profile.origin_copies(),
+                origin_bytes_per_s: settings.profile.origin_bytes_per_s,
+                download_bytes_per_s: agent.link.for_weights(agent.link.download_bytes_per_s),
+                control_bytes_per_s: settings.node.control_bytes_per_s,
+            },
+        },
+        interference: None,
+    }
+}
--- /dev/null
+++ b/src/cmd/plan.rs
@@ -0,0 +1,42 @@
+//! `silverdock plan`: declares an intent and shows the plan.
+
+use async_io::block_on;
+use errors::Result;
+use fleet::{Hall, Intent};
+
+use crate::cli::{Cli, IntentArgs, Plan};
+use crate::{cmd, messages};
+
+/// Runs the command.
+pub fn run(cli: &Cli, args: &Plan) -> Result<()> {
+    let intent = read(&args.intent);
+    let plan = block_on(cmd::operator(cli)?.plan(&intent))?;
+    messages::show(cli.json, &plan, messages::plan);
+    Ok(())
+}
+
+fn read(args: &IntentArgs) -> Intent {
+    match args {
+        IntentArgs::Deploy(args) => Intent::Deploy {
+            model: args.model.clone(),
+            version: args.version,
+            replicas: args.replicas,
+            role: args.role.0,
+            halls: args.hall.iter().cloned().map(Hall).collect(),
+            adapter_of: args.adapter_of.clone(),
+            priority: args.priority,
+        },
+        IntentArgs::Rollback(args) => Intent::Rollback {
+            model: args.model.clone(),
+        },
+        IntentArgs::Remove(args) => Intent::Remove {
+            model: args.model.clone(),
+        },
+        IntentArgs::Leave(args) => Intent::Leave {
+            instance: args.instance.clone(),
+        },
+        IntentArgs::Return(args) => Intent::Return {
+            instance: args.instance.clone(),
+        },
+    }
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,14 @@
+//! `silverdock status`: shows the fleet as an entry sees it.
+
+use async_io::block_on;
+use errors::Result;
+
+use crate::cli::Cli;
+use crate::{cmd, messages};
+
+/// Runs the command.
+pub fn run(cli: &Cli) -> Result<()> {
+    let status = block_on(cmd::operator(cli)?.status())?;
+    messages::show(cli.json, &status, messages::status);
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/watch.rs
@@ -0,0 +1,41 @@
+//! `silverdock watch`: follows a rollout until every replica is live.
+
+use std::io::{stdout, IsTerminal, Write};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use async_io::block_on;
+use errors::{Code, Error, Result};
+
+use crate::cli::{Cli, Watch};
+use crate::{cmd, messages};
+
+/// Time between two looks.
+const POLL: Duration = Duration::from_millis(500);
+
+/// Runs the command.
+pub fn run(cli: &Cli, args: &Watch) -> Result<()> {
+    let operator = cmd::operator(cli)?;
+    let start = Instant::now();
+    let as_bar = stdout().is_terminal() && !cli.json;
+    loop {
+        let status = block_on(operator.rollout(&args.model))?;
+        if as_bar {
+            print!("\r{}", messages::bar(&status));
+            let _ = stdout().flush();
+        } else {
+            messages::line(&status);
+        }
+        if status.live >= status.wanted {
+            if as_bar {
+                println!();
+            }
+            return Ok(());
+        }
+        if start.elapsed().as_secs() >= args.timeout {
+            let detail = format!("{} of {} replicas are live", status.live, status.wanted);
+            return Err(Error::new(Code::TimedOut, detail));
+        }
+        sleep(POLL);
+    }
+}
