--- a/components/client/src/operator.rs
+++ b/components/client/src/operator.rs
@@ -37,10 +37,7 @@
 impl Operator {
     /// A door at an address.
     pub fn new(address: SocketAddr, token: &str) -> Self {
-        Self {
-            address,
-            token: token.trim().to_owned(),
-        }
+        Self { address, token: token.trim().to_owned() }
     }
 
     /// Declares an intent and gets the plan for it.
@@ -70,8 +67,7 @@
 
     /// How far a rollout has come.
     pub async fn rollout(&self, model: &ModelName) -> Result<RolloutStatus> {
-        self.call(Method::Get, &format!("/v1/rollouts/{model}"), None)
-            .await
+        self.call(Method::Get, &format!("/v1/rollouts/{model}"), None).await
     }
 
     async fn call<T: DeserializeOwned>(
@@ -101,10 +97,7 @@
 /// The code that an entry answered with.
 fn refusal(answer: &Answer) -> Error {
     let Ok(refusal) = serde_json::from_slice::<Refusal>(&answer.body) else {
-        return Error::new(
-            Code::Internal,
-            format!("the entry answered {}", answer.status),
-        );
+        return Error::new(Code::Internal, format!("the entry answered {}", answer.status));
     };
     let code = Code::from_number(refusal.error.code).unwrap_or(Code::Internal);
     Error::new(code, refusal.error.message)
--- a/components/client/src/publish.rs
+++ b/components/client/src/publish.rs
@@ -14,7 +14,5 @@
 ) -> Result<()> {
     let version = manifest.version();
     weights.publish(version, content).await?;
-    objects
-        .put(&format!("manifests/{version}"), manifest.encode())
-        .await
+    objects.put(&format!("manifests/{version}"), manifest.encode()).await
 }
--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -163,9 +163,7 @@
 
     /// Finds a code by its number.
     pub fn from_number(number: u16) -> Option<Code> {
-        ROWS.iter()
-            .find(|row| row.number == number)
-            .map(|row| row.code)
+        ROWS.iter().find(|row| row.number == number).map(|row| row.code)
     }
 
     fn row(self) -> &'static Row {
@@ -253,11 +251,7 @@
 
     #[test]
     fn page_and_enum_hold_the_same_rows() {
-        let lines: Vec<&str> = PAGE
-            .lines()
-            .filter(|line| line.starts_with("| "))
-            .skip(2)
-            .collect();
+        let lines: Vec<&str> = PAGE.lines().filter(|line| line.starts_with("| ")).skip(2).collect();
         let expected: Vec<String> = ROWS.iter().map(page_line).collect();
         assert_eq!(lines, expected);
     }
@@ -269,9 +263,6 @@
         };
         let retry = if row.retry { "yes" } else { "no" };
         let (number, name, meaning) = (row.number, row.name, row.meaning);
-        format!(
-            "| {number} | {name} | {meaning} | {ran} | {retry} | {} |",
-            row.status
-        )
+        format!("| {number} | {name} | {meaning} | {ran} | {retry} | {} |", row.status)
     }
 }
--- a/components/errors/src/error.rs
+++ b/components/errors/src/error.rs
@@ -19,22 +19,13 @@
 impl Error {
     /// Builds an error from a code and a sentence.
     pub fn new(code: Code, detail: impl Into<String>) -> Self {
-        Self {
-            code,
-            detail: detail.into(),
-        }
+        Self { code, detail: detail.into() }
     }
 }
 
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{} {}: {}",
-            self.code.number(),
-            self.code.name(),
-            self.detail
-        )
+        write!(f, "{} {}: {}", self.code.number(), self.code.name(), self.detail)
     }
 }
 
--- a/components/fleet/src/bitmap.rs
+++ b/components/fleet/src/bitmap.rs
@@ -14,10 +14,7 @@
 impl Bitmap {
     /// An empty set over `len` chunks.
     pub fn new(len: u32) -> Self {
-        Self {
-            len,
-            words: vec![0; (len as usize).div_ceil(64)],
-        }
+        Self { len, words: vec![0; (len as usize).div_ceil(64)] }
     }
 
     /// The full set over `len` chunks.
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -10,7 +10,9 @@
 mod report;
 
 pub use bitmap::Bitmap;
-pub use configuration::{Change, ChangeRecord, Configuration, Deployment, Release, Role};
+pub use configuration::{
+    Change, ChangeRecord, Configuration, Deployment, Placement, Release, Role,
+};
 pub use id::{
     Hall, Incarnation, InstanceId, Millis, ModelName, PlanId, Region, RequestId, Revision,
     ServiceName, VersionId, WorkspaceId,
--- a/components/fleet/src/report.rs
+++ b/components/fleet/src/report.rs
@@ -15,7 +15,7 @@
     pub process: Process,
     /// `alive`, `suspect`, `leaving` or `dead`.
     pub state: String,
-    /// Labels of what its engine serves, by model.
+    /// The starts of the versions that its engine serves.
     pub serving: Vec<String>,
 }
 
--- a/components/net/src/body.rs
+++ b/components/net/src/body.rs
@@ -17,13 +17,7 @@
 pub fn stream_body(parts: usize) -> (BodySender, Body) {
     let (sender, receiver) = async_channel::bounded(parts);
     let reader = Box::pin(receiver).into_async_read();
-    (
-        BodySender {
-            parts: sender,
-            finished: false,
-        },
-        Body::from_reader(reader, None),
-    )
+    (BodySender { parts: sender, finished: false }, Body::from_reader(reader, None))
 }
 
 impl BodySender {
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -75,19 +75,14 @@
 /// Reads the whole body of a response, up to `limit` bytes.
 pub async fn read_body(response: Response, limit: usize, deadline: Deadline) -> Result<Answer> {
     let status = response.status().into();
-    let tag = response
-        .header("etag")
-        .map(|values| values.last().as_str().to_owned());
+    let tag = response.header("etag").map(|values| values.last().as_str().to_owned());
     let mut body = HttpBody::new(response);
     let read = async {
         let mut whole = Vec::new();
         while let Some(part) = body.next().await? {
             whole.extend_from_slice(&part);
             if whole.len() > limit {
-                return Err(Error::new(
-                    Code::TooLarge,
-                    "the body is larger than the bound",
-                ));
+                return Err(Error::new(Code::TooLarge, "the body is larger than the bound"));
             }
         }
         Ok(whole)
@@ -106,10 +101,7 @@
     /// Takes the body out of a response.
     pub fn new(mut response: Response) -> Self {
         let missing = response.len();
-        Self {
-            reader: response.take_body().into_reader(),
-            missing,
-        }
+        Self { reader: response.take_body().into_reader(), missing }
     }
 
     /// The next part, or `None` once the body is whole. A body that ends early is `CutShort`.
@@ -125,10 +117,9 @@
             return Ok(Some(part));
         }
         match self.missing {
-            Some(missing) if missing > 0 => Err(Error::new(
-                Code::CutShort,
-                format!("{missing} bytes of the body are missing"),
-            )),
+            Some(missing) if missing > 0 => {
+                Err(Error::new(Code::CutShort, format!("{missing} bytes of the body are missing")))
+            }
             _ => Ok(None),
         }
     }
--- a/components/net/src/pacer.rs
+++ b/components/net/src/pacer.rs
@@ -18,10 +18,7 @@
 impl Pacer {
     /// A link of `bytes_per_s`.
     pub fn new(bytes_per_s: u64) -> Self {
-        Self {
-            bytes_per_s: bytes_per_s as f64,
-            busy_until: Mutex::new(Instant::now()),
-        }
+        Self { bytes_per_s: bytes_per_s as f64, busy_until: Mutex::new(Instant::now()) }
     }
 
     /// Waits until `bytes` more have passed.
@@ -35,9 +32,7 @@
     fn reserve(&self, bytes: usize) -> Instant {
         let span = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
         let mut busy_until = self.busy_until.lock().expect("the lock is never poisoned");
-        let earliest = Instant::now()
-            .checked_sub(SLACK)
-            .unwrap_or_else(Instant::now);
+        let earliest = Instant::now().checked_sub(SLACK).unwrap_or_else(Instant::now);
         *busy_until = (*busy_until).max(earliest) + span;
         *busy_until
     }
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -40,11 +40,7 @@
 
 impl Default for Bounds {
     fn default() -> Self {
-        Self {
-            body_bytes: 1 << 20,
-            connections: 4096,
-            stall: Duration::from_secs(60),
-        }
+        Self { body_bytes: 1 << 20, connections: 4096, stall: Duration::from_secs(60) }
     }
 }
 
@@ -117,11 +113,7 @@
         });
         let accepting = tasks.group();
         accepting.spawn(accept_all(tasks.clone(), listener, shared.clone(), handler));
-        Ok(Self {
-            shared,
-            address,
-            accepting,
-        })
+        Ok(Self { shared, address, accepting })
     }
 
     /// Where it listens.
@@ -212,9 +204,7 @@
     let held = std::sync::Mutex::new(None);
     let endpoint = |request: Request| {
         *held.lock().expect("the lock is never poisoned") = Some(Held::new(&shared.in_progress));
-        let caller = Caller {
-            stream: stream.clone(),
-        };
+        let caller = Caller { stream: stream.clone() };
         answer(request, caller, shared, handler)
     };
     let mut connection = Connection::new(bounded.clone(), endpoint);
@@ -233,14 +223,9 @@
     shared: &Shared,
     handler: &Arc<dyn Handler>,
 ) -> http_types::Result<Response> {
-    let too_large = request
-        .len()
-        .is_some_and(|len| len as u64 > shared.bounds.body_bytes);
+    let too_large = request.len().is_some_and(|len| len as u64 > shared.bounds.body_bytes);
     let mut response = if too_large {
-        let mut refusal = refuse(&Error::new(
-            Code::TooLarge,
-            "the body is larger than the bound",
-        ));
+        let mut refusal = refuse(&Error::new(Code::TooLarge, "the body is larger than the bound"));
         refusal.insert_header("connection", "close");
         refusal
     } else {
--- a/components/net/src/stream.rs
+++ b/components/net/src/stream.rs
@@ -23,12 +23,7 @@
 
 impl BoundedStream {
     pub(crate) fn new(inner: TcpStream, stall: Duration) -> Self {
-        Self {
-            inner,
-            left: Arc::new(AtomicU64::new(0)),
-            stall,
-            timer: None,
-        }
+        Self { inner, left: Arc::new(AtomicU64::new(0)), stall, timer: None }
     }
 
     /// Allows the next request to be of this size.
@@ -50,12 +45,7 @@
 impl Clone for BoundedStream {
     fn clone(&self) -> Self {
         let (inner, left) = (self.inner.clone(), self.left.clone());
-        Self {
-            inner,
-            left,
-            stall: self.stall,
-            timer: None,
-        }
+        Self { inner, left, stall: self.stall, timer: None }
     }
 }
 
--- a/components/net/src/tasks.rs
+++ b/components/net/src/tasks.rs
@@ -24,10 +24,7 @@
 impl Tasks {
     /// An empty group on an executor.
     pub fn new(executor: &Arc<Executor<'static>>) -> Self {
-        Self {
-            executor: executor.clone(),
-            running: Arc::default(),
-        }
+        Self { executor: executor.clone(), running: Arc::default() }
     }
 
     /// Another empty group on the same executor.
--- a/components/node/src/agent/calls.rs
+++ b/components/node/src/agent/calls.rs
@@ -24,36 +24,20 @@
     let (ticket, verdict) = shared.wait_for_verdict();
     let arrived = shared.now();
     let request = Box::new(call.clone());
-    shared
-        .inbox
-        .send(AgentEvent::CallArrived {
-            call: ticket,
-            arrived,
-            request,
-        })
-        .await;
+    shared.inbox.send(AgentEvent::CallArrived { call: ticket, arrived, request }).await;
     let Ok(effect) = verdict.recv().await else {
         return fail(shared, door, call.request, Code::Stopping).await;
     };
     match effect {
         AgentEffect::Admit { version, .. } => {
             // The place is given back however the exchange ends, also when this task is dropped.
-            let place = Place {
-                shared: shared.clone(),
-                request: call.request,
-            };
+            let place = Place { shared: shared.clone(), request: call.request };
             let result = pass(shared, door, &call, body, version).await;
             drop(place);
             result
         }
         AgentEffect::Refuse { code, load, .. } => {
-            door.writer
-                .send(&Message::Refused {
-                    code,
-                    retry_after_ms: 0,
-                    load,
-                })
-                .await
+            door.writer.send(&Message::Refused { code, retry_after_ms: 0, load }).await
         }
         _ => fail(shared, door, call.request, Code::Internal).await,
     }
@@ -85,22 +69,15 @@
     let Door { reader, writer, .. } = door;
     let relay = async {
         let deadline = Deadline::after(Duration::from_millis(call.budget_ms));
-        let result = deadline
-            .limit(Code::TimedOut, relay(shared, writer, call, body, version))
-            .await;
+        let result =
+            deadline.limit(Code::TimedOut, relay(shared, writer, call, body, version)).await;
         let Err(error) = result else {
             return Ok(());
         };
         // What was sent to the upstream may have run there, unless nothing was sent at all.
         let load = shared.look(|agent| agent.load());
         let request = call.request;
-        writer
-            .send(&Message::AnswerFailed {
-                request,
-                code: error.code,
-                load,
-            })
-            .await?;
+        writer.send(&Message::AnswerFailed { request, code: error.code, load }).await?;
         if error.code == Code::TimedOut {
             cancel(shared, request).await;
         }
@@ -125,29 +102,14 @@
     let request = call.request;
     let mut answer = send_upstream(&shared.upstream, call, body).await?;
     let (status, content_type) = (answer.status, answer.content_type.clone());
-    writer
-        .send(&Message::AnswerHead {
-            request,
-            status,
-            content_type,
-            version,
-        })
-        .await?;
+    writer.send(&Message::AnswerHead { request, status, content_type, version }).await?;
     let mut bytes = 0;
     while let Some(part) = answer.body.next().await? {
         bytes += part.len() as u64;
-        writer
-            .send_with(&Message::AnswerPart { request }, &part)
-            .await?;
+        writer.send_with(&Message::AnswerPart { request }, &part).await?;
     }
     let load = shared.look(|agent| agent.load());
-    writer
-        .send(&Message::AnswerEnd {
-            request,
-            bytes,
-            load,
-        })
-        .await
+    writer.send(&Message::AnswerEnd { request, bytes, load }).await
 }
 
 async fn send_upstream(upstream: &Upstream, call: &Call, body: Vec<u8>) -> Result<UpstreamAnswer> {
@@ -176,11 +138,5 @@
 
 async fn fail(shared: &Arc<Shared>, door: &mut Door, request: RequestId, code: Code) -> Result<()> {
     let load = shared.look(|agent| agent.load());
-    door.writer
-        .send(&Message::AnswerFailed {
-            request,
-            code,
-            load,
-        })
-        .await
+    door.writer.send(&Message::AnswerFailed { request, code, load }).await
 }
--- a/components/node/src/agent/doors.rs
+++ b/components/node/src/agent/doors.rs
@@ -27,11 +27,9 @@
         Message::GetConfiguration => send_configuration(shared, door).await,
         Message::GetManifest { version } => send_manifest(shared, door, version).await,
         Message::GetProgress { version } => send_progress(shared, door, version).await,
-        Message::GetChunk {
-            version,
-            index,
-            have,
-        } => send_chunk(shared, door, version, index, have).await,
+        Message::GetChunk { version, index, have } => {
+            send_chunk(shared, door, version, index, have).await
+        }
         Message::Call(call) => calls::answer(shared, door, call, frame.payload).await,
         _ => door.refuse(Code::BadFrame).await,
     }
@@ -44,11 +42,7 @@
 
 async fn send_manifest(shared: &Shared, door: &mut Door, version: VersionId) -> Result<()> {
     match shared.staging.manifest(version) {
-        Some(manifest) => {
-            door.writer
-                .send_with(&Message::Manifest, &manifest.encode())
-                .await
-        }
+        Some(manifest) => door.writer.send_with(&Message::Manifest, &manifest.encode()).await,
         None => door.refuse(Code::NotFound).await,
     }
 }
@@ -70,43 +64,19 @@
 ) -> Result<()> {
     let (upload, verdict) = shared.wait_for_verdict();
     let from = door.from.clone();
-    shared
-        .inbox
-        .send(AgentEvent::ChunkAsked {
-            upload,
-            from,
-            version,
-            index,
-            have,
-        })
-        .await;
+    shared.inbox.send(AgentEvent::ChunkAsked { upload, from, version, index, have }).await;
     let Ok(effect) = verdict.recv().await else {
         return door.refuse(Code::Stopping).await;
     };
     match effect {
         AgentEffect::Upload { have, uploads, .. } => {
-            let message = Message::Chunk {
-                index,
-                have,
-                uploads,
-            };
+            let message = Message::Chunk { index, have, uploads };
             let sent = upload_chunk(shared, door, version, index, message).await;
             shared.inbox.send(AgentEvent::UploadEnded).await;
             sent
         }
-        AgentEffect::RefuseUpload {
-            code,
-            retry_after_ms,
-            load,
-            ..
-        } => {
-            door.writer
-                .send(&Message::Refused {
-                    code,
-                    retry_after_ms,
-                    load,
-                })
-                .await
+        AgentEffect::RefuseUpload { code, retry_after_ms, load, .. } => {
+            door.writer.send(&Message::Refused { code, retry_after_ms, load }).await
         }
         _ => door.refuse(Code::Internal).await,
     }
--- a/components/node/src/agent/draws.rs
+++ b/components/node/src/agent/draws.rs
@@ -65,10 +65,7 @@
             shared.downlink.pass(bytes.len()).await;
             take(&shared, draw, bytes, sender)
         }
-        Ok(Reply::Refused {
-            code,
-            retry_after_ms,
-        }) => failed(draw, code, retry_after_ms),
+        Ok(Reply::Refused { code, retry_after_ms }) => failed(draw, code, retry_after_ms),
         Err(error) => failed(draw, error.code, 0),
     };
     shared.inbox.send(event).await;
@@ -76,14 +73,8 @@
 
 /// What a source answers.
 enum Reply {
-    Chunk {
-        bytes: Vec<u8>,
-        sender: Option<(Bitmap, u32)>,
-    },
-    Refused {
-        code: Code,
-        retry_after_ms: u64,
-    },
+    Chunk { bytes: Vec<u8>, sender: Option<(Bitmap, u32)> },
+    Refused { code: Code, retry_after_ms: u64 },
 }
 
 async fn read_from_origin(shared: &Shared, draw: &Draw) -> Result<Reply> {
@@ -92,10 +83,7 @@
     let (offset, len) = manifest.range(draw.index);
     let weights = &shared.surroundings.host.platform.weights;
     let bytes = weights.read(draw.version, offset, len).await?;
-    Ok(Reply::Chunk {
-        bytes,
-        sender: None,
-    })
+    Ok(Reply::Chunk { bytes, sender: None })
 }
 
 async fn read_from_peer(
@@ -105,33 +93,15 @@
     have: Bitmap,
     deadline: Deadline,
 ) -> Result<Reply> {
-    let ask = Message::GetChunk {
-        version: draw.version,
-        index: draw.index,
-        have,
-    };
-    let Frame { message, payload } = shared
-        .surroundings
-        .peers
-        .ask(address, &ask, deadline)
-        .await?;
+    let ask = Message::GetChunk { version: draw.version, index: draw.index, have };
+    let Frame { message, payload } = shared.surroundings.peers.ask(address, &ask, deadline).await?;
     match message {
-        Message::Chunk {
-            index,
-            have,
-            uploads,
-        } if index == draw.index => Ok(Reply::Chunk {
-            bytes: payload,
-            sender: Some((have, uploads)),
-        }),
-        Message::Refused {
-            code,
-            retry_after_ms,
-            ..
-        } => Ok(Reply::Refused {
-            code,
-            retry_after_ms,
-        }),
+        Message::Chunk { index, have, uploads } if index == draw.index => {
+            Ok(Reply::Chunk { bytes: payload, sender: Some((have, uploads)) })
+        }
+        Message::Refused { code, retry_after_ms, .. } => {
+            Ok(Reply::Refused { code, retry_after_ms })
+        }
         _ => Err(Error::new(Code::BadFrame, "not the chunk asked for")),
     }
 }
@@ -145,33 +115,11 @@
         (DrawSource::Origin, true, false) => "origin",
         (DrawSource::Peer(..), true, _) => "peer",
     });
-    let Draw {
-        version,
-        index,
-        source,
-        ..
-    } = draw;
-    AgentEvent::ChunkArrived {
-        version,
-        index,
-        source,
-        verified,
-        sender,
-    }
+    let Draw { version, index, source, .. } = draw;
+    AgentEvent::ChunkArrived { version, index, source, verified, sender }
 }
 
 fn failed(draw: Draw, code: Code, retry_after_ms: u64) -> AgentEvent {
-    let Draw {
-        version,
-        index,
-        source,
-        ..
-    } = draw;
-    AgentEvent::ChunkFailed {
-        version,
-        index,
-        source,
-        code,
-        retry_after_ms,
-    }
+    let Draw { version, index, source, .. } = draw;
+    AgentEvent::ChunkFailed { version, index, source, code, retry_after_ms }
 }
--- a/components/node/src/agent/weights.rs
+++ b/components/node/src/agent/weights.rs
@@ -21,19 +21,15 @@
 
 /// Starts to serve staged versions that are whole.
 pub(super) async fn serve(tasks: &Tasks, listen: SocketAddr, staging: Staging) -> Result<Server> {
-    let handler = Arc::new(Weights {
-        staging,
-        tasks: tasks.clone(),
-    });
+    let handler = Arc::new(Weights { staging, tasks: tasks.clone() });
     Server::start(tasks, listen, Bounds::default(), handler).await
 }
 
 impl Weights {
     fn read(&self, version: VersionId) -> Option<Response> {
         let manifest = self.staging.manifest(version)?;
-        let chunks: Option<Vec<Arc<Vec<u8>>>> = (0..manifest.chunks())
-            .map(|index| self.staging.get(version, index))
-            .collect();
+        let chunks: Option<Vec<Arc<Vec<u8>>>> =
+            (0..manifest.chunks()).map(|index| self.staging.get(version, index)).collect();
         let chunks = chunks?;
         let (sender, body) = stream_body(CHUNKS_AHEAD);
         self.tasks.spawn(async move {
--- a/components/node/src/clock.rs
+++ b/components/node/src/clock.rs
@@ -14,13 +14,8 @@
 impl Clock {
     /// Starts the clock.
     pub fn start() -> Self {
-        let unix = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        Self {
-            started: Instant::now(),
-            unix_at_start: unix,
-        }
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { started: Instant::now(), unix_at_start: unix }
     }
 
     /// The moment now, in milliseconds of the Unix epoch.
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -39,20 +39,11 @@
         let tcp = tcp.map_err(|error| Error::new(Code::AddressInUse, error.to_string()))?;
         let taken = tcp.local_addr().unwrap_or(address);
         match UdpSocket::bind(taken).await {
-            Ok(udp) => {
-                return Ok(Doors {
-                    tcp,
-                    udp,
-                    address: taken,
-                })
-            }
+            Ok(udp) => return Ok(Doors { tcp, udp, address: taken }),
             Err(error) => failure = error.to_string(),
         }
     }
-    Err(Error::new(
-        Code::AddressInUse,
-        format!("{address}: {failure}"),
-    ))
+    Err(Error::new(Code::AddressInUse, format!("{address}: {failure}")))
 }
 
 /// Carries out control effects and turns what comes back into events of the daemon.
@@ -81,12 +72,7 @@
         inbox: Inbox<E>,
         wrap: fn(ControlEvent) -> E,
     ) -> Self {
-        Self {
-            surroundings,
-            udp,
-            inbox,
-            wrap,
-        }
+        Self { surroundings, udp, inbox, wrap }
     }
 
     /// Starts to receive datagrams and to send ticks.
@@ -109,10 +95,7 @@
         match effect {
             ControlEffect::Send { to, datagram } => {
                 let bytes = seal_datagram(&self.surroundings.host.keys, &datagram);
-                self.surroundings
-                    .host
-                    .metrics
-                    .count_control("sent", bytes.len() as u64);
+                self.surroundings.host.metrics.count_control("sent", bytes.len() as u64);
                 tasks.spawn(async move {
                     // A datagram may be lost on any way; what matters is sent again.
                     let _ = driver.udp.send_to(&bytes, to).await;
@@ -139,8 +122,7 @@
             match open_datagram(&host.keys, &buffer[..len]) {
                 Ok(datagram) => {
                     let datagram = Box::new(datagram);
-                    self.inbox
-                        .offer((self.wrap)(ControlEvent::Datagram { from, datagram }));
+                    self.inbox.offer((self.wrap)(ControlEvent::Datagram { from, datagram }));
                 }
                 Err(error) => host.metrics.count_refusal(error.code),
             }
@@ -153,10 +135,7 @@
             Ok(row) => {
                 host.metrics.count_platform("table", "read");
                 match row.map(|row| decode(&row.value)).transpose() {
-                    Ok(found) => {
-                        self.tell(ControlEvent::TableRead(found.map(Box::new)))
-                            .await
-                    }
+                    Ok(found) => self.tell(ControlEvent::TableRead(found.map(Box::new))).await,
                     Err(error) => log::error!("the head row: {error}"),
                 }
             }
@@ -183,16 +162,9 @@
 
     async fn fetch(self, from: SocketAddr) {
         let deadline = Deadline::after(FETCH_TIME);
-        let answer = self
-            .surroundings
-            .peers
-            .ask(from, &Message::GetConfiguration, deadline)
-            .await;
+        let answer = self.surroundings.peers.ask(from, &Message::GetConfiguration, deadline).await;
         match answer.and_then(|frame| decode(&frame.payload)) {
-            Ok(configuration) => {
-                self.tell(ControlEvent::Fetched(Box::new(configuration)))
-                    .await
-            }
+            Ok(configuration) => self.tell(ControlEvent::Fetched(Box::new(configuration))).await,
             Err(error) => log::debug!("the configuration of {from}: {error}"),
         }
     }
--- a/components/node/src/doors.rs
+++ b/components/node/src/doors.rs
@@ -31,13 +31,7 @@
     /// Answers with a refusal.
     pub(crate) async fn refuse(&mut self, code: Code) -> Result<()> {
         let load = Load::default();
-        self.writer
-            .send(&Message::Refused {
-                code,
-                retry_after_ms: 0,
-                load,
-            })
-            .await
+        self.writer.send(&Message::Refused { code, retry_after_ms: 0, load }).await
     }
 
     /// Answers with the configuration in force.
@@ -46,9 +40,7 @@
         revision: fleet::Revision,
         bytes: &[u8],
     ) -> Result<()> {
-        self.writer
-            .send_with(&Message::Configuration { revision }, bytes)
-            .await
+        self.writer.send_with(&Message::Configuration { revision }, bytes).await
     }
 }
 
@@ -72,23 +64,16 @@
             Timer::after(ACCEPT_PAUSE).await;
             continue;
         };
-        host.tasks
-            .spawn(serve(host.clone(), stream, answer.clone()));
+        host.tasks.spawn(serve(host.clone(), stream, answer.clone()));
     }
 }
 
 async fn serve(host: Host, stream: TcpStream, answer: Arc<dyn Answer>) {
     let _ = stream.set_nodelay(true);
     let hello = accept_session(&host.keys, rand::random(), stream);
-    let hello = Deadline::after(HELLO_TIME)
-        .limit(Code::BadAuthentication, hello)
-        .await;
+    let hello = Deadline::after(HELLO_TIME).limit(Code::BadAuthentication, hello).await;
     let mut door = match hello {
-        Ok((from, reader, writer)) => Door {
-            from,
-            reader,
-            writer,
-        },
+        Ok((from, reader, writer)) => Door { from, reader, writer },
         Err(error) => {
             host.metrics.count_refusal(error.code);
             return;
--- a/components/node/src/entry/callers.rs
+++ b/components/node/src/entry/callers.rs
@@ -86,11 +86,7 @@
     let budget = read_budget(shared, request)?;
     let key = header(request, "idempotency-key");
     let workspace = header(request, "x-workspace").unwrap_or_else(|| NO_WORKSPACE.to_owned());
-    let query = request
-        .url()
-        .query()
-        .map(|query| format!("?{query}"))
-        .unwrap_or_default();
+    let query = request.url().query().map(|query| format!("?{query}")).unwrap_or_default();
     let (target, prefix, stream) = match kind.and_then(|it| it.service.clone()) {
         Some(service) => (Target::Service(service), 0, false),
         None => read_completion(&path, &body)?,
@@ -123,12 +119,7 @@
         stream,
     };
     let kind = kind.map_or_else(|| "chat".to_owned(), |it| it.name.clone());
-    Ok(Reading {
-        arrival,
-        call,
-        body,
-        kind,
-    })
+    Ok(Reading { arrival, call, body, kind })
 }
 
 /// The kind with the longest path that the request's path starts with.
@@ -139,18 +130,11 @@
 
 fn read_completion(path: &str, body: &[u8]) -> Result<(Target, u64, bool)> {
     if path != CHAT_PATH {
-        return Err(Error::new(
-            Code::UnknownTarget,
-            format!("nothing answers {path}"),
-        ));
+        return Err(Error::new(Code::UnknownTarget, format!("nothing answers {path}")));
     }
     let completion: Completion = serde_json::from_slice(body)
         .map_err(|error| Error::new(Code::BadRequest, format!("body: {error}")))?;
-    let prompt: String = completion
-        .messages
-        .into_iter()
-        .map(|it| it.content)
-        .collect();
+    let prompt: String = completion.messages.into_iter().map(|it| it.content).collect();
     let prefix = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
     let digest = blake3::hash(prefix);
     let prefix = u64::from_le_bytes(digest.as_bytes()[..8].try_into().expect("eight bytes"));
@@ -161,12 +145,9 @@
     let Some(text) = header(request, "silverdock-deadline-ms") else {
         return Ok(shared.deadline);
     };
-    let millis: u64 = text.parse().map_err(|_| {
-        Error::new(
-            Code::BadRequest,
-            "silverdock-deadline-ms takes milliseconds",
-        )
-    })?;
+    let millis: u64 = text
+        .parse()
+        .map_err(|_| Error::new(Code::BadRequest, "silverdock-deadline-ms takes milliseconds"))?;
     Ok(Duration::from_millis(millis).min(shared.deadline))
 }
 
@@ -176,26 +157,14 @@
 
 /// Follows the reducer's commands until the request is answered or refused.
 async fn serve(shared: &Arc<Shared>, reading: Reading) -> Response {
-    let Reading {
-        arrival,
-        mut call,
-        body,
-        kind,
-    } = reading;
+    let Reading { arrival, mut call, body, kind } = reading;
     let request = arrival.request;
     let deadline = arrival.deadline;
     let commands = shared.requests.begin(request);
-    shared
-        .inbox
-        .send(EntryEvent::Arrived(Box::new(arrival)))
-        .await;
+    shared.inbox.send(EntryEvent::Arrived(Box::new(arrival))).await;
     loop {
         let (attempt, address, budget_ms) = match commands.recv().await {
-            Ok(Command::Send {
-                attempt,
-                address,
-                budget_ms,
-            }) => (attempt, address, budget_ms),
+            Ok(Command::Send { attempt, address, budget_ms }) => (attempt, address, budget_ms),
             Ok(Command::Refuse(error)) => return end(shared, request, &kind, &error),
             Err(_) => {
                 let error = Error::new(Code::Internal, "the request was lost");
@@ -203,13 +172,7 @@
             }
         };
         call.budget_ms = budget_ms;
-        let tried = Attempt {
-            id: attempt,
-            address,
-            call: &call,
-            body: &body,
-            deadline,
-        };
+        let tried = Attempt { id: attempt, address, call: &call, body: &body, deadline };
         match attempts::run(shared, tried).await {
             Ok(Parts::Whole(response)) => {
                 count(shared, &kind, "whole");
@@ -220,10 +183,7 @@
                 return response;
             }
             Err(failure) => {
-                shared
-                    .inbox
-                    .send(EntryEvent::Failed { attempt, failure })
-                    .await;
+                shared.inbox.send(EntryEvent::Failed { attempt, failure }).await;
             }
         }
     }
@@ -237,11 +197,7 @@
 }
 
 fn count(shared: &Shared, kind: &str, outcome: &str) {
-    shared
-        .surroundings
-        .host
-        .metrics
-        .count_request(kind, outcome);
+    shared.surroundings.host.metrics.count_request(kind, outcome);
 }
 
 fn with_id(mut response: Response, id: RequestId) -> Response {
--- a/components/node/src/entry/claims.rs
+++ b/components/node/src/entry/claims.rs
@@ -21,10 +21,7 @@
 ) {
     let row = Claim::row(&workspace, &key);
     let state = settle(&shared, &row, request).await;
-    shared
-        .inbox
-        .send(EntryEvent::ClaimSettled { request, state })
-        .await;
+    shared.inbox.send(EntryEvent::ClaimSettled { request, state }).await;
 }
 
 async fn settle(shared: &Shared, row: &str, request: RequestId) -> ClaimState {
--- a/components/node/src/entry/intents.rs
+++ b/components/node/src/entry/intents.rs
@@ -69,10 +69,7 @@
             finish(ask(shared, intent).await?)
         }
         (Method::Post, ["v1", "plans", id, "confirm"]) => finish(confirm(shared, id).await?),
-        _ => Err(Error::new(
-            Code::BadRequest,
-            format!("no such operator call: {path}"),
-        )),
+        _ => Err(Error::new(Code::BadRequest, format!("no such operator call: {path}"))),
     }
 }
 
@@ -90,11 +87,7 @@
         _ => None,
     };
     let (call, outcome) = shared.calls.begin();
-    let event = ChangeEvent::Ask {
-        call,
-        intent: Box::new(intent),
-        release,
-    };
+    let event = ChangeEvent::Ask { call, intent: Box::new(intent), release };
     shared.inbox.send(EntryEvent::Change(event)).await;
     wait(outcome).await
 }
@@ -103,10 +96,7 @@
     let plan = load_plan(shared, id).await?;
     debug_assert_eq!(plan.id, PlanId::from(id));
     let (call, outcome) = shared.calls.begin();
-    let event = ChangeEvent::Confirm {
-        call,
-        plan: Box::new(plan),
-    };
+    let event = ChangeEvent::Confirm { call, plan: Box::new(plan) };
     shared.inbox.send(EntryEvent::Change(event)).await;
     let outcome = wait(outcome).await?;
     if let Outcome::Accepted(revision) = &outcome {
@@ -120,33 +110,21 @@
         let outcome = outcome.recv().await;
         outcome.map_err(|_| Error::new(Code::Internal, "the call was lost"))
     };
-    Deadline::after(CALL_TIME)
-        .limit(Code::OutcomeUnknown, received)
-        .await
+    Deadline::after(CALL_TIME).limit(Code::OutcomeUnknown, received).await
 }
 
 /// What a version is, from its manifest in the object store.
 async fn find_release(shared: &Shared, version: VersionId) -> Result<Release> {
     let objects = &shared.surroundings.host.platform.objects;
-    let bytes = objects
-        .get(&format!("manifests/{version}"))
-        .await
-        .map_err(|error| {
-            let code = match error.code {
-                Code::NotFound => Code::UnknownVersion,
-                _ => Code::TableUnavailable,
-            };
-            Error::new(
-                code,
-                format!("manifest {}: {}", version.short(), error.detail),
-            )
-        })?;
+    let bytes = objects.get(&format!("manifests/{version}")).await.map_err(|error| {
+        let code = match error.code {
+            Code::NotFound => Code::UnknownVersion,
+            _ => Code::TableUnavailable,
+        };
+        Error::new(code, format!("manifest {}: {}", version.short(), error.detail))
+    })?;
     let manifest = Manifest::decode(version, &bytes)?;
-    Ok(Release {
-        version,
-        label: manifest.label,
-        bytes: manifest.bytes,
-    })
+    Ok(Release { version, label: manifest.label, bytes: manifest.bytes })
 }
 
 /// How far a rollout has come: who serves the version, and what a few of the others hold.
@@ -158,21 +136,12 @@
     let version: VersionId = deployment.version.parse()?;
     let addresses = shared.look(|entry| {
         let placements = entry.control.configuration().deployments.get(model);
-        let placements = placements
-            .map(|it| it.placements.clone())
-            .unwrap_or_default();
+        let placements = placements.map(|it| it.placements.clone()).unwrap_or_default();
         let others = entry.control.members.others().filter(|it| {
-            let serves = it
-                .record
-                .serving
-                .iter()
-                .any(|serving| serving.version == version);
+            let serves = it.record.serving.iter().any(|tag| tag.is_version(version));
             placements.contains_key(&it.record.id) && !serves
         });
-        others
-            .map(|it| it.record.address)
-            .take(PROGRESS_SAMPLE)
-            .collect::<Vec<_>>()
+        others.map(|it| it.record.address).take(PROGRESS_SAMPLE).collect::<Vec<_>>()
     });
     let mut shares = Vec::new();
     for address in addresses {
@@ -183,11 +152,8 @@
             shares.push(f64::from(held) / f64::from(chunks.max(1)));
         }
     }
-    let staged = if shares.is_empty() {
-        0.0
-    } else {
-        shares.iter().sum::<f64>() / shares.len() as f64
-    };
+    let staged =
+        if shares.is_empty() { 0.0 } else { shares.iter().sum::<f64>() / shares.len() as f64 };
     Ok(RolloutStatus {
         model: deployment.model,
         label: deployment.label,
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -94,22 +94,12 @@
         let page = Arc::new(intents::OperatorPage(shared.clone()));
         let operators = surroundings.identity.operators;
         let operators = Server::start(&tasks, operators, Bounds::default(), page).await?;
-        let bounds = Bounds {
-            body_bytes: setup.body_bytes,
-            ..Bounds::default()
-        };
+        let bounds = Bounds { body_bytes: setup.body_bytes, ..Bounds::default() };
         let handler = Arc::new(callers::CallerDoor(shared.clone()));
         let callers = Server::start(&tasks, setup.callers, bounds, handler).await?;
         let (drain, drained) = async_channel::bounded(1);
         tasks.spawn(run(shared.clone(), control, events, drain));
-        Ok(Self {
-            shared,
-            tasks,
-            callers,
-            operators,
-            address: doors.address,
-            drained,
-        })
+        Ok(Self { shared, tasks, callers, operators, address: doors.address, drained })
     }
 
     /// Where other daemons reach it.
@@ -172,10 +162,7 @@
     /// An identity that no other request has.
     pub(crate) fn next_request(&self) -> RequestId {
         let serial = self.next_serial.fetch_add(1, Ordering::Relaxed);
-        RequestId {
-            entry: self.surroundings.clock.incarnation(),
-            serial,
-        }
+        RequestId { entry: self.surroundings.clock.incarnation(), serial }
     }
 
     fn reduce(&self, event: EntryEvent) -> Vec<EntryEffect> {
@@ -209,25 +196,11 @@
     match effect {
         EntryEffect::Control(effect) => control.carry_out(effect),
         EntryEffect::Change(effect) => changes::carry_out(shared, effect),
-        EntryEffect::Claim {
-            request,
-            workspace,
-            key,
-        } => {
-            host.tasks
-                .spawn(claims::take(shared.clone(), request, workspace, key));
+        EntryEffect::Claim { request, workspace, key } => {
+            host.tasks.spawn(claims::take(shared.clone(), request, workspace, key));
         }
-        EntryEffect::Send {
-            attempt,
-            address,
-            budget_ms,
-            ..
-        } => {
-            let command = Command::Send {
-                attempt,
-                address,
-                budget_ms,
-            };
+        EntryEffect::Send { attempt, address, budget_ms, .. } => {
+            let command = Command::Send { attempt, address, budget_ms };
             shared.requests.command(attempt.request, command);
         }
         EntryEffect::Refuse { request, error } => {
--- a/components/node/src/host.rs
+++ b/components/node/src/host.rs
@@ -52,12 +52,7 @@
 impl Surroundings {
     pub(crate) fn new(host: Host, identity: Identity) -> Self {
         let peers = Peers::new(host.keys.clone(), identity.id.clone());
-        Self {
-            host,
-            identity,
-            clock: Clock::start(),
-            peers,
-        }
+        Self { host, identity, clock: Clock::start(), peers }
     }
 
     /// The daemon's first record of itself.
--- a/components/node/src/inbox.rs
+++ b/components/node/src/inbox.rs
@@ -16,10 +16,7 @@
 
 impl<E> Clone for Inbox<E> {
     fn clone(&self) -> Self {
-        Self {
-            sender: self.sender.clone(),
-            dropped: self.dropped.clone(),
-        }
+        Self { sender: self.sender.clone(), dropped: self.dropped.clone() }
     }
 }
 
@@ -27,13 +24,7 @@
     /// Makes a queue.
     pub(crate) fn new() -> (Self, Receiver<E>) {
         let (sender, receiver) = async_channel::bounded(INBOX_EVENTS);
-        (
-            Self {
-                sender,
-                dropped: Arc::default(),
-            },
-            receiver,
-        )
+        (Self { sender, dropped: Arc::default() }, receiver)
     }
 
     /// Puts an event into the queue and waits for room. Must not be called by the task that takes
--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -14,17 +14,9 @@
         instance: control.members.me().id.clone(),
         revision: configuration.revision,
         current: control.is_current(),
-        deployments: configuration
-            .deployments
-            .keys()
-            .map(|it| deployment(control, it))
-            .collect(),
+        deployments: configuration.deployments.keys().map(|it| deployment(control, it)).collect(),
         leaving: configuration.leaving.iter().cloned().collect(),
-        members: control
-            .members
-            .others()
-            .map(|it| member(&it.record))
-            .collect(),
+        members: control.members.others().map(|it| member(&it.record)).collect(),
     }
 }
 
@@ -33,10 +25,7 @@
     let version = deployment.release.version;
     let live = control.members.others().filter(|it| {
         let serves = it.record.serving.iter();
-        it.is_up()
-            && serves
-                .into_iter()
-                .any(|it| &it.model == model && it.version == version)
+        it.is_up() && serves.into_iter().any(|it| it.is_model(model) && it.is_version(version))
     });
     DeploymentStatus {
         model: model.clone(),
@@ -54,13 +43,12 @@
         MemberState::Leaving => "leaving",
         MemberState::Dead => "dead",
     };
-    let label = |it: &wire::Serving| format!("{}@{}", it.model, it.version.short());
     MemberStatus {
         instance: record.id.clone(),
         hall: record.place.hall.clone(),
         process: record.process.clone(),
         state: state.to_owned(),
-        serving: record.serving.iter().map(label).collect(),
+        serving: record.serving.iter().map(|tag| tag.short_version()).collect(),
     }
 }
 
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -34,11 +34,7 @@
 
 impl Peers {
     pub(crate) fn new(keys: KeyRing, me: InstanceId) -> Self {
-        Self {
-            keys,
-            me,
-            idle: Mutex::default(),
-        }
+        Self { keys, me, idle: Mutex::default() }
     }
 
     /// Takes an idle session or dials a new one. `Unreachable` when there is none to be had.
@@ -49,9 +45,7 @@
             }
         }
         let dial = async { self.dial(address).await };
-        Deadline::after(DIAL_TIME)
-            .limit(Code::Unreachable, dial)
-            .await
+        Deadline::after(DIAL_TIME).limit(Code::Unreachable, dial).await
     }
 
     /// Keeps a session whose last exchange is complete.
@@ -93,12 +87,7 @@
         let session = dial_session(&self.keys, &self.me, rand::random(), stream.clone()).await;
         // A session that was never opened has carried nothing.
         let (reader, writer) = session.map_err(|error| unreachable(error.to_string()))?;
-        Ok(Session {
-            reader,
-            writer,
-            stream,
-            address,
-        })
+        Ok(Session { reader, writer, stream, address })
     }
 }
 
--- a/components/node/src/tokens.rs
+++ b/components/node/src/tokens.rs
@@ -35,10 +35,7 @@
         if given.is_some_and(|given| valid.contains(&given)) {
             return Ok(());
         }
-        Err(Error::new(
-            Code::Unauthorized,
-            "the operator token is absent or wrong",
-        ))
+        Err(Error::new(Code::Unauthorized, "the operator token is absent or wrong"))
     }
 }
 
@@ -50,20 +47,13 @@
 }
 
 fn parse(text: &str) -> Result<Vec<blake3::Hash>> {
-    let lines: Vec<&str> = text
-        .lines()
-        .map(str::trim)
-        .filter(|line| !line.is_empty())
-        .collect();
+    let lines: Vec<&str> = text.lines().map(str::trim).filter(|line| !line.is_empty()).collect();
     let too_short = lines.iter().any(|line| line.len() < MIN_TOKEN_CHARS);
     if lines.is_empty() || lines.len() > MAX_TOKENS || too_short {
         let expected = "a token file holds one or two lines of at least 16 characters";
         return Err(Error::new(Code::BadSettings, expected));
     }
-    Ok(lines
-        .iter()
-        .map(|line| blake3::hash(line.as_bytes()))
-        .collect())
+    Ok(lines.iter().map(|line| blake3::hash(line.as_bytes())).collect())
 }
 
 #[cfg(test)]
--- a/components/platform/src/http_platform.rs
+++ b/components/platform/src/http_platform.rs
@@ -33,10 +33,7 @@
         let request = build(self.0, Method::Get, &format!("/rows/{key}"))?;
         let answer = exchange(self.0, request, SMALL_CALL, SMALL_BODY).await?;
         match answer.status {
-            200 => Ok(Some(Row {
-                value: answer.body,
-                tag: answer.tag.unwrap_or_default(),
-            })),
+            200 => Ok(Some(Row { value: answer.body, tag: answer.tag.unwrap_or_default() })),
             404 => Ok(None),
             status => Err(refusal(status)),
         }
--- a/components/platform/src/http_upstream.rs
+++ b/components/platform/src/http_upstream.rs
@@ -26,10 +26,7 @@
 
 impl HttpUpstream {
     async fn pass(&self, call: UpstreamCall) -> Result<UpstreamAnswer> {
-        let method = call
-            .method
-            .parse()
-            .map_err(|_| bad("the method is unknown"))?;
+        let method = call.method.parse().map_err(|_| bad("the method is unknown"))?;
         let mut request: Request = build(self.0, method, &call.path)?;
         request.insert_header("content-type", call.content_type.as_str());
         request.insert_header("x-request-id", call.request.to_string());
@@ -41,9 +38,7 @@
         let content_type = response.header("content-type");
         Ok(UpstreamAnswer {
             status: response.status().into(),
-            content_type: content_type
-                .map(|it| it.last().to_string())
-                .unwrap_or_default(),
+            content_type: content_type.map(|it| it.last().to_string()).unwrap_or_default(),
             body: Box::new(HttpBody::new(response)),
         })
     }
@@ -54,14 +49,8 @@
             read_body(send(self.0, request, deadline).await?, SMALL_BODY, deadline).await?;
         match answer.status {
             200..=299 => Ok(answer.body),
-            409 => Err(Error::new(
-                Code::OldEpoch,
-                "the engine has seen a higher epoch",
-            )),
-            status => Err(Error::new(
-                Code::UpstreamFailed,
-                format!("the engine said {status}"),
-            )),
+            409 => Err(Error::new(Code::OldEpoch, "the engine has seen a higher epoch")),
+            status => Err(Error::new(Code::UpstreamFailed, format!("the engine said {status}"))),
         }
     }
 }
--- a/components/reducer/src/agent.rs
+++ b/components/reducer/src/agent.rs
@@ -6,10 +6,10 @@
 
 use errors::Code;
 use fleet::{
-    Bitmap, Deployment, InstanceId, Manifest, Millis, ModelName, Place, RequestId, Revision, Role,
-    VersionId,
+    Bitmap, Deployment, Hall, InstanceId, Manifest, Millis, ModelName, Place, Release, RequestId,
+    Revision, Role, VersionId,
 };
-use wire::{Call, Datagram, DatagramBody, Load, MemberRecord, Serving};
+use wire::{Call, Datagram, DatagramBody, Load, MemberRecord, Serving, ServingTag};
 
 use crate::admission::{Admission, Standing};
 use crate::control::{Control, ControlEffect, ControlEvent};
@@ -29,6 +29,10 @@
 /// How long to wait before a manifest is asked for again, in milliseconds.
 const MANIFEST_PAUSE: u64 = 500;
 
+/// Time between two looks at who is up and what is missing, besides those that events cause, in
+/// milliseconds. Both cost time in proportion to the fleet.
+const REVIEW_EVERY: u64 = 500;
+
 /// Numbers an agent works with.
 #[derive(Clone, Copy, Debug)]
 pub struct AgentOptions {
@@ -202,6 +206,25 @@
     pub bytes: u64,
 }
 
+/// What the configuration wants on this instance for one model.
+struct Wanted {
+    model: ModelName,
+    release: Release,
+    role: Role,
+    adapter_of: Option<ModelName>,
+}
+
+impl Wanted {
+    fn read(deployment: &Deployment, me: &InstanceId) -> Self {
+        Self {
+            model: deployment.model.clone(),
+            release: deployment.release.clone(),
+            role: deployment.placements.get(me).map(|it| it.role).unwrap_or_default(),
+            adapter_of: deployment.adapter_of.clone(),
+        }
+    }
+}
+
 /// The state of an agent.
 pub struct Agent {
     /// The shared state.
@@ -216,7 +239,7 @@
     order_not_before: Millis,
     serving: Vec<Serving>,
     uploads: u32,
-    stopping: bool,
+    next_review: Millis,
 }
 
 impl Agent {
@@ -233,7 +256,7 @@
             order_not_before: Millis(0),
             serving: Vec::new(),
             uploads: 0,
-            stopping: false,
+            next_review: Millis(0),
         }
     }
 
@@ -249,10 +272,7 @@
 
     /// The load to report.
     pub fn load(&self) -> Load {
-        Load {
-            uploads: self.uploads,
-            ..self.admission.load()
-        }
+        Load { uploads: self.uploads, ..self.admission.load() }
     }
 
     /// Takes in an event.
@@ -265,20 +285,10 @@
                 self.awaited.insert(version, now.plus(MANIFEST_PAUSE));
                 Vec::new()
             }
-            AgentEvent::ChunkArrived {
-                version,
-                index,
-                source,
-                verified,
-                sender,
-            } => self.take_chunk(now, version, index, source, verified, sender),
-            AgentEvent::ChunkFailed {
-                version,
-                index,
-                source,
-                code,
-                retry_after_ms,
-            } => {
+            AgentEvent::ChunkArrived { version, index, source, verified, sender } => {
+                self.take_chunk(now, version, index, source, verified, sender)
+            }
+            AgentEvent::ChunkFailed { version, index, source, code, retry_after_ms } => {
                 if let Some(spread) = self.spreads.get_mut(&version) {
                     spread.fail_chunk(now, index, &source, code, retry_after_ms);
                 }
@@ -286,23 +296,15 @@
                 effects.extend(self.draw(now));
                 effects
             }
-            AgentEvent::ChunkAsked {
-                upload,
-                from,
-                version,
-                index,
-                have,
-            } => self.take_ask(now, upload, &from, version, index, have),
+            AgentEvent::ChunkAsked { upload, from, version, index, have } => {
+                self.take_ask(now, upload, &from, version, index, have)
+            }
             AgentEvent::UploadEnded => {
                 self.uploads = self.uploads.saturating_sub(1);
                 Vec::new()
             }
             AgentEvent::OrderEnded { model, result } => self.take_obeyed(now, &model, result),
-            AgentEvent::CallArrived {
-                call,
-                arrived,
-                request,
-            } => {
+            AgentEvent::CallArrived { call, arrived, request } => {
                 vec![self.admit(now, call, arrived, &request)]
             }
             AgentEvent::CallEnded(request) => {
@@ -327,9 +329,7 @@
             }
         }
         let effects = self.control.reduce(now, seed, event);
-        let applied = effects
-            .iter()
-            .any(|it| matches!(it, ControlEffect::Applied(_)));
+        let applied = effects.iter().any(|it| matches!(it, ControlEffect::Applied(_)));
         let mut effects: Vec<AgentEffect> = effects.into_iter().map(AgentEffect::Control).collect();
         if applied {
             effects.extend(self.reconcile(now));
@@ -355,17 +355,16 @@
     }
 
     fn place_of(&self, id: &InstanceId) -> Place {
-        self.control
-            .members
-            .get(id)
-            .map(|it| it.record.place.clone())
-            .unwrap_or_default()
+        self.control.members.get(id).map(|it| it.record.place.clone()).unwrap_or_default()
     }
 
     fn tick(&mut self, now: Millis, seed: &mut Seed) -> Vec<AgentEffect> {
         let mut effects = self.take_control(now, seed, ControlEvent::Tick);
-        self.refresh_participants(now);
-        effects.extend(self.reconcile(now));
+        if now >= self.next_review {
+            self.next_review = now.plus(REVIEW_EVERY);
+            self.refresh_participants(now);
+            effects.extend(self.reconcile(now));
+        }
         effects.extend(self.draw(now));
         effects.extend(self.summarize(now));
         effects
@@ -378,30 +377,22 @@
             return Vec::new();
         }
         let me = self.control.members.me().id.clone();
-        let wanted: Vec<Deployment> = self
-            .control
-            .configuration()
-            .wanted_on(&me)
-            .cloned()
-            .collect();
+        let configuration = self.control.configuration();
+        let wanted: Vec<Wanted> =
+            configuration.wanted_on(&me).map(|it| Wanted::read(it, &me)).collect();
         let mut effects = self.drop_unwanted(&wanted);
-        for deployment in &wanted {
-            effects.extend(self.advance(now, deployment));
+        for wanted in &wanted {
+            effects.extend(self.advance(now, wanted));
         }
         effects.extend(self.unload_unwanted(now, &wanted));
         effects
     }
 
     /// The next step for one deployment: the manifest, the chunks or the order.
-    fn advance(&mut self, now: Millis, wanted: &Deployment) -> Vec<AgentEffect> {
+    fn advance(&mut self, now: Millis, wanted: &Wanted) -> Vec<AgentEffect> {
         let version = wanted.release.version;
-        let me = &self.control.members.me().id;
-        let role = wanted.placements.get(me).copied().unwrap_or_default();
-        let target = Serving {
-            model: wanted.model.clone(),
-            version,
-            role,
-        };
+        let role = wanted.role;
+        let target = Serving { model: wanted.model.clone(), version, role };
         if self.serving.contains(&target) {
             return Vec::new();
         }
@@ -422,7 +413,7 @@
         }
     }
 
-    fn await_manifest(&mut self, now: Millis, wanted: &Deployment) -> Vec<AgentEffect> {
+    fn await_manifest(&mut self, now: Millis, wanted: &Wanted) -> Vec<AgentEffect> {
         let version = wanted.release.version;
         if self.awaited.get(&version).is_some_and(|again| now < *again) {
             return Vec::new();
@@ -433,14 +424,10 @@
         }
         // The answer ends the wait; the far moment only keeps a second question from being asked.
         self.awaited.insert(version, Millis(u64::MAX));
-        let holders = self.control.members.others().filter(|it| {
-            it.is_up()
-                && it
-                    .record
-                    .serving
-                    .iter()
-                    .any(|serving| serving.version == version)
-        });
+        let holders =
+            self.control.members.others().filter(|it| {
+                it.is_up() && it.record.serving.iter().any(|tag| tag.is_version(version))
+            });
         let peers = holders.map(|it| it.record.address).take(2).collect();
         vec![AgentEffect::ReadManifest { version, peers }]
     }
@@ -450,23 +437,13 @@
         self.awaited.remove(&version);
         let me = self.control.members.me().clone();
         let configuration = self.control.configuration();
-        let wanted = configuration
-            .wanted_on(&me.id)
-            .find(|it| it.release.version == version);
+        let wanted = configuration.wanted_on(&me.id).find(|it| it.release.version == version);
         let Some(deployment) = wanted else {
             return Vec::new();
         };
-        let receivers: Vec<(InstanceId, Place)> = deployment
-            .placements
-            .keys()
-            .map(|id| {
-                if id == &me.id {
-                    (id.clone(), me.place.clone())
-                } else {
-                    (id.clone(), self.place_of(id))
-                }
-            })
-            .collect();
+        let placements = deployment.placements.iter();
+        let receivers: Vec<(InstanceId, Hall)> =
+            placements.map(|(id, it)| (id.clone(), it.hall.clone())).collect();
         let options = self.options.spread;
         let spread = Spread::new(now, &me.id, &me.place, manifest, &receivers, options);
         self.spreads.insert(version, spread);
@@ -477,6 +454,7 @@
     /// Tells each spread who receives or holds its version.
     fn refresh_participants(&mut self, now: Millis) {
         let me = &self.control.members.me().id;
+        let mut strangers = false;
         for spread in self.spreads.values_mut() {
             let version = spread.version;
             let deployments = self.control.configuration().deployments.values();
@@ -484,18 +462,12 @@
                 .filter(|it| it.release.version == version)
                 .flat_map(|it| it.placements.keys())
                 .collect();
-            let others = self
-                .control
-                .members
-                .others()
-                .filter(|it| &it.record.id != me);
+            strangers |=
+                receivers.iter().any(|id| *id != me && self.control.members.get(id).is_none());
+            let others = self.control.members.others();
             let participants: Vec<Participant> = others
                 .filter_map(|it| {
-                    let holds = it
-                        .record
-                        .serving
-                        .iter()
-                        .any(|serving| serving.version == version);
+                    let holds = it.record.serving.iter().any(|tag| tag.is_version(version));
                     (holds || receivers.contains(&it.record.id)).then(|| Participant {
                         id: it.record.id.clone(),
                         place: it.record.place.clone(),
@@ -507,6 +479,9 @@
                 .collect();
             spread.set_participants(now, &participants);
         }
+        if strangers {
+            self.control.hasten_list(now);
+        }
     }
 
     fn take_chunk(
@@ -557,11 +532,7 @@
             let drawn = spread.draw(now, MIN_WINDOW + left);
             left = left.saturating_sub(spread.in_flight().saturating_sub(MIN_WINDOW));
             let have = spread.have().clone();
-            effects.extend(
-                drawn
-                    .into_iter()
-                    .map(|it| self.carry_out(it, &have, version)),
-            );
+            effects.extend(drawn.into_iter().map(|it| self.carry_out(it, &have, version)));
         }
         effects
     }
@@ -572,10 +543,7 @@
             let wanting = deployments.filter(|it| &it.release.version == version);
             wanting.map(|it| it.priority).max().unwrap_or(0)
         };
-        let drawing = self
-            .spreads
-            .values()
-            .filter(|it| it.phase() == SpreadPhase::Drawing);
+        let drawing = self.spreads.values().filter(|it| it.phase() == SpreadPhase::Drawing);
         let mut order: Vec<(&VersionId, u64)> =
             drawing.map(|it| (&it.version, it.manifest.bytes)).collect();
         order.sort_by_key(|(version, bytes)| (std::cmp::Reverse(priority(version)), *bytes));
@@ -603,18 +571,12 @@
         version: VersionId,
     ) -> AgentEffect {
         match effect {
-            SpreadEffect::Draw(draw) => AgentEffect::Draw {
-                draw,
-                have: have.clone(),
-            },
+            SpreadEffect::Draw(draw) => AgentEffect::Draw { draw, have: have.clone() },
             SpreadEffect::Summarize { to, have } => {
                 let revision = self.control.configuration().revision;
                 let body = DatagramBody::Summary { version, have };
                 let datagram: Datagram = self.control.members.build(body, revision);
-                AgentEffect::Control(ControlEffect::Send {
-                    to,
-                    datagram: Box::new(datagram),
-                })
+                AgentEffect::Control(ControlEffect::Send { to, datagram: Box::new(datagram) })
             }
         }
     }
@@ -647,13 +609,7 @@
         self.uploads += 1;
         let have = spread.have().clone();
         let uploads = self.uploads;
-        let mut effects = vec![AgentEffect::Upload {
-            upload,
-            version,
-            index,
-            have,
-            uploads,
-        }];
+        let mut effects = vec![AgentEffect::Upload { upload, version, index, have, uploads }];
         effects.extend(self.draw(now));
         effects
     }
@@ -681,26 +637,21 @@
         }
         self.serving.retain(|it| &it.model != model);
         if let Some(version) = order.version {
-            self.serving.push(Serving {
-                model: order.model,
-                version,
-                role: order.role,
-            });
+            self.serving.push(Serving { model: order.model, version, role: order.role });
         }
-        self.control.members.set_serving(self.serving.clone());
+        let tags = self.serving.iter().map(ServingTag::of).collect();
+        self.control.members.set_serving(tags);
         self.reconcile(now)
     }
 
     /// Stops drawing versions that nobody wants here and lets go of their chunks. A version that
     /// the engine still serves stays: peers may draw it, and its unloading is ordered apart.
-    fn drop_unwanted(&mut self, wanted: &[Deployment]) -> Vec<AgentEffect> {
+    fn drop_unwanted(&mut self, wanted: &[Wanted]) -> Vec<AgentEffect> {
         let is_wanted =
             |version: &VersionId| wanted.iter().any(|it| &it.release.version == version);
         let is_served = |version: &VersionId| self.serving.iter().any(|it| &it.version == version);
         let is_ordered = |version: &VersionId| {
-            self.orders
-                .values()
-                .any(|it| it.version.as_ref() == Some(version))
+            self.orders.values().any(|it| it.version.as_ref() == Some(version))
         };
         let gone: Vec<VersionId> = self
             .spreads
@@ -711,19 +662,14 @@
         gone.iter().for_each(|version| {
             self.spreads.remove(version);
         });
-        self.awaited
-            .retain(|version, _| wanted.iter().any(|it| &it.release.version == version));
+        self.awaited.retain(|version, _| wanted.iter().any(|it| &it.release.version == version));
         gone.into_iter().map(AgentEffect::Drop).collect()
     }
 
-    fn unload_unwanted(&mut self, now: Millis, wanted: &[Deployment]) -> Vec<AgentEffect> {
+    fn unload_unwanted(&mut self, now: Millis, wanted: &[Wanted]) -> Vec<AgentEffect> {
         let is_wanted = |model: &ModelName| wanted.iter().any(|it| &it.model == model);
-        let gone: Vec<Serving> = self
-            .serving
-            .iter()
-            .filter(|it| !is_wanted(&it.model))
-            .cloned()
-            .collect();
+        let gone: Vec<Serving> =
+            self.serving.iter().filter(|it| !is_wanted(&it.model)).cloned().collect();
         let epoch = self.control.configuration().revision;
         let orders = gone.into_iter().map(|it| Order {
             epoch,
@@ -734,10 +680,7 @@
             bytes: 0,
         });
         let orders: Vec<Order> = orders.collect();
-        orders
-            .into_iter()
-            .flat_map(|order| self.give_order(now, order))
-            .collect()
+        orders.into_iter().flat_map(|order| self.give_order(now, order)).collect()
     }
 
     fn admit(&mut self, now: Millis, call: u64, arrived: Millis, request: &Call) -> AgentEffect {
@@ -749,39 +692,23 @@
         };
         match self.admission.admit(now, arrived, request, &standing) {
             Ok(version) => {
-                let switching = request
-                    .model
-                    .as_ref()
-                    .is_some_and(|model| self.orders.contains_key(model));
-                AgentEffect::Admit {
-                    call,
-                    version: version.filter(|_| !switching),
-                }
+                let switching =
+                    request.model.as_ref().is_some_and(|model| self.orders.contains_key(model));
+                AgentEffect::Admit { call, version: version.filter(|_| !switching) }
             }
-            Err(code) => AgentEffect::Refuse {
-                call,
-                code,
-                load: self.load(),
-            },
+            Err(code) => AgentEffect::Refuse { call, code, load: self.load() },
         }
     }
 
     fn stop(&mut self, seed: &mut Seed) -> Vec<AgentEffect> {
-        self.stopping = true;
         self.admission.stop();
         self.control.members.set_leaving();
         let revision = self.control.configuration().revision;
         let count = self.control.members.count();
-        let news = self
-            .control
-            .members
-            .push(revision, count.min(LEAVE_FANOUT), seed);
+        let news = self.control.members.push(revision, count.min(LEAVE_FANOUT), seed);
         let mut effects: Vec<AgentEffect> = news
             .into_iter()
-            .map(|(to, datagram)| ControlEffect::Send {
-                to,
-                datagram: Box::new(datagram),
-            })
+            .map(|(to, datagram)| ControlEffect::Send { to, datagram: Box::new(datagram) })
             .map(AgentEffect::Control)
             .collect();
         effects.extend(self.exit_if_drained());
@@ -801,12 +728,7 @@
 const LEAVE_FANOUT: usize = 8;
 
 fn refuse_upload(upload: u64, code: Code, retry_after_ms: u64, load: Load) -> AgentEffect {
-    AgentEffect::RefuseUpload {
-        upload,
-        code,
-        retry_after_ms,
-        load,
-    }
+    AgentEffect::RefuseUpload { upload, code, retry_after_ms, load }
 }
 
 #[cfg(test)]
--- a/components/reducer/src/changes.rs
+++ b/components/reducer/src/changes.rs
@@ -114,18 +114,9 @@
 
 /// A call that waits for the table.
 enum Pending {
-    Asked {
-        intent: Box<Intent>,
-        release: Option<Release>,
-    },
-    Saving {
-        plan: Box<Plan>,
-    },
-    Confirming {
-        plan: Box<Plan>,
-        written: Option<Box<Configuration>>,
-        tries: u32,
-    },
+    Asked { intent: Box<Intent>, release: Option<Release> },
+    Saving { plan: Box<Plan> },
+    Confirming { plan: Box<Plan>, written: Option<Box<Configuration>>, tries: u32 },
 }
 
 /// The changes that are under way at this entry.
@@ -138,24 +129,12 @@
     /// Takes in an event.
     pub fn reduce(&mut self, now: Millis, event: ChangeEvent) -> Vec<ChangeEffect> {
         match event {
-            ChangeEvent::Ask {
-                call,
-                intent,
-                release,
-            } => {
-                self.pending
-                    .insert(call, Pending::Asked { intent, release });
+            ChangeEvent::Ask { call, intent, release } => {
+                self.pending.insert(call, Pending::Asked { intent, release });
                 vec![ChangeEffect::ReadHead { call }]
             }
             ChangeEvent::Confirm { call, plan } => {
-                self.pending.insert(
-                    call,
-                    Pending::Confirming {
-                        plan,
-                        written: None,
-                        tries: 0,
-                    },
-                );
+                self.pending.insert(call, Pending::Confirming { plan, written: None, tries: 0 });
                 vec![ChangeEffect::ReadHead { call }]
             }
             ChangeEvent::PlanSaved { call, result } => self.take_saved(call, result),
@@ -169,8 +148,7 @@
         match result {
             Ok(plan) => {
                 let plan = Box::new(plan);
-                self.pending
-                    .insert(call, Pending::Saving { plan: plan.clone() });
+                self.pending.insert(call, Pending::Saving { plan: plan.clone() });
                 vec![ChangeEffect::SavePlan { call, plan }]
             }
             Err(error) => self.reply(call, Outcome::Failed(error)),
@@ -196,32 +174,13 @@
     ) -> Vec<ChangeEffect> {
         match (self.pending.remove(&call), result) {
             (Some(Pending::Asked { intent, release }), Ok(head)) => {
-                let base = head
-                    .map(|(configuration, _)| configuration)
-                    .unwrap_or_default();
-                vec![ChangeEffect::MakePlan {
-                    call,
-                    intent,
-                    release,
-                    base,
-                }]
+                let base = head.map(|(configuration, _)| configuration).unwrap_or_default();
+                vec![ChangeEffect::MakePlan { call, intent, release, base }]
             }
-            (
-                Some(Pending::Confirming {
-                    plan,
-                    written,
-                    tries,
-                }),
-                Ok(head),
-            ) => self.settle(now, call, plan, written, tries, head),
-            (
-                Some(Pending::Confirming {
-                    plan,
-                    written: Some(written),
-                    tries,
-                }),
-                Err(_),
-            ) => {
+            (Some(Pending::Confirming { plan, written, tries }), Ok(head)) => {
+                self.settle(now, call, plan, written, tries, head)
+            }
+            (Some(Pending::Confirming { plan, written: Some(written), tries }), Err(_)) => {
                 // The write may have taken effect, so "nothing was written" would be a guess.
                 self.try_again(call, plan, written, tries, ChangeEffect::ReadHead { call })
             }
@@ -270,20 +229,13 @@
             return self.reply(call, Outcome::Failed(error));
         }
         let next = Box::new(current.apply(&plan.id, &plan.change));
-        let write = ChangeEffect::WriteHead {
-            call,
-            configuration: next.clone(),
-            tag,
-        };
+        let write = ChangeEffect::WriteHead { call, configuration: next.clone(), tag };
         self.try_again(call, plan, next, tries, write)
     }
 
     fn take_written(&mut self, call: u64, result: Result<(), Error>) -> Vec<ChangeEffect> {
-        let Some(Pending::Confirming {
-            plan,
-            written: Some(written),
-            tries,
-        }) = self.pending.remove(&call)
+        let Some(Pending::Confirming { plan, written: Some(written), tries }) =
+            self.pending.remove(&call)
         else {
             return Vec::new();
         };
@@ -317,23 +269,13 @@
             return self.reply(call, Outcome::Failed(error));
         }
         let written = Some(written);
-        self.pending.insert(
-            call,
-            Pending::Confirming {
-                plan,
-                written,
-                tries: tries + 1,
-            },
-        );
+        self.pending.insert(call, Pending::Confirming { plan, written, tries: tries + 1 });
         vec![effect]
     }
 
     fn reply(&mut self, call: u64, outcome: Outcome) -> Vec<ChangeEffect> {
         self.pending.remove(&call);
-        vec![ChangeEffect::Reply {
-            call,
-            outcome: Box::new(outcome),
-        }]
+        vec![ChangeEffect::Reply { call, outcome: Box::new(outcome) }]
     }
 }
 
--- a/components/reducer/src/control.rs
+++ b/components/reducer/src/control.rs
@@ -18,6 +18,9 @@
 const TABLE_POLL_PER_DAEMON: u64 = 50;
 /// Time between two reads of the instance list, in milliseconds, with the same share per daemon.
 const LIST_POLL: u64 = 2000;
+/// How soon the list is read when instances are missing in it, in milliseconds; at least one for
+/// each daemon, which spreads the reads of a large fleet.
+const HASTE: u64 = 100;
 /// How long to wait for the contents of a revision before asking another peer, in milliseconds.
 const FETCH_TIME: u64 = 1000;
 /// How many peers must confirm our revision where the table cannot be asked.
@@ -108,6 +111,13 @@
         self.configuration.leaving.contains(id) || self.members.is_listed_leaving(id)
     }
 
+    /// Reads the platform's list soon, because the configuration names instances that are not known
+    /// here. Not at once: whoever reads the configuration at the same moment knows as little.
+    pub fn hasten_list(&mut self, now: Millis) {
+        let soon = now.plus(HASTE.max(self.members.count() as u64));
+        self.next_list = self.next_list.min(soon);
+    }
+
     /// Takes in an event.
     pub fn reduce(
         &mut self,
@@ -208,8 +218,5 @@
 }
 
 fn send((to, datagram): Outgoing) -> ControlEffect {
-    ControlEffect::Send {
-        to,
-        datagram: Box::new(datagram),
-    }
+    ControlEffect::Send { to, datagram: Box::new(datagram) }
 }
--- a/components/reducer/src/entry.rs
+++ b/components/reducer/src/entry.rs
@@ -6,8 +6,8 @@
 
 use errors::{Code, Error, Ran};
 use fleet::{
-    Configuration, InstanceId, Intent, Millis, ModelName, Process, Release, RequestId, ServiceName,
-    WorkspaceId,
+    Configuration, Deployment, InstanceId, Intent, Millis, ModelName, Process, Release, RequestId,
+    ServiceName, VersionId, WorkspaceId,
 };
 use wire::{Load, MemberRecord};
 
@@ -266,10 +266,7 @@
         event: ChangeEvent,
     ) -> Vec<EntryEffect> {
         let effects = self.changes.reduce(now, event);
-        effects
-            .into_iter()
-            .flat_map(|effect| self.carry_out(now, seed, effect))
-            .collect()
+        effects.into_iter().flat_map(|effect| self.carry_out(now, seed, effect)).collect()
     }
 
     /// Does the part of a change that needs the entry's own state.
@@ -280,12 +277,7 @@
         effect: ChangeEffect,
     ) -> Vec<EntryEffect> {
         match effect {
-            ChangeEffect::MakePlan {
-                call,
-                intent,
-                release,
-                base,
-            } => {
+            ChangeEffect::MakePlan { call, intent, release, base } => {
                 let result = self.make_plan(now, &intent, release, &base);
                 let effects = self.changes.take_plan(call, result);
                 effects.into_iter().map(EntryEffect::Change).collect()
@@ -321,20 +313,14 @@
         let engines = members.filter(|it| it.record.process == Process::Engine);
         let describe = |it: &crate::Member| {
             let id = it.record.id.clone();
-            let serving = it
-                .record
-                .serving
-                .iter()
-                .map(|it| (it.model.clone(), it.version));
+            let known = base.deployments.values();
+            let serving = known.flat_map(|deployment| served(deployment, &it.record));
+
             Candidate {
                 place: it.record.place.clone(),
                 up: it.is_up(),
                 leaving: base.leaving.contains(&id) || self.control.is_leaving(&id),
-                memory_bytes: self
-                    .control
-                    .members
-                    .listed(&id)
-                    .map_or(0, |it| it.memory_bytes),
+                memory_bytes: self.control.members.listed(&id).map_or(0, |it| it.memory_bytes),
                 serving: serving.collect(),
                 id,
             }
@@ -351,25 +337,17 @@
         let is_service = |it: &&crate::Member| matches!(it.record.process, Process::Service(_));
         let all: Vec<&crate::Member> = self.control.members.others().filter(is_service).collect();
         let others = |one: &crate::Member| {
-            let same = all
-                .iter()
-                .filter(|it| it.record.process == one.record.process);
-            same.filter(|it| it.record.id != one.record.id && open(it))
-                .count()
+            let same = all.iter().filter(|it| it.record.process == one.record.process);
+            same.filter(|it| it.record.id != one.record.id && open(it)).count()
         };
-        all.iter()
-            .map(|it| (it.record.id.clone(), others(it)))
-            .collect()
+        all.iter().map(|it| (it.record.id.clone(), others(it))).collect()
     }
 
     fn arrive(&mut self, now: Millis, arrival: Arrival) -> Vec<EntryEffect> {
         if let Some(code) = self.refusal(now, &arrival) {
             let detail = code.meaning().to_owned();
             let error = Error::new(code, detail);
-            return vec![EntryEffect::Refuse {
-                request: arrival.request,
-                error,
-            }];
+            return vec![EntryEffect::Refuse { request: arrival.request, error }];
         }
         self.retries.earn();
         let request = arrival.request;
@@ -412,17 +390,10 @@
             Target::Model(model) => self.control.configuration().deployments.contains_key(model),
             Target::Service(name) => {
                 let process = Process::Service(name.clone());
-                self.control
-                    .members
-                    .others()
-                    .any(|it| it.record.process == process)
+                self.control.members.others().any(|it| it.record.process == process)
             }
         };
-        Some(if known {
-            Code::NoUpstream
-        } else {
-            Code::UnknownTarget
-        })
+        Some(if known { Code::NoUpstream } else { Code::UnknownTarget })
     }
 
     fn take_claim(
@@ -450,9 +421,7 @@
             return self.refuse(request, Error::new(Code::TooLate, Code::TooLate.meaning()));
         }
         let (target, prefix) = (arrival.target.clone(), arrival.prefix);
-        let found = self
-            .router
-            .choose(now, &self.control, &target, prefix, &progress.tried);
+        let found = self.router.choose(now, &self.control, &target, prefix, &progress.tried);
         let Some((agent, address)) = found else {
             return self.wait(request);
         };
@@ -460,17 +429,9 @@
         progress.tried.push(agent.clone());
         progress.at = Some(agent.clone());
         progress.waiting = false;
-        let attempt = AttemptId {
-            request,
-            number: progress.tries,
-        };
+        let attempt = AttemptId { request, number: progress.tries };
         let budget_ms = progress.arrival.deadline.since(now).0;
-        vec![EntryEffect::Send {
-            attempt,
-            agent,
-            address,
-            budget_ms,
-        }]
+        vec![EntryEffect::Send { attempt, agent, address, budget_ms }]
     }
 
     fn wait(&mut self, request: RequestId) -> Vec<EntryEffect> {
@@ -485,8 +446,7 @@
         }
         progress.waiting = true;
         let arrival = &progress.arrival;
-        self.queue
-            .insert((Reverse(arrival.priority), arrival.deadline, request));
+        self.queue.insert((Reverse(arrival.priority), arrival.deadline, request));
         Vec::new()
     }
 
@@ -574,10 +534,7 @@
         let mut effects = Vec::new();
         if let Some(agent) = &progress.at {
             self.router.end(now, agent, None, false);
-            effects.push(EntryEffect::Cancel(AttemptId {
-                request,
-                number: progress.tries,
-            }));
+            effects.push(EntryEffect::Cancel(AttemptId { request, number: progress.tries }));
         }
         effects.extend(self.after_end(now));
         effects
@@ -618,10 +575,7 @@
         let news = self.control.members.push(revision, LEAVE_FANOUT, seed);
         let mut effects: Vec<EntryEffect> = news
             .into_iter()
-            .map(|(to, datagram)| ControlEffect::Send {
-                to,
-                datagram: Box::new(datagram),
-            })
+            .map(|(to, datagram)| ControlEffect::Send { to, datagram: Box::new(datagram) })
             .map(EntryEffect::Control)
             .collect();
         effects.extend(self.drained());
@@ -637,6 +591,20 @@
     }
 }
 
+/// The versions of a deployment that a daemon says its engine serves.
+fn served<'a>(
+    deployment: &'a Deployment,
+    record: &'a MemberRecord,
+) -> impl Iterator<Item = (ModelName, VersionId)> + 'a {
+    let releases = [Some(&deployment.release), deployment.previous.as_ref()];
+    let versions = releases.into_iter().flatten().map(|it| it.version);
+    let serves = |version: &VersionId| {
+        let mut tags = record.serving.iter();
+        tags.any(|tag| tag.is_model(&deployment.model) && tag.is_version(*version))
+    };
+    versions.filter(serves).map(|version| (deployment.model.clone(), version))
+}
+
 /// Whether another upstream may do better after this code.
 fn is_passing(code: Code) -> bool {
     matches!(
--- a/components/reducer/src/members.rs
+++ b/components/reducer/src/members.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use fleet::{Incarnation, Instance, InstanceId, ListedState, Millis, Revision};
-use wire::{Datagram, DatagramBody, MemberRecord, MemberState, Serving};
+use wire::{Datagram, DatagramBody, MemberNews, MemberRecord, MemberState, ServingTag};
 
 use crate::Seed;
 
@@ -29,18 +29,22 @@
 const NEWS_EVERY: u64 = 100;
 /// How many members news goes to in a round.
 const NEWS_FANOUT: usize = 2;
-/// Records in one datagram; with a version in each they stay below the datagram's bound.
-const RECORDS_PER_DATAGRAM: usize = 8;
-/// News is passed on this many times the logarithm of the fleet.
-const NEWS_FACTOR: u32 = 3;
+/// News in one datagram, weighed as below, so that it stays below the datagram's bound.
+const NEWS_PER_DATAGRAM: usize = 30;
+/// What a whole record weighs beside a short one.
+const WHOLE_WEIGHT: usize = 5;
+/// Records of members picked at random in each probe, for those that missed the news.
+const ANTI_ENTROPY_RECORDS: usize = 3;
+/// Sends of a piece of news beyond the logarithm of the fleet.
+const EXTRA_SENDS: u32 = 1;
 /// How long a dead member that is no longer listed is remembered, in milliseconds.
 const FORGET_TIME: u64 = 60_000;
 /// Bytes that may be saved up for a burst of news.
-const BURST_BYTES: f64 = 16_000.0;
-/// What a datagram costs besides its records, in bytes.
-const DATAGRAM_BYTES: f64 = 120.0;
-/// What a record costs, in bytes.
-const RECORD_BYTES: f64 = 110.0;
+const BURST_BYTES: f64 = 32_000.0;
+/// What a datagram costs besides its news, in bytes.
+const DATAGRAM_BYTES: f64 = 90.0;
+/// What a piece of news costs, in bytes.
+const NEWS_BYTES: f64 = 40.0;
 
 /// What this daemon knows of another one.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -82,6 +86,8 @@
     me: MemberRecord,
     my_sends_left: u32,
     members: BTreeMap<InstanceId, Member>,
+    /// The names behind the tags in short records.
+    names: BTreeMap<[u8; 8], InstanceId>,
     instances: BTreeMap<InstanceId, Instance>,
     probe: Option<Probe>,
     /// Probes made for others: the nonce of ours, who asked and their nonce.
@@ -105,6 +111,7 @@
             me,
             my_sends_left: 1,
             members: BTreeMap::new(),
+            names: BTreeMap::new(),
             instances: BTreeMap::new(),
             probe: None,
             relayed: BTreeMap::new(),
@@ -140,8 +147,7 @@
 
     /// Whether the platform's list says that an instance leaves.
     pub fn is_listed_leaving(&self, id: &InstanceId) -> bool {
-        self.listed(id)
-            .is_some_and(|it| it.state == ListedState::Leaving)
+        self.listed(id).is_some_and(|it| it.state == ListedState::Leaving)
     }
 
     /// How many daemons there are, this one included.
@@ -150,7 +156,7 @@
     }
 
     /// Sets what this daemon serves; a change becomes news.
-    pub fn set_serving(&mut self, serving: Vec<Serving>) {
+    pub fn set_serving(&mut self, serving: Vec<ServingTag>) {
         if self.me.serving != serving {
             self.me.serving = serving;
             self.renew();
@@ -175,6 +181,7 @@
             if instance.id == self.me.id {
                 continue;
             }
+            self.names.insert(MemberNews::tag_of(&instance.id), instance.id.clone());
             let member = self
                 .members
                 .entry(instance.id.clone())
@@ -186,6 +193,7 @@
             dead && !it.listed && now.since(it.since) >= Millis(FORGET_TIME)
         };
         self.members.retain(|_, member| !forgotten(member));
+        self.names.retain(|_, id| self.members.contains_key(id));
     }
 
     /// Takes in a datagram and gives the answers to it.
@@ -197,16 +205,16 @@
         revision: Revision,
         seed: &mut Seed,
     ) -> Vec<Outgoing> {
-        for record in &datagram.records {
-            self.merge(now, record);
+        for news in &datagram.news {
+            if let Some(record) = self.expand(news) {
+                self.merge(now, &record);
+            }
         }
         self.hear(now, &datagram.from, datagram.incarnation);
         match &datagram.body {
             DatagramBody::Ping { nonce } => {
-                vec![(
-                    from,
-                    self.build(DatagramBody::Ack { nonce: *nonce }, revision),
-                )]
+                self.remind(seed);
+                vec![(from, self.build(DatagramBody::Ack { nonce: *nonce }, revision))]
             }
             DatagramBody::Ack { nonce } => self.take_ack(*nonce, revision),
             DatagramBody::PingFor { target } => self.relay(from, target, revision, seed),
@@ -234,25 +242,22 @@
     pub fn push(&mut self, revision: Revision, fanout: usize, seed: &mut Seed) -> Vec<Outgoing> {
         let targets = self.up_addresses();
         let targets = seed.sample(&targets, fanout);
-        targets
-            .into_iter()
-            .map(|to| (*to, self.build(DatagramBody::News, revision)))
-            .collect()
+        targets.into_iter().map(|to| (*to, self.build(DatagramBody::News, revision))).collect()
     }
 
     /// Builds a datagram with as many records as fit, news first.
     pub fn build(&mut self, body: DatagramBody, revision: Revision) -> Datagram {
-        let records = match body {
+        let news = match body {
             DatagramBody::Summary { .. } => Vec::new(),
-            _ => self.take_records(),
+            _ => self.take_news(),
         };
-        self.budget -= DATAGRAM_BYTES + RECORD_BYTES * records.len() as f64;
+        self.budget -= DATAGRAM_BYTES + NEWS_BYTES * news.len() as f64;
         Datagram {
             from: self.me.id.clone(),
             incarnation: self.me.incarnation,
             revision,
             body,
-            records,
+            news,
         }
     }
 
@@ -262,7 +267,8 @@
     }
 
     fn news_sends(&self) -> u32 {
-        NEWS_FACTOR * (self.count() as u32 + 1).ilog2().max(1)
+        // A rumour that everyone passes on ln(n) times reaches nearly all; probes carry the rest.
+        (self.count() as f64).ln().ceil() as u32 + EXTRA_SENDS
     }
 
     fn has_news(&self) -> bool {
@@ -283,31 +289,57 @@
     }
 
     fn up_addresses(&self) -> Vec<SocketAddr> {
-        self.members
-            .values()
-            .filter(|it| it.is_up())
-            .map(|it| it.record.address)
-            .collect()
+        self.members.values().filter(|it| it.is_up()).map(|it| it.record.address).collect()
     }
 
-    /// The records that were passed on least, this daemon's own first.
-    fn take_records(&mut self) -> Vec<MemberRecord> {
-        let mut records = Vec::new();
+    /// The news that was passed on least, this daemon's own first.
+    fn take_news(&mut self) -> Vec<MemberNews> {
+        let mut news = Vec::new();
+        let mut weight = 0;
         if self.my_sends_left > 0 {
             self.my_sends_left -= 1;
-            records.push(self.me.clone());
+            let listed = self.instances.contains_key(&self.me.id);
+            weight += shorten(&self.me, listed, &mut news);
         }
-        let mut news: Vec<&mut Member> = self
-            .members
-            .values_mut()
-            .filter(|it| it.sends_left > 0)
-            .collect();
-        news.sort_by_key(|it| std::cmp::Reverse(it.sends_left));
-        for member in news.into_iter().take(RECORDS_PER_DATAGRAM - records.len()) {
+        let mut fresh: Vec<&mut Member> =
+            self.members.values_mut().filter(|it| it.sends_left > 0).collect();
+        fresh.sort_by_key(|it| std::cmp::Reverse(it.sends_left));
+        for member in fresh {
+            if weight >= NEWS_PER_DATAGRAM {
+                break;
+            }
             member.sends_left -= 1;
-            records.push(member.record.clone());
+            weight += shorten(&member.record, member.listed, &mut news);
+        }
+        news
+    }
+
+    /// Sends a few records again that someone may have missed.
+    fn remind(&mut self, seed: &mut Seed) {
+        self.my_sends_left = self.my_sends_left.max(1);
+        let heard = self.members.iter().filter(|(_, it)| it.record.incarnation > Incarnation(0));
+        let ids: Vec<InstanceId> = heard.map(|(id, _)| id.clone()).collect();
+        for id in seed.sample(&ids, ANTI_ENTROPY_RECORDS) {
+            if let Some(member) = self.members.get_mut(id) {
+                member.sends_left = member.sends_left.max(1);
+            }
         }
-        records
+    }
+
+    /// The whole record behind a piece of news; none if the name behind a tag is not known yet.
+    fn expand(&self, news: &MemberNews) -> Option<MemberRecord> {
+        let (tag, incarnation, serial, state, serving) = match news {
+            MemberNews::Whole(record) => return Some((**record).clone()),
+            MemberNews::Listed { tag, incarnation, serial, state, serving } => {
+                (tag, *incarnation, *serial, *state, serving.clone())
+            }
+        };
+        let known = if *tag == MemberNews::tag_of(&self.me.id) {
+            &self.me
+        } else {
+            &self.members.get(self.names.get(tag)?)?.record
+        };
+        Some(MemberRecord { incarnation, serial, state, serving, ..known.clone() })
     }
 
     /// Takes in what another daemon says of a third, or of this one.
@@ -325,8 +357,13 @@
                 member.record = record.clone();
                 member.sends_left = sends;
             }
+            // Others know it already, so it needs fewer sends.
+            Some(member) if member.record == *record => {
+                member.sends_left = member.sends_left.saturating_sub(1);
+            }
             Some(_) => {}
             None => {
+                self.names.insert(MemberNews::tag_of(&record.id), record.id.clone());
                 let member = Member {
                     record: record.clone(),
                     since: now,
@@ -340,11 +377,15 @@
 
     /// Contradicts a record that takes this daemon for suspect or dead.
     fn refute(&mut self, record: &MemberRecord) {
-        let ours = (self.me.incarnation, self.me.serial);
-        let theirs = (record.incarnation, record.serial);
-        if record.state != self.me.state && theirs >= ours && record.incarnation == ours.0 {
+        if record.state == self.me.state || record.incarnation > self.me.incarnation {
+            return;
+        }
+        if record.incarnation == self.me.incarnation && record.serial >= self.me.serial {
             self.me.serial = record.serial;
             self.renew();
+        } else {
+            // Whoever holds this has missed a later record.
+            self.my_sends_left = self.news_sends();
         }
     }
 
@@ -353,6 +394,15 @@
         let Some(member) = self.members.get_mut(id) else {
             return;
         };
+        if member.record.incarnation < incarnation {
+            // A later run than the one we know of; its own record follows.
+            member.record.incarnation = incarnation;
+            member.record.serial = 0;
+            member.record.state = MemberState::Alive;
+            member.record.serving.clear();
+            member.since = now;
+            return;
+        }
         let same_run = member.record.incarnation == incarnation;
         if same_run && member.record.state == MemberState::Suspect {
             member.record.state = MemberState::Alive;
@@ -361,11 +411,7 @@
     }
 
     fn take_ack(&mut self, nonce: u64, revision: Revision) -> Vec<Outgoing> {
-        if self
-            .probe
-            .as_ref()
-            .is_some_and(|probe| probe.is_answered_by(nonce))
-        {
+        if self.probe.as_ref().is_some_and(|probe| probe.is_answered_by(nonce)) {
             self.probe = None;
             self.failed_probes = 0;
         }
@@ -407,13 +453,9 @@
         let Some((target, address)) = seed.pick(&targets).cloned() else {
             return Vec::new();
         };
+        self.remind(seed);
         let nonce = seed.below(u64::MAX);
-        self.probe = Some(Probe {
-            target,
-            nonce,
-            sent: now,
-            helpers_asked: false,
-        });
+        self.probe = Some(Probe { target, nonce, sent: now, helpers_asked: false });
         vec![(address, self.build(DatagramBody::Ping { nonce }, revision))]
     }
 
@@ -423,9 +465,7 @@
             let is_dead = it.record.state == MemberState::Dead;
             is_dead == dead && (!dead || it.listed)
         });
-        wanted
-            .map(|(id, it)| (id.clone(), it.record.address))
-            .collect()
+        wanted.map(|(id, it)| (id.clone(), it.record.address)).collect()
     }
 
     /// Asks helpers when an acknowledgement is late, and suspects the target when it stays out.
@@ -449,10 +489,7 @@
         let others = self.up_addresses();
         let helpers = seed.sample(&others, PROBE_HELPERS);
         let body = DatagramBody::PingFor { target };
-        helpers
-            .into_iter()
-            .map(|to| (*to, self.build(body.clone(), revision)))
-            .collect()
+        helpers.into_iter().map(|to| (*to, self.build(body.clone(), revision))).collect()
     }
 
     fn suspect(&mut self, now: Millis, target: &InstanceId) {
@@ -500,12 +537,18 @@
             address: instance.address,
             serving: Vec::new(),
         };
-        Self {
-            record,
-            since: now,
-            listed: true,
-            sends_left: 0,
-        }
+        Self { record, since: now, listed: true, sends_left: 0 }
+    }
+}
+
+/// Adds the shortest form of a record that its readers understand; returns what it weighs.
+fn shorten(record: &MemberRecord, listed: bool, news: &mut Vec<MemberNews>) -> usize {
+    if listed {
+        news.push(MemberNews::listed(record));
+        1
+    } else {
+        news.push(MemberNews::Whole(Box::new(record.clone())));
+        WHOLE_WEIGHT
     }
 }
 
--- a/components/reducer/src/planner.rs
+++ b/components/reducer/src/planner.rs
@@ -4,8 +4,8 @@
 
 use errors::{Code, Error, Result};
 use fleet::{
-    Change, Configuration, Deployment, Hall, InstanceId, Intent, Millis, ModelName, Place, Plan,
-    PlanId, Release, Revision, Role, Source, Step, VersionId,
+    Change, Configuration, Deployment, Hall, InstanceId, Intent, Millis, ModelName, Place,
+    Placement, Plan, PlanId, Release, Revision, Role, Source, Step, VersionId,
 };
 
 /// How long a plan can be confirmed, in milliseconds.
@@ -77,15 +77,7 @@
     fleet: &Fleet<'_>,
 ) -> Result<Plan> {
     let draft = match intent {
-        Intent::Deploy {
-            model,
-            replicas,
-            role,
-            halls,
-            adapter_of,
-            priority,
-            ..
-        } => {
+        Intent::Deploy { model, replicas, role, halls, adapter_of, priority, .. } => {
             let release = release.ok_or_else(|| unknown_version(model))?;
             let wish = Wish {
                 model: model.clone(),
@@ -160,27 +152,17 @@
 
 fn deploy(wish: &Wish, fleet: &Fleet<'_>) -> Result<Draft> {
     if wish.replicas == 0 {
-        return Err(Error::new(
-            Code::BadIntent,
-            "at least one replica; to stop, use remove",
-        ));
+        return Err(Error::new(Code::BadIntent, "at least one replica; to stop, use remove"));
     }
     if let Some(base) = &wish.adapter_of {
         if !fleet.configuration.deployments.contains_key(base) {
-            return Err(Error::new(
-                Code::BadIntent,
-                format!("no model {base} for the adapter"),
-            ));
+            return Err(Error::new(Code::BadIntent, format!("no model {base} for the adapter")));
         }
     }
     let old = fleet.configuration.deployments.get(&wish.model);
     let chosen = choose(wish, old, fleet)?;
     let held = holders(fleet, wish.release.version);
-    let source = if held.is_empty() {
-        Source::Origin
-    } else {
-        Source::Peers
-    };
+    let source = if held.is_empty() { Source::Origin } else { Source::Peers };
     let mut steps: Vec<Step> = Vec::new();
     let mut receivers = 0;
     for (candidate, reason) in &chosen {
@@ -195,9 +177,12 @@
             reason: reason.clone(),
         });
     }
-    let placements: BTreeMap<InstanceId, Role> = chosen
+    let placements: BTreeMap<InstanceId, Placement> = chosen
         .iter()
-        .map(|(it, _)| (it.id.clone(), wish.role))
+        .map(|(it, _)| {
+            let hall = it.place.hall.clone();
+            (it.id.clone(), Placement { role: wish.role, hall })
+        })
         .collect();
     steps.extend(withdrawals(old, &placements));
     let deployment = Deployment {
@@ -225,11 +210,8 @@
     old: Option<&Deployment>,
     fleet: &Fleet<'a>,
 ) -> Result<Vec<(&'a Candidate, String)>> {
-    let mut eligible: Vec<&Candidate> = fleet
-        .candidates
-        .iter()
-        .filter(|it| is_eligible(it, wish, fleet))
-        .collect();
+    let mut eligible: Vec<&Candidate> =
+        fleet.candidates.iter().filter(|it| is_eligible(it, wish, fleet)).collect();
     let wanted = wish.replicas as usize;
     if eligible.len() < wanted {
         let detail = format!("{} instances fit, {wanted} are asked for", eligible.len());
@@ -241,12 +223,7 @@
     while chosen.len() < wanted {
         let rank = |it: &&Candidate| {
             let in_hall = per_hall.get(&it.place.hall).copied().unwrap_or(0);
-            (
-                !runs(it),
-                in_hall,
-                used_bytes(it, fleet.configuration),
-                it.id.clone(),
-            )
+            (!runs(it), in_hall, used_bytes(it, fleet.configuration), it.id.clone())
         };
         let Some(index) = (0..eligible.len()).min_by_key(|index| rank(&eligible[*index])) else {
             break;
@@ -279,20 +256,12 @@
 /// Bytes of weights that the configuration already places on an instance. During a switch the old
 /// version stays until the new one is live, so it counts as well.
 fn used_bytes(candidate: &Candidate, configuration: &Configuration) -> u64 {
-    configuration
-        .wanted_on(&candidate.id)
-        .map(|it| it.release.bytes)
-        .sum()
+    configuration.wanted_on(&candidate.id).map(|it| it.release.bytes).sum()
 }
 
 fn holders(fleet: &Fleet<'_>, version: VersionId) -> BTreeSet<InstanceId> {
     let holds = |it: &&Candidate| it.serving.iter().any(|(_, held)| *held == version);
-    fleet
-        .candidates
-        .iter()
-        .filter(holds)
-        .map(|it| it.id.clone())
-        .collect()
+    fleet.candidates.iter().filter(holds).map(|it| it.id.clone()).collect()
 }
 
 fn previous(old: Option<&Deployment>, release: &Release) -> Option<Release> {
@@ -304,7 +273,7 @@
     }
 }
 
-fn withdrawals(old: Option<&Deployment>, kept: &BTreeMap<InstanceId, Role>) -> Vec<Step> {
+fn withdrawals(old: Option<&Deployment>, kept: &BTreeMap<InstanceId, Placement>) -> Vec<Step> {
     let Some(old) = old else {
         return Vec::new();
     };
@@ -337,23 +306,15 @@
     let mut deployment = old.clone();
     deployment.previous = Some(old.release.clone());
     deployment.release = release.clone();
-    let steps = old.placements.iter().map(|(id, role)| Step::Place {
+    let steps = old.placements.iter().map(|(id, placement)| Step::Place {
         instance: id.clone(),
-        hall: hall_of(id, fleet),
+        hall: placement.hall.clone(),
         version: release.version,
-        role: *role,
-        source: if held.contains(id) {
-            Source::Held
-        } else {
-            Source::Origin
-        },
+        role: placement.role,
+        source: if held.contains(id) { Source::Held } else { Source::Origin },
         reason: "runs the model already".to_owned(),
     });
-    let receivers = old
-        .placements
-        .keys()
-        .filter(|id| !held.contains(*id))
-        .count() as u32;
+    let receivers = old.placements.keys().filter(|id| !held.contains(*id)).count() as u32;
     Ok(Draft {
         steps: steps.collect(),
         overrides: vec![describe(old)],
@@ -366,10 +327,7 @@
 fn remove(model: &ModelName, fleet: &Fleet<'_>) -> Result<Draft> {
     let old = find(model, fleet)?;
     let adapters = fleet.configuration.deployments.values();
-    if let Some(adapter) = adapters
-        .into_iter()
-        .find(|it| it.adapter_of.as_ref() == Some(model))
-    {
+    if let Some(adapter) = adapters.into_iter().find(|it| it.adapter_of.as_ref() == Some(model)) {
         let detail = format!("the adapter {} still needs {model}", adapter.model);
         return Err(Error::new(Code::BadIntent, detail));
     }
@@ -394,18 +352,13 @@
     }
     for deployment in fleet.configuration.wanted_on(instance) {
         if !has_other_replica(deployment, instance, fleet) {
-            let detail = format!(
-                "{instance} has the last live replica of {}",
-                deployment.model
-            );
+            let detail = format!("{instance} has the last live replica of {}", deployment.model);
             return Err(Error::new(Code::LastReplica, detail));
         }
     }
     Ok(Draft {
         change: Change::Leave(instance.clone()),
-        steps: vec![Step::Drain {
-            instance: instance.clone(),
-        }],
+        steps: vec![Step::Drain { instance: instance.clone() }],
         overrides: Vec::new(),
         spread: (0, 0),
         held: true,
@@ -414,10 +367,7 @@
 
 fn has_other_replica(deployment: &Deployment, leaver: &InstanceId, fleet: &Fleet<'_>) -> bool {
     fleet.candidates.iter().any(|it| {
-        let serves = it
-            .serving
-            .iter()
-            .any(|(model, _)| model == &deployment.model);
+        let serves = it.serving.iter().any(|(model, _)| model == &deployment.model);
         &it.id != leaver && it.up && !it.leaving && serves
     })
 }
@@ -429,9 +379,7 @@
     }
     Ok(Draft {
         change: Change::Return(instance.clone()),
-        steps: vec![Step::Resume {
-            instance: instance.clone(),
-        }],
+        steps: vec![Step::Resume { instance: instance.clone() }],
         overrides: vec![format!("the leave of {instance}")],
         spread: (0, 0),
         held: true,
@@ -443,23 +391,12 @@
     found.ok_or_else(|| Error::new(Code::UnknownTarget, format!("{model} is not deployed")))
 }
 
-fn hall_of(id: &InstanceId, fleet: &Fleet<'_>) -> Hall {
-    let found = fleet.candidates.iter().find(|it| &it.id == id);
-    found.map(|it| it.place.hall.clone()).unwrap_or_default()
-}
-
 fn unknown_version(model: &ModelName) -> Error {
-    Error::new(
-        Code::UnknownVersion,
-        format!("no manifest of the version wanted for {model}"),
-    )
+    Error::new(Code::UnknownVersion, format!("no manifest of the version wanted for {model}"))
 }
 
 fn unknown_instance(instance: &InstanceId) -> Error {
-    Error::new(
-        Code::UnknownInstance,
-        format!("{instance} is no upstream on the list"),
-    )
+    Error::new(Code::UnknownInstance, format!("{instance} is no upstream on the list"))
 }
 
 #[cfg(test)]
--- a/components/reducer/src/retry.rs
+++ b/components/reducer/src/retry.rs
@@ -13,10 +13,7 @@
 impl RetryBudget {
     /// Allows a share of first tries, from 0 to 1, to be tried again.
     pub fn new(share: f64) -> Self {
-        Self {
-            share,
-            saved: MOST_SAVED,
-        }
+        Self { share, saved: MOST_SAVED }
     }
 
     /// Counts a first try.
--- a/components/reducer/src/routing.rs
+++ b/components/reducer/src/routing.rs
@@ -62,18 +62,12 @@
         tried: &[InstanceId],
     ) -> Option<(InstanceId, SocketAddr)> {
         let candidates = candidates(control, target);
-        let home = candidates
-            .iter()
-            .max_by_key(|it| affinity(prefix, &it.0))
-            .map(|it| it.0.clone());
+        let home =
+            candidates.iter().max_by_key(|it| affinity(prefix, &it.0)).map(|it| it.0.clone());
         let place = &control.members.me().place;
         let usable = candidates.into_iter().filter(|it| !tried.contains(&it.0));
         let choices = usable.filter_map(|(id, address, at)| {
-            let gain = if home.as_ref() == Some(&id) {
-                AFFINITY_GAIN
-            } else {
-                0.0
-            };
+            let gain = if home.as_ref() == Some(&id) { AFFINITY_GAIN } else { 0.0 };
             let upstream = self.upstreams.get(&id);
             let cost = upstream.cloned().unwrap_or_default().cost(now)?;
             let cost = cost + steps(place, &at) * DISTANCE_COST - gain;
@@ -106,8 +100,7 @@
     /// Forgets upstreams that are no longer members.
     pub fn retain(&mut self, control: &Control) {
         let known = |id: &InstanceId| control.members.get(id).is_some();
-        self.upstreams
-            .retain(|id, upstream| upstream.in_flight > 0 || known(id));
+        self.upstreams.retain(|id, upstream| upstream.in_flight > 0 || known(id));
     }
 }
 
@@ -115,11 +108,7 @@
     /// How full it is, as a share of its limit; none when it has no room.
     fn cost(&self, now: Millis) -> Option<f64> {
         let limit = f64::from(self.reported.map_or(USUAL_LIMIT, |it| it.limit.max(1)));
-        let room = if self.reported.is_some() {
-            limit
-        } else {
-            (limit * WARM_SHARE).max(1.0)
-        };
+        let room = if self.reported.is_some() { limit } else { (limit * WARM_SHARE).max(1.0) };
         let age = now.since(self.reported_at).0 as f64;
         let others = self.others * (1.0 - age / OTHERS_TIME).max(0.0);
         let taken = f64::from(self.in_flight) + others;
@@ -137,23 +126,12 @@
 fn candidates(control: &Control, target: &Target) -> Vec<Candidate> {
     let members = control.members.others().filter(|it| it.is_up());
     let serving = members.filter(|it| match target {
-        Target::Model(model) => it
-            .record
-            .serving
-            .iter()
-            .any(|serving| &serving.model == model),
+        Target::Model(model) => it.record.serving.iter().any(|tag| tag.is_model(model)),
         Target::Service(name) => it.record.process == Process::Service(name.clone()),
     });
     let open = serving.filter(|it| !control.is_leaving(&it.record.id));
-    let mut all: Vec<Candidate> = open
-        .map(|it| {
-            (
-                it.record.id.clone(),
-                it.record.address,
-                it.record.place.clone(),
-            )
-        })
-        .collect();
+    let mut all: Vec<Candidate> =
+        open.map(|it| (it.record.id.clone(), it.record.address, it.record.place.clone())).collect();
     if all.len() > SUBSET {
         let me = &control.members.me().id;
         all.sort_by_cached_key(|it| shared_hash(&[me.0.as_bytes(), it.0 .0.as_bytes()]));
--- a/components/reducer/src/spread/gate.rs
+++ b/components/reducer/src/spread/gate.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeSet;
 
-use fleet::{Hall, InstanceId, Millis, Place, VersionId};
+use fleet::{Hall, InstanceId, Millis, VersionId};
 
 use crate::seed::shared_hash;
 
@@ -51,20 +51,15 @@
         me: &InstanceId,
         version: VersionId,
         chunks: u32,
-        receivers: &[(InstanceId, Place)],
+        receivers: &[(InstanceId, Hall)],
         options: &GateOptions,
     ) -> Self {
-        let halls: BTreeSet<&Hall> = receivers.iter().map(|(_, place)| &place.hall).collect();
+        let halls: BTreeSet<&Hall> = receivers.iter().map(|(_, hall)| hall).collect();
         let groups = options.copies.clamp(1, halls.len().max(1) as u32);
         let group_of = |hall: &Hall| halls.iter().position(|it| *it == hall).unwrap_or(0) as u32;
-        let my_hall = receivers
-            .iter()
-            .find(|(id, _)| id == me)
-            .map(|(_, place)| &place.hall);
+        let my_hall = receivers.iter().find(|(id, _)| id == me).map(|(_, hall)| hall);
         let group = my_hall.map_or(0, |hall| group_of(hall) % groups);
-        let in_group = receivers
-            .iter()
-            .filter(|(_, it)| group_of(&it.hall) % groups == group);
+        let in_group = receivers.iter().filter(|(_, it)| group_of(it) % groups == group);
         let mut order: Vec<InstanceId> = in_group.map(|(id, _)| id.clone()).collect();
         if !order.contains(me) {
             order.push(me.clone());
@@ -88,10 +83,10 @@
         self.order.contains(id)
     }
 
-    /// Takes in which receivers are up.
-    pub fn set_up(&mut self, is_up: impl Fn(&InstanceId) -> bool) {
+    /// Takes in which receivers are known to be down. Those nobody has heard of may be up.
+    pub fn set_down(&mut self, is_down: impl Fn(&InstanceId) -> bool) {
         for (index, id) in self.order.iter().enumerate() {
-            self.up[index] = index == self.mine || is_up(id);
+            self.up[index] = index == self.mine || !is_down(id);
         }
     }
 
@@ -100,23 +95,19 @@
         let len = self.order.len();
         let owner = chunk as usize % len;
         let distance = (self.mine + len - owner) % len;
-        (0..distance)
-            .filter(|step| self.up[(owner + step) % len])
-            .count() as u64
+        (0..distance).filter(|step| self.up[(owner + step) % len]).count() as u64
     }
 
     /// When this receiver may draw a chunk, if nobody in its group holds it by then.
     pub fn due(&self, started: Millis, chunk: u32) -> Millis {
         let rank = self.rank(chunk);
-        self.timetable(started, chunk)
-            .plus(rank.saturating_mul(self.patience_ms))
+        self.timetable(started, chunk).plus(rank.saturating_mul(self.patience_ms))
     }
 
     /// When this receiver may draw a chunk although peers say that they hold it.
     pub fn last_resort(&self, started: Millis, chunk: u32) -> Millis {
         let ranks = self.rank(chunk).min(LAST_RESORT_RANKS) + LAST_RESORT_RANKS;
-        self.timetable(started, chunk)
-            .plus(ranks * self.patience_ms)
+        self.timetable(started, chunk).plus(ranks * self.patience_ms)
     }
 
     fn timetable(&self, started: Millis, chunk: u32) -> Millis {
@@ -129,27 +120,16 @@
 mod tests {
     use super::*;
 
-    fn receivers(count: usize) -> Vec<(InstanceId, Place)> {
-        let place = |n: usize| Place {
-            region: "r".into(),
-            hall: Hall(format!("h{}", n % 3)),
-        };
-        (0..count)
-            .map(|n| (InstanceId(format!("i{n}")), place(n)))
-            .collect()
+    fn receivers(count: usize) -> Vec<(InstanceId, Hall)> {
+        let hall = |n: usize| Hall(format!("h{}", n % 3));
+        (0..count).map(|n| (InstanceId(format!("i{n}")), hall(n))).collect()
     }
 
     fn gates(count: usize, copies: u32) -> Vec<Gate> {
         let all = receivers(count);
-        let options = GateOptions {
-            copies,
-            chunk_ms: 10.0,
-            version_ms: 4000.0,
-        };
+        let options = GateOptions { copies, chunk_ms: 10.0, version_ms: 4000.0 };
         let version = VersionId([3; 32]);
-        all.iter()
-            .map(|(id, _)| Gate::new(id, version, 20, &all, &options))
-            .collect()
+        all.iter().map(|(id, _)| Gate::new(id, version, 20, &all, &options)).collect()
     }
 
     #[test]
@@ -168,13 +148,8 @@
         let mut gates = gates(12, 1);
         let owner = gates.iter().position(|gate| gate.rank(5) == 0).unwrap();
         let dead = InstanceId(format!("i{owner}"));
-        gates
-            .iter_mut()
-            .for_each(|gate| gate.set_up(|id| id != &dead));
-        let heirs = gates
-            .iter()
-            .enumerate()
-            .filter(|(n, gate)| *n != owner && gate.rank(5) == 0);
+        gates.iter_mut().for_each(|gate| gate.set_down(|id| id == &dead));
+        let heirs = gates.iter().enumerate().filter(|(n, gate)| *n != owner && gate.rank(5) == 0);
         assert_eq!(heirs.count(), 1);
     }
 
--- a/components/reducer/src/spread/version.rs
+++ b/components/reducer/src/spread/version.rs
@@ -1,22 +1,22 @@
 //! The spread of one version at one receiver.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use errors::Code;
-use fleet::{Bitmap, InstanceId, Manifest, Millis, Place, VersionId};
+use fleet::{Bitmap, Hall, InstanceId, Manifest, Millis, Place, VersionId};
 
 use super::gate::{Gate, GateOptions};
 use super::neighbour::Neighbour;
 use crate::seed::shared_hash;
 
 /// Neighbours that a receiver chooses by itself.
-const CHOSEN_NEIGHBOURS: usize = 8;
+const CHOSEN_NEIGHBOURS: usize = 6;
 /// Neighbours at most, with those that chose this receiver.
-const MAX_NEIGHBOURS: usize = 24;
+const MAX_NEIGHBOURS: usize = 12;
 /// Of the chosen ones, how many stand in the same hall where there are as many.
-const NEAR_NEIGHBOURS: usize = 5;
+const NEAR_NEIGHBOURS: usize = 4;
 /// Chunks in flight from one neighbour.
 const WINDOW_PER_SOURCE: u32 = 2;
 /// Chunks in flight from the origin.
@@ -35,8 +35,11 @@
 const SUMMARY_BYTES: f64 = 120.0;
 /// The part of the control budget that summaries may use.
 const SUMMARY_SHARE: f64 = 0.4;
-/// The shortest time between two summaries to the same neighbour, in milliseconds.
-const MIN_SUMMARY_GAP: f64 = 200.0;
+/// The shortest time between two rounds of summaries, in milliseconds.
+const MIN_SUMMARY_GAP: u64 = 100;
+/// Bytes of summaries that may be saved up. A spread starts with them: before its first exchanges
+/// nobody knows who holds what, and each round that is late costs every receiver that time.
+const SUMMARY_BURST: f64 = 16_000.0;
 /// How long holders have to say what they hold before the origin is asked, in milliseconds.
 const HOLDER_GRACE: u64 = 500;
 /// How long an asker that found the upload queue full waits at least, in milliseconds.
@@ -125,6 +128,8 @@
     in_flight: BTreeMap<u32, Flight>,
     origin_not_before: Millis,
     next_summary: Millis,
+    summary_budget: f64,
+    summary_budget_at: Millis,
     /// Whether something was gained since the last summary.
     unsaid: bool,
 }
@@ -151,7 +156,7 @@
         me: &InstanceId,
         place: &Place,
         manifest: Arc<Manifest>,
-        receivers: &[(InstanceId, Place)],
+        receivers: &[(InstanceId, Hall)],
         options: SpreadOptions,
     ) -> Self {
         let version = manifest.version();
@@ -173,6 +178,8 @@
             in_flight: BTreeMap::new(),
             origin_not_before: Millis(0),
             next_summary: Millis(0),
+            summary_budget: SUMMARY_BURST,
+            summary_budget_at: now,
             unsaid: true,
             manifest,
         }
@@ -199,9 +206,10 @@
 
     /// Takes in who receives or holds the version, and chooses neighbours among them.
     pub fn set_participants(&mut self, now: Millis, participants: &[Participant]) {
-        let up = |id: &InstanceId| participants.iter().any(|it| &it.id == id && it.up);
-        self.gate.set_up(up);
-        self.neighbours.retain(|id, _| up(id));
+        let down: BTreeSet<&InstanceId> =
+            participants.iter().filter(|it| !it.up).map(|it| &it.id).collect();
+        self.gate.set_down(|id| down.contains(id));
+        self.neighbours.retain(|id, _| !down.contains(id));
         let holders = participants.iter().any(|it| it.up && it.holds);
         if holders && self.have.count() == 0 && self.neighbours.is_empty() {
             self.origin_not_before = now.plus(HOLDER_GRACE);
@@ -295,11 +303,12 @@
     /// The draws to make now, up to `window` chunks in flight.
     pub fn draw(&mut self, now: Millis, window: usize) -> Vec<SpreadEffect> {
         let mut effects = Vec::new();
-        let counts = self.count_holders();
+        let mut counts = None;
         while self.in_flight.len() < window {
-            let next = self
-                .draw_from_origin(now)
-                .or_else(|| self.draw_from_peer(now, &counts));
+            let next = self.draw_from_origin(now).or_else(|| {
+                let counts = counts.get_or_insert_with(|| self.count_holders());
+                self.draw_from_peer(now, counts)
+            });
             match next {
                 Some(draw) => effects.push(SpreadEffect::Draw(draw)),
                 None => break,
@@ -313,34 +322,34 @@
         if !self.unsaid || now < self.next_summary {
             return Vec::new();
         }
+        let cost = self.summary_cost();
+        self.refill_summaries(now);
+        if self.summary_budget < cost.min(SUMMARY_BURST) {
+            return Vec::new();
+        }
+        self.summary_budget -= cost;
         self.unsaid = false;
-        self.next_summary = now.plus(self.summary_gap());
+        self.next_summary = now.plus(MIN_SUMMARY_GAP);
         let have = &self.have;
-        let tell = |it: &Neighbour| SpreadEffect::Summarize {
-            to: it.address,
-            have: have.clone(),
-        };
-        self.neighbours
-            .values()
-            .filter(|it| !it.have.is_full())
-            .map(tell)
-            .collect()
+        let tell = |it: &Neighbour| SpreadEffect::Summarize { to: it.address, have: have.clone() };
+        self.neighbours.values().filter(|it| !it.have.is_full()).map(tell).collect()
     }
 
-    /// Time between two rounds of summaries that the control budget allows.
-    fn summary_gap(&self) -> u64 {
+    /// What a round of summaries costs, in bytes.
+    fn summary_cost(&self) -> f64 {
         let bytes = SUMMARY_BYTES + f64::from(self.manifest.chunks()) / 8.0;
+        self.neighbours.len() as f64 * bytes
+    }
+
+    fn refill_summaries(&mut self, now: Millis) {
         let rate = SUMMARY_SHARE * self.options.control_bytes_per_s as f64;
-        let gap = self.neighbours.len() as f64 * bytes / rate * 1000.0;
-        gap.max(MIN_SUMMARY_GAP) as u64
+        let gained = now.since(self.summary_budget_at).0 as f64 / 1000.0 * rate;
+        self.summary_budget = (self.summary_budget + gained).min(SUMMARY_BURST);
+        self.summary_budget_at = now;
     }
 
     fn end_flight(&mut self, index: u32, source: &DrawSource) -> Option<Flight> {
-        if self
-            .in_flight
-            .get(&index)
-            .is_none_or(|it| &it.source != source)
-        {
+        if self.in_flight.get(&index).is_none_or(|it| &it.source != source) {
             return None;
         }
         if let DrawSource::Peer(id, _) = source {
@@ -371,22 +380,15 @@
     /// A few participants near and a few anywhere. The choice depends on both names, so receivers
     /// choose differently and the whole stays connected.
     fn choose<'a>(&self, participants: &'a [Participant]) -> Vec<&'a Participant> {
-        let mut others: Vec<&Participant> = participants
-            .iter()
-            .filter(|it| it.up && it.id != self.me)
-            .collect();
+        let mut others: Vec<&Participant> =
+            participants.iter().filter(|it| it.up && it.id != self.me).collect();
         others.sort_by_cached_key(|it| shared_hash(&[self.me.0.as_bytes(), it.id.0.as_bytes()]));
-        let (near, far): (Vec<_>, Vec<_>) = others
-            .into_iter()
-            .partition(|it| distance(&self.place, &it.place) == 0);
-        let near_count = near
-            .len()
-            .min(NEAR_NEIGHBOURS.max(CHOSEN_NEIGHBOURS.saturating_sub(far.len())));
+        let (near, far): (Vec<_>, Vec<_>) =
+            others.into_iter().partition(|it| distance(&self.place, &it.place) == 0);
+        let near_count =
+            near.len().min(NEAR_NEIGHBOURS.max(CHOSEN_NEIGHBOURS.saturating_sub(far.len())));
         let far_count = CHOSEN_NEIGHBOURS - near_count.min(CHOSEN_NEIGHBOURS);
-        near.into_iter()
-            .take(near_count)
-            .chain(far.into_iter().take(far_count))
-            .collect()
+        near.into_iter().take(near_count).chain(far.into_iter().take(far_count)).collect()
     }
 
     /// For each chunk, how many neighbours hold it.
@@ -401,20 +403,13 @@
     }
 
     fn draw_from_origin(&mut self, now: Millis) -> Option<Draw> {
-        let from_origin = self
-            .in_flight
-            .values()
-            .filter(|it| it.source == DrawSource::Origin);
+        let from_origin = self.in_flight.values().filter(|it| it.source == DrawSource::Origin);
         if now < self.origin_not_before || from_origin.count() as u32 >= ORIGIN_WINDOW {
             return None;
         }
-        let missing = self
-            .have
-            .missing()
-            .filter(|index| !self.in_flight.contains_key(index));
-        let (index, last_resort) = missing
-            .filter_map(|index| self.may_ask_origin(now, index))
-            .next()?;
+        let missing = self.have.missing().filter(|index| !self.in_flight.contains_key(index));
+        let (index, last_resort) =
+            missing.filter_map(|index| self.may_ask_origin(now, index)).next()?;
         Some(self.launch(now, index, DrawSource::Origin, last_resort))
     }
 
@@ -423,10 +418,7 @@
         if now >= self.gate.last_resort(self.started, index) {
             return Some((index, true));
         }
-        let held = self
-            .neighbours
-            .values()
-            .any(|it| it.in_group && it.have.contains(index));
+        let held = self.neighbours.values().any(|it| it.in_group && it.have.contains(index));
         (!held && now >= self.gate.due(self.started, index)).then_some((index, false))
     }
 
@@ -437,10 +429,7 @@
         sources.retain(|(_, it)| it.outstanding < WINDOW_PER_SOURCE && now >= it.not_before);
         sources.sort_by_key(|(id, it)| {
             let queue = it.outstanding * 2 + it.uploads;
-            (
-                queue + it.distance,
-                shared_hash(&[self.me.0.as_bytes(), id.0.as_bytes()]),
-            )
+            (queue + it.distance, shared_hash(&[self.me.0.as_bytes(), id.0.as_bytes()]))
         });
         let (index, source) = sources.into_iter().find_map(|(id, neighbour)| {
             let index = self.rarest(neighbour, counts)?;
@@ -463,10 +452,7 @@
 
     fn launch(&mut self, now: Millis, index: u32, source: DrawSource, last_resort: bool) -> Draw {
         let mut usual = EXPECTED_QUEUE
-            * millis_for(
-                u64::from(self.manifest.chunk_bytes),
-                self.options.download_bytes_per_s,
-            );
+            * millis_for(u64::from(self.manifest.chunk_bytes), self.options.download_bytes_per_s);
         if let DrawSource::Peer(id, _) = &source {
             if let Some(neighbour) = self.neighbours.get_mut(id) {
                 neighbour.outstanding += 1;
@@ -474,21 +460,9 @@
             }
         }
         let span = (usual * DEADLINE_FACTOR).clamp(MIN_DEADLINE, MAX_DEADLINE) as u64;
-        self.in_flight.insert(
-            index,
-            Flight {
-                source: source.clone(),
-                sent: now,
-            },
-        );
+        self.in_flight.insert(index, Flight { source: source.clone(), sent: now });
         let deadline = now.plus(span);
-        Draw {
-            version: self.version,
-            index,
-            source,
-            deadline,
-            last_resort,
-        }
+        Draw { version: self.version, index, source, deadline, last_resort }
     }
 }
 
--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -20,18 +20,9 @@
     pub(crate) fn parse(text: &str) -> Result<Self, Faults> {
         let ini = Ini::load_from_str(text).map_err(|error| {
             let expected = format!("INI text ({error})");
-            Faults(vec![fault(
-                "file",
-                "",
-                Some(text.lines().next().unwrap_or("")),
-                &expected,
-            )])
+            Faults(vec![fault("file", "", Some(text.lines().next().unwrap_or("")), &expected)])
         })?;
-        let mut file = Self {
-            sections: BTreeMap::new(),
-            known: BTreeSet::new(),
-            faults: vec![],
-        };
+        let mut file = Self { sections: BTreeMap::new(), known: BTreeSet::new(), faults: vec![] };
         for (section, values) in &ini {
             file.add_section(section.unwrap_or(""), values);
         }
@@ -89,9 +80,7 @@
     /// The sections whose names start with a prefix, without it.
     pub(crate) fn sections_under(&self, prefix: &str) -> Vec<String> {
         let names = self.sections.keys();
-        names
-            .filter_map(|name| name.strip_prefix(prefix).map(str::to_owned))
-            .collect()
+        names.filter_map(|name| name.strip_prefix(prefix).map(str::to_owned)).collect()
     }
 
     /// Records a fault that only the caller can see.
@@ -138,8 +127,7 @@
         match value.trim().parse() {
             Ok(parsed) => Some(Some(parsed)),
             Err(_) => {
-                self.faults
-                    .push(fault(section, key, Some(&value), expected));
+                self.faults.push(fault(section, key, Some(&value), expected));
                 Some(None)
             }
         }
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -9,17 +9,13 @@
 
 /// Starts logging for the process: one JSON object a line on standard error.
 pub fn start_logs(instance: &str, level: &str) -> Result<()> {
-    let level: LevelFilter = level
-        .parse()
-        .map_err(|_| Error::new(Code::BadSettings, "unknown log level"))?;
+    let level: LevelFilter =
+        level.parse().map_err(|_| Error::new(Code::BadSettings, "unknown log level"))?;
     let instance = instance.to_owned();
     fern::Dispatch::new()
         .level(level)
         .format(move |out, message, record| {
-            out.finish(format_args!(
-                "{}",
-                render(&instance, &message.to_string(), record)
-            ))
+            out.finish(format_args!("{}", render(&instance, &message.to_string(), record)))
         })
         .chain(std::io::stderr())
         .apply()
@@ -39,9 +35,7 @@
 }
 
 fn unix_millis() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |span| span.as_millis() as u64)
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_millis() as u64)
 }
 
 /// Copies the fields of a record into the line.
@@ -64,14 +58,8 @@
 
     #[test]
     fn can_render_fields_as_json() {
-        let fields = [
-            ("request", kv::Value::from("1-2")),
-            ("code", kv::Value::from(105u64)),
-        ];
-        let record = Record::builder()
-            .key_values(&fields)
-            .level(log::Level::Warn)
-            .build();
+        let fields = [("request", kv::Value::from("1-2")), ("code", kv::Value::from(105u64))];
+        let record = Record::builder().key_values(&fields).level(log::Level::Warn).build();
         let line = render("agent-1", "refused", &record);
         assert_eq!(line["request"], "1-2");
         assert_eq!(line["code"], 105);
--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -27,10 +27,7 @@
     let (body, tag) = bytes.split_at(split);
     let tag: Tag = tag.try_into().expect("the split leaves exactly one tag");
     if !keys.verify(&[DOMAIN, body], &tag) {
-        return Err(Error::new(
-            Code::BadAuthentication,
-            "the datagram's code is wrong",
-        ));
+        return Err(Error::new(Code::BadAuthentication, "the datagram's code is wrong"));
     }
     postcard::from_bytes(body).map_err(|_| Error::new(Code::BadFrame, "the datagram is unreadable"))
 }
@@ -48,7 +45,7 @@
             incarnation: Incarnation(1),
             revision: Revision(2),
             body: DatagramBody::Ping { nonce: 3 },
-            records: Vec::new(),
+            news: Vec::new(),
         };
         seal_datagram(keys, &datagram)
     }
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -81,23 +81,13 @@
         let (message, payload) = content.split_at(message_len);
         let tag: Tag = tag.try_into().expect("the split leaves exactly one tag");
         let context = self.direction.context();
-        if !self
-            .direction
-            .keys
-            .verify(&[DOMAIN, &context, message, payload], &tag)
-        {
-            return Err(Error::new(
-                Code::BadAuthentication,
-                "the frame's code is wrong",
-            ));
+        if !self.direction.keys.verify(&[DOMAIN, &context, message, payload], &tag) {
+            return Err(Error::new(Code::BadAuthentication, "the frame's code is wrong"));
         }
         self.direction.sequence += 1;
         let message = postcard::from_bytes(message)
             .map_err(|_| Error::new(Code::BadFrame, "the message is unreadable"))?;
-        Ok(Some(Frame {
-            message,
-            payload: payload.to_vec(),
-        }))
+        Ok(Some(Frame { message, payload: payload.to_vec() }))
     }
 
     /// Reads the next frame and takes the end of the stream for a failure.
@@ -110,10 +100,7 @@
         let message = u32::from_le_bytes(head[..4].try_into().expect("four bytes"));
         let payload = u32::from_le_bytes(head[4..].try_into().expect("four bytes"));
         if message > self.max_message || payload > self.max_payload {
-            return Err(Error::new(
-                Code::FrameTooLarge,
-                "the frame is larger than the bound",
-            ));
+            return Err(Error::new(Code::FrameTooLarge, "the frame is larger than the bound"));
         }
         Ok((message as usize, payload as usize))
     }
@@ -136,10 +123,7 @@
         let message =
             postcard::to_stdvec(message).expect("a message has no type that cannot be encoded");
         let context = self.direction.context();
-        let tag = self
-            .direction
-            .keys
-            .sign(&[DOMAIN, &context, &message, payload]);
+        let tag = self.direction.keys.sign(&[DOMAIN, &context, &message, payload]);
         let mut head = Vec::with_capacity(HEAD_BYTES + message.len());
         head.extend_from_slice(&(message.len() as u32).to_le_bytes());
         head.extend_from_slice(&(payload.len() as u32).to_le_bytes());
@@ -187,10 +171,7 @@
     let session = exchange(stream.clone(), nonce, FROM_ACCEPTOR).await?;
     let (mut reader, writer) = pair(keys, session, FROM_ACCEPTOR, stream);
     let Message::Hello { from } = reader.expect().await?.message else {
-        return Err(Error::new(
-            Code::BadFrame,
-            "the first message must be a hello",
-        ));
+        return Err(Error::new(Code::BadFrame, "the first message must be a hello"));
     };
     reader.trust();
     Ok((from, reader, writer))
@@ -206,11 +187,7 @@
     stream.flush().await.map_err(lost)?;
     let mut theirs = [0; NONCE_BYTES];
     stream.read_exact(&mut theirs).await.map_err(lost)?;
-    let (first, second) = if side == FROM_DIALLER {
-        (nonce, theirs)
-    } else {
-        (theirs, nonce)
-    };
+    let (first, second) = if side == FROM_DIALLER { (nonce, theirs) } else { (theirs, nonce) };
     let mut session = [0; NONCE_BYTES * 2];
     session[..NONCE_BYTES].copy_from_slice(&first);
     session[NONCE_BYTES..].copy_from_slice(&second);
@@ -223,22 +200,14 @@
     side: u8,
     stream: S,
 ) -> (FrameReader<S>, FrameWriter<S>) {
-    let direction = |side| Direction {
-        keys: keys.clone(),
-        session,
-        side,
-        sequence: 0,
-    };
+    let direction = |side| Direction { keys: keys.clone(), session, side, sequence: 0 };
     let reader = FrameReader {
         stream: stream.clone(),
         direction: direction(FROM_ACCEPTOR - side),
         max_message: MAX_HELLO_BYTES,
         max_payload: 0,
     };
-    let writer = FrameWriter {
-        stream,
-        direction: direction(side),
-    };
+    let writer = FrameWriter { stream, direction: direction(side) };
     (reader, writer)
 }
 
--- a/components/wire/src/keys.rs
+++ b/components/wire/src/keys.rs
@@ -25,9 +25,7 @@
 impl KeyRing {
     /// Reads keys from the text of a key file: one or two lines, the signing key first.
     pub fn parse(text: &str) -> Result<Self> {
-        Ok(Self {
-            keys: Arc::new(RwLock::new(parse_keys(text)?)),
-        })
+        Ok(Self { keys: Arc::new(RwLock::new(parse_keys(text)?)) })
     }
 
     /// Takes the keys of a changed key file into use, for every holder of this ring.
@@ -47,8 +45,7 @@
     pub fn verify(&self, parts: &[&[u8]], tag: &Tag) -> bool {
         let keys = self.keys.read().expect("the key lock is never poisoned");
         // `blake3::Hash` compares in constant time.
-        keys.iter()
-            .any(|key| blake3::Hash::from(digest(key, parts)) == blake3::Hash::from(*tag))
+        keys.iter().any(|key| blake3::Hash::from(digest(key, parts)) == blake3::Hash::from(*tag))
     }
 }
 
@@ -60,20 +57,13 @@
 }
 
 fn parse_keys(text: &str) -> Result<Vec<Tag>> {
-    let lines: Vec<&str> = text
-        .lines()
-        .map(str::trim)
-        .filter(|line| !line.is_empty())
-        .collect();
+    let lines: Vec<&str> = text.lines().map(str::trim).filter(|line| !line.is_empty()).collect();
     let too_short = lines.iter().any(|line| line.len() < MIN_KEY_CHARS);
     if lines.is_empty() || lines.len() > MAX_KEYS || too_short {
         let expected = "a key file holds one or two lines of at least 16 characters";
         return Err(Error::new(Code::BadSettings, expected));
     }
-    Ok(lines
-        .iter()
-        .map(|line| blake3::derive_key(KEY_CONTEXT, line.as_bytes()))
-        .collect())
+    Ok(lines.iter().map(|line| blake3::derive_key(KEY_CONTEXT, line.as_bytes())).collect())
 }
 
 fn digest(key: &Tag, parts: &[&[u8]]) -> Tag {
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -9,5 +9,6 @@
 pub use frame::{accept_session, dial_session, Frame, FrameReader, FrameWriter};
 pub use keys::{KeyRing, Tag};
 pub use message::{
-    Call, Datagram, DatagramBody, Load, MemberRecord, MemberState, Message, Serving,
+    Call, Datagram, DatagramBody, Load, MemberNews, MemberRecord, MemberState, Message, Serving,
+    ServingTag,
 };
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -170,6 +170,57 @@
     pub role: Role,
 }
 
+/// The short form of what an engine serves, as it spreads between daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServingTag {
+    /// The start of the digest of the model's name.
+    model: [u8; 4],
+    /// The start of the version.
+    version: [u8; 8],
+    /// What the engine does with it.
+    pub role: Role,
+}
+
+impl ServingTag {
+    /// The short form.
+    pub fn of(serving: &Serving) -> Self {
+        Self {
+            model: model_tag(&serving.model),
+            version: version_tag(serving.version),
+            role: serving.role,
+        }
+    }
+
+    /// Whether this is a version of the model.
+    pub fn is_model(&self, model: &ModelName) -> bool {
+        self.model == model_tag(model)
+    }
+
+    /// Whether this is the version.
+    pub fn is_version(&self, version: VersionId) -> bool {
+        self.version == version_tag(version)
+    }
+
+    /// The start of the version, for people.
+    pub fn short_version(&self) -> String {
+        self.version[..4].iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+}
+
+fn model_tag(model: &ModelName) -> [u8; 4] {
+    start_of(blake3::hash(model.0.as_bytes()).as_bytes())
+}
+
+fn version_tag(version: VersionId) -> [u8; 8] {
+    start_of(&version.0)
+}
+
+fn start_of<const N: usize>(digest: &[u8; 32]) -> [u8; N] {
+    let mut start = [0; N];
+    start.copy_from_slice(&digest[..N]);
+    start
+}
+
 /// What is known of one daemon. A higher incarnation wins, then a higher serial number.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -188,7 +239,45 @@
     /// Where it listens for daemons.
     pub address: SocketAddr,
     /// What its engine serves.
-    pub serving: Vec<Serving>,
+    pub serving: Vec<ServingTag>,
+}
+
+/// A record on its way between daemons.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MemberNews {
+    /// Of a daemon that stands in the platform's list, so that only what changes is sent.
+    Listed {
+        /// The start of the digest of its name.
+        tag: [u8; 8],
+        /// Which run of the daemon.
+        incarnation: Incarnation,
+        /// Rises with every change.
+        serial: u64,
+        /// What the daemon is doing.
+        state: MemberState,
+        /// What its engine serves.
+        serving: Vec<ServingTag>,
+    },
+    /// Of a daemon that the list may not name yet.
+    Whole(Box<MemberRecord>),
+}
+
+impl MemberNews {
+    /// The short form of a record.
+    pub fn listed(record: &MemberRecord) -> Self {
+        Self::Listed {
+            tag: Self::tag_of(&record.id),
+            incarnation: record.incarnation,
+            serial: record.serial,
+            state: record.state,
+            serving: record.serving.clone(),
+        }
+    }
+
+    /// What stands for a name in the short form.
+    pub fn tag_of(id: &InstanceId) -> [u8; 8] {
+        start_of(blake3::hash(id.0.as_bytes()).as_bytes())
+    }
 }
 
 /// The purpose of a datagram.
@@ -232,5 +321,5 @@
     /// The purpose.
     pub body: DatagramBody,
     /// Records passed on.
-    pub records: Vec<MemberRecord>,
+    pub news: Vec<MemberNews>,
 }
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -43,17 +43,13 @@
     }
     log::info!("stopping: no new work, requests in progress finish");
     daemon.stop().await;
-    let whole = daemon
-        .stopped(Duration::from_secs(settings.node.stop_grace_s))
-        .await;
+    let whole = daemon.stopped(Duration::from_secs(settings.node.stop_grace_s)).await;
     async_io::Timer::after(FAREWELL).await;
     if whole {
         log::info!("stopped");
         return Ok(());
     }
-    Err(eyre!(
-        "requests were still in progress when the grace was over"
-    ))
+    Err(eyre!("requests were still in progress when the grace was over"))
 }
 
 fn reload(settings: &Settings, secrets: &Secrets) {
