--- a/examples/burst/run.rs
+++ b/examples/burst/run.rs
@@ -23,6 +23,8 @@
 const GIVE_UP_FACTOR: f64 = 10.0;
 /// How often the progress is looked at.
 const POLL: Duration = Duration::from_millis(10);
+/// How often the progress is shown.
+const SHOW_EVERY: Duration = Duration::from_secs(1);
 /// How long callers go on after the last replica is live.
 const AFTERWARDS: Duration = Duration::from_millis(500);
 /// The name of the counter of chunks and retries in the metrics.
@@ -32,9 +34,7 @@
 pub async fn run(executor: &Arc<Executor<'static>>, args: &Args) -> eyre::Result<Report> {
     let content = load(args)?;
     let options = options(args, content.len());
-    let bound = options
-        .estimate()
-        .bound_seconds(content.len() as u64, args.replicas as u32);
+    let bound = options.estimate().bound_seconds(content.len() as u64, args.replicas as u32);
     let lab = Lab::start(executor, options).await?;
     let manifest = lab.publish("weights", &content).await?;
     lab.wait_ready(Duration::from_secs(60)).await?;
@@ -48,10 +48,7 @@
         bound_seconds: bound,
         ..Report::default()
     };
-    let plan = lab
-        .operator(0)
-        .plan(&lab::deploy_intent(MODEL, version, args.replicas))
-        .await?;
+    let plan = lab.operator(0).plan(&lab::deploy_intent(MODEL, version, args.replicas)).await?;
     if !args.json {
         println!(
             "plan {}: {} steps, live in about {:.1} s, {} bytes from the origin",
@@ -111,17 +108,15 @@
     start: Instant,
     give_up: Duration,
 ) -> eyre::Result<f64> {
-    let mut shown = 0;
+    let mut next_line = start;
     loop {
         let live = lab.live(version).len();
-        if live != shown && !args.json {
-            println!(
-                "{:6.2} s  {live} of {} live",
-                start.elapsed().as_secs_f64(),
-                args.replicas
-            );
+        if !args.json && Instant::now() >= next_line {
+            next_line += SHOW_EVERY;
+            let seconds = start.elapsed().as_secs_f64();
+            let staged = staged_percent(lab, version);
+            println!("{seconds:6.2} s  {staged:3.0} % staged, {live} of {} live", args.replicas);
         }
-        shown = live;
         if live >= args.replicas {
             return Ok(start.elapsed().as_secs_f64());
         }
@@ -132,6 +127,17 @@
     }
 }
 
+/// The share of chunks held, over all agents, in percent.
+fn staged_percent(lab: &Lab, version: VersionId) -> f64 {
+    let held = |agent: &lab::Agent| {
+        agent.node.inspect(|state| {
+            let spread = state.spreads().find(|it| it.version == version);
+            spread.map_or(0.0, |it| f64::from(it.have().count()) / f64::from(it.have().capacity()))
+        })
+    };
+    lab.agents.iter().map(held).sum::<f64>() * 100.0 / lab.agents.len() as f64
+}
+
 /// Callers that run until they are stopped.
 struct Callers {
     task: Task<()>,
@@ -141,10 +147,7 @@
 impl Callers {
     async fn stop(self) -> Vec<lab::ChatAnswer> {
         self.task.cancel().await;
-        self.answers
-            .lock()
-            .expect("the lock is never poisoned")
-            .clone()
+        self.answers.lock().expect("the lock is never poisoned").clone()
     }
 }
 
@@ -166,9 +169,7 @@
             let kept = kept.clone();
             let call = async move {
                 let answer = caller.chat(&format!("How is tip {number} split?")).await;
-                kept.lock()
-                    .expect("the lock is never poisoned")
-                    .push(answer);
+                kept.lock().expect("the lock is never poisoned").push(answer);
             };
             inner.spawn(call).detach();
             Timer::after(REQUEST_EVERY).await;
@@ -183,14 +184,8 @@
     for agent in &lab.agents {
         let text = agent.metrics.render();
         for line in text.lines().filter(|line| line.starts_with(RETRIES)) {
-            let reason = line
-                .split("reason=\"")
-                .nth(1)
-                .and_then(|rest| rest.split('"').next());
-            let count = line
-                .rsplit(' ')
-                .next()
-                .and_then(|number| number.parse::<u64>().ok());
+            let reason = line.split("reason=\"").nth(1).and_then(|rest| rest.split('"').next());
+            let count = line.rsplit(' ').next().and_then(|number| number.parse::<u64>().ok());
             if let (Some(reason), Some(count)) = (reason, count) {
                 *reasons.entry(reason.to_owned()).or_insert(0) += count;
             }
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -23,12 +23,7 @@
         RoleSettings::Entry(_) => "entry",
         RoleSettings::Agent(_) => "agent",
     };
-    let checked = Checked {
-        role,
-        name: settings.node.name.0,
-    };
-    messages::show(cli.json, &checked, |it| {
-        format!("no faults: {} {}", it.role, it.name)
-    });
+    let checked = Checked { role, name: settings.node.name.0 };
+    messages::show(cli.json, &checked, |it| format!("no faults: {} {}", it.role, it.name));
     Ok(())
 }
--- a/src/cmd/confirm.rs
+++ b/src/cmd/confirm.rs
@@ -16,9 +16,7 @@
 /// Runs the command.
 pub fn run(cli: &Cli, args: &Confirm) -> Result<()> {
     let revision = block_on(cmd::operator(cli)?.confirm(&args.plan))?;
-    let accepted = Accepted {
-        revision: revision.0,
-    };
+    let accepted = Accepted { revision: revision.0 };
     messages::show(cli.json, &accepted, |it| {
         format!("accepted: in force as of revision {}", it.revision)
     });
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -23,22 +23,14 @@
 /// The entry that the arguments or the environment name.
 pub fn operator(cli: &Cli) -> Result<Operator> {
     let variable = std::env::var(ENTRY_VARIABLE).ok();
-    let entry = cli
-        .entry
-        .or_else(|| variable.and_then(|text| text.parse().ok()));
+    let entry = cli.entry.or_else(|| variable.and_then(|text| text.parse().ok()));
     let entry = entry.ok_or_else(|| usage(&format!("give --entry or set {ENTRY_VARIABLE}")))?;
     let variable = std::env::var(TOKEN_VARIABLE).ok();
-    let file = cli
-        .token_file
-        .clone()
-        .or_else(|| variable.map(PathBuf::from));
+    let file = cli.token_file.clone().or_else(|| variable.map(PathBuf::from));
     let file = file.ok_or_else(|| usage(&format!("give --token-file or set {TOKEN_VARIABLE}")))?;
     let text = std::fs::read_to_string(&file);
     let text = text.map_err(|error| usage(&format!("{}: {error}", file.display())))?;
-    Ok(Operator::new(
-        entry,
-        text.lines().next().unwrap_or_default(),
-    ))
+    Ok(Operator::new(entry, text.lines().next().unwrap_or_default()))
 }
 
 /// An error in how the program was called.
--- a/src/cmd/plan.rs
+++ b/src/cmd/plan.rs
@@ -26,17 +26,9 @@
             adapter_of: args.adapter_of.clone(),
             priority: args.priority,
         },
-        IntentArgs::Rollback(args) => Intent::Rollback {
-            model: args.model.clone(),
-        },
-        IntentArgs::Remove(args) => Intent::Remove {
-            model: args.model.clone(),
-        },
-        IntentArgs::Leave(args) => Intent::Leave {
-            instance: args.instance.clone(),
-        },
-        IntentArgs::Return(args) => Intent::Return {
-            instance: args.instance.clone(),
-        },
+        IntentArgs::Rollback(args) => Intent::Rollback { model: args.model.clone() },
+        IntentArgs::Remove(args) => Intent::Remove { model: args.model.clone() },
+        IntentArgs::Leave(args) => Intent::Leave { instance: args.instance.clone() },
+        IntentArgs::Return(args) => Intent::Return { instance: args.instance.clone() },
     }
 }
--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -25,10 +25,7 @@
     let content = std::fs::read(&args.file);
     let content =
         content.map_err(|error| cmd::usage(&format!("{}: {error}", args.file.display())))?;
-    let name = args
-        .file
-        .file_name()
-        .map(|name| name.to_string_lossy().into_owned());
+    let name = args.file.file_name().map(|name| name.to_string_lossy().into_owned());
     let label = args.label.clone().or(name).unwrap_or_default();
     let manifest = Manifest::describe(&label, &content)?;
     let weights = Arc::new(HttpWeights(args.weights));
--- a/src/cmd/version.rs
+++ b/src/cmd/version.rs
@@ -14,11 +14,7 @@
 
 /// Runs the command.
 pub fn run(cli: &Cli) -> Result<()> {
-    let version = ProgramVersion {
-        version: env!("CARGO_PKG_VERSION"),
-    };
-    messages::show(cli.json, &version, |it| {
-        format!("silverdock {}", it.version)
-    });
+    let version = ProgramVersion { version: env!("CARGO_PKG_VERSION") };
+    messages::show(cli.json, &version, |it| format!("silverdock {}", it.version));
     Ok(())
 }
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -41,11 +41,8 @@
 pub fn report(error: &Error, json: bool) -> ExitCode {
     let code = error.code;
     if json {
-        let failure = Failure {
-            code: code.number(),
-            name: code.name(),
-            message: error.detail.trim_end(),
-        };
+        let failure =
+            Failure { code: code.number(), name: code.name(), message: error.detail.trim_end() };
         line(&failure);
     } else {
         eprintln!("{}", error.to_string().trim_end());
@@ -80,24 +77,13 @@
 
 fn describe(step: &Step) -> String {
     match step {
-        Step::Place {
-            instance,
-            hall,
-            version,
-            role,
-            source,
-            reason,
-        } => format!(
+        Step::Place { instance, hall, version, role, source, reason } => format!(
             "place    {instance} ({hall}): {} as {}, from {}; {reason}",
             version.short(),
             format!("{role:?}").to_lowercase(),
             format!("{source:?}").to_lowercase()
         ),
-        Step::Withdraw {
-            instance,
-            model,
-            reason,
-        } => {
+        Step::Withdraw { instance, model, reason } => {
             format!("withdraw {model} from {instance}; {reason}")
         }
         Step::Drain { instance } => format!("drain    {instance}"),
@@ -108,16 +94,8 @@
 /// The fleet in words.
 pub fn status(status: &Status) -> String {
     let mut text = String::new();
-    let current = if status.current {
-        "current"
-    } else {
-        "perhaps behind"
-    };
-    let _ = writeln!(
-        text,
-        "{} at revision {} ({current})",
-        status.instance, status.revision
-    );
+    let current = if status.current { "current" } else { "perhaps behind" };
+    let _ = writeln!(text, "{} at revision {} ({current})", status.instance, status.revision);
     for it in &status.deployments {
         let version = &it.version[..8];
         let _ = writeln!(
@@ -131,11 +109,7 @@
     }
     for it in &status.members {
         let serving = it.serving.join(" ");
-        let _ = writeln!(
-            text,
-            "{:<16} {:<10} {:<8} {serving}",
-            it.instance.0, it.hall.0, it.state
-        );
+        let _ = writeln!(text, "{:<16} {:<10} {:<8} {serving}", it.instance.0, it.hall.0, it.state);
     }
     text
 }
--- a/tests/client.rs
+++ b/tests/client.rs
@@ -36,15 +36,8 @@
     /// Runs the client with `--json` and gives what it printed and its exit code.
     fn run(&self, args: &[&str]) -> (Value, i32) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_silverdock"));
-        command.args([
-            "--json",
-            "--entry",
-            &self.lab.entries[0].operators().to_string(),
-        ]);
-        command
-            .arg("--token-file")
-            .arg(self.folder.join("token"))
-            .args(args);
+        command.args(["--json", "--entry", &self.lab.entries[0].operators().to_string()]);
+        command.arg("--token-file").arg(self.folder.join("token")).args(args);
         let output = command.output().unwrap();
         (last_line(&output), output.status.code().unwrap())
     }
@@ -53,16 +46,8 @@
     fn publish(&self, label: &str) -> String {
         let [_, objects, weights, _] = self.lab.platform.addresses().map(|it| it.to_string());
         let file = self.folder.join("weights").display().to_string();
-        let args = [
-            "publish",
-            &file,
-            "--label",
-            label,
-            "--weights",
-            &weights,
-            "--objects",
-            &objects,
-        ];
+        let args =
+            ["publish", &file, "--label", label, "--weights", &weights, "--objects", &objects];
         text(&self.run(&args).0["version"])
     }
 
@@ -142,10 +127,7 @@
     let (mut answer, mut code) = stage.confirm(&plan);
     // 306 tells the operator to confirm the same plan again.
     while code != 0 {
-        assert!(
-            [306, 305].contains(&answer["code"].as_u64().unwrap()),
-            "{answer}"
-        );
+        assert!([306, 305].contains(&answer["code"].as_u64().unwrap()), "{answer}");
         (answer, code) = stage.confirm(&plan);
     }
     assert_eq!(answer["revision"], 1);
