Lab: wait until agents have heard of each other before a spread is timed

Cause: the last stragglers at 270 replicas were always the agents that had started last; others had read the list before they stood in it. That is the start of the lab, not of the spread.

Change: the lab waits until every agent has heard of every other one.

--- a/components/lab/src/fleet.rs
+++ b/components/lab/src/fleet.rs
@@ -15,6 +15,7 @@
 use net::{Bounds, Handler, Server, Tasks};
 use node::{AgentNode, AgentSetup, EntryNode, EntrySetup, Host, Identity, TokenRing, Upstream};
 use platform::{HttpUpstream, Platform};
+use reducer::Control;
 use standins::{Engine, PlatformOptions, PlatformStandIn, Service};
 use telemetry::Metrics;
 use wire::KeyRing;
@@ -206,16 +207,18 @@
         operator.confirm(&plan.id).await
     }
 
-    /// Waits until every entry is ready and sees every agent alive.
+    /// Waits until every daemon is ready and every entry and agent has heard of every agent.
     pub async fn wait_ready(&self, time: Duration) -> Result<()> {
         let expected = self.agents.len();
+        let settled = |control: &Control, others: usize| {
+            let up = control.members.others().filter(|it| it.is_up());
+            control.is_current() && up.count() >= others
+        };
         self.wait(time, || {
-            self.entries.iter().all(|entry| {
-                entry.inspect(|state| {
-                    let up = state.control.members.others().filter(|it| it.is_up());
-                    state.control.is_current() && up.count() >= expected
-                })
-            })
+            let mut entries = self.entries.iter();
+            let mut agents = self.agents.iter();
+            entries.all(|it| it.inspect(|state| settled(&state.control, expected)))
+                && agents.all(|it| it.node.inspect(|state| settled(&state.control, expected - 1)))
         })
         .await
     }
