--- a/components/lab/src/fleet.rs
+++ b/components/lab/src/fleet.rs
@@ -263,6 +263,12 @@
         Ok(())
     }
 
+    /// Ends every daemon, so that another lab can run in the same process.
+    pub fn stop(&self) {
+        self.agents.iter().for_each(|agent| agent.node.kill());
+        self.entries.iter().for_each(EntryNode::kill);
+    }
+
     fn host(&self) -> Result<Host> {
         Ok(Host {
             tasks: self.tasks.group(),
--- a/components/lab/src/options.rs
+++ b/components/lab/src/options.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use reducer::{AgentOptions, EntryOptions, Estimate, SpreadOptions};
+use reducer::{AgentOptions, Choice, EntryOptions, Estimate, SpreadOptions};
 use settings::Kind;
 use standins::EngineOptions;
 
@@ -35,6 +35,8 @@
     pub kinds: Vec<Kind>,
     /// Bytes a second that messages between daemons may cost.
     pub control_bytes_per_s: u64,
+    /// How agents choose chunks and sources.
+    pub choice: Choice,
 }
 
 impl Default for LabOptions {
@@ -53,6 +55,7 @@
             queue_limit: 256,
             kinds: Vec::new(),
             control_bytes_per_s: 3000,
+            choice: Choice::default(),
         }
     }
 }
@@ -69,6 +72,7 @@
                 origin_bytes_per_s: self.origin_bytes_per_s,
                 download_bytes_per_s: self.link_bytes_per_s,
                 control_bytes_per_s: self.control_bytes_per_s,
+                choice: self.choice,
             },
         }
     }
--- a/components/reducer/src/lib.rs
+++ b/components/reducer/src/lib.rs
@@ -30,6 +30,6 @@
 pub use routing::{Router, Upstream};
 pub use seed::Seed;
 pub use spread::{
-    Draw, DrawSource, Gate, Neighbour, Participant, Spread, SpreadEffect, SpreadOptions,
+    Choice, Draw, DrawSource, Gate, Neighbour, Participant, Spread, SpreadEffect, SpreadOptions,
     SpreadPhase,
 };
--- a/components/reducer/src/spread/mod.rs
+++ b/components/reducer/src/spread/mod.rs
@@ -8,5 +8,5 @@
 pub use gate::Gate;
 pub use neighbour::Neighbour;
 pub use version::{
-    Draw, DrawSource, Participant, Spread, SpreadEffect, SpreadOptions, SpreadPhase,
+    Choice, Draw, DrawSource, Participant, Spread, SpreadEffect, SpreadOptions, SpreadPhase,
 };
--- a/components/reducer/src/spread/version.rs
+++ b/components/reducer/src/spread/version.rs
@@ -45,6 +45,19 @@
 /// How long an asker that found the upload queue full waits at least, in milliseconds.
 const MIN_BUSY_WAIT: u64 = 20;
 
+/// How chunks and sources are chosen. Only the first is meant for use; the others are the naive
+/// versions that it is measured against.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Choice {
+    /// The least busy source, then the rarest of its chunks; the origin by its timetable.
+    #[default]
+    Rarest,
+    /// Everyone draws everything from the origin.
+    OriginOnly,
+    /// A chunk and a source picked without looking at load or rarity; the origin by its timetable.
+    Random,
+}
+
 /// Numbers that a spread works with.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SpreadOptions {
@@ -56,6 +69,8 @@
     pub download_bytes_per_s: u64,
     /// What control messages may cost, in bytes a second.
     pub control_bytes_per_s: u64,
+    /// How chunks and sources are chosen.
+    pub choice: Choice,
 }
 
 /// Where a chunk is drawn from.
@@ -307,7 +322,11 @@
         while self.in_flight.len() < window {
             let next = self.draw_from_origin(now).or_else(|| {
                 let counts = counts.get_or_insert_with(|| self.count_holders());
-                self.draw_from_peer(now, counts)
+                match self.options.choice {
+                    Choice::Rarest => self.draw_from_peer(now, counts),
+                    Choice::Random => self.draw_at_random(now),
+                    Choice::OriginOnly => None,
+                }
             });
             match next {
                 Some(draw) => effects.push(SpreadEffect::Draw(draw)),
@@ -415,6 +434,9 @@
 
     /// Whether the origin may be asked for a chunk, and whether only as the last resort.
     fn may_ask_origin(&self, now: Millis, index: u32) -> Option<(u32, bool)> {
+        if self.options.choice == Choice::OriginOnly {
+            return Some((index, false));
+        }
         if now >= self.gate.last_resort(self.started, index) {
             return Some((index, true));
         }
@@ -438,6 +460,27 @@
         Some(self.launch(now, index, source, false))
     }
 
+    /// The naive choice: any wanted chunk from any neighbour that holds it.
+    fn draw_at_random(&mut self, now: Millis) -> Option<Draw> {
+        let toss = |part: u32| {
+            shared_hash(&[self.me.0.as_bytes(), &now.0.to_le_bytes(), &part.to_le_bytes()])
+        };
+        let wanted: Vec<u32> =
+            self.have.missing().filter(|index| !self.in_flight.contains_key(index)).collect();
+        let mut offers: Vec<(u32, DrawSource)> = Vec::new();
+        for (id, neighbour) in &self.neighbours {
+            if neighbour.outstanding >= WINDOW_PER_SOURCE || now < neighbour.not_before {
+                continue;
+            }
+            let held = wanted.iter().filter(|index| neighbour.have.contains(**index));
+            let source = DrawSource::Peer(id.clone(), neighbour.address);
+            offers.extend(held.map(|index| (*index, source.clone())));
+        }
+        let pick = toss(self.in_flight.len() as u32) as usize % offers.len().max(1);
+        let (index, source) = offers.get(pick)?.clone();
+        Some(self.launch(now, index, source, false))
+    }
+
     /// The rarest chunk that a neighbour holds and this receiver neither holds nor awaits. Among
     /// equals each receiver starts elsewhere, which keeps replicas different from one another.
     fn rarest(&self, neighbour: &Neighbour, counts: &[u32]) -> Option<u32> {
--- a/daemon/src/setup.rs
+++ b/daemon/src/setup.rs
@@ -7,7 +7,7 @@
 use net::Tasks;
 use node::{AgentNode, AgentSetup, EntryNode, EntrySetup, Host, Identity, Upstream};
 use platform::{HttpInstances, HttpObjects, HttpTable, HttpUpstream, HttpWeights, Platform};
-use reducer::{AgentOptions, EntryOptions, Estimate, SpreadOptions};
+use reducer::{AgentOptions, Choice, EntryOptions, Estimate, SpreadOptions};
 use settings::{AgentSettings, EntrySettings, RoleSettings, Settings};
 use telemetry::Metrics;
 
@@ -128,6 +128,7 @@
                 origin_bytes_per_s: settings.profile.origin_bytes_per_s,
                 download_bytes_per_s: agent.link.for_weights(agent.link.download_bytes_per_s),
                 control_bytes_per_s: settings.node.control_bytes_per_s,
+                choice: Choice::default(),
             },
         },
         interference: None,
--- a/examples/burst/args.rs
+++ b/examples/burst/args.rs
@@ -23,6 +23,12 @@
     /// faults, by commas: kill, stall, corrupt, replace, origin, table, restart, or all
     #[argh(option, default = "Faults::default()")]
     pub faults: Faults,
+    /// origin or random: run this naive version first and print both side by side
+    #[argh(option)]
+    pub baseline: Option<Baseline>,
+    /// a file for a plot of live replicas and origin bytes over time, in SVG
+    #[argh(option)]
+    pub plot: Option<PathBuf>,
     /// seed of the generated weights (default 1)
     #[argh(option, default = "1")]
     pub seed: u64,
@@ -55,6 +61,27 @@
     }
 }
 
+/// A naive version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Baseline {
+    /// Everyone draws from the origin.
+    Origin,
+    /// Any chunk from any peer.
+    Random,
+}
+
+impl FromStr for Baseline {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "origin" => Ok(Self::Origin),
+            "random" => Ok(Self::Random),
+            _ => Err("expected origin or random".to_owned()),
+        }
+    }
+}
+
 /// What is weighed more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Profile {
--- a/examples/burst/main.rs
+++ b/examples/burst/main.rs
@@ -3,23 +3,45 @@
 //! `cargo run --release --example burst -- --help` lists the options.
 
 mod args;
+mod callers;
+mod faults;
+mod plot;
 mod report;
 mod run;
 
 use std::sync::Arc;
 
+use args::Baseline;
 use async_executor::Executor;
 use lab::Lab;
+use reducer::Choice;
 
 fn main() -> eyre::Result<()> {
     let args: args::Args = argh::from_env();
     let executor = Arc::new(Executor::new());
     Lab::run_threads(&executor);
-    let report = async_io::block_on(run::run(&executor, &args))?;
-    if args.json {
-        println!("{}", serde_json::to_string(&report)?);
-    } else {
-        println!("{report}");
+    let naive = match args.baseline {
+        None => None,
+        Some(Baseline::Origin) => Some(Choice::OriginOnly),
+        Some(Baseline::Random) => Some(Choice::Random),
+    };
+    let mut reports = Vec::new();
+    for choice in naive.into_iter().chain([Choice::Rarest]) {
+        let run = async_io::block_on(run::run(&executor, &args, choice))?;
+        if let (Some(path), Choice::Rarest) = (&args.plot, choice) {
+            plot::draw(path, &run.timeline, &run.report)?;
+        }
+        reports.push(run.report);
+    }
+    for report in &reports {
+        if args.json {
+            println!("{}", serde_json::to_string(report)?);
+        } else {
+            println!("{report}\n");
+        }
+    }
+    if let ([naive, ours], false) = (reports.as_slice(), args.json) {
+        println!("{}", report::side_by_side(naive, ours));
     }
     Ok(())
 }
--- a/examples/burst/report.rs
+++ b/examples/burst/report.rs
@@ -9,12 +9,14 @@
 /// The figures of one run.
 #[derive(Debug, Default, Serialize)]
 pub struct Report {
-    /// Replicas wanted.
+    /// Replicas wanted, without those that died.
     pub replicas: usize,
     /// Replicas that serve the wanted version.
     pub live: usize,
     /// The profile.
     pub profile: String,
+    /// How chunks and sources were chosen.
+    pub choice: String,
     /// The faults.
     pub faults: String,
     /// Bytes of the file.
@@ -64,7 +66,7 @@
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let faults = if self.faults.is_empty() { "none" } else { &self.faults };
-        writeln!(f, "profile {}, faults: {faults}", self.profile)?;
+        writeln!(f, "profile {}, choice {}, faults: {faults}", self.profile, self.choice)?;
         writeln!(f, "live          {} of {} replicas", self.live, self.replicas)?;
         writeln!(
             f,
@@ -82,3 +84,18 @@
         write!(f, "wrong answers {} partial, {} mixed", self.partial_served, self.mixed_served)
     }
 }
+
+/// A naive version and ours in one table.
+pub fn side_by_side(naive: &Report, ours: &Report) -> String {
+    let row = |it: &Report| {
+        format!(
+            "{:<12} {:>9.2} {:>7.2} {:>14.2} {:>10}",
+            it.choice, it.seconds, it.ratio, it.origin_copies, it.live
+        )
+    };
+    let head = format!(
+        "{:<12} {:>9} {:>7} {:>14} {:>10}",
+        "choice", "seconds", "ratio", "origin copies", "live"
+    );
+    [head, row(naive), row(ours)].join("\n")
+}
--- a/examples/burst/run.rs
+++ b/examples/burst/run.rs
@@ -1,87 +1,112 @@
 //! The run itself.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use async_executor::{Executor, Task};
+use async_executor::Executor;
 use async_io::Timer;
 use eyre::{eyre, Context};
-use fleet::VersionId;
-use lab::{ChatCaller, Lab, LabOptions};
+use fleet::{Manifest, VersionId};
+use lab::{Lab, LabOptions};
 use rand::rngs::StdRng;
 use rand::{RngCore, SeedableRng};
+use reducer::Choice;
 
-use crate::args::{Args, Weights};
+use crate::args::{Args, Fault, Weights};
+use crate::callers::Callers;
+use crate::faults::Schedule;
+use crate::plot::Moment;
 use crate::report::Report;
 
 /// The model's name.
 const MODEL: &str = "tips";
-/// Time between two requests.
-const REQUEST_EVERY: Duration = Duration::from_millis(50);
 /// How long a spread may take, as a multiple of the bound.
 const GIVE_UP_FACTOR: f64 = 10.0;
+/// When a newer version replaces the one in flight, as a part of the bound.
+const REPLACE_AT: f64 = 0.4;
 /// How often the progress is looked at.
 const POLL: Duration = Duration::from_millis(10);
 /// How often the progress is shown.
 const SHOW_EVERY: Duration = Duration::from_secs(1);
 /// How long callers go on after the last replica is live.
 const AFTERWARDS: Duration = Duration::from_millis(500);
-/// The name of the counter of chunks and retries in the metrics.
+/// How long a fleet may take to be ready.
+const READY: Duration = Duration::from_secs(60);
+/// The counter of retries in the metrics.
 const RETRIES: &str = "silverdock_retries_total";
 
+/// What a run gives.
+pub struct Run {
+    /// Its figures.
+    pub report: Report,
+    /// What was seen over time.
+    pub timeline: Vec<Moment>,
+}
+
 /// Runs a burst and gives its figures.
-pub async fn run(executor: &Arc<Executor<'static>>, args: &Args) -> eyre::Result<Report> {
-    let content = load(args)?;
-    let options = options(args, content.len());
-    let bound = options.estimate().bound_seconds(content.len() as u64, args.replicas as u32);
-    let lab = Lab::start(executor, options).await?;
-    let manifest = lab.publish("weights", &content).await?;
-    lab.wait_ready(Duration::from_secs(60)).await?;
-    let version = manifest.version();
+pub async fn run(
+    executor: &Arc<Executor<'static>>,
+    args: &Args,
+    choice: Choice,
+) -> eyre::Result<Run> {
+    let contents = [load(args, args.seed)?, load(args, args.seed + 1)?];
+    let options = LabOptions { choice, ..options(args, contents[0].len()) };
+    let bound = options.estimate().bound_seconds(contents[0].len() as u64, args.replicas as u32);
+    let mut lab = Lab::start(executor, options).await?;
+    let mut manifest = lab.publish("weights-1", &contents[0]).await?;
+    lab.wait_ready(READY).await?;
+    let callers = Callers::start(executor, &lab, MODEL);
+    deploy(&lab, args, &manifest).await?;
+    if args.faults.has(Fault::Replace) {
+        Timer::after(Duration::from_secs_f64(bound * REPLACE_AT)).await;
+        manifest = lab.publish("weights-2", &contents[1]).await?;
+        deploy(&lab, args, &manifest).await?;
+    }
+    let sent_before = lab.platform.origin.sent_bytes();
+    let (seconds, dead, timeline) = follow(&mut lab, &manifest, args, bound).await?;
+    Timer::after(AFTERWARDS).await;
+    let rerequests = rerequests(&lab);
+    let sent = lab.platform.origin.sent_bytes() - sent_before;
     let mut report = Report {
-        replicas: args.replicas,
+        replicas: args.replicas - dead,
+        live: lab.live(manifest.version()).len(),
         profile: format!("{:?}", args.profile).to_lowercase(),
+        choice: format!("{choice:?}").to_lowercase(),
         faults: args.faults.names(),
         bytes: manifest.bytes,
         chunks: manifest.chunks(),
+        seconds,
         bound_seconds: bound,
+        ratio: seconds / bound,
+        origin_copies: sent as f64 / manifest.bytes as f64,
+        chunks_corrupt_caught: rerequests.get("ChunkCorrupt").copied().unwrap_or(0),
+        rerequests,
         ..Report::default()
     };
-    let plan = lab.operator(0).plan(&lab::deploy_intent(MODEL, version, args.replicas)).await?;
-    if !args.json {
-        println!(
-            "plan {}: {} steps, live in about {:.1} s, {} bytes from the origin",
-            plan.id,
-            plan.steps.len(),
-            plan.live_seconds,
-            plan.origin_bytes
-        );
-    }
-    let known = vec![blake3::hash(&content).to_hex().to_string()];
-    let callers = start_callers(executor, &lab);
-    let start = Instant::now();
-    lab.operator(0).confirm(&plan.id).await?;
-    let give_up = Duration::from_secs_f64(bound * GIVE_UP_FACTOR + 10.0);
-    report.seconds = follow(&lab, version, args, start, give_up).await?;
-    report.live = lab.live(version).len();
-    report.ratio = report.seconds / bound;
-    Timer::after(AFTERWARDS).await;
+    let known = contents.map(|content| blake3::hash(&content).to_hex().to_string());
     for answer in callers.stop().await {
         report.count(&answer, &known);
     }
-    report.origin_copies = lab.platform.origin.sent_bytes() as f64 / manifest.bytes as f64;
-    report.rerequests = rerequests(&lab);
-    report.chunks_corrupt_caught = report.rerequests.get("ChunkCorrupt").copied().unwrap_or(0);
-    Ok(report)
+    lab.stop();
+    Ok(Run { report, timeline })
 }
 
-fn load(args: &Args) -> eyre::Result<Vec<u8>> {
+/// The file, or as many bytes as were asked for.
+fn load(args: &Args, seed: u64) -> eyre::Result<Vec<u8>> {
     match &args.weights {
-        Weights::File(path) => std::fs::read(path).wrap_err_with(|| format!("{}", path.display())),
+        Weights::File(path) => {
+            let mut content =
+                std::fs::read(path).wrap_err_with(|| format!("{}", path.display()))?;
+            // The second version of a file differs in its first byte.
+            if let (Some(first), true) = (content.first_mut(), seed != args.seed) {
+                *first ^= 1;
+            }
+            Ok(content)
+        }
         Weights::Size(size) => {
             let mut content = vec![0; *size];
-            StdRng::seed_from_u64(args.seed).fill_bytes(&mut content);
+            StdRng::seed_from_u64(seed).fill_bytes(&mut content);
             Ok(content)
         }
     }
@@ -100,28 +125,56 @@
     }
 }
 
-/// Follows the spread to its end and gives the seconds it took.
+/// Plans and confirms, as an operator would.
+async fn deploy(lab: &Lab, args: &Args, manifest: &Manifest) -> eyre::Result<()> {
+    let operator = lab.operator(0);
+    let intent = lab::deploy_intent(MODEL, manifest.version(), args.replicas);
+    let plan = operator.plan(&intent).await?;
+    if !args.json {
+        println!(
+            "plan {}: {} steps, live in about {:.1} s, {} bytes from the origin",
+            plan.id,
+            plan.steps.len(),
+            plan.live_seconds,
+            plan.origin_bytes
+        );
+    }
+    operator.confirm(&plan.id).await?;
+    Ok(())
+}
+
+/// Follows the spread to its end. Gives the seconds it took, how many instances died, and what was
+/// seen on the way.
 async fn follow(
-    lab: &Lab,
-    version: VersionId,
+    lab: &mut Lab,
+    manifest: &Manifest,
     args: &Args,
-    start: Instant,
-    give_up: Duration,
-) -> eyre::Result<f64> {
+    bound: f64,
+) -> eyre::Result<(f64, usize, Vec<Moment>)> {
+    let version = manifest.version();
+    let start = Instant::now();
+    let sent_before = lab.platform.origin.sent_bytes();
+    let mut schedule = Schedule::start(lab, &args.faults, bound);
+    let mut timeline = Vec::new();
     let mut next_line = start;
     loop {
+        schedule.advance(lab).await?;
+        let wanted = args.replicas - schedule.dead;
         let live = lab.live(version).len();
+        let seconds = start.elapsed().as_secs_f64();
+        let sent = lab.platform.origin.sent_bytes() - sent_before;
+        let origin_copies = sent as f64 / manifest.bytes as f64;
+        timeline.push(Moment { seconds, live, origin_copies });
         if !args.json && Instant::now() >= next_line {
             next_line += SHOW_EVERY;
-            let seconds = start.elapsed().as_secs_f64();
             let staged = staged_percent(lab, version);
-            println!("{seconds:6.2} s  {staged:3.0} % staged, {live} of {} live", args.replicas);
+            println!("{seconds:6.2} s  {staged:3.0} % staged, {live} of {wanted} live");
         }
-        if live >= args.replicas {
-            return Ok(start.elapsed().as_secs_f64());
+        if live >= wanted {
+            return Ok((seconds, schedule.dead, timeline));
         }
-        if start.elapsed() > give_up {
-            return Err(eyre!("only {live} of {} replicas are live", args.replicas));
+        if seconds > bound * GIVE_UP_FACTOR {
+            return Err(eyre!("only {live} of {wanted} replicas are live"));
         }
         Timer::after(POLL).await;
     }
@@ -138,46 +191,6 @@
     lab.agents.iter().map(held).sum::<f64>() * 100.0 / lab.agents.len() as f64
 }
 
-/// Callers that run until they are stopped.
-struct Callers {
-    task: Task<()>,
-    answers: Arc<Mutex<Vec<lab::ChatAnswer>>>,
-}
-
-impl Callers {
-    async fn stop(self) -> Vec<lab::ChatAnswer> {
-        self.task.cancel().await;
-        self.answers.lock().expect("the lock is never poisoned").clone()
-    }
-}
-
-/// Calls every entry in turn, whether the model is there already or not.
-fn start_callers(executor: &Arc<Executor<'static>>, lab: &Lab) -> Callers {
-    let entries: Vec<_> = lab.entries.iter().map(|entry| entry.callers()).collect();
-    let answers = Arc::new(Mutex::new(Vec::new()));
-    let kept = answers.clone();
-    let inner = executor.clone();
-    let task = executor.spawn(async move {
-        for number in 0_usize.. {
-            let caller = ChatCaller {
-                address: entries[number % entries.len()],
-                model: MODEL.to_owned(),
-                tokens: 8,
-                stream: number % 2 == 0,
-                patience: Duration::from_secs(30),
-            };
-            let kept = kept.clone();
-            let call = async move {
-                let answer = caller.chat(&format!("How is tip {number} split?")).await;
-                kept.lock().expect("the lock is never poisoned").push(answer);
-            };
-            inner.spawn(call).detach();
-            Timer::after(REQUEST_EVERY).await;
-        }
-    });
-    Callers { task, answers }
-}
-
 /// Chunks drawn again over all agents, by reason.
 fn rerequests(lab: &Lab) -> BTreeMap<String, u64> {
     let mut reasons = BTreeMap::new();
