Control: a daemon that cannot tell whether it is behind asks around

Cause: with the table down, an agent that restarted in the middle of a spread waited three to four seconds until three peers had happened to talk to it; only then it trusted its configuration and drew.

Change: until it is current, a daemon pings three members four times a second; their acknowledgements carry their revisions.

--- a/components/reducer/src/control.rs
+++ b/components/reducer/src/control.rs
@@ -23,6 +23,8 @@
 const HASTE: u64 = 100;
 /// How long to wait for the contents of a revision before asking another peer, in milliseconds.
 const FETCH_TIME: u64 = 1000;
+/// How often a daemon that cannot tell whether it is behind asks around, in milliseconds.
+const ASK_EVERY: u64 = 250;
 /// How many peers must confirm our revision where the table cannot be asked.
 const PEERS_TO_BE_CURRENT: usize = 3;
 
@@ -79,6 +81,7 @@
     agreeing: BTreeSet<InstanceId>,
     next_table: Millis,
     next_list: Millis,
+    next_ask: Millis,
     fetching_until: Millis,
 }
 
@@ -92,6 +95,7 @@
             agreeing: BTreeSet::new(),
             next_table: Millis(0),
             next_list: Millis(0),
+            next_ask: Millis(0),
             fetching_until: Millis(0),
         }
     }
@@ -198,6 +202,11 @@
         let revision = self.configuration.revision;
         let outgoing = self.members.tick(now, revision, seed);
         let mut effects: Vec<ControlEffect> = outgoing.into_iter().map(send).collect();
+        if !self.current && now >= self.next_ask {
+            self.next_ask = now.plus(ASK_EVERY);
+            let asked = self.members.ask_around(revision, PEERS_TO_BE_CURRENT, seed);
+            effects.extend(asked.into_iter().map(send));
+        }
         let share = self.members.count() as u64 * TABLE_POLL_PER_DAEMON;
         if now >= self.next_table {
             self.next_table = now.plus(jittered(TABLE_POLL.max(share), seed));
--- a/components/reducer/src/members.rs
+++ b/components/reducer/src/members.rs
@@ -245,6 +245,22 @@
         targets.into_iter().map(|to| (*to, self.build(DatagramBody::News, revision))).collect()
     }
 
+    /// Pings a few members at once, whose acknowledgements tell their revisions.
+    pub fn ask_around(
+        &mut self,
+        revision: Revision,
+        count: usize,
+        seed: &mut Seed,
+    ) -> Vec<Outgoing> {
+        let targets = self.up_addresses();
+        let targets: Vec<SocketAddr> = seed.sample(&targets, count).into_iter().copied().collect();
+        let mut ask = |to| {
+            let nonce = seed.below(u64::MAX);
+            (to, self.build(DatagramBody::Ping { nonce }, revision))
+        };
+        targets.into_iter().map(&mut ask).collect()
+    }
+
     /// Builds a datagram with as many records as fit, news first.
     pub fn build(&mut self, body: DatagramBody, revision: Revision) -> Datagram {
         let news = match body {
