Reducers under fuzzing and against naive versions; two faults mended

Cause: the decisions had been run, not proved. Stateful fuzzing of the agent found that a version taken back and wanted again was asked for twice, and the second manifest started its spread anew under chunks in flight, which were then drawn twice.

Change: a second manifest is ignored; reported queues drain with time; draws from the origin come on top of the window; twice the patience where one copy is all that is allowed. Claims on idempotency keys are released on refusal and keep the answer. A request waits at most max_wait_ms. Examples control, requests and slopes.

Conclusion: the fuzzing earns its keep; every oracle stands as a test.

--- a/components/lab/src/options.rs
+++ b/components/lab/src/options.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use reducer::{AgentOptions, Choice, EntryOptions, Estimate, SpreadOptions};
+use reducer::{AgentOptions, Choice, EntryOptions, Estimate, RouteChoice, SpreadOptions};
 use settings::Kind;
 use standins::EngineOptions;
 
@@ -37,6 +37,8 @@
     pub control_bytes_per_s: u64,
     /// How agents choose chunks and sources.
     pub choice: Choice,
+    /// How entries choose upstreams.
+    pub route_choice: RouteChoice,
 }
 
 impl Default for LabOptions {
@@ -56,6 +58,7 @@
             kinds: Vec::new(),
             control_bytes_per_s: 3000,
             choice: Choice::default(),
+            route_choice: RouteChoice::default(),
         }
     }
 }
@@ -84,6 +87,7 @@
             retry_share: 0.1,
             control_bytes_per_s: self.control_bytes_per_s / 2,
             estimate: self.estimate(),
+            choice: self.route_choice,
         }
     }
 
--- a/components/node/src/entry/attempts.rs
+++ b/components/node/src/entry/attempts.rs
@@ -7,10 +7,11 @@
 use fleet::{Millis, VersionId};
 use http_types::{Response, StatusCode};
 use net::{stream_body, BodySender, Deadline};
-use reducer::{AttemptId, EntryEvent, Failure};
+use reducer::{AttemptId, EntryEvent, Failure, SavedAnswer};
 use wire::{Call, Frame, Load, Message};
 
 use super::callers::remaining;
+use super::claims;
 use super::Shared;
 use crate::peers::Session;
 
@@ -80,6 +81,17 @@
     };
     shared.surroundings.peers.keep(session);
     shared.inbox.send(EntryEvent::Ended { attempt: attempt.id, load }).await;
+    if let Some(key) = attempt.call.idempotency_key.clone() {
+        let answer = SavedAnswer {
+            status: head.status,
+            content_type: head.content_type.clone(),
+            body: whole.clone(),
+        };
+        let workspace = attempt.call.workspace.clone();
+        let request = attempt.id.request;
+        let saving = claims::save(shared.clone(), request, workspace, key, answer);
+        shared.surroundings.host.tasks.spawn(saving);
+    }
     let mut response = respond(&head);
     response.set_body(whole);
     response.insert_header("content-type", head.content_type.as_str());
--- a/components/node/src/entry/callers.rs
+++ b/components/node/src/entry/callers.rs
@@ -7,9 +7,9 @@
 use errors::{Code, Error, Result};
 use fleet::{Millis, ModelName, RequestId, WorkspaceId};
 use futures_lite::FutureExt;
-use http_types::{Request, Response};
+use http_types::{Request, Response, StatusCode};
 use net::{refuse, Caller, Handler, Reply};
-use reducer::{Arrival, EntryEvent, Target};
+use reducer::{Arrival, EntryEvent, SavedAnswer, Target};
 use serde::Deserialize;
 use settings::Kind;
 use wire::Call;
@@ -97,6 +97,7 @@
         workspace: WorkspaceId(workspace),
         prefix,
         deadline: shared.now().plus(budget.as_millis() as u64),
+        max_wait: kind.map_or(Kind::USUAL_WAIT_MS, |it| it.max_wait_ms),
         // A completion changes nothing, so it may run twice unless its kind says otherwise.
         repeatable: kind.is_none_or(|it| it.repeatable),
         priority: kind.map_or(CHAT_PRIORITY, |it| it.priority),
@@ -165,6 +166,10 @@
     loop {
         let (attempt, address, budget_ms) = match commands.recv().await {
             Ok(Command::Send { attempt, address, budget_ms }) => (attempt, address, budget_ms),
+            Ok(Command::Replay(answer)) => {
+                count(shared, &kind, "replayed");
+                return replay(*answer);
+            }
             Ok(Command::Refuse(error)) => return end(shared, request, &kind, &error),
             Err(_) => {
                 let error = Error::new(Code::Internal, "the request was lost");
@@ -196,6 +201,16 @@
     refuse(error)
 }
 
+/// The answer that an earlier request got under the same key.
+fn replay(answer: SavedAnswer) -> Response {
+    let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::Ok);
+    let mut response = Response::new(status);
+    response.set_body(answer.body);
+    response.insert_header("content-type", answer.content_type.as_str());
+    response.insert_header("silverdock-replayed", "true");
+    response
+}
+
 fn count(shared: &Shared, kind: &str, outcome: &str) {
     shared.surroundings.host.metrics.count_request(kind, outcome);
 }
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -199,6 +199,12 @@
         EntryEffect::Claim { request, workspace, key } => {
             host.tasks.spawn(claims::take(shared.clone(), request, workspace, key));
         }
+        EntryEffect::Release { request, workspace, key } => {
+            host.tasks.spawn(claims::release(shared.clone(), request, workspace, key));
+        }
+        EntryEffect::Replay { request, answer } => {
+            shared.requests.command(request, Command::Replay(answer));
+        }
         EntryEffect::Send { attempt, address, budget_ms, .. } => {
             let command = Command::Send { attempt, address, budget_ms };
             shared.requests.command(attempt.request, command);
--- a/components/node/src/entry/requests.rs
+++ b/components/node/src/entry/requests.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender};
 use errors::Error;
 use fleet::RequestId;
-use reducer::AttemptId;
+use reducer::{AttemptId, SavedAnswer};
 
 /// Commands that may wait for a request's task.
 const COMMANDS_AHEAD: usize = 8;
@@ -26,6 +26,8 @@
     },
     /// End with a code.
     Refuse(Error),
+    /// End with the answer of an earlier request under the same key.
+    Replay(Box<SavedAnswer>),
 }
 
 /// The tasks of requests, by identity.
--- a/components/reducer/src/agent.rs
+++ b/components/reducer/src/agent.rs
@@ -435,6 +435,11 @@
     fn take_manifest(&mut self, now: Millis, manifest: Arc<Manifest>) -> Vec<AgentEffect> {
         let version = manifest.version();
         self.awaited.remove(&version);
+        // A version that was taken back and wanted again may have been asked for twice; the second
+        // answer must not start its spread anew under chunks in flight.
+        if self.spreads.contains_key(&version) {
+            return Vec::new();
+        }
         let me = self.control.members.me().clone();
         let configuration = self.control.configuration();
         let wanted = configuration.wanted_on(&me.id).find(|it| it.release.version == version);
@@ -508,7 +513,7 @@
         spread.take_chunk(now, index, &source, verified);
         if let (DrawSource::Peer(id, address), Some((have, uploads))) = (&source, sender) {
             spread.take_summary(id, *address, &place, have);
-            spread.take_uploads(id, uploads);
+            spread.take_uploads(now, id, uploads);
         }
         if spread.phase() == SpreadPhase::Whole {
             effects.extend(self.summarize(now));
--- a/components/reducer/src/agent_tests.rs
+++ b/components/reducer/src/agent_tests.rs
@@ -1,1 +1,386 @@
+//! Stateful fuzzing of the agent's reducer. The oracle knows which verified chunks were handed over,
+//! which draws are out, and what the engine obeyed.
 
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use super::*;
+use crate::Choice;
+use fleet::{Change, Configuration, Incarnation, Placement, PlanId, Process, Release};
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use wire::MemberState;
+
+const CHUNK: u32 = 4096;
+/// Steps in which everything that is out must end once the faults have ended.
+const SETTLE_STEPS: usize = 3000;
+
+/// What happens to the agent.
+#[derive(Clone, Debug)]
+enum Step {
+    /// A version is deployed here, or none.
+    Deploy(Option<usize>),
+    /// The oldest question for a manifest is answered, or fails.
+    Manifest(bool),
+    /// One of the draws that are out ends well, damaged, or not at all.
+    Chunk { which: usize, ending: Ending },
+    /// A peer says what it holds; it may lie.
+    Summary { peer: usize, version: usize, held: u8 },
+    /// The oldest order is obeyed, or fails.
+    Order(bool),
+    /// A peer asks for a chunk.
+    Ask { version: usize, index: u32 },
+    /// Time passes.
+    Tick(u64),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Ending {
+    Good,
+    Damaged,
+    Lost,
+    Missing,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let ending = prop_oneof![
+        6 => Just(Ending::Good),
+        1 => Just(Ending::Damaged),
+        1 => Just(Ending::Lost),
+        1 => Just(Ending::Missing),
+    ];
+    prop_oneof![
+        1 => proptest::option::of(0usize..2).prop_map(Step::Deploy),
+        2 => any::<bool>().prop_map(Step::Manifest),
+        10 => (any::<usize>(), ending).prop_map(|(which, ending)| Step::Chunk { which, ending }),
+        4 => (0usize..3, 0usize..2, any::<u8>())
+            .prop_map(|(peer, version, held)| Step::Summary { peer, version, held }),
+        2 => any::<bool>().prop_map(Step::Order),
+        1 => (0usize..2, 0u32..10).prop_map(|(version, index)| Step::Ask { version, index }),
+        6 => (50u64..3000).prop_map(Step::Tick),
+    ]
+}
+
+/// The steps need no state to be valid; the oracle stands beside the agent.
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_: &()) -> BoxedStrategy<Step> {
+        step().boxed()
+    }
+
+    fn apply(_: (), _: &Step) {}
+}
+
+/// The agent and what the oracle knows.
+struct World {
+    agent: Agent,
+    now: Millis,
+    manifests: [Arc<Manifest>; 2],
+    table: Configuration,
+    draws: Vec<Draw>,
+    manifest_questions: VecDeque<VersionId>,
+    orders: VecDeque<Order>,
+    /// Verified chunks handed over since the version was last dropped.
+    delivered: BTreeMap<VersionId, BTreeSet<u32>>,
+    /// What the engine has loaded.
+    loaded: Option<VersionId>,
+    last_epoch: Revision,
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1000 + number as u16))
+}
+
+fn peer(number: usize) -> InstanceId {
+    InstanceId(format!("peer{number}"))
+}
+
+fn member(id: InstanceId, at: SocketAddr) -> MemberRecord {
+    MemberRecord {
+        id,
+        incarnation: Incarnation(1),
+        serial: 0,
+        state: MemberState::Alive,
+        place: Place::default(),
+        process: Process::Engine,
+        address: at,
+        serving: Vec::new(),
+    }
+}
+
+impl World {
+    fn new() -> Self {
+        let describe = |first: u8| {
+            let content: Vec<u8> = (0..8 * CHUNK).map(|n| first + (n / CHUNK) as u8).collect();
+            Arc::new(Manifest::describe_with("m", &content, CHUNK).unwrap())
+        };
+        let options = AgentOptions {
+            concurrency: 4,
+            memory_bytes: 1 << 30,
+            upload_bytes_per_s: 1 << 20,
+            spread: SpreadOptions {
+                copies: 1,
+                origin_bytes_per_s: 1 << 20,
+                download_bytes_per_s: 1 << 20,
+                control_bytes_per_s: 3000,
+                choice: Choice::Rarest,
+            },
+        };
+        let mut world = Self {
+            agent: Agent::new(member("me".into(), address(9)), true, options),
+            now: Millis(1000),
+            manifests: [describe(0), describe(100)],
+            table: Configuration::default(),
+            draws: Vec::new(),
+            manifest_questions: VecDeque::new(),
+            orders: VecDeque::new(),
+            delivered: BTreeMap::new(),
+            loaded: None,
+            last_epoch: Revision(0),
+        };
+        world.give(AgentEvent::Control(ControlEvent::TableRead(None)));
+        world
+    }
+
+    fn give(&mut self, event: AgentEvent) {
+        let effects = self.agent.reduce(self.now, 7, event);
+        for effect in effects {
+            self.check(effect);
+        }
+        let from_peers = self.draws.iter().filter(|it| it.source != DrawSource::Origin).count();
+        assert!(from_peers <= WINDOW, "more chunks in flight than the window");
+        assert!(self.draws.len() - from_peers <= 2, "more chunks from the origin than allowed");
+    }
+
+    fn check(&mut self, effect: AgentEffect) {
+        match effect {
+            AgentEffect::Draw { draw, .. } => self.check_draw(draw),
+            AgentEffect::ReadManifest { version, .. } => self.manifest_questions.push_back(version),
+            AgentEffect::Drop(version) => {
+                self.delivered.remove(&version);
+                self.draws.retain(|it| it.version != version);
+            }
+            AgentEffect::Order(order) => self.check_order(order),
+            AgentEffect::Upload { version, index, .. } => {
+                let held = self.delivered.get(&version).is_some_and(|it| it.contains(&index));
+                assert!(held, "a chunk is sent that is not here");
+                self.give(AgentEvent::UploadEnded);
+            }
+            _ => {}
+        }
+    }
+
+    fn check_draw(&mut self, draw: Draw) {
+        assert_eq!(Some(draw.version), self.wanted(), "a chunk of an unwanted version is drawn");
+        let twice =
+            self.draws.iter().any(|it| (it.version, it.index) == (draw.version, draw.index));
+        assert!(!twice, "a chunk is drawn twice at once");
+        let held = self.delivered.get(&draw.version).is_some_and(|it| it.contains(&draw.index));
+        assert!(!held, "a chunk is drawn that is here");
+        assert!(draw.deadline > self.now, "a draw without time");
+        self.draws.push(draw);
+    }
+
+    fn check_order(&mut self, order: Order) {
+        assert!(order.epoch >= self.last_epoch, "an order with a lower fence than the one before");
+        self.last_epoch = order.epoch;
+        if let Some(version) = order.version {
+            let delivered = self.delivered.get(&version).map_or(0, BTreeSet::len);
+            assert_eq!(delivered, 8, "a load order for a version that is not whole");
+        }
+        self.orders.push_back(order);
+    }
+
+    fn wanted(&self) -> Option<VersionId> {
+        self.agent.control.configuration().deployments.values().next().map(|it| it.release.version)
+    }
+
+    fn deploy(&mut self, which: Option<usize>) {
+        let plan = PlanId(format!("p{}", self.table.revision));
+        let change = match which {
+            None => Change::Remove("tips".into()),
+            Some(which) => Change::Deploy(self.deployment(which)),
+        };
+        self.table = self.table.apply(&plan, &change);
+        let configuration = Box::new(self.table.clone());
+        self.give(AgentEvent::Control(ControlEvent::Fetched(configuration)));
+    }
+
+    fn deployment(&self, which: usize) -> Deployment {
+        let manifest = &self.manifests[which];
+        let placement = || Placement { role: Role::Serve, hall: Hall::default() };
+        let names = (0..3).map(peer).chain(["me".into()]);
+        Deployment {
+            model: "tips".into(),
+            release: Release {
+                version: manifest.version(),
+                label: "m".into(),
+                bytes: manifest.bytes,
+            },
+            previous: None,
+            epoch: Revision(0),
+            adapter_of: None,
+            priority: 1,
+            placements: names.map(|id| (id, placement())).collect(),
+        }
+    }
+
+    fn end_draw(&mut self, which: usize, ending: Ending) {
+        if self.draws.is_empty() {
+            return;
+        }
+        let Draw { version, index, source, .. } = self.draws.remove(which % self.draws.len());
+        let event = match ending {
+            Ending::Good | Ending::Damaged => {
+                let verified = matches!(ending, Ending::Good);
+                if verified {
+                    self.delivered.entry(version).or_default().insert(index);
+                }
+                AgentEvent::ChunkArrived { version, index, source, verified, sender: None }
+            }
+            Ending::Lost | Ending::Missing => {
+                let lost = matches!(ending, Ending::Lost);
+                let code = if lost { Code::PeerStalled } else { Code::ChunkMissing };
+                AgentEvent::ChunkFailed { version, index, source, code, retry_after_ms: 0 }
+            }
+        };
+        self.give(event);
+    }
+
+    fn end_order(&mut self, obeyed: bool) {
+        let Some(order) = self.orders.pop_front() else {
+            return;
+        };
+        if obeyed {
+            self.loaded = order.version;
+        }
+        let result = if obeyed { Ok(()) } else { Err(Code::UpstreamFailed) };
+        self.give(AgentEvent::OrderEnded { model: order.model, result });
+    }
+
+    fn answer_manifest(&mut self, found: bool) {
+        let Some(version) = self.manifest_questions.pop_front() else {
+            return;
+        };
+        let manifest = self.manifests.iter().find(|it| it.version() == version).cloned();
+        let manifest = manifest.expect("only known versions are asked for");
+        let event = if found {
+            AgentEvent::ManifestRead(manifest)
+        } else {
+            AgentEvent::ManifestFailed(version)
+        };
+        self.give(event);
+    }
+
+    fn summarize(&mut self, number: usize, version: usize, held: u8) {
+        let mut have = Bitmap::new(8);
+        (0..8).filter(|bit| held & (1 << bit) != 0).for_each(|bit| have.insert(bit));
+        let version = self.manifests[version].version();
+        let datagram = Datagram {
+            from: peer(number),
+            incarnation: Incarnation(1),
+            revision: Revision(0),
+            body: DatagramBody::Summary { version, have },
+            news: Vec::new(),
+        };
+        let from = address(number);
+        let datagram = Box::new(datagram);
+        self.give(AgentEvent::Control(ControlEvent::Datagram { from, datagram }));
+    }
+
+    fn take(&mut self, step: &Step) {
+        match step {
+            Step::Deploy(which) => self.deploy(*which),
+            Step::Manifest(found) => self.answer_manifest(*found),
+            Step::Chunk { which, ending } => self.end_draw(*which, *ending),
+            Step::Summary { peer, version, held } => self.summarize(*peer, *version, *held),
+            Step::Order(obeyed) => self.end_order(*obeyed),
+            Step::Ask { version, index } => {
+                let version = self.manifests[*version].version();
+                let have = Bitmap::new(8);
+                let ask = AgentEvent::ChunkAsked {
+                    upload: 1,
+                    from: peer(0),
+                    version,
+                    index: *index,
+                    have,
+                };
+                self.give(ask);
+            }
+            Step::Tick(span) => {
+                self.now = self.now.plus(*span);
+                self.give(AgentEvent::Tick);
+            }
+        }
+        // The agent says that it serves exactly what the engine obeyed.
+        let says: Vec<VersionId> = self.agent.serving().iter().map(|it| it.version).collect();
+        assert_eq!(says, self.loaded.into_iter().collect::<Vec<_>>());
+    }
+
+    /// Once the faults have ended, the version wanted becomes live.
+    fn settle(&mut self) {
+        for _ in 0..SETTLE_STEPS {
+            if self.loaded == self.wanted() && self.orders.is_empty() {
+                return;
+            }
+            self.take(&Step::Manifest(true));
+            self.take(&Step::Chunk { which: 0, ending: Ending::Good });
+            self.take(&Step::Order(true));
+            self.take(&Step::Tick(500));
+        }
+        panic!("the version wanted does not become live");
+    }
+}
+
+struct AgentTest;
+
+impl StateMachineTest for AgentTest {
+    type SystemUnderTest = World;
+    type Reference = Steps;
+
+    fn init_test(_: &()) -> World {
+        World::new()
+    }
+
+    fn apply(mut world: World, _: &(), step: Step) -> World {
+        world.take(&step);
+        world
+    }
+
+    fn teardown(mut world: World, _: ()) {
+        world.settle();
+    }
+}
+
+proptest_state_machine::prop_state_machine! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..Default::default() })]
+
+    #[test]
+    fn is_never_live_on_a_partial_or_mixed_version(sequential 1..120 => AgentTest);
+}
+
+#[test]
+fn refuses_uploads_beyond_its_queue() {
+    let mut world = World::new();
+    world.deploy(Some(0));
+    world.settle();
+    let version = world.manifests[0].version();
+    let ask = |upload| {
+        let have = Bitmap::new(8);
+        AgentEvent::ChunkAsked { upload, from: peer(0), version, index: 0, have }
+    };
+    let answers: Vec<AgentEffect> =
+        (0..20).flat_map(|upload| world.agent.reduce(world.now, 1, ask(upload))).collect();
+    let sent = answers.iter().filter(|it| matches!(it, AgentEffect::Upload { .. })).count();
+    let busy =
+        |it: &&AgentEffect| matches!(it, AgentEffect::RefuseUpload { code: Code::PeerBusy, .. });
+    assert_eq!(sent as u32, UPLOAD_QUEUE);
+    assert_eq!(answers.iter().filter(busy).count(), 20 - sent);
+}
--- a/components/reducer/src/entry.rs
+++ b/components/reducer/src/entry.rs
@@ -12,11 +12,11 @@
 use wire::{Load, MemberRecord};
 
 use crate::changes::{ChangeEffect, ChangeEvent, Changes};
-use crate::claims::ClaimState;
+use crate::claims::{ClaimState, SavedAnswer};
 use crate::control::{Control, ControlEffect, ControlEvent};
 use crate::planner::{plan, Candidate, Estimate, Fleet};
 use crate::retry::RetryBudget;
-use crate::routing::Router;
+use crate::routing::{RouteChoice, Router};
 use crate::Seed;
 
 /// Tries of one request at most, the first included.
@@ -35,6 +35,8 @@
     pub control_bytes_per_s: u64,
     /// Link rates for plans.
     pub estimate: Estimate,
+    /// How upstreams are chosen.
+    pub choice: RouteChoice,
 }
 
 /// What a request asks for.
@@ -59,6 +61,9 @@
     pub prefix: u64,
     /// When it must have been answered.
     pub deadline: Millis,
+    /// How long it may wait for an upstream, in milliseconds. Beyond that its first token would
+    /// come too late, and its place goes to one that can still be on time.
+    pub max_wait: u64,
     /// Whether it may run more than once.
     pub repeatable: bool,
     /// Higher goes first.
@@ -141,6 +146,22 @@
         /// The key.
         key: String,
     },
+    /// Give the claim back: the request was certainly not run.
+    Release {
+        /// The request that holds it.
+        request: RequestId,
+        /// Whose key it is.
+        workspace: WorkspaceId,
+        /// The key.
+        key: String,
+    },
+    /// End a request with the answer that an earlier one got under the same key.
+    Replay {
+        /// The request.
+        request: RequestId,
+        /// The answer.
+        answer: Box<SavedAnswer>,
+    },
     /// Send a try to an agent.
     Send {
         /// The try.
@@ -180,6 +201,10 @@
     /// then not told that the request was not run.
     unknown: Option<Code>,
     waiting: bool,
+    /// Whether it holds the claim on its key.
+    claimed: bool,
+    /// Until when it may wait.
+    waits_until: Millis,
 }
 
 /// A place in the queue: high priority first, then the nearest deadline.
@@ -205,7 +230,7 @@
             control: Control::new(me, options.control_bytes_per_s),
             options,
             changes: Changes::default(),
-            router: Router::default(),
+            router: Router::new(options.choice),
             retries: RetryBudget::new(options.retry_share),
             requests: BTreeMap::new(),
             queue: BTreeSet::new(),
@@ -351,6 +376,7 @@
         }
         self.retries.earn();
         let request = arrival.request;
+        let waits_until = now.plus(arrival.max_wait);
         let claim = arrival.key.clone().map(|key| EntryEffect::Claim {
             request,
             workspace: arrival.workspace.clone(),
@@ -364,6 +390,8 @@
             started: false,
             unknown: None,
             waiting: false,
+            claimed: false,
+            waits_until,
         };
         self.requests.insert(request, progress);
         match claim {
@@ -402,13 +430,20 @@
         request: RequestId,
         state: ClaimState,
     ) -> Vec<EntryEffect> {
-        if !self.requests.contains_key(&request) {
+        let Some(progress) = self.requests.get_mut(&request) else {
             return Vec::new();
+        };
+        if let Some(code) = state.refusal() {
+            return self.refuse(request, Error::new(code, code.meaning()));
         }
-        match state.refusal() {
-            Some(code) => self.refuse(request, Error::new(code, code.meaning())),
-            None => self.route(now, request),
+        if let ClaimState::Answered(answer) = state {
+            self.requests.remove(&request);
+            let mut effects = vec![EntryEffect::Replay { request, answer }];
+            effects.extend(self.drained());
+            return effects;
         }
+        progress.claimed = true;
+        self.route(now, request)
     }
 
     /// Sends a request to the best upstream with room, or lets it wait.
@@ -423,7 +458,7 @@
         let (target, prefix) = (arrival.target.clone(), arrival.prefix);
         let found = self.router.choose(now, &self.control, &target, prefix, &progress.tried);
         let Some((agent, address)) = found else {
-            return self.wait(request);
+            return self.wait(now, request);
         };
         progress.tries += 1;
         progress.tried.push(agent.clone());
@@ -434,13 +469,14 @@
         vec![EntryEffect::Send { attempt, agent, address, budget_ms }]
     }
 
-    fn wait(&mut self, request: RequestId) -> Vec<EntryEffect> {
+    fn wait(&mut self, now: Millis, request: RequestId) -> Vec<EntryEffect> {
         let Some(progress) = self.requests.get_mut(&request) else {
             return Vec::new();
         };
         // Upstreams that refused a moment ago may have room again by the next turn.
         progress.tried.clear();
-        if !progress.waiting && self.queue.len() as u32 >= self.options.queue_limit {
+        let full = !progress.waiting && self.queue.len() as u32 >= self.options.queue_limit;
+        if full || now >= progress.waits_until {
             let error = Error::new(Code::Overloaded, Code::Overloaded.meaning());
             return self.refuse(request, error);
         }
@@ -461,7 +497,7 @@
                 continue;
             };
             let target = progress.arrival.target.clone();
-            if full.contains(&target) && now < progress.arrival.deadline {
+            if full.contains(&target) && now < progress.arrival.deadline.min(progress.waits_until) {
                 continue;
             }
             self.queue.remove(&place);
@@ -553,11 +589,13 @@
     /// Ends a request with a code that is true of all its tries.
     fn refuse(&mut self, request: RequestId, mut error: Error) -> Vec<EntryEffect> {
         let progress = self.requests.remove(&request);
-        let unknown = progress.and_then(|it| it.unknown);
+        let unknown = progress.as_ref().and_then(|it| it.unknown);
         if let (Some(code), Ran::NotRun) = (unknown, error.code.ran()) {
             error = Error::new(code, format!("{}; then: {error}", code.meaning()));
         }
+        let release = progress.filter(|it| it.claimed && error.code.ran() == Ran::NotRun);
         let mut effects = vec![EntryEffect::Refuse { request, error }];
+        effects.extend(release.and_then(|it| give_back(it.arrival)));
         effects.extend(self.drained());
         effects
     }
@@ -591,6 +629,12 @@
     }
 }
 
+/// Gives the claim of a request back, so that its key is not used up by a refusal.
+fn give_back(arrival: Arrival) -> Option<EntryEffect> {
+    let Arrival { request, workspace, key, .. } = arrival;
+    Some(EntryEffect::Release { request, workspace, key: key? })
+}
+
 /// The versions of a deployment that a daemon says its engine serves.
 fn served<'a>(
     deployment: &'a Deployment,
--- a/components/reducer/src/entry_tests.rs
+++ b/components/reducer/src/entry_tests.rs
@@ -25,8 +25,13 @@
 /// An entry that is ready and sees `count` instances of a plain service.
 fn entry(count: u16, queue_limit: u32) -> Entry {
     let estimate = Estimate { origin_bytes_per_s: 1.0, link_bytes_per_s: 1.0, copies: 1 };
-    let options =
-        EntryOptions { queue_limit, retry_share: 0.1, control_bytes_per_s: 1000, estimate };
+    let options = EntryOptions {
+        queue_limit,
+        retry_share: 0.1,
+        control_bytes_per_s: 1000,
+        estimate,
+        choice: RouteChoice::Weighed,
+    };
     let mut entry = Entry::new(record("entry", Process::Entry), options);
     let list = (0..count).map(|number| Instance {
         id: InstanceId(format!("till-{number}")),
@@ -48,6 +53,7 @@
         workspace: "w".into(),
         prefix: 0,
         deadline: NOW.plus(10_000),
+        max_wait: 10_000,
         repeatable,
         priority: 1,
         key: None,
@@ -138,6 +144,19 @@
     assert_eq!(refusal_of(&late), Some(Code::TooLate));
 }
 
+#[test]
+fn refuses_a_request_that_has_waited_too_long_to_be_on_time() {
+    let mut entry = entry(1, 100);
+    for serial in 0..9 {
+        let mut arrival = arrival(serial, true);
+        arrival.max_wait = 200;
+        arrive(&mut entry, arrival);
+    }
+    assert!(entry.reduce(NOW.plus(199), 0, EntryEvent::Tick).is_empty() || entry.load().1 == 1);
+    let effects = entry.reduce(NOW.plus(200), 0, EntryEvent::Tick);
+    assert_eq!(refusal_of(&effects), Some(Code::Overloaded));
+}
+
 #[test]
 fn refuses_unknown_targets_and_work_after_a_stop() {
     let mut entry = entry(1, 1);
@@ -148,3 +167,115 @@
     assert!(effects.iter().any(|it| matches!(it, EntryEffect::Drained)));
     assert_eq!(refusal_of(&arrive(&mut entry, arrival(2, true))), Some(Code::Stopping));
 }
+
+/// What an agent does with a try, as the oracle decides it.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    /// It runs and is answered whole.
+    Whole,
+    /// It runs and the answer is cut.
+    Cut,
+    /// It runs and the connection is lost.
+    Lost,
+    /// It is refused before admission.
+    Refused,
+    /// Nothing could be sent.
+    Unreachable,
+}
+
+use proptest::prelude::*;
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        3 => Just(Fate::Whole),
+        1 => Just(Fate::Cut),
+        1 => Just(Fate::Lost),
+        2 => Just(Fate::Refused),
+        1 => Just(Fate::Unreachable),
+    ]
+}
+
+/// The oracle: how often each request truly ran, and what its caller was told.
+#[derive(Default)]
+struct Truth {
+    ran: BTreeMap<u64, u32>,
+    told: BTreeMap<u64, Vec<Option<Code>>>,
+    open: Vec<AttemptId>,
+}
+
+impl Truth {
+    fn take(&mut self, effects: Vec<EntryEffect>) {
+        for effect in effects {
+            match effect {
+                EntryEffect::Send { attempt, .. } => self.open.push(attempt),
+                EntryEffect::Refuse { request, error } => {
+                    self.told.entry(request.serial).or_default().push(Some(error.code));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Ends one of the tries that are out.
+    fn end(&mut self, entry: &mut Entry, now: Millis, which: usize, fate: Fate) {
+        if self.open.is_empty() {
+            return;
+        }
+        let attempt = self.open.remove(which % self.open.len());
+        let serial = attempt.request.serial;
+        if matches!(fate, Fate::Whole | Fate::Cut | Fate::Lost) {
+            *self.ran.entry(serial).or_default() += 1;
+        }
+        let load = Load { running: 1, limit: 4, uploads: 0 };
+        let code = match fate {
+            Fate::Whole => {
+                self.told.entry(serial).or_default().push(None);
+                self.take(entry.reduce(now, 0, EntryEvent::Ended { attempt, load }));
+                return;
+            }
+            Fate::Cut => Code::CutShort,
+            Fate::Lost => Code::ConnectionLost,
+            Fate::Refused => Code::Overloaded,
+            Fate::Unreachable => Code::Unreachable,
+        };
+        let failure = Failure { code, load: None };
+        self.take(entry.reduce(now, 0, EntryEvent::Failed { attempt, failure }));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..Default::default() })]
+
+    #[test]
+    fn tells_callers_only_what_is_true_and_runs_the_unrepeatable_once(
+        steps in proptest::collection::vec((any::<bool>(), any::<usize>(), fate(), 0u64..400), 1..150),
+    ) {
+        let mut entry = entry(3, 6);
+        let mut truth = Truth::default();
+        let mut now = NOW;
+        let repeatable = |serial: u64| serial.is_multiple_of(2);
+        for (serial, (arrives, which, fate, span)) in steps.iter().enumerate() {
+            now = now.plus(*span);
+            if *arrives {
+                let mut arrival = arrival(serial as u64, repeatable(serial as u64));
+                arrival.deadline = now.plus(2_000);
+                truth.take(entry.reduce(now, 0, EntryEvent::Arrived(Box::new(arrival))));
+            } else {
+                truth.end(&mut entry, now, *which, *fate);
+            }
+            truth.take(entry.reduce(now, 0, EntryEvent::Tick));
+        }
+        while !truth.open.is_empty() {
+            truth.end(&mut entry, now, 0, Fate::Whole);
+        }
+        truth.take(entry.reduce(now.plus(10_000), 0, EntryEvent::Tick));
+        for (serial, endings) in &truth.told {
+            let ran = truth.ran.get(serial).copied().unwrap_or(0);
+            prop_assert_eq!(endings.len(), 1, "request {} ended {:?}", serial, endings);
+            let not_run = endings[0].is_some_and(|code| code.ran() == Ran::NotRun);
+            prop_assert!(!not_run || ran == 0, "{} was told {:?} and ran", serial, endings);
+            prop_assert!(repeatable(*serial) || ran <= 1, "{} ran {} times", serial, ran);
+        }
+        prop_assert_eq!(entry.load(), (0, 0));
+    }
+}
--- a/components/reducer/src/lib.rs
+++ b/components/reducer/src/lib.rs
@@ -19,7 +19,7 @@
 pub use admission::Admission;
 pub use agent::{Agent, AgentEffect, AgentEvent, AgentOptions, Order};
 pub use changes::{ChangeEffect, ChangeEvent, Changes, Head, Outcome};
-pub use claims::{Claim, ClaimState};
+pub use claims::{Claim, ClaimState, SavedAnswer};
 pub use control::{Control, ControlEffect, ControlEvent};
 pub use entry::{
     Arrival, AttemptId, Entry, EntryEffect, EntryEvent, EntryOptions, Failure, Target,
@@ -27,7 +27,7 @@
 pub use members::{Member, Members};
 pub use planner::{plan, Candidate, Estimate, Fleet};
 pub use retry::RetryBudget;
-pub use routing::{Router, Upstream};
+pub use routing::{RouteChoice, Router, Upstream};
 pub use seed::Seed;
 pub use spread::{
     Choice, Draw, DrawSource, Gate, Neighbour, Participant, Spread, SpreadEffect, SpreadOptions,
--- a/components/reducer/src/routing.rs
+++ b/components/reducer/src/routing.rs
@@ -38,10 +38,25 @@
     avoid_until: Millis,
 }
 
+/// How an upstream is chosen. Only the first is meant for use; the others are the naive versions
+/// that it is measured against. They know no limits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RouteChoice {
+    /// Load, distance and the prompt's cache, weighed; none without room.
+    #[default]
+    Weighed,
+    /// One after the other.
+    RoundRobin,
+    /// The fewest of this entry's own requests.
+    LeastInFlight,
+}
+
 /// The upstreams of an entry.
-#[derive(Default)]
 pub struct Router {
+    choice: RouteChoice,
     upstreams: BTreeMap<InstanceId, Upstream>,
+    /// Turns taken, for the naive choice.
+    turns: usize,
 }
 
 /// Where a request may go.
@@ -52,6 +67,11 @@
 }
 
 impl Router {
+    /// Starts with nothing known.
+    pub fn new(choice: RouteChoice) -> Self {
+        Self { choice, upstreams: BTreeMap::new(), turns: 0 }
+    }
+
     /// Chooses an upstream with room, and counts the request there. `tried` are left out.
     pub fn choose(
         &mut self,
@@ -62,6 +82,9 @@
         tried: &[InstanceId],
     ) -> Option<(InstanceId, SocketAddr)> {
         let candidates = candidates(control, target);
+        if self.choice != RouteChoice::Weighed {
+            return self.choose_naively(candidates, tried);
+        }
         let home =
             candidates.iter().max_by_key(|it| affinity(prefix, &it.0)).map(|it| it.0.clone());
         let place = &control.members.me().place;
@@ -78,6 +101,24 @@
         Some((best.id, best.address))
     }
 
+    fn choose_naively(
+        &mut self,
+        candidates: Vec<Candidate>,
+        tried: &[InstanceId],
+    ) -> Option<(InstanceId, SocketAddr)> {
+        let mut usable = candidates;
+        usable.retain(|it| !tried.contains(&it.0));
+        self.turns += 1;
+        let turn = self.turns % usable.len().max(1);
+        let in_flight = |id: &InstanceId| self.upstreams.get(id).map_or(0, |it| it.in_flight);
+        let (id, address, _) = match self.choice {
+            RouteChoice::RoundRobin => usable.into_iter().nth(turn)?,
+            _ => usable.into_iter().min_by_key(|it| in_flight(&it.0))?,
+        };
+        self.upstreams.entry(id.clone()).or_default().in_flight += 1;
+        Some((id, address))
+    }
+
     /// Whether any upstream serves the target, with room or without.
     pub fn is_served(&self, control: &Control, target: &Target) -> bool {
         !candidates(control, target).is_empty()
--- a/components/reducer/src/spread/gate.rs
+++ b/components/reducer/src/spread/gate.rs
@@ -15,6 +15,9 @@
 const MIN_PATIENCE: u64 = 2000;
 /// The part of the ideal spread that a receiver waits for the one before it in rank.
 const PATIENCE_SHARE: f64 = 0.25;
+/// How many times as long a receiver waits where one copy is all that may be drawn. What peers hold
+/// is known a little late, and an impatient receiver draws what is already on its way.
+const ONE_COPY_PATIENCE: u64 = 2;
 /// How many ranks of patience a receiver waits at most before it draws as a last resort.
 const LAST_RESORT_RANKS: u64 = 6;
 
@@ -66,7 +69,8 @@
         }
         order.sort_by_key(|id| (shared_hash(&[&version.0, id.0.as_bytes()]), id.clone()));
         let mine = order.iter().position(|id| id == me).unwrap_or(0);
-        let patience = (options.version_ms * PATIENCE_SHARE) as u64;
+        let patience = ((options.version_ms * PATIENCE_SHARE) as u64).max(MIN_PATIENCE);
+        let patience = if options.copies == 1 { patience * ONE_COPY_PATIENCE } else { patience };
         Self {
             up: vec![true; order.len()],
             order,
@@ -74,7 +78,7 @@
             chunks,
             first_chunk: (u64::from(chunks) * u64::from(group) / u64::from(groups)) as u32,
             step_ms: options.chunk_ms * f64::from(groups),
-            patience_ms: patience.max(MIN_PATIENCE),
+            patience_ms: patience,
         }
     }
 
--- a/components/reducer/src/spread/mod.rs
+++ b/components/reducer/src/spread/mod.rs
@@ -3,6 +3,8 @@
 
 mod gate;
 mod neighbour;
+#[cfg(test)]
+mod tests;
 mod version;
 
 pub use gate::Gate;
--- a/components/reducer/src/spread/neighbour.rs
+++ b/components/reducer/src/spread/neighbour.rs
@@ -24,8 +24,8 @@
     pub have: Bitmap,
     /// Chunks asked of it and not yet answered.
     pub outstanding: u32,
-    /// Chunks in its upload queue when it last said so.
-    pub uploads: u32,
+    /// Chunks in its upload queue when it last said so, and when that was.
+    uploads: (u32, Millis),
     /// Not to be asked before this moment.
     pub not_before: Millis,
     /// Failures since the last good chunk.
@@ -43,13 +43,26 @@
             in_group,
             have: Bitmap::new(chunks),
             outstanding: 0,
-            uploads: 0,
+            uploads: (0, Millis(0)),
             not_before: Millis(0),
             strikes: 0,
             time_ms: None,
         }
     }
 
+    /// Takes in how many chunks wait in its upload queue.
+    pub fn set_uploads(&mut self, now: Millis, uploads: u32) {
+        self.uploads = (uploads, now);
+    }
+
+    /// How many chunks wait there by now, if each takes `chunk_ms` to send. A report that is never
+    /// taken for old would keep a source from being asked for good.
+    pub fn uploads(&self, now: Millis, chunk_ms: f64) -> u32 {
+        let (uploads, since) = self.uploads;
+        let sent = now.since(since).0 as f64 / chunk_ms.max(1.0);
+        uploads.saturating_sub(sent as u32)
+    }
+
     /// How long a chunk from it takes, in milliseconds.
     pub fn usual_time(&self, otherwise: f64) -> f64 {
         self.time_ms.unwrap_or(otherwise)
--- a/components/reducer/src/spread/version.rs
+++ b/components/reducer/src/spread/version.rs
@@ -20,7 +20,7 @@
 /// Chunks in flight from one neighbour.
 const WINDOW_PER_SOURCE: u32 = 2;
 /// Chunks in flight from the origin.
-const ORIGIN_WINDOW: u32 = 2;
+const ORIGIN_WINDOW: usize = 2;
 /// A chunk may take this many times as long as usual.
 const DEADLINE_FACTOR: f64 = 6.0;
 /// The shortest deadline of a chunk, in milliseconds.
@@ -214,9 +214,14 @@
         &self.have
     }
 
-    /// Chunks on their way.
+    /// Chunks on their way from peers.
     pub fn in_flight(&self) -> usize {
-        self.in_flight.len()
+        self.in_flight.len() - self.from_origin()
+    }
+
+    /// Chunks on their way from the origin.
+    fn from_origin(&self) -> usize {
+        self.in_flight.values().filter(|it| it.source == DrawSource::Origin).count()
     }
 
     /// Takes in who receives or holds the version, and chooses neighbours among them.
@@ -252,9 +257,9 @@
     }
 
     /// Takes in how long a neighbour's upload queue is.
-    pub fn take_uploads(&mut self, id: &InstanceId, uploads: u32) {
+    pub fn take_uploads(&mut self, now: Millis, id: &InstanceId, uploads: u32) {
         if let Some(neighbour) = self.neighbours.get_mut(id) {
-            neighbour.uploads = uploads;
+            neighbour.set_uploads(now, uploads);
         }
     }
 
@@ -315,19 +320,21 @@
         }
     }
 
-    /// The draws to make now, up to `window` chunks in flight.
+    /// The draws to make now, up to `window` chunks in flight from peers. Draws from the origin come
+    /// on top: everyone waits for the chunk that its owner is late with.
     pub fn draw(&mut self, now: Millis, window: usize) -> Vec<SpreadEffect> {
         let mut effects = Vec::new();
+        while let Some(draw) = self.draw_from_origin(now) {
+            effects.push(SpreadEffect::Draw(draw));
+        }
         let mut counts = None;
-        while self.in_flight.len() < window {
-            let next = self.draw_from_origin(now).or_else(|| {
-                let counts = counts.get_or_insert_with(|| self.count_holders());
-                match self.options.choice {
-                    Choice::Rarest => self.draw_from_peer(now, counts),
-                    Choice::Random => self.draw_at_random(now),
-                    Choice::OriginOnly => None,
-                }
-            });
+        while self.in_flight() < window {
+            let counts = counts.get_or_insert_with(|| self.count_holders());
+            let next = match self.options.choice {
+                Choice::Rarest => self.draw_from_peer(now, counts),
+                Choice::Random => self.draw_at_random(now),
+                Choice::OriginOnly => None,
+            };
             match next {
                 Some(draw) => effects.push(SpreadEffect::Draw(draw)),
                 None => break,
@@ -422,8 +429,7 @@
     }
 
     fn draw_from_origin(&mut self, now: Millis) -> Option<Draw> {
-        let from_origin = self.in_flight.values().filter(|it| it.source == DrawSource::Origin);
-        if now < self.origin_not_before || from_origin.count() as u32 >= ORIGIN_WINDOW {
+        if now < self.origin_not_before || self.from_origin() >= ORIGIN_WINDOW {
             return None;
         }
         let missing = self.have.missing().filter(|index| !self.in_flight.contains_key(index));
@@ -447,10 +453,12 @@
     /// The least busy source first, then the rarest of its chunks: an idle link is worth more than
     /// a rare chunk behind a queue.
     fn draw_from_peer(&mut self, now: Millis, counts: &[u32]) -> Option<Draw> {
+        let chunk_ms =
+            millis_for(u64::from(self.manifest.chunk_bytes), self.options.download_bytes_per_s);
         let mut sources: Vec<(&InstanceId, &Neighbour)> = self.neighbours.iter().collect();
         sources.retain(|(_, it)| it.outstanding < WINDOW_PER_SOURCE && now >= it.not_before);
         sources.sort_by_key(|(id, it)| {
-            let queue = it.outstanding * 2 + it.uploads;
+            let queue = it.outstanding * 2 + it.uploads(now, chunk_ms);
             (queue + it.distance, shared_hash(&[self.me.0.as_bytes(), id.0.as_bytes()]))
         });
         let (index, source) = sources.into_iter().find_map(|(id, neighbour)| {
--- a/components/settings/src/settings.rs
+++ b/components/settings/src/settings.rs
@@ -122,6 +122,14 @@
     pub repeatable: bool,
     /// Higher goes first.
     pub priority: u8,
+    /// How long a request may wait for an upstream, in milliseconds.
+    pub max_wait_ms: u64,
+}
+
+impl Kind {
+    /// How long a request may wait when no kind says otherwise, in milliseconds: with the time for
+    /// the prompt, the first token still comes within 0.36 s.
+    pub const USUAL_WAIT_MS: u64 = 250;
 }
 
 /// `[agent]`: settings of an agent.
@@ -288,6 +296,7 @@
         service: (!service.is_empty()).then_some(ServiceName(service)),
         repeatable: file.with_default(&section, "repeatable", false, "true or false"),
         priority: file.bounded(&section, "priority", 1, (0, 9)),
+        max_wait_ms: file.bounded(&section, "max_wait_ms", Kind::USUAL_WAIT_MS, (0, 600_000)),
     }
 }
 
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,9 +1,6 @@
 //! The silverdock daemon: an entry or an agent, by its settings.
 
 mod cli;
-mod run;
-mod secrets;
-mod setup;
 
 use std::process::ExitCode;
 
@@ -22,7 +19,7 @@
             return ExitCode::from(SETTINGS_EXIT);
         }
     };
-    match run::run(&settings) {
+    match silverdockd::run(&settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("{report:#}");
--- a/daemon/src/setup.rs
+++ b/daemon/src/setup.rs
@@ -7,7 +7,7 @@
 use net::Tasks;
 use node::{AgentNode, AgentSetup, EntryNode, EntrySetup, Host, Identity, Upstream};
 use platform::{HttpInstances, HttpObjects, HttpTable, HttpUpstream, HttpWeights, Platform};
-use reducer::{AgentOptions, Choice, EntryOptions, Estimate, SpreadOptions};
+use reducer::{AgentOptions, Choice, EntryOptions, Estimate, RouteChoice, SpreadOptions};
 use settings::{AgentSettings, EntrySettings, RoleSettings, Settings};
 use telemetry::Metrics;
 
@@ -99,6 +99,7 @@
                 link_bytes_per_s: settings.profile.link_bytes_per_s as f64,
                 copies: settings.profile.origin_copies(),
             },
+            choice: RouteChoice::default(),
         },
     }
 }
--- /dev/null
+++ b/examples/control/daemons.rs
@@ -0,0 +1,153 @@
+//! Daemons as processes.
+
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use client::Operator;
+use fleet::{Hall, Instance, InstanceId, ListedState, Place, Process, Region};
+use rustix::process::{kill_process, Pid, Signal};
+use standins::PlatformStandIn;
+
+/// The operators' token.
+const TOKEN: &str = "token-of-the-control-example";
+const KEY: &str = "key-of-the-control-example";
+/// Ports are taken from below the range that the system hands out by itself.
+const FIRST_PORT: u16 = 20_000;
+/// Data halls; daemons take turns.
+const HALLS: usize = 4;
+
+/// A daemon.
+pub struct Daemon {
+    /// Its process.
+    pub child: Child,
+    /// Where operators reach it.
+    pub operators: SocketAddr,
+    /// Whether it is an entry.
+    pub is_entry: bool,
+    settings: PathBuf,
+    /// Its log, one file for each run.
+    pub logs: Vec<PathBuf>,
+}
+
+/// The daemons and the folder of their files.
+pub struct Daemons {
+    /// Every daemon.
+    pub all: Vec<Daemon>,
+    folder: PathBuf,
+}
+
+impl Daemons {
+    /// Starts `count` daemons, two in five of them entries.
+    pub fn start(platform: &PlatformStandIn, count: usize) -> eyre::Result<Self> {
+        let folder =
+            std::env::temp_dir().join(format!("silverdock-control-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        std::fs::write(folder.join("key"), KEY)?;
+        std::fs::write(folder.join("token"), TOKEN)?;
+        let mut daemons = Self { all: Vec::new(), folder };
+        let mut port = FIRST_PORT;
+        for number in 0..count {
+            let settings = daemons.describe(platform, number, &mut port)?;
+            daemons.all.push(settings);
+        }
+        for daemon in &mut daemons.all {
+            daemon.child = spawn(daemon)?;
+        }
+        Ok(daemons)
+    }
+
+    /// Writes the settings of a daemon and puts it on the platform's list.
+    fn describe(
+        &self,
+        platform: &PlatformStandIn,
+        number: usize,
+        port: &mut u16,
+    ) -> eyre::Result<Daemon> {
+        let is_entry = number % 5 < 2;
+        let name = if is_entry { format!("entry-{number}") } else { format!("agent-{number}") };
+        let hall = format!("hall-{}", number % HALLS);
+        let [listen, operators, third, fourth] = [(); 4].map(|()| free_port(port));
+        let [table, objects, weights, instances] = platform.addresses();
+        let role = if is_entry { "entry" } else { "agent" };
+        let section = if is_entry {
+            format!("[entry]\ncallers = {third}\n")
+        } else {
+            format!("[agent]\nupstream = {third}\nweights_listen = {fourth}\n")
+        };
+        let folder = self.folder.display();
+        let text = format!(
+            "[node]\nname = {name}\nrole = {role}\nregion = region\nhall = {hall}\n\
+             listen = {listen}\noperators = {operators}\ncluster_key_file = {folder}/key\n\
+             token_file = {folder}/token\n[platform]\ntable = {table}\nobjects = {objects}\n\
+             weights = {weights}\ninstances = {instances}\n{section}"
+        );
+        let settings = self.folder.join(format!("{name}.ini"));
+        std::fs::write(&settings, text)?;
+        platform.instances.add(Instance {
+            id: InstanceId(name),
+            place: Place { region: Region("region".into()), hall: Hall(hall) },
+            process: if is_entry { Process::Entry } else { Process::Engine },
+            address: listen,
+            memory_bytes: 1 << 30,
+            state: ListedState::Live,
+        });
+        // A process that does nothing holds the place until the daemon is started.
+        let child = Command::new("true").spawn()?;
+        Ok(Daemon { child, operators, is_entry, settings, logs: Vec::new() })
+    }
+}
+
+impl Drop for Daemons {
+    fn drop(&mut self) {
+        for daemon in &mut self.all {
+            let _ = daemon.child.kill();
+            let _ = daemon.child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Daemon {
+    /// The operators' door.
+    pub fn operator(&self) -> Operator {
+        Operator::new(self.operators, TOKEN)
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) -> eyre::Result<()> {
+        kill_process(Pid::from_child(&self.child), signal)?;
+        Ok(())
+    }
+
+    /// Kills the daemon and starts it again with nothing.
+    pub fn restart(&mut self) -> eyre::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        self.child = spawn(self)?;
+        Ok(())
+    }
+}
+
+fn spawn(daemon: &mut Daemon) -> eyre::Result<Child> {
+    let log = daemon.settings.with_extension(format!("{}.log", daemon.logs.len()));
+    let child = Command::new(std::env::current_exe()?)
+        .arg("--daemon")
+        .arg(&daemon.settings)
+        .stdout(Stdio::null())
+        .stderr(File::create(&log)?)
+        .spawn()?;
+    daemon.logs.push(log);
+    Ok(child)
+}
+
+fn free_port(next: &mut u16) -> SocketAddr {
+    loop {
+        let address = SocketAddr::from(([127, 0, 0, 1], *next));
+        *next += 1;
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
--- /dev/null
+++ b/examples/requests/main.rs
@@ -0,0 +1,31 @@
+//! An open-loop load on a fleet of real daemons, with faults, checked answer by answer.
+//!
+//! `cargo run --release --example requests -- --load 3 --json`
+
+mod args;
+mod faults;
+mod load;
+mod report;
+mod run;
+
+use std::sync::Arc;
+
+use args::Args;
+use async_executor::Executor;
+use lab::Lab;
+
+fn main() -> eyre::Result<()> {
+    let args: Args = argh::from_env();
+    let executor = Arc::new(Executor::new());
+    Lab::run_threads(&executor);
+    let choices = args.baseline.into_iter().chain([reducer::RouteChoice::Weighed]);
+    for choice in choices {
+        let report = async_io::block_on(run::run(&executor, &args, choice))?;
+        if args.json {
+            println!("{}", serde_json::to_string(&report)?);
+        } else {
+            println!("{report:#?}");
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/examples/slopes/main.rs
@@ -0,0 +1,16 @@
+//! Measures what the decisions of a daemon cost at several sizes, for docs/CAPACITY.md.
+//!
+//! `cargo run --release --example slopes`
+
+mod configuration;
+mod control;
+mod entry;
+mod spread;
+mod table;
+
+fn main() {
+    control::measure();
+    configuration::measure();
+    entry::measure();
+    spread::measure();
+}
