Routing: leave out upstreams that stop, leave or cannot be reached

Change: an upstream that says it takes no new work is left out for three seconds, one that cannot be reached for one; a request refused by such a gate goes on waiting without a retry.

Conclusion: refusals at the gate no longer use the budget that failures need.

--- a/components/reducer/src/entry.rs
+++ b/components/reducer/src/entry.rs
@@ -515,7 +515,7 @@
             return Vec::new();
         };
         if let Some(agent) = &progress.at {
-            self.router.end(now, agent, Some(load), false);
+            self.router.end(now, agent, Some(load), None);
         }
         self.after_end(now)
     }
@@ -525,9 +525,7 @@
             return Vec::new();
         };
         if let Some(agent) = progress.at.take() {
-            // A full upstream is healthy; only its load is news.
-            let healthy = failure.code == Code::Overloaded;
-            self.router.end(now, &agent, failure.load, !healthy);
+            self.router.end(now, &agent, failure.load, Some(failure.code));
         }
         if failure.code.ran() == Ran::Unknown {
             progress.unknown = Some(failure.code);
@@ -550,9 +548,10 @@
     /// Whether a failed try may be followed by another; if not, the code for the caller.
     fn may_retry(&mut self, progress: &Progress, code: Code) -> Result<(), Code> {
         let certain = code.ran() == Ran::NotRun;
-        // A full upstream is no failure: the request goes on waiting, for as long as it may, and
-        // the load that came with the refusal keeps it from going there again at once.
-        if code == Code::Overloaded && !progress.started {
+        // An upstream that is full or leaves has not failed: the request goes on waiting, for as long
+        // as it may, and the router does not send it there again.
+        let closed = matches!(code, Code::Overloaded | Code::Leaving | Code::Stopping);
+        if closed && !progress.started {
             return Ok(());
         }
         let allowed = !progress.started && (certain || progress.arrival.repeatable);
@@ -574,7 +573,7 @@
         };
         let mut effects = Vec::new();
         if let Some(agent) = &progress.at {
-            self.router.end(now, agent, None, false);
+            self.router.end(now, agent, None, None);
             effects.push(EntryEffect::Cancel(AttemptId { request, number: progress.tries }));
         }
         effects.extend(self.after_end(now));
--- a/components/reducer/src/routing.rs
+++ b/components/reducer/src/routing.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use errors::Code;
 use fleet::{InstanceId, Millis, Place, Process, Revision};
 use wire::Load;
 
@@ -20,6 +21,9 @@
 const OTHERS_TIME: f64 = 2000.0;
 /// How long an upstream that failed is avoided while there are others, in milliseconds.
 const AVOID_TIME: u64 = 1000;
+/// How long an upstream that takes no new work is left out, in milliseconds; the news that it leaves
+/// is here by then.
+const CLOSED_TIME: u64 = 3000;
 /// The limit assumed before an upstream has reported one.
 const USUAL_LIMIT: u32 = 16;
 /// A replica that just went live takes this share of its limit until it has answered.
@@ -36,6 +40,7 @@
     others: f64,
     reported_at: Millis,
     avoid_until: Millis,
+    closed_until: Millis,
 }
 
 /// How an upstream is chosen. Only the first is meant for use; the others are the naive versions
@@ -146,12 +151,16 @@
         &self.candidates[target]
     }
 
-    /// Takes in the end of a request and the load that came with it.
-    pub fn end(&mut self, now: Millis, id: &InstanceId, load: Option<Load>, failed: bool) {
+    /// Takes in the end of a request, how it failed, and the load that came with it.
+    pub fn end(&mut self, now: Millis, id: &InstanceId, load: Option<Load>, failure: Option<Code>) {
         let upstream = self.upstreams.entry(id.clone()).or_default();
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
-        if failed {
-            upstream.avoid_until = now.plus(AVOID_TIME);
+        match failure {
+            // A full upstream is healthy; only its load is news.
+            None | Some(Code::Overloaded) => {}
+            Some(Code::Leaving | Code::Stopping) => upstream.closed_until = now.plus(CLOSED_TIME),
+            Some(Code::Unreachable) => upstream.closed_until = now.plus(AVOID_TIME),
+            Some(_) => upstream.avoid_until = now.plus(AVOID_TIME),
         }
         if let Some(load) = load {
             upstream.reported = Some(load);
@@ -175,7 +184,7 @@
         let age = now.since(self.reported_at).0 as f64;
         let others = self.others * (1.0 - age / OTHERS_TIME).max(0.0);
         let taken = f64::from(self.in_flight) + others;
-        if taken >= room {
+        if taken >= room || now < self.closed_until {
             return None;
         }
         let avoided = if now < self.avoid_until { 1.0 } else { 0.0 };
