Test: follow the wait of a request through all its tries

Cause: the test still expected the wait one try too early; the first upstream is only avoided, not left out, and is tried once more.

Change: the third try fails as well before the wait is asked for.

--- a/components/reducer/src/entry_tests.rs
+++ b/components/reducer/src/entry_tests.rs
@@ -91,7 +91,9 @@
     let mut entry = entry(2, 10);
     let sent = arrive(&mut entry, arrival(1, true));
     let second = fail(&mut entry, attempt_of(&sent), Code::ConnectionLost);
-    let waiting = fail(&mut entry, attempt_of(&second), Code::Unreachable);
+    // The second upstream is now left out; the first one is tried again and left out as well.
+    let third = fail(&mut entry, attempt_of(&second), Code::Unreachable);
+    let waiting = fail(&mut entry, attempt_of(&third), Code::Unreachable);
     assert_eq!((refusal_of(&waiting), entry.load()), (None, (1, 1)));
     let effects = entry.reduce(NOW.plus(10_000), 0, EntryEvent::Tick);
     assert_eq!(refusal_of(&effects), Some(Code::ConnectionLost));
