Reducers split by matter; pauses doubted; edges of the servers tested

Change: agent, entry, members and spread are folders with one file for each matter. After a gap of three seconds between ticks a daemon counts as not current until the table or its peers confirm it; an order that waited half a second is not sent to an engine without a fence. The engine stand-in publishes cache events late and with gaps and moves KV blocks. Tests: bounds and cuts of the HTTP server, sessions between daemons against strangers and replays, the stand-ins through their adapters, small fleets with damaged links, outages, replaced versions, keyed requests and leaves.

Conclusion: the same decisions, easier to find; a paused daemon serves and orders nothing before it knows that it is not behind.

--- a/components/lab/src/fleet.rs
+++ b/components/lab/src/fleet.rs
@@ -147,6 +147,7 @@
             identity: self.identity(&id, self.agents.len()),
             upstream: behind,
             weights_listen: loopback(),
+            upstream_checks_fence: self.options.engine.checks_fence,
             options: self.options.agent(),
             interference: Some(link.clone()),
         };
--- /dev/null
+++ b/components/net/tests/server.rs
@@ -0,0 +1,164 @@
+//! The server's bounds, and what `async-h1` does at the edges.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_net::TcpStream;
+use async_trait::async_trait;
+use errors::Code;
+use futures_lite::future::block_on;
+use futures_lite::io::{AsyncReadExt, AsyncWriteExt};
+use http_types::{Method, Request, Response, StatusCode, Url};
+use net::{read_body, send, stream_body, Bounds, Caller, Deadline, Handler, Reply, Server, Tasks};
+
+const BODY_BYTES: u64 = 1000;
+
+/// Answers by path.
+struct Pages(Tasks);
+
+#[async_trait]
+impl Handler for Pages {
+    async fn handle(&self, mut request: Request, caller: Caller) -> Reply {
+        let mut response = Response::new(StatusCode::Ok);
+        match request.url().path() {
+            "/echo" => match request.body_bytes().await {
+                Ok(body) => response.set_body(body),
+                Err(_) => return Reply::HangUp,
+            },
+            "/cut" | "/whole" => {
+                let whole = request.url().path() == "/whole";
+                let (sender, body) = stream_body(1);
+                self.0.spawn(async move {
+                    sender.send(b"first".to_vec()).await;
+                    sender.send(b"second".to_vec()).await;
+                    if whole {
+                        sender.finish();
+                    }
+                });
+                response.set_body(body);
+            }
+            "/wait-for-caller" => {
+                caller.gone().await;
+                return Reply::HangUp;
+            }
+            _ => return Reply::HangUp,
+        }
+        Reply::Answer(response)
+    }
+}
+
+/// Runs a test against a server.
+fn with_server<F: std::future::Future<Output = ()>>(test: impl FnOnce(Arc<Server>) -> F) {
+    let executor = Arc::new(Executor::new());
+    let tasks = Tasks::new(&executor);
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let bounds = Bounds { body_bytes: BODY_BYTES, ..Bounds::default() };
+    let pages = Arc::new(Pages(tasks.clone()));
+    block_on(executor.run(async {
+        let server = Server::start(&tasks, any, bounds, pages).await.unwrap();
+        test(Arc::new(server)).await;
+    }));
+}
+
+async fn post(server: &Server, path: &str, body: Vec<u8>) -> errors::Result<net::Answer> {
+    let url = Url::parse(&format!("http://{}{path}", server.address())).unwrap();
+    let mut request = Request::new(Method::Post, url);
+    request.set_body(body);
+    let deadline = Deadline::after(Duration::from_secs(30));
+    read_body(send(server.address(), request, deadline).await?, 10_000, deadline).await
+}
+
+/// Sends raw bytes and reads to the end of the connection.
+async fn raw(server: &Server, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[test]
+fn can_echo_a_body_within_the_bound() {
+    with_server(|server| async move {
+        let answer = post(&server, "/echo", vec![7; 1000]).await.unwrap();
+        assert_eq!(answer.body, vec![7; 1000]);
+    });
+}
+
+#[test]
+fn refuses_a_body_beyond_the_bound_with_a_code() {
+    with_server(|server| async move {
+        let answer = post(&server, "/echo", vec![7; 1001]).await.unwrap();
+        assert_eq!(answer.status, 413);
+        assert!(String::from_utf8_lossy(&answer.body).contains("111"));
+    });
+}
+
+#[test]
+fn ends_a_body_of_unstated_length_that_grows_beyond_the_bound() {
+    with_server(|server| async move {
+        let head = "POST /echo HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n";
+        let chunk = format!("1000\r\n{}\r\n", "x".repeat(0x1000));
+        let answer = raw(&server, (head.to_owned() + &chunk.repeat(20)).as_bytes()).await;
+        assert!(!answer.contains("200 OK"), "{answer}");
+    });
+}
+
+#[test]
+fn answers_a_head_it_cannot_read_with_a_code() {
+    with_server(|server| async move {
+        let answer = raw(&server, b"NOT HTTP AT ALL\r\n\r\n").await;
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+        assert!(answer.contains("silverdock-code: 100"), "{answer}");
+    });
+}
+
+#[test]
+fn answers_a_head_beyond_the_library_s_bound_with_a_code() {
+    with_server(|server| async move {
+        let head = format!("GET /echo HTTP/1.1\r\nhost: x\r\nlong: {}\r\n\r\n", "y".repeat(9000));
+        let answer = raw(&server, head.as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    });
+}
+
+#[test]
+fn shows_a_cut_stream_as_cut_and_a_whole_one_as_whole() {
+    with_server(|server| async move {
+        let whole = post(&server, "/whole", Vec::new()).await.unwrap();
+        assert_eq!(whole.body, b"firstsecond");
+        let cut = post(&server, "/cut", Vec::new()).await.unwrap_err();
+        assert_eq!(cut.code, Code::CutShort);
+    });
+}
+
+#[test]
+fn notices_a_caller_that_goes_away() {
+    with_server(|server| async move {
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        stream.write_all(b"GET /wait-for-caller HTTP/1.1\r\nhost: x\r\n\r\n").await.unwrap();
+        while server.in_progress() == 0 {
+            futures_lite::future::yield_now().await;
+        }
+        drop(stream);
+        server.drain().await;
+    });
+}
+
+#[test]
+fn takes_no_connection_after_a_stop() {
+    with_server(|server| async move {
+        server.stop();
+        server.drain().await;
+        let refused = loop {
+            // The listener closes with its task, a moment after the stop.
+            match post(&server, "/echo", Vec::new()).await {
+                Err(error) if error.code == Code::Unreachable => break error,
+                _ => futures_lite::future::yield_now().await,
+            }
+        };
+        assert_eq!(refused.code, Code::Unreachable);
+    });
+}
--- a/components/node/src/agent/mod.rs
+++ b/components/node/src/agent/mod.rs
@@ -10,11 +10,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_trait::async_trait;
-use errors::{Code, Result};
+use errors::{Code, Error, Result};
 use fleet::{Millis, Process, ServiceName};
 use http_types::{Request, Response, StatusCode};
 use net::{Bounds, Caller, Handler, Pacer, Reply, Server, Tasks};
@@ -28,6 +28,10 @@
 use crate::operators::{open_page, status_page};
 use staging::Staging;
 
+/// An order that waited this long is not sent to an engine that checks no fence: the process was
+/// paused meanwhile, and another one may have given a later order.
+const STALE_ORDER: Duration = Duration::from_millis(500);
+
 /// The upstream beside an agent.
 #[derive(Clone)]
 pub enum Upstream {
@@ -62,6 +66,7 @@
     pub(crate) downlink: Pacer,
     pub(crate) interference: Option<Arc<dyn Interference>>,
     pub(crate) weights: SocketAddr,
+    upstream_checks_fence: bool,
     agent: Mutex<Agent>,
     waiting: Mutex<HashMap<u64, Sender<AgentEffect>>>,
     next_ticket: AtomicU64,
@@ -77,6 +82,9 @@
     pub upstream: Upstream,
     /// Where the engine reads staged weights; port 0 takes any free one.
     pub weights_listen: SocketAddr,
+    /// Whether the engine itself refuses orders of an old epoch. If not, this agent is its only door
+    /// and sends no order that waited while the process was paused.
+    pub upstream_checks_fence: bool,
     /// Numbers for the reducer.
     pub options: AgentOptions,
     /// Faults of the link, for tests.
@@ -106,6 +114,7 @@
             downlink: Pacer::new(setup.options.spread.download_bytes_per_s),
             interference: setup.interference,
             weights: weights.address(),
+            upstream_checks_fence: setup.upstream_checks_fence,
             agent: Mutex::new(Agent::new(record, is_engine, setup.options)),
             waiting: Mutex::default(),
             next_ticket: AtomicU64::new(0),
@@ -230,7 +239,9 @@
             host.metrics.count_refusal(code);
             shared.deliver(upload, effect);
         }
-        AgentEffect::Order(order) => host.tasks.spawn(obey(shared.clone(), order)),
+        AgentEffect::Order(order) => {
+            host.tasks.spawn(obey(shared.clone(), order, Instant::now()));
+        }
         AgentEffect::Admit { call, .. } => shared.deliver(call, effect),
         AgentEffect::Refuse { call, code, .. } => {
             host.metrics.count_refusal(code);
@@ -244,7 +255,7 @@
 }
 
 /// Gives the engine an order and reports what became of it.
-async fn obey(shared: Arc<Shared>, order: Order) {
+async fn obey(shared: Arc<Shared>, order: Order, decided: Instant) {
     let model = order.model.clone();
     let Upstream::Engine(engine) = &shared.upstream else {
         return;
@@ -258,7 +269,12 @@
         weights: shared.weights,
         bytes: order.bytes,
     };
-    let result = engine.order(&order).await;
+    let stale = !shared.upstream_checks_fence && decided.elapsed() >= STALE_ORDER;
+    let result = if stale {
+        Err(Error::new(Code::OldEpoch, "the process was paused before the order was sent"))
+    } else {
+        engine.order(&order).await
+    };
     let version = order.version.map(|it| it.short()).unwrap_or_default();
     match &result {
         Ok(()) => {
--- a/components/reducer/src/agent_tests.rs
+++ b/components/reducer/src/agent/tests.rs
@@ -3,12 +3,21 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::weights::{UPLOAD_QUEUE, WINDOW};
 use super::*;
+use crate::spread::{Draw, DrawSource, SpreadOptions};
 use crate::Choice;
-use fleet::{Change, Configuration, Incarnation, Placement, PlanId, Process, Release};
+use errors::Code;
+use fleet::{
+    Bitmap, Change, Configuration, Deployment, Hall, Incarnation, InstanceId, Manifest, Place,
+    Placement, PlanId, Process, Release, Revision, Role,
+};
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
-use wire::MemberState;
+use wire::{Datagram, MemberState};
 
 const CHUNK: u32 = 4096;
 /// Steps in which everything that is out must end once the faults have ended.
--- /dev/null
+++ b/components/reducer/src/agent/weights.rs
@@ -0,0 +1,237 @@
+//! The weights of an agent: which spread draws next, and what peers get.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use errors::Code;
+use fleet::{Bitmap, Hall, InstanceId, Manifest, Millis, Place, VersionId};
+use wire::{Datagram, DatagramBody, Load};
+
+use super::{Agent, AgentEffect};
+use crate::control::ControlEffect;
+use crate::spread::{DrawSource, Participant, Spread, SpreadEffect, SpreadPhase};
+
+/// Chunks in flight to this instance over all spreads.
+pub(super) const WINDOW: usize = 8;
+/// Chunks in flight that every spread gets, whatever its priority.
+const MIN_WINDOW: usize = 2;
+/// Chunks that may wait in the upload queue.
+pub(super) const UPLOAD_QUEUE: u32 = 8;
+
+impl Agent {
+    pub(super) fn take_summary(
+        &mut self,
+        now: Millis,
+        address: SocketAddr,
+        from: &InstanceId,
+        version: VersionId,
+        have: &Bitmap,
+    ) -> Vec<AgentEffect> {
+        let place = self.place_of(from);
+        let Some(spread) = self.spreads.get_mut(&version) else {
+            return Vec::new();
+        };
+        spread.take_summary(from, address, &place, have.clone());
+        self.draw(now)
+    }
+
+    fn place_of(&self, id: &InstanceId) -> Place {
+        self.control.members.get(id).map(|it| it.record.place.clone()).unwrap_or_default()
+    }
+
+    pub(super) fn take_manifest(
+        &mut self,
+        now: Millis,
+        manifest: Arc<Manifest>,
+    ) -> Vec<AgentEffect> {
+        let version = manifest.version();
+        self.awaited.remove(&version);
+        // A version that was taken back and wanted again may have been asked for twice; the second
+        // answer must not start its spread anew under chunks in flight.
+        if self.spreads.contains_key(&version) {
+            return Vec::new();
+        }
+        let me = self.control.members.me().clone();
+        let configuration = self.control.configuration();
+        let wanted = configuration.wanted_on(&me.id).find(|it| it.release.version == version);
+        let Some(deployment) = wanted else {
+            return Vec::new();
+        };
+        let placements = deployment.placements.iter();
+        let receivers: Vec<(InstanceId, Hall)> =
+            placements.map(|(id, it)| (id.clone(), it.hall.clone())).collect();
+        let options = self.options.spread;
+        let spread = Spread::new(now, &me.id, &me.place, manifest, &receivers, options);
+        self.spreads.insert(version, spread);
+        self.refresh_participants(now);
+        self.draw(now)
+    }
+
+    /// Tells each spread who receives or holds its version.
+    pub(super) fn refresh_participants(&mut self, now: Millis) {
+        let me = &self.control.members.me().id;
+        let mut strangers = false;
+        for spread in self.spreads.values_mut() {
+            let version = spread.version;
+            let deployments = self.control.configuration().deployments.values();
+            let receivers: BTreeSet<&InstanceId> = deployments
+                .filter(|it| it.release.version == version)
+                .flat_map(|it| it.placements.keys())
+                .collect();
+            strangers |=
+                receivers.iter().any(|id| *id != me && self.control.members.get(id).is_none());
+            let others = self.control.members.others();
+            let participants: Vec<Participant> = others
+                .filter_map(|it| {
+                    let holds = it.record.serving.iter().any(|tag| tag.is_version(version));
+                    (holds || receivers.contains(&it.record.id)).then(|| Participant {
+                        id: it.record.id.clone(),
+                        place: it.record.place.clone(),
+                        address: it.record.address,
+                        up: it.is_up(),
+                        holds,
+                    })
+                })
+                .collect();
+            spread.set_participants(now, &participants);
+        }
+        if strangers {
+            self.control.hasten_list(now);
+        }
+    }
+
+    pub(super) fn take_chunk(
+        &mut self,
+        now: Millis,
+        version: VersionId,
+        index: u32,
+        source: DrawSource,
+        verified: bool,
+        sender: Option<(Bitmap, u32)>,
+    ) -> Vec<AgentEffect> {
+        let place = match &source {
+            DrawSource::Peer(id, _) => self.place_of(id),
+            DrawSource::Origin => Place::default(),
+        };
+        let Some(spread) = self.spreads.get_mut(&version) else {
+            // The version was replaced in flight; the chunk staged a moment ago goes as well.
+            return vec![AgentEffect::Drop(version)];
+        };
+        let mut effects = Vec::new();
+        if !verified {
+            effects.push(AgentEffect::CountRetry(Code::ChunkCorrupt));
+        }
+        spread.take_chunk(now, index, &source, verified);
+        if let (DrawSource::Peer(id, address), Some((have, uploads))) = (&source, sender) {
+            spread.take_summary(id, *address, &place, have);
+            spread.take_uploads(now, id, uploads);
+        }
+        if spread.phase() == SpreadPhase::Whole {
+            effects.extend(self.summarize(now));
+            effects.extend(self.reconcile(now));
+        }
+        effects.extend(self.draw(now));
+        effects
+    }
+
+    /// Draws chunks for every spread, those of higher priority first; each gets a small part of the
+    /// window in any case, so that an adapter does not wait behind a large model.
+    pub(super) fn draw(&mut self, now: Millis) -> Vec<AgentEffect> {
+        let order = self.spreads_by_priority();
+        let active = order.len();
+        let mut left = WINDOW.saturating_sub(MIN_WINDOW * active);
+        let mut effects = Vec::new();
+        for version in order {
+            let Some(spread) = self.spreads.get_mut(&version) else {
+                continue;
+            };
+            let drawn = spread.draw(now, MIN_WINDOW + left);
+            left = left.saturating_sub(spread.in_flight().saturating_sub(MIN_WINDOW));
+            let have = spread.have().clone();
+            effects.extend(drawn.into_iter().map(|it| self.carry_out(it, &have, version)));
+        }
+        effects
+    }
+
+    fn spreads_by_priority(&self) -> Vec<VersionId> {
+        let priority = |version: &VersionId| {
+            let deployments = self.control.configuration().deployments.values();
+            let wanting = deployments.filter(|it| &it.release.version == version);
+            wanting.map(|it| it.priority).max().unwrap_or(0)
+        };
+        let drawing = self.spreads.values().filter(|it| it.phase() == SpreadPhase::Drawing);
+        let mut order: Vec<(&VersionId, u64)> =
+            drawing.map(|it| (&it.version, it.manifest.bytes)).collect();
+        order.sort_by_key(|(version, bytes)| (std::cmp::Reverse(priority(version)), *bytes));
+        order.into_iter().map(|(version, _)| *version).collect()
+    }
+
+    pub(super) fn summarize(&mut self, now: Millis) -> Vec<AgentEffect> {
+        let mut effects = Vec::new();
+        let versions: Vec<VersionId> = self.spreads.keys().copied().collect();
+        for version in versions {
+            let Some(spread) = self.spreads.get_mut(&version) else {
+                continue;
+            };
+            let due = spread.summarize(now);
+            let have = spread.have().clone();
+            effects.extend(due.into_iter().map(|it| self.carry_out(it, &have, version)));
+        }
+        effects
+    }
+
+    fn carry_out(
+        &mut self,
+        effect: SpreadEffect,
+        have: &Bitmap,
+        version: VersionId,
+    ) -> AgentEffect {
+        match effect {
+            SpreadEffect::Draw(draw) => AgentEffect::Draw { draw, have: have.clone() },
+            SpreadEffect::Summarize { to, have } => {
+                let revision = self.control.configuration().revision;
+                let body = DatagramBody::Summary { version, have };
+                let datagram: Datagram = self.control.members.build(body, revision);
+                AgentEffect::Control(ControlEffect::Send { to, datagram: Box::new(datagram) })
+            }
+        }
+    }
+
+    pub(super) fn take_ask(
+        &mut self,
+        now: Millis,
+        upload: u64,
+        from: &InstanceId,
+        version: VersionId,
+        index: u32,
+        have: Bitmap,
+    ) -> Vec<AgentEffect> {
+        let load = self.load();
+        let known = self.control.members.get(from).map(|it| it.record.clone());
+        let Some(spread) = self.spreads.get_mut(&version) else {
+            return vec![refuse_upload(upload, Code::ChunkMissing, 0, load)];
+        };
+        if let Some(record) = known {
+            spread.take_summary(from, record.address, &record.place, have);
+        }
+        if !spread.have().contains(index) {
+            return vec![refuse_upload(upload, Code::ChunkMissing, 0, load)];
+        }
+        if self.uploads >= UPLOAD_QUEUE {
+            let chunk = u64::from(spread.manifest.chunk_bytes) * 1000;
+            let wait = chunk / self.options.upload_bytes_per_s.max(1);
+            return vec![refuse_upload(upload, Code::PeerBusy, wait, load)];
+        }
+        self.uploads += 1;
+        let have = spread.have().clone();
+        let uploads = self.uploads;
+        let mut effects = vec![AgentEffect::Upload { upload, version, index, have, uploads }];
+        effects.extend(self.draw(now));
+        effects
+    }
+}
+
+fn refuse_upload(upload: u64, code: Code, retry_after_ms: u64, load: Load) -> AgentEffect {
+    AgentEffect::RefuseUpload { upload, code, retry_after_ms, load }
+}
--- a/components/reducer/src/control.rs
+++ b/components/reducer/src/control.rs
@@ -25,6 +25,9 @@
 const FETCH_TIME: u64 = 1000;
 /// How often a daemon that cannot tell whether it is behind asks around, in milliseconds.
 const ASK_EVERY: u64 = 250;
+/// After a gap of this length between two ticks the daemon was paused, in milliseconds. It may have
+/// missed anything, so it counts as not current until the table or its peers have been asked.
+const PAUSE_TIME: u64 = 3000;
 /// How many peers must confirm our revision where the table cannot be asked.
 const PEERS_TO_BE_CURRENT: usize = 3;
 
@@ -82,6 +85,7 @@
     next_table: Millis,
     next_list: Millis,
     next_ask: Millis,
+    last_tick: Option<Millis>,
     fetching_until: Millis,
 }
 
@@ -96,6 +100,7 @@
             next_table: Millis(0),
             next_list: Millis(0),
             next_ask: Millis(0),
+            last_tick: None,
             fetching_until: Millis(0),
         }
     }
@@ -189,6 +194,17 @@
         effects
     }
 
+    /// Doubts everything after a pause: a process that was stopped resumes as if no time had passed.
+    fn notice_pause(&mut self, now: Millis) {
+        let paused = self.last_tick.is_some_and(|last| now.since(last) >= Millis(PAUSE_TIME));
+        self.last_tick = Some(now);
+        if paused {
+            self.current = false;
+            self.agreeing.clear();
+            self.next_table = now;
+        }
+    }
+
     fn count_agreement(&mut self, peer: &InstanceId) {
         if self.current || self.configuration.revision == Revision(0) {
             return;
@@ -199,6 +215,7 @@
     }
 
     fn tick(&mut self, now: Millis, seed: &mut Seed) -> Vec<ControlEffect> {
+        self.notice_pause(now);
         let revision = self.configuration.revision;
         let outgoing = self.members.tick(now, revision, seed);
         let mut effects: Vec<ControlEffect> = outgoing.into_iter().map(send).collect();
--- /dev/null
+++ b/components/reducer/src/entry/mod.rs
@@ -0,0 +1,118 @@
+//! The reducer of an entry: requests from callers and changes by operators.
+
+mod event;
+mod plans;
+mod requests;
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fleet::{Millis, RequestId};
+use wire::MemberRecord;
+
+pub use self::event::{Arrival, AttemptId, EntryEffect, EntryEvent, EntryOptions, Failure, Target};
+use self::requests::{Place, Progress};
+use crate::changes::Changes;
+use crate::control::{Control, ControlEffect, ControlEvent};
+use crate::retry::RetryBudget;
+use crate::routing::Router;
+use crate::Seed;
+
+/// How many members hear at once that this daemon stops.
+const LEAVE_FANOUT: usize = 8;
+
+/// The state of an entry.
+pub struct Entry {
+    /// The shared state.
+    pub control: Control,
+    options: EntryOptions,
+    changes: Changes,
+    router: Router,
+    retries: RetryBudget,
+    requests: BTreeMap<RequestId, Progress>,
+    queue: BTreeSet<Place>,
+    stopping: bool,
+}
+
+impl Entry {
+    /// Starts with nothing known.
+    pub fn new(me: MemberRecord, options: EntryOptions) -> Self {
+        Self {
+            control: Control::new(me, options.control_bytes_per_s),
+            options,
+            changes: Changes::default(),
+            router: Router::new(options.choice),
+            retries: RetryBudget::new(options.retry_share),
+            requests: BTreeMap::new(),
+            queue: BTreeSet::new(),
+            stopping: false,
+        }
+    }
+
+    /// Requests under way and requests waiting.
+    pub fn load(&self) -> (usize, usize) {
+        (self.requests.len(), self.queue.len())
+    }
+
+    /// Takes in an event.
+    pub fn reduce(&mut self, now: Millis, seed: u64, event: EntryEvent) -> Vec<EntryEffect> {
+        let mut seed = Seed::new(seed);
+        match event {
+            EntryEvent::Control(event) => self.take_control(now, &mut seed, event),
+            EntryEvent::Change(event) => self.take_change(now, &mut seed, event),
+            EntryEvent::Arrived(arrival) => self.arrive(now, *arrival),
+            EntryEvent::ClaimSettled { request, state } => self.take_claim(now, request, state),
+            EntryEvent::Started(attempt) => {
+                self.start(attempt);
+                Vec::new()
+            }
+            EntryEvent::Ended { attempt, load } => self.end(now, attempt, load),
+            EntryEvent::Failed { attempt, failure } => self.fail(now, attempt, failure),
+            EntryEvent::CallerGone(request) => self.abandon(now, request),
+            EntryEvent::Stop => self.stop(&mut seed),
+            EntryEvent::Tick => {
+                let mut effects = self.take_control(now, &mut seed, ControlEvent::Tick);
+                self.router.retain(&self.control);
+                effects.extend(self.dispatch(now));
+                effects
+            }
+        }
+    }
+
+    fn take_control(
+        &mut self,
+        now: Millis,
+        seed: &mut Seed,
+        event: ControlEvent,
+    ) -> Vec<EntryEffect> {
+        let effects = self.control.reduce(now, seed, event);
+        let mut effects: Vec<EntryEffect> = effects.into_iter().map(EntryEffect::Control).collect();
+        if !self.queue.is_empty() {
+            effects.extend(self.dispatch(now));
+        }
+        effects
+    }
+
+    fn stop(&mut self, seed: &mut Seed) -> Vec<EntryEffect> {
+        self.stopping = true;
+        self.control.members.set_leaving();
+        let revision = self.control.configuration().revision;
+        let news = self.control.members.push(revision, LEAVE_FANOUT, seed);
+        let mut effects: Vec<EntryEffect> = news
+            .into_iter()
+            .map(|(to, datagram)| ControlEffect::Send { to, datagram: Box::new(datagram) })
+            .map(EntryEffect::Control)
+            .collect();
+        effects.extend(self.drained());
+        effects
+    }
+
+    fn drained(&self) -> Vec<EntryEffect> {
+        if self.stopping && self.requests.is_empty() {
+            vec![EntryEffect::Drained]
+        } else {
+            Vec::new()
+        }
+    }
+}
--- a/components/reducer/src/entry_tests.rs
+++ b/components/reducer/src/entry/tests.rs
@@ -1,7 +1,11 @@
+use std::net::SocketAddr;
+
 use super::*;
 use crate::planner::Estimate;
-use fleet::{Incarnation, Instance, ListedState, Place};
-use wire::MemberState;
+use crate::routing::RouteChoice;
+use errors::{Code, Ran};
+use fleet::{Incarnation, Instance, InstanceId, ListedState, Place, Process};
+use wire::{Load, MemberState};
 
 const NOW: Millis = Millis(1_000);
 
--- a/components/reducer/src/members_tests.rs
+++ b/components/reducer/src/members/tests.rs
@@ -26,6 +26,11 @@
     Restart {
         daemon: usize,
     },
+    /// A daemon stands still for some steps and resumes as if no time had passed.
+    Pause {
+        daemon: usize,
+        steps: usize,
+    },
     /// An entry puts a change in force and holds the new configuration first.
     Change {
         daemon: usize,
@@ -37,6 +42,7 @@
         6 => Just(Fault::None),
         2 => (0..DAEMONS, 1usize..80).prop_map(|(daemon, steps)| Fault::CutOff { daemon, steps }),
         1 => (0..DAEMONS).prop_map(|daemon| Fault::Restart { daemon }),
+        1 => (0..DAEMONS, 1usize..80).prop_map(|(daemon, steps)| Fault::Pause { daemon, steps }),
         2 => (0..DAEMONS).prop_map(|daemon| Fault::Change { daemon }),
     ]
 }
@@ -46,6 +52,7 @@
     seed: Seed,
     daemons: Vec<Control>,
     cut: Vec<usize>,
+    paused: Vec<usize>,
     table: Configuration,
     /// Datagrams on their way: when they arrive, from whom, to whom.
     flying: Vec<(Millis, usize, usize, Datagram)>,
@@ -93,6 +100,7 @@
             seed: Seed::new(seed),
             daemons: (0..DAEMONS).map(|number| start(number, Millis(0))).collect(),
             cut: vec![0; DAEMONS],
+            paused: vec![0; DAEMONS],
             table: Configuration::default(),
             flying: Vec::new(),
             loss_percent,
@@ -103,6 +111,7 @@
         match fault {
             Fault::None => {}
             Fault::CutOff { daemon, steps } => self.cut[*daemon] = *steps,
+            Fault::Pause { daemon, steps } => self.paused[*daemon] = *steps,
             Fault::Restart { daemon } => self.daemons[*daemon] = start(*daemon, self.now),
             Fault::Change { daemon } => {
                 let plan = PlanId(format!("p{}", self.table.revision));
@@ -114,7 +123,10 @@
         self.now = self.now.plus(STEP);
         self.deliver();
         for number in 0..DAEMONS {
-            self.give(number, ControlEvent::Tick);
+            if self.paused[number] == 0 {
+                self.give(number, ControlEvent::Tick);
+            }
+            self.paused[number] = self.paused[number].saturating_sub(1);
             self.cut[number] = self.cut[number].saturating_sub(1);
         }
     }
@@ -125,7 +137,7 @@
         self.flying = flying;
         let arriving: Vec<(Millis, usize, usize, Datagram)> = arriving;
         for (_, from, to, datagram) in arriving {
-            if self.cut[from] == 0 && self.cut[to] == 0 {
+            if self.cut[from] == 0 && self.cut[to] == 0 && self.paused[to] == 0 {
                 let datagram = Box::new(datagram);
                 self.give(to, ControlEvent::Datagram { from: address(from), datagram });
             }
@@ -216,3 +228,23 @@
     assert_eq!(seen(1, 0), MemberState::Dead);
     assert_eq!(seen(1, 2), MemberState::Alive);
 }
+
+#[test]
+fn doubts_its_configuration_after_a_pause_until_peers_confirm_it() {
+    let mut world = World::new(1, 0);
+    world.step(&Fault::Change { daemon: 0 });
+    let all_current = |world: &World| world.daemons.iter().all(Control::is_current);
+    while !all_current(&world) {
+        world.step(&Fault::None);
+    }
+    world.step(&Fault::Pause { daemon: 1, steps: 50 });
+    for _ in 0..50 {
+        world.step(&Fault::None);
+    }
+    assert!(!world.daemons[1].is_current());
+    world.step(&Fault::Change { daemon: 2 });
+    while !all_current(&world) {
+        world.step(&Fault::None);
+    }
+    assert_eq!(world.daemons[1].configuration().revision, Revision(2));
+}
--- a/components/reducer/src/spread/version.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -1,5 +1,8 @@
 //! The spread of one version at one receiver.
 
+mod choice;
+mod summaries;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,6 +10,7 @@
 use errors::Code;
 use fleet::{Bitmap, Hall, InstanceId, Manifest, Millis, Place, VersionId};
 
+use self::summaries::SUMMARY_BURST;
 use super::gate::{Gate, GateOptions};
 use super::neighbour::Neighbour;
 use crate::seed::shared_hash;
@@ -17,29 +21,8 @@
 const MAX_NEIGHBOURS: usize = 12;
 /// Of the chosen ones, how many stand in the same hall where there are as many.
 const NEAR_NEIGHBOURS: usize = 4;
-/// Chunks in flight from one neighbour.
-const WINDOW_PER_SOURCE: u32 = 2;
-/// Chunks in flight from the origin.
-const ORIGIN_WINDOW: usize = 2;
-/// A chunk may take this many times as long as usual.
-const DEADLINE_FACTOR: f64 = 6.0;
-/// The shortest deadline of a chunk, in milliseconds.
-const MIN_DEADLINE: f64 = 1000.0;
-/// The longest deadline of a chunk, in milliseconds.
-const MAX_DEADLINE: f64 = 60_000.0;
-/// Chunks that are expected to wait ahead of ours at a source we know nothing of.
-const EXPECTED_QUEUE: f64 = 16.0;
 /// How long to leave the origin alone after it failed, in milliseconds.
 const ORIGIN_PAUSE: u64 = 500;
-/// What a summary costs besides its bitmap, in bytes.
-const SUMMARY_BYTES: f64 = 120.0;
-/// The part of the control budget that summaries may use.
-const SUMMARY_SHARE: f64 = 0.4;
-/// The shortest time between two rounds of summaries, in milliseconds.
-const MIN_SUMMARY_GAP: u64 = 100;
-/// Bytes of summaries that may be saved up. A spread starts with them: before its first exchanges
-/// nobody knows who holds what, and each round that is late costs every receiver that time.
-const SUMMARY_BURST: f64 = 16_000.0;
 /// How long holders have to say what they hold before the origin is asked, in milliseconds.
 const HOLDER_GRACE: u64 = 500;
 /// How long an asker that found the upload queue full waits at least, in milliseconds.
@@ -320,60 +303,6 @@
         }
     }
 
-    /// The draws to make now, up to `window` chunks in flight from peers. Draws from the origin come
-    /// on top: everyone waits for the chunk that its owner is late with.
-    pub fn draw(&mut self, now: Millis, window: usize) -> Vec<SpreadEffect> {
-        let mut effects = Vec::new();
-        while let Some(draw) = self.draw_from_origin(now) {
-            effects.push(SpreadEffect::Draw(draw));
-        }
-        let mut counts = None;
-        while self.in_flight() < window {
-            let counts = counts.get_or_insert_with(|| self.count_holders());
-            let next = match self.options.choice {
-                Choice::Rarest => self.draw_from_peer(now, counts),
-                Choice::Random => self.draw_at_random(now),
-                Choice::OriginOnly => None,
-            };
-            match next {
-                Some(draw) => effects.push(SpreadEffect::Draw(draw)),
-                None => break,
-            }
-        }
-        effects
-    }
-
-    /// The summaries that are due.
-    pub fn summarize(&mut self, now: Millis) -> Vec<SpreadEffect> {
-        if !self.unsaid || now < self.next_summary {
-            return Vec::new();
-        }
-        let cost = self.summary_cost();
-        self.refill_summaries(now);
-        if self.summary_budget < cost.min(SUMMARY_BURST) {
-            return Vec::new();
-        }
-        self.summary_budget -= cost;
-        self.unsaid = false;
-        self.next_summary = now.plus(MIN_SUMMARY_GAP);
-        let have = &self.have;
-        let tell = |it: &Neighbour| SpreadEffect::Summarize { to: it.address, have: have.clone() };
-        self.neighbours.values().filter(|it| !it.have.is_full()).map(tell).collect()
-    }
-
-    /// What a round of summaries costs, in bytes.
-    fn summary_cost(&self) -> f64 {
-        let bytes = SUMMARY_BYTES + f64::from(self.manifest.chunks()) / 8.0;
-        self.neighbours.len() as f64 * bytes
-    }
-
-    fn refill_summaries(&mut self, now: Millis) {
-        let rate = SUMMARY_SHARE * self.options.control_bytes_per_s as f64;
-        let gained = now.since(self.summary_budget_at).0 as f64 / 1000.0 * rate;
-        self.summary_budget = (self.summary_budget + gained).min(SUMMARY_BURST);
-        self.summary_budget_at = now;
-    }
-
     fn end_flight(&mut self, index: u32, source: &DrawSource) -> Option<Flight> {
         if self.in_flight.get(&index).is_none_or(|it| &it.source != source) {
             return None;
@@ -416,105 +345,6 @@
         let far_count = CHOSEN_NEIGHBOURS - near_count.min(CHOSEN_NEIGHBOURS);
         near.into_iter().take(near_count).chain(far.into_iter().take(far_count)).collect()
     }
-
-    /// For each chunk, how many neighbours hold it.
-    fn count_holders(&self) -> Vec<u32> {
-        let mut counts = vec![0; self.manifest.chunks() as usize];
-        for neighbour in self.neighbours.values() {
-            for (index, count) in counts.iter_mut().enumerate() {
-                *count += u32::from(neighbour.have.contains(index as u32));
-            }
-        }
-        counts
-    }
-
-    fn draw_from_origin(&mut self, now: Millis) -> Option<Draw> {
-        if now < self.origin_not_before || self.count_from_origin() >= ORIGIN_WINDOW {
-            return None;
-        }
-        let missing = self.have.missing().filter(|index| !self.in_flight.contains_key(index));
-        let (index, last_resort) =
-            missing.filter_map(|index| self.may_ask_origin(now, index)).next()?;
-        Some(self.launch(now, index, DrawSource::Origin, last_resort))
-    }
-
-    /// Whether the origin may be asked for a chunk, and whether only as the last resort.
-    fn may_ask_origin(&self, now: Millis, index: u32) -> Option<(u32, bool)> {
-        if self.options.choice == Choice::OriginOnly {
-            return Some((index, false));
-        }
-        if now >= self.gate.last_resort(self.started, index) {
-            return Some((index, true));
-        }
-        let held = self.neighbours.values().any(|it| it.in_group && it.have.contains(index));
-        (!held && now >= self.gate.due(self.started, index)).then_some((index, false))
-    }
-
-    /// The least busy source first, then the rarest of its chunks: an idle link is worth more than
-    /// a rare chunk behind a queue.
-    fn draw_from_peer(&mut self, now: Millis, counts: &[u32]) -> Option<Draw> {
-        let chunk_ms =
-            millis_for(u64::from(self.manifest.chunk_bytes), self.options.download_bytes_per_s);
-        let mut sources: Vec<(&InstanceId, &Neighbour)> = self.neighbours.iter().collect();
-        sources.retain(|(_, it)| it.outstanding < WINDOW_PER_SOURCE && now >= it.not_before);
-        sources.sort_by_key(|(id, it)| {
-            let queue = it.outstanding * 2 + it.uploads(now, chunk_ms);
-            (queue + it.distance, shared_hash(&[self.me.0.as_bytes(), id.0.as_bytes()]))
-        });
-        let (index, source) = sources.into_iter().find_map(|(id, neighbour)| {
-            let index = self.rarest(neighbour, counts)?;
-            Some((index, DrawSource::Peer(id.clone(), neighbour.address)))
-        })?;
-        Some(self.launch(now, index, source, false))
-    }
-
-    /// The naive choice: any wanted chunk from any neighbour that holds it.
-    fn draw_at_random(&mut self, now: Millis) -> Option<Draw> {
-        let toss = |part: u32| {
-            shared_hash(&[self.me.0.as_bytes(), &now.0.to_le_bytes(), &part.to_le_bytes()])
-        };
-        let wanted: Vec<u32> =
-            self.have.missing().filter(|index| !self.in_flight.contains_key(index)).collect();
-        let mut offers: Vec<(u32, DrawSource)> = Vec::new();
-        for (id, neighbour) in &self.neighbours {
-            if neighbour.outstanding >= WINDOW_PER_SOURCE || now < neighbour.not_before {
-                continue;
-            }
-            let held = wanted.iter().filter(|index| neighbour.have.contains(**index));
-            let source = DrawSource::Peer(id.clone(), neighbour.address);
-            offers.extend(held.map(|index| (*index, source.clone())));
-        }
-        let pick = toss(self.in_flight.len() as u32) as usize % offers.len().max(1);
-        let (index, source) = offers.get(pick)?.clone();
-        Some(self.launch(now, index, source, false))
-    }
-
-    /// The rarest chunk that a neighbour holds and this receiver neither holds nor awaits. Among
-    /// equals each receiver starts elsewhere, which keeps replicas different from one another.
-    fn rarest(&self, neighbour: &Neighbour, counts: &[u32]) -> Option<u32> {
-        let chunks = self.manifest.chunks();
-        let start = shared_hash(&[self.me.0.as_bytes()]) as u32 % chunks;
-        let wanted = self
-            .have
-            .missing()
-            .filter(|index| neighbour.have.contains(*index) && !self.in_flight.contains_key(index));
-        wanted.min_by_key(|index| (counts[*index as usize], (index + chunks - start) % chunks))
-    }
-
-    fn launch(&mut self, now: Millis, index: u32, source: DrawSource, last_resort: bool) -> Draw {
-        let mut usual = EXPECTED_QUEUE
-            * millis_for(u64::from(self.manifest.chunk_bytes), self.options.download_bytes_per_s);
-        if let DrawSource::Peer(id, _) = &source {
-            if let Some(neighbour) = self.neighbours.get_mut(id) {
-                neighbour.outstanding += 1;
-                usual = neighbour.usual_time(usual);
-            }
-        }
-        let span = (usual * DEADLINE_FACTOR).clamp(MIN_DEADLINE, MAX_DEADLINE) as u64;
-        self.in_flight.insert(index, Flight { source: source.clone(), sent: now });
-        let deadline = now.plus(span);
-        Draw { version: self.version, index, source, deadline, last_resort }
-    }
 }
 
 /// Zero in the same hall, one in the same region, two beyond.
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -1,6 +1,6 @@
 //! A model engine: continuous batching, a prefix cache, streams, cancels and fenced orders.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -18,13 +18,14 @@
 use serde_json::json as value;
 
 use crate::engine_batch::{Batch, Seat};
+use crate::engine_cache::PrefixCache;
 use crate::engine_text::token_text;
 use crate::faults::{empty, Faults};
 
 /// How long reading weights from the agent may take.
 const WEIGHTS_TIME: Duration = Duration::from_secs(600);
-/// The prompt text that makes one cached block, in bytes.
-const BLOCK_BYTES: usize = 64;
+/// How much of a refusal is read, in bytes.
+const REFUSAL_BYTES: usize = 4096;
 /// Tokens of a stream that wait for a slow reader.
 const TOKENS_AHEAD: usize = 16;
 /// Tokens generated when the request names no number.
@@ -45,6 +46,8 @@
     pub load_time: Duration,
     /// How long the reported load lags.
     pub load_lag: Duration,
+    /// How late cache events are published.
+    pub event_lag: Duration,
     /// Whether orders of an old epoch are refused.
     pub checks_fence: bool,
 }
@@ -58,6 +61,7 @@
             cache_blocks: 256,
             load_time: Duration::from_millis(20),
             load_lag: Duration::from_millis(500),
+            event_lag: Duration::from_millis(500),
             checks_fence: true,
         }
     }
@@ -70,14 +74,6 @@
     digest: String,
 }
 
-/// The blocks of prompts whose cache is held, oldest first.
-#[derive(Default)]
-struct PrefixCache {
-    blocks: HashSet<blake3::Hash>,
-    order: VecDeque<blake3::Hash>,
-}
-
-#[derive(Default)]
 struct State {
     loaded: HashMap<ModelName, Loaded>,
     highest_epoch: Revision,
@@ -137,7 +133,13 @@
             tasks: tasks.clone(),
             options,
             batch: Batch::new(options.batch),
-            state: Arc::default(),
+            state: Arc::new(Mutex::new(State {
+                loaded: HashMap::new(),
+                highest_epoch: Revision(0),
+                cache: PrefixCache::new(options.cache_blocks),
+                cancelled: HashSet::new(),
+                reported: (None, EngineLoad::default()),
+            })),
             answered: AtomicU64::new(0),
         }
     }
@@ -201,23 +203,12 @@
 
     /// Adds the prompt to the cache; returns how many of its blocks had to be computed.
     fn cache_prompt(&self, prompt: &str) -> u32 {
-        let mut state = self.lock();
-        let mut hasher = blake3::Hasher::new();
-        let mut computed = 0;
-        for block in prompt.as_bytes().chunks(BLOCK_BYTES) {
-            let hash = hasher.update(block).finalize();
-            if !state.cache.blocks.insert(hash) {
-                continue;
-            }
-            computed += 1;
-            state.cache.order.push_back(hash);
-            if state.cache.order.len() > self.options.cache_blocks {
-                if let Some(oldest) = state.cache.order.pop_front() {
-                    state.cache.blocks.remove(&oldest);
-                }
-            }
-        }
-        computed
+        self.lock().cache.add_prompt(prompt)
+    }
+
+    /// Loses this share of the cache events.
+    pub fn set_event_gaps(&self, percent: u64) {
+        self.lock().cache.gaps.set_percent(percent);
     }
 
     fn stream(&self, generation: Generation) -> Response {
@@ -304,7 +295,7 @@
     let deadline = Deadline::after(WEIGHTS_TIME);
     let response = send(order.weights, request, deadline).await?;
     if !response.status().is_success() {
-        let answer = read_body(response, BLOCK_BYTES, deadline).await?;
+        let answer = read_body(response, REFUSAL_BYTES, deadline).await?;
         return Err(Error::new(Code::UpstreamFailed, format!("weights: {}", answer.status)));
     }
     let mut body = HttpBody::new(response);
@@ -342,6 +333,20 @@
             },
             (Method::Post, "/v1/chat/completions") => self.complete(&request, &body).await,
             (Method::Get, "/load") => Ok(json(200, &self.report())),
+            (Method::Get, "/cache/events") => {
+                let query = request.url().query().unwrap_or_default();
+                let after = query.trim_start_matches("after=").parse().unwrap_or(0);
+                let lag = self.options.event_lag;
+                Ok(json(200, &self.lock().cache.events_after(after, lag)))
+            }
+            (Method::Post, "/kv/export") => {
+                let prompt = String::from_utf8_lossy(&body).into_owned();
+                Ok(json(200, &self.lock().cache.export(&prompt)))
+            }
+            (Method::Post, "/kv/import") => match serde_json::from_slice::<Vec<String>>(&body) {
+                Ok(blocks) => Ok(json(200, &self.lock().cache.import(&blocks))),
+                Err(error) => Err(Error::new(Code::BadRequest, error.to_string())),
+            },
             (Method::Delete, path) => {
                 let id = path.trim_start_matches("/requests/").to_owned();
                 self.lock().cancelled.insert(id);
--- a/components/standins/src/faults.rs
+++ b/components/standins/src/faults.rs
@@ -104,8 +104,11 @@
 
     /// Takes one call, if it is allowed.
     pub fn take(&self) -> bool {
+        self.take_at(Instant::now())
+    }
+
+    fn take_at(&self, now: Instant) -> bool {
         let mut state = self.state.lock().expect("the lock is never poisoned");
-        let now = Instant::now();
         let refill = now.duration_since(state.1).as_secs_f64() * self.per_second;
         let level = (state.0 + refill).min(self.per_second);
         *state = (if level >= 1.0 { level - 1.0 } else { level }, now);
@@ -117,3 +120,25 @@
 pub(crate) fn empty(status: StatusCode) -> Response {
     Response::new(status)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn allows_a_burst_and_then_the_rate() {
+        let allowance = Allowance::new(100);
+        let start = Instant::now();
+        let taken = |at: Instant| (0..500).filter(|_| allowance.take_at(at)).count();
+        assert_eq!(taken(start), 100);
+        assert_eq!(taken(start + Duration::from_millis(500)), 50);
+        assert_eq!(taken(start + Duration::from_secs(60)), 100);
+    }
+
+    #[test]
+    fn picks_an_even_share() {
+        let share = Share::default();
+        share.set_percent(30);
+        assert_eq!((0..100).filter(|_| share.hit()).count(), 30);
+    }
+}
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod engine;
 mod engine_batch;
+mod engine_cache;
 mod engine_text;
 mod faults;
 mod instances;
@@ -15,6 +16,7 @@
 mod table;
 
 pub use engine::{Engine, EngineOptions};
+pub use engine_cache::CacheEvent;
 pub use engine_text::{answer_text, token_text};
 pub use faults::{Allowance, Faults, Share};
 pub use instances::Instances;
--- a/daemon/src/setup.rs
+++ b/daemon/src/setup.rs
@@ -120,6 +120,7 @@
         identity,
         upstream,
         weights_listen: agent.weights_listen,
+        upstream_checks_fence: agent.upstream_checks_fence,
         options: AgentOptions {
             concurrency: agent.concurrency,
             memory_bytes: agent.memory_bytes,
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,159 @@
+//! Small fleets of real daemon code, with faults.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Executor;
+use async_io::block_on;
+use errors::Code;
+use fleet::{Intent, ServiceName};
+use lab::{ChatCaller, Ending, Lab, LabOptions};
+use settings::Kind;
+
+/// How long anything may take before a test is given up as hung.
+const HANG: Duration = Duration::from_secs(60);
+
+fn start(options: LabOptions) -> Lab {
+    let executor = Arc::new(Executor::new());
+    Lab::run_threads(&executor);
+    let lab = block_on(Lab::start(&executor, options)).unwrap();
+    block_on(lab.wait_ready(HANG)).unwrap();
+    lab
+}
+
+fn content(seed: u8) -> Vec<u8> {
+    (0..300_000u32).map(|n| (n % 251) as u8 ^ seed).collect()
+}
+
+/// Makes a version live on every engine.
+fn go_live(lab: &Lab, content: &[u8]) {
+    let engines = lab.agents.iter().filter(|it| it.engine.is_some()).count();
+    let manifest = block_on(lab.publish("v", content)).unwrap();
+    block_on(lab.deploy("tips", manifest.version(), engines)).unwrap();
+    block_on(lab.wait_live(manifest.version(), engines, HANG)).unwrap();
+    block_on(lab.wait_routed(manifest.version(), engines)).unwrap();
+}
+
+fn caller(lab: &Lab) -> ChatCaller {
+    ChatCaller {
+        address: lab.entries[0].callers(),
+        model: "tips".into(),
+        tokens: 4,
+        stream: true,
+        patience: HANG,
+    }
+}
+
+#[test]
+fn serves_whole_versions_over_damaged_links() {
+    let lab = start(LabOptions::default());
+    lab.agents.iter().for_each(|agent| agent.link.set_corrupt_percent(20));
+    lab.platform.origin.set_corrupt_percent(20);
+    let content = content(1);
+    go_live(&lab, &content);
+    let answer = block_on(caller(&lab).chat("a question"));
+    assert_eq!(answer.ending, Ending::Whole);
+    assert_eq!(answer.fingerprint, blake3::hash(&content).to_hex().to_string());
+    let damaged: u64 = lab.agents.iter().map(|agent| agent.link.corrupted()).sum();
+    assert!(damaged > 0);
+}
+
+#[test]
+fn draws_one_copy_from_the_origin_where_one_is_allowed() {
+    let lab = start(LabOptions { engines: 6, ..LabOptions::default() });
+    let content = content(2);
+    go_live(&lab, &content);
+    assert_eq!(lab.platform.origin.sent_bytes(), content.len() as u64);
+}
+
+#[test]
+fn finishes_a_spread_and_restarts_agents_while_the_table_is_down() {
+    let mut lab = start(LabOptions { engines: 4, ..LabOptions::default() });
+    let content = content(3);
+    go_live(&lab, &content);
+    lab.platform.table.faults.set_down(true);
+    lab.agents.iter().find(|it| it.id.0 == "engine-001").unwrap().node.kill();
+    block_on(lab.add_engine("engine-001")).unwrap();
+    let version = fleet::Manifest::describe("v", &content).unwrap().version();
+    block_on(lab.wait_live(version, 4, HANG)).unwrap();
+}
+
+#[test]
+fn goes_on_answering_while_a_version_is_replaced_and_rolled_back() {
+    let lab = start(LabOptions::default());
+    let (first, second) = (content(4), content(5));
+    let known = [&first, &second].map(|it| blake3::hash(it).to_hex().to_string());
+    go_live(&lab, &first);
+    let operator = lab.operator(0);
+    let manifest = block_on(lab.publish("v2", &second)).unwrap();
+    block_on(lab.deploy("tips", manifest.version(), 3)).unwrap();
+    let mut switched = false;
+    while !switched {
+        let answer = block_on(caller(&lab).chat("a question"));
+        assert_eq!(answer.ending, Ending::Whole);
+        assert!(known.contains(&answer.fingerprint));
+        switched = lab.live(manifest.version()).len() == 3;
+    }
+    let plan = block_on(operator.plan(&Intent::Rollback { model: "tips".into() })).unwrap();
+    block_on(operator.confirm(&plan.id)).unwrap();
+    let old = fleet::Manifest::describe("v", &first).unwrap().version();
+    block_on(lab.wait_live(old, 3, HANG)).unwrap();
+}
+
+#[test]
+fn runs_a_keyed_request_once_and_gives_its_answer_again() {
+    let kind = Kind {
+        name: "till".into(),
+        path: "/till/".into(),
+        service: Some(ServiceName("ledger".into())),
+        repeatable: false,
+        priority: 5,
+        max_wait_ms: 1000,
+    };
+    let lab = start(LabOptions {
+        engines: 0,
+        services: vec![("ledger".into(), 2)],
+        kinds: vec![kind],
+        ..LabOptions::default()
+    });
+    let post = |entry: usize| {
+        let address = lab.entries[entry].callers();
+        let headers = [("idempotency-key", "shift-7")];
+        block_on(lab::post(address, "/till/shift", &headers, b"total".to_vec(), HANG))
+    };
+    assert_eq!(post(0), Ending::Whole);
+    // Until the answer is kept, a repetition is told that it may be running.
+    let mut again = post(1);
+    while again != Ending::Whole {
+        assert_eq!(again, Ending::Unknown(Code::InProgress));
+        again = post(1);
+    }
+    let runs: u64 = lab
+        .agents
+        .iter()
+        .filter_map(|it| it.service.as_ref())
+        .flat_map(|it| it.runs().into_values())
+        .sum();
+    assert_eq!(runs, 1);
+    lab.platform.table.faults.set_down(true);
+    assert_eq!(post(0), Ending::NotRun(Code::ClaimUnavailable));
+}
+
+#[test]
+fn starts_no_new_work_on_an_upstream_that_was_told_to_leave() {
+    let lab = start(LabOptions { engines: 2, ..LabOptions::default() });
+    go_live(&lab, &content(6));
+    let leaver = &lab.agents[0];
+    let operator = lab.operator(1);
+    let plan = block_on(operator.plan(&Intent::Leave { instance: leaver.id.clone() })).unwrap();
+    let revision = block_on(operator.confirm(&plan.id)).unwrap();
+    let told = || leaver.node.inspect(|it| it.control.configuration().revision >= revision);
+    block_on(lab.wait(HANG, told)).unwrap();
+    let engine = leaver.engine.as_ref().unwrap();
+    let before = engine.answered();
+    for number in 0..20 {
+        let answer = block_on(caller(&lab).chat(&format!("question {number}")));
+        assert_eq!(answer.ending, Ending::Whole);
+    }
+    assert_eq!(engine.answered(), before);
+}
