--- a/components/reducer/src/agent/tests.rs
+++ b/components/reducer/src/agent/tests.rs
@@ -16,6 +16,7 @@
     Placement, PlanId, Process, Release, Revision, Role,
 };
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 use wire::{Datagram, MemberState};
 
@@ -369,7 +370,7 @@
 }
 
 proptest_state_machine::prop_state_machine! {
-    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..Default::default() })]
 
     #[test]
     fn is_never_live_on_a_partial_or_mixed_version(sequential 1..120 => AgentTest);
--- a/components/reducer/src/changes_tests.rs
+++ b/components/reducer/src/changes_tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use fleet::{Change, InstanceId, PlanId};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 /// How a call to the table ends.
 #[derive(Clone, Copy, Debug)]
@@ -131,7 +132,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..Default::default() })]
 
     #[test]
     fn tells_operators_only_what_is_true(
--- a/components/reducer/src/entry/mod.rs
+++ b/components/reducer/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod event;
 mod plans;
 mod requests;
+mod shares;
 #[cfg(test)]
 mod tests;
 
@@ -13,6 +14,7 @@
 
 pub use self::event::{Arrival, AttemptId, EntryEffect, EntryEvent, EntryOptions, Failure, Target};
 use self::requests::{Place, Progress};
+use self::shares::Shares;
 use crate::changes::Changes;
 use crate::control::{Control, ControlEffect, ControlEvent};
 use crate::retry::RetryBudget;
@@ -32,6 +34,7 @@
     retries: RetryBudget,
     requests: BTreeMap<RequestId, Progress>,
     queue: BTreeSet<Place>,
+    shares: Shares,
     stopping: bool,
 }
 
@@ -46,6 +49,7 @@
             retries: RetryBudget::new(options.retry_share),
             requests: BTreeMap::new(),
             queue: BTreeSet::new(),
+            shares: Shares::default(),
             stopping: false,
         }
     }
--- a/components/reducer/src/entry/requests.rs
+++ b/components/reducer/src/entry/requests.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use errors::{Code, Error, Ran};
-use fleet::{InstanceId, Millis, Process, RequestId};
+use fleet::{InstanceId, Millis, Process, RequestId, WorkspaceId};
 use wire::Load;
 
 use super::{Arrival, AttemptId, Entry, EntryEffect, Failure, Target};
@@ -32,6 +32,13 @@
     waits_until: Millis,
 }
 
+impl Progress {
+    /// Who pays for the request.
+    pub(super) fn workspace(&self) -> &WorkspaceId {
+        &self.arrival.workspace
+    }
+}
+
 /// A place in the queue: high priority first, then the nearest deadline.
 pub(super) type Place = (Reverse<u8>, Millis, RequestId);
 
@@ -132,6 +139,7 @@
         progress.tried.push(agent.clone());
         progress.at = Some(agent.clone());
         progress.waiting = false;
+        self.shares.take(&progress.arrival.workspace);
         let attempt = AttemptId { request, number: progress.tries };
         let budget_ms = progress.arrival.deadline.since(now).0;
         vec![EntryEffect::Send { attempt, agent, address, budget_ms }]
@@ -143,22 +151,33 @@
         };
         // Upstreams that refused a moment ago may have room again by the next turn.
         progress.tried.clear();
-        let full = !progress.waiting && self.queue.len() as u32 >= self.options.queue_limit;
-        if full || now >= progress.waits_until {
-            let error = Error::new(Code::Overloaded, Code::Overloaded.meaning());
-            return self.refuse(request, error);
+        let overloaded = Error::new(Code::Overloaded, Code::Overloaded.meaning());
+        if now >= progress.waits_until {
+            return self.refuse(request, overloaded);
         }
+        let full = !progress.waiting && self.queue.len() as u32 >= self.options.queue_limit;
         progress.waiting = true;
         let arrival = &progress.arrival;
-        self.queue.insert((Reverse(arrival.priority), arrival.deadline, request));
-        Vec::new()
+        let place = (Reverse(arrival.priority), arrival.deadline, request);
+        let workspace = arrival.workspace.clone();
+        let mut effects = Vec::new();
+        if full {
+            let Some(surplus) = self.find_surplus(&workspace) else {
+                return self.refuse(request, overloaded);
+            };
+            self.queue.remove(&surplus);
+            let limit = Error::new(Code::WorkspaceLimit, Code::WorkspaceLimit.meaning());
+            effects = self.refuse(surplus.2, limit);
+        }
+        self.queue.insert(place);
+        effects
     }
 
     /// Sends waiting requests on while there is room, and ends those that are too late.
     pub(super) fn dispatch(&mut self, now: Millis) -> Vec<EntryEffect> {
         let mut effects = Vec::new();
         let mut full: BTreeSet<Target> = BTreeSet::new();
-        for place in self.queue.iter().cloned().collect::<Vec<_>>() {
+        for place in self.turns() {
             let request = place.2;
             let Some(progress) = self.requests.get(&request) else {
                 self.queue.remove(&place);
@@ -191,6 +210,7 @@
         };
         if let Some(agent) = &progress.at {
             self.router.end(now, agent, Some(load), None);
+            self.shares.give_back(&progress.arrival.workspace);
         }
         self.after_end(now)
     }
@@ -206,6 +226,7 @@
         };
         if let Some(agent) = progress.at.take() {
             self.router.end(now, &agent, failure.load, Some(failure.code));
+            self.shares.give_back(&progress.arrival.workspace);
         }
         if failure.code.ran() == Ran::Unknown {
             progress.unknown = Some(failure.code);
@@ -254,6 +275,7 @@
         let mut effects = Vec::new();
         if let Some(agent) = &progress.at {
             self.router.end(now, agent, None, None);
+            self.shares.give_back(&progress.arrival.workspace);
             effects.push(EntryEffect::Cancel(AttemptId { request, number: progress.tries }));
         }
         effects.extend(self.after_end(now));
--- a/components/reducer/src/entry/tests.rs
+++ b/components/reducer/src/entry/tests.rs
@@ -173,6 +173,40 @@
     assert_eq!(refusal_of(&arrive(&mut entry, arrival(2, true))), Some(Code::Stopping));
 }
 
+/// A request of a workspace.
+fn arrival_of(workspace: &str, serial: u64) -> Arrival {
+    let mut arrival = arrival(serial, true);
+    arrival.workspace = workspace.into();
+    arrival
+}
+
+#[test]
+fn gives_the_next_turn_to_the_workspace_with_the_least_running() {
+    let mut entry = entry(1, 100);
+    let mut first = Vec::new();
+    for serial in 0..40 {
+        first.extend(arrive(&mut entry, arrival_of("large", serial)));
+    }
+    arrive(&mut entry, arrival_of("small", 100));
+    let load = Load { running: 7, limit: 8, uploads: 0 };
+    let ended = EntryEvent::Ended { attempt: attempt_of(&first), load };
+    let next = attempt_of(&entry.reduce(NOW, 0, ended));
+    assert_eq!(next.request.serial, 100);
+}
+
+#[test]
+fn makes_room_in_a_full_queue_at_the_cost_of_the_workspace_that_waits_most() {
+    let mut entry = entry(1, 10);
+    for serial in 0..18 {
+        arrive(&mut entry, arrival_of("large", serial));
+    }
+    let effects = arrive(&mut entry, arrival_of("small", 100));
+    assert_eq!(refusal_of(&effects), Some(Code::WorkspaceLimit));
+    assert_eq!(entry.load().1, 10);
+    let effects = arrive(&mut entry, arrival_of("large", 101));
+    assert_eq!(refusal_of(&effects), Some(Code::Overloaded));
+}
+
 /// What an agent does with a try, as the oracle decides it.
 #[derive(Clone, Copy, Debug)]
 enum Fate {
@@ -189,6 +223,7 @@
 }
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn fate() -> impl Strategy<Value = Fate> {
     prop_oneof![
@@ -249,7 +284,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..Default::default() })]
 
     #[test]
     fn tells_callers_only_what_is_true_and_runs_the_unrepeatable_once(
--- a/components/reducer/src/members/tests.rs
+++ b/components/reducer/src/members/tests.rs
@@ -6,6 +6,7 @@
 use crate::control::{Control, ControlEffect, ControlEvent};
 use fleet::{Configuration, Place, PlanId, Process};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const DAEMONS: usize = 5;
 /// Time between two steps, in milliseconds.
@@ -192,7 +193,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..Default::default() })]
 
     #[test]
     fn agrees_again_after_any_faults_and_never_reverts(
--- a/components/reducer/src/planner_tests.rs
+++ b/components/reducer/src/planner_tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use fleet::Region;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const ESTIMATE: Estimate =
     Estimate { origin_bytes_per_s: 400.0, link_bytes_per_s: 200.0, copies: 2 };
@@ -82,7 +83,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..Default::default() })]
 
     #[test]
     fn is_as_even_as_the_best_choice_and_never_worse_than_the_naive_one(
--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -38,6 +38,7 @@
     use crate::DatagramBody;
     use fleet::{Incarnation, Revision};
     use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
 
     fn sealed(keys: &KeyRing) -> Vec<u8> {
         let datagram = Datagram {
@@ -51,6 +52,8 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..Default::default() })]
+
         #[test]
         fn errors_on_any_changed_byte(index in 0usize..1000, change in 1u8..=255) {
             let keys = KeyRing::parse("0123456789abcdef").unwrap();
--- a/examples/requests/main.rs
+++ b/examples/requests/main.rs
@@ -5,6 +5,7 @@
 mod args;
 mod faults;
 mod load;
+mod overhead;
 mod report;
 mod run;
 
--- a/examples/requests/report.rs
+++ b/examples/requests/report.rs
@@ -45,6 +45,12 @@
     pub new_work_after_leave_s: Option<f64>,
     /// Whether a planned stop cut nothing off.
     pub stop_was_clean: Option<bool>,
+    /// Microseconds that an entry and an agent add, at 50 in 100.
+    pub entry_overhead_p50_us: Option<f64>,
+    /// The same, at 99 in 100.
+    pub entry_overhead_p99_us: Option<f64>,
+    /// The time through an entry and an agent over the time around them, at 50 in 100.
+    pub entry_overhead_ratio_p50: Option<f64>,
     /// Time to the first token of completions answered whole, 95 in 100.
     pub first_token_p95_ms: f64,
     /// The longest time between two tokens of a completion, 95 in 100.
--- a/examples/requests/run.rs
+++ b/examples/requests/run.rs
@@ -18,6 +18,7 @@
 use crate::args::Args;
 use crate::faults::bring_about;
 use crate::load::{send, Kind, Outcome, Planned, MODEL, TOKENS};
+use crate::overhead;
 use crate::report::Report;
 
 /// The size of today's deployments.
@@ -58,6 +59,8 @@
     let sending = send_all(executor, args, entries, per_s);
     let (outcomes, seen) = zip(sending, bring_about(&lab, args)).await;
     let seen = seen?;
+    // Under faults the fleet is no longer whole, and the figure would be of something else.
+    let overhead = if args.faults.is_empty() { overhead::measure(&lab).await? } else { None };
     let mut report = Report {
         choice: format!("{choice:?}"),
         load: args.load,
@@ -65,6 +68,9 @@
         capacity_weighted_per_s: capacity(per_s, args.load),
         new_work_after_leave_s: seen.new_work_after_leave_s,
         stop_was_clean: seen.stop_was_clean,
+        entry_overhead_p50_us: overhead.as_ref().map(|it| it.p50_us),
+        entry_overhead_p99_us: overhead.as_ref().map(|it| it.p99_us),
+        entry_overhead_ratio_p50: overhead.as_ref().map(|it| it.ratio_p50),
         ..Report::default()
     };
     report.count(&outcomes, &true_runs(&lab), args.seconds)?;
@@ -76,6 +82,7 @@
     LabOptions {
         engines: ENGINES,
         services: vec![("ledger".to_owned(), LEDGERS)],
+        service_work: Duration::ZERO,
         concurrency: BATCH,
         engine: EngineOptions {
             batch: BATCH,
