Bounds on datagrams, sessions and staging; adapters beside models

Cause: reading the code as a newcomer. News in a datagram was counted in pieces, so daemons that serve many adapters could build one that no receiver reads; a chunk of a version that was let go counted as damaged; a version too large for memory was left out without a word; the number of sessions between daemons had no bound; two reducers announced a leave each in its own words.

Change: news stops at an estimated size; staging tells unwanted from corrupt; the refusal is counted and logged; at most 4096 sessions; announcing a leave is one function of the shared state.

Conclusion: bounds hold by size, not by luck.

--- a/components/node/src/agent/draws.rs
+++ b/components/node/src/agent/draws.rs
@@ -10,6 +10,7 @@
 use reducer::{AgentEvent, Draw, DrawSource};
 use wire::{Frame, Message};
 
+use super::staging::Put;
 use super::Shared;
 
 /// How long a peer may take to send a manifest.
@@ -107,16 +108,19 @@
 }
 
 fn take(shared: &Shared, draw: Draw, bytes: Vec<u8>, sender: Option<(Bitmap, u32)>) -> AgentEvent {
-    let metrics = &shared.surroundings.host.metrics;
-    let verified = shared.staging.put(draw.version, draw.index, bytes);
-    metrics.count_chunk(match (&draw.source, verified, draw.last_resort) {
-        (_, false, _) => Code::ChunkCorrupt.name(),
-        (DrawSource::Origin, true, true) => "origin_last_resort",
-        (DrawSource::Origin, true, false) => "origin",
-        (DrawSource::Peer(..), true, _) => "peer",
-    });
+    let put = shared.staging.put(draw.version, draw.index, bytes);
+    if put == Put::Unwanted {
+        return failed(draw, Code::Replaced, 0);
+    }
+    let outcome = match (&draw.source, put, draw.last_resort) {
+        (_, Put::Corrupt | Put::Unwanted, _) => Code::ChunkCorrupt.name(),
+        (DrawSource::Origin, Put::Staged, true) => "origin_last_resort",
+        (DrawSource::Origin, Put::Staged, false) => "origin",
+        (DrawSource::Peer(..), Put::Staged, _) => "peer",
+    };
+    shared.surroundings.host.metrics.count_chunk(outcome);
     let Draw { version, index, source, .. } = draw;
-    AgentEvent::ChunkArrived { version, index, source, verified, sender }
+    AgentEvent::ChunkArrived { version, index, source, verified: put == Put::Staged, sender }
 }
 
 fn failed(draw: Draw, code: Code, retry_after_ms: u64) -> AgentEvent {
--- a/components/node/src/agent/mod.rs
+++ b/components/node/src/agent/mod.rs
@@ -247,6 +247,10 @@
             host.metrics.count_refusal(code);
             shared.deliver(call, effect);
         }
+        AgentEffect::CountRefusal(code) => {
+            log::warn!(code = code.number(); "refused: {}", code.meaning());
+            host.metrics.count_refusal(code);
+        }
         AgentEffect::CountRetry(code) => host.metrics.count_retry(code),
         AgentEffect::Exit => {
             let _ = exit.try_send(());
--- a/components/node/src/agent/staging.rs
+++ b/components/node/src/agent/staging.rs
@@ -11,6 +11,17 @@
     chunks: Vec<Option<Arc<Vec<u8>>>>,
 }
 
+/// What became of a chunk that was to be put in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Put {
+    /// It is in.
+    Staged,
+    /// It is not the chunk the manifest names.
+    Corrupt,
+    /// Nobody wants the version any more.
+    Unwanted,
+}
+
 /// Every chunk that this agent holds. Only verified chunks are put in.
 #[derive(Clone, Default)]
 pub(crate) struct Staging(Arc<Mutex<HashMap<VersionId, Staged>>>);
@@ -31,20 +42,21 @@
         versions.get(&version).map(|it| it.manifest.clone())
     }
 
-    /// Puts a chunk in if it is the one the manifest names; tells whether it is.
-    pub(crate) fn put(&self, version: VersionId, index: u32, bytes: Vec<u8>) -> bool {
+    /// Puts a chunk in if it is the one the manifest names.
+    pub(crate) fn put(&self, version: VersionId, index: u32, bytes: Vec<u8>) -> Put {
         let Some(manifest) = self.manifest(version) else {
-            return false;
+            return Put::Unwanted;
         };
         // Digests are computed without the lock, which uploads need as well.
         if !manifest.verify(index, &bytes) {
-            return false;
+            return Put::Corrupt;
         }
         let mut versions = self.0.lock().expect("the lock is never poisoned");
-        if let Some(staged) = versions.get_mut(&version) {
-            staged.chunks[index as usize] = Some(Arc::new(bytes));
-        }
-        true
+        let Some(staged) = versions.get_mut(&version) else {
+            return Put::Unwanted;
+        };
+        staged.chunks[index as usize] = Some(Arc::new(bytes));
+        Put::Staged
     }
 
     /// Reads a chunk.
@@ -77,11 +89,12 @@
         let staging = Staging::default();
         staging.open(&manifest);
         let version = manifest.version();
-        assert!(!staging.put(version, 0, vec![8; 4096]));
-        assert!(!staging.put(version, 9, vec![7; 4096]));
-        assert!(staging.put(version, 0, vec![7; 4096]));
+        assert_eq!(staging.put(version, 0, vec![8; 4096]), Put::Corrupt);
+        assert_eq!(staging.put(version, 9, vec![7; 4096]), Put::Corrupt);
+        assert_eq!(staging.put(version, 0, vec![7; 4096]), Put::Staged);
         assert_eq!(staging.bytes(), 4096);
         staging.drop_version(version);
         assert!(staging.get(version, 0).is_none());
+        assert_eq!(staging.put(version, 0, vec![7; 4096]), Put::Unwanted);
     }
 }
--- a/components/node/src/doors.rs
+++ b/components/node/src/doors.rs
@@ -17,6 +17,8 @@
 
 /// How long a stranger may take to show that it knows the key.
 const HELLO_TIME: Duration = Duration::from_secs(5);
+/// Sessions at once; further connections are closed.
+const MAX_SESSIONS: usize = 4096;
 /// How long to wait after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -59,16 +61,22 @@
 
 /// Accepts connections until the daemon ends.
 pub(crate) async fn accept(host: Host, listener: TcpListener, answer: Arc<dyn Answer>) {
+    // Each session holds a copy, so the count of copies is the count of sessions.
+    let open = Arc::new(());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             Timer::after(ACCEPT_PAUSE).await;
             continue;
         };
-        host.tasks.spawn(serve(host.clone(), stream, answer.clone()));
+        if Arc::strong_count(&open) > MAX_SESSIONS {
+            host.metrics.count_refusal(Code::Overloaded);
+            continue;
+        }
+        host.tasks.spawn(serve(host.clone(), stream, answer.clone(), open.clone()));
     }
 }
 
-async fn serve(host: Host, stream: TcpStream, answer: Arc<dyn Answer>) {
+async fn serve(host: Host, stream: TcpStream, answer: Arc<dyn Answer>, _open: Arc<()>) {
     let _ = stream.set_nodelay(true);
     let hello = accept_session(&host.keys, rand::random(), stream);
     let hello = Deadline::after(HELLO_TIME).limit(Code::BadAuthentication, hello).await;
--- a/components/reducer/src/agent/engine.rs
+++ b/components/reducer/src/agent/engine.rs
@@ -11,6 +11,9 @@
 const ORDER_PAUSE: u64 = 1000;
 /// How long to wait before a manifest is asked for again, in milliseconds.
 const MANIFEST_PAUSE: u64 = 500;
+/// How long to wait before a version that did not fit into memory is looked at again, in
+/// milliseconds.
+const MEMORY_PAUSE: u64 = 5000;
 
 /// What the configuration wants on this instance for one model.
 struct Wanted {
@@ -82,7 +85,8 @@
         }
         let staged: u64 = self.spreads.values().map(|it| it.manifest.bytes).sum();
         if staged + wanted.release.bytes > self.options.memory_bytes {
-            return Vec::new();
+            self.awaited.insert(version, now.plus(MEMORY_PAUSE));
+            return vec![AgentEffect::CountRefusal(Code::TooLarge)];
         }
         // The answer ends the wait; the far moment only keeps a second question from being asked.
         self.awaited.insert(version, Millis(u64::MAX));
--- a/components/reducer/src/agent/event.rs
+++ b/components/reducer/src/agent/event.rs
@@ -162,6 +162,8 @@
         /// The load now.
         load: Load,
     },
+    /// Count something that is refused without anyone asking.
+    CountRefusal(Code),
     /// Count a chunk that is drawn again.
     CountRetry(Code),
     /// Nothing runs any more and the process may exit.
--- a/components/reducer/src/agent/mod.rs
+++ b/components/reducer/src/agent/mod.rs
@@ -165,15 +165,8 @@
 
     fn stop(&mut self, seed: &mut Seed) -> Vec<AgentEffect> {
         self.admission.stop();
-        self.control.members.set_leaving();
-        let revision = self.control.configuration().revision;
-        let count = self.control.members.count();
-        let news = self.control.members.push(revision, count.min(LEAVE_FANOUT), seed);
-        let mut effects: Vec<AgentEffect> = news
-            .into_iter()
-            .map(|(to, datagram)| ControlEffect::Send { to, datagram: Box::new(datagram) })
-            .map(AgentEffect::Control)
-            .collect();
+        let news = self.control.announce_leave(seed);
+        let mut effects: Vec<AgentEffect> = news.into_iter().map(AgentEffect::Control).collect();
         effects.extend(self.exit_if_drained());
         effects
     }
@@ -186,6 +179,3 @@
         }
     }
 }
-
-/// How many members hear at once that this daemon stops.
-const LEAVE_FANOUT: usize = 8;
--- a/components/reducer/src/agent/tests.rs
+++ b/components/reducer/src/agent/tests.rs
@@ -394,3 +394,16 @@
     assert_eq!(sent as u32, UPLOAD_QUEUE);
     assert_eq!(answers.iter().filter(busy).count(), 20 - sent);
 }
+
+#[test]
+fn counts_a_version_that_does_not_fit_into_memory_and_draws_nothing_of_it() {
+    let mut world = World::new();
+    world.agent.options.memory_bytes = u64::from(CHUNK);
+    let configuration = world.table.apply(&"p".into(), &Change::Deploy(world.deployment(0)));
+    let applied = ControlEvent::Fetched(Box::new(configuration));
+    let effects = world.agent.reduce(world.now, 1, AgentEvent::Control(applied));
+    let refused = |it: &AgentEffect| matches!(it, AgentEffect::CountRefusal(Code::TooLarge));
+    assert_eq!(effects.iter().filter(|it| refused(it)).count(), 1);
+    let again = world.agent.reduce(world.now.plus(1000), 1, AgentEvent::Tick);
+    assert!(!again.iter().any(|it| refused(it) || matches!(it, AgentEffect::ReadManifest { .. })));
+}
--- a/components/reducer/src/control.rs
+++ b/components/reducer/src/control.rs
@@ -11,6 +11,8 @@
 
 /// How many members hear at once of a new revision; each of them passes it on.
 const REVISION_FANOUT: usize = 4;
+/// How many members hear at once that this daemon stops.
+const LEAVE_FANOUT: usize = 8;
 /// The shortest time between two reads of the table by one daemon, in milliseconds.
 const TABLE_POLL: u64 = 2000;
 /// What each daemon adds to that time, in milliseconds: the fleet together reads the table at most
@@ -127,6 +129,13 @@
         self.next_list = self.next_list.min(soon);
     }
 
+    /// Says at once, to a few members, that this daemon takes no new work.
+    pub fn announce_leave(&mut self, seed: &mut Seed) -> Vec<ControlEffect> {
+        self.members.set_leaving();
+        let news = self.members.push(self.configuration.revision, LEAVE_FANOUT, seed);
+        news.into_iter().map(send).collect()
+    }
+
     /// Takes in an event.
     pub fn reduce(
         &mut self,
--- a/components/reducer/src/entry/mod.rs
+++ b/components/reducer/src/entry/mod.rs
@@ -16,14 +16,11 @@
 use self::requests::{Place, Progress};
 use self::shares::Shares;
 use crate::changes::Changes;
-use crate::control::{Control, ControlEffect, ControlEvent};
+use crate::control::{Control, ControlEvent};
 use crate::retry::RetryBudget;
 use crate::routing::Router;
 use crate::Seed;
 
-/// How many members hear at once that this daemon stops.
-const LEAVE_FANOUT: usize = 8;
-
 /// The state of an entry.
 pub struct Entry {
     /// The shared state.
@@ -100,14 +97,8 @@
 
     fn stop(&mut self, seed: &mut Seed) -> Vec<EntryEffect> {
         self.stopping = true;
-        self.control.members.set_leaving();
-        let revision = self.control.configuration().revision;
-        let news = self.control.members.push(revision, LEAVE_FANOUT, seed);
-        let mut effects: Vec<EntryEffect> = news
-            .into_iter()
-            .map(|(to, datagram)| ControlEffect::Send { to, datagram: Box::new(datagram) })
-            .map(EntryEffect::Control)
-            .collect();
+        let news = self.control.announce_leave(seed);
+        let mut effects: Vec<EntryEffect> = news.into_iter().map(EntryEffect::Control).collect();
         effects.extend(self.drained());
         effects
     }
--- a/components/reducer/src/members/news.rs
+++ b/components/reducer/src/members/news.rs
@@ -8,10 +8,12 @@
 
 /// How many members news goes to in a round.
 const NEWS_FANOUT: usize = 2;
-/// News in one datagram, weighed as below, so that it stays below the datagram's bound.
-const NEWS_PER_DATAGRAM: usize = 30;
-/// What a whole record weighs beside a short one.
-const WHOLE_WEIGHT: usize = 5;
+/// News in one datagram stops at this size, in bytes as estimated below.
+const NEWS_LIMIT: usize = 1000;
+/// The size of a short record, of a whole one, and of each thing served, in bytes.
+const LISTED_BYTES: usize = 22;
+const WHOLE_BYTES: usize = 90;
+const SERVING_BYTES: usize = 13;
 /// Records of members picked at random in each probe, for those that missed the news.
 const ANTI_ENTROPY_RECORDS: usize = 3;
 /// Sends of a piece of news beyond the logarithm of the fleet.
@@ -47,7 +49,7 @@
             self.members.values_mut().filter(|it| it.sends_left > 0).collect();
         fresh.sort_by_key(|it| std::cmp::Reverse(it.sends_left));
         for member in fresh {
-            if weight >= NEWS_PER_DATAGRAM {
+            if weight >= NEWS_LIMIT {
                 break;
             }
             member.sends_left -= 1;
@@ -134,14 +136,15 @@
     }
 }
 
-/// Adds the shortest form of a record that its readers understand; returns what it weighs.
+/// Adds the shortest form of a record that its readers understand; returns its size in bytes, about.
 fn shorten(record: &MemberRecord, listed: bool, news: &mut Vec<MemberNews>) -> usize {
+    let serving = record.serving.len() * SERVING_BYTES;
     if listed {
         news.push(MemberNews::listed(record));
-        1
+        LISTED_BYTES + serving
     } else {
         news.push(MemberNews::Whole(Box::new(record.clone())));
-        WHOLE_WEIGHT
+        WHOLE_BYTES + serving
     }
 }
 
--- a/components/reducer/src/members/tests.rs
+++ b/components/reducer/src/members/tests.rs
@@ -249,3 +249,34 @@
     }
     assert_eq!(world.daemons[1].configuration().revision, Revision(2));
 }
+
+#[test]
+fn keeps_datagrams_within_their_bound_however_much_is_served() {
+    let keys = wire::KeyRing::parse("a-key-for-this-test").unwrap();
+    for count in [0, 1, 4, 12] {
+        let mut control = start(0, Millis(0));
+        let mut seed = Seed::new(1);
+        let whole = (1..200).map(|number| {
+            let serving = (0..count).map(|n| wire::Serving {
+                model: fleet::ModelName(format!("model-{n}")),
+                version: fleet::VersionId([n as u8; 32]),
+                role: fleet::Role::Serve,
+            });
+            let mut record = start(number, Millis(u64::MAX / 4)).members.me().clone();
+            record.serving = serving.map(|it| ServingTag::of(&it)).collect();
+            MemberNews::Whole(Box::new(record))
+        });
+        let news: Vec<MemberNews> = whole.collect();
+        let heard = Datagram {
+            from: id(1),
+            incarnation: Incarnation(1),
+            revision: Revision(0),
+            body: DatagramBody::News,
+            news,
+        };
+        control.members.receive(Millis(0), address(1), &heard, Revision(0), &mut seed);
+        let built = control.members.build(DatagramBody::News, Revision(0));
+        assert!(built.news.len() > 2);
+        assert!(wire::seal_datagram(&keys, &built).len() <= wire::MAX_DATAGRAM_BYTES);
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -157,3 +157,33 @@
     }
     assert_eq!(engine.answered(), before);
 }
+
+#[test]
+fn lets_a_small_adapter_pass_a_large_model_that_spreads_at_the_same_time() {
+    let lab = start(LabOptions {
+        link_bytes_per_s: 4 << 20,
+        origin_bytes_per_s: 8 << 20,
+        ..LabOptions::default()
+    });
+    go_live(&lab, &content(7));
+    let large = vec![8; 16 << 20];
+    let model = block_on(lab.publish("large", &large)).unwrap();
+    block_on(lab.deploy("tips", model.version(), 3)).unwrap();
+    let adapter = block_on(lab.publish("adapter", &content(9))).unwrap();
+    let intent = Intent::Deploy {
+        model: "tips-swahili".into(),
+        version: adapter.version(),
+        replicas: 3,
+        role: fleet::Role::Serve,
+        halls: Vec::new(),
+        adapter_of: Some("tips".into()),
+        priority: 1,
+    };
+    let operator = lab.operator(0);
+    let plan = block_on(operator.plan(&intent)).unwrap();
+    block_on(operator.confirm(&plan.id)).unwrap();
+    block_on(lab.wait_live(adapter.version(), 3, HANG)).unwrap();
+    // The model is sixty times as large and was first.
+    assert!(lab.live(model.version()).is_empty());
+    block_on(lab.wait_live(model.version(), 3, HANG)).unwrap();
+}
