Spread: ranks without a walk, summaries to those who know least

Cause: at 270 replicas in profile origin the spread took 2.06 times the bound, and the run used 6.9 of 8 cores: with each draw the rank of every missing chunk was found by walking the order of receivers, up to 270 steps for each of 512 chunks. Profile time has groups a third as large and showed less of it.

Ruled out: late news of who holds what (four times the control budget was no faster: 1.88) and the origin (it waited for its askers).

Change: ranks come from running counts; what is due is asked before who holds it. Summaries go to single neighbours, those first who know least, not to those who were told on the way of a chunk. The wait for a full queue doubles only after eight refusals in a row: from the first one on it had left links idle at the start (1.36 in profile time). The example shows the origin's copies over time and takes the control budget.

Conclusion: what looked like a matter of the protocol was the price of a decision; the machine is still a part of what is measured at 270.

--- a/components/reducer/src/agent/weights.rs
+++ b/components/reducer/src/agent/weights.rs
@@ -224,6 +224,7 @@
             return vec![refuse_upload(upload, Code::PeerBusy, wait, load)];
         }
         self.uploads += 1;
+        spread.note_told(now, from);
         let have = spread.have().clone();
         let uploads = self.uploads;
         let mut effects = vec![AgentEffect::Upload { upload, version, index, have, uploads }];
--- a/components/reducer/src/spread/gate.rs
+++ b/components/reducer/src/spread/gate.rs
@@ -26,8 +26,9 @@
 pub struct Gate {
     /// The receivers of this group in an order that everyone derives alike.
     order: Vec<InstanceId>,
-    /// Which of them are up, by position.
-    up: Vec<bool>,
+    /// How many of those before a position are up; one more entry than there are receivers. The
+    /// rank of every missing chunk is asked for with each draw, so it must not cost a walk.
+    up_before: Vec<u64>,
     /// Where this instance stands in the order.
     mine: usize,
     chunks: u32,
@@ -72,7 +73,7 @@
         let patience = ((options.version_ms * PATIENCE_SHARE) as u64).max(MIN_PATIENCE);
         let patience = if options.copies == 1 { patience * ONE_COPY_PATIENCE } else { patience };
         Self {
-            up: vec![true; order.len()],
+            up_before: (0..=order.len() as u64).collect(),
             order,
             mine,
             chunks,
@@ -89,17 +90,24 @@
 
     /// Takes in which receivers are known to be down. Those nobody has heard of may be up.
     pub fn set_down(&mut self, is_down: impl Fn(&InstanceId) -> bool) {
+        let mut up = 0;
         for (index, id) in self.order.iter().enumerate() {
-            self.up[index] = index == self.mine || !is_down(id);
+            self.up_before[index] = up;
+            up += u64::from(index == self.mine || !is_down(id));
         }
+        self.up_before[self.order.len()] = up;
     }
 
     /// How many receivers that are up come before this one for a chunk.
     pub fn rank(&self, chunk: u32) -> u64 {
         let len = self.order.len();
         let owner = chunk as usize % len;
-        let distance = (self.mine + len - owner) % len;
-        (0..distance).filter(|step| self.up[(owner + step) % len]).count() as u64
+        let (before_me, before_owner) = (self.up_before[self.mine], self.up_before[owner]);
+        if owner <= self.mine {
+            before_me - before_owner
+        } else {
+            self.up_before[len] - before_owner + before_me
+        }
     }
 
     /// When this receiver may draw a chunk, if nobody in its group holds it by then.
--- a/components/reducer/src/spread/neighbour.rs
+++ b/components/reducer/src/spread/neighbour.rs
@@ -11,6 +11,8 @@
 /// How long an asker that found the upload queue full waits, at least and at most, in milliseconds.
 const MIN_BUSY_WAIT: u64 = 20;
 const MAX_BUSY_WAIT: u64 = 2000;
+/// Refusals in a row before the wait is doubled: about as many as an upload queue is long.
+const PATIENT_REFUSALS: u32 = 8;
 /// How often that wait is doubled at most.
 const MOST_DOUBLINGS: u32 = 4;
 /// The part of a new measurement in the smoothed one.
@@ -31,6 +33,8 @@
     pub outstanding: u32,
     /// Chunks in its upload queue when it last said so, and when that was.
     uploads: (u32, Millis),
+    /// When it was last told which chunks are held here, and how many those were.
+    told: (Millis, u32),
     /// Not to be asked before this moment.
     pub not_before: Millis,
     /// Failures since the last good chunk.
@@ -51,6 +55,7 @@
             have: Bitmap::new(chunks),
             outstanding: 0,
             uploads: (0, Millis(0)),
+            told: (Millis(0), 0),
             not_before: Millis(0),
             strikes: 0,
             refusals: 0,
@@ -71,6 +76,21 @@
         uploads.saturating_sub(sent as u32)
     }
 
+    /// When it was last told.
+    pub fn told_at(&self) -> Millis {
+        self.told.0
+    }
+
+    /// How many chunks it was told of.
+    pub fn told_count(&self) -> u32 {
+        self.told.1
+    }
+
+    /// Notes that it is told now of so many chunks.
+    pub fn tell(&mut self, now: Millis, held: u32) {
+        self.told = (now, held);
+    }
+
     /// How long a chunk from it takes, in milliseconds.
     pub fn usual_time(&self, otherwise: f64) -> f64 {
         self.time_ms.unwrap_or(otherwise)
@@ -85,10 +105,12 @@
         self.time_ms = Some(before + SMOOTHING * (took - before));
     }
 
-    /// Counts a refusal for a full queue. The wait doubles with each one in a row: a source behind a
-    /// stalled link would otherwise be asked fifty times a second.
+    /// Counts a refusal for a full queue. After a few in a row the wait doubles with each: a source
+    /// behind a stalled link would otherwise be asked fifty times a second. Not from the first one
+    /// on: when a spread starts few hold anything, and who comes back late lets their links idle.
     pub fn back_off(&mut self, now: Millis, retry_after: u64) {
-        let wait = retry_after.max(MIN_BUSY_WAIT) << self.refusals.min(MOST_DOUBLINGS);
+        let doublings = self.refusals.saturating_sub(PATIENT_REFUSALS).min(MOST_DOUBLINGS);
+        let wait = retry_after.max(MIN_BUSY_WAIT) << doublings;
         self.refusals += 1;
         self.not_before = now.plus(wait.min(MAX_BUSY_WAIT));
     }
--- a/components/reducer/src/spread/version/choice.rs
+++ b/components/reducer/src/spread/version/choice.rs
@@ -72,8 +72,11 @@
         if now >= self.gate.last_resort(self.started, index) {
             return Some((index, true));
         }
+        if now < self.gate.due(self.started, index) {
+            return None;
+        }
         let held = self.neighbours.values().any(|it| it.in_group && it.have.contains(index));
-        (!held && now >= self.gate.due(self.started, index)).then_some((index, false))
+        (!held).then_some((index, false))
     }
 
     /// The least busy source first, then the rarest of its chunks: an idle link is worth more than
@@ -128,11 +131,13 @@
     }
 
     fn launch(&mut self, now: Millis, index: u32, source: DrawSource, last_resort: bool) -> Draw {
+        let held = self.have.count();
         let mut usual = EXPECTED_QUEUE
             * millis_for(u64::from(self.manifest.chunk_bytes), self.options.download_bytes_per_s);
         if let DrawSource::Peer(id, _) = &source {
             if let Some(neighbour) = self.neighbours.get_mut(id) {
                 neighbour.outstanding += 1;
+                neighbour.tell(now, held);
                 usual = neighbour.usual_time(usual);
             }
         }
--- a/components/reducer/src/spread/version/mod.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -123,11 +123,8 @@
     neighbours: BTreeMap<InstanceId, Neighbour>,
     in_flight: BTreeMap<u32, Flight>,
     origin_not_before: Millis,
-    next_summary: Millis,
     summary_budget: f64,
     summary_budget_at: Millis,
-    /// Whether something was gained since the last summary.
-    unsaid: bool,
 }
 
 /// A daemon that receives or holds the version.
@@ -173,10 +170,8 @@
             neighbours: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             origin_not_before: Millis(0),
-            next_summary: Millis(0),
             summary_budget: SUMMARY_BURST,
             summary_budget_at: now,
-            unsaid: true,
             manifest,
         }
     }
@@ -267,7 +262,6 @@
         }
         if verified {
             self.have.insert(index);
-            self.unsaid = true;
         }
         true
     }
@@ -326,7 +320,6 @@
             let in_group = self.gate.is_in_group(id);
             let neighbour = Neighbour::new(address, distance, in_group, self.manifest.chunks());
             self.neighbours.insert(id.clone(), neighbour);
-            self.unsaid = true;
         }
     }
 
--- a/components/reducer/src/spread/version/summaries.rs
+++ b/components/reducer/src/spread/version/summaries.rs
@@ -1,6 +1,7 @@
-//! When neighbours are told which chunks are held.
+//! When neighbours are told which chunks are held. Whoever exchanges a chunk is told on the way;
+//! summaries are for the others, and the budget goes first to those who know least.
 
-use fleet::Millis;
+use fleet::{InstanceId, Millis};
 
 use super::{Spread, SpreadEffect};
 use crate::spread::neighbour::Neighbour;
@@ -9,35 +10,40 @@
 const SUMMARY_BYTES: f64 = 120.0;
 /// The part of the control budget that summaries may use.
 const SUMMARY_SHARE: f64 = 0.4;
-/// The shortest time between two rounds of summaries, in milliseconds.
+/// The shortest time between two summaries to the same neighbour, in milliseconds.
 const MIN_SUMMARY_GAP: u64 = 100;
 /// Bytes of summaries that may be saved up. A spread starts with them: before its first exchanges
-/// nobody knows who holds what, and each round that is late costs every receiver that time.
-pub(super) const SUMMARY_BURST: f64 = 16_000.0;
+/// nobody knows who holds what, and each summary that is late costs its receiver that time.
+pub(super) const SUMMARY_BURST: f64 = 32_000.0;
 
 impl Spread {
-    /// The summaries that are due.
+    /// The summaries that are due, as far as the budget goes.
     pub fn summarize(&mut self, now: Millis) -> Vec<SpreadEffect> {
-        if !self.unsaid || now < self.next_summary {
-            return Vec::new();
-        }
-        let cost = self.summary_cost();
         self.refill_summaries(now);
-        if self.summary_budget < cost.min(SUMMARY_BURST) {
-            return Vec::new();
+        let cost = SUMMARY_BYTES + f64::from(self.manifest.chunks()) / 8.0;
+        let held = self.have.count();
+        let mut due: Vec<&mut Neighbour> =
+            self.neighbours.values_mut().filter(|it| it.is_behind(now, held)).collect();
+        due.sort_by_key(|it| it.told_count());
+        let mut effects = Vec::new();
+        for neighbour in due {
+            if self.summary_budget < cost.min(SUMMARY_BURST) {
+                break;
+            }
+            self.summary_budget -= cost;
+            neighbour.tell(now, held);
+            let have = self.have.clone();
+            effects.push(SpreadEffect::Summarize { to: neighbour.address, have });
         }
-        self.summary_budget -= cost;
-        self.unsaid = false;
-        self.next_summary = now.plus(MIN_SUMMARY_GAP);
-        let have = &self.have;
-        let tell = |it: &Neighbour| SpreadEffect::Summarize { to: it.address, have: have.clone() };
-        self.neighbours.values().filter(|it| !it.have.is_full()).map(tell).collect()
+        effects
     }
 
-    /// What a round of summaries costs, in bytes.
-    fn summary_cost(&self) -> f64 {
-        let bytes = SUMMARY_BYTES + f64::from(self.manifest.chunks()) / 8.0;
-        self.neighbours.len() as f64 * bytes
+    /// Notes that a neighbour was told on the way of a chunk.
+    pub fn note_told(&mut self, now: Millis, id: &InstanceId) {
+        let held = self.have.count();
+        if let Some(neighbour) = self.neighbours.get_mut(id) {
+            neighbour.tell(now, held);
+        }
     }
 
     fn refill_summaries(&mut self, now: Millis) {
@@ -47,3 +53,14 @@
         self.summary_budget_at = now;
     }
 }
+
+impl Neighbour {
+    /// Whether it should be told again: it wants chunks, and more are held than it was told of. The
+    /// first summary may be empty: it introduces this receiver, who may not be among those that the
+    /// other one chose.
+    fn is_behind(&self, now: Millis, held: u32) -> bool {
+        let gap = now.since(self.told_at()) >= Millis(MIN_SUMMARY_GAP);
+        let stranger = self.told_at() == Millis(0);
+        !self.have.is_full() && gap && (stranger || held > self.told_count())
+    }
+}
--- a/examples/burst/args.rs
+++ b/examples/burst/args.rs
@@ -29,6 +29,9 @@
     /// a file for a plot of live replicas and origin bytes over time, in SVG
     #[argh(option)]
     pub plot: Option<PathBuf>,
+    /// what messages between daemons may cost, in bytes a second (default 3000)
+    #[argh(option, default = "3000")]
+    pub control_bytes: u64,
     /// seed of the generated weights (default 1)
     #[argh(option, default = "1")]
     pub seed: u64,
--- a/examples/burst/run.rs
+++ b/examples/burst/run.rs
@@ -121,6 +121,7 @@
         link_bytes_per_s: link,
         origin_bytes_per_s: link * 2,
         copies: args.profile.copies(),
+        control_bytes_per_s: args.control_bytes,
         ..LabOptions::default()
     }
 }
@@ -168,7 +169,10 @@
         if !args.json && Instant::now() >= next_line {
             next_line += SHOW_EVERY;
             let staged = staged_percent(lab, version);
-            println!("{seconds:6.2} s  {staged:3.0} % staged, {live} of {wanted} live");
+            println!(
+                "{seconds:6.2} s  {staged:3.0} % staged, {live} of {wanted} live, \
+                 {origin_copies:.2} copies from the origin"
+            );
         }
         if live >= wanted {
             return Ok((seconds, schedule.dead, timeline));
