Plans: state the most bytes the origin may send, by halls

Change: no more copies than halls; the plan says at most.

Conclusion: an upper bound that holds while nothing fails; a closer estimate would need the spread's own slack, which is not modelled.

--- a/components/fleet/src/plan.rs
+++ b/components/fleet/src/plan.rs
@@ -75,7 +75,7 @@
     pub overrides: Vec<String>,
     /// Estimated time until every replica is live, in seconds.
     pub live_seconds: f64,
-    /// Estimated bytes drawn from the origin.
+    /// The most bytes that may be drawn from the origin while nothing fails.
     pub origin_bytes: u64,
     /// When it can no longer be confirmed, in milliseconds of the Unix epoch.
     pub expires: Millis,
--- a/components/reducer/src/planner.rs
+++ b/components/reducer/src/planner.rs
@@ -124,11 +124,9 @@
     let base = fleet.configuration.revision;
     let (bytes, receivers) = draft.spread;
     let bound = fleet.estimate.bound_seconds(bytes, receivers);
-    let copies = if draft.held || receivers == 0 {
-        0
-    } else {
-        u64::from(fleet.estimate.copies.min(receivers))
-    };
+    // Each group of halls may draw a copy, so there are never more copies than halls.
+    let halls = count_halls(&draft.change) as u32;
+    let copies = if draft.held { 0 } else { fleet.estimate.copies.min(receivers).min(halls) };
     Plan {
         id: identify(intent, base),
         base,
@@ -137,11 +135,20 @@
         steps: draft.steps,
         overrides: draft.overrides,
         live_seconds: bound + FIXED_SECONDS,
-        origin_bytes: bytes * copies,
+        origin_bytes: bytes * u64::from(copies),
         expires: now.plus(PLAN_TIME),
     }
 }
 
+/// The halls that a change places replicas in.
+fn count_halls(change: &Change) -> usize {
+    let Change::Deploy(deployment) = change else {
+        return 0;
+    };
+    let halls: BTreeSet<&Hall> = deployment.placements.values().map(|it| &it.hall).collect();
+    halls.len()
+}
+
 /// The same intent on the same revision is the same plan, however often it is sent.
 fn identify(intent: &Intent, base: Revision) -> PlanId {
     let mut hasher = blake3::Hasher::new();
--- a/components/reducer/src/planner_tests.rs
+++ b/components/reducer/src/planner_tests.rs
@@ -158,3 +158,21 @@
     let origin_only = Estimate { origin_bytes_per_s: 100.0, link_bytes_per_s: 400.0, copies: 1 };
     assert_eq!(origin_only.bound_seconds(400, 3), 4.0);
 }
+
+#[test]
+fn states_no_more_copies_than_halls() {
+    let wide = Estimate { copies: 4, ..ESTIMATE };
+    let services = BTreeMap::new();
+    for (halls, copies) in [(1, 1), (2, 2), (3, 3)] {
+        let candidates: Vec<Candidate> = (0..6).map(|n| candidate(n, halls, 500)).collect();
+        let configuration = Configuration::default();
+        let fleet = Fleet {
+            configuration: &configuration,
+            candidates: &candidates,
+            estimate: wide,
+            services: &services,
+        };
+        let plan = plan(Millis(0), &deploy(6), Some(release(1)), &fleet).unwrap();
+        assert_eq!(plan.origin_bytes, 100 * copies);
+    }
+}
--- a/examples/burst/run.rs
+++ b/examples/burst/run.rs
@@ -133,7 +133,7 @@
     let plan = operator.plan(&intent).await?;
     if !args.json {
         println!(
-            "plan {}: {} steps, live in about {:.1} s, {} bytes from the origin",
+            "plan {}: {} steps, live in about {:.1} s, at most {} bytes from the origin",
             plan.id,
             plan.steps.len(),
             plan.live_seconds,
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -68,7 +68,7 @@
     }
     let _ = writeln!(
         text,
-        "live in about {:.1} s, {} bytes from the origin",
+        "live in about {:.1} s, at most {} bytes from the origin",
         plan.live_seconds, plan.origin_bytes
     );
     let _ = writeln!(text, "to put it in force: silverdock confirm {}", plan.id);
