--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -15,7 +15,7 @@
     /// An entry or an agent of a fleet of our own.
     Fleet(Box<Settings>),
     /// A gateway or a sidecar on the users' platform.
-    Deployment(DeploymentSettings),
+    Deployment(Box<DeploymentSettings>),
 }
 
 fn main() -> ExitCode {
@@ -44,7 +44,7 @@
     let text = std::fs::read_to_string(&cli.settings)
         .map_err(|error| format!("{}: {error}", cli.settings.display()))?;
     let settings = if DeploymentSettings::is_meant(&text) {
-        DeploymentSettings::parse(&text).map(AnySettings::Deployment)
+        DeploymentSettings::parse(&text).map(|it| AnySettings::Deployment(Box::new(it)))
     } else {
         Settings::parse(&text).map(|it| AnySettings::Fleet(Box::new(it)))
     };
