--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -179,11 +179,11 @@
     let core = core.clone();
     spawner.detach(watch(options, move |seen| match seen {
         Seen::Whole => whole.set(true),
-        Seen::Change(change) => core.feed(event(change)),
+        Seen::Change { change, late } => core.feed(event(change, late)),
     }));
 }
 
-fn event(change: Change) -> Event {
+fn event(change: Change, late: bool) -> Event {
     match change {
         Change::Configuration(catalog) => {
             log::info!(version = catalog.version, routes = catalog.route_count(); "configuration");
@@ -191,7 +191,7 @@
         }
         Change::Version { model, version } => {
             log::info!(model = model.0.as_str(), version = version; "version named");
-            Event::Named { model, version }
+            Event::Named { model, version, fresh: !late }
         }
         Change::Runner(record) => {
             let state = format!("{:?} {:?}", record.state, record.weights);
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -44,13 +44,24 @@
     pub version: u64,
     /// The chunk.
     pub index: u32,
+    /// Who asks.
+    pub from: InstanceId,
+    /// Where it stands.
+    pub place: Place,
+    /// The chunks that it holds: whoever is asked need not be told apart from this.
+    pub have: Bitmap,
 }
 
 /// The answer to a request for a chunk.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ChunkAnswer {
     /// The chunk.
-    Chunk(Vec<u8>),
+    Chunk {
+        /// Its bytes.
+        bytes: Vec<u8>,
+        /// The chunks that the sender holds.
+        have: Bitmap,
+    },
     /// It is not here.
     Missing,
     /// Too many are being sent already.
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use async_channel::Sender;
-use fleet::{InstanceId, Millis, Place};
+use fleet::{Bitmap, InstanceId, Millis, Place};
 use rollout::{Effect, Event, Rollout, RolloutOptions};
 use settings::SidecarSettings;
 use telemetry::Metrics;
@@ -27,6 +27,8 @@
     pub origin: Rc<RefCell<Option<SocketAddr>>>,
     /// The number of layers of the model.
     pub layers: Rc<RefCell<u32>>,
+    /// The port at which sidecars listen for each other.
+    pub port: u16,
     /// The name of this sidecar.
     pub me: InstanceId,
     /// Where it stands.
@@ -45,6 +47,7 @@
     pub fn new(
         options: RolloutOptions,
         settings: SidecarSettings,
+        port: u16,
         metrics: Rc<Metrics>,
         effects: Sender<Effect>,
     ) -> Self {
@@ -57,12 +60,18 @@
             origin: Rc::default(),
             layers: Rc::default(),
             settings,
+            port,
             clock: Clock::start(),
             metrics,
             effects,
         }
     }
 
+    /// The chunks of a version that are here.
+    pub fn have(&self, version: u64) -> Bitmap {
+        self.rollout.borrow().have(version).cloned().unwrap_or_default()
+    }
+
     /// Hands an event to the reducer and its effects to those who carry them out.
     pub fn feed(&self, event: Event) {
         let effects = self.rollout.borrow_mut().reduce(self.clock.now(), event);
--- a/components/edge/src/sidecar/draws.rs
+++ b/components/edge/src/sidecar/draws.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use errors::{Code, Error, Result};
+use fleet::InstanceId;
 use platform::weights;
 use reducer::{Draw, DrawSource};
 use rollout::Event;
@@ -48,12 +49,14 @@
     Ok((origin, rollout.plan().ok_or_else(unknown)?.model.clone()))
 }
 
-/// Draws a chunk. Gives `true` when it arrived and is kept.
-pub async fn draw(core: Core, version: u64, draw: Draw) -> bool {
+/// Draws a chunk.
+pub async fn draw(core: Core, version: u64, draw: Draw) {
     let until = core.clock.instant(draw.deadline);
     let fetched = match &draw.source {
         DrawSource::Origin => from_origin(&core, version, draw.index, until).await,
-        DrawSource::Peer(_, address) => from_peer(*address, version, draw.index, until).await,
+        DrawSource::Peer(id, address) => {
+            from_peer(&core, id, *address, version, draw.index, until).await
+        }
     };
     let Draw { index, source, .. } = draw;
     match fetched {
@@ -66,12 +69,10 @@
                 (true, false) => "peer",
             });
             core.feed(Event::Arrived { version, index, source, verified });
-            verified
         }
         Err(error) => {
             core.metrics.count_chunk(error.code.name());
             core.feed(Event::Missed { version, index, source, code: error.code });
-            false
         }
     }
 }
@@ -83,15 +84,32 @@
     Link::new(origin).call(call, timeout).await?.success().map(Bytes::from)
 }
 
-async fn from_peer(address: SocketAddr, version: u64, index: u32, until: Instant) -> Result<Bytes> {
+async fn from_peer(
+    core: &Core,
+    id: &InstanceId,
+    address: SocketAddr,
+    version: u64,
+    index: u32,
+    until: Instant,
+) -> Result<Bytes> {
+    let request = ChunkRequest {
+        version,
+        index,
+        from: core.me.clone(),
+        place: core.place.clone(),
+        have: core.have(version),
+    };
     let exchange = async {
         let mut stream = connect(address, CONNECT_TIMEOUT).await?;
-        write_frame(&mut stream, &ChunkRequest { version, index }).await?;
+        write_frame(&mut stream, &request).await?;
         read_frame::<ChunkAnswer>(&mut stream).await
     };
     let late = || Error::new(Code::PeerStalled, "no chunk in time");
     match within(until, exchange).await.ok_or_else(late)?? {
-        ChunkAnswer::Chunk(bytes) => Ok(Bytes::from(bytes)),
+        ChunkAnswer::Chunk { bytes, have } => {
+            core.feed(Event::Holdings { of: id.clone(), version, have });
+            Ok(Bytes::from(bytes))
+        }
         ChunkAnswer::Missing => Err(Error::new(Code::ChunkMissing, "not there")),
         ChunkAnswer::Busy => Err(Error::new(Code::PeerBusy, "too many uploads")),
     }
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -1,7 +1,7 @@
 //! A running sidecar.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,11 +9,10 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use errors::Result;
-use fleet::{InstanceId, Place, Region};
+use fleet::{Hall, InstanceId, Place, Region};
 use gateway::{Catalog, RunnerRecord};
 use platform::store::{Change, Table};
-use reducer::Participant;
-use rollout::{Effect, Event, RolloutOptions, WeightsPlan};
+use rollout::{Effect, Event, Peer, RolloutOptions, WeightsPlan};
 use settings::{DeploymentSettings, SidecarSettings};
 use telemetry::Metrics;
 
@@ -49,20 +48,27 @@
         let (effects, to_do) = async_channel::unbounded();
         let (jobs, work) = async_channel::unbounded();
         let metrics = Rc::new(Metrics::start()?);
-        let core = Core::new(options(settings), sidecar.clone(), metrics, effects);
+        let core = Core::new(
+            options(settings),
+            sidecar.clone(),
+            settings.node.first_port,
+            metrics,
+            effects,
+        );
         let news = News::bind(listen_at).await?;
         let listener = listen(listen_at).await?;
-        spawner.detach(peers::serve(spawner.clone(), core.clone(), listener));
+        spawner.detach(peers::serve(
+            spawner.clone(),
+            core.clone(),
+            listener,
+            settings.node.link_bytes_per_s,
+        ));
         spawner.detach(peers::listen(core.clone(), news.clone()));
         spawner.detach(runner::work(core.clone(), work));
         spawner.detach(runner::report(core.clone(), news.clone()));
         spawner.detach(perform(spawner.clone(), core.clone(), to_do, jobs, news));
         spawner.detach(follow_operator(core.clone(), settings.store.address));
-        spawner.detach(follow_runners(
-            core.clone(),
-            settings.store.address,
-            settings.node.first_port,
-        ));
+        spawner.detach(follow_runners(core.clone(), settings));
         spawner.detach(tick(core));
         Ok(Self)
     }
@@ -90,20 +96,14 @@
         match effect {
             Effect::Describe(version) => spawner.detach(draws::describe(core.clone(), version)),
             Effect::Draw(version, draw) => {
-                let (core, jobs) = (core.clone(), jobs.clone());
-                spawner.detach(async move {
-                    let index = draw.index;
-                    if draws::draw(core, version, draw).await {
-                        let _ = jobs.try_send(Job::Stage(version, index));
-                    }
-                });
+                spawner.detach(draws::draw(core.clone(), version, draw));
             }
             Effect::Summarize { to, version, have } => {
                 let (from, place) = (core.me.clone(), core.place.clone());
                 news.send(to, &Datagram::Summary { from, place, version, have }).await;
             }
             Effect::Find(version) => add(&jobs, Job::Find(version)),
-            Effect::Check(version) => add(&jobs, Job::Check(version)),
+            Effect::Stage(version) => add(&jobs, Job::Stage(version)),
             Effect::Order { version, sequence } => add(&jobs, Job::Order { version, sequence }),
         }
     }
@@ -117,12 +117,15 @@
     let options =
         WatchOptions { store, table: Table::Operator, wait: FEED_WAIT, spacing: FEED_SPACING };
     watch(options, move |seen| match seen {
-        Seen::Change(Change::Configuration(catalog)) => take_catalog(&core, &catalog),
-        Seen::Change(Change::Version { model, version }) => {
+        Seen::Change { change: Change::Configuration(catalog), .. } => {
+            take_catalog(&core, &catalog)
+        }
+        Seen::Change { change: Change::Version { model, version }, .. } => {
             log::info!(model = model.0.as_str(), version = version; "version named");
             core.feed(Event::Named(version));
         }
-        _ => {}
+        Seen::Whole => core.feed(Event::VersionsKnown),
+        Seen::Change { .. } => {}
     })
     .await;
 }
@@ -143,37 +146,42 @@
     }));
 }
 
-async fn follow_runners(core: Core, store: SocketAddr, port: u16) {
+fn follow_runners(core: Core, settings: &DeploymentSettings) -> impl Future<Output = ()> {
+    let (store, port) = (settings.store.address, settings.node.first_port);
+    let halls = settings.node.halls.clone();
     let options =
         WatchOptions { store, table: Table::Runners, wait: FEED_WAIT, spacing: FEED_SPACING };
-    let listed: RefCell<BTreeMap<InstanceId, RunnerRecord>> = RefCell::default();
+    let mut listed: BTreeMap<InstanceId, RunnerRecord> = BTreeMap::new();
+    let mut whole = false;
     watch(options, move |seen| {
-        let mut listed = listed.borrow_mut();
         match seen {
-            Seen::Change(Change::Runner(record)) if record.service == core.settings.service => {
+            Seen::Whole => whole = true,
+            Seen::Change { change: Change::Runner(record), .. }
+                if record.service == core.settings.service =>
+            {
                 listed.insert(record.id.clone(), record);
             }
-            Seen::Change(Change::RunnerGone(id)) => {
+            Seen::Change { change: Change::RunnerGone(id), .. } => {
                 listed.remove(&id);
             }
-            _ => return,
+            Seen::Change { .. } => return,
+        }
+        if whole {
+            let peers = listed.values().map(|it| peer(it, &halls, port)).collect();
+            core.feed(Event::Peers(peers));
         }
-        let participants = listed.values().map(|it| participant(it, port)).collect();
-        core.feed(Event::Participants(participants));
     })
-    .await;
 }
 
 /// The sidecar beside a runner. Sidecars are named by the addresses of their machines.
-fn participant(record: &RunnerRecord, port: u16) -> Participant {
+fn peer(record: &RunnerRecord, halls: &BTreeMap<Hall, Region>, port: u16) -> Peer {
     let machine = record.address.ip();
-    let place = Place { region: Region::default(), hall: record.hall.clone() };
-    Participant {
+    let region = halls.get(&record.hall).cloned().unwrap_or_default();
+    Peer {
         id: InstanceId(machine.to_string()),
-        place,
+        place: Place { region, hall: record.hall.clone() },
         address: SocketAddr::new(machine, port),
-        up: true,
-        holds: record.weights.as_ref().is_some_and(|it| it.whole),
+        version: record.weights.as_ref().filter(|it| it.whole).map(|it| it.version),
     }
 }
 
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -1,6 +1,6 @@
 //! What a sidecar does at the runner beside it.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
 use async_io::Timer;
@@ -19,17 +19,16 @@
 const REPORT_EVERY: Duration = Duration::from_millis(100);
 /// How long a call to the runner may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// How often a chunk that turned bad is put again before an order.
-const CHECK_ROUNDS: u32 = 2;
+/// How long the chunks of a version may take to be put there. Longer, and the first ones may have
+/// turned bad again.
+const MAX_STAGING: Duration = Duration::from_millis(2500);
 
 /// What is to be done at the runner, one thing after the other.
 pub enum Job {
     /// Read what lies there.
     Find(u64),
-    /// Put a chunk there.
-    Stage(u64, u32),
-    /// Verify what lies there, and put again what is bad.
-    Check(u64),
+    /// Put every chunk of a version there.
+    Stage(u64),
     /// Order it to take a version.
     Order {
         /// The version.
@@ -79,8 +78,7 @@
         let mut worker = Worker { core: &core, link: &mut link, model };
         match job {
             Job::Find(version) => worker.find(version).await,
-            Job::Stage(version, index) => worker.stage(version, index).await,
-            Job::Check(version) => worker.check(version).await,
+            Job::Stage(version) => worker.stage(version).await,
             Job::Order { version, sequence } => worker.order(version, sequence).await,
         }
     }
@@ -132,9 +130,17 @@
         answer.success().map(Bytes::from)
     }
 
-    async fn stage(&mut self, version: u64, index: u32) {
-        // One that fails is put again before the order.
-        let _ = self.put(version, index).await;
+    /// Chunks that lie there may turn bad, so all of them are put again right before an order.
+    async fn stage(&mut self, version: u64) {
+        let chunks = self.core.chunks.borrow().manifest(version).map_or(0, |it| it.chunks());
+        let begun = Instant::now();
+        let mut sound = chunks > 0;
+        for index in 0..chunks {
+            sound &= self.put(version, index).await.is_ok();
+        }
+        let took = begun.elapsed();
+        log::info!(version = version, sound = sound, ms = took.as_millis() as u64; "staged");
+        self.core.feed(Event::Staged(version, sound && took <= MAX_STAGING));
     }
 
     async fn put(&mut self, version: u64, index: u32) -> Result<()> {
@@ -148,40 +154,6 @@
         Err(Error::new(Code::UpstreamFailed, format!("status {}", answer.status)))
     }
 
-    async fn check(&mut self, version: u64) {
-        let manifest = self.core.chunks.borrow().manifest(version);
-        let chunks = manifest.as_ref().map_or(0, |it| it.chunks());
-        let mut bad: Vec<u32> = (0..chunks).collect();
-        for round in 0..=CHECK_ROUNDS {
-            if round > 0 {
-                log::info!(version = version, bad = bad.len(); "chunks put again");
-                for index in &bad {
-                    let _ = self.put(version, *index).await;
-                }
-            }
-            bad = self.unsound(version, &bad).await;
-            if bad.is_empty() {
-                break;
-            }
-        }
-        self.core.feed(Event::Checked(version, chunks > 0 && bad.is_empty()));
-    }
-
-    /// Those of some chunks that do not lie at the runner as they should.
-    async fn unsound(&mut self, version: u64, indexes: &[u32]) -> Vec<u32> {
-        let Some(manifest) = self.core.chunks.borrow().manifest(version) else {
-            return indexes.to_vec();
-        };
-        let mut bad = Vec::new();
-        for index in indexes {
-            let bytes = self.staged(*index).await.unwrap_or_default();
-            if !weights::verify(&manifest, *index, &bytes) {
-                bad.push(*index);
-            }
-        }
-        bad
-    }
-
     async fn order(&mut self, version: u64, sequence: u64) {
         let outcome = match runner::start(&self.model, version, sequence) {
             Ok(call) => match self.link.call(call, CALL_TIMEOUT).await {
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use errors::{Code, Error, Result};
@@ -14,6 +14,8 @@
 
 /// How much longer than asked for the answer of a feed may take.
 const FEED_SLACK: Duration = Duration::from_millis(900);
+/// How much longer than a feed waits the store may be silent before its news is taken for old.
+const LATE_AFTER: Duration = Duration::from_millis(1200);
 /// How long a listing may take.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The pause after a call that failed, at least and at most, in milliseconds.
@@ -36,7 +38,12 @@
 #[derive(Debug)]
 pub enum Seen {
     /// Something changed.
-    Change(Change),
+    Change {
+        /// What.
+        change: Change,
+        /// Whether it may have changed some time ago: the store was not heard before.
+        late: bool,
+    },
     /// The table has been read whole at least once.
     Whole,
 }
@@ -49,6 +56,7 @@
         revision: None,
         runners: BTreeSet::new(),
         connected: true,
+        heard: None,
     };
     loop {
         let result = match watch.revision {
@@ -72,6 +80,8 @@
     /// The runners that are listed.
     runners: BTreeSet<InstanceId>,
     connected: bool,
+    /// When the store last answered.
+    heard: Option<Instant>,
 }
 
 impl Watch {
@@ -93,10 +103,12 @@
         }
         let listed: BTreeSet<InstanceId> = changes.iter().filter_map(listed_runner).collect();
         for id in self.runners.difference(&listed) {
-            deliver(Seen::Change(Change::RunnerGone(id.clone())));
+            deliver(Seen::Change { change: Change::RunnerGone(id.clone()), late: true });
         }
         self.runners = listed;
-        changes.into_iter().for_each(|change| deliver(Seen::Change(change)));
+        let late = self.is_late();
+        changes.into_iter().for_each(|change| deliver(Seen::Change { change, late }));
+        self.heard = Some(Instant::now());
         self.revision = revision;
         deliver(Seen::Whole);
         Ok(())
@@ -111,14 +123,20 @@
             return Err(Error::new(Code::NotFound, "the store forgot its history"));
         }
         let page: Page = store::read(self.options.table, &answer.success()?)?;
+        let late = self.is_late();
         for change in page.changes {
             self.remember(&change);
-            deliver(Seen::Change(change));
+            deliver(Seen::Change { change, late });
         }
+        self.heard = Some(Instant::now());
         self.revision = Some(page.revision.max(revision));
         Ok(())
     }
 
+    fn is_late(&self) -> bool {
+        self.heard.is_none_or(|it| it.elapsed() > self.options.wait + LATE_AFTER)
+    }
+
     fn remember(&mut self, change: &Change) {
         match change {
             Change::Runner(record) => {
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -18,8 +18,6 @@
     pub pool: &'a Pool,
     /// Where the gateway stands.
     pub hall: &'a Hall,
-    /// How long older versions may be used, in milliseconds.
-    pub version_ms: u64,
 }
 
 impl Chooser<'_> {
@@ -53,7 +51,7 @@
         if runner.load(now).is_some_and(|load| load.busy) {
             return false;
         }
-        let required = self.pool.required_version(now, model, self.version_ms);
+        let required = self.pool.required_version(now, model);
         let held = runner.weights(now);
         held.is_some_and(|it| &it.model == model && it.whole && it.version >= required)
     }
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -88,6 +88,8 @@
         model: ModelName,
         /// The version.
         version: u64,
+        /// Whether it was named just now. Otherwise it lay in the store when it was first read.
+        fresh: bool,
     },
     /// A runner was listed or its entry changed.
     Listed(RunnerRecord),
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -11,13 +11,11 @@
 /// way for a while before it starts.
 const VERSION_MARGIN: u64 = 1200;
 
-/// The version that was named last for a model, and the one before it.
+/// A version that was named, and from when on no request may start on an older one.
 #[derive(Clone, Copy, Debug)]
 struct NamedVersion {
     version: u64,
-    since: Millis,
-    /// What was required before.
-    before: u64,
+    required_from: Millis,
 }
 
 /// The runners of every service, and the versions that they should hold.
@@ -26,7 +24,7 @@
     runners: BTreeMap<InstanceId, Runner>,
     by_service: HashMap<ServiceName, Vec<InstanceId>>,
     by_address: HashMap<SocketAddr, InstanceId>,
-    named: HashMap<ModelName, NamedVersion>,
+    named: HashMap<ModelName, Vec<NamedVersion>>,
 }
 
 impl Pool {
@@ -66,26 +64,24 @@
         }
     }
 
-    /// Takes in a version that was named. Versions only rise.
-    pub fn name_version(&mut self, now: Millis, model: ModelName, version: u64, version_ms: u64) {
-        let before = self.required_version(now, &model, version_ms);
-        let known = self.named.get(&model).map_or(0, |it| it.version);
-        if version > known {
-            self.named.insert(model, NamedVersion { version, since: now, before });
+    /// Takes in a version that was named, and how long older ones may still be used. Versions only
+    /// rise, and each keeps its own bound when a newer one is named.
+    pub fn name_version(&mut self, now: Millis, model: ModelName, version: u64, within_ms: u64) {
+        let named = self.named.entry(model).or_default();
+        if named.last().is_some_and(|it| it.version >= version) {
+            return;
         }
+        let span = within_ms.saturating_sub(VERSION_MARGIN);
+        named.push(NamedVersion { version, required_from: now.plus(span) });
+        let required = named.iter().rposition(|it| it.required_from <= now).unwrap_or(0);
+        named.drain(..required);
     }
 
     /// The oldest version of a model that a request may start on now.
-    pub fn required_version(&self, now: Millis, model: &ModelName, version_ms: u64) -> u64 {
-        let Some(named) = self.named.get(model) else {
-            return 0;
-        };
-        let span = version_ms.saturating_sub(VERSION_MARGIN);
-        if now.since(named.since).0 >= span {
-            named.version
-        } else {
-            named.before
-        }
+    pub fn required_version(&self, now: Millis, model: &ModelName) -> u64 {
+        let named = self.named.get(model).into_iter().flatten();
+        let required = named.filter(|it| it.required_from <= now).map(|it| it.version);
+        required.max().unwrap_or(0)
     }
 
     /// A runner.
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -26,6 +26,9 @@
 /// The shortest and longest time after which a refused caller is asked to come back, in
 /// milliseconds.
 const RETRY_AFTER: std::ops::Range<u64> = 250..900;
+/// How long older versions may still be used when a gateway that has just started learns of a
+/// version that was named at some time before, in milliseconds.
+const OLD_NEWS_WITHIN: u64 = 3000;
 /// How many gateways the fixed allowance of repeats is shared by. Each knows only itself, so this
 /// is the most that stand before one service.
 const ALLOWANCE_SHARES: f64 = 10.0;
@@ -103,8 +106,9 @@
                 }
                 Vec::new()
             }
-            Event::Named { model, version } => {
-                self.pool.name_version(now, model, version, self.options.version_ms);
+            Event::Named { model, version, fresh } => {
+                let within = if fresh { self.options.version_ms } else { OLD_NEWS_WITHIN };
+                self.pool.name_version(now, model, version, within);
                 Vec::new()
             }
             Event::Listed(record) => {
@@ -291,11 +295,7 @@
         key: RequestKey,
     ) -> Option<RunnerTarget> {
         let progress = self.requests.get_mut(&key)?;
-        let chooser = Chooser {
-            pool: &self.pool,
-            hall: &self.options.hall,
-            version_ms: self.options.version_ms,
-        };
+        let chooser = Chooser { pool: &self.pool, hall: &self.options.hall };
         let id = chooser.choose(now, random, &progress.arrival, &progress.tried)?;
         let runner = self.pool.runner_mut(&id)?;
         runner.in_flight += 1;
--- a/components/lab/src/options.rs
+++ b/components/lab/src/options.rs
@@ -72,6 +72,7 @@
             upload_bytes_per_s: self.link_bytes_per_s,
             spread: SpreadOptions {
                 patience_ms: None,
+                reach: reducer::Reach::default(),
                 copies: self.copies,
                 origin_bytes_per_s: self.origin_bytes_per_s,
                 download_bytes_per_s: self.link_bytes_per_s,
--- a/components/reducer/src/agent/tests.rs
+++ b/components/reducer/src/agent/tests.rs
@@ -137,6 +137,7 @@
             upload_bytes_per_s: 1 << 20,
             spread: SpreadOptions {
                 patience_ms: None,
+                reach: crate::Reach::default(),
                 copies: 1,
                 origin_bytes_per_s: 1 << 20,
                 download_bytes_per_s: 1 << 20,
--- a/components/reducer/src/lib.rs
+++ b/components/reducer/src/lib.rs
@@ -30,6 +30,6 @@
 pub use routing::{RouteChoice, Router, Upstream};
 pub use seed::Seed;
 pub use spread::{
-    Choice, Draw, DrawSource, Gate, Neighbour, Participant, Spread, SpreadEffect, SpreadOptions,
-    SpreadPhase,
+    Choice, Draw, DrawSource, Gate, Neighbour, Participant, Reach, Spread, SpreadEffect,
+    SpreadOptions, SpreadPhase,
 };
--- a/components/reducer/src/spread/tests.rs
+++ b/components/reducer/src/spread/tests.rs
@@ -52,6 +52,7 @@
     let rate = |chunks: usize| chunks as u64 * u64::from(CHUNK) * 1000 / ROUND;
     let options = SpreadOptions {
         patience_ms: None,
+        reach: crate::Reach::default(),
         copies,
         origin_bytes_per_s: rate(ORIGIN),
         download_bytes_per_s: rate(LINK),
--- a/components/reducer/src/spread/version/choice.rs
+++ b/components/reducer/src/spread/version/choice.rs
@@ -91,7 +91,7 @@
             (queue + it.distance, shared_hash(&[self.me.0.as_bytes(), id.0.as_bytes()]))
         });
         let (index, source) = sources.into_iter().find_map(|(id, neighbour)| {
-            let index = self.rarest(neighbour, counts)?;
+            let index = self.rarest(now, neighbour, counts)?;
             Some((index, DrawSource::Peer(id.clone(), neighbour.address)))
         })?;
         Some(self.launch(now, index, source, false))
@@ -120,16 +120,28 @@
 
     /// The rarest chunk that a neighbour holds and this receiver neither holds nor awaits. Among
     /// equals each receiver starts elsewhere, which keeps replicas different from one another.
-    fn rarest(&self, neighbour: &Neighbour, counts: &[u32]) -> Option<u32> {
+    fn rarest(&self, now: Millis, neighbour: &Neighbour, counts: &[u32]) -> Option<u32> {
         let chunks = self.manifest.chunks();
         let start = shared_hash(&[self.me.0.as_bytes()]) as u32 % chunks;
-        let wanted = self
-            .have
-            .missing()
-            .filter(|index| neighbour.have.contains(*index) && !self.in_flight.contains_key(index));
+        let wanted = self.have.missing().filter(|index| {
+            neighbour.have.contains(*index)
+                && !self.in_flight.contains_key(index)
+                && (neighbour.distance == 0 || self.may_draw_from_afar(now, *index))
+        });
         wanted.min_by_key(|index| (counts[*index as usize], (index + chunks - start) % chunks))
     }
 
+    /// Whether a chunk may be drawn from another hall: by its owner in this hall, and by the next in
+    /// rank when the owner is late.
+    fn may_draw_from_afar(&self, now: Millis, index: u32) -> bool {
+        let Some(gate) = &self.hall_gate else {
+            return true;
+        };
+        let held_near =
+            self.neighbours.values().any(|it| it.distance == 0 && it.have.contains(index));
+        !held_near && (gate.rank(index) == 0 || now >= gate.due(self.started, index))
+    }
+
     fn launch(&mut self, now: Millis, index: u32, source: DrawSource, last_resort: bool) -> Draw {
         let held = self.have.count();
         let mut usual = EXPECTED_QUEUE
--- a/components/reducer/src/spread/version/mod.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -15,12 +15,6 @@
 use super::neighbour::Neighbour;
 use crate::seed::shared_hash;
 
-/// Neighbours that a receiver chooses by itself.
-const CHOSEN_NEIGHBOURS: usize = 6;
-/// Neighbours at most, with those that chose this receiver.
-const MAX_NEIGHBOURS: usize = 12;
-/// Of the chosen ones, how many stand in the same hall where there are as many.
-const NEAR_NEIGHBOURS: usize = 4;
 /// How long to leave the origin alone after it failed, in milliseconds.
 const ORIGIN_PAUSE: u64 = 500;
 /// How long holders have to say what they hold before the origin is asked, in milliseconds.
@@ -39,6 +33,26 @@
     Random,
 }
 
+/// With whom chunks are exchanged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reach {
+    /// Neighbours that a receiver chooses by itself.
+    pub chosen: usize,
+    /// Of the chosen ones, how many stand in the same hall where there are as many.
+    pub near: usize,
+    /// Neighbours at most, with those that chose this receiver.
+    pub most: usize,
+    /// Whether a chunk enters a hall once: one receiver there draws it from elsewhere, and the
+    /// others wait for it. Meant for links between halls that are narrow or dear.
+    pub hall_first: bool,
+}
+
+impl Default for Reach {
+    fn default() -> Self {
+        Self { chosen: 6, near: 4, most: 12, hall_first: false }
+    }
+}
+
 /// Numbers that a spread works with.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SpreadOptions {
@@ -53,6 +67,8 @@
     /// How long a receiver waits for the one before it in rank at the origin, in milliseconds.
     /// `None` derives it from the time that the whole version takes.
     pub patience_ms: Option<u64>,
+    /// With whom chunks are exchanged.
+    pub reach: Reach,
     /// How chunks and sources are chosen.
     pub choice: Choice,
 }
@@ -121,6 +137,8 @@
     place: Place,
     options: SpreadOptions,
     gate: Gate,
+    /// Who draws a chunk into this hall, where a chunk enters a hall once.
+    hall_gate: Option<Gate>,
     have: Bitmap,
     started: Millis,
     neighbours: BTreeMap<InstanceId, Neighbour>,
@@ -163,11 +181,17 @@
             version_ms: millis_for(manifest.bytes, options.download_bytes_per_s),
             patience_ms: options.patience_ms,
         };
+        let hall_gate = options.reach.hall_first.then(|| {
+            let near: Vec<(InstanceId, Hall)> =
+                receivers.iter().filter(|(_, hall)| hall == &place.hall).cloned().collect();
+            Gate::new(me, version, chunks, &near, &gate_options)
+        });
         Self {
             version,
             me: me.clone(),
             place: place.clone(),
             options,
+            hall_gate,
             gate: Gate::new(me, version, chunks, receivers, &gate_options),
             have: Bitmap::new(chunks),
             started: now,
@@ -218,6 +242,9 @@
         let down: BTreeSet<&InstanceId> =
             participants.iter().filter(|it| !it.up).map(|it| &it.id).collect();
         self.gate.set_down(|id| down.contains(id));
+        if let Some(gate) = &mut self.hall_gate {
+            gate.set_down(|id| down.contains(id));
+        }
         self.neighbours.retain(|id, _| !down.contains(id));
         let holders = participants.iter().any(|it| it.up && it.holds);
         if holders && self.have.count() == 0 && self.neighbours.is_empty() {
@@ -245,6 +272,16 @@
         }
     }
 
+    /// Takes in which chunks a known neighbour holds.
+    pub fn take_holdings(&mut self, id: &InstanceId, have: Bitmap) {
+        if !have.is_well_formed(self.manifest.chunks()) {
+            return;
+        }
+        if let Some(neighbour) = self.neighbours.get_mut(id) {
+            neighbour.have = have;
+        }
+    }
+
     /// Takes in how long a neighbour's upload queue is.
     pub fn take_uploads(&mut self, now: Millis, id: &InstanceId, uploads: u32) {
         if let Some(neighbour) = self.neighbours.get_mut(id) {
@@ -328,7 +365,7 @@
             known.address = address;
             return;
         }
-        if self.neighbours.len() < MAX_NEIGHBOURS {
+        if self.neighbours.len() < self.options.reach.most {
             let distance = distance(&self.place, place);
             let in_group = self.gate.is_in_group(id);
             let neighbour = Neighbour::new(address, distance, in_group, self.manifest.chunks());
@@ -339,14 +376,14 @@
     /// A few participants near and a few anywhere. The choice depends on both names, so receivers
     /// choose differently and the whole stays connected.
     fn choose<'a>(&self, participants: &'a [Participant]) -> Vec<&'a Participant> {
+        let reach = self.options.reach;
         let mut others: Vec<&Participant> =
             participants.iter().filter(|it| it.up && it.id != self.me).collect();
         others.sort_by_cached_key(|it| shared_hash(&[self.me.0.as_bytes(), it.id.0.as_bytes()]));
         let (near, far): (Vec<_>, Vec<_>) =
             others.into_iter().partition(|it| distance(&self.place, &it.place) == 0);
-        let near_count =
-            near.len().min(NEAR_NEIGHBOURS.max(CHOSEN_NEIGHBOURS.saturating_sub(far.len())));
-        let far_count = CHOSEN_NEIGHBOURS - near_count.min(CHOSEN_NEIGHBOURS);
+        let near_count = near.len().min(reach.near.max(reach.chosen.saturating_sub(far.len())));
+        let far_count = reach.chosen - near_count.min(reach.chosen);
         near.into_iter().take(near_count).chain(far.into_iter().take(far_count)).collect()
     }
 }
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -5,7 +5,7 @@
 
 use errors::Code;
 use fleet::{Bitmap, InstanceId, Manifest, ModelName, Place};
-use reducer::{Draw, DrawSource, Participant};
+use reducer::{Draw, DrawSource};
 
 /// Numbers that a sidecar works with.
 #[derive(Clone, Debug)]
@@ -33,6 +33,19 @@
     pub origin_bytes_per_s: u64,
 }
 
+/// A sidecar beside a runner of the same service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peer {
+    /// Its name.
+    pub id: InstanceId,
+    /// Where it stands.
+    pub place: Place,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The version that its runner serves, by the list of runners.
+    pub version: Option<u64>,
+}
+
 /// What the runner says of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunnerStatus {
@@ -62,6 +75,8 @@
     Planned(WeightsPlan),
     /// This version should be served.
     Named(u64),
+    /// Every version that was named before now has been told of.
+    VersionsKnown,
     /// The runner said this of itself.
     Status(RunnerStatus),
     /// The runner does not answer.
@@ -94,12 +109,21 @@
         /// Why.
         code: Code,
     },
-    /// Every chunk of a version lies at the runner, verified just now; or not.
-    Checked(u64, bool),
+    /// Every chunk of a version was put at the runner just now; or not.
+    Staged(u64, bool),
     /// What became of an order for a version.
     Ordered(u64, OrderOutcome),
     /// Who receives or holds weights of the same model.
-    Participants(Vec<Participant>),
+    Peers(Vec<Peer>),
+    /// A sidecar that a chunk came from holds these chunks.
+    Holdings {
+        /// Who.
+        of: InstanceId,
+        /// The version.
+        version: u64,
+        /// The chunks.
+        have: Bitmap,
+    },
     /// Another sidecar holds these chunks of a version.
     Summary {
         /// Who.
@@ -135,8 +159,8 @@
         /// The chunks.
         have: Bitmap,
     },
-    /// Verify that every chunk of a version lies at the runner, and put there what does not.
-    Check(u64),
+    /// Put every chunk of a version at the runner.
+    Stage(u64),
     /// Order the runner to take a version.
     Order {
         /// The version.
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -1,67 +1,36 @@
 //! The reducer of a sidecar.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
-use fleet::{Bitmap, Hall, InstanceId, Manifest, Millis};
-use reducer::{Choice, Participant, Spread, SpreadEffect, SpreadOptions, SpreadPhase};
-
-use crate::event::{Effect, Event, OrderOutcome, RolloutOptions, RunnerStatus, WeightsPlan};
+use crate::event::{Effect, Event, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan};
+use crate::target::{participants, Step, Target};
+use fleet::{Bitmap, InstanceId, Millis};
 
 /// The version that runners hold before any was named.
 const FIRST_VERSION: u64 = 1;
-/// Copies that are drawn from the origin.
-const ORIGIN_COPIES: u32 = 1;
-/// Chunks in flight from other sidecars.
-const DRAW_WINDOW: usize = 4;
-/// How long a receiver waits for the one before it in rank at the origin, in milliseconds.
-const ORIGIN_PATIENCE: u64 = 900;
-/// How long to wait after a manifest did not arrive, in milliseconds.
-const DESCRIBE_PAUSE: u64 = 300;
 /// How long the runner may take to show that it took an order, in milliseconds.
 const ORDER_PATIENCE: u64 = 1500;
 /// How long to wait after an order was refused, in milliseconds.
 const ORDER_PAUSE: u64 = 250;
-/// How long before its bound a version should be served everywhere, in milliseconds: the requests
-/// under way end first, and the runner takes the weights.
-const TAKE_MARGIN: u64 = 3500;
-/// The part of the link that chunks may take.
-const LINK_SHARE: f64 = 0.85;
-
-/// How far the wanted version has come at this runner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Step {
-    /// The manifest is asked for, or will be at the given moment.
-    Describing {
-        /// Not before this moment.
-        not_before: Millis,
-        /// Whether it is asked for now.
-        asked: bool,
-    },
-    /// What lies at the runner is read.
-    Finding,
-    /// Chunks are missing.
-    Drawing,
-    /// Every chunk is here. The order goes out at the given moment.
-    Waiting(Millis),
-    /// What lies at the runner is verified.
-    Checking,
-    /// The runner was ordered at the given moment, when it had taken so many orders.
-    Ordered(Millis, u64),
-    /// The runner holds the version.
-    Served,
-}
+/// How long before its bound the last runner is ordered to take a version, in milliseconds. A runner
+/// that was ordered begins nothing new.
+const TAKE_MARGIN: u64 = 1500;
 
 /// The state of a sidecar.
 pub struct Rollout {
     options: RolloutOptions,
     plan: Option<WeightsPlan>,
-    named: u64,
-    named_at: Millis,
+    /// Whether the versions that were named are known.
+    versions_known: bool,
+    /// The version that was named last, and when.
+    named: (u64, Millis),
     status: Option<RunnerStatus>,
-    participants: Vec<Participant>,
-    step: Step,
-    spread: Option<Spread>,
+    /// `None` until the list of runners has been read.
+    peers: Option<Vec<Peer>>,
+    /// The version that the runner is moved to, or serves.
+    current: Option<Target>,
+    /// A newer version whose chunks still come while the runner is moved to the current one.
+    next: Option<Target>,
 }
 
 impl Rollout {
@@ -70,18 +39,18 @@
         Self {
             options,
             plan: None,
-            named: FIRST_VERSION,
-            named_at: Millis(0),
+            versions_known: false,
+            named: (FIRST_VERSION, Millis(0)),
             status: None,
-            participants: Vec::new(),
-            step: Step::Describing { not_before: Millis(0), asked: false },
-            spread: None,
+            peers: None,
+            current: None,
+            next: None,
         }
     }
 
-    /// The version that the runner should hold.
-    pub fn wanted(&self) -> u64 {
-        self.named
+    /// The plan in force.
+    pub fn plan(&self) -> Option<&WeightsPlan> {
+        self.plan.as_ref()
     }
 
     /// What the runner last said of itself.
@@ -89,14 +58,15 @@
         self.status.as_ref()
     }
 
-    /// The plan in force.
-    pub fn plan(&self) -> Option<&WeightsPlan> {
-        self.plan.as_ref()
+    /// The version that the runner is moved to, or serves.
+    pub fn wanted(&self) -> Option<u64> {
+        self.current.as_ref().map(|it| it.version)
     }
 
-    /// The chunks of the wanted version that are here.
-    pub fn have(&self) -> Option<&Bitmap> {
-        self.spread.as_ref().map(Spread::have)
+    /// The chunks of a version that are here.
+    pub fn have(&self, version: u64) -> Option<&Bitmap> {
+        let mut targets = self.current.iter().chain(&self.next);
+        targets.find(|it| it.version == version)?.have()
     }
 
     /// Takes in an event.
@@ -104,198 +74,242 @@
         match event {
             Event::Planned(plan) => self.plan = Some(plan),
             Event::Named(version) => self.name(now, version),
+            Event::VersionsKnown => self.versions_known = true,
             Event::Status(status) => self.take_status(now, status),
             Event::Silent => self.status = None,
-            Event::Described(version, manifest) if version == self.named => {
-                return self.start_spread(now, manifest);
+            Event::Peers(peers) => self.take_peers(now, peers),
+            Event::Described(version, manifest) => {
+                let (Some(plan), Some(all)) = (self.plan.clone(), self.peers.clone()) else {
+                    return Vec::new();
+                };
+                let options = self.options.clone();
+                let Some(target) = self.target(version) else {
+                    return Vec::new();
+                };
+                target.start_spread(now, &options, &plan, &all, manifest);
+                return vec![Effect::Find(version)];
             }
-            Event::Undescribed(version) if version == self.named => {
-                let not_before = now.plus(DESCRIBE_PAUSE);
-                self.step = Step::Describing { not_before, asked: false };
+            Event::Undescribed(version) => {
+                if let Some(target) = self.target(version) {
+                    target.wait_for_manifest(now);
+                }
             }
-            Event::Found(version, found) if version == self.named => self.take_found(now, &found),
-            Event::Arrived { version, index, source, verified } if version == self.named => {
-                if let Some(spread) = &mut self.spread {
+            Event::Found(version, found) => self.take_found(version, &found),
+            Event::Arrived { version, index, source, verified } => {
+                if let Some(spread) = self.target(version).and_then(Target::spread_mut) {
                     spread.take_chunk(now, index, &source, verified);
                 }
+                return self.advance(now);
             }
-            Event::Missed { version, index, source, code } if version == self.named => {
-                if let Some(spread) = &mut self.spread {
+            Event::Missed { version, index, source, code } => {
+                if let Some(spread) = self.target(version).and_then(Target::spread_mut) {
                     spread.fail_chunk(now, index, &source, code, 0);
                 }
+                return self.advance(now);
             }
-            Event::Checked(version, sound) if version == self.named => {
-                return self.take_check(now, sound);
-            }
-            Event::Ordered(version, outcome) if version == self.named => {
-                self.take_order_outcome(now, outcome);
-            }
-            Event::Participants(participants) => self.take_participants(now, participants),
-            Event::Summary { from, address, place, version, have } if version == self.named => {
-                if let Some(spread) = &mut self.spread {
+            Event::Summary { from, address, place, version, have } => {
+                if let Some(spread) = self.target(version).and_then(Target::spread_mut) {
                     spread.take_summary(&from, address, &place, have);
                 }
             }
+            Event::Holdings { of, version, have } => {
+                if let Some(spread) = self.target(version).and_then(Target::spread_mut) {
+                    spread.take_holdings(&of, have);
+                }
+            }
+            Event::Staged(version, sound) => return self.take_staged(now, version, sound),
+            Event::Ordered(version, outcome) => self.take_order_outcome(now, version, outcome),
             Event::Tick => return self.advance(now),
-            // What speaks of another version is too late.
-            _ => {}
         }
         Vec::new()
     }
 
+    fn target(&mut self, version: u64) -> Option<&mut Target> {
+        let mut targets = self.current.iter_mut().chain(&mut self.next);
+        targets.find(|it| it.version == version)
+    }
+
     fn name(&mut self, now: Millis, version: u64) {
-        if version <= self.named {
+        if version > self.named.0 {
+            self.named = (version, now);
+        }
+    }
+
+    /// Turns to the version that was named last. A version whose chunks are all here is still taken
+    /// while those of a newer one come: its bound stands.
+    fn follow_name(&mut self) {
+        let (version, at) = self.named;
+        let newest = self.next.as_ref().or(self.current.as_ref()).map_or(0, |it| it.version);
+        if version <= newest {
             return;
         }
-        self.named = version;
-        self.named_at = now;
-        self.spread = None;
-        self.step = Step::Describing { not_before: now, asked: false };
+        let target = Target::new(version, at);
+        let under_way = self.current.as_ref().is_some_and(|it| {
+            matches!(it.step, Step::Waiting(_) | Step::Staging | Step::Ordered(..))
+        });
+        if under_way {
+            self.next = Some(target);
+        } else {
+            self.current = Some(target);
+            self.next = None;
+        }
+    }
+
+    fn take_peers(&mut self, now: Millis, peers: Vec<Peer>) {
+        let participants = participants(&peers);
+        for target in self.current.iter_mut().chain(&mut self.next) {
+            if let Some(spread) = target.spread_mut() {
+                spread.set_participants(now, &participants);
+            }
+        }
+        self.peers = Some(peers);
     }
 
     fn take_status(&mut self, now: Millis, status: RunnerStatus) {
-        let holds = status.version == Some(self.named);
-        let restarted = self.status.as_ref().is_some_and(|it| status.sequence < it.sequence);
-        match self.step {
-            Step::Waiting(_) | Step::Ordered(..) if holds => self.step = Step::Served,
-            Step::Served if !holds && !status.busy => self.step = Step::Waiting(now),
+        let before = self.status.replace(status.clone());
+        let Some(target) = &mut self.current else {
+            return;
+        };
+        let holds = status.version.is_some_and(|it| it >= target.version);
+        let restarted = before.is_some_and(|it| status.sequence < it.sequence);
+        match target.step {
+            Step::Served if !holds && !status.busy => {
+                target.step = if target.is_whole() {
+                    Step::Waiting(now)
+                } else {
+                    Step::Describing { not_before: now, asked: false }
+                };
+            }
+            Step::Served => {}
+            _ if holds && !status.busy => target.step = Step::Served,
             Step::Ordered(at, sequence) => {
                 let late = now.since(at).0 > ORDER_PATIENCE && !status.busy;
                 let settled = status.sequence > sequence && !status.busy;
                 if late || settled || restarted {
-                    self.step = Step::Waiting(now);
+                    target.step = Step::Waiting(now);
                 }
             }
             _ => {}
         }
-        self.status = Some(status);
-    }
-
-    fn start_spread(&mut self, now: Millis, manifest: Arc<Manifest>) -> Vec<Effect> {
-        let Some(plan) = &self.plan else {
-            return Vec::new();
-        };
-        let receivers: Vec<(InstanceId, Hall)> =
-            self.participants.iter().map(|it| (it.id.clone(), it.place.hall.clone())).collect();
-        let options = SpreadOptions {
-            copies: ORIGIN_COPIES,
-            origin_bytes_per_s: plan.origin_bytes_per_s,
-            download_bytes_per_s: (self.options.link_bytes_per_s as f64 * LINK_SHARE) as u64,
-            control_bytes_per_s: self.options.control_bytes_per_s,
-            patience_ms: Some(ORIGIN_PATIENCE),
-            choice: Choice::Rarest,
-        };
-        let (me, place) = (&self.options.me, &self.options.place);
-        let mut spread = Spread::new(now, me, place, manifest, &receivers, options);
-        spread.set_participants(now, &self.participants);
-        self.spread = Some(spread);
-        self.step = Step::Finding;
-        vec![Effect::Find(self.named)]
     }
 
-    fn take_found(&mut self, now: Millis, found: &Bitmap) {
-        let Some(spread) = &mut self.spread else {
+    fn take_found(&mut self, version: u64, found: &Bitmap) {
+        let Some(target) = self.target(version) else {
             return;
         };
-        spread.adopt(found);
-        self.step = Step::Drawing;
-        self.finish_drawing(now);
-    }
-
-    /// Goes on once every chunk is here.
-    fn finish_drawing(&mut self, now: Millis) {
-        let whole = self.spread.as_ref().is_some_and(|it| it.phase() == SpreadPhase::Whole);
-        if self.step != Step::Drawing || !whole {
-            return;
+        if let Some(spread) = target.spread_mut() {
+            spread.adopt(found);
         }
-        let holds = self.status.as_ref().is_some_and(|it| it.version == Some(self.named));
-        self.step = if holds { Step::Served } else { Step::Waiting(self.order_at(now)) };
-    }
-
-    /// When the runner is ordered. One that serves an older version goes on with it for a time that
-    /// differs between sidecars, so that not all of them stop at once.
-    fn order_at(&self, now: Millis) -> Millis {
-        let serves = self.status.as_ref().is_some_and(|it| it.version.is_some());
-        let end = self.named_at.plus(self.options.version_ms.saturating_sub(TAKE_MARGIN));
-        if !serves || now >= end {
-            return now;
+        if target.step == Step::Finding {
+            target.step = Step::Drawing;
         }
-        let mut ids: BTreeSet<&InstanceId> = self.participants.iter().map(|it| &it.id).collect();
-        ids.insert(&self.options.me);
-        let place = ids.iter().position(|id| **id == self.options.me).unwrap_or(0) as u64;
-        // Each version starts at another sidecar, so that none is always the last.
-        let turn = (place + self.named) % ids.len() as u64;
-        now.plus(end.since(now).0 * turn / ids.len() as u64)
     }
 
-    fn take_check(&mut self, now: Millis, sound: bool) -> Vec<Effect> {
-        if self.step != Step::Checking {
+    fn take_staged(&mut self, now: Millis, version: u64, sound: bool) -> Vec<Effect> {
+        let status = self.status.clone();
+        let Some(target) = self.target(version).filter(|it| it.step == Step::Staging) else {
             return Vec::new();
-        }
-        let Some(status) = self.status.as_ref().filter(|it| sound && !it.busy) else {
-            self.step = Step::Waiting(now.plus(ORDER_PAUSE));
+        };
+        let Some(status) = status.filter(|it| sound && !it.busy) else {
+            target.step = Step::Waiting(now.plus(ORDER_PAUSE));
             return Vec::new();
         };
-        let sequence = status.sequence;
-        self.step = Step::Ordered(now, sequence);
-        vec![Effect::Order { version: self.named, sequence }]
+        target.step = Step::Ordered(now, status.sequence);
+        vec![Effect::Order { version, sequence: status.sequence }]
     }
 
-    fn take_order_outcome(&mut self, now: Millis, outcome: OrderOutcome) {
-        if !matches!(self.step, Step::Ordered(..)) {
+    fn take_order_outcome(&mut self, now: Millis, version: u64, outcome: OrderOutcome) {
+        let Some(target) = self.target(version) else {
             return;
-        }
+        };
         // What was taken, or may have been, shows in the runner's next words of itself.
-        if outcome == OrderOutcome::Refused {
-            self.step = Step::Waiting(now.plus(ORDER_PAUSE));
-        }
-    }
-
-    fn take_participants(&mut self, now: Millis, participants: Vec<Participant>) {
-        if let Some(spread) = &mut self.spread {
-            spread.set_participants(now, &participants);
+        if matches!(target.step, Step::Ordered(..)) && outcome == OrderOutcome::Refused {
+            target.step = Step::Waiting(now.plus(ORDER_PAUSE));
         }
-        self.participants = participants;
     }
 
     /// Does what is due.
     fn advance(&mut self, now: Millis) -> Vec<Effect> {
-        if self.plan.is_none() {
+        let ready = self.plan.is_some() && self.versions_known && self.peers.is_some();
+        if !ready || self.status.is_none() {
             return Vec::new();
         }
+        self.follow_name();
         let mut effects = Vec::new();
-        if let Some(spread) = &mut self.spread {
-            if self.step == Step::Drawing {
-                effects.extend(spread.draw(now, DRAW_WINDOW));
-            }
-            effects.extend(spread.summarize(now));
+        for target in self.current.iter_mut().chain(&mut self.next) {
+            effects.extend(target.exchange(now));
         }
-        let mut effects: Vec<Effect> = effects.into_iter().map(|it| self.translate(it)).collect();
         self.finish_drawing(now);
-        match self.step {
-            Step::Describing { not_before, asked: false } if now >= not_before => {
-                self.step = Step::Describing { not_before, asked: true };
-                effects.push(Effect::Describe(self.named));
-            }
-            Step::Waiting(at) if now >= at && self.is_runner_free() => {
-                self.step = Step::Checking;
-                effects.push(Effect::Check(self.named));
-            }
-            _ => {}
+        for target in self.current.iter_mut().chain(&mut self.next) {
+            effects.extend(ask_for_manifest(now, self.status.as_ref(), target));
         }
+        effects.extend(self.stage_when_due(now));
         effects
     }
 
-    fn is_runner_free(&self) -> bool {
-        self.status.as_ref().is_some_and(|it| !it.busy)
+    /// Goes on with a version once every chunk is here.
+    fn finish_drawing(&mut self, now: Millis) {
+        if self.next.as_ref().is_some_and(Target::is_whole) {
+            let busy = self.status.as_ref().is_some_and(|it| it.busy);
+            if !busy {
+                self.current = self.next.take();
+            }
+        }
+        let order_at = self.current.as_ref().map(|it| self.order_at(now, it));
+        let Some(target) = &mut self.current else {
+            return;
+        };
+        if target.step == Step::Drawing && target.is_whole() {
+            target.step = Step::Waiting(order_at.unwrap_or(now));
+        }
+    }
+
+    /// When the runner is ordered. One that serves an older version goes on with it for a time that
+    /// differs between sidecars, so that not all of them stop at once.
+    fn order_at(&self, now: Millis, target: &Target) -> Millis {
+        let serves = self.status.as_ref().is_some_and(|it| it.version.is_some());
+        let span = self.options.version_ms.saturating_sub(TAKE_MARGIN);
+        let end = target.named_at.plus(span);
+        if !serves || now >= end {
+            return now;
+        }
+        let others = self.peers.iter().flatten().map(|it| &it.id);
+        let ids: BTreeSet<&InstanceId> = others.chain([&self.options.me]).collect();
+        let place = ids.iter().position(|id| **id == self.options.me).unwrap_or(0) as u64;
+        // Each version starts at another sidecar, so that none is always the last.
+        let turn = (place + target.version) % ids.len() as u64;
+        now.plus(end.since(now).0 * turn / ids.len() as u64)
     }
 
-    fn translate(&self, effect: SpreadEffect) -> Effect {
-        match effect {
-            SpreadEffect::Draw(draw) => Effect::Draw(self.named, draw),
-            SpreadEffect::Summarize { to, have } => {
-                Effect::Summarize { to, version: self.named, have }
+    fn stage_when_due(&mut self, now: Millis) -> Option<Effect> {
+        let busy = self.status.as_ref().is_none_or(|it| it.busy);
+        let target = self.current.as_mut()?;
+        match target.step {
+            Step::Waiting(at) if now >= at && !busy => {
+                target.step = Step::Staging;
+                Some(Effect::Stage(target.version))
             }
+            _ => None,
         }
     }
 }
+
+/// Asks for a manifest when that is due. A runner that serves the version needs no chunks.
+fn ask_for_manifest(
+    now: Millis,
+    status: Option<&RunnerStatus>,
+    target: &mut Target,
+) -> Option<Effect> {
+    let Step::Describing { not_before, asked: false } = target.step else {
+        return None;
+    };
+    if status.is_some_and(|it| it.version.is_some_and(|held| held >= target.version)) {
+        target.step = Step::Served;
+        return None;
+    }
+    if now < not_before {
+        return None;
+    }
+    target.step = Step::Describing { not_before, asked: true };
+    Some(Effect::Describe(target.version))
+}
--- /dev/null
+++ b/components/rollout/src/target.rs
@@ -0,0 +1,147 @@
+//! One version on its way to the runner.
+
+use std::sync::Arc;
+
+use fleet::{Bitmap, Hall, InstanceId, Manifest, Millis};
+use reducer::{Choice, Participant, Reach, Spread, SpreadEffect, SpreadOptions, SpreadPhase};
+
+use crate::event::{Effect, Peer, RolloutOptions, WeightsPlan};
+
+/// Copies that are drawn from the origin.
+const ORIGIN_COPIES: u32 = 1;
+/// Chunks in flight from other sidecars.
+const DRAW_WINDOW: usize = 6;
+/// How long a receiver waits for the one before it in rank, in milliseconds.
+const RANK_PATIENCE: u64 = 900;
+/// With whom chunks are exchanged: fleets are small and links between halls are dear.
+const REACH: Reach = Reach { chosen: 16, near: 10, most: 32, hall_first: true };
+/// How long to wait after a manifest did not arrive, in milliseconds.
+const DESCRIBE_PAUSE: u64 = 300;
+/// The part of the link that chunks may take.
+const LINK_SHARE: f64 = 0.9;
+
+/// How far a version has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// The manifest is asked for, or will be at the given moment.
+    Describing {
+        /// Not before this moment.
+        not_before: Millis,
+        /// Whether it is asked for now.
+        asked: bool,
+    },
+    /// What lies at the runner is read.
+    Finding,
+    /// Chunks are missing.
+    Drawing,
+    /// Every chunk is here. The order goes out at the given moment.
+    Waiting(Millis),
+    /// The chunks are put at the runner.
+    Staging,
+    /// The runner was ordered at the given moment, when it had taken so many orders.
+    Ordered(Millis, u64),
+    /// The runner holds the version.
+    Served,
+}
+
+/// A version on its way.
+pub(crate) struct Target {
+    /// The version.
+    pub(crate) version: u64,
+    /// When it was named.
+    pub(crate) named_at: Millis,
+    /// How far it has come.
+    pub(crate) step: Step,
+    spread: Option<Spread>,
+}
+
+impl Target {
+    /// A version that was just named.
+    pub(crate) fn new(version: u64, named_at: Millis) -> Self {
+        let step = Step::Describing { not_before: named_at, asked: false };
+        Self { version, named_at, step, spread: None }
+    }
+
+    /// Whether every chunk is here.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.spread.as_ref().is_some_and(|it| it.phase() == SpreadPhase::Whole)
+    }
+
+    /// The chunks that are here.
+    pub(crate) fn have(&self) -> Option<&Bitmap> {
+        self.spread.as_ref().map(Spread::have)
+    }
+
+    /// The exchange of chunks, once the manifest is here.
+    pub(crate) fn spread_mut(&mut self) -> Option<&mut Spread> {
+        self.spread.as_mut()
+    }
+
+    /// The manifest did not arrive.
+    pub(crate) fn wait_for_manifest(&mut self, now: Millis) {
+        self.step = Step::Describing { not_before: now.plus(DESCRIBE_PAUSE), asked: false };
+    }
+
+    /// Starts the exchange of chunks.
+    pub(crate) fn start_spread(
+        &mut self,
+        now: Millis,
+        options: &RolloutOptions,
+        plan: &WeightsPlan,
+        peers: &[Peer],
+        manifest: Arc<Manifest>,
+    ) {
+        // Those that serve the version already need no chunks, and may hold none.
+        let wanting = peers.iter().filter(|it| it.version != Some(self.version));
+        let receivers: Vec<(InstanceId, Hall)> =
+            wanting.map(|it| (it.id.clone(), it.place.hall.clone())).collect();
+        let spread_options = SpreadOptions {
+            copies: ORIGIN_COPIES,
+            origin_bytes_per_s: plan.origin_bytes_per_s,
+            download_bytes_per_s: (options.link_bytes_per_s as f64 * LINK_SHARE) as u64,
+            control_bytes_per_s: options.control_bytes_per_s,
+            patience_ms: Some(RANK_PATIENCE),
+            reach: REACH,
+            choice: Choice::Rarest,
+        };
+        let mut spread =
+            Spread::new(now, &options.me, &options.place, manifest, &receivers, spread_options);
+        spread.set_participants(now, &participants(peers));
+        self.spread = Some(spread);
+        self.step = Step::Finding;
+    }
+
+    /// Draws and summaries that are due.
+    pub(crate) fn exchange(&mut self, now: Millis) -> Vec<Effect> {
+        let version = self.version;
+        let Some(spread) = &mut self.spread else {
+            return Vec::new();
+        };
+        let mut effects = Vec::new();
+        if self.step == Step::Drawing {
+            effects.extend(spread.draw(now, DRAW_WINDOW));
+        }
+        effects.extend(spread.summarize(now));
+        effects.into_iter().map(|it| translate(version, it)).collect()
+    }
+}
+
+/// The other sidecars as the spread sees them.
+pub(crate) fn participants(peers: &[Peer]) -> Vec<Participant> {
+    let as_participant = |peer: &Peer| Participant {
+        id: peer.id.clone(),
+        place: peer.place.clone(),
+        address: peer.address,
+        up: true,
+        // A sidecar that serves a version need not have its chunks, so nobody waits for it.
+        holds: false,
+    };
+    peers.iter().map(as_participant).collect()
+}
+
+fn translate(version: u64, effect: SpreadEffect) -> Effect {
+    match effect {
+        SpreadEffect::Draw(draw) => Effect::Draw(version, draw),
+        SpreadEffect::Summarize { to, have } => Effect::Summarize { to, version, have },
+    }
+}
--- a/components/settings/src/deployment.rs
+++ b/components/settings/src/deployment.rs
@@ -1,5 +1,6 @@
 //! The settings of a gateway or a sidecar on the users' platform.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use fleet::{Hall, InstanceId, Place, Region, ServiceName};
@@ -30,6 +31,8 @@
     pub name: InstanceId,
     /// Where it stands.
     pub place: Place,
+    /// Every data hall with its region.
+    pub halls: BTreeMap<Hall, Region>,
     /// The address of its machine.
     pub address: IpAddr,
     /// The first port that is free for messages between processes.
@@ -147,6 +150,8 @@
     let hall: String = file.need(section, "hall", "the name of the data hall");
     let region: String = file.need(section, "region", "the name of the region");
     let name: String = file.need(section, "name", "a unique name");
+    let places: String =
+        file.with_default(section, "halls", String::new(), "HALL=REGION, split by commas");
     let address = file.with_default(
         section,
         "address",
@@ -166,6 +171,7 @@
     DeploymentNode {
         name: InstanceId(name),
         place: Place { region: Region(region), hall: Hall(hall) },
+        halls: halls(&places),
         address,
         first_port,
         last_port,
@@ -175,6 +181,11 @@
     }
 }
 
+fn halls(text: &str) -> BTreeMap<Hall, Region> {
+    let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
+    pairs.map(|(hall, region)| (Hall(hall.trim().into()), Region(region.trim().into()))).collect()
+}
+
 fn store(file: &mut File) -> StoreSettings {
     let section = "store";
     StoreSettings {
--- a/daemon/src/setup.rs
+++ b/daemon/src/setup.rs
@@ -127,6 +127,7 @@
             upload_bytes_per_s: agent.link.for_weights(agent.link.upload_bytes_per_s),
             spread: SpreadOptions {
                 patience_ms: None,
+                reach: reducer::Reach::default(),
                 copies: settings.profile.origin_copies(),
                 origin_bytes_per_s: settings.profile.origin_bytes_per_s,
                 download_bytes_per_s: agent.link.for_weights(agent.link.download_bytes_per_s),
--- a/examples/slopes/spread.rs
+++ b/examples/slopes/spread.rs
@@ -27,6 +27,7 @@
         .collect();
     let options = SpreadOptions {
         patience_ms: None,
+        reach: reducer::Reach::default(),
         copies: 1,
         origin_bytes_per_s: 1 << 30,
         download_bytes_per_s: 1 << 29,
