Chunks: kept connections, slices, notice before an order

Cause: chunk traffic filled the machines' links (answers of runners waited behind chunks), a new connection for each chunk was slow, and requests waited at runners that had just been ordered.

Change: chunks leave in slices below the link's rate, few at a time where a runner serves; connections to peers and to the origin rest between chunks; gateways hear 250 ms before an order.

Ruled out: a short patience at the origin: it saturates the origin's link.

--- a/components/edge/src/link.rs
+++ b/components/edge/src/link.rs
@@ -34,10 +34,13 @@
     }
 }
 
+/// How long a resting connection is kept.
+const KEPT_FOR: Duration = Duration::from_millis(1000);
+
 /// A server that is called one call after the other. A connection on which a call failed is closed.
 pub struct Link {
     address: SocketAddr,
-    exchange: Option<Exchange>,
+    exchange: Option<(Exchange, Instant)>,
 }
 
 impl Link {
@@ -46,19 +49,30 @@
         Self { address, exchange: None }
     }
 
+    /// Where the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Makes a call within a time.
     pub async fn call(&mut self, call: Call, timeout: Duration) -> Result<CallAnswer> {
         let until = Instant::now() + timeout;
         // Taken out: a call that is given up on must not leave its connection behind.
-        let kept = self.exchange.take().filter(Exchange::is_open);
+        let kept = self.exchange.take().filter(is_fresh).map(|(exchange, _)| exchange);
         let (exchange, answer) = within(until, exchange(self.address, kept, call, timeout))
             .await
             .ok_or_else(|| Error::new(Code::TimedOut, "no answer in time"))??;
-        self.exchange = Some(exchange);
+        self.exchange = Some((exchange, Instant::now()));
         Ok(answer)
     }
 }
 
+/// Whether a kept connection can be used again. Servers close those that rest, and nobody polls them
+/// meanwhile.
+fn is_fresh((exchange, since): &(Exchange, Instant)) -> bool {
+    exchange.is_open() && since.elapsed() < KEPT_FOR
+}
+
 async fn exchange(
     address: SocketAddr,
     kept: Option<Exchange>,
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -83,10 +83,15 @@
     stream: &mut (impl AsyncWriteExt + Unpin),
     message: &impl Serialize,
 ) -> Result<()> {
+    stream.write_all(&frame(message)).await.map_err(lost)
+}
+
+/// A message with its length before it.
+pub fn frame(message: &impl Serialize) -> Vec<u8> {
     let body = encode(message);
     let mut frame = (body.len() as u32).to_le_bytes().to_vec();
     frame.extend_from_slice(&body);
-    stream.write_all(&frame).await.map_err(lost)
+    frame
 }
 
 /// Reads a message with its length before it.
@@ -104,6 +109,7 @@
     decode(&body)
 }
 
-fn lost(error: std::io::Error) -> Error {
+/// The error of a connection that was lost.
+pub fn lost(error: std::io::Error) -> Error {
     Error::new(Code::ConnectionLost, error.to_string())
 }
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -12,7 +12,9 @@
 use telemetry::Metrics;
 
 use super::chunks::Chunks;
+use super::streams::Streams;
 use crate::clock::Clock;
+use crate::link::Link;
 
 /// A sidecar's state, shared by the tasks of its process.
 #[derive(Clone)]
@@ -25,6 +27,10 @@
     pub subscribers: Rc<RefCell<BTreeMap<SocketAddr, Millis>>>,
     /// Where the origin of weights listens.
     pub origin: Rc<RefCell<Option<SocketAddr>>>,
+    /// Resting connections to the origin.
+    pub origin_links: Rc<RefCell<Vec<Link>>>,
+    /// Resting connections to other sidecars.
+    pub peer_streams: Rc<RefCell<Streams>>,
     /// The number of layers of the model.
     pub layers: Rc<RefCell<u32>>,
     /// The port at which sidecars listen for each other.
@@ -58,6 +64,8 @@
             chunks: Rc::default(),
             subscribers: Rc::default(),
             origin: Rc::default(),
+            origin_links: Rc::default(),
+            peer_streams: Rc::default(),
             layers: Rc::default(),
             settings,
             port,
@@ -72,6 +80,11 @@
         self.rollout.borrow().have(version).cloned().unwrap_or_default()
     }
 
+    /// The newest version whose chunks come, and those that are here.
+    pub fn newest(&self) -> Option<(u64, Bitmap)> {
+        self.rollout.borrow().newest().map(|(version, have)| (version, have.clone()))
+    }
+
     /// Hands an event to the reducer and its effects to those who carry them out.
     pub fn feed(&self, event: Event) {
         let effects = self.rollout.borrow_mut().reduce(self.clock.now(), event);
--- a/components/edge/src/sidecar/draws.rs
+++ b/components/edge/src/sidecar/draws.rs
@@ -81,7 +81,11 @@
     let (origin, model) = origin(core)?;
     let timeout = until.saturating_duration_since(Instant::now());
     let call = weights::chunk(&model, version, index);
-    Link::new(origin).call(call, timeout).await?.success().map(Bytes::from)
+    let kept = core.origin_links.borrow_mut().pop().filter(|it| it.address() == origin);
+    let mut link = kept.unwrap_or_else(|| Link::new(origin));
+    let answer = link.call(call, timeout).await?;
+    core.origin_links.borrow_mut().push(link);
+    answer.success().map(Bytes::from)
 }
 
 async fn from_peer(
@@ -99,13 +103,20 @@
         place: core.place.clone(),
         have: core.have(version),
     };
+    let kept = core.peer_streams.borrow_mut().take(address);
     let exchange = async {
-        let mut stream = connect(address, CONNECT_TIMEOUT).await?;
+        let mut stream = match kept {
+            Some(stream) => stream,
+            None => connect(address, CONNECT_TIMEOUT).await?,
+        };
         write_frame(&mut stream, &request).await?;
-        read_frame::<ChunkAnswer>(&mut stream).await
+        let answer = read_frame::<ChunkAnswer>(&mut stream).await?;
+        Ok::<_, Error>((stream, answer))
     };
     let late = || Error::new(Code::PeerStalled, "no chunk in time");
-    match within(until, exchange).await.ok_or_else(late)?? {
+    let (stream, answer) = within(until, exchange).await.ok_or_else(late)??;
+    core.peer_streams.borrow_mut().keep(address, stream);
+    match answer {
         ChunkAnswer::Chunk { bytes, have } => {
             core.feed(Event::Holdings { of: id.clone(), version, have });
             Ok(Bytes::from(bytes))
--- a/components/edge/src/sidecar/mod.rs
+++ b/components/edge/src/sidecar/mod.rs
@@ -6,5 +6,6 @@
 mod node;
 mod peers;
 mod runner;
+mod streams;
 
 pub use self::node::SidecarNode;
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -9,7 +9,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use errors::Result;
-use fleet::{Hall, InstanceId, Place, Region};
+use fleet::{Hall, InstanceId, Millis, Place, Region};
 use gateway::{Catalog, RunnerRecord};
 use platform::store::{Change, Table};
 use rollout::{Effect, Event, Peer, RolloutOptions, WeightsPlan};
@@ -31,6 +31,8 @@
 const FEED_SPACING: Duration = Duration::from_millis(250);
 /// How often the reducer is told of the time.
 const TICK: Duration = Duration::from_millis(40);
+/// How often the log tells how many chunks are here.
+const PROGRESS_EVERY: Millis = Millis(500);
 /// What control messages may cost, in bytes a second.
 const CONTROL_BYTES_PER_S: u64 = 6000;
 
@@ -186,8 +188,35 @@
 }
 
 async fn tick(core: Core) {
+    let mut progress = Progress::default();
     loop {
         Timer::after(TICK).await;
         core.feed(Event::Tick);
+        progress.log(&core);
+    }
+}
+
+/// What the log last said of the chunks of the wanted version.
+#[derive(Default)]
+struct Progress {
+    version: u64,
+    chunks: u32,
+    at: Millis,
+}
+
+impl Progress {
+    /// Logs how many chunks are here, now and then and when the last one has come.
+    fn log(&mut self, core: &Core) {
+        let Some((version, have)) = core.newest() else {
+            return;
+        };
+        let now = core.clock.now();
+        let changed = (version, have.count()) != (self.version, self.chunks);
+        let due = now.since(self.at) >= PROGRESS_EVERY || have.is_full();
+        if !changed || !due {
+            return;
+        }
+        *self = Self { version, chunks: have.count(), at: now };
+        log::info!(version = version, chunks = self.chunks, of = have.capacity(); "chunks");
     }
 }
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -7,12 +7,14 @@
 
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
+use errors::{Code, Error};
+use futures_lite::AsyncWriteExt;
 use net::Pacer;
 use rollout::Event;
 
 use super::core::Core;
 use crate::exchange::{prepare, within};
-use crate::message::{read_frame, write_frame, ChunkAnswer, ChunkRequest, Datagram};
+use crate::message::{frame, lost, read_frame, ChunkAnswer, ChunkRequest, Datagram};
 use crate::news::News;
 use crate::spawner::Spawner;
 
@@ -20,9 +22,13 @@
 const MAX_UPLOADS: usize = 4;
 /// The part of the machine's link that chunks may take. The runner's answers leave by the same link,
 /// and whatever queues there makes them late.
-const LINK_SHARE: f64 = 0.75;
-/// How long a request for a chunk, or the sending of one, may take.
+const LINK_SHARE: f64 = 0.85;
+/// Bytes that are sent at once, so that answers of the runner get in between.
+const SLICE_BYTES: usize = 4096;
+/// How long the sending of a chunk may take.
 const UPLOAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a connection may rest between two requests.
+const REST: Duration = Duration::from_millis(1500);
 /// How long a gateway gets reports after it asked for them, in milliseconds.
 const SUBSCRIPTION: u64 = 3000;
 /// How long to wait after the system refused to accept a connection.
@@ -38,42 +44,55 @@
             continue;
         };
         let (core, uploads, pacer) = (core.clone(), uploads.clone(), pacer.clone());
+        let uploader = Uploader { core, pacer, peer, uploads };
         spawner.detach(async move {
-            uploads.set(uploads.get() + 1);
-            let upload = Upload { core, pacer, peer, busy: uploads.get() > MAX_UPLOADS };
-            let _ = within(Instant::now() + UPLOAD_TIMEOUT, upload.answer(stream)).await;
-            uploads.set(uploads.get() - 1);
+            let _ = uploader.serve(stream).await;
         });
     }
 }
 
-/// One chunk on its way to another sidecar.
-struct Upload {
+/// Sends chunks over one connection.
+struct Uploader {
     core: Core,
     pacer: Rc<Pacer>,
     peer: SocketAddr,
-    busy: bool,
+    uploads: Rc<Cell<usize>>,
 }
 
-impl Upload {
-    async fn answer(self, mut stream: TcpStream) -> errors::Result<()> {
+impl Uploader {
+    /// Answers requests until the other side is gone or rests for too long.
+    async fn serve(self, mut stream: TcpStream) -> errors::Result<()> {
         prepare(&stream);
-        let request: ChunkRequest = read_frame(&mut stream).await?;
+        let late = || Error::new(Code::PeerStalled, "no request in time");
+        loop {
+            let rest = Instant::now() + REST;
+            let request = within(rest, read_frame(&mut stream)).await.ok_or_else(late)??;
+            self.uploads.set(self.uploads.get() + 1);
+            let until = Instant::now() + UPLOAD_TIMEOUT;
+            let sent = within(until, self.answer(&mut stream, request)).await;
+            self.uploads.set(self.uploads.get() - 1);
+            sent.ok_or_else(late)??;
+        }
+    }
+
+    async fn answer(&self, stream: &mut TcpStream, request: ChunkRequest) -> errors::Result<()> {
         let ChunkRequest { version, index, from, place, have } = request;
         let address = SocketAddr::new(self.peer.ip(), self.core.port);
         self.core.feed(Event::Summary { from, address, place, version, have });
         let chunk = self.core.chunks.borrow().get(version, index);
         let answer = match chunk {
-            _ if self.busy => ChunkAnswer::Busy,
+            _ if self.uploads.get() > MAX_UPLOADS => ChunkAnswer::Busy,
             Some(bytes) => {
                 self.core.metrics.count_chunk("sent");
-                self.pacer.pass(bytes.len()).await;
-                let have = self.core.have(version);
-                ChunkAnswer::Chunk { bytes: bytes.to_vec(), have }
+                ChunkAnswer::Chunk { bytes: bytes.to_vec(), have: self.core.have(version) }
             }
             None => ChunkAnswer::Missing,
         };
-        write_frame(&mut stream, &answer).await
+        for slice in frame(&answer).chunks(SLICE_BYTES) {
+            self.pacer.pass(slice.len()).await;
+            stream.write_all(slice).await.map_err(lost)?;
+        }
+        Ok(())
     }
 }
 
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -45,7 +45,9 @@
         match read_report(&core, &mut link).await {
             Ok(report) => {
                 core.feed(Event::Status(report.status));
-                let datagram = Datagram::Load { runner: core.settings.runner, load: report.load };
+                let mut load = report.load;
+                load.busy |= core.rollout.borrow().is_leaving(core.clock.now());
+                let datagram = Datagram::Load { runner: core.settings.runner, load };
                 for gateway in subscribers(&core) {
                     news.send(gateway, &datagram).await;
                 }
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -16,6 +16,9 @@
 /// that was ordered begins nothing new.
 const TAKE_MARGIN: u64 = 1500;
 
+/// How long before an order gateways hear of it, in milliseconds.
+const NOTICE: u64 = 250;
+
 /// The state of a sidecar.
 pub struct Rollout {
     options: RolloutOptions,
@@ -69,6 +72,12 @@
         targets.find(|it| it.version == version)?.have()
     }
 
+    /// The newest version whose chunks come, and those that are here.
+    pub fn newest(&self) -> Option<(u64, &Bitmap)> {
+        let target = self.next.as_ref().or(self.current.as_ref())?;
+        Some((target.version, target.have()?))
+    }
+
     /// Takes in an event.
     pub fn reduce(&mut self, now: Millis, event: Event) -> Vec<Effect> {
         match event {
@@ -83,10 +92,11 @@
                     return Vec::new();
                 };
                 let options = self.options.clone();
+                let serves = self.serves();
                 let Some(target) = self.target(version) else {
                     return Vec::new();
                 };
-                target.start_spread(now, &options, &plan, &all, manifest);
+                target.start_spread(now, &options, &plan, &all, manifest, serves);
                 return vec![Effect::Find(version)];
             }
             Event::Undescribed(version) => {
@@ -124,6 +134,24 @@
         Vec::new()
     }
 
+    /// Whether the runner serves some version.
+    fn serves(&self) -> bool {
+        self.status.as_ref().is_some_and(|it| it.version.is_some())
+    }
+
+    /// Whether the runner is about to be ordered. Gateways hear of that first, so that nothing waits
+    /// at the runner when it stops beginning requests.
+    pub fn is_leaving(&self, now: Millis) -> bool {
+        let Some(target) = &self.current else {
+            return false;
+        };
+        match target.step {
+            Step::Waiting(at) => now.plus(NOTICE) >= at,
+            Step::Staging | Step::Ordered(..) => true,
+            _ => false,
+        }
+    }
+
     fn target(&mut self, version: u64) -> Option<&mut Target> {
         let mut targets = self.current.iter_mut().chain(&mut self.next);
         targets.find(|it| it.version == version)
@@ -267,10 +295,14 @@
     /// When the runner is ordered. One that serves an older version goes on with it for a time that
     /// differs between sidecars, so that not all of them stop at once.
     fn order_at(&self, now: Millis, target: &Target) -> Millis {
-        let serves = self.status.as_ref().is_some_and(|it| it.version.is_some());
+        let serves = self.serves();
         let span = self.options.version_ms.saturating_sub(TAKE_MARGIN);
         let end = target.named_at.plus(span);
-        if !serves || now >= end {
+        if !serves {
+            return now;
+        }
+        let now = now.plus(NOTICE);
+        if now >= end {
             return now;
         }
         let others = self.peers.iter().flatten().map(|it| &it.id);
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -9,12 +9,22 @@
 
 /// Copies that are drawn from the origin.
 const ORIGIN_COPIES: u32 = 1;
-/// Chunks in flight from other sidecars.
-const DRAW_WINDOW: usize = 6;
-/// How long a receiver waits for the one before it in rank, in milliseconds.
-const RANK_PATIENCE: u64 = 900;
-/// With whom chunks are exchanged: fleets are small and links between halls are dear.
-const REACH: Reach = Reach { chosen: 16, near: 10, most: 32, hall_first: true };
+/// How chunks come to a runner that serves an older version. Its answers leave by the same link, and
+/// links between halls are dear, so chunks come few at a time and enter a hall once.
+const GENTLE: Pace = Pace { window: 3, patience_ms: 700, hall_first: true };
+/// How chunks come to a runner that serves nothing: every second of it is lost.
+const URGENT: Pace = Pace { window: 6, patience_ms: 900, hall_first: false };
+
+/// How chunks come to a runner.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    /// Chunks in flight from other sidecars.
+    window: usize,
+    /// How long a receiver waits for the one before it in rank, in milliseconds.
+    patience_ms: u64,
+    /// Whether a chunk enters a hall once.
+    hall_first: bool,
+}
 /// How long to wait after a manifest did not arrive, in milliseconds.
 const DESCRIBE_PAUSE: u64 = 300;
 /// The part of the link that chunks may take.
@@ -53,13 +63,14 @@
     /// How far it has come.
     pub(crate) step: Step,
     spread: Option<Spread>,
+    pace: Pace,
 }
 
 impl Target {
     /// A version that was just named.
     pub(crate) fn new(version: u64, named_at: Millis) -> Self {
         let step = Step::Describing { not_before: named_at, asked: false };
-        Self { version, named_at, step, spread: None }
+        Self { version, named_at, step, spread: None, pace: URGENT }
     }
 
     /// Whether every chunk is here.
@@ -90,7 +101,10 @@
         plan: &WeightsPlan,
         peers: &[Peer],
         manifest: Arc<Manifest>,
+        serves: bool,
     ) {
+        self.pace = if serves { GENTLE } else { URGENT };
+        let reach = Reach { chosen: 16, near: 10, most: 32, hall_first: self.pace.hall_first };
         // Those that serve the version already need no chunks, and may hold none.
         let wanting = peers.iter().filter(|it| it.version != Some(self.version));
         let receivers: Vec<(InstanceId, Hall)> =
@@ -100,8 +114,8 @@
             origin_bytes_per_s: plan.origin_bytes_per_s,
             download_bytes_per_s: (options.link_bytes_per_s as f64 * LINK_SHARE) as u64,
             control_bytes_per_s: options.control_bytes_per_s,
-            patience_ms: Some(RANK_PATIENCE),
-            reach: REACH,
+            patience_ms: Some(self.pace.patience_ms),
+            reach,
             choice: Choice::Rarest,
         };
         let mut spread =
@@ -119,7 +133,7 @@
         };
         let mut effects = Vec::new();
         if self.step == Step::Drawing {
-            effects.extend(spread.draw(now, DRAW_WINDOW));
+            effects.extend(spread.draw(now, self.pace.window));
         }
         effects.extend(spread.summarize(now));
         effects.into_iter().map(|it| translate(version, it)).collect()
