Gateways share a runner's free places; sidecars that serve keep a share of the chunks

Cause: five gateways saw the same free place and all took it; newcomers waited for the origin's link because no sidecar had the chunks of the version that all serve.

Change: a report says how many gateways get it, and each takes its share of the free places until the next one; a sidecar whose runner serves the version draws the chunks that it owns.

Ruled out: the links of the holders as the bound of newcomers; their own link is.

--- a/components/edge/src/sidecar/chunks.rs
+++ b/components/edge/src/sidecar/chunks.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use fleet::Manifest;
+use fleet::{Bitmap, Manifest};
 
 /// Versions that are kept: the wanted one and the one before, for those that are late.
 const KEPT_VERSIONS: usize = 2;
@@ -50,6 +50,17 @@
         true
     }
 
+    /// Which chunks of a version are held.
+    pub fn held(&self, version: u64) -> Bitmap {
+        let Some(kept) = self.versions.get(&version) else {
+            return Bitmap::default();
+        };
+        let mut held = Bitmap::new(kept.manifest.chunks());
+        let indexes = (0..).zip(&kept.chunks).filter(|(_, chunk)| chunk.is_some());
+        indexes.for_each(|(index, _)| held.insert(index));
+        held
+    }
+
     /// A chunk.
     pub fn get(&self, version: u64, index: u32) -> Option<Bytes> {
         self.versions.get(&version)?.chunks.get(index as usize)?.clone()
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -41,14 +41,22 @@
 /// Asks the runner for its report over and over and tells the gateways.
 pub async fn report(core: Core, news: News) {
     let mut link = Link::new(core.settings.runner);
+    let mut heard = false;
     loop {
-        match read_report(&core, &mut link).await {
+        let report = read_report(&core, &mut link).await;
+        if report.is_ok() != heard {
+            heard = report.is_ok();
+            log::info!(heard = heard; "runner");
+        }
+        match report {
             Ok(report) => {
                 core.feed(Event::Status(report.status));
                 let mut load = report.load;
                 load.busy |= core.rollout.borrow().is_leaving(core.clock.now());
+                let gateways = subscribers(&core);
+                load.gateways = gateways.len() as u32;
                 let datagram = Datagram::Load { runner: core.settings.runner, load };
-                for gateway in subscribers(&core) {
+                for gateway in gateways {
                     news.send(gateway, &datagram).await;
                 }
             }
@@ -94,12 +102,10 @@
 
 impl Worker<'_> {
     async fn find(&mut self, version: u64) {
-        let mut found = Bitmap::default();
-        if let Some(manifest) = self.core.chunks.borrow().manifest(version) {
-            found = Bitmap::new(manifest.chunks());
-        }
+        let mut found = self.core.chunks.borrow().held(version);
         let listed = self.listed(found.capacity()).await;
-        for index in (0..found.capacity()).filter(|index| listed.contains(*index)) {
+        let wanted: Vec<u32> = found.missing().filter(|index| listed.contains(*index)).collect();
+        for index in wanted {
             let Ok(bytes) = self.staged(index).await else {
                 break;
             };
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -30,7 +30,7 @@
         tried: &[InstanceId],
     ) -> Option<InstanceId> {
         let usable = self.pool.of_service(&arrival.service).filter(|it| {
-            !tried.contains(&it.record.id) && self.can_run(now, it, arrival) && has_room(now, it)
+            !tried.contains(&it.record.id) && self.can_run(now, it, arrival) && it.has_room(now)
         });
         let scored = usable.map(|it| (self.cost(now, it, arrival) + random.random::<f64>(), it));
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
@@ -68,7 +68,3 @@
         cost
     }
 }
-
-fn has_room(now: Millis, runner: &Runner) -> bool {
-    runner.occupancy(now) < runner.record.slots
-}
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -120,7 +120,7 @@
                 Vec::new()
             }
             Event::Load(address, load) => {
-                self.pool.take_load(now, address, load);
+                self.pool.take_load(now, random.random(), address, load);
                 self.dispatch(now, &mut random)
             }
             Event::Arrived(arrival) => self.arrive(now, &mut random, arrival),
@@ -298,7 +298,7 @@
         let chooser = Chooser { pool: &self.pool, hall: &self.options.hall };
         let id = chooser.choose(now, random, &progress.arrival, &progress.tried)?;
         let runner = self.pool.runner_mut(&id)?;
-        runner.in_flight += 1;
+        runner.send();
         let address = runner.record.address;
         progress.tried.push(id.clone());
         progress.current = Some(id.clone());
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -70,6 +70,8 @@
     pub pace: f64,
     /// The weights that it holds.
     pub weights: Option<WeightsHeld>,
+    /// Gateways that get this report, and share the free places.
+    pub gateways: u32,
 }
 
 /// A report with the moment it arrived.
@@ -79,6 +81,8 @@
     at: Millis,
     /// Own requests there at that moment.
     own: u32,
+    /// Requests that may still be sent before the next report.
+    allowance: u32,
 }
 
 /// A runner.
@@ -108,9 +112,30 @@
         }
     }
 
-    /// Takes in a report.
-    pub fn take_load(&mut self, now: Millis, load: RunnerLoad) {
-        self.reported = Some(Reported { load, at: now, own: self.in_flight });
+    /// Takes in a report. `toss` is a number from zero to one that decides who gets a place that
+    /// cannot be shared.
+    pub fn take_load(&mut self, now: Millis, toss: f64, load: RunnerLoad) {
+        let taken = load.running + load.waiting;
+        let free = f64::from(self.record.slots.saturating_sub(taken));
+        let share = free / f64::from(load.gateways.max(1));
+        let allowance = (share + toss) as u32;
+        self.reported = Some(Reported { load, at: now, own: self.in_flight, allowance });
+    }
+
+    /// Whether another request may be sent there. Other gateways see the same free places, so each
+    /// takes its share of them until the next report.
+    pub fn has_room(&self, now: Millis) -> bool {
+        let room = self.occupancy(now) < self.record.slots;
+        let fresh = self.reported.as_ref().filter(|it| now.since(it.at).0 <= REPORT_LIFE);
+        room && fresh.is_none_or(|it| it.allowance > 0)
+    }
+
+    /// A request is sent there.
+    pub fn send(&mut self) {
+        self.in_flight += 1;
+        if let Some(reported) = &mut self.reported {
+            reported.allowance = reported.allowance.saturating_sub(1);
+        }
     }
 
     /// The last report, if it still counts.
--- a/components/reducer/src/spread/version/choice.rs
+++ b/components/reducer/src/spread/version/choice.rs
@@ -43,6 +43,26 @@
         effects
     }
 
+    /// The draws from the origin of the chunks that this receiver owns. Those who need no chunks keep
+    /// their share this way, so that later receivers need not ask the origin.
+    pub fn draw_own(&mut self, now: Millis) -> Vec<SpreadEffect> {
+        let mut effects = Vec::new();
+        while now >= self.origin_not_before && self.count_from_origin() < ORIGIN_WINDOW {
+            let Some(index) = self.own_missing(now) else {
+                break;
+            };
+            effects.push(SpreadEffect::Draw(self.launch(now, index, DrawSource::Origin, false)));
+        }
+        effects
+    }
+
+    /// A missing chunk that this receiver owns and that is due.
+    fn own_missing(&self, now: Millis) -> Option<u32> {
+        let mut missing = self.have.missing().filter(|index| !self.in_flight.contains_key(index));
+        missing
+            .find(|index| self.gate.rank(*index) == 0 && now >= self.gate.due(self.started, *index))
+    }
+
     /// For each chunk, how many neighbours hold it.
     fn count_holders(&self) -> Vec<u32> {
         let mut counts = vec![0; self.manifest.chunks() as usize];
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -97,7 +97,9 @@
                     return Vec::new();
                 };
                 target.start_spread(now, &options, &plan, &all, manifest, serves);
-                return vec![Effect::Find(version)];
+                if target.step == Step::Finding {
+                    return vec![Effect::Find(version)];
+                }
             }
             Event::Undescribed(version) => {
                 if let Some(target) = self.target(version) {
@@ -184,10 +186,10 @@
     }
 
     fn take_peers(&mut self, now: Millis, peers: Vec<Peer>) {
-        let participants = participants(&peers);
         for target in self.current.iter_mut().chain(&mut self.next) {
+            let version = target.version;
             if let Some(spread) = target.spread_mut() {
-                spread.set_participants(now, &participants);
+                spread.set_participants(now, &participants(version, &peers));
             }
         }
         self.peers = Some(peers);
@@ -332,6 +334,9 @@
     status: Option<&RunnerStatus>,
     target: &mut Target,
 ) -> Option<Effect> {
+    if target.take_share() {
+        return Some(Effect::Describe(target.version));
+    }
     let Step::Describing { not_before, asked: false } = target.step else {
         return None;
     };
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -63,6 +63,8 @@
     /// How far it has come.
     pub(crate) step: Step,
     spread: Option<Spread>,
+    /// Whether the manifest was asked for to keep a share of the chunks of a version that is served.
+    asked_for_share: bool,
     pace: Pace,
 }
 
@@ -70,7 +72,7 @@
     /// A version that was just named.
     pub(crate) fn new(version: u64, named_at: Millis) -> Self {
         let step = Step::Describing { not_before: named_at, asked: false };
-        Self { version, named_at, step, spread: None, pace: URGENT }
+        Self { version, named_at, step, spread: None, asked_for_share: false, pace: URGENT }
     }
 
     /// Whether every chunk is here.
@@ -88,8 +90,20 @@
         self.spread.as_mut()
     }
 
+    /// Whether the manifest should be asked for, so that a share of the chunks of the version that
+    /// is served is kept for others.
+    pub(crate) fn take_share(&mut self) -> bool {
+        let due = self.step == Step::Served && self.spread.is_none() && !self.asked_for_share;
+        self.asked_for_share |= due;
+        due
+    }
+
     /// The manifest did not arrive.
     pub(crate) fn wait_for_manifest(&mut self, now: Millis) {
+        if self.step == Step::Served {
+            self.asked_for_share = false;
+            return;
+        }
         self.step = Step::Describing { not_before: now.plus(DESCRIBE_PAUSE), asked: false };
     }
 
@@ -105,8 +119,9 @@
     ) {
         self.pace = if serves { GENTLE } else { URGENT };
         let reach = Reach { chosen: 16, near: 10, most: 32, hall_first: self.pace.hall_first };
-        // Those that serve the version already need no chunks, and may hold none.
-        let wanting = peers.iter().filter(|it| it.version != Some(self.version));
+        // Those that serve the version already need no chunks, but each keeps its share of them.
+        let keeps = self.step == Step::Served;
+        let wanting = peers.iter().filter(|it| keeps || it.version != Some(self.version));
         let receivers: Vec<(InstanceId, Hall)> =
             wanting.map(|it| (it.id.clone(), it.place.hall.clone())).collect();
         let spread_options = SpreadOptions {
@@ -120,9 +135,11 @@
         };
         let mut spread =
             Spread::new(now, &options.me, &options.place, manifest, &receivers, spread_options);
-        spread.set_participants(now, &participants(peers));
+        spread.set_participants(now, &participants(self.version, peers));
         self.spread = Some(spread);
-        self.step = Step::Finding;
+        if !keeps {
+            self.step = Step::Finding;
+        }
     }
 
     /// Draws and summaries that are due.
@@ -132,8 +149,10 @@
             return Vec::new();
         };
         let mut effects = Vec::new();
-        if self.step == Step::Drawing {
-            effects.extend(spread.draw(now, self.pace.window));
+        match self.step {
+            Step::Drawing => effects.extend(spread.draw(now, self.pace.window)),
+            Step::Served => effects.extend(spread.draw_own(now)),
+            _ => {}
         }
         effects.extend(spread.summarize(now));
         effects.into_iter().map(|it| translate(version, it)).collect()
@@ -141,14 +160,13 @@
 }
 
 /// The other sidecars as the spread sees them.
-pub(crate) fn participants(peers: &[Peer]) -> Vec<Participant> {
+pub(crate) fn participants(version: u64, peers: &[Peer]) -> Vec<Participant> {
     let as_participant = |peer: &Peer| Participant {
         id: peer.id.clone(),
         place: peer.place.clone(),
         address: peer.address,
         up: true,
-        // A sidecar that serves a version need not have its chunks, so nobody waits for it.
-        holds: false,
+        holds: peer.version == Some(version),
     };
     peers.iter().map(as_participant).collect()
 }
