Prompts no faster than a runner reads them; drained runners are cut

Cause: a runner that came back from a move got as many prompts as it had places within one report and read them one after the other; and a runner that waits for its last requests does little.

Change: each gateway keeps a credit of prompt tokens for each runner, its share of what the runner reads; a runner is ordered once two requests or fewer are left, which are cut and go on elsewhere; shares of chunks are drawn once the others are known.

Ruled out: places alone as the limit of a runner: the time to the first event follows the prompts.

--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -103,6 +103,7 @@
         kind: job.kind,
         priority: routed.priority,
         model: job.facts.model.clone(),
+        prompt_tokens: job.facts.prompt_tokens,
         aim_ms: job.aim_ms,
         limit: job.limit,
         attempts: routed.attempts,
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -106,7 +106,9 @@
             }
             Effect::Find(version) => add(&jobs, Job::Find(version)),
             Effect::Stage(version) => add(&jobs, Job::Stage(version)),
-            Effect::Order { version, sequence } => add(&jobs, Job::Order { version, sequence }),
+            Effect::Order { version, sequence, cut } => {
+                add(&jobs, Job::Order { version, sequence, cut });
+            }
         }
     }
 }
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -35,6 +35,8 @@
         version: u64,
         /// The number of orders that it is expected to have taken.
         sequence: u64,
+        /// Whether what runs is cut off.
+        cut: bool,
     },
 }
 
@@ -89,7 +91,7 @@
         match job {
             Job::Find(version) => worker.find(version).await,
             Job::Stage(version) => worker.stage(version).await,
-            Job::Order { version, sequence } => worker.order(version, sequence).await,
+            Job::Order { version, sequence, cut } => worker.order(version, sequence, cut).await,
         }
     }
 }
@@ -162,8 +164,8 @@
         Err(Error::new(Code::UpstreamFailed, format!("status {}", answer.status)))
     }
 
-    async fn order(&mut self, version: u64, sequence: u64) {
-        let outcome = match runner::start(&self.model, version, sequence) {
+    async fn order(&mut self, version: u64, sequence: u64, cut: bool) {
+        let outcome = match runner::start(&self.model, version, sequence, cut) {
             Ok(call) => match self.link.call(call, CALL_TIMEOUT).await {
                 Ok(answer) => runner::order_outcome(answer.status),
                 Err(_) => OrderOutcome::Unanswered,
@@ -171,7 +173,7 @@
             Err(_) => OrderOutcome::Refused,
         };
         let word = format!("{outcome:?}");
-        log::info!(version = version, sequence = sequence, outcome = word.as_str(); "ordered");
+        log::info!(version = version, sequence = sequence, cut = cut, outcome = word.as_str(); "ordered");
         self.core.feed(Event::Ordered(version, outcome));
     }
 }
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -41,6 +41,8 @@
     pub priority: u8,
     /// The model that it asks for.
     pub model: Option<ModelName>,
+    /// Tokens of its prompt, zero where it has none.
+    pub prompt_tokens: u32,
     /// Within how many milliseconds an answer is on time.
     pub aim_ms: u64,
     /// When its final answer must be out.
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -295,10 +295,13 @@
         key: RequestKey,
     ) -> Option<RunnerTarget> {
         let progress = self.requests.get_mut(&key)?;
-        let chooser = Chooser { pool: &self.pool, hall: &self.options.hall };
+        let service = self.catalog.as_ref().and_then(|it| it.service(&progress.arrival.service));
+        let engine = service.and_then(|it| it.engine.as_ref());
+        let tokens_per_ms = engine.map(|it| it.prompt_tokens_per_ms);
+        let chooser = Chooser { pool: &self.pool, hall: &self.options.hall, tokens_per_ms };
         let id = chooser.choose(now, random, &progress.arrival, &progress.tried)?;
         let runner = self.pool.runner_mut(&id)?;
-        runner.send();
+        runner.send(now, tokens_per_ms.unwrap_or(0.0), progress.arrival.prompt_tokens);
         let address = runner.record.address;
         progress.tried.push(id.clone());
         progress.current = Some(id.clone());
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -5,6 +5,10 @@
 use fleet::{Hall, InstanceId, Millis, ModelName, ServiceName};
 use serde::{Deserialize, Serialize};
 
+/// The most prompt tokens that a gateway saves up for a runner.
+const MAX_PROMPT_CREDIT: f64 = 1500.0;
+/// The part of a runner's time that it may read prompts.
+const READING_SHARE: f64 = 0.9;
 /// How long a load report counts, in milliseconds.
 const REPORT_LIFE: u64 = 1000;
 /// The shortest time that a runner is left alone after a failure, in milliseconds.
@@ -93,6 +97,8 @@
     /// Own requests there.
     pub in_flight: u32,
     reported: Option<Reported>,
+    /// Prompt tokens that may be sent, and when they were counted.
+    prompt_credit: (f64, Millis),
     suspect_until: Millis,
     failures: u32,
     /// The incarnation was refused there; nothing is sent until the list changes.
@@ -106,6 +112,7 @@
             record,
             in_flight: 0,
             reported: None,
+            prompt_credit: (MAX_PROMPT_CREDIT, Millis(0)),
             suspect_until: Millis(0),
             failures: 0,
             misdirected: false,
@@ -130,9 +137,20 @@
         room && fresh.is_none_or(|it| it.allowance > 0)
     }
 
-    /// A request is sent there.
-    pub fn send(&mut self) {
+    /// Prompt tokens that may be sent now, where the runner reads `tokens_per_ms` and all gateways
+    /// share that. Prompts that come faster only wait for each other.
+    pub fn prompt_credit(&self, now: Millis, tokens_per_ms: f64) -> f64 {
+        let gateways = self.load(now).map_or(1, |load| load.gateways.max(1));
+        let (credit, at) = self.prompt_credit;
+        let gained = now.since(at).0 as f64 * tokens_per_ms * READING_SHARE / f64::from(gateways);
+        (credit + gained).min(MAX_PROMPT_CREDIT)
+    }
+
+    /// A request with a prompt of so many tokens is sent there.
+    pub fn send(&mut self, now: Millis, tokens_per_ms: f64, prompt_tokens: u32) {
         self.in_flight += 1;
+        let credit = self.prompt_credit(now, tokens_per_ms);
+        self.prompt_credit = (credit - f64::from(prompt_tokens), now);
         if let Some(reported) = &mut self.reported {
             reported.allowance = reported.allowance.saturating_sub(1);
         }
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -53,6 +53,8 @@
     pub sequence: u64,
     /// Whether it is taking an order now.
     pub busy: bool,
+    /// Requests that it works on, and those that wait there.
+    pub running: u32,
     /// The version of which it holds every layer. `None` if it holds none or a mixture.
     pub version: Option<u64>,
 }
@@ -167,5 +169,7 @@
         version: u64,
         /// The number of orders that the runner is expected to have taken.
         sequence: u64,
+        /// Whether what runs is cut off. Otherwise it ends first.
+        cut: bool,
     },
 }
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -16,6 +16,11 @@
 /// that was ordered begins nothing new.
 const TAKE_MARGIN: u64 = 1500;
 
+/// Requests that an order may cut off. Gateways go on with them at other runners, which costs less
+/// than a runner that waits for its last few.
+const MAX_CUT: u32 = 2;
+/// How long a runner has to come down to so few, in milliseconds.
+const DRAIN_PATIENCE: u64 = 1500;
 /// How long before an order gateways hear of it, in milliseconds.
 const NOTICE: u64 = 250;
 
@@ -30,6 +35,8 @@
     status: Option<RunnerStatus>,
     /// `None` until the list of runners has been read.
     peers: Option<Vec<Peer>>,
+    /// When the list of runners was first read.
+    peers_since: Millis,
     /// The version that the runner is moved to, or serves.
     current: Option<Target>,
     /// A newer version whose chunks still come while the runner is moved to the current one.
@@ -46,6 +53,7 @@
             named: (FIRST_VERSION, Millis(0)),
             status: None,
             peers: None,
+            peers_since: Millis(0),
             current: None,
             next: None,
         }
@@ -192,6 +200,9 @@
                 spread.set_participants(now, &participants(version, &peers));
             }
         }
+        if self.peers.is_none() {
+            self.peers_since = now;
+        }
         self.peers = Some(peers);
     }
 
@@ -245,7 +256,8 @@
             return Vec::new();
         };
         target.step = Step::Ordered(now, status.sequence);
-        vec![Effect::Order { version, sequence: status.sequence }]
+        let cut = status.running > 0 && status.running <= MAX_CUT;
+        vec![Effect::Order { version, sequence: status.sequence, cut }]
     }
 
     fn take_order_outcome(&mut self, now: Millis, version: u64, outcome: OrderOutcome) {
@@ -271,7 +283,8 @@
         }
         self.finish_drawing(now);
         for target in self.current.iter_mut().chain(&mut self.next) {
-            effects.extend(ask_for_manifest(now, self.status.as_ref(), target));
+            let known_for = now.since(self.peers_since).0;
+            effects.extend(ask_for_manifest(now, known_for, self.status.as_ref(), target));
         }
         effects.extend(self.stage_when_due(now));
         effects
@@ -317,9 +330,12 @@
 
     fn stage_when_due(&mut self, now: Millis) -> Option<Effect> {
         let busy = self.status.as_ref().is_none_or(|it| it.busy);
+        let drained = self.status.as_ref().is_some_and(|it| it.running <= MAX_CUT);
         let target = self.current.as_mut()?;
         match target.step {
-            Step::Waiting(at) if now >= at && !busy => {
+            Step::Waiting(at)
+                if now >= at && !busy && (drained || now >= at.plus(DRAIN_PATIENCE)) =>
+            {
                 target.step = Step::Staging;
                 Some(Effect::Stage(target.version))
             }
@@ -331,10 +347,11 @@
 /// Asks for a manifest when that is due. A runner that serves the version needs no chunks.
 fn ask_for_manifest(
     now: Millis,
+    known_for: u64,
     status: Option<&RunnerStatus>,
     target: &mut Target,
 ) -> Option<Effect> {
-    if target.take_share() {
+    if target.take_share(known_for) {
         return Some(Effect::Describe(target.version));
     }
     let Step::Describing { not_before, asked: false } = target.step else {
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -27,6 +27,9 @@
 }
 /// How long to wait after a manifest did not arrive, in milliseconds.
 const DESCRIBE_PAUSE: u64 = 300;
+/// How long the others must be known before a share of the chunks is taken, in milliseconds. Those
+/// that start together get to know each other first.
+const SHARE_DELAY: u64 = 4000;
 /// The part of the link that chunks may take.
 const LINK_SHARE: f64 = 0.9;
 
@@ -92,8 +95,11 @@
 
     /// Whether the manifest should be asked for, so that a share of the chunks of the version that
     /// is served is kept for others.
-    pub(crate) fn take_share(&mut self) -> bool {
-        let due = self.step == Step::Served && self.spread.is_none() && !self.asked_for_share;
+    pub(crate) fn take_share(&mut self, known_for: u64) -> bool {
+        let due = self.step == Step::Served
+            && self.spread.is_none()
+            && !self.asked_for_share
+            && known_for >= SHARE_DELAY;
         self.asked_for_share |= due;
         due
     }
