Tests: reducers, formats, and processes against a stand-in of the platform

Change: a stand-in of the users' platform (store with feed, runners, origin, operator, callers), tests of both reducers with fuzzing against a model, of every format, and of gateways and sidecars as processes; a runner's usual wait moves the bound before which an older version is still used; a model named by a caller counts only where the service runs one (found by the tests: plain requests that named a model were refused).

Ruled out: load as the cause of VERSION: requests wait at runners that stand still.

Conclusion: a request that waits at a runner must not start there much later.

--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use bytes::Bytes;
 use errors::Code;
-use fleet::{Millis, ServiceName, WorkspaceId};
+use fleet::{Millis, ModelName, ServiceName, WorkspaceId};
 use futures_lite::future;
 use gateway::{Arrival, Catalog, NextStep, RouteKind};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -53,6 +53,8 @@
 /// Where a request goes, by the configuration.
 struct Routed {
     service: ServiceName,
+    /// The model, where the service runs one.
+    model: Option<ModelName>,
     kind: RouteKind,
     workspace: Option<WorkspaceId>,
     priority: u8,
@@ -102,7 +104,7 @@
         service: routed.service,
         kind: job.kind,
         priority: routed.priority,
-        model: job.facts.model.clone(),
+        model: routed.model,
         prompt_tokens: job.facts.prompt_tokens,
         aim_ms: job.aim_ms,
         limit: job.limit,
@@ -127,8 +129,12 @@
     if catalog.needs_keys() && tenant.is_none() && !route.open {
         return Err((StatusCode::UNAUTHORIZED, Code::Unauthorized));
     }
+    // What a caller says of a model counts only where the service runs one.
+    let engine = catalog.service(service).and_then(|it| it.engine.as_ref());
+    let model = engine.map(|it| facts.model.clone().unwrap_or_else(|| it.model.clone()));
     Ok(Routed {
         service: service.clone(),
+        model,
         kind: route.kind,
         workspace: tenant.map(|it| it.name.clone()),
         // The rank of a tenant goes before that of the route.
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -12,6 +12,11 @@
 /// What the lack of a fresh report costs, in places of a runner.
 const SILENCE_PENALTY: f64 = 4.0;
 
+/// How long an answer may take to begin for each place that this counts as, in milliseconds.
+const FIRST_MS_PER_PLACE: f64 = 100.0;
+/// How many times the usual wait a request may wait at a runner before it starts.
+const START_FACTOR: f64 = 2.0;
+
 /// What a choice is made by.
 pub struct Chooser<'a> {
     /// The runners.
@@ -55,7 +60,9 @@
         if runner.load(now).is_some_and(|load| load.busy) {
             return false;
         }
-        let required = self.pool.required_version(now, model);
+        // What is sent now starts only after a while, and by then the version must still do.
+        let start = now.plus((runner.usual_first_ms(now) * START_FACTOR) as u64);
+        let required = self.pool.required_version(start, model);
         let held = runner.weights(now);
         held.is_some_and(|it| &it.model == model && it.whole && it.version >= required)
     }
@@ -68,6 +75,7 @@
     fn cost(&self, now: Millis, runner: &Runner, arrival: &Arrival) -> f64 {
         let pace = runner.load(now).map_or(1.0, |load| load.pace.max(1.0));
         let mut cost = f64::from(runner.occupancy(now) + 1) * pace;
+        cost += runner.usual_first_ms(now) / FIRST_MS_PER_PLACE;
         if &runner.record.hall != self.hall {
             cost += FAR_PENALTY;
         }
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -42,6 +42,10 @@
     tried: Vec<InstanceId>,
     /// The runner of the attempt under way.
     current: Option<InstanceId>,
+    /// When that attempt was sent.
+    sent_at: Millis,
+    /// Whether its answer has begun.
+    answered: bool,
     /// Whether some runner may have run it.
     may_have_run: bool,
     /// Until when it may wait for a place.
@@ -138,6 +142,8 @@
             wait_until: now.plus(wait).min(arrival.limit),
             tried: Vec::new(),
             current: None,
+            sent_at: now,
+            answered: false,
             may_have_run: false,
             reason: Code::Overloaded,
             arrival,
@@ -162,11 +168,19 @@
         };
         if outcome == AttemptOutcome::Answered {
             progress.may_have_run = true;
+            progress.answered = true;
+            let took = now.since(progress.sent_at);
+            self.note_wait(now, &id, took);
             return Vec::new();
         }
         progress.current = None;
+        let waited = now.since(progress.sent_at);
+        let answered = std::mem::take(&mut progress.answered);
         progress.may_have_run |= !outcome.is_not_run();
         progress.reason = reason(outcome);
+        if outcome == AttemptOutcome::Lost && !answered {
+            self.note_wait(now, &id, waited);
+        }
         self.judge(now, &id, outcome);
         if outcome == AttemptOutcome::Finished {
             self.requests.remove(&key);
@@ -177,6 +191,13 @@
         effects
     }
 
+    /// Notes that a runner let a request wait for so long.
+    fn note_wait(&mut self, now: Millis, id: &InstanceId, waited: Millis) {
+        if let Some(runner) = self.pool.runner_mut(id) {
+            runner.note_first(now, waited);
+        }
+    }
+
     /// Notes at the runner how an attempt ended.
     fn judge(&mut self, now: Millis, id: &InstanceId, outcome: AttemptOutcome) {
         let Some(runner) = self.pool.runner_mut(id) else {
@@ -305,6 +326,7 @@
         let address = runner.record.address;
         progress.tried.push(id.clone());
         progress.current = Some(id.clone());
+        progress.sent_at = now;
         Some(RunnerTarget { id, address })
     }
 
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -9,6 +9,10 @@
 const MAX_PROMPT_CREDIT: f64 = 1500.0;
 /// The part of a runner's time that it may read prompts.
 const READING_SHARE: f64 = 0.9;
+/// The part of a new measurement in a smoothed one.
+const SMOOTHING: f64 = 0.3;
+/// The time after which what was seen of a runner counts for a third, in milliseconds.
+const FIRST_MEMORY: f64 = 4000.0;
 /// How long a load report counts, in milliseconds.
 const REPORT_LIFE: u64 = 1000;
 /// The shortest time that a runner is left alone after a failure, in milliseconds.
@@ -99,6 +103,8 @@
     reported: Option<Reported>,
     /// Prompt tokens that may be sent, and when they were counted.
     prompt_credit: (f64, Millis),
+    /// How long answers took to begin, smoothed, in milliseconds, and when that was last seen.
+    first_ms: (f64, Millis),
     suspect_until: Millis,
     failures: u32,
     /// The incarnation was refused there; nothing is sent until the list changes.
@@ -113,6 +119,7 @@
             in_flight: 0,
             reported: None,
             prompt_credit: (MAX_PROMPT_CREDIT, Millis(0)),
+            first_ms: (0.0, Millis(0)),
             suspect_until: Millis(0),
             failures: 0,
             misdirected: false,
@@ -182,6 +189,22 @@
         self.in_flight + total.saturating_sub(reported.own)
     }
 
+    /// How long an answer is expected to take to begin, in milliseconds. What was seen counts for less
+    /// as it gets older, so that a runner that was slow is tried again.
+    pub fn usual_first_ms(&self, now: Millis) -> f64 {
+        let (seen, at) = self.first_ms;
+        let age = now.since(at).0 as f64;
+        seen * (-age / FIRST_MEMORY).exp()
+    }
+
+    /// An answer took so long to begin, or did not begin by then.
+    pub fn note_first(&mut self, now: Millis, took: Millis) {
+        let before = self.usual_first_ms(now);
+        let took = took.0 as f64;
+        let smoothed = if before == 0.0 { took } else { before + SMOOTHING * (took - before) };
+        self.first_ms = (smoothed, now);
+    }
+
     /// Whether it failed a short while ago.
     pub fn is_suspect(&self, now: Millis) -> bool {
         now < self.suspect_until
--- /dev/null
+++ b/components/gateway/tests/fuzz.rs
@@ -0,0 +1,211 @@
+//! The reducer under random events, against a simple model of what was promised.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fleet::InstanceId;
+use gateway::*;
+use proptest::prelude::*;
+use support::*;
+
+/// What happens next; numbers are taken modulo what there is.
+#[derive(Clone, Debug)]
+enum Move {
+    List(u8),
+    Drain(u8),
+    Unlist(u8),
+    Load { runner: u8, running: u8, version: u8, busy: bool },
+    Name(u8),
+    Arrive(u8),
+    Outcome { request: u8, outcome: u8 },
+    Leave(u8),
+    Wait(u16),
+}
+
+fn moves() -> impl Strategy<Value = Vec<Move>> {
+    let one = prop_oneof![
+        3 => any::<u8>().prop_map(Move::List),
+        1 => any::<u8>().prop_map(Move::Drain),
+        1 => any::<u8>().prop_map(Move::Unlist),
+        4 => (any::<u8>(), 0..6u8, 1..4u8, any::<bool>()).prop_map(
+            |(runner, running, version, busy)| Move::Load { runner, running, version, busy }),
+        1 => (1..5u8).prop_map(Move::Name),
+        8 => any::<u8>().prop_map(Move::Arrive),
+        12 => (any::<u8>(), any::<u8>())
+            .prop_map(|(request, outcome)| Move::Outcome { request, outcome }),
+        1 => any::<u8>().prop_map(Move::Leave),
+        4 => (1..400u16).prop_map(Move::Wait),
+    ];
+    proptest::collection::vec(one, 1..150)
+}
+
+const KINDS: [RouteKind; 4] = [
+    RouteKind::Safe,
+    RouteKind::Unsafe,
+    RouteKind::Stream { resumable: true },
+    RouteKind::Stream { resumable: false },
+];
+const OUTCOMES: [AttemptOutcome; 8] = [
+    AttemptOutcome::Answered,
+    AttemptOutcome::Finished,
+    AttemptOutcome::NotSent,
+    AttemptOutcome::Full,
+    AttemptOutcome::Misdirected,
+    AttemptOutcome::Failed,
+    AttemptOutcome::Lost,
+    AttemptOutcome::Cut,
+];
+
+/// What the model knows of a request.
+#[derive(Clone, Debug)]
+struct Known {
+    kind: RouteKind,
+    sends: u32,
+    may_have_run: bool,
+    current: Option<InstanceId>,
+    ended: bool,
+    arrived: u64,
+}
+
+#[derive(Default)]
+struct Model {
+    usable: BTreeSet<InstanceId>,
+    requests: BTreeMap<u64, Known>,
+}
+
+impl Model {
+    fn take(&mut self, now: u64, effects: &[Effect]) -> Result<(), TestCaseError> {
+        for effect in effects {
+            let Effect::Proceed(key, step) = effect else {
+                continue;
+            };
+            let known = self.requests.get_mut(&key.0).expect("decisions are on known requests");
+            prop_assert!(!known.ended, "a request that ended got {step:?}");
+            match step {
+                NextStep::Send(target) => {
+                    prop_assert!(self.usable.contains(&target.id), "sent to {:?}", target.id);
+                    prop_assert!(known.current.is_none(), "two attempts at once");
+                    let again = known.may_have_run && !known.kind.is_repeatable();
+                    prop_assert!(!again, "sent again after it may have run");
+                    known.sends += 1;
+                    prop_assert!(known.sends <= 2, "more attempts than the route allows");
+                    known.current = Some(target.id.clone());
+                }
+                NextStep::Refuse { .. } => {
+                    prop_assert!(!known.may_have_run, "told that it did not run");
+                    known.ended = true;
+                }
+                NextStep::GiveUp(_) => {
+                    prop_assert!(known.may_have_run, "given up although it did not run");
+                    known.ended = true;
+                }
+            }
+        }
+        for known in self.requests.values() {
+            let waits = !known.ended && known.current.is_none();
+            let limit = if known.sends == 0 { 110 } else { 6000 };
+            prop_assert!(!waits || now - known.arrived <= limit, "left waiting: {known:?}");
+        }
+        Ok(())
+    }
+}
+
+fn id(number: u8) -> InstanceId {
+    InstanceId(format!("r{}", number % 6))
+}
+
+fn play(moves: Vec<Move>) -> Result<(), TestCaseError> {
+    let mut bed = Bed::new();
+    let mut model = Model::default();
+    for (number, one) in (1..).zip(moves) {
+        let effects = match one {
+            Move::List(runner) => {
+                model.usable.insert(id(runner));
+                bed.list(&id(runner).0, PLAIN_SERVICE, u16::from(runner % 6) + 1)
+            }
+            Move::Drain(runner) => {
+                let mut record = record(&id(runner).0, PLAIN_SERVICE, u16::from(runner % 6) + 1);
+                record.state = RunnerState::Draining;
+                model.usable.remove(&id(runner));
+                bed.feed(Event::Listed(record))
+            }
+            Move::Unlist(runner) => {
+                model.usable.remove(&id(runner));
+                bed.feed(Event::Unlisted(id(runner)))
+            }
+            Move::Load { runner, running, version, busy } => {
+                let mut load = load(u64::from(version), u32::from(running), 2);
+                load.busy = busy;
+                let address = ([127, 0, 0, 1], u16::from(runner % 6) + 1).into();
+                bed.feed(Event::Load(address, load))
+            }
+            Move::Name(version) => {
+                let version = u64::from(version);
+                bed.feed(Event::Named { model: support::model(), version, fresh: true })
+            }
+            Move::Arrive(kind) => {
+                let kind = KINDS[kind as usize % KINDS.len()];
+                let known = Known {
+                    kind,
+                    sends: 0,
+                    may_have_run: false,
+                    current: None,
+                    ended: false,
+                    arrived: bed.now,
+                };
+                model.requests.insert(number, known);
+                bed.feed(Event::Arrived(arrival(number, PLAIN_SERVICE, kind)))
+            }
+            Move::Outcome { request, outcome } => {
+                let open: Vec<u64> = model
+                    .requests
+                    .iter()
+                    .filter(|(_, it)| !it.ended && it.current.is_some())
+                    .map(|(key, _)| *key)
+                    .collect();
+                let Some(key) = open.get(request as usize % open.len().max(1)).copied() else {
+                    continue;
+                };
+                let outcome = OUTCOMES[outcome as usize % OUTCOMES.len()];
+                let known = model.requests.get_mut(&key).expect("it was just found");
+                known.may_have_run |= !outcome.is_not_run();
+                if outcome != AttemptOutcome::Answered {
+                    known.current = None;
+                }
+                known.ended |= outcome == AttemptOutcome::Finished;
+                known.arrived = bed.now;
+                bed.feed(Event::Attempt(RequestKey(key), outcome))
+            }
+            Move::Leave(request) => {
+                let keys: Vec<u64> = model.requests.keys().copied().collect();
+                let Some(key) = keys.get(request as usize % keys.len().max(1)) else {
+                    continue;
+                };
+                if let Some(known) = model.requests.get_mut(key) {
+                    known.ended = true;
+                }
+                bed.feed(Event::Gone(RequestKey(*key)))
+            }
+            Move::Wait(span) => {
+                let mut effects = Vec::new();
+                for _ in 0..span / 10 + 1 {
+                    bed.now += 10;
+                    effects.extend(bed.feed(Event::Tick));
+                }
+                effects
+            }
+        };
+        model.take(bed.now, &effects)?;
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    #[test]
+    fn every_promise_holds_under_random_events(moves in moves()) {
+        play(moves)?;
+    }
+}
--- /dev/null
+++ b/components/gateway/tests/retries.rs
@@ -0,0 +1,109 @@
+//! When a request is sent again, and what it is told when it is not.
+
+mod support;
+
+use errors::Code;
+use fleet::Millis;
+use gateway::*;
+use support::*;
+
+fn two_runners(service: &str) -> Bed {
+    let mut bed = Bed::new();
+    bed.list("r1", service, 1);
+    bed.list("r2", service, 2);
+    bed
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_not_sent_again() {
+    let mut bed = two_runners(PLAIN_SERVICE);
+    sent_to(bed.arrive(arrival(1, PLAIN_SERVICE, RouteKind::Unsafe)));
+    let step = bed.outcome(1, AttemptOutcome::Lost);
+    assert_eq!(step, Some(NextStep::GiveUp(Code::ConnectionLost)));
+}
+
+#[test]
+fn an_unsafe_request_that_was_turned_away_goes_to_another_runner() {
+    let mut bed = two_runners(PLAIN_SERVICE);
+    let first = sent_to(bed.arrive(arrival(1, PLAIN_SERVICE, RouteKind::Unsafe)));
+    let second = sent_to(bed.outcome(1, AttemptOutcome::Full));
+    assert_ne!(first, second);
+    let step = bed.outcome(1, AttemptOutcome::Full);
+    assert!(matches!(step, Some(NextStep::Refuse { code: Code::Overloaded, .. })), "{step:?}");
+}
+
+#[test]
+fn a_request_that_may_have_run_is_never_told_that_it_did_not() {
+    let mut bed = two_runners(PLAIN_SERVICE);
+    sent_to(bed.arrive(arrival(1, PLAIN_SERVICE, RouteKind::Safe)));
+    sent_to(bed.outcome(1, AttemptOutcome::Lost));
+    let step = bed.outcome(1, AttemptOutcome::NotSent);
+    assert!(matches!(step, Some(NextStep::GiveUp(_))), "{step:?}");
+}
+
+#[test]
+fn a_stream_that_was_cut_goes_on_at_another_runner() {
+    let mut bed = two_runners(MODEL_SERVICE);
+    let stream = arrival(1, MODEL_SERVICE, RouteKind::Stream { resumable: true });
+    let first = sent_to(bed.arrive(stream));
+    bed.outcome(1, AttemptOutcome::Answered);
+    let second = sent_to(bed.outcome(1, AttemptOutcome::Cut));
+    assert_ne!(first, second);
+}
+
+#[test]
+fn a_stream_that_cannot_be_resumed_ends_where_it_was_cut() {
+    let mut bed = two_runners(MODEL_SERVICE);
+    let stream = arrival(1, MODEL_SERVICE, RouteKind::Stream { resumable: false });
+    sent_to(bed.arrive(stream));
+    bed.outcome(1, AttemptOutcome::Answered);
+    assert_eq!(bed.outcome(1, AttemptOutcome::Cut), Some(NextStep::GiveUp(Code::CutShort)));
+}
+
+#[test]
+fn a_request_that_finds_no_place_is_refused_within_a_quarter_of_its_aim() {
+    let mut bed = Bed::new();
+    assert_eq!(bed.arrive(arrival(1, PLAIN_SERVICE, RouteKind::Safe)), None);
+    bed.now += 100;
+    let step = bed.step(1, Event::Tick);
+    let Some(NextStep::Refuse { retry_after_ms, .. }) = step else {
+        panic!("expected a refusal, got {step:?}");
+    };
+    assert!(retry_after_ms > 0, "the caller is told when to come back");
+}
+
+#[test]
+fn repeats_stay_within_the_budget_of_their_window() {
+    let mut budget = RetryBudget::new(10_000, 0.5, 2.0);
+    for at in 0..10 {
+        budget.count_request(Millis(1000 + at));
+    }
+    let taken = (0..20).filter(|at| budget.take_repeat(Millis(1100 + at))).count();
+    assert_eq!(taken, 7);
+    let later = (0..20).filter(|at| budget.take_repeat(Millis(13_000 + at))).count();
+    assert_eq!(later, 2, "a new window starts with the allowance alone");
+}
+
+#[test]
+fn a_connection_that_did_not_come_up_costs_no_repeat() {
+    let mut bed = Bed::new();
+    for port in 1..=40 {
+        bed.list(&format!("r{port}"), PLAIN_SERVICE, port);
+    }
+    for key in 1..=20 {
+        sent_to(bed.arrive(arrival(key, PLAIN_SERVICE, RouteKind::Unsafe)));
+        sent_to(bed.outcome(key, AttemptOutcome::NotSent));
+    }
+}
+
+#[test]
+fn the_place_of_a_caller_that_left_is_free_again() {
+    let mut bed = Bed::new();
+    bed.list("r1", PLAIN_SERVICE, 1);
+    for key in 1..=4 {
+        sent_to(bed.arrive(arrival(key, PLAIN_SERVICE, RouteKind::Safe)));
+    }
+    assert_eq!(bed.arrive(arrival(5, PLAIN_SERVICE, RouteKind::Safe)), None);
+    let step = bed.step(5, Event::Gone(RequestKey(1)));
+    assert_eq!(sent_to(step), "r1".into());
+}
--- /dev/null
+++ b/components/gateway/tests/routing.rs
@@ -0,0 +1,182 @@
+//! Which runner a request goes to, and which it never goes to.
+
+mod support;
+
+use gateway::*;
+use support::*;
+
+const STREAM: RouteKind = RouteKind::Stream { resumable: true };
+
+#[test]
+fn a_draining_runner_gets_nothing_new() {
+    let mut bed = Bed::new();
+    let mut leaving = record("r1", PLAIN_SERVICE, 1);
+    leaving.state = RunnerState::Draining;
+    bed.feed(Event::Listed(leaving));
+    assert_eq!(bed.arrive(arrival(1, PLAIN_SERVICE, RouteKind::Safe)), None);
+    bed.list("r2", PLAIN_SERVICE, 2);
+    assert_eq!(sent_to(bed.arrive(arrival(2, PLAIN_SERVICE, RouteKind::Safe))), "r2".into());
+}
+
+#[test]
+fn an_unlisted_runner_gets_nothing_new() {
+    let mut bed = Bed::new();
+    bed.list("r1", PLAIN_SERVICE, 1);
+    bed.feed(Event::Unlisted("r1".into()));
+    assert_eq!(bed.arrive(arrival(1, PLAIN_SERVICE, RouteKind::Safe)), None);
+}
+
+#[test]
+fn an_address_that_another_service_took_over_is_not_mixed_up() {
+    let mut bed = Bed::new();
+    bed.list("old", PLAIN_SERVICE, 1);
+    bed.list("new", MODEL_SERVICE, 1);
+    bed.feed(Event::Unlisted("old".into()));
+    bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), load(1, 4, 1)));
+    assert_eq!(
+        bed.arrive(arrival(1, MODEL_SERVICE, STREAM)),
+        None,
+        "the report was for the new one"
+    );
+}
+
+#[test]
+fn a_runner_without_all_layers_gets_nothing() {
+    let mut bed = Bed::new();
+    let mut empty = record("r1", MODEL_SERVICE, 1);
+    empty.weights = None;
+    bed.feed(Event::Listed(empty));
+    assert_eq!(bed.arrive(arrival(1, MODEL_SERVICE, STREAM)), None);
+}
+
+#[test]
+fn a_fresh_report_goes_before_the_list() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    let mut busy = load(1, 0, 1);
+    busy.busy = true;
+    bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), busy));
+    assert_eq!(bed.arrive(arrival(1, MODEL_SERVICE, STREAM)), None);
+}
+
+/// Found on a day with two versions named three seconds apart: the second name took the bound of
+/// the first away, and requests started on the version before both for too long.
+#[test]
+fn each_named_version_keeps_its_own_bound() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    bed.feed(Event::Named { model: model(), version: 2, fresh: true });
+    bed.now += 3000;
+    bed.feed(Event::Named { model: model(), version: 3, fresh: true });
+    bed.now += VERSION_MS - 3000;
+    let step = bed.arrive(arrival(1, MODEL_SERVICE, STREAM));
+    assert_eq!(step, None, "version 1 is too old by the bound of version 2");
+    bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), load(2, 0, 1)));
+    assert_eq!(sent_to(bed.arrive(arrival(2, MODEL_SERVICE, STREAM))), "r1".into());
+    bed.now += 3000;
+    bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), load(2, 0, 1)));
+    assert_eq!(bed.arrive(arrival(3, MODEL_SERVICE, STREAM)), None, "now version 3 is needed");
+}
+
+/// Found on a day with a squeezed link: a request that waits at its runner for a second starts
+/// after the bound although it was sent before it.
+#[test]
+fn a_runner_that_starts_late_is_left_the_earlier_before_a_bound() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    bed.feed(Event::Named { model: model(), version: 2, fresh: true });
+    bed.now += 4000;
+    assert_eq!(sent_to(bed.arrive(arrival(1, MODEL_SERVICE, STREAM))), "r1".into());
+    bed.now += 1500;
+    bed.outcome(1, AttemptOutcome::Answered);
+    bed.outcome(1, AttemptOutcome::Finished);
+    assert_eq!(bed.arrive(arrival(2, MODEL_SERVICE, STREAM)), None);
+}
+
+#[test]
+fn a_version_that_was_named_before_the_start_is_needed_sooner() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    bed.feed(Event::Named { model: model(), version: 2, fresh: false });
+    bed.now += 3000;
+    assert_eq!(bed.arrive(arrival(1, MODEL_SERVICE, STREAM)), None);
+}
+
+#[test]
+fn gateways_share_the_free_places_of_a_runner() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), load(1, 0, 4)));
+    let sent = (1..=4).filter_map(|key| bed.arrive(arrival(key, MODEL_SERVICE, STREAM))).count();
+    assert!((1..=2).contains(&sent), "four places for four gateways, {sent} taken by one");
+}
+
+#[test]
+fn prompts_come_no_faster_than_a_runner_reads_them() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    let mut long = arrival(1, MODEL_SERVICE, STREAM);
+    long.prompt_tokens = 5000;
+    sent_to(bed.arrive(long));
+    assert_eq!(bed.arrive(arrival(2, MODEL_SERVICE, STREAM)), None);
+    bed.now += 60;
+    assert_eq!(bed.step(2, Event::Tick), None, "the long prompt is still being read");
+    bed.now += 300;
+    assert_eq!(sent_to(bed.arrive(arrival(3, MODEL_SERVICE, STREAM))), "r1".into());
+}
+
+#[test]
+fn an_older_configuration_never_replaces_a_newer_one() {
+    let mut bed = Bed::new();
+    bed.feed(Event::Configured(catalog(7)));
+    bed.feed(Event::Configured(catalog(3)));
+    assert_eq!(bed.gateway.catalog().map(|it| it.version), Some(7));
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let route = |name: &str, host: &str, prefix: &str| Route {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: prefix.into(),
+        kind: RouteKind::Safe,
+        timeout_ms: 1000,
+        aim_ms: 100,
+        gap_aim_ms: 100,
+        attempts: 1,
+        priority: 0,
+        open: false,
+        services: vec![(PLAIN_SERVICE.into(), 1)],
+    };
+    let routes =
+        vec![route("top", "h", "/"), route("deep", "h", "/a/b/"), route("other", "g", "/a/b/c/")];
+    let catalog = Catalog::new(CatalogParts { routes, ..CatalogParts::default() });
+    let name = |host: &str, path: &str| catalog.route(host, path).map(|it| it.name.clone());
+    assert_eq!(name("h", "/a/b/c/d").as_deref(), Some("deep"));
+    assert_eq!(name("H:80", "/a/b/").as_deref(), Some("deep"));
+    assert_eq!(name("h", "/a/b").as_deref(), Some("top"));
+    assert_eq!(name("h", "/x?y=/a/b/").as_deref(), Some("top"));
+    assert_eq!(name("nowhere", "/"), None);
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    let mut route = Route {
+        name: "r".into(),
+        host: "h".into(),
+        path_prefix: "/".into(),
+        kind: RouteKind::Safe,
+        timeout_ms: 1,
+        aim_ms: 1,
+        gap_aim_ms: 1,
+        attempts: 1,
+        priority: 0,
+        open: true,
+        services: vec![("x".into(), 9), ("y".into(), 1)],
+    };
+    let taken =
+        |route: &Route| (0..100).filter(|it| route.service(*it) == Some(&"x".into())).count();
+    assert_eq!(taken(&route), 90);
+    route.services[1].1 = 0;
+    assert_eq!(taken(&route), 100);
+}
--- /dev/null
+++ b/components/gateway/tests/support/mod.rs
@@ -0,0 +1,154 @@
+//! A gateway with a few runners, for tests.
+
+#![allow(dead_code)]
+
+use std::sync::Arc;
+
+use fleet::{InstanceId, Millis, ModelName, ServiceName};
+use gateway::*;
+
+/// The model service of the tests.
+pub const MODEL_SERVICE: &str = "assistant";
+/// The plain service of the tests.
+pub const PLAIN_SERVICE: &str = "ledger";
+/// How long older versions may be used after a newer one was named, in milliseconds.
+pub const VERSION_MS: u64 = 8000;
+
+pub fn options() -> GatewayOptions {
+    GatewayOptions {
+        hall: "a".into(),
+        budget_window_ms: 10_000,
+        budget_ratio: 0.2,
+        budget_allowance: 100.0,
+        version_ms: VERSION_MS,
+    }
+}
+
+pub fn model() -> ModelName {
+    "m".into()
+}
+
+pub fn catalog(version: u64) -> Arc<Catalog> {
+    let engine = EngineProfile {
+        model: model(),
+        slots: 4,
+        kv_tokens: 100_000,
+        layers: 16,
+        chunks: 64,
+        chunk_bytes: 1024,
+        warm_ms: 300,
+        step_ms: 9.0,
+        prompt_tokens_per_ms: 20.0,
+    };
+    let service = |name: &str, engine| Service {
+        name: name.into(),
+        connection_limit: 100,
+        engine,
+        origin: None,
+        hall: None,
+    };
+    Arc::new(Catalog::new(CatalogParts {
+        version,
+        services: vec![service(MODEL_SERVICE, Some(engine)), service(PLAIN_SERVICE, None)],
+        ..CatalogParts::default()
+    }))
+}
+
+pub fn record(id: &str, service: &str, port: u16) -> RunnerRecord {
+    let weights =
+        (service == MODEL_SERVICE).then(|| WeightsHeld { model: model(), version: 1, whole: true });
+    RunnerRecord {
+        id: id.into(),
+        service: service.into(),
+        address: ([127, 0, 0, 1], port).into(),
+        hall: "a".into(),
+        slots: 4,
+        state: RunnerState::Ready,
+        weights,
+    }
+}
+
+pub fn load(version: u64, running: u32, gateways: u32) -> RunnerLoad {
+    RunnerLoad {
+        running,
+        waiting: 0,
+        kv_used: 0,
+        kv_total: 1000,
+        busy: false,
+        pace: 1.0,
+        weights: Some(WeightsHeld { model: model(), version, whole: true }),
+        gateways,
+    }
+}
+
+pub fn arrival(key: u64, service: &str, kind: RouteKind) -> Arrival {
+    Arrival {
+        key: RequestKey(key),
+        service: service.into(),
+        kind,
+        priority: 1,
+        model: (service == MODEL_SERVICE).then(model),
+        prompt_tokens: 100,
+        aim_ms: 400,
+        limit: Millis(u64::MAX),
+        attempts: 2,
+    }
+}
+
+/// A gateway that knows its configuration, with a clock that the test moves.
+pub struct Bed {
+    pub gateway: Gateway,
+    pub now: u64,
+    seed: u64,
+}
+
+impl Bed {
+    pub fn new() -> Self {
+        let mut bed = Self { gateway: Gateway::new(options()), now: 1_000_000, seed: 1 };
+        bed.feed(Event::Configured(catalog(1)));
+        bed
+    }
+
+    pub fn feed(&mut self, event: Event) -> Vec<Effect> {
+        self.seed += 1;
+        self.gateway.reduce(Millis(self.now), self.seed, event)
+    }
+
+    pub fn list(&mut self, id: &str, service: &str, port: u16) -> Vec<Effect> {
+        self.feed(Event::Listed(record(id, service, port)))
+    }
+
+    /// Feeds an event and gives what the request does next, if that was decided.
+    pub fn step(&mut self, key: u64, event: Event) -> Option<NextStep> {
+        step_of(key, &self.feed(event))
+    }
+
+    pub fn arrive(&mut self, arrival: Arrival) -> Option<NextStep> {
+        let key = arrival.key.0;
+        self.step(key, Event::Arrived(arrival))
+    }
+
+    pub fn outcome(&mut self, key: u64, outcome: AttemptOutcome) -> Option<NextStep> {
+        self.step(key, Event::Attempt(RequestKey(key), outcome))
+    }
+}
+
+/// What a request does next by some effects.
+pub fn step_of(key: u64, effects: &[Effect]) -> Option<NextStep> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Proceed(it, step) if it.0 == key => Some(step.clone()),
+        _ => None,
+    })
+}
+
+/// The runner that a request is sent to.
+pub fn sent_to(step: Option<NextStep>) -> InstanceId {
+    match step {
+        Some(NextStep::Send(target)) => target.id,
+        other => panic!("expected a send, got {other:?}"),
+    }
+}
+
+pub fn service(name: &str) -> ServiceName {
+    name.into()
+}
--- a/components/reducer/src/spread/version/mod.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -15,6 +15,8 @@
 use super::neighbour::Neighbour;
 use crate::seed::shared_hash;
 
+/// The part of a new measurement in the smoothed time of chunks.
+const CHUNK_SMOOTHING: f64 = 0.25;
 /// How long to leave the origin alone after it failed, in milliseconds.
 const ORIGIN_PAUSE: u64 = 500;
 /// How long holders have to say what they hold before the origin is asked, in milliseconds.
@@ -144,6 +146,8 @@
     neighbours: BTreeMap<InstanceId, Neighbour>,
     in_flight: BTreeMap<u32, Flight>,
     origin_not_before: Millis,
+    /// How long chunks took lately, smoothed, in milliseconds.
+    chunk_ms: f64,
     summary_budget: f64,
     summary_budget_at: Millis,
 }
@@ -198,6 +202,7 @@
             neighbours: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             origin_not_before: Millis(0),
+            chunk_ms: 0.0,
             summary_budget: SUMMARY_BURST,
             summary_budget_at: now,
             manifest,
@@ -227,6 +232,11 @@
         known.into_iter().for_each(|index| self.have.insert(index));
     }
 
+    /// How long chunks took lately, in milliseconds.
+    pub fn usual_chunk_ms(&self) -> f64 {
+        self.chunk_ms
+    }
+
     /// Chunks on their way from peers.
     pub fn in_flight(&self) -> usize {
         self.in_flight.len() - self.count_from_origin()
@@ -301,6 +311,8 @@
         let Some(flight) = self.end_flight(index, source) else {
             return false;
         };
+        let took = now.since(flight.sent).0 as f64;
+        self.chunk_ms += CHUNK_SMOOTHING * (took - self.chunk_ms);
         if let DrawSource::Peer(id, _) = source {
             if let Some(neighbour) = self.neighbours.get_mut(id) {
                 if verified {
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -15,6 +15,10 @@
 /// How chunks come to a runner that serves nothing: every second of it is lost.
 const URGENT: Pace = Pace { window: 6, patience_ms: 900, hall_first: false };
 
+/// Chunks that take longer than this come one at a time: the link is narrow, and requests wait behind
+/// them. In milliseconds.
+const NARROW_CHUNK_MS: f64 = 300.0;
+
 /// How chunks come to a runner.
 #[derive(Clone, Copy, Debug)]
 struct Pace {
@@ -156,7 +160,11 @@
         };
         let mut effects = Vec::new();
         match self.step {
-            Step::Drawing => effects.extend(spread.draw(now, self.pace.window)),
+            Step::Drawing => {
+                let narrow = spread.usual_chunk_ms() > NARROW_CHUNK_MS;
+                let window = if narrow { 1 } else { self.pace.window };
+                effects.extend(spread.draw(now, window));
+            }
             Step::Served => effects.extend(spread.draw_own(now)),
             _ => {}
         }
--- /dev/null
+++ b/components/rollout/tests/fleet.rs
@@ -0,0 +1,326 @@
+//! A fleet of sidecars that exchange chunks, without I/O: every effect is carried out after a delay,
+//! or lost.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use errors::Code;
+use fleet::{InstanceId, Manifest, Millis, Place, VersionId};
+use proptest::prelude::*;
+use reducer::DrawSource;
+use rollout::*;
+
+const CHUNKS: u32 = 64;
+const STEP_MS: u64 = 10;
+const VERSION_MS: u64 = 8000;
+
+/// A runner beside a sidecar.
+#[derive(Clone, Debug, Default)]
+struct Runner {
+    version: Option<u64>,
+    sequence: u64,
+    running: u32,
+    /// When an order under way is done, and its version.
+    taking: Option<(u64, u64)>,
+}
+
+/// Something that happens later at one sidecar.
+#[derive(Debug)]
+struct Later {
+    at: u64,
+    to: usize,
+    event: Event,
+}
+
+struct Fleet {
+    now: u64,
+    sidecars: Vec<Rollout>,
+    runners: Vec<Runner>,
+    later: Vec<Later>,
+    origin_chunks: u32,
+    orders: Vec<(usize, u64, u64)>,
+    /// One in so many draws is lost.
+    loses: u64,
+    draws: u64,
+}
+
+fn id(index: usize) -> InstanceId {
+    InstanceId(format!("10.0.0.{index}"))
+}
+
+fn address(index: usize) -> SocketAddr {
+    ([10, 0, 0, index as u8], 7700).into()
+}
+
+fn place(index: usize) -> Place {
+    let hall = format!("h{}", index % 3);
+    Place { region: hall.as_str().into(), hall: hall.as_str().into() }
+}
+
+fn manifest(version: u64) -> Arc<Manifest> {
+    let digest = |index: u32| {
+        let mut bytes = [0; 32];
+        bytes[..8].copy_from_slice(&version.to_le_bytes());
+        bytes[8..12].copy_from_slice(&index.to_le_bytes());
+        VersionId(bytes)
+    };
+    let digests = (0..CHUNKS).map(digest).collect();
+    Arc::new(Manifest {
+        label: format!("m@{version}"),
+        bytes: u64::from(CHUNKS) * 32_768,
+        chunk_bytes: 32_768,
+        digests,
+    })
+}
+
+impl Fleet {
+    fn new(count: usize, version: Option<u64>, loses: u64) -> Self {
+        let options = |index| RolloutOptions {
+            me: id(index),
+            place: place(index),
+            link_bytes_per_s: 950_000,
+            control_bytes_per_s: 6000,
+            version_ms: VERSION_MS,
+        };
+        let mut fleet = Self {
+            now: 1_000_000,
+            sidecars: (0..count).map(|index| Rollout::new(options(index))).collect(),
+            runners: vec![Runner { version, ..Runner::default() }; count],
+            later: Vec::new(),
+            origin_chunks: 0,
+            orders: Vec::new(),
+            loses,
+            draws: 0,
+        };
+        let plan = WeightsPlan { model: "m".into(), warm_ms: 300, origin_bytes_per_s: 1_240_000 };
+        for index in 0..count {
+            fleet.feed(index, Event::Planned(plan.clone()));
+            fleet.feed(index, Event::VersionsKnown);
+        }
+        fleet.tell_peers();
+        fleet
+    }
+
+    fn tell_peers(&mut self) {
+        let peer = |(index, runner): (usize, &Runner)| Peer {
+            id: id(index),
+            place: place(index),
+            address: address(index),
+            version: runner.version,
+        };
+        let peers: Vec<Peer> = self.runners.iter().enumerate().map(peer).collect();
+        for index in 0..self.sidecars.len() {
+            self.feed(index, Event::Peers(peers.clone()));
+        }
+    }
+
+    fn name(&mut self, version: u64) {
+        for index in 0..self.sidecars.len() {
+            self.feed(index, Event::Named(version));
+        }
+    }
+
+    fn feed(&mut self, index: usize, event: Event) {
+        let effects = self.sidecars[index].reduce(Millis(self.now), event);
+        for effect in effects {
+            self.perform(index, effect);
+        }
+    }
+
+    fn after(&mut self, delay: u64, to: usize, event: Event) {
+        self.later.push(Later { at: self.now + delay, to, event });
+    }
+
+    fn perform(&mut self, index: usize, effect: Effect) {
+        match effect {
+            Effect::Describe(version) => {
+                self.after(20, index, Event::Described(version, manifest(version)));
+            }
+            Effect::Find(version) => {
+                let none = fleet::Bitmap::new(CHUNKS);
+                self.after(10, index, Event::Found(version, none));
+            }
+            Effect::Draw(version, draw) => self.draw(index, version, draw.index, draw.source),
+            Effect::Summarize { to, version, have } => {
+                let Some(other) = (0..self.sidecars.len()).find(|it| address(*it) == to) else {
+                    return;
+                };
+                let event = Event::Summary {
+                    from: id(index),
+                    address: address(index),
+                    place: place(index),
+                    version,
+                    have,
+                };
+                self.after(3, other, event);
+            }
+            Effect::Stage(version) => {
+                let whole = self.sidecars[index].have(version).is_some_and(|it| it.is_full());
+                assert!(whole, "staged before every chunk was here");
+                self.after(20, index, Event::Staged(version, true));
+            }
+            Effect::Order { version, sequence, .. } => {
+                let runner = &mut self.runners[index];
+                assert_eq!(runner.sequence, sequence, "ordered on an old view of the runner");
+                assert!(runner.taking.is_none(), "ordered while it takes another order");
+                runner.sequence += 1;
+                runner.taking = Some((self.now + 500, version));
+                self.orders.push((index, version, self.now));
+                self.after(5, index, Event::Ordered(version, OrderOutcome::Taken));
+            }
+        }
+    }
+
+    fn draw(&mut self, index: usize, version: u64, chunk: u32, source: DrawSource) {
+        self.draws += 1;
+        let lost = self.loses > 0 && self.draws.is_multiple_of(self.loses);
+        let holds = match &source {
+            DrawSource::Origin => true,
+            DrawSource::Peer(peer, _) => {
+                let other = (0..self.sidecars.len()).find(|it| &id(*it) == peer);
+                let have = other.and_then(|it| self.sidecars[it].have(version));
+                have.is_some_and(|it| it.contains(chunk))
+            }
+        };
+        if source == DrawSource::Origin {
+            self.origin_chunks += 1;
+        }
+        let event = if lost || !holds {
+            let code = if lost { Code::PeerStalled } else { Code::ChunkMissing };
+            Event::Missed { version, index: chunk, source, code }
+        } else {
+            Event::Arrived { version, index: chunk, source, verified: true }
+        };
+        self.after(45, index, event);
+    }
+
+    fn run(&mut self, span: u64) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += STEP_MS;
+            let now = self.now;
+            let (due, later) =
+                std::mem::take(&mut self.later).into_iter().partition(|it| it.at <= now);
+            self.later = later;
+            let due: Vec<Later> = due;
+            due.into_iter().for_each(|it| self.feed(it.to, it.event));
+            if self.now.is_multiple_of(100) {
+                self.report();
+            }
+            if self.now.is_multiple_of(40) {
+                (0..self.sidecars.len()).for_each(|index| self.feed(index, Event::Tick));
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        for index in 0..self.runners.len() {
+            let runner = &mut self.runners[index];
+            if let Some((_, version)) = runner.taking.filter(|it| it.0 <= self.now) {
+                runner.taking = None;
+                runner.version = Some(version);
+            }
+            let status = RunnerStatus {
+                sequence: runner.sequence,
+                busy: runner.taking.is_some(),
+                running: runner.running,
+                version: runner.version,
+            };
+            self.feed(index, Event::Status(status));
+        }
+    }
+
+    fn versions(&self) -> BTreeMap<Option<u64>, usize> {
+        let mut counts = BTreeMap::new();
+        for runner in &self.runners {
+            *counts.entry(runner.version).or_default() += 1;
+        }
+        counts
+    }
+}
+
+#[test]
+fn a_named_version_reaches_every_runner_within_its_bound_from_about_one_copy() {
+    let mut fleet = Fleet::new(20, Some(1), 0);
+    fleet.run(500);
+    fleet.name(2);
+    fleet.run(VERSION_MS);
+    assert_eq!(fleet.versions(), BTreeMap::from([(Some(2), 20)]));
+    assert!(
+        fleet.origin_chunks <= CHUNKS * 3 / 2,
+        "{} chunks from the origin",
+        fleet.origin_chunks
+    );
+}
+
+/// Found on a quiet day: a version named four seconds after another kept runners from ever taking
+/// the first, and its bound passed.
+#[test]
+fn a_version_whose_chunks_are_here_is_taken_although_a_newer_one_is_named() {
+    let mut fleet = Fleet::new(20, Some(1), 0);
+    fleet.run(500);
+    fleet.name(2);
+    fleet.run(5000);
+    fleet.name(3);
+    fleet.run(3000);
+    let old = fleet.versions().get(&Some(1)).copied().unwrap_or(0);
+    assert!(old <= 2, "{old} runners still serve version 1");
+    fleet.run(5000);
+    assert_eq!(fleet.versions(), BTreeMap::from([(Some(3), 20)]));
+}
+
+#[test]
+fn runners_that_serve_are_not_all_ordered_at_once() {
+    let mut fleet = Fleet::new(20, Some(1), 0);
+    fleet.run(500);
+    fleet.name(2);
+    fleet.run(VERSION_MS);
+    let mut times: Vec<u64> = fleet.orders.iter().map(|it| it.2).collect();
+    times.sort_unstable();
+    let most =
+        times.iter().map(|at| times.iter().filter(|it| (*at..at + 400).contains(it)).count());
+    let most = most.max().unwrap_or(0);
+    assert!(most <= 12, "{most} of 20 runners ordered within 400 ms");
+}
+
+#[test]
+fn sidecars_whose_runners_serve_keep_one_copy_between_them() {
+    let mut fleet = Fleet::new(12, Some(1), 0);
+    fleet.run(9000);
+    assert_eq!(fleet.origin_chunks, CHUNKS);
+    assert!(fleet.orders.is_empty(), "runners that serve the version need no order");
+}
+
+#[test]
+fn a_runner_that_lost_its_weights_gets_them_again() {
+    let mut fleet = Fleet::new(6, Some(1), 0);
+    fleet.run(9000);
+    fleet.runners[2] = Runner::default();
+    fleet.run(6000);
+    assert_eq!(fleet.versions(), BTreeMap::from([(Some(1), 6)]));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    /// Whatever is lost and however names follow each other, every runner ends with the last one.
+    #[test]
+    fn every_runner_ends_with_the_last_version(
+        count in 2..16usize,
+        loses in 0..6u64,
+        gaps in proptest::collection::vec(100..6000u64, 1..4),
+    ) {
+        // With a loss of every draw nothing can arrive.
+        let mut fleet = Fleet::new(count, Some(1), if loses == 1 { 2 } else { loses });
+        fleet.run(300);
+        let mut version = 1;
+        for gap in gaps {
+            version += 1;
+            fleet.name(version);
+            fleet.run(gap);
+        }
+        fleet.run(40_000);
+        prop_assert_eq!(fleet.versions(), BTreeMap::from([(Some(version), count)]));
+    }
+}
--- /dev/null
+++ b/daemon/tests/deployment/support.rs
@@ -0,0 +1,175 @@
+//! Gateways and sidecars as processes before a stand-in of the platform.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use http::Method;
+use platform_standin::{Answer, Caller, Engine, Standin};
+
+/// Where runners listen on their machines.
+const RUNNER_PORT: u16 = 8001;
+/// Where gateways listen for callers.
+const CALLERS_PORT: u16 = 8005;
+/// Where gateways say whether they are ready.
+const READINESS_PORT: u16 = 8002;
+/// How long anything in a test may take.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+static NEXT_NETWORK: AtomicU8 = AtomicU8::new(1);
+
+/// A deployment on addresses of its own within loopback.
+pub struct Deployment {
+    pub standin: Standin,
+    network: u8,
+    machines: u8,
+    files: PathBuf,
+    processes: Vec<(IpAddr, Child)>,
+}
+
+impl Deployment {
+    /// A configured platform with two runners of the plain service.
+    pub fn start() -> Self {
+        let network = NEXT_NETWORK.fetch_add(1, Ordering::SeqCst);
+        let files =
+            std::env::temp_dir().join(format!("silverdock-{}-{network}", std::process::id()));
+        std::fs::create_dir_all(&files).unwrap();
+        let standin = Standin::start();
+        standin.configure();
+        let mut deployment = Self { standin, network, machines: 0, files, processes: Vec::new() };
+        for name in ["l1", "l2"] {
+            let address = SocketAddr::new(deployment.machine(), RUNNER_PORT);
+            deployment.standin.add_runner(address, Engine::plain(name, "ledger", "a"));
+        }
+        deployment
+    }
+
+    fn machine(&mut self) -> IpAddr {
+        self.machines += 1;
+        Ipv4Addr::new(127, 77, self.network, self.machines).into()
+    }
+
+    /// Starts a model runner with a sidecar beside it.
+    pub fn add_model_runner(&mut self, id: &str, version: Option<u64>) -> SocketAddr {
+        let machine = self.machine();
+        let address = SocketAddr::new(machine, RUNNER_PORT);
+        self.standin.add_runner(address, Engine::model(id, "assistant", "a", version));
+        self.spawn(machine, &format!("[sidecar]\nrunner = {address}\nservice = assistant\n"));
+        address
+    }
+
+    /// Starts a gateway and gives where callers reach it.
+    pub fn add_gateway(&mut self) -> SocketAddr {
+        let machine = self.machine();
+        self.spawn(machine, &gateway_section(machine));
+        SocketAddr::new(machine, CALLERS_PORT)
+    }
+
+    /// Starts the process of a machine again after it ended.
+    pub fn restart_gateway(&mut self, gateway: SocketAddr) {
+        self.spawn(gateway.ip(), &gateway_section(gateway.ip()));
+    }
+
+    fn spawn(&mut self, machine: IpAddr, role: &str) {
+        let path = self.files.join(format!("{machine}.ini"));
+        let store = self.standin.store;
+        let text = format!(
+            "[node]\nname = m-{machine}\nregion = r\nhall = a\nhalls = a=r\naddress = {machine}\n\
+             first_port = 7700\nlast_port = 7715\nmemory_mb = 128\nlink_mbps = 100\n\n{role}\n\
+             [store]\naddress = {store}\nwrites_per_s = 100\nreads_per_s = 1000\n\n\
+             [bounds]\ngrace_s = 8\nversion_ms = 8000\nrepeat_ratio = 0.2\nrepeat_window_s = 10\n\
+             repeat_allowance = 200\n"
+        );
+        std::fs::write(&path, text).unwrap();
+        let log = std::fs::File::create(self.files.join(format!("{machine}.log"))).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_silverdockd"))
+            .arg(&path)
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.processes.push((machine, child));
+    }
+
+    /// Sends a signal to the process of a machine, by its id.
+    pub fn signal(&self, machine: IpAddr, signal: rustix::process::Signal) {
+        let process = self.processes.iter().rev().find(|it| it.0 == machine);
+        let (_, child) = process.expect("the machine has a process");
+        let id = rustix::process::Pid::from_raw(child.id() as i32).unwrap();
+        rustix::process::kill_process(id, signal).unwrap();
+    }
+
+    /// Waits until the process of a machine has ended by itself and gives whether it ended well.
+    pub fn wait_for_end(&mut self, machine: IpAddr) -> bool {
+        let process = self.processes.iter_mut().rev().find(|it| it.0 == machine);
+        let (_, child) = process.expect("the machine has a process");
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.success();
+            }
+            assert!(Instant::now() < end, "the process did not end");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Whether a gateway says that it is ready.
+    pub fn is_ready(&self, gateway: SocketAddr) -> bool {
+        let readiness = SocketAddr::new(gateway.ip(), READINESS_PORT);
+        Caller::new(Method::GET, "/-/readiness", "ready").call(readiness).status == 200
+    }
+
+    /// Waits until a gateway is ready.
+    pub fn wait_until_ready(&self, gateway: SocketAddr) {
+        wait_until("the gateway is ready", || self.is_ready(gateway));
+    }
+
+    /// Waits until a runner holds a version.
+    pub fn wait_for_version(&self, runner: SocketAddr, version: u64) {
+        wait_until(&format!("{runner} holds version {version}"), || {
+            // A call lets the stand-in settle what an order began.
+            Caller::new(Method::GET, "/-/report", "look").call(runner);
+            self.standin.runner(runner).is_some_and(|it| it.version == Some(version))
+        });
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for (_, child) in &mut self.processes {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.files);
+        }
+    }
+}
+
+fn gateway_section(machine: IpAddr) -> String {
+    format!(
+        "[gateway]\ncallers = {machine}:{CALLERS_PORT}\nreadiness = {machine}:{READINESS_PORT}\n"
+    )
+}
+
+/// Waits until something is so.
+pub fn wait_until(what: &str, mut check: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !check() {
+        assert!(Instant::now() < end, "not in time: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A stream.
+pub fn stream(gateway: SocketAddr, id: &str) -> Answer {
+    Caller::new(Method::POST, "/s/x", id).call(gateway)
+}
+
+/// Whether an answer is a whole stream of this request: every event once and in order.
+pub fn is_whole_stream(answer: &Answer, id: &str) -> bool {
+    let events: Vec<String> = (1..=12).map(|it| format!("id: {it}\ndata: {id}/{it}\n\n")).collect();
+    answer.status == 200 && answer.whole && answer.body == events.concat()
+}
