A stream that ends within an event was cut, and goes on elsewhere

Cause: found by the process test: a runner that stops within an event and closes its connection properly looked complete, and the caller got half an event. Change: what is held back at the end counts as a cut.

Ruled out: the transport hiding a broken connection. Conclusion: only whole events are handed on.

--- a/components/edge/src/gateway/events.rs
+++ b/components/edge/src/gateway/events.rs
@@ -18,7 +18,7 @@
         self.partial.extend_from_slice(bytes);
         let Some(end) = end_of_events(&self.partial) else {
             if self.partial.len() > MAX_EVENT_BYTES {
-                return self.rest();
+                return self.partial.split().freeze();
             }
             return Bytes::new();
         };
@@ -29,9 +29,9 @@
         whole
     }
 
-    /// What is left when the stream ended.
-    pub fn rest(&mut self) -> Bytes {
-        self.partial.split().freeze()
+    /// Whether an event has begun and not ended.
+    pub fn has_partial(&self) -> bool {
+        !self.partial.is_empty()
     }
 
     /// Forgets the event that a runner began and did not end.
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -112,17 +112,16 @@
                         return Some(Ok(events));
                     }
                 }
-                Read::End => {
+                Read::End if !self.cutter.has_partial() => {
                     self.ended = true;
                     self.core.feed(Event::Attempt(self.ticket.key, AttemptOutcome::Finished));
-                    let rest = self.cutter.rest();
-                    return (!rest.is_empty()).then_some(Ok(rest));
                 }
                 Read::Late => {
                     self.ended = true;
                     return Some(Err(Error::new(Code::TimedOut, "the time of the route is over")));
                 }
-                Read::Cut => {
+                // A stream that ends within an event was cut, however its connection ended.
+                Read::Cut | Read::End => {
                     if let Err(error) = self.resume().await {
                         self.ended = true;
                         return Some(Err(error));
--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -76,9 +76,10 @@
         !stream(gateway, "first").whole && !deployment.standin.runs("first").is_empty()
     });
     deployment.add_model_runner("e2", Some(1));
-    let mut resumed = 0;
+    let (mut resumed, mut number) = (0, 0);
     wait_until("three streams are resumed", || {
-        let id = format!("r{}", resumed);
+        number += 1;
+        let id = format!("r{number}");
         let answer = stream(gateway, &id);
         let runs = deployment.standin.runs(&id);
         if runs.len() < 2 {
