Gateways ask the sidecar for a place right before they send a request to its runner

Cause: requests sent to a machine in the moments before its freeze was noticed lay there and started seconds later on a version that was too old; and gateways that each see a part send more than fits.

Change: a question and an answer by datagram before each request to a model runner. The sidecar gives each place once, no faster than the runner reads prompts, none once it is about to order its runner or the version held is too old. One that stands still does not answer, and nothing is sent. The gateways' own shares of places and prompts are gone; their tests stand at the sidecar now.

Ruled out: a naming of the expected version, which a runner that wakes on the old one passes; all requests through the sidecar, which costs its processor for every event.

--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -72,6 +72,12 @@
     /// Sends the request and waits for the head of the answer. `last_event` is where a stream goes
     /// on; `sent` is set once the runner may have the request.
     pub async fn run(&self, last_event: Option<&str>, sent: &mut bool) -> Outcome {
+        if self.target.reserve {
+            let tokens = self.job.facts.prompt_tokens;
+            if let Some(outcome) = self.core.reservations.ask(self.target.address, tokens).await {
+                return outcome.into();
+            }
+        }
         let Ok(mut exchange) = Exchange::open(self.target.address, CONNECT_TIMEOUT).await else {
             return AttemptOutcome::NotSent.into();
         };
--- a/components/edge/src/gateway/core.rs
+++ b/components/edge/src/gateway/core.rs
@@ -3,12 +3,13 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use async_channel::{Receiver, Sender};
 use gateway::{Arrival, Catalog, Effect, Event, Gateway, GatewayOptions, NextStep, RequestKey};
-use std::sync::Arc;
 use telemetry::Metrics;
 
+use super::reservations::Reservations;
 use crate::clock::Clock;
 
 /// A gateway's state, shared by the tasks of its process.
@@ -19,6 +20,8 @@
     pub clock: Clock,
     /// Counters.
     pub metrics: Rc<Metrics>,
+    /// Places at runners.
+    pub reservations: Reservations,
 }
 
 struct State {
@@ -29,9 +32,14 @@
 
 impl Core {
     /// Starts with nothing known.
-    pub fn new(options: GatewayOptions, clock: Clock, metrics: Rc<Metrics>) -> Self {
+    pub fn new(
+        options: GatewayOptions,
+        clock: Clock,
+        metrics: Rc<Metrics>,
+        reservations: Reservations,
+    ) -> Self {
         let state = State { gateway: Gateway::new(options), waiting: HashMap::new(), next_key: 0 };
-        Self { state: Rc::new(RefCell::new(state)), clock, metrics }
+        Self { state: Rc::new(RefCell::new(state)), clock, metrics, reservations }
     }
 
     /// Hands an event to the reducer and its decisions to those who wait for them.
--- a/components/edge/src/gateway/mod.rs
+++ b/components/edge/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod node;
 mod relay;
 mod request;
+mod reservations;
 
 pub use self::answer::AnswerBody;
 pub use self::node::GatewayNode;
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -21,6 +21,7 @@
 use super::answer::{own_answer, whole_body, AnswerBody};
 use super::core::Core;
 use super::request;
+use super::reservations::Reservations;
 use crate::clock::Clock;
 use crate::message::Datagram;
 use crate::news::News;
@@ -64,7 +65,10 @@
     /// Starts a gateway.
     pub async fn start(spawner: &Spawner, settings: &DeploymentSettings) -> Result<Self> {
         let metrics = Rc::new(Metrics::start()?);
-        let core = Core::new(options(settings), Clock::start(), metrics);
+        let port = settings.node.first_port;
+        let news = News::bind(SocketAddr::new(settings.node.address, port)).await?;
+        let reservations = Reservations::new(news.clone(), port);
+        let core = Core::new(options(settings), Clock::start(), metrics, reservations);
         let known = Known::default();
         let (stop, stopped) = async_channel::bounded(1);
         let node = Self {
@@ -78,7 +82,7 @@
         node.serve_readiness(spawner, settings, known.clone(), stopped.clone()).await?;
         follow(spawner, settings, &core, Table::Operator, known.configuration);
         follow(spawner, settings, &core, Table::Runners, known.runners);
-        exchange_news(spawner, settings, &core).await?;
+        exchange_news(spawner, &core, news, port);
         spawner.detach(tick(core.clone()));
         node.serve_callers(spawner, settings, stopped).await?;
         Ok(node)
@@ -206,13 +210,7 @@
 }
 
 /// Asks sidecars for reports and takes them in.
-async fn exchange_news(
-    spawner: &Spawner,
-    settings: &DeploymentSettings,
-    core: &Core,
-) -> Result<()> {
-    let port = settings.node.first_port;
-    let news = News::bind(SocketAddr::new(settings.node.address, port)).await?;
+fn exchange_news(spawner: &Spawner, core: &Core, news: News, port: u16) {
     let (sender, receiver) = (news.clone(), news);
     let (asking, taking) = (core.clone(), core.clone());
     spawner.detach(async move {
@@ -226,12 +224,15 @@
     spawner.detach(async move {
         loop {
             let (_, datagram) = receiver.receive().await;
-            if let Datagram::Load { runner, load } = datagram {
-                taking.feed(Event::Load(runner, load));
+            match datagram {
+                Datagram::Load { runner, load } => taking.feed(Event::Load(runner, load)),
+                Datagram::Reserved { question, granted } => {
+                    taking.reservations.settle(question, granted);
+                }
+                Datagram::Subscribe | Datagram::Reserve { .. } | Datagram::Summary { .. } => {}
             }
         }
     });
-    Ok(())
 }
 
 /// Where the sidecars of model runners listen: on the machines of their runners.
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -24,6 +24,20 @@
         /// Its load.
         load: RunnerLoad,
     },
+    /// A gateway wants to send a request to the runner beside the receiver.
+    Reserve {
+        /// Names the question.
+        question: u64,
+        /// Tokens of the request's prompt.
+        prompt_tokens: u32,
+    },
+    /// The answer to a question for a place.
+    Reserved {
+        /// The question.
+        question: u64,
+        /// Whether the request may be sent now.
+        granted: bool,
+    },
     /// The sender holds these chunks of a version.
     Summary {
         /// Who.
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -147,6 +147,8 @@
         model: engine.model.clone(),
         warm_ms: engine.warm_ms,
         origin_bytes_per_s: origin.bytes_per_s,
+        slots: engine.slots,
+        prompt_tokens_per_ms: engine.prompt_tokens_per_ms,
     }));
 }
 
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -108,7 +108,11 @@
             Datagram::Summary { from, place, version, have } => {
                 core.feed(Event::Summary { from, address: sender, place, version, have });
             }
-            Datagram::Load { .. } => {}
+            Datagram::Reserve { question, prompt_tokens } => {
+                let granted = core.rollout.borrow_mut().reserve(core.clock.now(), prompt_tokens);
+                news.send(sender, &Datagram::Reserved { question, granted }).await;
+            }
+            Datagram::Load { .. } | Datagram::Reserved { .. } => {}
         }
     }
 }
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -56,7 +56,6 @@
                 let mut load = report.load;
                 load.busy |= core.rollout.borrow().is_leaving(core.clock.now());
                 let gateways = subscribers(&core);
-                load.gateways = gateways.len() as u32;
                 let datagram = Datagram::Load { runner: core.settings.runner, load };
                 for gateway in gateways {
                     news.send(gateway, &datagram).await;
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -23,8 +23,6 @@
     pub pool: &'a Pool,
     /// Where the gateway stands.
     pub hall: &'a Hall,
-    /// Prompt tokens that a runner of the service reads in a millisecond. `None` for plain services.
-    pub tokens_per_ms: Option<f64>,
 }
 
 impl Chooser<'_> {
@@ -37,9 +35,7 @@
         tried: &[InstanceId],
     ) -> Option<InstanceId> {
         let usable = self.pool.of_service(&arrival.service).filter(|it| {
-            !tried.contains(&it.record.id)
-                && self.can_run(now, it, arrival)
-                && self.has_room(now, it)
+            !tried.contains(&it.record.id) && self.can_run(now, it, arrival) && has_room(now, it)
         });
         let scored = usable.map(|it| (self.cost(now, it, arrival) + random.random::<f64>(), it));
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
@@ -67,11 +63,6 @@
         held.is_some_and(|it| &it.model == model && it.whole && it.version >= required)
     }
 
-    fn has_room(&self, now: Millis, runner: &Runner) -> bool {
-        let reads = self.tokens_per_ms.is_none_or(|rate| runner.prompt_credit(now, rate) > 0.0);
-        reads && runner.has_room(now)
-    }
-
     fn cost(&self, now: Millis, runner: &Runner, arrival: &Arrival) -> f64 {
         let pace = runner.load(now).map_or(1.0, |load| load.pace.max(1.0));
         let mut cost = f64::from(runner.occupancy(now) + 1) * pace;
@@ -85,3 +76,7 @@
         cost
     }
 }
+
+fn has_room(now: Millis, runner: &Runner) -> bool {
+    runner.occupancy(now) < runner.record.slots
+}
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -60,6 +60,10 @@
     Finished,
     /// No connection came up; nothing was sent.
     NotSent,
+    /// The sidecar beside the runner had no place; nothing was sent.
+    Denied,
+    /// The sidecar beside the runner did not answer; nothing was sent.
+    Silent,
     /// The runner turned the request away for want of room. It did not run.
     Full,
     /// The runner turned the request away because it is another one or holds other weights.
@@ -75,7 +79,12 @@
 impl AttemptOutcome {
     /// Whether the runner certainly did not run the request.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::NotSent | Self::Full | Self::Misdirected)
+        matches!(self, Self::Full | Self::Misdirected) || !self.has_arrived()
+    }
+
+    /// Whether the request reached the runner, as far as that is known.
+    pub fn has_arrived(self) -> bool {
+        !matches!(self, Self::NotSent | Self::Denied | Self::Silent)
     }
 }
 
@@ -116,6 +125,8 @@
     pub id: InstanceId,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Whether its sidecar must give a place first.
+    pub reserve: bool,
 }
 
 /// What a request does next.
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -55,12 +55,12 @@
     }
 
     /// Takes in a report on the runner at an address.
-    pub fn take_load(&mut self, now: Millis, toss: f64, address: SocketAddr, load: RunnerLoad) {
+    pub fn take_load(&mut self, now: Millis, address: SocketAddr, load: RunnerLoad) {
         let Some(id) = self.by_address.get(&address) else {
             return;
         };
         if let Some(runner) = self.runners.get_mut(id) {
-            runner.take_load(now, toss, load);
+            runner.take_load(now, load);
         }
     }
 
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -21,6 +21,8 @@
 const WAIT_SHARE: f64 = 0.22;
 /// How long a request that may have run already waits for another place, in milliseconds.
 const RESUME_WAIT: u64 = 600;
+/// How long a runner whose sidecar had no place is left alone, in milliseconds.
+const DENIED_PAUSE: u64 = 30;
 /// How long a runner that said it is full is left alone, in milliseconds.
 const FULL_PAUSE: u64 = 60;
 /// The shortest and longest time after which a refused caller is asked to come back, in
@@ -124,7 +126,7 @@
                 Vec::new()
             }
             Event::Load(address, load) => {
-                self.pool.take_load(now, random.random(), address, load);
+                self.pool.take_load(now, address, load);
                 self.dispatch(now, &mut random)
             }
             Event::Arrived(arrival) => self.arrive(now, &mut random, arrival),
@@ -174,6 +176,10 @@
             return Vec::new();
         }
         progress.current = None;
+        if matches!(outcome, AttemptOutcome::Denied | AttemptOutcome::Silent) {
+            // Nothing was sent: this was not one of the attempts that the route allows.
+            progress.tried.retain(|it| it != &id);
+        }
         let waited = now.since(progress.sent_at);
         let answered = std::mem::take(&mut progress.answered);
         progress.may_have_run |= !outcome.is_not_run();
@@ -207,8 +213,12 @@
         match outcome {
             AttemptOutcome::Answered | AttemptOutcome::Finished => runner.reward(),
             AttemptOutcome::Full => runner.note_full(now, FULL_PAUSE),
+            AttemptOutcome::Denied => runner.note_full(now, DENIED_PAUSE),
             AttemptOutcome::Misdirected => runner.misdirected = true,
-            AttemptOutcome::NotSent | AttemptOutcome::Lost | AttemptOutcome::Cut => {
+            AttemptOutcome::NotSent
+            | AttemptOutcome::Silent
+            | AttemptOutcome::Lost
+            | AttemptOutcome::Cut => {
                 runner.punish(now);
             }
             AttemptOutcome::Failed => {}
@@ -231,7 +241,7 @@
         let left = (progress.tried.len() as u32) < arrival.attempts.max(1);
         let service = arrival.service.clone();
         // An attempt that never reached a runner is no arrival there, so it costs no repeat.
-        let free = outcome == AttemptOutcome::NotSent;
+        let free = !outcome.has_arrived();
         if !allowed || !left || now >= arrival.limit {
             return self.finish_without_answer(random, key);
         }
@@ -245,6 +255,9 @@
         progress.wait_until = progress.wait_until.max(now.plus(wait)).min(progress.arrival.limit);
         let place = Place { priority: 0, key };
         self.queue.insert(place);
+        if outcome == AttemptOutcome::Denied {
+            return Vec::new();
+        }
         vec![Effect::CountRetry(reason(outcome))]
     }
 
@@ -316,18 +329,16 @@
         key: RequestKey,
     ) -> Option<RunnerTarget> {
         let progress = self.requests.get_mut(&key)?;
-        let service = self.catalog.as_ref().and_then(|it| it.service(&progress.arrival.service));
-        let engine = service.and_then(|it| it.engine.as_ref());
-        let tokens_per_ms = engine.map(|it| it.prompt_tokens_per_ms);
-        let chooser = Chooser { pool: &self.pool, hall: &self.options.hall, tokens_per_ms };
+        let chooser = Chooser { pool: &self.pool, hall: &self.options.hall };
         let id = chooser.choose(now, random, &progress.arrival, &progress.tried)?;
         let runner = self.pool.runner_mut(&id)?;
-        runner.send(now, tokens_per_ms.unwrap_or(0.0), progress.arrival.prompt_tokens);
+        runner.in_flight += 1;
         let address = runner.record.address;
         progress.tried.push(id.clone());
         progress.current = Some(id.clone());
         progress.sent_at = now;
-        Some(RunnerTarget { id, address })
+        let reserve = progress.arrival.model.is_some();
+        Some(RunnerTarget { id, address, reserve })
     }
 
     fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
@@ -349,8 +360,8 @@
 /// The code that tells why an attempt did not end in an answer.
 fn reason(outcome: AttemptOutcome) -> Code {
     match outcome {
-        AttemptOutcome::NotSent => Code::Unreachable,
-        AttemptOutcome::Full => Code::Overloaded,
+        AttemptOutcome::NotSent | AttemptOutcome::Silent => Code::Unreachable,
+        AttemptOutcome::Full | AttemptOutcome::Denied => Code::Overloaded,
         AttemptOutcome::Misdirected => Code::NotServing,
         AttemptOutcome::Failed => Code::UpstreamFailed,
         AttemptOutcome::Lost => Code::ConnectionLost,
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -5,10 +5,6 @@
 use fleet::{Hall, InstanceId, Millis, ModelName, ServiceName};
 use serde::{Deserialize, Serialize};
 
-/// The most prompt tokens that a gateway saves up for a runner.
-const MAX_PROMPT_CREDIT: f64 = 1500.0;
-/// The part of a runner's time that it may read prompts.
-const READING_SHARE: f64 = 0.9;
 /// The part of a new measurement in a smoothed one.
 const SMOOTHING: f64 = 0.3;
 /// The time after which what was seen of a runner counts for a third, in milliseconds.
@@ -78,8 +74,6 @@
     pub pace: f64,
     /// The weights that it holds.
     pub weights: Option<WeightsHeld>,
-    /// Gateways that get this report, and share the free places.
-    pub gateways: u32,
 }
 
 /// A report with the moment it arrived.
@@ -89,8 +83,6 @@
     at: Millis,
     /// Own requests there at that moment.
     own: u32,
-    /// Requests that may still be sent before the next report.
-    allowance: u32,
 }
 
 /// A runner.
@@ -101,8 +93,6 @@
     /// Own requests there.
     pub in_flight: u32,
     reported: Option<Reported>,
-    /// Prompt tokens that may be sent, and when they were counted.
-    prompt_credit: (f64, Millis),
     /// How long answers took to begin, smoothed, in milliseconds, and when that was last seen.
     first_ms: (f64, Millis),
     suspect_until: Millis,
@@ -118,7 +108,6 @@
             record,
             in_flight: 0,
             reported: None,
-            prompt_credit: (MAX_PROMPT_CREDIT, Millis(0)),
             first_ms: (0.0, Millis(0)),
             suspect_until: Millis(0),
             failures: 0,
@@ -126,41 +115,9 @@
         }
     }
 
-    /// Takes in a report. `toss` is a number from zero to one that decides who gets a place that
-    /// cannot be shared.
-    pub fn take_load(&mut self, now: Millis, toss: f64, load: RunnerLoad) {
-        let taken = load.running + load.waiting;
-        let free = f64::from(self.record.slots.saturating_sub(taken));
-        let share = free / f64::from(load.gateways.max(1));
-        let allowance = (share + toss) as u32;
-        self.reported = Some(Reported { load, at: now, own: self.in_flight, allowance });
-    }
-
-    /// Whether another request may be sent there. Other gateways see the same free places, so each
-    /// takes its share of them until the next report.
-    pub fn has_room(&self, now: Millis) -> bool {
-        let room = self.occupancy(now) < self.record.slots;
-        let fresh = self.reported.as_ref().filter(|it| now.since(it.at).0 <= REPORT_LIFE);
-        room && fresh.is_none_or(|it| it.allowance > 0)
-    }
-
-    /// Prompt tokens that may be sent now, where the runner reads `tokens_per_ms` and all gateways
-    /// share that. Prompts that come faster only wait for each other.
-    pub fn prompt_credit(&self, now: Millis, tokens_per_ms: f64) -> f64 {
-        let gateways = self.load(now).map_or(1, |load| load.gateways.max(1));
-        let (credit, at) = self.prompt_credit;
-        let gained = now.since(at).0 as f64 * tokens_per_ms * READING_SHARE / f64::from(gateways);
-        (credit + gained).min(MAX_PROMPT_CREDIT)
-    }
-
-    /// A request with a prompt of so many tokens is sent there.
-    pub fn send(&mut self, now: Millis, tokens_per_ms: f64, prompt_tokens: u32) {
-        self.in_flight += 1;
-        let credit = self.prompt_credit(now, tokens_per_ms);
-        self.prompt_credit = (credit - f64::from(prompt_tokens), now);
-        if let Some(reported) = &mut self.reported {
-            reported.allowance = reported.allowance.saturating_sub(1);
-        }
+    /// Takes in a report.
+    pub fn take_load(&mut self, now: Millis, load: RunnerLoad) {
+        self.reported = Some(Reported { load, at: now, own: self.in_flight });
     }
 
     /// The last report, if it still counts.
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -31,6 +31,10 @@
     pub warm_ms: u64,
     /// The origin's link, in bytes a second.
     pub origin_bytes_per_s: u64,
+    /// Requests that the runner works on at once.
+    pub slots: u32,
+    /// Prompt tokens that the runner reads in a millisecond.
+    pub prompt_tokens_per_ms: f64,
 }
 
 /// A sidecar beside a runner of the same service.
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -4,8 +4,10 @@
 //! The spread of chunks between sidecars is that of `reducer`; this package adds the runner.
 
 mod event;
+mod places;
 mod reducer;
 mod target;
 
 pub use event::{Effect, Event, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan};
+pub use places::Places;
 pub use reducer::Rollout;
--- /dev/null
+++ b/components/rollout/src/places.rs
@@ -0,0 +1,76 @@
+//! Which requests may be sent to the runner: a gateway asks right before it sends one.
+//!
+//! The sidecar knows what all gateways send, so a place is given once. And only a machine that is
+//! awake answers: what is sent to one that stands still would lie there and start much later.
+
+use std::collections::VecDeque;
+
+use fleet::Millis;
+
+/// How long a request is on its way to the runner, in milliseconds. A report that is younger than
+/// its reservation may not count it yet.
+const TRANSIT: u64 = 12;
+/// The part of the runner's time that it may read prompts.
+const READING_SHARE: f64 = 0.9;
+/// The most prompt tokens that are saved up: about two prompts.
+const MAX_CREDIT: f64 = 2500.0;
+/// How long a report counts, in milliseconds.
+const REPORT_LIFE: u64 = 600;
+
+/// The places of a runner.
+#[derive(Clone, Debug, Default)]
+pub struct Places {
+    slots: u32,
+    tokens_per_ms: f64,
+    /// Requests at the runner by its last report, and when that was.
+    reported: Option<(u32, Millis)>,
+    /// When places were given that the last report may not count.
+    given: VecDeque<Millis>,
+    /// Prompt tokens that may still come, and when that was counted.
+    credit: (f64, Millis),
+}
+
+impl Places {
+    /// Takes in how many requests the runner works on at once, and how fast it reads prompts.
+    pub fn set_profile(&mut self, slots: u32, tokens_per_ms: f64) {
+        self.slots = slots;
+        self.tokens_per_ms = tokens_per_ms;
+    }
+
+    /// Takes in how many requests are at the runner.
+    pub fn take_report(&mut self, now: Millis, requests: u32) {
+        self.reported = Some((requests, now));
+        while self.given.front().is_some_and(|at| now.since(*at).0 > TRANSIT) {
+            self.given.pop_front();
+        }
+    }
+
+    /// Requests that are at the runner or on their way to it.
+    pub fn taken(&self) -> u32 {
+        self.reported.map_or(0, |(requests, _)| requests) + self.given.len() as u32
+    }
+
+    /// Whether a request is still on its way.
+    pub fn awaits_arrival(&self, now: Millis) -> bool {
+        self.given.back().is_some_and(|at| now.since(*at).0 <= 2 * TRANSIT)
+    }
+
+    /// Gives a place to a request with a prompt of so many tokens, if there is one. Prompts that come
+    /// faster than the runner reads would only wait for each other.
+    pub fn give(&mut self, now: Millis, prompt_tokens: u32) -> bool {
+        let fresh = self.reported.is_some_and(|(_, at)| now.since(at).0 <= REPORT_LIFE);
+        let credit = self.credit(now);
+        if !fresh || self.taken() >= self.slots || credit <= 0.0 {
+            return false;
+        }
+        self.credit = (credit - f64::from(prompt_tokens), now);
+        self.given.push_back(now);
+        true
+    }
+
+    fn credit(&self, now: Millis) -> f64 {
+        let (credit, at) = self.credit;
+        let gained = now.since(at).0 as f64 * self.tokens_per_ms * READING_SHARE;
+        (credit + gained).min(MAX_CREDIT)
+    }
+}
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::event::{Effect, Event, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan};
+use crate::places::Places;
 use crate::target::{participants, Step, Target};
 use fleet::{Bitmap, InstanceId, Millis};
 
@@ -22,7 +23,10 @@
 /// How long a runner has to come down to so few, in milliseconds.
 const DRAIN_PATIENCE: u64 = 1500;
 /// How long before an order gateways hear of it, in milliseconds.
-const NOTICE: u64 = 250;
+const NOTICE: u64 = 120;
+
+/// How long before its bound nothing is started on an older version any more, in milliseconds.
+const START_MARGIN: u64 = 900;
 
 /// The state of a sidecar.
 pub struct Rollout {
@@ -33,6 +37,7 @@
     /// The version that was named last, and when.
     named: (u64, Millis),
     status: Option<RunnerStatus>,
+    places: Places,
     /// `None` until the list of runners has been read.
     peers: Option<Vec<Peer>>,
     /// When the list of runners was first read.
@@ -52,6 +57,7 @@
             versions_known: false,
             named: (FIRST_VERSION, Millis(0)),
             status: None,
+            places: Places::default(),
             peers: None,
             peers_since: Millis(0),
             current: None,
@@ -89,7 +95,10 @@
     /// Takes in an event.
     pub fn reduce(&mut self, now: Millis, event: Event) -> Vec<Effect> {
         match event {
-            Event::Planned(plan) => self.plan = Some(plan),
+            Event::Planned(plan) => {
+                self.places.set_profile(plan.slots, plan.prompt_tokens_per_ms);
+                self.plan = Some(plan);
+            }
             Event::Named(version) => self.name(now, version),
             Event::VersionsKnown => self.versions_known = true,
             Event::Status(status) => self.take_status(now, status),
@@ -162,6 +171,23 @@
         }
     }
 
+    /// Gives a place at the runner to a request with a prompt of so many tokens, or not.
+    pub fn reserve(&mut self, now: Millis, prompt_tokens: u32) -> bool {
+        let serves = self.status.as_ref().is_some_and(|it| !it.busy && it.version.is_some());
+        if !serves || self.is_leaving(now) || self.is_too_old(now) {
+            return false;
+        }
+        self.places.give(now, prompt_tokens)
+    }
+
+    /// Whether the runner's version may hardly be used any more.
+    fn is_too_old(&self, now: Millis) -> bool {
+        let held = self.status.as_ref().and_then(|it| it.version).unwrap_or(0);
+        let span = self.options.version_ms.saturating_sub(START_MARGIN);
+        let mut targets = self.current.iter().chain(&self.next);
+        targets.any(|it| it.version > held && now.since(it.named_at).0 >= span)
+    }
+
     fn target(&mut self, version: u64) -> Option<&mut Target> {
         let mut targets = self.current.iter_mut().chain(&mut self.next);
         targets.find(|it| it.version == version)
@@ -207,6 +233,7 @@
     }
 
     fn take_status(&mut self, now: Millis, status: RunnerStatus) {
+        self.places.take_report(now, status.running);
         let before = self.status.replace(status.clone());
         let Some(target) = &mut self.current else {
             return;
@@ -330,7 +357,8 @@
 
     fn stage_when_due(&mut self, now: Millis) -> Option<Effect> {
         let busy = self.status.as_ref().is_none_or(|it| it.busy);
-        let drained = self.status.as_ref().is_some_and(|it| it.running <= MAX_CUT);
+        let drained = self.status.as_ref().is_some_and(|it| it.running <= MAX_CUT)
+            && !self.places.awaits_arrival(now);
         let target = self.current.as_mut()?;
         match target.step {
             Step::Waiting(at)
