--- a/components/rollout/tests/fleet.rs
+++ b/components/rollout/tests/fleet.rs
@@ -318,8 +318,8 @@
         fleet.sidecars[0].reserve(now, 10)
     };
     assert!(reserve(&mut fleet));
-    // The runner stands still at work, so it cannot be moved.
-    fleet.runners[0].running = 10;
+    // No chunk arrives, so the runner cannot be moved.
+    fleet.loses = 1;
     fleet.name(2);
     fleet.run(300);
     assert!(reserve(&mut fleet));
