--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -10,7 +10,7 @@
 use futures_lite::future;
 use gateway::{Arrival, Catalog, NextStep, RouteKind};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform::headers::{self, RequestFacts};
 
@@ -81,9 +81,16 @@
             return own_answer(status, id.as_deref(), code);
         }
     };
-    let Ok(body) = Limited::new(body, catalog.limits.body_bytes).collect().await else {
-        core.metrics.count_refusal(Code::TooLarge);
-        return own_answer(StatusCode::PAYLOAD_TOO_LARGE, id.as_deref(), Code::TooLarge);
+    let body = match Limited::new(body, catalog.limits.body_bytes).collect().await {
+        Ok(body) => body,
+        Err(error) => {
+            let (status, code) = match error.downcast_ref::<LengthLimitError>() {
+                Some(_) => (StatusCode::PAYLOAD_TOO_LARGE, Code::TooLarge),
+                None => (StatusCode::BAD_REQUEST, Code::BadRequest),
+            };
+            core.metrics.count_refusal(code);
+            return own_answer(status, id.as_deref(), code);
+        }
     };
     let held = routed.timeout_ms.min(facts.deadline_ms.unwrap_or(DEFAULT_DEADLINE));
     let job = Job {
