--- /dev/null
+++ b/components/account/src/cause.rs
@@ -0,0 +1,78 @@
+//! What happened to a request, in a sentence.
+
+use errors::Code;
+
+use crate::decision::{Decision, RequestLine};
+
+/// The cause, as far as the lines tell it.
+pub(crate) fn cause(lines: &[RequestLine]) -> String {
+    let ended = lines.iter().rev().find_map(|line| match &line.decision {
+        Decision::Ended { outcome, code, runners, usable, .. } => {
+            Some((outcome.as_str(), *code, *runners, *usable))
+        }
+        _ => None,
+    });
+    let Some((outcome, code, runners, usable)) = ended else {
+        return unfinished(lines);
+    };
+    match outcome {
+        "whole" => "the caller got the whole answer".into(),
+        "left" => "the caller left before the answer was whole".into(),
+        "refused" => refused(lines, code, runners, usable),
+        "failed" => format!("the runner's own failure was handed on{}", last_failure(lines)),
+        "unknown" => format!(
+            "it was sent and no whole answer came, so whether it ran is not known{}",
+            last_failure(lines)
+        ),
+        "cut" => format!("the stream broke off and could not go on{}", last_failure(lines)),
+        other => format!("it ended as {other}"),
+    }
+}
+
+fn unfinished(lines: &[RequestLine]) -> String {
+    match lines.last() {
+        None => "not known: no line speaks of it".into(),
+        Some(line) => format!("not known: the last word is that of {}", line.instance),
+    }
+}
+
+fn refused(lines: &[RequestLine], code: u16, runners: u32, usable: u32) -> String {
+    let name = Code::from_number(code).map_or("", Code::meaning);
+    let reasons = denials(lines);
+    if !reasons.is_empty() {
+        return format!("it did not run: sidecars gave no place ({reasons})");
+    }
+    if runners == 0 {
+        return format!("it did not run: no runner of the service is listed. {name}");
+    }
+    if usable == 0 && code == Code::Overloaded.number() {
+        return format!("it did not run: none of {runners} listed runners was fit or had room");
+    }
+    format!("it did not run. {name}{}", last_failure(lines))
+}
+
+/// Why sidecars gave no place, each reason once.
+fn denials(lines: &[RequestLine]) -> String {
+    let mut reasons: Vec<&str> = Vec::new();
+    for line in lines {
+        let reason = match &line.decision {
+            Decision::Denied { reason, .. } => reason.as_str(),
+            Decision::NoPlace { outcome, .. } if outcome == "silent" => "silent",
+            _ => continue,
+        };
+        if !reasons.contains(&reason) {
+            reasons.push(reason);
+        }
+    }
+    reasons.join(", ")
+}
+
+fn last_failure(lines: &[RequestLine]) -> String {
+    let failure = lines.iter().rev().find_map(|line| match &line.decision {
+        Decision::Failed { runner, name, took_ms, .. } => {
+            Some(format!(": {runner} ended with {name} after {took_ms} ms"))
+        }
+        _ => None,
+    });
+    failure.unwrap_or_default()
+}
--- /dev/null
+++ b/components/account/src/decision.rs
@@ -0,0 +1,120 @@
+//! One decision on a request, as it stands in a log.
+
+use serde::{Deserialize, Serialize};
+
+/// A decision with what it was made by and its outcome.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "decision", rename_all = "snake_case")]
+pub enum Decision {
+    /// The configuration names a route.
+    Routed {
+        /// The route.
+        route: String,
+        /// The service that was drawn.
+        service: String,
+        /// The version of the configuration.
+        configuration: u64,
+        /// `safe`, `unsafe`, `stream` or `resumable_stream`.
+        kind: String,
+        /// How long it may be held, in milliseconds.
+        held_ms: u64,
+    },
+    /// A runner was chosen.
+    Chosen {
+        /// Its incarnation.
+        runner: String,
+        /// How often one was chosen before.
+        attempt: u32,
+        /// Requests there, as far as known.
+        occupancy: u32,
+        /// The age of the report on it, in milliseconds. Absent without one.
+        report_age_ms: Option<u64>,
+        /// Runners that were fit for it.
+        candidates: u32,
+    },
+    /// The sidecar beside a runner gave no place, or did not answer.
+    NoPlace {
+        /// The runner.
+        runner: String,
+        /// `denied` or `silent`.
+        outcome: String,
+    },
+    /// A sidecar gave no place.
+    Denied {
+        /// Why: `leaving`, `too_old`, `full`, `reading`, `unheard` or `not_serving`.
+        reason: String,
+        /// Requests at the runner and on their way to it.
+        taken: u32,
+        /// Places that it has.
+        slots: u32,
+        /// The version that it holds, zero for none.
+        version: u64,
+    },
+    /// An attempt did not end in an answer.
+    Failed {
+        /// The runner.
+        runner: String,
+        /// The code.
+        code: u16,
+        /// Its name.
+        name: String,
+        /// Whether the runner certainly did not run it.
+        not_run: bool,
+        /// How long the attempt took, in milliseconds.
+        took_ms: u64,
+    },
+    /// A runner began to answer.
+    Answered {
+        /// The runner.
+        runner: String,
+        /// Its status.
+        status: u16,
+        /// From the arrival of the request, in milliseconds.
+        after_ms: u64,
+    },
+    /// A stream goes on behind an event.
+    Resumed {
+        /// The event, empty for the start.
+        after_event: String,
+    },
+    /// The request has ended.
+    Ended {
+        /// `whole`, `refused`, `unknown`, `failed`, `cut` or `left`.
+        outcome: String,
+        /// The code, zero for none.
+        code: u16,
+        /// Its name.
+        name: String,
+        /// The status that the caller got, zero for none.
+        status: u16,
+        /// When it was asked to come back, in milliseconds.
+        retry_after_ms: Option<u64>,
+        /// Runners of the service that are listed.
+        runners: u32,
+        /// Runners of the service that were fit at the end.
+        usable: u32,
+    },
+}
+
+/// A line of a log on a request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RequestLine {
+    /// The time of day, in milliseconds.
+    pub ts_ms: u64,
+    /// The process.
+    pub instance: String,
+    /// The request, by the id that its caller gave it.
+    pub request: String,
+    /// What was decided.
+    #[serde(flatten)]
+    pub decision: Decision,
+}
+
+/// A decision with the moment it was made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// The time of day, in milliseconds.
+    pub ts_ms: u64,
+    /// What was decided.
+    pub decision: Decision,
+}
--- /dev/null
+++ b/components/account/tests/accounts.rs
@@ -0,0 +1,51 @@
+//! Accounts from logs that are whole, out of order, cut short or lack a process.
+
+use account::{Account, Gap};
+
+const GATEWAY: &str = r#"{"ts_ms":1000,"instance":"g1","request":"r1","decision":"routed","route":"a","service":"s","configuration":7,"kind":"resumable_stream","held_ms":6000}
+{"ts_ms":1001,"instance":"g1","request":"r1","decision":"chosen","runner":"i-1","attempt":1,"occupancy":3,"report_age_ms":40,"candidates":2}
+{"ts_ms":1005,"instance":"g1","request":"r1","decision":"no_place","runner":"i-1","outcome":"denied"}
+{"ts_ms":1090,"instance":"g1","request":"r1","decision":"ended","outcome":"refused","code":103,"name":"Overloaded","status":503,"retry_after_ms":400,"runners":2,"usable":0}
+{"ts_ms":1090,"instance":"g1","level":"INFO","message":"something else about r1"}"#;
+const SIDECAR: &str = r#"{"ts_ms":1003,"instance":"c1","request":"r1","decision":"denied","reason":"leaving","taken":2,"slots":16,"version":1}
+{"ts_ms":1003,"instance":"c1","request":"r12","decision":"denied","reason":"full","taken":16,"slots":16,"version":1}"#;
+
+#[test]
+fn the_true_reason_of_a_refusal_comes_from_the_sidecar() {
+    let account = Account::of("r1", [SIDECAR, GATEWAY]);
+    assert_eq!(account.lines.len(), 5);
+    assert!(account.cause.contains("leaving"), "{}", account.cause);
+    assert_eq!(account.gaps, [Gap::Unreadable(1)]);
+    let times: Vec<u64> = account.lines.iter().map(|it| it.ts_ms).collect();
+    assert!(times.is_sorted());
+}
+
+#[test]
+fn a_missing_process_is_named() {
+    let account = Account::of("r1", [GATEWAY]);
+    assert!(account.gaps.contains(&Gap::Sidecar));
+    assert!(account.to_string().contains("missing: the sidecar's line"));
+}
+
+#[test]
+fn a_log_that_was_cut_short_still_gives_what_it_has() {
+    let cut = &GATEWAY[..GATEWAY.find("\"decision\":\"ended\"").unwrap()];
+    let account = Account::of("r1", [cut]);
+    assert!(account.gaps.contains(&Gap::End));
+    assert!(account.gaps.contains(&Gap::Unreadable(1)));
+    assert!(account.cause.contains("not known"), "{}", account.cause);
+}
+
+#[test]
+fn lines_out_of_order_or_told_twice_give_the_same_account() {
+    let reversed: Vec<&str> = GATEWAY.lines().rev().collect();
+    let twice = format!("{}\n{GATEWAY}", reversed.join("\n"));
+    let account = Account::of("r1", [twice.as_str()]);
+    assert_eq!(account.lines, Account::of("r1", [GATEWAY]).lines);
+}
+
+#[test]
+fn a_request_that_nobody_speaks_of_is_said_so() {
+    let account = Account::of("r9", [GATEWAY, SIDECAR]);
+    assert_eq!(account.gaps, [Gap::Nothing]);
+}
--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request at one runner.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use bytes::Bytes;
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::headers::{self, Added, AnswerFacts};
+use telemetry::Span;
 
 use super::answer::{whole_body, AnswerBody};
 use super::core::Core;
@@ -74,7 +75,9 @@
     pub async fn run(&self, last_event: Option<&str>, sent: &mut bool) -> Outcome {
         if self.target.reserve {
             let tokens = self.job.facts.prompt_tokens;
-            if let Some(outcome) = self.core.reservations.ask(self.target.address, tokens).await {
+            let id = self.job.facts.id.as_deref().unwrap_or("");
+            if let Some(outcome) = self.core.reservations.ask(self.target.address, id, tokens).await
+            {
                 return outcome.into();
             }
         }
@@ -85,6 +88,7 @@
             return AttemptOutcome::NotSent.into();
         };
         let was_sent = std::mem::replace(sent, true);
+        let begun = Instant::now();
         let answer = future::or(async { exchange.send(request).await.ok() }, async {
             self.lose_patience().await;
             None
@@ -93,6 +97,7 @@
         let Some(answer) = answer else {
             return AttemptOutcome::Lost.into();
         };
+        self.core.metrics.note_span(Span::Runner, begun.elapsed().as_millis() as u64);
         let outcome = self.judge(exchange, answer).await;
         if let Outcome::Failure { outcome, .. } = &outcome {
             *sent = was_sent || !outcome.is_not_run();
--- a/components/edge/src/gateway/core.rs
+++ b/components/edge/src/gateway/core.rs
@@ -20,6 +20,8 @@
     pub clock: Clock,
     /// Counters.
     pub metrics: Rc<Metrics>,
+    /// The name of this process in logs.
+    pub name: Rc<str>,
     /// Places at runners.
     pub reservations: Reservations,
 }
@@ -36,10 +38,17 @@
         options: GatewayOptions,
         clock: Clock,
         metrics: Rc<Metrics>,
+        name: &str,
         reservations: Reservations,
     ) -> Self {
         let state = State { gateway: Gateway::new(options), waiting: HashMap::new(), next_key: 0 };
-        Self { state: Rc::new(RefCell::new(state)), clock, metrics, reservations }
+        Self {
+            state: Rc::new(RefCell::new(state)),
+            clock,
+            metrics,
+            name: name.into(),
+            reservations,
+        }
     }
 
     /// Hands an event to the reducer and its decisions to those who wait for them.
--- a/components/edge/src/gateway/mod.rs
+++ b/components/edge/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod relay;
 mod request;
 mod reservations;
+mod trace;
 
-pub use self::answer::AnswerBody;
+pub use self::answer::{own_answer, whole_body, AnswerBody};
 pub use self::node::GatewayNode;
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -24,6 +24,7 @@
 use super::reservations::Reservations;
 use crate::clock::Clock;
 use crate::message::Datagram;
+use crate::metrics::serve_metrics;
 use crate::news::News;
 use crate::server::{listen, serve, ServerOptions};
 use crate::spawner::Spawner;
@@ -68,7 +69,13 @@
         let port = settings.node.first_port;
         let news = News::bind(SocketAddr::new(settings.node.address, port)).await?;
         let reservations = Reservations::new(news.clone(), port);
-        let core = Core::new(options(settings), Clock::start(), metrics, reservations);
+        let core = Core::new(
+            options(settings),
+            Clock::start(),
+            metrics,
+            &settings.node.name.0,
+            reservations,
+        );
         let known = Known::default();
         let (stop, stopped) = async_channel::bounded(1);
         let node = Self {
@@ -83,6 +90,7 @@
         follow(spawner, settings, &core, Table::Operator, known.configuration);
         follow(spawner, settings, &core, Table::Runners, known.runners);
         exchange_news(spawner, &core, news, port);
+        serve_page(spawner, settings, &core, stopped.clone()).await?;
         spawner.detach(tick(core.clone()));
         node.serve_callers(spawner, settings, stopped).await?;
         Ok(node)
@@ -247,6 +255,27 @@
     })
 }
 
+/// Serves the page of metrics with what the gateway believes.
+async fn serve_page(
+    spawner: &Spawner,
+    settings: &DeploymentSettings,
+    core: &Core,
+    stopped: Receiver<()>,
+) -> Result<()> {
+    let address = SocketAddr::new(settings.node.address, settings.node.last_port);
+    let (metrics, core) = (core.metrics.clone(), core.clone());
+    let refresh = move || {
+        let (under_way, waiting) = core.read(|gateway| gateway.load());
+        let runners = core.read(|gateway| gateway.pool().len());
+        let configuration = core.catalog().map_or(0, |it| it.version);
+        core.metrics.set("requests_under_way", under_way as u64);
+        core.metrics.set("requests_waiting", waiting as u64);
+        core.metrics.set("runners_listed", runners as u64);
+        core.metrics.set("configuration", configuration);
+    };
+    serve_metrics(spawner, address, stopped, metrics, refresh).await
+}
+
 async fn tick(core: Core) {
     loop {
         Timer::after(TICK).await;
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -3,21 +3,24 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use account::Decision;
 use async_io::Timer;
 use bytes::Bytes;
 use errors::{Code, Error, Result};
 use futures_lite::{future, stream};
-use gateway::{AttemptOutcome, Event, NextStep};
+use gateway::{AttemptOutcome, Event, NextStep, RunnerTarget};
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
 use http_body::Frame;
 use http_body_util::StreamBody;
+use telemetry::Span;
 
 use super::answer::{own_answer, whole_body, AnswerBody};
 use super::attempt::{Attempt, Outcome, RunnerAnswer};
 use super::core::{Core, Ticket};
 use super::events::EventCutter;
 use super::request::{before, Job};
+use super::trace::Ending;
 
 /// The largest plain answer that is held until it is whole, in bytes. The caller then never sees
 /// one that was cut.
@@ -30,15 +33,25 @@
     core: Core,
     job: Rc<Job>,
     ticket: Ticket,
+    target: RunnerTarget,
     begun: RunnerAnswer,
 ) -> Response<AnswerBody> {
     core.feed(Event::Attempt(ticket.key, AttemptOutcome::Answered));
+    note_answer(&core, &job, &target, &begun);
     if job.kind.is_stream() && begun.status.is_success() {
-        return stream_answer(core, job, ticket, begun);
+        return stream_answer(core, job, ticket, target, begun);
     }
     plain_answer(core, job, ticket, begun).await
 }
 
+/// Notes that a runner began to answer.
+fn note_answer(core: &Core, job: &Job, target: &RunnerTarget, begun: &RunnerAnswer) {
+    let after_ms = job.trace.age_ms();
+    core.metrics.note_span(Span::First, after_ms);
+    let (runner, status) = (target.id.0.clone(), begun.status.as_u16());
+    job.trace.note(Decision::Answered { runner, status, after_ms });
+}
+
 /// Holds a plain answer until it is whole.
 async fn plain_answer(
     core: Core,
@@ -52,6 +65,8 @@
     match collected {
         Some(Ok(text)) => {
             core.feed(Event::Attempt(ticket.key, AttemptOutcome::Finished));
+            core.metrics.note_span(Span::Whole, job.trace.age_ms());
+            job.trace.end(Ending::Whole, status.as_u16(), None);
             let mut answer = Response::new(whole_body(text));
             *answer.status_mut() = status;
             *answer.headers_mut() = headers;
@@ -59,11 +74,11 @@
             answer
         }
         Some(Err(error)) => {
-            core.metrics.count_refusal(error.code);
+            job.trace.end(Ending::Unknown, 502, Some(error.code));
             own_answer(StatusCode::BAD_GATEWAY, id, Code::CutShort)
         }
         None => {
-            core.metrics.count_refusal(Code::TimedOut);
+            job.trace.end(Ending::Unknown, 504, Some(Code::TimedOut));
             own_answer(StatusCode::GATEWAY_TIMEOUT, id, Code::TimedOut)
         }
     }
@@ -73,13 +88,15 @@
     core: Core,
     job: Rc<Job>,
     ticket: Ticket,
+    target: RunnerTarget,
     begun: RunnerAnswer,
 ) -> Response<AnswerBody> {
     let status = begun.status;
     let mut headers = begun.headers.clone();
     // The stream may go on at another runner, so its length is not known.
     headers.remove(CONTENT_LENGTH);
-    let relay = Relay { core, job, ticket, begun, cutter: EventCutter::default(), ended: false };
+    let relay =
+        Relay { core, job, ticket, target, begun, cutter: EventCutter::default(), ended: false };
     let frames = stream::unfold(relay, |mut relay| async move {
         let bytes = relay.next().await?;
         Some((bytes.map(Frame::data), relay))
@@ -96,6 +113,8 @@
     core: Core,
     job: Rc<Job>,
     ticket: Ticket,
+    /// The runner that it comes from.
+    target: RunnerTarget,
     begun: RunnerAnswer,
     cutter: EventCutter,
     ended: bool,
@@ -115,16 +134,16 @@
                 Read::End if !self.cutter.has_partial() => {
                     self.ended = true;
                     self.core.feed(Event::Attempt(self.ticket.key, AttemptOutcome::Finished));
+                    self.core.metrics.note_span(Span::Whole, self.job.trace.age_ms());
+                    self.job.trace.end(Ending::Whole, self.begun.status.as_u16(), None);
                 }
                 Read::Late => {
-                    self.ended = true;
-                    return Some(Err(Error::new(Code::TimedOut, "the time of the route is over")));
+                    return Some(Err(self.break_off(Code::TimedOut)));
                 }
                 // A stream that ends within an event was cut, however its connection ended.
                 Read::Cut | Read::End => {
-                    if let Err(error) = self.resume().await {
-                        self.ended = true;
-                        return Some(Err(error));
+                    if let Err(code) = self.resume().await {
+                        return Some(Err(self.break_off(code)));
                     }
                 }
             }
@@ -162,33 +181,55 @@
         }
     }
 
+    /// Ends the stream so that it does not look complete.
+    fn break_off(&mut self, code: Code) -> Error {
+        self.ended = true;
+        self.job.trace.end(Ending::Cut, self.begun.status.as_u16(), Some(code));
+        Error::new(code, "the stream cannot go on")
+    }
+
     /// Goes on at another runner, behind the last whole event.
-    async fn resume(&mut self) -> Result<()> {
+    async fn resume(&mut self) -> Result<(), Code> {
         self.cutter.forget_partial();
         let mut outcome = AttemptOutcome::Cut;
+        let mut attempts = 1;
+        self.job.trace.fail(&self.target, outcome, self.job.trace.age_ms());
         loop {
             self.core.feed(Event::Attempt(self.ticket.key, outcome));
             let step = before(&self.core, self.job.limit, self.ticket.next_step()).await.flatten();
             let Some(NextStep::Send(target)) = step else {
-                return Err(Error::new(Code::CutShort, "the stream cannot go on"));
+                return Err(Code::CutShort);
             };
-            let last =
-                self.cutter.last_id().map(str::to_owned).or(self.job.facts.last_event.clone());
-            let attempt = Attempt { core: &self.core, job: &self.job, target: &target };
-            let mut sent = true;
-            let run = attempt.run(last.as_deref(), &mut sent);
-            match before(&self.core, self.job.limit, run).await {
-                Some(Outcome::Answer(begun)) if begun.status.is_success() => {
-                    self.core.feed(Event::Attempt(self.ticket.key, AttemptOutcome::Answered));
-                    self.begun = begun;
+            attempts += 1;
+            self.job.trace.choose(&target, attempts);
+            let begun = self.job.trace.age_ms();
+            outcome = match self.attempt(&target).await.ok_or(Code::TimedOut)? {
+                Outcome::Answer(begun) if begun.status.is_success() => {
+                    self.go_on(target, begun);
                     return Ok(());
                 }
-                Some(Outcome::Failure { outcome: failed, .. }) => outcome = failed,
-                Some(Outcome::Answer(_)) => outcome = AttemptOutcome::Failed,
-                None => return Err(Error::new(Code::TimedOut, "the time of the route is over")),
-            }
+                Outcome::Answer(_) => AttemptOutcome::Failed,
+                Outcome::Failure { outcome, .. } => outcome,
+            };
+            self.job.trace.fail(&target, outcome, self.job.trace.age_ms() - begun);
         }
     }
+
+    /// Asks a runner to go on. `None` when the time of the route is over first.
+    async fn attempt(&self, target: &RunnerTarget) -> Option<Outcome> {
+        let last = self.cutter.last_id().or(self.job.facts.last_event.as_deref());
+        let attempt = Attempt { core: &self.core, job: &self.job, target };
+        let mut sent = true;
+        before(&self.core, self.job.limit, attempt.run(last, &mut sent)).await
+    }
+
+    fn go_on(&mut self, target: RunnerTarget, begun: RunnerAnswer) {
+        self.core.feed(Event::Attempt(self.ticket.key, AttemptOutcome::Answered));
+        let after_event = self.cutter.last_id().unwrap_or("").to_owned();
+        self.job.trace.note(Decision::Resumed { after_event });
+        self.begun = begun;
+        self.target = target;
+    }
 }
 
 /// What was read from a runner.
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -3,21 +3,24 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use account::Decision;
 use async_io::Timer;
 use bytes::Bytes;
 use errors::Code;
 use fleet::{Millis, ModelName, ServiceName, WorkspaceId};
 use futures_lite::future;
-use gateway::{Arrival, Catalog, NextStep, RouteKind};
+use gateway::{Arrival, Catalog, NextStep, RouteKind, Standing};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform::headers::{self, RequestFacts};
+use telemetry::Span;
 
 use super::answer::{own_answer, refusal, AnswerBody};
 use super::attempt::{Attempt, Outcome};
 use super::core::{Core, Ticket};
 use super::relay;
+use super::trace::{Ending, Trace};
 
 /// When a caller comes back that reached a gateway which knows no configuration, in milliseconds.
 const NOT_READY_RETRY_AFTER: u64 = 500;
@@ -28,6 +31,8 @@
 pub struct Job {
     /// What the head says.
     pub facts: RequestFacts,
+    /// The decisions on it.
+    pub trace: Trace,
     /// The method.
     pub method: Method,
     /// The path and query.
@@ -50,8 +55,19 @@
     pub gap_aim_ms: u64,
 }
 
+/// The word for a kind of route in logs and metrics.
+fn kind_name(kind: RouteKind) -> &'static str {
+    match kind {
+        RouteKind::Safe => "safe",
+        RouteKind::Unsafe => "unsafe",
+        RouteKind::Stream { resumable: false } => "stream",
+        RouteKind::Stream { resumable: true } => "resumable_stream",
+    }
+}
+
 /// Where a request goes, by the configuration.
 struct Routed {
+    route: String,
     service: ServiceName,
     /// The model, where the service runs one.
     model: Option<ModelName>,
@@ -70,14 +86,16 @@
     let (head, body) = request.into_parts();
     let facts = headers::read_request(&head.headers);
     let id = facts.id.clone();
+    let trace = Trace::new(&core, id.as_deref());
     let Some(catalog) = core.catalog() else {
-        core.metrics.count_refusal(Code::NotReady);
+        let back = Some(NOT_READY_RETRY_AFTER);
+        trace.refuse(503, Code::NotReady, back, Standing::default());
         return refusal(id.as_deref(), Code::NotReady, NOT_READY_RETRY_AFTER);
     };
     let routed = match route(&catalog, &head.headers, &head.uri, &facts) {
         Ok(routed) => routed,
         Err((status, code)) => {
-            core.metrics.count_refusal(code);
+            trace.refuse(status.as_u16(), code, None, Standing::default());
             return own_answer(status, id.as_deref(), code);
         }
     };
@@ -88,12 +106,21 @@
                 Some(_) => (StatusCode::PAYLOAD_TOO_LARGE, Code::TooLarge),
                 None => (StatusCode::BAD_REQUEST, Code::BadRequest),
             };
-            core.metrics.count_refusal(code);
+            trace.refuse(status.as_u16(), code, None, Standing::default());
             return own_answer(status, id.as_deref(), code);
         }
     };
     let held = routed.timeout_ms.min(facts.deadline_ms.unwrap_or(DEFAULT_DEADLINE));
+    trace.set_kind(kind_name(routed.kind));
+    trace.note(Decision::Routed {
+        route: routed.route.clone(),
+        service: routed.service.0.clone(),
+        configuration: catalog.version,
+        kind: kind_name(routed.kind).into(),
+        held_ms: held,
+    });
     let job = Job {
+        trace,
         method: head.method,
         uri: head.uri,
         headers: head.headers,
@@ -140,6 +167,7 @@
     let engine = catalog.service(service).and_then(|it| it.engine.as_ref());
     let model = engine.map(|it| facts.model.clone().unwrap_or_else(|| it.model.clone()));
     Ok(Routed {
+        route: route.name.clone(),
         service: service.clone(),
         model,
         kind: route.kind,
@@ -157,45 +185,59 @@
 async fn carry_out(core: Core, job: Rc<Job>, ticket: Ticket) -> Response<AnswerBody> {
     let mut held = None;
     let mut sent = false;
+    let mut attempts = 0;
     let id = job.facts.id.clone();
     loop {
         let Some(step) = before(&core, job.limit, ticket.next_step()).await.flatten() else {
-            return out_of_time(&core, id.as_deref(), sent);
+            return out_of_time(&job, sent);
         };
         let target = match step {
             NextStep::Send(target) => target,
-            NextStep::Refuse { code, retry_after_ms } => {
-                core.metrics.count_refusal(code);
+            NextStep::Refuse { code, retry_after_ms, standing } => {
+                job.trace.refuse(503, code, Some(retry_after_ms), standing);
                 return refusal(id.as_deref(), code, retry_after_ms);
             }
-            NextStep::GiveUp(code) => {
-                return held.unwrap_or_else(|| {
-                    core.metrics.count_refusal(code);
-                    own_answer(StatusCode::BAD_GATEWAY, id.as_deref(), code)
-                });
-            }
+            NextStep::GiveUp(code) => return give_up(&job, held, code),
         };
+        if attempts == 0 {
+            core.metrics.note_span(Span::Queue, job.trace.age_ms());
+        }
+        attempts += 1;
+        job.trace.choose(&target, attempts);
+        let begun = job.trace.age_ms();
         let attempt = Attempt { core: &core, job: &job, target: &target };
-        let outcome = before(&core, job.limit, attempt.run(None, &mut sent)).await;
-        match outcome {
-            None => return out_of_time(&core, id.as_deref(), sent),
+        match before(&core, job.limit, attempt.run(None, &mut sent)).await {
+            None => return out_of_time(&job, sent),
             Some(Outcome::Answer(answer)) => {
-                return relay::answer(core, job, ticket, answer).await;
+                return relay::answer(core, job, ticket, target, answer).await;
             }
             Some(Outcome::Failure { outcome, answer }) => {
                 held = answer;
+                job.trace.fail(&target, outcome, job.trace.age_ms() - begun);
                 core.feed(gateway::Event::Attempt(ticket.key, outcome));
             }
         }
     }
 }
 
+/// The final answer when no attempt is left: what the runner answered, or that nobody knows.
+fn give_up(job: &Job, held: Option<Response<AnswerBody>>, code: Code) -> Response<AnswerBody> {
+    let Some(held) = held else {
+        job.trace.end(Ending::Unknown, 502, Some(code));
+        return own_answer(StatusCode::BAD_GATEWAY, job.facts.id.as_deref(), code);
+    };
+    job.trace.end(Ending::Failed, held.status().as_u16(), Some(code));
+    held
+}
+
 /// The final answer when the time that a request may be held is over.
-fn out_of_time(core: &Core, id: Option<&str>, sent: bool) -> Response<AnswerBody> {
-    core.metrics.count_refusal(Code::TimedOut);
+fn out_of_time(job: &Job, sent: bool) -> Response<AnswerBody> {
+    let id = job.facts.id.as_deref();
     if sent {
+        job.trace.end(Ending::Unknown, 504, Some(Code::TimedOut));
         own_answer(StatusCode::GATEWAY_TIMEOUT, id, Code::TimedOut)
     } else {
+        job.trace.refuse(503, Code::TooLate, Some(0), Standing::default());
         refusal(id, Code::TooLate, 0)
     }
 }
--- a/components/edge/src/gateway/reservations.rs
+++ b/components/edge/src/gateway/reservations.rs
@@ -39,7 +39,12 @@
     }
 
     /// Asks for a place at a runner. Gives what keeps the request from being sent, if something does.
-    pub async fn ask(&self, runner: SocketAddr, prompt_tokens: u32) -> Option<AttemptOutcome> {
+    pub async fn ask(
+        &self,
+        runner: SocketAddr,
+        request: &str,
+        prompt_tokens: u32,
+    ) -> Option<AttemptOutcome> {
         let (sender, answer) = async_channel::bounded(1);
         let question = {
             let mut open = self.open.borrow_mut();
@@ -50,7 +55,12 @@
         };
         let _end = Question { open: &self.open, question };
         let sidecar = SocketAddr::new(runner.ip(), self.port);
-        self.news.send(sidecar, &Datagram::Reserve { question, prompt_tokens }).await;
+        self.news
+            .send(
+                sidecar,
+                &Datagram::Reserve { question, request: request.to_owned(), prompt_tokens },
+            )
+            .await;
         match within(Instant::now() + ANSWER_TIMEOUT, answer.recv()).await {
             Some(Ok(true)) => None,
             Some(Ok(false)) => Some(AttemptOutcome::Denied),
--- /dev/null
+++ b/components/edge/src/gateway/trace.rs
@@ -0,0 +1,188 @@
+//! The decisions on one request, written to the log when it ends.
+//!
+//! Ordinary successes become one line, and only some of them; everything else is written whole.
+
+use std::cell::{Cell, RefCell};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use account::{Decision, Entry, RequestLine};
+use errors::Code;
+use fleet::Millis;
+use gateway::{AttemptOutcome, RunnerTarget, Standing};
+
+use super::core::Core;
+
+/// One in so many ordinary successes is written.
+const SAMPLE: u64 = 16;
+/// Decisions on a request that ended well at the first runner: routed, chosen, answered.
+const ORDINARY: usize = 3;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The caller got the whole answer.
+    Whole,
+    /// It did not run and never will.
+    Refused,
+    /// A failure of the runner was handed on.
+    Failed,
+    /// It was sent, and whether it ran is not known.
+    Unknown,
+    /// The answer broke off.
+    Cut,
+    /// The caller left.
+    Left,
+}
+
+impl Ending {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Unknown => "unknown",
+            Self::Cut => "cut",
+            Self::Left => "left",
+        }
+    }
+}
+
+/// The decisions on one request.
+pub struct Trace {
+    core: Core,
+    id: String,
+    arrived: Millis,
+    kind: Cell<&'static str>,
+    entries: RefCell<Vec<Entry>>,
+    ended: Cell<bool>,
+}
+
+impl Trace {
+    /// A request that arrived now.
+    pub fn new(core: &Core, id: Option<&str>) -> Self {
+        Self {
+            core: core.clone(),
+            id: id.unwrap_or("").to_owned(),
+            arrived: core.clock.now(),
+            kind: Cell::new("unrouted"),
+            entries: RefCell::default(),
+            ended: Cell::new(false),
+        }
+    }
+
+    /// How long ago it arrived, in milliseconds.
+    pub fn age_ms(&self) -> u64 {
+        self.core.clock.now().since(self.arrived).0
+    }
+
+    /// Notes a decision.
+    pub fn note(&self, decision: Decision) {
+        self.entries.borrow_mut().push(Entry { ts_ms: telemetry::unix_millis(), decision });
+    }
+
+    /// Notes the kind of its route, for the metrics.
+    pub fn set_kind(&self, kind: &'static str) {
+        self.kind.set(kind);
+    }
+
+    /// Notes the choice of a runner.
+    pub fn choose(&self, target: &RunnerTarget, attempt: u32) {
+        self.note(Decision::Chosen {
+            runner: target.id.0.clone(),
+            attempt,
+            occupancy: target.seen.occupancy,
+            report_age_ms: target.seen.report_age_ms,
+            candidates: target.seen.candidates,
+        });
+    }
+
+    /// Notes an attempt that did not end in an answer.
+    pub fn fail(&self, target: &RunnerTarget, outcome: AttemptOutcome, took_ms: u64) {
+        let runner = target.id.0.clone();
+        let place = match outcome {
+            AttemptOutcome::Denied => Some("denied"),
+            AttemptOutcome::Silent => Some("silent"),
+            _ => None,
+        };
+        if let Some(place) = place {
+            self.note(Decision::NoPlace { runner, outcome: place.into() });
+            return;
+        }
+        let code = outcome.code();
+        self.note(Decision::Failed {
+            runner,
+            code: code.number(),
+            name: code.name().into(),
+            not_run: outcome.is_not_run(),
+            took_ms,
+        });
+    }
+
+    /// Ends the account. Only the first end counts.
+    pub fn end(&self, ending: Ending, status: u16, code: Option<Code>) {
+        self.end_with(ending, status, code, None, Standing::default());
+    }
+
+    /// Ends the account of a request that is refused.
+    pub fn refuse(&self, status: u16, code: Code, retry_after_ms: Option<u64>, standing: Standing) {
+        self.end_with(Ending::Refused, status, Some(code), retry_after_ms, standing);
+    }
+
+    fn end_with(
+        &self,
+        ending: Ending,
+        status: u16,
+        code: Option<Code>,
+        retry_after_ms: Option<u64>,
+        standing: Standing,
+    ) {
+        if self.ended.replace(true) {
+            return;
+        }
+        self.core.metrics.count_request(self.kind.get(), ending.name());
+        if let Some(code) = code {
+            self.core.metrics.count_refusal(code);
+        }
+        let ordinary = ending == Ending::Whole && self.entries.borrow().len() <= ORDINARY;
+        if ordinary && !self.is_sampled() {
+            return;
+        }
+        let ended = Decision::Ended {
+            outcome: ending.name().into(),
+            code: code.map_or(0, Code::number),
+            name: code.map_or("", Code::name).into(),
+            status,
+            retry_after_ms,
+            runners: standing.runners,
+            usable: standing.usable,
+        };
+        if ordinary {
+            self.entries.borrow_mut().clear();
+        }
+        self.note(ended);
+        self.write(ending == Ending::Whole || ending == Ending::Left);
+    }
+
+    fn is_sampled(&self) -> bool {
+        let mut hasher = DefaultHasher::new();
+        self.id.hash(&mut hasher);
+        hasher.finish().is_multiple_of(SAMPLE)
+    }
+
+    fn write(&self, good: bool) {
+        let level = if good { log::Level::Info } else { log::Level::Warn };
+        for Entry { ts_ms, decision } in self.entries.borrow_mut().drain(..) {
+            let instance = self.core.name.to_string();
+            let line = RequestLine { ts_ms, instance, request: self.id.clone(), decision };
+            if let Ok(text) = serde_json::to_string(&line) {
+                log::log!(target: telemetry::REQUEST_TARGET, level, "{text}");
+            }
+        }
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        self.end(Ending::Left, 0, None);
+    }
+}
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -6,6 +6,7 @@
 mod gateway;
 mod link;
 mod message;
+mod metrics;
 mod news;
 mod run;
 mod server;
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -28,6 +28,8 @@
     Reserve {
         /// Names the question.
         question: u64,
+        /// The request, by the id that its caller gave it, for the log.
+        request: String,
         /// Tokens of the request's prompt.
         prompt_tokens: u32,
     },
--- /dev/null
+++ b/components/edge/src/metrics.rs
@@ -0,0 +1,51 @@
+//! The page of metrics of a process.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use errors::{Code, Result};
+use http::header::{HeaderValue, CONTENT_TYPE};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use telemetry::Metrics;
+
+use crate::gateway::{own_answer, whole_body, AnswerBody};
+use crate::server::{listen, serve, ServerOptions};
+use crate::spawner::Spawner;
+
+/// Where scrapers find the page.
+const PATH: &str = "/metrics";
+/// The form that scrapers read.
+const FORMAT: &str = "text/plain; version=0.0.4";
+/// How long a scraper's connection may rest.
+const IDLE: Duration = Duration::from_secs(60);
+
+/// Serves the page at an address. `refresh` sets the gauges before each reading.
+pub async fn serve_metrics(
+    spawner: &Spawner,
+    address: SocketAddr,
+    stopping: Receiver<()>,
+    metrics: Rc<Metrics>,
+    refresh: impl Fn() + Clone + 'static,
+) -> Result<()> {
+    let listener = listen(address).await?;
+    let options = ServerOptions { idle: IDLE, stopping, open: Rc::default() };
+    let handler = move |request: Request<Incoming>| {
+        refresh();
+        metrics.set("log_lines_dropped", telemetry::dropped_lines());
+        std::future::ready(page(&request, &metrics))
+    };
+    spawner.detach(serve(spawner.clone(), listener, options, handler));
+    Ok(())
+}
+
+fn page(request: &Request<Incoming>, metrics: &Metrics) -> Response<AnswerBody> {
+    if request.uri().path() != PATH {
+        return own_answer(StatusCode::NOT_FOUND, None, Code::UnknownTarget);
+    }
+    let mut answer = Response::new(whole_body(metrics.render()));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(FORMAT));
+    answer
+}
--- a/components/edge/src/run.rs
+++ b/components/edge/src/run.rs
@@ -14,20 +14,28 @@
 
 /// Runs a process until it is told to stop.
 pub fn run(settings: &DeploymentSettings) -> eyre::Result<()> {
-    telemetry::start_logs(&settings.node.name.0, &settings.node.log_level)?;
+    let node = &settings.node;
+    telemetry::start_bounded_logs(&node.name.0, &node.log_level, node.log_lines_per_s)?;
     let executor = Rc::new(LocalExecutor::new());
     let life = live(Spawner::new(&executor), settings);
     async_io::block_on(executor.run(life))
 }
 
+/// What runs.
+enum Node {
+    /// A gateway.
+    Gateway(GatewayNode),
+    /// A sidecar.
+    Sidecar(#[allow(dead_code)] SidecarNode),
+}
+
 async fn live(spawner: Spawner, settings: &DeploymentSettings) -> eyre::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .wrap_err("signals cannot be received")?;
     let node = match &settings.role {
-        DeploymentRole::Gateway(_) => Some(GatewayNode::start(&spawner, settings).await?),
+        DeploymentRole::Gateway(_) => Node::Gateway(GatewayNode::start(&spawner, settings).await?),
         DeploymentRole::Sidecar(sidecar) => {
-            SidecarNode::start(&spawner, settings, sidecar).await?;
-            None
+            Node::Sidecar(SidecarNode::start(&spawner, settings, sidecar).await?)
         }
     };
     log::info!("started");
@@ -38,9 +46,10 @@
         }
     }
     log::info!("stopping: no new work, requests in progress finish");
-    if let Some(node) = node {
-        node.stop().await;
+    if let Node::Gateway(gateway) = &node {
+        gateway.stop().await;
     }
+    drop(node);
     log::info!("stopped");
     Ok(())
 }
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -35,8 +35,10 @@
     pub layers: Rc<RefCell<u32>>,
     /// The port at which sidecars listen for each other.
     pub port: u16,
-    /// The name of this sidecar.
+    /// The name of this sidecar among the others.
     pub me: InstanceId,
+    /// The name of this process in logs.
+    pub name: String,
     /// Where it stands.
     pub place: Place,
     /// The runner.
@@ -53,6 +55,7 @@
     pub fn new(
         options: RolloutOptions,
         settings: SidecarSettings,
+        name: String,
         port: u16,
         metrics: Rc<Metrics>,
         effects: Sender<Effect>,
@@ -68,6 +71,7 @@
             peer_streams: Rc::default(),
             layers: Rc::default(),
             settings,
+            name,
             port,
             clock: Clock::start(),
             metrics,
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -20,6 +20,7 @@
 use super::runner::{self, Job};
 use super::{draws, peers};
 use crate::message::Datagram;
+use crate::metrics::serve_metrics;
 use crate::news::News;
 use crate::server::listen;
 use crate::spawner::Spawner;
@@ -36,8 +37,11 @@
 /// What control messages may cost, in bytes a second.
 const CONTROL_BYTES_PER_S: u64 = 6000;
 
-/// A sidecar.
-pub struct SidecarNode;
+/// A sidecar. It has nothing to finish: what its runner does goes on without it.
+pub struct SidecarNode {
+    /// Keeps the page of metrics open for the life of the process.
+    _open: Sender<()>,
+}
 
 impl SidecarNode {
     /// Starts a sidecar.
@@ -53,6 +57,7 @@
         let core = Core::new(
             options(settings),
             sidecar.clone(),
+            settings.node.name.0.clone(),
             settings.node.first_port,
             metrics,
             effects,
@@ -71,8 +76,10 @@
         spawner.detach(perform(spawner.clone(), core.clone(), to_do, jobs, news));
         spawner.detach(follow_operator(core.clone(), settings.store.address));
         spawner.detach(follow_runners(core.clone(), settings));
+        let (open, stopping) = async_channel::bounded(1);
+        serve_page(spawner, settings, &core, stopping).await?;
         spawner.detach(tick(core));
-        Ok(Self)
+        Ok(Self { _open: open })
     }
 }
 
@@ -191,6 +198,25 @@
     }
 }
 
+/// Serves the page of metrics with what the sidecar believes.
+async fn serve_page(
+    spawner: &Spawner,
+    settings: &DeploymentSettings,
+    core: &Core,
+    stopping: Receiver<()>,
+) -> Result<()> {
+    let address = SocketAddr::new(settings.node.address, settings.node.last_port);
+    let (metrics, core) = (core.metrics.clone(), core.clone());
+    let refresh = move || {
+        let rollout = core.rollout.borrow();
+        let held = rollout.status().and_then(|it| it.version).unwrap_or(0);
+        core.metrics.set("version_wanted", rollout.wanted().unwrap_or(0));
+        core.metrics.set("version_held", held);
+        core.metrics.set("places_taken", u64::from(rollout.places().taken()));
+    };
+    serve_metrics(spawner, address, stopping, metrics, refresh).await
+}
+
 async fn tick(core: Core) {
     let mut progress = Progress::default();
     loop {
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -5,12 +5,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use account::{Decision, RequestLine};
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
 use errors::{Code, Error};
 use futures_lite::AsyncWriteExt;
 use net::Pacer;
-use rollout::Event;
+use rollout::{Denial, Event};
 
 use super::core::Core;
 use crate::exchange::{prepare, within};
@@ -108,11 +109,35 @@
             Datagram::Summary { from, place, version, have } => {
                 core.feed(Event::Summary { from, address: sender, place, version, have });
             }
-            Datagram::Reserve { question, prompt_tokens } => {
-                let granted = core.rollout.borrow_mut().reserve(core.clock.now(), prompt_tokens);
+            Datagram::Reserve { question, request, prompt_tokens } => {
+                let given = core.rollout.borrow_mut().reserve(core.clock.now(), prompt_tokens);
+                let granted = given.is_ok();
                 news.send(sender, &Datagram::Reserved { question, granted }).await;
+                if let Err(denial) = given {
+                    log_denial(&core, request, denial);
+                }
             }
             Datagram::Load { .. } | Datagram::Reserved { .. } => {}
         }
     }
 }
+
+/// Logs why a request got no place.
+fn log_denial(core: &Core, request: String, denial: Denial) {
+    core.metrics.count_denial(denial.name());
+    let rollout = core.rollout.borrow();
+    let line = RequestLine {
+        ts_ms: telemetry::unix_millis(),
+        instance: core.name.clone(),
+        request,
+        decision: Decision::Denied {
+            reason: denial.name().into(),
+            taken: rollout.places().taken(),
+            slots: rollout.places().slots(),
+            version: rollout.status().and_then(|it| it.version).unwrap_or(0),
+        },
+    };
+    if let Ok(text) = serde_json::to_string(&line) {
+        log::info!(target: telemetry::REQUEST_TARGET, "{text}");
+    }
+}
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -3,7 +3,7 @@
 use fleet::{Hall, InstanceId, Millis};
 use rand::Rng;
 
-use crate::event::Arrival;
+use crate::event::{Arrival, Seen, Standing};
 use crate::pool::Pool;
 use crate::runner::{Runner, RunnerState};
 
@@ -33,13 +33,32 @@
         random: &mut impl Rng,
         arrival: &Arrival,
         tried: &[InstanceId],
-    ) -> Option<InstanceId> {
+    ) -> Option<(InstanceId, Seen)> {
+        let mut candidates = 0;
         let usable = self.pool.of_service(&arrival.service).filter(|it| {
             !tried.contains(&it.record.id) && self.can_run(now, it, arrival) && has_room(now, it)
         });
+        let usable = usable.inspect(|_| candidates += 1);
         let scored = usable.map(|it| (self.cost(now, it, arrival) + random.random::<f64>(), it));
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, it)| it.record.id.clone())
+        let runner = best.map(|(_, it)| it)?;
+        let seen = Seen {
+            occupancy: runner.occupancy(now),
+            report_age_ms: runner.report_age(now).map(|it| it.0),
+            candidates,
+        };
+        Some((runner.record.id.clone(), seen))
+    }
+
+    /// How the runners of a service stand for a request that was tried at some.
+    pub fn standing(&self, now: Millis, arrival: &Arrival, tried: &[InstanceId]) -> Standing {
+        let mut standing = Standing::default();
+        for runner in self.pool.of_service(&arrival.service) {
+            standing.runners += 1;
+            let fit = !tried.contains(&runner.record.id) && self.can_run(now, runner, arrival);
+            standing.usable += u32::from(fit && has_room(now, runner));
+        }
+        standing
     }
 
     /// Whether a runner is fit for a request, room aside.
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -82,6 +82,19 @@
         matches!(self, Self::Full | Self::Misdirected) || !self.has_arrived()
     }
 
+    /// The code that tells why it did not end in an answer.
+    pub fn code(self) -> Code {
+        match self {
+            Self::NotSent | Self::Silent => Code::Unreachable,
+            Self::Full | Self::Denied => Code::Overloaded,
+            Self::Misdirected => Code::NotServing,
+            Self::Failed => Code::UpstreamFailed,
+            Self::Lost => Code::ConnectionLost,
+            Self::Cut => Code::CutShort,
+            Self::Answered | Self::Finished => Code::Internal,
+        }
+    }
+
     /// Whether the request reached the runner, as far as that is known.
     pub fn has_arrived(self) -> bool {
         !matches!(self, Self::NotSent | Self::Denied | Self::Silent)
@@ -127,6 +140,28 @@
     pub address: SocketAddr,
     /// Whether its sidecar must give a place first.
     pub reserve: bool,
+    /// What the choice was made by.
+    pub seen: Seen,
+}
+
+/// What a choice of a runner was made by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// Requests at the runner, as far as known.
+    pub occupancy: u32,
+    /// The age of the report on it, in milliseconds.
+    pub report_age_ms: Option<u64>,
+    /// Runners that were fit for the request.
+    pub candidates: u32,
+}
+
+/// The runners of a service as they stood when a request ended without an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Runners that are listed.
+    pub runners: u32,
+    /// Those of them that were fit and had room.
+    pub usable: u32,
 }
 
 /// What a request does next.
@@ -140,6 +175,8 @@
         code: Code,
         /// When to come back, in milliseconds.
         retry_after_ms: u64,
+        /// The runners as they stood.
+        standing: Standing,
     },
     /// It ends without an answer of silverdock's own: the driver hands on what the runner answered,
     /// or says that the outcome is unknown.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 };
 pub use event::{
     Arrival, AttemptOutcome, Effect, Event, GatewayOptions, NextStep, RequestKey, RunnerTarget,
+    Seen, Standing,
 };
 pub use pool::Pool;
 pub use reducer::Gateway;
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -183,7 +183,7 @@
         let waited = now.since(progress.sent_at);
         let answered = std::mem::take(&mut progress.answered);
         progress.may_have_run |= !outcome.is_not_run();
-        progress.reason = reason(outcome);
+        progress.reason = outcome.code();
         if outcome == AttemptOutcome::Lost && !answered {
             self.note_wait(now, &id, waited);
         }
@@ -243,10 +243,10 @@
         // An attempt that never reached a runner is no arrival there, so it costs no repeat.
         let free = !outcome.has_arrived();
         if !allowed || !left || now >= arrival.limit {
-            return self.finish_without_answer(random, key);
+            return self.finish_without_answer(now, random, key);
         }
         if !free && !self.budget(&service).take_repeat(now) {
-            return self.finish_without_answer(random, key);
+            return self.finish_without_answer(now, random, key);
         }
         let Some(progress) = self.requests.get_mut(&key) else {
             return Vec::new();
@@ -258,10 +258,15 @@
         if outcome == AttemptOutcome::Denied {
             return Vec::new();
         }
-        vec![Effect::CountRetry(reason(outcome))]
+        vec![Effect::CountRetry(outcome.code())]
     }
 
-    fn finish_without_answer(&mut self, random: &mut SmallRng, key: RequestKey) -> Vec<Effect> {
+    fn finish_without_answer(
+        &mut self,
+        now: Millis,
+        random: &mut SmallRng,
+        key: RequestKey,
+    ) -> Vec<Effect> {
         let Some(progress) = self.requests.remove(&key) else {
             return Vec::new();
         };
@@ -269,7 +274,9 @@
             NextStep::GiveUp(progress.reason)
         } else {
             let retry_after_ms = random.random_range(RETRY_AFTER);
-            NextStep::Refuse { code: progress.reason, retry_after_ms }
+            let chooser = Chooser { pool: &self.pool, hall: &self.options.hall };
+            let standing = chooser.standing(now, &progress.arrival, &progress.tried);
+            NextStep::Refuse { code: progress.reason, retry_after_ms, standing }
         };
         vec![Effect::Proceed(key, step)]
     }
@@ -316,7 +323,7 @@
             }
             if now >= progress_wait(&self.requests, place.key) {
                 self.queue.remove(&place);
-                effects.extend(self.finish_without_answer(random, place.key));
+                effects.extend(self.finish_without_answer(now, random, place.key));
             }
         }
         effects
@@ -330,7 +337,7 @@
     ) -> Option<RunnerTarget> {
         let progress = self.requests.get_mut(&key)?;
         let chooser = Chooser { pool: &self.pool, hall: &self.options.hall };
-        let id = chooser.choose(now, random, &progress.arrival, &progress.tried)?;
+        let (id, seen) = chooser.choose(now, random, &progress.arrival, &progress.tried)?;
         let runner = self.pool.runner_mut(&id)?;
         runner.in_flight += 1;
         let address = runner.record.address;
@@ -338,7 +345,7 @@
         progress.current = Some(id.clone());
         progress.sent_at = now;
         let reserve = progress.arrival.model.is_some();
-        Some(RunnerTarget { id, address, reserve })
+        Some(RunnerTarget { id, address, reserve, seen })
     }
 
     fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
@@ -356,16 +363,3 @@
 fn progress_wait(requests: &BTreeMap<RequestKey, Progress>, key: RequestKey) -> Millis {
     requests.get(&key).map_or(Millis(0), |it| it.wait_until)
 }
-
-/// The code that tells why an attempt did not end in an answer.
-fn reason(outcome: AttemptOutcome) -> Code {
-    match outcome {
-        AttemptOutcome::NotSent | AttemptOutcome::Silent => Code::Unreachable,
-        AttemptOutcome::Full | AttemptOutcome::Denied => Code::Overloaded,
-        AttemptOutcome::Misdirected => Code::NotServing,
-        AttemptOutcome::Failed => Code::UpstreamFailed,
-        AttemptOutcome::Lost => Code::ConnectionLost,
-        AttemptOutcome::Cut => Code::CutShort,
-        AttemptOutcome::Answered | AttemptOutcome::Finished => Code::Internal,
-    }
-}
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -126,6 +126,11 @@
         (now.since(reported.at).0 <= REPORT_LIFE).then_some(&reported.load)
     }
 
+    /// The age of the last report.
+    pub fn report_age(&self, now: Millis) -> Option<Millis> {
+        self.reported.as_ref().map(|it| now.since(it.at))
+    }
+
     /// The weights that it holds, by the newest word on that.
     pub fn weights(&self, now: Millis) -> Option<&WeightsHeld> {
         match self.load(now) {
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -9,5 +9,5 @@
 mod target;
 
 pub use event::{Effect, Event, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan};
-pub use places::Places;
+pub use places::{Denial, Places};
 pub use reducer::Rollout;
--- a/components/rollout/src/places.rs
+++ b/components/rollout/src/places.rs
@@ -17,6 +17,37 @@
 /// How long a report counts, in milliseconds.
 const REPORT_LIFE: u64 = 600;
 
+/// Why a place is not given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// The runner is about to be ordered.
+    Leaving,
+    /// The version that it holds may hardly be used any more.
+    TooOld,
+    /// Every place is taken.
+    Full,
+    /// It still reads the prompts that came before.
+    Reading,
+    /// It was not heard lately.
+    Unheard,
+    /// It holds no whole version, or is taking one.
+    NotServing,
+}
+
+impl Denial {
+    /// The word in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::TooOld => "too_old",
+            Self::Full => "full",
+            Self::Reading => "reading",
+            Self::Unheard => "unheard",
+            Self::NotServing => "not_serving",
+        }
+    }
+}
+
 /// The places of a runner.
 #[derive(Clone, Debug, Default)]
 pub struct Places {
@@ -45,6 +76,11 @@
         }
     }
 
+    /// Requests that the runner works on at once.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Requests that are at the runner or on their way to it.
     pub fn taken(&self) -> u32 {
         self.reported.map_or(0, |(requests, _)| requests) + self.given.len() as u32
@@ -57,15 +93,21 @@
 
     /// Gives a place to a request with a prompt of so many tokens, if there is one. Prompts that come
     /// faster than the runner reads would only wait for each other.
-    pub fn give(&mut self, now: Millis, prompt_tokens: u32) -> bool {
+    pub fn give(&mut self, now: Millis, prompt_tokens: u32) -> Result<(), Denial> {
         let fresh = self.reported.is_some_and(|(_, at)| now.since(at).0 <= REPORT_LIFE);
+        if !fresh {
+            return Err(Denial::Unheard);
+        }
+        if self.taken() >= self.slots {
+            return Err(Denial::Full);
+        }
         let credit = self.credit(now);
-        if !fresh || self.taken() >= self.slots || credit <= 0.0 {
-            return false;
+        if credit <= 0.0 {
+            return Err(Denial::Reading);
         }
         self.credit = (credit - f64::from(prompt_tokens), now);
         self.given.push_back(now);
-        true
+        Ok(())
     }
 
     fn credit(&self, now: Millis) -> f64 {
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::event::{Effect, Event, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan};
-use crate::places::Places;
+use crate::places::{Denial, Places};
 use crate::target::{participants, Step, Target};
 use fleet::{Bitmap, InstanceId, Millis};
 
@@ -171,15 +171,25 @@
         }
     }
 
-    /// Gives a place at the runner to a request with a prompt of so many tokens, or not.
-    pub fn reserve(&mut self, now: Millis, prompt_tokens: u32) -> bool {
-        let serves = self.status.as_ref().is_some_and(|it| !it.busy && it.version.is_some());
-        if !serves || self.is_leaving(now) || self.is_too_old(now) {
-            return false;
+    /// Gives a place at the runner to a request with a prompt of so many tokens, or says why not.
+    pub fn reserve(&mut self, now: Millis, prompt_tokens: u32) -> Result<(), Denial> {
+        if !self.status.as_ref().is_some_and(|it| !it.busy && it.version.is_some()) {
+            return Err(Denial::NotServing);
+        }
+        if self.is_leaving(now) {
+            return Err(Denial::Leaving);
+        }
+        if self.is_too_old(now) {
+            return Err(Denial::TooOld);
         }
         self.places.give(now, prompt_tokens)
     }
 
+    /// The places at the runner.
+    pub fn places(&self) -> &Places {
+        &self.places
+    }
+
     /// Whether the runner's version may hardly be used any more.
     fn is_too_old(&self, now: Millis) -> bool {
         let held = self.status.as_ref().and_then(|it| it.version).unwrap_or(0);
--- a/components/rollout/tests/fleet.rs
+++ b/components/rollout/tests/fleet.rs
@@ -315,7 +315,7 @@
     fleet.run(500);
     let reserve = |fleet: &mut Fleet| {
         let now = Millis(fleet.now);
-        fleet.sidecars[0].reserve(now, 10)
+        fleet.sidecars[0].reserve(now, 10).is_ok()
     };
     assert!(reserve(&mut fleet));
     // No chunk arrives, so the runner cannot be moved.
--- a/components/settings/src/deployment.rs
+++ b/components/settings/src/deployment.rs
@@ -45,6 +45,8 @@
     pub link_bytes_per_s: u64,
     /// The lowest level of logs that is written.
     pub log_level: String,
+    /// The most lines of logs in a second.
+    pub log_lines_per_s: u32,
 }
 
 /// `[store]`: the platform's store.
@@ -178,6 +180,7 @@
         memory_mb,
         link_bytes_per_s: (link * BYTES_PER_MBIT) as u64,
         log_level,
+        log_lines_per_s: file.bounded(section, "log_lines_per_s", 100, (1, 100_000)),
     }
 }
 
--- /dev/null
+++ b/components/telemetry/src/bounded.rs
@@ -0,0 +1,119 @@
+//! Logs that never hold a process up: bounded in number, written by a thread of their own.
+
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Instant;
+
+use errors::{Code, Error, Result};
+use log::{Level, LevelFilter, Record};
+use serde_json::json;
+
+use crate::logs::{render, unix_millis};
+
+/// The target of lines that are JSON already.
+pub const REQUEST_TARGET: &str = "request";
+/// Lines that wait for the writer.
+const QUEUE: usize = 512;
+/// The part of the allowance that only warnings, errors and requests that failed may use.
+const RESERVED_SHARE: f64 = 0.5;
+/// Seconds of allowance that may be saved up.
+const BURST_S: f64 = 2.0;
+
+/// How many lines were dropped, for want of allowance or of a reader.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines dropped since the start.
+pub fn dropped_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// An allowance of lines that refills with time.
+struct Allowance {
+    per_s: f64,
+    left: f64,
+    at: Instant,
+}
+
+impl Allowance {
+    fn new(per_s: u32) -> Self {
+        let per_s = f64::from(per_s);
+        Self { per_s, left: per_s * BURST_S, at: Instant::now() }
+    }
+
+    /// Takes a line. Ordinary ones leave a part to those that tell of failures.
+    fn take(&mut self, urgent: bool) -> bool {
+        let now = Instant::now();
+        let gained = now.duration_since(self.at).as_secs_f64() * self.per_s;
+        self.left = (self.left + gained).min(self.per_s * BURST_S);
+        self.at = now;
+        let floor = if urgent { 0.0 } else { self.per_s * BURST_S * RESERVED_SHARE };
+        if self.left < floor + 1.0 {
+            return false;
+        }
+        self.left -= 1.0;
+        true
+    }
+}
+
+/// Starts logging for the process: JSON lines on standard output, at most `lines_per_s` a second. A
+/// reader that stops reading costs lines and nothing else.
+pub fn start_bounded_logs(instance: &str, level: &str, lines_per_s: u32) -> Result<()> {
+    let level: LevelFilter =
+        level.parse().map_err(|_| Error::new(Code::BadSettings, "unknown log level"))?;
+    let (sender, receiver) = sync_channel(QUEUE);
+    let name = instance.to_owned();
+    thread::Builder::new()
+        .name("log-writer".into())
+        .spawn(move || write(&name, &receiver))
+        .map_err(|error| Error::new(Code::Internal, error.to_string()))?;
+    let allowance = Arc::new(Mutex::new(Allowance::new(lines_per_s)));
+    let instance = instance.to_owned();
+    fern::Dispatch::new()
+        .level(level)
+        .format(move |out, message, record| {
+            if record.target() == REQUEST_TARGET {
+                out.finish(format_args!("{message}"));
+            } else {
+                let line = render(&instance, &message.to_string(), record);
+                out.finish(format_args!("{line}"));
+            }
+        })
+        .chain(fern::Output::call(move |record| pass_on(record, &sender, &allowance)))
+        .apply()
+        .map_err(|error| Error::new(Code::Internal, error.to_string()))
+}
+
+fn pass_on(record: &Record<'_>, sender: &SyncSender<String>, allowance: &Mutex<Allowance>) {
+    let urgent = record.level() <= Level::Warn;
+    let allowed = allowance.lock().is_ok_and(|mut it| it.take(urgent));
+    let sent = allowed
+        && !matches!(sender.try_send(record.args().to_string()), Err(TrySendError::Full(_)));
+    if !sent {
+        DROPPED.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Writes lines for as long as the process runs, as many at once as wait, and says what was dropped.
+fn write(instance: &str, receiver: &Receiver<String>) {
+    let mut told = 0;
+    while let Ok(first) = receiver.recv() {
+        let mut text = first + "\n";
+        for line in receiver.try_iter() {
+            text.push_str(&line);
+            text.push('\n');
+        }
+        let dropped = dropped_lines();
+        if dropped > told {
+            let line = json!({
+                "ts_ms": unix_millis(), "level": "WARN", "instance": instance,
+                "message": "lines dropped", "lines": dropped - told,
+            });
+            text.push_str(&format!("{line}\n"));
+            told = dropped;
+        }
+        let _ = std::io::stdout().write_all(text.as_bytes());
+    }
+}
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,7 +1,9 @@
 //! Structured logs and metrics.
 
+mod bounded;
 mod logs;
 mod metrics;
 
-pub use logs::start_logs;
-pub use metrics::Metrics;
+pub use bounded::{dropped_lines, start_bounded_logs, REQUEST_TARGET};
+pub use logs::{start_logs, unix_millis};
+pub use metrics::{Metrics, Span};
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -23,7 +23,7 @@
 }
 
 /// One line: time, level, instance, module, message, then the fields of the record.
-fn render(instance: &str, message: &str, record: &Record<'_>) -> Value {
+pub(crate) fn render(instance: &str, message: &str, record: &Record<'_>) -> Value {
     let mut line = Map::new();
     line.insert("ts_ms".into(), unix_millis().into());
     line.insert("level".into(), record.level().as_str().into());
@@ -34,7 +34,8 @@
     Value::Object(line)
 }
 
-fn unix_millis() -> u64 {
+/// The time of day, in milliseconds.
+pub fn unix_millis() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_millis() as u64)
 }
 
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -1,11 +1,45 @@
 //! Counters and gauges of a daemon, in the text format that scrapers expect.
 
 use errors::{Code, Error, Result};
-use opentelemetry::metrics::{Counter, Gauge, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+/// A span of time that is measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Span {
+    /// From the arrival of a request to the first byte of its answer.
+    First,
+    /// Between two events of a stream.
+    Gap,
+    /// From the arrival of a request to the end of its answer.
+    Whole,
+    /// From the arrival of a request to its first place at a runner.
+    Queue,
+    /// From the sending of a request to the head of the runner's answer.
+    Runner,
+    /// A call to the platform's store, the wait of a feed apart.
+    Store,
+}
+
+impl Span {
+    /// Its name in the metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::First => "first_byte",
+            Self::Gap => "event_gap",
+            Self::Whole => "whole_answer",
+            Self::Queue => "queue_wait",
+            Self::Runner => "runner_head",
+            Self::Store => "store_call",
+        }
+    }
+}
+
+/// Upper bounds of the classes of spans, in seconds.
+const SPAN_BOUNDS: [f64; 12] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
 /// The metrics of one daemon.
 pub struct Metrics {
     registry: Registry,
@@ -18,6 +52,7 @@
     control_bytes: Counter<u64>,
     platform_calls: Counter<u64>,
     gauges: Gauge<u64>,
+    spans: Histogram<f64>,
 }
 
 impl Metrics {
@@ -33,13 +68,42 @@
         let meter = provider.meter("silverdock");
         Ok(Self {
             registry,
-            requests: meter.u64_counter("silverdock_requests").build(),
-            refusals: meter.u64_counter("silverdock_refusals").build(),
-            retries: meter.u64_counter("silverdock_retries").build(),
-            chunks: meter.u64_counter("silverdock_chunks").build(),
-            control_bytes: meter.u64_counter("silverdock_control_bytes").build(),
-            platform_calls: meter.u64_counter("silverdock_platform_calls").build(),
-            gauges: meter.u64_gauge("silverdock_state").build(),
+            requests: meter
+                .u64_counter("silverdock_requests")
+                .with_description("Requests that ended, by kind and outcome")
+                .build(),
+            refusals: meter
+                .u64_counter("silverdock_refusals")
+                .with_description("Refused requests, by the name of a code")
+                .build(),
+            retries: meter
+                .u64_counter("silverdock_retries")
+                .with_description(
+                    "Requests sent again, by the name of the code of the failure before",
+                )
+                .build(),
+            chunks: meter
+                .u64_counter("silverdock_chunks")
+                .with_description("Chunks, by what became of them")
+                .build(),
+            control_bytes: meter
+                .u64_counter("silverdock_control_bytes")
+                .with_description("Bytes of messages between daemons, by direction")
+                .build(),
+            platform_calls: meter
+                .u64_counter("silverdock_platform_calls")
+                .with_description("Calls to the platform, by service and outcome")
+                .build(),
+            spans: meter
+                .f64_histogram("silverdock_span")
+                .with_unit("s")
+                .with_description("How long things took, by what")
+                .with_boundaries(SPAN_BOUNDS.to_vec())
+                .build(),
+            gauges: meter
+                .u64_gauge("silverdock_state")
+                .with_description("What is believed, by name")
+                .build(),
             _provider: provider,
         })
     }
@@ -55,6 +119,11 @@
         self.refusals.add(1, &[KeyValue::new("reason", code.name())]);
     }
 
+    /// Counts a place at a runner that was not given, by the reason.
+    pub fn count_denial(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts something tried again, by the code of the try before.
     pub fn count_retry(&self, code: Code) {
         self.retries.add(1, &[KeyValue::new("reason", code.name())]);
@@ -76,6 +145,11 @@
         self.platform_calls.add(1, &[service, KeyValue::new("outcome", outcome)]);
     }
 
+    /// Notes how long something took, in milliseconds.
+    pub fn note_span(&self, span: Span, millis: u64) {
+        self.spans.record(millis as f64 / 1000.0, &[KeyValue::new("what", span.name())]);
+    }
+
     /// Sets a gauge, by name.
     pub fn set(&self, name: &'static str, value: u64) {
         self.gauges.record(value, &[KeyValue::new("name", name)]);
--- a/daemon/tests/deployment/support.rs
+++ b/daemon/tests/deployment/support.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
+use account::Account;
 use http::Method;
 use platform_standin::{Answer, Caller, Engine, Standin};
 
@@ -15,6 +16,8 @@
 const CALLERS_PORT: u16 = 8005;
 /// Where gateways say whether they are ready.
 const READINESS_PORT: u16 = 8002;
+/// Where processes tell their metrics.
+const METRICS_PORT: u16 = 7715;
 /// How long anything in a test may take.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -27,6 +30,8 @@
     machines: u8,
     files: PathBuf,
     processes: Vec<(IpAddr, Child)>,
+    /// Whether the logs of processes go to a pipe that nobody reads, without a bound on lines.
+    pub unread_logs: bool,
 }
 
 impl Deployment {
@@ -38,7 +43,14 @@
         std::fs::create_dir_all(&files).unwrap();
         let standin = Standin::start();
         standin.configure();
-        let mut deployment = Self { standin, network, machines: 0, files, processes: Vec::new() };
+        let mut deployment = Self {
+            standin,
+            network,
+            machines: 0,
+            files,
+            processes: Vec::new(),
+            unread_logs: false,
+        };
         for name in ["l1", "l2"] {
             let address = SocketAddr::new(deployment.machine(), RUNNER_PORT);
             deployment.standin.add_runner(address, Engine::plain(name, "ledger", "a"));
@@ -75,9 +87,10 @@
     fn spawn(&mut self, machine: IpAddr, role: &str) {
         let path = self.files.join(format!("{machine}.ini"));
         let store = self.standin.store;
+        let lines = if self.unread_logs { 100_000 } else { 1000 };
         let text = format!(
             "[node]\nname = m-{machine}\nregion = r\nhall = a\nhalls = a=r\naddress = {machine}\n\
-             first_port = 7700\nlast_port = 7715\nmemory_mb = 128\nlink_mbps = 100\n\n{role}\n\
+             first_port = 7700\nlast_port = 7715\nmemory_mb = 128\nlink_mbps = 100\nlog_lines_per_s = {lines}\n\n{role}\n\
              [store]\naddress = {store}\nwrites_per_s = 100\nreads_per_s = 1000\n\n\
              [bounds]\ngrace_s = 8\nversion_ms = 8000\nrepeat_ratio = 0.2\nrepeat_window_s = 10\n\
              repeat_allowance = 200\n"
@@ -86,13 +99,35 @@
         let log = std::fs::File::create(self.files.join(format!("{machine}.log"))).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_silverdockd"))
             .arg(&path)
-            .stdout(Stdio::null())
-            .stderr(log)
+            .stdout(if self.unread_logs { Stdio::piped() } else { log.into() })
             .spawn()
             .unwrap();
         self.processes.push((machine, child));
     }
 
+    /// What the logs of all processes say of a request, once a line says how it ended.
+    pub fn account(&self, request: &str) -> Account {
+        let mut account = self.account_now(request);
+        wait_until(&format!("the logs tell the end of {request}"), || {
+            account = self.account_now(request);
+            account.gaps.is_empty()
+        });
+        account
+    }
+
+    fn account_now(&self, request: &str) -> Account {
+        let files = std::fs::read_dir(&self.files).unwrap().map(|it| it.unwrap().path());
+        let logs = files.filter(|it| it.extension().is_some_and(|it| it == "log"));
+        let texts: Vec<String> = logs.map(|it| std::fs::read_to_string(it).unwrap()).collect();
+        Account::of(request, texts.iter().map(String::as_str))
+    }
+
+    /// The page of metrics of a machine's process.
+    pub fn metrics(&self, machine: IpAddr) -> String {
+        let page = SocketAddr::new(machine, METRICS_PORT);
+        Caller::new(Method::GET, "/metrics", "scrape").call(page).body
+    }
+
     /// Sends a signal to the process of a machine, by its id.
     pub fn signal(&self, machine: IpAddr, signal: rustix::process::Signal) {
         let process = self.processes.iter().rev().find(|it| it.0 == machine);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -41,10 +41,24 @@
     Publish(Publish),
     /// `check`
     Check(Check),
+    /// `explain`
+    Explain(Explain),
     /// `version`
     Version(Version),
 }
 
+/// Put together what logs say of one request, oldest first, with its cause.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// the id that the caller gave the request
+    #[argh(positional)]
+    pub request: String,
+    /// logs of gateways and sidecars
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Declare an intent and get a plan; nothing changes before it is confirmed.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "plan")]
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -2,7 +2,7 @@
 
 use errors::Result;
 use serde::Serialize;
-use settings::{RoleSettings, Settings};
+use settings::{DeploymentRole, DeploymentSettings, RoleSettings, Settings};
 
 use crate::cli::{Check, Cli};
 use crate::{cmd, messages};
@@ -18,12 +18,31 @@
 pub fn run(cli: &Cli, args: &Check) -> Result<()> {
     let text = std::fs::read_to_string(&args.file);
     let text = text.map_err(|error| cmd::usage(&format!("{}: {error}", args.file.display())))?;
-    let settings = Settings::parse(&text)?;
+    let checked = if DeploymentSettings::is_meant(&text) {
+        check_deployment(&text)?
+    } else {
+        check_fleet(&text)?
+    };
+    messages::show(cli.json, &checked, |it| format!("no faults: {} {}", it.role, it.name));
+    Ok(())
+}
+
+/// Settings of a fleet of our own.
+fn check_fleet(text: &str) -> Result<Checked> {
+    let settings = Settings::parse(text)?;
     let role = match settings.role {
         RoleSettings::Entry(_) => "entry",
         RoleSettings::Agent(_) => "agent",
     };
-    let checked = Checked { role, name: settings.node.name.0 };
-    messages::show(cli.json, &checked, |it| format!("no faults: {} {}", it.role, it.name));
-    Ok(())
+    Ok(Checked { role, name: settings.node.name.0 })
+}
+
+/// Settings of a process on the users' platform.
+fn check_deployment(text: &str) -> Result<Checked> {
+    let settings = DeploymentSettings::parse(text)?;
+    let role = match settings.role {
+        DeploymentRole::Gateway(_) => "gateway",
+        DeploymentRole::Sidecar(_) => "sidecar",
+    };
+    Ok(Checked { role, name: settings.node.name.0 })
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod confirm;
+pub mod explain;
 pub mod plan;
 pub mod publish;
 pub mod status;
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
         Command::Watch(args) => cmd::watch::run(&cli, args),
         Command::Publish(args) => cmd::publish::run(&cli, args),
         Command::Check(args) => cmd::check::run(&cli, args),
+        Command::Explain(args) => cmd::explain::run(&cli, args),
         Command::Version(_) => cmd::version::run(&cli),
     };
     match result {
