--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -73,16 +73,9 @@
     /// Sends the request and waits for the head of the answer. `last_event` is where a stream goes
     /// on; `sent` is set once the runner may have the request.
     pub async fn run(&self, last_event: Option<&str>, sent: &mut bool) -> Outcome {
-        if self.target.reserve {
-            let tokens = self.job.facts.prompt_tokens;
-            let id = self.job.facts.id.as_deref().unwrap_or("");
-            if let Some(outcome) = self.core.reservations.ask(self.target.address, id, tokens).await
-            {
-                return outcome.into();
-            }
-        }
-        let Ok(mut exchange) = Exchange::open(self.target.address, CONNECT_TIMEOUT).await else {
-            return AttemptOutcome::NotSent.into();
+        let mut exchange = match future::try_zip(self.reserve(), self.open()).await {
+            Ok(((), exchange)) => exchange,
+            Err(outcome) => return outcome.into(),
         };
         let Some(request) = self.request(last_event) else {
             return AttemptOutcome::NotSent.into();
@@ -105,6 +98,26 @@
         outcome
     }
 
+    /// Asks the sidecar for a place, where there is one to ask. The connection is opened meanwhile: what
+    /// is sent should reach the runner right after its machine has answered.
+    async fn reserve(&self) -> Result<(), AttemptOutcome> {
+        if !self.target.reserve {
+            return Ok(());
+        }
+        let facts = &self.job.facts;
+        let id = facts.id.as_deref().unwrap_or("");
+        let reservations = &self.core.reservations;
+        match reservations.ask(self.target.address, id, facts.prompt_tokens).await {
+            None => Ok(()),
+            Some(outcome) => Err(outcome),
+        }
+    }
+
+    async fn open(&self) -> Result<Exchange, AttemptOutcome> {
+        let opened = Exchange::open(self.target.address, CONNECT_TIMEOUT).await;
+        opened.map_err(|_| AttemptOutcome::NotSent)
+    }
+
     /// Waits as long as a request that may run again should wait for an answer.
     async fn lose_patience(&self) {
         if !self.job.kind.is_repeatable() {
