Operations: the accounts of the three kinds of failed request as the tests print them

Change: all three are now what the tests printed; the standing of runners is told for refusals only, as it is not taken elsewhere. Ruled out: nothing.

--- a/components/account/src/account.rs
+++ b/components/account/src/account.rs
@@ -136,7 +136,11 @@
         Decision::Ended { outcome, code, name, status, retry_after_ms, runners, usable } => {
             let code = if *code == 0 { String::new() } else { format!(", {code} {name}") };
             let back = retry_after_ms.map_or(String::new(), |ms| format!(", back in {ms} ms"));
-            format!("ends {outcome} with {status}{code}{back}; {usable} of {runners} runners usable")
+            let standing = match outcome.as_str() {
+                "refused" => format!("; {usable} of {runners} runners usable"),
+                _ => String::new(),
+            };
+            format!("ends {outcome} with {status}{code}{back}{standing}")
         }
     }
 }
