Sidecars hear of named versions from gateways; their own feeds wait longer

Change: what a gateway sends to be told of loads names the versions that it knows; sidecars wait 5 and 6 s for changes, before 2.5. Ruled out: the list of runners from gateways, which is too large for a datagram.

--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -223,8 +223,10 @@
     let (asking, taking) = (core.clone(), core.clone());
     spawner.detach(async move {
         loop {
+            let named = asking.read(|gateway| gateway.pool().named_versions());
+            let subscribe = Datagram::Subscribe { named };
             for sidecar in sidecars(&asking, port) {
-                sender.send(sidecar, &Datagram::Subscribe).await;
+                sender.send(sidecar, &subscribe).await;
             }
             Timer::after(SUBSCRIBE_EVERY).await;
         }
@@ -237,7 +239,9 @@
                 Datagram::Reserved { question, granted } => {
                     taking.reservations.settle(question, granted);
                 }
-                Datagram::Subscribe | Datagram::Reserve { .. } | Datagram::Summary { .. } => {}
+                Datagram::Subscribe { .. }
+                | Datagram::Reserve { .. }
+                | Datagram::Summary { .. } => {}
             }
         }
     });
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use errors::{Code, Error, Result};
-use fleet::{Bitmap, InstanceId, Place};
+use fleet::{Bitmap, InstanceId, ModelName, Place};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use gateway::RunnerLoad;
 use serde::de::DeserializeOwned;
@@ -16,7 +16,11 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
     /// A gateway wants to hear of the load of the runner beside the receiver.
-    Subscribe,
+    Subscribe {
+        /// The versions that the gateway knows to be named: a sidecar that does not reach the store
+        /// hears of them here.
+        named: Vec<(ModelName, u64)>,
+    },
     /// The load of the runner beside the sender.
     Load {
         /// Where the runner listens.
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use async_channel::Sender;
-use fleet::{Bitmap, InstanceId, Millis, Place};
+use fleet::{Bitmap, InstanceId, Millis, ModelName, Place};
 use rollout::{Effect, Event, Rollout, RolloutOptions};
 use settings::SidecarSettings;
 use telemetry::Metrics;
@@ -23,6 +23,8 @@
     pub rollout: Rc<RefCell<Rollout>>,
     /// The chunks.
     pub chunks: Rc<RefCell<Chunks>>,
+    /// The newest version that was named for each model.
+    pub names: Rc<RefCell<BTreeMap<ModelName, u64>>>,
     /// Gateways that want reports, and until when.
     pub subscribers: Rc<RefCell<BTreeMap<SocketAddr, Millis>>>,
     /// Where the origin of weights listens.
@@ -65,6 +67,7 @@
             place: options.place.clone(),
             rollout: Rc::new(RefCell::new(Rollout::new(options))),
             chunks: Rc::default(),
+            names: Rc::default(),
             subscribers: Rc::default(),
             origin: Rc::default(),
             origin_links: Rc::default(),
@@ -89,6 +92,21 @@
         self.rollout.borrow().newest().map(|(version, have)| (version, have.clone()))
     }
 
+    /// Takes in versions that were named, of any model. They are kept until the configuration tells
+    /// which model is the runner's.
+    pub fn take_names(&self, named: &[(ModelName, u64)]) {
+        for (model, version) in named {
+            let mut names = self.names.borrow_mut();
+            let newest = names.entry(model.clone()).or_default();
+            *newest = (*newest).max(*version);
+        }
+        let model = self.rollout.borrow().plan().map(|it| it.model.clone());
+        let mine = model.and_then(|it| self.names.borrow().get(&it).copied());
+        if let Some(version) = mine {
+            self.feed(Event::Named(version));
+        }
+    }
+
     /// Hands an event to the reducer and its effects to those who carry them out.
     pub fn feed(&self, event: Event) {
         let effects = self.rollout.borrow_mut().reduce(self.clock.now(), event);
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -26,10 +26,15 @@
 use crate::spawner::Spawner;
 use crate::watch::{watch, Seen, WatchOptions};
 
-/// How long a feed of the store waits for a change.
-const FEED_WAIT: Duration = Duration::from_millis(2500);
-/// The shortest time between two feeds.
-const FEED_SPACING: Duration = Duration::from_millis(250);
+/// How long a feed of the operator's table waits for a change. Gateways tell of named versions too, so
+/// a feed that was cut off may be noticed late.
+const OPERATOR_WAIT: Duration = Duration::from_millis(5000);
+/// The shortest time between two feeds of it.
+const OPERATOR_SPACING: Duration = Duration::from_millis(250);
+/// How long a feed of the runners waits for a change. They are wanted as peers only.
+const RUNNERS_WAIT: Duration = Duration::from_millis(6000);
+/// The shortest time between two feeds of them.
+const RUNNERS_SPACING: Duration = Duration::from_millis(1000);
 /// How often the reducer is told of the time.
 const TICK: Duration = Duration::from_millis(40);
 /// How often the log tells how many chunks are here.
@@ -125,15 +130,19 @@
 }
 
 async fn follow_operator(core: Core, store: SocketAddr) {
-    let options =
-        WatchOptions { store, table: Table::Operator, wait: FEED_WAIT, spacing: FEED_SPACING };
+    let options = WatchOptions {
+        store,
+        table: Table::Operator,
+        wait: OPERATOR_WAIT,
+        spacing: OPERATOR_SPACING,
+    };
     watch(options, move |seen| match seen {
         Seen::Change { change: Change::Configuration(catalog), .. } => {
             take_catalog(&core, &catalog)
         }
         Seen::Change { change: Change::Version { model, version }, .. } => {
             log::info!(model = model.0.as_str(), version = version; "version named");
-            core.feed(Event::Named(version));
+            core.take_names(&[(model, version)]);
         }
         Seen::Whole => core.feed(Event::VersionsKnown),
         Seen::Change { .. } => {}
@@ -157,13 +166,14 @@
         slots: engine.slots,
         prompt_tokens_per_ms: engine.prompt_tokens_per_ms,
     }));
+    core.take_names(&[]);
 }
 
 fn follow_runners(core: Core, settings: &DeploymentSettings) -> impl Future<Output = ()> {
     let (store, port) = (settings.store.address, settings.node.first_port);
     let halls = settings.node.halls.clone();
     let options =
-        WatchOptions { store, table: Table::Runners, wait: FEED_WAIT, spacing: FEED_SPACING };
+        WatchOptions { store, table: Table::Runners, wait: RUNNERS_WAIT, spacing: RUNNERS_SPACING };
     let mut listed: BTreeMap<InstanceId, RunnerRecord> = BTreeMap::new();
     let mut whole = false;
     watch(options, move |seen| {
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -102,9 +102,10 @@
     loop {
         let (sender, datagram) = news.receive().await;
         match datagram {
-            Datagram::Subscribe => {
+            Datagram::Subscribe { named } => {
                 let until = core.clock.now().plus(SUBSCRIPTION);
                 core.subscribers.borrow_mut().insert(sender, until);
+                core.take_names(&named);
             }
             Datagram::Summary { from, place, version, have } => {
                 core.feed(Event::Summary { from, address: sender, place, version, have });
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -84,6 +84,12 @@
         required.max().unwrap_or(0)
     }
 
+    /// The newest version that was named for each model.
+    pub fn named_versions(&self) -> Vec<(ModelName, u64)> {
+        let newest = |named: &Vec<NamedVersion>| named.last().map(|it| it.version);
+        self.named.iter().filter_map(|(model, it)| Some((model.clone(), newest(it)?))).collect()
+    }
+
     /// A runner.
     pub fn runner(&self, id: &InstanceId) -> Option<&Runner> {
         self.runners.get(id)
