The machine that gave the last order takes nothing on an older version

Cause: requests wait at a runner for its next pass. The machine that gave the last order freezes first; what waits there starts as it wakes, up to eight seconds later, and breaks VERSION when a newer version was named just before.

Change: sidecars tell each other of their orders; the one that gave the last takes nothing new while its runner holds an older version than the newest named, and is moved first.

A test of it fails without the change.

Ruled out: the moment between a sidecar's answer and the request's arrival (opened connections); orders from gateways, which are priced and move the freeze to a machine that carries callers.

--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -240,6 +240,7 @@
                     taking.reservations.settle(question, granted);
                 }
                 Datagram::Subscribe { .. }
+                | Datagram::Ordered
                 | Datagram::Reserve { .. }
                 | Datagram::Summary { .. } => {}
             }
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -44,6 +44,8 @@
         /// Whether the request may be sent now.
         granted: bool,
     },
+    /// The sender has just given its runner an order.
+    Ordered,
     /// The sender holds these chunks of a version.
     Summary {
         /// Who.
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -119,6 +119,10 @@
             Effect::Find(version) => add(&jobs, Job::Find(version)),
             Effect::Stage(version) => add(&jobs, Job::Stage(version)),
             Effect::Order { version, sequence, cut } => {
+                let peers = core.rollout.borrow().peer_addresses();
+                for peer in peers {
+                    news.send(peer, &Datagram::Ordered).await;
+                }
                 add(&jobs, Job::Order { version, sequence, cut });
             }
         }
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -118,6 +118,7 @@
                     log_denial(&core, request, denial);
                 }
             }
+            Datagram::Ordered => core.feed(Event::PeerOrdered),
             Datagram::Load { .. } | Datagram::Reserved { .. } => {}
         }
     }
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -143,6 +143,8 @@
         /// The chunks.
         have: Bitmap,
     },
+    /// Another sidecar gave its runner an order.
+    PeerOrdered,
     /// Time passed.
     Tick,
 }
--- a/components/rollout/src/places.rs
+++ b/components/rollout/src/places.rs
@@ -24,6 +24,9 @@
     Leaving,
     /// The version that it holds may hardly be used any more.
     TooOld,
+    /// This machine gave the last order of all, and the version that its runner holds is not the
+    /// newest: what waits at the runner must not start there much later.
+    LastOrder,
     /// Every place is taken.
     Full,
     /// It still reads the prompts that came before.
@@ -40,6 +43,7 @@
         match self {
             Self::Leaving => "leaving",
             Self::TooOld => "too_old",
+            Self::LastOrder => "last_order",
             Self::Full => "full",
             Self::Reading => "reading",
             Self::Unheard => "unheard",
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -1,6 +1,7 @@
 //! The reducer of a sidecar.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use crate::event::{Effect, Event, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan};
 use crate::places::{Denial, Places};
@@ -25,6 +26,8 @@
 /// How long before an order gateways hear of it, in milliseconds.
 const NOTICE: u64 = 120;
 
+/// How close two orders may be so that nobody can tell which was the last, in milliseconds.
+const ORDER_ORDER: u64 = 40;
 /// How long before its bound nothing is started on an older version any more, in milliseconds.
 const START_MARGIN: u64 = 900;
 
@@ -38,6 +41,9 @@
     named: (u64, Millis),
     status: Option<RunnerStatus>,
     places: Places,
+    /// When this sidecar gave an order, if no other one is known to have given one since. Trouble
+    /// strikes that machine first.
+    ordered_at: Option<Millis>,
     /// `None` until the list of runners has been read.
     peers: Option<Vec<Peer>>,
     /// When the list of runners was first read.
@@ -58,6 +64,7 @@
             named: (FIRST_VERSION, Millis(0)),
             status: None,
             places: Places::default(),
+            ordered_at: None,
             peers: None,
             peers_since: Millis(0),
             current: None,
@@ -148,6 +155,12 @@
             }
             Event::Staged(version, sound) => return self.take_staged(now, version, sound),
             Event::Ordered(version, outcome) => self.take_order_outcome(now, version, outcome),
+            Event::PeerOrdered => {
+                let clear = self.ordered_at.is_some_and(|at| now.since(at).0 > ORDER_ORDER);
+                if clear {
+                    self.ordered_at = None;
+                }
+            }
             Event::Tick => return self.advance(now),
         }
         Vec::new()
@@ -161,6 +174,9 @@
     /// Whether the runner is about to be ordered. Gateways hear of that first, so that nothing waits
     /// at the runner when it stops beginning requests.
     pub fn is_leaving(&self, now: Millis) -> bool {
+        if self.is_exposed() {
+            return true;
+        }
         let Some(target) = &self.current else {
             return false;
         };
@@ -176,6 +192,9 @@
         if !self.status.as_ref().is_some_and(|it| !it.busy && it.version.is_some()) {
             return Err(Denial::NotServing);
         }
+        if self.is_exposed() {
+            return Err(Denial::LastOrder);
+        }
         if self.is_leaving(now) {
             return Err(Denial::Leaving);
         }
@@ -185,6 +204,20 @@
         self.places.give(now, prompt_tokens)
     }
 
+    /// Whether this machine gave the last order of all while its runner holds an older version than
+    /// the newest. A request that waits at the runner when the machine stands still would start on a
+    /// version that is too old by then.
+    fn is_exposed(&self) -> bool {
+        let held = self.status.as_ref().and_then(|it| it.version).unwrap_or(0);
+        self.ordered_at.is_some() && held < self.named.0
+    }
+
+    /// The other sidecars.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let others = self.peers.iter().flatten().filter(|it| it.id != self.options.me);
+        others.map(|it| it.address).collect()
+    }
+
     /// The places at the runner.
     pub fn places(&self) -> &Places {
         &self.places
@@ -293,6 +326,7 @@
             return Vec::new();
         };
         target.step = Step::Ordered(now, status.sequence);
+        self.ordered_at = Some(now);
         let cut = status.running > 0 && status.running <= MAX_CUT;
         vec![Effect::Order { version, sequence: status.sequence, cut }]
     }
@@ -350,7 +384,8 @@
         let serves = self.serves();
         let span = self.options.version_ms.saturating_sub(TAKE_MARGIN);
         let end = target.named_at.plus(span);
-        if !serves {
+        // One that takes nothing new has nothing to wait for.
+        if !serves || self.is_exposed() {
             return now;
         }
         let now = now.plus(NOTICE);
--- a/components/rollout/tests/fleet.rs
+++ b/components/rollout/tests/fleet.rs
@@ -174,6 +174,9 @@
                 runner.taking = Some((self.now + 500, version));
                 self.orders.push((index, version, self.now));
                 self.after(5, index, Event::Ordered(version, OrderOutcome::Taken));
+                for other in (0..self.sidecars.len()).filter(|it| *it != index) {
+                    self.after(3, other, Event::PeerOrdered);
+                }
             }
         }
     }
@@ -307,6 +310,29 @@
     assert_eq!(fleet.versions(), BTreeMap::from([(Some(1), 6)]));
 }
 
+/// Found on days on which the machine that gave the last order froze with requests that waited at its
+/// runner: they started eight seconds later, on a version that was too old.
+#[test]
+fn the_machine_that_gave_the_last_order_takes_nothing_on_an_older_version() {
+    let mut fleet = Fleet::new(6, Some(1), 0);
+    fleet.run(5000);
+    fleet.runners[2] = Runner::default();
+    fleet.run(6000);
+    let last = fleet.orders.last().expect("the empty runner was ordered").0;
+    let reserve = |fleet: &mut Fleet, index: usize| {
+        let now = Millis(fleet.now);
+        fleet.sidecars[index].reserve(now, 10)
+    };
+    assert_eq!(reserve(&mut fleet, last), Ok(()), "no newer version is named");
+    fleet.name(2);
+    fleet.run(200);
+    assert_eq!(reserve(&mut fleet, last), Err(Denial::LastOrder));
+    assert_eq!(reserve(&mut fleet, (last + 1) % 6), Ok(()));
+    fleet.run(VERSION_MS);
+    assert_eq!(fleet.versions(), BTreeMap::from([(Some(2), 6)]));
+    assert!((0..6).all(|index| reserve(&mut fleet, index).is_ok()));
+}
+
 /// Found on a day on which a machine froze: the sidecar is the last to say whether a request may start
 /// on the version that its runner holds.
 #[test]
