Grown fleets: connections to the origin end when they rest, places say when to ask again

Gateways asked again and again for places that were not there (120,302 connections, as each was opened while asking).

Change: connections to the origin close after 150 ms of rest, and sidecars that failed together ask again at different times; a denial says after how long to ask again; the connection is opened after the answer again; an order waits for words of the runner from after the last one (the fuzzing found two orders on one view); a version half of whose chunks are here is finished before a newer one.

Ruled out: the size of the configuration. Conclusion: what is kept at a bounded server must end.

--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -73,9 +73,11 @@
     /// Sends the request and waits for the head of the answer. `last_event` is where a stream goes
     /// on; `sent` is set once the runner may have the request.
     pub async fn run(&self, last_event: Option<&str>, sent: &mut bool) -> Outcome {
-        let mut exchange = match future::try_zip(self.reserve(), self.open()).await {
-            Ok(((), exchange)) => exchange,
-            Err(outcome) => return outcome.into(),
+        if let Err(outcome) = self.reserve().await {
+            return outcome.into();
+        }
+        let Ok(mut exchange) = Exchange::open(self.target.address, CONNECT_TIMEOUT).await else {
+            return AttemptOutcome::NotSent.into();
         };
         let Some(request) = self.request(last_event) else {
             return AttemptOutcome::NotSent.into();
@@ -98,8 +100,8 @@
         outcome
     }
 
-    /// Asks the sidecar for a place, where there is one to ask. The connection is opened meanwhile: what
-    /// is sent should reach the runner right after its machine has answered.
+    /// Asks the sidecar for a place, where there is one to ask. The connection is opened after it: under
+    /// load most questions are answered with no, and each connection has its price.
     async fn reserve(&self) -> Result<(), AttemptOutcome> {
         if !self.target.reserve {
             return Ok(());
@@ -113,11 +115,6 @@
         }
     }
 
-    async fn open(&self) -> Result<Exchange, AttemptOutcome> {
-        let opened = Exchange::open(self.target.address, CONNECT_TIMEOUT).await;
-        opened.map_err(|_| AttemptOutcome::NotSent)
-    }
-
     /// Waits as long as a request that may run again should wait for an answer.
     async fn lose_patience(&self) {
         if !self.job.kind.is_repeatable() {
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -236,8 +236,8 @@
             let (_, datagram) = receiver.receive().await;
             match datagram {
                 Datagram::Load { runner, load } => taking.feed(Event::Load(runner, load)),
-                Datagram::Reserved { question, granted } => {
-                    taking.reservations.settle(question, granted);
+                Datagram::Reserved { question, granted, again_ms } => {
+                    taking.reservations.settle(question, (!granted).then_some(again_ms));
                 }
                 Datagram::Subscribe { .. }
                 | Datagram::Ordered
--- a/components/edge/src/gateway/reservations.rs
+++ b/components/edge/src/gateway/reservations.rs
@@ -29,7 +29,8 @@
 #[derive(Default)]
 struct Open {
     next: u64,
-    waiting: HashMap<u64, Sender<bool>>,
+    /// What waits for the answer: `None` for a place, else after how long to ask again.
+    waiting: HashMap<u64, Sender<Option<u64>>>,
 }
 
 impl Reservations {
@@ -62,16 +63,16 @@
             )
             .await;
         match within(Instant::now() + ANSWER_TIMEOUT, answer.recv()).await {
-            Some(Ok(true)) => None,
-            Some(Ok(false)) => Some(AttemptOutcome::Denied),
+            Some(Ok(None)) => None,
+            Some(Ok(Some(again_ms))) => Some(AttemptOutcome::Denied { again_ms }),
             Some(Err(_)) | None => Some(AttemptOutcome::Silent),
         }
     }
 
-    /// Takes in an answer.
-    pub fn settle(&self, question: u64, granted: bool) {
+    /// Takes in an answer: `None` for a place, else after how many milliseconds to ask again.
+    pub fn settle(&self, question: u64, denied: Option<u64>) {
         if let Some(waiting) = self.open.borrow_mut().waiting.remove(&question) {
-            let _ = waiting.try_send(granted);
+            let _ = waiting.try_send(denied);
         }
     }
 }
--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -100,7 +100,7 @@
     pub fn fail(&self, target: &RunnerTarget, outcome: AttemptOutcome, took_ms: u64) {
         let runner = target.id.0.clone();
         let place = match outcome {
-            AttemptOutcome::Denied => Some("denied"),
+            AttemptOutcome::Denied { .. } => Some("denied"),
             AttemptOutcome::Silent => Some("silent"),
             _ => None,
         };
--- a/components/edge/src/link.rs
+++ b/components/edge/src/link.rs
@@ -49,6 +49,16 @@
         Self { address, exchange: None }
     }
 
+    /// Closes a connection that has rested for so long: servers bound how many they keep.
+    pub fn close_if_rested(&mut self, rest: Duration) {
+        self.exchange.take_if(|(_, since)| since.elapsed() >= rest);
+    }
+
+    /// Whether a connection is kept.
+    pub fn is_connected(&self) -> bool {
+        self.exchange.is_some()
+    }
+
     /// Where the server listens.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -43,6 +43,8 @@
         question: u64,
         /// Whether the request may be sent now.
         granted: bool,
+        /// If not, after how many milliseconds it is worth asking again.
+        again_ms: u64,
     },
     /// The sender has just given its runner an order.
     Ordered,
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_channel::Sender;
 use fleet::{Bitmap, InstanceId, Millis, ModelName, Place};
@@ -16,6 +17,9 @@
 use crate::clock::Clock;
 use crate::link::Link;
 
+/// How long a connection to the origin may rest between two chunks.
+const ORIGIN_REST: Duration = Duration::from_millis(150);
+
 /// A sidecar's state, shared by the tasks of its process.
 #[derive(Clone)]
 pub struct Core {
@@ -107,6 +111,13 @@
         }
     }
 
+    /// Closes connections to the origin that rest: it takes few from all sidecars together.
+    pub fn close_rested_links(&self) {
+        let mut links = self.origin_links.borrow_mut();
+        links.iter_mut().for_each(|it| it.close_if_rested(ORIGIN_REST));
+        links.retain(Link::is_connected);
+    }
+
     /// Hands an event to the reducer and its effects to those who carry them out.
     pub fn feed(&self, event: Event) {
         let effects = self.rollout.borrow_mut().reduce(self.clock.now(), event);
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -40,7 +40,7 @@
 /// How often the log tells how many chunks are here.
 const PROGRESS_EVERY: Millis = Millis(500);
 /// What control messages may cost, in bytes a second.
-const CONTROL_BYTES_PER_S: u64 = 6000;
+const CONTROL_BYTES_PER_S: u64 = 12_000;
 
 /// A sidecar. It has nothing to finish: what its runner does goes on without it.
 pub struct SidecarNode {
@@ -236,6 +236,7 @@
     loop {
         Timer::after(TICK).await;
         core.feed(Event::Tick);
+        core.close_rested_links();
         progress.log(&core);
     }
 }
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -111,9 +111,14 @@
                 core.feed(Event::Summary { from, address: sender, place, version, have });
             }
             Datagram::Reserve { question, request, prompt_tokens } => {
-                let given = core.rollout.borrow_mut().reserve(core.clock.now(), prompt_tokens);
+                let now = core.clock.now();
+                let given = core.rollout.borrow_mut().reserve(now, prompt_tokens);
+                let again_ms = match given {
+                    Ok(()) => 0,
+                    Err(denial) => core.rollout.borrow().places().again_ms(now, denial),
+                };
                 let granted = given.is_ok();
-                news.send(sender, &Datagram::Reserved { question, granted }).await;
+                news.send(sender, &Datagram::Reserved { question, granted, again_ms }).await;
                 if let Err(denial) = given {
                     log_denial(&core, request, denial);
                 }
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -61,7 +61,10 @@
     /// No connection came up; nothing was sent.
     NotSent,
     /// The sidecar beside the runner had no place; nothing was sent.
-    Denied,
+    Denied {
+        /// After how many milliseconds it is worth asking again.
+        again_ms: u64,
+    },
     /// The sidecar beside the runner did not answer; nothing was sent.
     Silent,
     /// The runner turned the request away for want of room. It did not run.
@@ -86,7 +89,7 @@
     pub fn code(self) -> Code {
         match self {
             Self::NotSent | Self::Silent => Code::Unreachable,
-            Self::Full | Self::Denied => Code::Overloaded,
+            Self::Full | Self::Denied { .. } => Code::Overloaded,
             Self::Misdirected => Code::NotServing,
             Self::Failed => Code::UpstreamFailed,
             Self::Lost => Code::ConnectionLost,
@@ -97,7 +100,7 @@
 
     /// Whether the request reached the runner, as far as that is known.
     pub fn has_arrived(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Denied | Self::Silent)
+        !matches!(self, Self::NotSent | Self::Denied { .. } | Self::Silent)
     }
 }
 
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -21,8 +21,8 @@
 const WAIT_SHARE: f64 = 0.22;
 /// How long a request that may have run already waits for another place, in milliseconds.
 const RESUME_WAIT: u64 = 600;
-/// How long a runner whose sidecar had no place is left alone, in milliseconds.
-const DENIED_PAUSE: u64 = 30;
+/// How long a runner whose sidecar had no place is left alone at most, in milliseconds.
+const MAX_DENIED_PAUSE: u64 = 500;
 /// How long a runner that said it is full is left alone, in milliseconds.
 const FULL_PAUSE: u64 = 60;
 /// The shortest and longest time after which a refused caller is asked to come back, in
@@ -176,7 +176,7 @@
             return Vec::new();
         }
         progress.current = None;
-        if matches!(outcome, AttemptOutcome::Denied | AttemptOutcome::Silent) {
+        if matches!(outcome, AttemptOutcome::Denied { .. } | AttemptOutcome::Silent) {
             // Nothing was sent: this was not one of the attempts that the route allows.
             progress.tried.retain(|it| it != &id);
         }
@@ -213,7 +213,9 @@
         match outcome {
             AttemptOutcome::Answered | AttemptOutcome::Finished => runner.reward(),
             AttemptOutcome::Full => runner.note_full(now, FULL_PAUSE),
-            AttemptOutcome::Denied => runner.note_full(now, DENIED_PAUSE),
+            AttemptOutcome::Denied { again_ms } => {
+                runner.note_full(now, again_ms.min(MAX_DENIED_PAUSE));
+            }
             AttemptOutcome::Misdirected => runner.misdirected = true,
             AttemptOutcome::NotSent
             | AttemptOutcome::Silent
@@ -255,7 +257,7 @@
         progress.wait_until = progress.wait_until.max(now.plus(wait)).min(progress.arrival.limit);
         let place = Place { priority: 0, key };
         self.queue.insert(place);
-        if outcome == AttemptOutcome::Denied {
+        if matches!(outcome, AttemptOutcome::Denied { .. }) {
             return Vec::new();
         }
         vec![Effect::CountRetry(outcome.code())]
--- a/components/gateway/tests/fuzz.rs
+++ b/components/gateway/tests/fuzz.rs
@@ -47,7 +47,7 @@
     RouteKind::Stream { resumable: false },
 ];
 const OUTCOMES: [AttemptOutcome; 10] = [
-    AttemptOutcome::Denied,
+    AttemptOutcome::Denied { again_ms: 30 },
     AttemptOutcome::Silent,
     AttemptOutcome::Answered,
     AttemptOutcome::Finished,
@@ -179,7 +179,7 @@
                 let possible = if known.answered { &BEGUN[..] } else { &OUTCOMES[..] };
                 let outcome = possible[outcome as usize % possible.len()];
                 known.answered = outcome == AttemptOutcome::Answered;
-                if matches!(outcome, AttemptOutcome::Denied | AttemptOutcome::Silent) {
+                if matches!(outcome, AttemptOutcome::Denied { .. } | AttemptOutcome::Silent) {
                     known.sends -= 1;
                 }
                 known.may_have_run |= !outcome.is_not_run();
--- a/components/gateway/tests/routing.rs
+++ b/components/gateway/tests/routing.rs
@@ -111,10 +111,14 @@
     let mut step = bed.arrive(arrival(1, MODEL_SERVICE, STREAM));
     for _ in 0..3 {
         assert!(matches!(&step, Some(NextStep::Send(target)) if target.reserve), "{step:?}");
-        step = bed.outcome(1, AttemptOutcome::Denied);
+        step = bed.outcome(1, AttemptOutcome::Denied { again_ms: 30 });
     }
     sent_to(step);
-    assert_eq!(bed.outcome(1, AttemptOutcome::Denied), None, "all are full: it waits");
+    assert_eq!(
+        bed.outcome(1, AttemptOutcome::Denied { again_ms: 30 }),
+        None,
+        "all are full: it waits"
+    );
     bed.now += 40;
     sent_to(bed.step(1, Event::Tick));
 }
--- a/components/rollout/src/places.rs
+++ b/components/rollout/src/places.rs
@@ -14,6 +14,15 @@
 const READING_SHARE: f64 = 0.9;
 /// The most prompt tokens that are saved up: about two prompts.
 const MAX_CREDIT: f64 = 2500.0;
+/// The least rate of reading that is reckoned with, in tokens a millisecond.
+const MIN_RATE: f64 = 0.1;
+/// The shortest time after which to ask again, in milliseconds.
+const MIN_AGAIN: u64 = 5;
+/// The time after which to ask again where every place is taken, in milliseconds: a report comes every
+/// 100 ms, and some request ends about as often.
+const FULL_AGAIN: u64 = 60;
+/// The time after which to ask again where the runner is being moved, in milliseconds.
+const MOVE_AGAIN: u64 = 250;
 /// How long a report counts, in milliseconds.
 const REPORT_LIFE: u64 = 600;
 
@@ -80,6 +89,20 @@
         }
     }
 
+    /// After how many milliseconds it is worth asking again.
+    pub fn again_ms(&self, now: Millis, denial: Denial) -> u64 {
+        match denial {
+            Denial::Reading => {
+                let missing = -self.credit(now);
+                let rate = (self.tokens_per_ms * READING_SHARE).max(MIN_RATE);
+                (missing / rate).max(0.0) as u64 + MIN_AGAIN
+            }
+            Denial::Full => FULL_AGAIN,
+            Denial::Leaving | Denial::TooOld | Denial::LastOrder => MOVE_AGAIN,
+            Denial::Unheard | Denial::NotServing => MOVE_AGAIN,
+        }
+    }
+
     /// Requests that the runner works on at once.
     pub fn slots(&self) -> u32 {
         self.slots
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -40,6 +40,10 @@
     /// The version that was named last, and when.
     named: (u64, Millis),
     status: Option<RunnerStatus>,
+    /// When the runner last said that, and when it was last ordered: words from before an order do not
+    /// tell what it does now.
+    status_at: Millis,
+    own_order_at: Millis,
     places: Places,
     /// When this sidecar gave an order, if no other one is known to have given one since. Trouble
     /// strikes that machine first.
@@ -63,6 +67,8 @@
             versions_known: false,
             named: (FIRST_VERSION, Millis(0)),
             status: None,
+            status_at: Millis(0),
+            own_order_at: Millis(0),
             places: Places::default(),
             ordered_at: None,
             peers: None,
@@ -126,8 +132,9 @@
                 }
             }
             Event::Undescribed(version) => {
+                let me = self.options.me.clone();
                 if let Some(target) = self.target(version) {
-                    target.wait_for_manifest(now);
+                    target.wait_for_manifest(now, &me);
                 }
             }
             Event::Found(version, found) => self.take_found(version, &found),
@@ -242,8 +249,8 @@
         }
     }
 
-    /// Turns to the version that was named last. A version whose chunks are all here is still taken
-    /// while those of a newer one come: its bound stands.
+    /// Turns to the version that was named last. A version most of whose chunks are here is still taken
+    /// before a newer one: its bound stands.
     fn follow_name(&mut self) {
         let (version, at) = self.named;
         let newest = self.next.as_ref().or(self.current.as_ref()).map_or(0, |it| it.version);
@@ -251,9 +258,7 @@
             return;
         }
         let target = Target::new(version, at);
-        let under_way = self.current.as_ref().is_some_and(|it| {
-            matches!(it.step, Step::Waiting(_) | Step::Staging | Step::Ordered(..))
-        });
+        let under_way = self.current.as_ref().is_some_and(Target::is_worth_finishing);
         if under_way {
             self.next = Some(target);
         } else {
@@ -277,6 +282,7 @@
 
     fn take_status(&mut self, now: Millis, status: RunnerStatus) {
         self.places.take_report(now, status.running);
+        self.status_at = now;
         let before = self.status.replace(status.clone());
         let Some(target) = &mut self.current else {
             return;
@@ -317,16 +323,18 @@
     }
 
     fn take_staged(&mut self, now: Millis, version: u64, sound: bool) -> Vec<Effect> {
+        let free = self.is_runner_free();
         let status = self.status.clone();
         let Some(target) = self.target(version).filter(|it| it.step == Step::Staging) else {
             return Vec::new();
         };
-        let Some(status) = status.filter(|it| sound && !it.busy) else {
+        let Some(status) = status.filter(|_| sound && free) else {
             target.step = Step::Waiting(now.plus(ORDER_PAUSE));
             return Vec::new();
         };
         target.step = Step::Ordered(now, status.sequence);
         self.ordered_at = Some(now);
+        self.own_order_at = now;
         let cut = status.running > 0 && status.running <= MAX_CUT;
         vec![Effect::Order { version, sequence: status.sequence, cut }]
     }
@@ -349,7 +357,12 @@
         }
         self.follow_name();
         let mut effects = Vec::new();
-        for target in self.current.iter_mut().chain(&mut self.next) {
+        // The chunks of one version at a time: they share the link.
+        let drawing = self.current.as_ref().is_some_and(|it| it.step == Step::Drawing);
+        for target in self.current.iter_mut() {
+            effects.extend(target.exchange(now));
+        }
+        for target in self.next.iter_mut().filter(|_| !drawing) {
             effects.extend(target.exchange(now));
         }
         self.finish_drawing(now);
@@ -363,11 +376,8 @@
 
     /// Goes on with a version once every chunk is here.
     fn finish_drawing(&mut self, now: Millis) {
-        if self.next.as_ref().is_some_and(Target::is_whole) {
-            let busy = self.status.as_ref().is_some_and(|it| it.busy);
-            if !busy {
-                self.current = self.next.take();
-            }
+        if self.next.as_ref().is_some_and(Target::is_whole) && self.is_runner_free() {
+            self.current = self.next.take();
         }
         let order_at = self.current.as_ref().map(|it| self.order_at(now, it));
         let Some(target) = &mut self.current else {
@@ -400,14 +410,20 @@
         now.plus(end.since(now).0 * turn / ids.len() as u64)
     }
 
+    /// Whether the runner is known to take no order now.
+    fn is_runner_free(&self) -> bool {
+        let heard = self.status_at > self.own_order_at;
+        heard && self.status.as_ref().is_some_and(|it| !it.busy)
+    }
+
     fn stage_when_due(&mut self, now: Millis) -> Option<Effect> {
-        let busy = self.status.as_ref().is_none_or(|it| it.busy);
+        let free = self.is_runner_free();
         let drained = self.status.as_ref().is_some_and(|it| it.running <= MAX_CUT)
             && !self.places.awaits_arrival(now);
         let target = self.current.as_mut()?;
         match target.step {
             Step::Waiting(at)
-                if now >= at && !busy && (drained || now >= at.plus(DRAIN_PATIENCE)) =>
+                if now >= at && free && (drained || now >= at.plus(DRAIN_PATIENCE)) =>
             {
                 target.step = Step::Staging;
                 Some(Effect::Stage(target.version))
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -29,8 +29,10 @@
     /// Whether a chunk enters a hall once.
     hall_first: bool,
 }
-/// How long to wait after a manifest did not arrive, in milliseconds.
-const DESCRIBE_PAUSE: u64 = 300;
+/// How long to wait at least after a manifest did not arrive, in milliseconds.
+const DESCRIBE_PAUSE: u64 = 80;
+/// How much longer some sidecars wait than others, in milliseconds.
+const DESCRIBE_SPREAD: u64 = 300;
 /// How long the others must be known before a share of the chunks is taken, in milliseconds. Those
 /// that start together get to know each other first.
 const SHARE_DELAY: u64 = 4000;
@@ -87,6 +89,15 @@
         self.spread.as_ref().is_some_and(|it| it.phase() == SpreadPhase::Whole)
     }
 
+    /// Whether it is so far that it should be taken although a newer version is named.
+    pub(crate) fn is_worth_finishing(&self) -> bool {
+        match self.step {
+            Step::Waiting(_) | Step::Staging | Step::Ordered(..) => true,
+            Step::Drawing => self.have().is_some_and(|it| 2 * it.count() >= it.capacity()),
+            Step::Describing { .. } | Step::Finding | Step::Served => false,
+        }
+    }
+
     /// The chunks that are here.
     pub(crate) fn have(&self) -> Option<&Bitmap> {
         self.spread.as_ref().map(Spread::have)
@@ -109,12 +120,15 @@
     }
 
     /// The manifest did not arrive.
-    pub(crate) fn wait_for_manifest(&mut self, now: Millis) {
+    pub(crate) fn wait_for_manifest(&mut self, now: Millis, me: &InstanceId) {
         if self.step == Step::Served {
             self.asked_for_share = false;
             return;
         }
-        self.step = Step::Describing { not_before: now.plus(DESCRIBE_PAUSE), asked: false };
+        // Sidecars that failed together come back at different times.
+        let spread = me.0.bytes().fold(0, |sum: u64, byte| sum * 31 % 1009 + u64::from(byte));
+        let pause = DESCRIBE_PAUSE + (spread + now.0) % DESCRIBE_SPREAD;
+        self.step = Step::Describing { not_before: now.plus(pause), asked: false };
     }
 
     /// Starts the exchange of chunks.
--- a/components/telemetry/src/bounded.rs
+++ b/components/telemetry/src/bounded.rs
@@ -5,7 +5,7 @@
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use errors::{Code, Error, Result};
 use log::{Level, LevelFilter, Record};
@@ -22,6 +22,9 @@
 /// Seconds of allowance that may be saved up.
 const BURST_S: f64 = 2.0;
 
+/// How often the log says how many lines were dropped.
+const TELL_DROPPED_EVERY: Duration = Duration::from_secs(1);
+
 /// How many lines were dropped, for want of allowance or of a reader.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -99,6 +102,7 @@
 /// Writes lines for as long as the process runs, as many at once as wait, and says what was dropped.
 fn write(instance: &str, receiver: &Receiver<String>) {
     let mut told = 0;
+    let mut told_at = Instant::now();
     while let Ok(first) = receiver.recv() {
         let mut text = first + "\n";
         for line in receiver.try_iter() {
@@ -106,7 +110,8 @@
             text.push('\n');
         }
         let dropped = dropped_lines();
-        if dropped > told {
+        if dropped > told && told_at.elapsed() >= TELL_DROPPED_EVERY {
+            told_at = Instant::now();
             let line = json!({
                 "ts_ms": unix_millis(), "level": "WARN", "instance": instance,
                 "message": "lines dropped", "lines": dropped - told,
