Tests out of source files; admission of the sidecar in a file of its own

Change: each block of tests stands in a file beside its module, word for word; reservations and notices of the sidecar are reducer/admission.rs. Ruled out: any change of a test. Conclusion: none is lost.

--- a/components/reducer/src/spread/gate.rs
+++ b/components/reducer/src/spread/gate.rs
@@ -133,47 +133,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn receivers(count: usize) -> Vec<(InstanceId, Hall)> {
-        let hall = |n: usize| Hall(format!("h{}", n % 3));
-        (0..count).map(|n| (InstanceId(format!("i{n}")), hall(n))).collect()
-    }
-
-    fn gates(count: usize, copies: u32) -> Vec<Gate> {
-        let all = receivers(count);
-        let options = GateOptions { copies, chunk_ms: 10.0, version_ms: 4000.0, patience_ms: None };
-        let version = VersionId([3; 32]);
-        all.iter().map(|(id, _)| Gate::new(id, version, 20, &all, &options)).collect()
-    }
-
-    #[test]
-    fn gives_each_chunk_one_owner_for_each_copy() {
-        for copies in 1..=3 {
-            let gates = gates(12, copies);
-            for chunk in 0..20 {
-                let owners = gates.iter().filter(|gate| gate.rank(chunk) == 0).count();
-                assert_eq!(owners, copies as usize);
-            }
-        }
-    }
-
-    #[test]
-    fn puts_the_next_receiver_in_the_place_of_a_dead_owner() {
-        let mut gates = gates(12, 1);
-        let owner = gates.iter().position(|gate| gate.rank(5) == 0).unwrap();
-        let dead = InstanceId(format!("i{owner}"));
-        gates.iter_mut().for_each(|gate| gate.set_down(|id| id == &dead));
-        let heirs = gates.iter().enumerate().filter(|(n, gate)| *n != owner && gate.rank(5) == 0);
-        assert_eq!(heirs.count(), 1);
-    }
-
-    #[test]
-    fn spreads_the_draws_over_the_origins_timetable() {
-        let gates = gates(12, 1);
-        let owner = |chunk| gates.iter().find(|gate| gate.rank(chunk) == 0).unwrap();
-        assert_eq!(owner(0).due(Millis(100), 0), Millis(100));
-        assert_eq!(owner(7).due(Millis(100), 7), Millis(170));
-    }
-}
+mod tests;
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -1,10 +1,12 @@
 //! The reducer of a sidecar.
 
+mod admission;
+
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use crate::event::{Effect, Event, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan};
-use crate::places::{Denial, Places};
+use crate::places::Places;
 use crate::target::{participants, Step, Target};
 use fleet::{Bitmap, InstanceId, Millis};
 
@@ -28,9 +30,6 @@
 
 /// How close two orders may be so that nobody can tell which was the last, in milliseconds.
 const ORDER_ORDER: u64 = 40;
-/// How long before its bound nothing is started on an older version any more, in milliseconds.
-const START_MARGIN: u64 = 900;
-
 /// The state of a sidecar.
 pub struct Rollout {
     options: RolloutOptions,
@@ -88,6 +87,12 @@
         self.status.as_ref()
     }
 
+    /// The other sidecars.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let others = self.peers.iter().flatten().filter(|it| it.id != self.options.me);
+        others.map(|it| it.address).collect()
+    }
+
     /// The version that the runner is moved to, or serves.
     pub fn wanted(&self) -> Option<u64> {
         self.current.as_ref().map(|it| it.version)
@@ -178,66 +183,6 @@
         self.status.as_ref().is_some_and(|it| it.version.is_some())
     }
 
-    /// Whether the runner is about to be ordered. Gateways hear of that first, so that nothing waits
-    /// at the runner when it stops beginning requests.
-    pub fn is_leaving(&self, now: Millis) -> bool {
-        if self.is_exposed() {
-            return true;
-        }
-        let Some(target) = &self.current else {
-            return false;
-        };
-        match target.step {
-            Step::Waiting(at) => now.plus(NOTICE) >= at,
-            Step::Staging | Step::Ordered(..) => true,
-            _ => false,
-        }
-    }
-
-    /// Gives a place at the runner to a request with a prompt of so many tokens, or says why not.
-    pub fn reserve(&mut self, now: Millis, prompt_tokens: u32) -> Result<(), Denial> {
-        if !self.status.as_ref().is_some_and(|it| !it.busy && it.version.is_some()) {
-            return Err(Denial::NotServing);
-        }
-        if self.is_exposed() {
-            return Err(Denial::LastOrder);
-        }
-        if self.is_leaving(now) {
-            return Err(Denial::Leaving);
-        }
-        if self.is_too_old(now) {
-            return Err(Denial::TooOld);
-        }
-        self.places.give(now, prompt_tokens)
-    }
-
-    /// Whether this machine gave the last order of all while its runner holds an older version than
-    /// the newest. A request that waits at the runner when the machine stands still would start on a
-    /// version that is too old by then.
-    fn is_exposed(&self) -> bool {
-        let held = self.status.as_ref().and_then(|it| it.version).unwrap_or(0);
-        self.ordered_at.is_some() && held < self.named.0
-    }
-
-    /// The other sidecars.
-    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
-        let others = self.peers.iter().flatten().filter(|it| it.id != self.options.me);
-        others.map(|it| it.address).collect()
-    }
-
-    /// The places at the runner.
-    pub fn places(&self) -> &Places {
-        &self.places
-    }
-
-    /// Whether the runner's version may hardly be used any more.
-    fn is_too_old(&self, now: Millis) -> bool {
-        let held = self.status.as_ref().and_then(|it| it.version).unwrap_or(0);
-        let span = self.options.version_ms.saturating_sub(START_MARGIN);
-        let mut targets = self.current.iter().chain(&self.next);
-        targets.any(|it| it.version > held && now.since(it.named_at).0 >= span)
-    }
-
     fn target(&mut self, version: u64) -> Option<&mut Target> {
         let mut targets = self.current.iter_mut().chain(&mut self.next);
         targets.find(|it| it.version == version)
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -54,16 +54,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn can_render_fields_as_json() {
-        let fields = [("request", kv::Value::from("1-2")), ("code", kv::Value::from(105u64))];
-        let record = Record::builder().key_values(&fields).level(log::Level::Warn).build();
-        let line = render("agent-1", "refused", &record);
-        assert_eq!(line["request"], "1-2");
-        assert_eq!(line["code"], 105);
-        assert_eq!(line["instance"], "agent-1");
-    }
-}
+mod tests;
