--- /dev/null
+++ b/components/settings/tests/deployment.rs
@@ -0,0 +1,75 @@
+//! Settings of gateways and sidecars, and the templates that the platform fills.
+
+use fleet::{Hall, Region};
+use settings::{DeploymentRole, DeploymentSettings};
+
+const GATEWAY: &str = include_str!("../../../platform/gateway.ini");
+const SIDECAR: &str = include_str!("../../../platform/sidecar.ini");
+
+/// Fills a template with a few fields as the platform would.
+fn fill(template: &str) -> String {
+    let zones = "{{#zones}}{{@}}={{.}}{{,}}{{/zones}}";
+    let fields = [
+        (zones, "a=north,b=south"),
+        ("{{nodeName}}", "m-1"),
+        ("{{region}}", "north"),
+        ("{{zone}}", "a"),
+        ("{{ip}}", "10.1.0.40"),
+        ("{{internalPorts.0}}", "7700"),
+        ("{{internalPorts.1}}", "7715"),
+        ("{{limits.memoryMb}}", "128"),
+        ("{{limits.linkMbps}}", "7.6"),
+        ("{{listen.front}}", "10.1.0.40:8005"),
+        ("{{listen.ready}}", "10.1.0.40:8002"),
+        ("{{app}}", "10.1.0.40:8001"),
+        ("{{service}}", "s1"),
+        ("{{platform.address}}", "10.200.1.7:8007"),
+        ("{{platform.writes_per_s}}", "400"),
+        ("{{platform.reads_per_s}}", "2000"),
+        ("{{bounds.graceS}}", "8"),
+        ("{{bounds.drainMs}}", "2000"),
+        ("{{bounds.configApplyMs}}", "2000"),
+        ("{{bounds.version_ms}}", "8000"),
+        ("{{bounds.budgetRatio}}", "0.2"),
+        ("{{bounds.budgetWindowS}}", "10"),
+        ("{{bounds.retrySlack}}", "106"),
+    ];
+    fields.iter().fold(template.to_owned(), |text, (gap, value)| text.replace(gap, value))
+}
+
+#[test]
+fn the_templates_hold_settings_that_can_be_read() {
+    let gateway = DeploymentSettings::parse(&fill(GATEWAY)).unwrap();
+    assert_eq!(gateway.gateway().unwrap().callers.port(), 8005);
+    assert_eq!(gateway.node.link_bytes_per_s, 950_000);
+    assert_eq!(gateway.node.halls.get(&Hall::from("b")), Some(&Region::from("south")));
+    assert_eq!(gateway.bounds.repeat_allowance, 106.0);
+    let sidecar = DeploymentSettings::parse(&fill(SIDECAR)).unwrap();
+    assert_eq!(sidecar.sidecar().unwrap().service, "s1".into());
+    assert!(matches!(sidecar.role, DeploymentRole::Sidecar(_)));
+}
+
+#[test]
+fn a_gap_that_the_platform_left_empty_is_a_fault() {
+    let text = fill(GATEWAY).replace("callers = 10.1.0.40:8005", "callers = ");
+    let faults = DeploymentSettings::parse(&text).unwrap_err();
+    assert_eq!(faults.0.len(), 1, "{faults}");
+    assert_eq!((faults.0[0].section.as_str(), faults.0[0].key.as_str()), ("gateway", "callers"));
+}
+
+#[test]
+fn every_fault_is_reported_at_once() {
+    let text = fill(SIDECAR)
+        .replace("first_port = 7700", "first_port = none")
+        .replace("repeat_ratio = 0.2", "repeat_ratio = -1")
+        .replace("[store]", "[store]\nspeed = 3");
+    let faults = DeploymentSettings::parse(&text).unwrap_err();
+    let keys: Vec<&str> = faults.0.iter().map(|it| it.key.as_str()).collect();
+    assert_eq!(keys, ["first_port", "repeat_ratio", "speed"], "{faults}");
+}
+
+#[test]
+fn the_settings_of_a_fleet_of_our_own_are_told_apart() {
+    assert!(DeploymentSettings::is_meant(GATEWAY) && DeploymentSettings::is_meant(SIDECAR));
+    assert!(!DeploymentSettings::is_meant("[node]\nrole = entry\n[entry]\n"));
+}
