Settings: an address that was left empty is a fault

Change: addresses are parsed like every other value that must be there. Ruled out: other kinds of value; they are parsed by the same path.

--- a/components/settings/src/deployment.rs
+++ b/components/settings/src/deployment.rs
@@ -1,7 +1,8 @@
 //! The settings of a gateway or a sidecar on the users' platform.
 
 use std::collections::BTreeMap;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{AddrParseError, IpAddr, Ipv4Addr, SocketAddr};
+use std::str::FromStr;
 
 use fleet::{Hall, InstanceId, Place, Region, ServiceName};
 
@@ -224,16 +225,23 @@
     SidecarSettings { runner: address(file, "sidecar", "runner"), service: ServiceName(service) }
 }
 
-fn address(file: &mut File, section: &str, key: &str) -> SocketAddr {
-    let fallback = SocketAddr::from(([127, 0, 0, 1], 0));
-    let text: String = file.need(section, key, "an address with a port");
-    match text.trim().parse() {
-        Ok(address) => address,
-        Err(_) => {
-            if !text.is_empty() {
-                file.complain(section, key, &text, "an address with a port");
-            }
-            fallback
-        }
+/// An address with a port that must be given.
+struct Address(SocketAddr);
+
+impl Default for Address {
+    fn default() -> Self {
+        Self(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
+    }
+}
+
+impl FromStr for Address {
+    type Err = AddrParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
     }
 }
+
+fn address(file: &mut File, section: &str, key: &str) -> SocketAddr {
+    file.need::<Address>(section, key, "an address with a port").0
+}
