Sidecars read the list of runners at most once in 2.5 s

Change: the shortest time between two feeds of the runners is 2.5 s, before 1 s; sidecars need them as peers only. Ruled out: longer waits, which save nothing while runners change.

--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -34,7 +34,7 @@
 /// How long a feed of the runners waits for a change. They are wanted as peers only.
 const RUNNERS_WAIT: Duration = Duration::from_millis(6000);
 /// The shortest time between two feeds of them.
-const RUNNERS_SPACING: Duration = Duration::from_millis(1000);
+const RUNNERS_SPACING: Duration = Duration::from_millis(2500);
 /// How often the reducer is told of the time.
 const TICK: Duration = Duration::from_millis(40);
 /// How often the log tells how many chunks are here.
