--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -93,6 +93,7 @@
             let call = store::list(self.options.table, &from);
             let body = self.link.call(call, LIST_TIMEOUT).await?.success()?;
             let page = store::read(self.options.table, &body)?;
+            self.note_faults(&page);
             // Changes behind the first page's version may be missing on it, so the feed starts there.
             revision = revision.or(Some(page.revision));
             changes.extend(page.changes);
@@ -123,6 +124,7 @@
             return Err(Error::new(Code::NotFound, "the store forgot its history"));
         }
         let page: Page = store::read(self.options.table, &answer.success()?)?;
+        self.note_faults(&page);
         let late = self.is_late();
         for change in page.changes {
             self.remember(&change);
@@ -149,6 +151,15 @@
         }
     }
 
+    /// Logs rows that cannot be read: what they say is not in force here.
+    fn note_faults(&self, page: &Page) {
+        let table = format!("{:?}", self.options.table);
+        for fault in &page.faults {
+            let reason = fault.to_string();
+            log::error!(table = table.as_str(), reason = reason.as_str(); "row cannot be read");
+        }
+    }
+
     /// Logs when the store is lost and when it is back.
     fn note(&mut self, result: Result<()>) {
         let table = format!("{:?}", self.options.table);
