Spread: receivers that have just begun are told again, every sidecar is a neighbour

A new counter of draws in the line on chunks shows why: after the first 8 chunks only draws from the origin, 2 at a time and 0.8 s each. A receiver knew 32 neighbours, 16 of them holders that had told it what they hold before it listened, and who never told it again; the others were receivers that had drawn the same first missing chunk from the origin. Ruled out: uploads that are busy (a handful), chunks that stall or arrive spoilt (none counted), the budget for summaries (5 to 30 KB left).

Change: a summary that holds nothing makes a neighbour forget what it told; up to 96 neighbours, where 32 left out those that came late; of the chunks that may be drawn from the origin the one whose rank is lowest.

--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -33,6 +33,8 @@
     pub subscribers: Rc<RefCell<BTreeMap<SocketAddr, Millis>>>,
     /// Where the origin of weights listens.
     pub origin: Rc<RefCell<Option<SocketAddr>>>,
+    /// What became of draws of chunks since the log last told of it, by outcome.
+    pub draws: Rc<RefCell<BTreeMap<&'static str, u32>>>,
     /// Resting connections to the origin.
     pub origin_links: Rc<RefCell<Vec<Link>>>,
     /// Resting connections to other sidecars.
@@ -74,6 +76,7 @@
             names: Rc::default(),
             subscribers: Rc::default(),
             origin: Rc::default(),
+            draws: Rc::default(),
             origin_links: Rc::default(),
             peer_streams: Rc::default(),
             layers: Rc::default(),
@@ -111,6 +114,12 @@
         }
     }
 
+    /// Counts what became of a draw of a chunk.
+    pub fn count_draw(&self, outcome: &'static str) {
+        self.metrics.count_chunk(outcome);
+        *self.draws.borrow_mut().entry(outcome).or_default() += 1;
+    }
+
     /// Closes connections to the origin that rest: it takes few from all sidecars together.
     pub fn close_rested_links(&self) {
         let mut links = self.origin_links.borrow_mut();
--- a/components/edge/src/sidecar/draws.rs
+++ b/components/edge/src/sidecar/draws.rs
@@ -63,7 +63,7 @@
         Ok(bytes) => {
             let verified = core.chunks.borrow_mut().insert(version, index, bytes);
             let from_origin = source == DrawSource::Origin;
-            core.metrics.count_chunk(match (verified, from_origin) {
+            core.count_draw(match (verified, from_origin) {
                 (false, _) => Code::ChunkCorrupt.name(),
                 (true, true) => "origin",
                 (true, false) => "peer",
@@ -71,7 +71,7 @@
             core.feed(Event::Arrived { version, index, source, verified });
         }
         Err(error) => {
-            core.metrics.count_chunk(error.code.name());
+            core.count_draw(error.code.name());
             core.feed(Event::Missed { version, index, source, code: error.code });
         }
     }
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -262,6 +262,10 @@
             return;
         }
         *self = Self { version, chunks: have.count(), at: now };
-        log::info!(version = version, chunks = self.chunks, of = have.capacity(); "chunks");
+        let draws = core.draws.take();
+        let draws: Vec<String> =
+            draws.iter().map(|(name, count)| format!("{name}={count}")).collect();
+        let draws = draws.join(" ");
+        log::info!(version = version, chunks = self.chunks, of = have.capacity(), draws = draws.as_str(); "chunks");
     }
 }
--- a/components/reducer/src/spread/neighbour.rs
+++ b/components/reducer/src/spread/neighbour.rs
@@ -91,6 +91,11 @@
         self.told = (now, held);
     }
 
+    /// Forgets that it was ever told which chunks are held.
+    pub fn forget_told(&mut self) {
+        self.told = (Millis(0), 0);
+    }
+
     /// How long a chunk from it takes, in milliseconds.
     pub fn usual_time(&self, otherwise: f64) -> f64 {
         self.time_ms.unwrap_or(otherwise)
--- a/components/reducer/src/spread/version/choice.rs
+++ b/components/reducer/src/spread/version/choice.rs
@@ -79,8 +79,10 @@
             return None;
         }
         let missing = self.have.missing().filter(|index| !self.in_flight.contains_key(index));
-        let (index, last_resort) =
-            missing.filter_map(|index| self.may_ask_origin(now, index)).next()?;
+        // The chunk whose turn is least far from this receiver: receivers that all took the first one
+        // that is missing would all draw the same.
+        let due = missing.filter_map(|index| self.may_ask_origin(now, index));
+        let (index, last_resort) = due.min_by_key(|(index, _)| self.gate.rank(*index))?;
         Some(self.launch(now, index, DrawSource::Origin, last_resort))
     }
 
--- a/components/reducer/src/spread/version/mod.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -283,6 +283,10 @@
         }
         self.meet(id, address, place);
         if let Some(neighbour) = self.neighbours.get_mut(id) {
+            if have.count() == 0 && self.have.count() > 0 {
+                // It has just begun, and what it was told before that is lost.
+                neighbour.forget_told();
+            }
             neighbour.have = have;
         }
     }
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -7,6 +7,11 @@
 
 use crate::event::{Effect, Peer, RolloutOptions, WeightsPlan};
 
+/// Neighbours that a sidecar chooses by itself, and how many of them in its own hall.
+const CHOSEN_NEIGHBOURS: usize = 16;
+const NEAR_NEIGHBOURS: usize = 10;
+/// Neighbours at most. Those that chose a sidecar with full hands would never hear of its chunks.
+const MOST_NEIGHBOURS: usize = 96;
 /// Copies that are drawn from the origin.
 const ORIGIN_COPIES: u32 = 1;
 /// How chunks come to a runner that serves an older version. Its answers leave by the same link, and
@@ -142,7 +147,12 @@
         serves: bool,
     ) {
         self.pace = if serves { GENTLE } else { URGENT };
-        let reach = Reach { chosen: 16, near: 10, most: 32, hall_first: self.pace.hall_first };
+        let reach = Reach {
+            chosen: CHOSEN_NEIGHBOURS,
+            near: NEAR_NEIGHBOURS,
+            most: MOST_NEIGHBOURS,
+            hall_first: self.pace.hall_first,
+        };
         // Those that serve the version already need no chunks, but each keeps its share of them.
         let keeps = self.step == Step::Served;
         let wanting = peers.iter().filter(|it| keeps || it.version != Some(self.version));
--- a/components/rollout/tests/fleet.rs
+++ b/components/rollout/tests/fleet.rs
@@ -45,12 +45,33 @@
     /// The origin is out until then.
     origin_out_until: u64,
     draws: u64,
+    summaries: u64,
 }
 
 fn id(index: usize) -> InstanceId {
     InstanceId(format!("10.0.0.{index}"))
 }
 
+fn options(index: usize) -> RolloutOptions {
+    RolloutOptions {
+        me: id(index),
+        place: place(index),
+        link_bytes_per_s: 950_000,
+        control_bytes_per_s: 6000,
+        version_ms: VERSION_MS,
+    }
+}
+
+fn plan() -> WeightsPlan {
+    WeightsPlan {
+        model: "m".into(),
+        warm_ms: 300,
+        origin_bytes_per_s: 1_240_000,
+        slots: 16,
+        prompt_tokens_per_ms: 19.0,
+    }
+}
+
 fn address(index: usize) -> SocketAddr {
     ([10, 0, 0, index as u8], 7700).into()
 }
@@ -78,13 +99,6 @@
 
 impl Fleet {
     fn new(count: usize, version: Option<u64>, loses: u64) -> Self {
-        let options = |index| RolloutOptions {
-            me: id(index),
-            place: place(index),
-            link_bytes_per_s: 950_000,
-            control_bytes_per_s: 6000,
-            version_ms: VERSION_MS,
-        };
         let mut fleet = Self {
             now: 1_000_000,
             sidecars: (0..count).map(|index| Rollout::new(options(index))).collect(),
@@ -95,22 +109,28 @@
             loses,
             origin_out_until: 0,
             draws: 0,
+            summaries: 0,
         };
-        let plan = WeightsPlan {
-            model: "m".into(),
-            warm_ms: 300,
-            origin_bytes_per_s: 1_240_000,
-            slots: 16,
-            prompt_tokens_per_ms: 19.0,
-        };
-        for index in 0..count {
-            fleet.feed(index, Event::Planned(plan.clone()));
-            fleet.feed(index, Event::VersionsKnown);
-        }
+        (0..count).for_each(|index| fleet.introduce(index));
         fleet.tell_peers();
         fleet
     }
 
+    fn introduce(&mut self, index: usize) {
+        self.feed(index, Event::Planned(plan()));
+        self.feed(index, Event::VersionsKnown);
+    }
+
+    /// Adds a sidecar whose runner holds nothing. The others read the new list before its runner answers.
+    fn join(&mut self) {
+        let index = self.sidecars.len();
+        self.sidecars.push(Rollout::new(options(index)));
+        self.runners.push(Runner::default());
+        self.introduce(index);
+        self.tell_peers();
+        self.run(100);
+    }
+
     fn tell_peers(&mut self) {
         let peer = |(index, runner): (usize, &Runner)| Peer {
             id: id(index),
@@ -144,7 +164,7 @@
     fn perform(&mut self, index: usize, effect: Effect) {
         match effect {
             Effect::Describe(version) => {
-                self.after(20, index, Event::Described(version, manifest(version)));
+                self.after(150, index, Event::Described(version, manifest(version)));
             }
             Effect::Find(version) => {
                 let none = fleet::Bitmap::new(CHUNKS);
@@ -155,6 +175,7 @@
                 let Some(other) = (0..self.sidecars.len()).find(|it| address(*it) == to) else {
                     return;
                 };
+                self.summaries += 1;
                 let event = Event::Summary {
                     from: id(index),
                     address: address(index),
@@ -297,6 +318,20 @@
     assert!(fleet.origin_chunks <= 2 * CHUNKS, "{} chunks from the origin", fleet.origin_chunks);
 }
 
+/// Found on the quiet day of a grown site: 31 empty runners joined 45 that served, and none of them had
+/// the weights sixteen seconds later. Sidecars that held chunks had told them so before they listened.
+#[test]
+fn empty_runners_that_join_a_large_fleet_soon_serve() {
+    let mut fleet = Fleet::new(45, Some(1), 0);
+    fleet.run(12_000);
+    let before = fleet.origin_chunks;
+    (0..31).for_each(|_| fleet.join());
+    fleet.run(4000);
+    assert_eq!(fleet.versions(), BTreeMap::from([(Some(1), 76)]));
+    let drawn = fleet.origin_chunks - before;
+    assert!(drawn <= CHUNKS / 2, "{drawn} chunks from the origin");
+}
+
 #[test]
 fn runners_that_serve_are_not_all_ordered_at_once() {
     let mut fleet = Fleet::new(20, Some(1), 0);
