--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -15,6 +15,7 @@
 use super::answer::{whole_body, AnswerBody};
 use super::core::Core;
 use super::request::Job;
+use super::reservations::Patience;
 use crate::exchange::Exchange;
 
 /// How long a connection to a runner may take to come up.
@@ -109,7 +110,8 @@
         let facts = &self.job.facts;
         let id = facts.id.as_deref().unwrap_or("");
         let reservations = &self.core.reservations;
-        match reservations.ask(self.target.address, id, facts.prompt_tokens).await {
+        let patience = Patience { rank: self.target.rank, wait_ms: self.target.wait_ms };
+        match reservations.ask(self.target.address, id, facts.prompt_tokens, patience).await {
             None => Ok(()),
             Some(outcome) => Err(outcome),
         }
--- a/components/edge/src/gateway/core.rs
+++ b/components/edge/src/gateway/core.rs
@@ -24,6 +24,9 @@
     pub name: Rc<str>,
     /// Places at runners.
     pub reservations: Reservations,
+    /// Told of each version that is named.
+    pub named: Receiver<()>,
+    name_sidecars: Sender<()>,
 }
 
 struct State {
@@ -41,6 +44,7 @@
         name: &str,
         reservations: Reservations,
     ) -> Self {
+        let (name_sidecars, named) = async_channel::bounded(1);
         let state = State { gateway: Gateway::new(options), waiting: HashMap::new(), next_key: 0 };
         Self {
             state: Rc::new(RefCell::new(state)),
@@ -48,9 +52,17 @@
             metrics,
             name: name.into(),
             reservations,
+            named,
+            name_sidecars,
         }
     }
 
+    /// Sidecars are told at once what operators wrote.
+    pub fn tell_sidecars(&self) {
+        // One that waits already is enough.
+        let _ = self.name_sidecars.try_send(());
+    }
+
     /// Hands an event to the reducer and its decisions to those who wait for them.
     pub fn feed(&self, event: Event) {
         let mut state = self.state.borrow_mut();
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -23,7 +23,8 @@
 use super::request;
 use super::reservations::Reservations;
 use crate::clock::Clock;
-use crate::message::Datagram;
+use crate::exchange::within;
+use crate::message::{weights_services, Datagram};
 use crate::metrics::serve_metrics;
 use crate::news::News;
 use crate::server::{listen, serve, ServerOptions};
@@ -36,8 +37,10 @@
 const FEED_SPACING: Duration = Duration::from_millis(60);
 /// How often the reducer is told of the time.
 const TICK: Duration = Duration::from_millis(15);
-/// How often sidecars are asked for reports.
-const SUBSCRIBE_EVERY: Duration = Duration::from_millis(700);
+/// How often sidecars are asked for reports and told what operators wrote, unless that changes.
+const SUBSCRIBE_EVERY: Duration = Duration::from_millis(1000);
+/// The shortest time between two such rounds.
+const SUBSCRIBE_SPACING: Duration = Duration::from_millis(100);
 /// How long a stopping gateway goes on taking connections: the platform needs this long to notice.
 const LINGER: Duration = Duration::from_millis(2600);
 /// How often a stopping gateway looks whether its connections have ended.
@@ -185,16 +188,36 @@
     let options = WatchOptions {
         store: settings.store.address,
         table,
-        wait: FEED_WAIT,
+        wait: Some(FEED_WAIT),
+        first_spacing: FEED_SPACING,
         spacing: FEED_SPACING,
     };
     let core = core.clone();
     spawner.detach(watch(options, move |seen| match seen {
-        Seen::Whole => whole.set(true),
-        Seen::Change { change, late } => core.feed(event(change, late)),
+        Seen::Whole => {
+            whole.set(true);
+            core.tell_sidecars();
+        }
+        Seen::Change { change, late } => {
+            let concerns_sidecars = concerns_sidecars(&change);
+            core.feed(event(change, late));
+            if concerns_sidecars {
+                core.tell_sidecars();
+            }
+        }
     }));
 }
 
+/// Whether sidecars should hear at once: of a version that was named, or because one of them is new and
+/// waits to hear what its runner should hold.
+fn concerns_sidecars(change: &Change) -> bool {
+    match change {
+        Change::Version { .. } => true,
+        Change::Runner(record) => record.weights.is_none(),
+        Change::Configuration(_) | Change::RunnerGone(_) => false,
+    }
+}
+
 fn event(change: Change, late: bool) -> Event {
     match change {
         Change::Configuration(catalog) => {
@@ -223,12 +246,12 @@
     let (asking, taking) = (core.clone(), core.clone());
     spawner.detach(async move {
         loop {
-            let named = asking.read(|gateway| gateway.pool().named_versions());
-            let subscribe = Datagram::Subscribe { named };
+            let subscribe = subscribe(&asking);
             for sidecar in sidecars(&asking, port) {
                 sender.send(sidecar, &subscribe).await;
             }
-            Timer::after(SUBSCRIBE_EVERY).await;
+            Timer::after(SUBSCRIBE_SPACING).await;
+            within(Instant::now() + SUBSCRIBE_EVERY, asking.named.recv()).await;
         }
     });
     spawner.detach(async move {
@@ -236,8 +259,12 @@
             let (_, datagram) = receiver.receive().await;
             match datagram {
                 Datagram::Load { runner, load } => taking.feed(Event::Load(runner, load)),
-                Datagram::Reserved { question, granted, again_ms } => {
-                    taking.reservations.settle(question, (!granted).then_some(again_ms));
+                Datagram::Reserved { question, reply, load } => {
+                    let runner = taking.reservations.runner(question);
+                    if let Some((runner, load)) = runner.zip(load) {
+                        taking.feed(Event::Load(runner, load));
+                    }
+                    taking.reservations.settle(question, reply);
                 }
                 Datagram::Subscribe { .. }
                 | Datagram::Ordered
@@ -248,6 +275,13 @@
     });
 }
 
+/// What sidecars are told.
+fn subscribe(core: &Core) -> Datagram {
+    let named = core.read(|gateway| gateway.pool().named_versions());
+    let services = core.catalog().map(|it| weights_services(&it)).unwrap_or_default();
+    Datagram::Subscribe { named, services }
+}
+
 /// Where the sidecars of model runners listen: on the machines of their runners.
 fn sidecars(core: &Core, port: u16) -> BTreeSet<SocketAddr> {
     core.read(|gateway| {
--- a/components/edge/src/gateway/reservations.rs
+++ b/components/edge/src/gateway/reservations.rs
@@ -6,16 +6,30 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use gateway::AttemptOutcome;
 
 use crate::exchange::within;
-use crate::message::Datagram;
+use crate::message::{Datagram, Reply};
 use crate::news::News;
 
 /// How long a sidecar may take to answer. One that is awake answers within a few milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(45);
 
+/// What a question may wait for.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// The rank of the request; zero goes first.
+    pub rank: u8,
+    /// How long the question may wait for a place, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// Waits for the next answer.
+async fn next(answers: &Receiver<Reply>, timeout: Duration) -> Option<Reply> {
+    within(Instant::now() + timeout, answers.recv()).await?.ok()
+}
+
 /// Asks sidecars for places.
 #[derive(Clone)]
 pub struct Reservations {
@@ -29,8 +43,8 @@
 #[derive(Default)]
 struct Open {
     next: u64,
-    /// What waits for the answer: `None` for a place, else after how long to ask again.
-    waiting: HashMap<u64, Sender<Option<u64>>>,
+    /// The runner that each question is about, and who waits for the answers.
+    waiting: HashMap<u64, (SocketAddr, Sender<Reply>)>,
 }
 
 impl Reservations {
@@ -45,36 +59,44 @@
         runner: SocketAddr,
         request: &str,
         prompt_tokens: u32,
+        patience: Patience,
     ) -> Option<AttemptOutcome> {
-        let (sender, answer) = async_channel::bounded(1);
+        let Patience { rank, wait_ms } = patience;
+        let (sender, answers) = async_channel::bounded(2);
         let question = {
             let mut open = self.open.borrow_mut();
             open.next += 1;
             let question = open.next;
-            open.waiting.insert(question, sender);
+            open.waiting.insert(question, (runner, sender));
             question
         };
         let _end = Question { open: &self.open, question };
         let sidecar = SocketAddr::new(runner.ip(), self.port);
-        self.news
-            .send(
-                sidecar,
-                &Datagram::Reserve { question, request: request.to_owned(), prompt_tokens },
-            )
-            .await;
-        match within(Instant::now() + ANSWER_TIMEOUT, answer.recv()).await {
-            Some(Ok(None)) => None,
-            Some(Ok(Some(again_ms))) => Some(AttemptOutcome::Denied { again_ms }),
-            Some(Err(_)) | None => Some(AttemptOutcome::Silent),
+        let request = request.to_owned();
+        let reserve = Datagram::Reserve { question, request, prompt_tokens, rank, wait_ms };
+        self.news.send(sidecar, &reserve).await;
+        let mut reply = next(&answers, ANSWER_TIMEOUT).await;
+        if reply == Some(Reply::Queued) {
+            reply = next(&answers, Duration::from_millis(wait_ms) + ANSWER_TIMEOUT).await;
+        }
+        match reply {
+            Some(Reply::Granted) => None,
+            Some(Reply::Denied { again_ms }) => Some(AttemptOutcome::Denied { again_ms }),
+            Some(Reply::Queued) | None => Some(AttemptOutcome::Silent),
         }
     }
 
-    /// Takes in an answer: `None` for a place, else after how many milliseconds to ask again.
-    pub fn settle(&self, question: u64, denied: Option<u64>) {
-        if let Some(waiting) = self.open.borrow_mut().waiting.remove(&question) {
-            let _ = waiting.try_send(denied);
+    /// Takes in an answer.
+    pub fn settle(&self, question: u64, reply: Reply) {
+        if let Some((_, waiting)) = self.open.borrow().waiting.get(&question) {
+            let _ = waiting.try_send(reply);
         }
     }
+
+    /// The runner that a question is about, while somebody waits for the answer.
+    pub fn runner(&self, question: u64) -> Option<SocketAddr> {
+        self.open.borrow().waiting.get(&question).map(|(runner, _)| *runner)
+    }
 }
 
 /// Forgets a question whose asker is gone.
--- a/components/edge/src/link.rs
+++ b/components/edge/src/link.rs
@@ -6,8 +6,9 @@
 use bytes::Bytes;
 use errors::{Code, Error, Result};
 use http::header::{CONTENT_TYPE, HOST};
-use http::Request;
+use http::{Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use platform::Call;
 
 use crate::exchange::{within, Exchange};
@@ -67,13 +68,29 @@
     /// Makes a call within a time.
     pub async fn call(&mut self, call: Call, timeout: Duration) -> Result<CallAnswer> {
         let until = Instant::now() + timeout;
+        let late = || Error::new(Code::TimedOut, "no answer in time");
+        within(until, self.call_patiently(call, timeout, timeout)).await.ok_or_else(late)?
+    }
+
+    /// Makes a call whose answer must begin within `begin` and may take as long as bytes come, with no
+    /// pause longer than `pause`. Ending a large answer on a narrow link only to ask for it again would
+    /// never get it.
+    pub async fn call_patiently(
+        &mut self,
+        call: Call,
+        begin: Duration,
+        pause: Duration,
+    ) -> Result<CallAnswer> {
         // Taken out: a call that is given up on must not leave its connection behind.
         let kept = self.exchange.take().filter(is_fresh).map(|(exchange, _)| exchange);
-        let (exchange, answer) = within(until, exchange(self.address, kept, call, timeout))
-            .await
-            .ok_or_else(|| Error::new(Code::TimedOut, "no answer in time"))??;
+        let late = || Error::new(Code::TimedOut, "no answer in time");
+        let begun = begin_call(self.address, kept, call, begin);
+        let (mut exchange, answer) =
+            within(Instant::now() + begin, begun).await.ok_or_else(late)??;
+        let status = answer.status().as_u16();
+        let body = collect(&mut exchange, &mut answer.into_body(), pause).await?;
         self.exchange = Some((exchange, Instant::now()));
-        Ok(answer)
+        Ok(CallAnswer { status, body })
     }
 }
 
@@ -83,20 +100,35 @@
     exchange.is_open() && since.elapsed() < KEPT_FOR
 }
 
-async fn exchange(
+/// Sends a call and waits for the head of its answer.
+async fn begin_call(
     address: SocketAddr,
     kept: Option<Exchange>,
     call: Call,
     timeout: Duration,
-) -> Result<(Exchange, CallAnswer)> {
+) -> Result<(Exchange, Response<Incoming>)> {
     let mut exchange = match kept {
         Some(exchange) => exchange,
         None => Exchange::open(address, timeout).await?,
     };
     let answer = exchange.send(request(address, call)?).await?;
-    let status = answer.status().as_u16();
-    let body = exchange.collect(&mut answer.into_body(), ANSWER_BYTES).await?;
-    Ok((exchange, CallAnswer { status, body }))
+    Ok((exchange, answer))
+}
+
+/// Reads a body of at most `ANSWER_BYTES` whose bytes come with no pause longer than `pause`.
+async fn collect(exchange: &mut Exchange, body: &mut Incoming, pause: Duration) -> Result<Vec<u8>> {
+    let mut whole = Vec::new();
+    loop {
+        let next = within(Instant::now() + pause, exchange.next(body)).await;
+        let next = next.ok_or_else(|| Error::new(Code::TimedOut, "the answer stands still"))?;
+        let Some(bytes) = next else {
+            return Ok(whole);
+        };
+        whole.extend_from_slice(&bytes?);
+        if whole.len() > ANSWER_BYTES {
+            return Err(Error::new(Code::TooLarge, "the answer is too large"));
+        }
+    }
 }
 
 fn request(address: SocketAddr, call: Call) -> Result<Request<Full<Bytes>>> {
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use errors::{Code, Error, Result};
-use fleet::{Bitmap, InstanceId, ModelName, Place};
+use fleet::{Bitmap, InstanceId, Manifest, ModelName, Place, ServiceName};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use gateway::RunnerLoad;
+use gateway::{Catalog, RunnerLoad, Service};
+use rollout::WeightsPlan;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +21,9 @@
         /// The versions that the gateway knows to be named: a sidecar that does not reach the store
         /// hears of them here.
         named: Vec<(ModelName, u64)>,
+        /// What its configuration says of the weights of each model service. Empty until the gateway
+        /// has read it.
+        services: Vec<WeightsService>,
     },
     /// The load of the runner beside the sender.
     Load {
@@ -36,15 +40,19 @@
         request: String,
         /// Tokens of the request's prompt.
         prompt_tokens: u32,
+        /// The rank of the request; zero goes first.
+        rank: u8,
+        /// How long the question may wait for a place, in milliseconds.
+        wait_ms: u64,
     },
     /// The answer to a question for a place.
     Reserved {
         /// The question.
         question: u64,
-        /// Whether the request may be sent now.
-        granted: bool,
-        /// If not, after how many milliseconds it is worth asking again.
-        again_ms: u64,
+        /// The answer.
+        reply: Reply,
+        /// The load of the runner, with the place that was given. `None` before its first report.
+        load: Option<RunnerLoad>,
     },
     /// The sender has just given its runner an order.
     Ordered,
@@ -61,6 +69,69 @@
     },
 }
 
+/// What a gateway hears to its question for a place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The request may be sent now.
+    Granted,
+    /// The question waits. Another answer follows.
+    Queued,
+    /// The request is not to be sent there.
+    Denied {
+        /// After how many milliseconds it is worth asking again.
+        again_ms: u64,
+    },
+}
+
+/// What the configuration says of the weights of a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WeightsService {
+    /// The service.
+    pub service: ServiceName,
+    /// Where the origin of its weights listens.
+    pub origin: SocketAddr,
+    /// The number of layers of its model.
+    pub layers: u32,
+    /// What its sidecars go by.
+    pub plan: WeightsPlan,
+}
+
+/// The model services of a configuration.
+pub fn weights_services(catalog: &Catalog) -> Vec<WeightsService> {
+    let Some(origin) = catalog.services().find_map(|it| it.origin.as_ref()) else {
+        return Vec::new();
+    };
+    let of_service = |service: &Service| {
+        let engine = service.engine.as_ref()?;
+        let plan = WeightsPlan {
+            model: engine.model.clone(),
+            warm_ms: engine.warm_ms,
+            origin_bytes_per_s: origin.bytes_per_s,
+            slots: engine.slots,
+            prompt_tokens_per_ms: engine.prompt_tokens_per_ms,
+        };
+        Some(WeightsService {
+            service: service.name.clone(),
+            origin: origin.address,
+            layers: engine.layers,
+            plan,
+        })
+    };
+    catalog.services().filter_map(of_service).collect()
+}
+
+/// What a sidecar asks another one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// A chunk.
+    Chunk(ChunkRequest),
+    /// The manifest of a version.
+    Manifest {
+        /// The version.
+        version: u64,
+    },
+}
+
 /// Asks for a chunk.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ChunkRequest {
@@ -76,9 +147,11 @@
     pub have: Bitmap,
 }
 
-/// The answer to a request for a chunk.
+/// The answer of another sidecar.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum ChunkAnswer {
+pub enum PeerAnswer {
+    /// The manifest.
+    Manifest(Manifest),
     /// The chunk.
     Chunk {
         /// Its bytes.
--- a/components/edge/src/sidecar/chunks.rs
+++ b/components/edge/src/sidecar/chunks.rs
@@ -22,10 +22,17 @@
 }
 
 impl Chunks {
-    /// Begins a version and forgets those that are too old.
+    /// Begins a version and forgets those that are too old. A manifest that is read again takes the place
+    /// of the one before; the chunks that were verified stay.
     pub fn begin(&mut self, version: u64, manifest: Arc<Manifest>) {
         let chunks = vec![None; manifest.chunks() as usize];
-        self.versions.entry(version).or_insert(Version { manifest, chunks });
+        let known = self
+            .versions
+            .entry(version)
+            .or_insert_with(|| Version { manifest: manifest.clone(), chunks });
+        if known.manifest.chunks() == manifest.chunks() {
+            known.manifest = manifest;
+        }
         while self.versions.len() > KEPT_VERSIONS {
             self.versions.pop_first();
         }
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -6,8 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use fleet::{Bitmap, InstanceId, Millis, ModelName, Place};
+use gateway::RunnerLoad;
 use rollout::{Effect, Event, Rollout, RolloutOptions};
 use settings::SidecarSettings;
 use telemetry::Metrics;
@@ -16,6 +17,7 @@
 use super::streams::Streams;
 use crate::clock::Clock;
 use crate::link::Link;
+use crate::message::WeightsService;
 
 /// How long a connection to the origin may rest between two chunks.
 const ORIGIN_REST: Duration = Duration::from_millis(150);
@@ -31,6 +33,8 @@
     pub names: Rc<RefCell<BTreeMap<ModelName, u64>>>,
     /// Gateways that want reports, and until when.
     pub subscribers: Rc<RefCell<BTreeMap<SocketAddr, Millis>>>,
+    /// What the runner last said of its load.
+    pub load: Rc<RefCell<Option<RunnerLoad>>>,
     /// Where the origin of weights listens.
     pub origin: Rc<RefCell<Option<SocketAddr>>>,
     /// What became of draws of chunks since the log last told of it, by outcome.
@@ -55,6 +59,9 @@
     pub clock: Clock,
     /// Counters.
     pub metrics: Rc<Metrics>,
+    /// Told when a question begins to wait for a place.
+    pub look: Receiver<()>,
+    wake: Sender<()>,
     effects: Sender<Effect>,
 }
 
@@ -68,13 +75,17 @@
         metrics: Rc<Metrics>,
         effects: Sender<Effect>,
     ) -> Self {
+        let (wake, look) = async_channel::bounded(1);
         Self {
+            look,
+            wake,
             me: options.me.clone(),
             place: options.place.clone(),
             rollout: Rc::new(RefCell::new(Rollout::new(options))),
             chunks: Rc::default(),
             names: Rc::default(),
             subscribers: Rc::default(),
+            load: Rc::default(),
             origin: Rc::default(),
             draws: Rc::default(),
             origin_links: Rc::default(),
@@ -99,6 +110,20 @@
         self.rollout.borrow().newest().map(|(version, have)| (version, have.clone()))
     }
 
+    /// Takes in what a configuration says of the weights of this runner's service.
+    pub fn take_services(&self, services: &[WeightsService]) {
+        let mine = services.iter().find(|it| it.service == self.settings.service);
+        let Some(WeightsService { origin, layers, plan, .. }) = mine else {
+            return;
+        };
+        *self.origin.borrow_mut() = Some(*origin);
+        *self.layers.borrow_mut() = *layers;
+        if self.rollout.borrow().plan() != Some(plan) {
+            self.feed(Event::Planned(plan.clone()));
+            self.take_names(&[]);
+        }
+    }
+
     /// Takes in versions that were named, of any model. They are kept until the configuration tells
     /// which model is the runner's.
     pub fn take_names(&self, named: &[(ModelName, u64)]) {
@@ -114,6 +139,24 @@
         }
     }
 
+    /// The load of the runner as gateways should see it now: with the places that were given since its
+    /// last report, and busy when it takes nothing new.
+    pub fn load_now(&self) -> Option<RunnerLoad> {
+        let mut load = self.load.borrow().clone()?;
+        let rollout = self.rollout.borrow();
+        load.running = rollout.places().taken();
+        load.reading_ms = rollout.places().reading_ms(self.clock.now()) as u32;
+        load.waiting = rollout.waiting() as u32;
+        load.busy |= rollout.is_leaving(self.clock.now());
+        Some(load)
+    }
+
+    /// Asks for a fresh report of the runner: somebody waits for a place.
+    pub fn look_at_runner(&self) {
+        // One call that waits already is enough.
+        let _ = self.wake.try_send(());
+    }
+
     /// Counts what became of a draw of a chunk.
     pub fn count_draw(&self, outcome: &'static str) {
         self.metrics.count_chunk(outcome);
--- a/components/edge/src/sidecar/draws.rs
+++ b/components/edge/src/sidecar/draws.rs
@@ -1,47 +1,68 @@
 //! Chunks drawn from the origin and from other sidecars.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use errors::{Code, Error, Result};
-use fleet::InstanceId;
+use fleet::{InstanceId, Manifest};
 use platform::weights;
 use reducer::{Draw, DrawSource};
-use rollout::Event;
+use rollout::{Event, ManifestSource};
 
 use super::core::Core;
 use crate::exchange::{connect, within};
 use crate::link::Link;
-use crate::message::{read_frame, write_frame, ChunkAnswer, ChunkRequest};
+use crate::message::{read_frame, write_frame, ChunkRequest, PeerAnswer, PeerRequest};
 
 /// How long a manifest may take to arrive.
 const MANIFEST_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long another sidecar may take to send a manifest.
+const PEER_MANIFEST_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long a connection to another sidecar may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Asks the origin for a manifest.
-pub async fn describe(core: Core, version: u64) {
-    match fetch_manifest(&core, version).await {
+/// Asks for a manifest.
+pub async fn describe(core: Core, version: u64, source: ManifestSource) {
+    let manifest = match source {
+        ManifestSource::Origin => manifest_from_origin(&core, version).await,
+        ManifestSource::Peer(address) => manifest_from_peer(&core, address, version).await,
+    };
+    match manifest {
         Ok(manifest) => {
             core.chunks.borrow_mut().begin(version, manifest.clone());
             core.feed(Event::Described(version, manifest));
         }
         Err(error) => {
             let reason = error.to_string();
-            log::warn!(version = version, reason = reason.as_str(); "no manifest");
+            let source = format!("{source:?}");
+            log::warn!(version = version, source = source.as_str(), reason = reason.as_str(); "no manifest");
             core.feed(Event::Undescribed(version));
         }
     }
 }
 
-async fn fetch_manifest(core: &Core, version: u64) -> Result<std::sync::Arc<fleet::Manifest>> {
+async fn manifest_from_origin(core: &Core, version: u64) -> Result<Arc<Manifest>> {
     let (origin, model) = origin(core)?;
     let call = weights::manifest(&model, version);
     let body = Link::new(origin).call(call, MANIFEST_TIMEOUT).await?.success()?;
     weights::read_manifest(&model.0, version, &body)
 }
 
+async fn manifest_from_peer(
+    core: &Core,
+    address: SocketAddr,
+    version: u64,
+) -> Result<Arc<Manifest>> {
+    let until = Instant::now() + PEER_MANIFEST_TIMEOUT;
+    match ask_peer(core, address, until, &PeerRequest::Manifest { version }).await? {
+        PeerAnswer::Manifest(manifest) => Ok(Arc::new(manifest)),
+        PeerAnswer::Busy => Err(Error::new(Code::PeerBusy, "too many uploads")),
+        _ => Err(Error::new(Code::NotFound, "not there")),
+    }
+}
+
 fn origin(core: &Core) -> Result<(SocketAddr, fleet::ModelName)> {
     let unknown = || Error::new(Code::NotReady, "the origin is not known");
     let origin = (*core.origin.borrow()).ok_or_else(unknown)?;
@@ -103,25 +124,35 @@
         place: core.place.clone(),
         have: core.have(version),
     };
+    match ask_peer(core, address, until, &PeerRequest::Chunk(request)).await? {
+        PeerAnswer::Chunk { bytes, have } => {
+            core.feed(Event::Holdings { of: id.clone(), version, have });
+            Ok(Bytes::from(bytes))
+        }
+        PeerAnswer::Busy => Err(Error::new(Code::PeerBusy, "too many uploads")),
+        _ => Err(Error::new(Code::ChunkMissing, "not there")),
+    }
+}
+
+/// Asks another sidecar, over a connection that rests if there is one.
+async fn ask_peer(
+    core: &Core,
+    address: SocketAddr,
+    until: Instant,
+    request: &PeerRequest,
+) -> Result<PeerAnswer> {
     let kept = core.peer_streams.borrow_mut().take(address);
     let exchange = async {
         let mut stream = match kept {
             Some(stream) => stream,
             None => connect(address, CONNECT_TIMEOUT).await?,
         };
-        write_frame(&mut stream, &request).await?;
-        let answer = read_frame::<ChunkAnswer>(&mut stream).await?;
+        write_frame(&mut stream, request).await?;
+        let answer = read_frame::<PeerAnswer>(&mut stream).await?;
         Ok::<_, Error>((stream, answer))
     };
-    let late = || Error::new(Code::PeerStalled, "no chunk in time");
+    let late = || Error::new(Code::PeerStalled, "no answer in time");
     let (stream, answer) = within(until, exchange).await.ok_or_else(late)??;
     core.peer_streams.borrow_mut().keep(address, stream);
-    match answer {
-        ChunkAnswer::Chunk { bytes, have } => {
-            core.feed(Event::Holdings { of: id.clone(), version, have });
-            Ok(Bytes::from(bytes))
-        }
-        ChunkAnswer::Missing => Err(Error::new(Code::ChunkMissing, "not there")),
-        ChunkAnswer::Busy => Err(Error::new(Code::PeerBusy, "too many uploads")),
-    }
+    Ok(answer)
 }
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -10,37 +10,43 @@
 use async_io::Timer;
 use errors::Result;
 use fleet::{Hall, InstanceId, Millis, Place, Region};
-use gateway::{Catalog, RunnerRecord};
+use gateway::RunnerRecord;
 use platform::store::{Change, Table};
-use rollout::{Effect, Event, Peer, RolloutOptions, WeightsPlan};
+use rollout::{Effect, Event, Peer, RolloutOptions};
 use settings::{DeploymentSettings, SidecarSettings};
 use telemetry::Metrics;
 
 use super::core::Core;
 use super::runner::{self, Job};
 use super::{draws, peers};
-use crate::message::Datagram;
+use crate::link::Link;
+use crate::message::{weights_services, Datagram};
 use crate::metrics::serve_metrics;
 use crate::news::News;
 use crate::server::listen;
 use crate::spawner::Spawner;
-use crate::watch::{watch, Seen, WatchOptions};
+use crate::watch::{list, watch, Seen, WatchOptions};
 
-/// How long a feed of the operator's table waits for a change. Gateways tell of named versions too, so
-/// a feed that was cut off may be noticed late.
-const OPERATOR_WAIT: Duration = Duration::from_millis(5000);
-/// The shortest time between two feeds of it.
-const OPERATOR_SPACING: Duration = Duration::from_millis(250);
-/// How long a feed of the runners waits for a change. They are wanted as peers only.
+/// How often the named versions are listed. Gateways tell of them much sooner; this is for a sidecar that
+/// no gateway reaches.
+const VERSIONS_SPACING: Duration = Duration::from_millis(6000);
+/// How long gateways have to tell of the weights before the configuration itself is read. It may be
+/// large, and the machine's link is narrow.
+const PLAN_PATIENCE: Duration = Duration::from_millis(4000);
+/// How long a feed of the runners waits for a change. They are wanted as peers only, and new peers
+/// introduce themselves.
 const RUNNERS_WAIT: Duration = Duration::from_millis(6000);
-/// The shortest time between two feeds of them.
-const RUNNERS_SPACING: Duration = Duration::from_millis(2500);
+/// The shortest time between the first two feeds of them.
+const FIRST_RUNNERS_SPACING: Duration = Duration::from_millis(400);
+/// The shortest time between two feeds of them later on.
+const RUNNERS_SPACING: Duration = Duration::from_millis(8000);
 /// How often the reducer is told of the time.
 const TICK: Duration = Duration::from_millis(40);
 /// How often the log tells how many chunks are here.
 const PROGRESS_EVERY: Millis = Millis(500);
-/// What control messages may cost, in bytes a second.
-const CONTROL_BYTES_PER_S: u64 = 12_000;
+/// What control messages may cost while chunks come, in bytes a second. Everyone who draws should hear
+/// of a new chunk within a fraction of the time that a version takes.
+const CONTROL_BYTES_PER_S: u64 = 40_000;
 
 /// A sidecar. It has nothing to finish: what its runner does goes on without it.
 pub struct SidecarNode {
@@ -79,7 +85,8 @@
         spawner.detach(runner::work(core.clone(), work));
         spawner.detach(runner::report(core.clone(), news.clone()));
         spawner.detach(perform(spawner.clone(), core.clone(), to_do, jobs, news));
-        spawner.detach(follow_operator(core.clone(), settings.store.address));
+        spawner.detach(follow_versions(core.clone(), settings.store.address));
+        spawner.detach(find_plan(core.clone(), settings.store.address));
         spawner.detach(follow_runners(core.clone(), settings));
         let (open, stopping) = async_channel::bounded(1);
         serve_page(spawner, settings, &core, stopping).await?;
@@ -108,7 +115,9 @@
 ) {
     while let Ok(effect) = effects.recv().await {
         match effect {
-            Effect::Describe(version) => spawner.detach(draws::describe(core.clone(), version)),
+            Effect::Describe(version, source) => {
+                spawner.detach(draws::describe(core.clone(), version, source));
+            }
             Effect::Draw(version, draw) => {
                 spawner.detach(draws::draw(core.clone(), version, draw));
             }
@@ -116,6 +125,9 @@
                 let (from, place) = (core.me.clone(), core.place.clone());
                 news.send(to, &Datagram::Summary { from, place, version, have }).await;
             }
+            Effect::Answer(question, verdict) => {
+                peers::reply(&core, &news, question, verdict).await;
+            }
             Effect::Find(version) => add(&jobs, Job::Find(version)),
             Effect::Stage(version) => add(&jobs, Job::Stage(version)),
             Effect::Order { version, sequence, cut } => {
@@ -133,19 +145,16 @@
     let _ = jobs.try_send(job);
 }
 
-async fn follow_operator(core: Core, store: SocketAddr) {
+async fn follow_versions(core: Core, store: SocketAddr) {
     let options = WatchOptions {
         store,
-        table: Table::Operator,
-        wait: OPERATOR_WAIT,
-        spacing: OPERATOR_SPACING,
+        table: Table::Versions,
+        wait: None,
+        first_spacing: VERSIONS_SPACING,
+        spacing: VERSIONS_SPACING,
     };
     watch(options, move |seen| match seen {
-        Seen::Change { change: Change::Configuration(catalog), .. } => {
-            take_catalog(&core, &catalog)
-        }
         Seen::Change { change: Change::Version { model, version }, .. } => {
-            log::info!(model = model.0.as_str(), version = version; "version named");
             core.take_names(&[(model, version)]);
         }
         Seen::Whole => core.feed(Event::VersionsKnown),
@@ -154,30 +163,33 @@
     .await;
 }
 
-/// Takes in what the configuration says of the weights of this runner's service.
-fn take_catalog(core: &Core, catalog: &Catalog) {
-    let engine = catalog.service(&core.settings.service).and_then(|it| it.engine.as_ref());
-    let origin = catalog.services().find_map(|it| it.origin.as_ref());
-    let (Some(engine), Some(origin)) = (engine, origin) else {
-        return;
-    };
-    *core.origin.borrow_mut() = Some(origin.address);
-    *core.layers.borrow_mut() = engine.layers;
-    core.feed(Event::Planned(WeightsPlan {
-        model: engine.model.clone(),
-        warm_ms: engine.warm_ms,
-        origin_bytes_per_s: origin.bytes_per_s,
-        slots: engine.slots,
-        prompt_tokens_per_ms: engine.prompt_tokens_per_ms,
-    }));
-    core.take_names(&[]);
+/// Reads from the configuration what it says of the weights, where no gateway tells of it.
+async fn find_plan(core: Core, store: SocketAddr) {
+    let mut link = Link::new(store);
+    loop {
+        Timer::after(PLAN_PATIENCE).await;
+        if core.rollout.borrow().plan().is_some() {
+            return;
+        }
+        let listing = list(&mut link, Table::Operator).await;
+        for change in listing.map(|it| it.changes).unwrap_or_default() {
+            if let Change::Configuration(catalog) = change {
+                core.take_services(&weights_services(&catalog));
+            }
+        }
+    }
 }
 
 fn follow_runners(core: Core, settings: &DeploymentSettings) -> impl Future<Output = ()> {
     let (store, port) = (settings.store.address, settings.node.first_port);
     let halls = settings.node.halls.clone();
-    let options =
-        WatchOptions { store, table: Table::Runners, wait: RUNNERS_WAIT, spacing: RUNNERS_SPACING };
+    let options = WatchOptions {
+        store,
+        table: Table::Runners,
+        wait: Some(RUNNERS_WAIT),
+        first_spacing: FIRST_RUNNERS_SPACING,
+        spacing: RUNNERS_SPACING,
+    };
     let mut listed: BTreeMap<InstanceId, RunnerRecord> = BTreeMap::new();
     let mut whole = false;
     watch(options, move |seen| {
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -11,11 +11,13 @@
 use errors::{Code, Error};
 use futures_lite::AsyncWriteExt;
 use net::Pacer;
-use rollout::{Denial, Event};
+use rollout::{Denial, Event, Question, Verdict};
 
 use super::core::Core;
 use crate::exchange::{prepare, within};
-use crate::message::{frame, lost, read_frame, ChunkAnswer, ChunkRequest, Datagram};
+use crate::message::{
+    frame, lost, read_frame, ChunkRequest, Datagram, PeerAnswer, PeerRequest, Reply,
+};
 use crate::news::News;
 use crate::spawner::Spawner;
 
@@ -31,7 +33,7 @@
 /// How long a connection may rest between two requests.
 const REST: Duration = Duration::from_millis(1500);
 /// How long a gateway gets reports after it asked for them, in milliseconds.
-const SUBSCRIPTION: u64 = 3000;
+const SUBSCRIPTION: u64 = 3500;
 /// How long to wait after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -76,24 +78,34 @@
         }
     }
 
-    async fn answer(&self, stream: &mut TcpStream, request: ChunkRequest) -> errors::Result<()> {
+    async fn answer(&self, stream: &mut TcpStream, request: PeerRequest) -> errors::Result<()> {
+        let answer = match request {
+            PeerRequest::Chunk(request) => self.chunk(request),
+            PeerRequest::Manifest { version } => {
+                let manifest = self.core.chunks.borrow().manifest(version);
+                manifest.map_or(PeerAnswer::Missing, |it| PeerAnswer::Manifest((*it).clone()))
+            }
+        };
+        for slice in frame(&answer).chunks(SLICE_BYTES) {
+            self.pacer.pass(slice.len()).await;
+            stream.write_all(slice).await.map_err(lost)?;
+        }
+        Ok(())
+    }
+
+    fn chunk(&self, request: ChunkRequest) -> PeerAnswer {
         let ChunkRequest { version, index, from, place, have } = request;
         let address = SocketAddr::new(self.peer.ip(), self.core.port);
         self.core.feed(Event::Summary { from, address, place, version, have });
         let chunk = self.core.chunks.borrow().get(version, index);
-        let answer = match chunk {
-            _ if self.uploads.get() > MAX_UPLOADS => ChunkAnswer::Busy,
+        match chunk {
+            _ if self.uploads.get() > MAX_UPLOADS => PeerAnswer::Busy,
             Some(bytes) => {
                 self.core.metrics.count_chunk("sent");
-                ChunkAnswer::Chunk { bytes: bytes.to_vec(), have: self.core.have(version) }
+                PeerAnswer::Chunk { bytes: bytes.to_vec(), have: self.core.have(version) }
             }
-            None => ChunkAnswer::Missing,
-        };
-        for slice in frame(&answer).chunks(SLICE_BYTES) {
-            self.pacer.pass(slice.len()).await;
-            stream.write_all(slice).await.map_err(lost)?;
+            None => PeerAnswer::Missing,
         }
-        Ok(())
     }
 }
 
@@ -102,26 +114,23 @@
     loop {
         let (sender, datagram) = news.receive().await;
         match datagram {
-            Datagram::Subscribe { named } => {
+            Datagram::Subscribe { named, services } => {
                 let until = core.clock.now().plus(SUBSCRIPTION);
                 core.subscribers.borrow_mut().insert(sender, until);
+                core.take_services(&services);
                 core.take_names(&named);
+                if !services.is_empty() {
+                    // This gateway has read what operators wrote, the versions among it.
+                    core.feed(Event::VersionsKnown);
+                }
             }
             Datagram::Summary { from, place, version, have } => {
                 core.feed(Event::Summary { from, address: sender, place, version, have });
             }
-            Datagram::Reserve { question, request, prompt_tokens } => {
-                let now = core.clock.now();
-                let given = core.rollout.borrow_mut().reserve(now, prompt_tokens);
-                let again_ms = match given {
-                    Ok(()) => 0,
-                    Err(denial) => core.rollout.borrow().places().again_ms(now, denial),
-                };
-                let granted = given.is_ok();
-                news.send(sender, &Datagram::Reserved { question, granted, again_ms }).await;
-                if let Err(denial) = given {
-                    log_denial(&core, request, denial);
-                }
+            Datagram::Reserve { question: number, request, prompt_tokens, rank, wait_ms } => {
+                let asker = sender;
+                let question = Question { asker, number, request, prompt_tokens, rank, wait_ms };
+                core.feed(Event::Asked(question));
             }
             Datagram::Ordered => core.feed(Event::PeerOrdered),
             Datagram::Load { .. } | Datagram::Reserved { .. } => {}
@@ -129,6 +138,23 @@
     }
 }
 
+/// Answers a gateway's question for a place.
+pub async fn reply(core: &Core, news: &News, question: Question, verdict: Verdict) {
+    let reply = match verdict {
+        Verdict::Granted => Reply::Granted,
+        Verdict::Queued => Reply::Queued,
+        Verdict::Denied { again_ms, .. } => Reply::Denied { again_ms },
+    };
+    let load = core.load_now();
+    let reserved = Datagram::Reserved { question: question.number, reply, load };
+    news.send(question.asker, &reserved).await;
+    match verdict {
+        Verdict::Granted => {}
+        Verdict::Queued => core.look_at_runner(),
+        Verdict::Denied { denial, .. } => log_denial(core, question.request, denial),
+    }
+}
+
 /// Logs why a request got no place.
 fn log_denial(core: &Core, request: String, denial: Denial) {
     core.metrics.count_denial(denial.name());
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -7,16 +7,22 @@
 use bytes::Bytes;
 use errors::{Code, Error, Result};
 use fleet::{Bitmap, ModelName};
+use gateway::RunnerLoad;
 use platform::{runner, weights};
 use rollout::{Event, OrderOutcome};
 
 use super::core::Core;
+use crate::exchange::within;
 use crate::link::Link;
 use crate::message::Datagram;
 use crate::news::News;
 
-/// How often the runner is asked for its report.
+/// How often the runner is asked for its report while requests wait for a place at it.
+const REPORT_SPACING: Duration = Duration::from_millis(25);
+/// How often it is asked otherwise.
 const REPORT_EVERY: Duration = Duration::from_millis(100);
+/// How often gateways are told of a load that stays much the same.
+const TELL_EVERY: Duration = Duration::from_millis(140);
 /// How long a call to the runner may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long the chunks of a version may take to be put there. Longer, and the first ones may have
@@ -44,6 +50,7 @@
 pub async fn report(core: Core, news: News) {
     let mut link = Link::new(core.settings.runner);
     let mut heard = false;
+    let mut told = Told::default();
     loop {
         let report = read_report(&core, &mut link).await;
         if report.is_ok() != heard {
@@ -53,17 +60,49 @@
         match report {
             Ok(report) => {
                 core.feed(Event::Status(report.status));
-                let mut load = report.load;
-                load.busy |= core.rollout.borrow().is_leaving(core.clock.now());
-                let gateways = subscribers(&core);
-                let datagram = Datagram::Load { runner: core.settings.runner, load };
-                for gateway in gateways {
-                    news.send(gateway, &datagram).await;
+                *core.load.borrow_mut() = Some(report.load);
+                if let Some(load) = core.load_now().filter(|it| told.is_due(it)) {
+                    tell_gateways(&core, &news, load).await;
                 }
             }
             Err(_) => core.feed(Event::Silent),
         }
-        Timer::after(REPORT_EVERY).await;
+        Timer::after(REPORT_SPACING).await;
+        if core.rollout.borrow().waiting() == 0 {
+            within(Instant::now() + REPORT_EVERY - REPORT_SPACING, core.look.recv()).await;
+        }
+    }
+}
+
+/// What gateways were last told.
+#[derive(Default)]
+struct Told {
+    load: Option<RunnerLoad>,
+    at: Option<Instant>,
+}
+
+impl Told {
+    /// Whether gateways should be told: at once when it changes whether the runner takes requests, else
+    /// now and then. Those that ask for a place hear of the load with the answer.
+    fn is_due(&mut self, load: &RunnerLoad) -> bool {
+        let same = self
+            .load
+            .as_ref()
+            .is_some_and(|it| (it.busy, &it.weights) == (load.busy, &load.weights));
+        let recent = self.at.is_some_and(|it| it.elapsed() < TELL_EVERY);
+        if same && recent {
+            return false;
+        }
+        *self = Self { load: Some(load.clone()), at: Some(Instant::now()) };
+        true
+    }
+}
+
+async fn tell_gateways(core: &Core, news: &News, load: RunnerLoad) {
+    let gateways = subscribers(core);
+    let datagram = Datagram::Load { runner: core.settings.runner, load };
+    for gateway in gateways {
+        news.send(gateway, &datagram).await;
     }
 }
 
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -16,7 +16,10 @@
 const FEED_SLACK: Duration = Duration::from_millis(900);
 /// How much longer than a feed waits the store may be silent before its news is taken for old.
 const LATE_AFTER: Duration = Duration::from_millis(1200);
-/// How long a listing may take.
+/// The longest pause between two pieces of an answer. A large configuration may take seconds on a
+/// narrow link that others use too.
+const PIECE_PAUSE: Duration = Duration::from_millis(900);
+/// How long a listing may take to begin.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The pause after a call that failed, at least and at most, in milliseconds.
 const FAILURE_PAUSE: std::ops::Range<u64> = 150..350;
@@ -28,9 +31,12 @@
     pub store: SocketAddr,
     /// The table.
     pub table: Table,
-    /// How long a feed may wait for a change.
-    pub wait: Duration,
-    /// The shortest time between two feeds.
+    /// How long a feed may wait for a change. `None`: the table is listed over and over.
+    pub wait: Option<Duration>,
+    /// The shortest time between the first two feeds or listings. It doubles with each, so that a process
+    /// that starts with others soon knows them all.
+    pub first_spacing: Duration,
+    /// The shortest time between two feeds or listings later on.
     pub spacing: Duration,
 }
 
@@ -58,17 +64,19 @@
         connected: true,
         heard: None,
     };
+    let mut spacing = options.first_spacing;
     loop {
-        let result = match watch.revision {
-            None => watch.list(&mut deliver).await,
-            Some(revision) => watch.feed(revision, &mut deliver).await,
+        let result = match (watch.revision, options.wait) {
+            (Some(revision), Some(wait)) => watch.feed(revision, wait, &mut deliver).await,
+            _ => watch.list(&mut deliver).await,
         };
         let pause = match result {
-            Ok(()) => options.spacing,
+            Ok(()) => spacing,
             Err(_) => Duration::from_millis(rand::rng().random_range(FAILURE_PAUSE)),
         };
         watch.note(result);
         Timer::after(pause).await;
+        spacing = (spacing * 2).min(options.spacing);
     }
 }
 
@@ -86,22 +94,7 @@
 
 impl Watch {
     async fn list(&mut self, deliver: &mut impl FnMut(Seen)) -> Result<()> {
-        let mut from = String::new();
-        let mut changes = Vec::new();
-        let mut revision = None;
-        loop {
-            let call = store::list(self.options.table, &from);
-            let body = self.link.call(call, LIST_TIMEOUT).await?.success()?;
-            let page = store::read(self.options.table, &body)?;
-            self.note_faults(&page);
-            // Changes behind the first page's version may be missing on it, so the feed starts there.
-            revision = revision.or(Some(page.revision));
-            changes.extend(page.changes);
-            match page.next {
-                Some(next) => from = next,
-                None => break,
-            }
-        }
+        let Listing { revision, changes } = list(&mut self.link, self.options.table).await?;
         let listed: BTreeSet<InstanceId> = changes.iter().filter_map(listed_runner).collect();
         for id in self.runners.difference(&listed) {
             deliver(Seen::Change { change: Change::RunnerGone(id.clone()), late: true });
@@ -110,21 +103,25 @@
         let late = self.is_late();
         changes.into_iter().for_each(|change| deliver(Seen::Change { change, late }));
         self.heard = Some(Instant::now());
-        self.revision = revision;
+        self.revision = Some(revision);
         deliver(Seen::Whole);
         Ok(())
     }
 
-    async fn feed(&mut self, revision: u64, deliver: &mut impl FnMut(Seen)) -> Result<()> {
-        let wait = self.options.wait;
+    async fn feed(
+        &mut self,
+        revision: u64,
+        wait: Duration,
+        deliver: &mut impl FnMut(Seen),
+    ) -> Result<()> {
         let call = store::feed(self.options.table, revision, wait.as_millis() as u64);
-        let answer = self.link.call(call, wait + FEED_SLACK).await?;
+        let answer = self.link.call_patiently(call, wait + FEED_SLACK, PIECE_PAUSE).await?;
         if store::is_history_gone(answer.status) {
             self.revision = None;
             return Err(Error::new(Code::NotFound, "the store forgot its history"));
         }
         let page: Page = store::read(self.options.table, &answer.success()?)?;
-        self.note_faults(&page);
+        note_faults(self.options.table, &page);
         let late = self.is_late();
         for change in page.changes {
             self.remember(&change);
@@ -136,7 +133,8 @@
     }
 
     fn is_late(&self) -> bool {
-        self.heard.is_none_or(|it| it.elapsed() > self.options.wait + LATE_AFTER)
+        let usual = self.options.wait.unwrap_or_default() + self.options.spacing;
+        self.heard.is_none_or(|it| it.elapsed() > usual + LATE_AFTER)
     }
 
     fn remember(&mut self, change: &Change) {
@@ -151,15 +149,6 @@
         }
     }
 
-    /// Logs rows that cannot be read: what they say is not in force here.
-    fn note_faults(&self, page: &Page) {
-        let table = format!("{:?}", self.options.table);
-        for fault in &page.faults {
-            let reason = fault.to_string();
-            log::error!(table = table.as_str(), reason = reason.as_str(); "row cannot be read");
-        }
-    }
-
     /// Logs when the store is lost and when it is back.
     fn note(&mut self, result: Result<()>) {
         let table = format!("{:?}", self.options.table);
@@ -175,6 +164,43 @@
     }
 }
 
+/// A table as it was listed.
+pub struct Listing {
+    /// Where a feed goes on.
+    pub revision: u64,
+    /// What its rows say.
+    pub changes: Vec<Change>,
+}
+
+/// Lists a whole table.
+pub async fn list(link: &mut Link, table: Table) -> Result<Listing> {
+    let mut from = String::new();
+    let mut changes = Vec::new();
+    let mut revision = None;
+    loop {
+        let call = store::list(table, &from);
+        let answer = link.call_patiently(call, LIST_TIMEOUT, PIECE_PAUSE).await?;
+        let page = store::read(table, &answer.success()?)?;
+        note_faults(table, &page);
+        // Changes behind the first page's version may be missing on it, so the feed starts there.
+        let revision = *revision.get_or_insert(page.revision);
+        changes.extend(page.changes);
+        match page.next {
+            Some(next) => from = next,
+            None => return Ok(Listing { revision, changes }),
+        }
+    }
+}
+
+/// Logs rows that cannot be read: what they say is not in force here.
+fn note_faults(table: Table, page: &Page) {
+    let table = format!("{table:?}");
+    for fault in &page.faults {
+        let reason = fault.to_string();
+        log::error!(table = table.as_str(), reason = reason.as_str(); "row cannot be read");
+    }
+}
+
 fn listed_runner(change: &Change) -> Option<InstanceId> {
     match change {
         Change::Runner(record) => Some(record.id.clone()),
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -14,9 +14,14 @@
 
 /// How long an answer may take to begin for each place that this counts as, in milliseconds.
 const FIRST_MS_PER_PLACE: f64 = 100.0;
+/// How long a runner may still read other prompts for each place that this counts as, in milliseconds.
+const READING_MS_PER_PLACE: f64 = 20.0;
 /// How many times the usual wait a request may wait at a runner before it starts.
 const START_FACTOR: f64 = 2.0;
 
+/// Requests that may wait at a sidecar for a place.
+const MAX_WAITING: u32 = 4;
+
 /// What a choice is made by.
 pub struct Chooser<'a> {
     /// The runners.
@@ -36,7 +41,9 @@
     ) -> Option<(InstanceId, Seen)> {
         let mut candidates = 0;
         let usable = self.pool.of_service(&arrival.service).filter(|it| {
-            !tried.contains(&it.record.id) && self.can_run(now, it, arrival) && has_room(now, it)
+            !tried.contains(&it.record.id)
+                && self.can_run(now, it, arrival)
+                && has_room(now, it, arrival)
         });
         let usable = usable.inspect(|_| candidates += 1);
         let scored = usable.map(|it| (self.cost(now, it, arrival) + random.random::<f64>(), it));
@@ -56,7 +63,7 @@
         for runner in self.pool.of_service(&arrival.service) {
             standing.runners += 1;
             let fit = !tried.contains(&runner.record.id) && self.can_run(now, runner, arrival);
-            standing.usable += u32::from(fit && has_room(now, runner));
+            standing.usable += u32::from(fit && has_room(now, runner, arrival));
         }
         standing
     }
@@ -86,6 +93,7 @@
         let pace = runner.load(now).map_or(1.0, |load| load.pace.max(1.0));
         let mut cost = f64::from(runner.occupancy(now) + 1) * pace;
         cost += runner.usual_first_ms(now) / FIRST_MS_PER_PLACE;
+        cost += runner.reading_ms(now) / READING_MS_PER_PLACE;
         if &runner.record.hall != self.hall {
             cost += FAR_PENALTY;
         }
@@ -96,6 +104,8 @@
     }
 }
 
-fn has_room(now: Millis, runner: &Runner) -> bool {
-    runner.occupancy(now) < runner.record.slots
+/// Whether a runner may have room. At runners with a sidecar a few requests may wait for a place there.
+fn has_room(now: Millis, runner: &Runner, arrival: &Arrival) -> bool {
+    let waiting = if arrival.model.is_some() { MAX_WAITING } else { 0 };
+    runner.occupancy(now) < runner.record.slots + waiting
 }
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -143,6 +143,10 @@
     pub address: SocketAddr,
     /// Whether its sidecar must give a place first.
     pub reserve: bool,
+    /// The rank of the request for that; zero goes first.
+    pub rank: u8,
+    /// How long the request may wait for the place, in milliseconds.
+    pub wait_ms: u64,
     /// What the choice was made by.
     pub seen: Seen,
 }
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -37,6 +37,10 @@
 /// The part of the ratio of repeats that is used, for what cannot be counted exactly.
 const RATIO_SHARE: f64 = 0.75;
 
+/// The question for a place, counted from one, that may wait at a sidecar. The ones before it are for
+/// runners that may have a place at once.
+const PATIENT_QUESTION: u32 = 5;
+
 /// A request under way.
 #[derive(Clone, Debug)]
 struct Progress {
@@ -52,6 +56,8 @@
     may_have_run: bool,
     /// Until when it may wait for a place.
     wait_until: Millis,
+    /// How often some runner was chosen for it.
+    asked: u32,
     /// Why it was sent again or refused, if it was.
     reason: Code,
 }
@@ -145,6 +151,7 @@
             tried: Vec::new(),
             current: None,
             sent_at: now,
+            asked: 0,
             answered: false,
             may_have_run: false,
             reason: Code::Overloaded,
@@ -308,6 +315,12 @@
                 self.queue.remove(&place);
                 continue;
             };
+            if progress.asked > 0 && now >= progress.wait_until {
+                // It has waited its time at a runner: another question would only make it later.
+                self.queue.remove(&place);
+                effects.extend(self.finish_without_answer(now, random, place.key));
+                continue;
+            }
             let first = progress.tried.is_empty();
             let service = progress.arrival.service.clone();
             let target = if first && full.contains(&service) {
@@ -347,7 +360,13 @@
         progress.current = Some(id.clone());
         progress.sent_at = now;
         let reserve = progress.arrival.model.is_some();
-        Some(RunnerTarget { id, address, reserve, seen })
+        progress.asked += 1;
+        // While others may have a place at once, the question does not wait.
+        let others = progress.asked < PATIENT_QUESTION && seen.candidates > 1;
+        let wait_ms = if others { 0 } else { progress.wait_until.since(now).0 };
+        // What may have run already goes on before anything new.
+        let rank = if progress.may_have_run { 0 } else { progress.arrival.priority };
+        Some(RunnerTarget { id, address, reserve, rank, wait_ms, seen })
     }
 
     fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -72,6 +72,8 @@
     pub busy: bool,
     /// How many times slower than usual it is.
     pub pace: f64,
+    /// How long it still reads the prompts that it was given, in milliseconds.
+    pub reading_ms: u32,
     /// The weights that it holds.
     pub weights: Option<WeightsHeld>,
 }
@@ -151,6 +153,15 @@
         self.in_flight + total.saturating_sub(reported.own)
     }
 
+    /// How long the runner still reads prompts before another one has its turn, in milliseconds.
+    pub fn reading_ms(&self, now: Millis) -> f64 {
+        let Some(reported) = &self.reported else {
+            return 0.0;
+        };
+        let left = f64::from(reported.load.reading_ms) - now.since(reported.at).0 as f64;
+        left.max(0.0)
+    }
+
     /// How long an answer is expected to take to begin, in milliseconds. What was seen counts for less
     /// as it gets older, so that a runner that was slow is tried again.
     pub fn usual_first_ms(&self, now: Millis) -> f64 {
--- a/components/gateway/tests/routing.rs
+++ b/components/gateway/tests/routing.rs
@@ -32,7 +32,8 @@
     bed.list("old", PLAIN_SERVICE, 1);
     bed.list("new", MODEL_SERVICE, 1);
     bed.feed(Event::Unlisted("old".into()));
-    bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), load(1, 4)));
+    // Every place is taken, and as many wait there as may.
+    bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), load(1, 8)));
     assert_eq!(
         bed.arrive(arrival(1, MODEL_SERVICE, STREAM)),
         None,
@@ -188,3 +189,30 @@
     route.services[1].1 = 0;
     assert_eq!(taken(&route), 100);
 }
+
+#[test]
+fn a_request_goes_where_prompts_are_read_soonest() {
+    let mut bed = Bed::new();
+    for (name, port, reading_ms) in [("slow", 1, 400), ("quick", 2, 0)] {
+        bed.list(name, MODEL_SERVICE, port);
+        let load = RunnerLoad { reading_ms, ..load(1, 1) };
+        bed.feed(Event::Load(([127, 0, 0, 1], port).into(), load));
+    }
+    assert_eq!(sent_to(bed.arrive(arrival(1, MODEL_SERVICE, STREAM))), "quick".into());
+}
+
+#[test]
+fn a_question_waits_only_where_no_other_runner_may_have_a_place() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    bed.list("r2", MODEL_SERVICE, 2);
+    for port in [1, 2] {
+        bed.feed(Event::Load(([127, 0, 0, 1], port).into(), load(1, 1)));
+    }
+    let first = target_of(bed.arrive(arrival(1, MODEL_SERVICE, STREAM)));
+    assert_eq!(first.wait_ms, 0);
+    let denied = AttemptOutcome::Denied { again_ms: 60 };
+    let second = target_of(bed.outcome(1, denied));
+    assert_ne!(second.id, first.id);
+    assert!(second.wait_ms > 0, "no other one is left");
+}
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -76,6 +76,7 @@
         kv_total: 1000,
         busy: false,
         pace: 1.0,
+        reading_ms: 0,
         weights: Some(WeightsHeld { model: model(), version, whole: true }),
     }
 }
@@ -142,8 +143,13 @@
 
 /// The runner that a request is sent to.
 pub fn sent_to(step: Option<NextStep>) -> InstanceId {
+    target_of(step).id
+}
+
+/// The runner that a request is sent to, with what it was chosen by.
+pub fn target_of(step: Option<NextStep>) -> RunnerTarget {
     match step {
-        Some(NextStep::Send(target)) => target.id,
+        Some(NextStep::Send(target)) => target,
         other => panic!("expected a send, got {other:?}"),
     }
 }
--- a/components/reducer/src/lib.rs
+++ b/components/reducer/src/lib.rs
@@ -28,6 +28,7 @@
 pub use planner::{plan, Candidate, Estimate, Fleet};
 pub use retry::RetryBudget;
 pub use routing::{RouteChoice, Router, Upstream};
+pub use seed::shared_hash;
 pub use seed::Seed;
 pub use spread::{
     Choice, Draw, DrawSource, Gate, Neighbour, Participant, Reach, Spread, SpreadEffect,
--- a/components/reducer/src/seed.rs
+++ b/components/reducer/src/seed.rs
@@ -34,7 +34,7 @@
 }
 
 /// A number that every daemon derives alike from the same parts.
-pub(crate) fn shared_hash(parts: &[&[u8]]) -> u64 {
+pub fn shared_hash(parts: &[&[u8]]) -> u64 {
     let mut hasher = blake3::Hasher::new();
     for part in parts {
         hasher.update(&(part.len() as u64).to_le_bytes());
--- a/components/reducer/src/spread/gate.rs
+++ b/components/reducer/src/spread/gate.rs
@@ -40,6 +40,7 @@
 }
 
 /// What a gate is made from.
+#[derive(Clone, Copy, Debug)]
 pub struct GateOptions {
     /// How many copies may be drawn; each group of halls draws one.
     pub copies: u32,
--- a/components/reducer/src/spread/neighbour.rs
+++ b/components/reducer/src/spread/neighbour.rs
@@ -27,6 +27,8 @@
     pub distance: u32,
     /// Whether it shares this group's copy from the origin.
     pub in_group: bool,
+    /// Whether its engine serves the version already. It keeps chunks for others and wants none.
+    pub serves: bool,
     /// The chunks it said it holds.
     pub have: Bitmap,
     /// Chunks asked of it and not yet answered.
@@ -52,6 +54,7 @@
             address,
             distance,
             in_group,
+            serves: false,
             have: Bitmap::new(chunks),
             outstanding: 0,
             uploads: (0, Millis(0)),
--- a/components/reducer/src/spread/version/mod.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -19,6 +19,8 @@
 const CHUNK_SMOOTHING: f64 = 0.25;
 /// How long to leave the origin alone after it failed, in milliseconds.
 const ORIGIN_PAUSE: u64 = 500;
+/// How often that time is doubled at most: an origin that takes few connections refuses the rest.
+const MOST_ORIGIN_DOUBLINGS: u32 = 2;
 /// Draws from the origin that fail in a row before it is taken for out.
 const ORIGIN_OUT: u32 = 4;
 /// How long holders have to say what they hold before the origin is asked, in milliseconds.
@@ -140,6 +142,9 @@
     me: InstanceId,
     place: Place,
     options: SpreadOptions,
+    /// Who wants the version, as far as known.
+    receivers: Vec<(InstanceId, Hall)>,
+    gate_options: GateOptions,
     gate: Gate,
     /// Who draws a chunk into this hall, where a chunk enters a hall once.
     hall_gate: Option<Gate>,
@@ -190,11 +195,12 @@
             patience_ms: options.patience_ms,
         };
         let hall_gate = options.reach.hall_first.then(|| {
-            let near: Vec<(InstanceId, Hall)> =
-                receivers.iter().filter(|(_, hall)| hall == &place.hall).cloned().collect();
+            let near = in_hall(receivers, &place.hall);
             Gate::new(me, version, chunks, &near, &gate_options)
         });
         Self {
+            receivers: receivers.to_vec(),
+            gate_options,
             version,
             me: me.clone(),
             place: place.clone(),
@@ -214,6 +220,28 @@
         }
     }
 
+    /// Takes in receivers that were not known yet: everyone's ranks follow from all of them.
+    pub fn add_receivers(&mut self, receivers: &[(InstanceId, Hall)]) {
+        let known: BTreeSet<&InstanceId> = self.receivers.iter().map(|(id, _)| id).collect();
+        let fresh = receivers.iter().filter(|(id, _)| !known.contains(id));
+        let fresh: Vec<(InstanceId, Hall)> = fresh.cloned().collect();
+        if fresh.is_empty() {
+            return;
+        }
+        self.receivers.extend(fresh);
+        let (version, chunks) = (self.version, self.manifest.chunks());
+        let gate = |receivers: &[(InstanceId, Hall)]| {
+            Gate::new(&self.me, version, chunks, receivers, &self.gate_options)
+        };
+        let near = in_hall(&self.receivers, &self.place.hall);
+        let hall_gate = self.hall_gate.is_some().then(|| gate(&near));
+        self.gate = gate(&self.receivers);
+        self.hall_gate = hall_gate;
+        for (id, neighbour) in &mut self.neighbours {
+            neighbour.in_group = self.gate.is_in_group(id);
+        }
+    }
+
     /// How far it has come.
     pub fn phase(&self) -> SpreadPhase {
         if self.have.is_full() {
@@ -268,6 +296,11 @@
         for participant in self.choose(participants) {
             self.meet(&participant.id, participant.address, &participant.place);
         }
+        for participant in participants {
+            if let Some(neighbour) = self.neighbours.get_mut(&participant.id) {
+                neighbour.serves = participant.holds;
+            }
+        }
     }
 
     /// Takes in which chunks a daemon holds.
@@ -353,7 +386,8 @@
             return;
         }
         let DrawSource::Peer(id, _) = source else {
-            self.origin_not_before = now.plus(ORIGIN_PAUSE);
+            let pause = ORIGIN_PAUSE << self.origin_failures.min(MOST_ORIGIN_DOUBLINGS);
+            self.origin_not_before = now.plus(pause);
             // While the origin is out everyone's turn comes and goes. When it is back the turns start
             // anew, or all would draw everything.
             self.origin_failures += 1;
@@ -418,6 +452,11 @@
     }
 }
 
+/// The receivers in a hall.
+fn in_hall(receivers: &[(InstanceId, Hall)], hall: &Hall) -> Vec<(InstanceId, Hall)> {
+    receivers.iter().filter(|(_, it)| it == hall).cloned().collect()
+}
+
 /// Zero in the same hall, one in the same region, two beyond.
 fn distance(a: &Place, b: &Place) -> u32 {
     if a == b {
--- a/components/reducer/src/spread/version/summaries.rs
+++ b/components/reducer/src/spread/version/summaries.rs
@@ -57,10 +57,12 @@
 impl Neighbour {
     /// Whether it should be told again: it wants chunks, and more are held than it was told of. The
     /// first summary may be empty: it introduces this receiver, who may not be among those that the
-    /// other one chose.
+    /// other one chose. One that serves the version hears nothing more: in a large fleet that would use
+    /// up the budget that those who draw need.
     fn is_behind(&self, now: Millis, held: u32) -> bool {
         let gap = now.since(self.told_at()) >= Millis(MIN_SUMMARY_GAP);
         let stranger = self.told_at() == Millis(0);
-        !self.have.is_full() && gap && (stranger || held > self.told_count())
+        let wants = !self.serves && held > self.told_count();
+        !self.have.is_full() && gap && (stranger || wants)
     }
 }
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -6,6 +6,9 @@
 use errors::Code;
 use fleet::{Bitmap, InstanceId, Manifest, ModelName, Place};
 use reducer::{Draw, DrawSource};
+use serde::{Deserialize, Serialize};
+
+use crate::questions::{Question, Verdict};
 
 /// Numbers that a sidecar works with.
 #[derive(Clone, Debug)]
@@ -23,7 +26,7 @@
 }
 
 /// What the configuration says of the weights of this runner's service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WeightsPlan {
     /// The model.
     pub model: ModelName,
@@ -145,15 +148,26 @@
     },
     /// Another sidecar gave its runner an order.
     PeerOrdered,
+    /// A gateway asks for a place at the runner.
+    Asked(Question),
     /// Time passed.
     Tick,
 }
 
+/// Where a manifest is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ManifestSource {
+    /// At the origin of weights, which takes few connections.
+    Origin,
+    /// At the sidecar that listens here.
+    Peer(SocketAddr),
+}
+
 /// What a sidecar does.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    /// Ask the origin for the manifest of a version.
-    Describe(u64),
+    /// Ask for the manifest of a version.
+    Describe(u64, ManifestSource),
     /// Read and verify what lies at the runner.
     Find(u64),
     /// Draw a chunk of a version.
@@ -167,6 +181,8 @@
         /// The chunks.
         have: Bitmap,
     },
+    /// Answer a gateway's question for a place.
+    Answer(Question, Verdict),
     /// Put every chunk of a version at the runner.
     Stage(u64),
     /// Order the runner to take a version.
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -4,10 +4,15 @@
 //! The spread of chunks between sidecars is that of `reducer`; this package adds the runner.
 
 mod event;
+mod manifests;
 mod places;
+mod questions;
 mod reducer;
 mod target;
 
-pub use event::{Effect, Event, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan};
+pub use event::{
+    Effect, Event, ManifestSource, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan,
+};
 pub use places::{Denial, Places};
+pub use questions::{Question, Verdict};
 pub use reducer::Rollout;
--- a/components/rollout/src/places.rs
+++ b/components/rollout/src/places.rs
@@ -47,6 +47,11 @@
 }
 
 impl Denial {
+    /// Whether a place may come free within a fraction of a second.
+    pub(crate) fn is_short(self) -> bool {
+        matches!(self, Self::Full | Self::Reading)
+    }
+
     /// The word in logs.
     pub fn name(self) -> &'static str {
         match self {
@@ -92,17 +97,20 @@
     /// After how many milliseconds it is worth asking again.
     pub fn again_ms(&self, now: Millis, denial: Denial) -> u64 {
         match denial {
-            Denial::Reading => {
-                let missing = -self.credit(now);
-                let rate = (self.tokens_per_ms * READING_SHARE).max(MIN_RATE);
-                (missing / rate).max(0.0) as u64 + MIN_AGAIN
-            }
+            Denial::Reading => self.reading_ms(now) + MIN_AGAIN,
             Denial::Full => FULL_AGAIN,
             Denial::Leaving | Denial::TooOld | Denial::LastOrder => MOVE_AGAIN,
             Denial::Unheard | Denial::NotServing => MOVE_AGAIN,
         }
     }
 
+    /// How long the runner still reads the prompts that it was given, in milliseconds.
+    pub fn reading_ms(&self, now: Millis) -> u64 {
+        let missing = -self.credit(now);
+        let rate = (self.tokens_per_ms * READING_SHARE).max(MIN_RATE);
+        (missing / rate).max(0.0) as u64
+    }
+
     /// Requests that the runner works on at once.
     pub fn slots(&self) -> u32 {
         self.slots
--- /dev/null
+++ b/components/rollout/src/questions.rs
@@ -0,0 +1,108 @@
+//! Questions of gateways for a place at the runner, and those that wait for one.
+//!
+//! A gateway that is refused would only ask again, here or at another sidecar. One that may wait is
+//! answered as soon as a place comes free, in order of rank and arrival.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use fleet::Millis;
+
+use crate::places::Denial;
+
+/// Questions that may wait. More would not be answered in time.
+const MAX_WAITING: usize = 8;
+
+/// A gateway wants to send a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// Where the gateway listens.
+    pub asker: SocketAddr,
+    /// The gateway's number for the question.
+    pub number: u64,
+    /// The request, by the id that its caller gave it, for the log.
+    pub request: String,
+    /// Tokens of the request's prompt.
+    pub prompt_tokens: u32,
+    /// The rank of the request; zero goes first.
+    pub rank: u8,
+    /// How long it may wait for a place, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// What a sidecar says to a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The request may be sent now.
+    Granted,
+    /// The question waits. Another answer follows.
+    Queued,
+    /// The request is not to be sent here.
+    Denied {
+        /// Why.
+        denial: Denial,
+        /// After how many milliseconds it is worth asking again.
+        again_ms: u64,
+    },
+}
+
+/// A question that waits, and until when.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) question: Question,
+    pub(crate) until: Millis,
+}
+
+/// The questions that wait, in the order in which they are answered.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Questions {
+    waiting: VecDeque<Waiting>,
+}
+
+impl Questions {
+    /// How many wait.
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether another one may wait.
+    pub(crate) fn has_room(&self) -> bool {
+        self.waiting.len() < MAX_WAITING
+    }
+
+    /// Whether a question has to wait for others.
+    pub(crate) fn is_behind(&self, rank: u8) -> bool {
+        self.waiting.front().is_some_and(|it| it.question.rank <= rank)
+    }
+
+    /// Lets a question wait, behind those of its rank.
+    pub(crate) fn push(&mut self, now: Millis, question: Question) {
+        let behind = self.waiting.iter().rposition(|it| it.question.rank <= question.rank);
+        let until = now.plus(question.wait_ms);
+        self.waiting.insert(behind.map_or(0, |it| it + 1), Waiting { question, until });
+    }
+
+    /// The question that is answered next.
+    pub(crate) fn first(&self) -> Option<&Question> {
+        self.waiting.front().map(|it| &it.question)
+    }
+
+    /// Takes that question out.
+    pub(crate) fn pop(&mut self) -> Option<Question> {
+        self.waiting.pop_front().map(|it| it.question)
+    }
+
+    /// Takes out the questions whose time is over.
+    pub(crate) fn take_late(&mut self, now: Millis) -> Vec<Question> {
+        let (late, waiting) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|it: &Waiting| it.until <= now);
+        self.waiting = waiting;
+        let late: VecDeque<Waiting> = late;
+        late.into_iter().map(|it| it.question).collect()
+    }
+
+    /// Takes out every question.
+    pub(crate) fn take_all(&mut self) -> Vec<Question> {
+        self.waiting.drain(..).map(|it| it.question).collect()
+    }
+}
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -5,10 +5,15 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use crate::event::{Effect, Event, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan};
+use crate::event::{
+    Effect, Event, ManifestSource, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan,
+};
+use crate::manifests::Manifests;
 use crate::places::Places;
-use crate::target::{participants, Step, Target};
+use crate::questions::Questions;
+use crate::target::{Step, Target};
 use fleet::{Bitmap, InstanceId, Millis};
+use reducer::DrawSource;
 
 /// The version that runners hold before any was named.
 const FIRST_VERSION: u64 = 1;
@@ -28,6 +33,8 @@
 /// How long before an order gateways hear of it, in milliseconds.
 const NOTICE: u64 = 120;
 
+/// How long after its start a sidecar expects others that started with it to appear, in milliseconds.
+const SETTLING: u64 = 15_000;
 /// How close two orders may be so that nobody can tell which was the last, in milliseconds.
 const ORDER_ORDER: u64 = 40;
 /// The state of a sidecar.
@@ -44,12 +51,15 @@
     status_at: Millis,
     own_order_at: Millis,
     places: Places,
+    questions: Questions,
+    manifests: Manifests,
     /// When this sidecar gave an order, if no other one is known to have given one since. Trouble
     /// strikes that machine first.
     ordered_at: Option<Millis>,
     /// `None` until the list of runners has been read.
     peers: Option<Vec<Peer>>,
-    /// When the list of runners was first read.
+    /// When the list of runners was first read, and when it last grew while the fleet started.
+    peers_first: Millis,
     peers_since: Millis,
     /// The version that the runner is moved to, or serves.
     current: Option<Target>,
@@ -69,8 +79,11 @@
             status_at: Millis(0),
             own_order_at: Millis(0),
             places: Places::default(),
+            questions: Questions::default(),
+            manifests: Manifests::default(),
             ordered_at: None,
             peers: None,
+            peers_first: Millis(0),
             peers_since: Millis(0),
             current: None,
             next: None,
@@ -119,8 +132,15 @@
             }
             Event::Named(version) => self.name(now, version),
             Event::VersionsKnown => self.versions_known = true,
-            Event::Status(status) => self.take_status(now, status),
-            Event::Silent => self.status = None,
+            Event::Status(status) => {
+                self.take_status(now, status);
+                return self.settle_questions(now);
+            }
+            Event::Silent => {
+                self.status = None;
+                return self.settle_questions(now);
+            }
+            Event::Asked(question) => return vec![self.take_question(now, question)],
             Event::Peers(peers) => self.take_peers(now, peers),
             Event::Described(version, manifest) => {
                 let (Some(plan), Some(all)) = (self.plan.clone(), self.peers.clone()) else {
@@ -128,7 +148,7 @@
                 };
                 let options = self.options.clone();
                 let serves = self.serves();
-                let Some(target) = self.target(version) else {
+                let Some(target) = self.target(version).filter(|it| it.awaits_manifest()) else {
                     return Vec::new();
                 };
                 target.start_spread(now, &options, &plan, &all, manifest, serves);
@@ -144,10 +164,9 @@
             }
             Event::Found(version, found) => self.take_found(version, &found),
             Event::Arrived { version, index, source, verified } => {
-                if let Some(spread) = self.target(version).and_then(Target::spread_mut) {
-                    spread.take_chunk(now, index, &source, verified);
-                }
-                return self.advance(now);
+                let mut effects = self.take_chunk(now, version, index, &source, verified);
+                effects.extend(self.advance(now));
+                return effects;
             }
             Event::Missed { version, index, source, code } => {
                 if let Some(spread) = self.target(version).and_then(Target::spread_mut) {
@@ -156,6 +175,7 @@
                 return self.advance(now);
             }
             Event::Summary { from, address, place, version, have } => {
+                self.manifests.note_holder(now, version, address);
                 if let Some(spread) = self.target(version).and_then(Target::spread_mut) {
                     spread.take_summary(&from, address, &place, have);
                 }
@@ -173,7 +193,33 @@
                     self.ordered_at = None;
                 }
             }
-            Event::Tick => return self.advance(now),
+            Event::Tick => {
+                let mut effects = self.advance(now);
+                effects.extend(self.settle_questions(now));
+                return effects;
+            }
+        }
+        Vec::new()
+    }
+
+    /// Takes in a chunk that arrived. Where one never has the right digest, it may be the manifest that is
+    /// wrong.
+    fn take_chunk(
+        &mut self,
+        now: Millis,
+        version: u64,
+        index: u32,
+        source: &DrawSource,
+        verified: bool,
+    ) -> Vec<Effect> {
+        let Some(target) = self.target(version) else {
+            return Vec::new();
+        };
+        if let Some(spread) = target.spread_mut() {
+            spread.take_chunk(now, index, source, verified);
+        }
+        if !verified && target.doubts_manifest(index) {
+            return vec![Effect::Describe(version, ManifestSource::Origin)];
         }
         Vec::new()
     }
@@ -213,13 +259,18 @@
     }
 
     fn take_peers(&mut self, now: Millis, peers: Vec<Peer>) {
+        let known: BTreeSet<&InstanceId> = peers.iter().map(|it| &it.id).collect();
+        let before = self.peers.take().unwrap_or_default();
+        let gone: Vec<Peer> = before.iter().filter(|it| !known.contains(&it.id)).cloned().collect();
         for target in self.current.iter_mut().chain(&mut self.next) {
-            let version = target.version;
-            if let Some(spread) = target.spread_mut() {
-                spread.set_participants(now, &participants(version, &peers));
-            }
+            target.take_peers(now, &peers, &gone);
         }
-        if self.peers.is_none() {
+        let known: BTreeSet<&InstanceId> = before.iter().map(|it| &it.id).collect();
+        let grown = peers.iter().any(|it| !known.contains(&it.id));
+        let settling = now.since(self.peers_first).0 < SETTLING;
+        if self.peers_first == Millis(0) {
+            (self.peers_first, self.peers_since) = (now, now);
+        } else if grown && settling {
             self.peers_since = now;
         }
         self.peers = Some(peers);
@@ -311,9 +362,18 @@
             effects.extend(target.exchange(now));
         }
         self.finish_drawing(now);
+        let known_for = now.since(self.peers_since).0;
+        let held = self.status.as_ref().and_then(|it| it.version);
+        let peers = self.peers.as_deref().unwrap_or_default();
         for target in self.current.iter_mut().chain(&mut self.next) {
-            let known_for = now.since(self.peers_since).0;
-            effects.extend(ask_for_manifest(now, known_for, self.status.as_ref(), target));
+            if !target.wants_manifest(now, known_for, held) {
+                continue;
+            }
+            let version = target.version;
+            if let Some(source) = self.manifests.source(now, version, &self.options.me, peers) {
+                target.note_asked();
+                effects.push(Effect::Describe(version, source));
+            }
         }
         effects.extend(self.stage_when_due(now));
         effects
@@ -377,27 +437,3 @@
         }
     }
 }
-
-/// Asks for a manifest when that is due. A runner that serves the version needs no chunks.
-fn ask_for_manifest(
-    now: Millis,
-    known_for: u64,
-    status: Option<&RunnerStatus>,
-    target: &mut Target,
-) -> Option<Effect> {
-    if target.take_share(known_for) {
-        return Some(Effect::Describe(target.version));
-    }
-    let Step::Describing { not_before, asked: false } = target.step else {
-        return None;
-    };
-    if status.is_some_and(|it| it.version.is_some_and(|held| held >= target.version)) {
-        target.step = Step::Served;
-        return None;
-    }
-    if now < not_before {
-        return None;
-    }
-    target.step = Step::Describing { not_before, asked: true };
-    Some(Effect::Describe(target.version))
-}
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -3,13 +3,69 @@
 use fleet::Millis;
 
 use super::{Rollout, NOTICE};
+use crate::event::Effect;
 use crate::places::{Denial, Places};
+use crate::questions::{Question, Verdict};
 use crate::target::Step;
 
 /// How long before its bound nothing is started on an older version any more, in milliseconds.
 const START_MARGIN: u64 = 900;
 
 impl Rollout {
+    /// Answers a question for a place, or lets it wait.
+    pub(super) fn take_question(&mut self, now: Millis, question: Question) -> Effect {
+        let given = if self.questions.is_behind(question.rank) {
+            Err(Denial::Full)
+        } else {
+            self.reserve(now, question.prompt_tokens)
+        };
+        let verdict = match given {
+            Ok(()) => Verdict::Granted,
+            Err(denial)
+                if denial.is_short() && question.wait_ms > 0 && self.questions.has_room() =>
+            {
+                self.questions.push(now, question.clone());
+                Verdict::Queued
+            }
+            Err(denial) => self.deny(now, denial),
+        };
+        Effect::Answer(question, verdict)
+    }
+
+    /// Answers the questions that need not wait any longer.
+    pub(super) fn settle_questions(&mut self, now: Millis) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        while let Some(tokens) = self.questions.first().map(|it| it.prompt_tokens) {
+            match self.reserve(now, tokens) {
+                Ok(()) => {
+                    let granted = self.questions.pop();
+                    effects.extend(granted.map(|it| Effect::Answer(it, Verdict::Granted)));
+                }
+                Err(denial) if denial.is_short() => {
+                    let verdict = self.deny(now, denial);
+                    let late = self.questions.take_late(now).into_iter();
+                    effects.extend(late.map(|it| Effect::Answer(it, verdict)));
+                    break;
+                }
+                Err(denial) => {
+                    let verdict = self.deny(now, denial);
+                    let all = self.questions.take_all().into_iter();
+                    effects.extend(all.map(|it| Effect::Answer(it, verdict)));
+                }
+            }
+        }
+        effects
+    }
+
+    /// How many questions wait for a place.
+    pub fn waiting(&self) -> usize {
+        self.questions.len()
+    }
+
+    fn deny(&self, now: Millis, denial: Denial) -> Verdict {
+        Verdict::Denied { denial, again_ms: self.places.again_ms(now, denial) }
+    }
+
     /// Gives a place at the runner to a request with a prompt of so many tokens, or says why not.
     pub fn reserve(&mut self, now: Millis, prompt_tokens: u32) -> Result<(), Denial> {
         if !self.status.as_ref().is_some_and(|it| !it.busy && it.version.is_some()) {
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -1,5 +1,6 @@
 //! One version on its way to the runner.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use fleet::{Bitmap, Hall, InstanceId, Manifest, Millis};
@@ -34,6 +35,8 @@
     /// Whether a chunk enters a hall once.
     hall_first: bool,
 }
+/// Chunks of one index with a wrong digest after which the manifest itself is doubted.
+const DOUBTS: u32 = 3;
 /// How long to wait at least after a manifest did not arrive, in milliseconds.
 const DESCRIBE_PAUSE: u64 = 80;
 /// How much longer some sidecars wait than others, in milliseconds.
@@ -79,6 +82,10 @@
     spread: Option<Spread>,
     /// Whether the manifest was asked for to keep a share of the chunks of a version that is served.
     asked_for_share: bool,
+    /// Not to ask for the manifest before this moment.
+    describe_at: Millis,
+    /// How often each chunk arrived with a digest that is not the manifest's.
+    corrupt: BTreeMap<u32, u32>,
     pace: Pace,
 }
 
@@ -86,7 +93,16 @@
     /// A version that was just named.
     pub(crate) fn new(version: u64, named_at: Millis) -> Self {
         let step = Step::Describing { not_before: named_at, asked: false };
-        Self { version, named_at, step, spread: None, asked_for_share: false, pace: URGENT }
+        Self {
+            version,
+            named_at,
+            step,
+            spread: None,
+            asked_for_share: false,
+            describe_at: Millis(0),
+            corrupt: BTreeMap::new(),
+            pace: URGENT,
+        }
     }
 
     /// Whether every chunk is here.
@@ -113,27 +129,72 @@
         self.spread.as_mut()
     }
 
-    /// Whether the manifest should be asked for, so that a share of the chunks of the version that
-    /// is served is kept for others.
-    pub(crate) fn take_share(&mut self, known_for: u64) -> bool {
-        let due = self.step == Step::Served
-            && self.spread.is_none()
-            && !self.asked_for_share
-            && known_for >= SHARE_DELAY;
-        self.asked_for_share |= due;
-        due
+    /// Whether the manifest should be asked for now: to draw the version, or to keep a share of the
+    /// chunks of the version that is served for others. `held` is the version that the runner holds.
+    pub(crate) fn wants_manifest(
+        &mut self,
+        now: Millis,
+        known_for: u64,
+        held: Option<u64>,
+    ) -> bool {
+        if let Step::Describing { asked: false, .. } = self.step {
+            if held.is_some_and(|it| it >= self.version) {
+                // A runner that serves the version needs no chunks.
+                self.step = Step::Served;
+            }
+        }
+        let due = now >= self.describe_at;
+        match self.step {
+            Step::Describing { not_before, asked } => !asked && due && now >= not_before,
+            Step::Served => {
+                let known = self.has_manifest() || self.asked_for_share;
+                !known && due && known_for >= SHARE_DELAY
+            }
+            _ => false,
+        }
+    }
+
+    /// The manifest is asked for now.
+    pub(crate) fn note_asked(&mut self) {
+        match &mut self.step {
+            Step::Describing { asked, .. } => *asked = true,
+            _ => self.asked_for_share = true,
+        }
+    }
+
+    /// Whether a manifest that arrives starts the exchange of chunks. Otherwise it only takes the place of
+    /// one that was doubted.
+    pub(crate) fn awaits_manifest(&self) -> bool {
+        !self.has_manifest() || matches!(self.step, Step::Describing { .. })
+    }
+
+    /// Whether the manifest is here.
+    fn has_manifest(&self) -> bool {
+        self.spread.is_some()
+    }
+
+    /// Counts a chunk whose digest is not the manifest's, and tells whether the manifest should be read
+    /// again from its origin.
+    pub(crate) fn doubts_manifest(&mut self, index: u32) -> bool {
+        let count = self.corrupt.entry(index).or_default();
+        *count += 1;
+        if *count < DOUBTS {
+            return false;
+        }
+        self.corrupt.clear();
+        true
     }
 
     /// The manifest did not arrive.
     pub(crate) fn wait_for_manifest(&mut self, now: Millis, me: &InstanceId) {
-        if self.step == Step::Served {
-            self.asked_for_share = false;
-            return;
-        }
         // Sidecars that failed together come back at different times.
         let spread = me.0.bytes().fold(0, |sum: u64, byte| sum * 31 % 1009 + u64::from(byte));
         let pause = DESCRIBE_PAUSE + (spread + now.0) % DESCRIBE_SPREAD;
-        self.step = Step::Describing { not_before: now.plus(pause), asked: false };
+        self.describe_at = now.plus(pause);
+        self.asked_for_share = false;
+        if let Step::Describing { asked, .. } = &mut self.step {
+            *asked = false;
+        }
     }
 
     /// Starts the exchange of chunks.
@@ -153,11 +214,8 @@
             most: MOST_NEIGHBOURS,
             hall_first: self.pace.hall_first,
         };
-        // Those that serve the version already need no chunks, but each keeps its share of them.
         let keeps = self.step == Step::Served;
-        let wanting = peers.iter().filter(|it| keeps || it.version != Some(self.version));
-        let receivers: Vec<(InstanceId, Hall)> =
-            wanting.map(|it| (it.id.clone(), it.place.hall.clone())).collect();
+        let receivers = self.receivers(peers);
         let spread_options = SpreadOptions {
             copies: ORIGIN_COPIES,
             origin_bytes_per_s: plan.origin_bytes_per_s,
@@ -176,6 +234,31 @@
         }
     }
 
+    /// Takes in who else there is, and who is no more.
+    pub(crate) fn take_peers(&mut self, now: Millis, peers: &[Peer], gone: &[Peer]) {
+        let receivers = self.receivers(peers);
+        let (version, keeps) = (self.version, self.step == Step::Served);
+        let Some(spread) = &mut self.spread else {
+            return;
+        };
+        // Shares that are kept stay as they are: with each newcomer they would all be dealt anew.
+        if !keeps {
+            spread.add_receivers(&receivers);
+        }
+        let mut all = participants(version, peers);
+        let down = participants(version, gone);
+        all.extend(down.into_iter().map(|it| Participant { up: false, ..it }));
+        spread.set_participants(now, &all);
+    }
+
+    /// Who draws chunks. Those that serve the version already need none, but each keeps its share of
+    /// them.
+    fn receivers(&self, peers: &[Peer]) -> Vec<(InstanceId, Hall)> {
+        let keeps = self.step == Step::Served;
+        let wanting = peers.iter().filter(|it| keeps || it.version != Some(self.version));
+        wanting.map(|it| (it.id.clone(), it.place.hall.clone())).collect()
+    }
+
     /// Draws and summaries that are due.
     pub(crate) fn exchange(&mut self, now: Millis) -> Vec<Effect> {
         let version = self.version;
@@ -198,7 +281,7 @@
 }
 
 /// The other sidecars as the spread sees them.
-pub(crate) fn participants(version: u64, peers: &[Peer]) -> Vec<Participant> {
+fn participants(version: u64, peers: &[Peer]) -> Vec<Participant> {
     let as_participant = |peer: &Peer| Participant {
         id: peer.id.clone(),
         place: peer.place.clone(),
--- a/components/rollout/tests/fleet.rs
+++ b/components/rollout/tests/fleet.rs
@@ -46,6 +46,8 @@
     origin_out_until: u64,
     draws: u64,
     summaries: u64,
+    /// Manifests asked of the origin.
+    origin_manifests: u32,
 }
 
 fn id(index: usize) -> InstanceId {
@@ -110,6 +112,7 @@
             origin_out_until: 0,
             draws: 0,
             summaries: 0,
+            origin_manifests: 0,
         };
         (0..count).for_each(|index| fleet.introduce(index));
         fleet.tell_peers();
@@ -121,11 +124,11 @@
         self.feed(index, Event::VersionsKnown);
     }
 
-    /// Adds a sidecar whose runner holds nothing. The others read the new list before its runner answers.
-    fn join(&mut self) {
+    /// Adds a sidecar and its runner. The others read the new list before its runner answers.
+    fn join(&mut self, version: Option<u64>) {
         let index = self.sidecars.len();
         self.sidecars.push(Rollout::new(options(index)));
-        self.runners.push(Runner::default());
+        self.runners.push(Runner { version, ..Runner::default() });
         self.introduce(index);
         self.tell_peers();
         self.run(100);
@@ -163,9 +166,7 @@
 
     fn perform(&mut self, index: usize, effect: Effect) {
         match effect {
-            Effect::Describe(version) => {
-                self.after(150, index, Event::Described(version, manifest(version)));
-            }
+            Effect::Describe(version, source) => self.describe(index, version, source),
             Effect::Find(version) => {
                 let none = fleet::Bitmap::new(CHUNKS);
                 self.after(10, index, Event::Found(version, none));
@@ -185,6 +186,7 @@
                 };
                 self.after(3, other, event);
             }
+            Effect::Answer(..) => {}
             Effect::Stage(version) => {
                 let whole = self.sidecars[index].have(version).is_some_and(|it| it.is_full());
                 assert!(whole, "staged before every chunk was here");
@@ -205,6 +207,25 @@
         }
     }
 
+    fn describe(&mut self, index: usize, version: u64, source: ManifestSource) {
+        let known = match source {
+            ManifestSource::Origin => {
+                self.origin_manifests += 1;
+                self.now >= self.origin_out_until
+            }
+            ManifestSource::Peer(peer) => {
+                let other = (0..self.sidecars.len()).find(|it| address(*it) == peer);
+                other.is_some_and(|it| self.sidecars[it].have(version).is_some())
+            }
+        };
+        let event = if known {
+            Event::Described(version, manifest(version))
+        } else {
+            Event::Undescribed(version)
+        };
+        self.after(if known { 60 } else { 20 }, index, event);
+    }
+
     fn draw(&mut self, index: usize, version: u64, chunk: u32, source: DrawSource) {
         self.draws += 1;
         let lost = self.loses > 0 && self.draws.is_multiple_of(self.loses);
@@ -324,12 +345,41 @@
 fn empty_runners_that_join_a_large_fleet_soon_serve() {
     let mut fleet = Fleet::new(45, Some(1), 0);
     fleet.run(12_000);
-    let before = fleet.origin_chunks;
-    (0..31).for_each(|_| fleet.join());
+    let (before, told) = (fleet.origin_chunks, fleet.summaries);
+    (0..31).for_each(|_| fleet.join(None));
     fleet.run(4000);
     assert_eq!(fleet.versions(), BTreeMap::from([(Some(1), 76)]));
     let drawn = fleet.origin_chunks - before;
     assert!(drawn <= CHUNKS / 2, "{drawn} chunks from the origin");
+    let told = fleet.summaries - told;
+    assert!(told <= 31 * 200, "{told} summaries");
+}
+
+/// Found on the same day: all sidecars asked the origin for the manifest of a new version at once, which
+/// takes 48 connections. It reset the rest 700 times, and none took the version within five seconds.
+#[test]
+fn few_sidecars_ask_the_origin_for_a_manifest() {
+    let mut fleet = Fleet::new(76, Some(1), 0);
+    fleet.run(3000);
+    fleet.name(2);
+    fleet.run(VERSION_MS);
+    assert_eq!(fleet.versions(), BTreeMap::from([(Some(2), 76)]));
+    assert!(fleet.origin_manifests <= 12, "{} manifests from the origin", fleet.origin_manifests);
+}
+
+/// A manifest that arrived spoilt would make every copy of a chunk look corrupt.
+#[test]
+fn a_manifest_that_no_chunk_fits_is_read_again_from_the_origin() {
+    let mut fleet = Fleet::new(4, Some(1), 0);
+    fleet.run(500);
+    fleet.name(2);
+    fleet.run(300);
+    let asked = fleet.origin_manifests;
+    for _ in 0..3 {
+        let source = DrawSource::Origin;
+        fleet.feed(0, Event::Arrived { version: 2, index: 7, source, verified: false });
+    }
+    assert_eq!(fleet.origin_manifests, asked + 1);
 }
 
 #[test]
@@ -354,6 +404,16 @@
     assert!(fleet.orders.is_empty(), "runners that serve the version need no order");
 }
 
+/// Found on the same day: sidecars that read the list while it filled up each took a large share of the
+/// chunks from the origin, twenty copies together.
+#[test]
+fn sidecars_that_start_together_wait_for_the_list_before_they_take_their_shares() {
+    let mut fleet = Fleet::new(2, Some(1), 0);
+    (0..30).for_each(|_| fleet.join(Some(1)));
+    fleet.run(9000);
+    assert!(fleet.origin_chunks <= CHUNKS + 8, "{} chunks from the origin", fleet.origin_chunks);
+}
+
 #[test]
 fn a_runner_that_lost_its_weights_gets_them_again() {
     let mut fleet = Fleet::new(6, Some(1), 0);
--- /dev/null
+++ b/components/rollout/tests/questions.rs
@@ -0,0 +1,198 @@
+//! Questions of gateways for a place at the runner, and those that wait for one.
+
+use std::collections::BTreeMap;
+
+use fleet::{InstanceId, Millis, Place};
+use proptest::prelude::*;
+use rollout::*;
+
+const SLOTS: u32 = 4;
+
+fn options() -> RolloutOptions {
+    RolloutOptions {
+        me: InstanceId("10.0.0.1".into()),
+        place: Place { region: "r".into(), hall: "h".into() },
+        link_bytes_per_s: 950_000,
+        control_bytes_per_s: 6000,
+        version_ms: 8000,
+    }
+}
+
+fn plan() -> WeightsPlan {
+    WeightsPlan {
+        model: "m".into(),
+        warm_ms: 300,
+        origin_bytes_per_s: 1_240_000,
+        slots: SLOTS,
+        prompt_tokens_per_ms: 19.0,
+    }
+}
+
+fn question(number: u64, rank: u8, wait_ms: u64) -> Question {
+    let asker = ([10, 0, 0, 2], 7700).into();
+    let request = format!("q{number}");
+    Question { asker, number, request, prompt_tokens: 10, rank, wait_ms }
+}
+
+/// A sidecar whose runner serves version 1 and works on `running` requests.
+fn sidecar(now: u64, running: u32) -> Rollout {
+    let mut sidecar = Rollout::new(options());
+    sidecar.reduce(Millis(now), Event::Planned(plan()));
+    sidecar.reduce(Millis(now), Event::VersionsKnown);
+    report(&mut sidecar, now, running);
+    sidecar
+}
+
+fn report(sidecar: &mut Rollout, now: u64, running: u32) -> Vec<(u64, Verdict)> {
+    let status = RunnerStatus { sequence: 0, busy: false, running, version: Some(1) };
+    answers(sidecar.reduce(Millis(now), Event::Status(status)))
+}
+
+fn ask(sidecar: &mut Rollout, now: u64, question: Question) -> Verdict {
+    let answers = answers(sidecar.reduce(Millis(now), Event::Asked(question)));
+    assert_eq!(answers.len(), 1);
+    answers[0].1
+}
+
+fn answers(effects: Vec<Effect>) -> Vec<(u64, Verdict)> {
+    let answer = |effect| match effect {
+        Effect::Answer(question, verdict) => Some((question.number, verdict)),
+        _ => None,
+    };
+    effects.into_iter().filter_map(answer).collect()
+}
+
+fn is_denied(verdict: Verdict) -> bool {
+    matches!(verdict, Verdict::Denied { .. })
+}
+
+#[test]
+fn a_question_that_may_not_wait_is_denied_when_every_place_is_taken() {
+    let mut sidecar = sidecar(1000, SLOTS);
+    assert!(is_denied(ask(&mut sidecar, 1001, question(1, 1, 0))));
+    assert_eq!(sidecar.waiting(), 0);
+}
+
+#[test]
+fn a_question_waits_until_a_place_comes_free() {
+    let mut sidecar = sidecar(1000, SLOTS);
+    assert_eq!(ask(&mut sidecar, 1001, question(1, 1, 100)), Verdict::Queued);
+    assert_eq!(report(&mut sidecar, 1025, SLOTS), vec![]);
+    assert_eq!(report(&mut sidecar, 1050, SLOTS - 1), vec![(1, Verdict::Granted)]);
+    assert_eq!(sidecar.waiting(), 0);
+}
+
+#[test]
+fn a_question_whose_time_is_over_is_denied() {
+    let mut sidecar = sidecar(1000, SLOTS);
+    ask(&mut sidecar, 1001, question(1, 1, 50));
+    let answers = report(&mut sidecar, 1060, SLOTS);
+    assert_eq!(answers.len(), 1);
+    assert!(is_denied(answers[0].1));
+}
+
+#[test]
+fn the_more_urgent_rank_is_answered_first_and_equals_in_turn() {
+    let mut sidecar = sidecar(1000, SLOTS);
+    for (number, rank) in [(1, 2), (2, 1), (3, 2), (4, 1)] {
+        ask(&mut sidecar, 1001, question(number, rank, 100));
+    }
+    let granted: Vec<u64> = report(&mut sidecar, 1050, 0).iter().map(|it| it.0).collect();
+    assert_eq!(granted, [2, 4, 1, 3]);
+}
+
+#[test]
+fn a_question_does_not_overtake_those_that_wait() {
+    let mut sidecar = sidecar(1000, SLOTS);
+    ask(&mut sidecar, 1001, question(1, 1, 200));
+    // The place that came free goes to the one that waits.
+    assert_eq!(report(&mut sidecar, 1030, SLOTS - 1), vec![(1, Verdict::Granted)]);
+    assert_eq!(ask(&mut sidecar, 1031, question(2, 1, 100)), Verdict::Queued);
+}
+
+#[test]
+fn questions_that_wait_at_a_runner_that_falls_silent_go_elsewhere_at_once() {
+    let mut sidecar = sidecar(1000, SLOTS);
+    ask(&mut sidecar, 1001, question(1, 1, 100));
+    let answers = answers(sidecar.reduce(Millis(1030), Event::Silent));
+    assert_eq!(answers.len(), 1);
+    assert!(is_denied(answers[0].1));
+}
+
+#[test]
+fn few_questions_wait_at_once() {
+    let mut sidecar = sidecar(1000, SLOTS);
+    let verdicts: Vec<Verdict> =
+        (0..30).map(|number| ask(&mut sidecar, 1001, question(number, 1, 100))).collect();
+    let queued = verdicts.iter().filter(|it| **it == Verdict::Queued).count();
+    assert!(queued <= 8, "{queued} wait");
+    assert!(verdicts[20..].iter().all(|it| is_denied(*it)));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask { rank: u8, wait_ms: u64 },
+    Report { running: u32 },
+    Silent,
+    Tick,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..3u8, prop_oneof![Just(0), 20..200u64])
+            .prop_map(|(rank, wait_ms)| Step::Ask { rank, wait_ms }),
+        4 => (0..=SLOTS).prop_map(|running| Step::Report { running }),
+        1 => Just(Step::Silent),
+        3 => Just(Step::Tick),
+    ]
+}
+
+proptest! {
+    /// Each question gets one final answer, no later than its time and the next report, and between two
+    /// reports no more places are given than there are.
+    #[test]
+    fn each_question_is_answered_once_and_in_time(
+        steps in proptest::collection::vec((step(), 1..40u64), 1..80),
+    ) {
+        let mut sidecar = sidecar(1000, 0);
+        let (mut now, mut next) = (1000, 0);
+        let mut open: BTreeMap<u64, u64> = BTreeMap::new();
+        let (mut running, mut given) = (0, 0);
+        for (step, pause) in steps {
+            now += pause;
+            let effects = match step {
+                Step::Ask { rank, wait_ms } => {
+                    next += 1;
+                    open.insert(next, now + wait_ms);
+                    sidecar.reduce(Millis(now), Event::Asked(question(next, rank, wait_ms)))
+                }
+                Step::Report { running: reported } => {
+                    (running, given) = (reported, 0);
+                    let status =
+                        RunnerStatus { sequence: 0, busy: false, running, version: Some(1) };
+                    sidecar.reduce(Millis(now), Event::Status(status))
+                }
+                Step::Silent => sidecar.reduce(Millis(now), Event::Silent),
+                Step::Tick => sidecar.reduce(Millis(now), Event::Tick),
+            };
+            let may_settle = !matches!(step, Step::Ask { .. });
+            for (number, verdict) in answers(effects) {
+                match verdict {
+                    Verdict::Queued => prop_assert!(open.contains_key(&number)),
+                    Verdict::Granted => {
+                        given += 1;
+                        prop_assert!(running + given <= SLOTS, "{running} + {given} places");
+                        prop_assert!(open.remove(&number).is_some(), "answered twice");
+                    }
+                    Verdict::Denied { .. } => {
+                        prop_assert!(open.remove(&number).is_some(), "answered twice");
+                    }
+                }
+            }
+            if may_settle {
+                let late = open.values().any(|until| *until <= now);
+                prop_assert!(!late, "a question is late at {now}: {open:?}");
+            }
+        }
+    }
+}
--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -159,6 +159,38 @@
     assert_eq!(Caller::new(Method::GET, "/get/x", "h2").call(gateway).status, 404);
 }
 
+/// Found on a grown site: a configuration of 1,489 routes took longer than a listing might, was given up
+/// on and asked for again, and gateways that had started were not ready forty seconds later.
+#[test]
+fn a_configuration_that_arrives_slowly_is_read_all_the_same() {
+    let mut deployment = Deployment::start();
+    deployment.standin.set_store_fault(StoreFault::Narrow);
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    assert_eq!(Caller::new(Method::GET, "/get/x", "slow").call(gateway).status, 200);
+}
+
+/// Found on the same day: seventy sidecars read the whole configuration over links that callers need.
+#[test]
+fn sidecars_hear_of_the_weights_from_gateways_and_leave_the_configuration_alone() {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    let read = deployment.standin.configuration_reads();
+    deployment.add_model_runner("e1", Some(1));
+    let empty = deployment.add_model_runner("e2", None);
+    deployment.wait_for_version(empty, 1);
+    assert_eq!(deployment.standin.configuration_reads(), read);
+}
+
+#[test]
+fn a_sidecar_that_no_gateway_reaches_reads_the_configuration() {
+    let mut deployment = Deployment::start();
+    deployment.add_model_runner("e1", Some(1));
+    let empty = deployment.add_model_runner("e2", None);
+    deployment.wait_for_version(empty, 1);
+}
+
 #[test]
 fn weights_reach_an_empty_runner_and_a_named_version_every_runner() {
     let mut deployment = Deployment::start();
--- /dev/null
+++ b/examples/soak/checker.rs
@@ -0,0 +1,184 @@
+//! The promises, checked from what callers and runners saw and nothing else.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::history::{Harmed, History, Kind, Request, Run, Seen, Target};
+
+/// Events of a whole stream of the stand-in's engines.
+const EVENTS: u64 = 12;
+/// The workspace that holds the callers' key.
+const TENANT: &str = "t1";
+/// Within what time a runner that leaves gets nothing new.
+const DRAIN: Duration = Duration::from_millis(2000);
+/// How long a process must have been left alone to be held to a bound of time.
+const IN_TOUCH: Duration = Duration::from_millis(3500);
+/// How long a request may be under way when its connection is closed between two requests.
+const CROSSING: Duration = Duration::from_millis(200);
+/// How long a gateway goes on after it was told to stop.
+const GRACE: Duration = Duration::from_millis(8000);
+/// Within what time after the last fault every gateway serves again.
+const RECOVERY: Duration = Duration::from_millis(12_000);
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// The promise.
+    pub promise: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// Every broken promise of a run.
+pub fn check(history: &History) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for request in &history.requests {
+        let runs = history.runs.get(&request.id).map_or(&[][..], Vec::as_slice);
+        violations.extend(check_answer(request));
+        violations.extend(check_runs(request, runs));
+        violations.extend(check_promise_of_refusal(request, runs));
+        violations.extend(check_planned_stop(history, request, runs));
+        violations.extend(check_leaving(history, request, runs));
+    }
+    violations.extend(check_configuration(history));
+    violations.extend(check_recovery(history));
+    violations.extend(history.mixtures.iter().map(|runner| Violation {
+        promise: "no runner takes partial or mixed weights",
+        seen: runner.clone(),
+    }));
+    violations
+}
+
+fn broken(promise: &'static str, request: &Request, detail: &str) -> Violation {
+    let Request { id, kind, gateway, sent, seen, .. } = request;
+    let seen = format!("{id} {kind:?} at {gateway:?}, sent {sent:?}: {seen:?} {detail}");
+    Violation { promise, seen }
+}
+
+/// The body of a whole answer to a request.
+pub fn whole_body(kind: Kind, id: &str) -> String {
+    if kind == Kind::Stream {
+        return (1..=EVENTS).map(|it| format!("id: {it}\ndata: {id}/{it}\n\n")).collect();
+    }
+    format!("ledger {id}")
+}
+
+fn check_answer(request: &Request) -> Option<Violation> {
+    let Seen::Answer { status: 200, whole: true, body } = &request.seen else {
+        return None;
+    };
+    let right = body == &whole_body(request.kind, &request.id);
+    (!right).then(|| broken("a whole answer is the caller's own", request, ""))
+}
+
+fn check_runs(request: &Request, runs: &[Run]) -> Option<Violation> {
+    if request.kind == Kind::Unsafe && runs.len() > 1 {
+        return Some(broken("runs at most once", request, &format!("{runs:?}")));
+    }
+    let service = if request.kind == Kind::Stream { "assistant" } else { "ledger" };
+    for run in runs {
+        if run.service != service {
+            return Some(broken("runs where its route says", request, &run.service));
+        }
+        if run.saw_key || run.tenant.as_deref() != Some(TENANT) {
+            return Some(broken("the key stays, the workspace is named", request, ""));
+        }
+    }
+    None
+}
+
+fn check_promise_of_refusal(request: &Request, runs: &[Run]) -> Option<Violation> {
+    let Seen::Answer { status: 408 | 421 | 429 | 503, .. } = request.seen else {
+        return None;
+    };
+    let ran = request.kind == Kind::Unsafe && !runs.is_empty();
+    ran.then(|| broken("what is refused did not run", request, &format!("{runs:?}")))
+}
+
+fn check_planned_stop(history: &History, request: &Request, runs: &[Run]) -> Option<Violation> {
+    let cut = match &request.seen {
+        Seen::Lost => !runs.is_empty() || request.ended - request.sent > CROSSING,
+        Seen::Answer { whole, .. } => !whole,
+        Seen::NoConnection => false,
+    };
+    let gateway = request.gateway.0;
+    let stopping = history
+        .stops
+        .iter()
+        .any(|it| it.gateway == gateway && request.ended >= it.at && request.sent < it.at + GRACE);
+    let untouched = is_calm(history, request, |target| {
+        matches!(target, Target::Runner(_)) || target == Target::Gateway(gateway)
+    });
+    let broke = cut && stopping && untouched;
+    broke.then(|| broken("a planned stop cuts nothing", request, &format!("{runs:?}")))
+}
+
+fn check_leaving(history: &History, request: &Request, runs: &[Run]) -> Option<Violation> {
+    let gateway = request.gateway.0;
+    let untouched = is_calm(history, request, |target| {
+        target == Target::Gateway(gateway) || target == Target::Store
+    });
+    let after_leaving = |run: &&Run| {
+        history.leaving.iter().any(|it| {
+            let stays = it.until.is_some_and(|until| run.at >= until);
+            it.runner == run.runner && !stays && run.at > it.at + DRAIN && request.sent > it.at
+        })
+    };
+    let late = runs.iter().find(after_leaving).filter(|_| untouched)?;
+    Some(broken("a runner that leaves gets nothing new", request, &format!("{late:?}")))
+}
+
+/// Whether nothing was done to these targets from a while before a request until its end.
+fn is_calm(history: &History, request: &Request, concerns: impl Fn(Target) -> bool) -> bool {
+    let from = request.sent.saturating_sub(IN_TOUCH);
+    let overlaps =
+        |it: &&Harmed| concerns(it.target) && it.from <= request.ended && it.until >= from;
+    !history.harmed.iter().any(|it| overlaps(&it))
+}
+
+/// Within one life of a process, a configuration that was in force does not give way to an older one.
+fn check_configuration(history: &History) -> Vec<Violation> {
+    let mut newest: BTreeMap<(usize, u32), (u64, Duration)> = BTreeMap::new();
+    let mut probes: Vec<&Request> = history.requests.iter().collect();
+    probes.sort_by_key(|it| it.ended);
+    let mut violations = Vec::new();
+    for request in probes {
+        let Kind::Probe(version) = request.kind else {
+            continue;
+        };
+        let Seen::Answer { status: 200, .. } = request.seen else {
+            continue;
+        };
+        let (known, since) = newest.entry(request.gateway).or_default();
+        if version < *known && request.sent > *since {
+            violations.push(broken("a configuration does not go back", request, ""));
+        }
+        if version > *known {
+            (*known, *since) = (version, request.ended);
+        }
+    }
+    violations
+}
+
+/// Every gateway serves plain requests and streams again soon after the last fault.
+fn check_recovery(history: &History) -> Vec<Violation> {
+    let from = history.calm_from + RECOVERY;
+    let mut served: BTreeMap<(usize, &'static str), (u32, u32)> = BTreeMap::new();
+    for request in history.requests.iter().filter(|it| it.sent >= from) {
+        let what = match request.kind {
+            Kind::Stream => "streams",
+            Kind::Safe | Kind::Unsafe => "plain requests",
+            Kind::Probe(_) => continue,
+        };
+        let whole = matches!(request.seen, Seen::Answer { status: 200, whole: true, .. });
+        let (good, all) = served.entry((request.gateway.0, what)).or_default();
+        *good += u32::from(whole);
+        *all += 1;
+    }
+    let poor = served.into_iter().filter(|(_, (good, all))| good * 4 < *all);
+    let violation = |((gateway, what), (good, all))| Violation {
+        promise: "back in service soon after the last fault",
+        seen: format!("gateway {gateway}: {good} of {all} {what}"),
+    };
+    poor.map(violation).collect()
+}
--- /dev/null
+++ b/examples/soak/faults.rs
@@ -0,0 +1,149 @@
+//! What is done to the fleet and when: all of it follows from the seed.
+
+use std::time::Duration;
+
+use platform_standin::{RunnerFault, StoreFault};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::proxy::Harm;
+
+/// The pause between the beginnings of two faults, in milliseconds.
+const PAUSE: std::ops::Range<u64> = 150..1400;
+/// How long a fault lasts, in milliseconds.
+const SPAN: std::ops::Range<u64> = 300..4000;
+/// When the first fault begins, in milliseconds.
+const FIRST_AT: u64 = 3000;
+
+/// Every kind, by the names that the command line takes.
+pub const KINDS: &[&str] = &[
+    "kill",
+    "pause",
+    "stop",
+    "hup",
+    "store",
+    "store_link",
+    "runner_link",
+    "runner",
+    "restart",
+    "drain",
+    "configuration",
+    "version",
+    "spoil",
+];
+
+/// Something that is done.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// A process is killed and starts again after a while.
+    Kill(usize),
+    /// A process stands still for a while.
+    Pause(usize),
+    /// A process is told to stop and starts again once it has ended.
+    Stop(usize),
+    /// A process is told that its settings changed.
+    Hup(usize),
+    /// The store misbehaves for a while.
+    Store(StoreFault),
+    /// The store forgets its history.
+    Forget,
+    /// The way of one process to the store is harmed for a while.
+    StoreLink(usize, Harm),
+    /// The way to a runner is harmed for a while.
+    RunnerLink(usize, Harm),
+    /// A runner misbehaves for a while.
+    Runner(usize, RunnerFault),
+    /// A runner starts anew, empty and under another identity.
+    Restart(usize),
+    /// A runner says that it leaves, and that it stays after a while.
+    Drain(usize),
+    /// A new version of the configuration.
+    Configure,
+    /// A new version of the weights is named.
+    Version,
+    /// A chunk that lies at a runner turns bad.
+    Spoil(usize, u64),
+}
+
+/// A fault with its time.
+#[derive(Clone, Copy, Debug)]
+pub struct Planned {
+    /// When it begins, from the start of the run.
+    pub at: Duration,
+    /// How long it lasts, where that applies.
+    pub span: Duration,
+    /// What is done.
+    pub fault: Fault,
+}
+
+/// The sizes that a plan is made for.
+#[derive(Clone, Copy, Debug)]
+pub struct Sizes {
+    /// Gateways and sidecars.
+    pub processes: usize,
+    /// Model runners.
+    pub models: usize,
+    /// All runners.
+    pub runners: usize,
+}
+
+/// The faults of a run.
+pub fn plan(seed: u64, span: Duration, sizes: Sizes, kinds: &[&str]) -> Vec<Planned> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut planned = Vec::new();
+    let mut at = Duration::from_millis(FIRST_AT);
+    while at < span {
+        let kind = kinds[random.random_range(0..kinds.len())];
+        let fault = draw(&mut random, kind, sizes);
+        let span = Duration::from_millis(random.random_range(SPAN));
+        planned.push(Planned { at, span, fault });
+        at += Duration::from_millis(random.random_range(PAUSE));
+    }
+    planned
+}
+
+fn draw(random: &mut SmallRng, kind: &str, sizes: Sizes) -> Fault {
+    let process = random.random_range(0..sizes.processes);
+    let runner = random.random_range(0..sizes.runners);
+    let model = random.random_range(0..sizes.models);
+    match kind {
+        "kill" => Fault::Kill(process),
+        "pause" => Fault::Pause(process),
+        "stop" => Fault::Stop(process),
+        "hup" => Fault::Hup(process),
+        "store" => match random.random_range(0..4) {
+            0 => Fault::Store(StoreFault::Busy),
+            1 => Fault::Store(StoreFault::Silent),
+            2 => Fault::Store(StoreFault::Narrow),
+            _ => Fault::Forget,
+        },
+        "store_link" => Fault::StoreLink(process, harm(random)),
+        "runner_link" => Fault::RunnerLink(runner, harm(random)),
+        "runner" => Fault::Runner(runner, runner_fault(random)),
+        "restart" => Fault::Restart(model),
+        "drain" => Fault::Drain(runner),
+        "configuration" => Fault::Configure,
+        "version" => Fault::Version,
+        _ => Fault::Spoil(model, random.random_range(0..64)),
+    }
+}
+
+fn harm(random: &mut SmallRng) -> Harm {
+    match random.random_range(0..4) {
+        0 => Harm::Delay(random.random_range(20..400)),
+        1 => Harm::Silence,
+        2 => Harm::OneWay,
+        _ => Harm::Reset,
+    }
+}
+
+fn runner_fault(random: &mut SmallRng) -> RunnerFault {
+    match random.random_range(0..6) {
+        0 => RunnerFault::CutAfter(random.random_range(1..10)),
+        1 => RunnerFault::Full,
+        2 => RunnerFault::AnswerLost,
+        3 => RunnerFault::Hang,
+        4 => RunnerFault::Unframed,
+        _ => RunnerFault::Fail,
+    }
+}
--- /dev/null
+++ b/examples/soak/fleet.rs
@@ -0,0 +1,219 @@
+//! Gateways and sidecars as processes before a stand-in of the platform, each behind proxies.
+
+use std::fs::{self, File, OpenOptions};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use eyre::{ensure, WrapErr};
+use platform_standin::{Engine, Standin};
+use rustix::process::{kill_process, Pid, Signal};
+
+use crate::proxy::Proxy;
+
+/// Where proxies listen in front of runners.
+const RUNNER_PORT: u16 = 8001;
+/// Where runners listen.
+const ENGINE_PORT: u16 = 8101;
+/// Where gateways listen for callers.
+const CALLERS_PORT: u16 = 8005;
+/// Where gateways say whether they are ready.
+const READINESS_PORT: u16 = 8002;
+/// Plain runners.
+const PLAIN_RUNNERS: usize = 3;
+
+/// A process of silverdock with the way that it has to the store.
+pub struct Process {
+    machine: IpAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Child,
+    /// Which of its lives this is, counted from zero.
+    pub life: u32,
+    /// In front of the store.
+    pub store: Proxy,
+}
+
+/// A runner behind a proxy.
+pub struct Runner {
+    /// Where the stand-in serves it.
+    pub engine: SocketAddr,
+    /// In front of it.
+    pub proxy: Proxy,
+    /// How often it was restarted.
+    pub restarts: u32,
+    name: String,
+}
+
+impl Runner {
+    /// Its identity in its present life.
+    pub fn id(&self) -> String {
+        format!("{}-{}", self.name, self.restarts)
+    }
+}
+
+/// Everything that runs.
+pub struct Fleet {
+    /// The platform.
+    pub standin: Standin,
+    /// The gateways.
+    pub gateways: Vec<Process>,
+    /// The sidecars, each beside the model runner of the same index.
+    pub sidecars: Vec<Process>,
+    /// The model runners, then the plain ones.
+    pub runners: Vec<Runner>,
+    /// The folder of settings and logs.
+    pub folder: PathBuf,
+    program: PathBuf,
+    network: u8,
+    machines: u8,
+}
+
+impl Fleet {
+    /// Starts so many processes, one in three of them a gateway.
+    pub fn start(processes: usize, seed: u64) -> eyre::Result<Self> {
+        let program = program()?;
+        let folder =
+            std::env::temp_dir().join(format!("silverdock-soak-{}-{seed}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let standin = Standin::start();
+        standin.configure();
+        let network = (seed % 200) as u8 + 20;
+        let mut fleet = Self {
+            standin,
+            gateways: Vec::new(),
+            sidecars: Vec::new(),
+            runners: Vec::new(),
+            folder,
+            program,
+            network,
+            machines: 0,
+        };
+        let gateways = (processes / 3).max(2);
+        for number in 0..processes.saturating_sub(gateways).max(2) {
+            // Some runners start without weights.
+            let version = (number % 3 != 2).then_some(1);
+            let name = format!("e{number}");
+            let machine =
+                fleet.add_runner(&name, |id| Engine::model(id, "assistant", "a", version))?;
+            let runner = SocketAddr::new(machine, RUNNER_PORT);
+            let role = format!("[sidecar]\nrunner = {runner}\nservice = assistant\n");
+            let sidecar = fleet.spawn(machine, &role)?;
+            fleet.sidecars.push(sidecar);
+        }
+        for number in 0..PLAIN_RUNNERS {
+            fleet.add_runner(&format!("l{number}"), |id| Engine::plain(id, "ledger", "a"))?;
+        }
+        for _ in 0..gateways {
+            let machine = fleet.machine();
+            let role = format!(
+                "[gateway]\ncallers = {machine}:{CALLERS_PORT}\n\
+                 readiness = {machine}:{READINESS_PORT}\n"
+            );
+            let gateway = fleet.spawn(machine, &role)?;
+            fleet.gateways.push(gateway);
+        }
+        Ok(fleet)
+    }
+
+    /// Where callers reach a gateway.
+    pub fn callers_address(&self, gateway: usize) -> SocketAddr {
+        SocketAddr::new(self.gateways[gateway].machine, CALLERS_PORT)
+    }
+
+    fn machine(&mut self) -> IpAddr {
+        self.machines += 1;
+        Ipv4Addr::new(127, 78, self.network, self.machines).into()
+    }
+
+    fn add_runner(
+        &mut self,
+        name: &str,
+        engine: impl FnOnce(&str) -> Engine,
+    ) -> eyre::Result<IpAddr> {
+        let machine = self.machine();
+        let listed = SocketAddr::new(machine, RUNNER_PORT);
+        let mut engine = engine(&format!("{name}-0"));
+        engine.listed_at = Some(listed);
+        let address = SocketAddr::new(machine, ENGINE_PORT);
+        let proxy = Proxy::start(listed, address).wrap_err("a proxy cannot listen")?;
+        let engine = self.standin.add_runner(address, engine);
+        self.runners.push(Runner { engine, proxy, restarts: 0, name: name.into() });
+        Ok(machine)
+    }
+
+    fn spawn(&self, machine: IpAddr, role: &str) -> eyre::Result<Process> {
+        let loopback = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 0);
+        let store = Proxy::start(loopback, self.standin.store)?;
+        let address = store.address;
+        let settings = self.folder.join(format!("{machine}.ini"));
+        let text = format!(
+            "[node]\nname = m-{machine}\nregion = r\nhall = a\nhalls = a=r\naddress = {machine}\n\
+             first_port = 7700\nlast_port = 7715\nmemory_mb = 128\nlink_mbps = 100\n\
+             log_lines_per_s = 1000\n\n{role}\n\
+             [store]\naddress = {address}\nwrites_per_s = 100\nreads_per_s = 1000\n\n\
+             [bounds]\ngrace_s = 8\nversion_ms = 8000\nrepeat_ratio = 0.2\nrepeat_window_s = 10\n\
+             repeat_allowance = 200\n"
+        );
+        fs::write(&settings, text)?;
+        let log = self.folder.join(format!("{machine}.log"));
+        let child = start(&self.program, &settings, &log)?;
+        Ok(Process { machine, settings, log, child, life: 0, store })
+    }
+
+    /// Ends every process that runs.
+    pub fn stop(&mut self) {
+        for process in self.gateways.iter_mut().chain(&mut self.sidecars) {
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+    }
+
+    /// The program that processes run.
+    pub fn program(&self) -> &Path {
+        &self.program
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl Process {
+    /// Sends a signal to it, by its id.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(id) = Pid::from_raw(self.child.id() as i32) {
+            let _ = kill_process(id, signal);
+        }
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    /// Starts it anew after it has ended.
+    pub fn restart(&mut self, program: &Path) -> eyre::Result<()> {
+        let _ = self.child.wait();
+        self.child = start(program, &self.settings, &self.log)?;
+        self.life += 1;
+        Ok(())
+    }
+}
+
+fn start(program: &Path, settings: &Path, log: &Path) -> eyre::Result<Child> {
+    let log: File = OpenOptions::new().create(true).append(true).open(log)?;
+    let child = Command::new(program).arg(settings).stdin(Stdio::null()).stdout(log).spawn();
+    child.wrap_err_with(|| format!("{} cannot be started", program.display()))
+}
+
+/// The daemon, built beside this example.
+fn program() -> eyre::Result<PathBuf> {
+    let example = std::env::current_exe()?;
+    let build = example.parent().and_then(Path::parent).unwrap_or(Path::new("."));
+    let program = build.join("silverdockd");
+    ensure!(program.exists(), "build the daemon first: cargo build --release -p silverdockd");
+    Ok(program)
+}
--- /dev/null
+++ b/examples/soak/history.rs
@@ -0,0 +1,131 @@
+//! What happened in a run: what callers saw, what runners ran, and what was done to whom.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A moment of the run, from its start.
+pub type Moment = Duration;
+
+/// What a request was for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A stream that may be resumed.
+    Stream,
+    /// A plain request that may be repeated.
+    Safe,
+    /// A plain request that may not.
+    Unsafe,
+    /// A request on the route that one version of the configuration added and the next one drops.
+    Probe(u64),
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// No connection came up, so nothing was sent.
+    NoConnection,
+    /// The connection ended, or nothing came any more, before the head of an answer.
+    Lost,
+    /// An answer.
+    Answer {
+        /// Its status.
+        status: u16,
+        /// Whether its body came whole.
+        whole: bool,
+        /// Its body.
+        body: String,
+    },
+}
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its id.
+    pub id: String,
+    /// What it was for.
+    pub kind: Kind,
+    /// The gateway, and which of its processes, counted from zero.
+    pub gateway: (usize, u32),
+    /// When it was sent and when it had ended.
+    pub sent: Moment,
+    /// When it had ended.
+    pub ended: Moment,
+    /// What the caller got.
+    pub seen: Seen,
+}
+
+/// One run of a request at a runner.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The runner.
+    pub runner: String,
+    /// Its service.
+    pub service: String,
+    /// Whose request it was told to be.
+    pub tenant: Option<String>,
+    /// Whether it was given the caller's key.
+    pub saw_key: bool,
+    /// When it began.
+    pub at: Moment,
+}
+
+/// Whom something was done to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Target {
+    /// A gateway's process, or its way to the store.
+    Gateway(usize),
+    /// A runner, its sidecar or the way to them.
+    Runner(usize),
+    /// The store.
+    Store,
+}
+
+/// Something that was done.
+#[derive(Clone, Debug)]
+pub struct Harmed {
+    /// Whom.
+    pub target: Target,
+    /// From when.
+    pub from: Moment,
+    /// Until when.
+    pub until: Moment,
+}
+
+/// A planned stop of a gateway's process.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    /// The gateway.
+    pub gateway: usize,
+    /// When it was told to stop.
+    pub at: Moment,
+}
+
+/// A runner said that it leaves.
+#[derive(Clone, Debug)]
+pub struct Leaving {
+    /// The runner, by its incarnation.
+    pub runner: String,
+    /// When the store took that in.
+    pub at: Moment,
+    /// When it said that it stays, if it did.
+    pub until: Option<Moment>,
+}
+
+/// Everything.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// Requests, in the order in which they ended.
+    pub requests: Vec<Request>,
+    /// Runs by request.
+    pub runs: BTreeMap<String, Vec<Run>>,
+    /// What was done to whom.
+    pub harmed: Vec<Harmed>,
+    /// Planned stops.
+    pub stops: Vec<Stop>,
+    /// Runners that left.
+    pub leaving: Vec<Leaving>,
+    /// Runners that took weights which were not whole or of one version.
+    pub mixtures: Vec<String>,
+    /// When the last fault had ended.
+    pub calm_from: Moment,
+}
