One prompt at a time at a runner that rested; a version that left the origin is finished first

A runner that had rested was given two prompts at once (2,500 tokens of credit), which made each other late. Tests that failed first: a version that the fleet holds together; one that stands still gives way.

--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -33,8 +33,11 @@
 
 /// How long a feed of the store waits for a change.
 const FEED_WAIT: Duration = Duration::from_millis(1500);
-/// The shortest time between two feeds.
-const FEED_SPACING: Duration = Duration::from_millis(60);
+/// The shortest time between two feeds of what operators write.
+const OPERATOR_SPACING: Duration = Duration::from_millis(60);
+/// The shortest time between two feeds of the runners. While a fleet is reshaped some entry changes all
+/// the time, and each call has its price.
+const RUNNERS_SPACING: Duration = Duration::from_millis(300);
 /// How often the reducer is told of the time.
 const TICK: Duration = Duration::from_millis(15);
 /// How often sidecars are asked for reports and told what operators wrote, unless that changes.
@@ -189,8 +192,8 @@
         store: settings.store.address,
         table,
         wait: Some(FEED_WAIT),
-        first_spacing: FEED_SPACING,
-        spacing: FEED_SPACING,
+        first_spacing: OPERATOR_SPACING,
+        spacing: if table == Table::Runners { RUNNERS_SPACING } else { OPERATOR_SPACING },
     };
     let core = core.clone();
     spawner.detach(watch(options, move |seen| match seen {
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -29,7 +29,7 @@
 
 /// How often the named versions are listed. Gateways tell of them much sooner; this is for a sidecar that
 /// no gateway reaches.
-const VERSIONS_SPACING: Duration = Duration::from_millis(6000);
+const VERSIONS_SPACING: Duration = Duration::from_millis(9000);
 /// How long gateways have to tell of the weights before the configuration itself is read. It may be
 /// large, and the machine's link is narrow.
 const PLAN_PATIENCE: Duration = Duration::from_millis(4000);
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -8,7 +8,7 @@
 use crate::runner::{Runner, RunnerState};
 
 /// What another hall costs in the comparison, in places of a runner.
-const FAR_PENALTY: f64 = 1.0;
+const FAR_PENALTY: f64 = 2.0;
 /// What the lack of a fresh report costs, in places of a runner.
 const SILENCE_PENALTY: f64 = 4.0;
 
--- a/components/reducer/src/spread/version/mod.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -256,6 +256,11 @@
         &self.have
     }
 
+    /// How long the origin takes to send every chunk once, in milliseconds.
+    pub fn origin_copy_ms(&self) -> u64 {
+        (self.gate_options.chunk_ms * f64::from(self.manifest.chunks())) as u64
+    }
+
     /// Takes in chunks that are here already, verified.
     pub fn adopt(&mut self, found: &Bitmap) {
         if !found.is_well_formed(self.manifest.chunks()) {
--- a/components/rollout/src/places.rs
+++ b/components/rollout/src/places.rs
@@ -12,8 +12,9 @@
 const TRANSIT: u64 = 12;
 /// The part of the runner's time that it may read prompts.
 const READING_SHARE: f64 = 0.9;
-/// The most prompt tokens that are saved up: about two prompts.
-const MAX_CREDIT: f64 = 2500.0;
+/// The most prompt tokens that are saved up. A runner that rested takes one prompt and then the next one
+/// after it: two at once would make each other late.
+const MAX_CREDIT: f64 = 400.0;
 /// The least rate of reading that is reckoned with, in tokens a millisecond.
 const MIN_RATE: f64 = 0.1;
 /// The shortest time after which to ask again, in milliseconds.
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -33,6 +33,8 @@
 /// How long before an order gateways hear of it, in milliseconds.
 const NOTICE: u64 = 120;
 
+/// How long a version is still drawn after a newer one was named, in milliseconds.
+const FINISH_PATIENCE: u64 = 3000;
 /// How long after its start a sidecar expects others that started with it to appear, in milliseconds.
 const SETTLING: u64 = 15_000;
 /// How close two orders may be so that nobody can tell which was the last, in milliseconds.
@@ -249,7 +251,7 @@
             return;
         }
         let target = Target::new(version, at);
-        let under_way = self.current.as_ref().is_some_and(Target::is_worth_finishing);
+        let under_way = self.current.as_ref().is_some_and(|it| it.is_worth_finishing(at));
         if under_way {
             self.next = Some(target);
         } else {
@@ -353,13 +355,14 @@
         }
         self.follow_name();
         let mut effects = Vec::new();
+        self.give_way(now);
         // The chunks of one version at a time: they share the link.
         let drawing = self.current.as_ref().is_some_and(|it| it.step == Step::Drawing);
         for target in self.current.iter_mut() {
-            effects.extend(target.exchange(now));
+            effects.extend(target.exchange(now, false));
         }
-        for target in self.next.iter_mut().filter(|_| !drawing) {
-            effects.extend(target.exchange(now));
+        for target in self.next.iter_mut() {
+            effects.extend(target.exchange(now, drawing));
         }
         self.finish_drawing(now);
         let known_for = now.since(self.peers_since).0;
@@ -379,6 +382,16 @@
         effects
     }
 
+    /// Turns to the newer version when the one before it does not come.
+    fn give_way(&mut self, now: Millis) {
+        let drawing = self.current.as_ref().is_some_and(|it| it.step == Step::Drawing);
+        let waited =
+            self.next.as_ref().is_some_and(|it| now.since(it.named_at).0 > FINISH_PATIENCE);
+        if drawing && waited {
+            self.current = self.next.take();
+        }
+    }
+
     /// Goes on with a version once every chunk is here.
     fn finish_drawing(&mut self, now: Millis) {
         if self.next.as_ref().is_some_and(Target::is_whole) && self.is_runner_free() {
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -37,6 +37,8 @@
 }
 /// Chunks of one index with a wrong digest after which the manifest itself is doubted.
 const DOUBTS: u32 = 3;
+/// The part of a copy that must have left the origin for a version to be finished.
+const MOST_OF_A_COPY: f64 = 0.8;
 /// How long to wait at least after a manifest did not arrive, in milliseconds.
 const DESCRIBE_PAUSE: u64 = 80;
 /// How much longer some sidecars wait than others, in milliseconds.
@@ -110,11 +112,16 @@
         self.spread.as_ref().is_some_and(|it| it.phase() == SpreadPhase::Whole)
     }
 
-    /// Whether it is so far that it should be taken although a newer version is named.
-    pub(crate) fn is_worth_finishing(&self) -> bool {
+    /// Whether it is so far that it should be taken although a newer version was named at `newer_at`: half
+    /// of its chunks are here, or most have left the origin. All sidecars decide the latter alike.
+    pub(crate) fn is_worth_finishing(&self, newer_at: Millis) -> bool {
         match self.step {
             Step::Waiting(_) | Step::Staging | Step::Ordered(..) => true,
-            Step::Drawing => self.have().is_some_and(|it| 2 * it.count() >= it.capacity()),
+            Step::Drawing => self.spread.as_ref().is_some_and(|spread| {
+                let head_start = newer_at.since(self.named_at).0 as f64;
+                let left_origin = head_start >= spread.origin_copy_ms() as f64 * MOST_OF_A_COPY;
+                2 * spread.have().count() >= spread.have().capacity() || left_origin
+            }),
             Step::Describing { .. } | Step::Finding | Step::Served => false,
         }
     }
@@ -259,14 +266,16 @@
         wanting.map(|it| (it.id.clone(), it.place.hall.clone())).collect()
     }
 
-    /// Draws and summaries that are due.
-    pub(crate) fn exchange(&mut self, now: Millis) -> Vec<Effect> {
+    /// Draws and summaries that are due. While another version comes, this one draws only the chunks that
+    /// it owes the others, for the origin may go out.
+    pub(crate) fn exchange(&mut self, now: Millis, other_comes: bool) -> Vec<Effect> {
         let version = self.version;
         let Some(spread) = &mut self.spread else {
             return Vec::new();
         };
         let mut effects = Vec::new();
         match self.step {
+            Step::Drawing if other_comes => effects.extend(spread.draw_own(now)),
             Step::Drawing => {
                 let narrow = spread.usual_chunk_ms() > NARROW_CHUNK_MS;
                 let window = if narrow { 1 } else { self.pace.window };
--- a/components/rollout/tests/fleet.rs
+++ b/components/rollout/tests/fleet.rs
@@ -45,6 +45,10 @@
     /// The origin is out until then.
     origin_out_until: u64,
     draws: u64,
+    /// How long a chunk takes.
+    chunk_ms: u64,
+    /// No chunk of this version arrives any more.
+    stalls: Option<u64>,
     summaries: u64,
     /// Manifests asked of the origin.
     origin_manifests: u32,
@@ -111,6 +115,8 @@
             loses,
             origin_out_until: 0,
             draws: 0,
+            chunk_ms: 45,
+            stalls: None,
             summaries: 0,
             origin_manifests: 0,
         };
@@ -241,14 +247,14 @@
         if source == DrawSource::Origin && !out {
             self.origin_chunks += 1;
         }
-        let lost = lost || out;
+        let lost = lost || out || self.stalls == Some(version);
         let event = if lost || !holds {
             let code = if lost { Code::PeerStalled } else { Code::ChunkMissing };
             Event::Missed { version, index: chunk, source, code }
         } else {
             Event::Arrived { version, index: chunk, source, verified: true }
         };
-        self.after(45, index, event);
+        self.after(self.chunk_ms, index, event);
     }
 
     fn run(&mut self, span: u64) {
@@ -326,6 +332,41 @@
     assert_eq!(fleet.versions(), BTreeMap::from([(Some(3), 20)]));
 }
 
+/// Found on a day on which the origin went out half a second after a second version was named: the first
+/// one was given up although every chunk of it was somewhere, and for three seconds nothing was served.
+#[test]
+fn a_version_that_the_fleet_holds_together_is_finished_before_a_newer_one() {
+    let mut fleet = Fleet::new(40, Some(1), 0);
+    // As over the narrow links of that day: less than half of the chunks are everywhere by then.
+    fleet.chunk_ms = 140;
+    fleet.run(3000);
+    fleet.name(2);
+    fleet.run(1650);
+    fleet.name(3);
+    fleet.run(500);
+    fleet.origin_out_until = fleet.now + 6000;
+    fleet.run(VERSION_MS - 2150);
+    let old = fleet.versions().get(&Some(1)).copied().unwrap_or(0);
+    assert!(old <= 4, "{old} of 40 runners still serve version 1");
+    fleet.run(7000);
+    assert_eq!(fleet.versions(), BTreeMap::from([(Some(3), 40)]));
+}
+
+/// The other way round: a version that cannot be finished does not hold up the newer one.
+#[test]
+fn a_version_that_stands_still_gives_way_to_a_newer_one() {
+    let mut fleet = Fleet::new(20, Some(1), 0);
+    fleet.run(3000);
+    fleet.name(2);
+    fleet.run(1800);
+    // Nothing more of any version comes until the newer one has been named for a while.
+    fleet.stalls = Some(2);
+    fleet.name(3);
+    fleet.run(VERSION_MS);
+    let late = fleet.versions();
+    assert!(late.get(&Some(3)).copied().unwrap_or(0) >= 18, "{late:?}");
+}
+
 /// Found on a day on which the origin was out when a version was named: by the time it was back every
 /// sidecar was past its turn, and all of them drew every chunk.
 #[test]
--- a/examples/soak/args.rs
+++ b/examples/soak/args.rs
@@ -27,6 +27,9 @@
     /// the folder that logs of seeds with a broken promise are kept in
     #[argh(option, default = "String::from(\"target/soak\")")]
     pub keep: String,
+    /// the daemon to run; the one built beside this example where nothing is said
+    #[argh(option)]
+    pub program: Option<std::path::PathBuf>,
     /// print JSON lines
     #[argh(switch)]
     pub json: bool,
--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -70,9 +70,9 @@
 }
 
 impl Fleet {
-    /// Starts so many processes, one in three of them a gateway.
-    pub fn start(processes: usize, seed: u64) -> eyre::Result<Self> {
-        let program = program()?;
+    /// Starts so many processes of a program, one in three of them a gateway.
+    pub fn start(processes: usize, seed: u64, program: Option<PathBuf>) -> eyre::Result<Self> {
+        let program = program.map_or_else(built_beside, Ok)?;
         let folder =
             std::env::temp_dir().join(format!("silverdock-soak-{}-{seed}", std::process::id()));
         fs::create_dir_all(&folder)?;
@@ -210,7 +210,7 @@
 }
 
 /// The daemon, built beside this example.
-fn program() -> eyre::Result<PathBuf> {
+fn built_beside() -> eyre::Result<PathBuf> {
     let example = std::env::current_exe()?;
     let build = example.parent().and_then(Path::parent).unwrap_or(Path::new("."));
     let program = build.join("silverdockd");
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -80,7 +80,7 @@
 
 /// Plays a run and checks it.
 pub fn run(args: &Args, seed: u64) -> eyre::Result<Report> {
-    let mut fleet = Fleet::start(args.processes, seed)?;
+    let mut fleet = Fleet::start(args.processes, seed, args.program.clone())?;
     thread::sleep(WARM_UP);
     let sizes = Sizes {
         processes: fleet.gateways.len() + fleet.sidecars.len(),
--- /dev/null
+++ b/tests/soak_checker.rs
@@ -0,0 +1,166 @@
+//! The checker of the soak catches every broken promise, and nothing else.
+
+#[path = "../examples/soak/checker.rs"]
+mod checker;
+#[path = "../examples/soak/history.rs"]
+mod history;
+
+use std::time::Duration;
+
+use checker::{check, whole_body};
+use history::*;
+
+fn at(millis: u64) -> Moment {
+    Duration::from_millis(millis)
+}
+
+fn answer(status: u16, body: &str) -> Seen {
+    Seen::Answer { status, whole: true, body: body.into() }
+}
+
+fn request(id: &str, kind: Kind, seen: Seen) -> Request {
+    let (sent, ended) = (at(10_000), at(10_050));
+    Request { id: id.into(), kind, gateway: (0, 0), sent, ended, seen }
+}
+
+fn run_at(runner: &str, millis: u64) -> Run {
+    Run {
+        runner: runner.into(),
+        service: "ledger".into(),
+        tenant: Some("t1".into()),
+        saw_key: false,
+        at: at(millis),
+    }
+}
+
+/// A history of one request with its runs.
+fn history(request: Request, runs: Vec<Run>) -> History {
+    let mut history = History { calm_from: at(100_000), ..History::default() };
+    history.runs.insert(request.id.clone(), runs);
+    history.requests.push(request);
+    history
+}
+
+/// The promise that a history breaks, if it breaks just one.
+fn broken(history: &History) -> Option<&'static str> {
+    let violations = check(history);
+    assert!(violations.len() <= 1, "{violations:?}");
+    violations.first().map(|it| it.promise)
+}
+
+#[test]
+fn a_calm_request_breaks_nothing() {
+    let safe = request("a", Kind::Safe, answer(200, "ledger a"));
+    assert_eq!(broken(&history(safe, vec![run_at("l1", 10_010)])), None);
+    let body = whole_body(Kind::Stream, "b");
+    let stream = request("b", Kind::Stream, answer(200, &body));
+    let run = Run { service: "assistant".into(), ..run_at("e1", 10_010) };
+    assert_eq!(broken(&history(stream, vec![run])), None);
+}
+
+#[test]
+fn the_answer_to_another_request_is_caught() {
+    let mixed = request("a", Kind::Safe, answer(200, "ledger b"));
+    assert_eq!(broken(&history(mixed, vec![])), Some("a whole answer is the caller's own"));
+}
+
+#[test]
+fn a_stream_with_a_gap_that_looks_whole_is_caught() {
+    let body = whole_body(Kind::Stream, "a").replace("id: 5\ndata: a/5\n\n", "");
+    let stream = request("a", Kind::Stream, answer(200, &body));
+    assert_eq!(broken(&history(stream, vec![])), Some("a whole answer is the caller's own"));
+}
+
+#[test]
+fn a_second_run_of_what_may_not_be_repeated_is_caught() {
+    let twice = request("a", Kind::Unsafe, Seen::Lost);
+    let runs = vec![run_at("l1", 10_010), run_at("l2", 10_030)];
+    assert_eq!(broken(&history(twice, runs)), Some("runs at most once"));
+}
+
+#[test]
+fn a_refusal_of_what_ran_is_caught() {
+    let refused = request("a", Kind::Unsafe, answer(503, ""));
+    let history = history(refused, vec![run_at("l1", 10_010)]);
+    assert_eq!(broken(&history), Some("what is refused did not run"));
+}
+
+#[test]
+fn another_service_or_workspace_and_a_key_that_leaks_are_caught() {
+    let elsewhere = Run { service: "assistant".into(), ..run_at("e1", 10_010) };
+    let safe = || request("a", Kind::Safe, answer(200, "ledger a"));
+    let promise = broken(&history(safe(), vec![elsewhere]));
+    assert_eq!(promise, Some("runs where its route says"));
+    for run in [
+        Run { saw_key: true, ..run_at("l1", 10_010) },
+        Run { tenant: Some("t2".into()), ..run_at("l1", 10_010) },
+        Run { tenant: None, ..run_at("l1", 10_010) },
+    ] {
+        let promise = broken(&history(safe(), vec![run]));
+        assert_eq!(promise, Some("the key stays, the workspace is named"));
+    }
+}
+
+#[test]
+fn a_request_that_a_planned_stop_cut_is_caught_unless_something_else_was_done() {
+    let cut = Request { ended: at(10_400), ..request("a", Kind::Safe, Seen::Lost) };
+    let mut history = history(cut, vec![run_at("l1", 10_010)]);
+    assert_eq!(broken(&history), None, "nobody stopped the gateway");
+    history.stops.push(Stop { gateway: 0, at: at(9_000) });
+    assert_eq!(broken(&history), Some("a planned stop cuts nothing"));
+    let target = Target::Runner(1);
+    history.harmed.push(Harmed { target, from: at(8_000), until: at(9_500) });
+    assert_eq!(broken(&history), None, "a runner was harmed shortly before");
+}
+
+#[test]
+fn a_request_that_crosses_the_close_of_its_connection_is_not_cut() {
+    let crossing = request("a", Kind::Safe, Seen::Lost);
+    let mut history = history(crossing, vec![]);
+    history.stops.push(Stop { gateway: 0, at: at(9_000) });
+    assert_eq!(broken(&history), None);
+}
+
+#[test]
+fn new_work_at_a_runner_that_left_is_caught_after_its_bound() {
+    let safe = request("a", Kind::Safe, answer(200, "ledger a"));
+    let mut history = history(safe, vec![run_at("l1", 10_010)]);
+    history.leaving.push(Leaving { runner: "l1".into(), at: at(9_000), until: None });
+    assert_eq!(broken(&history), None, "the bound has not passed");
+    history.leaving[0].at = at(7_000);
+    assert_eq!(broken(&history), Some("a runner that leaves gets nothing new"));
+    history.leaving[0].until = Some(at(10_000));
+    assert_eq!(broken(&history), None, "it stays again");
+}
+
+#[test]
+fn a_configuration_that_goes_back_within_one_life_is_caught() {
+    let probe = |id: &str, version, life, sent: u64| Request {
+        gateway: (0, life),
+        sent: at(sent),
+        ended: at(sent + 20),
+        ..request(id, Kind::Probe(version), answer(200, &format!("ledger {id}")))
+    };
+    let mut history = history(probe("a", 2, 0, 10_000), vec![]);
+    history.requests.push(probe("b", 1, 1, 11_000));
+    assert_eq!(broken(&history), None, "another life may know less");
+    history.requests.push(probe("c", 1, 0, 12_000));
+    assert_eq!(broken(&history), Some("a configuration does not go back"));
+}
+
+#[test]
+fn weights_that_are_mixed_are_caught() {
+    let safe = request("a", Kind::Safe, answer(200, "ledger a"));
+    let mut history = history(safe, vec![]);
+    history.mixtures.push("e1".into());
+    assert_eq!(broken(&history), Some("no runner takes partial or mixed weights"));
+}
+
+#[test]
+fn a_gateway_that_does_not_come_back_is_caught() {
+    let refused = request("a", Kind::Safe, answer(503, ""));
+    let mut history = history(refused, vec![]);
+    history.calm_from = Duration::ZERO;
+    history.requests[0].sent = at(13_000);
+    assert_eq!(broken(&history), Some("back in service soon after the last fault"));
+}
