Origin that is out: connections come up within 0.7 s or not; ordinary successes are one line again

A draw from an origin that says nothing waited up to 3.7 s for its connection, and the pause after it grew to 2 s. Now a connection comes up within 0.7 s, an origin may be silent for 1.4 s in a draw, and the pause is one second at most. Also: a question for a place that found none made the whole account of a request that ended well be written; such requests are one sampled line again.

--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -14,9 +14,6 @@
 
 /// One in so many ordinary successes is written.
 const SAMPLE: u64 = 16;
-/// Decisions on a request that ended well at the first runner: routed, chosen, answered.
-const ORDINARY: usize = 3;
-
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -47,6 +44,12 @@
     }
 }
 
+/// Whether a decision is one of those that are made on a request which ends well: a question for a place
+/// that finds none is asked elsewhere.
+fn is_ordinary(entry: &Entry) -> bool {
+    !matches!(entry.decision, Decision::Failed { .. } | Decision::Resumed { .. })
+}
+
 /// The decisions on one request.
 pub struct Trace {
     core: Core,
@@ -143,7 +146,7 @@
         if let Some(code) = code {
             self.core.metrics.count_refusal(code);
         }
-        let ordinary = ending == Ending::Whole && self.entries.borrow().len() <= ORDINARY;
+        let ordinary = ending == Ending::Whole && self.entries.borrow().iter().all(is_ordinary);
         if ordinary && !self.is_sampled() {
             return;
         }
--- a/components/edge/src/link.rs
+++ b/components/edge/src/link.rs
@@ -35,6 +35,9 @@
     }
 }
 
+/// How long a connection may take to come up. A server that is out says nothing, and what waits for it
+/// longer is still waiting when it is back.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long a resting connection is kept.
 const KEPT_FOR: Duration = Duration::from_millis(1000);
 
@@ -109,7 +112,7 @@
 ) -> Result<(Exchange, Response<Incoming>)> {
     let mut exchange = match kept {
         Some(exchange) => exchange,
-        None => Exchange::open(address, timeout).await?,
+        None => Exchange::open(address, timeout.min(CONNECT_TIMEOUT)).await?,
     };
     let answer = exchange.send(request(address, call)?).await?;
     Ok((exchange, answer))
--- a/components/edge/src/sidecar/draws.rs
+++ b/components/edge/src/sidecar/draws.rs
@@ -18,6 +18,9 @@
 
 /// How long a manifest may take to arrive.
 const MANIFEST_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long the origin may be silent in a draw. With all the connections that it takes a chunk comes
+/// in a little more than a second.
+const ORIGIN_PAUSE: Duration = Duration::from_millis(1400);
 /// How long another sidecar may take to send a manifest.
 const PEER_MANIFEST_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long a connection to another sidecar may take to come up.
@@ -104,7 +107,8 @@
     let call = weights::chunk(&model, version, index);
     let kept = core.origin_links.borrow_mut().pop().filter(|it| it.address() == origin);
     let mut link = kept.unwrap_or_else(|| Link::new(origin));
-    let answer = link.call(call, timeout).await?;
+    let begin = timeout.min(ORIGIN_PAUSE);
+    let answer = link.call_patiently(call, begin, begin).await?;
     core.origin_links.borrow_mut().push(link);
     answer.success().map(Bytes::from)
 }
--- a/components/reducer/src/spread/version/mod.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -20,7 +20,7 @@
 /// How long to leave the origin alone after it failed, in milliseconds.
 const ORIGIN_PAUSE: u64 = 500;
 /// How often that time is doubled at most: an origin that takes few connections refuses the rest.
-const MOST_ORIGIN_DOUBLINGS: u32 = 2;
+const MOST_ORIGIN_DOUBLINGS: u32 = 1;
 /// Draws from the origin that fail in a row before it is taken for out.
 const ORIGIN_OUT: u32 = 4;
 /// How long holders have to say what they hold before the origin is asked, in milliseconds.
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -121,6 +121,14 @@
     assert_eq!(broken(&history), None);
 }
 
+#[test]
+fn a_caller_that_got_no_connection_was_not_cut() {
+    let refused = request("a", Kind::Safe, Seen::NoConnection);
+    let mut history = history(refused, vec![]);
+    history.stops.push(Stop { gateway: 0, at: at(9_000) });
+    assert_eq!(broken(&history), None);
+}
+
 #[test]
 fn new_work_at_a_runner_that_left_is_caught_after_its_bound() {
     let safe = request("a", Kind::Safe, answer(200, "ledger a"));
@@ -129,6 +137,11 @@
     assert_eq!(broken(&history), None, "the bound has not passed");
     history.leaving[0].at = at(7_000);
     assert_eq!(broken(&history), Some("a runner that leaves gets nothing new"));
+    for target in [Target::Gateway(0), Target::Store] {
+        history.harmed.push(Harmed { target, from: at(8_000), until: at(9_500) });
+        assert_eq!(broken(&history), None, "{target:?} was harmed shortly before");
+        history.harmed.clear();
+    }
     history.leaving[0].until = Some(at(10_000));
     assert_eq!(broken(&history), None, "it stays again");
 }
