Routing: a request whose runner cannot be reached goes to another one after its wait

So a request whose connection did not come up within 250 ms was refused although another runner was free, plain services among them. The rule now asks whether the last answer was that there is no place. Test that failed first: a_request_whose_runner_cannot_be_reached_goes_to_another_after_its_wait.

--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -56,6 +56,8 @@
     may_have_run: bool,
     /// Until when it may wait for a place.
     wait_until: Millis,
+    /// Whether the last runner that was chosen for it had no place.
+    was_denied: bool,
     /// How often some runner was chosen for it.
     asked: u32,
     /// Why it was sent again or refused, if it was.
@@ -151,6 +153,7 @@
             tried: Vec::new(),
             current: None,
             sent_at: now,
+            was_denied: false,
             asked: 0,
             answered: false,
             may_have_run: false,
@@ -190,6 +193,7 @@
         let waited = now.since(progress.sent_at);
         let answered = std::mem::take(&mut progress.answered);
         progress.may_have_run |= !outcome.is_not_run();
+        progress.was_denied = matches!(outcome, AttemptOutcome::Denied { .. });
         progress.reason = outcome.code();
         if outcome == AttemptOutcome::Lost && !answered {
             self.note_wait(now, &id, waited);
@@ -315,7 +319,7 @@
                 self.queue.remove(&place);
                 continue;
             };
-            if progress.asked > 0 && now >= progress.wait_until {
+            if progress.was_denied && now >= progress.wait_until {
                 // It has waited its time at a runner: another question would only make it later.
                 self.queue.remove(&place);
                 effects.extend(self.finish_without_answer(now, random, place.key));
--- a/components/gateway/tests/retries.rs
+++ b/components/gateway/tests/retries.rs
@@ -107,3 +107,31 @@
     let step = bed.step(5, Event::Gone(RequestKey(1)));
     assert_eq!(sent_to(step), "r1".into());
 }
+
+/// Found by reading: a rule meant for requests that had waited at a sidecar also refused those whose
+/// runner could not be reached, although another one was free.
+#[test]
+fn a_request_whose_runner_cannot_be_reached_goes_to_another_after_its_wait() {
+    for service in [PLAIN_SERVICE, MODEL_SERVICE] {
+        let mut bed = Bed::new();
+        bed.list("r1", service, 1);
+        bed.list("r2", service, 2);
+        let kind = RouteKind::Stream { resumable: true };
+        let first = sent_to(bed.arrive(arrival(1, service, kind)));
+        bed.now += 260;
+        let second = sent_to(bed.outcome(1, AttemptOutcome::NotSent));
+        assert_ne!(first, second, "{service}");
+    }
+}
+
+#[test]
+fn a_request_that_waited_at_a_sidecar_asks_no_other_after_its_wait() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    bed.list("r2", MODEL_SERVICE, 2);
+    let kind = RouteKind::Stream { resumable: true };
+    sent_to(bed.arrive(arrival(1, MODEL_SERVICE, kind)));
+    bed.now += 120;
+    let step = bed.outcome(1, AttemptOutcome::Denied { again_ms: 60 });
+    assert!(matches!(step, Some(NextStep::Refuse { .. })), "{step:?}");
+}
