Sidecars that start again ask whether they gave the last order

Change: sidecars remember who gave the last order that they heard of, and one that starts asks them. If all have started anew nobody knows, and it is taken for not so: to refuse everywhere until the first order would cost seconds of service. Test: a_sidecar_that_starts_again_learns_that_it_gave_the_last_order (the event is new with it).

--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -271,6 +271,8 @@
                 }
                 Datagram::Subscribe { .. }
                 | Datagram::Ordered
+                | Datagram::WhoOrdered
+                | Datagram::YouOrderedLast
                 | Datagram::Reserve { .. }
                 | Datagram::Summary { .. } => {}
             }
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -56,6 +56,10 @@
     },
     /// The sender has just given its runner an order.
     Ordered,
+    /// A sidecar that has just started asks who gave the last order.
+    WhoOrdered,
+    /// The receiver gave the last order that the sender knows of.
+    YouOrderedLast,
     /// The sender holds these chunks of a version.
     Summary {
         /// Who.
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -1,6 +1,6 @@
 //! The reducer of a sidecar with the chunks that it holds.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -59,6 +59,8 @@
     pub clock: Clock,
     /// Counters.
     pub metrics: Rc<Metrics>,
+    /// The sidecar that gave the last order that was heard of.
+    pub last_giver: Rc<Cell<Option<SocketAddr>>>,
     /// Told when a question begins to wait for a place.
     pub look: Receiver<()>,
     wake: Sender<()>,
@@ -79,6 +81,7 @@
         Self {
             look,
             wake,
+            last_giver: Rc::default(),
             me: options.me.clone(),
             place: options.place.clone(),
             rollout: Rc::new(RefCell::new(Rollout::new(options))),
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -84,10 +84,11 @@
         spawner.detach(peers::listen(core.clone(), news.clone()));
         spawner.detach(runner::work(core.clone(), work));
         spawner.detach(runner::report(core.clone(), news.clone()));
-        spawner.detach(perform(spawner.clone(), core.clone(), to_do, jobs, news));
+        spawner.detach(perform(spawner.clone(), core.clone(), to_do, jobs, news.clone()));
         spawner.detach(follow_versions(core.clone(), settings.store.address));
         spawner.detach(find_plan(core.clone(), settings.store.address));
         spawner.detach(follow_runners(core.clone(), settings));
+        spawner.detach(ask_who_ordered(core.clone(), news.clone()));
         let (open, stopping) = async_channel::bounded(1);
         serve_page(spawner, settings, &core, stopping).await?;
         spawner.detach(tick(core));
@@ -141,6 +142,18 @@
     }
 }
 
+/// Asks the other sidecars, as soon as they are known, whether this machine gave the last order of all: a
+/// process that starts has forgotten that.
+async fn ask_who_ordered(core: Core, news: News) {
+    while core.rollout.borrow().peer_addresses().is_empty() {
+        Timer::after(TICK).await;
+    }
+    let peers = core.rollout.borrow().peer_addresses();
+    for peer in peers {
+        news.send(peer, &Datagram::WhoOrdered).await;
+    }
+}
+
 fn add(jobs: &Sender<Job>, job: Job) {
     let _ = jobs.try_send(job);
 }
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -132,7 +132,15 @@
                 let question = Question { asker, number, request, prompt_tokens, rank, wait_ms };
                 core.feed(Event::Asked(question));
             }
-            Datagram::Ordered => core.feed(Event::PeerOrdered),
+            Datagram::Ordered => {
+                core.last_giver.set(Some(sender));
+                core.feed(Event::PeerOrdered);
+            }
+            Datagram::WhoOrdered if core.last_giver.get() == Some(sender) => {
+                news.send(sender, &Datagram::YouOrderedLast).await;
+            }
+            Datagram::WhoOrdered => {}
+            Datagram::YouOrderedLast => core.feed(Event::GaveLastOrder),
             Datagram::Load { .. } | Datagram::Reserved { .. } => {}
         }
     }
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -148,6 +148,8 @@
     },
     /// Another sidecar gave its runner an order.
     PeerOrdered,
+    /// Another sidecar remembers that this one gave the last order, in an earlier life.
+    GaveLastOrder,
     /// A gateway asks for a place at the runner.
     Asked(Question),
     /// Time passed.
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -195,6 +195,9 @@
                     self.ordered_at = None;
                 }
             }
+            Event::GaveLastOrder => {
+                self.ordered_at.get_or_insert(now);
+            }
             Event::Tick => {
                 let mut effects = self.advance(now);
                 effects.extend(self.settle_questions(now));
--- a/components/rollout/tests/fleet.rs
+++ b/components/rollout/tests/fleet.rs
@@ -487,6 +487,28 @@
     assert!((0..6).all(|index| reserve(&mut fleet, index).is_ok()));
 }
 
+/// Found on a day of a grown site (trouble-2 of qarla-logs-grown, seed 156690214307): the process that gave
+/// the last order was killed and forgot it, and then its machine froze with requests that started late.
+#[test]
+fn a_sidecar_that_starts_again_learns_that_it_gave_the_last_order() {
+    let mut fleet = Fleet::new(6, Some(1), 0);
+    fleet.run(5000);
+    fleet.sidecars[2] = Rollout::new(options(2));
+    fleet.introduce(2);
+    fleet.tell_peers();
+    fleet.feed(2, Event::GaveLastOrder);
+    fleet.run(200);
+    let now = Millis(fleet.now);
+    assert_eq!(fleet.sidecars[2].reserve(now, 10), Ok(()), "no newer version is named");
+    fleet.name(2);
+    fleet.run(200);
+    let now = Millis(fleet.now);
+    assert_eq!(fleet.sidecars[2].reserve(now, 10), Err(Denial::LastOrder));
+    fleet.feed(2, Event::PeerOrdered);
+    let now = Millis(fleet.now);
+    assert_eq!(fleet.sidecars[2].reserve(now, 10), Ok(()), "another one gave an order since");
+}
+
 /// Found on a day on which a machine froze: the sidecar is the last to say whether a request may start
 /// on the version that its runner holds.
 #[test]
