--- /dev/null
+++ b/components/rollout/tests/support/mod.rs
@@ -0,0 +1,302 @@
+//! A fleet of sidecars that exchange chunks, without I/O: every effect is carried out after a delay,
+//! or lost.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use errors::Code;
+use fleet::{InstanceId, Manifest, Millis, Place, VersionId};
+use reducer::DrawSource;
+use rollout::*;
+
+pub const CHUNKS: u32 = 64;
+pub const STEP_MS: u64 = 10;
+pub const VERSION_MS: u64 = 8000;
+
+/// A runner beside a sidecar.
+#[derive(Clone, Debug, Default)]
+pub struct Runner {
+    pub version: Option<u64>,
+    pub sequence: u64,
+    pub running: u32,
+    /// When an order under way is done, and its version.
+    pub taking: Option<(u64, u64)>,
+}
+
+/// Something that happens later at one sidecar.
+#[derive(Debug)]
+pub struct Later {
+    pub at: u64,
+    pub to: usize,
+    pub event: Event,
+}
+
+pub struct Fleet {
+    pub now: u64,
+    pub sidecars: Vec<Rollout>,
+    pub runners: Vec<Runner>,
+    pub later: Vec<Later>,
+    pub origin_chunks: u32,
+    pub orders: Vec<(usize, u64, u64)>,
+    /// One in so many draws is lost.
+    pub loses: u64,
+    /// The origin is out until then.
+    pub origin_out_until: u64,
+    pub draws: u64,
+    /// How long a chunk takes.
+    pub chunk_ms: u64,
+    /// No chunk of this version arrives any more.
+    pub stalls: Option<u64>,
+    pub summaries: u64,
+    /// Manifests asked of the origin.
+    pub origin_manifests: u32,
+}
+
+pub fn id(index: usize) -> InstanceId {
+    InstanceId(format!("10.0.0.{index}"))
+}
+
+pub fn options(index: usize) -> RolloutOptions {
+    RolloutOptions {
+        me: id(index),
+        place: place(index),
+        link_bytes_per_s: 950_000,
+        control_bytes_per_s: 6000,
+        version_ms: VERSION_MS,
+    }
+}
+
+pub fn plan() -> WeightsPlan {
+    WeightsPlan {
+        model: "m".into(),
+        warm_ms: 300,
+        origin_bytes_per_s: 1_240_000,
+        slots: 16,
+        prompt_tokens_per_ms: 19.0,
+    }
+}
+
+pub fn address(index: usize) -> SocketAddr {
+    ([10, 0, 0, index as u8], 7700).into()
+}
+
+pub fn place(index: usize) -> Place {
+    let hall = format!("h{}", index % 3);
+    Place { region: hall.as_str().into(), hall: hall.as_str().into() }
+}
+
+pub fn manifest(version: u64) -> Arc<Manifest> {
+    let digest = |index: u32| {
+        let mut bytes = [0; 32];
+        bytes[..8].copy_from_slice(&version.to_le_bytes());
+        bytes[8..12].copy_from_slice(&index.to_le_bytes());
+        VersionId(bytes)
+    };
+    let digests = (0..CHUNKS).map(digest).collect();
+    Arc::new(Manifest {
+        label: format!("m@{version}"),
+        bytes: u64::from(CHUNKS) * 32_768,
+        chunk_bytes: 32_768,
+        digests,
+    })
+}
+
+impl Fleet {
+    pub fn new(count: usize, version: Option<u64>, loses: u64) -> Self {
+        let mut fleet = Self {
+            now: 1_000_000,
+            sidecars: (0..count).map(|index| Rollout::new(options(index))).collect(),
+            runners: vec![Runner { version, ..Runner::default() }; count],
+            later: Vec::new(),
+            origin_chunks: 0,
+            orders: Vec::new(),
+            loses,
+            origin_out_until: 0,
+            draws: 0,
+            chunk_ms: 45,
+            stalls: None,
+            summaries: 0,
+            origin_manifests: 0,
+        };
+        (0..count).for_each(|index| fleet.introduce(index));
+        fleet.tell_peers();
+        fleet
+    }
+
+    pub fn introduce(&mut self, index: usize) {
+        self.feed(index, Event::Planned(plan()));
+        self.feed(index, Event::VersionsKnown);
+    }
+
+    /// Adds a sidecar and its runner. The others read the new list before its runner answers.
+    pub fn join(&mut self, version: Option<u64>) {
+        let index = self.sidecars.len();
+        self.sidecars.push(Rollout::new(options(index)));
+        self.runners.push(Runner { version, ..Runner::default() });
+        self.introduce(index);
+        self.tell_peers();
+        self.run(100);
+    }
+
+    pub fn tell_peers(&mut self) {
+        let peer = |(index, runner): (usize, &Runner)| Peer {
+            id: id(index),
+            place: place(index),
+            address: address(index),
+            version: runner.version,
+        };
+        let peers: Vec<Peer> = self.runners.iter().enumerate().map(peer).collect();
+        for index in 0..self.sidecars.len() {
+            self.feed(index, Event::Peers(peers.clone()));
+        }
+    }
+
+    pub fn name(&mut self, version: u64) {
+        for index in 0..self.sidecars.len() {
+            self.feed(index, Event::Named(version));
+        }
+    }
+
+    pub fn feed(&mut self, index: usize, event: Event) {
+        let effects = self.sidecars[index].reduce(Millis(self.now), event);
+        for effect in effects {
+            self.perform(index, effect);
+        }
+    }
+
+    pub fn after(&mut self, delay: u64, to: usize, event: Event) {
+        self.later.push(Later { at: self.now + delay, to, event });
+    }
+
+    pub fn perform(&mut self, index: usize, effect: Effect) {
+        match effect {
+            Effect::Describe(version, source) => self.describe(index, version, source),
+            Effect::Find(version) => {
+                let none = fleet::Bitmap::new(CHUNKS);
+                self.after(10, index, Event::Found(version, none));
+            }
+            Effect::Draw(version, draw) => self.draw(index, version, draw.index, draw.source),
+            Effect::Summarize { to, version, have } => {
+                let Some(other) = (0..self.sidecars.len()).find(|it| address(*it) == to) else {
+                    return;
+                };
+                self.summaries += 1;
+                let event = Event::Summary {
+                    from: id(index),
+                    address: address(index),
+                    place: place(index),
+                    version,
+                    have,
+                };
+                self.after(3, other, event);
+            }
+            Effect::Answer(..) => {}
+            Effect::Stage(version) => {
+                let whole = self.sidecars[index].have(version).is_some_and(|it| it.is_full());
+                assert!(whole, "staged before every chunk was here");
+                self.after(20, index, Event::Staged(version, true));
+            }
+            Effect::Order { version, sequence, .. } => {
+                let runner = &mut self.runners[index];
+                assert_eq!(runner.sequence, sequence, "ordered on an old view of the runner");
+                assert!(runner.taking.is_none(), "ordered while it takes another order");
+                runner.sequence += 1;
+                runner.taking = Some((self.now + 500, version));
+                self.orders.push((index, version, self.now));
+                self.after(5, index, Event::Ordered(version, OrderOutcome::Taken));
+                for other in (0..self.sidecars.len()).filter(|it| *it != index) {
+                    self.after(3, other, Event::PeerOrdered);
+                }
+            }
+        }
+    }
+
+    pub fn describe(&mut self, index: usize, version: u64, source: ManifestSource) {
+        let known = match source {
+            ManifestSource::Origin => {
+                self.origin_manifests += 1;
+                self.now >= self.origin_out_until
+            }
+            ManifestSource::Peer(peer) => {
+                let other = (0..self.sidecars.len()).find(|it| address(*it) == peer);
+                other.is_some_and(|it| self.sidecars[it].have(version).is_some())
+            }
+        };
+        let event = if known {
+            Event::Described(version, manifest(version))
+        } else {
+            Event::Undescribed(version)
+        };
+        self.after(if known { 60 } else { 20 }, index, event);
+    }
+
+    pub fn draw(&mut self, index: usize, version: u64, chunk: u32, source: DrawSource) {
+        self.draws += 1;
+        let lost = self.loses > 0 && self.draws.is_multiple_of(self.loses);
+        let holds = match &source {
+            DrawSource::Origin => true,
+            DrawSource::Peer(peer, _) => {
+                let other = (0..self.sidecars.len()).find(|it| &id(*it) == peer);
+                let have = other.and_then(|it| self.sidecars[it].have(version));
+                have.is_some_and(|it| it.contains(chunk))
+            }
+        };
+        let out = source == DrawSource::Origin && self.now < self.origin_out_until;
+        if source == DrawSource::Origin && !out {
+            self.origin_chunks += 1;
+        }
+        let lost = lost || out || self.stalls == Some(version);
+        let event = if lost || !holds {
+            let code = if lost { Code::PeerStalled } else { Code::ChunkMissing };
+            Event::Missed { version, index: chunk, source, code }
+        } else {
+            Event::Arrived { version, index: chunk, source, verified: true }
+        };
+        self.after(self.chunk_ms, index, event);
+    }
+
+    pub fn run(&mut self, span: u64) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += STEP_MS;
+            let now = self.now;
+            let (due, later) =
+                std::mem::take(&mut self.later).into_iter().partition(|it| it.at <= now);
+            self.later = later;
+            let due: Vec<Later> = due;
+            due.into_iter().for_each(|it| self.feed(it.to, it.event));
+            if self.now.is_multiple_of(100) {
+                self.report();
+            }
+            if self.now.is_multiple_of(40) {
+                (0..self.sidecars.len()).for_each(|index| self.feed(index, Event::Tick));
+            }
+        }
+    }
+
+    pub fn report(&mut self) {
+        for index in 0..self.runners.len() {
+            let runner = &mut self.runners[index];
+            if let Some((_, version)) = runner.taking.filter(|it| it.0 <= self.now) {
+                runner.taking = None;
+                runner.version = Some(version);
+            }
+            let status = RunnerStatus {
+                sequence: runner.sequence,
+                busy: runner.taking.is_some(),
+                running: runner.running,
+                version: runner.version,
+            };
+            self.feed(index, Event::Status(status));
+        }
+    }
+
+    pub fn versions(&self) -> BTreeMap<Option<u64>, usize> {
+        let mut counts = BTreeMap::new();
+        for runner in &self.runners {
+            *counts.entry(runner.version).or_default() += 1;
+        }
+        counts
+    }
+}
--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -1,7 +1,7 @@
 //! Gateways and sidecars as processes before a stand-in of the platform, each behind proxies.
 
 use std::fs::{self, File, OpenOptions};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
@@ -19,6 +19,9 @@
 const CALLERS_PORT: u16 = 8005;
 /// Where gateways say whether they are ready.
 const READINESS_PORT: u16 = 8002;
+/// The networks that soaks run on, so that several can run at the same time.
+const FIRST_NETWORK: u8 = 20;
+const NETWORKS: u8 = 120;
 /// Plain runners.
 const PLAIN_RUNNERS: usize = 3;
 
@@ -78,7 +81,7 @@
         fs::create_dir_all(&folder)?;
         let standin = Standin::start();
         standin.configure();
-        let network = (seed % 200) as u8 + 20;
+        let network = free_network(seed)?;
         let mut fleet = Self {
             standin,
             gateways: Vec::new(),
@@ -203,6 +206,18 @@
     }
 }
 
+/// A network of loopback on which no other soak runs.
+fn free_network(seed: u64) -> eyre::Result<u8> {
+    let first = (seed % u64::from(NETWORKS)) as u8;
+    let networks = (0..NETWORKS).map(|it| FIRST_NETWORK + (first + it) % NETWORKS);
+    let is_free = |network: &u8| {
+        let address = Ipv4Addr::new(127, 78, *network, 1);
+        TcpListener::bind((address, RUNNER_PORT)).is_ok()
+    };
+    let free = networks.into_iter().find(is_free);
+    free.ok_or_else(|| eyre::eyre!("every network of loopback is taken"))
+}
+
 fn start(program: &Path, settings: &Path, log: &Path) -> eyre::Result<Child> {
     let log: File = OpenOptions::new().create(true).append(true).open(log)?;
     let child = Command::new(program).arg(settings).stdin(Stdio::null()).stdout(log).spawn();
