--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -111,7 +111,7 @@
         let id = facts.id.as_deref().unwrap_or("");
         let reservations = &self.core.reservations;
         let patience = Patience { rank: self.target.rank, wait_ms: self.target.wait_ms };
-        match reservations.ask(self.target.address, id, facts.prompt_tokens, patience).await {
+        match reservations.ask(self.target.address, id, self.job.prompt_tokens, patience).await {
             None => Ok(()),
             Some(outcome) => Err(outcome),
         }
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -224,7 +224,8 @@
 fn event(change: Change, late: bool) -> Event {
     match change {
         Change::Configuration(catalog) => {
-            log::info!(version = catalog.version, routes = catalog.route_count(); "configuration");
+            let (routes, keys) = (catalog.route_count(), catalog.needs_keys());
+            log::info!(version = catalog.version, routes = routes, keys = keys; "configuration");
             Event::Configured(Arc::new(*catalog))
         }
         Change::Version { model, version } => {
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -43,6 +43,8 @@
     pub body: Bytes,
     /// What may be done with it.
     pub kind: RouteKind,
+    /// Tokens of its prompt, zero where it has none.
+    pub prompt_tokens: u32,
     /// Whose it is.
     pub workspace: Option<WorkspaceId>,
     /// When the caller gives up, if it says so.
@@ -71,6 +73,8 @@
     service: ServiceName,
     /// The model, where the service runs one.
     model: Option<ModelName>,
+    /// Tokens of its prompt, as the caller tells them or as is usual for the model.
+    prompt_tokens: u32,
     kind: RouteKind,
     workspace: Option<WorkspaceId>,
     priority: u8,
@@ -126,6 +130,7 @@
         headers: head.headers,
         body: body.to_bytes(),
         kind: routed.kind,
+        prompt_tokens: routed.prompt_tokens,
         workspace: routed.workspace,
         deadline: facts.deadline_ms.map(|it| arrived.plus(it)),
         limit: arrived.plus(held),
@@ -139,7 +144,7 @@
         kind: job.kind,
         priority: routed.priority,
         model: routed.model,
-        prompt_tokens: job.facts.prompt_tokens,
+        prompt_tokens: job.prompt_tokens,
         aim_ms: job.aim_ms,
         limit: job.limit,
         attempts: routed.attempts,
@@ -169,6 +174,7 @@
     Ok(Routed {
         route: route.name.clone(),
         service: service.clone(),
+        prompt_tokens: engine.map_or(0, |it| facts.prompt_tokens.unwrap_or(it.usual_prompt_tokens)),
         model,
         kind: route.kind,
         workspace: tenant.map(|it| it.name.clone()),
--- a/components/gateway/src/catalog.rs
+++ b/components/gateway/src/catalog.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use fleet::{Hall, ModelName, ServiceName, WorkspaceId};
+use fleet::{ModelName, ServiceName, WorkspaceId};
 
 /// What may be done with the requests of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,20 +80,14 @@
     pub model: ModelName,
     /// Requests that one engine works on at once.
     pub slots: u32,
-    /// Tokens of context that fit into its memory.
-    pub kv_tokens: u64,
     /// Layers of the model.
     pub layers: u32,
-    /// Chunks that a version of the weights has.
-    pub chunks: u32,
-    /// Bytes of a chunk.
-    pub chunk_bytes: u32,
     /// How long an engine takes to start a whole version, in milliseconds.
     pub warm_ms: u64,
-    /// How long one step of a batch takes, in milliseconds.
-    pub step_ms: f64,
     /// Prompt tokens that an engine reads in a millisecond.
     pub prompt_tokens_per_ms: f64,
+    /// Mean tokens of a prompt.
+    pub usual_prompt_tokens: u32,
 }
 
 /// Where weights come from first.
@@ -110,14 +104,10 @@
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
-    /// Connections that one of its runners takes from all callers together.
-    pub connection_limit: u32,
     /// The profile of its engines, if it runs a model.
     pub engine: Option<EngineProfile>,
     /// The origin of weights, if the service is one.
     pub origin: Option<Origin>,
-    /// The hall that it stands in, where that is said.
-    pub hall: Option<Hall>,
 }
 
 /// A customer's workspace.
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -64,10 +64,6 @@
     pub running: u32,
     /// Requests that wait there.
     pub waiting: u32,
-    /// Tokens of context in its memory.
-    pub kv_used: u64,
-    /// Tokens of context that fit.
-    pub kv_total: u64,
     /// Whether it is taking other weights and begins nothing new.
     pub busy: bool,
     /// How many times slower than usual it is.
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -32,21 +32,12 @@
     let engine = EngineProfile {
         model: model(),
         slots: 4,
-        kv_tokens: 100_000,
         layers: 16,
-        chunks: 64,
-        chunk_bytes: 1024,
         warm_ms: 300,
-        step_ms: 9.0,
+        usual_prompt_tokens: 1000,
         prompt_tokens_per_ms: 20.0,
     };
-    let service = |name: &str, engine| Service {
-        name: name.into(),
-        connection_limit: 100,
-        engine,
-        origin: None,
-        hall: None,
-    };
+    let service = |name: &str, engine| Service { name: name.into(), engine, origin: None };
     Arc::new(Catalog::new(CatalogParts {
         version,
         services: vec![service(MODEL_SERVICE, Some(engine)), service(PLAIN_SERVICE, None)],
@@ -72,8 +63,6 @@
     RunnerLoad {
         running,
         waiting: 0,
-        kv_used: 0,
-        kv_total: 1000,
         busy: false,
         pace: 1.0,
         reading_ms: 0,
