Refusals: a caller is told when its request has a chance

Cause: callers repeat once and follow the time they are told; it was a random 0.25 to 0.9 s whatever the shortage, so that after a loss of power or between two versions both tries fell into the same hole. Change: sidecars tell when their runner takes requests (missing chunks over the link, staging, start); where none serves, callers are told the earliest of these, spread over 0.9 s. Where places are short the time is what the shortage has lasted so far, 0.25 to 2 s. Tests for both and for the sidecar's estimate.

--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -174,6 +174,7 @@
         load.reading_ms = rollout.places().reading_ms(self.clock.now()) as u32;
         load.waiting = rollout.waiting() as u32;
         load.busy |= rollout.is_leaving(self.clock.now());
+        load.serves_in_ms = rollout.serves_in_ms(self.clock.now());
         load.named = rollout.named(self.clock.now());
         Some(load)
     }
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -57,6 +57,16 @@
         Some((runner.record.id.clone(), seen))
     }
 
+    /// When some runner of a request's service can run it, in milliseconds from now. `None` where one can
+    /// now, room aside, or where nobody knows.
+    pub fn serves_in_ms(&self, now: Millis, arrival: &Arrival) -> Option<u64> {
+        let runners = || self.pool.of_service(&arrival.service);
+        if arrival.model.is_none() || runners().any(|it| self.can_run(now, it, arrival)) {
+            return None;
+        }
+        runners().filter_map(|it| it.serves_in_ms(now)).min()
+    }
+
     /// How the runners of a service stand for a request that was tried at some.
     pub fn standing(&self, now: Millis, arrival: &Arrival, tried: &[InstanceId]) -> Standing {
         let mut standing = Standing::default();
--- /dev/null
+++ b/components/gateway/src/comeback.rs
@@ -0,0 +1,52 @@
+//! When a caller that is refused should come back.
+//!
+//! A caller repeats a request once or twice, so a time that is too short costs it its last try. Where no
+//! runner serves, the sidecars tell how long that will last. Where places are short, nobody knows; a
+//! shortage that has lasted for a while is expected to last about as long again.
+
+use fleet::Millis;
+use rand::Rng;
+
+/// The shortest time that a caller is asked to stay away, in milliseconds: a place comes free at a runner
+/// about every 60 ms, and callers that were refused together should not return together.
+const MIN_AWAY: u64 = 250;
+/// The longest such time, in milliseconds. Callers wait no longer than a third of their deadline, which is
+/// two seconds at the deployments seen so far.
+const MAX_AWAY: u64 = 2000;
+/// How long without a refusal a shortage is over, in milliseconds.
+const SHORTAGE_GAP: u64 = 500;
+/// The part of a time by which it differs between callers.
+const SPREAD: f64 = 0.5;
+/// Over how many milliseconds callers return once runners serve again: what they all hold at once they
+/// read one prompt after the other.
+const RETURN_SPAN: u64 = 900;
+
+/// A shortage of places at the runners of one service.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Shortage {
+    since: Millis,
+    /// When a request was last refused.
+    refused_at: Millis,
+}
+
+impl Shortage {
+    /// Notes a refusal and gives when its caller should come back, in milliseconds. `serves_in_ms` is when a
+    /// runner serves the service again; `None` where some do, or nobody knows.
+    pub(crate) fn refuse(
+        &mut self,
+        now: Millis,
+        random: &mut impl Rng,
+        serves_in_ms: Option<u64>,
+    ) -> u64 {
+        if now.since(self.refused_at).0 > SHORTAGE_GAP {
+            self.since = now;
+        }
+        self.refused_at = now;
+        if let Some(serves_in_ms) = serves_in_ms {
+            return serves_in_ms.max(MIN_AWAY) + random.random_range(0..RETURN_SPAN);
+        }
+        let lasted = now.since(self.since).0.clamp(MIN_AWAY, MAX_AWAY) as f64;
+        let away = lasted * (1.0 + SPREAD * random.random::<f64>());
+        away.min(MAX_AWAY as f64) as u64
+    }
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod catalog;
 mod choice;
+mod comeback;
 mod event;
 mod pool;
 mod reducer;
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -6,11 +6,12 @@
 use errors::Code;
 use fleet::{InstanceId, Millis, ServiceName};
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 
 use crate::budget::RetryBudget;
 use crate::catalog::Catalog;
 use crate::choice::Chooser;
+use crate::comeback::Shortage;
 use crate::event::{
     Arrival, AttemptOutcome, Effect, Event, GatewayOptions, NextStep, RequestKey, RunnerTarget,
 };
@@ -25,9 +26,6 @@
 const MAX_DENIED_PAUSE: u64 = 500;
 /// How long a runner that said it is full is left alone, in milliseconds.
 const FULL_PAUSE: u64 = 60;
-/// The shortest and longest time after which a refused caller is asked to come back, in
-/// milliseconds.
-const RETRY_AFTER: std::ops::Range<u64> = 250..900;
 /// How many gateways the fixed allowance of repeats is shared by. Each knows only itself, so this
 /// is the most that stand before one service.
 const ALLOWANCE_SHARES: f64 = 10.0;
@@ -74,6 +72,7 @@
     catalog: Option<Arc<Catalog>>,
     pool: Pool,
     budgets: BTreeMap<ServiceName, RetryBudget>,
+    shortages: BTreeMap<ServiceName, Shortage>,
     requests: BTreeMap<RequestKey, Progress>,
     queue: BTreeSet<Place>,
 }
@@ -86,6 +85,7 @@
             options,
             catalog: None,
             budgets: BTreeMap::new(),
+            shortages: BTreeMap::new(),
             requests: BTreeMap::new(),
             queue: BTreeSet::new(),
         }
@@ -283,9 +283,11 @@
         let step = if progress.may_have_run {
             NextStep::GiveUp(progress.reason)
         } else {
-            let retry_after_ms = random.random_range(RETRY_AFTER);
             let chooser = Chooser { pool: &self.pool, hall: &self.options.hall };
             let standing = chooser.standing(now, &progress.arrival, &progress.tried);
+            let serves_in_ms = chooser.serves_in_ms(now, &progress.arrival);
+            let shortage = self.shortages.entry(progress.arrival.service.clone()).or_default();
+            let retry_after_ms = shortage.refuse(now, random, serves_in_ms);
             NextStep::Refuse { code: progress.reason, retry_after_ms, standing }
         };
         vec![Effect::Proceed(key, step)]
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -72,6 +72,9 @@
     pub reading_ms: u32,
     /// The weights that it holds.
     pub weights: Option<WeightsHeld>,
+    /// How long it takes until the runner takes requests, in milliseconds: zero where it does, `None` where
+    /// nobody can tell.
+    pub serves_in_ms: Option<u32>,
     /// The version that its weights are to be moved to, while that matters for older ones.
     pub named: Option<NamedVersion>,
 }
@@ -151,6 +154,15 @@
         self.in_flight + total.saturating_sub(reported.own)
     }
 
+    /// When the runner takes requests by the last report, in milliseconds from now.
+    pub fn serves_in_ms(&self, now: Millis) -> Option<u64> {
+        let reported = self.reported.as_ref()?;
+        let age = now.since(reported.at).0;
+        let serves_in = u64::from(reported.load.serves_in_ms?);
+        // A moment that has passed without a newer report is worth nothing.
+        (age <= REPORT_LIFE + serves_in).then_some(serves_in.saturating_sub(age))
+    }
+
     /// How long the runner still reads prompts before another one has its turn, in milliseconds.
     pub fn reading_ms(&self, now: Millis) -> f64 {
         let Some(reported) = &self.reported else {
--- a/components/gateway/tests/retries.rs
+++ b/components/gateway/tests/retries.rs
@@ -135,3 +135,50 @@
     let step = bed.outcome(1, AttemptOutcome::Denied { again_ms: 60 });
     assert!(matches!(step, Some(NextStep::Refuse { .. })), "{step:?}");
 }
+
+/// Lets a request wait in vain and gives when its caller should come back.
+fn refused_for(bed: &mut Bed, key: u64) -> u64 {
+    assert_eq!(
+        bed.arrive(arrival(key, MODEL_SERVICE, RouteKind::Stream { resumable: true })),
+        None
+    );
+    bed.now += 200;
+    match bed.step(key, Event::Tick) {
+        Some(NextStep::Refuse { retry_after_ms, .. }) => retry_after_ms,
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+/// Found after a loss of power on obwwa-flood: callers were told to come back while every runner was still
+/// empty, and were refused for good.
+#[test]
+fn a_caller_comes_back_once_some_runner_serves_again() {
+    let mut bed = two_runners(MODEL_SERVICE);
+    for (port, serves_in_ms) in [(1, None), (2, Some(1600))] {
+        let empty = RunnerLoad { weights: None, serves_in_ms, ..load(1, 0) };
+        bed.feed(Event::Load(([127, 0, 0, 1], port).into(), empty));
+    }
+    let away = refused_for(&mut bed, 1);
+    assert!((1400..2400).contains(&away), "{away}");
+}
+
+#[test]
+fn callers_stay_away_the_longer_a_shortage_has_lasted() {
+    let mut bed = two_runners(MODEL_SERVICE);
+    let full = |bed: &mut Bed| {
+        for port in [1, 2] {
+            bed.feed(Event::Load(([127, 0, 0, 1], port).into(), load(1, 8)));
+        }
+    };
+    let mut away = Vec::new();
+    for key in 0..12 {
+        full(&mut bed);
+        away.push(refused_for(&mut bed, key));
+    }
+    assert!(away[0] < 500, "{away:?}");
+    assert!(away[11] >= 1800, "{away:?}");
+    assert!(away.iter().all(|it| (250..=2000).contains(it)), "{away:?}");
+    bed.now += 1000;
+    full(&mut bed);
+    assert!(refused_for(&mut bed, 12) < 500, "the next shortage begins anew");
+}
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -72,6 +72,7 @@
         pace: 1.0,
         reading_ms: 0,
         weights: Some(WeightsHeld { model: model(), version, whole: true }),
+        serves_in_ms: Some(0),
         named: None,
     }
 }
--- a/components/reducer/src/spread/version/mod.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -62,6 +62,7 @@
     origin_failures: u32,
     /// How long chunks took lately, smoothed, in milliseconds.
     chunk_ms: f64,
+    last_chunk_at: Millis,
     summary_budget: f64,
     summary_budget_at: Millis,
 }
@@ -104,6 +105,7 @@
             origin_not_before: Millis(0),
             origin_failures: 0,
             chunk_ms: 0.0,
+            last_chunk_at: now,
             summary_budget: SUMMARY_BURST,
             summary_budget_at: now,
             manifest,
@@ -171,6 +173,11 @@
         self.chunk_ms
     }
 
+    /// When the last chunk arrived, or the start where none has.
+    pub fn last_chunk_at(&self) -> Millis {
+        self.last_chunk_at
+    }
+
     /// Chunks on their way from peers.
     pub fn in_flight(&self) -> usize {
         self.in_flight.len() - self.count_from_origin()
@@ -298,6 +305,7 @@
         }
         if verified {
             self.have.insert(index);
+            self.last_chunk_at = now;
         }
         true
     }
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -1,6 +1,7 @@
 //! The reducer of a sidecar.
 
 mod admission;
+mod estimate;
 mod moves;
 
 use std::collections::BTreeSet;
@@ -31,6 +32,8 @@
 const MAX_CUT: u32 = 2;
 /// How long a runner has to come down to so few, in milliseconds.
 const DRAIN_PATIENCE: u64 = 1500;
+/// How long the chunks of a version take to be put at the runner, in milliseconds: 16 to 18 were measured.
+const STAGING: u64 = 20;
 /// How long before an order gateways hear of it, in milliseconds.
 const NOTICE: u64 = 120;
 
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -120,7 +120,7 @@
     }
 
     /// Whether the runner's version may hardly be used any more.
-    fn is_too_old(&self, now: Millis) -> bool {
+    pub(super) fn is_too_old(&self, now: Millis) -> bool {
         let held = self.status.as_ref().and_then(|it| it.version).unwrap_or(0);
         let margin = START_MARGIN + self.start_delay_ms(now);
         let span = self.options.version_ms.saturating_sub(margin);
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -49,6 +49,9 @@
 /// How long the others must be known before a share of the chunks is taken, in milliseconds. Those
 /// that start together get to know each other first.
 const SHARE_DELAY: u64 = 4000;
+/// How long after the last chunk nobody can tell when the next one comes, in milliseconds. One comes about
+/// every 40 ms while a version spreads over links of 7.6 Mbit/s.
+const STANDSTILL: u64 = 800;
 /// The part of the link that chunks may take.
 const LINK_SHARE: f64 = 0.9;
 
@@ -213,6 +216,19 @@
         Some(self.named_at.plus((copy_ms * ORIGIN_SLACK) as u64))
     }
 
+    /// How long the missing chunks take over a link of `link_bytes_per_s`, in milliseconds. `None` while none
+    /// comes.
+    pub(crate) fn until_whole_ms(&self, now: Millis, link_bytes_per_s: u64) -> Option<u64> {
+        let spread = self.spread.as_ref()?;
+        if now.since(spread.last_chunk_at()).0 > STANDSTILL {
+            return None;
+        }
+        let missing = u64::from(spread.have().capacity() - spread.have().count());
+        let bytes = missing * u64::from(spread.manifest.chunk_bytes);
+        let bytes_per_ms = link_bytes_per_s as f64 * LINK_SHARE / 1000.0;
+        Some((bytes as f64 / bytes_per_ms.max(1.0)) as u64)
+    }
+
     /// Leaves the origin alone until a moment.
     pub(crate) fn leave_origin_until(&mut self, moment: Millis) {
         if let Some(spread) = &mut self.spread {
--- a/components/rollout/tests/fleet.rs
+++ b/components/rollout/tests/fleet.rs
@@ -315,3 +315,32 @@
         prop_assert_eq!(fleet.versions(), BTreeMap::from([(Some(version), count)]));
     }
 }
+
+/// Gateways tell callers by this when to come back.
+#[test]
+fn a_sidecar_tells_when_its_empty_runner_will_serve() {
+    let mut fleet = Fleet::new(12, Some(1), 0);
+    fleet.run(9000);
+    assert_eq!(fleet.sidecars[2].serves_in_ms(Millis(fleet.now)), Some(0));
+    fleet.runners[2] = Runner::default();
+    let mut told = None;
+    while fleet.sidecars[2].serves_in_ms(Millis(fleet.now)) != Some(0) || told.is_none() {
+        fleet.run(100);
+        assert!(fleet.now < 1_020_000, "the runner never serves again");
+        let serves_in = fleet.sidecars[2].serves_in_ms(Millis(fleet.now));
+        told = told.or(serves_in.filter(|it| *it > 1000).map(|it| fleet.now + u64::from(it)));
+    }
+    let told = told.expect("a time was told while chunks came");
+    let late = told.abs_diff(fleet.now);
+    assert!(late < 1500, "told {told}, served at {}", fleet.now);
+}
+
+#[test]
+fn nobody_is_told_when_a_runner_serves_while_no_chunk_comes() {
+    let mut fleet = Fleet::new(4, Some(1), 0);
+    fleet.run(300);
+    fleet.runners[2] = Runner::default();
+    fleet.stalls = Some(1);
+    fleet.run(3000);
+    assert_eq!(fleet.sidecars[2].serves_in_ms(Millis(fleet.now)), None);
+}
