--- a/components/reducer/src/spread/version/choice.rs
+++ b/components/reducer/src/spread/version/choice.rs
@@ -160,13 +160,14 @@
     }
 
     /// Whether a chunk may be drawn from another hall: by its owner in this hall, and by the next in
-    /// rank when the owner is late.
+    /// rank when the owner had time to draw it since some neighbour offered it.
     fn may_draw_from_afar(&self, now: Millis, index: u32) -> bool {
         let Some(gate) = &self.hall_gate else {
             return true;
         };
         let held_near = self.neighbours.values().any(|it| it.distance == 0 && it.offers(index));
-        !held_near && (gate.rank(index) == 0 || now >= gate.due(self.started, index))
+        let offered_at = self.offered_at[index as usize].unwrap_or(now);
+        !held_near && now >= gate.due(offered_at, index)
     }
 
     fn launch(&mut self, now: Millis, index: u32, source: DrawSource, last_resort: bool) -> Draw {
--- a/components/reducer/src/spread/version/mod.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -54,6 +54,8 @@
     /// Who draws a chunk into this hall, where a chunk enters a hall once.
     hall_gate: Option<Gate>,
     have: Bitmap,
+    /// When each chunk was first known to be held by a neighbour.
+    offered_at: Vec<Option<Millis>>,
     started: Millis,
     neighbours: BTreeMap<InstanceId, Neighbour>,
     in_flight: BTreeMap<u32, Flight>,
@@ -85,9 +87,9 @@
             version_ms: millis_for(manifest.bytes, options.download_bytes_per_s),
             patience_ms: options.patience_ms,
         };
-        let hall_gate = options.reach.hall_first.then(|| {
+        let hall_gate = hall_gate_options(&options, &gate_options).map(|it| {
             let near = in_hall(receivers, &place.hall);
-            Gate::new(me, version, chunks, &near, &gate_options)
+            Gate::new(me, version, chunks, &near, &it)
         });
         Self {
             receivers: receivers.to_vec(),
@@ -99,6 +101,7 @@
             hall_gate,
             gate: Gate::new(me, version, chunks, receivers, &gate_options),
             have: Bitmap::new(chunks),
+            offered_at: vec![None; chunks as usize],
             started: now,
             neighbours: BTreeMap::new(),
             in_flight: BTreeMap::new(),
@@ -122,12 +125,13 @@
         }
         self.receivers.extend(fresh);
         let (version, chunks) = (self.version, self.manifest.chunks());
-        let gate = |receivers: &[(InstanceId, Hall)]| {
-            Gate::new(&self.me, version, chunks, receivers, &self.gate_options)
+        let gate = |receivers: &[(InstanceId, Hall)], options: &GateOptions| {
+            Gate::new(&self.me, version, chunks, receivers, options)
         };
         let near = in_hall(&self.receivers, &self.place.hall);
-        let hall_gate = self.hall_gate.is_some().then(|| gate(&near));
-        self.gate = gate(&self.receivers);
+        let hall_options = hall_gate_options(&self.options, &self.gate_options);
+        let hall_gate = hall_options.map(|it| gate(&near, &it));
+        self.gate = gate(&self.receivers, &self.gate_options);
         self.hall_gate = hall_gate;
         for (id, neighbour) in &mut self.neighbours {
             neighbour.in_group = self.gate.is_in_group(id);
@@ -224,6 +228,7 @@
             return;
         }
         self.look_for_origin(now, &have);
+        self.note_offers(now, &have);
         self.meet(id, address, place);
         if let Some(neighbour) = self.neighbours.get_mut(id) {
             if have.count() == 0 && self.have.count() > 0 {
@@ -240,6 +245,7 @@
             return;
         }
         self.look_for_origin(now, &have);
+        self.note_offers(now, &have);
         if let Some(neighbour) = self.neighbours.get_mut(id) {
             neighbour.set_have(have);
         }
@@ -265,6 +271,15 @@
         self.origin_not_before = now;
     }
 
+    /// Notes which chunks a neighbour holds.
+    fn note_offers(&mut self, now: Millis, have: &Bitmap) {
+        for (index, offered_at) in (0..).zip(&mut self.offered_at) {
+            if offered_at.is_none() && have.contains(index) {
+                *offered_at = Some(now);
+            }
+        }
+    }
+
     /// Whether a chunk is here or at a neighbour.
     fn is_held(&self, index: u32) -> bool {
         self.have.contains(index) || self.neighbours.values().any(|it| it.have.contains(index))
@@ -389,6 +404,13 @@
     }
 }
 
+/// How chunks enter a hall, where they should enter it once. They wait for each other, not for the turns
+/// that the origin's link needs.
+fn hall_gate_options(options: &SpreadOptions, gate: &GateOptions) -> Option<GateOptions> {
+    let patience_ms = options.reach.hall_patience_ms?;
+    Some(GateOptions { chunk_ms: 0.0, patience_ms: Some(patience_ms), ..*gate })
+}
+
 /// The receivers in a hall.
 fn in_hall(receivers: &[(InstanceId, Hall)], hall: &Hall) -> Vec<(InstanceId, Hall)> {
     receivers.iter().filter(|(_, it)| it == hall).cloned().collect()
--- a/components/reducer/src/spread/version/types.rs
+++ b/components/reducer/src/spread/version/types.rs
@@ -26,14 +26,15 @@
     pub near: usize,
     /// Neighbours at most, with those that chose this receiver.
     pub most: usize,
-    /// Whether a chunk enters a hall once: one receiver there draws it from elsewhere, and the
-    /// others wait for it. Meant for links between halls that are narrow or dear.
-    pub hall_first: bool,
+    /// How long a receiver waits for the one before it in rank in its hall before it draws a chunk from
+    /// another one, in milliseconds. A chunk then enters a hall about once, which is meant for links between
+    /// halls that are narrow or dear. `None`: everyone draws from everywhere.
+    pub hall_patience_ms: Option<u64>,
 }
 
 impl Default for Reach {
     fn default() -> Self {
-        Self { chosen: 6, near: 4, most: 12, hall_first: false }
+        Self { chosen: 6, near: 4, most: 12, hall_patience_ms: None }
     }
 }
 
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -17,9 +17,10 @@
 const ORIGIN_COPIES: u32 = 1;
 /// How chunks come to a runner that serves an older version. Its answers leave by the same link, and
 /// links between halls are dear, so chunks come few at a time and enter a hall once.
-const GENTLE: Pace = Pace { window: 3, patience_ms: 700, hall_first: true };
-/// How chunks come to a runner that serves nothing: every second of it is lost.
-const URGENT: Pace = Pace { window: 6, patience_ms: 900, hall_first: false };
+const GENTLE: Pace = Pace { window: 3, patience_ms: 700, hall_patience_ms: 700 };
+/// How chunks come to a runner that serves nothing: every second of it is lost, so it does not wait long for
+/// the others in its hall.
+const URGENT: Pace = Pace { window: 6, patience_ms: 900, hall_patience_ms: 200 };
 
 /// Chunks that take longer than this come one at a time: the link is narrow, and requests wait behind
 /// them. In milliseconds.
@@ -32,8 +33,8 @@
     window: usize,
     /// How long a receiver waits for the one before it in rank, in milliseconds.
     patience_ms: u64,
-    /// Whether a chunk enters a hall once.
-    hall_first: bool,
+    /// How long a receiver waits for the one before it in rank in its hall, in milliseconds.
+    hall_patience_ms: u64,
 }
 /// Chunks of one index with a wrong digest after which the manifest itself is doubted.
 const DOUBTS: u32 = 3;
@@ -251,7 +252,7 @@
             chosen: CHOSEN_NEIGHBOURS,
             near: NEAR_NEIGHBOURS,
             most: MOST_NEIGHBOURS,
-            hall_first: self.pace.hall_first,
+            hall_patience_ms: Some(self.pace.hall_patience_ms),
         };
         let keeps = self.step == Step::Served;
         let receivers = self.receivers(peers);
--- a/components/rollout/tests/fleet.rs
+++ b/components/rollout/tests/fleet.rs
@@ -344,3 +344,18 @@
     fleet.run(3000);
     assert_eq!(fleet.sidecars[2].serves_in_ms(Millis(fleet.now)), None);
 }
+
+/// Links between halls are dear: two of three chunks that went from one to another on obwwa-flood had been
+/// there before.
+#[test]
+fn a_chunk_enters_each_hall_about_once() {
+    let mut fleet = Fleet::new(18, Some(1), 0);
+    fleet.run(9000);
+    fleet.between_halls = 0;
+    fleet.name(2);
+    fleet.run(VERSION_MS);
+    assert_eq!(fleet.versions(), BTreeMap::from([(Some(2), 18)]));
+    // Each chunk comes from the origin into one of three halls.
+    let between = fleet.between_halls;
+    assert!(between <= CHUNKS * 2 * 5 / 4, "{between} chunks between halls");
+}
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -51,6 +51,8 @@
     pub summaries: u64,
     /// Manifests asked of the origin.
     pub origin_manifests: u32,
+    /// Chunks that one sidecar drew from another one in another hall.
+    pub between_halls: u32,
     /// Sidecars that are gone, although the list that the others know still has them.
     pub dead: BTreeSet<usize>,
 }
@@ -120,6 +122,7 @@
             stalls: None,
             summaries: 0,
             origin_manifests: 0,
+            between_halls: 0,
             dead: BTreeSet::new(),
         };
         (0..count).for_each(|index| fleet.introduce(index));
@@ -268,6 +271,11 @@
                 have.is_some_and(|it| it.contains(chunk))
             }
         };
+        if let DrawSource::Peer(peer, _) = &source {
+            let other = (0..self.sidecars.len()).find(|it| &id(*it) == peer);
+            let far = other.is_some_and(|it| place(it).hall != place(index).hall);
+            self.between_halls += u32::from(far);
+        }
         let out = source == DrawSource::Origin && self.now < self.origin_out_until;
         if source == DrawSource::Origin && !out {
             self.origin_chunks += 1;
