Store: feeds wait five seconds, dead connections are probed, failed calls are spaced out

A third were feeds of gateways that ended without news after 1.5 s, kept short only to notice dead connections; sidecars listed runners and versions every 8 and 9 s although gateways tell them; while the store refused, every watch asked it four times a second. Ruled out: one feed for both tables (the store feeds whole tables). Change: connections are probed after one second of rest and given up after two probes; feeds of gateways wait 5 s; sidecars read the runners every 20 s (at once when a version is named) and the versions every 30 s; the pause after a failed call doubles up to 0.6 to 1.4 s.

--- a/components/edge/src/exchange.rs
+++ b/components/edge/src/exchange.rs
@@ -19,10 +19,16 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
+use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
 
 /// How long a peer may leave sent bytes unacknowledged, in milliseconds.
 const USER_TIMEOUT_MS: u32 = 4000;
+/// How long a connection rests before its peer is probed, and between two probes: the shortest that the
+/// system takes. A peer that was cut off says nothing, and the store is waited for in silence.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is lost.
+const PROBES: u32 = 2;
 
 type ClientConnection = Connection<FuturesIo<TcpStream>, Full<Bytes>>;
 
@@ -112,7 +118,11 @@
 /// Sets what every connection needs. What a system refuses is only slower.
 pub fn prepare(stream: &TcpStream) {
     let _ = stream.set_nodelay(true);
-    let _ = rustix::net::sockopt::set_tcp_user_timeout(stream, USER_TIMEOUT_MS);
+    let _ = sockopt::set_tcp_user_timeout(stream, USER_TIMEOUT_MS);
+    let _ = sockopt::set_socket_keepalive(stream, true);
+    let _ = sockopt::set_tcp_keepidle(stream, PROBE_EVERY);
+    let _ = sockopt::set_tcp_keepintvl(stream, PROBE_EVERY);
+    let _ = sockopt::set_tcp_keepcnt(stream, PROBES);
 }
 
 /// Waits for a future until a moment. `None` when the moment comes first.
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -32,8 +32,9 @@
 use crate::spawner::Spawner;
 use crate::watch::{watch, Seen, WatchOptions};
 
-/// How long a feed of the store waits for a change.
-const FEED_WAIT: Duration = Duration::from_millis(1500);
+/// How long a feed of the store waits for a change. Each call has its price; that a connection is dead is
+/// noticed by probes, not by short waits.
+const FEED_WAIT: Duration = Duration::from_millis(5000);
 /// The shortest time between two feeds of what operators write.
 const OPERATOR_SPACING: Duration = Duration::from_millis(60);
 /// The shortest time between two feeds of the runners. While a fleet is reshaped some entry changes all
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -29,7 +29,7 @@
 
 /// How often the named versions are listed. Gateways tell of them much sooner; this is for a sidecar that
 /// no gateway reaches.
-const VERSIONS_SPACING: Duration = Duration::from_millis(9000);
+const VERSIONS_SPACING: Duration = Duration::from_millis(30_000);
 /// How long gateways have to tell of the weights before the configuration itself is read. It may be
 /// large, and the machine's link is narrow.
 const PLAN_PATIENCE: Duration = Duration::from_millis(4000);
@@ -38,8 +38,8 @@
 const RUNNERS_WAIT: Duration = Duration::from_millis(6000);
 /// The shortest time between the first two feeds of them.
 const FIRST_RUNNERS_SPACING: Duration = Duration::from_millis(400);
-/// The shortest time between two feeds of them later on.
-const RUNNERS_SPACING: Duration = Duration::from_millis(8000);
+/// The shortest time between two feeds of them later on. They are read at once when a version is named.
+const RUNNERS_SPACING: Duration = Duration::from_millis(20_000);
 /// How often the reducer is told of the time.
 const TICK: Duration = Duration::from_millis(40);
 /// How often the log tells how many chunks are here.
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -25,6 +25,15 @@
 const LIST_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The pause after a call that failed, at least and at most, in milliseconds.
 const FAILURE_PAUSE: std::ops::Range<u64> = 150..350;
+/// How often that pause is doubled at most: refused calls have their price too, and a process has three
+/// seconds after an outage to be up to date.
+const MOST_DOUBLINGS: u32 = 2;
+
+/// The pause after so many calls in a row that failed.
+fn failure_pause(failures: u32) -> Duration {
+    let pause = rand::rng().random_range(FAILURE_PAUSE);
+    Duration::from_millis(pause << failures.saturating_sub(1).min(MOST_DOUBLINGS))
+}
 
 /// How a table is followed.
 #[derive(Clone, Debug)]
@@ -69,14 +78,21 @@
         heard: None,
     };
     let mut spacing = watch.options.first_spacing;
+    let mut failures = 0;
     loop {
         let result = match (watch.revision, watch.options.wait) {
             (Some(revision), Some(wait)) => watch.feed(revision, wait, &mut deliver).await,
             _ => watch.list(&mut deliver).await,
         };
         let pause = match result {
-            Ok(()) => spacing,
-            Err(_) => Duration::from_millis(rand::rng().random_range(FAILURE_PAUSE)),
+            Ok(()) => {
+                failures = 0;
+                spacing
+            }
+            Err(_) => {
+                failures += 1;
+                failure_pause(failures)
+            }
         };
         watch.note(result);
         rest(pause, watch.options.hurry.as_ref()).await;
