Ablation: a switch for each mechanism, in a section of its own

Weighed: cargo features (a build for each row, eighteen of them), an environment variable (deployments pass none), a section of the settings that the templates do not name. The last one was taken: an operator does not meet it by accident, an unknown name is a fault, and a process that runs with something switched off says so at start. Change: fleet::Ablation with eighteen mechanisms, handed to both reducers. Nothing changes where the section is missing (tests as before).

--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -169,6 +169,7 @@
         budget_ratio: settings.bounds.repeat_ratio,
         budget_allowance: settings.bounds.repeat_allowance,
         version_ms: settings.bounds.version_ms,
+        ablation: settings.ablation.clone(),
     }
 }
 
@@ -287,7 +288,7 @@
 /// What sidecars are told.
 fn subscribe(core: &Core) -> Datagram {
     let now = core.clock.now();
-    let named = core.read(|gateway| gateway.pool().named_versions(now));
+    let named = core.read(|gateway| gateway.named_versions(now));
     let services = core.catalog().map(|it| weights_services(&it)).unwrap_or_default();
     Datagram::Subscribe { named, services }
 }
--- a/components/edge/src/run.rs
+++ b/components/edge/src/run.rs
@@ -18,6 +18,10 @@
 pub fn run(settings: &DeploymentSettings) -> eyre::Result<()> {
     let node = &settings.node;
     telemetry::start_bounded_logs(&node.name.0, &node.log_level, node.log_lines_per_s)?;
+    if !settings.ablation.is_empty() {
+        let without = settings.ablation.to_string();
+        log::warn!(without = without.as_str(); "mechanisms are switched off for a measurement");
+    }
     let executor = Rc::new(LocalExecutor::new());
     let life = live(Spawner::new(&executor), settings);
     async_io::block_on(executor.run(life))
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -1,5 +1,6 @@
 //! Types that describe the fleet: instances, versions, intents, plans and configuration.
 
+mod ablation;
 mod bitmap;
 mod configuration;
 mod id;
@@ -10,6 +11,7 @@
 mod plan;
 mod report;
 
+pub use ablation::{Ablation, Mechanism, UnknownMechanism};
 pub use bitmap::Bitmap;
 pub use configuration::{
     Change, ChangeRecord, Configuration, Deployment, Placement, Release, Role,
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -1,6 +1,6 @@
 //! Which runner a request goes to.
 
-use fleet::{Hall, InstanceId, Millis};
+use fleet::{Ablation, Hall, InstanceId, Mechanism, Millis};
 use rand::Rng;
 
 use crate::event::{Arrival, Seen, Standing};
@@ -29,6 +29,8 @@
     pub pool: &'a Pool,
     /// Where the gateway stands.
     pub hall: &'a Hall,
+    /// What is switched off.
+    pub ablation: &'a Ablation,
 }
 
 impl Chooser<'_> {
@@ -94,7 +96,7 @@
             return false;
         }
         // What is sent now starts only after a while, and by then the version must still do.
-        let start = now.plus((runner.usual_first_ms(now) * START_FACTOR) as u64);
+        let start = now.plus((self.usual_first_ms(now, runner) * START_FACTOR) as u64);
         let required = self.pool.required_version(start, model);
         let held = runner.weights(now);
         held.is_some_and(|it| &it.model == model && it.whole && it.version >= required)
@@ -103,9 +105,12 @@
     fn cost(&self, now: Millis, runner: &Runner, arrival: &Arrival) -> f64 {
         let pace = runner.load(now).map_or(1.0, |load| load.pace.max(1.0));
         let mut cost = f64::from(runner.occupancy(now) + 1) * pace;
-        cost += runner.usual_first_ms(now) / FIRST_MS_PER_PLACE;
-        cost += runner.reading_ms(now) / READING_MS_PER_PLACE;
-        if &runner.record.hall != self.hall {
+        cost += self.usual_first_ms(now, runner) / FIRST_MS_PER_PLACE;
+        if self.ablation.keeps(Mechanism::ReadingCredit) {
+            cost += runner.reading_ms(now) / READING_MS_PER_PLACE;
+        }
+        let far = &runner.record.hall != self.hall;
+        if far && self.ablation.keeps(Mechanism::HallPenalty) {
             cost += FAR_PENALTY;
         }
         if arrival.model.is_some() && runner.load(now).is_none() {
@@ -113,6 +118,13 @@
         }
         cost
     }
+
+    fn usual_first_ms(&self, now: Millis, runner: &Runner) -> f64 {
+        if !self.ablation.keeps(Mechanism::SlowStarts) {
+            return 0.0;
+        }
+        runner.usual_first_ms(now)
+    }
 }
 
 /// Whether a runner may have room. At runners with a sidecar a few requests may wait for a place there.
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use errors::Code;
-use fleet::{Hall, InstanceId, Millis, ModelName, NamedVersion, ServiceName};
+use fleet::{Ablation, Hall, InstanceId, Millis, ModelName, NamedVersion, ServiceName};
 
 use crate::catalog::{Catalog, RouteKind};
 use crate::runner::{RunnerLoad, RunnerRecord};
@@ -22,6 +22,8 @@
     pub budget_allowance: f64,
     /// How long requests may start on an older version after a newer one was named, in milliseconds.
     pub version_ms: u64,
+    /// Mechanisms that are switched off for a measurement.
+    pub ablation: Ablation,
 }
 
 /// A request within one life of a gateway.
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use errors::Code;
-use fleet::{InstanceId, Millis, ServiceName};
+use fleet::{InstanceId, Mechanism, Millis, NamedVersion, ServiceName};
 use rand::rngs::SmallRng;
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 
 use crate::budget::RetryBudget;
 use crate::catalog::Catalog;
@@ -32,6 +32,10 @@
 /// The part of the ratio of repeats that is used, for what cannot be counted exactly.
 const RATIO_SHARE: f64 = 0.75;
 
+/// When callers are asked to come back where the shortage is not looked at, in milliseconds. For
+/// measurements only.
+const UNINFORMED_RETURN: std::ops::Range<u64> = 250..900;
+
 /// The question for a place, counted from one, that may wait at a sidecar. The ones before it are for
 /// runners that may have a place at once.
 const PATIENT_QUESTION: u32 = 5;
@@ -101,6 +105,15 @@
         &self.pool
     }
 
+    /// The newest version that was named for each model, as other processes are told of it.
+    pub fn named_versions(&self, now: Millis) -> Vec<NamedVersion> {
+        let mut named = self.pool.named_versions(now);
+        if !self.options.ablation.keeps(Mechanism::VersionAges) {
+            named.iter_mut().for_each(|it| it.age_ms = None);
+        }
+        named
+    }
+
     /// Requests under way, and those of them that wait for a place.
     pub fn load(&self) -> (usize, usize) {
         (self.requests.len(), self.queue.len())
@@ -143,7 +156,8 @@
     fn arrive(&mut self, now: Millis, random: &mut SmallRng, arrival: Arrival) -> Vec<Effect> {
         let key = arrival.key;
         self.budget(&arrival.service).count_request(now);
-        let wait = (arrival.aim_ms as f64 * WAIT_SHARE) as u64;
+        let share = if self.keeps(Mechanism::Waiting) { WAIT_SHARE } else { 0.0 };
+        let wait = (arrival.aim_ms as f64 * share) as u64;
         let progress = Progress {
             wait_until: now.plus(wait).min(arrival.limit),
             tried: Vec::new(),
@@ -214,6 +228,7 @@
 
     /// Notes at the runner how an attempt ended.
     fn judge(&mut self, now: Millis, id: &InstanceId, outcome: AttemptOutcome) {
+        let suspects = self.keeps(Mechanism::Suspicion);
         let Some(runner) = self.pool.runner_mut(id) else {
             return;
         };
@@ -229,7 +244,9 @@
             | AttemptOutcome::Silent
             | AttemptOutcome::Lost
             | AttemptOutcome::Cut => {
-                runner.punish(now);
+                if suspects {
+                    runner.punish(now);
+                }
             }
             AttemptOutcome::Failed | AttemptOutcome::Expired => {}
         }
@@ -258,10 +275,11 @@
         if !free && !self.budget(&service).take_repeat(now) {
             return self.finish_without_answer(now, random, key);
         }
+        let resumes_patiently = self.keeps(Mechanism::ResumeWait);
         let Some(progress) = self.requests.get_mut(&key) else {
             return Vec::new();
         };
-        let wait = if progress.may_have_run { RESUME_WAIT } else { 0 };
+        let wait = if progress.may_have_run && resumes_patiently { RESUME_WAIT } else { 0 };
         progress.wait_until = progress.wait_until.max(now.plus(wait)).min(progress.arrival.limit);
         let place = Place { priority: 0, key };
         self.queue.insert(place);
@@ -283,11 +301,16 @@
         let step = if progress.may_have_run {
             NextStep::GiveUp(progress.reason)
         } else {
-            let chooser = Chooser { pool: &self.pool, hall: &self.options.hall };
+            let chooser = self.chooser();
             let standing = chooser.standing(now, &progress.arrival, &progress.tried);
             let serves_in_ms = chooser.serves_in_ms(now, &progress.arrival);
+            let estimates = self.keeps(Mechanism::ReturnEstimate);
             let shortage = self.shortages.entry(progress.arrival.service.clone()).or_default();
-            let retry_after_ms = shortage.refuse(now, random, serves_in_ms);
+            let retry_after_ms = if estimates {
+                shortage.refuse(now, random, serves_in_ms)
+            } else {
+                random.random_range(UNINFORMED_RETURN)
+            };
             NextStep::Refuse { code: progress.reason, retry_after_ms, standing }
         };
         vec![Effect::Proceed(key, step)]
@@ -305,7 +328,8 @@
     }
 
     fn enqueue(&mut self, key: RequestKey, progress: &Progress) {
-        self.queue.insert(Place { priority: progress.arrival.priority, key });
+        let priority = if self.keeps(Mechanism::Ranks) { progress.arrival.priority } else { 0 };
+        self.queue.insert(Place { priority, key });
     }
 
     /// Sends what has a place and refuses what has waited too long.
@@ -353,31 +377,46 @@
         random: &mut SmallRng,
         key: RequestKey,
     ) -> Option<RunnerTarget> {
+        let progress = self.requests.get(&key)?;
+        let (id, seen) = self.chooser().choose(now, random, &progress.arrival, &progress.tried)?;
+        let ablation = self.options.ablation.clone();
         let progress = self.requests.get_mut(&key)?;
-        let chooser = Chooser { pool: &self.pool, hall: &self.options.hall };
-        let (id, seen) = chooser.choose(now, random, &progress.arrival, &progress.tried)?;
         let runner = self.pool.runner_mut(&id)?;
         runner.in_flight += 1;
         let address = runner.record.address;
         progress.tried.push(id.clone());
         progress.current = Some(id.clone());
         progress.sent_at = now;
-        let reserve = progress.arrival.model.is_some();
+        let reserve = progress.arrival.model.is_some() && ablation.keeps(Mechanism::Reservations);
         progress.asked += 1;
         // While others may have a place at once, the question does not wait.
         let others = progress.asked < PATIENT_QUESTION && seen.candidates > 1;
+        let others = others || !ablation.keeps(Mechanism::QueuedReservations);
         let wait_ms = if others { 0 } else { progress.wait_until.since(now).0 };
         // What may have run already goes on before anything new.
-        let rank = if progress.may_have_run { 0 } else { progress.arrival.priority };
+        let unranked = progress.may_have_run || !ablation.keeps(Mechanism::Ranks);
+        let rank = if unranked { 0 } else { progress.arrival.priority };
         Some(RunnerTarget { id, address, reserve, rank, wait_ms, seen })
     }
 
+    fn chooser(&self) -> Chooser<'_> {
+        let GatewayOptions { hall, ablation, .. } = &self.options;
+        Chooser { pool: &self.pool, hall, ablation }
+    }
+
+    /// Whether a mechanism is at work.
+    fn keeps(&self, mechanism: Mechanism) -> bool {
+        self.options.ablation.keeps(mechanism)
+    }
+
     fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
         let options = &self.options;
+        let share =
+            if options.ablation.keeps(Mechanism::BudgetReserve) { RATIO_SHARE } else { 1.0 };
         self.budgets.entry(service.clone()).or_insert_with(|| {
             RetryBudget::new(
                 options.budget_window_ms,
-                options.budget_ratio * RATIO_SHARE,
+                options.budget_ratio * share,
                 options.budget_allowance / ALLOWANCE_SHARES,
             )
         })
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use fleet::{InstanceId, Millis, ModelName, NamedVersion, ServiceName};
+use fleet::{Ablation, InstanceId, Millis, ModelName, NamedVersion, ServiceName};
 use gateway::*;
 
 /// The model service of the tests.
@@ -16,6 +16,7 @@
 
 pub fn options() -> GatewayOptions {
     GatewayOptions {
+        ablation: Ablation::default(),
         hall: "a".into(),
         budget_window_ms: 10_000,
         budget_ratio: 0.2,
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use errors::Code;
-use fleet::{Bitmap, InstanceId, Manifest, Millis, ModelName, Place};
+use fleet::{Ablation, Bitmap, InstanceId, Manifest, Millis, ModelName, Place};
 use reducer::{Draw, DrawSource};
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +23,8 @@
     pub control_bytes_per_s: u64,
     /// Within how many milliseconds a named version must be served.
     pub version_ms: u64,
+    /// Mechanisms that are switched off for a measurement.
+    pub ablation: Ablation,
 }
 
 /// What the configuration says of the weights of this runner's service.
--- a/components/rollout/src/places.rs
+++ b/components/rollout/src/places.rs
@@ -78,9 +78,16 @@
     given: VecDeque<Millis>,
     /// Prompt tokens that may still come, and when that was counted.
     credit: (f64, Millis),
+    /// Whether prompts may come faster than the runner reads them.
+    unpaced: bool,
 }
 
 impl Places {
+    /// Lets prompts come faster than the runner reads them.
+    pub fn stop_pacing(&mut self) {
+        self.unpaced = true;
+    }
+
     /// Takes in how many requests the runner works on at once, and how fast it reads prompts.
     pub fn set_profile(&mut self, slots: u32, tokens_per_ms: f64) {
         self.slots = slots;
@@ -138,7 +145,7 @@
             return Err(Denial::Full);
         }
         let credit = self.credit(now);
-        if credit <= 0.0 {
+        if credit <= 0.0 && !self.unpaced {
             return Err(Denial::Reading);
         }
         self.credit = (credit - f64::from(prompt_tokens), now);
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -14,7 +14,7 @@
 use crate::places::Places;
 use crate::questions::Questions;
 use crate::target::{Step, Target};
-use fleet::{Bitmap, InstanceId, Millis, NamedVersion};
+use fleet::{Bitmap, InstanceId, Mechanism, Millis, NamedVersion};
 use reducer::DrawSource;
 
 /// The version that runners hold before any was named.
@@ -89,6 +89,10 @@
 impl Rollout {
     /// Starts with nothing known.
     pub fn new(options: RolloutOptions) -> Self {
+        let mut places = Places::default();
+        if !options.ablation.keeps(Mechanism::ReadingCredit) {
+            places.stop_pacing();
+        }
         Self {
             options,
             plan: None,
@@ -98,7 +102,7 @@
             status: None,
             status_at: Millis(0),
             own_order_at: Millis(0),
-            places: Places::default(),
+            places,
             questions: Questions::default(),
             manifests: Manifests::default(),
             ordered_at: None,
@@ -294,7 +298,22 @@
             return None;
         }
         let model = self.plan.as_ref()?.model.clone();
-        Some(NamedVersion { model, version, age_ms: Some(age_ms) })
+        let age_ms = self.keeps(Mechanism::VersionAges).then_some(age_ms);
+        Some(NamedVersion { model, version, age_ms })
+    }
+
+    /// Whether a mechanism is at work.
+    fn keeps(&self, mechanism: Mechanism) -> bool {
+        self.options.ablation.keeps(mechanism)
+    }
+
+    /// How long before an order gateways hear of it, in milliseconds.
+    fn notice(&self) -> u64 {
+        if self.keeps(Mechanism::Notice) {
+            NOTICE
+        } else {
+            0
+        }
     }
 
     /// Turns to the version that was named last. A version most of whose chunks are here is still taken
@@ -306,7 +325,8 @@
             return;
         }
         let target = Target::new(version, at);
-        let under_way = self.current.as_ref().is_some_and(|it| it.is_worth_finishing(at));
+        let under_way = self.current.as_ref().is_some_and(|it| it.is_worth_finishing(at))
+            && self.keeps(Mechanism::FinishedVersions);
         if under_way {
             self.next = Some(target);
         } else {
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -1,8 +1,8 @@
 //! Which requests the sidecar lets through to its runner.
 
-use fleet::Millis;
+use fleet::{Mechanism, Millis};
 
-use super::{Rollout, NOTICE};
+use super::Rollout;
 use crate::event::Effect;
 use crate::places::{Denial, Places};
 use crate::questions::{Question, Verdict};
@@ -88,7 +88,7 @@
     /// version that is too old by then.
     pub(super) fn is_exposed(&self) -> bool {
         let held = self.status.as_ref().and_then(|it| it.version).unwrap_or(0);
-        self.ordered_at.is_some() && held < self.named.version
+        self.keeps(Mechanism::LastOrder) && self.ordered_at.is_some() && held < self.named.version
     }
 
     /// Whether the runner is about to be ordered. Gateways hear of that first, so that nothing waits
@@ -101,7 +101,7 @@
             return false;
         };
         match target.step {
-            Step::Waiting(at) => now.plus(NOTICE) >= at,
+            Step::Waiting(at) => now.plus(self.notice()) >= at,
             Step::Staging | Step::Ordered(..) => true,
             _ => false,
         }
--- a/components/rollout/src/reducer/moves.rs
+++ b/components/rollout/src/reducer/moves.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use fleet::{InstanceId, Millis};
+use fleet::{InstanceId, Mechanism, Millis};
 
-use super::{Rollout, DRAIN_PATIENCE, FINISH_PATIENCE, MAX_CUT, NOTICE, TAKE_MARGIN};
+use super::{Rollout, DRAIN_PATIENCE, FINISH_PATIENCE, MAX_CUT, TAKE_MARGIN};
 use crate::event::Effect;
 use crate::target::{Step, Target};
 
@@ -30,7 +30,11 @@
         let known_for = now.since(self.peers_since).0;
         let held = self.status.as_ref().and_then(|it| it.version);
         let peers = self.peers.as_deref().unwrap_or_default();
+        let keeps_shares = self.options.ablation.keeps(Mechanism::KeptShares);
         for target in self.current.iter_mut().chain(&mut self.next) {
+            if target.step == Step::Served && !keeps_shares {
+                continue;
+            }
             if !target.wants_manifest(now, known_for, held) {
                 continue;
             }
@@ -78,8 +82,8 @@
         if !serves || self.is_exposed() {
             return now;
         }
-        let now = now.plus(NOTICE);
-        if now >= end {
+        let now = now.plus(self.notice());
+        if now >= end || !self.keeps(Mechanism::Turns) {
             return now;
         }
         let others = self.peers.iter().flatten().map(|it| &it.id);
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use fleet::{Bitmap, Hall, InstanceId, Manifest, Millis};
+use fleet::{Bitmap, Hall, InstanceId, Manifest, Mechanism, Millis};
 use reducer::{Choice, Participant, Reach, Spread, SpreadEffect, SpreadOptions, SpreadPhase};
 
 use crate::event::{Effect, Peer, RolloutOptions, WeightsPlan};
@@ -248,11 +248,12 @@
         serves: bool,
     ) {
         self.pace = if serves { GENTLE } else { URGENT };
+        let gated = options.ablation.keeps(Mechanism::HallGates);
         let reach = Reach {
             chosen: CHOSEN_NEIGHBOURS,
             near: NEAR_NEIGHBOURS,
             most: MOST_NEIGHBOURS,
-            hall_patience_ms: Some(self.pace.hall_patience_ms),
+            hall_patience_ms: gated.then_some(self.pace.hall_patience_ms),
         };
         let keeps = self.step == Step::Served;
         let receivers = self.receivers(peers);
--- a/components/rollout/tests/questions.rs
+++ b/components/rollout/tests/questions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use fleet::{InstanceId, Millis, Place};
+use fleet::{Ablation, InstanceId, Millis, Place};
 use proptest::prelude::*;
 use rollout::*;
 
@@ -10,6 +10,7 @@
 
 fn options() -> RolloutOptions {
     RolloutOptions {
+        ablation: Ablation::default(),
         me: InstanceId("10.0.0.1".into()),
         place: Place { region: "r".into(), hall: "h".into() },
         link_bytes_per_s: 950_000,
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use errors::Code;
-use fleet::{InstanceId, Manifest, Millis, Place, VersionId};
+use fleet::{Ablation, InstanceId, Manifest, Millis, Place, VersionId};
 use reducer::DrawSource;
 use rollout::*;
 
@@ -63,6 +63,7 @@
 
 pub fn options(index: usize) -> RolloutOptions {
     RolloutOptions {
+        ablation: Ablation::default(),
         me: id(index),
         place: place(index),
         link_bytes_per_s: 950_000,
--- a/components/settings/src/deployment.rs
+++ b/components/settings/src/deployment.rs
@@ -4,7 +4,7 @@
 use std::net::{AddrParseError, IpAddr, Ipv4Addr, SocketAddr};
 use std::str::FromStr;
 
-use fleet::{Hall, InstanceId, Place, Region, ServiceName};
+use fleet::{Ablation, Hall, InstanceId, Place, Region, ServiceName};
 
 use crate::file::File;
 use crate::Faults;
@@ -21,6 +21,8 @@
     pub store: StoreSettings,
     /// What the platform holds it to.
     pub bounds: BoundSettings,
+    /// `[ablation]`: what is switched off for a measurement.
+    pub ablation: Ablation,
     /// What it does.
     pub role: DeploymentRole,
 }
@@ -125,6 +127,7 @@
             node: node(&mut file),
             store: store(&mut file),
             bounds: bounds(&mut file),
+            ablation: ablation(&mut file),
             role,
         };
         file.finish()?;
@@ -213,6 +216,11 @@
     }
 }
 
+fn ablation(file: &mut File) -> Ablation {
+    let expected = "names of mechanisms, split by commas; see docs/POLICY.md";
+    file.with_default("ablation", "without", Ablation::default(), expected)
+}
+
 fn gateway(file: &mut File) -> GatewaySettings {
     GatewaySettings {
         callers: address(file, "gateway", "callers"),
--- a/components/settings/tests/deployment.rs
+++ b/components/settings/tests/deployment.rs
@@ -73,3 +73,15 @@
     assert!(DeploymentSettings::is_meant(GATEWAY) && DeploymentSettings::is_meant(SIDECAR));
     assert!(!DeploymentSettings::is_meant("[node]\nrole = entry\n[entry]\n"));
 }
+
+#[test]
+fn mechanisms_are_switched_off_in_a_section_of_their_own() {
+    let plain = DeploymentSettings::parse(&fill(GATEWAY)).unwrap();
+    assert!(plain.ablation.is_empty());
+    let text = fill(GATEWAY) + "\n[ablation]\nwithout = turns\n";
+    let settings = DeploymentSettings::parse(&text).unwrap();
+    assert!(!settings.ablation.keeps(fleet::Mechanism::Turns));
+    let text = fill(GATEWAY) + "\n[ablation]\nwithout = luck\n";
+    let faults = DeploymentSettings::parse(&text).unwrap_err();
+    assert!(faults.to_string().contains("luck"));
+}
