Settings: the store's rates and every bound are required

Ruled out: defaults by size of the site, which would hide the mistake. Change: File::need_bounded; a missing or bad one is a fault that names it. Conclusion: what the platform says is what is in force.

--- a/components/settings/src/deployment.rs
+++ b/components/settings/src/deployment.rs
@@ -197,22 +197,23 @@
     let section = "store";
     StoreSettings {
         address: address(file, section, "address"),
-        writes_per_s: file.bounded(section, "writes_per_s", 100.0, (0.0, 1e9)) as u64,
-        reads_per_s: file.bounded(section, "reads_per_s", 1000.0, (0.0, 1e9)) as u64,
+        writes_per_s: file.need_bounded(section, "writes_per_s", (0.0, 1e9)) as u64,
+        reads_per_s: file.need_bounded(section, "reads_per_s", (0.0, 1e9)) as u64,
     }
 }
 
+/// Every bound decides something, so none has a default.
 fn bounds(file: &mut File) -> BoundSettings {
     let section = "bounds";
     let whole = |it: f64| it as u64;
     BoundSettings {
-        grace_s: whole(file.bounded(section, "grace_s", 8.0, (0.0, 3600.0))),
-        drain_ms: whole(file.bounded(section, "drain_ms", 2000.0, (0.0, 1e7))),
-        configuration_ms: whole(file.bounded(section, "configuration_ms", 2000.0, (0.0, 1e7))),
-        version_ms: whole(file.bounded(section, "version_ms", 8000.0, (0.0, 1e7))),
-        repeat_ratio: file.bounded(section, "repeat_ratio", 0.2, (0.0, 100.0)),
-        repeat_window_s: whole(file.bounded(section, "repeat_window_s", 10.0, (1.0, 3600.0))),
-        repeat_allowance: file.bounded(section, "repeat_allowance", 10.0, (0.0, 1e9)),
+        grace_s: whole(file.need_bounded(section, "grace_s", (0.0, 3600.0))),
+        drain_ms: whole(file.need_bounded(section, "drain_ms", (0.0, 1e7))),
+        configuration_ms: whole(file.need_bounded(section, "configuration_ms", (0.0, 1e7))),
+        version_ms: whole(file.need_bounded(section, "version_ms", (0.0, 1e7))),
+        repeat_ratio: file.need_bounded(section, "repeat_ratio", (0.0, 100.0)),
+        repeat_window_s: whole(file.need_bounded(section, "repeat_window_s", (1.0, 3600.0))),
+        repeat_allowance: file.need_bounded(section, "repeat_allowance", (0.0, 1e9)),
     }
 }
 
--- a/components/settings/src/file.rs
+++ b/components/settings/src/file.rs
@@ -77,6 +77,29 @@
         value
     }
 
+    /// A number that must be there and lie within bounds. Falls back to the lower one when it is at fault, so
+    /// that the rest of the file is still checked.
+    pub(crate) fn need_bounded<T: FromStr + PartialOrd + Copy + Display>(
+        &mut self,
+        section: &str,
+        key: &str,
+        (low, high): (T, T),
+    ) -> T {
+        let expected = format!("a number from {low} to {high}");
+        match self.read(section, key, &expected) {
+            Some(Some(value)) if value >= low && value <= high => value,
+            Some(Some(value)) => {
+                self.complain(section, key, &value.to_string(), &expected);
+                low
+            }
+            Some(None) => low,
+            None => {
+                self.faults.push(fault(section, key, None, &expected));
+                low
+            }
+        }
+    }
+
     /// The sections whose names start with a prefix, without it.
     pub(crate) fn sections_under(&self, prefix: &str) -> Vec<String> {
         let names = self.sections.keys();
--- a/components/settings/tests/deployment.rs
+++ b/components/settings/tests/deployment.rs
@@ -68,6 +68,34 @@
     assert_eq!(keys, ["first_port", "repeat_ratio", "speed"], "{faults}");
 }
 
+/// The rates of the store and the bounds are the platform's to say: a guess would be in force unnoticed.
+#[test]
+fn a_rate_or_a_bound_that_is_missing_is_a_fault() {
+    for key in [
+        "writes_per_s",
+        "reads_per_s",
+        "grace_s",
+        "drain_ms",
+        "configuration_ms",
+        "version_ms",
+        "repeat_ratio",
+        "repeat_window_s",
+        "repeat_allowance",
+    ] {
+        let text = fill(GATEWAY);
+        let kept: Vec<&str> = text.lines().filter(|line| !line.starts_with(key)).collect();
+        let faults = DeploymentSettings::parse(&kept.join("\n")).unwrap_err();
+        let missing: Vec<&str> = faults.0.iter().map(|it| it.key.as_str()).collect();
+        assert_eq!(missing, [key]);
+    }
+}
+
+#[test]
+fn the_rates_of_the_store_are_the_platforms() {
+    let settings = DeploymentSettings::parse(&fill(SIDECAR)).unwrap();
+    assert_eq!((settings.store.writes_per_s, settings.store.reads_per_s), (400, 2000));
+}
+
 #[test]
 fn the_settings_of_a_fleet_of_our_own_are_told_apart() {
     assert!(DeploymentSettings::is_meant(GATEWAY) && DeploymentSettings::is_meant(SIDECAR));
