Refusals: a request that nobody serves in time is told so at once

Cause: a request waits 22 % of its aim for a place even where the reports of the sidecars tell that no runner serves before that; the users ask to reject at once what is known not to be servable. Ruled out: refusing without such reports (nobody knows, a place may come), and refusing what may have run already (its caller cannot come back). Change: Progress::waits_in_vain; the moment is looked up once a service and dispatch. Tests: the comeback test now expects the refusal with the arrival (it is stricter: it let 200 ms pass before), and a request still waits for a runner that serves in a moment.

--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -63,6 +63,15 @@
     reason: Code,
 }
 
+impl Progress {
+    /// Whether waiting for a place is of no more use: its time is over, or it is known that no runner serves
+    /// before that. What may have run already waits all the same, for its caller cannot come back.
+    fn waits_in_vain(&self, now: Millis, serves_in_ms: Option<u64>) -> bool {
+        let serves_too_late = serves_in_ms.is_some_and(|it| now.plus(it) >= self.wait_until);
+        now >= self.wait_until || (serves_too_late && !self.may_have_run)
+    }
+}
+
 /// A place in the queue: rank first, then order of arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
@@ -335,7 +344,8 @@
     /// Sends what has a place and refuses what has waited too long.
     fn dispatch(&mut self, now: Millis, random: &mut SmallRng) -> Vec<Effect> {
         let mut effects = Vec::new();
-        let mut full: BTreeSet<ServiceName> = BTreeSet::new();
+        // Services without a place, and when some runner of theirs serves again where none does now.
+        let mut full: BTreeMap<ServiceName, Option<u64>> = BTreeMap::new();
         let places: Vec<Place> = self.queue.iter().copied().collect();
         for place in places {
             let Some(progress) = self.requests.get(&place.key) else {
@@ -350,7 +360,7 @@
             }
             let first = progress.tried.is_empty();
             let service = progress.arrival.service.clone();
-            let target = if first && full.contains(&service) {
+            let target = if first && full.contains_key(&service) {
                 None
             } else {
                 self.choose(now, random, place.key)
@@ -360,10 +370,15 @@
                 effects.push(Effect::Proceed(place.key, NextStep::Send(target)));
                 continue;
             }
-            if first {
-                full.insert(service);
+            let Some(progress) = self.requests.get(&place.key) else {
+                continue;
+            };
+            if first && !full.contains_key(&service) {
+                let serves_in_ms = self.chooser().serves_in_ms(now, &progress.arrival);
+                full.insert(service.clone(), serves_in_ms);
             }
-            if now >= progress_wait(&self.requests, place.key) {
+            let serves_in_ms = full.get(&service).copied().flatten();
+            if progress.waits_in_vain(now, serves_in_ms) {
                 self.queue.remove(&place);
                 effects.extend(self.finish_without_answer(now, random, place.key));
             }
@@ -422,7 +437,3 @@
         })
     }
 }
-
-fn progress_wait(requests: &BTreeMap<RequestKey, Progress>, key: RequestKey) -> Millis {
-    requests.get(&key).map_or(Millis(0), |it| it.wait_until)
-}
