Reports: gateways of other data halls hear of loads a third as often

Ruled out: telling only some gateways (none may be blind to a runner). Change: rollout::Reports decides who is told; gateways name their hall when they subscribe. Everyone still hears at once when a runner begins or ceases to take requests, and answers to questions carry the load as before.

--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -326,7 +326,8 @@
     let now = core.clock.now();
     let named = core.read(|gateway| gateway.named_versions(now));
     let services = core.catalog().map(|it| weights_services(&it)).unwrap_or_default();
-    Datagram::Subscribe { named, services }
+    let hall = core.read(|gateway| gateway.hall().clone());
+    Datagram::Subscribe { hall, named, services }
 }
 
 /// Where the sidecars of model runners listen: on the machines of their runners.
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -18,6 +18,8 @@
 pub enum Datagram {
     /// A gateway wants to hear of the load of the runner beside the receiver.
     Subscribe {
+        /// Where the gateway stands: those in the receiver's data hall hear of the load more often.
+        hall: Hall,
         /// The versions that the gateway knows to be named: a sidecar that does not reach the store
         /// hears of them here.
         named: Vec<NamedVersion>,
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -29,6 +29,15 @@
     named_at: Option<Millis>,
 }
 
+/// A gateway that wants reports.
+#[derive(Clone, Copy, Debug)]
+pub struct Subscription {
+    /// Whether it stands in this data hall.
+    pub near: bool,
+    /// Until when it wants them.
+    pub until: Millis,
+}
+
 /// A sidecar's state, shared by the tasks of its process.
 #[derive(Clone)]
 pub struct Core {
@@ -38,8 +47,8 @@
     pub chunks: Rc<RefCell<Chunks>>,
     /// The newest version that was named for each model.
     pub names: Rc<RefCell<BTreeMap<ModelName, HeardVersion>>>,
-    /// Gateways that want reports, and until when.
-    pub subscribers: Rc<RefCell<BTreeMap<SocketAddr, Millis>>>,
+    /// Gateways that want reports.
+    pub subscribers: Rc<RefCell<BTreeMap<SocketAddr, Subscription>>>,
     /// What the runner last said of its load.
     pub load: Rc<RefCell<Option<RunnerLoad>>>,
     /// Where the origin of weights listens.
@@ -181,10 +190,20 @@
 
     /// The gateways that want reports now.
     pub fn subscribers(&self) -> Vec<SocketAddr> {
+        self.subscribers_where(|_| true)
+    }
+
+    /// The gateways in this data hall that want reports now.
+    pub fn near_subscribers(&self) -> Vec<SocketAddr> {
+        self.subscribers_where(|it| it.near)
+    }
+
+    fn subscribers_where(&self, wanted: impl Fn(&Subscription) -> bool) -> Vec<SocketAddr> {
         let now = self.clock.now();
         let mut subscribers = self.subscribers.borrow_mut();
-        subscribers.retain(|_, until| *until > now);
-        subscribers.keys().copied().collect()
+        subscribers.retain(|_, it| it.until > now);
+        let chosen = subscribers.iter().filter(|(_, it)| wanted(it));
+        chosen.map(|(address, _)| *address).collect()
     }
 
     /// Asks for a fresh report of the runner: somebody waits for a place.
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -14,7 +14,7 @@
 use net::Pacer;
 use rollout::{Denial, Event, Question, Verdict};
 
-use super::core::Core;
+use super::core::{Core, Subscription};
 use crate::exchange::{prepare, within};
 use crate::message::{
     frame, lost, read_frame, ChunkRequest, Datagram, PeerAnswer, PeerRequest, Reply, SidecarsPart,
@@ -115,9 +115,10 @@
     loop {
         let (sender, datagram) = news.receive().await;
         match datagram {
-            Datagram::Subscribe { named, services } => {
+            Datagram::Subscribe { hall, named, services } => {
                 let until = core.clock.now().plus(SUBSCRIPTION);
-                core.subscribers.borrow_mut().insert(sender, until);
+                let near = hall == core.place.hall;
+                core.subscribers.borrow_mut().insert(sender, Subscription { near, until });
                 core.take_services(&services);
                 core.take_names(&named);
                 if !services.is_empty() {
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -1,5 +1,6 @@
 //! What a sidecar does at the runner beside it.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
@@ -9,7 +10,7 @@
 use fleet::{Bitmap, ModelName};
 use gateway::RunnerLoad;
 use platform::{runner, weights};
-use rollout::{Event, OrderOutcome};
+use rollout::{Audience, Event, OrderOutcome, Reports};
 
 use super::core::Core;
 use crate::exchange::within;
@@ -21,8 +22,6 @@
 const REPORT_SPACING: Duration = Duration::from_millis(25);
 /// How often it is asked otherwise.
 const REPORT_EVERY: Duration = Duration::from_millis(100);
-/// How often gateways are told of a load that stays much the same.
-const TELL_EVERY: Duration = Duration::from_millis(140);
 /// How long a call to the runner may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long the chunks of a version may take to be put there. Longer, and the first ones may have
@@ -50,7 +49,8 @@
 pub async fn report(core: Core, news: News) {
     let mut link = Link::new(core.settings.runner);
     let mut heard = false;
-    let mut told = Told::default();
+    let mut reports = Reports::default();
+    let mut told = None;
     loop {
         let report = read_report(&core, &mut link).await;
         if report.is_ok() != heard {
@@ -61,8 +61,8 @@
             Ok(report) => {
                 core.feed(Event::Status(report.status));
                 *core.load.borrow_mut() = Some(report.load);
-                if let Some(load) = core.load_now().filter(|it| told.is_due(it)) {
-                    tell_gateways(&core, &news, load).await;
+                if let Some(load) = core.load_now() {
+                    tell_due(&core, &news, &mut reports, &mut told, load).await;
                 }
             }
             Err(_) => core.feed(Event::Silent),
@@ -74,35 +74,28 @@
     }
 }
 
-/// What gateways were last told.
-#[derive(Default)]
-struct Told {
-    load: Option<RunnerLoad>,
-    at: Option<Instant>,
+/// Tells the gateways whose turn it is. `told` is the load that they were last told of.
+async fn tell_due(
+    core: &Core,
+    news: &News,
+    reports: &mut Reports,
+    told: &mut Option<RunnerLoad>,
+    load: RunnerLoad,
+) {
+    let same = told.as_ref().is_some_and(|it| (it.busy, &it.weights) == (load.busy, &load.weights));
+    let gateways = match reports.audience(core.clock.now(), !same) {
+        Audience::Nobody => return,
+        Audience::Hall => core.near_subscribers(),
+        Audience::Everyone => core.subscribers(),
+    };
+    *told = Some(load.clone());
+    tell_gateways(core, news, &gateways, load).await;
 }
 
-impl Told {
-    /// Whether gateways should be told: at once when it changes whether the runner takes requests, else
-    /// now and then. Those that ask for a place hear of the load with the answer.
-    fn is_due(&mut self, load: &RunnerLoad) -> bool {
-        let same = self
-            .load
-            .as_ref()
-            .is_some_and(|it| (it.busy, &it.weights) == (load.busy, &load.weights));
-        let recent = self.at.is_some_and(|it| it.elapsed() < TELL_EVERY);
-        if same && recent {
-            return false;
-        }
-        *self = Self { load: Some(load.clone()), at: Some(Instant::now()) };
-        true
-    }
-}
-
-async fn tell_gateways(core: &Core, news: &News, load: RunnerLoad) {
-    let gateways = core.subscribers();
+async fn tell_gateways(core: &Core, news: &News, gateways: &[SocketAddr], load: RunnerLoad) {
     let datagram = Datagram::Load { runner: core.settings.runner, load };
     for gateway in gateways {
-        news.send(gateway, &datagram).await;
+        news.send(*gateway, &datagram).await;
     }
 }
 
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use errors::Code;
-use fleet::{InstanceId, Mechanism, Millis, NamedVersion, ServiceName};
+use fleet::{Hall, InstanceId, Mechanism, Millis, NamedVersion, ServiceName};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -109,6 +109,11 @@
         self.catalog.as_ref()
     }
 
+    /// Where the gateway stands.
+    pub fn hall(&self) -> &Hall {
+        &self.options.hall
+    }
+
     /// The runners known.
     pub fn pool(&self) -> &Pool {
         &self.pool
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -8,6 +8,7 @@
 mod places;
 mod questions;
 mod reducer;
+mod reports;
 mod target;
 
 pub use event::{
@@ -16,3 +17,4 @@
 pub use places::{Denial, Places};
 pub use questions::{Question, Verdict};
 pub use reducer::Rollout;
+pub use reports::{Audience, Reports};
--- /dev/null
+++ b/components/rollout/src/reports.rs
@@ -0,0 +1,49 @@
+//! When gateways are told of the load of the runner.
+
+use fleet::Millis;
+
+/// How often gateways of this data hall are told of a load that stays much the same, in milliseconds.
+const TELL_EVERY: u64 = 140;
+/// How often those of other data halls are, in milliseconds. They send most requests to runners near them,
+/// hear of the load with each answer to a question for a place, and take a report for a second. Reports are
+/// what grows with gateways times sidecars: 370 a second from each sidecar of mizani-tips-large when all
+/// gateways are told alike.
+const TELL_FAR_EVERY: u64 = 420;
+
+/// Which gateways are told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// None.
+    Nobody,
+    /// Those of this data hall.
+    Hall,
+    /// All.
+    Everyone,
+}
+
+/// When gateways were last told.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reports {
+    hall_at: Option<Millis>,
+    everyone_at: Option<Millis>,
+}
+
+impl Reports {
+    /// Who is told now. `changed` tells whether the runner has begun or ceased to take requests since the
+    /// last report: everyone hears of that at once.
+    pub fn audience(&mut self, now: Millis, changed: bool) -> Audience {
+        if changed || is_due(now, self.everyone_at, TELL_FAR_EVERY) {
+            (self.hall_at, self.everyone_at) = (Some(now), Some(now));
+            return Audience::Everyone;
+        }
+        if is_due(now, self.hall_at, TELL_EVERY) {
+            self.hall_at = Some(now);
+            return Audience::Hall;
+        }
+        Audience::Nobody
+    }
+}
+
+fn is_due(now: Millis, last: Option<Millis>, every: u64) -> bool {
+    last.is_none_or(|at| now.since(at).0 >= every)
+}
