Directory: sidecars press neither gateways nor the store during an outage

Cause, by reading: while the store is out gateways answer that their list is old, and a sidecar that had a list asked three of them again every 50 ms and read the failing store every four seconds. Ruled out: taking the old list (two old lists may differ). Change: rollout::Directory decides when to ask and when to read the store; an old answer counts as heard and is followed by a pause of 400 ms.

--- a/components/edge/src/sidecar/directory.rs
+++ b/components/edge/src/sidecar/directory.rs
@@ -1,11 +1,7 @@
-//! Who the other sidecars are.
-//!
-//! Gateways follow the store's list of runners anyway, so a sidecar asks one of those that ask it for
-//! reports. It reads the list itself only when no gateway has been heard for a while: each call to the store
-//! has its price, and the list crosses the links between regions.
+//! Asks gateways, or the store, who the other sidecars are. `rollout::Directory` decides when.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
@@ -14,7 +10,7 @@
 use gateway::RunnerState;
 use platform::store::{Change, Table};
 use rand::seq::IteratorRandom;
-use rollout::{Event, Peer};
+use rollout::{Directory, DirectoryAnswer, Event, Peer};
 use settings::DeploymentSettings;
 
 use super::core::Core;
@@ -27,16 +23,7 @@
 /// How long a gateway may take to answer. It is at most a few milliseconds away and answers at once.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(250);
 /// How many gateways are asked, one after the other.
-const TRIES: u32 = 3;
-/// How often a sidecar that hears no gateway looks whether one has come.
-const LOOK_EVERY: Duration = Duration::from_millis(40);
-/// How long no gateway may have answered before the store is read. Gateways ask for reports every second,
-/// so four rounds were missed.
-const GATEWAY_PATIENCE: Duration = Duration::from_millis(4000);
-/// The pause between the first two questions. It doubles, so that a fleet that starts is soon known.
-const FIRST_SPACING: Duration = Duration::from_millis(400);
-/// The pause between two questions later on. The list is also asked for when a version is named.
-const SPACING: Duration = Duration::from_millis(20_000);
+const TRIES: usize = 3;
 
 /// Keeps the reducer told of the other sidecars for as long as the task runs.
 pub async fn follow(
@@ -45,36 +32,24 @@
     parts: Receiver<SidecarsPart>,
     settings: DirectorySettings,
 ) {
-    let mut directory = Directory {
+    let mut times = Directory::new(core.clock.now());
+    let mut asker = Asker {
         link: Link::new(settings.store),
         settings,
-        core,
+        core: core.clone(),
         news,
         parts,
         questions: 0,
         known: false,
     };
-    let mut spacing = FIRST_SPACING;
-    let mut answered_at = Instant::now();
     loop {
-        let mut pause = LOOK_EVERY;
-        if let Some(peers) = directory.ask_gateways().await {
-            directory.tell(peers);
-            answered_at = Instant::now();
-            pause = spacing;
-            spacing = (spacing * 2).min(SPACING);
-        } else if answered_at.elapsed() >= GATEWAY_PATIENCE {
-            match directory.read_store().await {
-                Ok(peers) => directory.tell(peers),
-                Err(error) => {
-                    let reason = error.to_string();
-                    log::warn!(reason = reason.as_str(); "list of runners cannot be read");
-                }
-            }
-            answered_at = Instant::now();
+        let answer = asker.ask_gateways().await;
+        let step = times.take_answer(core.clock.now(), answer);
+        if step.read_store {
+            asker.read_store().await;
         }
-        let hurry = directory.core.list_wanted.clone();
-        within(Instant::now() + pause, hurry.recv()).await;
+        let pause = Duration::from_millis(step.pause_ms);
+        within(Instant::now() + pause, core.list_wanted.recv()).await;
     }
 }
 
@@ -99,7 +74,7 @@
     }
 
     /// The sidecar on a machine. Sidecars are named by the addresses of their machines.
-    fn peer(&self, machine: std::net::IpAddr, hall: &Hall, version: Option<u64>) -> Peer {
+    fn peer(&self, machine: IpAddr, hall: &Hall, version: Option<u64>) -> Peer {
         let region = self.halls.get(hall).cloned().unwrap_or_default();
         Peer {
             id: InstanceId(machine.to_string()),
@@ -110,7 +85,7 @@
     }
 }
 
-struct Directory {
+struct Asker {
     settings: DirectorySettings,
     core: Core,
     news: News,
@@ -122,31 +97,40 @@
     known: bool,
 }
 
-impl Directory {
+impl Asker {
     fn tell(&mut self, peers: Vec<Peer>) {
         self.known = true;
         self.core.feed(Event::Peers(peers));
     }
 
     /// Asks a few gateways, until one answers with a list that is worth taking.
-    async fn ask_gateways(&mut self) -> Option<Vec<Peer>> {
+    async fn ask_gateways(&mut self) -> DirectoryAnswer {
         let gateways = self.core.subscribers();
-        let asked = gateways.into_iter().choose_multiple(&mut rand::rng(), TRIES as usize);
+        if gateways.is_empty() {
+            return DirectoryAnswer::NoGateway;
+        }
+        let asked = gateways.into_iter().choose_multiple(&mut rand::rng(), TRIES);
+        let mut best = DirectoryAnswer::Silent;
         for gateway in asked {
             self.questions += 1;
             let question = self.questions;
             let service = self.core.settings.service.clone();
             self.news.send(gateway, &Datagram::WantSidecars { question, service }).await;
             let until = Instant::now() + ANSWER_PATIENCE;
-            if let Some(peers) = within(until, self.collect(question)).await.flatten() {
-                return Some(peers);
+            match within(until, self.collect(question)).await {
+                Some(Some(peers)) => {
+                    self.tell(peers);
+                    return DirectoryAnswer::List;
+                }
+                Some(None) => best = DirectoryAnswer::Stale,
+                None => {}
             }
         }
-        None
+        best
     }
 
     /// Waits for every part of an answer. `None` where the gateway does not hear the store and an older list
-    /// is here: the two may differ, and nobody could tell which one is newer.
+    /// is here.
     async fn collect(&self, question: u64) -> Option<Vec<Peer>> {
         let mut seen = BTreeSet::new();
         let mut peers = Vec::new();
@@ -171,7 +155,17 @@
     }
 
     /// Reads the store's list.
-    async fn read_store(&mut self) -> Result<Vec<Peer>> {
+    async fn read_store(&mut self) {
+        match self.listed_peers().await {
+            Ok(peers) => self.tell(peers),
+            Err(error) => {
+                let reason = error.to_string();
+                log::warn!(reason = reason.as_str(); "list of runners cannot be read");
+            }
+        }
+    }
+
+    async fn listed_peers(&mut self) -> Result<Vec<Peer>> {
         let listing = list(&mut self.link, Table::Runners).await?;
         let mut peers = Vec::new();
         for change in listing.changes {
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! The spread of chunks between sidecars is that of `reducer`; this package adds the runner.
 
+mod directory;
 mod event;
 mod manifests;
 mod places;
@@ -11,6 +12,7 @@
 mod reports;
 mod target;
 
+pub use directory::{Directory, DirectoryAnswer, DirectoryStep};
 pub use event::{
     Effect, Event, ManifestSource, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan,
 };
