Names: a customer's share of the system is a workspace outside platform/

Change: gateway::Workspace, Catalog::workspace, their users and tests; the platform's word stays in its formats. Ruled out: renaming runner, which is the platform's and the field's word for what an engine runs in.

--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -164,8 +164,8 @@
         catalog.route(host, uri.path()).ok_or((StatusCode::NOT_FOUND, Code::UnknownTarget))?;
     let service =
         route.service(rand::random()).ok_or((StatusCode::SERVICE_UNAVAILABLE, Code::NoUpstream))?;
-    let tenant = facts.key.as_deref().and_then(|key| catalog.tenant(key));
-    if catalog.needs_keys() && tenant.is_none() && !route.open {
+    let workspace = facts.key.as_deref().and_then(|key| catalog.workspace(key));
+    if catalog.needs_keys() && workspace.is_none() && !route.open {
         return Err((StatusCode::UNAUTHORIZED, Code::Unauthorized));
     }
     // What a caller says of a model counts only where the service runs one.
@@ -177,9 +177,9 @@
         prompt_tokens: engine.map_or(0, |it| facts.prompt_tokens.unwrap_or(it.usual_prompt_tokens)),
         model,
         kind: route.kind,
-        workspace: tenant.map(|it| it.name.clone()),
-        // The rank of a tenant goes before that of the route.
-        priority: tenant.map_or(0, |it| it.priority) * 10 + route.priority.min(9),
+        workspace: workspace.map(|it| it.name.clone()),
+        // The rank of a workspace goes before that of the route.
+        priority: workspace.map_or(0, |it| it.priority) * 10 + route.priority.min(9),
         timeout_ms: route.timeout_ms,
         aim_ms: route.aim_ms,
         gap_aim_ms: route.gap_aim_ms,
--- a/components/gateway/src/catalog.rs
+++ b/components/gateway/src/catalog.rs
@@ -1,4 +1,4 @@
-//! The configuration that a gateway serves by: routes, services, tenants and limits.
+//! The configuration that a gateway serves by: routes, services, workspaces and limits.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -112,7 +112,7 @@
 
 /// A customer's workspace.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Tenant {
+pub struct Workspace {
     /// Its name.
     pub name: WorkspaceId,
     /// Its rank, which goes before that of the route.
@@ -152,8 +152,8 @@
     pub routes: Vec<Route>,
     /// Its services.
     pub services: Vec<Service>,
-    /// Its tenants by key. `None` when no key is needed.
-    pub tenants: Option<HashMap<String, Tenant>>,
+    /// Its workspaces by key. `None` when no key is needed.
+    pub workspaces: Option<HashMap<String, Workspace>>,
     /// Its limits.
     pub limits: Limits,
 }
@@ -169,7 +169,7 @@
     /// For each host its routes by path prefix.
     by_host: HashMap<String, HashMap<String, usize>>,
     services: HashMap<ServiceName, Service>,
-    tenants: Option<HashMap<String, Tenant>>,
+    workspaces: Option<HashMap<String, Workspace>>,
 }
 
 impl Catalog {
@@ -186,7 +186,7 @@
             routes: parts.routes,
             by_host,
             services: parts.services.into_iter().map(|it| (it.name.clone(), it)).collect(),
-            tenants: parts.tenants,
+            workspaces: parts.workspaces,
         }
     }
 
@@ -216,12 +216,12 @@
 
     /// Whether requests need a key.
     pub fn needs_keys(&self) -> bool {
-        self.tenants.is_some()
+        self.workspaces.is_some()
     }
 
     /// Who holds a key.
-    pub fn tenant(&self, key: &str) -> Option<&Tenant> {
-        self.tenants.as_ref()?.get(key)
+    pub fn workspace(&self, key: &str) -> Option<&Workspace> {
+        self.workspaces.as_ref()?.get(key)
     }
 
     /// How many routes there are.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use budget::RetryBudget;
 pub use catalog::{
-    Catalog, CatalogParts, EngineProfile, Limits, Origin, Route, RouteKind, Service, Tenant,
+    Catalog, CatalogParts, EngineProfile, Limits, Origin, Route, RouteKind, Service, Workspace,
 };
 pub use event::{
     Arrival, AttemptOutcome, Effect, Event, GatewayOptions, NextStep, RequestKey, RunnerTarget,
