Gateway and sidecar nodes: the state of a table is one type, one patience

Cause: reading the change as a newcomer: follow had six arguments with two flags of the same type, the four seconds that a sidecar waits for gateways stood twice, and a configuration that a sidecar could not read was swallowed without a line in the log. Change: TableState and Tables; rollout::GATEWAY_PATIENCE is the one figure; the failure is logged. No decision changes.

--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -69,13 +69,20 @@
     accepting: RefCell<Option<Task<()>>>,
 }
 
-/// What has been read from the store at least once.
+/// How a table of the store stands.
 #[derive(Clone, Default)]
-struct Known {
-    configuration: Rc<Cell<bool>>,
-    runners: Rc<Cell<bool>>,
-    /// Whether the store does not answer questions for the runners any more.
-    runners_lost: Rc<Cell<bool>>,
+struct TableState {
+    /// Whether it has been read whole at least once.
+    whole: Rc<Cell<bool>>,
+    /// Whether the store does not answer questions for it any more.
+    lost: Rc<Cell<bool>>,
+}
+
+/// The tables that a gateway follows.
+#[derive(Clone, Default)]
+struct Tables {
+    operator: TableState,
+    runners: TableState,
 }
 
 impl GatewayNode {
@@ -92,7 +99,7 @@
             &settings.node.name.0,
             reservations,
         );
-        let known = Known::default();
+        let tables = Tables::default();
         let (stop, stopped) = async_channel::bounded(1);
         let node = Self {
             core: core.clone(),
@@ -102,18 +109,10 @@
             open: Rc::default(),
             accepting: RefCell::default(),
         };
-        node.serve_readiness(spawner, settings, known.clone(), stopped.clone()).await?;
-        let lost = known.runners_lost.clone();
-        follow(
-            spawner,
-            settings,
-            &core,
-            Table::Operator,
-            known.configuration.clone(),
-            Rc::default(),
-        );
-        follow(spawner, settings, &core, Table::Runners, known.runners.clone(), lost);
-        exchange_news(spawner, &core, news, port, known);
+        node.serve_readiness(spawner, settings, tables.clone(), stopped.clone()).await?;
+        follow(spawner, settings, &core, Table::Operator, tables.operator);
+        follow(spawner, settings, &core, Table::Runners, tables.runners.clone());
+        exchange_news(spawner, &core, news, port, tables.runners);
         serve_page(spawner, settings, &core, stopped.clone()).await?;
         spawner.detach(tick(core.clone()));
         node.serve_callers(spawner, settings, stopped).await?;
@@ -146,7 +145,7 @@
         &self,
         spawner: &Spawner,
         settings: &DeploymentSettings,
-        known: Known,
+        tables: Tables,
         stopped: Receiver<()>,
     ) -> Result<()> {
         let Some(gateway) = settings.gateway() else {
@@ -157,7 +156,8 @@
             ServerOptions { idle: Duration::from_secs(30), stopping: stopped, open: Rc::default() };
         let stopping = self.stopping.clone();
         let handler = move |request: Request<Incoming>| {
-            let ready = known.configuration.get() && known.runners.get() && !stopping.get();
+            let known = tables.operator.whole.get() && tables.runners.whole.get();
+            let ready = known && !stopping.get();
             std::future::ready(readiness(&request, ready))
         };
         spawner.detach(serve(spawner.clone(), listener, options, handler));
@@ -205,8 +205,7 @@
     settings: &DeploymentSettings,
     core: &Core,
     table: Table,
-    whole: Rc<Cell<bool>>,
-    lost: Rc<Cell<bool>>,
+    state: TableState,
 ) {
     let options = WatchOptions {
         store: settings.store.address,
@@ -218,10 +217,10 @@
     let core = core.clone();
     spawner.detach(watch(options, move |seen| match seen {
         Seen::Whole => {
-            whole.set(true);
+            state.whole.set(true);
             core.tell_sidecars();
         }
-        Seen::Reached(reached) => lost.set(!reached),
+        Seen::Reached(reached) => state.lost.set(!reached),
         Seen::Change { change, late } => {
             let concerns_sidecars = concerns_sidecars(&change);
             core.feed(event(change, late));
@@ -276,7 +275,7 @@
 }
 
 /// Asks sidecars for reports and takes them in.
-fn exchange_news(spawner: &Spawner, core: &Core, news: News, port: u16, known: Known) {
+fn exchange_news(spawner: &Spawner, core: &Core, news: News, port: u16, runners: TableState) {
     let (sender, receiver) = (news.clone(), news);
     let (asking, taking) = (core.clone(), core.clone());
     spawner.detach(async move {
@@ -293,8 +292,8 @@
         loop {
             let (sender, datagram) = receiver.receive().await;
             match datagram {
-                Datagram::WantSidecars { question, service } if known.runners.get() => {
-                    let fresh = !known.runners_lost.get();
+                Datagram::WantSidecars { question, service } if runners.whole.get() => {
+                    let fresh = !runners.lost.get();
                     let answer = taking.read(|it| directory::answer(it, &service, question, fresh));
                     for part in answer {
                         receiver.send(sender, &part).await;
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -9,7 +9,7 @@
 use errors::Result;
 use fleet::{InstanceId, Millis, NamedVersion};
 use platform::store::{Change, Table};
-use rollout::{Effect, Event, RolloutOptions};
+use rollout::{Effect, Event, RolloutOptions, GATEWAY_PATIENCE};
 use settings::{DeploymentSettings, SidecarSettings};
 use telemetry::Metrics;
 
@@ -27,9 +27,6 @@
 
 /// How often the named versions are listed by a sidecar that no gateway reaches.
 const VERSIONS_SPACING: Duration = Duration::from_millis(30_000);
-/// How long gateways have to tell of the weights and of the named versions before the store is read. The
-/// configuration may be large, and the machine's link is narrow.
-const GATEWAY_PATIENCE: Duration = Duration::from_millis(4000);
 /// How often the reducer is told of the time.
 const TICK: Duration = Duration::from_millis(40);
 /// How often the log tells how many chunks are here.
@@ -157,7 +154,7 @@
 async fn follow_versions(core: Core, store: SocketAddr) {
     let mut link = Link::new(store);
     loop {
-        Timer::after(GATEWAY_PATIENCE).await;
+        Timer::after(Duration::from_millis(GATEWAY_PATIENCE)).await;
         if !core.subscribers().is_empty() {
             continue;
         }
@@ -184,23 +181,33 @@
     core.feed(Event::VersionsKnown);
 }
 
-/// Reads from the configuration what it says of the weights, where no gateway tells of it.
+/// Reads from the configuration what it says of the weights, where no gateway tells of it. The configuration
+/// may be large, and the machine's link is narrow.
 async fn find_plan(core: Core, store: SocketAddr) {
     let mut link = Link::new(store);
     loop {
-        Timer::after(GATEWAY_PATIENCE).await;
+        Timer::after(Duration::from_millis(GATEWAY_PATIENCE)).await;
         if core.rollout.borrow().plan().is_some() {
             return;
         }
-        let listing = list(&mut link, Table::Operator).await;
-        for change in listing.map(|it| it.changes).unwrap_or_default() {
-            if let Change::Configuration(catalog) = change {
-                core.take_services(&weights_services(&catalog));
+        match list(&mut link, Table::Operator).await {
+            Ok(listing) => take_configuration(&core, listing.changes),
+            Err(error) => {
+                let reason = error.to_string();
+                log::warn!(reason = reason.as_str(); "configuration cannot be read");
             }
         }
     }
 }
 
+fn take_configuration(core: &Core, changes: Vec<Change>) {
+    for change in changes {
+        if let Change::Configuration(catalog) = change {
+            core.take_services(&weights_services(&catalog));
+        }
+    }
+}
+
 /// Serves the page of metrics with what the sidecar believes.
 async fn serve_page(
     spawner: &Spawner,
--- a/components/rollout/src/directory.rs
+++ b/components/rollout/src/directory.rs
@@ -9,7 +9,7 @@
 const LOOK_EVERY: u64 = 40;
 /// How long no gateway may have answered before the store is read, in milliseconds. Gateways ask for reports
 /// every second, so four rounds were missed.
-const GATEWAY_PATIENCE: u64 = 4000;
+pub const GATEWAY_PATIENCE: u64 = 4000;
 /// The pause between the first two questions, and after one that brought no list, in milliseconds. It
 /// doubles with each list, so that a fleet that starts is soon known.
 const FIRST_SPACING: u64 = 400;
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -12,7 +12,7 @@
 mod reports;
 mod target;
 
-pub use directory::{Directory, DirectoryAnswer, DirectoryStep};
+pub use directory::{Directory, DirectoryAnswer, DirectoryStep, GATEWAY_PATIENCE};
 pub use event::{
     Effect, Event, ManifestSource, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan,
 };
