--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -222,6 +222,7 @@
         let held = rollout.status().and_then(|it| it.version).unwrap_or(0);
         core.metrics.set("version_wanted", rollout.wanted().unwrap_or(0));
         core.metrics.set("version_held", held);
+        core.metrics.set("sidecars_known", rollout.peer_addresses().len() as u64);
         core.metrics.set("places_taken", u64::from(rollout.places().taken()));
     };
     serve_metrics(spawner, address, stopping, metrics, refresh).await
