Logs and metrics: how old a gateway's knowledge of the store is

Cause: the record of the incident could not tell its three hypotheses apart. The log that is kept holds seconds only, full of lines on requests, and the line of a refused request named neither the version of the configuration nor how long ago the store had confirmed it; calls without an answer were not counted. Change, no decision touched: a line on what is believed every two seconds; a line for a refusal that the configuration is the reason of, with its version and age, which the account turns into its cause; gauges of both ages; calls to the store counted by table and outcome. Conclusion: a refusal by old knowledge now says so itself.

--- a/components/account/src/account.rs
+++ b/components/account/src/account.rs
@@ -117,6 +117,10 @@
         Decision::Routed { route, service, configuration, kind, held_ms } => format!(
             "route {route} ({kind}) to {service}, configuration {configuration}, held {held_ms} ms at most"
         ),
+        Decision::Unrouted { configuration, age_ms } => {
+            let age = age_ms.map_or("never".into(), |age| format!("{age} ms ago"));
+            format!("no route or key in configuration {configuration}, confirmed {age}")
+        }
         Decision::Chosen { runner, attempt, occupancy, report_age_ms, candidates } => {
             let age = report_age_ms.map_or("no report".into(), |age| format!("report {age} ms old"));
             format!("attempt {attempt}: {runner} of {candidates}, {occupancy} requests there, {age}")
--- a/components/account/src/cause.rs
+++ b/components/account/src/cause.rs
@@ -38,6 +38,9 @@
 
 fn refused(lines: &[RequestLine], code: u16, runners: u32, usable: u32) -> String {
     let name = Code::from_number(code).map_or("", Code::meaning);
+    if let Some(unrouted) = unrouted(lines) {
+        return unrouted;
+    }
     let reasons = denials(lines);
     if !reasons.is_empty() {
         return format!("it did not run: sidecars gave no place ({reasons})");
@@ -51,6 +54,20 @@
     format!("it did not run. {name}{}", last_failure(lines))
 }
 
+/// What the configuration lacked, and how old it was.
+fn unrouted(lines: &[RequestLine]) -> Option<String> {
+    lines.iter().find_map(|line| match &line.decision {
+        Decision::Unrouted { configuration, age_ms } => {
+            let age = age_ms.map_or("never".into(), |it| format!("{it} ms before"));
+            Some(format!(
+                "it did not run: configuration {configuration}, last confirmed by the store {age}, \
+                 lacks its route or key"
+            ))
+        }
+        _ => None,
+    })
+}
+
 /// Why sidecars gave no place, each reason once.
 fn denials(lines: &[RequestLine]) -> String {
     let mut reasons: Vec<&str> = Vec::new();
--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -19,6 +19,13 @@
         /// How long it may be held, in milliseconds.
         held_ms: u64,
     },
+    /// The configuration names no route for it, or not the key.
+    Unrouted {
+        /// The version of the configuration.
+        configuration: u64,
+        /// How long ago the store last said that there is no newer one, in milliseconds.
+        age_ms: Option<u64>,
+    },
     /// A runner was chosen.
     Chosen {
         /// Its incarnation.
--- a/components/edge/src/gateway/core.rs
+++ b/components/edge/src/gateway/core.rs
@@ -10,6 +10,7 @@
 use telemetry::Metrics;
 
 use super::reservations::Reservations;
+use super::tables::Tables;
 use crate::clock::Clock;
 
 /// A gateway's state, shared by the tasks of its process.
@@ -24,6 +25,8 @@
     pub name: Rc<str>,
     /// Places at runners.
     pub reservations: Reservations,
+    /// What is known of the store's tables.
+    pub tables: Tables,
     /// Told of each version that is named.
     pub named: Receiver<()>,
     name_sidecars: Sender<()>,
@@ -52,6 +55,7 @@
             metrics,
             name: name.into(),
             reservations,
+            tables: Tables::default(),
             named,
             name_sidecars,
         }
--- a/components/edge/src/gateway/mod.rs
+++ b/components/edge/src/gateway/mod.rs
@@ -9,6 +9,8 @@
 mod relay;
 mod request;
 mod reservations;
+mod state_log;
+mod tables;
 mod trace;
 
 pub use self::answer::{own_answer, whole_body, AnswerBody};
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -24,6 +24,8 @@
 use super::directory;
 use super::request;
 use super::reservations::Reservations;
+use super::state_log;
+use super::tables::{TableState, Tables};
 use crate::clock::Clock;
 use crate::exchange::within;
 use crate::message::{weights_services, Datagram};
@@ -69,22 +71,6 @@
     accepting: RefCell<Option<Task<()>>>,
 }
 
-/// How a table of the store stands.
-#[derive(Clone, Default)]
-struct TableState {
-    /// Whether it has been read whole at least once.
-    whole: Rc<Cell<bool>>,
-    /// Whether the store does not answer questions for it any more.
-    lost: Rc<Cell<bool>>,
-}
-
-/// The tables that a gateway follows.
-#[derive(Clone, Default)]
-struct Tables {
-    operator: TableState,
-    runners: TableState,
-}
-
 impl GatewayNode {
     /// Starts a gateway.
     pub async fn start(spawner: &Spawner, settings: &DeploymentSettings) -> Result<Self> {
@@ -99,7 +85,7 @@
             &settings.node.name.0,
             reservations,
         );
-        let tables = Tables::default();
+        let tables = core.tables.clone();
         let (stop, stopped) = async_channel::bounded(1);
         let node = Self {
             core: core.clone(),
@@ -110,11 +96,12 @@
             accepting: RefCell::default(),
         };
         node.serve_readiness(spawner, settings, tables.clone(), stopped.clone()).await?;
-        follow(spawner, settings, &core, Table::Operator, tables.operator);
-        follow(spawner, settings, &core, Table::Runners, tables.runners.clone());
+        follow(spawner, settings, &core, Table::Operator);
+        follow(spawner, settings, &core, Table::Runners);
         exchange_news(spawner, &core, news, port, tables.runners);
         serve_page(spawner, settings, &core, stopped.clone()).await?;
         spawner.detach(tick(core.clone()));
+        spawner.detach(state_log::write(core.clone()));
         node.serve_callers(spawner, settings, stopped).await?;
         Ok(node)
     }
@@ -156,8 +143,7 @@
             ServerOptions { idle: Duration::from_secs(30), stopping: stopped, open: Rc::default() };
         let stopping = self.stopping.clone();
         let handler = move |request: Request<Incoming>| {
-            let known = tables.operator.whole.get() && tables.runners.whole.get();
-            let ready = known && !stopping.get();
+            let ready = tables.are_whole() && !stopping.get();
             std::future::ready(readiness(&request, ready))
         };
         spawner.detach(serve(spawner.clone(), listener, options, handler));
@@ -200,19 +186,15 @@
 }
 
 /// Follows a table and hands its changes to the reducer.
-fn follow(
-    spawner: &Spawner,
-    settings: &DeploymentSettings,
-    core: &Core,
-    table: Table,
-    state: TableState,
-) {
+fn follow(spawner: &Spawner, settings: &DeploymentSettings, core: &Core, table: Table) {
+    let state = core.tables.of(table).clone();
     let options = WatchOptions {
         store: settings.store.address,
         table,
         wait: FEED_WAIT,
         first_spacing: FIRST_SPACING,
         spacing: spacing(&settings.bounds, table),
+        metrics: core.metrics.clone(),
     };
     let core = core.clone();
     spawner.detach(watch(options, move |seen| match seen {
@@ -220,6 +202,7 @@
             state.whole.set(true);
             core.tell_sidecars();
         }
+        Seen::Heard => state.note_heard(),
         Seen::Reached(reached) => state.lost.set(!reached),
         Seen::Change { change, late } => {
             let concerns_sidecars = concerns_sidecars(&change);
@@ -358,6 +341,15 @@
         core.metrics.set("requests_waiting", waiting as u64);
         core.metrics.set("runners_listed", runners as u64);
         core.metrics.set("configuration", configuration);
+        for (name, table) in [
+            ("operator_table_age_ms", &core.tables.operator),
+            ("runner_table_age_ms", &core.tables.runners),
+        ] {
+            // Absent until the store has answered once: zero would look fresh.
+            if let Some(age) = table.age_ms() {
+                core.metrics.set(name, age);
+            }
+        }
     };
     serve_metrics(spawner, address, stopped, metrics, refresh).await
 }
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -99,6 +99,10 @@
     let routed = match route(&catalog, &head.headers, &head.uri, &facts) {
         Ok(routed) => routed,
         Err((status, code)) => {
+            trace.note(Decision::Unrouted {
+                configuration: catalog.version,
+                age_ms: core.tables.operator.age_ms(),
+            });
             trace.refuse(status.as_u16(), code, None, Standing::default());
             return own_answer(status, id.as_deref(), code);
         }
--- /dev/null
+++ b/components/edge/src/gateway/state_log.rs
@@ -0,0 +1,35 @@
+//! What a gateway believes, written to the log at intervals.
+//!
+//! Lines on single changes are soon far behind thousands of lines on requests; whoever has only the end of
+//! a log still finds one of these.
+
+use std::time::Duration;
+
+use async_io::Timer;
+
+use super::core::Core;
+
+/// The time between two lines: a log that is kept for some seconds holds one at least, and they are a
+/// thousandth of the lines that a busy gateway writes.
+const EVERY: Duration = Duration::from_millis(2000);
+
+/// Writes a line at intervals for as long as the task runs.
+pub async fn write(core: Core) {
+    loop {
+        Timer::after(EVERY).await;
+        let configuration = core.catalog().map_or(0, |it| it.version);
+        let operator_age_ms = core.tables.operator.age_ms();
+        let runners_age_ms = core.tables.runners.age_ms();
+        let runners = core.read(|gateway| gateway.pool().len());
+        let (under_way, waiting) = core.read(|gateway| gateway.load());
+        log::info!(
+            configuration = configuration,
+            operator_age_ms = operator_age_ms,
+            runners_age_ms = runners_age_ms,
+            runners = runners,
+            under_way = under_way,
+            waiting = waiting;
+            "state"
+        );
+    }
+}
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
@@ -9,6 +10,7 @@
 use fleet::InstanceId;
 use platform::store::{self, Change, Page, Table};
 use rand::Rng;
+use telemetry::Metrics;
 
 use crate::lapses::Lapses;
 use crate::link::Link;
@@ -35,7 +37,7 @@
 }
 
 /// How a table is followed.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct WatchOptions {
     /// The store.
     pub store: SocketAddr,
@@ -48,6 +50,8 @@
     pub first_spacing: Duration,
     /// The shortest time between two feeds or listings later on.
     pub spacing: Duration,
+    /// Counts the calls.
+    pub metrics: Rc<Metrics>,
 }
 
 /// What a watch tells of.
@@ -62,6 +66,8 @@
     },
     /// The table has been read whole at least once.
     Whole,
+    /// The store answered: nothing newer is in the table than what was told.
+    Heard,
     /// The store answers again, or does not any more.
     Reached(bool),
 }
@@ -87,9 +93,12 @@
             Some(revision) => watch.feed(revision, &mut deliver).await,
             None => watch.list(&mut deliver).await,
         };
+        let outcome = result.as_ref().map_or_else(|error| error.code.name(), |()| "ok");
+        watch.options.metrics.count_platform(call_name(watch.options.table), outcome);
         let pause = match result {
             Ok(()) => {
                 failures = 0;
+                deliver(Seen::Heard);
                 spacing
             }
             Err(_) => {
@@ -106,6 +115,14 @@
     }
 }
 
+/// The name of a table's calls in the metrics.
+fn call_name(table: Table) -> &'static str {
+    match table {
+        Table::Operator | Table::Versions => "operator_table",
+        Table::Runners => "runner_table",
+    }
+}
+
 /// How many of the known runners one answer says are gone.
 #[derive(Clone, Copy)]
 struct Lost {
--- a/daemon/tests/deployment/logs.rs
+++ b/daemon/tests/deployment/logs.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use account::Decision;
 use http::Method;
 use platform_standin::{Caller, RunnerFault};
 use rustix::process::Signal;
@@ -59,6 +60,41 @@
     assert!(account.to_string().contains("(unsafe) to ledger"), "{account}");
 }
 
+/// A caller that was refused by an old configuration: the log did not tell how old it was.
+#[test]
+fn a_refusal_by_the_configuration_tells_how_old_it_is() {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    assert_eq!(Caller::new(Method::GET, "/nowhere/x", "unrouted-1").call(gateway).status, 404);
+    let account = deployment.account("unrouted-1");
+    let unrouted = account.lines.iter().find_map(|line| match line.decision {
+        Decision::Unrouted { configuration, age_ms } => Some((configuration, age_ms)),
+        _ => None,
+    });
+    let (configuration, age_ms) = unrouted.expect("a line says what was not found");
+    assert_eq!(configuration, 1);
+    assert!(age_ms.is_some_and(|it| it < 10_000), "{account}");
+    assert!(account.cause.contains("configuration 1, last confirmed by the store"), "{account}");
+}
+
+#[test]
+fn the_log_tells_now_and_then_what_a_gateway_believes() {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    let mut last = serde_json::Value::Null;
+    wait_until("a line tells the state", || {
+        let log = deployment.log(gateway.ip());
+        let lines = log.lines().filter_map(|it| serde_json::from_str(it).ok());
+        let states = lines.filter(|it: &serde_json::Value| it["message"] == "state");
+        last = states.last().unwrap_or_default();
+        !last.is_null()
+    });
+    assert_eq!(last["configuration"], 1);
+    assert!(last["operator_age_ms"].is_u64() && last["runners_age_ms"].is_u64(), "{last}");
+}
+
 /// Requests enough to fill a pipe and the queue before it several times over.
 #[test]
 fn a_reader_that_never_reads_costs_lines_and_nothing_else() {
@@ -92,6 +128,9 @@
         "silverdock_span_seconds_bucket",
         "what=\"whole_answer\"",
         "name=\"runners_listed\"",
+        "name=\"operator_table_age_ms\"",
+        "name=\"runner_table_age_ms\"",
+        "outcome=\"ok\",service=\"operator_table\"",
     ] {
         assert!(page.contains(part), "{part} is missing from\n{page}");
     }
