--- a/daemon/tests/deployment/logs.rs
+++ b/daemon/tests/deployment/logs.rs
@@ -86,9 +86,9 @@
     let mut last = serde_json::Value::Null;
     wait_until("a line tells the state", || {
         let log = deployment.log(gateway.ip());
-        let lines = log.lines().filter_map(|it| serde_json::from_str(it).ok());
-        let states = lines.filter(|it: &serde_json::Value| it["message"] == "state");
-        last = states.last().unwrap_or_default();
+        let mut lines = log.lines().rev().filter_map(|it| serde_json::from_str(it).ok());
+        let state = lines.find(|it: &serde_json::Value| it["message"] == "state");
+        last = state.unwrap_or_default();
         !last.is_null()
     });
     assert_eq!(last["configuration"], 1);
--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -1,6 +1,7 @@
 //! Gateways and sidecars as processes, against a stand-in of the users' platform.
 
 mod logs;
+mod outages;
 mod support;
 
 use std::time::{Duration, Instant};
