Store: a lost call is given up and asked again within the time of contact

Cause: a feed waited up to 5.0 s and was given up after 5.9 s, whatever the platform's bounds. An outage takes calls that it never answers, so a gateway stayed deaf for up to 5.9 s and a pause of up to 1.4 s behind it, and took that for calm; what the store acknowledges binds 3 to 5 s behind an outage, by deployment. While the store failed, each next call waited just as long. Ruled out: probes of the connection (it is up, and answers them); the store's own delay (0.4 s at most). Change: one type works out every wait from the time of contact, now a required setting: how long a feed waits, how long its answer may take, the pauses between failed calls. A feed that was lost in calm is followed by the next one within 100 ms; while the store fails, calls only ask whether it is back. The price is calls where the time of contact is 3 s; where it is 5 s, a feed waits 3.9 s.

--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -31,13 +31,11 @@
 use crate::message::{weights_services, Datagram};
 use crate::metrics::serve_metrics;
 use crate::news::News;
+use crate::patience::Patience;
 use crate::server::{listen, serve, ServerOptions};
 use crate::spawner::Spawner;
 use crate::watch::{watch, Seen, WatchOptions};
 
-/// How long a feed of the store waits for a change. Each call has its price; that a connection is dead is
-/// noticed by probes, not by short waits.
-const FEED_WAIT: Duration = Duration::from_millis(5000);
 /// The shortest time between the first two feeds of a table, when a fleet that starts appears in it.
 const FIRST_SPACING: Duration = Duration::from_millis(60);
 /// How many feeds of what operators write fit into the time within which a configuration is in force. A
@@ -191,7 +189,7 @@
     let options = WatchOptions {
         store: settings.store.address,
         table,
-        wait: FEED_WAIT,
+        patience: Patience::new(Duration::from_millis(settings.bounds.contact_ms)),
         first_spacing: FIRST_SPACING,
         spacing: spacing(&settings.bounds, table),
         metrics: core.metrics.clone(),
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -9,10 +9,12 @@
 mod message;
 mod metrics;
 mod news;
+mod patience;
 mod run;
 mod server;
 mod sidecar;
 mod spawner;
 mod watch;
 
+pub use patience::Patience;
 pub use run::run;
--- /dev/null
+++ b/components/edge/src/patience.rs
@@ -0,0 +1,82 @@
+//! How long a process waits for the platform's store.
+//!
+//! A store that was away has taken calls that it never answers, and connections may fall silent while new ones
+//! work: nothing but a time-out tells. Until a lost call is given up, its process is deaf, and takes that
+//! for calm. The platform gives everybody a time of contact after any such trouble; behind it, all that the
+//! store acknowledged binds. So whatever a process waits for, and whenever that began, it must have given up,
+//! paused and asked again within the time of contact.
+
+use std::ops::Range;
+use std::time::Duration;
+
+/// How much longer than asked for the answer to a feed may take to begin. A new connection takes 700 ms at
+/// most; a store that is ninety times slower than usual, as on some standard days, takes 400 ms.
+const SLACK: Duration = Duration::from_millis(800);
+/// How long a feed waits while the store does not answer: it only asks whether the store is back.
+const PROBE_WAIT: Duration = Duration::from_millis(50);
+/// The longest wait of a feed. A longer one would save few calls.
+const LONGEST_WAIT: Duration = Duration::from_millis(5000);
+/// The shortest one, where the time of contact leaves less.
+const SHORTEST_WAIT: Duration = Duration::from_millis(250);
+/// The pause after the first call that failed, in milliseconds: little more than enough to keep processes
+/// apart that lost the store together.
+const FIRST_PAUSE: Range<u64> = 0..100;
+/// The pause after the second one; it doubles with each. Refused calls have their price too.
+const LATER_PAUSE: Range<u64> = 300..700;
+/// The longest pause, where the time of contact leaves that much.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
+/// The longest pause where it leaves less: the store is not pressed even then.
+const SHORTEST_LONGEST_PAUSE: Duration = Duration::from_millis(300);
+/// What is kept free for a new connection, the call behind it and a processor that is busy. Over a core that
+/// has a fifth of its time, answers were taken 20 to 60 ms late.
+const MARGIN: Duration = Duration::from_millis(200);
+
+/// The times to wait for the store, by the time of contact.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    contact: Duration,
+}
+
+impl Patience {
+    /// How long the answer to a listing may take to begin. Processes that start together share the links to
+    /// the store.
+    pub const LIST_BEGIN: Duration = Duration::from_millis(1500);
+
+    /// For a platform that gives processes so long to be up to date after trouble.
+    pub fn new(contact: Duration) -> Self {
+        Self { contact }
+    }
+
+    /// How long a feed waits for a change.
+    pub fn feed_wait(&self, connected: bool) -> Duration {
+        if !connected {
+            return PROBE_WAIT;
+        }
+        let kept = SLACK + Duration::from_millis(FIRST_PAUSE.end) + MARGIN;
+        self.contact.saturating_sub(kept).clamp(SHORTEST_WAIT, LONGEST_WAIT)
+    }
+
+    /// How long the answer to a feed that waits so long may take to begin.
+    pub fn feed_begin(&self, wait: Duration) -> Duration {
+        wait + SLACK
+    }
+
+    /// The range of the pause after so many calls in a row that failed.
+    pub fn pause(&self, failures: u32) -> Range<Duration> {
+        let millis = Duration::from_millis;
+        if failures <= 1 {
+            return millis(FIRST_PAUSE.start)..millis(FIRST_PAUSE.end);
+        }
+        let doubled = 1 << (failures - 2).min(u32::BITS - 1);
+        let longest = self.longest_pause();
+        let pause = |first: u64| millis(first).saturating_mul(doubled);
+        let least = pause(LATER_PAUSE.start).min(longest / 2);
+        least..pause(LATER_PAUSE.end).min(longest)
+    }
+
+    /// The longest pause. A call that failed before it may have been a listing.
+    fn longest_pause(&self) -> Duration {
+        let left = self.contact.saturating_sub(Self::LIST_BEGIN + MARGIN);
+        left.clamp(SHORTEST_LONGEST_PAUSE, LONGEST_PAUSE)
+    }
+}
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,27 +15,13 @@
 
 use crate::lapses::Lapses;
 use crate::link::Link;
+use crate::patience::Patience;
 
-/// How much longer than asked for the answer of a feed may take.
-const FEED_SLACK: Duration = Duration::from_millis(900);
 /// How much longer than a feed waits the store may be silent before its news is taken for old.
 const LATE_AFTER: Duration = Duration::from_millis(1200);
 /// The longest pause between two pieces of an answer. A large configuration may take seconds on a
 /// narrow link that others use too.
 const PIECE_PAUSE: Duration = Duration::from_millis(900);
-/// How long a listing may take to begin.
-const LIST_TIMEOUT: Duration = Duration::from_millis(1500);
-/// The pause after a call that failed, at least and at most, in milliseconds.
-const FAILURE_PAUSE: std::ops::Range<u64> = 150..350;
-/// How often that pause is doubled at most: refused calls have their price too, and a process has three
-/// seconds after an outage to be up to date.
-const MOST_DOUBLINGS: u32 = 2;
-
-/// The pause after so many calls in a row that failed.
-fn failure_pause(failures: u32) -> Duration {
-    let pause = rand::rng().random_range(FAILURE_PAUSE);
-    Duration::from_millis(pause << failures.saturating_sub(1).min(MOST_DOUBLINGS))
-}
 
 /// How a table is followed.
 #[derive(Clone)]
@@ -43,8 +30,8 @@
     pub store: SocketAddr,
     /// The table.
     pub table: Table,
-    /// How long a feed may wait for a change.
-    pub wait: Duration,
+    /// How long calls may take and how far apart they are.
+    pub patience: Patience,
     /// The shortest time between the first two feeds or listings. It doubles with each, so that a process
     /// that starts with others soon knows them all.
     pub first_spacing: Duration,
@@ -103,7 +90,7 @@
             }
             Err(_) => {
                 failures += 1;
-                failure_pause(failures)
+                draw(watch.options.patience.pause(failures))
             }
         };
         if watch.note(result) {
@@ -115,6 +102,11 @@
     }
 }
 
+/// A pause out of a range.
+fn draw(pause: Range<Duration>) -> Duration {
+    rand::rng().random_range(pause)
+}
+
 /// The name of a table's calls in the metrics.
 fn call_name(table: Table) -> &'static str {
     match table {
@@ -163,10 +155,11 @@
     }
 
     async fn feed(&mut self, revision: u64, deliver: &mut impl FnMut(Seen)) -> Result<()> {
-        let wait = self.options.wait;
+        let patience = self.options.patience;
+        let wait = patience.feed_wait(self.connected);
         let wait = self.lapses.left(Instant::now()).map_or(wait, |left| wait.min(left));
         let call = store::feed(self.options.table, revision, wait.as_millis() as u64);
-        let answer = self.link.call_patiently(call, wait + FEED_SLACK, PIECE_PAUSE).await?;
+        let answer = self.link.call_patiently(call, patience.feed_begin(wait), PIECE_PAUSE).await?;
         if store::is_history_gone(answer.status) {
             self.revision = None;
             return Err(Error::new(Code::NotFound, "the store forgot its history"));
@@ -187,8 +180,7 @@
     /// Whether what is heard now may have changed some time ago. A store that fails is not silent because
     /// nothing changes.
     fn is_late(&self) -> bool {
-        let wait = if self.connected { self.options.wait } else { Duration::ZERO };
-        let usual = wait + self.options.spacing;
+        let usual = self.options.patience.feed_wait(self.connected) + self.options.spacing;
         self.heard.is_none_or(|it| it.elapsed() > usual + LATE_AFTER)
     }
 
@@ -249,7 +241,7 @@
     let mut revision = None;
     loop {
         let call = store::list(table, &from);
-        let answer = link.call_patiently(call, LIST_TIMEOUT, PIECE_PAUSE).await?;
+        let answer = link.call_patiently(call, Patience::LIST_BEGIN, PIECE_PAUSE).await?;
         let page = store::read(table, &answer.success()?)?;
         note_faults(table, &page);
         // Changes behind the first page's version may be missing on it, so the feed starts there.
--- /dev/null
+++ b/components/edge/tests/patience.rs
@@ -0,0 +1,57 @@
+//! Whenever a call is lost, its process has asked again within the time of contact.
+
+use std::time::Duration;
+
+use edge::Patience;
+use proptest::prelude::*;
+
+/// What a new connection and the call behind it may take on a busy processor.
+const CALL: Duration = Duration::from_millis(150);
+/// Failures in a row, more than an outage of minutes brings.
+const FAILURES: u32 = 200;
+
+fn contact() -> impl Strategy<Value = Duration> {
+    (2500_u64..20_000).prop_map(Duration::from_millis)
+}
+
+proptest! {
+    #[test]
+    fn a_feed_that_is_lost_at_the_end_of_an_outage_is_asked_again_within_the_time_of_contact(
+        contact in contact(),
+        failures in 1..FAILURES,
+    ) {
+        let patience = Patience::new(contact);
+        // The first failure is that of a feed which waited in calm, the others are of short ones.
+        let wait = patience.feed_wait(failures == 1);
+        let deaf = patience.feed_begin(wait) + patience.pause(failures).end + CALL;
+        prop_assert!(deaf <= contact, "{deaf:?} of {contact:?} after {failures} failures");
+    }
+
+    #[test]
+    fn a_listing_that_is_lost_at_the_end_of_an_outage_is_asked_again_within_the_time_of_contact(
+        contact in contact(),
+        failures in 1..FAILURES,
+    ) {
+        let patience = Patience::new(contact);
+        let deaf = Patience::LIST_BEGIN + patience.pause(failures).end + CALL;
+        prop_assert!(deaf <= contact, "{deaf:?} of {contact:?} after {failures} failures");
+    }
+
+    #[test]
+    fn pauses_are_never_empty_and_never_shorter_than_the_one_before(
+        contact in (0_u64..20_000).prop_map(Duration::from_millis),
+        failures in 1..FAILURES,
+    ) {
+        let patience = Patience::new(contact);
+        let (pause, next) = (patience.pause(failures), patience.pause(failures + 1));
+        prop_assert!(pause.start < pause.end);
+        prop_assert!(pause.start <= next.start && pause.end <= next.end);
+    }
+
+    #[test]
+    fn calls_are_spared_where_the_time_of_contact_is_long(contact in contact()) {
+        let patience = Patience::new(contact);
+        let wait = patience.feed_wait(true);
+        prop_assert!(wait >= contact / 2 || wait == Duration::from_secs(5));
+    }
+}
--- a/components/settings/src/deployment.rs
+++ b/components/settings/src/deployment.rs
@@ -68,6 +68,9 @@
 pub struct BoundSettings {
     /// Seconds between the signal to stop and the kill.
     pub grace_s: u64,
+    /// Milliseconds after trouble, with the store or the process itself, behind which the bounds below hold
+    /// for a process again.
+    pub contact_ms: u64,
     /// Milliseconds within which a leaving runner gets nothing new.
     pub drain_ms: u64,
     /// Milliseconds within which a configuration is in force.
@@ -208,6 +211,7 @@
     let whole = |it: f64| it as u64;
     BoundSettings {
         grace_s: whole(file.need_bounded(section, "grace_s", (0.0, 3600.0))),
+        contact_ms: whole(file.need_bounded(section, "contact_ms", (0.0, 1e7))),
         drain_ms: whole(file.need_bounded(section, "drain_ms", (0.0, 1e7))),
         configuration_ms: whole(file.need_bounded(section, "configuration_ms", (0.0, 1e7))),
         version_ms: whole(file.need_bounded(section, "version_ms", (0.0, 1e7))),
--- a/daemon/tests/deployment/support.rs
+++ b/daemon/tests/deployment/support.rs
@@ -92,7 +92,7 @@
             "[node]\nname = m-{machine}\nregion = r\nhall = a\nhalls = a=r\naddress = {machine}\n\
              first_port = 7700\nlast_port = 7715\nmemory_mb = 128\nlink_mbps = 100\nlog_lines_per_s = {lines}\n\n{role}\n\
              [store]\naddress = {store}\nwrites_per_s = 100\nreads_per_s = 1000\n\n\
-             [bounds]\ngrace_s = 8\ndrain_ms = 2000\nconfiguration_ms = 2000\nversion_ms = 8000\nrepeat_ratio = 0.2\nrepeat_window_s = 10\n\
+             [bounds]\ngrace_s = 8\ncontact_ms = 3000\ndrain_ms = 2000\nconfiguration_ms = 2000\nversion_ms = 8000\nrepeat_ratio = 0.2\nrepeat_window_s = 10\n\
              repeat_allowance = 200\n"
         );
         std::fs::write(&path, text).unwrap();
