Refusals: an unconfirmed configuration refuses nothing for good

Callers do not come back after 404 or 401, so what a gateway cannot know must not be said so. Known routes are served as before.

--- a/components/edge/src/gateway/core.rs
+++ b/components/edge/src/gateway/core.rs
@@ -46,6 +46,7 @@
         metrics: Rc<Metrics>,
         name: &str,
         reservations: Reservations,
+        tables: Tables,
     ) -> Self {
         let (name_sidecars, named) = async_channel::bounded(1);
         let state = State { gateway: Gateway::new(options), waiting: HashMap::new(), next_key: 0 };
@@ -55,7 +56,7 @@
             metrics,
             name: name.into(),
             reservations,
-            tables: Tables::default(),
+            tables,
             named,
             name_sidecars,
         }
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -76,14 +76,16 @@
         let port = settings.node.first_port;
         let news = News::bind(SocketAddr::new(settings.node.address, port)).await?;
         let reservations = Reservations::new(news.clone(), port);
+        let patience = patience(&settings.bounds);
+        let tables = Tables::new(|it| patience.longest_calm(spacing(&settings.bounds, it)));
         let core = Core::new(
             options(settings),
             Clock::start(),
             metrics,
             &settings.node.name.0,
             reservations,
+            tables.clone(),
         );
-        let tables = core.tables.clone();
         let (stop, stopped) = async_channel::bounded(1);
         let node = Self {
             core: core.clone(),
@@ -189,7 +191,7 @@
     let options = WatchOptions {
         store: settings.store.address,
         table,
-        patience: Patience::new(Duration::from_millis(settings.bounds.contact_ms)),
+        patience: patience(&settings.bounds),
         first_spacing: FIRST_SPACING,
         spacing: spacing(&settings.bounds, table),
         metrics: core.metrics.clone(),
@@ -212,6 +214,10 @@
     }));
 }
 
+fn patience(bounds: &BoundSettings) -> Patience {
+    Patience::new(Duration::from_millis(bounds.contact_ms))
+}
+
 /// The shortest time between two feeds of a table: a part of the time that its news has.
 fn spacing(bounds: &BoundSettings, table: Table) -> Duration {
     match table {
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -22,7 +22,8 @@
 use super::relay;
 use super::trace::{Ending, Trace};
 
-/// When a caller comes back that reached a gateway which knows no configuration, in milliseconds.
+/// When a caller comes back that reached a gateway which knows no configuration, or not whether its own is
+/// current, in milliseconds. The next call to the store is at most 1.2 s away, half of that in the mean.
 const NOT_READY_RETRY_AFTER: u64 = 500;
 /// How long a request is held whose caller names no deadline, in milliseconds.
 const DEFAULT_DEADLINE: u64 = 30_000;
@@ -92,9 +93,7 @@
     let id = facts.id.clone();
     let trace = Trace::new(&core, id.as_deref());
     let Some(catalog) = core.catalog() else {
-        let back = Some(NOT_READY_RETRY_AFTER);
-        trace.refuse(503, Code::NotReady, back, Standing::default());
-        return refusal(id.as_deref(), Code::NotReady, NOT_READY_RETRY_AFTER);
+        return not_ready(&trace, id.as_deref());
     };
     let routed = match route(&catalog, &head.headers, &head.uri, &facts) {
         Ok(routed) => routed,
@@ -103,6 +102,10 @@
                 configuration: catalog.version,
                 age_ms: core.tables.operator.age_ms(),
             });
+            if !core.tables.operator.is_confirmed() {
+                // A newer configuration may have it, and callers take these statuses for final.
+                return not_ready(&trace, id.as_deref());
+            }
             trace.refuse(status.as_u16(), code, None, Standing::default());
             return own_answer(status, id.as_deref(), code);
         }
@@ -156,6 +159,13 @@
     carry_out(core, Rc::new(job), ticket).await
 }
 
+/// Refuses a request because the configuration is not known, or not known to be current.
+fn not_ready(trace: &Trace, id: Option<&str>) -> Response<AnswerBody> {
+    let back = Some(NOT_READY_RETRY_AFTER);
+    trace.refuse(503, Code::NotReady, back, Standing::default());
+    refusal(id, Code::NotReady, NOT_READY_RETRY_AFTER)
+}
+
 /// Finds the route of a request and checks its key.
 fn route(
     catalog: &Catalog,
--- a/components/edge/src/gateway/tables.rs
+++ b/components/edge/src/gateway/tables.rs
@@ -2,13 +2,15 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use platform::store::Table;
 
 /// How a table of the store stands.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct TableState {
+    /// The longest time between two answers in calm.
+    calm: Duration,
     /// Whether it has been read whole at least once.
     pub whole: Rc<Cell<bool>>,
     /// Whether the store does not answer questions for it any more.
@@ -18,6 +20,17 @@
 }
 
 impl TableState {
+    /// Nothing has been heard yet. `calm` is the longest time between two answers in calm.
+    fn new(calm: Duration) -> Self {
+        Self { calm, whole: Rc::default(), lost: Rc::default(), heard: Rc::default() }
+    }
+
+    /// Whether the store has just confirmed what is known: it answers, and no answer is overdue.
+    pub fn is_confirmed(&self) -> bool {
+        let heard = self.heard.get();
+        !self.lost.get() && heard.is_some_and(|at| at.elapsed() <= self.calm)
+    }
+
     /// Takes in that the store answered.
     pub fn note_heard(&self) {
         self.heard.set(Some(Instant::now()));
@@ -30,7 +43,7 @@
 }
 
 /// The tables that a gateway follows.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Tables {
     /// What operators write.
     pub operator: TableState,
@@ -39,6 +52,14 @@
 }
 
 impl Tables {
+    /// Nothing has been heard yet. `calm` tells the longest time between two answers for a table in calm.
+    pub fn new(calm: impl Fn(Table) -> Duration) -> Self {
+        Self {
+            operator: TableState::new(calm(Table::Operator)),
+            runners: TableState::new(calm(Table::Runners)),
+        }
+    }
+
     /// How a table stands. What operators write is one table, however much of it is read.
     pub fn of(&self, table: Table) -> &TableState {
         match table {
--- a/components/edge/src/patience.rs
+++ b/components/edge/src/patience.rs
@@ -56,6 +56,12 @@
         self.contact.saturating_sub(kept).clamp(SHORTEST_WAIT, LONGEST_WAIT)
     }
 
+    /// The longest time between two answers to feeds in calm, where feeds are `spacing` apart. A process that has
+    /// not heard the store for longer cannot say what is not there.
+    pub fn longest_calm(&self, spacing: Duration) -> Duration {
+        self.feed_wait(true) + spacing + MARGIN
+    }
+
     /// How long the answer to a feed that waits so long may take to begin.
     pub fn feed_begin(&self, wait: Duration) -> Duration {
         wait + SLACK
--- a/daemon/tests/deployment/outages.rs
+++ b/daemon/tests/deployment/outages.rs
@@ -69,3 +69,28 @@
         assert_eq!(deployment.standin.runs(&id)[0].runner, "l2");
     }
 }
+
+/// A gateway that does not hear the store cannot know that there is no such route or key. Callers take 404
+/// and 401 for final; another gateway may know better.
+#[test]
+fn what_an_unconfirmed_configuration_does_not_allow_is_not_refused_for_good() {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    let no_route = Caller::new(Method::GET, "/nowhere/x", "r1");
+    let mut no_key = Caller::new(Method::GET, "/get/x", "k1");
+    no_key.key = "new".into();
+    assert_eq!((no_route.call(gateway).status, no_key.call(gateway).status), (404, 401));
+    deployment.standin.set_store_fault(StoreFault::Silent);
+    wait_until("the gateway misses the store", || no_route.call(gateway).status == 503);
+    for caller in [&no_route, &no_key] {
+        let answer = caller.call(gateway);
+        assert_eq!(answer.status, 503);
+        assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+    }
+    let known = Caller::new(Method::GET, "/get/x", "g1").call(gateway);
+    assert_eq!(known.status, 200, "what the configuration allows is served all the same");
+    deployment.standin.set_store_fault(StoreFault::None);
+    wait_until("the store is heard again", || no_route.call(gateway).status == 404);
+    assert_eq!(no_key.call(gateway).status, 401);
+}
