Gateway: the state of the tables is shared as one

Change: both tables stand behind one reference in place of a reference for each of their fields. Conclusion: no decision is touched.

--- a/components/edge/src/gateway/core.rs
+++ b/components/edge/src/gateway/core.rs
@@ -26,7 +26,7 @@
     /// Places at runners.
     pub reservations: Reservations,
     /// What is known of the store's tables.
-    pub tables: Tables,
+    pub tables: Rc<Tables>,
     /// Told of each version that is named.
     pub named: Receiver<()>,
     name_sidecars: Sender<()>,
@@ -46,7 +46,7 @@
         metrics: Rc<Metrics>,
         name: &str,
         reservations: Reservations,
-        tables: Tables,
+        tables: Rc<Tables>,
     ) -> Self {
         let (name_sidecars, named) = async_channel::bounded(1);
         let state = State { gateway: Gateway::new(options), waiting: HashMap::new(), next_key: 0 };
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -25,7 +25,7 @@
 use super::request;
 use super::reservations::Reservations;
 use super::state_log;
-use super::tables::{TableState, Tables};
+use super::tables::Tables;
 use crate::clock::Clock;
 use crate::exchange::within;
 use crate::message::{weights_services, Datagram};
@@ -77,7 +77,8 @@
         let news = News::bind(SocketAddr::new(settings.node.address, port)).await?;
         let reservations = Reservations::new(news.clone(), port);
         let patience = patience(&settings.bounds);
-        let tables = Tables::new(|it| patience.longest_calm(spacing(&settings.bounds, it)));
+        let calm = |table| patience.longest_calm(spacing(&settings.bounds, table));
+        let tables = Rc::new(Tables::new(calm));
         let core = Core::new(
             options(settings),
             Clock::start(),
@@ -98,7 +99,7 @@
         node.serve_readiness(spawner, settings, tables.clone(), stopped.clone()).await?;
         follow(spawner, settings, &core, Table::Operator);
         follow(spawner, settings, &core, Table::Runners);
-        exchange_news(spawner, &core, news, port, tables.runners);
+        exchange_news(spawner, &core, news, port);
         serve_page(spawner, settings, &core, stopped.clone()).await?;
         spawner.detach(tick(core.clone()));
         spawner.detach(state_log::write(core.clone()));
@@ -132,7 +133,7 @@
         &self,
         spawner: &Spawner,
         settings: &DeploymentSettings,
-        tables: Tables,
+        tables: Rc<Tables>,
         stopped: Receiver<()>,
     ) -> Result<()> {
         let Some(gateway) = settings.gateway() else {
@@ -187,7 +188,7 @@
 
 /// Follows a table and hands its changes to the reducer.
 fn follow(spawner: &Spawner, settings: &DeploymentSettings, core: &Core, table: Table) {
-    let state = core.tables.of(table).clone();
+    let tables = core.tables.clone();
     let options = WatchOptions {
         store: settings.store.address,
         table,
@@ -199,11 +200,11 @@
     let core = core.clone();
     spawner.detach(watch(options, move |seen| match seen {
         Seen::Whole => {
-            state.whole.set(true);
+            tables.of(table).whole.set(true);
             core.tell_sidecars();
         }
-        Seen::Heard => state.note_heard(),
-        Seen::Reached(reached) => state.lost.set(!reached),
+        Seen::Heard => tables.of(table).note_heard(),
+        Seen::Reached(reached) => tables.of(table).lost.set(!reached),
         Seen::Change { change, late } => {
             let concerns_sidecars = concerns_sidecars(&change);
             core.feed(event(change, late));
@@ -262,7 +263,7 @@
 }
 
 /// Asks sidecars for reports and takes them in.
-fn exchange_news(spawner: &Spawner, core: &Core, news: News, port: u16, runners: TableState) {
+fn exchange_news(spawner: &Spawner, core: &Core, news: News, port: u16) {
     let (sender, receiver) = (news.clone(), news);
     let (asking, taking) = (core.clone(), core.clone());
     spawner.detach(async move {
@@ -276,6 +277,7 @@
         }
     });
     spawner.detach(async move {
+        let runners = &taking.tables.runners;
         loop {
             let (sender, datagram) = receiver.receive().await;
             match datagram {
--- a/components/edge/src/gateway/tables.rs
+++ b/components/edge/src/gateway/tables.rs
@@ -1,28 +1,26 @@
 //! What a gateway knows of the store's tables, and how old that is.
 
 use std::cell::Cell;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use platform::store::Table;
 
 /// How a table of the store stands.
-#[derive(Clone)]
 pub struct TableState {
     /// The longest time between two answers in calm.
     calm: Duration,
     /// Whether it has been read whole at least once.
-    pub whole: Rc<Cell<bool>>,
+    pub whole: Cell<bool>,
     /// Whether the store does not answer questions for it any more.
-    pub lost: Rc<Cell<bool>>,
+    pub lost: Cell<bool>,
     /// When the store last answered a question for it.
-    heard: Rc<Cell<Option<Instant>>>,
+    heard: Cell<Option<Instant>>,
 }
 
 impl TableState {
     /// Nothing has been heard yet. `calm` is the longest time between two answers in calm.
     fn new(calm: Duration) -> Self {
-        Self { calm, whole: Rc::default(), lost: Rc::default(), heard: Rc::default() }
+        Self { calm, whole: Cell::default(), lost: Cell::default(), heard: Cell::default() }
     }
 
     /// Whether the store has just confirmed what is known: it answers, and no answer is overdue.
@@ -42,8 +40,7 @@
     }
 }
 
-/// The tables that a gateway follows.
-#[derive(Clone)]
+/// The tables that a gateway follows, shared by the tasks of its process.
 pub struct Tables {
     /// What operators write.
     pub operator: TableState,
