Gateway: the queue in a module of its own, a begun answer as one type

Change, moves only: reducer/queue.rs decides what becomes of a waiting request by one value (send, wait, finish); a begun answer holds the request, its ticket, the runner and the answer, and hands itself on.

--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -10,7 +10,7 @@
 use futures_lite::{future, stream};
 use gateway::{AttemptOutcome, Event, NextStep, RunnerTarget};
 use http::header::CONTENT_LENGTH;
-use http::{Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode};
 use http_body::Frame;
 use http_body_util::StreamBody;
 use telemetry::Span;
@@ -28,80 +28,87 @@
 /// How many times its aim a pause between events may last before the stream goes on elsewhere.
 const GAP_PATIENCE: f64 = 2.5;
 
-/// Hands on an answer whose head arrived.
-pub async fn answer(
-    core: Core,
-    job: Rc<Job>,
-    ticket: Ticket,
-    target: RunnerTarget,
-    begun: RunnerAnswer,
-) -> Response<AnswerBody> {
-    core.feed(Event::Attempt(ticket.key, AttemptOutcome::Answered));
-    note_answer(&core, &job, &target, &begun);
-    if job.kind.is_stream() && begun.status.is_success() {
-        return stream_answer(core, job, ticket, target, begun);
-    }
-    plain_answer(core, job, ticket, begun).await
-}
-
-/// Notes that a runner began to answer.
-fn note_answer(core: &Core, job: &Job, target: &RunnerTarget, begun: &RunnerAnswer) {
-    let after_ms = job.trace.age_ms();
-    core.metrics.note_span(Span::First, after_ms);
-    let (runner, status) = (target.id.0.clone(), begun.status.as_u16());
-    job.trace.note(Decision::Answered { runner, status, after_ms });
+/// An answer of a runner whose head has arrived.
+pub struct Begun {
+    /// The gateway.
+    pub core: Core,
+    /// The request.
+    pub job: Rc<Job>,
+    /// What the reducer knows it by.
+    pub ticket: Ticket,
+    /// The runner that it comes from.
+    pub target: RunnerTarget,
+    /// The answer.
+    pub answer: RunnerAnswer,
 }
 
-/// Holds a plain answer until it is whole.
-async fn plain_answer(
-    core: Core,
-    job: Rc<Job>,
-    ticket: Ticket,
-    begun: RunnerAnswer,
-) -> Response<AnswerBody> {
-    let RunnerAnswer { status, headers, mut exchange, mut body } = begun;
-    let collected = before(&core, job.limit, exchange.collect(&mut body, HELD_BYTES)).await;
-    let id = job.facts.id.as_deref();
-    match collected {
-        Some(Ok(text)) => {
-            core.feed(Event::Attempt(ticket.key, AttemptOutcome::Finished));
-            core.metrics.note_span(Span::Whole, job.trace.age_ms());
-            job.trace.end(Ending::Whole, status.as_u16(), None);
-            let mut answer = Response::new(whole_body(text));
-            *answer.status_mut() = status;
-            *answer.headers_mut() = headers;
-            answer.headers_mut().remove(CONTENT_LENGTH);
-            answer
-        }
-        Some(Err(error)) => {
-            job.trace.end(Ending::Unknown, 502, Some(error.code));
-            own_answer(StatusCode::BAD_GATEWAY, id, Code::CutShort)
+impl Begun {
+    /// Hands the answer on.
+    pub async fn hand_on(self) -> Response<AnswerBody> {
+        self.core.feed(Event::Attempt(self.ticket.key, AttemptOutcome::Answered));
+        self.note();
+        if self.job.kind.is_stream() && self.answer.status.is_success() {
+            return self.stream();
         }
-        None => {
-            job.trace.end(Ending::Unknown, 504, Some(Code::TimedOut));
-            own_answer(StatusCode::GATEWAY_TIMEOUT, id, Code::TimedOut)
+        self.plain().await
+    }
+
+    /// Notes that a runner began to answer.
+    fn note(&self) {
+        let after_ms = self.job.trace.age_ms();
+        self.core.metrics.note_span(Span::First, after_ms);
+        let (runner, status) = (self.target.id.0.clone(), self.answer.status.as_u16());
+        self.job.trace.note(Decision::Answered { runner, status, after_ms });
+    }
+
+    /// Notes that the answer is whole.
+    fn finish(&self) {
+        self.core.feed(Event::Attempt(self.ticket.key, AttemptOutcome::Finished));
+        self.core.metrics.note_span(Span::Whole, self.job.trace.age_ms());
+        self.job.trace.end(Ending::Whole, self.answer.status.as_u16(), None);
+    }
+
+    /// Holds a plain answer until it is whole.
+    async fn plain(mut self) -> Response<AnswerBody> {
+        let RunnerAnswer { exchange, body, .. } = &mut self.answer;
+        let collecting = exchange.collect(body, HELD_BYTES);
+        let collected = before(&self.core, self.job.limit, collecting).await;
+        let id = self.job.facts.id.as_deref();
+        match collected {
+            Some(Ok(text)) => {
+                self.finish();
+                answer_with(whole_body(text), self.answer.status, self.answer.headers)
+            }
+            Some(Err(error)) => {
+                self.job.trace.end(Ending::Unknown, 502, Some(error.code));
+                own_answer(StatusCode::BAD_GATEWAY, id, Code::CutShort)
+            }
+            None => {
+                self.job.trace.end(Ending::Unknown, 504, Some(Code::TimedOut));
+                own_answer(StatusCode::GATEWAY_TIMEOUT, id, Code::TimedOut)
+            }
         }
     }
+
+    fn stream(self) -> Response<AnswerBody> {
+        let (status, headers) = (self.answer.status, self.answer.headers.clone());
+        let relay = Relay { begun: self, cutter: EventCutter::default(), ended: false };
+        let frames = stream::unfold(relay, |mut relay| async move {
+            let bytes = relay.next().await?;
+            Some((bytes.map(Frame::data), relay))
+        });
+        answer_with(Box::pin(StreamBody::new(frames)), status, headers)
+    }
 }
 
-fn stream_answer(
-    core: Core,
-    job: Rc<Job>,
-    ticket: Ticket,
-    target: RunnerTarget,
-    begun: RunnerAnswer,
+/// An answer with the status and headers of a runner's. Its length is told by its body: a stream may go on at
+/// another runner.
+fn answer_with(
+    body: AnswerBody,
+    status: StatusCode,
+    mut headers: HeaderMap,
 ) -> Response<AnswerBody> {
-    let status = begun.status;
-    let mut headers = begun.headers.clone();
-    // The stream may go on at another runner, so its length is not known.
     headers.remove(CONTENT_LENGTH);
-    let relay =
-        Relay { core, job, ticket, target, begun, cutter: EventCutter::default(), ended: false };
-    let frames = stream::unfold(relay, |mut relay| async move {
-        let bytes = relay.next().await?;
-        Some((bytes.map(Frame::data), relay))
-    });
-    let body: AnswerBody = Box::pin(StreamBody::new(frames));
     let mut answer = Response::new(body);
     *answer.status_mut() = status;
     *answer.headers_mut() = headers;
@@ -110,12 +117,8 @@
 
 /// A stream of events on its way.
 struct Relay {
-    core: Core,
-    job: Rc<Job>,
-    ticket: Ticket,
-    /// The runner that it comes from.
-    target: RunnerTarget,
-    begun: RunnerAnswer,
+    /// The answer of the runner that it comes from now.
+    begun: Begun,
     cutter: EventCutter,
     ended: bool,
 }
@@ -133,9 +136,7 @@
                 }
                 Read::End if !self.cutter.has_partial() => {
                     self.ended = true;
-                    self.core.feed(Event::Attempt(self.ticket.key, AttemptOutcome::Finished));
-                    self.core.metrics.note_span(Span::Whole, self.job.trace.age_ms());
-                    self.job.trace.end(Ending::Whole, self.begun.status.as_u16(), None);
+                    self.begun.finish();
                 }
                 Read::Late => {
                     return Some(Err(self.break_off(Code::TimedOut)));
@@ -153,7 +154,7 @@
 
     /// Bytes of a stream that cannot be resumed go on as they are.
     fn take(&mut self, bytes: &Bytes) -> Bytes {
-        if self.job.kind.is_repeatable() {
+        if self.begun.job.kind.is_repeatable() {
             self.cutter.push(bytes)
         } else {
             bytes.clone()
@@ -161,12 +162,12 @@
     }
 
     async fn read(&mut self) -> Read {
-        let now = self.core.clock.now();
-        let left = Duration::from_millis(self.job.limit.since(now).0);
-        let gap = Duration::from_millis((self.job.gap_aim_ms as f64 * GAP_PATIENCE) as u64);
-        let may_resume = self.job.kind.is_repeatable() && gap < left;
+        let now = self.begun.core.clock.now();
+        let left = Duration::from_millis(self.begun.job.limit.since(now).0);
+        let gap = Duration::from_millis((self.begun.job.gap_aim_ms as f64 * GAP_PATIENCE) as u64);
+        let may_resume = self.begun.job.kind.is_repeatable() && gap < left;
         let wait = if may_resume { gap } else { left };
-        let RunnerAnswer { exchange, body, .. } = &mut self.begun;
+        let RunnerAnswer { exchange, body, .. } = &mut self.begun.answer;
         let next = future::or(async { Some(exchange.next(body).await) }, async {
             Timer::after(wait).await;
             None
@@ -184,7 +185,7 @@
     /// Ends the stream so that it does not look complete.
     fn break_off(&mut self, code: Code) -> Error {
         self.ended = true;
-        self.job.trace.end(Ending::Cut, self.begun.status.as_u16(), Some(code));
+        self.begun.job.trace.end(Ending::Cut, self.begun.answer.status.as_u16(), Some(code));
         Error::new(code, "the stream cannot go on")
     }
 
@@ -193,42 +194,45 @@
         self.cutter.forget_partial();
         let mut outcome = AttemptOutcome::Cut;
         let mut attempts = 1;
-        self.job.trace.fail(&self.target, outcome, self.job.trace.age_ms());
+        self.begun.job.trace.fail(&self.begun.target, outcome, self.begun.job.trace.age_ms());
         loop {
-            self.core.feed(Event::Attempt(self.ticket.key, outcome));
-            let step = before(&self.core, self.job.limit, self.ticket.next_step()).await.flatten();
+            self.begun.core.feed(Event::Attempt(self.begun.ticket.key, outcome));
+            let step =
+                before(&self.begun.core, self.begun.job.limit, self.begun.ticket.next_step())
+                    .await
+                    .flatten();
             let Some(NextStep::Send(target)) = step else {
                 return Err(Code::CutShort);
             };
             attempts += 1;
-            self.job.trace.choose(&target, attempts);
-            let begun = self.job.trace.age_ms();
+            self.begun.job.trace.choose(&target, attempts);
+            let begun = self.begun.job.trace.age_ms();
             outcome = match self.attempt(&target).await.ok_or(Code::TimedOut)? {
-                Outcome::Answer(begun) if begun.status.is_success() => {
-                    self.go_on(target, begun);
+                Outcome::Answer(answer) if answer.status.is_success() => {
+                    self.go_on(target, answer);
                     return Ok(());
                 }
                 Outcome::Answer(_) => AttemptOutcome::Failed,
                 Outcome::Failure { outcome, .. } => outcome,
             };
-            self.job.trace.fail(&target, outcome, self.job.trace.age_ms() - begun);
+            self.begun.job.trace.fail(&target, outcome, self.begun.job.trace.age_ms() - begun);
         }
     }
 
     /// Asks a runner to go on. `None` when the time of the route is over first.
     async fn attempt(&self, target: &RunnerTarget) -> Option<Outcome> {
-        let last = self.cutter.last_id().or(self.job.facts.last_event.as_deref());
-        let attempt = Attempt { core: &self.core, job: &self.job, target };
+        let last = self.cutter.last_id().or(self.begun.job.facts.last_event.as_deref());
+        let attempt = Attempt { core: &self.begun.core, job: &self.begun.job, target };
         let mut sent = true;
-        before(&self.core, self.job.limit, attempt.run(last, &mut sent)).await
+        before(&self.begun.core, self.begun.job.limit, attempt.run(last, &mut sent)).await
     }
 
-    fn go_on(&mut self, target: RunnerTarget, begun: RunnerAnswer) {
-        self.core.feed(Event::Attempt(self.ticket.key, AttemptOutcome::Answered));
+    fn go_on(&mut self, target: RunnerTarget, answer: RunnerAnswer) {
+        self.begun.core.feed(Event::Attempt(self.begun.ticket.key, AttemptOutcome::Answered));
         let after_event = self.cutter.last_id().unwrap_or("").to_owned();
-        self.job.trace.note(Decision::Resumed { after_event });
-        self.begun = begun;
-        self.target = target;
+        self.begun.job.trace.note(Decision::Resumed { after_event });
+        self.begun.answer = answer;
+        self.begun.target = target;
     }
 }
 
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -19,7 +19,7 @@
 use super::answer::{own_answer, refusal, AnswerBody};
 use super::attempt::{Attempt, Outcome};
 use super::core::{Core, Ticket};
-use super::relay;
+use super::relay::Begun;
 use super::trace::{Ending, Trace};
 
 /// When a caller comes back that reached a gateway which knows no configuration, or not whether its own is
@@ -229,7 +229,7 @@
         match before(&core, job.limit, attempt.run(None, &mut sent)).await {
             None => return out_of_time(&job, sent),
             Some(Outcome::Answer(answer)) => {
-                return relay::answer(core, job, ticket, target, answer).await;
+                return Begun { core, job, ticket, target, answer }.hand_on().await;
             }
             Some(Outcome::Failure { outcome, answer }) => {
                 held = answer;
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -1,20 +1,21 @@
 //! The reducer of a gateway.
 
+mod queue;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use errors::Code;
 use fleet::{Hall, InstanceId, Mechanism, Millis, NamedVersion, ServiceName};
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 
+use self::queue::Place;
 use crate::budget::RetryBudget;
 use crate::catalog::Catalog;
 use crate::choice::Chooser;
 use crate::comeback::Shortage;
-use crate::event::{
-    Arrival, AttemptOutcome, Effect, Event, GatewayOptions, NextStep, RequestKey, RunnerTarget,
-};
+use crate::event::{Arrival, AttemptOutcome, Effect, Event, GatewayOptions, RequestKey};
 use crate::pool::Pool;
 
 /// The part of its aim that a request may wait for a place: an earlier refusal leaves the caller
@@ -32,14 +33,6 @@
 /// The part of the ratio of repeats that is used, for what cannot be counted exactly.
 const RATIO_SHARE: f64 = 0.75;
 
-/// When callers are asked to come back where the shortage is not looked at, in milliseconds. For
-/// measurements only.
-const UNINFORMED_RETURN: std::ops::Range<u64> = 250..900;
-
-/// The question for a place, counted from one, that may wait at a sidecar. The ones before it are for
-/// runners that may have a place at once.
-const PATIENT_QUESTION: u32 = 5;
-
 /// A request under way.
 #[derive(Clone, Debug)]
 struct Progress {
@@ -72,13 +65,6 @@
     }
 }
 
-/// A place in the queue: rank first, then order of arrival.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Place {
-    priority: u8,
-    key: RequestKey,
-}
-
 /// The state of a gateway.
 pub struct Gateway {
     options: GatewayOptions,
@@ -303,33 +289,6 @@
         vec![Effect::CountRetry(outcome.code())]
     }
 
-    fn finish_without_answer(
-        &mut self,
-        now: Millis,
-        random: &mut SmallRng,
-        key: RequestKey,
-    ) -> Vec<Effect> {
-        let Some(progress) = self.requests.remove(&key) else {
-            return Vec::new();
-        };
-        let step = if progress.may_have_run {
-            NextStep::GiveUp(progress.reason)
-        } else {
-            let chooser = self.chooser();
-            let standing = chooser.standing(now, &progress.arrival, &progress.tried);
-            let serves_in_ms = chooser.serves_in_ms(now, &progress.arrival);
-            let estimates = self.keeps(Mechanism::ReturnEstimate);
-            let shortage = self.shortages.entry(progress.arrival.service.clone()).or_default();
-            let retry_after_ms = if estimates {
-                shortage.refuse(now, random, serves_in_ms)
-            } else {
-                random.random_range(UNINFORMED_RETURN)
-            };
-            NextStep::Refuse { code: progress.reason, retry_after_ms, standing }
-        };
-        vec![Effect::Proceed(key, step)]
-    }
-
     fn end(&mut self, now: Millis, random: &mut SmallRng, key: RequestKey) -> Vec<Effect> {
         let Some(progress) = self.requests.remove(&key) else {
             return Vec::new();
@@ -341,84 +300,6 @@
         self.dispatch(now, random)
     }
 
-    fn enqueue(&mut self, key: RequestKey, progress: &Progress) {
-        let priority = if self.keeps(Mechanism::Ranks) { progress.arrival.priority } else { 0 };
-        self.queue.insert(Place { priority, key });
-    }
-
-    /// Sends what has a place and refuses what has waited too long.
-    fn dispatch(&mut self, now: Millis, random: &mut SmallRng) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        // Services without a place, and when some runner of theirs serves again where none does now.
-        let mut full: BTreeMap<ServiceName, Option<u64>> = BTreeMap::new();
-        let places: Vec<Place> = self.queue.iter().copied().collect();
-        for place in places {
-            let Some(progress) = self.requests.get(&place.key) else {
-                self.queue.remove(&place);
-                continue;
-            };
-            if progress.was_denied && now >= progress.wait_until {
-                // It has waited its time at a runner: another question would only make it later.
-                self.queue.remove(&place);
-                effects.extend(self.finish_without_answer(now, random, place.key));
-                continue;
-            }
-            let first = progress.tried.is_empty();
-            let service = progress.arrival.service.clone();
-            let target = if first && full.contains_key(&service) {
-                None
-            } else {
-                self.choose(now, random, place.key)
-            };
-            if let Some(target) = target {
-                self.queue.remove(&place);
-                effects.push(Effect::Proceed(place.key, NextStep::Send(target)));
-                continue;
-            }
-            let Some(progress) = self.requests.get(&place.key) else {
-                continue;
-            };
-            if first && !full.contains_key(&service) {
-                let serves_in_ms = self.chooser().serves_in_ms(now, &progress.arrival);
-                full.insert(service.clone(), serves_in_ms);
-            }
-            let serves_in_ms = full.get(&service).copied().flatten();
-            if progress.waits_in_vain(now, serves_in_ms) {
-                self.queue.remove(&place);
-                effects.extend(self.finish_without_answer(now, random, place.key));
-            }
-        }
-        effects
-    }
-
-    fn choose(
-        &mut self,
-        now: Millis,
-        random: &mut SmallRng,
-        key: RequestKey,
-    ) -> Option<RunnerTarget> {
-        let progress = self.requests.get(&key)?;
-        let (id, seen) = self.chooser().choose(now, random, &progress.arrival, &progress.tried)?;
-        let ablation = self.options.ablation.clone();
-        let progress = self.requests.get_mut(&key)?;
-        let runner = self.pool.runner_mut(&id)?;
-        runner.in_flight += 1;
-        let address = runner.record.address;
-        progress.tried.push(id.clone());
-        progress.current = Some(id.clone());
-        progress.sent_at = now;
-        let reserve = progress.arrival.model.is_some() && ablation.keeps(Mechanism::Reservations);
-        progress.asked += 1;
-        // While others may have a place at once, the question does not wait.
-        let others = progress.asked < PATIENT_QUESTION && seen.candidates > 1;
-        let others = others || !ablation.keeps(Mechanism::QueuedReservations);
-        let wait_ms = if others { 0 } else { progress.wait_until.since(now).0 };
-        // What may have run already goes on before anything new.
-        let unranked = progress.may_have_run || !ablation.keeps(Mechanism::Ranks);
-        let rank = if unranked { 0 } else { progress.arrival.priority };
-        Some(RunnerTarget { id, address, reserve, rank, wait_ms, seen })
-    }
-
     fn chooser(&self) -> Chooser<'_> {
         let GatewayOptions { hall, ablation, .. } = &self.options;
         Chooser { pool: &self.pool, hall, ablation }
--- /dev/null
+++ b/components/gateway/src/reducer/queue.rs
@@ -0,0 +1,162 @@
+//! Requests that wait for a place at a runner: who is sent, who waits on and who is refused.
+
+use std::collections::BTreeMap;
+
+use fleet::{Mechanism, Millis, ServiceName};
+use rand::rngs::SmallRng;
+use rand::Rng;
+
+use super::{Gateway, Progress};
+use crate::event::{Effect, NextStep, RequestKey, RunnerTarget};
+
+/// When callers are asked to come back where the shortage is not looked at, in milliseconds. For
+/// measurements only.
+const UNINFORMED_RETURN: std::ops::Range<u64> = 250..900;
+/// The question for a place, counted from one, that may wait at a sidecar. The ones before it are for
+/// runners that may have a place at once.
+const PATIENT_QUESTION: u32 = 5;
+
+/// A place in the queue: rank first, then order of arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Place {
+    pub(super) priority: u8,
+    pub(super) key: RequestKey,
+}
+
+/// What becomes of a request in the queue.
+enum Turn {
+    /// It is sent.
+    Send(RunnerTarget),
+    /// It stays where it is.
+    Wait,
+    /// It gets its final answer.
+    Finish,
+}
+
+/// Services that have no place for a first attempt at this moment, and in how many milliseconds some runner
+/// of theirs serves again where none does now.
+type FullServices = BTreeMap<ServiceName, Option<u64>>;
+
+impl Gateway {
+    /// Puts a request that has just arrived in the queue.
+    pub(super) fn enqueue(&mut self, key: RequestKey, progress: &Progress) {
+        let priority = if self.keeps(Mechanism::Ranks) { progress.arrival.priority } else { 0 };
+        self.queue.insert(Place { priority, key });
+    }
+
+    /// Sends what has a place and refuses what has waited too long.
+    pub(super) fn dispatch(&mut self, now: Millis, random: &mut SmallRng) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let mut full = FullServices::new();
+        let places: Vec<Place> = self.queue.iter().copied().collect();
+        for place in places {
+            match self.turn(now, random, place.key, &mut full) {
+                Turn::Wait => {}
+                Turn::Send(target) => {
+                    self.queue.remove(&place);
+                    effects.push(Effect::Proceed(place.key, NextStep::Send(target)));
+                }
+                Turn::Finish => {
+                    self.queue.remove(&place);
+                    effects.extend(self.finish_without_answer(now, random, place.key));
+                }
+            }
+        }
+        effects
+    }
+
+    /// What becomes of a request in the queue now. One that is not known any more is finished at once.
+    fn turn(
+        &mut self,
+        now: Millis,
+        random: &mut SmallRng,
+        key: RequestKey,
+        full: &mut FullServices,
+    ) -> Turn {
+        let Some(progress) = self.requests.get(&key) else {
+            return Turn::Finish;
+        };
+        if progress.was_denied && now >= progress.wait_until {
+            // It has waited its time at a runner: another question would only make it later.
+            return Turn::Finish;
+        }
+        let first = progress.tried.is_empty();
+        let service = progress.arrival.service.clone();
+        let is_known_full = first && full.contains_key(&service);
+        if !is_known_full {
+            if let Some(target) = self.choose(now, random, key) {
+                return Turn::Send(target);
+            }
+        }
+        let Some(progress) = self.requests.get(&key) else {
+            return Turn::Finish;
+        };
+        if first && !is_known_full {
+            let serves_in_ms = self.chooser().serves_in_ms(now, &progress.arrival);
+            full.insert(service.clone(), serves_in_ms);
+        }
+        let serves_in_ms = full.get(&service).copied().flatten();
+        if progress.waits_in_vain(now, serves_in_ms) {
+            Turn::Finish
+        } else {
+            Turn::Wait
+        }
+    }
+
+    /// The final answer to a request that gets none of a runner.
+    pub(super) fn finish_without_answer(
+        &mut self,
+        now: Millis,
+        random: &mut SmallRng,
+        key: RequestKey,
+    ) -> Vec<Effect> {
+        let Some(progress) = self.requests.remove(&key) else {
+            return Vec::new();
+        };
+        let step = if progress.may_have_run {
+            NextStep::GiveUp(progress.reason)
+        } else {
+            let chooser = self.chooser();
+            let standing = chooser.standing(now, &progress.arrival, &progress.tried);
+            let serves_in_ms = chooser.serves_in_ms(now, &progress.arrival);
+            let estimates = self.keeps(Mechanism::ReturnEstimate);
+            let shortage = self.shortages.entry(progress.arrival.service.clone()).or_default();
+            let retry_after_ms = if estimates {
+                shortage.refuse(now, random, serves_in_ms)
+            } else {
+                random.random_range(UNINFORMED_RETURN)
+            };
+            NextStep::Refuse { code: progress.reason, retry_after_ms, standing }
+        };
+        vec![Effect::Proceed(key, step)]
+    }
+
+    /// Takes the best runner for a request, if one is fit.
+    fn choose(
+        &mut self,
+        now: Millis,
+        random: &mut SmallRng,
+        key: RequestKey,
+    ) -> Option<RunnerTarget> {
+        let progress = self.requests.get(&key)?;
+        let (id, seen) = self.chooser().choose(now, random, &progress.arrival, &progress.tried)?;
+        let ablation = self.options.ablation.clone();
+        let progress = self.requests.get_mut(&key)?;
+        let runner = self.pool.runner_mut(&id)?;
+        runner.in_flight += 1;
+        let address = runner.record.address;
+        progress.tried.push(id.clone());
+        progress.current = Some(id.clone());
+        progress.sent_at = now;
+        let reserve = progress.arrival.model.is_some() && ablation.keeps(Mechanism::Reservations);
+        progress.asked += 1;
+        // While others may have a place at once, the question does not wait.
+        let others = progress.asked < PATIENT_QUESTION && seen.candidates > 1;
+        let others = others || !ablation.keeps(Mechanism::QueuedReservations);
+        let wait_ms = if others { 0 } else { progress.wait_until.since(now).0 };
+        // What may have run already goes on before anything new.
+        let unranked = progress.may_have_run || !ablation.keeps(Mechanism::Ranks);
+        let rank = if unranked { 0 } else { progress.arrival.priority };
+        Some(RunnerTarget { id, address, reserve, rank, wait_ms, seen })
+    }
+}
