Soak: connections that go silent for good, configurations in force in time

Change: two kinds of fault let the connections that are open to the store or to a runner go silent for good while new ones work; the checker holds gateways that were left alone to the bound of a configuration, both ways. A test breaks the new promise in made-up histories, with each exception.

--- a/examples/soak/checker.rs
+++ b/examples/soak/checker.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::history::{Harmed, History, Kind, Request, Run, Seen, Target};
+use crate::history::{Configured, Harmed, History, Kind, Request, Run, Seen, Target};
 
 /// Events of a whole stream of the stand-in's engines.
 const EVENTS: u64 = 12;
@@ -11,6 +11,8 @@
 const TENANT: &str = "t1";
 /// Within what time a runner that leaves gets nothing new.
 const DRAIN: Duration = Duration::from_millis(2000);
+/// Within what time a configuration is in force.
+const APPLY: Duration = Duration::from_millis(2000);
 /// How long a process must have been left alone to be held to a bound of time.
 const IN_TOUCH: Duration = Duration::from_millis(3500);
 /// How long a request may be under way when its connection is closed between two requests.
@@ -39,6 +41,7 @@
         violations.extend(check_promise_of_refusal(request, runs));
         violations.extend(check_planned_stop(history, request, runs));
         violations.extend(check_leaving(history, request, runs));
+        violations.extend(check_in_force(history, request));
     }
     violations.extend(check_configuration(history));
     violations.extend(check_recovery(history));
@@ -128,6 +131,31 @@
     Some(broken("a runner that leaves gets nothing new", request, &format!("{late:?}")))
 }
 
+/// A route of one version of the configuration is served as soon as that version binds, and no longer than
+/// until the next one does.
+fn check_in_force(history: &History, request: &Request) -> Option<Violation> {
+    let (Kind::Probe(version), Seen::Answer { status, .. }) = (request.kind, &request.seen) else {
+        return None;
+    };
+    let versions = |is_counted: &dyn Fn(&Configured) -> bool| {
+        history.configured.iter().filter(|it| is_counted(it)).map(|it| it.version).max()
+    };
+    let binding = versions(&|it| it.taken + APPLY < request.sent)?;
+    let newest = versions(&|it| it.sent <= request.ended)?;
+    let by_an_older_one = match status {
+        200 => version < binding,
+        401 | 404 => version == binding && newest == binding,
+        _ => false,
+    };
+    let untouched = is_calm(history, request, |target| {
+        target == Target::Gateway(request.gateway.0) || target == Target::Store
+    });
+    let broke = by_an_older_one && untouched;
+    broke.then(|| {
+        broken("a configuration is in force in time", request, &format!("version {binding}"))
+    })
+}
+
 /// Whether nothing was done to these targets from a while before a request until its end.
 fn is_calm(history: &History, request: &Request, concerns: impl Fn(Target) -> bool) -> bool {
     let from = request.sent.saturating_sub(IN_TOUCH);
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -24,6 +24,8 @@
     "store",
     "store_link",
     "runner_link",
+    "store_silence",
+    "runner_silence",
     "runner",
     "restart",
     "drain",
@@ -51,6 +53,10 @@
     StoreLink(usize, Harm),
     /// The way to a runner is harmed for a while.
     RunnerLink(usize, Harm),
+    /// The connections of one process to the store go silent for good, while new ones work.
+    StoreSilence(usize),
+    /// The connections to a runner go silent for good, while new ones work.
+    RunnerSilence(usize),
     /// A runner misbehaves for a while.
     Runner(usize, RunnerFault),
     /// A runner starts anew, empty and under another identity.
@@ -119,6 +125,8 @@
         },
         "store_link" => Fault::StoreLink(process, harm(random)),
         "runner_link" => Fault::RunnerLink(runner, harm(random)),
+        "store_silence" => Fault::StoreSilence(process),
+        "runner_silence" => Fault::RunnerSilence(runner),
         "runner" => Fault::Runner(runner, runner_fault(random)),
         "restart" => Fault::Restart(model),
         "drain" => Fault::Drain(runner),
--- a/examples/soak/history.rs
+++ b/examples/soak/history.rs
@@ -111,6 +111,17 @@
     pub until: Option<Moment>,
 }
 
+/// A version of the configuration, whose number its own route bears.
+#[derive(Clone, Copy, Debug)]
+pub struct Configured {
+    /// The version.
+    pub version: u64,
+    /// When it was sent to the store.
+    pub sent: Moment,
+    /// When the store had taken it.
+    pub taken: Moment,
+}
+
 /// Everything.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -124,6 +135,8 @@
     pub stops: Vec<Stop>,
     /// Runners that left.
     pub leaving: Vec<Leaving>,
+    /// Versions of the configuration, oldest first.
+    pub configured: Vec<Configured>,
     /// Runners that took weights which were not whole or of one version.
     pub mixtures: Vec<String>,
     /// When the last fault had ended.
--- a/examples/soak/proxy.rs
+++ b/examples/soak/proxy.rs
@@ -17,9 +17,10 @@
 const BUFFER: usize = 16 * 1024;
 
 /// What a proxy does to its connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Harm {
     /// Nothing.
+    #[default]
     None,
     /// Everything comes later by so many milliseconds.
     Delay(u64),
@@ -31,10 +32,20 @@
     Reset,
 }
 
+/// What connections look at before they pass bytes on.
+#[derive(Default)]
+struct State {
+    harm: Harm,
+    /// Connections so far.
+    connections: u64,
+    /// Connections with smaller numbers have gone silent for good.
+    silent_below: u64,
+}
+
 /// A running proxy. It lives until the process ends.
 #[derive(Clone)]
 pub struct Proxy {
-    harm: Arc<Mutex<Harm>>,
+    state: Arc<Mutex<State>>,
     /// Where it listens.
     pub address: SocketAddr,
 }
@@ -44,19 +55,25 @@
     pub fn start(listen: SocketAddr, server: SocketAddr) -> std::io::Result<Self> {
         let listener = std::net::TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
-        let harm = Arc::new(Mutex::new(Harm::None));
-        let shared = harm.clone();
+        let state: Arc<Mutex<State>> = Arc::default();
+        let shared = state.clone();
         thread::spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
             let serving = serve(executor.clone(), listener, server, shared);
             let _ = async_io::block_on(executor.run(serving));
         });
-        Ok(Self { harm, address })
+        Ok(Self { state, address })
     }
 
     /// Harms its connections from now on.
     pub fn set(&self, harm: Harm) {
-        *self.harm.lock().expect("never poisoned") = harm;
+        self.state.lock().expect("never poisoned").harm = harm;
+    }
+
+    /// Lets the connections that are open go silent for good. Nobody is told, and new ones work.
+    pub fn silence_open(&self) {
+        let mut state = self.state.lock().expect("never poisoned");
+        state.silent_below = state.connections;
     }
 }
 
@@ -64,51 +81,84 @@
     executor: Rc<LocalExecutor<'static>>,
     listener: std::net::TcpListener,
     server: SocketAddr,
-    harm: Arc<Mutex<Harm>>,
+    state: Arc<Mutex<State>>,
 ) -> std::io::Result<()> {
     let listener = TcpListener::try_from(listener)?;
     loop {
         let (client, _) = listener.accept().await?;
-        let harm = harm.clone();
-        executor.spawn(async move { pass(client, server, &harm).await }).detach();
+        let way = Way::new(state.clone());
+        executor.spawn(async move { pass(client, server, &way).await }).detach();
     }
 }
 
-async fn pass(client: TcpStream, server: SocketAddr, harm: &Mutex<Harm>) {
+/// The way of one connection through a proxy.
+struct Way {
+    state: Arc<Mutex<State>>,
+    number: u64,
+}
+
+impl Way {
+    fn new(state: Arc<Mutex<State>>) -> Self {
+        let number = {
+            let mut state = state.lock().expect("never poisoned");
+            state.connections += 1;
+            state.connections - 1
+        };
+        Self { state, number }
+    }
+
+    fn harm(&self) -> Harm {
+        self.state.lock().expect("never poisoned").harm
+    }
+
+    /// Whether the connection has gone silent for good.
+    fn is_dead(&self) -> bool {
+        self.number < self.state.lock().expect("never poisoned").silent_below
+    }
+
+    /// Waits until bytes may pass in a direction that `silenced_by` stops, and gives what is done to them.
+    async fn open(&self, silenced_by: Harm) -> Harm {
+        loop {
+            let harm = self.harm();
+            let is_silent = harm == Harm::Silence || harm == silenced_by;
+            if !is_silent && !self.is_dead() {
+                return harm;
+            }
+            Timer::after(LOOK_EVERY).await;
+        }
+    }
+}
+
+async fn pass(client: TcpStream, server: SocketAddr, way: &Way) {
     let Ok(server) = TcpStream::connect(server).await else {
         return;
     };
-    let up = copy(client.clone(), server.clone(), harm, Harm::Silence);
-    let down = copy(server.clone(), client.clone(), harm, Harm::OneWay);
+    let up = copy(client.clone(), server.clone(), way, Harm::Silence);
+    let down = copy(server.clone(), client.clone(), way, Harm::OneWay);
     // A reset ends both directions; the end of one direction leaves the other.
     let both = future::zip(up, down);
-    let ((), ()) = future::or(both, reset(harm)).await;
+    let ((), ()) = future::or(both, reset(way)).await;
     for stream in [&client, &server] {
-        if *harm.lock().expect("never poisoned") == Harm::Reset {
+        if way.harm() == Harm::Reset {
             let _ = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
         }
     }
 }
 
 /// Ends when connections are to be reset.
-async fn reset(harm: &Mutex<Harm>) -> ((), ()) {
-    while *harm.lock().expect("never poisoned") != Harm::Reset {
+async fn reset(way: &Way) -> ((), ()) {
+    while way.harm() != Harm::Reset {
         Timer::after(LOOK_EVERY).await;
     }
     ((), ())
 }
 
 /// Passes bytes on. `silenced_by` stops this direction, as does silence of both.
-async fn copy(mut from: TcpStream, mut to: TcpStream, harm: &Mutex<Harm>, silenced_by: Harm) {
+async fn copy(mut from: TcpStream, mut to: TcpStream, way: &Way, silenced_by: Harm) {
     let mut buffer = [0; BUFFER];
     loop {
         let length = from.read(&mut buffer).await.unwrap_or(0);
-        let mut now = *harm.lock().expect("never poisoned");
-        while now == Harm::Silence || now == silenced_by {
-            Timer::after(LOOK_EVERY).await;
-            now = *harm.lock().expect("never poisoned");
-        }
-        if let Harm::Delay(millis) = now {
+        if let Harm::Delay(millis) = way.open(silenced_by).await {
             Timer::after(Duration::from_millis(millis)).await;
         }
         if length == 0 {
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -15,7 +15,7 @@
 use crate::checker::{check, Violation};
 use crate::faults::{plan, Fault, Planned, Sizes, KINDS};
 use crate::fleet::{Fleet, Process};
-use crate::history::{Harmed, History, Leaving, Run, Stop, Target};
+use crate::history::{Configured, Harmed, History, Leaving, Run, Stop, Target};
 use crate::proxy::Harm;
 
 /// How long the fleet has to get ready.
@@ -277,6 +277,14 @@
                 self.note(Target::Runner(number), until);
                 self.ends.push((until, End::HealRunnerLink(number)));
             }
+            Fault::StoreSilence(number) => {
+                self.process(number).store.silence_open();
+                self.note(self.target(number), self.now());
+            }
+            Fault::RunnerSilence(number) => {
+                self.fleet.runners[number].proxy.silence_open();
+                self.note(Target::Runner(number), self.now());
+            }
             Fault::Runner(number, fault) => {
                 let engine = self.fleet.runners[number].engine;
                 self.fleet.standin.change_runner(engine, |it| it.fault = fault);
@@ -312,6 +320,7 @@
     /// Adds a route that names the version and drops the one that the version before added.
     fn configure(&mut self) {
         let version = self.shared.configuration.load(Ordering::Relaxed) + 1;
+        let sent = self.now();
         self.fleet.standin.reconfigure(|it| {
             let Some(routes) = it["routes"].as_array_mut() else {
                 return;
@@ -322,6 +331,7 @@
             route["pathPrefix"] = json!(format!("/v{version}/"));
             routes.push(route);
         });
+        self.history.configured.push(Configured { version, sent, taken: self.now() });
         self.shared.configuration.store(version, Ordering::Relaxed);
     }
 
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -161,6 +161,36 @@
     assert_eq!(broken(&history), Some("a configuration does not go back"));
 }
 
+#[test]
+fn a_configuration_that_is_not_in_force_in_time_is_caught() {
+    let configured =
+        |version, taken| Configured { version, sent: at(taken - 100), taken: at(taken) };
+    let probe = |version, status| {
+        let body = if status == 200 { "ledger a" } else { "" };
+        let mut history = history(request("a", Kind::Probe(version), answer(status, body)), vec![]);
+        history.configured = vec![configured(1, 3_000), configured(2, 7_500)];
+        history
+    };
+    let promise = Some("a configuration is in force in time");
+    assert_eq!(broken(&probe(2, 200)), None, "the newest one is served");
+    assert_eq!(broken(&probe(1, 404)), None, "the one before is not");
+    assert_eq!(broken(&probe(2, 404)), promise, "refused as an older one says");
+    assert_eq!(broken(&probe(1, 200)), promise, "served as an older one says");
+    assert_eq!(broken(&probe(2, 503)), None, "nothing is said of the route");
+
+    let mut late = probe(2, 404);
+    late.configured[1].taken = at(8_500);
+    assert_eq!(broken(&late), None, "the bound has not passed");
+    let mut next = probe(2, 404);
+    next.configured.push(configured(3, 10_140));
+    assert_eq!(broken(&next), None, "a newer one may be in force already");
+    for target in [Target::Gateway(0), Target::Store] {
+        let mut harmed = probe(2, 404);
+        harmed.harmed.push(Harmed { target, from: at(7_000), until: at(7_100) });
+        assert_eq!(broken(&harmed), None, "{target:?} was harmed shortly before");
+    }
+}
+
 #[test]
 fn weights_that_are_mixed_are_caught() {
     let safe = request("a", Kind::Safe, answer(200, "ledger a"));
