--- a/components/fleet/src/ablation.rs
+++ b/components/fleet/src/ablation.rs
@@ -32,8 +32,6 @@
     FinishedVersions,
     /// Runners are moved to a version one after the other.
     Turns,
-    /// Gateways hear of an order before it is given.
-    Notice,
     /// Questions and queued requests are ordered by rank.
     Ranks,
     /// Callers are told when to come back by what is known of the shortage.
@@ -48,7 +46,7 @@
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 17] = [
         Self::Reservations,
         Self::QueuedReservations,
         Self::Waiting,
@@ -61,7 +59,6 @@
         Self::KeptShares,
         Self::FinishedVersions,
         Self::Turns,
-        Self::Notice,
         Self::Ranks,
         Self::ReturnEstimate,
         Self::HallGates,
@@ -84,7 +81,6 @@
             Self::KeptShares => "kept_shares",
             Self::FinishedVersions => "finished_versions",
             Self::Turns => "turns",
-            Self::Notice => "notice",
             Self::Ranks => "ranks",
             Self::ReturnEstimate => "return_estimate",
             Self::HallGates => "hall_gates",
--- a/components/fleet/tests/ablation.rs
+++ b/components/fleet/tests/ablation.rs
@@ -20,8 +20,8 @@
 
 #[test]
 fn names_are_split_by_commas_and_written_back() {
-    let ablation: Ablation = "turns, notice".parse().unwrap();
-    assert_eq!(ablation, Ablation::without([Mechanism::Turns, Mechanism::Notice]));
+    let ablation: Ablation = "turns, ranks".parse().unwrap();
+    assert_eq!(ablation, Ablation::without([Mechanism::Turns, Mechanism::Ranks]));
     assert_eq!(ablation.to_string().parse(), Ok(ablation));
 }
 
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -34,8 +34,6 @@
 const DRAIN_PATIENCE: u64 = 1500;
 /// How long the chunks of a version take to be put at the runner, in milliseconds: 16 to 18 were measured.
 const STAGING: u64 = 20;
-/// How long before an order gateways hear of it, in milliseconds.
-const NOTICE: u64 = 120;
 
 /// How long a version is still drawn after a newer one was named, in milliseconds.
 const FINISH_PATIENCE: u64 = 3000;
@@ -307,15 +305,6 @@
         self.options.ablation.keeps(mechanism)
     }
 
-    /// How long before an order gateways hear of it, in milliseconds.
-    fn notice(&self) -> u64 {
-        if self.keeps(Mechanism::Notice) {
-            NOTICE
-        } else {
-            0
-        }
-    }
-
     /// Turns to the version that was named last. A version most of whose chunks are here is still taken
     /// before a newer one: its bound stands.
     fn follow_name(&mut self) {
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -91,8 +91,8 @@
         self.keeps(Mechanism::LastOrder) && self.ordered_at.is_some() && held < self.named.version
     }
 
-    /// Whether the runner is about to be ordered. Gateways hear of that first, so that nothing waits
-    /// at the runner when it stops beginning requests.
+    /// Whether the runner's order is due. Nothing new is sent to it until the order has been taken, so that
+    /// nothing waits there when it stops beginning requests.
     pub fn is_leaving(&self, now: Millis) -> bool {
         if self.is_exposed() {
             return true;
@@ -101,7 +101,7 @@
             return false;
         };
         match target.step {
-            Step::Waiting(at) => now.plus(self.notice()) >= at,
+            Step::Waiting(at) => now >= at,
             Step::Staging | Step::Ordered(..) => true,
             _ => false,
         }
--- a/components/rollout/src/reducer/moves.rs
+++ b/components/rollout/src/reducer/moves.rs
@@ -82,7 +82,6 @@
         if !serves || self.is_exposed() {
             return now;
         }
-        let now = now.plus(self.notice());
         if now >= end || !self.keeps(Mechanism::Turns) {
             return now;
         }
