--- a/examples/burst/report.rs
+++ b/examples/burst/report.rs
@@ -41,6 +41,8 @@
     pub whole: u64,
     /// Told that they were not run.
     pub not_run: u64,
+    /// The same by the name of the code that they were told.
+    pub not_run_reasons: BTreeMap<&'static str, u64>,
     /// Told that they may have run.
     pub unknown: u64,
     /// Answers from weights that are no whole version, or cut answers passed on as whole.
@@ -57,7 +59,10 @@
             Ending::Whole if known.contains(&answer.fingerprint) => self.whole += 1,
             Ending::Whole | Ending::Partial => self.partial_served += 1,
             Ending::Crossed => self.mixed_served += 1,
-            Ending::NotRun(_) => self.not_run += 1,
+            Ending::NotRun(code) => {
+                self.not_run += 1;
+                *self.not_run_reasons.entry(code.name()).or_default() += 1;
+            }
             Ending::Unknown(_) => self.unknown += 1,
         }
     }
@@ -81,6 +86,11 @@
             "requests      {}: {} whole, {} not run, {} unknown",
             self.requests, self.whole, self.not_run, self.unknown
         )?;
+        writeln!(
+            f,
+            "not run       {:?}; callers begin with the rollout, before any replica is live",
+            self.not_run_reasons
+        )?;
         write!(f, "wrong answers {} partial, {} mixed", self.partial_served, self.mixed_served)
     }
 }
