--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -57,8 +57,8 @@
         let news = News::bind(SocketAddr::new(settings.node.address, port)).await?;
         let reservations = Reservations::new(news.clone(), port);
         let patience = patience(&settings.bounds);
-        let calm = |table| patience.longest_calm(spacing(&settings.bounds, table));
-        let tables = Rc::new(Tables::new(calm));
+        let gap = |table| patience.longest_gap(spacing(&settings.bounds, table));
+        let tables = Rc::new(Tables::new(gap));
         let core = Core::new(
             options(settings),
             Clock::start(),
--- a/components/edge/src/gateway/tables.rs
+++ b/components/edge/src/gateway/tables.rs
@@ -7,8 +7,8 @@
 
 /// How a table of the store stands.
 pub struct TableState {
-    /// The longest time between two answers in calm.
-    calm: Duration,
+    /// The longest time between two answers while the store works.
+    longest_gap: Duration,
     /// Whether it has been read whole at least once.
     pub whole: Cell<bool>,
     /// Whether the store does not answer questions for it any more.
@@ -18,15 +18,15 @@
 }
 
 impl TableState {
-    /// Nothing has been heard yet. `calm` is the longest time between two answers in calm.
-    fn new(calm: Duration) -> Self {
-        Self { calm, whole: Cell::default(), lost: Cell::default(), heard: Cell::default() }
+    /// Nothing has been heard yet. Answers come at least every `longest_gap` while the store works.
+    fn new(longest_gap: Duration) -> Self {
+        Self { longest_gap, whole: Cell::default(), lost: Cell::default(), heard: Cell::default() }
     }
 
     /// Whether the store has just confirmed what is known: it answers, and no answer is overdue.
     pub fn is_confirmed(&self) -> bool {
         let heard = self.heard.get();
-        !self.lost.get() && heard.is_some_and(|at| at.elapsed() <= self.calm)
+        !self.lost.get() && heard.is_some_and(|at| at.elapsed() <= self.longest_gap)
     }
 
     /// Takes in that the store answered.
@@ -49,11 +49,12 @@
 }
 
 impl Tables {
-    /// Nothing has been heard yet. `calm` tells the longest time between two answers for a table in calm.
-    pub fn new(calm: impl Fn(Table) -> Duration) -> Self {
+    /// Nothing has been heard yet. `longest_gap` tells the longest time between two answers for a table while the
+    /// store works.
+    pub fn new(longest_gap: impl Fn(Table) -> Duration) -> Self {
         Self {
-            operator: TableState::new(calm(Table::Operator)),
-            runners: TableState::new(calm(Table::Runners)),
+            operator: TableState::new(longest_gap(Table::Operator)),
+            runners: TableState::new(longest_gap(Table::Runners)),
         }
     }
 
--- a/components/edge/src/patience.rs
+++ b/components/edge/src/patience.rs
@@ -1,10 +1,11 @@
 //! How long a process waits for the platform's store.
 //!
-//! A store that was away has taken calls that it never answers, and connections may fall silent while new ones
-//! work: nothing but a time-out tells. Until a lost call is given up, its process is deaf, and takes that
-//! for calm. The platform gives everybody a time of contact after any such trouble; behind it, all that the
-//! store acknowledged binds. So whatever a process waits for, and whenever that began, it must have given up,
-//! paused and asked again within the time of contact.
+//! After an outage the store may never answer calls that it has accepted, and a connection may stop working
+//! without a reset while new ones work. Only a time-out of our own detects that: until a lost call is given
+//! up, its process hears of no change and cannot tell this from a table that does not change. The platform
+//! allows a contact time after an outage, after which everything that the store acknowledged is binding. So
+//! whatever a process waits for, and whenever that began, it must have given up, paused and asked again
+//! within the contact time.
 
 use std::ops::Range;
 use std::time::Duration;
@@ -16,14 +17,14 @@
 const PROBE_WAIT: Duration = Duration::from_millis(50);
 /// The longest wait of a feed. A longer one would save few calls.
 const LONGEST_WAIT: Duration = Duration::from_millis(5000);
-/// The shortest one, where the time of contact leaves less.
+/// The shortest one, where the contact time leaves less.
 const SHORTEST_WAIT: Duration = Duration::from_millis(250);
 /// The pause after the first call that failed, in milliseconds: little more than enough to keep processes
 /// apart that lost the store together.
 const FIRST_PAUSE: Range<u64> = 0..100;
 /// The pause after the second one; it doubles with each. Refused calls have their price too.
 const LATER_PAUSE: Range<u64> = 300..700;
-/// The longest pause, where the time of contact leaves that much.
+/// The longest pause, where the contact time leaves that much.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
 /// The longest pause where it leaves less: the store is not pressed even then.
 const SHORTEST_LONGEST_PAUSE: Duration = Duration::from_millis(300);
@@ -31,7 +32,7 @@
 /// has a fifth of its time, answers were taken 20 to 60 ms late.
 const MARGIN: Duration = Duration::from_millis(200);
 
-/// The times to wait for the store, by the time of contact.
+/// The time-outs and pauses of calls to the store, by the contact time.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
     contact: Duration,
@@ -42,7 +43,7 @@
     /// the store.
     pub const LIST_BEGIN: Duration = Duration::from_millis(1500);
 
-    /// For a platform that gives processes so long to be up to date after trouble.
+    /// For a platform that allows processes this contact time after an outage.
     pub fn new(contact: Duration) -> Self {
         Self { contact }
     }
@@ -56,9 +57,9 @@
         self.contact.saturating_sub(kept).clamp(SHORTEST_WAIT, LONGEST_WAIT)
     }
 
-    /// The longest time between two answers to feeds in calm, where feeds are `spacing` apart. A process that has
-    /// not heard the store for longer cannot say what is not there.
-    pub fn longest_calm(&self, spacing: Duration) -> Duration {
+    /// The longest time between two answers to feeds while the store works, where feeds are `spacing` apart. A
+    /// process that has waited longer for an answer may have missed a change.
+    pub fn longest_gap(&self, spacing: Duration) -> Duration {
         self.feed_wait(true) + spacing + MARGIN
     }
 
--- a/components/edge/tests/patience.rs
+++ b/components/edge/tests/patience.rs
@@ -1,4 +1,4 @@
-//! Whenever a call is lost, its process has asked again within the time of contact.
+//! Whenever a call is lost, its process has asked again within the contact time.
 
 use std::time::Duration;
 
@@ -16,25 +16,25 @@
 
 proptest! {
     #[test]
-    fn a_feed_that_is_lost_at_the_end_of_an_outage_is_asked_again_within_the_time_of_contact(
+    fn a_feed_that_is_lost_at_the_end_of_an_outage_is_asked_again_within_the_contact_time(
         contact in contact(),
         failures in 1..FAILURES,
     ) {
         let patience = Patience::new(contact);
-        // The first failure is that of a feed which waited in calm, the others are of short ones.
+        // The first failure is that of a feed which waited for a change, the others are of short ones.
         let wait = patience.feed_wait(failures == 1);
-        let deaf = patience.feed_begin(wait) + patience.pause(failures).end + CALL;
-        prop_assert!(deaf <= contact, "{deaf:?} of {contact:?} after {failures} failures");
+        let lost_for = patience.feed_begin(wait) + patience.pause(failures).end + CALL;
+        prop_assert!(lost_for <= contact, "{lost_for:?} of {contact:?} after {failures} failures");
     }
 
     #[test]
-    fn a_listing_that_is_lost_at_the_end_of_an_outage_is_asked_again_within_the_time_of_contact(
+    fn a_listing_that_is_lost_at_the_end_of_an_outage_is_asked_again_within_the_contact_time(
         contact in contact(),
         failures in 1..FAILURES,
     ) {
         let patience = Patience::new(contact);
-        let deaf = Patience::LIST_BEGIN + patience.pause(failures).end + CALL;
-        prop_assert!(deaf <= contact, "{deaf:?} of {contact:?} after {failures} failures");
+        let lost_for = Patience::LIST_BEGIN + patience.pause(failures).end + CALL;
+        prop_assert!(lost_for <= contact, "{lost_for:?} of {contact:?} after {failures} failures");
     }
 
     #[test]
@@ -49,7 +49,7 @@
     }
 
     #[test]
-    fn calls_are_spared_where_the_time_of_contact_is_long(contact in contact()) {
+    fn calls_are_spared_where_the_contact_time_is_long(contact in contact()) {
         let patience = Patience::new(contact);
         let wait = patience.feed_wait(true);
         prop_assert!(wait >= contact / 2 || wait == Duration::from_secs(5));
--- a/components/net/src/pacer.rs
+++ b/components/net/src/pacer.rs
@@ -41,8 +41,7 @@
 }
 
 /// Writes bytes in slices at the pace of a link. It ends with `TimedOut` once the other side has taken no whole
-/// slice for `patience`: a connection that has gone silent looks like a slow one, and whatever is kept busy by
-/// it serves nobody else.
+/// slice for `patience`: a connection that stopped working without a reset would otherwise keep its sender busy.
 pub async fn write_paced(
     stream: &mut (impl AsyncWrite + Unpin),
     bytes: &[u8],
--- a/components/settings/src/deployment.rs
+++ b/components/settings/src/deployment.rs
@@ -68,8 +68,8 @@
 pub struct BoundSettings {
     /// Seconds between the signal to stop and the kill.
     pub grace_s: u64,
-    /// Milliseconds after trouble, with the store or the process itself, behind which the bounds below hold
-    /// for a process again.
+    /// Milliseconds after an outage of the store, or a failure of the process or its links, after which the
+    /// bounds below hold again.
     pub contact_ms: u64,
     /// Milliseconds within which a leaving runner gets nothing new.
     pub drain_ms: u64,
