Versions: the origin goes to one version at a time, and its turns follow each other without gaps

After an outage of the origin the turns of the last chunks lay as far apart as those of a whole copy; everybody whose turn had passed drew them meanwhile (24 to 26 draws for 16 chunks). Turns of 0.8 of a chunk's time filled the origin's queue over a narrow link (0.7 s at the end), heirs drew again what waited there, and that grew by itself: 99 draws for 64 chunks. Change: which of two versions comes first is reckoned from what is left of each, both bounds and the origin's link (precedence, tested against a walk through every millisecond); the newer one leaves the origin alone meanwhile, but for a few probes where the older one stands still. Turns are dealt anew, without gaps, with the first chunk after an outage or a silence. Few ask an origin that seems to be out. A chunk from the origin is told of at once to those who draw it into their halls and to the heirs. Turns are nearly as long as the link takes. The log tells of each version that comes, not only of the newest. What is left of a spread is what sidecars know of each other late.

--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -130,9 +130,10 @@
         self.rollout.borrow().have(version).cloned().unwrap_or_default()
     }
 
-    /// The newest version whose chunks come, and those that are here.
-    pub fn newest(&self) -> Option<(u64, Bitmap)> {
-        self.rollout.borrow().newest().map(|(version, have)| (version, have.clone()))
+    /// The versions whose chunks come, oldest first, and those that are here.
+    pub fn drawn(&self) -> Vec<(u64, Bitmap)> {
+        let rollout = self.rollout.borrow();
+        rollout.drawn().map(|(version, have)| (version, have.clone())).collect()
     }
 
     /// Takes in what a configuration says of the weights of this runner's service.
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -1,5 +1,6 @@
 //! A running sidecar.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,7 +8,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use errors::Result;
-use fleet::{InstanceId, Millis, NamedVersion};
+use fleet::{Bitmap, InstanceId, Millis, NamedVersion};
 use platform::store::{Change, Table};
 use rollout::{Effect, Event, RolloutOptions, GATEWAY_PATIENCE};
 use settings::{DeploymentSettings, SidecarSettings};
@@ -238,10 +239,15 @@
     }
 }
 
-/// What the log last said of the chunks of the wanted version.
+/// What the log last said of the chunks of each version that comes.
 #[derive(Default)]
 struct Progress {
-    version: u64,
+    told: BTreeMap<u64, Told>,
+}
+
+/// What the log last said of one version.
+#[derive(Clone, Copy, Default)]
+struct Told {
     chunks: u32,
     at: Millis,
 }
@@ -249,20 +255,26 @@
 impl Progress {
     /// Logs how many chunks are here, now and then and when the last one has come.
     fn log(&mut self, core: &Core) {
-        let Some((version, have)) = core.newest() else {
-            return;
-        };
         let now = core.clock.now();
-        let changed = (version, have.count()) != (self.version, self.chunks);
-        let due = now.since(self.at) >= PROGRESS_EVERY || have.is_full();
-        if !changed || !due {
-            return;
+        let drawn = core.drawn();
+        self.told.retain(|version, _| drawn.iter().any(|(it, _)| it == version));
+        for (version, have) in drawn {
+            let told = self.told.get(&version).copied();
+            let changed = told.is_none_or(|it| it.chunks != have.count());
+            let due = told.is_none_or(|it| now.since(it.at) >= PROGRESS_EVERY);
+            if !changed || !(due || have.is_full()) {
+                continue;
+            }
+            self.told.insert(version, Told { chunks: have.count(), at: now });
+            log_progress(core, version, &have);
         }
-        *self = Self { version, chunks: have.count(), at: now };
-        let draws = core.draws.take();
-        let draws: Vec<String> =
-            draws.iter().map(|(name, count)| format!("{name}={count}")).collect();
-        let draws = draws.join(" ");
-        log::info!(version = version, chunks = self.chunks, of = have.capacity(), draws = draws.as_str(); "chunks");
     }
 }
+
+/// Logs how many chunks of a version are here, and what became of the draws since the last such line.
+fn log_progress(core: &Core, version: u64, have: &Bitmap) {
+    let draws = core.draws.take();
+    let draws: Vec<String> = draws.iter().map(|(name, count)| format!("{name}={count}")).collect();
+    let draws = draws.join(" ");
+    log::info!(version = version, chunks = have.count(), of = have.capacity(), draws = draws.as_str(); "chunks");
+}
--- a/components/reducer/src/lib.rs
+++ b/components/reducer/src/lib.rs
@@ -31,6 +31,6 @@
 pub use seed::shared_hash;
 pub use seed::Seed;
 pub use spread::{
-    Choice, Draw, DrawSource, Gate, Neighbour, Participant, Reach, Spread, SpreadEffect,
-    SpreadOptions, SpreadPhase,
+    Choice, Draw, DrawSource, Gate, Neighbour, OriginShare, Participant, Reach, Spread,
+    SpreadEffect, SpreadOptions, SpreadPhase,
 };
--- a/components/reducer/src/spread/gate.rs
+++ b/components/reducer/src/spread/gate.rs
@@ -4,7 +4,7 @@
 //! everyone alike, and a moment on the origin's timetable. When the owner is dead the next one steps
 //! in at once; when it is alive but slow, after some patience. Nothing is written to the table.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use fleet::{Hall, InstanceId, Millis, VersionId};
 
@@ -17,11 +17,14 @@
 /// How many times as long a receiver waits where one copy is all that may be drawn. What peers hold
 /// is known a little late, and an impatient receiver draws what is already on its way.
 const ONE_COPY_PATIENCE: u64 = 3;
-/// The part of the time that the origin's link takes for a chunk after which the next one has its turn.
-/// Turns as long as the link takes leave it idle whenever one comes late; these keep a few draws waiting
-/// there. On three plays of scale-1 of obwwa-flood 50 to 54 chunks had left it 1.75 s after the naming, 50 to
-/// 52 with turns as long as the link takes; 66 are the most that it can send by then.
+/// The part of the time that the origin's link takes for a chunk after which the next one has its turn, at the
+/// least. Turns as long as the link takes leave it idle whenever one comes late; these keep a few draws waiting
+/// there.
 const TIMETABLE_SHARE: f64 = 0.8;
+/// How long draws may wait at the origin by the last turn, as a part of the patience of the next in rank. What
+/// waits there for nearly that patience is drawn twice, and then everything behind it waits longer: over a link
+/// that takes 44 ms for a chunk, with a patience of 700 ms, turns of 0.8 of that drew 1.5 copies.
+const WAITING_SHARE: f64 = 0.1;
 /// How many ranks of patience a receiver waits at most before it draws as a last resort.
 const LAST_RESORT_RANKS: u64 = 6;
 
@@ -38,8 +41,8 @@
     /// each draw, so it must not cost a walk.
     ranks: Vec<u32>,
     chunks: u32,
-    /// The chunk this group starts with, so that groups draw different ones.
-    first_chunk: u32,
+    /// For each chunk, how many others have their turn at the origin before it.
+    turns: Vec<u32>,
     /// Milliseconds between two chunks of this group.
     step_ms: f64,
     patience_ms: u64,
@@ -78,6 +81,9 @@
         let patience = ((options.version_ms * PATIENCE_SHARE) as u64).max(MIN_PATIENCE);
         let patience = if options.copies == 1 { patience * ONE_COPY_PATIENCE } else { patience };
         let patience = options.patience_ms.unwrap_or(patience);
+        // Groups start with different chunks.
+        let first_chunk = (u64::from(chunks) * u64::from(group) / u64::from(groups)) as u32;
+        let position = |chunk: u32| (chunk + chunks - first_chunk) % chunks.max(1);
         let mut gate = Self {
             me: me.clone(),
             version,
@@ -85,8 +91,8 @@
             down: BTreeSet::new(),
             ranks: Vec::new(),
             chunks,
-            first_chunk: (u64::from(chunks) * u64::from(group) / u64::from(groups)) as u32,
-            step_ms: options.chunk_ms * f64::from(groups) * TIMETABLE_SHARE,
+            turns: (0..chunks).map(position).collect(),
+            step_ms: step_ms(options.chunk_ms, chunks, patience) * f64::from(groups),
             patience_ms: patience,
         };
         gate.rank_all();
@@ -147,9 +153,28 @@
         self.timetable(started, chunk).plus(ranks * self.patience_ms)
     }
 
+    /// Keeps the turns that another gate of the same version has dealt.
+    pub fn with_turns_of(mut self, other: &Self) -> Self {
+        self.turns.clone_from(&other.turns);
+        self
+    }
+
+    /// Deals the turns anew: the chunks that are still to be drawn follow each other without gaps, in the order
+    /// that they had. Any other chunk, should it be missed again, may be drawn at once.
+    pub fn deal_turns(&mut self, missing: &[u32]) {
+        let mut ordered: Vec<u32> = missing.to_vec();
+        ordered.sort_by_key(|chunk| self.turns.get(*chunk as usize));
+        self.turns.fill(0);
+        for (position, chunk) in (0..).zip(ordered) {
+            if let Some(entry) = self.turns.get_mut(chunk as usize) {
+                *entry = position;
+            }
+        }
+    }
+
     /// How long after the start a chunk has its turn, in milliseconds.
-    pub fn turn_ms(&self, chunk: u32) -> u64 {
-        let position = (chunk + self.chunks - self.first_chunk) % self.chunks.max(1);
+    fn turn_ms(&self, chunk: u32) -> u64 {
+        let position = self.turns.get(chunk as usize).copied().unwrap_or(0);
         (f64::from(position) * self.step_ms) as u64
     }
 
@@ -158,5 +183,34 @@
     }
 }
 
+/// The receivers that come first for a chunk in each hall, at most `most` of a hall.
+pub fn first_in_halls(
+    version: VersionId,
+    chunk: u32,
+    receivers: &[(InstanceId, Hall)],
+    most: usize,
+) -> Vec<InstanceId> {
+    let number = |id: &InstanceId| {
+        let numbers = shared_hashes(&[&version.0, id.0.as_bytes()], chunk as usize + 1);
+        numbers.last().copied()
+    };
+    let mut ordered: Vec<&(InstanceId, Hall)> = receivers.iter().collect();
+    ordered.sort_by_cached_key(|(id, _)| (number(id), id.clone()));
+    let mut counts: BTreeMap<&Hall, usize> = BTreeMap::new();
+    ordered.retain(|(_, hall)| {
+        let count = counts.entry(hall).or_default();
+        *count += 1;
+        *count <= most
+    });
+    ordered.into_iter().map(|(id, _)| id.clone()).collect()
+}
+
+/// The time between two turns at an origin whose link takes `chunk_ms` for a chunk, in milliseconds.
+fn step_ms(chunk_ms: f64, chunks: u32, patience_ms: u64) -> f64 {
+    let most_waiting = patience_ms as f64 * WAITING_SHARE;
+    let lead = most_waiting / f64::from(chunks.max(1));
+    (chunk_ms - lead).max(chunk_ms * TIMETABLE_SHARE)
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/reducer/src/spread/gate/tests.rs
+++ b/components/reducer/src/spread/gate/tests.rs
@@ -59,3 +59,28 @@
     let twice = (0..64).filter(|chunk| owners(*chunk) > 1).count();
     assert!(twice <= 6, "{twice} of 64 chunks have more than one owner");
 }
+
+#[test]
+fn turns_that_are_dealt_anew_follow_each_other_without_gaps() {
+    let mut gates = gates(12, 1);
+    gates.iter_mut().for_each(|gate| gate.deal_turns(&[17, 3, 9]));
+    let owner = |chunk| gates.iter().find(|gate| gate.rank(chunk) == 0).unwrap();
+    assert_eq!(owner(3).due(Millis(100), 3), Millis(100));
+    assert_eq!(owner(9).due(Millis(100), 9), Millis(108));
+    assert_eq!(owner(17).due(Millis(100), 17), Millis(116));
+    assert_eq!(
+        owner(12).due(Millis(100), 12),
+        Millis(100),
+        "one that was held may be drawn at once"
+    );
+}
+
+#[test]
+fn the_first_in_each_hall_are_the_owner_and_its_heirs() {
+    let gates = gates(12, 1);
+    let first = first_in_halls(VersionId([3; 32]), 5, &receivers(12), 2);
+    assert_eq!(first.len(), 6, "two of each of three halls");
+    let rank_of = |id: &InstanceId| gates.iter().find(|gate| &gate.me == id).unwrap().rank(5);
+    let ranks: Vec<u64> = first.iter().map(rank_of).collect();
+    assert!(ranks.contains(&0) && ranks.contains(&1), "{ranks:?}");
+}
--- a/components/reducer/src/spread/mod.rs
+++ b/components/reducer/src/spread/mod.rs
@@ -10,5 +10,6 @@
 pub use gate::Gate;
 pub use neighbour::Neighbour;
 pub use version::{
-    Choice, Draw, DrawSource, Participant, Reach, Spread, SpreadEffect, SpreadOptions, SpreadPhase,
+    Choice, Draw, DrawSource, OriginShare, Participant, Reach, Spread, SpreadEffect, SpreadOptions,
+    SpreadPhase,
 };
--- a/components/reducer/src/spread/version/mod.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -13,7 +13,8 @@
 
 use self::summaries::SUMMARY_BURST;
 pub use self::types::{
-    Choice, Draw, DrawSource, Participant, Reach, SpreadEffect, SpreadOptions, SpreadPhase,
+    Choice, Draw, DrawSource, OriginShare, Participant, Reach, SpreadEffect, SpreadOptions,
+    SpreadPhase,
 };
 use super::gate::{Gate, GateOptions};
 use super::neighbour::Neighbour;
@@ -28,6 +29,10 @@
 const MOST_ORIGIN_DOUBLINGS: u32 = 1;
 /// Draws from the origin that fail in a row before it is taken for out.
 const ORIGIN_OUT: u32 = 4;
+/// How long after the last chunk that nobody held before the origin must have been out, in milliseconds, also for
+/// those who did not ask it: behind so long a silence the turns of all heirs have come. Chunks leave it every 44
+/// ms at the most on the links seen so far.
+const ORIGIN_SILENT: u64 = 700;
 /// How long holders have to say what they hold before the origin is asked, in milliseconds.
 const HOLDER_GRACE: u64 = 500;
 
@@ -60,11 +65,19 @@
     neighbours: BTreeMap<InstanceId, Neighbour>,
     in_flight: BTreeMap<u32, Flight>,
     origin_not_before: Millis,
+    /// How much of the origin may be used.
+    origin_share: OriginShare,
+    /// When a chunk was last heard of that nobody had held before.
+    news_at: Millis,
     /// Draws from the origin that failed since the last one that did not.
     origin_failures: u32,
     /// How long chunks took lately, smoothed, in milliseconds.
     chunk_ms: f64,
     last_chunk_at: Millis,
+    /// Where all others listen.
+    addresses: BTreeMap<InstanceId, SocketAddr>,
+    /// Who is told at once of a chunk that has just arrived.
+    announce_to: BTreeSet<SocketAddr>,
     summary_budget: f64,
     summary_budget_at: Millis,
 }
@@ -106,9 +119,13 @@
             neighbours: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             origin_not_before: Millis(0),
+            origin_share: OriginShare::Whole,
+            news_at: now,
             origin_failures: 0,
             chunk_ms: 0.0,
             last_chunk_at: now,
+            addresses: BTreeMap::new(),
+            announce_to: BTreeSet::new(),
             summary_budget: SUMMARY_BURST,
             summary_budget_at: now,
             manifest,
@@ -131,17 +148,49 @@
         let near = in_hall(&self.receivers, &self.place.hall);
         let hall_options = hall_gate_options(&self.options, &self.gate_options);
         let hall_gate = hall_options.map(|it| gate(&near, &it));
-        self.gate = gate(&self.receivers, &self.gate_options);
+        let ranked = gate(&self.receivers, &self.gate_options);
+        self.gate = ranked.with_turns_of(&self.gate);
         self.hall_gate = hall_gate;
         for (id, neighbour) in &mut self.neighbours {
             neighbour.in_group = self.gate.is_in_group(id);
         }
     }
 
-    /// Leaves the origin alone until a moment: its link still carries another version. The turns start then.
-    pub fn leave_origin_until(&mut self, moment: Millis) {
-        self.started = self.started.max(moment);
-        self.origin_not_before = self.origin_not_before.max(moment);
+    /// Sets how much of the origin may be used. The turns start when all of it may.
+    pub fn use_origin(&mut self, now: Millis, share: OriginShare) {
+        let is_freed = share == OriginShare::Whole && self.origin_share != share;
+        self.origin_share = share;
+        if is_freed {
+            self.news_at = now;
+            self.restart_turns(now);
+        }
+    }
+
+    /// Starts the turns at the origin anew, with the chunks that nobody is known to hold.
+    fn restart_turns(&mut self, at: Millis) {
+        self.started = at;
+        let nowhere = self.held_nowhere();
+        self.gate.deal_turns(&nowhere);
+    }
+
+    /// The chunks that are neither here nor at a neighbour.
+    pub fn held_nowhere(&self) -> Vec<u32> {
+        (0..self.manifest.chunks()).filter(|it| !self.is_held(*it)).collect()
+    }
+
+    /// How long the origin takes to send a chunk, in milliseconds.
+    pub fn origin_chunk_ms(&self) -> f64 {
+        self.gate_options.chunk_ms
+    }
+
+    /// Whether the origin must be out: nothing new has come from it anywhere for a while.
+    fn is_origin_silent(&self, now: Millis) -> bool {
+        now.since(self.news_at).0 > ORIGIN_SILENT
+    }
+
+    /// When a chunk was last heard of that nobody had held before, or the start where none was.
+    pub fn news_at(&self) -> Millis {
+        self.news_at
     }
 
     /// How far it has come.
@@ -158,11 +207,6 @@
         &self.have
     }
 
-    /// How long the origin takes to send every chunk once, in milliseconds.
-    pub fn origin_copy_ms(&self) -> u64 {
-        (self.gate_options.chunk_ms * f64::from(self.manifest.chunks())) as u64
-    }
-
     /// Takes in chunks that are here already, verified.
     pub fn adopt(&mut self, found: &Bitmap) {
         if !found.is_well_formed(self.manifest.chunks()) {
@@ -201,6 +245,8 @@
             gate.set_down(|id| down.contains(id));
         }
         self.neighbours.retain(|id, _| !down.contains(id));
+        let up = participants.iter().filter(|it| it.up);
+        self.addresses = up.map(|it| (it.id.clone(), it.address)).collect();
         let holders = participants.iter().any(|it| it.up && it.holds);
         if holders && self.have.count() == 0 && self.neighbours.is_empty() {
             self.origin_not_before = now.plus(HOLDER_GRACE);
@@ -227,16 +273,15 @@
         if !have.is_well_formed(self.manifest.chunks()) {
             return;
         }
-        self.look_for_origin(now, &have);
-        self.note_offers(now, &have);
         self.meet(id, address, place);
         if let Some(neighbour) = self.neighbours.get_mut(id) {
             if have.count() == 0 && self.have.count() > 0 {
                 // It has just begun, and what it was told before that is lost.
                 neighbour.forget_told();
             }
-            neighbour.set_have(have);
+            neighbour.set_have(have.clone());
         }
+        self.note_offers(now, &have);
     }
 
     /// Takes in which chunks a known neighbour holds.
@@ -244,40 +289,33 @@
         if !have.is_well_formed(self.manifest.chunks()) {
             return;
         }
-        self.look_for_origin(now, &have);
-        self.note_offers(now, &have);
         if let Some(neighbour) = self.neighbours.get_mut(id) {
-            neighbour.set_have(have);
-        }
-    }
-
-    /// A chunk that nobody held before came from the origin, which is back if it was out. The turns go on
-    /// with the first chunk that nobody holds yet: its link is used at once and nothing is drawn twice.
-    fn look_for_origin(&mut self, now: Millis, have: &Bitmap) {
-        if self.origin_failures == 0 {
-            return;
-        }
-        let chunks = 0..self.manifest.chunks();
-        let (held, nowhere): (Vec<u32>, Vec<u32>) = chunks.partition(|it| self.is_held(*it));
-        let is_new = nowhere.iter().any(|it| have.contains(*it));
-        if !is_new || held.is_empty() {
-            return;
-        }
-        if self.origin_failures >= ORIGIN_OUT {
-            let turns = nowhere.into_iter().map(|it| self.gate.turn_ms(it));
-            self.started = now.minus(turns.min().unwrap_or(0));
+            neighbour.set_have(have.clone());
         }
-        self.origin_failures = 0;
-        self.origin_not_before = now;
+        self.note_offers(now, &have);
     }
 
-    /// Notes which chunks a neighbour holds.
+    /// Takes in the chunks that a neighbour holds. One that nobody held before came from the origin, which is
+    /// back if it was out. The turns start anew with the chunks that nobody holds yet: its link is used at once
+    /// and nothing is drawn twice.
     fn note_offers(&mut self, now: Millis, have: &Bitmap) {
+        let mut is_new = false;
         for (index, offered_at) in (0..).zip(&mut self.offered_at) {
             if offered_at.is_none() && have.contains(index) {
                 *offered_at = Some(now);
+                is_new |= !self.have.contains(index);
             }
         }
+        if !is_new {
+            return;
+        }
+        let was_out = self.origin_failures > 0 || self.is_origin_silent(now);
+        self.news_at = now;
+        if was_out {
+            self.origin_failures = 0;
+            self.origin_not_before = now;
+            self.restart_turns(now);
+        }
     }
 
     /// Whether a chunk is here or at a neighbour.
@@ -308,6 +346,10 @@
         self.chunk_ms += CHUNK_SMOOTHING * (took - self.chunk_ms);
         if source == &DrawSource::Origin {
             self.origin_failures = 0;
+            self.news_at = now;
+        }
+        if verified {
+            self.announce(index, source);
         }
         if let DrawSource::Peer(id, _) = source {
             if let Some(neighbour) = self.neighbours.get_mut(id) {
@@ -344,7 +386,7 @@
             // anew, or all would draw everything.
             self.origin_failures += 1;
             if self.origin_failures >= ORIGIN_OUT {
-                self.started = self.origin_not_before;
+                self.restart_turns(self.origin_not_before);
             }
             return;
         };
--- a/components/reducer/src/spread/version/types.rs
+++ b/components/reducer/src/spread/version/types.rs
@@ -58,6 +58,17 @@
     pub choice: Choice,
 }
 
+/// How much of the origin the spread of a version may use while it spreads another one too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OriginShare {
+    /// All of it.
+    Whole,
+    /// A few chunks, to find out whether it works.
+    Probes,
+    /// Nothing: its link carries the other version.
+    Nothing,
+}
+
 /// Where a chunk is drawn from.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DrawSource {
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -7,6 +7,7 @@
 mod event;
 mod manifests;
 mod places;
+mod precedence;
 mod questions;
 mod reducer;
 mod reports;
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -35,8 +35,6 @@
 /// How long the chunks of a version take to be put at the runner, in milliseconds: 16 to 18 were measured.
 const STAGING: u64 = 20;
 
-/// How long a version is still drawn after a newer one was named, in milliseconds.
-const FINISH_PATIENCE: u64 = 3000;
 /// How long after its start a sidecar expects others that started with it to appear, in milliseconds.
 const SETTLING: u64 = 15_000;
 /// How close two orders may be so that nobody can tell which was the last, in milliseconds.
@@ -139,10 +137,10 @@
         targets.find(|it| it.version == version)?.have()
     }
 
-    /// The newest version whose chunks come, and those that are here.
-    pub fn newest(&self) -> Option<(u64, &Bitmap)> {
-        let target = self.next.as_ref().or(self.current.as_ref())?;
-        Some((target.version, target.have()?))
+    /// The versions whose chunks come, oldest first, and those that are here.
+    pub fn drawn(&self) -> impl Iterator<Item = (u64, &Bitmap)> {
+        let targets = self.current.iter().chain(&self.next);
+        targets.filter_map(|it| Some((it.version, it.have()?)))
     }
 
     /// Takes in an event.
@@ -170,14 +168,10 @@
                 };
                 let options = self.options.clone();
                 let serves = self.serves();
-                let origin_free_at = self.origin_free_at(version);
                 let Some(target) = self.target(version).filter(|it| it.awaits_manifest()) else {
                     return Vec::new();
                 };
                 target.start_spread(now, &options, &plan, &all, manifest, serves);
-                if let Some(moment) = origin_free_at {
-                    target.leave_origin_until(moment);
-                }
                 if target.step == Step::Finding {
                     return vec![Effect::Find(version)];
                 }
@@ -253,12 +247,6 @@
         Vec::new()
     }
 
-    /// When the origin has sent the version before this one, if that is still on its way.
-    fn origin_free_at(&self, version: u64) -> Option<Millis> {
-        let before = self.current.as_ref().filter(|it| it.version < version)?;
-        before.leaves_origin_at().filter(|_| before.step != Step::Served)
-    }
-
     /// Whether the runner serves some version.
     fn serves(&self) -> bool {
         self.status.as_ref().is_some_and(|it| it.version.is_some())
@@ -305,18 +293,15 @@
         self.options.ablation.keeps(mechanism)
     }
 
-    /// Turns to the version that was named last. A version most of whose chunks are here is still taken
-    /// before a newer one: its bound stands.
-    fn follow_name(&mut self) {
+    /// Turns to the version that was named last, or finishes the one before it first.
+    fn follow_name(&mut self, now: Millis) {
         let Named { version, at, .. } = self.named;
         let newest = self.next.as_ref().or(self.current.as_ref()).map_or(0, |it| it.version);
         if version <= newest {
             return;
         }
         let target = Target::new(version, at);
-        let under_way = self.current.as_ref().is_some_and(|it| it.is_worth_finishing(at))
-            && self.keeps(Mechanism::FinishedVersions);
-        if under_way {
+        if self.is_finished_before(now, &target) {
             self.next = Some(target);
         } else {
             self.current = Some(target);
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -9,7 +9,7 @@
 use crate::target::Step;
 
 /// How long before its bound nothing is started on an older version any more, in milliseconds.
-const START_MARGIN: u64 = 900;
+pub(super) const START_MARGIN: u64 = 900;
 
 impl Rollout {
     /// Answers a question for a place, or lets it wait.
--- a/components/rollout/src/reducer/moves.rs
+++ b/components/rollout/src/reducer/moves.rs
@@ -3,9 +3,12 @@
 use std::collections::BTreeSet;
 
 use fleet::{InstanceId, Mechanism, Millis};
+use reducer::OriginShare;
 
-use super::{Rollout, DRAIN_PATIENCE, FINISH_PATIENCE, MAX_CUT, TAKE_MARGIN};
+use super::admission::START_MARGIN;
+use super::{Rollout, DRAIN_PATIENCE, MAX_CUT, TAKE_MARGIN};
 use crate::event::Effect;
+use crate::precedence::{self, Remainder};
 use crate::target::{Step, Target};
 
 impl Rollout {
@@ -15,11 +18,12 @@
         if !ready || self.status.is_none() {
             return Vec::new();
         }
-        self.follow_name();
+        self.follow_name(now);
         let mut effects = Vec::new();
         self.give_way(now);
         // The chunks of one version at a time: they share the link.
-        let drawing = self.current.as_ref().is_some_and(|it| it.step == Step::Drawing);
+        let comes = |it: &Target| it.is_drawn() && !it.stands_still(now);
+        let drawing = self.current.as_ref().is_some_and(comes);
         for target in self.current.iter_mut() {
             effects.extend(target.exchange(now, false));
         }
@@ -48,12 +52,59 @@
         effects
     }
 
-    /// Turns to the newer version when the one before it does not come.
+    /// Whether the current version is finished before a newer one that has just been named.
+    pub(super) fn is_finished_before(&self, now: Millis, newer: &Target) -> bool {
+        if !self.keeps(Mechanism::FinishedVersions) {
+            return false;
+        }
+        let Some(older) = &self.current else {
+            return false;
+        };
+        if older.is_being_taken() {
+            return true;
+        }
+        let (Some(scheduled), true) = (older.scheduled_origin_ms(now), older.is_drawn()) else {
+            return false;
+        };
+        let remainders = self.remainders(older, newer);
+        remainders.is_some_and(|(older, newer)| {
+            let older = Remainder { origin_ms: scheduled, ..older };
+            precedence::finishes_older(now, older, newer)
+        })
+    }
+
+    /// What is left to draw of two versions. `None` where nothing is known of the older one.
+    fn remainders(&self, older: &Target, newer: &Target) -> Option<(Remainder, Remainder)> {
+        let useful = self.options.version_ms.saturating_sub(START_MARGIN);
+        let of = |target: &Target, origin_ms: u64| Remainder {
+            bound: target.named_at.plus(useful),
+            origin_ms,
+        };
+        let copy_ms = older.copy_ms()?;
+        let newer_ms = newer.origin_ms().unwrap_or(copy_ms);
+        Some((of(older, older.origin_ms()?), of(newer, newer_ms)))
+    }
+
+    /// Turns to the newer version when the one before it does not come or is of no more use. Until then the
+    /// origin is left to the older one, as long as that needs it and comes.
     fn give_way(&mut self, now: Millis) {
-        let drawing = self.current.as_ref().is_some_and(|it| it.step == Step::Drawing);
-        let waited =
-            self.next.as_ref().is_some_and(|it| now.since(it.named_at).0 > FINISH_PATIENCE);
-        if drawing && waited {
+        let (Some(older), Some(newer)) = (&self.current, &self.next) else {
+            return;
+        };
+        let remainders = self.remainders(older, newer);
+        let is_useless =
+            remainders.is_some_and(|(older, newer)| precedence::leaves_older(now, older, newer));
+        let (Some(older), Some(newer)) = (&mut self.current, &mut self.next) else {
+            return;
+        };
+        let leaves = older.is_drawn() && (is_useless || newer.comes_alone(now, older));
+        let share = match older.is_drawn() && older.needs_origin() && !leaves {
+            false => OriginShare::Whole,
+            true if older.stands_still(now) => OriginShare::Probes,
+            true => OriginShare::Nothing,
+        };
+        newer.use_origin(now, share);
+        if leaves {
             self.current = self.next.take();
         }
     }
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use fleet::{Bitmap, Hall, InstanceId, Manifest, Mechanism, Millis};
-use reducer::{Choice, Participant, Reach, Spread, SpreadEffect, SpreadOptions, SpreadPhase};
+use reducer::{
+    Choice, OriginShare, Participant, Reach, Spread, SpreadEffect, SpreadOptions, SpreadPhase,
+};
 
 use crate::event::{Effect, Peer, RolloutOptions, WeightsPlan};
 
@@ -38,11 +40,9 @@
 }
 /// Chunks of one index with a wrong digest after which the manifest itself is doubted.
 const DOUBTS: u32 = 3;
-/// The part of a copy that must have left the origin for a version to be finished.
-const MOST_OF_A_COPY: f64 = 0.8;
-/// How many times as long as its link takes for one copy the origin is left to a version before the next
-/// one is drawn. Plays of scale-1 of obwwa-flood took 1.1 to 1.2 times as long.
-const ORIGIN_SLACK: f64 = 1.25;
+/// Chunks that nobody is known to hold while the next version may already use the origin, whose link would
+/// stand idle otherwise: about as many arrive there before everyone knows of them.
+const LAST_CHUNKS: usize = 8;
 /// How long to wait at least after a manifest did not arrive, in milliseconds.
 const DESCRIBE_PAUSE: u64 = 80;
 /// How much longer some sidecars wait than others, in milliseconds.
@@ -53,6 +53,9 @@
 /// How long after the last chunk nobody can tell when the next one comes, in milliseconds. One comes about
 /// every 40 ms while a version spreads over links of 7.6 Mbit/s.
 const STANDSTILL: u64 = 800;
+/// How long after its naming the first chunk of a version leaves the origin, in milliseconds: names, manifests
+/// and what lies at the runners took 150 to 400 ms on calm days.
+const START_DELAY: u64 = 300;
 /// The part of the link that chunks may take.
 const LINK_SHARE: f64 = 0.9;
 
@@ -96,6 +99,8 @@
     /// How often each chunk arrived with a digest that is not the manifest's.
     corrupt: BTreeMap<u32, u32>,
     pace: Pace,
+    /// Since when chunks of this version have come while those of the one before it did not.
+    alone_since: Option<Millis>,
 }
 
 impl Target {
@@ -111,6 +116,7 @@
             describe_at: Millis(0),
             corrupt: BTreeMap::new(),
             pace: URGENT,
+            alone_since: None,
         }
     }
 
@@ -119,18 +125,74 @@
         self.spread.as_ref().is_some_and(|it| it.phase() == SpreadPhase::Whole)
     }
 
-    /// Whether it is so far that it should be taken although a newer version was named at `newer_at`: half
-    /// of its chunks are here, or most have left the origin. All sidecars decide the latter alike.
-    pub(crate) fn is_worth_finishing(&self, newer_at: Millis) -> bool {
-        match self.step {
-            Step::Waiting(_) | Step::Staging | Step::Ordered(..) => true,
-            Step::Drawing => self.spread.as_ref().is_some_and(|spread| {
-                let head_start = newer_at.since(self.named_at).0 as f64;
-                let left_origin = head_start >= spread.origin_copy_ms() as f64 * MOST_OF_A_COPY;
-                2 * spread.have().count() >= spread.have().capacity() || left_origin
-            }),
-            Step::Describing { .. } | Step::Finding | Step::Served => false,
+    /// Whether every chunk is here and the runner has yet to take them.
+    pub(crate) fn is_being_taken(&self) -> bool {
+        matches!(self.step, Step::Waiting(_) | Step::Staging | Step::Ordered(..))
+    }
+
+    /// Whether chunks are drawn.
+    pub(crate) fn is_drawn(&self) -> bool {
+        self.step == Step::Drawing
+    }
+
+    /// How long the origin's link still takes for the chunks that nobody is known to hold, in milliseconds. `None`
+    /// without a manifest.
+    pub(crate) fn origin_ms(&self) -> Option<u64> {
+        let spread = self.spread.as_ref()?;
+        Some((spread.held_nowhere().len() as f64 * spread.origin_chunk_ms()) as u64)
+    }
+
+    /// The same for an origin that has not failed: its link needs no longer than it has had too little time for.
+    /// What others hold is known late, and by the time all sidecars reckon alike.
+    pub(crate) fn scheduled_origin_ms(&self, now: Millis) -> Option<u64> {
+        let end = self.named_at.plus(START_DELAY + self.copy_ms()?);
+        Some(self.origin_ms()?.min(end.since(now).0))
+    }
+
+    /// How long the origin's link takes for every chunk, in milliseconds. `None` without a manifest.
+    pub(crate) fn copy_ms(&self) -> Option<u64> {
+        let spread = self.spread.as_ref()?;
+        Some((f64::from(spread.have().capacity()) * spread.origin_chunk_ms()) as u64)
+    }
+
+    /// Whether the origin is needed for more than the last few chunks.
+    pub(crate) fn needs_origin(&self) -> bool {
+        let spread = self.spread.as_ref();
+        spread.is_some_and(|it| it.held_nowhere().len() > LAST_CHUNKS)
+    }
+
+    /// Whether no chunk has come for a while, here or anywhere.
+    pub(crate) fn stands_still(&self, now: Millis) -> bool {
+        let progress = self.spread.as_ref().map(|it| it.news_at().max(it.last_chunk_at()));
+        progress.is_some_and(|it| now.since(it).0 > STANDSTILL)
+    }
+
+    /// Sets how much of the origin this version may use.
+    pub(crate) fn use_origin(&mut self, now: Millis, share: OriginShare) {
+        if let Some(spread) = &mut self.spread {
+            spread.use_origin(now, share);
+        }
+    }
+
+    /// Whether chunks of this version have come for a while since the one before it stands still: that one is
+    /// not to be had, for the origin works.
+    pub(crate) fn comes_alone(&mut self, now: Millis, older: &Self) -> bool {
+        if !older.stands_still(now) || !self.came_after_standstill_of(older) {
+            self.alone_since = None;
+            return false;
         }
+        let since = *self.alone_since.get_or_insert(now);
+        now.since(since).0 > STANDSTILL
+    }
+
+    /// Whether a chunk was heard of when the version before had stood still for a while.
+    fn came_after_standstill_of(&self, older: &Self) -> bool {
+        let (Some(newer), Some(older)) = (&self.spread, &older.spread) else {
+            return false;
+        };
+        let standstill = older.last_chunk_at().max(older.news_at()).plus(STANDSTILL);
+        newer.held_nowhere().len() < newer.have().capacity() as usize
+            && newer.news_at() > standstill
     }
 
     /// The chunks that are here.
@@ -211,12 +273,6 @@
         }
     }
 
-    /// When the origin's link has carried this version, if nothing goes wrong.
-    pub(crate) fn leaves_origin_at(&self) -> Option<Millis> {
-        let copy_ms = self.spread.as_ref()?.origin_copy_ms() as f64;
-        Some(self.named_at.plus((copy_ms * ORIGIN_SLACK) as u64))
-    }
-
     /// How long the missing chunks take over a link of `link_bytes_per_s`, in milliseconds. `None` while none
     /// comes.
     pub(crate) fn until_whole_ms(&self, now: Millis, link_bytes_per_s: u64) -> Option<u64> {
@@ -230,13 +286,6 @@
         Some((bytes as f64 / bytes_per_ms.max(1.0)) as u64)
     }
 
-    /// Leaves the origin alone until a moment.
-    pub(crate) fn leave_origin_until(&mut self, moment: Millis) {
-        if let Some(spread) = &mut self.spread {
-            spread.leave_origin_until(moment);
-        }
-    }
-
     /// Starts the exchange of chunks.
     pub(crate) fn start_spread(
         &mut self,
