Client: silverdock profile shows where the time of requests goes, step by step

Cause: the account of one request existed, a table over many did not, and ordinary successes left no steps in the log. Change: profile reads logs of gateways and sidecars and gives, for each ending, each step with its count, its count for each request, the median and the 99th of a hundred, and why sidecars gave no place. One in 64 ordinary successes is written with every step instead of one line for one in 16: as many lines.

--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -1,6 +1,6 @@
 //! The decisions on one request, written to the log when it ends.
 //!
-//! Ordinary successes become one line, and only some of them; everything else is written whole.
+//! Of ordinary successes only some are written; everything else is.
 
 use std::cell::{Cell, RefCell};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -12,8 +12,10 @@
 
 use super::core::Core;
 
-/// One in so many ordinary successes is written.
-const SAMPLE: u64 = 16;
+/// One in so many ordinary successes is written, with every step: four lines or more for each 64 successes, as many
+/// as one line for each 16.
+const SAMPLE: u64 = 64;
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -160,9 +162,6 @@
             runners: standing.runners,
             usable: standing.usable,
         };
-        if ordinary {
-            self.entries.borrow_mut().clear();
-        }
         self.note(ended);
         self.write(ending == Ending::Whole || ending == Ending::Left);
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -43,6 +43,8 @@
     Check(Check),
     /// `explain`
     Explain(Explain),
+    /// `profile`
+    Profile(Profile),
     /// `version`
     Version(Version),
 }
@@ -59,6 +61,15 @@
     pub files: Vec<PathBuf>,
 }
 
+/// Show where the time of requests goes: each step by how the requests ended.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "profile")]
+pub struct Profile {
+    /// logs of gateways and sidecars
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Declare an intent and get a plan; nothing changes before it is confirmed.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "plan")]
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod confirm;
 pub mod explain;
 pub mod plan;
+pub mod profile;
 pub mod publish;
 pub mod status;
 pub mod version;
@@ -34,6 +35,16 @@
     Ok(Operator::new(entry, text.lines().next().unwrap_or_default()))
 }
 
+/// The text of some logs. A log may be cut within a character.
+pub fn read_logs(files: &[PathBuf]) -> Result<Vec<String>> {
+    let read = |file: &PathBuf| {
+        let bytes = std::fs::read(file);
+        let bytes = bytes.map_err(|error| usage(&format!("{}: {error}", file.display())))?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    };
+    files.iter().map(read).collect()
+}
+
 /// An error in how the program was called.
 pub fn usage(detail: &str) -> Error {
     Error::new(Code::BadSettings, detail)
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,6 +18,7 @@
         Command::Publish(args) => cmd::publish::run(&cli, args),
         Command::Check(args) => cmd::check::run(&cli, args),
         Command::Explain(args) => cmd::explain::run(&cli, args),
+        Command::Profile(args) => cmd::profile::run(&cli, args),
         Command::Version(_) => cmd::version::run(&cli),
     };
     match result {
