--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -21,8 +21,10 @@
 use crate::news::News;
 use crate::spawner::Spawner;
 
-/// Chunks that may wait to be sent.
-const MAX_UPLOADS: usize = 4;
+/// Chunks that are sent at once. Fewer arrive sooner and can be passed on: with four, and three in flight at each
+/// receiver, a version was at half of 76 sidecars 1.4 s after its last chunk had left the origin, with two, and
+/// five in flight, after 0.9 s.
+const MAX_UPLOADS: usize = 2;
 /// The part of the machine's link that chunks may take. The runner's answers leave by the same link,
 /// and whatever queues there makes them late.
 const LINK_SHARE: f64 = 0.85;
--- a/components/reducer/src/spread/version/choice.rs
+++ b/components/reducer/src/spread/version/choice.rs
@@ -70,11 +70,8 @@
             .have
             .missing()
             .filter(|index| !self.in_flight.contains_key(index) && self.is_in_share(*index));
-        missing.find(|index| {
-            let is_due = now >= self.gate.due(self.started, *index);
-            let is_useful = !self.is_origin_silent(now) || self.may_probe(now, *index);
-            self.gate.rank(*index) == 0 && is_due && is_useful
-        })
+        missing
+            .find(|index| self.gate.rank(*index) == 0 && now >= self.gate.due(self.started, *index))
     }
 
     /// For each chunk, how many neighbours hold it.
