Versions: what was named during an outage is old news until nothing is left, and a known age is believed

A gateway that starts guesses the age of a version (3 s are left) and kept its guess although the sidecars knew it. Change: an answer behind a silence is old, and so are all behind it until one is empty or was waited for (lateness). Gateways and sidecars reckon bounds by one type (fleet::VersionName): a known age is believed, the earliest of several; where nobody knows it, 3 s are left. A version of unknown age that comes late is ordered at once. The window of five chunks in flight is in this commit too. Ruled out: a longer guess from the contact time. It is not certain: in the worst corner a machine that is in touch again would start requests 0.2 s too late.

--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod gateway;
 mod lapses;
+mod lateness;
 mod link;
 mod message;
 mod metrics;
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -14,6 +14,7 @@
 use telemetry::Metrics;
 
 use crate::lapses::Lapses;
+use crate::lateness::Lateness;
 use crate::link::Link;
 use crate::patience::Patience;
 
@@ -68,6 +69,7 @@
         runners: BTreeSet::new(),
         connected: true,
         heard: None,
+        lateness: Lateness::default(),
         lapses: Lapses::default(),
     };
     let mut spacing = watch.options.first_spacing;
@@ -132,6 +134,7 @@
     connected: bool,
     /// When the store last answered.
     heard: Option<Instant>,
+    lateness: Lateness,
     /// Runners that have been missing since it was back.
     lapses: Lapses,
 }
@@ -146,7 +149,8 @@
         for id in gone {
             self.pass_on(Change::RunnerGone(id), true, lost, deliver);
         }
-        let late = self.is_late();
+        let was_silent = self.was_silent();
+        let late = self.lateness.take_listing(was_silent);
         changes.into_iter().for_each(|change| self.pass_on(change, late, lost, deliver));
         self.heard = Some(Instant::now());
         self.revision = Some(revision);
@@ -159,7 +163,9 @@
         let wait = patience.feed_wait(self.connected);
         let wait = self.lapses.left(Instant::now()).map_or(wait, |left| wait.min(left));
         let call = store::feed(self.options.table, revision, wait.as_millis() as u64);
+        let asked = Instant::now();
         let answer = self.link.call_patiently(call, patience.feed_begin(wait), PIECE_PAUSE).await?;
+        let waited = asked.elapsed();
         if store::is_history_gone(answer.status) {
             self.revision = None;
             return Err(Error::new(Code::NotFound, "the store forgot its history"));
@@ -167,7 +173,8 @@
         let page: Page = store::read(self.options.table, &answer.success()?)?;
         self.note_answer();
         note_faults(self.options.table, &page);
-        let late = self.is_late();
+        let was_silent = self.was_silent();
+        let late = self.lateness.take_feed(was_silent, waited, page.changes.is_empty());
         let is_gone = |change: &&Change| matches!(change, Change::RunnerGone(_));
         let gone = page.changes.iter().filter(is_gone).count();
         let lost = Lost { gone, known: self.runners.len() };
@@ -177,9 +184,9 @@
         Ok(())
     }
 
-    /// Whether what is heard now may have changed some time ago. A store that fails is not silent because
-    /// nothing changes.
-    fn is_late(&self) -> bool {
+    /// Whether the store has not answered for longer than usual. One that fails is not silent because nothing
+    /// changes.
+    fn was_silent(&self) -> bool {
         let usual = self.options.patience.feed_wait(self.connected) + self.options.spacing;
         self.heard.is_none_or(|it| it.elapsed() > usual + LATE_AFTER)
     }
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -23,6 +23,6 @@
 pub use instance::{Instance, ListedState, Place, Process};
 pub use intent::Intent;
 pub use manifest::{Manifest, MAX_CHUNKS, MAX_CHUNK_BYTES, MIN_CHUNK_BYTES};
-pub use named::NamedVersion;
+pub use named::{NamedVersion, VersionName};
 pub use plan::{Plan, Source, Step};
 pub use report::{DeploymentStatus, MemberStatus, PlanReply, RolloutStatus, Status};
--- a/components/gateway/tests/routing.rs
+++ b/components/gateway/tests/routing.rs
@@ -243,3 +243,23 @@
     assert_eq!(sent_to(bed.arrive(arrival(1, MODEL_SERVICE, STREAM))), "r1".into());
     assert_eq!(sent_to(bed.outcome(1, AttemptOutcome::Expired)), "r1".into());
 }
+
+/// Found on trouble-2 of mizani-tips-now-grown, where gateways start again every two seconds: each that started
+/// while a version spread guessed that it had been named long ago, and sent nothing to the runners that had yet
+/// to take it, although the sidecars knew its age.
+#[test]
+fn a_gateway_that_starts_believes_those_who_know_the_age_of_a_version() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    bed.feed(named(2, None));
+    let mut told = load(1, 0);
+    told.named = Some(NamedVersion { model: model(), version: 2, age_ms: Some(1000) });
+    bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), told));
+    bed.now += 4000;
+    bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), load(1, 0)));
+    assert_eq!(sent_to(bed.arrive(arrival(1, MODEL_SERVICE, STREAM))), "r1".into());
+    bed.now += VERSION_MS - 5000;
+    bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), load(1, 0)));
+    let step = bed.arrive(arrival(2, MODEL_SERVICE, STREAM));
+    assert!(matches!(step, Some(NextStep::Refuse { .. })), "{step:?}");
+}
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -14,7 +14,7 @@
 use crate::places::Places;
 use crate::questions::Questions;
 use crate::target::{Step, Target};
-use fleet::{Bitmap, InstanceId, Mechanism, Millis, NamedVersion};
+use fleet::{Bitmap, InstanceId, Mechanism, Millis, NamedVersion, VersionName};
 use reducer::DrawSource;
 
 /// The version that runners hold before any was named.
@@ -40,16 +40,6 @@
 /// How close two orders may be so that nobody can tell which was the last, in milliseconds.
 const ORDER_ORDER: u64 = 40;
 
-/// A version that was named.
-#[derive(Clone, Copy, Debug)]
-struct Named {
-    version: u64,
-    /// When it was named or, where that is not known, when it was first heard of.
-    at: Millis,
-    /// Whether that is known.
-    known: bool,
-}
-
 /// The state of a sidecar.
 pub struct Rollout {
     options: RolloutOptions,
@@ -57,7 +47,7 @@
     /// Whether the versions that were named are known.
     versions_known: bool,
     /// The version that was named last.
-    named: Named,
+    named: VersionName,
     /// Since when requests have waited at the runner, if some do.
     waiting_since: Option<Millis>,
     status: Option<RunnerStatus>,
@@ -93,7 +83,7 @@
             options,
             plan: None,
             versions_known: false,
-            named: Named { version: FIRST_VERSION, at: Millis(0), known: false },
+            named: VersionName { version: FIRST_VERSION, at: Millis(0), known: false },
             waiting_since: None,
             status: None,
             status_at: Millis(0),
@@ -260,13 +250,14 @@
     /// Takes in a version that was named. Where nobody knows when that was, it counts from now until
     /// somebody does.
     fn name(&mut self, now: Millis, version: u64, named_at: Option<Millis>) {
-        let heard = Named { version, at: named_at.unwrap_or(now), known: named_at.is_some() };
+        let heard = VersionName { version, at: named_at.unwrap_or(now), known: named_at.is_some() };
         if version > self.named.version {
             self.named = heard;
-        } else if version == self.named.version && heard.known && heard.at < self.named.at {
-            self.named = heard;
+        } else if version == self.named.version {
+            self.named.merge(heard);
+            let named = self.named;
             if let Some(target) = self.target(version) {
-                target.named_at = heard.at;
+                target.named = named;
             }
         }
     }
@@ -278,7 +269,7 @@
 
     /// The version that should be served, as gateways are told of it, until its bound is over.
     pub fn named(&self, now: Millis) -> Option<NamedVersion> {
-        let Named { version, at, known } = self.named;
+        let VersionName { version, at, known } = self.named;
         let age_ms = now.since(at).0;
         if !known || age_ms > self.options.version_ms {
             return None;
@@ -295,12 +286,12 @@
 
     /// Turns to the version that was named last, or finishes the one before it first.
     fn follow_name(&mut self, now: Millis) {
-        let Named { version, at, .. } = self.named;
+        let named = self.named;
         let newest = self.next.as_ref().or(self.current.as_ref()).map_or(0, |it| it.version);
-        if version <= newest {
+        if named.version <= newest {
             return;
         }
-        let target = Target::new(version, at);
+        let target = Target::new(named);
         if self.is_finished_before(now, &target) {
             self.next = Some(target);
         } else {
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -122,9 +122,8 @@
     /// Whether the runner's version may hardly be used any more.
     pub(super) fn is_too_old(&self, now: Millis) -> bool {
         let held = self.status.as_ref().and_then(|it| it.version).unwrap_or(0);
-        let margin = START_MARGIN + self.start_delay_ms(now);
-        let span = self.options.version_ms.saturating_sub(margin);
+        let start = now.plus(START_MARGIN + self.start_delay_ms(now));
         let mut targets = self.current.iter().chain(&self.next);
-        targets.any(|it| it.version > held && now.since(it.named_at).0 >= span)
+        targets.any(|it| it.version > held && start >= it.named.bound(self.options.version_ms))
     }
 }
--- a/components/rollout/src/reducer/moves.rs
+++ b/components/rollout/src/reducer/moves.rs
@@ -75,9 +75,8 @@
 
     /// What is left to draw of two versions. `None` where nothing is known of the older one.
     fn remainders(&self, older: &Target, newer: &Target) -> Option<(Remainder, Remainder)> {
-        let useful = self.options.version_ms.saturating_sub(START_MARGIN);
         let of = |target: &Target, origin_ms: u64| Remainder {
-            bound: target.named_at.plus(useful),
+            bound: target.named.bound(self.options.version_ms).minus(START_MARGIN),
             origin_ms,
         };
         let copy_ms = older.copy_ms()?;
@@ -127,8 +126,7 @@
     /// differs between sidecars, so that not all of them stop at once.
     fn order_at(&self, now: Millis, target: &Target) -> Millis {
         let serves = self.serves();
-        let span = self.options.version_ms.saturating_sub(TAKE_MARGIN);
-        let end = target.named_at.plus(span);
+        let end = target.named.bound(self.options.version_ms).minus(TAKE_MARGIN);
         // One that takes nothing new has nothing to wait for.
         if !serves || self.is_exposed() {
             return now;
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use fleet::{Bitmap, Hall, InstanceId, Manifest, Mechanism, Millis};
+use fleet::{Bitmap, Hall, InstanceId, Manifest, Mechanism, Millis, VersionName};
 use reducer::{
     Choice, OriginShare, Participant, Reach, Spread, SpreadEffect, SpreadOptions, SpreadPhase,
 };
@@ -19,7 +19,7 @@
 const ORIGIN_COPIES: u32 = 1;
 /// How chunks come to a runner that serves an older version. Its answers leave by the same link, and
 /// links between halls are dear, so chunks come few at a time and enter a hall once.
-const GENTLE: Pace = Pace { window: 3, patience_ms: 700, hall_patience_ms: 700 };
+const GENTLE: Pace = Pace { window: 5, patience_ms: 700, hall_patience_ms: 700 };
 /// How chunks come to a runner that serves nothing: every second of it is lost, so it does not wait long for
 /// the others in its hall.
 const URGENT: Pace = Pace { window: 6, patience_ms: 900, hall_patience_ms: 200 };
@@ -87,8 +87,8 @@
 pub(crate) struct Target {
     /// The version.
     pub(crate) version: u64,
-    /// When it was named.
-    pub(crate) named_at: Millis,
+    /// Its name.
+    pub(crate) named: VersionName,
     /// How far it has come.
     pub(crate) step: Step,
     spread: Option<Spread>,
@@ -105,11 +105,11 @@
 
 impl Target {
     /// A version that was just named.
-    pub(crate) fn new(version: u64, named_at: Millis) -> Self {
-        let step = Step::Describing { not_before: named_at, asked: false };
+    pub(crate) fn new(named: VersionName) -> Self {
+        let step = Step::Describing { not_before: named.at, asked: false };
         Self {
-            version,
-            named_at,
+            version: named.version,
+            named,
             step,
             spread: None,
             asked_for_share: false,
@@ -145,7 +145,7 @@
     /// The same for an origin that has not failed: its link needs no longer than it has had too little time for.
     /// What others hold is known late, and by the time all sidecars reckon alike.
     pub(crate) fn scheduled_origin_ms(&self, now: Millis) -> Option<u64> {
-        let end = self.named_at.plus(START_DELAY + self.copy_ms()?);
+        let end = self.named.at.plus(START_DELAY + self.copy_ms()?);
         Some(self.origin_ms()?.min(end.since(now).0))
     }
 
--- a/components/rollout/tests/fleet.rs
+++ b/components/rollout/tests/fleet.rs
@@ -409,3 +409,39 @@
     let between = fleet.between_halls;
     assert!(between <= CHUNKS * 2 * 5 / 4, "{between} chunks between halls");
 }
+
+/// Found on trouble-3 of mizani-tips-now-grown: the store was out while a version was named, so nobody knew its
+/// age. Gateways left the older version 1.8 s after they had heard of it, and the sidecars, who had every chunk
+/// 4.3 s after it, gave their orders spread over the four seconds that followed.
+#[test]
+fn runners_are_ordered_at_once_for_a_version_of_unknown_age_that_comes_late() {
+    let mut fleet = Fleet::with_narrow_origin(40, 742_500);
+    fleet.run(5000);
+    for index in 0..40 {
+        fleet.feed(index, Event::Named { version: 2, named_at: None });
+    }
+    while !(0..40).all(|it| fleet.sidecars[it].have(2).is_some_and(|it| it.is_full())) {
+        fleet.run(STEP_MS);
+    }
+    fleet.run(800);
+    let held = fleet.holders(2);
+    assert!(held >= 38, "{held} of 40 runners hold the version 0.8 s after the last chunk came");
+}
+
+/// A sidecar that was first told of a version by a process that did not know its age.
+#[test]
+fn the_age_of_a_version_is_taken_from_whoever_knows_it() {
+    let mut fleet = Fleet::new(1, Some(1), 0);
+    fleet.run(500);
+    fleet.loses = 1;
+    let named_at = Some(Millis(fleet.now + 20));
+    fleet.feed(0, Event::Named { version: 2, named_at: None });
+    fleet.run(20);
+    fleet.feed(0, Event::Named { version: 2, named_at });
+    fleet.run(VERSION_MS - 2000);
+    let now = Millis(fleet.now);
+    assert_eq!(fleet.sidecars[0].reserve(now, 10), Ok(()), "its bound is the usual one");
+    fleet.run(2000);
+    let now = Millis(fleet.now);
+    assert_eq!(fleet.sidecars[0].reserve(now, 10), Err(Denial::TooOld));
+}
