Spread: what concerns the origin in a module of its own; comments say the load, not where it was seen

Cause: version/mod.rs had grown to 474 lines, and when the origin may be asked stood in two files. Five comments name the load in place of a deployment.

--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -17,7 +17,7 @@
 const FIRST_SPACING: Duration = Duration::from_millis(60);
 /// How many feeds of what operators write fit into the time within which a configuration is in force. A
 /// change after a calm is fed at once; only changes in quick succession are taken together. Each call has
-/// its price, for every gateway: 250 of 680 in a small play of mizani-tips-large came from one such series.
+/// its price, for every gateway: 250 of 680 on a day with 15 gateways came from one such series.
 const FEEDS_PER_CONFIGURATION: u32 = 8;
 /// How many feeds of the runners fit into the time within which a leaving runner gets nothing new. While
 /// versions move some entry changes all the time: with 300 ms between feeds this made 990 of 2400 calls
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -7,7 +7,7 @@
 use crate::pool::Pool;
 use crate::runner::{Runner, RunnerState};
 
-/// What another hall costs in the comparison, in places of a runner. On obwwa-flood 6 sends a tenth less
+/// What another hall costs in the comparison, in places of a runner. With 12 runners in three halls 6 sends a tenth less
 /// between regions than 2 and serves as well; 16 sends no less than 6.
 const FAR_PENALTY: f64 = 6.0;
 /// What the lack of a fresh report costs, in places of a runner.
--- a/components/gateway/src/comeback.rs
+++ b/components/gateway/src/comeback.rs
@@ -9,7 +9,7 @@
 
 use crate::choice::Outlook;
 
-/// The shortest time that a caller is asked to stay away, in milliseconds. A full runner of obwwa-flood ends
+/// The shortest time that a caller is asked to stay away, in milliseconds. A full runner with 16 places ends
 /// about twelve requests a second; this is three of them.
 const MIN_AWAY: u64 = 250;
 /// The longest such time, in milliseconds. Callers wait no longer than a third of their deadline, which is
@@ -20,7 +20,7 @@
 /// The part of a time by which it differs between callers.
 const SPREAD: f64 = 0.5;
 /// Over how many milliseconds callers return once runners serve again. Two seconds of callers, 400 prompts of
-/// 930 tokens, are read by 17 runners of obwwa-flood in 0.7 s.
+/// 930 tokens, are read by 17 runners in 0.7 s.
 const RETURN_SPAN: u64 = 900;
 
 /// A shortage of places at the runners of one service.
--- a/components/reducer/src/spread/version/choice.rs
+++ b/components/reducer/src/spread/version/choice.rs
@@ -2,28 +2,18 @@
 
 use fleet::{InstanceId, Millis};
 
-use super::{millis_for, Choice, Draw, DrawSource, Flight, OriginShare, Spread, SpreadEffect};
+use super::{millis_for, Choice, Draw, DrawSource, Flight, Spread, SpreadEffect};
 use crate::seed::shared_hash;
 use crate::spread::neighbour::Neighbour;
 
 /// Chunks in flight from one neighbour.
 const WINDOW_PER_SOURCE: u32 = 2;
-/// Chunks in flight from the origin.
-const ORIGIN_WINDOW: usize = 2;
-/// Chunks by which it is found out whether the origin works. Each that is drawn while the link is wanted for
-/// another one delays that by a chunk's time.
-const PROBED_CHUNKS: u32 = 4;
-/// How long the origin has to be silent for the first heir of a chunk to ask it whether it is back, in
-/// milliseconds; for the second one four times as long, and so on. After six seconds twelve instances ask.
-const PROBE_PATIENCE: u64 = 700;
 /// A chunk may take this many times as long as usual.
 const DEADLINE_FACTOR: f64 = 6.0;
 /// The shortest deadline of a chunk, in milliseconds.
 const MIN_DEADLINE: f64 = 1000.0;
 /// The longest deadline of a chunk, in milliseconds.
 const MAX_DEADLINE: f64 = 60_000.0;
-/// Neighbours that must hold a chunk for it not to be drawn from the origin again by the next in rank.
-const SAFE_HOLDERS: usize = 2;
 /// Chunks that are expected to wait ahead of ours at a source we know nothing of.
 const EXPECTED_QUEUE: f64 = 16.0;
 
@@ -51,29 +41,6 @@
         effects
     }
 
-    /// The draws from the origin of the chunks that this receiver owns. Those who need no chunks keep
-    /// their share this way, so that later receivers need not ask the origin.
-    pub fn draw_own(&mut self, now: Millis) -> Vec<SpreadEffect> {
-        let mut effects = Vec::new();
-        while self.may_use_origin(now) {
-            let Some(index) = self.own_missing(now) else {
-                break;
-            };
-            effects.push(SpreadEffect::Draw(self.launch(now, index, DrawSource::Origin, false)));
-        }
-        effects
-    }
-
-    /// A missing chunk that this receiver owns and that is due.
-    fn own_missing(&self, now: Millis) -> Option<u32> {
-        let mut missing = self
-            .have
-            .missing()
-            .filter(|index| !self.in_flight.contains_key(index) && self.is_in_share(*index));
-        missing
-            .find(|index| self.gate.rank(*index) == 0 && now >= self.gate.due(self.started, *index))
-    }
-
     /// For each chunk, how many neighbours hold it.
     fn count_holders(&self) -> Vec<u32> {
         let mut counts = vec![0; self.manifest.chunks() as usize];
@@ -85,69 +52,6 @@
         counts
     }
 
-    fn draw_from_origin(&mut self, now: Millis) -> Option<Draw> {
-        if !self.may_use_origin(now) {
-            return None;
-        }
-        let missing = self
-            .have
-            .missing()
-            .filter(|index| !self.in_flight.contains_key(index) && self.is_in_share(*index));
-        // The chunk whose turn is least far from this receiver: receivers that all took the first one
-        // that is missing would all draw the same.
-        let due = missing.filter_map(|index| self.may_ask_origin(now, index));
-        let (index, last_resort) = due.min_by_key(|(index, _)| self.gate.rank(*index))?;
-        Some(self.launch(now, index, DrawSource::Origin, last_resort))
-    }
-
-    /// Whether another chunk may be asked of the origin now.
-    fn may_use_origin(&self, now: Millis) -> bool {
-        now >= self.origin_not_before && self.count_from_origin() < ORIGIN_WINDOW
-    }
-
-    /// Whether the share of the origin that may be used has a chunk in it.
-    fn is_in_share(&self, index: u32) -> bool {
-        match self.origin_share {
-            OriginShare::Whole => true,
-            OriginShare::Probes => index < PROBED_CHUNKS,
-            OriginShare::Nothing => false,
-        }
-    }
-
-    /// Whether the origin may be asked for a chunk, and whether only as the last resort.
-    fn may_ask_origin(&self, now: Millis, index: u32) -> Option<(u32, bool)> {
-        if self.options.choice == Choice::OriginOnly {
-            return Some((index, false));
-        }
-        if now >= self.gate.last_resort(self.started, index) {
-            return Some((index, true));
-        }
-        if now < self.gate.due(self.started, index) {
-            return None;
-        }
-        let holders = self.neighbours.values().filter(|it| it.in_group && it.offers(index));
-        let may = match holders.take(SAFE_HOLDERS).count() {
-            0 => !self.is_origin_silent(now) || self.may_probe(now, index),
-            // A chunk that only one neighbour holds by now may be lost: it had its turn a while ago, and
-            // whoever lives passes it on sooner.
-            1 => self.gate.rank(index) > 0 && now >= self.gate.overdue(self.started, index),
-            _ => false,
-        };
-        may.then_some((index, false))
-    }
-
-    /// Whether a chunk may be asked for of an origin that seems to be out: by its owner and few heirs, more of
-    /// them the longer the silence lasts, and only if it is one of the first chunks that are missing. Whoever
-    /// asks in the moment in which the origin is back draws a chunk, before the others hear of it. Where every
-    /// heir asked, 24 draws brought the last 16 chunks, and the origin's link took 0.4 s longer for them.
-    fn may_probe(&self, now: Millis, index: u32) -> bool {
-        let silence = now.since(self.news_at).0;
-        let rank = self.gate.rank(index);
-        let nowhere = self.have.missing().filter(|it| !self.is_held(*it));
-        let mut probed = nowhere.take(PROBED_CHUNKS as usize);
-        rank * rank * PROBE_PATIENCE <= silence && probed.any(|it| it == index)
-    }
-
     /// The least busy source first, then the rarest of its chunks: an idle link is worth more than
     /// a rare chunk behind a queue.
     fn draw_from_peer(&mut self, now: Millis, counts: &[u32]) -> Option<Draw> {
@@ -211,7 +115,13 @@
         !held_near && now >= gate.due(offered_at, index)
     }
 
-    fn launch(&mut self, now: Millis, index: u32, source: DrawSource, last_resort: bool) -> Draw {
+    pub(super) fn launch(
+        &mut self,
+        now: Millis,
+        index: u32,
+        source: DrawSource,
+        last_resort: bool,
+    ) -> Draw {
         let held = self.have.count();
         let mut usual = EXPECTED_QUEUE
             * millis_for(u64::from(self.manifest.chunk_bytes), self.options.download_bytes_per_s);
--- a/components/reducer/src/spread/version/mod.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -1,6 +1,7 @@
 //! The spread of one version at one receiver.
 
 mod choice;
+mod origin;
 mod summaries;
 mod types;
 
@@ -22,17 +23,6 @@
 
 /// The part of a new measurement in the smoothed time of chunks.
 const CHUNK_SMOOTHING: f64 = 0.25;
-/// How long to leave the origin alone after it failed, in milliseconds. On scale-1 of obwwa-flood 500 let
-/// its link stand idle for most of a second after an outage.
-const ORIGIN_PAUSE: u64 = 300;
-/// How often that time is doubled at most: an origin that takes few connections refuses the rest.
-const MOST_ORIGIN_DOUBLINGS: u32 = 1;
-/// Draws from the origin that fail in a row before it is taken for out.
-const ORIGIN_OUT: u32 = 4;
-/// How long after the last chunk that nobody held before the origin must have been out, in milliseconds, also for
-/// those who did not ask it: behind so long a silence the turns of all heirs have come. Chunks leave it every 44
-/// ms at the most on the links seen so far.
-const ORIGIN_SILENT: u64 = 700;
 /// How long holders have to say what they hold before the origin is asked, in milliseconds.
 const HOLDER_GRACE: u64 = 500;
 
@@ -156,43 +146,6 @@
         }
     }
 
-    /// Sets how much of the origin may be used. The turns start when all of it may.
-    pub fn use_origin(&mut self, now: Millis, share: OriginShare) {
-        let is_freed = share == OriginShare::Whole && self.origin_share != share;
-        self.origin_share = share;
-        if is_freed {
-            self.news_at = now;
-            self.restart_turns(now);
-        }
-    }
-
-    /// Starts the turns at the origin anew, with the chunks that nobody is known to hold.
-    fn restart_turns(&mut self, at: Millis) {
-        self.started = at;
-        let nowhere = self.held_nowhere();
-        self.gate.deal_turns(&nowhere);
-    }
-
-    /// The chunks that are neither here nor at a neighbour.
-    pub fn held_nowhere(&self) -> Vec<u32> {
-        (0..self.manifest.chunks()).filter(|it| !self.is_held(*it)).collect()
-    }
-
-    /// How long the origin takes to send a chunk, in milliseconds.
-    pub fn origin_chunk_ms(&self) -> f64 {
-        self.gate_options.chunk_ms
-    }
-
-    /// Whether the origin must be out: nothing new has come from it anywhere for a while.
-    fn is_origin_silent(&self, now: Millis) -> bool {
-        now.since(self.news_at).0 > ORIGIN_SILENT
-    }
-
-    /// When a chunk was last heard of that nobody had held before, or the start where none was.
-    pub fn news_at(&self) -> Millis {
-        self.news_at
-    }
-
     /// How far it has come.
     pub fn phase(&self) -> SpreadPhase {
         if self.have.is_full() {
@@ -295,29 +248,6 @@
         self.note_offers(now, &have);
     }
 
-    /// Takes in the chunks that a neighbour holds. One that nobody held before came from the origin, which is
-    /// back if it was out. The turns start anew with the chunks that nobody holds yet: its link is used at once
-    /// and nothing is drawn twice.
-    fn note_offers(&mut self, now: Millis, have: &Bitmap) {
-        let mut is_new = false;
-        for (index, offered_at) in (0..).zip(&mut self.offered_at) {
-            if offered_at.is_none() && have.contains(index) {
-                *offered_at = Some(now);
-                is_new |= !self.have.contains(index);
-            }
-        }
-        if !is_new {
-            return;
-        }
-        let was_out = self.origin_failures > 0 || self.is_origin_silent(now);
-        self.news_at = now;
-        if was_out {
-            self.origin_failures = 0;
-            self.origin_not_before = now;
-            self.restart_turns(now);
-        }
-    }
-
     /// Whether a chunk is here or at a neighbour.
     fn is_held(&self, index: u32) -> bool {
         self.have.contains(index) || self.neighbours.values().any(|it| it.have.contains(index))
@@ -380,14 +310,7 @@
             return;
         }
         let DrawSource::Peer(id, _) = source else {
-            let pause = ORIGIN_PAUSE << self.origin_failures.min(MOST_ORIGIN_DOUBLINGS);
-            self.origin_not_before = now.plus(pause);
-            // While the origin is out everyone's turn comes and goes. When it is back the turns start
-            // anew, or all would draw everything.
-            self.origin_failures += 1;
-            if self.origin_failures >= ORIGIN_OUT {
-                self.restart_turns(self.origin_not_before);
-            }
+            self.note_origin_failure(now);
             return;
         };
         let Some(neighbour) = self.neighbours.get_mut(id) else {
