Home regions: decided again right before sending, by the configuration in force

Cause: an arrival carried the homes that it was routed with, so a request that waited, was sent again or was resumed went by an older configuration; and one that nobody in its homes may run waited out its time.

Ruled out: looking route and workspace up at each choice: the same result for two look-ups and an intersection a choice.

Change: the reducer derives the homes of a request on its arrival and of all under way when a newer configuration comes into force. Where no runner of the homes serves in time the request is refused at once as NoHome, with a Retry-After by those runners alone; the notes of a pass over the queue and the shortages are kept for each pair of service and homes.

--- a/components/account/src/account.rs
+++ b/components/account/src/account.rs
@@ -112,6 +112,14 @@
     }
 }
 
+/// The homes of a request that is bound.
+fn bound(homes: &[String]) -> String {
+    match homes {
+        [] => String::new(),
+        homes => format!(", homes {}", homes.join(" ")),
+    }
+}
+
 fn words(decision: &Decision) -> String {
     match decision {
         Decision::Routed { route, service, configuration, kind, held_ms } => format!(
@@ -121,9 +129,12 @@
             let age = age_ms.map_or("never".into(), |age| format!("{age} ms ago"));
             format!("no route or key in configuration {configuration}, confirmed {age}")
         }
-        Decision::Chosen { runner, attempt, occupancy, report_age_ms, candidates } => {
+        Decision::Chosen { runner, attempt, occupancy, report_age_ms, candidates, homes } => {
             let age = report_age_ms.map_or("no report".into(), |age| format!("report {age} ms old"));
-            format!("attempt {attempt}: {runner} of {candidates}, {occupancy} requests there, {age}")
+            let homes = bound(homes);
+            format!(
+                "attempt {attempt}: {runner} of {candidates}{homes}, {occupancy} requests there, {age}"
+            )
         }
         Decision::NoPlace { runner, outcome } => format!("no place at {runner}: {outcome}"),
         Decision::Denied { reason, taken, slots, version } => {
@@ -137,11 +148,11 @@
             format!("{runner} answers {status} after {after_ms} ms")
         }
         Decision::Resumed { after_event } => format!("goes on behind event {after_event:?}"),
-        Decision::Ended { outcome, code, name, status, retry_after_ms, runners, usable } => {
+        Decision::Ended { outcome, code, name, status, retry_after_ms, runners, usable, homes } => {
             let code = if *code == 0 { String::new() } else { format!(", {code} {name}") };
             let back = retry_after_ms.map_or(String::new(), |ms| format!(", back in {ms} ms"));
             let standing = match outcome.as_str() {
-                "refused" => format!("; {usable} of {runners} runners usable"),
+                "refused" => format!("; {usable} of {runners} runners usable{}", bound(homes)),
                 _ => String::new(),
             };
             format!("ends {outcome} with {status}{code}{back}{standing}")
--- a/components/account/src/cause.rs
+++ b/components/account/src/cause.rs
@@ -7,15 +7,16 @@
 /// The cause, as far as the lines tell it.
 pub(crate) fn cause(lines: &[RequestLine]) -> String {
     let ended = lines.iter().rev().find_map(|line| match &line.decision {
-        Decision::Ended { outcome, code, runners, usable, .. } => {
-            Some((outcome.as_str(), *code, *runners, *usable))
+        Decision::Ended { outcome, code, runners, usable, homes, .. } => {
+            Some((outcome.as_str(), *code, *runners, *usable, homes))
         }
         _ => None,
     });
-    let Some((outcome, code, runners, usable)) = ended else {
+    let Some((outcome, code, runners, usable, homes)) = ended else {
         return unfinished(lines);
     };
     match outcome {
+        "refused" if code == Code::NoHome.number() => homeless(homes, runners),
         "whole" => "the caller got the whole answer".into(),
         "left" => "the caller left before the answer was whole".into(),
         "refused" => refused(lines, code, runners, usable),
@@ -36,6 +37,17 @@
     }
 }
 
+/// Why no runner in a request's homes could run it.
+fn homeless(homes: &[String], runners: u32) -> String {
+    match homes {
+        [] => "it did not run: its route and its workspace have no home region in common".into(),
+        homes => format!(
+            "it did not run: none of {runners} listed runners could run it in its homes {}",
+            homes.join(" ")
+        ),
+    }
+}
+
 fn refused(lines: &[RequestLine], code: u16, runners: u32, usable: u32) -> String {
     let name = Code::from_number(code).map_or("", Code::meaning);
     if let Some(unrouted) = unrouted(lines) {
--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -38,6 +38,10 @@
         report_age_ms: Option<u64>,
         /// Runners that were fit for it.
         candidates: u32,
+        /// The regions where it might be served. Empty where it is not bound, or where its route and its workspace
+        /// have none in common.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        homes: Vec<String>,
     },
     /// The sidecar beside a runner gave no place, or did not answer.
     NoPlace {
@@ -100,6 +104,9 @@
         runners: u32,
         /// Runners of the service that were fit at the end.
         usable: u32,
+        /// As when a runner is chosen.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        homes: Vec<String>,
     },
 }
 
--- a/components/account/tests/accounts.rs
+++ b/components/account/tests/accounts.rs
@@ -49,3 +49,14 @@
     let account = Account::of("r9", [GATEWAY, SIDECAR]);
     assert_eq!(account.gaps, [Gap::Nothing]);
 }
+
+const HOMELESS: &str = r#"{"ts_ms":1001,"instance":"g1","request":"r2","decision":"chosen","runner":"i-1","attempt":1,"occupancy":3,"report_age_ms":40,"candidates":2,"homes":["north"]}
+{"ts_ms":1090,"instance":"g1","request":"r2","decision":"ended","outcome":"refused","code":115,"name":"NoHome","status":503,"retry_after_ms":400,"runners":2,"usable":0,"homes":["south"]}"#;
+
+#[test]
+fn a_request_refused_for_want_of_a_home_is_told_with_its_homes() {
+    let account = Account::of("r2", [HOMELESS]);
+    assert!(account.cause.contains("in its homes south"), "{}", account.cause);
+    let text = account.to_string();
+    assert!(text.contains("homes north") && text.contains("homes south"), "{text}");
+}
--- a/components/edge/src/gateway/core.rs
+++ b/components/edge/src/gateway/core.rs
@@ -9,6 +9,7 @@
 use gateway::{Arrival, Catalog, Effect, Event, Gateway, GatewayOptions, NextStep, RequestKey};
 use telemetry::Metrics;
 
+use super::home_log;
 use super::reservations::Reservations;
 use super::tables::Tables;
 use crate::clock::Clock;
@@ -80,6 +81,7 @@
                     }
                 }
                 Effect::CountRetry(code) => self.metrics.count_retry(code),
+                Effect::TellOfHomes(faults) => home_log::tell(&faults),
             }
         }
     }
--- /dev/null
+++ b/components/edge/src/gateway/home_log.rs
@@ -0,0 +1,38 @@
+//! Tells the operator of homes where nothing can be served.
+
+use fleet::HomeRegions;
+use gateway::HomeFault;
+
+/// The most lines for one configuration; the gauge `home_faults` counts all cases.
+const MAX_LINES: usize = 8;
+
+/// Writes the cases of a configuration that has just come into force.
+pub fn tell(faults: &[HomeFault]) {
+    for fault in faults.iter().take(MAX_LINES) {
+        line(fault);
+    }
+    let rest = faults.len().saturating_sub(MAX_LINES);
+    if rest > 0 {
+        log::warn!(more = rest; "homes where nothing can be served");
+    }
+}
+
+fn line(fault: &HomeFault) {
+    match fault {
+        HomeFault::Unknown { region, example, count } => log::warn!(
+            region = region.0.as_str(), of = example.as_str(), count = *count;
+            "a home names no region of the deployment"
+        ),
+        HomeFault::Apart { route, route_homes, workspace, workspace_homes, count } => log::warn!(
+            route = route.as_str(), route_homes = words(route_homes).as_str(),
+            workspace = workspace.as_str(), workspace_homes = words(workspace_homes).as_str(),
+            count = *count;
+            "homes of a route and of a workspace have no region in common"
+        ),
+    }
+}
+
+fn words(homes: &HomeRegions) -> String {
+    let names: Vec<&str> = homes.regions().map(|it| it.0.as_str()).collect();
+    names.join(" ")
+}
--- a/components/edge/src/gateway/mod.rs
+++ b/components/edge/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod events;
 mod follow;
+mod home_log;
 mod node;
 mod relay;
 mod request;
--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -7,7 +7,7 @@
 
 use account::{Decision, Entry, RequestLine};
 use errors::Code;
-use fleet::Millis;
+use fleet::{HomeRegions, Millis};
 use gateway::{AttemptOutcome, RunnerTarget, Standing};
 
 use super::core::Core;
@@ -52,6 +52,11 @@
     !matches!(entry.decision, Decision::Failed { .. } | Decision::Resumed { .. })
 }
 
+/// Homes as they stand in a log.
+fn names(homes: &HomeRegions) -> Vec<String> {
+    homes.regions().map(|it| it.0.clone()).collect()
+}
+
 /// The decisions on one request.
 pub struct Trace {
     core: Core,
@@ -98,6 +103,7 @@
             occupancy: target.seen.occupancy,
             report_age_ms: target.seen.report_age_ms,
             candidates: target.seen.candidates,
+            homes: names(&target.seen.homes),
         });
     }
 
@@ -161,6 +167,7 @@
             retry_after_ms,
             runners: standing.runners,
             usable: standing.usable,
+            homes: names(&standing.homes),
         };
         self.note(ended);
         self.write(ending == Ending::Whole || ending == Ending::Left);
--- a/components/fleet/src/homes.rs
+++ b/components/fleet/src/homes.rs
@@ -7,7 +7,7 @@
 use crate::id::Region;
 
 /// The regions in which a request may be served.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct HomeRegions(Option<BTreeSet<Region>>);
 
 impl HomeRegions {
--- a/components/gateway/src/catalog.rs
+++ b/components/gateway/src/catalog.rs
@@ -186,6 +186,10 @@
     by_host: HashMap<String, HashMap<String, usize>>,
     services: HashMap<ServiceName, Service>,
     workspaces: Option<HashMap<String, Workspace>>,
+    /// The homes of each route, by its name.
+    route_homes: HashMap<String, HomeRegions>,
+    /// The homes of each workspace.
+    workspace_homes: HashMap<WorkspaceId, HomeRegions>,
 }
 
 impl Catalog {
@@ -196,9 +200,16 @@
             let prefixes = by_host.entry(route.host.clone()).or_default();
             prefixes.insert(route.path_prefix.clone(), index);
         }
+        let workspaces = parts.workspaces.iter().flat_map(HashMap::values);
         Self {
             version: parts.version,
             limits: parts.limits,
+            route_homes: parts
+                .routes
+                .iter()
+                .map(|it| (it.name.clone(), it.homes.clone()))
+                .collect(),
+            workspace_homes: workspaces.map(|it| (it.name.clone(), it.homes.clone())).collect(),
             routes: parts.routes,
             by_host,
             services: parts.services.into_iter().map(|it| (it.name.clone(), it)).collect(),
@@ -240,6 +251,32 @@
         self.workspaces.as_ref()?.get(key)
     }
 
+    /// Where a request may be served that was routed by an older configuration. What this one does not have any more
+    /// binds as it did then.
+    pub fn homes(
+        &self,
+        route: &str,
+        workspace: Option<&WorkspaceId>,
+        before: &HomeRegions,
+    ) -> HomeRegions {
+        let by_route = self.route_homes.get(route);
+        let by_workspace = workspace.map(|it| self.workspace_homes.get(it));
+        let is_gone = by_route.is_none() || by_workspace == Some(None);
+        let known = by_route.into_iter().chain(by_workspace.flatten());
+        let start = if is_gone { before.clone() } else { HomeRegions::anywhere() };
+        known.fold(start, |homes, it| homes.and(it))
+    }
+
+    /// Homes of routes, each with the route's name.
+    pub fn route_homes(&self) -> impl Iterator<Item = (&str, &HomeRegions)> {
+        self.route_homes.iter().map(|(name, homes)| (name.as_str(), homes))
+    }
+
+    /// Homes of workspaces, each with the workspace's name.
+    pub fn workspace_homes(&self) -> impl Iterator<Item = (&str, &HomeRegions)> {
+        self.workspace_homes.iter().map(|(name, homes)| (name.0.as_str(), homes))
+    }
+
     /// How many routes there are.
     pub fn route_count(&self) -> usize {
         self.routes.len()
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -67,15 +67,20 @@
             occupancy: runner.occupancy(now),
             report_age_ms: runner.report_age(now).map(|it| it.0),
             candidates,
+            homes: arrival.homes.clone(),
         };
         Some((runner.record.id.clone(), seen))
     }
 
-    /// When some runner of a request's service can run it, room aside.
+    /// When some runner that a request may go to can run it, room aside.
     pub fn outlook(&self, now: Millis, arrival: &Arrival) -> Outlook {
-        let runners = || self.pool.of_service(&arrival.service);
+        if arrival.homes.is_bound() && self.has_no_home(arrival) {
+            return Outlook::NotServing;
+        }
+        let all = || self.pool.of_service(&arrival.service);
+        let runners = || all().filter(|it| self.is_allowed(it, arrival));
         let Some(model) = &arrival.model else {
-            return Outlook::Serving;
+            return self.plain_outlook(now, arrival);
         };
         if runners().any(|it| self.can_run(now, it, arrival)) {
             return Outlook::Serving;
@@ -92,9 +97,36 @@
         }
     }
 
+    /// As `outlook`, for a service that runs no model. Nobody reports on its runners: what is known is until when
+    /// each is left alone, which counts where others may not take the request instead.
+    fn plain_outlook(&self, now: Millis, arrival: &Arrival) -> Outlook {
+        if !arrival.homes.is_bound() {
+            return Outlook::Serving;
+        }
+        let runners = self.pool.of_service(&arrival.service);
+        let homes = runners.filter(|it| self.may_serve(it, arrival));
+        match homes.map(|it| it.suspect_ms(now)).min() {
+            None => Outlook::Unknown,
+            Some(0) => Outlook::Serving,
+            Some(left) => Outlook::ServesIn(left),
+        }
+    }
+
+    /// Whether no runner in a request's homes takes anything, while the runners of its service are known.
+    fn has_no_home(&self, arrival: &Arrival) -> bool {
+        let mut runners = self.pool.of_service(&arrival.service).peekable();
+        runners.peek().is_some() && !runners.any(|it| self.may_serve(it, arrival))
+    }
+
+    /// Whether a runner takes requests and may take this one.
+    fn may_serve(&self, runner: &Runner, arrival: &Arrival) -> bool {
+        let is_open = runner.record.state == RunnerState::Ready && !runner.misdirected;
+        is_open && self.is_allowed(runner, arrival)
+    }
+
     /// How the runners of a service stand for a request that was tried at some.
     pub fn standing(&self, now: Millis, arrival: &Arrival, tried: &[InstanceId]) -> Standing {
-        let mut standing = Standing::default();
+        let mut standing = Standing { homes: arrival.homes.clone(), ..Standing::default() };
         for runner in self.pool.of_service(&arrival.service) {
             standing.runners += 1;
             let fit = !tried.contains(&runner.record.id) && self.can_run(now, runner, arrival);
@@ -107,20 +139,16 @@
     /// request's home regions, and its hall is not evacuated.
     pub fn is_allowed(&self, runner: &Runner, arrival: &Arrival) -> bool {
         let hall = &runner.record.hall;
-        let is_home = match self.options.halls.get(hall) {
-            Some(region) => arrival.homes.allow(region),
-            // Nobody knows where it stands.
-            None => !arrival.homes.is_bound(),
-        };
-        is_home && self.pool.evacuations.admit(hall)
+        // A runner that stands nobody knows where takes what is not bound.
+        let is_home = |region| arrival.homes.allow(region);
+        let may_stand =
+            !arrival.homes.is_bound() || self.options.halls.get(hall).is_some_and(is_home);
+        may_stand && self.pool.evacuations.admit(hall)
     }
 
     /// Whether a runner is fit for a request, room aside.
     fn can_run(&self, now: Millis, runner: &Runner, arrival: &Arrival) -> bool {
-        if runner.record.state != RunnerState::Ready || runner.misdirected {
-            return false;
-        }
-        if runner.is_suspect(now) || !self.is_allowed(runner, arrival) {
+        if runner.is_suspect(now) || !self.may_serve(runner, arrival) {
             return false;
         }
         let Some(model) = &arrival.model else {
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::catalog::{Catalog, RouteKind};
+use crate::home_faults::HomeFault;
 use crate::runner::{RunnerLoad, RunnerRecord};
 
 /// Numbers that a gateway works with.
@@ -60,7 +61,7 @@
     pub route: String,
     /// Whose it is.
     pub workspace: Option<WorkspaceId>,
-    /// Where it may be served, by the configuration that it was routed by.
+    /// Where it may be served: by the configuration that it was routed by, and from then on by each newer one.
     pub homes: HomeRegions,
     /// The service that its route names.
     pub service: ServiceName,
@@ -80,6 +81,27 @@
     pub attempts: u32,
 }
 
+impl Arrival {
+    /// Takes its homes from a configuration that came into force after it was routed.
+    pub(crate) fn settle(&mut self, catalog: &Catalog) {
+        self.homes = catalog.homes(&self.route, self.workspace.as_ref(), &self.homes);
+    }
+
+    /// The runners that it may go to.
+    pub(crate) fn reach(&self) -> Reach {
+        Reach { service: self.service.clone(), homes: self.homes.clone() }
+    }
+}
+
+/// The runners that some requests may go to. A shortage at some of a service's runners is none at others.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Reach {
+    /// Their service.
+    service: ServiceName,
+    /// Where they stand.
+    homes: HomeRegions,
+}
+
 /// What became of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -185,7 +207,7 @@
 }
 
 /// What a choice of a runner was made by.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
     /// Requests at the runner, as far as known.
     pub occupancy: u32,
@@ -193,15 +215,19 @@
     pub report_age_ms: Option<u64>,
     /// Runners that were fit for the request.
     pub candidates: u32,
+    /// Where it might be served.
+    pub homes: HomeRegions,
 }
 
 /// The runners of a service as they stood when a request ended without an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Standing {
     /// Runners that are listed.
     pub runners: u32,
     /// Those of them that were fit and had room.
     pub usable: u32,
+    /// Where the request might be served.
+    pub homes: HomeRegions,
 }
 
 /// What a request does next.
@@ -230,4 +256,6 @@
     Proceed(RequestKey, NextStep),
     /// Count a request that is sent again, by the reason.
     CountRetry(Code),
+    /// Tell the operator of homes where nothing can be served, by the configuration that has just come into force.
+    TellOfHomes(Vec<HomeFault>),
 }
--- /dev/null
+++ b/components/gateway/src/home_faults.rs
@@ -0,0 +1,96 @@
+//! Homes where nothing can be served, whatever the runners do: the operator is told of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fleet::{Hall, HomeRegions, Region};
+
+use crate::catalog::Catalog;
+
+/// A case of such homes. Those with the same regions are one case, told by one name and their number.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HomeFault {
+    /// Homes name a region that the deployment does not have.
+    Unknown {
+        /// The region.
+        region: Region,
+        /// A route or a workspace that names it.
+        example: String,
+        /// How many routes and workspaces name it.
+        count: usize,
+    },
+    /// Homes of routes and homes of workspaces have no region in common.
+    Apart {
+        /// A route.
+        route: String,
+        /// Where its requests may be served.
+        route_homes: HomeRegions,
+        /// A workspace.
+        workspace: String,
+        /// Where its requests may be served.
+        workspace_homes: HomeRegions,
+        /// How many pairs of a route and a workspace there are like this.
+        count: usize,
+    },
+}
+
+/// Names by what they have in common.
+type Groups<'a, K> = BTreeMap<K, BTreeSet<&'a str>>;
+
+/// The cases of a configuration in a deployment with these halls.
+pub(crate) fn find(catalog: &Catalog, halls: &BTreeMap<Hall, Region>) -> Vec<HomeFault> {
+    let known: BTreeSet<&Region> = halls.values().collect();
+    let mut faults = unknown(catalog, &known);
+    faults.extend(apart(catalog));
+    faults
+}
+
+fn unknown(catalog: &Catalog, known: &BTreeSet<&Region>) -> Vec<HomeFault> {
+    let mut named: Groups<&Region> = Groups::new();
+    for (name, homes) in catalog.route_homes().chain(catalog.workspace_homes()) {
+        for region in homes.regions().filter(|it| !known.contains(it)) {
+            named.entry(region).or_default().insert(name);
+        }
+    }
+    let fault = |(region, names): (&Region, BTreeSet<&str>)| HomeFault::Unknown {
+        region: region.clone(),
+        example: example(&names),
+        count: names.len(),
+    };
+    named.into_iter().map(fault).collect()
+}
+
+fn apart(catalog: &Catalog) -> Vec<HomeFault> {
+    let routes = by_homes(catalog.route_homes());
+    let workspaces = by_homes(catalog.workspace_homes());
+    let mut faults = Vec::new();
+    for (route_homes, routes) in &routes {
+        for (workspace_homes, workspaces) in &workspaces {
+            if route_homes.and(workspace_homes).regions().next().is_some() {
+                continue;
+            }
+            faults.push(HomeFault::Apart {
+                route: example(routes),
+                route_homes: (*route_homes).clone(),
+                workspace: example(workspaces),
+                workspace_homes: (*workspace_homes).clone(),
+                count: routes.len() * workspaces.len(),
+            });
+        }
+    }
+    faults
+}
+
+/// The names of those that are bound, by their homes.
+fn by_homes<'a>(
+    named: impl Iterator<Item = (&'a str, &'a HomeRegions)>,
+) -> Groups<'a, &'a HomeRegions> {
+    let mut groups = Groups::new();
+    for (name, homes) in named.filter(|(_, homes)| homes.is_bound()) {
+        groups.entry(homes).or_default().insert(name);
+    }
+    groups
+}
+
+fn example(names: &BTreeSet<&str>) -> String {
+    names.first().map_or(String::new(), |it| (*it).to_owned())
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod comeback;
 mod evacuations;
 mod event;
+mod home_faults;
 mod pool;
 mod reducer;
 mod runner;
@@ -25,6 +26,7 @@
     Arrival, AttemptOutcome, ColdBounds, Effect, Event, GatewayOptions, NextStep, RequestKey,
     RunnerTarget, Seen, Standing,
 };
+pub use home_faults::HomeFault;
 pub use pool::Pool;
 pub use reducer::Gateway;
 pub use runner::{Runner, RunnerLoad, RunnerRecord, RunnerState, WeightsHeld};
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -15,7 +15,8 @@
 use crate::catalog::Catalog;
 use crate::choice::{Chooser, Outlook};
 use crate::comeback::Shortage;
-use crate::event::{Arrival, AttemptOutcome, Effect, Event, GatewayOptions, RequestKey};
+use crate::event::{Arrival, AttemptOutcome, Effect, Event, GatewayOptions, Reach, RequestKey};
+use crate::home_faults::{self, HomeFault};
 use crate::pool::Pool;
 use crate::runner::RunnerState;
 
@@ -70,6 +71,17 @@
         };
         now >= self.wait_until || (serves_too_late && !self.may_have_run)
     }
+
+    /// Why it is refused, while the runners that it may go to stand so.
+    fn refusal(&self, outlook: Outlook) -> Code {
+        let for_want_of_place = matches!(self.reason, Code::Overloaded | Code::Withdrawn);
+        let lacks_home = self.arrival.homes.is_bound() && outlook != Outlook::Serving;
+        if for_want_of_place && lacks_home {
+            Code::NoHome
+        } else {
+            self.reason
+        }
+    }
 }
 
 /// The state of a gateway.
@@ -78,7 +90,9 @@
     catalog: Option<Arc<Catalog>>,
     pool: Pool,
     budgets: BTreeMap<ServiceName, RetryBudget>,
-    shortages: BTreeMap<ServiceName, Shortage>,
+    shortages: BTreeMap<Reach, Shortage>,
+    /// Homes where nothing can be served, by the configuration in force.
+    home_faults: Vec<HomeFault>,
     requests: BTreeMap<RequestKey, Progress>,
     queue: BTreeSet<Place>,
 }
@@ -92,6 +106,7 @@
             catalog: None,
             budgets: BTreeMap::new(),
             shortages: BTreeMap::new(),
+            home_faults: Vec::new(),
             requests: BTreeMap::new(),
             queue: BTreeSet::new(),
         }
@@ -134,6 +149,11 @@
         })
     }
 
+    /// Homes where nothing can be served, by the configuration in force.
+    pub fn home_faults(&self) -> &[HomeFault] {
+        &self.home_faults
+    }
+
     /// Requests under way, and those of them that wait for a place.
     pub fn load(&self) -> (usize, usize) {
         (self.requests.len(), self.queue.len())
@@ -145,10 +165,12 @@
         match event {
             Event::Configured(catalog) => {
                 let known = self.catalog.as_ref().map_or(0, |it| it.version);
-                if catalog.version > known {
-                    self.catalog = Some(catalog);
+                if catalog.version <= known {
+                    return Vec::new();
                 }
-                Vec::new()
+                let mut effects = self.configure(catalog);
+                effects.extend(self.dispatch(now, &mut random));
+                effects
             }
             Event::Named(named) => {
                 self.pool.name_version(now, named);
@@ -181,7 +203,23 @@
         }
     }
 
-    fn arrive(&mut self, now: Millis, random: &mut SmallRng, arrival: Arrival) -> Vec<Effect> {
+    /// Goes by a newer configuration, for requests under way too.
+    fn configure(&mut self, catalog: Arc<Catalog>) -> Vec<Effect> {
+        for progress in self.requests.values_mut() {
+            progress.arrival.settle(&catalog);
+        }
+        self.home_faults = home_faults::find(&catalog, &self.options.halls);
+        self.catalog = Some(catalog);
+        match self.home_faults.is_empty() {
+            true => Vec::new(),
+            false => vec![Effect::TellOfHomes(self.home_faults.clone())],
+        }
+    }
+
+    fn arrive(&mut self, now: Millis, random: &mut SmallRng, mut arrival: Arrival) -> Vec<Effect> {
+        if let Some(catalog) = &self.catalog {
+            arrival.settle(catalog);
+        }
         let key = arrival.key;
         self.budget(&arrival.service).count_request(now);
         let share = if self.keeps(Mechanism::Waiting) { WAIT_SHARE } else { 0.0 };
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use fleet::{Mechanism, Millis, ServiceName};
+use fleet::{Mechanism, Millis};
 use rand::rngs::SmallRng;
 use rand::Rng;
 
 use super::{Gateway, Progress};
 use crate::choice::Outlook;
-use crate::event::{Effect, NextStep, RequestKey, RunnerTarget};
+use crate::event::{Effect, NextStep, Reach, RequestKey, RunnerTarget};
 
 /// When callers are asked to come back where the shortage is not looked at, in milliseconds. For
 /// measurements only.
@@ -34,8 +34,8 @@
     Finish,
 }
 
-/// Services that have no place for a first attempt at this moment, and when some runner of theirs serves.
-type FullServices = BTreeMap<ServiceName, Outlook>;
+/// Where there is no place for a first attempt at this moment, and when some runner there serves.
+type FullServices = BTreeMap<Reach, Outlook>;
 
 impl Gateway {
     /// Puts a request that has just arrived in the queue.
@@ -81,8 +81,8 @@
             return Turn::Finish;
         }
         let first = progress.tried.is_empty();
-        let service = progress.arrival.service.clone();
-        let is_known_full = first && full.contains_key(&service);
+        let reach = progress.arrival.reach();
+        let is_known_full = first && full.contains_key(&reach);
         if !is_known_full {
             if let Some(target) = self.choose(now, random, key) {
                 return Turn::Send(target);
@@ -93,9 +93,15 @@
         };
         if first && !is_known_full {
             let outlook = self.chooser().outlook(now, &progress.arrival);
-            full.insert(service.clone(), outlook);
+            full.insert(reach.clone(), outlook);
         }
-        let outlook = full.get(&service).copied().unwrap_or(Outlook::Serving);
+        let is_bound = progress.arrival.homes.is_bound();
+        let outlook = match full.get(&reach) {
+            Some(outlook) => *outlook,
+            // Homes may have been emptied since the first attempt.
+            None if is_bound => self.chooser().outlook(now, &progress.arrival),
+            None => Outlook::Serving,
+        };
         if progress.waits_in_vain(now, outlook) {
             Turn::Finish
         } else {
@@ -120,13 +126,14 @@
             let standing = chooser.standing(now, &progress.arrival, &progress.tried);
             let outlook = chooser.outlook(now, &progress.arrival);
             let estimates = self.keeps(Mechanism::ReturnEstimate);
-            let shortage = self.shortages.entry(progress.arrival.service.clone()).or_default();
+            let shortage = self.shortages.entry(progress.arrival.reach()).or_default();
             let retry_after_ms = if estimates {
                 shortage.refuse(now, random, outlook)
             } else {
                 random.random_range(UNINFORMED_RETURN)
             };
-            NextStep::Refuse { code: progress.reason, retry_after_ms, standing }
+            let code = progress.refusal(outlook);
+            NextStep::Refuse { code, retry_after_ms, standing }
         };
         vec![Effect::Proceed(key, step)]
     }
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -202,6 +202,11 @@
         now < self.suspect_until
     }
 
+    /// How much longer it is left alone, in milliseconds.
+    pub fn suspect_ms(&self, now: Millis) -> u64 {
+        self.suspect_until.since(now).0
+    }
+
     /// A request was answered.
     pub fn reward(&mut self) {
         self.failures = 0;
