Moves to a version: turns go round all regions

Cause: turns were dealt by sorted address, so one region after the other was emptied, and a region may be the only home of some callers.

Change: each region's runners have their turns spread evenly over the whole time; each version starts at other ones.

--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -12,6 +12,7 @@
 mod reducer;
 mod reports;
 mod target;
+mod turns;
 
 pub use directory::{Directory, DirectoryAnswer, DirectoryStep, GATEWAY_PATIENCE};
 pub use event::{
@@ -21,3 +22,4 @@
 pub use questions::{Question, Verdict};
 pub use reducer::Rollout;
 pub use reports::{Audience, Reports};
+pub use turns::turn;
--- a/components/rollout/src/reducer/moves.rs
+++ b/components/rollout/src/reducer/moves.rs
@@ -1,8 +1,6 @@
 //! How the runner comes to hold a version: chunks are drawn, its turn is awaited, it is ordered.
 
-use std::collections::BTreeSet;
-
-use fleet::{InstanceId, Mechanism, Millis};
+use fleet::{Mechanism, Millis};
 use reducer::OriginShare;
 
 use super::admission::START_MARGIN;
@@ -10,6 +8,7 @@
 use crate::event::Effect;
 use crate::precedence::{self, Remainder};
 use crate::target::{Step, Target};
+use crate::turns;
 
 impl Rollout {
     /// Does what is due.
@@ -134,12 +133,12 @@
         if now >= end || !self.keeps(Mechanism::Turns) {
             return now;
         }
-        let others = self.peers.iter().flatten().map(|it| &it.id);
-        let ids: BTreeSet<&InstanceId> = others.chain([&self.options.me]).collect();
-        let place = ids.iter().position(|id| **id == self.options.me).unwrap_or(0) as u64;
-        // Each version starts at another sidecar, so that none is always the last.
-        let turn = (place + target.version) % ids.len() as u64;
-        now.plus(end.since(now).0 * turn / ids.len() as u64)
+        let me = &self.options.me;
+        let others = self.peers.iter().flatten().filter(|it| &it.id != me);
+        let others = others.map(|it| (&it.place.region, &it.id));
+        let all = others.chain([(&self.options.place.region, me)]);
+        let (turn, count) = turns::turn(all, me, target.version);
+        now.plus(end.since(now).0 * turn / count)
     }
 
     /// Whether the runner is known to take no order now.
