--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -186,6 +186,8 @@
         core.metrics.set("requests_waiting", waiting as u64);
         core.metrics.set("runners_listed", runners as u64);
         core.metrics.set("configuration", configuration);
+        let tight = core.read(|gateway| gateway.tight_homes(core.clock.now()));
+        core.metrics.set("tight_homes", tight as u64);
         core.metrics.set("home_faults", core.read(|gateway| gateway.home_faults().len()) as u64);
         for (name, table) in [
             ("operator_table_age_ms", &core.tables.operator),
--- a/components/edge/src/gateway/state_log.rs
+++ b/components/edge/src/gateway/state_log.rs
@@ -21,6 +21,7 @@
         let operator_age_ms = core.tables.operator.age_ms();
         let runners_age_ms = core.tables.runners.age_ms();
         let runners = core.read(|gateway| gateway.pool().len());
+        let tight_homes = core.read(|gateway| gateway.tight_homes(core.clock.now()));
         let (under_way, waiting) = core.read(|gateway| gateway.load());
         log::info!(
             configuration = configuration,
@@ -28,7 +29,8 @@
             runners_age_ms = runners_age_ms,
             runners = runners,
             under_way = under_way,
-            waiting = waiting;
+            waiting = waiting,
+            tight_homes = tight_homes;
             "state"
         );
     }
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -1,9 +1,10 @@
 //! Which runner a request goes to.
 
-use fleet::{InstanceId, Mechanism, Millis, ModelName};
+use fleet::{InstanceId, Mechanism, Millis, ModelName, Region};
 use rand::Rng;
 
 use crate::event::{Arrival, GatewayOptions, Seen, Standing};
+use crate::home_room::{self, HomeRoom};
 use crate::pool::Pool;
 use crate::runner::{Runner, RunnerState};
 
@@ -42,6 +43,8 @@
     pub pool: &'a Pool,
     /// Where the gateway stands and what it goes by.
     pub options: &'a GatewayOptions,
+    /// What requests without homes leave to others.
+    pub room: &'a HomeRoom,
 }
 
 impl Chooser<'_> {
@@ -54,10 +57,11 @@
         tried: &[InstanceId],
     ) -> Option<(InstanceId, Seen)> {
         let mut candidates = 0;
+        let tight = self.room.tight(now, arrival, &self.options.halls);
         let usable = self.pool.of_service(&arrival.service).filter(|it| {
             !tried.contains(&it.record.id)
                 && self.can_run(now, it, arrival)
-                && has_room(now, it, arrival)
+                && self.has_room(now, it, arrival, &tight)
         });
         let usable = usable.inspect(|_| candidates += 1);
         let scored = usable.map(|it| (self.cost(now, it, arrival) + random.random::<f64>(), it));
@@ -127,10 +131,11 @@
     /// How the runners of a service stand for a request that was tried at some.
     pub fn standing(&self, now: Millis, arrival: &Arrival, tried: &[InstanceId]) -> Standing {
         let mut standing = Standing { homes: arrival.homes.clone(), ..Standing::default() };
+        let tight = self.room.tight(now, arrival, &self.options.halls);
         for runner in self.pool.of_service(&arrival.service) {
             standing.runners += 1;
             let fit = !tried.contains(&runner.record.id) && self.can_run(now, runner, arrival);
-            standing.usable += u32::from(fit && has_room(now, runner, arrival));
+            standing.usable += u32::from(fit && self.has_room(now, runner, arrival, &tight));
         }
         standing
     }
@@ -193,16 +198,29 @@
         cost
     }
 
+    /// How many places of a runner a request leaves to those that may go nowhere else.
+    fn held_back(&self, runner: &Runner, tight: &[&Region]) -> u32 {
+        let region = self.options.halls.get(&runner.record.hall);
+        let is_tight = region.is_some_and(|it| tight.contains(&it));
+        if is_tight {
+            home_room::held_back(runner.record.slots)
+        } else {
+            0
+        }
+    }
+
     fn usual_first_ms(&self, now: Millis, runner: &Runner) -> f64 {
         if !self.options.ablation.keeps(Mechanism::SlowStarts) {
             return 0.0;
         }
         runner.usual_first_ms(now)
     }
-}
 
-/// Whether a runner may have room. At runners with a sidecar a few requests may wait for a place there.
-fn has_room(now: Millis, runner: &Runner, arrival: &Arrival) -> bool {
-    let waiting = if arrival.model.is_some() { MAX_WAITING } else { 0 };
-    runner.occupancy(now) < runner.record.slots + waiting
+    /// Whether a runner may have room. At runners with a sidecar a few requests may wait for a place there.
+    fn has_room(&self, now: Millis, runner: &Runner, arrival: &Arrival, tight: &[&Region]) -> bool {
+        let held_back = if tight.is_empty() { 0 } else { self.held_back(runner, tight) };
+        let waits_there = arrival.model.is_some() && held_back == 0;
+        let waiting = if waits_there { MAX_WAITING } else { 0 };
+        runner.occupancy(now) + held_back < runner.record.slots + waiting
+    }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod evacuations;
 mod event;
 mod home_faults;
+mod home_room;
 mod pool;
 mod reducer;
 mod runner;
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -17,6 +17,7 @@
 use crate::comeback::Shortage;
 use crate::event::{Arrival, AttemptOutcome, Effect, Event, GatewayOptions, Reach, RequestKey};
 use crate::home_faults::{self, HomeFault};
+use crate::home_room::HomeRoom;
 use crate::pool::Pool;
 use crate::runner::RunnerState;
 
@@ -93,6 +94,7 @@
     shortages: BTreeMap<Reach, Shortage>,
     /// Homes where nothing can be served, by the configuration in force.
     home_faults: Vec<HomeFault>,
+    home_room: HomeRoom,
     requests: BTreeMap<RequestKey, Progress>,
     queue: BTreeSet<Place>,
 }
@@ -107,6 +109,7 @@
             budgets: BTreeMap::new(),
             shortages: BTreeMap::new(),
             home_faults: Vec::new(),
+            home_room: HomeRoom::default(),
             requests: BTreeMap::new(),
             queue: BTreeSet::new(),
         }
@@ -154,6 +157,11 @@
         &self.home_faults
     }
 
+    /// How many homes are tight, over all services.
+    pub fn tight_homes(&self, now: Millis) -> usize {
+        self.home_room.count_tight(now, &self.options.halls)
+    }
+
     /// Requests under way, and those of them that wait for a place.
     pub fn load(&self) -> (usize, usize) {
         (self.requests.len(), self.queue.len())
@@ -220,6 +228,9 @@
         if let Some(catalog) = &self.catalog {
             arrival.settle(catalog);
         }
+        if self.keeps(Mechanism::HomeRoom) {
+            self.home_room.note(now, &arrival);
+        }
         let key = arrival.key;
         self.budget(&arrival.service).count_request(now);
         let share = if self.keeps(Mechanism::Waiting) { WAIT_SHARE } else { 0.0 };
@@ -367,7 +378,7 @@
     }
 
     fn chooser(&self) -> Chooser<'_> {
-        Chooser { pool: &self.pool, options: &self.options }
+        Chooser { pool: &self.pool, options: &self.options, room: &self.home_room }
     }
 
     /// Whether a mechanism is at work.
