--- a/components/gateway/src/home_room.rs
+++ b/components/gateway/src/home_room.rs
@@ -15,8 +15,9 @@
 /// A home is tight when this part of its even share of all requests may go nowhere else. Below it the other half of
 /// its places is enough for the spread of the bound ones; their region is then served as any other.
 const TIGHT: f64 = 0.5;
-/// Fewer requests than this within the memory say nothing about a region.
-const FEW: f64 = 1.0;
+/// Fewer bound requests than this within the memory say nothing about a region: of a service that is asked seven times
+/// in that time, a single one would be half of an even share.
+const FEW: f64 = 2.0;
 /// One of so many places of a runner in a tight home is held back.
 const HELD_PART: u32 = 4;
 
