--- a/components/gateway/tests/fuzz.rs
+++ b/components/gateway/tests/fuzz.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use fleet::InstanceId;
+use fleet::{HomeRegions, InstanceId};
 use gateway::*;
 use proptest::prelude::*;
 use support::*;
@@ -15,10 +15,20 @@
     List(u8),
     Drain(u8),
     Unlist(u8),
-    Load { runner: u8, running: u8, version: u8, busy: bool },
+    Load {
+        runner: u8,
+        running: u8,
+        version: u8,
+        busy: bool,
+    },
     Name(u8),
+    /// The homes of every request change.
+    Move(u8),
     Arrive(u8),
-    Outcome { request: u8, outcome: u8 },
+    Outcome {
+        request: u8,
+        outcome: u8,
+    },
     Leave(u8),
     Wait(u16),
 }
@@ -31,6 +41,7 @@
         4 => (any::<u8>(), 0..6u8, 1..4u8, any::<bool>()).prop_map(
             |(runner, running, version, busy)| Move::Load { runner, running, version, busy }),
         1 => (1..5u8).prop_map(Move::Name),
+        1 => any::<u8>().prop_map(Move::Move),
         8 => any::<u8>().prop_map(Move::Arrive),
         12 => (any::<u8>(), any::<u8>())
             .prop_map(|(request, outcome)| Move::Outcome { request, outcome }),
@@ -46,9 +57,10 @@
     RouteKind::Stream { resumable: true },
     RouteKind::Stream { resumable: false },
 ];
-const OUTCOMES: [AttemptOutcome; 10] = [
+const OUTCOMES: [AttemptOutcome; 11] = [
     AttemptOutcome::Denied { again_ms: 30 },
     AttemptOutcome::Silent,
+    AttemptOutcome::Withdrawn,
     AttemptOutcome::Answered,
     AttemptOutcome::Finished,
     AttemptOutcome::NotSent,
@@ -59,6 +71,9 @@
     AttemptOutcome::Cut,
 ];
 
+/// Homes that are in force by turns; the deployment has the first two regions.
+const HOMES: [&[&str]; 4] = [&[], &["north"], &["south"], &["nowhere"]];
+
 const BEGUN: [AttemptOutcome; 2] = [AttemptOutcome::Finished, AttemptOutcome::Cut];
 
 /// What the model knows of a request.
@@ -77,6 +92,7 @@
 #[derive(Default)]
 struct Model {
     usable: BTreeSet<InstanceId>,
+    homes: HomeRegions,
     requests: BTreeMap<u64, Known>,
 }
 
@@ -91,6 +107,9 @@
             match step {
                 NextStep::Send(target) => {
                     prop_assert!(self.usable.contains(&target.id), "sent to {:?}", target.id);
+                    let region = if hall(&target.id) == "a" { "north" } else { "south" };
+                    let is_home = self.homes.allow(&region.into());
+                    prop_assert!(is_home, "sent to {:?}, not in {:?}", target.id, self.homes);
                     prop_assert!(known.current.is_none(), "two attempts at once");
                     let again = known.may_have_run && !known.kind.is_repeatable();
                     prop_assert!(!again, "sent again after it may have run");
@@ -121,6 +140,21 @@
     InstanceId(format!("r{}", number % 6))
 }
 
+/// Runners stand in two halls by turns.
+fn hall(id: &InstanceId) -> &'static str {
+    if id.0.ends_with(['0', '2', '4']) {
+        "a"
+    } else {
+        "b"
+    }
+}
+
+fn listed(number: u8) -> RunnerRecord {
+    let id = id(number);
+    let record = record(&id.0, PLAIN_SERVICE, u16::from(number % 6) + 1);
+    RunnerRecord { hall: hall(&id).into(), ..record }
+}
+
 fn play(moves: Vec<Move>) -> Result<(), TestCaseError> {
     let mut bed = Bed::new();
     let mut model = Model::default();
@@ -128,11 +162,10 @@
         let effects = match one {
             Move::List(runner) => {
                 model.usable.insert(id(runner));
-                bed.list(&id(runner).0, PLAIN_SERVICE, u16::from(runner % 6) + 1)
+                bed.feed(Event::Listed(listed(runner)))
             }
             Move::Drain(runner) => {
-                let mut record = record(&id(runner).0, PLAIN_SERVICE, u16::from(runner % 6) + 1);
-                record.state = RunnerState::Draining;
+                let record = RunnerRecord { state: RunnerState::Draining, ..listed(runner) };
                 model.usable.remove(&id(runner));
                 bed.feed(Event::Listed(record))
             }
@@ -150,6 +183,11 @@
                 let version = u64::from(version);
                 bed.feed(named(version, Some(0)))
             }
+            Move::Move(homes) => {
+                let regions = HOMES[homes as usize % HOMES.len()];
+                model.homes = HomeRegions::only(regions.iter().map(|it| (*it).into()));
+                bed.feed(bound(number + 1, &model.homes))
+            }
             Move::Arrive(kind) => {
                 let kind = KINDS[kind as usize % KINDS.len()];
                 let known = Known {
@@ -179,7 +217,8 @@
                 let possible = if known.answered { &BEGUN[..] } else { &OUTCOMES[..] };
                 let outcome = possible[outcome as usize % possible.len()];
                 known.answered = outcome == AttemptOutcome::Answered;
-                if matches!(outcome, AttemptOutcome::Denied { .. } | AttemptOutcome::Silent) {
+                let unsent = [AttemptOutcome::Silent, AttemptOutcome::Withdrawn];
+                if matches!(outcome, AttemptOutcome::Denied { .. }) || unsent.contains(&outcome) {
                     known.sends -= 1;
                 }
                 known.may_have_run |= !outcome.is_not_run();
--- a/components/gateway/tests/homes.rs
+++ b/components/gateway/tests/homes.rs
@@ -22,23 +22,6 @@
     HomeRegions::only(names.iter().map(|it| (*it).into()))
 }
 
-fn route(of_route: HomeRegions) -> Route {
-    Route {
-        name: "r".into(),
-        host: "h".into(),
-        path_prefix: "/".into(),
-        kind: RouteKind::Safe,
-        timeout_ms: 1000,
-        aim_ms: 100,
-        gap_aim_ms: 100,
-        attempts: 2,
-        priority: 0,
-        open: false,
-        services: vec![(PLAIN_SERVICE.into(), 1)],
-        homes: of_route,
-    }
-}
-
 /// A configuration with one route and one workspace.
 fn configured(version: u64, of_route: &[&str], of_workspace: &[&str]) -> Event {
     let workspace = Workspace { name: "w".into(), priority: 0, homes: homes(of_workspace) };
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -55,6 +55,34 @@
     }))
 }
 
+/// The route of every arrival, with homes.
+pub fn route(homes: HomeRegions) -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        path_prefix: "/".into(),
+        kind: RouteKind::Safe,
+        timeout_ms: 1000,
+        aim_ms: 100,
+        gap_aim_ms: 100,
+        attempts: 2,
+        priority: 0,
+        open: false,
+        services: vec![(PLAIN_SERVICE.into(), 1)],
+        homes,
+    }
+}
+
+/// A configuration by which every request has these homes.
+pub fn bound(version: u64, homes: &HomeRegions) -> Event {
+    let routes = vec![route(homes.clone())];
+    Event::Configured(Arc::new(Catalog::new(CatalogParts {
+        version,
+        routes,
+        ..CatalogParts::default()
+    })))
+}
+
 pub fn record(id: &str, service: &str, port: u16) -> RunnerRecord {
     let weights =
         (service == MODEL_SERVICE).then(|| WeightsHeld { model: model(), version: 1, whole: true });
