Settings: a log level that does not exist is a fault of the file

Cause: the level was taken as any text. A process that ran took it over, said "setting changed" and went on with the old level and the old number of lines; a new start ended after the file had been found sound, and `silverdock check` passed it. Change: the level is checked where the file is read, upper case as before. Test: fails without the change, passes with it (settings: all pass).

--- a/components/settings/src/deployment.rs
+++ b/components/settings/src/deployment.rs
@@ -11,6 +11,8 @@
 
 /// Bytes a second of a link of one Mbit/s.
 const BYTES_PER_MBIT: f64 = 1_000_000.0 / 8.0;
+/// How much the log may say, from nothing to everything.
+const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
 
 /// Everything that a gateway or a sidecar is told at start.
 #[derive(Clone, Debug, PartialEq)]
@@ -186,12 +188,7 @@
     let last_port = file.bounded(section, "last_port", first_port, (first_port, u16::MAX));
     let memory_mb = file.bounded(section, "memory_mb", 256, (16, 1 << 20));
     let link: f64 = file.bounded(section, "link_mbps", 1000.0, (0.1, 1e6));
-    let log_level = file.with_default(
-        section,
-        "log_level",
-        "info".to_owned(),
-        "off, error, warn, info, debug or trace",
-    );
+    let log_level = log_level(file, section);
     DeploymentNode {
         name: InstanceId(name),
         place: Place { region: Region(region), hall: Hall(hall) },
@@ -206,6 +203,15 @@
     }
 }
 
+fn log_level(file: &mut File, section: &str) -> String {
+    let expected = LOG_LEVELS.join(", ");
+    let level = file.with_default(section, "log_level", "info".to_owned(), &expected);
+    if !LOG_LEVELS.iter().any(|it| it.eq_ignore_ascii_case(&level)) {
+        file.complain(section, "log_level", &level, &expected);
+    }
+    level
+}
+
 fn halls(text: &str) -> BTreeMap<Hall, Region> {
     let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
     pairs.map(|(hall, region)| (Hall(hall.trim().into()), Region(region.trim().into()))).collect()
--- a/components/settings/tests/deployment.rs
+++ b/components/settings/tests/deployment.rs
@@ -138,3 +138,14 @@
     let faults = DeploymentSettings::parse(&text).unwrap_err();
     assert!(faults.to_string().contains("luck"));
 }
+
+#[test]
+fn a_log_level_that_does_not_exist_is_a_fault() {
+    let with =
+        |level: &str| fill(GATEWAY).replace("[node]", &format!("[node]\nlog_level = {level}"));
+    let faults = DeploymentSettings::parse(&with("loud")).unwrap_err();
+    assert_eq!(faults.0.len(), 1, "{faults}");
+    for level in ["off", "error", "warn", "info", "debug", "trace", "INFO"] {
+        assert!(DeploymentSettings::parse(&with(level)).is_ok(), "{level}");
+    }
+}
