Settings: a file that is being written is read once it is whole

Cause: three faults. A file cut off inside a number can be read, so 10 of 106 was in force for up to 2 s. A file that was read half written and finished within one step of the file system's clock kept its time and was not read again. A change between the reading at start and the first note of the file's time was never seen. Ruled out: signals that get lost beside the timer. The stream holds nothing between two polls, and the signal is polled first. Change: a look counts a file as changed once two looks find the same one; time, length and inode tell states apart; the file is read once after the start. Looks are 1 s apart, so a change is still read within 2 s.

--- a/components/edge/src/reload.rs
+++ b/components/edge/src/reload.rs
@@ -1,26 +1,38 @@
 //! The settings file of a running process: read again when told to, and when it has changed by itself.
 
-use std::path::PathBuf;
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
 use settings::{DeploymentSettings, Reload};
 
 /// How often the file is looked at for changes that nobody told of. A look is one call to the system; bounds
-/// change a few times a day.
-pub const LOOK_EVERY: Duration = Duration::from_secs(2);
+/// change a few times a day. A change is read at the second look that finds it, so within two of these spans.
+pub const LOOK_EVERY: Duration = Duration::from_secs(1);
+
+/// What tells two states of a file apart. The time alone does not: it has steps of some milliseconds, and a
+/// file that is cut off and written again within one keeps it.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Stamp {
+    written_at: SystemTime,
+    bytes: u64,
+    inode: u64,
+}
 
 /// The settings in force and the file that they came from.
 pub struct SettingsFile {
     path: PathBuf,
-    changed_at: Option<SystemTime>,
+    /// The file as it was read last. `None` before that: what was in force at start may be older than it.
+    read: Option<Stamp>,
+    /// The file at the last look.
+    seen: Option<Stamp>,
     in_force: DeploymentSettings,
 }
 
 impl SettingsFile {
     /// The settings that were read from a file at start.
     pub fn new(path: PathBuf, in_force: DeploymentSettings) -> Self {
-        let changed_at = changed_at(&path);
-        Self { path, changed_at, in_force }
+        Self { path, read: None, seen: None, in_force }
     }
 
     /// The settings in force.
@@ -28,15 +40,20 @@
         &self.in_force
     }
 
-    /// Whether the file has been written since it was last read.
-    pub fn has_changed(&self) -> bool {
-        changed_at(&self.path) != self.changed_at
+    /// Looks at the file: whether it is another than was last read, and the same as at the last look. One that is
+    /// being written may hold a value that is cut off, yet can be read.
+    pub fn has_changed(&mut self) -> bool {
+        let stamp = stamp(&self.path);
+        let has_settled = stamp == self.seen;
+        self.seen = stamp;
+        has_settled && stamp != self.read
     }
 
     /// Reads the file again and takes over what can change at once. `None` where nothing does. The log names
     /// every key that changes or cannot; a file with faults changes nothing.
     pub fn read_again(&mut self) -> Option<&DeploymentSettings> {
-        self.changed_at = changed_at(&self.path);
+        // Taken before the text: what is written while it is read counts as a change.
+        self.read = stamp(&self.path);
         let path = self.path.display().to_string();
         let text = match std::fs::read_to_string(&self.path) {
             Ok(text) => text,
@@ -64,9 +81,10 @@
     }
 }
 
-/// When a file was last written. `None` where that cannot be told.
-fn changed_at(path: &PathBuf) -> Option<SystemTime> {
-    std::fs::metadata(path).and_then(|it| it.modified()).ok()
+/// The state of a file. `None` where that cannot be told.
+fn stamp(path: &Path) -> Option<Stamp> {
+    let file = std::fs::metadata(path).ok()?;
+    Some(Stamp { written_at: file.modified().ok()?, bytes: file.len(), inode: file.ino() })
 }
 
 fn tell(reload: &Reload) {
@@ -80,3 +98,6 @@
         log::warn!(key = it.key, from = it.from.as_str(), to = it.to.as_str(); "setting needs a new start; the old value stays");
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/edge/src/reload/tests.rs
@@ -0,0 +1,125 @@
+use std::path::PathBuf;
+
+use settings::DeploymentSettings;
+
+use super::SettingsFile;
+
+const FILE: &str = "[node]
+name = g1
+region = north
+hall = a
+halls = a=north
+[gateway]
+callers = 10.1.0.4:8005
+readiness = 10.1.0.4:8002
+[store]
+address = 10.9.0.1:8007
+writes_per_s = 400
+reads_per_s = 2000
+[bounds]
+grace_s = 8
+contact_ms = 3000
+drain_ms = 2000
+configuration_ms = 2000
+version_ms = 8000
+repeat_ratio = 0.2
+repeat_window_s = 10
+repeat_allowance = 106
+";
+
+/// A file of its own for a test, removed at the end.
+struct Scratch(PathBuf);
+
+impl Scratch {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("reload-{name}-{}", std::process::id()));
+        let scratch = Self(path);
+        scratch.write(FILE);
+        scratch
+    }
+
+    fn write(&self, text: &str) {
+        std::fs::write(&self.0, text).unwrap();
+    }
+
+    fn read(&self) -> SettingsFile {
+        SettingsFile::new(self.0.clone(), DeploymentSettings::parse(FILE).unwrap())
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// Looks at a file until it has settled, and reads it where it has changed.
+fn settle(file: &mut SettingsFile) {
+    for _ in 0..3 {
+        if file.has_changed() {
+            file.read_again();
+        }
+    }
+}
+
+#[test]
+fn a_file_that_is_being_written_is_read_when_it_is_whole() {
+    let scratch = Scratch::new("half");
+    let mut file = scratch.read();
+    settle(&mut file);
+    // Every key of it can be read, but the last value is cut off.
+    scratch.write(FILE.trim_end().strip_suffix('6').unwrap());
+    assert!(!file.has_changed());
+    scratch.write(FILE);
+    settle(&mut file);
+    assert_eq!(file.in_force().bounds.repeat_allowance, 106.0);
+}
+
+#[test]
+fn a_file_that_was_read_half_written_is_read_again_even_if_its_time_stays_the_same() {
+    let scratch = Scratch::new("same-time");
+    let mut file = scratch.read();
+    settle(&mut file);
+    scratch.write(FILE.trim_end().strip_suffix('6').unwrap());
+    let written_at = std::fs::metadata(&scratch.0).unwrap().modified().unwrap();
+    file.read_again();
+    scratch.write(&FILE.replace("= 106", "= 107"));
+    std::fs::File::options()
+        .write(true)
+        .open(&scratch.0)
+        .unwrap()
+        .set_modified(written_at)
+        .unwrap();
+    settle(&mut file);
+    assert_eq!(file.in_force().bounds.repeat_allowance, 107.0);
+}
+
+#[test]
+fn a_change_between_the_first_reading_and_the_first_look_is_seen() {
+    let scratch = Scratch::new("early");
+    scratch.write(&FILE.replace("= 106", "= 50"));
+    let mut file = scratch.read();
+    settle(&mut file);
+    assert_eq!(file.in_force().bounds.repeat_allowance, 50.0);
+}
+
+#[test]
+fn a_file_that_stays_the_same_is_not_read_again() {
+    let scratch = Scratch::new("same");
+    let mut file = scratch.read();
+    settle(&mut file);
+    assert!(!file.has_changed() && !file.has_changed());
+}
+
+#[test]
+fn a_file_that_is_gone_changes_nothing_until_it_is_back() {
+    let scratch = Scratch::new("gone");
+    let mut file = scratch.read();
+    settle(&mut file);
+    std::fs::remove_file(&scratch.0).unwrap();
+    settle(&mut file);
+    assert_eq!(file.in_force().bounds.repeat_allowance, 106.0);
+    scratch.write(&FILE.replace("= 106", "= 50"));
+    settle(&mut file);
+    assert_eq!(file.in_force().bounds.repeat_allowance, 50.0);
+}
