Logs: the level and the number of lines change together or not at all

Cause: on an error the level had changed already, while the log said that the logs stay as they are. Not tested by itself: only a lock that a panic left behind brings the error about.

--- a/components/telemetry/src/bounded.rs
+++ b/components/telemetry/src/bounded.rs
@@ -67,11 +67,12 @@
 }
 
 impl BoundedLogs {
-    /// Changes the lowest level that is written and the most lines a second.
+    /// Changes the lowest level that is written and the most lines a second: both, or neither on an error.
     pub fn set(&self, level: &str, lines_per_s: u32) -> Result<()> {
-        log::set_max_level(read_level(level)?);
+        let level = read_level(level)?;
         let poisoned = |_| Error::new(Code::Internal, "the allowance of lines is lost");
         self.allowance.lock().map_err(poisoned)?.per_s = f64::from(lines_per_s);
+        log::set_max_level(level);
         Ok(())
     }
 }
