Settings: a key that the platform fills cannot be left out of what a reload compares

The test that every key is applied or refused walks the keys of its own file. It now fails where the template of a gateway has a key that this file lacks.

--- a/components/settings/tests/reload.rs
+++ b/components/settings/tests/reload.rs
@@ -75,6 +75,15 @@
     FILE.lines().filter_map(|line| line.split_once(" = ")).map(|(key, _)| key)
 }
 
+/// A key that is in no file here could change unseen.
+#[test]
+fn every_key_that_the_platform_fills_is_in_the_file_of_these_tests() {
+    let template = include_str!("../../../platform/gateway.ini");
+    let filled = template.lines().filter_map(|line| line.split_once(" = ")).map(|(key, _)| key);
+    let missing: Vec<_> = filled.filter(|key| !keys().any(|it| it == *key)).collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
+
 #[test]
 fn a_file_that_has_not_changed_changes_nothing() {
     let reload = read(FILE).reload(&read(FILE));
