Tests: deployments on loopback take a network that is free

Cause: two runs of these tests at the same time took the same addresses; 13 of 34 tests failed at once with "the address is free" while another run of them went on.

Change: each deployment takes the first network that nobody holds and holds it until its process ends.

--- a/daemon/tests/deployment/support.rs
+++ b/daemon/tests/deployment/support.rs
@@ -1,9 +1,8 @@
 //! Gateways and sidecars as processes before a stand-in of the platform.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use account::Account;
@@ -21,7 +20,10 @@
 /// How long anything in a test may take.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
-static NEXT_NETWORK: AtomicU8 = AtomicU8::new(1);
+/// The networks of loopback that deployments take, so that several can run at the same time.
+const NETWORKS: std::ops::Range<u8> = 50..250;
+/// The machine and the port by which a deployment holds its network.
+const HOLDER: (u8, u16) = (254, 7999);
 
 /// A deployment on addresses of its own within loopback.
 pub struct Deployment {
@@ -37,7 +39,7 @@
 impl Deployment {
     /// A configured platform with two runners of the plain service.
     pub fn start() -> Self {
-        let network = NEXT_NETWORK.fetch_add(1, Ordering::SeqCst);
+        let network = take_network();
         let files =
             std::env::temp_dir().join(format!("silverdock-{}-{network}", std::process::id()));
         std::fs::create_dir_all(&files).unwrap();
@@ -202,6 +204,17 @@
     )
 }
 
+/// Takes a network of loopback that no other deployment has, of this process or another one. It is held until the
+/// process ends, for the stand-in's listeners last as long.
+fn take_network() -> u8 {
+    let (machine, port) = HOLDER;
+    let hold = |network| TcpListener::bind((Ipv4Addr::new(127, 77, network, machine), port));
+    let free = NETWORKS.into_iter().find_map(|it| Some((it, hold(it).ok()?)));
+    let (network, holder) = free.expect("some network of loopback is free");
+    std::mem::forget(holder);
+    network
+}
+
 /// Waits until something is so.
 pub fn wait_until(what: &str, mut check: impl FnMut() -> bool) {
     let end = Instant::now() + PATIENCE;
