--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -131,6 +131,11 @@
         Ok(())
     }
 
+    /// Its counters.
+    pub fn metrics(&self) -> &Metrics {
+        &self.core.metrics
+    }
+
     /// Goes on with other settings.
     pub fn apply(&self, settings: &DeploymentSettings) {
         self.grace.set(Duration::from_secs(settings.bounds.grace_s));
--- a/components/edge/src/reload.rs
+++ b/components/edge/src/reload.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, SystemTime};
 
 use settings::{DeploymentSettings, Reload};
+use telemetry::Metrics;
 
 /// How often the file is looked at for changes that nobody told of. A look is one call to the system; bounds
 /// change a few times a day. A change is read at the second look that finds it, so within two of these spans.
@@ -51,7 +52,7 @@
 
     /// Reads the file again and takes over what can change at once. `None` where nothing does. The log names
     /// every key that changes or cannot; a file with faults changes nothing.
-    pub fn read_again(&mut self) -> Option<&DeploymentSettings> {
+    pub fn read_again(&mut self, metrics: &Metrics) -> Option<&DeploymentSettings> {
         // Taken before the text: what is written while it is read counts as a change.
         self.read = stamp(&self.path);
         let path = self.path.display().to_string();
@@ -60,6 +61,7 @@
             Err(error) => {
                 let reason = error.to_string();
                 log::error!(path = path.as_str(), reason = reason.as_str(); "settings cannot be read; the old ones stay");
+                metrics.count_setting("unreadable");
                 return None;
             }
         };
@@ -68,11 +70,12 @@
             Err(faults) => {
                 let faults = faults.to_string();
                 log::error!(path = path.as_str(), faults = faults.as_str(); "settings have faults; the old ones stay");
+                metrics.count_setting("faulty");
                 return None;
             }
         };
         let reload = self.in_force.reload(&file);
-        tell(&reload);
+        tell(&reload, metrics);
         if reload.applied.is_empty() {
             return None;
         }
@@ -87,15 +90,17 @@
     Some(Stamp { written_at: file.modified().ok()?, bytes: file.len(), inode: file.ino() })
 }
 
-fn tell(reload: &Reload) {
+fn tell(reload: &Reload, metrics: &Metrics) {
     if reload.applied.is_empty() && reload.refused.is_empty() {
         log::info!("settings read again: nothing has changed");
     }
     for it in &reload.applied {
         log::info!(key = it.key, from = it.from.as_str(), to = it.to.as_str(); "setting changed");
+        metrics.count_setting("applied");
     }
     for it in &reload.refused {
         log::warn!(key = it.key, from = it.from.as_str(), to = it.to.as_str(); "setting needs a new start; the old value stays");
+        metrics.count_setting("refused");
     }
 }
 
--- a/components/edge/src/reload/tests.rs
+++ b/components/edge/src/reload/tests.rs
@@ -1,6 +1,7 @@
 use std::path::PathBuf;
 
 use settings::DeploymentSettings;
+use telemetry::Metrics;
 
 use super::SettingsFile;
 
@@ -57,7 +58,7 @@
 fn settle(file: &mut SettingsFile) {
     for _ in 0..3 {
         if file.has_changed() {
-            file.read_again();
+            file.read_again(&Metrics::start().unwrap());
         }
     }
 }
@@ -82,7 +83,7 @@
     settle(&mut file);
     scratch.write(FILE.trim_end().strip_suffix('6').unwrap());
     let written_at = std::fs::metadata(&scratch.0).unwrap().modified().unwrap();
-    file.read_again();
+    file.read_again(&Metrics::start().unwrap());
     scratch.write(&FILE.replace("= 106", "= 107"));
     std::fs::File::options()
         .write(true)
--- a/components/edge/src/run.rs
+++ b/components/edge/src/run.rs
@@ -10,7 +10,7 @@
 use eyre::WrapErr;
 use futures_lite::{future, StreamExt};
 use settings::{DeploymentRole, DeploymentSettings};
-use telemetry::BoundedLogs;
+use telemetry::{BoundedLogs, Metrics};
 
 use crate::gateway::GatewayNode;
 use crate::reload::{SettingsFile, LOOK_EVERY};
@@ -54,6 +54,13 @@
         }
     }
 
+    fn metrics(&self) -> &Metrics {
+        match self {
+            Self::Gateway(gateway) => gateway.metrics(),
+            Self::Sidecar(sidecar) => sidecar.metrics(),
+        }
+    }
+
     /// Goes on with other settings. Nothing that is under way is touched.
     fn apply(&self, settings: &DeploymentSettings) {
         match self {
@@ -88,7 +95,7 @@
 }
 
 fn reload(file: &mut SettingsFile, logs: &BoundedLogs, node: &Node) {
-    let Some(settings) = file.read_again() else {
+    let Some(settings) = file.read_again(node.metrics()) else {
         return;
     };
     let told = logs.set(&settings.node.log_level, settings.node.log_lines_per_s);
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -88,6 +88,11 @@
         Ok(Self { core, _open: open })
     }
 
+    /// Its counters.
+    pub fn metrics(&self) -> &Metrics {
+        &self.core.metrics
+    }
+
     /// Goes on with other settings.
     pub fn apply(&self, settings: &DeploymentSettings) {
         self.core.feed(Event::Bounded { version_ms: settings.bounds.version_ms });
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -51,6 +51,7 @@
     chunks: Counter<u64>,
     control_bytes: Counter<u64>,
     platform_calls: Counter<u64>,
+    settings: Counter<u64>,
     gauges: Gauge<u64>,
     spans: Histogram<f64>,
 }
@@ -94,6 +95,10 @@
                 .u64_counter("silverdock_platform_calls")
                 .with_description("Calls to the platform, by service and outcome")
                 .build(),
+            settings: meter
+                .u64_counter("silverdock_reloads")
+                .with_description("Settings of a file that was read again, by what became of them")
+                .build(),
             spans: meter
                 .f64_histogram("silverdock_span")
                 .with_unit("s")
@@ -145,6 +150,12 @@
         self.platform_calls.add(1, &[service, KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a setting of a file that was read again: `applied`, `refused` until the next start, or a whole file
+    /// that is `faulty` or `unreadable`.
+    pub fn count_setting(&self, outcome: &'static str) {
+        self.settings.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Notes how long something took, in milliseconds.
     pub fn note_span(&self, span: Span, millis: u64) {
         self.spans.record(millis as f64 / 1000.0, &[KeyValue::new("what", span.name())]);
--- a/daemon/tests/deployment/reload.rs
+++ b/daemon/tests/deployment/reload.rs
@@ -23,6 +23,12 @@
         tells("bounds.version_ms", "setting changed")
             && tells("bounds.drain_ms", "setting needs a new start")
     });
+    let metrics = deployment.metrics(machine);
+    let counts = |outcome: &str| {
+        let label = format!("outcome=\"{outcome}\"");
+        metrics.lines().any(|it| it.starts_with("silverdock_reloads") && it.contains(&label))
+    };
+    assert!(counts("applied") && counts("refused"), "{metrics}");
     let answer = Caller::new(Method::GET, "/get/x", "h1").call(gateway);
     assert_eq!(answer.status, 200);
 }
