Home regions: a full home is not a missing one, a lost one is

Cause: a bound request to a plain service whose runner had just said that it is full was refused at once as NoHome; one whose model runners had all failed waited out its time.

Ruled out: counting every pause: a runner pauses 60 ms after it said it is full, and up to 500 ms after a denial.

Change: only runners that failed count as away, of model services too; one that serves and pauses is full.

--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -84,11 +84,14 @@
         let all = || self.pool.of_service(&arrival.service);
         let runners = || all().filter(|it| self.is_allowed(it, arrival));
         let Some(model) = &arrival.model else {
-            return self.plain_outlook(now, arrival);
+            return self.back_in_ms(now, arrival).map_or(Outlook::Serving, Outlook::ServesIn);
         };
         if runners().any(|it| self.can_run(now, it, arrival)) {
             return Outlook::Serving;
         }
+        if let Some(left) = self.back_in_ms(now, arrival) {
+            return Outlook::ServesIn(left);
+        }
         if let Some(left) = runners().filter_map(|it| self.serves_in_ms(now, it, model)).min() {
             return Outlook::ServesIn(left);
         }
@@ -101,19 +104,14 @@
         }
     }
 
-    /// As `outlook`, for a service that runs no model. Nobody reports on its runners: what is known is until when
-    /// each is left alone, which counts where others may not take the request instead.
-    fn plain_outlook(&self, now: Millis, arrival: &Arrival) -> Outlook {
+    /// When the first of the runners that failed is tried again, where all have that a bound request may go to.
+    fn back_in_ms(&self, now: Millis, arrival: &Arrival) -> Option<u64> {
         if !arrival.homes.is_bound() {
-            return Outlook::Serving;
+            return None;
         }
         let runners = self.pool.of_service(&arrival.service);
         let homes = runners.filter(|it| self.may_serve(it, arrival));
-        match homes.map(|it| it.suspect_ms(now)).min() {
-            None => Outlook::Unknown,
-            Some(0) => Outlook::Serving,
-            Some(left) => Outlook::ServesIn(left),
-        }
+        homes.map(|it| it.failed_ms(now)).min().filter(|left| *left > 0)
     }
 
     /// Whether no runner in a request's homes takes anything, while the runners of its service are known.
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -76,8 +76,9 @@
     /// Why it is refused, while the runners that it may go to stand so.
     fn refusal(&self, outlook: Outlook) -> Code {
         let for_want_of_place = matches!(self.reason, Code::Overloaded | Code::Withdrawn);
-        let lacks_home = self.arrival.homes.is_bound() && outlook != Outlook::Serving;
-        if for_want_of_place && lacks_home {
+        // One that serves and is paused for a moment is full.
+        let serves = matches!(outlook, Outlook::Serving | Outlook::ServesIn(0));
+        if for_want_of_place && self.arrival.homes.is_bound() && !serves {
             Code::NoHome
         } else {
             self.reason
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -202,8 +202,11 @@
         now < self.suspect_until
     }
 
-    /// How much longer it is left alone, in milliseconds.
-    pub fn suspect_ms(&self, now: Millis) -> u64 {
+    /// How much longer it is left alone after a failure, in milliseconds. A pause of one that is full is none.
+    pub fn failed_ms(&self, now: Millis) -> u64 {
+        if self.failures == 0 {
+            return 0;
+        }
         self.suspect_until.since(now).0
     }
 
--- a/components/gateway/tests/homes.rs
+++ b/components/gateway/tests/homes.rs
@@ -243,3 +243,39 @@
     assert_eq!(bed.feed(configured(3, &["north"], &["north"])), []);
     assert!(bed.gateway.home_faults().is_empty());
 }
+
+/// A full home is no missing one: its callers wait as any other, and are told that places are short.
+#[test]
+fn a_home_that_is_full_or_paused_is_overloaded_and_not_missing() {
+    for (service, outcome) in [
+        (PLAIN_SERVICE, AttemptOutcome::Full),
+        (MODEL_SERVICE, AttemptOutcome::Denied { again_ms: 400 }),
+    ] {
+        let mut bed = Bed::new();
+        list(&mut bed, "n", service);
+        list(&mut bed, "s", service);
+        bed.feed(configured(2, &["north"], &[]));
+        if service == MODEL_SERVICE {
+            bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), load(1, 4)));
+        }
+        sent_to(bed.arrive(arrival(1, service, RouteKind::Safe)));
+        bed.outcome(1, outcome);
+        let next = Arrival { aim_ms: 200, ..arrival(2, service, RouteKind::Safe) };
+        assert_eq!(bed.arrive(next), None, "it waits for a place");
+        bed.now += 45;
+        assert_eq!(refusal(bed.step(2, Event::Tick)).0, Code::Overloaded);
+    }
+}
+
+#[test]
+fn a_home_whose_model_runners_are_lost_is_refused_at_once() {
+    let mut bed = Bed::new();
+    list(&mut bed, "n", MODEL_SERVICE);
+    list(&mut bed, "s", MODEL_SERVICE);
+    bed.feed(configured(2, &["north"], &[]));
+    sent_to(bed.arrive(arrival(1, MODEL_SERVICE, STREAM)));
+    bed.outcome(1, AttemptOutcome::Silent);
+    let (code, back) = refusal(bed.arrive(arrival(2, MODEL_SERVICE, STREAM)));
+    assert_eq!(code, Code::NoHome);
+    assert!((300..1300).contains(&back), "it is left alone for 300 ms: {back}");
+}
