--- a/components/gateway/tests/fuzz.rs
+++ b/components/gateway/tests/fuzz.rs
@@ -23,7 +23,7 @@
     },
     Name(u8),
     /// The homes of every request change.
-    Move(u8),
+    Rehome(u8),
     Arrive(u8),
     Outcome {
         request: u8,
@@ -41,7 +41,7 @@
         4 => (any::<u8>(), 0..6u8, 1..4u8, any::<bool>()).prop_map(
             |(runner, running, version, busy)| Move::Load { runner, running, version, busy }),
         1 => (1..5u8).prop_map(Move::Name),
-        1 => any::<u8>().prop_map(Move::Move),
+        1 => any::<u8>().prop_map(Move::Rehome),
         8 => any::<u8>().prop_map(Move::Arrive),
         12 => (any::<u8>(), any::<u8>())
             .prop_map(|(request, outcome)| Move::Outcome { request, outcome }),
@@ -183,7 +183,7 @@
                 let version = u64::from(version);
                 bed.feed(named(version, Some(0)))
             }
-            Move::Move(homes) => {
+            Move::Rehome(homes) => {
                 let regions = HOMES[homes as usize % HOMES.len()];
                 model.homes = HomeRegions::only(regions.iter().map(|it| (*it).into()));
                 bed.feed(bound(number + 1, &model.homes))
