--- a/components/rollout/tests/questions.rs
+++ b/components/rollout/tests/questions.rs
@@ -16,6 +16,7 @@
         link_bytes_per_s: 950_000,
         control_bytes_per_s: 6000,
         version_ms: 8000,
+        evacuate_ms: Some(5000),
     }
 }
 
