--- a/components/account/src/account.rs
+++ b/components/account/src/account.rs
@@ -137,10 +137,13 @@
             format!("{runner} answers {status} after {after_ms} ms")
         }
         Decision::Resumed { after_event } => format!("goes on behind event {after_event:?}"),
-        Decision::Ended { outcome, code, name, status, retry_after_ms, runners, usable } => {
+        Decision::Ended { outcome, code, name, status, retry_after_ms, runners, usable, evacuated } => {
             let code = if *code == 0 { String::new() } else { format!(", {code} {name}") };
             let back = retry_after_ms.map_or(String::new(), |ms| format!(", back in {ms} ms"));
             let standing = match outcome.as_str() {
+                "refused" if *evacuated > 0 => {
+                    format!("; {usable} of {runners} runners usable, {evacuated} in evacuated halls")
+                }
                 "refused" => format!("; {usable} of {runners} runners usable"),
                 _ => String::new(),
             };
--- a/components/account/src/cause.rs
+++ b/components/account/src/cause.rs
@@ -7,18 +7,20 @@
 /// The cause, as far as the lines tell it.
 pub(crate) fn cause(lines: &[RequestLine]) -> String {
     let ended = lines.iter().rev().find_map(|line| match &line.decision {
-        Decision::Ended { outcome, code, runners, usable, .. } => {
-            Some((outcome.as_str(), *code, *runners, *usable))
-        }
+        Decision::Ended { outcome, code, runners, usable, evacuated, .. } => Some((
+            outcome.as_str(),
+            *code,
+            Standing { runners: *runners, usable: *usable, evacuated: *evacuated },
+        )),
         _ => None,
     });
-    let Some((outcome, code, runners, usable)) = ended else {
+    let Some((outcome, code, standing)) = ended else {
         return unfinished(lines);
     };
     match outcome {
         "whole" => "the caller got the whole answer".into(),
         "left" => "the caller left before the answer was whole".into(),
-        "refused" => refused(lines, code, runners, usable),
+        "refused" => refused(lines, code, standing),
         "failed" => format!("the runner's own failure was handed on{}", last_failure(lines)),
         "unknown" => format!(
             "it was sent and no whole answer came, so whether it ran is not known{}",
@@ -36,7 +38,16 @@
     }
 }
 
-fn refused(lines: &[RequestLine], code: u16, runners: u32, usable: u32) -> String {
+/// The runners of the service as a request that ended found them.
+#[derive(Clone, Copy)]
+struct Standing {
+    runners: u32,
+    usable: u32,
+    evacuated: u32,
+}
+
+fn refused(lines: &[RequestLine], code: u16, standing: Standing) -> String {
+    let Standing { runners, usable, evacuated } = standing;
     let name = Code::from_number(code).map_or("", Code::meaning);
     if let Some(unrouted) = unrouted(lines) {
         return unrouted;
@@ -48,6 +59,9 @@
     if runners == 0 {
         return format!("it did not run: no runner of the service is listed. {name}");
     }
+    if evacuated == runners {
+        return format!("it did not run: each of {runners} listed runners is in an evacuated hall");
+    }
     if usable == 0 && code == Code::Overloaded.number() {
         return format!("it did not run: none of {runners} listed runners was fit or had room");
     }
--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -48,7 +48,7 @@
     },
     /// A sidecar gave no place.
     Denied {
-        /// Why: `leaving`, `too_old`, `full`, `reading`, `unheard` or `not_serving`.
+        /// Why: `evacuated`, `leaving`, `too_old`, `full`, `reading`, `unheard` or `not_serving`.
         reason: String,
         /// Requests at the runner and on their way to it.
         taken: u32,
@@ -100,6 +100,9 @@
         runners: u32,
         /// Runners of the service that were fit at the end.
         usable: u32,
+        /// Those of the listed ones that stood in a data hall that is evacuated.
+        #[serde(default)]
+        evacuated: u32,
     },
 }
 
--- a/components/account/tests/accounts.rs
+++ b/components/account/tests/accounts.rs
@@ -49,3 +49,17 @@
     let account = Account::of("r9", [GATEWAY, SIDECAR]);
     assert_eq!(account.gaps, [Gap::Nothing]);
 }
+
+#[test]
+fn a_refusal_tells_of_evacuated_halls() {
+    let ended = |evacuated: u32, usable: u32| {
+        format!(
+            r#"{{"ts_ms":1090,"instance":"g1","request":"r1","decision":"ended","outcome":"refused","code":116,"name":"Withdrawn","status":503,"retry_after_ms":400,"runners":5,"usable":{usable},"evacuated":{evacuated}}}"#
+        )
+    };
+    let (all, some) = (ended(5, 0), ended(2, 1));
+    let account = Account::of("r1", [all.as_str()]);
+    assert!(account.cause.contains("each of 5 listed runners is in an evacuated hall"));
+    let account = Account::of("r1", [some.as_str()]);
+    assert!(account.to_string().contains("1 of 5 runners usable, 2 in evacuated halls"));
+}
--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -161,6 +161,7 @@
             retry_after_ms,
             runners: standing.runners,
             usable: standing.usable,
+            evacuated: standing.evacuated,
         };
         self.note(ended);
         self.write(ending == Ending::Whole || ending == Ending::Left);
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -42,17 +42,17 @@
     Ok(())
 }
 
-/// Logs and counts that a data hall is evacuated or taken back.
+/// Logs and counts that a data hall is evacuated or taken back. As warnings: the log keeps room for them.
 pub fn note_evacuation(metrics: &Metrics, change: &EvacuationChange) {
     match change {
         EvacuationChange::Began { evacuation, left_in_ms, revision } => {
             let hall = evacuation.hall.0.as_str();
             let (age_ms, left_in_ms) = (evacuation.age_ms, *left_in_ms);
-            log::info!(hall = hall, age_ms = age_ms, left_in_ms = left_in_ms, revision = revision; "hall evacuated");
+            log::warn!(hall = hall, age_ms = age_ms, left_in_ms = left_in_ms, revision = revision; "hall evacuated");
             metrics.count_evacuation("began");
         }
         EvacuationChange::Ended { hall, revision } => {
-            log::info!(hall = hall.0.as_str(), revision = revision; "hall taken back");
+            log::warn!(hall = hall.0.as_str(), revision = revision; "hall taken back");
             metrics.count_evacuation("ended");
         }
     }
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -100,13 +100,6 @@
         }
     }
 
-    /// Whether every runner of a request's service stands in a data hall that is evacuated.
-    pub fn is_evacuated(&self, now: Millis, arrival: &Arrival) -> bool {
-        let mut runners = self.pool.of_service(&arrival.service).peekable();
-        let evacuations = &self.pool.evacuations;
-        runners.peek().is_some() && !runners.any(|it| evacuations.admit(now, &it.record.hall))
-    }
-
     /// How the runners of a service stand for a request that was tried at some.
     pub fn standing(&self, now: Millis, arrival: &Arrival, tried: &[InstanceId]) -> Standing {
         let mut standing = Standing::default();
@@ -114,6 +107,8 @@
             standing.runners += 1;
             let fit = !tried.contains(&runner.record.id) && self.can_run(now, runner, arrival);
             standing.usable += u32::from(fit && has_room(now, runner, arrival));
+            let is_left = !self.pool.evacuations.admit(now, &runner.record.hall);
+            standing.evacuated += u32::from(is_left);
         }
         standing
     }
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -200,6 +200,8 @@
     pub runners: u32,
     /// Those of them that were fit and had room.
     pub usable: u32,
+    /// Those that stand in a data hall that is evacuated and left.
+    pub evacuated: u32,
 }
 
 /// What a request does next.
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -120,8 +120,8 @@
             let chooser = self.chooser();
             let standing = chooser.standing(now, &progress.arrival, &progress.tried);
             let outlook = chooser.outlook(now, &progress.arrival);
-            let is_evacuated = chooser.is_evacuated(now, &progress.arrival);
-            let code = if is_evacuated { Code::Withdrawn } else { progress.reason };
+            let all_evacuated = standing.runners > 0 && standing.evacuated == standing.runners;
+            let code = if all_evacuated { Code::Withdrawn } else { progress.reason };
             let estimates = self.keeps(Mechanism::ReturnEstimate);
             let shortage = self.shortages.entry(progress.arrival.service.clone()).or_default();
             let retry_after_ms = if estimates {
--- a/components/rollout/tests/evacuations.rs
+++ b/components/rollout/tests/evacuations.rs
@@ -22,7 +22,7 @@
 
 /// Sidecars 0, 3, 6, ... stand in the hall `h0`.
 fn is_in_h0(index: usize) -> bool {
-    index % 3 == 0
+    index.is_multiple_of(3)
 }
 
 fn reserve(fleet: &mut Fleet, index: usize) -> Result<(), Denial> {
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A fleet of sidecars that exchange chunks, without I/O: every effect is carried out after a delay,
 //! or lost.
 
+#![allow(dead_code)]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
