Evacuations: process tests, and gateways that the store refuses

Cause: the store's rows, the feed, the listing after an outage or a lost history and the datagrams between gateways and sidecars had tests of their pure parts only.

--- a/components/edge/src/evacuated/tests.rs
+++ b/components/edge/src/evacuated/tests.rs
@@ -1,5 +1,9 @@
 use std::time::Duration;
 
+use fleet::{Ablation, InstanceId, Millis, Place};
+use gateway::{Gateway, GatewayOptions};
+use rollout::{Rollout, RolloutOptions};
+
 use super::*;
 
 fn evacuated(hall: &str) -> Change {
@@ -50,3 +54,70 @@
     let mut halls = EvacuatedHalls::default();
     assert_eq!(halls.take_feed(Instant::now(), 10, &[], false), None);
 }
+
+fn gateway() -> Gateway {
+    Gateway::new(GatewayOptions {
+        hall: "b".into(),
+        halls: BTreeMap::new(),
+        budget_window_ms: 10_000,
+        budget_ratio: 0.2,
+        budget_allowance: 100.0,
+        version_ms: 8000,
+        evacuate_ms: Some(5000),
+        cold: None,
+        ablation: Ablation::default(),
+    })
+}
+
+fn sidecar() -> Rollout {
+    Rollout::new(RolloutOptions {
+        me: InstanceId("10.0.0.1".into()),
+        place: Place { region: "r".into(), hall: "a".into() },
+        link_bytes_per_s: 950_000,
+        control_bytes_per_s: 6000,
+        version_ms: 8000,
+        evacuate_ms: Some(5000),
+        ablation: Ablation::default(),
+    })
+}
+
+fn tell(gateway: &mut Gateway, now: Millis, list: EvacuationList) {
+    gateway.reduce(now, 1, gateway::Event::Evacuations(list));
+}
+
+/// What a sidecar tells gateways after one of them told it what it knows.
+fn through(sidecar: &mut Rollout, now: Millis, from: &Gateway) -> EvacuationList {
+    sidecar.reduce(now, rollout::Event::Evacuations(from.evacuations(now)));
+    sidecar.evacuations().list(now)
+}
+
+#[test]
+fn a_gateway_that_the_store_refuses_hears_of_a_hall_and_of_its_end_from_a_sidecar() {
+    let (mut halls, started, now) = (EvacuatedHalls::default(), Instant::now(), Millis(1_000_000));
+    let (mut informed, mut refused, mut sidecar) = (gateway(), gateway(), sidecar());
+    tell(&mut refused, now, EvacuatedHalls::default().take_listing(started, 5, &[]));
+    let list = halls.take_feed(started, 10, &[evacuated("a")], false).unwrap();
+    tell(&mut informed, now, list);
+    let later = now.plus(400);
+    let told = through(&mut sidecar, later, &informed);
+    tell(&mut refused, later, told);
+    assert_eq!(ages(&refused.evacuations(later)), [("a", Some(400))]);
+    // What the refused one tells meanwhile is no newer, and does not undo the end.
+    let list = halls.take_feed(started, 20, &[Change::Reopened("a".into())], false).unwrap();
+    tell(&mut informed, later, list);
+    through(&mut sidecar, later, &informed);
+    let told = through(&mut sidecar, later, &refused);
+    tell(&mut refused, later, told);
+    assert_eq!(ages(&refused.evacuations(later)), []);
+}
+
+#[test]
+fn a_listing_of_a_store_that_is_behind_does_not_take_a_hall_back() {
+    let (mut halls, started, now) = (EvacuatedHalls::default(), Instant::now(), Millis(1_000_000));
+    let mut gateway = gateway();
+    tell(&mut gateway, now, halls.take_feed(started, 10, &[evacuated("a")], false).unwrap());
+    tell(&mut gateway, now, halls.take_listing(started, 8, &[]));
+    assert_eq!(gateway.evacuations(now).evacuated.len(), 1);
+    tell(&mut gateway, now, halls.take_feed(started, 12, &[evacuated("a")], true).unwrap());
+    assert_eq!(ages(&gateway.evacuations(now)), [("a", Some(0))]);
+}
--- a/components/gateway/tests/evacuations.rs
+++ b/components/gateway/tests/evacuations.rs
@@ -175,12 +175,12 @@
 }
 
 #[test]
-fn callers_bound_to_a_home_whose_last_hall_is_evacuated_are_not_sent_elsewhere() {
+fn callers_bound_to_a_home_whose_last_hall_is_evacuated_are_refused_at_once() {
     let mut bed = bed();
     bed.feed(told(10, &[("b", None)]));
     let mut bound = arrival(1, PLAIN_SERVICE, RouteKind::Safe);
     bound.homes = fleet::HomeRegions::only(["south".into()]);
-    assert!(!matches!(bed.arrive(bound), Some(NextStep::Send(_))));
+    refusal_of(bed.arrive(bound));
 }
 
 #[test]
