--- a/components/gateway/tests/fuzz.rs
+++ b/components/gateway/tests/fuzz.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use fleet::InstanceId;
+use fleet::{Evacuation, EvacuationList, Hall, InstanceId};
 use gateway::*;
 use proptest::prelude::*;
 use support::*;
@@ -15,10 +15,20 @@
     List(u8),
     Drain(u8),
     Unlist(u8),
-    Load { runner: u8, running: u8, version: u8, busy: bool },
+    Load {
+        runner: u8,
+        running: u8,
+        version: u8,
+        busy: bool,
+    },
     Name(u8),
+    /// The first two bits tell which halls are evacuated from now on.
+    Evacuate(u8),
     Arrive(u8),
-    Outcome { request: u8, outcome: u8 },
+    Outcome {
+        request: u8,
+        outcome: u8,
+    },
     Leave(u8),
     Wait(u16),
 }
@@ -31,6 +41,7 @@
         4 => (any::<u8>(), 0..6u8, 1..4u8, any::<bool>()).prop_map(
             |(runner, running, version, busy)| Move::Load { runner, running, version, busy }),
         1 => (1..5u8).prop_map(Move::Name),
+        1 => any::<u8>().prop_map(Move::Evacuate),
         8 => any::<u8>().prop_map(Move::Arrive),
         12 => (any::<u8>(), any::<u8>())
             .prop_map(|(request, outcome)| Move::Outcome { request, outcome }),
@@ -77,6 +88,8 @@
 #[derive(Default)]
 struct Model {
     usable: BTreeSet<InstanceId>,
+    /// Halls that are evacuated, and were left at once.
+    evacuated: Vec<Hall>,
     requests: BTreeMap<u64, Known>,
 }
 
@@ -91,6 +104,8 @@
             match step {
                 NextStep::Send(target) => {
                     prop_assert!(self.usable.contains(&target.id), "sent to {:?}", target.id);
+                    let hall = hall(&target.id);
+                    prop_assert!(!self.evacuated.contains(&hall), "sent to {hall:?}");
                     prop_assert!(known.current.is_none(), "two attempts at once");
                     let again = known.may_have_run && !known.kind.is_repeatable();
                     prop_assert!(!again, "sent again after it may have run");
@@ -121,6 +136,18 @@
     InstanceId(format!("r{}", number % 6))
 }
 
+/// The hall of a runner: every other one stands in `b`.
+fn hall(id: &InstanceId) -> Hall {
+    let odd = ["r1", "r3", "r5"].contains(&id.0.as_str());
+    Hall::from(if odd { "b" } else { "a" })
+}
+
+fn record_of(runner: u8) -> RunnerRecord {
+    let id = id(runner);
+    let record = record(&id.0, PLAIN_SERVICE, u16::from(runner % 6) + 1);
+    RunnerRecord { hall: hall(&id), ..record }
+}
+
 fn play(moves: Vec<Move>) -> Result<(), TestCaseError> {
     let mut bed = Bed::new();
     let mut model = Model::default();
@@ -128,10 +155,10 @@
         let effects = match one {
             Move::List(runner) => {
                 model.usable.insert(id(runner));
-                bed.list(&id(runner).0, PLAIN_SERVICE, u16::from(runner % 6) + 1)
+                bed.feed(Event::Listed(record_of(runner)))
             }
             Move::Drain(runner) => {
-                let mut record = record(&id(runner).0, PLAIN_SERVICE, u16::from(runner % 6) + 1);
+                let mut record = record_of(runner);
                 record.state = RunnerState::Draining;
                 model.usable.remove(&id(runner));
                 bed.feed(Event::Listed(record))
@@ -150,6 +177,13 @@
                 let version = u64::from(version);
                 bed.feed(named(version, Some(0)))
             }
+            Move::Evacuate(bits) => {
+                let halls = [(1, "a"), (2, "b")].into_iter().filter(|(bit, _)| bits & bit != 0);
+                model.evacuated = halls.map(|(_, hall)| hall.into()).collect();
+                let evacuated = model.evacuated.iter().cloned();
+                let evacuated = evacuated.map(|hall| Evacuation { hall, age_ms: None }).collect();
+                bed.feed(Event::Evacuations(EvacuationList { revision: number, evacuated }))
+            }
             Move::Arrive(kind) => {
                 let kind = KINDS[kind as usize % KINDS.len()];
                 let known = Known {
