--- a/components/fleet/src/evacuation.rs
+++ b/components/fleet/src/evacuation.rs
@@ -68,8 +68,15 @@
 impl Evacuations {
     /// Starts with none. `evacuate_ms` is the bound within which a hall is left; without one it is left at once.
     pub fn new(evacuate_ms: Option<u64>) -> Self {
+        let mut evacuations = Self::default();
+        evacuations.set_bound(evacuate_ms);
+        evacuations
+    }
+
+    /// Goes on with another bound, for halls that are being left too.
+    pub fn set_bound(&mut self, evacuate_ms: Option<u64>) {
         let left = evacuate_ms.unwrap_or(0).saturating_sub(NEWS_MARGIN);
-        Self { leaving_ms: (left as f64 * LEAVING_SHARE) as u64, ..Self::default() }
+        self.leaving_ms = (left as f64 * LEAVING_SHARE) as u64;
     }
 
     /// Takes in a list and tells what it changed. An old one changes nothing.
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -11,7 +11,7 @@
 use rand::SeedableRng;
 
 use self::queue::Place;
-use crate::budget::RetryBudget;
+use crate::budget::{BudgetLimits, RetryBudget};
 use crate::catalog::Catalog;
 use crate::choice::{Chooser, Outlook};
 use crate::comeback::Shortage;
@@ -72,6 +72,11 @@
     }
 }
 
+/// Within how many milliseconds a hall is left that is evacuated. `None` where it is left at once.
+fn evacuation_bound(options: &GatewayOptions) -> Option<u64> {
+    options.evacuate_ms.filter(|_| options.ablation.keeps(Mechanism::EvenLeaving))
+}
+
 /// The state of a gateway.
 pub struct Gateway {
     options: GatewayOptions,
@@ -86,8 +91,7 @@
 impl Gateway {
     /// Starts with nothing known.
     pub fn new(options: GatewayOptions) -> Self {
-        let leaves_evenly = options.ablation.keeps(Mechanism::EvenLeaving);
-        let evacuate_ms = options.evacuate_ms.filter(|_| leaves_evenly);
+        let evacuate_ms = evacuation_bound(&options);
         Self {
             pool: Pool::new(options.version_ms, evacuate_ms),
             options,
@@ -157,6 +161,15 @@
                 }
                 Vec::new()
             }
+            Event::Bounded(options) => {
+                self.pool.set_version_ms(options.version_ms);
+                self.pool.evacuations.set_bound(evacuation_bound(&options));
+                self.options = options;
+                // What was counted so far goes on to count, against the new limits.
+                let limits = self.budget_limits();
+                self.budgets.values_mut().for_each(|it| it.set_limits(limits));
+                self.dispatch(now, &mut random)
+            }
             Event::Named(named) => {
                 self.pool.name_version(now, named);
                 Vec::new()
@@ -346,15 +359,18 @@
     }
 
     fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
+        let limits = self.budget_limits();
+        self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limits))
+    }
+
+    fn budget_limits(&self) -> BudgetLimits {
         let options = &self.options;
         let share =
             if options.ablation.keeps(Mechanism::BudgetReserve) { RATIO_SHARE } else { 1.0 };
-        self.budgets.entry(service.clone()).or_insert_with(|| {
-            RetryBudget::new(
-                options.budget_window_ms,
-                options.budget_ratio * share,
-                options.budget_allowance / ALLOWANCE_SHARES,
-            )
-        })
+        BudgetLimits {
+            window_ms: options.budget_window_ms,
+            ratio: options.budget_ratio * share,
+            allowance: options.budget_allowance / ALLOWANCE_SHARES,
+        }
     }
 }
--- a/components/gateway/tests/evacuations.rs
+++ b/components/gateway/tests/evacuations.rs
@@ -233,3 +233,12 @@
     let ended = bed.feed(told(11, &[]));
     assert!(matches!(ended[..], [Effect::Evacuation(EvacuationChange::Ended { .. })]));
 }
+
+#[test]
+fn a_bound_that_becomes_shorter_counts_for_a_hall_that_is_being_left() {
+    let mut bed = bed();
+    bed.feed(told(10, &[("a", Some(500))]));
+    assert_eq!(sent_to(call(&mut bed, 1)), "near".into());
+    bed.feed(Event::Bounded(GatewayOptions { evacuate_ms: Some(1500), ..options() }));
+    assert_eq!(sent_to(call(&mut bed, 2)), "far".into());
+}
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -90,6 +90,13 @@
 /// What happens to a sidecar.
 #[derive(Clone, Debug)]
 pub enum Event {
+    /// Bounds have changed.
+    Bounded {
+        /// Within how many milliseconds a named version must be served.
+        version_ms: u64,
+        /// Within how many nothing is sent to a hall that is evacuated.
+        evacuate_ms: Option<u64>,
+    },
     /// The configuration says this of the weights.
     Planned(WeightsPlan),
     /// This version should be served.
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -40,6 +40,11 @@
 /// How close two orders may be so that nobody can tell which was the last, in milliseconds.
 const ORDER_ORDER: u64 = 40;
 
+/// Within how many milliseconds a hall is left that is evacuated. `None` where it is left at once.
+fn evacuation_bound(options: &RolloutOptions) -> Option<u64> {
+    options.evacuate_ms.filter(|_| options.ablation.keeps(Mechanism::EvenLeaving))
+}
+
 /// The state of a sidecar.
 pub struct Rollout {
     options: RolloutOptions,
@@ -81,8 +86,7 @@
         if !options.ablation.keeps(Mechanism::ReadingCredit) {
             places.stop_pacing();
         }
-        let leaves_evenly = options.ablation.keeps(Mechanism::EvenLeaving);
-        let evacuate_ms = options.evacuate_ms.filter(|_| leaves_evenly);
+        let evacuate_ms = evacuation_bound(&options);
         Self {
             evacuations: Evacuations::new(evacuate_ms),
             options,
@@ -141,6 +145,11 @@
     /// Takes in an event.
     pub fn reduce(&mut self, now: Millis, event: Event) -> Vec<Effect> {
         match event {
+            Event::Bounded { version_ms, evacuate_ms } => {
+                self.options.evacuate_ms = evacuate_ms;
+                self.evacuations.set_bound(evacuation_bound(&self.options));
+                self.change_bound(now, version_ms);
+            }
             Event::Planned(plan) => {
                 self.places.set_profile(plan.slots, plan.prompt_tokens_per_ms);
                 self.plan = Some(plan);
--- a/components/rollout/tests/evacuations.rs
+++ b/components/rollout/tests/evacuations.rs
@@ -142,3 +142,13 @@
     let usual = origin_chunks_for_an_empty_runner(&told(10, &[]));
     assert_eq!(evacuated, usual);
 }
+
+#[test]
+fn a_bound_that_becomes_shorter_counts_for_a_hall_that_is_being_left() {
+    let mut fleet = Fleet::new(3, Some(1), 0);
+    fleet.run(500);
+    tell_all(&mut fleet, &told(10, &[("h0", Some(1000))]));
+    assert_eq!(reserve(&mut fleet, 0), Ok(()));
+    fleet.feed(0, Event::Bounded { version_ms: VERSION_MS, evacuate_ms: Some(2000) });
+    assert_eq!(reserve(&mut fleet, 0), Err(Denial::Evacuated));
+}
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -52,6 +52,7 @@
     control_bytes: Counter<u64>,
     platform_calls: Counter<u64>,
     evacuations: Counter<u64>,
+    settings: Counter<u64>,
     gauges: Gauge<u64>,
     spans: Histogram<f64>,
 }
@@ -99,6 +100,10 @@
                 .u64_counter("silverdock_evacuations")
                 .with_description("Evacuations of data halls that were heard of, by what changed")
                 .build(),
+            settings: meter
+                .u64_counter("silverdock_reloads")
+                .with_description("Settings of a file that was read again, by what became of them")
+                .build(),
             spans: meter
                 .f64_histogram("silverdock_span")
                 .with_unit("s")
@@ -155,6 +160,12 @@
         self.evacuations.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Counts a setting of a file that was read again: `applied`, `refused` until the next start, or a whole file
+    /// that is `faulty` or `unreadable`.
+    pub fn count_setting(&self, outcome: &'static str) {
+        self.settings.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Notes how long something took, in milliseconds.
     pub fn note_span(&self, span: Span, millis: u64) {
         self.spans.record(millis as f64 / 1000.0, &[KeyValue::new("what", span.name())]);
--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -3,6 +3,7 @@
 mod evacuations;
 mod logs;
 mod outages;
+mod reload;
 mod support;
 
 use std::time::{Duration, Instant};
