Gateways know how many they are, and share repeats and cold plain runners by it

Cause: the fixed allowance of repeats was shared by ten gateways, whatever their number: 15 may send 201 repeats where 134 are allowed, and one that restarts starts with a whole window. A plain runner that is cold got as much as any other.

Ruled out: a share of a cold runner's rate for each gateway (53 whole requests at once where the bound leaves 18); one gateway responsible for each (it has a fifteenth of the requests).

Change: sidecars tell gateways whom they hear; a pure module unites that with ages and says how sure it is. The part of the allowance follows the number of gateways and the part of the sidecars that was heard from in the last window; a gateway that is new, restarted or unsure has a 320th. A few gateways by rendezvous hashing are responsible for each cold plain runner. A repeat at the end of a step of the budget was forgotten a tenth of a window early; it counts for a whole window now.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod ablation;
 mod bitmap;
+mod bucket;
 mod configuration;
 mod evacuation;
 mod homes;
@@ -15,6 +16,7 @@
 
 pub use ablation::{Ablation, Mechanism, UnknownMechanism};
 pub use bitmap::Bitmap;
+pub use bucket::Bucket;
 pub use configuration::{
     Change, ChangeRecord, Configuration, Deployment, Placement, Release, Role,
 };
--- a/components/gateway/src/budget.rs
+++ b/components/gateway/src/budget.rs
@@ -8,7 +8,7 @@
 const STEPS: u64 = 10;
 
 /// Counts first sends and repeats over a sliding window. Each gateway holds its own share of the
-/// allowance of all gateways together, so no coordination is needed.
+/// allowance of all gateways together, so none is asked.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     window_ms: u64,
@@ -24,6 +24,11 @@
         Self { window_ms, ratio, allowance, steps: VecDeque::new() }
     }
 
+    /// Sets the fixed allowance.
+    pub fn set_allowance(&mut self, allowance: f64) {
+        self.allowance = allowance;
+    }
+
     /// Counts a request of a caller.
     pub fn count_request(&mut self, now: Millis) {
         self.current(now).1 += 1;
@@ -32,7 +37,8 @@
     /// Takes one repeat if there is one left.
     pub fn take_repeat(&mut self, now: Millis) -> bool {
         self.forget(now);
-        let requests: u32 = self.steps.iter().map(|step| step.1).sum();
+        let whole = self.steps.iter().filter(|step| now.since(step.0).0 <= self.window_ms);
+        let requests: u32 = whole.map(|step| step.1).sum();
         let repeats: u32 = self.steps.iter().map(|step| step.2).sum();
         if f64::from(repeats) + 1.0 > self.ratio * f64::from(requests) + self.allowance {
             return false;
@@ -52,8 +58,10 @@
         &mut self.steps[last]
     }
 
+    /// A step is kept until its last moment is outside the window: its repeats may all have been there.
     fn forget(&mut self, now: Millis) {
-        while self.steps.front().is_some_and(|step| now.since(step.0).0 > self.window_ms) {
+        let kept = self.window_ms + self.window_ms / STEPS;
+        while self.steps.front().is_some_and(|step| now.since(step.0).0 > kept) {
             self.steps.pop_front();
         }
     }
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -3,6 +3,7 @@
 use fleet::{InstanceId, Mechanism, Millis, ModelName};
 use rand::Rng;
 
+use crate::cold::ColdGates;
 use crate::event::{Arrival, GatewayOptions, Seen, Standing};
 use crate::pool::Pool;
 use crate::runner::{Runner, RunnerState};
@@ -42,6 +43,8 @@
     pub pool: &'a Pool,
     /// Where the gateway stands and what it goes by.
     pub options: &'a GatewayOptions,
+    /// What may be sent to cold runners that have no sidecar.
+    pub cold: &'a ColdGates,
 }
 
 impl Chooser<'_> {
@@ -57,7 +60,7 @@
         let usable = self.pool.of_service(&arrival.service).filter(|it| {
             !tried.contains(&it.record.id)
                 && self.can_run(now, it, arrival)
-                && has_room(now, it, arrival)
+                && self.has_room(now, it, arrival)
         });
         let usable = usable.inspect(|_| candidates += 1);
         let scored = usable.map(|it| (self.cost(now, it, arrival) + random.random::<f64>(), it));
@@ -98,7 +101,7 @@
         for runner in self.pool.of_service(&arrival.service) {
             standing.runners += 1;
             let fit = !tried.contains(&runner.record.id) && self.can_run(now, runner, arrival);
-            standing.usable += u32::from(fit && has_room(now, runner, arrival));
+            standing.usable += u32::from(fit && self.has_room(now, runner, arrival));
         }
         standing
     }
@@ -165,6 +168,11 @@
         cost
     }
 
+    /// Whether a runner may have room, and its turn has come where it is cold.
+    fn has_room(&self, now: Millis, runner: &Runner, arrival: &Arrival) -> bool {
+        has_room(now, runner, arrival) && self.cold.admit(now, runner)
+    }
+
     fn usual_first_ms(&self, now: Millis, runner: &Runner) -> f64 {
         if !self.options.ablation.keeps(Mechanism::SlowStarts) {
             return 0.0;
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::catalog::{Catalog, RouteKind};
+use crate::members::GatewayList;
 use crate::runner::{RunnerLoad, RunnerRecord};
 
 /// Numbers that a gateway works with.
@@ -157,6 +158,8 @@
     Unlisted(InstanceId),
     /// A sidecar told of the runner at this address.
     Load(SocketAddr, RunnerLoad),
+    /// A sidecar told of the gateways that it hears.
+    Gateways(GatewayList),
     /// A request arrived.
     Arrived(Arrival),
     /// An attempt of a request changed.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,9 +7,11 @@
 mod budget;
 mod catalog;
 mod choice;
+mod cold;
 mod comeback;
 mod evacuations;
 mod event;
+mod members;
 mod pool;
 mod reducer;
 mod runner;
@@ -20,11 +22,13 @@
     Catalog, CatalogParts, ColdProfile, EngineProfile, Limits, Origin, Route, RouteKind, Service,
     Workspace,
 };
+pub use cold::{ColdGates, ColdShare};
 pub use evacuations::Evacuations;
 pub use event::{
     Arrival, AttemptOutcome, ColdBounds, Effect, Event, GatewayOptions, NextStep, RequestKey,
     RunnerTarget, Seen, Standing,
 };
+pub use members::{GatewayList, GatewaysHeard, HeardGateway, Members, Sureness};
 pub use pool::Pool;
 pub use reducer::Gateway;
 pub use runner::{Runner, RunnerLoad, RunnerRecord, RunnerState, WeightsHeld};
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-use fleet::{InstanceId, Millis, ModelName, NamedVersion, ServiceName};
+use fleet::{Hall, InstanceId, Millis, ModelName, NamedVersion, ServiceName};
 
 use crate::evacuations::Evacuations;
 use crate::runner::{Runner, RunnerLoad, RunnerRecord};
@@ -28,16 +28,16 @@
     }
 
     /// Takes in an entry of the list.
-    pub fn list(&mut self, record: RunnerRecord) {
+    pub fn list(&mut self, now: Millis, record: RunnerRecord) {
         if let Some(runner) = self.runners.get_mut(&record.id) {
             runner.misdirected = false;
-            runner.record = record;
+            runner.list(now, record);
             return;
         }
         let id = record.id.clone();
         self.by_address.insert(record.address, id.clone());
         self.by_service.entry(record.service.clone()).or_default().push(id.clone());
-        self.runners.insert(id, Runner::new(record));
+        self.runners.insert(id, Runner::new(now, record));
     }
 
     /// Forgets a runner that is listed no more.
@@ -97,6 +97,17 @@
         ids.filter_map(|id| self.runners.get(id))
     }
 
+    /// The runner that listens at an address.
+    pub fn at(&self, address: SocketAddr) -> Option<&Runner> {
+        self.runners.get(self.by_address.get(&address)?)
+    }
+
+    /// The runners of a hall may have turned cold lately.
+    pub fn doubt_warmth(&mut self, now: Millis, hall: &Hall) {
+        let there = self.runners.values_mut().filter(|it| &it.record.hall == hall);
+        there.for_each(|it| it.doubt_warmth(now));
+    }
+
     /// How many runners are known.
     pub fn len(&self) -> usize {
         self.runners.len()
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -1,5 +1,6 @@
 //! The reducer of a gateway.
 
+mod cold;
 mod queue;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,8 +15,10 @@
 use crate::budget::RetryBudget;
 use crate::catalog::Catalog;
 use crate::choice::{Chooser, Outlook};
+use crate::cold::ColdGates;
 use crate::comeback::Shortage;
 use crate::event::{Arrival, AttemptOutcome, Effect, Event, GatewayOptions, RequestKey};
+use crate::members::Members;
 use crate::pool::Pool;
 use crate::runner::RunnerState;
 
@@ -28,9 +31,9 @@
 const MAX_DENIED_PAUSE: u64 = 500;
 /// How long a runner that said it is full is left alone, in milliseconds.
 const FULL_PAUSE: u64 = 60;
-/// How many gateways the fixed allowance of repeats is shared by. Each knows only itself, so this
-/// is the most that stand before one service.
-const ALLOWANCE_SHARES: f64 = 10.0;
+/// The age up to which a report shows that its sidecar is heard, in milliseconds: sidecars of other halls report every
+/// 420 ms.
+const REACH_AGE: u64 = 2000;
 /// The part of the ratio of repeats that is used, for what cannot be counted exactly.
 const RATIO_SHARE: f64 = 0.75;
 
@@ -77,6 +80,8 @@
     options: GatewayOptions,
     catalog: Option<Arc<Catalog>>,
     pool: Pool,
+    members: Members,
+    cold: ColdGates,
     budgets: BTreeMap<ServiceName, RetryBudget>,
     shortages: BTreeMap<ServiceName, Shortage>,
     requests: BTreeMap<RequestKey, Progress>,
@@ -88,6 +93,8 @@
     pub fn new(options: GatewayOptions) -> Self {
         Self {
             pool: Pool::new(options.version_ms),
+            members: Members::new(options.budget_window_ms),
+            cold: ColdGates::default(),
             options,
             catalog: None,
             budgets: BTreeMap::new(),
@@ -112,6 +119,11 @@
         &self.pool
     }
 
+    /// The gateways known.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
     /// The newest version that was named for each model, as other processes are told of it.
     pub fn named_versions(&self, now: Millis) -> Vec<NamedVersion> {
         let mut named = self.pool.named_versions(now);
@@ -146,6 +158,7 @@
             Event::Configured(catalog) => {
                 let known = self.catalog.as_ref().map_or(0, |it| it.version);
                 if catalog.version > known {
+                    self.note_cold_services(&catalog);
                     self.catalog = Some(catalog);
                 }
                 Vec::new()
@@ -160,24 +173,34 @@
             }
             Event::Reopened(hall) => {
                 self.pool.evacuations.end(&hall);
+                self.pool.doubt_warmth(now, &hall);
                 self.dispatch(now, &mut random)
             }
             Event::Listed(record) => {
-                self.pool.list(record);
+                self.pool.list(now, record);
                 self.dispatch(now, &mut random)
             }
             Event::Unlisted(id) => {
                 self.pool.unlist(&id);
+                self.cold.close(&id);
                 Vec::new()
             }
             Event::Load(address, load) => {
                 self.pool.take_load(now, address, load);
                 self.dispatch(now, &mut random)
             }
+            Event::Gateways(list) => {
+                self.members.take(now, list);
+                Vec::new()
+            }
             Event::Arrived(arrival) => self.arrive(now, &mut random, arrival),
             Event::Attempt(key, outcome) => self.take_outcome(now, &mut random, key, outcome),
             Event::Gone(key) => self.end(now, &mut random, key),
-            Event::Tick => self.dispatch(now, &mut random),
+            Event::Tick => {
+                self.look_around(now);
+                self.tend_cold_runners(now);
+                self.dispatch(now, &mut random)
+            }
         }
     }
 
@@ -300,7 +323,7 @@
         if !allowed || !left || now >= arrival.limit {
             return self.finish_without_answer(now, random, key);
         }
-        if !free && !self.budget(&service).take_repeat(now) {
+        if !free && !self.take_repeat(now, &service) {
             return self.finish_without_answer(now, random, key);
         }
         let resumes_patiently = self.keeps(Mechanism::ResumeWait);
@@ -329,7 +352,7 @@
     }
 
     fn chooser(&self) -> Chooser<'_> {
-        Chooser { pool: &self.pool, options: &self.options }
+        Chooser { pool: &self.pool, options: &self.options, cold: &self.cold }
     }
 
     /// Whether a mechanism is at work.
@@ -342,11 +365,40 @@
         let share =
             if options.ablation.keeps(Mechanism::BudgetReserve) { RATIO_SHARE } else { 1.0 };
         self.budgets.entry(service.clone()).or_insert_with(|| {
-            RetryBudget::new(
-                options.budget_window_ms,
-                options.budget_ratio * share,
-                options.budget_allowance / ALLOWANCE_SHARES,
-            )
+            RetryBudget::new(options.budget_window_ms, options.budget_ratio * share, 0.0)
         })
     }
+
+    /// Takes a repeat, if this gateway has one left. Its part of the fixed allowance follows who else is there.
+    fn take_repeat(&mut self, now: Millis, service: &ServiceName) -> bool {
+        let allowance = self.options.budget_allowance * self.members.part(now);
+        let budget = self.budget(service);
+        budget.set_allowance(allowance);
+        budget.take_repeat(now)
+    }
+
+    fn look_around(&mut self, now: Millis) {
+        if self.members.wants_reach(now) {
+            let reach = self.reach(now);
+            self.members.note_reach(now, reach);
+        }
+    }
+
+    /// The part of the listed sidecars that this gateway hears from.
+    pub fn reach(&self, now: Millis) -> f64 {
+        let services = self.catalog.iter().flat_map(|it| it.services());
+        let models = services.filter(|it| it.engine.is_some());
+        let listed = models.flat_map(|it| self.pool.of_service(&it.name));
+        let (mut all, mut heard) = (0.0, 0.0);
+        for runner in listed.filter(|it| it.record.state == RunnerState::Ready) {
+            all += 1.0;
+            let is_heard = runner.report_age(now).is_some_and(|age| age.0 <= REACH_AGE);
+            heard += f64::from(u8::from(is_heard));
+        }
+        if all == 0.0 {
+            0.0
+        } else {
+            heard / all
+        }
+    }
 }
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -142,6 +142,7 @@
         let (id, seen) = self.chooser().choose(now, random, &progress.arrival, &progress.tried)?;
         let ablation = self.options.ablation.clone();
         let progress = self.requests.get_mut(&key)?;
+        self.cold.take(now, &id);
         let runner = self.pool.runner_mut(&id)?;
         runner.in_flight += 1;
         let address = runner.record.address;
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -15,6 +15,9 @@
 const MIN_SUSPICION: u64 = 300;
 /// The longest such time, in milliseconds.
 const MAX_SUSPICION: u64 = 4000;
+/// How long it takes until the list tells of a runner that has turned cold, in milliseconds: it writes its entry every
+/// 1.2 s, and the list is read every 0.75 s.
+const ENTRY_LAG: u64 = 2000;
 /// How often the time is doubled at most.
 const MOST_DOUBLINGS: u32 = 4;
 
@@ -109,14 +112,19 @@
     first_ms: (f64, Millis),
     suspect_until: Millis,
     failures: u32,
+    /// Until when it is cold by the list, and until when it may be without the list telling it yet.
+    cold_until: Millis,
+    may_be_cold_until: Millis,
     /// The incarnation was refused there; nothing is sent until the list changes.
     pub misdirected: bool,
 }
 
 impl Runner {
     /// A runner that was just listed.
-    pub fn new(record: RunnerRecord) -> Self {
+    pub fn new(now: Millis, record: RunnerRecord) -> Self {
         Self {
+            cold_until: now.plus(record.cold_ms),
+            may_be_cold_until: Millis(0),
             record,
             in_flight: 0,
             reported: None,
@@ -127,6 +135,22 @@
         }
     }
 
+    /// Takes in a newer entry of the list.
+    pub fn list(&mut self, now: Millis, record: RunnerRecord) {
+        self.cold_until = now.plus(record.cold_ms);
+        self.record = record;
+    }
+
+    /// It may have turned cold lately.
+    pub fn doubt_warmth(&mut self, now: Millis) {
+        self.may_be_cold_until = now.plus(ENTRY_LAG);
+    }
+
+    /// How much longer it is cold, as far as known, in milliseconds.
+    pub fn cold_left_ms(&self, now: Millis) -> u64 {
+        self.cold_until.max(self.may_be_cold_until).since(now).0
+    }
+
     /// Takes in a report.
     pub fn take_load(&mut self, now: Millis, load: RunnerLoad) {
         self.reported = Some(Reported { load, at: now, own: self.in_flight });
