Cold model runners get places at the rate that they bear

Cause: a runner that has just started, or has turned cold again, got as many places as any other.

Change: a sidecar holds its runner for cold after its first report, after silence and where the count of orders falls, and as long as gateways tell by the list; places come from a bucket meanwhile. Subscribe tells each sidecar how long its runner is cold, and asks one sidecar a second which gateways it hears. Log lines, a reason of denials, states.

--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -44,7 +44,7 @@
         Seen::Heard => tables.of(table).note_heard(),
         Seen::Reached(reached) => tables.of(table).lost.set(!reached),
         Seen::Change { change, late } => {
-            let concerns_sidecars = concerns_sidecars(&change);
+            let concerns_sidecars = concerns_sidecars(&change) || turns_cold(&core, &change);
             core.feed(event(change, late));
             if concerns_sidecars {
                 core.tell_sidecars();
@@ -79,6 +79,17 @@
     }
 }
 
+/// Whether a runner has turned cold that was not: its sidecar should hear at once. An entry tells a time that falls
+/// every second.
+fn turns_cold(core: &Core, change: &Change) -> bool {
+    let Change::Runner(record) = change else {
+        return false;
+    };
+    let now = core.clock.now();
+    let was = core.read(|it| it.cold_at(now, record.address.ip()));
+    record.cold_ms > 0 && was == Some(0)
+}
+
 fn event(change: Change, late: bool) -> Event {
     match change {
         Change::Configuration(catalog) => {
@@ -100,7 +111,7 @@
         }
         Change::Runner(record) => {
             let state = format!("{:?} {:?}", record.state, record.weights);
-            log::info!(runner = record.id.0.as_str(), state = state.as_str(); "runner listed");
+            log::info!(runner = record.id.0.as_str(), state = state.as_str(), cold_ms = record.cold_ms; "runner listed");
             Event::Listed(record)
         }
         Change::RunnerGone(id) => {
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -185,7 +185,12 @@
         core.metrics.set("requests_under_way", under_way as u64);
         core.metrics.set("requests_waiting", waiting as u64);
         core.metrics.set("runners_listed", runners as u64);
+        let now = core.clock.now();
+        let (cold, responsible) = core.read(|it| it.cold_runners(now));
         core.metrics.set("configuration", configuration);
+        core.metrics.set("gateways_known", core.read(|it| it.members().count(now)) as u64);
+        core.metrics.set("cold_plain_runners", cold as u64);
+        core.metrics.set("cold_plain_runners_own", responsible as u64);
         for (name, table) in [
             ("operator_table_age_ms", &core.tables.operator),
             ("runner_table_age_ms", &core.tables.runners),
--- a/components/edge/src/gateway/sidecars.rs
+++ b/components/edge/src/gateway/sidecars.rs
@@ -5,17 +5,22 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use gateway::Event;
+use fleet::{Hall, NamedVersion};
+use gateway::{Event, Sureness};
+use rand::seq::IteratorRandom;
 
 use super::core::Core;
 use super::directory;
 use crate::exchange::within;
-use crate::message::{weights_services, Datagram};
+use crate::message::{weights_services, Datagram, WeightsService};
 use crate::news::News;
 use crate::spawner::Spawner;
 
 /// How often sidecars are asked for reports and told what operators wrote, unless that changes.
 const SUBSCRIBE_EVERY: Duration = Duration::from_millis(1000);
+/// How many sidecars are asked in a second which gateways they hear, by one that is unsure and by any other.
+const ASKED_UNSURE: usize = 3;
+const ASKED: usize = 1;
 /// The shortest time between two such rounds.
 const SUBSCRIBE_SPACING: Duration = Duration::from_millis(100);
 
@@ -26,10 +31,18 @@
 }
 
 async fn ask(core: Core, news: News, port: u16) {
+    let mut asked_at = None;
     loop {
-        let subscribe = subscribe(&core);
-        for sidecar in sidecars(&core, port) {
-            news.send(sidecar, &subscribe).await;
+        let sidecars = sidecars(&core, port);
+        let due = asked_at.is_none_or(|at: Instant| at.elapsed() >= SUBSCRIBE_EVERY);
+        let asked = if due { draw_asked(&core, &sidecars) } else { Vec::new() };
+        if due {
+            asked_at = Some(Instant::now());
+        }
+        let subscribe = Subscription::new(&core);
+        for sidecar in sidecars {
+            let datagram = subscribe.to(&core, sidecar, asked.contains(&sidecar));
+            news.send(sidecar, &datagram).await;
         }
         Timer::after(SUBSCRIBE_SPACING).await;
         within(Instant::now() + SUBSCRIBE_EVERY, core.named.recv()).await;
@@ -56,6 +69,7 @@
                 }
                 core.reservations.settle(question, reply);
             }
+            Datagram::Gateways(list) => core.feed(Event::Gateways(list)),
             Datagram::Subscribe { .. }
             | Datagram::WantSidecars { .. }
             | Datagram::Sidecars(_)
@@ -68,13 +82,45 @@
     }
 }
 
-/// What sidecars are told.
-fn subscribe(core: &Core) -> Datagram {
+/// The sidecars that are asked which gateways they hear.
+fn draw_asked(core: &Core, sidecars: &BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
     let now = core.clock.now();
-    let named = core.read(|gateway| gateway.named_versions(now));
-    let services = core.catalog().map(|it| weights_services(&it)).unwrap_or_default();
-    let hall = core.read(|gateway| gateway.hall().clone());
-    Datagram::Subscribe { hall, named, services }
+    let unsure = core.read(|it| it.members().sureness(now)) == Sureness::Unsure;
+    let count = if unsure { ASKED_UNSURE } else { ASKED };
+    sidecars.iter().copied().choose_multiple(&mut rand::rng(), count)
+}
+
+/// What sidecars are told in one round.
+struct Subscription {
+    hall: Hall,
+    named: Vec<NamedVersion>,
+    services: Vec<WeightsService>,
+}
+
+impl Subscription {
+    fn new(core: &Core) -> Self {
+        let now = core.clock.now();
+        Self {
+            named: core.read(|gateway| gateway.named_versions(now)),
+            services: core.catalog().map(|it| weights_services(&it)).unwrap_or_default(),
+            hall: core.read(|gateway| gateway.hall().clone()),
+        }
+    }
+
+    /// What one sidecar is told.
+    fn to(&self, core: &Core, sidecar: SocketAddr, wants_gateways: bool) -> Datagram {
+        let now = core.clock.now();
+        let is_fresh = !core.tables.runners.lost.get();
+        let left = core.read(|it| it.cold_at(now, sidecar.ip()));
+        let known = left.filter(|left| is_fresh || *left > 0);
+        Datagram::Subscribe {
+            hall: self.hall.clone(),
+            named: self.named.clone(),
+            services: self.services.clone(),
+            cold_ms: known.map(|it| it.min(u64::from(u32::MAX)) as u32),
+            wants_gateways,
+        }
+    }
 }
 
 /// Where the sidecars of model runners listen: on the machines of their runners.
--- a/components/edge/src/gateway/state_log.rs
+++ b/components/edge/src/gateway/state_log.rs
@@ -21,6 +21,10 @@
         let operator_age_ms = core.tables.operator.age_ms();
         let runners_age_ms = core.tables.runners.age_ms();
         let runners = core.read(|gateway| gateway.pool().len());
+        let now = core.clock.now();
+        let (gateways, sureness) =
+            core.read(|it| (it.members().count(now), it.members().sureness(now).name()));
+        let (cold, responsible) = core.read(|it| it.cold_runners(now));
         let (under_way, waiting) = core.read(|gateway| gateway.load());
         log::info!(
             configuration = configuration,
@@ -28,7 +32,11 @@
             runners_age_ms = runners_age_ms,
             runners = runners,
             under_way = under_way,
-            waiting = waiting;
+            waiting = waiting,
+            gateways = gateways,
+            sureness = sureness,
+            cold_plain_runners = cold,
+            responsible_for = responsible;
             "state"
         );
     }
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -5,8 +5,8 @@
 use errors::{Code, Error, Result};
 use fleet::{Bitmap, Hall, InstanceId, Manifest, NamedVersion, Place, ServiceName};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use gateway::{Catalog, RunnerLoad, Service};
-use rollout::WeightsPlan;
+use gateway::{Catalog, GatewayList, RunnerLoad, Service};
+use rollout::{ColdPlan, WeightsPlan};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -26,7 +26,14 @@
         /// What its configuration says of the weights of each model service. Empty until the gateway
         /// has read it.
         services: Vec<WeightsService>,
+        /// How much longer the runner beside the receiver is cold by the list, in milliseconds. Zero only from
+        /// a gateway that hears the store; `None` where nobody can tell, or runners do not start cold.
+        cold_ms: Option<u32>,
+        /// Whether the gateway wants to know the gateways that the receiver hears.
+        wants_gateways: bool,
     },
+    /// The gateways that the sender hears.
+    Gateways(GatewayList),
     /// The load of the runner beside the sender.
     Load {
         /// Where the runner listens.
@@ -150,6 +157,9 @@
             origin_bytes_per_s: origin.bytes_per_s,
             slots: engine.slots,
             prompt_tokens_per_ms: engine.prompt_tokens_per_ms,
+            cold: service
+                .cold
+                .map(|it| ColdPlan { start_ms: it.start_ms, requests_per_s: it.requests_per_s }),
         };
         Some(WeightsService {
             service: service.name.clone(),
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -8,7 +8,7 @@
 
 use async_channel::{Receiver, Sender};
 use fleet::{Bitmap, InstanceId, Millis, ModelName, NamedVersion, Place};
-use gateway::RunnerLoad;
+use gateway::{GatewaysHeard, RunnerLoad};
 use rollout::{Effect, Event, Rollout, RolloutOptions};
 use settings::SidecarSettings;
 use telemetry::Metrics;
@@ -49,6 +49,8 @@
     pub names: Rc<RefCell<BTreeMap<ModelName, HeardVersion>>>,
     /// Gateways that want reports.
     pub subscribers: Rc<RefCell<BTreeMap<SocketAddr, Subscription>>>,
+    /// The gateways that were heard lately.
+    pub gateways: Rc<RefCell<GatewaysHeard>>,
     /// What the runner last said of its load.
     pub load: Rc<RefCell<Option<RunnerLoad>>>,
     /// Where the origin of weights listens.
@@ -95,6 +97,7 @@
         port: u16,
         metrics: Rc<Metrics>,
         effects: Sender<Effect>,
+        repeat_window_ms: u64,
     ) -> Self {
         let (wake, look) = async_channel::bounded(1);
         let (want_list, list_wanted) = async_channel::bounded(1);
@@ -110,6 +113,7 @@
             chunks: Rc::default(),
             names: Rc::default(),
             subscribers: Rc::default(),
+            gateways: Rc::new(RefCell::new(GatewaysHeard::new(repeat_window_ms))),
             load: Rc::default(),
             origin: Rc::default(),
             draws: Rc::default(),
@@ -183,6 +187,9 @@
         load.running = rollout.places().taken();
         load.reading_ms = rollout.places().reading_ms(self.clock.now()) as u32;
         load.waiting = rollout.waiting() as u32;
+        // A cold runner's next place is as far away as if it still read prompts.
+        let cold = rollout.cold().place_in_ms(self.clock.now()) as u32;
+        load.reading_ms = load.reading_ms.max(cold);
         load.busy |= rollout.is_leaving(self.clock.now());
         load.serves_in_ms = rollout.serves_in_ms(self.clock.now());
         load.named = rollout.named(self.clock.now());
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -10,7 +10,7 @@
 use errors::Result;
 use fleet::{Bitmap, InstanceId, Millis, NamedVersion};
 use platform::store::{Change, Table};
-use rollout::{Effect, Event, RolloutOptions, GATEWAY_PATIENCE};
+use rollout::{ColdLimit, Effect, Event, RolloutOptions, GATEWAY_PATIENCE};
 use settings::{DeploymentSettings, SidecarSettings};
 use telemetry::Metrics;
 
@@ -62,6 +62,7 @@
             settings.node.first_port,
             metrics,
             effects,
+            settings.bounds.repeat_window_s * 1000,
         );
         let news = News::bind(listen_at).await?;
         let listener = listen(listen_at).await?;
@@ -95,6 +96,7 @@
         link_bytes_per_s: settings.node.link_bytes_per_s,
         control_bytes_per_s: CONTROL_BYTES_PER_S,
         version_ms: settings.bounds.version_ms,
+        cold: settings.bounds.cold.map(|it| ColdLimit { overrun: it.overrun, slack: it.slack }),
         ablation: settings.ablation.clone(),
     }
 }
@@ -224,6 +226,7 @@
         core.metrics.set("version_wanted", rollout.wanted().unwrap_or(0));
         core.metrics.set("version_held", held);
         core.metrics.set("sidecars_known", rollout.peer_addresses().len() as u64);
+        core.metrics.set("runner_cold_ms", rollout.cold().left_ms(core.clock.now()));
         core.metrics.set("places_taken", u64::from(rollout.places().taken()));
     };
     serve_metrics(spawner, address, stopping, metrics, refresh).await
@@ -231,11 +234,27 @@
 
 async fn tick(core: Core) {
     let mut progress = Progress::default();
+    let mut was_cold = false;
     loop {
         Timer::after(TICK).await;
         core.feed(Event::Tick);
         core.close_rested_links();
         progress.log(&core);
+        log_warmth(&core, &mut was_cold);
+    }
+}
+
+/// Logs that the runner has turned cold or warm.
+fn log_warmth(core: &Core, was_cold: &mut bool) {
+    let now = core.clock.now();
+    let rollout = core.rollout.borrow();
+    let left_ms = rollout.cold().left_ms(now);
+    let is_cold = left_ms > 0;
+    if is_cold != *was_cold {
+        *was_cold = is_cold;
+        let assumed = rollout.cold().is_assumed(now);
+        let gateways = core.gateways.borrow().count(now);
+        log::info!(cold = is_cold, left_ms = left_ms, assumed = assumed, gateways = gateways; "warmth");
     }
 }
 
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -116,11 +116,20 @@
     loop {
         let (sender, datagram) = news.receive().await;
         match datagram {
-            Datagram::Subscribe { hall, named, services } => {
+            Datagram::Subscribe { hall, named, services, cold_ms, wants_gateways } => {
                 let until = core.clock.now().plus(SUBSCRIPTION);
                 let near = hall == core.place.hall;
                 core.subscribers.borrow_mut().insert(sender, Subscription { near, until });
+                let now = core.clock.now();
+                core.gateways.borrow_mut().note(now, sender);
+                if wants_gateways {
+                    let list = core.gateways.borrow().list(now, sender);
+                    news.send(sender, &Datagram::Gateways(list)).await;
+                }
                 core.take_services(&services);
+                if let Some(left_ms) = cold_ms {
+                    core.feed(Event::ColdFor(u64::from(left_ms)));
+                }
                 core.take_names(&named);
                 if !services.is_empty() {
                     // This gateway has read what operators wrote, the versions among it.
@@ -148,7 +157,10 @@
                 // Who asked has given up where nobody takes it.
                 let _ = sidecars.try_send(part);
             }
-            Datagram::WantSidecars { .. } | Datagram::Load { .. } | Datagram::Reserved { .. } => {}
+            Datagram::WantSidecars { .. }
+            | Datagram::Load { .. }
+            | Datagram::Reserved { .. }
+            | Datagram::Gateways(_) => {}
         }
     }
 }
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -8,6 +8,7 @@
 use reducer::{Draw, DrawSource};
 use serde::{Deserialize, Serialize};
 
+use crate::cold::{ColdLimit, ColdPlan};
 use crate::questions::{Question, Verdict};
 
 /// Numbers that a sidecar works with.
@@ -23,6 +24,8 @@
     pub control_bytes_per_s: u64,
     /// Within how many milliseconds a named version must be served.
     pub version_ms: u64,
+    /// How much a cold runner gets at most. `None` where runners do not start cold.
+    pub cold: Option<ColdLimit>,
     /// Mechanisms that are switched off for a measurement.
     pub ablation: Ablation,
 }
@@ -40,6 +43,8 @@
     pub slots: u32,
     /// Prompt tokens that the runner reads in a millisecond.
     pub prompt_tokens_per_ms: f64,
+    /// How the runner starts cold, if it does.
+    pub cold: Option<ColdPlan>,
 }
 
 /// A sidecar beside a runner of the same service.
@@ -97,6 +102,8 @@
     VersionsKnown,
     /// The runner said this of itself.
     Status(RunnerStatus),
+    /// By the list of runners the runner is cold for so many milliseconds more.
+    ColdFor(u64),
     /// The runner does not answer.
     Silent,
     /// The manifest of a version arrived.
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! The spread of chunks between sidecars is that of `reducer`; this package adds the runner.
 
+mod cold;
 mod directory;
 mod event;
 mod manifests;
@@ -13,6 +14,7 @@
 mod reports;
 mod target;
 
+pub use cold::{ColdLimit, ColdPlan, ColdStart};
 pub use directory::{Directory, DirectoryAnswer, DirectoryStep, GATEWAY_PATIENCE};
 pub use event::{
     Effect, Event, ManifestSource, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan,
--- a/components/rollout/src/places.rs
+++ b/components/rollout/src/places.rs
@@ -18,7 +18,7 @@
 /// The least rate of reading that is reckoned with, in tokens a millisecond.
 const MIN_RATE: f64 = 0.1;
 /// The shortest time after which to ask again, in milliseconds.
-const MIN_AGAIN: u64 = 5;
+pub(crate) const MIN_AGAIN: u64 = 5;
 /// The time after which to ask again where every place is taken, in milliseconds: a report comes every
 /// 100 ms, and some request ends about as often.
 const FULL_AGAIN: u64 = 60;
@@ -37,6 +37,8 @@
     /// This machine gave the last order of all, and the version that its runner holds is not the
     /// newest: what waits at the runner must not start there much later.
     LastOrder,
+    /// It is cold, and has got as much as it bears.
+    Cold,
     /// Every place is taken.
     Full,
     /// It still reads the prompts that came before.
@@ -50,7 +52,7 @@
 impl Denial {
     /// Whether a place may come free within a fraction of a second.
     pub(crate) fn is_short(self) -> bool {
-        matches!(self, Self::Full | Self::Reading)
+        matches!(self, Self::Cold | Self::Full | Self::Reading)
     }
 
     /// The word in logs.
@@ -59,6 +61,7 @@
             Self::Leaving => "leaving",
             Self::TooOld => "too_old",
             Self::LastOrder => "last_order",
+            Self::Cold => "cold",
             Self::Full => "full",
             Self::Reading => "reading",
             Self::Unheard => "unheard",
@@ -106,7 +109,7 @@
     pub fn again_ms(&self, now: Millis, denial: Denial) -> u64 {
         match denial {
             Denial::Reading => self.reading_ms(now) + MIN_AGAIN,
-            Denial::Full => FULL_AGAIN,
+            Denial::Full | Denial::Cold => FULL_AGAIN,
             Denial::Leaving | Denial::TooOld | Denial::LastOrder => MOVE_AGAIN,
             Denial::Unheard | Denial::NotServing => MOVE_AGAIN,
         }
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use crate::cold::ColdStart;
 use crate::event::{
     Effect, Event, ManifestSource, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan,
 };
@@ -56,6 +57,7 @@
     status_at: Millis,
     own_order_at: Millis,
     places: Places,
+    cold: ColdStart,
     questions: Questions,
     manifests: Manifests,
     /// When this sidecar gave an order, if no other one is known to have given one since. Trouble
@@ -80,6 +82,7 @@
             places.stop_pacing();
         }
         Self {
+            cold: ColdStart::new(options.cold),
             options,
             plan: None,
             versions_known: false,
@@ -138,6 +141,7 @@
         match event {
             Event::Planned(plan) => {
                 self.places.set_profile(plan.slots, plan.prompt_tokens_per_ms);
+                self.cold.set_plan(now, plan.cold);
                 self.plan = Some(plan);
             }
             Event::Named { version, named_at } => self.name(now, version, named_at),
@@ -146,6 +150,7 @@
                 self.take_status(now, status);
                 return self.settle_questions(now);
             }
+            Event::ColdFor(left_ms) => self.cold.take_word(now, left_ms),
             Event::Silent => {
                 self.status = None;
                 return self.settle_questions(now);
@@ -326,11 +331,15 @@
             _ => self.waiting_since.or(Some(now)),
         };
         let before = self.status.replace(status.clone());
+        let restarted = before.as_ref().is_none_or(|it| status.sequence < it.sequence);
+        if restarted {
+            self.cold.assume(now);
+        }
         let Some(target) = &mut self.current else {
             return;
         };
         let holds = status.version.is_some_and(|it| it >= target.version);
-        let restarted = before.is_some_and(|it| status.sequence < it.sequence);
+        let restarted = restarted && before.is_some();
         match target.step {
             Step::Served if !holds && !status.busy => {
                 target.step = if target.is_whole() {
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -3,8 +3,9 @@
 use fleet::{Mechanism, Millis};
 
 use super::Rollout;
+use crate::cold::ColdStart;
 use crate::event::Effect;
-use crate::places::{Denial, Places};
+use crate::places::{Denial, Places, MIN_AGAIN};
 use crate::questions::{Question, Verdict};
 use crate::target::Step;
 
@@ -63,7 +64,11 @@
     }
 
     fn deny(&self, now: Millis, denial: Denial) -> Verdict {
-        Verdict::Denied { denial, again_ms: self.places.again_ms(now, denial) }
+        let again_ms = match denial {
+            Denial::Cold => self.cold.place_in_ms(now) + MIN_AGAIN,
+            _ => self.places.again_ms(now, denial),
+        };
+        Verdict::Denied { denial, again_ms }
     }
 
     /// Gives a place at the runner to a request with a prompt of so many tokens, or says why not.
@@ -80,7 +85,17 @@
         if self.is_too_old(now) {
             return Err(Denial::TooOld);
         }
-        self.places.give(now, prompt_tokens)
+        if !self.cold.has_place(now) {
+            return Err(Denial::Cold);
+        }
+        self.places.give(now, prompt_tokens)?;
+        self.cold.take_place(now);
+        Ok(())
+    }
+
+    /// How cold the runner is.
+    pub fn cold(&self) -> &ColdStart {
+        &self.cold
     }
 
     /// Whether this machine gave the last order of all while its runner holds an older version than
--- a/components/rollout/tests/questions.rs
+++ b/components/rollout/tests/questions.rs
@@ -16,6 +16,7 @@
         link_bytes_per_s: 950_000,
         control_bytes_per_s: 6000,
         version_ms: 8000,
+        cold: None,
     }
 }
 
@@ -26,6 +27,7 @@
         origin_bytes_per_s: 1_240_000,
         slots: SLOTS,
         prompt_tokens_per_ms: 19.0,
+        cold: None,
     }
 }
 
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -75,6 +75,7 @@
         link_bytes_per_s: 950_000,
         control_bytes_per_s: 6000,
         version_ms: VERSION_MS,
+        cold: None,
     }
 }
 
@@ -85,6 +86,7 @@
         origin_bytes_per_s: 1_240_000,
         slots: 16,
         prompt_tokens_per_ms: 19.0,
+        cold: None,
     }
 }
 
