--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -48,7 +48,7 @@
     },
     /// A sidecar gave no place.
     Denied {
-        /// Why: `leaving`, `too_old`, `full`, `reading`, `unheard` or `not_serving`.
+        /// Why: `leaving`, `too_old`, `full`, `reading`, `unheard`, `not_serving` or `cold`.
         reason: String,
         /// Requests at the runner and on their way to it.
         taken: u32,
--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -86,8 +86,8 @@
         return false;
     };
     let now = core.clock.now();
-    let was = core.read(|it| it.cold_at(now, record.address.ip()));
-    record.cold_ms > 0 && was == Some(0)
+    let was_warm = || core.read(|it| it.cold_machines(now).get(&record.address.ip()) == Some(&0));
+    record.cold_ms > 0 && was_warm()
 }
 
 fn event(change: Change, late: bool) -> Event {
--- a/components/edge/src/gateway/sidecars.rs
+++ b/components/edge/src/gateway/sidecars.rs
@@ -1,7 +1,7 @@
 //! What a gateway and sidecars tell each other in datagrams.
 
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
@@ -41,7 +41,7 @@
         }
         let subscribe = Subscription::new(&core);
         for sidecar in sidecars {
-            let datagram = subscribe.to(&core, sidecar, asked.contains(&sidecar));
+            let datagram = subscribe.to(sidecar, asked.contains(&sidecar));
             news.send(sidecar, &datagram).await;
         }
         Timer::after(SUBSCRIBE_SPACING).await;
@@ -95,12 +95,18 @@
     hall: Hall,
     named: Vec<NamedVersion>,
     services: Vec<WeightsService>,
+    /// How much longer the runner on each machine is cold, as far as that can be told.
+    cold: BTreeMap<IpAddr, u64>,
 }
 
 impl Subscription {
     fn new(core: &Core) -> Self {
         let now = core.clock.now();
+        let is_fresh = !core.tables.runners.lost.get();
+        let mut cold = core.read(|gateway| gateway.cold_machines(now));
+        cold.retain(|_, left| is_fresh || *left > 0);
         Self {
+            cold,
             named: core.read(|gateway| gateway.named_versions(now)),
             services: core.catalog().map(|it| weights_services(&it)).unwrap_or_default(),
             hall: core.read(|gateway| gateway.hall().clone()),
@@ -108,16 +114,13 @@
     }
 
     /// What one sidecar is told.
-    fn to(&self, core: &Core, sidecar: SocketAddr, wants_gateways: bool) -> Datagram {
-        let now = core.clock.now();
-        let is_fresh = !core.tables.runners.lost.get();
-        let left = core.read(|it| it.cold_at(now, sidecar.ip()));
-        let known = left.filter(|left| is_fresh || *left > 0);
+    fn to(&self, sidecar: SocketAddr, wants_gateways: bool) -> Datagram {
+        let left = self.cold.get(&sidecar.ip());
         Datagram::Subscribe {
             hall: self.hall.clone(),
             named: self.named.clone(),
             services: self.services.clone(),
-            cold_ms: known.map(|it| it.min(u64::from(u32::MAX)) as u32),
+            cold_ms: left.map(|it| (*it).min(u64::from(u32::MAX)) as u32),
             wants_gateways,
         }
     }
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -261,3 +261,6 @@
 pub fn lost(error: std::io::Error) -> Error {
     Error::new(Code::ConnectionLost, error.to_string())
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -97,11 +97,6 @@
         ids.filter_map(|id| self.runners.get(id))
     }
 
-    /// The runner that listens at an address.
-    pub fn at(&self, address: SocketAddr) -> Option<&Runner> {
-        self.runners.get(self.by_address.get(&address)?)
-    }
-
     /// The runners of a hall may have turned cold lately.
     pub fn doubt_warmth(&mut self, now: Millis, hall: &Hall) {
         let there = self.runners.values_mut().filter(|it| &it.record.hall == hall);
--- a/components/gateway/src/reducer/cold.rs
+++ b/components/gateway/src/reducer/cold.rs
@@ -1,5 +1,6 @@
 //! What this gateway may send to plain runners that are cold.
 
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 
 use fleet::{Millis, ServiceName};
@@ -39,15 +40,14 @@
         }
     }
 
-    /// How much longer the model runner on a machine is cold by the list, in milliseconds. `None` where none is
-    /// listed there, or none of its service starts cold.
-    pub fn cold_at(&self, now: Millis, machine: IpAddr) -> Option<u64> {
-        self.options.cold?;
-        let catalog = self.catalog.as_ref()?;
-        let models = catalog.services().filter(|it| it.engine.is_some() && it.cold.is_some());
-        let mut runners = models.flat_map(|it| self.pool.of_service(&it.name));
-        let runner = runners.find(|it| it.record.address.ip() == machine)?;
-        Some(runner.cold_left_ms(now))
+    /// How much longer the model runner on each machine is cold by the list, in milliseconds. Empty where none starts
+    /// cold.
+    pub fn cold_machines(&self, now: Millis) -> BTreeMap<IpAddr, u64> {
+        let catalog = self.catalog.as_ref().filter(|_| self.options.cold.is_some());
+        let services = catalog.into_iter().flat_map(|it| it.services());
+        let models = services.filter(|it| it.engine.is_some() && it.cold.is_some());
+        let runners = models.flat_map(|it| self.pool.of_service(&it.name));
+        runners.map(|it| (it.record.address.ip(), it.cold_left_ms(now))).collect()
     }
 
     /// Cold plain runners, and those of them that this gateway may send to.
