--- a/components/gateway/tests/membership.rs
+++ b/components/gateway/tests/membership.rs
@@ -68,6 +68,10 @@
     most_arrivals: usize,
     /// Arrivals at all cold runners.
     arrived: usize,
+    /// Requests of callers at each gateway in a step; none where only the fixed allowance is looked at.
+    traffic: f64,
+    /// Requests and repeats in each step.
+    steps: Vec<(usize, usize)>,
 }
 
 impl Town {
@@ -86,6 +90,8 @@
             arrivals: vec![VecDeque::new(); COLD.len()],
             most_arrivals: 0,
             arrived: 0,
+            traffic: 0.0,
+            steps: Vec::new(),
         }
     }
 
@@ -125,6 +131,7 @@
         let end = self.now + span;
         while self.now < end {
             self.now += STEP;
+            self.steps.push((0, 0));
             for gateway in 0..self.lives.len() {
                 let due = self.lives[gateway].as_mut().is_some_and(|it| {
                     let due = it.next_round <= self.now;
@@ -149,7 +156,13 @@
             life.members.note_reach(now, reach);
             life.look_around(now);
         }
+        let step = self.steps.last_mut().unwrap();
+        for _ in 0..(self.traffic + self.random.random::<f64>()) as usize {
+            life.budget.count_request(now);
+            step.0 += 1;
+        }
         while life.budget.take_repeat(now) {
+            step.1 += 1;
             self.most_repeats = self.most_repeats.max(count(&mut self.repeats, at, WINDOW));
         }
         for (index, runner) in COLD.iter().enumerate() {
@@ -162,6 +175,21 @@
         }
     }
 
+    /// The most repeats of a window above what its requests allow, by those that came in the window, in the one
+    /// before or half a window earlier, whichever are most.
+    fn most_above_ratio(&self, ratio: f64) -> f64 {
+        let window = (WINDOW / STEP) as usize;
+        let sum = |end: usize, part: fn(&(usize, usize)) -> usize| -> f64 {
+            self.steps[end - window..end].iter().map(part).sum::<usize>() as f64
+        };
+        let ends = (2 * window..self.steps.len()).step_by(10);
+        let above = ends.map(|end| {
+            let before = [end, end - window / 2, end - window].map(|it| sum(it, |step| step.0));
+            sum(end, |step| step.1) - ratio * before.into_iter().fold(0.0, f64::max)
+        });
+        above.fold(0.0, f64::max)
+    }
+
     /// Something that happens to gateways, sidecars or the links between them.
     fn trouble(&mut self) {
         let gateway = self.random.random_range(0..self.lives.len());
@@ -222,6 +250,24 @@
     }
 }
 
+#[test]
+fn repeats_by_ratio_and_allowance_stay_within_both_while_traffic_jumps_and_gateways_change() {
+    for seed in 0..6 {
+        let mut town = Town::new(seed, 5 + 3 * seed as usize, 12);
+        town.traffic = 0.2;
+        town.run(20_000);
+        for _ in 0..15 {
+            town.trouble();
+            town.traffic = town.random.random_range(0.1..0.8);
+            let span = town.random.random_range(500..4000);
+            town.run(span);
+        }
+        let above = town.most_above_ratio(0.2);
+        assert!(above <= ALLOWANCE, "seed {seed}: {above} repeats above the ratio");
+        assert!(town.most_repeats as f64 > ALLOWANCE, "seed {seed}: the ratio is used");
+    }
+}
+
 #[test]
 fn a_gateway_that_restarts_over_and_over_uses_no_full_part_in_each_life() {
     let mut town = Town::new(3, 15, 34);
@@ -310,6 +356,21 @@
     bed.feed(Event::Listed(RunnerRecord { cold_ms, ..record(id, PLAIN_SERVICE, port) }));
 }
 
+#[test]
+fn sidecars_are_told_how_cold_their_runners_are_and_nothing_where_none_starts_cold() {
+    let mut bed = bed_with_cold_services(false);
+    let cold = RunnerRecord { cold_ms: 2500, ..record("m2", MODEL_SERVICE, 101) };
+    let machine = SocketAddr::from(([10, 9, 9, 9], 101));
+    bed.feed(Event::Listed(RunnerRecord { address: machine, ..cold.clone() }));
+    bed.pass(1000);
+    let told = bed.gateway.cold_machines(Millis(bed.now));
+    assert_eq!(told.get(&machine.ip()), Some(&1500));
+    assert_eq!(told.len(), 2, "the warm one too");
+    let mut bed = Bed::new();
+    bed.feed(Event::Listed(cold));
+    assert!(bed.gateway.cold_machines(Millis(bed.now)).is_empty());
+}
+
 /// Sends two hundred requests a second for a second, each answered at once, and counts those sent to a runner.
 fn sent_in_a_second(bed: &mut Bed, runner: &str) -> usize {
     let mut sent = 0;
