A deployment without sidecars shares the allowance by ten as before

Change: a gateway that never saw a sidecar in the list takes a tenth, which holds for ten gateways. The bed of the reducer's tests has its allowance of before again.

--- a/components/gateway/src/members.rs
+++ b/components/gateway/src/members.rs
@@ -26,6 +26,8 @@
 /// The most gateways that are unsure at a time; the rest of what is shared is theirs. Fifty-three are the most that
 /// stand before one service so far.
 const MOST_UNSURE: f64 = 64.0;
+/// The most gateways of a deployment that never had a sidecar: nobody can tell how many there are.
+const MOST_WITHOUT_SIDECARS: f64 = 10.0;
 /// The part of the sidecars that a gateway must hear from to be responsible for anything: of two sides that do not
 /// hear each other only one does.
 const QUORUM: f64 = 0.5;
@@ -130,6 +132,8 @@
     /// The lowest part of the sidecars that was heard from in each step of time, oldest first.
     reach: VecDeque<(Millis, f64)>,
     reach_at: Millis,
+    /// Whether any sidecar was ever listed.
+    has_sidecars: bool,
 }
 
 impl Members {
@@ -143,6 +147,7 @@
             since: Millis(0),
             reach: VecDeque::new(),
             reach_at: Millis(0),
+            has_sidecars: false,
         }
     }
 
@@ -151,9 +156,11 @@
         now.since(self.reach_at).0 >= REACH_EVERY
     }
 
-    /// Takes in which part of the listed sidecars is heard from.
-    pub fn note_reach(&mut self, now: Millis, reach: f64) {
+    /// Takes in which part of the listed sidecars is heard from. `None` where none is listed.
+    pub fn note_reach(&mut self, now: Millis, reach: Option<f64>) {
         self.reach_at = now;
+        self.has_sidecars |= reach.is_some();
+        let reach = reach.unwrap_or(0.0);
         match self.reach.back_mut().filter(|it| now.since(it.0).0 < REACH_STEP) {
             Some((_, lowest)) => *lowest = lowest.min(reach),
             None => self.reach.push_back((now, reach)),
@@ -204,6 +211,7 @@
                 let reach = self.lowest_reach(now, self.window_ms + INTRODUCTION);
                 SURE_PART * reach / self.count(now) as f64
             }
+            Sureness::Unsure if !self.has_sidecars => 1.0 / MOST_WITHOUT_SIDECARS,
             Sureness::Unsure | Sureness::New => (1.0 - SURE_PART) / MOST_UNSURE,
         }
     }
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -384,8 +384,8 @@
         }
     }
 
-    /// The part of the listed sidecars that this gateway hears from.
-    pub fn reach(&self, now: Millis) -> f64 {
+    /// The part of the listed sidecars that this gateway hears from. `None` where none is listed.
+    fn reach(&self, now: Millis) -> Option<f64> {
         let services = self.catalog.iter().flat_map(|it| it.services());
         let models = services.filter(|it| it.engine.is_some());
         let listed = models.flat_map(|it| self.pool.of_service(&it.name));
@@ -395,10 +395,6 @@
             let is_heard = runner.report_age(now).is_some_and(|age| age.0 <= REACH_AGE);
             heard += f64::from(u8::from(is_heard));
         }
-        if all == 0.0 {
-            0.0
-        } else {
-            heard / all
-        }
+        (all > 0.0).then(|| heard / all)
     }
 }
--- a/components/gateway/tests/membership.rs
+++ b/components/gateway/tests/membership.rs
@@ -153,7 +153,7 @@
             return;
         };
         if life.members.wants_reach(now) {
-            life.members.note_reach(now, reach);
+            life.members.note_reach(now, Some(reach));
             life.look_around(now);
         }
         let step = self.steps.last_mut().unwrap();
@@ -300,6 +300,16 @@
     assert_eq!(members.responsible(Millis(town.now), "p1", 5), None);
 }
 
+#[test]
+fn only_a_gateway_that_never_saw_a_sidecar_takes_a_tenth_without_knowing_the_others() {
+    let mut members = Members::new(WINDOW);
+    members.note_reach(Millis(1_000_000), None);
+    assert_eq!(members.part(Millis(1_000_000)), 0.1);
+    members.note_reach(Millis(1_000_200), Some(0.0));
+    members.note_reach(Millis(1_000_400), None);
+    assert!(members.part(Millis(1_000_400)) < 0.01, "the list has lost them");
+}
+
 #[test]
 fn a_gateway_that_was_killed_is_counted_until_its_last_repeats_are_out_of_the_window() {
     let mut town = Town::new(6, 5, 10);
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -21,8 +21,7 @@
         halls: [("a".into(), "north".into()), ("b".into(), "south".into())].into(),
         budget_window_ms: 10_000,
         budget_ratio: 0.2,
-        // A gateway that was told of no others has 0.2 / 64 of it: 10.
-        budget_allowance: 3200.0,
+        budget_allowance: 100.0,
         version_ms: VERSION_MS,
         evacuate_ms: None,
         cold: None,
