--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -11,7 +11,7 @@
 use fleet::{Bitmap, InstanceId, Millis, NamedVersion};
 use platform::store::{Change, Table};
 use rollout::{ColdLimit, Effect, Event, RolloutOptions, GATEWAY_PATIENCE};
-use settings::{DeploymentSettings, SidecarSettings};
+use settings::{BoundSettings, DeploymentSettings, SidecarSettings};
 use telemetry::Metrics;
 
 use super::core::Core;
@@ -40,6 +40,7 @@
 
 /// A sidecar. It has nothing to finish: what its runner does goes on without it.
 pub struct SidecarNode {
+    core: Core,
     /// Keeps the page of metrics open for the life of the process.
     _open: Sender<()>,
 }
@@ -84,8 +85,21 @@
         spawner.detach(ask_who_ordered(core.clone(), news.clone()));
         let (open, stopping) = async_channel::bounded(1);
         serve_page(spawner, settings, &core, stopping).await?;
-        spawner.detach(tick(core));
-        Ok(Self { _open: open })
+        spawner.detach(tick(core.clone()));
+        Ok(Self { core, _open: open })
+    }
+
+    /// Its counters.
+    pub fn metrics(&self) -> &Metrics {
+        &self.core.metrics
+    }
+
+    /// Goes on with other settings.
+    pub fn apply(&self, settings: &DeploymentSettings) {
+        let bounds = &settings.bounds;
+        self.core.gateways.borrow_mut().set_window(bounds.repeat_window_s * 1000);
+        self.core.feed(Event::Bounded { version_ms: bounds.version_ms });
+        self.core.feed(Event::ColdBounded(cold_limit(bounds)));
     }
 }
 
@@ -96,11 +110,15 @@
         link_bytes_per_s: settings.node.link_bytes_per_s,
         control_bytes_per_s: CONTROL_BYTES_PER_S,
         version_ms: settings.bounds.version_ms,
-        cold: settings.bounds.cold.map(|it| ColdLimit { overrun: it.overrun, slack: it.slack }),
+        cold: cold_limit(&settings.bounds),
         ablation: settings.ablation.clone(),
     }
 }
 
+fn cold_limit(bounds: &BoundSettings) -> Option<ColdLimit> {
+    bounds.cold.map(|it| ColdLimit { overrun: it.overrun, slack: it.slack })
+}
+
 /// Carries out effects for as long as the task runs.
 async fn perform(
     spawner: Spawner,
--- a/components/gateway/src/members.rs
+++ b/components/gateway/src/members.rs
@@ -71,6 +71,11 @@
         Self { memory_ms: window_ms + MEMORY_MARGIN, heard: BTreeMap::new() }
     }
 
+    /// Goes on with another window.
+    pub fn set_window(&mut self, window_ms: u64) {
+        self.memory_ms = window_ms + MEMORY_MARGIN;
+    }
+
     /// Takes in that a gateway was heard.
     pub fn note(&mut self, now: Millis, gateway: SocketAddr) {
         self.heard.insert(gateway, now);
@@ -151,6 +156,11 @@
         }
     }
 
+    /// Goes on with another window.
+    pub fn set_window(&mut self, window_ms: u64) {
+        self.window_ms = window_ms;
+    }
+
     /// Whether it is time to look which sidecars are heard from.
     pub fn wants_reach(&self, now: Millis) -> bool {
         now.since(self.reach_at).0 >= REACH_EVERY
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -12,7 +12,7 @@
 use rand::SeedableRng;
 
 use self::queue::Place;
-use crate::budget::RetryBudget;
+use crate::budget::{BudgetLimits, RetryBudget};
 use crate::catalog::Catalog;
 use crate::choice::{Chooser, Outlook};
 use crate::cold::ColdGates;
@@ -163,6 +163,18 @@
                 }
                 Vec::new()
             }
+            Event::Bounded(options) => {
+                self.pool.set_version_ms(options.version_ms);
+                self.options = options;
+                self.members.set_window(self.options.budget_window_ms);
+                if let Some(catalog) = self.catalog.clone() {
+                    self.note_cold_services(&catalog);
+                }
+                // What was counted so far goes on to count, against the new limits.
+                let limits = self.budget_limits(now);
+                self.budgets.values_mut().for_each(|it| it.set_limits(limits));
+                self.dispatch(now, &mut random)
+            }
             Event::Named(named) => {
                 self.pool.name_version(now, named);
                 Vec::new()
@@ -206,7 +218,7 @@
 
     fn arrive(&mut self, now: Millis, random: &mut SmallRng, arrival: Arrival) -> Vec<Effect> {
         let key = arrival.key;
-        self.budget(&arrival.service).count_request(now);
+        self.budget(now, &arrival.service).count_request(now);
         let share = if self.keeps(Mechanism::Waiting) { WAIT_SHARE } else { 0.0 };
         let wait = (arrival.aim_ms as f64 * share) as u64;
         let progress = Progress {
@@ -360,20 +372,28 @@
         self.options.ablation.keeps(mechanism)
     }
 
-    fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
+    fn budget(&mut self, now: Millis, service: &ServiceName) -> &mut RetryBudget {
+        let limits = self.budget_limits(now);
+        self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limits))
+    }
+
+    /// What this gateway may repeat. Its part of the fixed allowance follows who else is there.
+    fn budget_limits(&self, now: Millis) -> BudgetLimits {
         let options = &self.options;
         let share =
             if options.ablation.keeps(Mechanism::BudgetReserve) { RATIO_SHARE } else { 1.0 };
-        self.budgets.entry(service.clone()).or_insert_with(|| {
-            RetryBudget::new(options.budget_window_ms, options.budget_ratio * share, 0.0)
-        })
+        BudgetLimits {
+            window_ms: options.budget_window_ms,
+            ratio: options.budget_ratio * share,
+            allowance: options.budget_allowance * self.members.part(now),
+        }
     }
 
-    /// Takes a repeat, if this gateway has one left. Its part of the fixed allowance follows who else is there.
+    /// Takes a repeat, if this gateway has one left.
     fn take_repeat(&mut self, now: Millis, service: &ServiceName) -> bool {
-        let allowance = self.options.budget_allowance * self.members.part(now);
-        let budget = self.budget(service);
-        budget.set_allowance(allowance);
+        let limits = self.budget_limits(now);
+        let budget = self.budget(now, service);
+        budget.set_limits(limits);
         budget.take_repeat(now)
     }
 
--- a/components/gateway/src/reducer/cold.rs
+++ b/components/gateway/src/reducer/cold.rs
@@ -13,6 +13,7 @@
     /// Notes the plain services whose runners start cold. Model runners have sidecars, which see to that.
     pub(super) fn note_cold_services(&mut self, catalog: &Catalog) {
         let Some(bounds) = self.options.cold else {
+            self.cold.set_services(BTreeMap::new());
             return;
         };
         let plain = catalog.services().filter(|it| it.engine.is_none());
--- a/components/gateway/tests/membership.rs
+++ b/components/gateway/tests/membership.rs
@@ -22,6 +22,10 @@
     SocketAddr::from(([10, 0, 1, gateway as u8], 9000))
 }
 
+fn limits(allowance: f64) -> BudgetLimits {
+    BudgetLimits { window_ms: WINDOW, ratio: 0.15, allowance }
+}
+
 /// What one life of a gateway knows and has used.
 struct Life {
     members: Members,
@@ -32,7 +36,7 @@
 
 impl Life {
     fn new(starts: u64) -> Self {
-        let budget = RetryBudget::new(WINDOW, 0.15, 0.0);
+        let budget = RetryBudget::new(limits(0.0));
         Self {
             members: Members::new(WINDOW),
             budget,
@@ -42,7 +46,7 @@
     }
 
     fn look_around(&mut self, now: Millis) {
-        self.budget.set_allowance(ALLOWANCE * self.members.part(now));
+        self.budget.set_limits(limits(ALLOWANCE * self.members.part(now)));
         let share = ColdShare::new(PROFILE, BOUNDS);
         for runner in COLD {
             let id: InstanceId = runner.into();
@@ -334,7 +338,7 @@
 
 #[test]
 fn repeats_of_the_end_of_a_step_count_for_a_whole_window() {
-    let mut budget = RetryBudget::new(WINDOW, 0.0, 10.0);
+    let mut budget = RetryBudget::new(BudgetLimits { ratio: 0.0, ..limits(10.0) });
     let taken = |budget: &mut RetryBudget, at: u64| {
         (0..20).filter(|_| budget.take_repeat(Millis(at))).count()
     };
--- a/components/rollout/src/cold.rs
+++ b/components/rollout/src/cold.rs
@@ -55,6 +55,16 @@
     /// Takes in how runners of the service start.
     pub fn set_plan(&mut self, now: Millis, plan: Option<ColdPlan>) {
         self.plan = plan;
+        self.set_rate(now);
+    }
+
+    /// Goes on with another limit.
+    pub fn set_limit(&mut self, now: Millis, limit: Option<ColdLimit>) {
+        self.limit = limit;
+        self.set_rate(now);
+    }
+
+    fn set_rate(&mut self, now: Millis) {
         if let (Some(plan), Some(limit)) = (self.plan, self.limit) {
             let burst = BURST.min(limit.slack).max(1.0);
             let bound = plan.requests_per_s * limit.overrun + limit.slack;
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -89,6 +89,13 @@
 /// What happens to a sidecar.
 #[derive(Clone, Debug)]
 pub enum Event {
+    /// Within how many milliseconds a named version must be served has changed.
+    Bounded {
+        /// The new bound.
+        version_ms: u64,
+    },
+    /// How much a cold runner gets at most has changed.
+    ColdBounded(Option<ColdLimit>),
     /// The configuration says this of the weights.
     Planned(WeightsPlan),
     /// This version should be served.
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -139,6 +139,8 @@
     /// Takes in an event.
     pub fn reduce(&mut self, now: Millis, event: Event) -> Vec<Effect> {
         match event {
+            Event::Bounded { version_ms } => self.change_bound(now, version_ms),
+            Event::ColdBounded(limit) => self.cold.set_limit(now, limit),
             Event::Planned(plan) => {
                 self.places.set_profile(plan.slots, plan.prompt_tokens_per_ms);
                 self.cold.set_plan(now, plan.cold);
--- a/components/rollout/tests/cold.rs
+++ b/components/rollout/tests/cold.rs
@@ -192,6 +192,21 @@
     assert!((18..=27).contains(&bed.most_given()), "{} in a second", bed.most_given());
 }
 
+#[test]
+fn a_limit_that_comes_and_goes_while_the_process_runs_counts_at_once() {
+    let mut bed = Bed::new(None, Some(PLAN));
+    bed.feed(Event::ColdFor(9000));
+    bed.run(1000);
+    assert!(bed.given() > 200);
+    bed.feed(Event::ColdBounded(Some(LIMIT)));
+    bed.granted.clear();
+    bed.run(1500);
+    assert!((20..=29).contains(&bed.given()), "{}", bed.given());
+    bed.feed(Event::ColdBounded(None));
+    bed.run(1000);
+    assert!(bed.given() > 200);
+}
+
 #[test]
 fn nothing_is_held_back_without_bounds_or_without_a_profile() {
     for (limit, cold) in [(None, Some(PLAN)), (Some(LIMIT), None)] {
