Join cold starts and the budget of repeats for any number of gateways

A hall that is taken back counts as cold until the list can tell; what sidecars are told holds evacuations, cold starts and who asks for the gateways.

--- a/components/edge/src/evacuated/tests.rs
+++ b/components/edge/src/evacuated/tests.rs
@@ -77,6 +77,7 @@
         control_bytes_per_s: 6000,
         version_ms: 8000,
         evacuate_ms: Some(5000),
+        cold: None,
         ablation: Ablation::default(),
     })
 }
--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -45,7 +45,7 @@
         Seen::Heard => tables.of(table).note_heard(),
         Seen::Reached(reached) => tables.of(table).lost.set(!reached),
         Seen::Change { change, late } => {
-            let concerns_sidecars = concerns_sidecars(&change);
+            let concerns_sidecars = concerns_sidecars(&change) || turns_cold(&core, &change);
             if let Some(event) = event(change, late) {
                 core.feed(event);
             }
@@ -83,6 +83,17 @@
     }
 }
 
+/// Whether a runner has turned cold that was not: its sidecar should hear at once. An entry tells a time that falls
+/// every second.
+fn turns_cold(core: &Core, change: &Change) -> bool {
+    let Change::Runner(record) = change else {
+        return false;
+    };
+    let now = core.clock.now();
+    let was_warm = || core.read(|it| it.cold_machines(now).get(&record.address.ip()) == Some(&0));
+    record.cold_ms > 0 && was_warm()
+}
+
 /// What a change is to the reducer. `None` for what it is told of by whole lists.
 fn event(change: Change, late: bool) -> Option<Event> {
     Some(match change {
@@ -98,7 +109,7 @@
         Change::Evacuated(_) | Change::Reopened(_) => return None,
         Change::Runner(record) => {
             let state = format!("{:?} {:?}", record.state, record.weights);
-            log::info!(runner = record.id.0.as_str(), state = state.as_str(); "runner listed");
+            log::info!(runner = record.id.0.as_str(), state = state.as_str(), cold_ms = record.cold_ms; "runner listed");
             Event::Listed(record)
         }
         Change::RunnerGone(id) => {
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -196,12 +196,16 @@
         core.metrics.set("requests_under_way", under_way as u64);
         core.metrics.set("requests_waiting", waiting as u64);
         core.metrics.set("runners_listed", runners as u64);
+        let now = core.clock.now();
+        let (cold, responsible) = core.read(|it| it.cold_runners(now));
         let evacuated = core.read(|gateway| gateway.pool().evacuations.len());
         core.metrics.set("configuration", configuration);
-        let tight = core.read(|gateway| gateway.tight_homes(core.clock.now()));
-        core.metrics.set("tight_homes", tight as u64);
-        core.metrics.set("home_faults", core.read(|gateway| gateway.home_faults().len()) as u64);
+        core.metrics.set("tight_homes", core.read(|it| it.tight_homes(now)) as u64);
+        core.metrics.set("home_faults", core.read(|it| it.home_faults().len()) as u64);
         core.metrics.set("halls_evacuated", evacuated as u64);
+        core.metrics.set("gateways_known", core.read(|it| it.members().count(now)) as u64);
+        core.metrics.set("cold_plain_runners", cold as u64);
+        core.metrics.set("cold_plain_runners_own", responsible as u64);
         for (name, table) in [
             ("operator_table_age_ms", &core.tables.operator),
             ("runner_table_age_ms", &core.tables.runners),
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -10,8 +10,8 @@
 use errors::Result;
 use fleet::{Bitmap, InstanceId, Millis, NamedVersion};
 use platform::store::{Change, Table};
-use rollout::{Effect, Event, RolloutOptions, GATEWAY_PATIENCE};
-use settings::{DeploymentSettings, SidecarSettings};
+use rollout::{ColdLimit, Effect, Event, RolloutOptions, GATEWAY_PATIENCE};
+use settings::{BoundSettings, DeploymentSettings, SidecarSettings};
 use telemetry::Metrics;
 
 use super::core::Core;
@@ -63,6 +63,7 @@
             settings.node.first_port,
             metrics,
             effects,
+            settings.bounds.repeat_window_s * 1000,
         );
         let news = News::bind(listen_at).await?;
         let listener = listen(listen_at).await?;
@@ -95,10 +96,11 @@
 
     /// Goes on with other settings.
     pub fn apply(&self, settings: &DeploymentSettings) {
-        self.core.feed(Event::Bounded {
-            version_ms: settings.bounds.version_ms,
-            evacuate_ms: settings.bounds.leave_ms(),
-        });
+        let bounds = &settings.bounds;
+        self.core.gateways.borrow_mut().set_window(bounds.repeat_window_s * 1000);
+        self.core
+            .feed(Event::Bounded { version_ms: bounds.version_ms, evacuate_ms: bounds.leave_ms() });
+        self.core.feed(Event::ColdBounded(cold_limit(bounds)));
     }
 }
 
@@ -110,10 +112,15 @@
         control_bytes_per_s: CONTROL_BYTES_PER_S,
         version_ms: settings.bounds.version_ms,
         evacuate_ms: settings.bounds.leave_ms(),
+        cold: cold_limit(&settings.bounds),
         ablation: settings.ablation.clone(),
     }
 }
 
+fn cold_limit(bounds: &BoundSettings) -> Option<ColdLimit> {
+    bounds.cold.map(|it| ColdLimit { overrun: it.overrun, slack: it.slack })
+}
+
 /// Carries out effects for as long as the task runs.
 async fn perform(
     spawner: Spawner,
@@ -244,6 +251,7 @@
         core.metrics.set("version_held", held);
         core.metrics.set("sidecars_known", rollout.peer_addresses().len() as u64);
         core.metrics.set("halls_evacuated", rollout.evacuations().len() as u64);
+        core.metrics.set("runner_cold_ms", rollout.cold().left_ms(core.clock.now()));
         core.metrics.set("places_taken", u64::from(rollout.places().taken()));
     };
     serve_metrics(spawner, address, stopping, metrics, refresh).await
@@ -251,11 +259,27 @@
 
 async fn tick(core: Core) {
     let mut progress = Progress::default();
+    let mut was_cold = false;
     loop {
         Timer::after(TICK).await;
         core.feed(Event::Tick);
         core.close_rested_links();
         progress.log(&core);
+        log_warmth(&core, &mut was_cold);
+    }
+}
+
+/// Logs that the runner has turned cold or warm.
+fn log_warmth(core: &Core, was_cold: &mut bool) {
+    let now = core.clock.now();
+    let rollout = core.rollout.borrow();
+    let left_ms = rollout.cold().left_ms(now);
+    let is_cold = left_ms > 0;
+    if is_cold != *was_cold {
+        *was_cold = is_cold;
+        let assumed = rollout.cold().is_assumed(now);
+        let gateways = core.gateways.borrow().count(now);
+        log::info!(cold = is_cold, left_ms = left_ms, assumed = assumed, gateways = gateways; "warmth");
     }
 }
 
--- a/components/gateway/src/budget.rs
+++ b/components/gateway/src/budget.rs
@@ -19,7 +19,7 @@
 }
 
 /// Counts first sends and repeats over a sliding window. Each gateway holds its own share of the
-/// allowance of all gateways together, so no coordination is needed.
+/// allowance of all gateways together, so none is asked.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     limits: BudgetLimits,
@@ -46,7 +46,8 @@
     /// Takes one repeat if there is one left.
     pub fn take_repeat(&mut self, now: Millis) -> bool {
         self.forget(now);
-        let requests: u32 = self.steps.iter().map(|step| step.1).sum();
+        let whole = self.steps.iter().filter(|step| now.since(step.0).0 <= self.limits.window_ms);
+        let requests: u32 = whole.map(|step| step.1).sum();
         let repeats: u32 = self.steps.iter().map(|step| step.2).sum();
         let BudgetLimits { ratio, allowance, .. } = self.limits;
         if f64::from(repeats) + 1.0 > ratio * f64::from(requests) + allowance {
@@ -67,8 +68,10 @@
         &mut self.steps[last]
     }
 
+    /// A step is kept until its last moment is outside the window: its repeats may all have been there.
     fn forget(&mut self, now: Millis) {
-        while self.steps.front().is_some_and(|step| now.since(step.0).0 > self.limits.window_ms) {
+        let kept = self.limits.window_ms + self.limits.window_ms / STEPS;
+        while self.steps.front().is_some_and(|step| now.since(step.0).0 > kept) {
             self.steps.pop_front();
         }
     }
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -3,6 +3,7 @@
 use fleet::{InstanceId, Mechanism, Millis, ModelName, Region};
 use rand::Rng;
 
+use crate::cold::ColdGates;
 use crate::event::{Arrival, GatewayOptions, Seen, Standing};
 use crate::home_room::{self, HomeRoom};
 use crate::pool::Pool;
@@ -49,6 +50,8 @@
     pub options: &'a GatewayOptions,
     /// What requests without homes leave to others.
     pub room: &'a HomeRoom,
+    /// What may be sent to cold runners that have no sidecar.
+    pub cold: &'a ColdGates,
 }
 
 impl Chooser<'_> {
@@ -224,11 +227,12 @@
         runner.usual_first_ms(now)
     }
 
-    /// Whether a runner may have room. At runners with a sidecar a few requests may wait for a place there.
+    /// Whether a runner may have room, and its turn has come where it is cold. At runners with a sidecar a few requests may wait for a place there.
     fn has_room(&self, now: Millis, runner: &Runner, arrival: &Arrival, tight: &[&Region]) -> bool {
         let held_back = if tight.is_empty() { 0 } else { self.held_back(runner, tight) };
         let waits_there = arrival.model.is_some() && held_back == 0;
         let waiting = if waits_there { MAX_WAITING } else { 0 };
-        runner.occupancy(now) + held_back < runner.record.slots + waiting
+        let has_place = runner.occupancy(now) + held_back < runner.record.slots + waiting;
+        has_place && self.cold.admit(now, runner)
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,10 +7,12 @@
 mod budget;
 mod catalog;
 mod choice;
+mod cold;
 mod comeback;
 mod event;
 mod home_faults;
 mod home_room;
+mod members;
 mod pool;
 mod reducer;
 mod runner;
@@ -21,11 +23,13 @@
     Catalog, CatalogParts, ColdProfile, EngineProfile, Limits, Origin, Route, RouteKind, Service,
     Workspace,
 };
+pub use cold::{ColdGates, ColdShare};
 pub use event::{
     Arrival, AttemptOutcome, ColdBounds, Effect, Event, GatewayOptions, NextStep, RequestKey,
     RunnerTarget, Seen, Standing,
 };
 pub use home_faults::HomeFault;
+pub use members::{GatewayList, GatewaysHeard, HeardGateway, Members, Sureness};
 pub use pool::Pool;
 pub use reducer::Gateway;
 pub use runner::{Runner, RunnerLoad, RunnerRecord, RunnerState, WeightsHeld};
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -1,12 +1,16 @@
 //! The reducer of a gateway.
 
+mod cold;
 mod queue;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use errors::Code;
-use fleet::{EvacuationList, Hall, InstanceId, Mechanism, Millis, NamedVersion, ServiceName};
+use fleet::{
+    EvacuationChange, EvacuationList, Hall, InstanceId, Mechanism, Millis, NamedVersion,
+    ServiceName,
+};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
@@ -14,10 +18,12 @@
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::catalog::Catalog;
 use crate::choice::{Chooser, Outlook};
+use crate::cold::ColdGates;
 use crate::comeback::Shortage;
 use crate::event::{Arrival, AttemptOutcome, Effect, Event, GatewayOptions, Reach, RequestKey};
 use crate::home_faults::{self, HomeFault};
 use crate::home_room::HomeRoom;
+use crate::members::Members;
 use crate::pool::Pool;
 use crate::runner::RunnerState;
 
@@ -30,9 +36,9 @@
 const MAX_DENIED_PAUSE: u64 = 500;
 /// How long a runner that said it is full is left alone, in milliseconds.
 const FULL_PAUSE: u64 = 60;
-/// How many gateways the fixed allowance of repeats is shared by. Each knows only itself, so this
-/// is the most that stand before one service.
-const ALLOWANCE_SHARES: f64 = 10.0;
+/// The age up to which a report shows that its sidecar is heard, in milliseconds: sidecars of other halls report every
+/// 420 ms.
+const REACH_AGE: u64 = 2000;
 /// The part of the ratio of repeats that is used, for what cannot be counted exactly.
 const RATIO_SHARE: f64 = 0.75;
 
@@ -96,6 +102,8 @@
     options: GatewayOptions,
     catalog: Option<Arc<Catalog>>,
     pool: Pool,
+    members: Members,
+    cold: ColdGates,
     budgets: BTreeMap<ServiceName, RetryBudget>,
     shortages: BTreeMap<Reach, Shortage>,
     /// Homes where nothing can be served, by the configuration in force.
@@ -111,6 +119,8 @@
         let evacuate_ms = evacuation_bound(&options);
         Self {
             pool: Pool::new(options.version_ms, evacuate_ms),
+            members: Members::new(options.budget_window_ms),
+            cold: ColdGates::default(),
             options,
             catalog: None,
             budgets: BTreeMap::new(),
@@ -137,6 +147,11 @@
         &self.pool
     }
 
+    /// The gateways known.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
     /// The newest version that was named for each model, as other processes are told of it.
     pub fn named_versions(&self, now: Millis) -> Vec<NamedVersion> {
         let mut named = self.pool.named_versions(now);
@@ -196,8 +211,12 @@
                 self.pool.set_version_ms(options.version_ms);
                 self.pool.evacuations.set_bound(evacuation_bound(&options));
                 self.options = options;
+                self.members.set_window(self.options.budget_window_ms);
+                if let Some(catalog) = self.catalog.clone() {
+                    self.note_cold_services(&catalog);
+                }
                 // What was counted so far goes on to count, against the new limits.
-                let limits = self.budget_limits();
+                let limits = self.budget_limits(now);
                 self.budgets.values_mut().for_each(|it| it.set_limits(limits));
                 self.dispatch(now, &mut random)
             }
@@ -207,6 +226,11 @@
             }
             Event::Evacuations(list) => {
                 let changes = self.pool.evacuations.take(now, &list);
+                for change in &changes {
+                    if let EvacuationChange::Ended { hall, .. } = change {
+                        self.pool.doubt_warmth(now, hall);
+                    }
+                }
                 let mut effects: Vec<Effect> =
                     changes.into_iter().map(Effect::Evacuation).collect();
                 if !effects.is_empty() {
@@ -215,21 +239,30 @@
                 effects
             }
             Event::Listed(record) => {
-                self.pool.list(record);
+                self.pool.list(now, record);
                 self.dispatch(now, &mut random)
             }
             Event::Unlisted(id) => {
                 self.pool.unlist(&id);
+                self.cold.close(&id);
                 Vec::new()
             }
             Event::Load(address, load) => {
                 self.pool.take_load(now, address, load);
                 self.dispatch(now, &mut random)
             }
+            Event::Gateways(list) => {
+                self.members.take(now, list);
+                Vec::new()
+            }
             Event::Arrived(arrival) => self.arrive(now, &mut random, arrival),
             Event::Attempt(key, outcome) => self.take_outcome(now, &mut random, key, outcome),
             Event::Gone(key) => self.end(now, &mut random, key),
-            Event::Tick => self.dispatch(now, &mut random),
+            Event::Tick => {
+                self.look_around(now);
+                self.tend_cold_runners(now);
+                self.dispatch(now, &mut random)
+            }
         }
     }
 
@@ -238,6 +271,7 @@
         for progress in self.requests.values_mut() {
             progress.arrival.settle(&catalog);
         }
+        self.note_cold_services(&catalog);
         self.home_faults = home_faults::find(&catalog, &self.options.halls);
         self.catalog = Some(catalog);
         match self.home_faults.is_empty() {
@@ -254,7 +288,7 @@
             self.home_room.note(now, &arrival);
         }
         let key = arrival.key;
-        self.budget(&arrival.service).count_request(now);
+        self.budget(now, &arrival.service).count_request(now);
         let share = if self.keeps(Mechanism::Waiting) { WAIT_SHARE } else { 0.0 };
         let wait = (arrival.aim_ms as f64 * share) as u64;
         let progress = Progress {
@@ -371,7 +405,7 @@
         if !allowed || !left || now >= arrival.limit {
             return self.finish_without_answer(now, random, key);
         }
-        if !free && !self.budget(&service).take_repeat(now) {
+        if !free && !self.take_repeat(now, &service) {
             return self.finish_without_answer(now, random, key);
         }
         let resumes_patiently = self.keeps(Mechanism::ResumeWait);
@@ -400,7 +434,12 @@
     }
 
     fn chooser(&self) -> Chooser<'_> {
-        Chooser { pool: &self.pool, options: &self.options, room: &self.home_room }
+        Chooser {
+            pool: &self.pool,
+            options: &self.options,
+            room: &self.home_room,
+            cold: &self.cold,
+        }
     }
 
     /// Whether a mechanism is at work.
@@ -408,19 +447,49 @@
         self.options.ablation.keeps(mechanism)
     }
 
-    fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
-        let limits = self.budget_limits();
+    fn budget(&mut self, now: Millis, service: &ServiceName) -> &mut RetryBudget {
+        let limits = self.budget_limits(now);
         self.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limits))
     }
 
-    fn budget_limits(&self) -> BudgetLimits {
+    /// What this gateway may repeat. Its part of the fixed allowance follows who else is there.
+    fn budget_limits(&self, now: Millis) -> BudgetLimits {
         let options = &self.options;
         let share =
             if options.ablation.keeps(Mechanism::BudgetReserve) { RATIO_SHARE } else { 1.0 };
         BudgetLimits {
             window_ms: options.budget_window_ms,
             ratio: options.budget_ratio * share,
-            allowance: options.budget_allowance / ALLOWANCE_SHARES,
+            allowance: options.budget_allowance * self.members.part(now),
+        }
+    }
+
+    /// Takes a repeat, if this gateway has one left.
+    fn take_repeat(&mut self, now: Millis, service: &ServiceName) -> bool {
+        let limits = self.budget_limits(now);
+        let budget = self.budget(now, service);
+        budget.set_limits(limits);
+        budget.take_repeat(now)
+    }
+
+    fn look_around(&mut self, now: Millis) {
+        if self.members.wants_reach(now) {
+            let reach = self.reach(now);
+            self.members.note_reach(now, reach);
+        }
+    }
+
+    /// The part of the listed sidecars that this gateway hears from. `None` where none is listed.
+    fn reach(&self, now: Millis) -> Option<f64> {
+        let services = self.catalog.iter().flat_map(|it| it.services());
+        let models = services.filter(|it| it.engine.is_some());
+        let listed = models.flat_map(|it| self.pool.of_service(&it.name));
+        let (mut all, mut heard) = (0.0, 0.0);
+        for runner in listed.filter(|it| it.record.state == RunnerState::Ready) {
+            all += 1.0;
+            let is_heard = runner.report_age(now).is_some_and(|age| age.0 <= REACH_AGE);
+            heard += f64::from(u8::from(is_heard));
         }
+        (all > 0.0).then(|| heard / all)
     }
 }
--- /dev/null
+++ b/components/gateway/src/reducer/cold.rs
@@ -0,0 +1,62 @@
+//! What this gateway may send to plain runners that are cold.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+
+use fleet::{Millis, ServiceName};
+
+use super::Gateway;
+use crate::catalog::Catalog;
+use crate::cold::ColdShare;
+
+impl Gateway {
+    /// Notes the plain services whose runners start cold. Model runners have sidecars, which see to that.
+    pub(super) fn note_cold_services(&mut self, catalog: &Catalog) {
+        let Some(bounds) = self.options.cold else {
+            self.cold.set_services(BTreeMap::new());
+            return;
+        };
+        let plain = catalog.services().filter(|it| it.engine.is_none());
+        let cold = plain.filter_map(|it| Some((it.name.clone(), ColdShare::new(it.cold?, bounds))));
+        self.cold.set_services(cold.collect());
+    }
+
+    /// Sets what this gateway may send to each cold runner, by whether it is responsible for it.
+    pub(super) fn tend_cold_runners(&mut self, now: Millis) {
+        let services: Vec<(ServiceName, ColdShare)> = self.cold.services().collect();
+        if services.is_empty() {
+            return;
+        }
+        for (service, share) in services {
+            for runner in self.pool.of_service(&service) {
+                let id = &runner.record.id;
+                let responsible = (runner.cold_left_ms(now) > 0)
+                    .then(|| self.members.responsible(now, &id.0, share.gateways))
+                    .flatten();
+                match responsible {
+                    Some(gateways) => self.cold.set(now, id, share, gateways),
+                    None => self.cold.close(id),
+                }
+            }
+        }
+    }
+
+    /// How much longer the model runner on each machine is cold by the list, in milliseconds. Empty where none starts
+    /// cold.
+    pub fn cold_machines(&self, now: Millis) -> BTreeMap<IpAddr, u64> {
+        let catalog = self.catalog.as_ref().filter(|_| self.options.cold.is_some());
+        let services = catalog.into_iter().flat_map(|it| it.services());
+        let models = services.filter(|it| it.engine.is_some() && it.cold.is_some());
+        let runners = models.flat_map(|it| self.pool.of_service(&it.name));
+        runners.map(|it| (it.record.address.ip(), it.cold_left_ms(now))).collect()
+    }
+
+    /// Cold plain runners, and those of them that this gateway may send to.
+    pub fn cold_runners(&self, now: Millis) -> (usize, usize) {
+        let services = self.cold.services();
+        let runners =
+            services.flat_map(|(name, _)| self.pool.of_service(&name).collect::<Vec<_>>());
+        let cold: Vec<_> = runners.filter(|it| it.cold_left_ms(now) > 0).collect();
+        (cold.len(), cold.iter().filter(|it| self.cold.is_open(&it.record.id)).count())
+    }
+}
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -137,7 +137,11 @@
 
 impl Bed {
     pub fn new() -> Self {
-        let mut bed = Self { gateway: Gateway::new(options()), now: 1_000_000, seed: 1 };
+        Self::with(options())
+    }
+
+    pub fn with(options: GatewayOptions) -> Self {
+        let mut bed = Self { gateway: Gateway::new(options), now: 1_000_000, seed: 1 };
         bed.feed(Event::Configured(catalog(1)));
         bed
     }
@@ -147,6 +151,12 @@
         self.gateway.reduce(Millis(self.now), self.seed, event)
     }
 
+    /// Lets time pass.
+    pub fn pass(&mut self, span: u64) {
+        self.now += span;
+        self.feed(Event::Tick);
+    }
+
     pub fn list(&mut self, id: &str, service: &str, port: u16) -> Vec<Effect> {
         self.feed(Event::Listed(record(id, service, port)))
     }
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -11,6 +11,7 @@
 use reducer::{Draw, DrawSource};
 use serde::{Deserialize, Serialize};
 
+use crate::cold::{ColdLimit, ColdPlan};
 use crate::questions::{Question, Verdict};
 
 /// Numbers that a sidecar works with.
@@ -29,6 +30,8 @@
     /// Within how many milliseconds nothing is sent to a hall that is evacuated. `None` where halls are not
     /// evacuated.
     pub evacuate_ms: Option<u64>,
+    /// How much a cold runner gets at most. `None` where runners do not start cold.
+    pub cold: Option<ColdLimit>,
     /// Mechanisms that are switched off for a measurement.
     pub ablation: Ablation,
 }
@@ -46,6 +49,8 @@
     pub slots: u32,
     /// Prompt tokens that the runner reads in a millisecond.
     pub prompt_tokens_per_ms: f64,
+    /// How the runner starts cold, if it does.
+    pub cold: Option<ColdPlan>,
 }
 
 /// A sidecar beside a runner of the same service.
@@ -97,6 +102,8 @@
         /// Within how many nothing is sent to a hall that is evacuated.
         evacuate_ms: Option<u64>,
     },
+    /// How much a cold runner gets at most has changed.
+    ColdBounded(Option<ColdLimit>),
     /// The configuration says this of the weights.
     Planned(WeightsPlan),
     /// This version should be served.
@@ -110,6 +117,8 @@
     VersionsKnown,
     /// The runner said this of itself.
     Status(RunnerStatus),
+    /// By the list of runners the runner is cold for so many milliseconds more.
+    ColdFor(u64),
     /// The runner does not answer.
     Silent,
     /// The manifest of a version arrived.
--- a/components/rollout/tests/questions.rs
+++ b/components/rollout/tests/questions.rs
@@ -17,6 +17,7 @@
         control_bytes_per_s: 6000,
         version_ms: 8000,
         evacuate_ms: Some(5000),
+        cold: None,
     }
 }
 
@@ -27,6 +28,7 @@
         origin_bytes_per_s: 1_240_000,
         slots: SLOTS,
         prompt_tokens_per_ms: 19.0,
+        cold: None,
     }
 }
 
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -78,6 +78,7 @@
         control_bytes_per_s: 6000,
         version_ms: VERSION_MS,
         evacuate_ms: Some(5000),
+        cold: None,
     }
 }
 
@@ -88,6 +89,7 @@
         origin_bytes_per_s: 1_240_000,
         slots: 16,
         prompt_tokens_per_ms: 19.0,
+        cold: None,
     }
 }
 
