Tests: the gateway knows every runner before the store goes away

Cause: in 3 of 13 runs beside load the runner that was added last was heard of only after the outage (kept logs: no line of it before "store lost"). Of the two runners that the gateway then knew one was missing, half of all, and half is held back as a lapse. The test means one of three.

Change: it waits until the log tells of the third. What is asserted stays.

--- a/daemon/tests/deployment/outages.rs
+++ b/daemon/tests/deployment/outages.rs
@@ -145,6 +145,9 @@
     let machine = |it: u8| SocketAddr::new(neighbour(gateway, it), 8001);
     deployment.standin.add_runner(machine(3), platform_standin::Engine::plain("l3", "ledger", "a"));
     deployment.wait_until_ready(gateway);
+    wait_until("the gateway knows all three", || {
+        deployment.log(gateway.ip()).contains(r#""runner":"l3""#)
+    });
     deployment.standin.set_store_fault(StoreFault::Busy);
     std::thread::sleep(Duration::from_millis(6000));
     deployment.standin.unlist_runner(machine(1));
