Soak: evacuations, homes that change, cold starts and settings files that change

Cause: the soak knew none of the new terms.

The checker counts every run of the bound route whoever was harmed, every run at a cold runner in any second whoever was harmed, and holds gateways that were left alone to the bounds of evacuations and homes. Each check has a test on a made-up history.

--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -125,7 +125,8 @@
         let newest = self.shared.configuration.load(Ordering::Relaxed);
         match self.random.random_range(0..10) {
             0..4 => Kind::Stream,
-            4..6 => Kind::Safe,
+            4..5 => Kind::Safe,
+            5..6 => Kind::Bound,
             6..8 => Kind::Unsafe,
             _ => Kind::Probe(newest - self.random.random_range(0..2).min(newest)),
         }
@@ -148,6 +149,7 @@
         Kind::Stream => (Method::POST, "/s/x".to_owned()),
         Kind::Safe => (Method::GET, "/get/x".to_owned()),
         Kind::Unsafe => (Method::POST, "/post/x".to_owned()),
+        Kind::Bound => (Method::GET, "/bound/x".to_owned()),
         Kind::Probe(version) => (Method::GET, format!("/v{version}/x")),
     };
     let mut request = HttpRequest::builder().method(method).uri(path).header("host", HOST);
--- a/examples/soak/checker.rs
+++ b/examples/soak/checker.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::history::{Configured, Harmed, History, Kind, Request, Run, Seen, Target};
+use crate::history::{
+    Cold, Configured, Evacuated, Harmed, History, Homes, Kind, Request, Run, Seen, Target,
+};
 
 /// Events of a whole stream of the stand-in's engines.
 const EVENTS: u64 = 12;
@@ -13,6 +15,14 @@
 const DRAIN: Duration = Duration::from_millis(2000);
 /// Within what time a configuration is in force.
 const APPLY: Duration = Duration::from_millis(2000);
+/// Within what time a hall that is evacuated gets nothing new.
+const EVACUATE: Duration = Duration::from_millis(2500);
+/// The only data hall in the home regions of the route that is always bound.
+pub const BOUND_HALL: &str = "a";
+/// The window in which the requests of a cold runner are counted.
+const COLD_WINDOW: Duration = Duration::from_millis(1000);
+/// The most requests that a cold runner gets in one window: 1.5 times the 6 that it bears and 5 on top.
+pub const COLD_LIMIT: usize = 14;
 /// How long a process must have been left alone to be held to a bound of time.
 const IN_TOUCH: Duration = Duration::from_millis(3500);
 /// How long a request may be under way when its connection is closed between two requests.
@@ -42,7 +52,11 @@
         violations.extend(check_planned_stop(history, request, runs));
         violations.extend(check_leaving(history, request, runs));
         violations.extend(check_in_force(history, request));
+        violations.extend(check_bound(request, runs));
+        violations.extend(check_homes(history, request, runs));
+        violations.extend(check_evacuated(history, request, runs));
     }
+    violations.extend(history.cold.iter().filter_map(|cold| check_cold(history, cold)));
     violations.extend(check_configuration(history));
     violations.extend(check_recovery(history));
     violations.extend(history.mixtures.iter().map(|runner| Violation {
@@ -131,6 +145,57 @@
     Some(broken("a runner that leaves gets nothing new", request, &format!("{late:?}")))
 }
 
+/// What is bound throughout runs in its region alone, whoever was harmed.
+fn check_bound(request: &Request, runs: &[Run]) -> Option<Violation> {
+    let elsewhere = runs.iter().find(|it| it.hall != BOUND_HALL)?;
+    let bound = request.kind == Kind::Bound;
+    bound.then(|| broken("a bound request stays in its region", request, &format!("{elsewhere:?}")))
+}
+
+/// Streams run where the homes that bind say, or a newer configuration.
+fn check_homes(history: &History, request: &Request, runs: &[Run]) -> Option<Violation> {
+    if request.kind != Kind::Stream {
+        return None;
+    }
+    let binding = history.homes.iter().rposition(|it| it.taken + APPLY < request.sent)?;
+    let allows = |homes: &Homes, run: &Run| homes.hall.as_ref().is_none_or(|it| *it == run.hall);
+    let outside = |run: &&Run| {
+        let newer = history.homes[binding..].iter().filter(|it| it.sent <= run.at);
+        newer.into_iter().all(|homes| !allows(homes, run))
+    };
+    let outside = runs.iter().find(outside)?;
+    let untouched = is_calm(history, request, |target| {
+        target == Target::Gateway(request.gateway.0) || target == Target::Store
+    });
+    untouched.then(|| broken("streams run in their homes", request, &format!("{outside:?}")))
+}
+
+fn check_evacuated(history: &History, request: &Request, runs: &[Run]) -> Option<Violation> {
+    let untouched = is_calm(history, request, |target| {
+        target == Target::Gateway(request.gateway.0) || target == Target::Store
+    });
+    let forbids = |it: &Evacuated, run: &Run| {
+        let back = it.until.is_some_and(|until| run.at >= until);
+        it.hall == run.hall && !back && run.at > it.at + EVACUATE && request.sent > it.at
+    };
+    let after = |run: &&Run| history.evacuated.iter().any(|it| forbids(it, run));
+    let late = runs.iter().find(after).filter(|_| untouched)?;
+    Some(broken("an evacuated hall gets nothing new", request, &format!("{late:?}")))
+}
+
+/// A cold runner gets no more than it bears, whoever sends and whoever was harmed.
+fn check_cold(history: &History, cold: &Cold) -> Option<Violation> {
+    let runs = history.runs.values().flatten().filter(|it| it.runner == cold.runner);
+    let mut at: Vec<Duration> =
+        runs.map(|it| it.at).filter(|it| (cold.from..=cold.until).contains(it)).collect();
+    at.sort();
+    let first = at.windows(COLD_LIMIT + 1).find(|it| it[COLD_LIMIT] - it[0] < COLD_WINDOW)?;
+    Some(Violation {
+        promise: "a cold runner gets what it bears",
+        seen: format!("{cold:?}: more than {COLD_LIMIT} in the second from {:?}", first[0]),
+    })
+}
+
 /// A route of one version of the configuration is served as soon as that version binds, and no longer than
 /// until the next one does.
 fn check_in_force(history: &History, request: &Request) -> Option<Violation> {
@@ -195,7 +260,7 @@
     for request in history.requests.iter().filter(|it| it.sent >= from) {
         let what = match request.kind {
             Kind::Stream => "streams",
-            Kind::Safe | Kind::Unsafe => "plain requests",
+            Kind::Safe | Kind::Unsafe | Kind::Bound => "plain requests",
             Kind::Probe(_) => continue,
         };
         let whole = matches!(request.seen, Seen::Answer { status: 200, whole: true, .. });
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -8,6 +8,9 @@
 
 use crate::proxy::Harm;
 
+/// Data halls, each in a region of its own.
+pub const HALLS: usize = 2;
+
 /// The pause between the beginnings of two faults, in milliseconds.
 const PAUSE: std::ops::Range<u64> = 150..1400;
 /// How long a fault lasts, in milliseconds.
@@ -32,6 +35,10 @@
     "configuration",
     "version",
     "spoil",
+    "evacuate",
+    "homes",
+    "cold",
+    "settings",
 ];
 
 /// Something that is done.
@@ -69,6 +76,14 @@
     Version,
     /// A chunk that lies at a runner turns bad.
     Spoil(usize, u64),
+    /// A data hall is evacuated for a while.
+    Evacuate(usize),
+    /// The streams are bound to the region of a data hall, or to none.
+    Homes(Option<usize>),
+    /// A plain runner starts anew and is cold for a while.
+    ColdStart(usize),
+    /// The settings file of a process changes; it may be told of that or not.
+    Settings(usize, bool),
 }
 
 /// A fault with its time.
@@ -132,6 +147,10 @@
         "drain" => Fault::Drain(runner),
         "configuration" => Fault::Configure,
         "version" => Fault::Version,
+        "evacuate" => Fault::Evacuate(random.random_range(0..HALLS)),
+        "homes" => Fault::Homes(random.random_bool(0.7).then(|| random.random_range(0..HALLS))),
+        "cold" => Fault::ColdStart(random.random_range(sizes.models..sizes.runners)),
+        "settings" => Fault::Settings(process, random.random_bool(0.5)),
         _ => Fault::Spoil(model, random.random_range(0..64)),
     }
 }
--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -4,11 +4,14 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
 use eyre::{ensure, WrapErr};
 use platform_standin::{Engine, Standin};
 use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
 
+use crate::faults::HALLS;
 use crate::proxy::Proxy;
 
 /// Where proxies listen in front of runners.
@@ -22,8 +25,14 @@
 /// The networks that soaks run on, so that several can run at the same time.
 const FIRST_NETWORK: u8 = 20;
 const NETWORKS: u8 = 120;
-/// Plain runners.
-const PLAIN_RUNNERS: usize = 3;
+/// Plain runners, in turn in the halls.
+const PLAIN_RUNNERS: usize = 4;
+/// The data halls and their regions.
+const HALL_NAMES: [(&str, &str); HALLS] = [("a", "north"), ("b", "south")];
+/// How long a runner is cold after a start.
+pub const COLD_START: Duration = Duration::from_millis(3000);
+/// Requests a second that a cold runner bears.
+const COLD_PER_S: f64 = 6.0;
 
 /// A process of silverdock with the way that it has to the store.
 pub struct Process {
@@ -81,6 +90,7 @@
         fs::create_dir_all(&folder)?;
         let standin = Standin::start();
         standin.configure();
+        standin.reconfigure(add_terms);
         let network = free_network(seed)?;
         let mut fleet = Self {
             standin,
@@ -97,23 +107,26 @@
             // Some runners start without weights.
             let version = (number % 3 != 2).then_some(1);
             let name = format!("e{number}");
-            let machine =
-                fleet.add_runner(&name, |id| Engine::model(id, "assistant", "a", version))?;
+            let machine = fleet.add_runner(&name, |id| {
+                Engine::model(id, "assistant", hall_name(number), version)
+            })?;
             let runner = SocketAddr::new(machine, RUNNER_PORT);
             let role = format!("[sidecar]\nrunner = {runner}\nservice = assistant\n");
-            let sidecar = fleet.spawn(machine, &role)?;
+            let sidecar = fleet.spawn(machine, number, &role)?;
             fleet.sidecars.push(sidecar);
         }
         for number in 0..PLAIN_RUNNERS {
-            fleet.add_runner(&format!("l{number}"), |id| Engine::plain(id, "ledger", "a"))?;
+            fleet.add_runner(&format!("l{number}"), |id| {
+                Engine::plain(id, "ledger", hall_name(number))
+            })?;
         }
-        for _ in 0..gateways {
+        for number in 0..gateways {
             let machine = fleet.machine();
             let role = format!(
                 "[gateway]\ncallers = {machine}:{CALLERS_PORT}\n\
                  readiness = {machine}:{READINESS_PORT}\n"
             );
-            let gateway = fleet.spawn(machine, &role)?;
+            let gateway = fleet.spawn(machine, number, &role)?;
             fleet.gateways.push(gateway);
         }
         Ok(fleet)
@@ -145,18 +158,20 @@
         Ok(machine)
     }
 
-    fn spawn(&self, machine: IpAddr, role: &str) -> eyre::Result<Process> {
+    fn spawn(&self, machine: IpAddr, number: usize, role: &str) -> eyre::Result<Process> {
         let loopback = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 0);
         let store = Proxy::start(loopback, self.standin.store)?;
         let address = store.address;
+        let (hall, region) = HALL_NAMES[number % HALLS];
         let settings = self.folder.join(format!("{machine}.ini"));
         let text = format!(
-            "[node]\nname = m-{machine}\nregion = r\nhall = a\nhalls = a=r\naddress = {machine}\n\
+            "[node]\nname = m-{machine}\nregion = {region}\nhall = {hall}\n\
+             halls = a=north,b=south\naddress = {machine}\n\
              first_port = 7700\nlast_port = 7715\nmemory_mb = 128\nlink_mbps = 100\n\
              log_lines_per_s = 1000\n\n{role}\n\
              [store]\naddress = {address}\nwrites_per_s = 100\nreads_per_s = 1000\n\n\
              [bounds]\ngrace_s = 8\ncontact_ms = 3000\ndrain_ms = 2000\nconfiguration_ms = 2000\nversion_ms = 8000\nrepeat_ratio = 0.2\nrepeat_window_s = 10\n\
-             repeat_allowance = 200\n"
+             repeat_allowance = 200\nevacuate_ms = 2500\ncold_overrun = 1.5\ncold_slack = 5\n"
         );
         fs::write(&settings, text)?;
         let log = self.folder.join(format!("{machine}.log"));
@@ -192,6 +207,15 @@
         }
     }
 
+    /// Changes a bound in its settings file, to another value each time.
+    pub fn rewrite_settings(&self) -> eyre::Result<()> {
+        let text = fs::read_to_string(&self.settings)?;
+        let old = text.contains("version_ms = 8000");
+        let (from, to) = if old { ("8000", "7900") } else { ("7900", "8000") };
+        let text = text.replace(&format!("version_ms = {from}"), &format!("version_ms = {to}"));
+        Ok(fs::write(&self.settings, text)?)
+    }
+
     /// Whether it has ended.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
@@ -206,6 +230,32 @@
     }
 }
 
+/// The data hall of the process or runner of a number.
+pub fn hall_name(number: usize) -> &'static str {
+    HALL_NAMES[number % HALLS].0
+}
+
+/// The region of a data hall.
+pub fn region_name(hall: usize) -> &'static str {
+    HALL_NAMES[hall % HALLS].1
+}
+
+/// Gives routes and tenants homes, a route that is always bound, and runners that start cold.
+fn add_terms(configuration: &mut Value) {
+    let mut bound = configuration["routes"][1].clone();
+    bound["name"] = json!("bound");
+    bound["pathPrefix"] = json!("/bound/");
+    let routes = configuration["routes"].as_array_mut();
+    routes.into_iter().for_each(|it| it.push(bound.clone()));
+    for list in ["routes", "tenants"] {
+        let entries = configuration[list].as_array_mut().into_iter().flatten();
+        entries.for_each(|it| it["homeRegions"] = json!([]));
+    }
+    configuration["routes"][3]["homeRegions"] = json!([HALL_NAMES[0].1]);
+    configuration["services"][1]["coldStartS"] = json!(COLD_START.as_secs_f64());
+    configuration["services"][1]["coldPerS"] = json!(COLD_PER_S);
+}
+
 /// A network of loopback on which no other soak runs.
 fn free_network(seed: u64) -> eyre::Result<u8> {
     let first = (seed % u64::from(NETWORKS)) as u8;
--- a/examples/soak/history.rs
+++ b/examples/soak/history.rs
@@ -15,6 +15,8 @@
     Safe,
     /// A plain request that may not.
     Unsafe,
+    /// A plain request that may be repeated, on the route that is bound to one region throughout.
+    Bound,
     /// A request on the route that one version of the configuration added and the next one drops.
     Probe(u64),
 }
@@ -65,6 +67,8 @@
     pub tenant: Option<String>,
     /// Whether it was given the caller's key.
     pub saw_key: bool,
+    /// The data hall of the runner.
+    pub hall: String,
     /// When it began.
     pub at: Moment,
 }
@@ -122,6 +126,39 @@
     pub taken: Moment,
 }
 
+/// The homes of the streams, as a configuration has them.
+#[derive(Clone, Debug)]
+pub struct Homes {
+    /// The only data hall in the home regions. `None` where the streams are not bound.
+    pub hall: Option<String>,
+    /// When the configuration was sent to the store.
+    pub sent: Moment,
+    /// When the store had taken it.
+    pub taken: Moment,
+}
+
+/// A data hall that was evacuated.
+#[derive(Clone, Debug)]
+pub struct Evacuated {
+    /// The hall.
+    pub hall: String,
+    /// When the store had taken that.
+    pub at: Moment,
+    /// When it was about to be taken back, if it was.
+    pub until: Option<Moment>,
+}
+
+/// A runner that started cold.
+#[derive(Clone, Debug)]
+pub struct Cold {
+    /// The runner, by its incarnation.
+    pub runner: String,
+    /// When it started.
+    pub from: Moment,
+    /// Until when it is cold.
+    pub until: Moment,
+}
+
 /// Everything.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -137,6 +174,12 @@
     pub leaving: Vec<Leaving>,
     /// Versions of the configuration, oldest first.
     pub configured: Vec<Configured>,
+    /// The homes of the streams, oldest first.
+    pub homes: Vec<Homes>,
+    /// Data halls that were evacuated.
+    pub evacuated: Vec<Evacuated>,
+    /// Runners that started cold.
+    pub cold: Vec<Cold>,
     /// Runners that took weights which were not whole or of one version.
     pub mixtures: Vec<String>,
     /// When the last fault had ended.
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -14,8 +14,10 @@
 use crate::callers::{self, Shared};
 use crate::checker::{check, Violation};
 use crate::faults::{plan, Fault, Planned, Sizes, KINDS};
-use crate::fleet::{Fleet, Process};
-use crate::history::{Configured, Harmed, History, Leaving, Run, Stop, Target};
+use crate::fleet::{hall_name, region_name, Fleet, Process, COLD_START};
+use crate::history::{
+    Cold, Configured, Evacuated, Harmed, History, Homes, Leaving, Run, Stop, Target,
+};
 use crate::proxy::Harm;
 
 /// How long the fleet has to get ready.
@@ -26,6 +28,10 @@
 const GRACE: Duration = Duration::from_millis(8000);
 /// How long callers go on after the last fault: the bound of recovery and some time to see it.
 const CALM: Duration = Duration::from_millis(15_000);
+/// How long a hall is evacuated at least: the bound and some time to see it kept.
+const EVACUATED: Duration = Duration::from_millis(3000);
+/// Routes that every configuration has.
+const LASTING_ROUTES: usize = 4;
 /// How often the conductor looks what is due.
 const STEP: Duration = Duration::from_millis(10);
 
@@ -76,6 +82,8 @@
     HealRunnerLink(usize),
     HealRunner(usize),
     Stay(usize),
+    TakeBack(usize),
+    Warm(usize),
 }
 
 /// Plays a run and checks it.
@@ -149,6 +157,7 @@
             service: run.service,
             tenant: run.tenant,
             saw_key: run.saw_key,
+            hall: run.zone,
         });
         history.runs.insert(request, runs.collect());
     }
@@ -193,7 +202,7 @@
         while next.peek().is_some() || !self.ends.is_empty() {
             let now = self.now();
             while let Some(due) = next.next_if(|it| it.at <= now) {
-                self.begin(*due);
+                self.begin(*due)?;
             }
             let (due, later) =
                 std::mem::take(&mut self.ends).into_iter().partition(|it| it.0 <= now);
@@ -236,7 +245,7 @@
         !leaves && !self.process(number).has_ended()
     }
 
-    fn begin(&mut self, Planned { span, fault, .. }: Planned) {
+    fn begin(&mut self, Planned { span, fault, .. }: Planned) -> eyre::Result<()> {
         let until = self.now() + span;
         match fault {
             Fault::Kill(number) if self.is_going(number) => {
@@ -314,7 +323,53 @@
                 let engine = self.fleet.runners[number].engine;
                 self.fleet.standin.change_runner(engine, |it| it.spoil(index));
             }
+            Fault::Evacuate(hall) => self.evacuate(hall, until),
+            Fault::Homes(hall) => self.bind_streams(hall),
+            Fault::ColdStart(number) => self.start_cold(number),
+            Fault::Settings(number, told) => {
+                self.process(number).rewrite_settings()?;
+                if told {
+                    self.process(number).signal(Signal::HUP);
+                }
+            }
         }
+        Ok(())
+    }
+
+    /// Evacuates a hall, unless it is evacuated already, for long enough that the bound passes.
+    fn evacuate(&mut self, hall: usize, until: Duration) {
+        if self.ends.iter().any(|(_, end)| matches!(end, End::TakeBack(it) if *it == hall)) {
+            return;
+        }
+        let name = hall_name(hall);
+        self.fleet.standin.evacuate(name);
+        let at = self.now();
+        self.history.evacuated.push(Evacuated { hall: name.into(), at, until: None });
+        self.ends.push((until + EVACUATED, End::TakeBack(hall)));
+    }
+
+    /// Binds the streams to the region of a hall, or to none.
+    fn bind_streams(&mut self, hall: Option<usize>) {
+        let regions: Vec<&str> = hall.map(region_name).into_iter().collect();
+        let sent = self.now();
+        self.fleet.standin.reconfigure(|it| it["routes"][0]["homeRegions"] = json!(regions));
+        let hall = hall.map(|it| hall_name(it).to_owned());
+        self.history.homes.push(Homes { hall, sent, taken: self.now() });
+    }
+
+    /// Starts a plain runner anew, cold.
+    fn start_cold(&mut self, number: usize) {
+        let runner = &mut self.fleet.runners[number];
+        runner.restarts += 1;
+        let id = runner.id();
+        let from = self.shared.begun.elapsed();
+        self.fleet.standin.change_runner(runner.engine, |it| {
+            it.restart(&id);
+            it.cold_until = Some(Instant::now() + COLD_START);
+        });
+        let until = from + COLD_START;
+        self.history.cold.push(Cold { runner: id, from, until });
+        self.ends.push((until, End::Warm(number)));
     }
 
     /// Adds a route that names the version and drops the one that the version before added.
@@ -325,7 +380,7 @@
             let Some(routes) = it["routes"].as_array_mut() else {
                 return;
             };
-            routes.truncate(3);
+            routes.truncate(LASTING_ROUTES);
             let mut route = routes[1].clone();
             route["name"] = json!(format!("v{version}"));
             route["pathPrefix"] = json!(format!("/v{version}/"));
@@ -356,6 +411,18 @@
                 let engine = self.fleet.runners[number].engine;
                 self.fleet.standin.change_runner(engine, |it| it.fault = RunnerFault::None);
             }
+            End::TakeBack(hall) => {
+                let now = self.now();
+                let name = hall_name(hall);
+                let open = self.history.evacuated.iter_mut();
+                open.filter(|it| it.hall == name && it.until.is_none())
+                    .for_each(|it| it.until = Some(now));
+                self.fleet.standin.take_back(name);
+            }
+            End::Warm(number) => {
+                let engine = self.fleet.runners[number].engine;
+                self.fleet.standin.change_runner(engine, |_| {});
+            }
             End::Stay(number) => {
                 let runner = &self.fleet.runners[number];
                 let id = runner.id();
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -29,6 +29,7 @@
         service: "ledger".into(),
         tenant: Some("t1".into()),
         saw_key: false,
+        hall: "a".into(),
         at: at(millis),
     }
 }
@@ -191,6 +192,75 @@
     }
 }
 
+#[test]
+fn a_bound_request_in_another_region_is_caught_whoever_was_harmed() {
+    let bound = || request("a", Kind::Bound, answer(200, "ledger a"));
+    assert_eq!(broken(&history(bound(), vec![run_at("l1", 10_010)])), None);
+    let elsewhere = Run { hall: "b".into(), ..run_at("l2", 10_010) };
+    let mut history = history(bound(), vec![elsewhere]);
+    let target = Target::Gateway(0);
+    history.harmed.push(Harmed { target, from: at(9_000), until: at(11_000) });
+    assert_eq!(broken(&history), Some("a bound request stays in its region"));
+}
+
+#[test]
+fn a_stream_outside_the_homes_that_bind_is_caught() {
+    let body = whole_body(Kind::Stream, "a");
+    let run = Run { service: "assistant".into(), ..run_at("e1", 10_010) };
+    let mut history = history(request("a", Kind::Stream, answer(200, &body)), vec![run]);
+    let homes = |hall: &str, taken| Homes {
+        hall: Some(hall.into()),
+        sent: at(taken - 100),
+        taken: at(taken),
+    };
+    history.homes = vec![homes("a", 5_000)];
+    assert_eq!(broken(&history), None, "it ran at home");
+    history.homes = vec![homes("b", 5_000)];
+    assert_eq!(broken(&history), Some("streams run in their homes"));
+    history.homes = vec![homes("b", 9_000)];
+    assert_eq!(broken(&history), None, "the bound has not passed");
+    history.homes = vec![homes("b", 5_000), homes("a", 10_100)];
+    assert_eq!(broken(&history), None, "a newer one allows it");
+    history.homes = vec![homes("b", 5_000)];
+    history.harmed.push(Harmed { target: Target::Store, from: at(8_000), until: at(9_500) });
+    assert_eq!(broken(&history), None, "the store was harmed shortly before");
+}
+
+#[test]
+fn new_work_in_an_evacuated_hall_is_caught_after_its_bound() {
+    let safe = request("a", Kind::Safe, answer(200, "ledger a"));
+    let mut history = history(safe, vec![run_at("l1", 10_010)]);
+    let evacuated = |from, until| Evacuated { hall: "a".into(), at: at(from), until };
+    history.evacuated = vec![evacuated(8_000, None)];
+    assert_eq!(broken(&history), None, "the bound has not passed");
+    history.evacuated = vec![evacuated(7_000, None)];
+    assert_eq!(broken(&history), Some("an evacuated hall gets nothing new"));
+    history.evacuated = vec![evacuated(7_000, Some(at(10_000)))];
+    assert_eq!(broken(&history), None, "it was taken back");
+    history.evacuated = vec![Evacuated { hall: "b".into(), ..evacuated(7_000, None) }];
+    assert_eq!(broken(&history), None, "another hall");
+}
+
+#[test]
+fn a_cold_runner_that_gets_too_much_in_some_second_is_caught() {
+    let runs = |count: u64, pause: u64| -> Vec<Run> {
+        (0..count).map(|it| run_at("l1", 10_000 + it * pause)).collect()
+    };
+    let safe = || request("a", Kind::Safe, Seen::Lost);
+    let cold = Cold { runner: "l1".into(), from: at(9_900), until: at(12_900) };
+    let with = |runs| {
+        let mut history = history(safe(), runs);
+        history.cold.push(cold.clone());
+        history
+    };
+    assert_eq!(broken(&with(runs(14, 10))), None);
+    assert_eq!(broken(&with(runs(15, 10))), Some("a cold runner gets what it bears"));
+    assert_eq!(broken(&with(runs(15, 72))), None, "they came in more than a second");
+    let mut warm = with(runs(15, 10));
+    warm.cold[0].until = at(9_990);
+    assert_eq!(broken(&warm), None, "it was warm again");
+}
+
 #[test]
 fn weights_that_are_mixed_are_caught() {
     let safe = request("a", Kind::Safe, answer(200, "ledger a"));
