Record: when each version was first heard of lies in the store

Cause: after everybody restarted nobody knows when a version was named; 3 s are assumed, of the 8 to 10 s that older versions may serve. Change: one row a model in a table of our own, written under a condition by gateways that hear of a version as it is named, read by those that find it. The age is never less than the true one. Decisions in gateway::record, calls in platform::record. Ruled out: a row that tells more time than a process has without it is no use and is left; a row of each version would grow for ever.

--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::Sender;
 use fleet::{Evacuation, NamedVersion};
 use gateway::Event;
 use platform::store::{Change, Table};
 use settings::{BoundSettings, DeploymentSettings};
 
 use super::core::Core;
+use super::record::{self, Heard};
 use crate::patience::Patience;
 use crate::spawner::Spawner;
 use crate::watch::{watch, Seen, WatchOptions};
@@ -35,8 +37,15 @@
         spacing: spacing(&settings.bounds, table),
         metrics: core.metrics.clone(),
     };
+    let (hand_over, heard) = record::channel();
+    if table == Table::Operator {
+        let version_ms = settings.bounds.version_ms;
+        spawner.detach(record::keep(core.clone(), settings.store.address, version_ms, heard));
+    }
     let core = core.clone();
+    let mut since_ms = None;
     spawner.detach(watch(options, move |seen| match seen {
+        Seen::NotBefore(clock_ms) => since_ms = Some(clock_ms),
         Seen::Whole => {
             tables.of(table).whole.set(true);
             core.tell_sidecars();
@@ -45,7 +54,11 @@
         Seen::Reached(reached) => tables.of(table).lost.set(!reached),
         Seen::Change { change, late } => {
             let concerns_sidecars = concerns_sidecars(&change);
+            let version = heard_version(&change, since_ms.filter(|_| !late));
             core.feed(event(change, late));
+            if let Some(version) = version {
+                hand_over_or_log(&hand_over, version);
+            }
             if concerns_sidecars {
                 core.tell_sidecars();
             }
@@ -53,6 +66,24 @@
     }));
 }
 
+/// The version that a change tells of, for the record.
+fn heard_version(change: &Change, not_before_ms: Option<u64>) -> Option<Heard> {
+    match change {
+        Change::Version { model, version } => {
+            Some(Heard { model: model.clone(), version: *version, not_before_ms })
+        }
+        _ => None,
+    }
+}
+
+/// Hands a version over to be recorded. One that finds no room is not.
+fn hand_over_or_log(hand_over: &Sender<Heard>, version: Heard) {
+    if let Err(error) = hand_over.try_send(version) {
+        let reason = error.to_string();
+        log::warn!(reason = reason.as_str(); "version is not recorded");
+    }
+}
+
 /// How long to wait for the store.
 pub fn patience(bounds: &BoundSettings) -> Patience {
     Patience::new(Duration::from_millis(bounds.contact_ms))
--- a/components/edge/src/gateway/mod.rs
+++ b/components/edge/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod events;
 mod follow;
 mod node;
+mod record;
 mod relay;
 mod request;
 mod reservations;
--- /dev/null
+++ b/components/edge/src/gateway/record.rs
@@ -0,0 +1,119 @@
+//! Keeps the record of when versions were first heard of.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use errors::Result;
+use fleet::ModelName;
+use gateway::{Event, RecordAnswer, RecordCall, VersionRecord};
+use platform::record;
+
+use super::core::Core;
+use crate::exchange::within;
+use crate::link::Link;
+
+/// How long a call may take: a store that is ninety times slower than usual answers within 400 ms, and a new
+/// connection takes 700 ms at most.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+/// How long nothing is looked at where no call is due.
+const REST: Duration = Duration::from_secs(3600);
+/// Versions that may wait to be taken in. Operators name one or two at a time.
+const MOST_HEARD: usize = 64;
+
+/// A version that the store told of.
+pub struct Heard {
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: u64,
+    /// The store's clock at a moment when it had not been named yet. `None` where nobody knows one.
+    pub not_before_ms: Option<u64>,
+}
+
+/// Where versions are handed over, in order.
+pub fn channel() -> (Sender<Heard>, Receiver<Heard>) {
+    async_channel::bounded(MOST_HEARD)
+}
+
+/// Keeps the record for as long as the task runs. `version_ms` is how long requests may start on an older version.
+pub async fn keep(core: Core, store: SocketAddr, version_ms: u64, heard: Receiver<Heard>) {
+    let mut record = VersionRecord::new(version_ms);
+    let mut link = Link::new(store);
+    loop {
+        let next = record.next_at().map(|at| core.clock.instant(at));
+        let until = next.unwrap_or_else(|| Instant::now() + REST);
+        match within(until, heard.recv()).await {
+            Some(Ok(Heard { model, version, not_before_ms })) => {
+                let now = core.clock.now();
+                record.hear(now, rand::random(), model, version, not_before_ms);
+            }
+            Some(Err(_)) => return,
+            None => {}
+        }
+        record.note_known(&core.read(|it| it.named_versions(core.clock.now())));
+        if let Some(call) = record.due(core.clock.now()) {
+            make(&core, &mut record, &mut link, call).await;
+        }
+    }
+}
+
+/// Makes a call and takes in its answer.
+async fn make(core: &Core, record: &mut VersionRecord, link: &mut Link, call: RecordCall) {
+    let answer = match ask(link, &call).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            let reason = error.to_string();
+            log::warn!(call = name(&call), reason = reason.as_str(); "record of versions not reached");
+            RecordAnswer::Failed
+        }
+    };
+    core.metrics.count_platform(name(&call), outcome(&answer));
+    tell(&call, &answer);
+    let ages = record.take(core.clock.now(), rand::random(), &call, answer);
+    for named in &ages {
+        let model = named.model.0.as_str();
+        log::info!(model = model, version = named.version, age_ms = named.age_ms; "version's age read");
+        core.feed(Event::Named(named.clone()));
+    }
+    if !ages.is_empty() {
+        core.tell_sidecars();
+    }
+}
+
+async fn ask(link: &mut Link, call: &RecordCall) -> Result<RecordAnswer> {
+    let answer = link.call(record::call(call)?, CALL_TIMEOUT).await?;
+    record::read(call, answer.status, &answer.body)
+}
+
+/// Logs what became of a call, with what it was made by.
+fn tell(call: &RecordCall, answer: &RecordAnswer) {
+    let outcome = outcome(answer);
+    match call {
+        RecordCall::Read => log::info!(outcome = outcome; "record of versions read"),
+        RecordCall::Write(heard, revision) => log::info!(
+            model = heard.model.0.as_str(),
+            version = heard.version,
+            not_before_ms = heard.not_before_ms,
+            revision = *revision,
+            outcome = outcome;
+            "version's first hearing recorded"
+        ),
+    }
+}
+
+/// The name of a call in the metrics.
+fn name(call: &RecordCall) -> &'static str {
+    match call {
+        RecordCall::Read => "version_record_read",
+        RecordCall::Write(..) => "version_record_write",
+    }
+}
+
+fn outcome(answer: &RecordAnswer) -> &'static str {
+    match answer {
+        RecordAnswer::Rows(..) | RecordAnswer::Written(_) => "ok",
+        RecordAnswer::Differs(_) => "differs",
+        RecordAnswer::Failed => "failed",
+    }
+}
--- a/components/edge/src/lateness.rs
+++ b/components/edge/src/lateness.rs
@@ -9,6 +9,9 @@
 /// than usual answers within 400 ms.
 const NOTHING_OLDER: Duration = Duration::from_millis(600);
 
+/// How long the store may take for an answer, in milliseconds: one that is ninety times slower than usual.
+const SLOW_ANSWER_MS: u64 = 400;
+
 /// What is known of the age of the store's news.
 #[derive(Debug)]
 pub struct Lateness {
@@ -45,5 +48,15 @@
     }
 }
 
+/// The store's clock at a moment when a change that a feed told of had not happened yet, in milliseconds: the
+/// answer before it did not hold the change. Where the feed `waited`, the change came while it did, and was told
+/// at once. `before_ms` is the store's clock at the answer before, `answer_ms` at this one.
+pub fn not_before(before_ms: u64, answer_ms: u64, waited: Duration) -> u64 {
+    if waited < NOTHING_OLDER {
+        return before_ms;
+    }
+    before_ms.max(answer_ms.saturating_sub(SLOW_ANSWER_MS))
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/edge/src/lateness/tests.rs
+++ b/components/edge/src/lateness/tests.rs
@@ -42,3 +42,18 @@
 fn a_listing_in_a_calm_holds_nothing_that_is_old() {
     assert!(!calm().take_listing(false));
 }
+
+#[test]
+fn a_change_that_came_while_the_feed_waited_was_named_as_long_ago_as_a_slow_answer_takes_at_most() {
+    assert_eq!(not_before(50_000, 52_000, AFTER_A_WAIT), 51_600);
+}
+
+#[test]
+fn a_change_that_was_told_at_once_may_be_as_old_as_the_answer_before() {
+    assert_eq!(not_before(51_500, 52_000, AT_ONCE), 51_500);
+}
+
+#[test]
+fn a_change_is_never_older_than_the_answer_that_did_not_hold_it() {
+    assert_eq!(not_before(51_900, 52_000, AFTER_A_WAIT), 51_900);
+}
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -14,7 +14,7 @@
 use telemetry::Metrics;
 
 use crate::lapses::Lapses;
-use crate::lateness::Lateness;
+use crate::lateness::{not_before, Lateness};
 use crate::link::Link;
 use crate::patience::Patience;
 
@@ -52,6 +52,9 @@
         /// Whether it may have changed some time ago: the store was not heard before.
         late: bool,
     },
+    /// The changes told of next had not happened when the store's clock showed this, in milliseconds. Said of
+    /// changes that are not late, where the store tells its clock.
+    NotBefore(u64),
     /// The table has been read whole at least once.
     Whole,
     /// The store answered: nothing newer is in the table than what was told.
@@ -71,6 +74,7 @@
         heard: None,
         lateness: Lateness::default(),
         lapses: Lapses::default(),
+        clock_ms: None,
     };
     let mut spacing = watch.options.first_spacing;
     let mut failures = 0;
@@ -137,11 +141,14 @@
     lateness: Lateness,
     /// Runners that have been missing since it was back.
     lapses: Lapses,
+    /// What the store's clock showed at its last answer.
+    clock_ms: Option<u64>,
 }
 
 impl Watch {
     async fn list(&mut self, deliver: &mut impl FnMut(Seen)) -> Result<()> {
-        let Listing { revision, changes } = list(&mut self.link, self.options.table).await?;
+        let Listing { revision, clock_ms, changes } =
+            list(&mut self.link, self.options.table).await?;
         self.note_answer();
         let listed: BTreeSet<InstanceId> = changes.iter().filter_map(listed_runner).collect();
         let gone: Vec<InstanceId> = self.runners.difference(&listed).cloned().collect();
@@ -151,6 +158,7 @@
         }
         let was_silent = self.was_silent();
         let late = self.lateness.take_listing(was_silent);
+        self.note_clock(clock_ms, Duration::ZERO, late, deliver);
         changes.into_iter().for_each(|change| self.pass_on(change, late, lost, deliver));
         self.heard = Some(Instant::now());
         self.revision = Some(revision);
@@ -175,6 +183,7 @@
         note_faults(self.options.table, &page);
         let was_silent = self.was_silent();
         let late = self.lateness.take_feed(was_silent, waited, page.changes.is_empty());
+        self.note_clock(page.clock_ms, waited, late, deliver);
         let is_gone = |change: &&Change| matches!(change, Change::RunnerGone(_));
         let gone = page.changes.iter().filter(is_gone).count();
         let lost = Lost { gone, known: self.runners.len() };
@@ -184,6 +193,21 @@
         Ok(())
     }
 
+    /// Takes in the store's clock at an answer that took `waited`, and tells since when its changes may have
+    /// happened.
+    fn note_clock(
+        &mut self,
+        clock_ms: Option<u64>,
+        waited: Duration,
+        late: bool,
+        deliver: &mut impl FnMut(Seen),
+    ) {
+        let before = std::mem::replace(&mut self.clock_ms, clock_ms);
+        if let (false, Some((before, answer))) = (late, before.zip(clock_ms)) {
+            deliver(Seen::NotBefore(not_before(before, answer, waited)));
+        }
+    }
+
     /// Whether the store has not answered for longer than usual. One that fails is not silent because nothing
     /// changes.
     fn was_silent(&self) -> bool {
@@ -240,6 +264,8 @@
 pub struct Listing {
     /// Where a feed goes on.
     pub revision: u64,
+    /// What the store's clock showed, in milliseconds, if it told.
+    pub clock_ms: Option<u64>,
     /// What its rows say.
     pub changes: Vec<Change>,
 }
@@ -248,18 +274,18 @@
 pub async fn list(link: &mut Link, table: Table) -> Result<Listing> {
     let mut from = String::new();
     let mut changes = Vec::new();
-    let mut revision = None;
+    let mut first = None;
     loop {
         let call = store::list(table, &from);
         let answer = link.call_patiently(call, Patience::LIST_BEGIN, PIECE_PAUSE).await?;
         let page = store::read(table, &answer.success()?)?;
         note_faults(table, &page);
         // Changes behind the first page's version may be missing on it, so the feed starts there.
-        let revision = *revision.get_or_insert(page.revision);
+        let (revision, clock_ms) = *first.get_or_insert((page.revision, page.clock_ms));
         changes.extend(page.changes);
         match page.next {
             Some(next) => from = next,
-            None => return Ok(Listing { revision, changes }),
+            None => return Ok(Listing { revision, clock_ms, changes }),
         }
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod evacuations;
 mod event;
 mod pool;
+mod record;
 mod reducer;
 mod runner;
 mod versions;
@@ -26,5 +27,6 @@
     RunnerTarget, Seen, Standing,
 };
 pub use pool::Pool;
+pub use record::{FirstHeard, RecordAnswer, RecordCall, RecordRow, VersionRecord};
 pub use reducer::Gateway;
 pub use runner::{Runner, RunnerLoad, RunnerRecord, RunnerState, WeightsHeld};
