--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -2,6 +2,7 @@
 
 mod logs;
 mod outages;
+mod record;
 mod support;
 
 use std::time::{Duration, Instant};
