Kept shares: each chunk is kept in two halls

Cause: sidecars that all started anew beside runners that serve keep one copy between them; a hall that is lost takes a third of it, and with the origin out an empty runner gets nothing. Change: the first of all sidecars outside the owner's hall keeps a second copy, drawn from the owner, one chunk at a time. Ruled out: a second copy from the origin (its link is what everybody waits for); summaries to those who serve (their budget belongs to those who draw).

--- a/components/reducer/src/spread/gate.rs
+++ b/components/reducer/src/spread/gate.rs
@@ -205,6 +205,34 @@
     ordered.into_iter().map(|(id, _)| id.clone()).collect()
 }
 
+/// The chunks of which an instance keeps the second copy, each with its owner: the instance comes first of all
+/// outside the owner's hall, so that the loss of any one hall leaves each chunk with somebody.
+pub fn second_of(
+    me: &(InstanceId, Hall),
+    version: VersionId,
+    chunks: u32,
+    receivers: &[(InstanceId, Hall)],
+) -> BTreeMap<u32, InstanceId> {
+    let others = receivers.iter().filter(|it| it.0 != me.0);
+    let numbered = others.chain([me]).map(|it| {
+        let numbers = shared_hashes(&[&version.0, it.0 .0.as_bytes()], chunks as usize);
+        (it, numbers)
+    });
+    let numbered: Vec<(&(InstanceId, Hall), Vec<u64>)> = numbered.collect();
+    let mut second = BTreeMap::new();
+    for chunk in 0..chunks {
+        let all = || numbered.iter().map(|(it, numbers)| (numbers[chunk as usize], *it));
+        let Some((_, owner)) = all().min() else {
+            continue;
+        };
+        let outside = all().filter(|(_, it)| it.1 != owner.1);
+        if outside.min().is_some_and(|(_, it)| it.0 == me.0) {
+            second.insert(chunk, owner.0.clone());
+        }
+    }
+    second
+}
+
 /// The time between two turns at an origin whose link takes `chunk_ms` for a chunk, in milliseconds.
 fn step_ms(chunk_ms: f64, chunks: u32, patience_ms: u64) -> f64 {
     let most_waiting = patience_ms as f64 * WAITING_SHARE;
--- a/components/reducer/src/spread/version/mod.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -1,6 +1,7 @@
 //! The spread of one version at one receiver.
 
 mod choice;
+mod keeping;
 mod origin;
 mod summaries;
 mod types;
@@ -12,6 +13,7 @@
 use errors::Code;
 use fleet::{Bitmap, Hall, InstanceId, Manifest, Millis, Place, VersionId};
 
+use self::keeping::SecondCopies;
 use self::summaries::SUMMARY_BURST;
 pub use self::types::{
     Choice, Draw, DrawSource, OriginShare, Participant, Reach, SpreadEffect, SpreadOptions,
@@ -64,6 +66,10 @@
     /// How long chunks took lately, smoothed, in milliseconds.
     chunk_ms: f64,
     last_chunk_at: Millis,
+    /// The second copies that this receiver keeps.
+    second: SecondCopies,
+    /// Who is known to be down.
+    down: BTreeSet<InstanceId>,
     /// Where all others listen.
     addresses: BTreeMap<InstanceId, SocketAddr>,
     /// Who is told at once of a chunk that has just arrived.
@@ -114,6 +120,8 @@
             origin_failures: 0,
             chunk_ms: 0.0,
             last_chunk_at: now,
+            second: SecondCopies::default(),
+            down: BTreeSet::new(),
             addresses: BTreeMap::new(),
             announce_to: BTreeSet::new(),
             summary_budget: SUMMARY_BURST,
@@ -131,6 +139,7 @@
             return;
         }
         self.receivers.extend(fresh);
+        self.second.forget();
         let (version, chunks) = (self.version, self.manifest.chunks());
         let gate = |receivers: &[(InstanceId, Hall)], options: &GateOptions| {
             Gate::new(&self.me, version, chunks, receivers, options)
@@ -198,6 +207,10 @@
             gate.set_down(|id| down.contains(id));
         }
         self.neighbours.retain(|id, _| !down.contains(id));
+        if !self.down.iter().eq(down.iter().copied()) {
+            self.down = down.into_iter().cloned().collect();
+            self.second.forget();
+        }
         let up = participants.iter().filter(|it| it.up);
         self.addresses = up.map(|it| (it.id.clone(), it.address)).collect();
         let holders = participants.iter().any(|it| it.up && it.holds);
@@ -291,6 +304,7 @@
             }
         }
         if verified {
+            self.second.note_arrival(index);
             self.have.insert(index);
             self.last_chunk_at = now;
         }
@@ -309,6 +323,7 @@
         if self.end_flight(index, source).is_none() {
             return;
         }
+        self.second.note_failure(now, index);
         let DrawSource::Peer(id, _) = source else {
             self.note_origin_failure(now);
             return;
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -364,7 +364,7 @@
                 let window = if narrow { 1 } else { self.pace.window };
                 effects.extend(spread.draw(now, window));
             }
-            Step::Served => effects.extend(spread.draw_own(now)),
+            Step::Served => effects.extend(spread.draw_kept(now)),
             _ => {}
         }
         effects.extend(spread.summarize(now));
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! A fleet of sidecars that exchange chunks, without I/O: every effect is carried out after a delay,
 //! or lost.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -222,6 +225,21 @@
         }
     }
 
+    /// Takes sidecars away, from the list too.
+    pub fn lose(&mut self, lost: &[usize]) {
+        lost.iter().for_each(|it| self.kill(*it));
+        let alive = |it: &usize| !self.dead.contains(it);
+        let alive: Vec<usize> = (0..self.sidecars.len()).filter(alive).collect();
+        let peer = |index: &usize| Peer {
+            id: id(*index),
+            place: place(*index),
+            address: address(*index),
+            version: self.runners[*index].version,
+        };
+        let peers: Vec<Peer> = alive.iter().map(peer).collect();
+        alive.iter().for_each(|it| self.feed(*it, Event::Peers(peers.clone())));
+    }
+
     pub fn after(&mut self, delay: u64, to: usize, event: Event) {
         self.later.push(Later { at: self.now + delay, to, event });
     }
