Gateway: the runners of a hall that is silent go last

Cause: each runner of a hall without power costs a request 45 ms at its sidecar or 250 ms for a connection until it is suspected itself. Change: where two runners of a hall did not answer and nothing was heard of the hall meanwhile, those whose report is overdue go last.

--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -185,6 +185,8 @@
         core.metrics.set("requests_under_way", under_way as u64);
         core.metrics.set("requests_waiting", waiting as u64);
         core.metrics.set("runners_listed", runners as u64);
+        let silent = core.read(|gateway| gateway.pool().silent.count(core.clock.now()));
+        core.metrics.set("halls_silent", silent as u64);
         core.metrics.set("configuration", configuration);
         for (name, table) in [
             ("operator_table_age_ms", &core.tables.operator),
--- a/components/edge/src/gateway/state_log.rs
+++ b/components/edge/src/gateway/state_log.rs
@@ -21,12 +21,14 @@
         let operator_age_ms = core.tables.operator.age_ms();
         let runners_age_ms = core.tables.runners.age_ms();
         let runners = core.read(|gateway| gateway.pool().len());
+        let silent_halls = core.read(|gateway| gateway.pool().silent.count(core.clock.now()));
         let (under_way, waiting) = core.read(|gateway| gateway.load());
         log::info!(
             configuration = configuration,
             operator_age_ms = operator_age_ms,
             runners_age_ms = runners_age_ms,
             runners = runners,
+            silent_halls = silent_halls,
             under_way = under_way,
             waiting = waiting;
             "state"
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -13,6 +13,10 @@
 /// What the lack of a fresh report costs, in places of a runner.
 const SILENCE_PENALTY: f64 = 4.0;
 
+/// What a runner costs in the comparison that goes last because its hall is silent, in places of a runner: more than
+/// any load.
+const SILENT_HALL_PENALTY: f64 = 1000.0;
+
 /// How long an answer may take to begin for each place that this counts as, in milliseconds.
 const FIRST_MS_PER_PLACE: f64 = 100.0;
 /// How long a runner may still read other prompts for each place that this counts as, in milliseconds.
@@ -162,6 +166,9 @@
         if arrival.model.is_some() && runner.load(now).is_none() {
             cost += SILENCE_PENALTY;
         }
+        if self.pool.silent.defers(now, runner) {
+            cost += SILENT_HALL_PENALTY;
+        }
         cost
     }
 
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod record;
 mod reducer;
 mod runner;
+mod silence;
 mod versions;
 
 pub use budget::RetryBudget;
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -7,6 +7,7 @@
 
 use crate::evacuations::Evacuations;
 use crate::runner::{Runner, RunnerLoad, RunnerRecord};
+use crate::silence::SilentHalls;
 use crate::versions::NamedVersions;
 
 /// The runners of every service, and the versions that they should hold.
@@ -18,6 +19,8 @@
     named: NamedVersions,
     /// The halls that are evacuated.
     pub evacuations: Evacuations,
+    /// The halls that are silent.
+    pub silent: SilentHalls,
 }
 
 impl Pool {
@@ -62,10 +65,18 @@
             return;
         };
         if let Some(runner) = self.runners.get_mut(id) {
+            self.silent.note_heard(&runner.record.hall);
             runner.take_load(now, load);
         }
     }
 
+    /// Takes in that a runner did not answer.
+    pub fn note_unanswered(&mut self, now: Millis, id: &InstanceId) {
+        if let Some(runner) = self.runners.get(id) {
+            self.silent.note_unanswered(now, &runner.record.hall, id);
+        }
+    }
+
     /// Takes in a version that was named.
     pub fn name_version(&mut self, now: Millis, named: NamedVersion) {
         self.named.name(now, named);
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -278,6 +278,9 @@
             }
             AttemptOutcome::Failed | AttemptOutcome::Expired | AttemptOutcome::Withdrawn => {}
         }
+        if suspects && matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Silent) {
+            self.pool.note_unanswered(now, id);
+        }
     }
 
     /// Queues a request for another attempt, or ends it.
