--- a/components/reducer/src/spread/version/choice.rs
+++ b/components/reducer/src/spread/version/choice.rs
@@ -38,7 +38,7 @@
                 None => break,
             }
         }
-        effects.extend(self.ask_owners(now));
+        effects.extend(self.probe_halls(now));
         effects
     }
 
--- a/components/reducer/src/spread/version/silence.rs
+++ b/components/reducer/src/spread/version/silence.rs
@@ -8,7 +8,7 @@
 use errors::Code;
 use fleet::{Hall, InstanceId, Millis};
 
-use super::{DrawSource, Spread, SpreadEffect};
+use super::{Draw, DrawSource, Spread, SpreadEffect};
 
 /// Instances of a hall that have to be silent for the whole hall to be taken for silent. A single one has crashed.
 const SILENT_INSTANCES: usize = 2;
@@ -16,12 +16,16 @@
 /// 3.3 s after they were.
 const SILENT_FOR: u64 = 5000;
 
-/// How long nothing new may come anywhere before owners are asked whether they are there, in milliseconds.
+/// How long nothing may come before other halls are asked whether they are there, in milliseconds.
 const STANDSTILL: u64 = 400;
 /// The same, in times that the origin's link takes for a chunk.
 const STANDSTILL_CHUNKS: f64 = 10.0;
+/// How long an instance that is there takes to answer, in milliseconds.
+const ANSWER_PATIENCE: u64 = 600;
+/// The same, in times that chunks took lately.
+const PATIENT_CHUNKS: f64 = 3.0;
 /// The pause between two rounds of such questions, in milliseconds. While the origin is out everyone asks.
-const ASK_EVERY: u64 = 500;
+const ASK_EVERY: u64 = 300;
 
 /// Which halls are silent.
 #[derive(Debug, Default)]
@@ -32,7 +36,7 @@
     unanswered: BTreeMap<Hall, BTreeSet<InstanceId>>,
     /// Until when halls are taken for silent.
     until: BTreeMap<Hall, Millis>,
-    /// Owners are not asked before this moment.
+    /// Nobody is asked before this moment.
     ask_at: Millis,
 }
 
@@ -49,6 +53,11 @@
         self.halls.get(id).is_some_and(|it| self.until.contains_key(it))
     }
 
+    /// Whether an instance did not answer since its hall was last heard.
+    fn is_unanswered(&self, hall: &Hall, id: &InstanceId) -> bool {
+        self.unanswered.get(hall).is_some_and(|it| it.contains(id))
+    }
+
     /// An instance said something. Tells whether its hall was silent.
     pub(super) fn note_heard(&mut self, id: &InstanceId) -> bool {
         let Some(hall) = self.halls.get(id) else {
@@ -94,43 +103,96 @@
             self.note_heard(id);
             return;
         }
-        let mine = self.silent.halls.get(id) == Some(&self.place.hall);
-        if !mine && self.silent.note_unanswered(now, id) {
+        if !self.is_in_my_hall(id) && self.silent.note_unanswered(now, id) {
             self.leave_silent_halls(now);
         }
     }
 
-    /// Asks the owners of chunks that should have come for them, where nothing comes: two in the hall in which most
-    /// of those owners stand. Nobody else says that a hall is gone while the turns of its instances pass. Only where
-    /// chunks enter halls once: there owners are waited for.
-    pub(super) fn ask_owners(&mut self, now: Millis) -> Vec<SpreadEffect> {
-        let chunks = (self.gate_options.chunk_ms * STANDSTILL_CHUNKS) as u64;
-        let stands_still = now.since(self.news_at).0 > STANDSTILL.max(chunks);
-        if self.hall_gate.is_none() || !stands_still || now < self.silent.ask_at {
+    /// Finds out whether a hall is gone, where nothing comes: draws from other halls that take too long are given up,
+    /// and two instances of the hall in which most of what is missing lies, or is waited for, are asked for it. Nobody
+    /// else says that a hall is gone: its instances seem to hold chunks, and their turns at the origin pass. Only where
+    /// chunks enter halls once: there one instance waits for all.
+    pub(super) fn probe_halls(&mut self, now: Millis) -> Vec<SpreadEffect> {
+        if self.hall_gate.is_none() || !self.is_at_a_standstill(now) {
+            return Vec::new();
+        }
+        self.give_up_late_draws(now);
+        if now < self.silent.ask_at {
             return Vec::new();
         }
         self.silent.ask_at = now.plus(ASK_EVERY);
-        let asked = self.owners_to_ask();
-        let ask = |(index, source)| SpreadEffect::Draw(self.launch(now, index, source, false));
+        let until = now.plus(self.answer_patience());
+        let asked = self.whom_to_ask(now);
+        let ask = |(index, source)| {
+            let draw = Draw { deadline: until, ..self.launch(now, index, source, false) };
+            SpreadEffect::Draw(draw)
+        };
         asked.into_iter().map(ask).collect()
     }
 
-    /// Chunks that nobody is known to hold with their owners, one for each of two owners in another hall.
-    fn owners_to_ask(&self) -> Vec<(u32, DrawSource)> {
-        let mut by_hall: BTreeMap<&Hall, BTreeMap<&InstanceId, u32>> = BTreeMap::new();
-        for index in self.held_nowhere() {
-            let owner = self.gate.owner(index).filter(|_| !self.in_flight.contains_key(&index));
-            let hall = owner.and_then(|it| self.silent.halls.get(it));
-            if let Some((owner, hall)) = owner.zip(hall.filter(|it| **it != self.place.hall)) {
-                by_hall.entry(hall).or_default().entry(owner).or_insert(index);
+    /// Whether nothing has come for a while, here or anywhere.
+    fn is_at_a_standstill(&self, now: Millis) -> bool {
+        let origin = (self.gate_options.chunk_ms * STANDSTILL_CHUNKS) as u64;
+        let since = self.news_at.max(self.last_chunk_at);
+        now.since(since).0 > STANDSTILL.max(origin).max(self.answer_patience() / 2)
+    }
+
+    /// How long an instance that is there takes to answer, in milliseconds.
+    fn answer_patience(&self) -> u64 {
+        ANSWER_PATIENCE.max((self.chunk_ms * PATIENT_CHUNKS) as u64)
+    }
+
+    fn give_up_late_draws(&mut self, now: Millis) {
+        let patience = self.answer_patience();
+        let late = self.in_flight.iter().filter(|(_, it)| {
+            let is_far = matches!(&it.source, DrawSource::Peer(id, _) if !self.is_in_my_hall(id));
+            is_far && now.since(it.sent).0 > patience
+        });
+        let late: Vec<(u32, DrawSource)> =
+            late.map(|(index, it)| (*index, it.source.clone())).collect();
+        for (index, source) in late {
+            self.fail_chunk(now, index, &source, Code::PeerStalled, 0);
+        }
+    }
+
+    fn is_in_my_hall(&self, id: &InstanceId) -> bool {
+        self.silent.halls.get(id) == Some(&self.place.hall)
+    }
+
+    /// Whom to ask for what is missing: of the hall in which most of those stand who hold it or, where nobody is known
+    /// to, should draw it, two instances that have not failed to answer, those first that are expected to have it.
+    fn whom_to_ask(&self, now: Millis) -> Vec<(u32, DrawSource)> {
+        let missing = || self.have.missing().filter(|it| !self.in_flight.contains_key(it));
+        let mut by_hall: BTreeMap<&Hall, BTreeSet<&InstanceId>> = BTreeMap::new();
+        for id in missing().flat_map(|it| self.expected_from(now, it)) {
+            if let Some(hall) = self.silent.halls.get(id) {
+                by_hall.entry(hall).or_default().insert(id);
             }
         }
-        let most = by_hall.into_values().max_by_key(BTreeMap::len).unwrap_or_default();
-        let known = most.into_iter().filter_map(|(owner, index)| {
-            let address = self.addresses.get(owner)?;
-            Some((index, DrawSource::Peer(owner.clone(), *address)))
+        by_hall.remove(&self.place.hall);
+        let Some((hall, expected)) = by_hall.into_iter().max_by_key(|(_, ids)| ids.len()) else {
+            return Vec::new();
+        };
+        let others = self.silent.halls.iter().filter(|(_, it)| *it == hall).map(|(id, _)| id);
+        let others = others.filter(|id| !expected.contains(id));
+        let all = expected.iter().copied().chain(others);
+        let unheard = all.filter(|id| !self.silent.is_unanswered(hall, id));
+        let known = unheard.filter_map(|id| {
+            let address = self.addresses.get(id)?;
+            Some(DrawSource::Peer(id.clone(), *address))
         });
-        known.take(SILENT_INSTANCES).collect()
+        missing().zip(known).take(SILENT_INSTANCES).collect()
+    }
+
+    /// Who holds a chunk or, where nobody does, its owner.
+    fn expected_from(&self, now: Millis, index: u32) -> Vec<&InstanceId> {
+        let holders = self.neighbours.iter().filter(|(_, it)| it.have.contains(index));
+        let asked_again = holders.filter(|(_, it)| now >= it.not_before);
+        let holders: Vec<&InstanceId> = asked_again.map(|(id, _)| id).collect();
+        if holders.is_empty() {
+            return self.gate.owner(index).into_iter().collect();
+        }
+        holders
     }
 
     /// Goes on without the halls that are silent: what only they held has its turn at the origin now.
