--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -13,10 +13,6 @@
 /// What the lack of a fresh report costs, in places of a runner.
 const SILENCE_PENALTY: f64 = 4.0;
 
-/// What a runner costs in the comparison that goes last because its hall is silent, in places of a runner: more than
-/// any load.
-const SILENT_HALL_PENALTY: f64 = 1000.0;
-
 /// How long an answer may take to begin for each place that this counts as, in milliseconds.
 const FIRST_MS_PER_PLACE: f64 = 100.0;
 /// How long a runner may still read other prompts for each place that this counts as, in milliseconds.
@@ -58,9 +54,11 @@
         tried: &[InstanceId],
     ) -> Option<(InstanceId, Seen)> {
         let mut candidates = 0;
+        let only_heard = self.has_heard_runner(now, arrival);
         let usable = self.pool.of_service(&arrival.service).filter(|it| {
             !tried.contains(&it.record.id)
                 && self.can_run(now, it, arrival)
+                && !(only_heard && self.pool.silent.defers(now, it))
                 && has_room(now, it, arrival)
         });
         let usable = usable.inspect(|_| candidates += 1);
@@ -75,6 +73,16 @@
         Some((runner.record.id.clone(), seen))
     }
 
+    /// Whether some runner can run a request, room aside, that is not passed over because its hall is silent. Where
+    /// none can, those are tried. That the others are full is no reason: each silent one costs 45 ms.
+    fn has_heard_runner(&self, now: Millis, arrival: &Arrival) -> bool {
+        let runners = self.pool.of_service(&arrival.service);
+        self.pool.silent.count(now) > 0
+            && runners
+                .into_iter()
+                .any(|it| !self.pool.silent.defers(now, it) && self.can_run(now, it, arrival))
+    }
+
     /// When some runner of a request's service can run it, room aside.
     pub fn outlook(&self, now: Millis, arrival: &Arrival) -> Outlook {
         let runners = || self.pool.of_service(&arrival.service);
@@ -166,9 +174,6 @@
         if arrival.model.is_some() && runner.load(now).is_none() {
             cost += SILENCE_PENALTY;
         }
-        if self.pool.silent.defers(now, runner) {
-            cost += SILENT_HALL_PENALTY;
-        }
         cost
     }
 
--- a/components/gateway/src/silence.rs
+++ b/components/gateway/src/silence.rs
@@ -2,7 +2,8 @@
 //!
 //! A hall without power refuses nothing: each of its runners costs a request 45 ms at the sidecar or 250 ms for a
 //! connection before it goes elsewhere, and the list drops them only seconds later. Where several runners of a hall
-//! did not answer and nothing was heard of any other meanwhile, all of them whose report is overdue go last.
+//! did not answer and nothing was heard of any other meanwhile, all of them whose report is overdue are passed over, as
+//! long as any other runner can run the request.
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -46,7 +47,7 @@
         self.unanswered.keys().filter(|it| self.is_silent(now, it)).count()
     }
 
-    /// Whether a runner goes last: its hall is silent, and its report overdue.
+    /// Whether a runner is passed over: its hall is silent, and its report overdue.
     pub(crate) fn defers(&self, now: Millis, runner: &Runner) -> bool {
         let is_overdue = runner.report_age(now).is_none_or(|it| it.0 > OVERDUE);
         is_overdue && self.is_silent(now, &runner.record.hall)
--- a/components/gateway/tests/halls.rs
+++ b/components/gateway/tests/halls.rs
@@ -38,7 +38,7 @@
 }
 
 #[test]
-fn two_silent_runners_put_the_rest_of_their_hall_last() {
+fn two_silent_runners_have_the_rest_of_their_hall_passed_over() {
     let mut bed = two_halls();
     bed.now += 700;
     lose_hall(&mut bed);
@@ -82,6 +82,18 @@
     assert!(is_in_first_hall(&next(&mut bed, 3)));
 }
 
+/// While the others were full gateways asked the silent ones, 45 ms each: 158 questions in a second's logs.
+#[test]
+fn a_silent_hall_is_not_tried_because_the_others_are_full() {
+    let mut bed = two_halls();
+    bed.now += 700;
+    lose_hall(&mut bed);
+    for port in 5..=8 {
+        bed.feed(Event::Load(([127, 0, 0, 1], port).into(), load(1, 8)));
+    }
+    assert_eq!(bed.arrive(arrival(3, MODEL_SERVICE, RouteKind::Safe)), None, "it waits");
+}
+
 #[test]
 fn silence_is_forgotten() {
     let mut bed = two_halls();
