--- a/components/rollout/tests/halls.rs
+++ b/components/rollout/tests/halls.rs
@@ -111,6 +111,40 @@
     }
 }
 
+/// One sidecar of a hall is gone, and the others there go on: the hall is not silent, and nothing is drawn twice for it.
+#[test]
+fn a_sidecar_that_is_gone_says_nothing_of_its_hall() {
+    let mut fleet = Fleet::with_narrow_origin(30, 912_500);
+    fleet.chunk_ms = 140;
+    fleet.dead_ms = 300;
+    fleet.run(3000);
+    fleet.name(2);
+    fleet.run(1500);
+    fleet.kill(4);
+    fleet.run(VERSION_MS);
+    let late = (0..30).filter(|it| *it != 4 && fleet.runners[*it].version != Some(2)).count();
+    assert_eq!(late, 0);
+    let drawn = fleet.origin_chunks;
+    assert!(drawn <= CHUNKS * 3 / 2, "{drawn} chunks from the origin");
+}
+
+/// A hall that is cut off finds the others silent, and they it. Afterwards all have the version.
+#[test]
+fn a_hall_that_is_heard_again_is_drawn_from_again() {
+    let mut fleet = Fleet::with_narrow_origin(30, 912_500);
+    fleet.chunk_ms = 140;
+    fleet.dead_ms = 300;
+    fleet.run(3000);
+    fleet.name(2);
+    fleet.run(1500);
+    fleet.cut_off.extend(hall(1, 30));
+    fleet.run(1000);
+    fleet.cut_off.clear();
+    fleet.run(VERSION_MS);
+    let late = (0..30).filter(|it| fleet.runners[*it].version != Some(2)).count();
+    assert_eq!(late, 0);
+}
+
 /// How long after the loss of a hall every sidecar that is left holds a version, in milliseconds. The list keeps the
 /// lost ones; the origin is sound.
 fn whole_after_loss(lost: usize, after: u64) -> u64 {
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -64,6 +64,8 @@
     pub between_halls: u32,
     /// Sidecars that are gone, although the list that the others know still has them.
     pub dead: BTreeSet<usize>,
+    /// Sidecars that reach each other only, and not the origin.
+    pub cut_off: BTreeSet<usize>,
     /// How long it takes to find that a sidecar is gone: a machine without power does not refuse connections.
     pub dead_ms: u64,
 }
@@ -139,6 +141,7 @@
             origin_manifests: 0,
             between_halls: 0,
             dead: BTreeSet::new(),
+            cut_off: BTreeSet::new(),
             dead_ms: 5,
         };
         (0..count).for_each(|index| fleet.introduce(index));
@@ -259,6 +262,9 @@
                 let Some(other) = (0..self.sidecars.len()).find(|it| address(*it) == to) else {
                     return;
                 };
+                if self.cut_off.contains(&other) != self.cut_off.contains(&index) {
+                    return;
+                }
                 self.summaries += 1;
                 let event = Event::Summary {
                     from: id(index),
@@ -313,8 +319,16 @@
         let Draw { index: chunk, source, deadline, .. } = draw;
         self.draws += 1;
         let lost = self.loses > 0 && self.draws.is_multiple_of(self.loses);
-        let dead = |peer: &InstanceId| self.dead.iter().any(|it| &id(*it) == peer);
-        if matches!(&source, DrawSource::Peer(peer, _) if dead(peer)) {
+        let side = |it: &usize| self.cut_off.contains(it);
+        let reaches = |peer: &InstanceId| {
+            let other = (0..self.sidecars.len()).find(|it| &id(*it) == peer);
+            other.is_some_and(|it| !self.dead.contains(&it) && side(&it) == side(&index))
+        };
+        let unreachable = match &source {
+            DrawSource::Origin => side(&index),
+            DrawSource::Peer(peer, _) => !reaches(peer),
+        };
+        if unreachable {
             let code = Code::Unreachable;
             let delay = self.dead_ms.min(deadline.since(Millis(self.now)).0);
             self.after(delay, index, Event::Missed { version, index: chunk, source, code });
