--- a/components/edge/src/gateway/mod.rs
+++ b/components/edge/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod home_log;
 mod node;
+mod record;
 mod relay;
 mod request;
 mod reservations;
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -199,6 +199,8 @@
         let now = core.clock.now();
         let (cold, responsible) = core.read(|it| it.cold_runners(now));
         let evacuated = core.read(|gateway| gateway.pool().evacuations.len());
+        let silent = core.read(|gateway| gateway.pool().silent.count(now));
+        core.metrics.set("halls_silent", silent as u64);
         core.metrics.set("configuration", configuration);
         core.metrics.set("tight_homes", core.read(|it| it.tight_homes(now)) as u64);
         core.metrics.set("home_faults", core.read(|it| it.home_faults().len()) as u64);
--- a/components/edge/src/gateway/state_log.rs
+++ b/components/edge/src/gateway/state_log.rs
@@ -22,6 +22,7 @@
         let runners_age_ms = core.tables.runners.age_ms();
         let runners = core.read(|gateway| gateway.pool().len());
         let now = core.clock.now();
+        let silent_halls = core.read(|gateway| gateway.pool().silent.count(now));
         let tight_homes = core.read(|gateway| gateway.tight_homes(now));
         let (gateways, sureness) =
             core.read(|it| (it.members().count(now), it.members().sureness(now).name()));
@@ -32,6 +33,7 @@
             operator_age_ms = operator_age_ms,
             runners_age_ms = runners_age_ms,
             runners = runners,
+            silent_halls = silent_halls,
             under_way = under_way,
             waiting = waiting,
             tight_homes = tight_homes,
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -65,9 +65,11 @@
     ) -> Option<(InstanceId, Seen)> {
         let mut candidates = 0;
         let tight = self.room.tight(now, arrival, &self.options.halls);
+        let only_heard = self.has_heard_runner(now, arrival);
         let usable = self.pool.of_service(&arrival.service).filter(|it| {
             !tried.contains(&it.record.id)
                 && self.can_run(now, it, arrival)
+                && !(only_heard && self.pool.silent.defers(now, it))
                 && self.has_room(now, it, arrival, &tight)
         });
         let usable = usable.inspect(|_| candidates += 1);
@@ -83,6 +85,16 @@
         Some((runner.record.id.clone(), seen))
     }
 
+    /// Whether some runner can run a request, room aside, that is not passed over because its hall is silent. Where
+    /// none can, those are tried. That the others are full is no reason: each silent one costs 45 ms.
+    fn has_heard_runner(&self, now: Millis, arrival: &Arrival) -> bool {
+        let runners = self.pool.of_service(&arrival.service);
+        self.pool.silent.count(now) > 0
+            && runners
+                .into_iter()
+                .any(|it| !self.pool.silent.defers(now, it) && self.can_run(now, it, arrival))
+    }
+
     /// When some runner that a request may go to can run it, room aside.
     pub fn outlook(&self, now: Millis, arrival: &Arrival) -> Outlook {
         if arrival.homes.is_bound() && self.has_no_home(now, arrival) {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -14,8 +14,10 @@
 mod home_room;
 mod members;
 mod pool;
+mod record;
 mod reducer;
 mod runner;
+mod silence;
 mod versions;
 
 pub use budget::{BudgetLimits, RetryBudget};
@@ -31,5 +33,6 @@
 pub use home_faults::HomeFault;
 pub use members::{GatewayList, GatewaysHeard, HeardGateway, Members, Sureness};
 pub use pool::Pool;
+pub use record::{FirstHeard, RecordAnswer, RecordCall, RecordRow, VersionRecord};
 pub use reducer::Gateway;
 pub use runner::{Runner, RunnerLoad, RunnerRecord, RunnerState, WeightsHeld};
--- a/components/reducer/src/spread/version/choice.rs
+++ b/components/reducer/src/spread/version/choice.rs
@@ -38,6 +38,7 @@
                 None => break,
             }
         }
+        effects.extend(self.probe_halls(now));
         effects
     }
 
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A fleet of sidecars that exchange chunks, without I/O: every effect is carried out after a delay,
 //! or lost.
 
+// Each test file uses a part of it.
 #![allow(dead_code)]
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -9,7 +10,7 @@
 
 use errors::Code;
 use fleet::{Ablation, InstanceId, Manifest, Millis, Place, VersionId};
-use reducer::DrawSource;
+use reducer::{Draw, DrawSource};
 use rollout::*;
 
 pub const CHUNKS: u32 = 64;
@@ -63,6 +64,10 @@
     pub between_halls: u32,
     /// Sidecars that are gone, although the list that the others know still has them.
     pub dead: BTreeSet<usize>,
+    /// Sidecars that reach each other only, and not the origin.
+    pub cut_off: BTreeSet<usize>,
+    /// How long it takes to find that a sidecar is gone: a machine without power does not refuse connections.
+    pub dead_ms: u64,
 }
 
 pub fn id(index: usize) -> InstanceId {
@@ -139,6 +144,8 @@
             origin_manifests: 0,
             between_halls: 0,
             dead: BTreeSet::new(),
+            cut_off: BTreeSet::new(),
+            dead_ms: 5,
         };
         (0..count).for_each(|index| fleet.introduce(index));
         fleet.tell_peers();
@@ -227,6 +234,21 @@
         }
     }
 
+    /// Takes sidecars away, from the list too.
+    pub fn lose(&mut self, lost: &[usize]) {
+        lost.iter().for_each(|it| self.kill(*it));
+        let alive = |it: &usize| !self.dead.contains(it);
+        let alive: Vec<usize> = (0..self.sidecars.len()).filter(alive).collect();
+        let peer = |index: &usize| Peer {
+            id: id(*index),
+            place: place(*index),
+            address: address(*index),
+            version: self.runners[*index].version,
+        };
+        let peers: Vec<Peer> = alive.iter().map(peer).collect();
+        alive.iter().for_each(|it| self.feed(*it, Event::Peers(peers.clone())));
+    }
+
     pub fn after(&mut self, delay: u64, to: usize, event: Event) {
         self.later.push(Later { at: self.now + delay, to, event });
     }
@@ -238,11 +260,14 @@
                 let none = fleet::Bitmap::new(CHUNKS);
                 self.after(10, index, Event::Found(version, none));
             }
-            Effect::Draw(version, draw) => self.draw(index, version, draw.index, draw.source),
+            Effect::Draw(version, draw) => self.draw(index, version, draw),
             Effect::Summarize { to, version, have } => {
                 let Some(other) = (0..self.sidecars.len()).find(|it| address(*it) == to) else {
                     return;
                 };
+                if self.cut_off.contains(&other) != self.cut_off.contains(&index) {
+                    return;
+                }
                 self.summaries += 1;
                 let event = Event::Summary {
                     from: id(index),
@@ -293,13 +318,23 @@
         self.after(if known { 60 } else { 20 }, index, event);
     }
 
-    pub fn draw(&mut self, index: usize, version: u64, chunk: u32, source: DrawSource) {
+    pub fn draw(&mut self, index: usize, version: u64, draw: Draw) {
+        let Draw { index: chunk, source, deadline, .. } = draw;
         self.draws += 1;
         let lost = self.loses > 0 && self.draws.is_multiple_of(self.loses);
-        let dead = |peer: &InstanceId| self.dead.iter().any(|it| &id(*it) == peer);
-        if matches!(&source, DrawSource::Peer(peer, _) if dead(peer)) {
+        let side = |it: &usize| self.cut_off.contains(it);
+        let reaches = |peer: &InstanceId| {
+            let other = (0..self.sidecars.len()).find(|it| &id(*it) == peer);
+            other.is_some_and(|it| !self.dead.contains(&it) && side(&it) == side(&index))
+        };
+        let unreachable = match &source {
+            DrawSource::Origin => side(&index),
+            DrawSource::Peer(peer, _) => !reaches(peer),
+        };
+        if unreachable {
             let code = Code::Unreachable;
-            self.after(5, index, Event::Missed { version, index: chunk, source, code });
+            let delay = self.dead_ms.min(deadline.since(Millis(self.now)).0);
+            self.after(delay, index, Event::Missed { version, index: chunk, source, code });
             return;
         }
         let holds = match &source {
--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -3,6 +3,7 @@
 mod evacuations;
 mod logs;
 mod outages;
+mod record;
 mod reload;
 mod support;
 
