Home regions: a home that is full, or of which nothing is known, is not told to be missing

Cause: the pause of a runner without room counted as one after a failure as long as no answer had come since an earlier failure, so a bound request was refused at once as NoHome though the runner was only full. And where it is not known whether a runner of the homes serves (a gateway that has just started, no report), a bound request for a model was told after its wait that none does, one for a plain service that places are short.

Change: how long a runner is left alone after a failure is kept apart from the pause of a full one; NoHome is told only where it is known that none serves.

Both tests fail without it (NoHome for Overloaded).

--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -82,9 +82,13 @@
     /// Why it is refused, while the runners that it may go to stand so.
     fn refusal(&self, outlook: Outlook) -> Code {
         let for_want_of_place = matches!(self.reason, Code::Overloaded | Code::Withdrawn);
-        // One that serves and is paused for a moment is full.
-        let serves = matches!(outlook, Outlook::Serving | Outlook::ServesIn(0));
-        if for_want_of_place && self.arrival.homes.is_bound() && !serves {
+        let is_missing = match outlook {
+            Outlook::NotServing => true,
+            // One that serves and is paused for a moment is full.
+            Outlook::ServesIn(left) => left > 0,
+            Outlook::Serving | Outlook::Unknown => false,
+        };
+        if for_want_of_place && self.arrival.homes.is_bound() && is_missing {
             Code::NoHome
         } else {
             self.reason
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -110,7 +110,9 @@
     reported: Option<Reported>,
     /// How long answers took to begin, smoothed, in milliseconds, and when that was last seen.
     first_ms: (f64, Millis),
+    /// Until when it is left alone, for whatever reason, and until when after a failure.
     suspect_until: Millis,
+    failed_until: Millis,
     failures: u32,
     /// Until when it is cold by the list, and until when it may be without the list telling it yet.
     cold_until: Millis,
@@ -130,6 +132,7 @@
             reported: None,
             first_ms: (0.0, Millis(0)),
             suspect_until: Millis(0),
+            failed_until: Millis(0),
             failures: 0,
             misdirected: false,
         }
@@ -228,23 +231,22 @@
 
     /// How much longer it is left alone after a failure, in milliseconds. A pause of one that is full is none.
     pub fn failed_ms(&self, now: Millis) -> u64 {
-        if self.failures == 0 {
-            return 0;
-        }
-        self.suspect_until.since(now).0
+        self.failed_until.since(now).0
     }
 
     /// A request was answered.
     pub fn reward(&mut self) {
         self.failures = 0;
         self.suspect_until = Millis(0);
+        self.failed_until = Millis(0);
     }
 
     /// A request failed: the runner is left alone for a while that doubles with each failure.
     pub fn punish(&mut self, now: Millis) {
         let span = MIN_SUSPICION << self.failures.min(MOST_DOUBLINGS);
         self.failures += 1;
-        self.suspect_until = now.plus(span.min(MAX_SUSPICION));
+        self.failed_until = now.plus(span.min(MAX_SUSPICION));
+        self.suspect_until = self.failed_until;
     }
 
     /// It turned a request away because it is full.
--- a/components/gateway/tests/homes.rs
+++ b/components/gateway/tests/homes.rs
@@ -229,6 +229,17 @@
     assert!(bed.gateway.load().1 == 0, "it was sent when its runner was listed");
 }
 
+#[test]
+fn a_gateway_that_knows_no_runner_does_not_tell_that_a_home_has_none() {
+    for (service, kind) in KINDS {
+        let mut bed = Bed::new();
+        bed.feed(configured(2, &["north"], &[]));
+        assert_eq!(bed.arrive(arrival(1, service, kind)), None);
+        bed.now += 100;
+        assert_eq!(refusal(bed.step(1, Event::Tick)).0, Code::Overloaded);
+    }
+}
+
 #[test]
 fn homes_where_nothing_can_be_served_are_told_once_for_each_configuration() {
     let mut bed = Bed::new();
@@ -286,3 +297,26 @@
     assert_eq!(code, Code::NoHome);
     assert!((300..1300).contains(&back), "it is left alone for 300 ms: {back}");
 }
+
+/// The pause of a full runner is none after a failure, whatever failed there before.
+#[test]
+fn a_home_that_is_full_after_a_failure_is_not_missing() {
+    for (service, outcome) in [
+        (PLAIN_SERVICE, AttemptOutcome::Full),
+        (MODEL_SERVICE, AttemptOutcome::Denied { again_ms: 400 }),
+    ] {
+        let mut bed = Bed::new();
+        list(&mut bed, "n", service);
+        list(&mut bed, "s", service);
+        bed.feed(configured(2, &["north"], &[]));
+        sent_to(bed.arrive(arrival(1, service, RouteKind::Safe)));
+        bed.outcome(1, AttemptOutcome::Silent);
+        bed.pass(400);
+        sent_to(bed.arrive(arrival(2, service, RouteKind::Safe)));
+        bed.outcome(2, outcome);
+        let next = Arrival { aim_ms: 200, ..arrival(3, service, RouteKind::Safe) };
+        assert_eq!(bed.arrive(next), None, "it waits for a place");
+        bed.now += 45;
+        assert_eq!(refusal(bed.step(3, Event::Tick)).0, Code::Overloaded);
+    }
+}
