Home regions: copies share the names, and a pass over the queue looks a request's runners up once

Cause: each pass over the queue copied the service's name and the homes of every request that waits, and each choice the homes once more; notes of full services were looked up twice for each.

Change: the regions lie behind an Arc, the runners that a request may go to are worked out when it arrives and when a configuration comes into force, and looked up once. Homes are written nowhere, so they need no format.

What is left is the look-up of a region for each runner at the first request of a pass.

--- a/components/fleet/src/homes.rs
+++ b/components/fleet/src/homes.rs
@@ -1,14 +1,13 @@
 //! Home regions: where the requests of a route or of a workspace may be served.
 
 use std::collections::BTreeSet;
-
-use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 use crate::id::Region;
 
-/// The regions in which a request may be served.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct HomeRegions(Option<BTreeSet<Region>>);
+/// The regions in which a request may be served. Each choice hands on a copy, so copies share the names.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HomeRegions(Option<Arc<BTreeSet<Region>>>);
 
 impl HomeRegions {
     /// Every region.
@@ -19,13 +18,15 @@
     /// These regions only. Without any the request is not bound.
     pub fn only(regions: impl IntoIterator<Item = Region>) -> Self {
         let regions: BTreeSet<Region> = regions.into_iter().collect();
-        Self((!regions.is_empty()).then_some(regions))
+        Self((!regions.is_empty()).then(|| Arc::new(regions)))
     }
 
     /// The regions that are in both.
     pub fn and(&self, other: &Self) -> Self {
         match (&self.0, &other.0) {
-            (Some(mine), Some(theirs)) => Self(Some(mine.intersection(theirs).cloned().collect())),
+            (Some(mine), Some(theirs)) => {
+                Self(Some(Arc::new(mine.intersection(theirs).cloned().collect())))
+            }
             (Some(regions), None) | (None, Some(regions)) => Self(Some(regions.clone())),
             (None, None) => Self(None),
         }
@@ -43,6 +44,6 @@
 
     /// The regions, none where the request is not bound.
     pub fn regions(&self) -> impl Iterator<Item = &Region> {
-        self.0.iter().flatten()
+        self.0.iter().flat_map(|it| it.iter())
     }
 }
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -89,8 +89,8 @@
     }
 
     /// The runners that it may go to.
-    pub(crate) fn reach(&self) -> Reach {
-        Reach { service: self.service.clone(), homes: self.homes.clone() }
+    pub(crate) fn reach(&self) -> Arc<Reach> {
+        Arc::new(Reach { service: self.service.clone(), homes: self.homes.clone() })
     }
 }
 
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -46,6 +46,8 @@
 #[derive(Clone, Debug)]
 struct Progress {
     arrival: Arrival,
+    /// The runners that it may go to. Each pass over the queue asks for it.
+    reach: Arc<Reach>,
     tried: Vec<InstanceId>,
     /// The runner of the attempt under way.
     current: Option<InstanceId>,
@@ -109,7 +111,7 @@
     members: Members,
     cold: ColdGates,
     budgets: BTreeMap<ServiceName, RetryBudget>,
-    shortages: BTreeMap<Reach, Shortage>,
+    shortages: BTreeMap<Arc<Reach>, Shortage>,
     /// Homes where nothing can be served, by the configuration in force.
     home_faults: Vec<HomeFault>,
     home_room: HomeRoom,
@@ -274,6 +276,7 @@
     fn configure(&mut self, catalog: Arc<Catalog>) -> Vec<Effect> {
         for progress in self.requests.values_mut() {
             progress.arrival.settle(&catalog);
+            progress.reach = progress.arrival.reach();
         }
         self.note_cold_services(&catalog);
         self.home_faults = home_faults::find(&catalog, &self.options.halls);
@@ -305,6 +308,7 @@
             answered: false,
             may_have_run: false,
             reason: Code::Overloaded,
+            reach: arrival.reach(),
             arrival,
         };
         self.enqueue(key, &progress);
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -1,6 +1,7 @@
 //! Requests that wait for a place at a runner: who is sent, who waits on and who is refused.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use errors::Code;
 use fleet::{Mechanism, Millis};
@@ -36,7 +37,7 @@
 }
 
 /// Where there is no place for a first attempt at this moment, and when some runner there serves.
-type FullServices = BTreeMap<Reach, Outlook>;
+type FullServices = BTreeMap<Arc<Reach>, Outlook>;
 
 impl Gateway {
     /// Puts a request that has just arrived in the queue.
@@ -82,9 +83,9 @@
             return Turn::Finish;
         }
         let first = progress.tried.is_empty();
-        let reach = progress.arrival.reach();
-        let is_known_full = first && full.contains_key(&reach);
-        if !is_known_full {
+        let reach = progress.reach.clone();
+        let noted = full.get(&reach).copied();
+        if noted.is_none() || !first {
             if let Some(target) = self.choose(now, random, key) {
                 return Turn::Send(target);
             }
@@ -92,15 +93,17 @@
         let Some(progress) = self.requests.get(&key) else {
             return Turn::Finish;
         };
-        if first && !is_known_full {
-            let outlook = self.chooser().outlook(now, &progress.arrival);
-            full.insert(reach.clone(), outlook);
-        }
-        let is_bound = progress.arrival.homes.is_bound();
-        let outlook = match full.get(&reach) {
-            Some(outlook) => *outlook,
+        let outlook = match noted {
+            Some(outlook) => outlook,
+            None if first => {
+                let outlook = self.chooser().outlook(now, &progress.arrival);
+                full.insert(reach, outlook);
+                outlook
+            }
             // Homes may have been emptied since the first attempt.
-            None if is_bound => self.chooser().outlook(now, &progress.arrival),
+            None if progress.arrival.homes.is_bound() => {
+                self.chooser().outlook(now, &progress.arrival)
+            }
             None => Outlook::Serving,
         };
         if progress.waits_in_vain(now, outlook) {
@@ -134,7 +137,7 @@
                 code => code,
             };
             let estimates = self.keeps(Mechanism::ReturnEstimate);
-            let shortage = self.shortages.entry(progress.arrival.reach()).or_default();
+            let shortage = self.shortages.entry(progress.reach).or_default();
             let retry_after_ms = if estimates {
                 shortage.refuse(now, random, outlook)
             } else {
