Home regions: one question for what a request may wait for; a runner that leaves tells no return

Cause: the outlook asked twice whether the homes have a runner, by two measures, and for the moment of return it also went by runners that are leaving the homes: callers were told to come back when these would serve.

Change: one filter for all of it, by whether a runner may be waited for. Nothing changes for unbound requests.

The test fails without it (told 602 ms where the runner that stays serves after 1,500).

--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -85,11 +85,8 @@
 
     /// When some runner that a request may go to can run it, room aside.
     pub fn outlook(&self, now: Millis, arrival: &Arrival) -> Outlook {
-        if arrival.homes.is_bound() && self.has_no_home(now, arrival) {
-            return Outlook::NotServing;
-        }
         let listed = || self.pool.of_service(&arrival.service);
-        let runners = || listed().filter(|it| self.is_allowed(now, it, arrival));
+        let runners = || listed().filter(|it| self.may_wait_for(now, it, arrival));
         if runners().next().is_none() && listed().next().is_some() {
             return Outlook::NotServing;
         }
@@ -124,10 +121,14 @@
         homes.map(|it| it.failed_ms(now)).min().filter(|left| *left > 0)
     }
 
-    /// Whether no runner in a request's homes takes anything, while the runners of its service are known.
-    fn has_no_home(&self, now: Millis, arrival: &Arrival) -> bool {
-        let mut runners = self.pool.of_service(&arrival.service).peekable();
-        runners.peek().is_some() && !runners.any(|it| self.may_serve(now, it, arrival))
+    /// Whether a runner may be waited for. For a request that is not bound also one that is leaving or was replaced,
+    /// since another one may take its place anywhere.
+    fn may_wait_for(&self, now: Millis, runner: &Runner, arrival: &Arrival) -> bool {
+        if arrival.homes.is_bound() {
+            self.may_serve(now, runner, arrival)
+        } else {
+            self.is_allowed(now, runner, arrival)
+        }
     }
 
     /// Whether a runner takes requests and may take this one.
@@ -227,7 +228,8 @@
         runner.usual_first_ms(now)
     }
 
-    /// Whether a runner may have room, and its turn has come where it is cold. At runners with a sidecar a few requests may wait for a place there.
+    /// Whether a runner may have room, and its turn has come where it is cold. At runners with a sidecar a few
+    /// requests may wait for a place there.
     fn has_room(&self, now: Millis, runner: &Runner, arrival: &Arrival, tight: &[&Region]) -> bool {
         let held_back = if tight.is_empty() { 0 } else { self.held_back(runner, tight) };
         let waits_there = arrival.model.is_some() && held_back == 0;
--- a/components/gateway/tests/homes.rs
+++ b/components/gateway/tests/homes.rs
@@ -205,6 +205,22 @@
     assert!((1500..2500).contains(&back), "{back}");
 }
 
+#[test]
+fn callers_are_not_told_of_a_runner_that_is_leaving_their_homes() {
+    let mut bed = Bed::new();
+    bed.feed(configured(2, &["north"], &[]));
+    for (id, port, state, serves_in_ms) in
+        [("n1", 1, RunnerState::Draining, 100), ("n2", 2, RunnerState::Ready, 1500)]
+    {
+        bed.feed(Event::Listed(RunnerRecord { state, ..record(id, MODEL_SERVICE, port) }));
+        let moving = RunnerLoad { busy: true, serves_in_ms: Some(serves_in_ms), ..load(1, 0) };
+        bed.feed(Event::Load(([127, 0, 0, 1], port).into(), moving));
+    }
+    let (code, back) = refusal(bed.arrive(arrival(1, MODEL_SERVICE, STREAM)));
+    assert_eq!(code, Code::NoHome);
+    assert!((1500..2500).contains(&back), "{back}");
+}
+
 #[test]
 fn a_plain_runner_that_is_left_alone_is_told_of_as_well() {
     let mut bed = Bed::new();
--- a/components/rollout/src/turns.rs
+++ b/components/rollout/src/turns.rs
@@ -11,8 +11,8 @@
 /// runners in a region.
 const FINE: u64 = 1 << 22;
 
-/// The turn of one of these sidecars, counted from zero, and how many turns there are. Each version starts at other ones, so that none is always
-/// the last.
+/// The turn of one of these sidecars, counted from zero, and how many turns there are. Each version starts at other
+/// ones, so that none is always the last.
 pub fn turn<'a>(
     sidecars: impl IntoIterator<Item = (&'a Region, &'a InstanceId)>,
     me: &InstanceId,
