--- a/components/gateway/tests/fuzz.rs
+++ b/components/gateway/tests/fuzz.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use fleet::{Evacuation, EvacuationList, Hall, HomeRegions, InstanceId};
+use fleet::{Evacuation, EvacuationList, Hall, HomeRegions, InstanceId, Millis};
 use gateway::*;
 use proptest::prelude::*;
 use support::*;
@@ -143,6 +143,23 @@
     }
 }
 
+impl Model {
+    /// What was chosen earlier may still be sent just where it might be chosen now.
+    fn ask(&self, bed: &Bed) -> Result<(), TestCaseError> {
+        for (key, known) in self.requests.iter().filter(|(_, it)| !it.ended) {
+            let Some(id) = &known.current else {
+                continue;
+            };
+            let region = if hall(id) == "a" { "north" } else { "south" };
+            let is_open = self.usable.contains(id) && !self.evacuated.contains(&hall(id).into());
+            let is_fit = is_open && self.homes.allow(&region.into());
+            let may_send = bed.gateway.may_send(Millis(bed.now), RequestKey(*key));
+            prop_assert_eq!(may_send, is_fit, "to {:?}, homes {:?}", id, self.homes);
+        }
+        Ok(())
+    }
+}
+
 fn id(number: u8) -> InstanceId {
     InstanceId(format!("r{}", number % 6))
 }
@@ -263,6 +280,7 @@
             }
         };
         model.take(bed.now, &effects)?;
+        model.ask(&bed)?;
     }
     Ok(())
 }
--- a/components/gateway/tests/homes.rs
+++ b/components/gateway/tests/homes.rs
@@ -175,6 +175,35 @@
     assert_eq!(refusal(bed.step(9, Event::Tick)).0, Code::NoHome);
 }
 
+#[test]
+fn a_request_whose_workspace_is_gone_keeps_its_homes() {
+    for (service, kind) in KINDS {
+        let mut bed = Bed::new();
+        list(&mut bed, "n", service);
+        list(&mut bed, "s", service);
+        bed.feed(configured(2, &[], &["north"]));
+        assert_eq!(sent_to(bed.arrive(of_workspace(1, service, kind))), "n".into());
+        bed.feed(bound(3, &HomeRegions::anywhere()));
+        assert!(bed.gateway.may_send(Millis(bed.now), RequestKey(1)));
+        bed.feed(Event::Unlisted("n".into()));
+        assert_eq!(refusal(bed.outcome(1, AttemptOutcome::Withdrawn)).0, Code::NoHome);
+    }
+}
+
+#[test]
+fn a_runner_that_stands_nobody_knows_where_takes_unbound_requests_only() {
+    for (service, kind) in KINDS {
+        let mut bed = Bed::new();
+        let nowhere =
+            RunnerRecord { hall: "a hall of no region".into(), ..record("x", service, 1) };
+        bed.feed(Event::Listed(nowhere));
+        assert_eq!(sent_to(bed.arrive(arrival(1, service, kind))), "x".into());
+        bed.feed(configured(2, &["north", "south"], &[]));
+        assert!(!bed.gateway.may_send(Millis(bed.now), RequestKey(1)), "it is bound by now");
+        assert_eq!(refusal(bed.arrive(arrival(2, service, kind))).0, Code::NoHome);
+    }
+}
+
 #[test]
 fn a_home_without_a_place_and_the_others_of_its_service_do_not_stop_each_other() {
     let mut bed = waiting(MODEL_SERVICE, STREAM);
