--- a/components/gateway/tests/homes.rs
+++ b/components/gateway/tests/homes.rs
@@ -175,6 +175,35 @@
     assert_eq!(refusal(bed.step(9, Event::Tick)).0, Code::NoHome);
 }
 
+#[test]
+fn a_request_whose_workspace_is_gone_keeps_its_homes() {
+    for (service, kind) in KINDS {
+        let mut bed = Bed::new();
+        list(&mut bed, "n", service);
+        list(&mut bed, "s", service);
+        bed.feed(configured(2, &[], &["north"]));
+        assert_eq!(sent_to(bed.arrive(of_workspace(1, service, kind))), "n".into());
+        bed.feed(bound(3, &HomeRegions::anywhere()));
+        assert!(bed.gateway.may_send(Millis(bed.now), RequestKey(1)));
+        bed.feed(Event::Unlisted("n".into()));
+        assert_eq!(refusal(bed.outcome(1, AttemptOutcome::Withdrawn)).0, Code::NoHome);
+    }
+}
+
+#[test]
+fn a_runner_that_stands_nobody_knows_where_takes_unbound_requests_only() {
+    for (service, kind) in KINDS {
+        let mut bed = Bed::new();
+        let nowhere =
+            RunnerRecord { hall: "a hall of no region".into(), ..record("x", service, 1) };
+        bed.feed(Event::Listed(nowhere));
+        assert_eq!(sent_to(bed.arrive(arrival(1, service, kind))), "x".into());
+        bed.feed(configured(2, &["north", "south"], &[]));
+        assert!(!bed.gateway.may_send(Millis(bed.now), RequestKey(1)), "it is bound by now");
+        assert_eq!(refusal(bed.arrive(arrival(2, service, kind))).0, Code::NoHome);
+    }
+}
+
 #[test]
 fn a_home_without_a_place_and_the_others_of_its_service_do_not_stop_each_other() {
     let mut bed = waiting(MODEL_SERVICE, STREAM);
@@ -205,6 +234,22 @@
     assert!((1500..2500).contains(&back), "{back}");
 }
 
+#[test]
+fn callers_are_not_told_of_a_runner_that_is_leaving_their_homes() {
+    let mut bed = Bed::new();
+    bed.feed(configured(2, &["north"], &[]));
+    for (id, port, state, serves_in_ms) in
+        [("n1", 1, RunnerState::Draining, 100), ("n2", 2, RunnerState::Ready, 1500)]
+    {
+        bed.feed(Event::Listed(RunnerRecord { state, ..record(id, MODEL_SERVICE, port) }));
+        let moving = RunnerLoad { busy: true, serves_in_ms: Some(serves_in_ms), ..load(1, 0) };
+        bed.feed(Event::Load(([127, 0, 0, 1], port).into(), moving));
+    }
+    let (code, back) = refusal(bed.arrive(arrival(1, MODEL_SERVICE, STREAM)));
+    assert_eq!(code, Code::NoHome);
+    assert!((1500..2500).contains(&back), "{back}");
+}
+
 #[test]
 fn a_plain_runner_that_is_left_alone_is_told_of_as_well() {
     let mut bed = Bed::new();
@@ -229,6 +274,17 @@
     assert!(bed.gateway.load().1 == 0, "it was sent when its runner was listed");
 }
 
+#[test]
+fn a_gateway_that_knows_no_runner_does_not_tell_that_a_home_has_none() {
+    for (service, kind) in KINDS {
+        let mut bed = Bed::new();
+        bed.feed(configured(2, &["north"], &[]));
+        assert_eq!(bed.arrive(arrival(1, service, kind)), None);
+        bed.now += 100;
+        assert_eq!(refusal(bed.step(1, Event::Tick)).0, Code::Overloaded);
+    }
+}
+
 #[test]
 fn homes_where_nothing_can_be_served_are_told_once_for_each_configuration() {
     let mut bed = Bed::new();
@@ -286,3 +342,26 @@
     assert_eq!(code, Code::NoHome);
     assert!((300..1300).contains(&back), "it is left alone for 300 ms: {back}");
 }
+
+/// The pause of a full runner is none after a failure, whatever failed there before.
+#[test]
+fn a_home_that_is_full_after_a_failure_is_not_missing() {
+    for (service, outcome) in [
+        (PLAIN_SERVICE, AttemptOutcome::Full),
+        (MODEL_SERVICE, AttemptOutcome::Denied { again_ms: 400 }),
+    ] {
+        let mut bed = Bed::new();
+        list(&mut bed, "n", service);
+        list(&mut bed, "s", service);
+        bed.feed(configured(2, &["north"], &[]));
+        sent_to(bed.arrive(arrival(1, service, RouteKind::Safe)));
+        bed.outcome(1, AttemptOutcome::Silent);
+        bed.pass(400);
+        sent_to(bed.arrive(arrival(2, service, RouteKind::Safe)));
+        bed.outcome(2, outcome);
+        let next = Arrival { aim_ms: 200, ..arrival(3, service, RouteKind::Safe) };
+        assert_eq!(bed.arrive(next), None, "it waits for a place");
+        bed.now += 45;
+        assert_eq!(refusal(bed.step(3, Event::Tick)).0, Code::Overloaded);
+    }
+}
