Evacuations: a later try that no hall is left for is refused at once

A request whose first runner did not get it waited out its time when every runner of its service had meanwhile come to stand in evacuated halls: only first tries and bound requests asked whether any runner serves. While some hall is evacuated the later tries of all ask it too. Ruled out: asking it always, which costs a look at every runner for each such request at each turn and tells nothing new there. A test with the reducer alone failed before (it waited) and holds now.

--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -96,11 +96,11 @@
             let outlook = self.chooser().outlook(now, &progress.arrival);
             full.insert(reach.clone(), outlook);
         }
-        let is_bound = progress.arrival.homes.is_bound();
+        let may_be_barred = progress.arrival.homes.is_bound() || !self.pool.evacuations.is_empty();
         let outlook = match full.get(&reach) {
             Some(outlook) => *outlook,
-            // Homes may have been emptied since the first attempt.
-            None if is_bound => self.chooser().outlook(now, &progress.arrival),
+            // Homes may have been emptied, or halls left, since the first attempt.
+            None if may_be_barred => self.chooser().outlook(now, &progress.arrival),
             None => Outlook::Serving,
         };
         if progress.waits_in_vain(now, outlook) {
--- a/components/gateway/tests/evacuations.rs
+++ b/components/gateway/tests/evacuations.rs
@@ -163,6 +163,14 @@
     assert!((250..=2000).contains(&retry_after_ms), "{retry_after_ms}");
 }
 
+#[test]
+fn a_second_try_that_no_hall_is_left_for_is_refused_at_once() {
+    let mut bed = bed();
+    assert_eq!(sent_to(call(&mut bed, 1)), "near".into());
+    bed.feed(told(10, &[("a", None), ("b", None)]));
+    assert_eq!(refusal_of(bed.outcome(1, AttemptOutcome::NotSent)).0, Code::Withdrawn);
+}
+
 #[test]
 fn the_only_hall_of_a_service_counts_as_all_of_them() {
     let mut bed = bed_with(Ablation::default());
