Evacuations: one figure for what is kept free of the bound

It stood in the settings and with the evacuations, and the two must be the same: the bound may be longer than the contact time by just what is kept free of it. No change of behaviour; the tests of both hold.

--- a/components/fleet/src/evacuation.rs
+++ b/components/fleet/src/evacuation.rs
@@ -7,9 +7,6 @@
 use crate::id::Hall;
 use crate::Millis;
 
-/// What is kept free of the bound within which a hall is left, in milliseconds: the store's news takes up to 400 at a
-/// gateway, a connection to a runner 250, and the rest is for a machine that is short of processor time.
-const NEWS_MARGIN: u64 = 1000;
 /// The part of the rest in which requests still go there. Over a bound of 5,000 with two evacuations in series, of 13,728
 /// callers 7,596 were answered on time where halls were left at once, 7,834 with 0.5, and 7,991 and 7,897 in two plays
 /// with 0.75.
@@ -66,6 +63,10 @@
 }
 
 impl Evacuations {
+    /// What is kept free of the bound within which a hall is left, in milliseconds: the store's news takes up to 400 at
+    /// a gateway, a connection to a runner 250, and the rest is for a machine that is short of processor time.
+    pub const NEWS_MARGIN: u64 = 1000;
+
     /// Starts with none. `evacuate_ms` is the bound within which a hall is left; without one it is left at once.
     pub fn new(evacuate_ms: Option<u64>) -> Self {
         let mut evacuations = Self::default();
@@ -75,7 +76,7 @@
 
     /// Goes on with another bound, for halls that are being left too.
     pub fn set_bound(&mut self, evacuate_ms: Option<u64>) {
-        let left = evacuate_ms.unwrap_or(0).saturating_sub(NEWS_MARGIN);
+        let left = evacuate_ms.unwrap_or(0).saturating_sub(Self::NEWS_MARGIN);
         self.leaving_ms = (left as f64 * LEAVING_SHARE) as u64;
     }
 
--- a/components/settings/src/deployment.rs
+++ b/components/settings/src/deployment.rs
@@ -4,7 +4,7 @@
 use std::net::{AddrParseError, IpAddr, Ipv4Addr, SocketAddr};
 use std::str::FromStr;
 
-use fleet::{Ablation, Hall, InstanceId, Place, Region, ServiceName};
+use fleet::{Ablation, Evacuations, Hall, InstanceId, Place, Region, ServiceName};
 
 use crate::file::File;
 use crate::Faults;
@@ -92,15 +92,12 @@
     pub cold: Option<ColdSettings>,
 }
 
-/// How much longer than the contact time the bound of evacuations counts, in milliseconds: as much as is kept free of it
-/// for news and connections.
-const BEYOND_CONTACT: u64 = 1000;
-
 impl BoundSettings {
     /// Within how many milliseconds a data hall that is evacuated is left. A process that stood still takes what it
-    /// reads when it wakes for new, and is bound again a contact time later: by then it must have left the hall.
+    /// reads when it wakes for new, and is bound again a contact time later: by then it must have left the hall. The
+    /// bound may be longer by what is kept free of it.
     pub fn leave_ms(&self) -> Option<u64> {
-        self.evacuate_ms.map(|it| it.min(self.contact_ms + BEYOND_CONTACT))
+        self.evacuate_ms.map(|it| it.min(self.contact_ms + Evacuations::NEWS_MARGIN))
     }
 }
 
