--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -48,8 +48,8 @@
     RetryBudget,
     /// No upstream in the request's home regions can run it.
     NoHome,
-    /// The upstream may not take the request any more: its data hall is evacuated, or the request's homes have
-    /// changed. Nothing was sent.
+    /// The upstream may not take the request any more: it leaves, its data hall is evacuated, or the request's homes
+    /// have changed. Nothing was sent.
     Withdrawn,
     /// The upstream's reply ended before it was whole.
     CutShort,
@@ -200,7 +200,7 @@
     Row { code: Code::AlreadyRun, number: 113, name: "AlreadyRun", ran: Ran::NotRun, retry: false, status: 409, meaning: "A request with this idempotency key was run before; this one was not." },
     Row { code: Code::RetryBudget, number: 114, name: "RetryBudget", ran: Ran::NotRun, retry: true, status: 503, meaning: "The first try did not run and the share of retries is used up." },
     Row { code: Code::NoHome, number: 115, name: "NoHome", ran: Ran::NotRun, retry: true, status: 503, meaning: "No upstream in the request's home regions can run it." },
-    Row { code: Code::Withdrawn, number: 116, name: "Withdrawn", ran: Ran::NotRun, retry: true, status: 503, meaning: "The upstream may not take the request any more: its data hall is evacuated, or the request's homes have changed." },
+    Row { code: Code::Withdrawn, number: 116, name: "Withdrawn", ran: Ran::NotRun, retry: true, status: 503, meaning: "The upstream may not take the request any more: it leaves, its data hall is evacuated, or the request's homes have changed." },
     Row { code: Code::CutShort, number: 200, name: "CutShort", ran: Ran::Unknown, retry: false, status: 502, meaning: "The upstream's reply ended before it was whole." },
     Row { code: Code::TimedOut, number: 201, name: "TimedOut", ran: Ran::Unknown, retry: false, status: 504, meaning: "The upstream did not answer in time." },
     Row { code: Code::UpstreamFailed, number: 202, name: "UpstreamFailed", ran: Ran::Unknown, retry: false, status: 502, meaning: "The upstream answered with an error of its own." },
