--- a/components/edge/src/message/tests.rs
+++ b/components/edge/src/message/tests.rs
@@ -1,5 +1,6 @@
 //! Sizes of messages.
 
+use fleet::Evacuation;
 use gateway::{GatewayList, HeardGateway};
 
 use super::*;
@@ -25,3 +26,20 @@
     let slope = list_bytes(53) - list_bytes(52);
     assert!(slope <= 10, "{slope} bytes a gateway, {} for 53", list_bytes(53));
 }
+
+/// The size of a list of so many halls that are evacuated, in bytes.
+fn evacuation_bytes(halls: usize) -> usize {
+    let evacuation = Evacuation { hall: "gogledd-a".into(), age_ms: Some(60_000) };
+    let evacuated = vec![evacuation; halls];
+    encode(&EvacuationList { revision: 1_000_000, evacuated }).len()
+}
+
+#[test]
+fn where_no_hall_is_evacuated_a_report_of_load_is_four_bytes_longer_for_it() {
+    assert_eq!(evacuation_bytes(0), 4);
+}
+
+#[test]
+fn an_evacuated_hall_takes_its_name_and_five_bytes() {
+    assert_eq!(evacuation_bytes(1) - evacuation_bytes(0), "gogledd-a".len() + 5);
+}
