Evacuations: a sidecar that reads its runner's service in the store reads the halls with it

While no gateway tells a sidecar of its runner it lists what operators write, and threw the rows of evacuations away: it then gave places in an evacuated hall to any gateway that did not know, until one that did told it. The listing holds the rows already, so this costs no call and no byte.

--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -18,13 +18,14 @@
 use super::directory::{self, DirectorySettings};
 use super::runner::{self, Job};
 use super::{draws, peers};
+use crate::evacuated::EvacuatedHalls;
 use crate::link::Link;
 use crate::message::{weights_services, Datagram};
 use crate::metrics::{note_evacuation, serve_metrics};
 use crate::news::News;
 use crate::server::listen;
 use crate::spawner::Spawner;
-use crate::watch::list;
+use crate::watch::{list, Listing};
 
 /// How often the named versions are listed by a sidecar that no gateway reaches.
 const VERSIONS_SPACING: Duration = Duration::from_millis(30_000);
@@ -208,8 +209,8 @@
     core.feed(Event::VersionsKnown);
 }
 
-/// Reads from the configuration what it says of the weights, where no gateway tells of it. The configuration
-/// may be large, and the machine's link is narrow.
+/// Reads from the configuration what it says of the weights, where no gateway tells of it, and which halls are
+/// evacuated. The configuration may be large, and the machine's link is narrow.
 async fn find_plan(core: Core, store: SocketAddr) {
     let mut link = Link::new(store);
     loop {
@@ -218,7 +219,7 @@
             return;
         }
         match list(&mut link, Table::Operator).await {
-            Ok(listing) => take_configuration(&core, listing.changes),
+            Ok(listing) => take_operator_table(&core, listing),
             Err(error) => {
                 let reason = error.to_string();
                 log::warn!(reason = reason.as_str(); "configuration cannot be read");
@@ -227,7 +228,11 @@
     }
 }
 
-fn take_configuration(core: &Core, changes: Vec<Change>) {
+fn take_operator_table(core: &Core, listing: Listing) {
+    let Listing { revision, changes } = listing;
+    // Before it knows its runner: it gives no place until then, and none in an evacuated hall from then on.
+    let evacuated = EvacuatedHalls::default().take_listing(Instant::now(), revision, &changes);
+    core.feed(Event::Evacuations(evacuated));
     for change in changes {
         if let Change::Configuration(catalog) = change {
             core.take_services(&weights_services(&catalog));
--- a/daemon/tests/deployment/evacuations.rs
+++ b/daemon/tests/deployment/evacuations.rs
@@ -88,6 +88,14 @@
     assert!(account.cause.contains("1 listed runners is in an evacuated hall"), "{account}");
 }
 
+#[test]
+fn a_sidecar_that_no_gateway_tells_of_its_runner_reads_the_halls_with_the_configuration() {
+    let mut deployment = Deployment::start();
+    deployment.standin.evacuate("a");
+    let sidecar = deployment.add_model_runner("e1", Some(1));
+    wait_until("the sidecar has read it", || is_evacuated(&deployment, sidecar, 1));
+}
+
 /// Whether the process of a machine says that so many halls are evacuated.
 fn is_evacuated(deployment: &Deployment, process: SocketAddr, halls: u32) -> bool {
     let page = deployment.metrics(process.ip());
