Evacuations: whether a hall is left evenly is asked in one place

Gateways and sidecars had the same function each; they must agree, so it stands with the evacuations. No change of behaviour; the tests of both hold.

--- a/components/fleet/src/evacuation.rs
+++ b/components/fleet/src/evacuation.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ablation::{Ablation, Mechanism};
 use crate::id::Hall;
 use crate::Millis;
 
@@ -68,15 +69,16 @@
     pub const NEWS_MARGIN: u64 = 1000;
 
     /// Starts with none. `evacuate_ms` is the bound within which a hall is left; without one it is left at once.
-    pub fn new(evacuate_ms: Option<u64>) -> Self {
+    pub fn new(evacuate_ms: Option<u64>, ablation: &Ablation) -> Self {
         let mut evacuations = Self::default();
-        evacuations.set_bound(evacuate_ms);
+        evacuations.set_bound(evacuate_ms, ablation);
         evacuations
     }
 
     /// Goes on with another bound, for halls that are being left too.
-    pub fn set_bound(&mut self, evacuate_ms: Option<u64>) {
-        let left = evacuate_ms.unwrap_or(0).saturating_sub(Self::NEWS_MARGIN);
+    pub fn set_bound(&mut self, evacuate_ms: Option<u64>, ablation: &Ablation) {
+        let bound = evacuate_ms.filter(|_| ablation.keeps(Mechanism::EvenLeaving));
+        let left = bound.unwrap_or(0).saturating_sub(Self::NEWS_MARGIN);
         self.leaving_ms = (left as f64 * LEAVING_SHARE) as u64;
     }
 
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -5,6 +5,7 @@
 
 use fleet::{Evacuations, Hall, InstanceId, Millis, ModelName, NamedVersion, ServiceName};
 
+use crate::event::GatewayOptions;
 use crate::runner::{Runner, RunnerLoad, RunnerRecord};
 use crate::versions::NamedVersions;
 
@@ -20,12 +21,11 @@
 }
 
 impl Pool {
-    /// Starts with nothing known. `version_ms` is how long requests may start on an older version after a
-    /// newer one was named, in milliseconds; `evacuate_ms` is within how many a hall that is evacuated is left.
-    pub fn new(version_ms: u64, evacuate_ms: Option<u64>) -> Self {
+    /// Starts with nothing known.
+    pub fn new(options: &GatewayOptions) -> Self {
         Self {
-            named: NamedVersions::new(version_ms),
-            evacuations: Evacuations::new(evacuate_ms),
+            named: NamedVersions::new(options.version_ms),
+            evacuations: Evacuations::new(options.evacuate_ms, &options.ablation),
             ..Self::default()
         }
     }
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -92,11 +92,6 @@
     }
 }
 
-/// Within how many milliseconds a hall is left that is evacuated. `None` where it is left at once.
-fn evacuation_bound(options: &GatewayOptions) -> Option<u64> {
-    options.evacuate_ms.filter(|_| options.ablation.keeps(Mechanism::EvenLeaving))
-}
-
 /// The state of a gateway.
 pub struct Gateway {
     options: GatewayOptions,
@@ -116,9 +111,8 @@
 impl Gateway {
     /// Starts with nothing known.
     pub fn new(options: GatewayOptions) -> Self {
-        let evacuate_ms = evacuation_bound(&options);
         Self {
-            pool: Pool::new(options.version_ms, evacuate_ms),
+            pool: Pool::new(&options),
             members: Members::new(options.budget_window_ms),
             cold: ColdGates::default(),
             options,
@@ -209,7 +203,7 @@
             }
             Event::Bounded(options) => {
                 self.pool.set_version_ms(options.version_ms);
-                self.pool.evacuations.set_bound(evacuation_bound(&options));
+                self.pool.evacuations.set_bound(options.evacuate_ms, &options.ablation);
                 self.options = options;
                 self.members.set_window(self.options.budget_window_ms);
                 if let Some(catalog) = self.catalog.clone() {
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -41,11 +41,6 @@
 /// How close two orders may be so that nobody can tell which was the last, in milliseconds.
 const ORDER_ORDER: u64 = 40;
 
-/// Within how many milliseconds a hall is left that is evacuated. `None` where it is left at once.
-fn evacuation_bound(options: &RolloutOptions) -> Option<u64> {
-    options.evacuate_ms.filter(|_| options.ablation.keeps(Mechanism::EvenLeaving))
-}
-
 /// The state of a sidecar.
 pub struct Rollout {
     options: RolloutOptions,
@@ -88,9 +83,8 @@
         if !options.ablation.keeps(Mechanism::ReadingCredit) {
             places.stop_pacing();
         }
-        let evacuate_ms = evacuation_bound(&options);
         Self {
-            evacuations: Evacuations::new(evacuate_ms),
+            evacuations: Evacuations::new(options.evacuate_ms, &options.ablation),
             cold: ColdStart::new(options.cold),
             options,
             plan: None,
@@ -150,7 +144,7 @@
         match event {
             Event::Bounded { version_ms, evacuate_ms } => {
                 self.options.evacuate_ms = evacuate_ms;
-                self.evacuations.set_bound(evacuation_bound(&self.options));
+                self.evacuations.set_bound(evacuate_ms, &self.options.ablation);
                 self.change_bound(now, version_ms);
             }
             Event::ColdBounded(limit) => self.cold.set_limit(now, limit),
