--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -93,6 +93,7 @@
         let Some(progress) = self.requests.get(&key) else {
             return Turn::Finish;
         };
+        let may_be_barred = progress.arrival.homes.is_bound() || !self.pool.evacuations.is_empty();
         let outlook = match noted {
             Some(outlook) => outlook,
             None if first => {
@@ -100,10 +101,8 @@
                 full.insert(reach, outlook);
                 outlook
             }
-            // Homes may have been emptied since the first attempt.
-            None if progress.arrival.homes.is_bound() => {
-                self.chooser().outlook(now, &progress.arrival)
-            }
+            // Homes may have been emptied, or halls left, since the first attempt.
+            None if may_be_barred => self.chooser().outlook(now, &progress.arrival),
             None => Outlook::Serving,
         };
         if progress.waits_in_vain(now, outlook) {
