Later tries of callers stand behind first ones where places are short

Each took a place from a first try, which was refused and came back late itself.

Ruled out: requests that start too late at their runner (at most a few tens were late otherwise); telling later tries by their id (it is another one), by their body (many callers ask for the same) or by the gateway that refused them (they come back to another one).

A gateway takes a request for a later try where its deadline is below 0.8 of what is usual on its route and for its workspace there, both learned from the requests that come. Reserve tells what is left of the aim, zero for a later try. A sidecar that denied a first try within 250 ms holds the last place back from later ones, save one place in twenty-one, and denies them at once; the gateway asks four sidecars and refuses then. Questions wait by rank, first tries, and the end of their aim.

--- a/components/account/src/account.rs
+++ b/components/account/src/account.rs
@@ -121,9 +121,10 @@
             let age = age_ms.map_or("never".into(), |age| format!("{age} ms ago"));
             format!("no route or key in configuration {configuration}, confirmed {age}")
         }
-        Decision::Chosen { runner, attempt, occupancy, report_age_ms, candidates } => {
+        Decision::Chosen { runner, attempt, occupancy, report_age_ms, candidates, left_ms } => {
             let age = report_age_ms.map_or("no report".into(), |age| format!("report {age} ms old"));
-            format!("attempt {attempt}: {runner} of {candidates}, {occupancy} requests there, {age}")
+            let left = left_of_aim(*left_ms);
+            format!("attempt {attempt}: {runner} of {candidates}, {occupancy} requests there, {age}{left}")
         }
         Decision::NoPlace { runner, outcome } => format!("no place at {runner}: {outcome}"),
         Decision::Denied { reason, taken, slots, version } => {
@@ -148,3 +149,12 @@
         }
     }
 }
+
+/// What was left of a request's aim, in words. Nothing where the line does not say.
+fn left_of_aim(left_ms: Option<u64>) -> String {
+    match left_ms {
+        None => String::new(),
+        Some(0) => ", a later try by its deadline: stands behind first ones".into(),
+        Some(left) => format!(", {left} ms of its aim left"),
+    }
+}
--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -38,6 +38,10 @@
         report_age_ms: Option<u64>,
         /// Runners that were fit for it.
         candidates: u32,
+        /// What was left of its aim, in milliseconds: zero where it looks like a later try of a caller that was
+        /// refused. Absent in older lines.
+        #[serde(default)]
+        left_ms: Option<u64>,
     },
     /// The sidecar beside a runner gave no place, or did not answer.
     NoPlace {
--- a/components/account/tests/accounts.rs
+++ b/components/account/tests/accounts.rs
@@ -49,3 +49,10 @@
     let account = Account::of("r9", [GATEWAY, SIDECAR]);
     assert_eq!(account.gaps, [Gap::Nothing]);
 }
+
+#[test]
+fn the_account_tells_that_a_request_was_taken_for_a_later_try() {
+    let line = r#"{"ts_ms":1001,"instance":"g1","request":"r1","decision":"chosen","runner":"i-1","attempt":1,"occupancy":3,"report_age_ms":40,"candidates":2,"left_ms":0}"#;
+    let text = Account::of("r1", [line]).to_string();
+    assert!(text.contains("a later try by its deadline"), "{text}");
+}
--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -124,7 +124,8 @@
         let facts = &self.job.facts;
         let id = facts.id.as_deref().unwrap_or("");
         let reservations = &self.core.reservations;
-        let patience = Patience { rank: self.target.rank, wait_ms: self.target.wait_ms };
+        let RunnerTarget { rank, left_ms, wait_ms, .. } = *self.target;
+        let patience = Patience { rank, left_ms, wait_ms };
         match reservations.ask(self.target.address, id, self.job.prompt_tokens, patience).await {
             None => Ok(()),
             Some(outcome) => Err(outcome),
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -157,6 +157,7 @@
         model: routed.model,
         prompt_tokens: job.prompt_tokens,
         aim_ms: job.aim_ms,
+        deadline_ms: job.facts.deadline_ms,
         limit: job.limit,
         attempts: routed.attempts,
     });
--- a/components/edge/src/gateway/reservations.rs
+++ b/components/edge/src/gateway/reservations.rs
@@ -21,6 +21,8 @@
 pub struct Patience {
     /// The rank of the request; zero goes first.
     pub rank: u8,
+    /// What is left of the request's aim, in milliseconds. Zero for a later try of a caller that was refused.
+    pub left_ms: u64,
     /// How long the question may wait for a place, in milliseconds.
     pub wait_ms: u64,
 }
@@ -61,7 +63,8 @@
         prompt_tokens: u32,
         patience: Patience,
     ) -> Option<AttemptOutcome> {
-        let Patience { rank, wait_ms } = patience;
+        let Patience { rank, left_ms, wait_ms } = patience;
+        let left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
         let (sender, answers) = async_channel::bounded(2);
         let question = {
             let mut open = self.open.borrow_mut();
@@ -73,7 +76,8 @@
         let _end = Question { open: &self.open, question };
         let sidecar = SocketAddr::new(runner.ip(), self.port);
         let request = request.to_owned();
-        let reserve = Datagram::Reserve { question, request, prompt_tokens, rank, wait_ms };
+        let reserve =
+            Datagram::Reserve { question, request, prompt_tokens, rank, left_ms, wait_ms };
         self.news.send(sidecar, &reserve).await;
         let mut reply = next(&answers, ANSWER_TIMEOUT).await;
         if reply == Some(Reply::Queued) {
--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -98,6 +98,7 @@
             occupancy: target.seen.occupancy,
             report_age_ms: target.seen.report_age_ms,
             candidates: target.seen.candidates,
+            left_ms: Some(target.left_ms),
         });
     }
 
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -44,6 +44,8 @@
         prompt_tokens: u32,
         /// The rank of the request; zero goes first.
         rank: u8,
+        /// What is left of the request's aim, in milliseconds. Zero for a later try of a caller that was refused.
+        left_ms: u32,
         /// How long the question may wait for a place, in milliseconds.
         wait_ms: u64,
     },
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -130,9 +130,17 @@
             Datagram::Summary { from, place, version, have } => {
                 core.feed(Event::Summary { from, address: sender, place, version, have });
             }
-            Datagram::Reserve { question: number, request, prompt_tokens, rank, wait_ms } => {
-                let asker = sender;
-                let question = Question { asker, number, request, prompt_tokens, rank, wait_ms };
+            Datagram::Reserve {
+                question: number,
+                request,
+                prompt_tokens,
+                rank,
+                left_ms,
+                wait_ms,
+            } => {
+                let (asker, left_ms) = (sender, u64::from(left_ms));
+                let question =
+                    Question { asker, number, request, prompt_tokens, rank, left_ms, wait_ms };
                 core.feed(Event::Asked(question));
             }
             Datagram::Ordered => {
--- a/components/fleet/src/ablation.rs
+++ b/components/fleet/src/ablation.rs
@@ -42,11 +42,13 @@
     VersionAges,
     /// Runners whose answers began late are chosen less.
     SlowStarts,
+    /// Where places are short, first tries of callers go before later ones.
+    FirstTries,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Reservations,
         Self::QueuedReservations,
         Self::Waiting,
@@ -64,6 +66,7 @@
         Self::HallGates,
         Self::VersionAges,
         Self::SlowStarts,
+        Self::FirstTries,
     ];
 
     /// The name in settings.
@@ -86,6 +89,7 @@
             Self::HallGates => "hall_gates",
             Self::VersionAges => "version_ages",
             Self::SlowStarts => "slow_starts",
+            Self::FirstTries => "first_tries",
         }
     }
 }
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -74,6 +74,8 @@
     pub prompt_tokens: u32,
     /// Within how many milliseconds an answer is on time.
     pub aim_ms: u64,
+    /// How long its caller waits, in milliseconds, if it says so.
+    pub deadline_ms: Option<u64>,
     /// When its final answer must be out.
     pub limit: Millis,
     /// How many runners it may be sent to.
@@ -178,6 +180,8 @@
     pub reserve: bool,
     /// The rank of the request for that; zero goes first.
     pub rank: u8,
+    /// What is left of the request's aim, in milliseconds. Zero for a later try: its caller was refused before.
+    pub left_ms: u64,
     /// How long the request may wait for the place, in milliseconds.
     pub wait_ms: u64,
     /// What the choice was made by.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod pool;
 mod reducer;
 mod runner;
+mod tries;
 mod versions;
 
 pub use budget::RetryBudget;
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -18,6 +18,7 @@
 use crate::event::{Arrival, AttemptOutcome, Effect, Event, GatewayOptions, RequestKey};
 use crate::pool::Pool;
 use crate::runner::RunnerState;
+use crate::tries::UsualDeadlines;
 
 /// The part of its aim that a request may wait for a place: an earlier refusal leaves the caller
 /// time to come back.
@@ -49,6 +50,10 @@
     may_have_run: bool,
     /// Until when it may wait for a place.
     wait_until: Millis,
+    /// Until when an answer is on time.
+    aim_until: Millis,
+    /// Whether it looks like a later try of a caller that was refused.
+    is_later: bool,
     /// Whether the last runner that was chosen for it had no place.
     was_denied: bool,
     /// How often some runner was chosen for it.
@@ -79,6 +84,7 @@
     pool: Pool,
     budgets: BTreeMap<ServiceName, RetryBudget>,
     shortages: BTreeMap<ServiceName, Shortage>,
+    usual_deadlines: UsualDeadlines,
     requests: BTreeMap<RequestKey, Progress>,
     queue: BTreeSet<Place>,
 }
@@ -92,6 +98,7 @@
             catalog: None,
             budgets: BTreeMap::new(),
             shortages: BTreeMap::new(),
+            usual_deadlines: UsualDeadlines::default(),
             requests: BTreeMap::new(),
             queue: BTreeSet::new(),
         }
@@ -186,8 +193,11 @@
         self.budget(&arrival.service).count_request(now);
         let share = if self.keeps(Mechanism::Waiting) { WAIT_SHARE } else { 0.0 };
         let wait = (arrival.aim_ms as f64 * share) as u64;
+        let looks_later = self.usual_deadlines.is_later(&arrival);
         let progress = Progress {
             wait_until: now.plus(wait).min(arrival.limit),
+            aim_until: now.plus(arrival.aim_ms),
+            is_later: looks_later && self.keeps(Mechanism::FirstTries),
             tried: Vec::new(),
             current: None,
             sent_at: now,
@@ -309,7 +319,7 @@
         };
         let wait = if progress.may_have_run && resumes_patiently { RESUME_WAIT } else { 0 };
         progress.wait_until = progress.wait_until.max(now.plus(wait)).min(progress.arrival.limit);
-        let place = Place { priority: 0, key };
+        let place = Place { priority: 0, is_later: progress.is_later, key };
         self.queue.insert(place);
         if matches!(outcome, AttemptOutcome::Denied { .. }) {
             return Vec::new();
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -16,11 +16,15 @@
 /// The question for a place, counted from one, that may wait at a sidecar. The ones before it are for
 /// runners that may have a place at once.
 const PATIENT_QUESTION: u32 = 5;
+/// How many sidecars a later try asks where they keep their places for first tries. They say so at once, and the
+/// ones that are asked are those that seem to have most room.
+const LATER_QUESTIONS: u32 = 4;
 
-/// A place in the queue: rank first, then order of arrival.
+/// A place in the queue: rank first, then first tries before later ones, then order of arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Place {
     pub(super) priority: u8,
+    pub(super) is_later: bool,
     pub(super) key: RequestKey,
 }
 
@@ -37,11 +41,32 @@
 /// Services that have no place for a first attempt at this moment, and when some runner of theirs serves.
 type FullServices = BTreeMap<ServiceName, Outlook>;
 
+impl Progress {
+    /// Whether another question for a place would only make it later: it has waited its time, or it is a later
+    /// try and the sidecars keep their places for others.
+    fn has_asked_enough(&self, now: Millis) -> bool {
+        now >= self.wait_until || (self.stands_behind() && self.asked >= LATER_QUESTIONS)
+    }
+
+    /// Whether first tries of others go before it. What may have run already goes on before anything new.
+    fn stands_behind(&self) -> bool {
+        self.is_later && !self.may_have_run
+    }
+
+    /// What is left of its aim, in milliseconds: zero for a later try and for nothing else.
+    fn left_ms(&self, now: Millis) -> u64 {
+        if self.stands_behind() {
+            return 0;
+        }
+        self.aim_until.since(now).0.max(1)
+    }
+}
+
 impl Gateway {
     /// Puts a request that has just arrived in the queue.
     pub(super) fn enqueue(&mut self, key: RequestKey, progress: &Progress) {
         let priority = if self.keeps(Mechanism::Ranks) { progress.arrival.priority } else { 0 };
-        self.queue.insert(Place { priority, key });
+        self.queue.insert(Place { priority, is_later: progress.is_later, key });
     }
 
     /// Sends what has a place and refuses what has waited too long.
@@ -76,8 +101,7 @@
         let Some(progress) = self.requests.get(&key) else {
             return Turn::Finish;
         };
-        if progress.was_denied && now >= progress.wait_until {
-            // It has waited its time at a runner: another question would only make it later.
+        if progress.was_denied && progress.has_asked_enough(now) {
             return Turn::Finish;
         }
         let first = progress.tried.is_empty();
@@ -154,9 +178,10 @@
         let others = progress.asked < PATIENT_QUESTION && seen.candidates > 1;
         let others = others || !ablation.keeps(Mechanism::QueuedReservations);
         let wait_ms = if others { 0 } else { progress.wait_until.since(now).0 };
+        let left_ms = progress.left_ms(now);
         // What may have run already goes on before anything new.
         let unranked = progress.may_have_run || !ablation.keeps(Mechanism::Ranks);
         let rank = if unranked { 0 } else { progress.arrival.priority };
-        Some(RunnerTarget { id, address, reserve, rank, wait_ms, seen })
+        Some(RunnerTarget { id, address, reserve, rank, left_ms, wait_ms, seen })
     }
 }
--- /dev/null
+++ b/components/gateway/src/tries.rs
@@ -0,0 +1,90 @@
+//! Which requests are later tries of a caller that was refused before.
+//!
+//! Nothing on the wire says so. But a caller that comes back has less time left than it had: its deadline
+//! is shorter than is usual on its route by the time that it stayed away. A first try that is served
+//! is on time and a later one is late, so where places are short the first ones go before.
+//!
+//! A caller whose deadline is always short looks the same. What is usual is therefore learned for each workspace
+//! as well, and sidecars keep a part of their places for those who stand behind.
+
+use std::collections::BTreeMap;
+
+use fleet::WorkspaceId;
+
+use crate::event::Arrival;
+
+/// The part of the usual deadline below which a request is taken for a later try. First tries of one route were seen
+/// to differ by a sixth; a caller that stayed away for 1.2 s of 6 s is below it.
+const LATER_SHARE: f64 = 0.8;
+/// Requests of a route before its usual deadline is known.
+const MIN_SEEN: u32 = 16;
+/// By which part of itself the estimate of a route moves with one request that is below it. It moves three times as
+/// far with one above, and so comes to rest where three of four are below: later tries, which are fewer than the
+/// first ones, hardly move it.
+const ROUTE_STEP: f64 = 0.004;
+/// The same for the estimate of one workspace on a route, which has few requests to learn from: it comes down to half
+/// within 35 of them.
+const WORKSPACE_STEP: f64 = 0.02;
+/// How many times as far an estimate moves with a request above it.
+const UP: f64 = 3.0;
+/// Estimates that are kept. More are forgotten together.
+const MAX_KEPT: usize = 4096;
+
+/// The deadline that is usual somewhere.
+#[derive(Clone, Copy, Debug)]
+struct Usual {
+    deadline_ms: f64,
+    seen: u32,
+}
+
+impl Usual {
+    fn take(&mut self, deadline_ms: f64, step: f64) {
+        let step = if deadline_ms > self.deadline_ms { step * UP } else { -step };
+        self.deadline_ms *= 1.0 + step;
+        self.seen = self.seen.saturating_add(1);
+    }
+
+    fn is_far_above(&self, deadline_ms: f64) -> bool {
+        deadline_ms < self.deadline_ms * LATER_SHARE
+    }
+}
+
+/// The deadlines that are usual on each route, and for each workspace there, learned from the requests that come.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct UsualDeadlines {
+    routes: BTreeMap<String, Usual>,
+    workspaces: BTreeMap<(String, WorkspaceId), Usual>,
+}
+
+impl UsualDeadlines {
+    /// Takes in the deadline of a request and tells whether it looks like a later try. One without a deadline does not.
+    pub(crate) fn is_later(&mut self, arrival: &Arrival) -> bool {
+        let Some(deadline) = arrival.deadline_ms.map(|it| it as f64) else {
+            return false;
+        };
+        let route = kept(&mut self.routes, arrival.route.clone(), deadline);
+        let of_route = *route;
+        route.take(deadline, ROUTE_STEP);
+        let of_workspace = match &arrival.workspace {
+            None => of_route,
+            Some(workspace) => {
+                let key = (arrival.route.clone(), workspace.clone());
+                let usual = kept(&mut self.workspaces, key, of_route.deadline_ms);
+                let before = *usual;
+                usual.take(deadline, WORKSPACE_STEP);
+                before
+            }
+        };
+        of_route.seen >= MIN_SEEN
+            && of_route.is_far_above(deadline)
+            && of_workspace.is_far_above(deadline)
+    }
+}
+
+/// The estimate of a key, which begins with this deadline.
+fn kept<K: Ord>(all: &mut BTreeMap<K, Usual>, key: K, deadline_ms: f64) -> &mut Usual {
+    if all.len() >= MAX_KEPT && !all.contains_key(&key) {
+        all.clear();
+    }
+    all.entry(key).or_insert(Usual { deadline_ms, seen: 0 })
+}
--- /dev/null
+++ b/components/gateway/tests/later_tries.rs
@@ -0,0 +1,79 @@
+//! Callers that were refused and come back while places are short.
+
+mod support;
+
+use gateway::*;
+use support::*;
+
+const STREAM: RouteKind = RouteKind::Stream { resumable: true };
+
+/// A gateway that has seen first tries whose callers wait for 5 to 6 s, and serves each at once.
+fn bed() -> Bed {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    for key in 0..60 {
+        bed.arrive(try_of(key, 5000 + key * 371 % 1000));
+        bed.feed(Event::Gone(RequestKey(key)));
+    }
+    bed
+}
+
+fn try_of(key: u64, deadline_ms: u64) -> Arrival {
+    Arrival { deadline_ms: Some(deadline_ms), ..arrival(key, MODEL_SERVICE, STREAM) }
+}
+
+fn left_of(bed: &mut Bed, key: u64, deadline_ms: u64) -> u64 {
+    target_of(bed.arrive(try_of(key, deadline_ms))).left_ms
+}
+
+#[test]
+fn a_later_try_is_known_by_the_time_that_its_caller_has_left() {
+    let mut bed = bed();
+    assert_eq!(left_of(&mut bed, 100, 3700), 0, "it stayed away for two seconds");
+    assert_eq!(left_of(&mut bed, 101, 5000), 400, "no first try is taken for a later one");
+}
+
+#[test]
+fn nothing_is_a_later_try_on_a_route_that_is_hardly_known() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    assert_eq!(left_of(&mut bed, 1, 6000), 400);
+    assert_eq!(left_of(&mut bed, 2, 600), 400);
+}
+
+#[test]
+fn callers_whose_deadlines_become_shorter_are_first_tries_again_after_a_while() {
+    let mut bed = bed();
+    let later = (100..400).filter(|key| {
+        let left = left_of(&mut bed, *key, 3000);
+        bed.feed(Event::Gone(RequestKey(*key)));
+        left == 0
+    });
+    assert!(later.count() < 150, "half of the route's usual deadline");
+    assert_eq!(left_of(&mut bed, 500, 3000), 400);
+}
+
+#[test]
+fn a_later_try_that_finds_no_place_is_refused_before_its_time_to_wait_is_over() {
+    let mut bed = bed();
+    (2..9).for_each(|port| drop(bed.list(&format!("r{port}"), MODEL_SERVICE, port)));
+    let mut step = bed.arrive(try_of(100, 3700));
+    let mut questions = 0;
+    while let Some(NextStep::Send(_)) = step {
+        questions += 1;
+        bed.now += 2;
+        step = bed.outcome(100, AttemptOutcome::Denied { again_ms: 5 });
+    }
+    assert!(matches!(step, Some(NextStep::Refuse { .. })), "{step:?}");
+    assert_eq!(questions, 4);
+}
+
+#[test]
+fn what_may_have_run_goes_on_as_before_though_it_is_a_later_try() {
+    let mut bed = bed();
+    bed.list("r2", MODEL_SERVICE, 2);
+    bed.arrive(try_of(100, 3700));
+    bed.now += 900;
+    let target = target_of(bed.outcome(100, AttemptOutcome::Lost));
+    assert_eq!((target.rank, target.left_ms), (0, 1));
+}
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -95,6 +95,7 @@
         model: (service == MODEL_SERVICE).then(model),
         prompt_tokens: 100,
         aim_ms: 400,
+        deadline_ms: None,
         limit: Millis(u64::MAX),
         attempts: 2,
     }
--- /dev/null
+++ b/components/rollout/src/first_tries.rs
@@ -0,0 +1,42 @@
+//! Whether a later try of a caller stands behind the first tries of others.
+//!
+//! Where places are short, each one that a later try takes makes a first try come back later itself: both
+//! are late then, where one could have been on time.
+
+use std::collections::BTreeMap;
+
+use fleet::Millis;
+
+/// How long after a first try found no place they count as short, in milliseconds. A runner with 12 places ends ten
+/// requests a second; this is two or three of them.
+const PRESSED: u64 = 250;
+/// One in so many places goes to a later try even where they are short, so that a caller whose deadline is
+/// unusual is served.
+const TURN: u32 = 20;
+
+/// First tries that found no place, and what was given to whom.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FirstTries {
+    /// When a first try of each rank last found no place.
+    pressed: BTreeMap<u8, Millis>,
+    /// Places that went to first tries since the last one that went to a later try.
+    given: u32,
+}
+
+impl FirstTries {
+    /// A first try of this rank found no place.
+    pub(crate) fn note_denied(&mut self, now: Millis, rank: u8) {
+        self.pressed.insert(rank, now);
+    }
+
+    /// A place was given.
+    pub(crate) fn note_given(&mut self, is_later: bool) {
+        self.given = if is_later { 0 } else { self.given.saturating_add(1) };
+    }
+
+    /// Whether a later try of this rank leaves a place to first tries that are as urgent.
+    pub(crate) fn go_before(&self, now: Millis, rank: u8) -> bool {
+        let mut pressed = self.pressed.range(..=rank).map(|(_, at)| now.since(*at).0);
+        self.given < TURN && pressed.any(|age| age <= PRESSED)
+    }
+}
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod directory;
 mod event;
+mod first_tries;
 mod manifests;
 mod places;
 mod precedence;
--- a/components/rollout/src/places.rs
+++ b/components/rollout/src/places.rs
@@ -41,6 +41,8 @@
     Full,
     /// It still reads the prompts that came before.
     Reading,
+    /// First tries of other callers go before this later one.
+    Later,
     /// It was not heard lately.
     Unheard,
     /// It holds no whole version, or is taking one.
@@ -61,6 +63,7 @@
             Self::LastOrder => "last_order",
             Self::Full => "full",
             Self::Reading => "reading",
+            Self::Later => "later",
             Self::Unheard => "unheard",
             Self::NotServing => "not_serving",
         }
@@ -107,6 +110,7 @@
         match denial {
             Denial::Reading => self.reading_ms(now) + MIN_AGAIN,
             Denial::Full => FULL_AGAIN,
+            Denial::Later => MIN_AGAIN,
             Denial::Leaving | Denial::TooOld | Denial::LastOrder => MOVE_AGAIN,
             Denial::Unheard | Denial::NotServing => MOVE_AGAIN,
         }
@@ -129,6 +133,11 @@
         self.reported.map_or(0, |(requests, _)| requests) + self.given.len() as u32
     }
 
+    /// Whether it has rested and another place stays free when one is given.
+    pub fn is_roomy(&self, now: Millis) -> bool {
+        self.taken() + 1 < self.slots && self.credit(now) >= MAX_CREDIT
+    }
+
     /// Whether a request is still on its way.
     pub fn awaits_arrival(&self, now: Millis) -> bool {
         self.given.back().is_some_and(|at| now.since(*at).0 <= 2 * TRANSIT)
--- a/components/rollout/src/questions.rs
+++ b/components/rollout/src/questions.rs
@@ -1,7 +1,7 @@
 //! Questions of gateways for a place at the runner, and those that wait for one.
 //!
 //! A gateway that is refused would only ask again, here or at another sidecar. One that may wait is
-//! answered as soon as a place comes free, in order of rank and arrival.
+//! answered as soon as a place comes free, in order of rank and of what is left of its aim.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -26,10 +26,19 @@
     pub prompt_tokens: u32,
     /// The rank of the request; zero goes first.
     pub rank: u8,
+    /// What is left of its aim, in milliseconds. Zero for a later try of a caller that was refused.
+    pub left_ms: u64,
     /// How long it may wait for a place, in milliseconds.
     pub wait_ms: u64,
 }
 
+impl Question {
+    /// Whether it is for a later try of a caller that was refused.
+    pub(crate) fn is_later(&self) -> bool {
+        self.left_ms == 0
+    }
+}
+
 /// What a sidecar says to a question.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -46,11 +55,19 @@
     },
 }
 
+/// A question's place in the order: rank, then first tries before later ones, then the end of its aim.
+type Order = (u8, bool, Millis);
+
 /// A question that waits, and until when.
 #[derive(Clone, Debug)]
 pub(crate) struct Waiting {
     pub(crate) question: Question,
     pub(crate) until: Millis,
+    order: Order,
+}
+
+fn order_of(now: Millis, question: &Question) -> Order {
+    (question.rank, question.is_later(), now.plus(question.left_ms))
 }
 
 /// The questions that wait, in the order in which they are answered.
@@ -71,15 +88,16 @@
     }
 
     /// Whether a question has to wait for others.
-    pub(crate) fn is_behind(&self, rank: u8) -> bool {
-        self.waiting.front().is_some_and(|it| it.question.rank <= rank)
+    pub(crate) fn is_behind(&self, now: Millis, question: &Question) -> bool {
+        self.waiting.front().is_some_and(|it| it.order <= order_of(now, question))
     }
 
-    /// Lets a question wait, behind those of its rank.
+    /// Lets a question wait, behind those that are as urgent.
     pub(crate) fn push(&mut self, now: Millis, question: Question) {
-        let behind = self.waiting.iter().rposition(|it| it.question.rank <= question.rank);
+        let order = order_of(now, &question);
+        let behind = self.waiting.iter().rposition(|it| it.order <= order);
         let until = now.plus(question.wait_ms);
-        self.waiting.insert(behind.map_or(0, |it| it + 1), Waiting { question, until });
+        self.waiting.insert(behind.map_or(0, |it| it + 1), Waiting { question, until, order });
     }
 
     /// The question that is answered next.
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -10,6 +10,7 @@
 use crate::event::{
     Effect, Event, ManifestSource, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan,
 };
+use crate::first_tries::FirstTries;
 use crate::manifests::Manifests;
 use crate::places::Places;
 use crate::questions::Questions;
@@ -57,6 +58,7 @@
     own_order_at: Millis,
     places: Places,
     questions: Questions,
+    first_tries: FirstTries,
     manifests: Manifests,
     /// When this sidecar gave an order, if no other one is known to have given one since. Trouble
     /// strikes that machine first.
@@ -90,6 +92,7 @@
             own_order_at: Millis(0),
             places,
             questions: Questions::default(),
+            first_tries: FirstTries::default(),
             manifests: Manifests::default(),
             ordered_at: None,
             peers: None,
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -14,11 +14,8 @@
 impl Rollout {
     /// Answers a question for a place, or lets it wait.
     pub(super) fn take_question(&mut self, now: Millis, question: Question) -> Effect {
-        let given = if self.questions.is_behind(question.rank) {
-            Err(Denial::Full)
-        } else {
-            self.reserve(now, question.prompt_tokens)
-        };
+        let given = self.admit(now, &question);
+        self.note_admission(now, &question, given);
         let verdict = match given {
             Ok(()) => Verdict::Granted,
             Err(denial)
@@ -32,6 +29,33 @@
         Effect::Answer(question, verdict)
     }
 
+    fn admit(&mut self, now: Millis, question: &Question) -> Result<(), Denial> {
+        if question.is_later() && self.holds_back(now, question.rank) {
+            return Err(Denial::Later);
+        }
+        if self.questions.is_behind(now, question) {
+            return Err(Denial::Full);
+        }
+        self.reserve(now, question.prompt_tokens)
+    }
+
+    /// Whether first tries leave no room for a later one.
+    fn holds_back(&self, now: Millis, rank: u8) -> bool {
+        self.keeps(Mechanism::FirstTries)
+            && self.first_tries.go_before(now, rank)
+            && !self.places.is_roomy(now)
+    }
+
+    fn note_admission(&mut self, now: Millis, question: &Question, given: Result<(), Denial>) {
+        match given {
+            Ok(()) => self.first_tries.note_given(question.is_later()),
+            Err(denial) if denial.is_short() && !question.is_later() => {
+                self.first_tries.note_denied(now, question.rank);
+            }
+            Err(_) => {}
+        }
+    }
+
     /// Answers the questions that need not wait any longer.
     pub(super) fn settle_questions(&mut self, now: Millis) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -39,6 +63,8 @@
             match self.reserve(now, tokens) {
                 Ok(()) => {
                     let granted = self.questions.pop();
+                    let is_later = granted.as_ref().is_some_and(Question::is_later);
+                    self.first_tries.note_given(is_later);
                     effects.extend(granted.map(|it| Effect::Answer(it, Verdict::Granted)));
                 }
                 Err(denial) if denial.is_short() => {
--- a/components/rollout/tests/questions.rs
+++ b/components/rollout/tests/questions.rs
@@ -32,7 +32,20 @@
 fn question(number: u64, rank: u8, wait_ms: u64) -> Question {
     let asker = ([10, 0, 0, 2], 7700).into();
     let request = format!("q{number}");
-    Question { asker, number, request, prompt_tokens: 10, rank, wait_ms }
+    Question { asker, number, request, prompt_tokens: 10, rank, left_ms: 400, wait_ms }
+}
+
+/// A question for a later try of a caller that was refused.
+fn later(number: u64, rank: u8) -> Question {
+    Question { left_ms: 0, ..question(number, rank, 100) }
+}
+
+/// A sidecar whose runner has one place left, and where a first try of this rank has found none.
+fn short_sidecar(rank: u8) -> Rollout {
+    let mut sidecar = sidecar(1000, SLOTS);
+    ask(&mut sidecar, 1000, question(900, rank, 0));
+    report(&mut sidecar, 1030, SLOTS - 1);
+    sidecar
 }
 
 /// A sidecar whose runner serves version 1 and works on `running` requests.
@@ -242,3 +255,65 @@
         assert_eq!(is_denied(ask(&mut sidecar, BOUND - 990, question(1, 1, 0))), denied);
     }
 }
+
+#[test]
+fn a_later_try_leaves_the_last_place_to_first_ones() {
+    let mut sidecar = short_sidecar(1);
+    let verdict = ask(&mut sidecar, 1031, later(1, 1));
+    assert!(matches!(verdict, Verdict::Denied { denial: Denial::Later, .. }), "{verdict:?}");
+    assert_eq!(ask(&mut sidecar, 1032, question(2, 1, 0)), Verdict::Granted);
+}
+
+#[test]
+fn a_later_try_gets_a_place_where_another_one_stays_free() {
+    let mut sidecar = short_sidecar(1);
+    report(&mut sidecar, 1060, SLOTS - 2);
+    assert_eq!(ask(&mut sidecar, 1061, later(1, 1)), Verdict::Granted);
+}
+
+#[test]
+fn a_later_try_gets_the_last_place_where_no_first_try_was_denied_lately() {
+    let mut sidecar = short_sidecar(1);
+    report(&mut sidecar, 1400, SLOTS - 1);
+    assert_eq!(ask(&mut sidecar, 1401, later(1, 1)), Verdict::Granted);
+}
+
+#[test]
+fn a_later_try_is_not_held_back_by_first_tries_that_are_less_urgent() {
+    let mut sidecar = short_sidecar(2);
+    assert_eq!(ask(&mut sidecar, 1031, later(1, 1)), Verdict::Granted);
+}
+
+/// Callers whose deadlines are unusual look like later tries.
+#[test]
+fn one_place_in_twenty_one_goes_to_later_tries_however_short_places_are() {
+    let mut sidecar = short_sidecar(1);
+    let mut granted = 0;
+    for turn in 0..210 {
+        let now = 1100 + turn * 100;
+        report(&mut sidecar, now, SLOTS - 1);
+        if ask(&mut sidecar, now, later(2 * turn, 1)) == Verdict::Granted {
+            granted += 1;
+        } else {
+            assert_eq!(ask(&mut sidecar, now, question(2 * turn + 1, 1, 0)), Verdict::Granted);
+        }
+        ask(&mut sidecar, now, question(900 + turn, 1, 0));
+    }
+    assert_eq!(granted, 10);
+}
+
+#[test]
+fn what_has_least_left_of_its_aim_goes_first_among_equal_ranks() {
+    let mut sidecar = sidecar(1000, SLOTS);
+    ask(&mut sidecar, 1001, question(1, 1, 100));
+    ask(&mut sidecar, 1002, Question { left_ms: 320, ..question(2, 1, 100) });
+    ask(&mut sidecar, 1003, Question { left_ms: 0, ..question(3, 0, 100) });
+    let order: Vec<u64> = (0..3)
+        .flat_map(|turn| {
+            // One place comes free with each report, and what was granted takes it.
+            report(&mut sidecar, 1030 + turn * 30, SLOTS - 1)
+        })
+        .map(|(number, _)| number)
+        .collect();
+    assert_eq!(order, [3, 2, 1]);
+}
