--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use errors::Code;
 use fleet::{Mechanism, Millis, ServiceName};
 use rand::rngs::SmallRng;
 use rand::Rng;
@@ -98,10 +99,13 @@
         key: RequestKey,
         full: &mut FullServices,
     ) -> Turn {
-        let Some(progress) = self.requests.get(&key) else {
+        let Some(progress) = self.requests.get_mut(&key) else {
             return Turn::Finish;
         };
         if progress.was_denied && progress.has_asked_enough(now) {
+            if progress.stands_behind() {
+                progress.reason = Code::LaterTry;
+            }
             return Turn::Finish;
         }
         let first = progress.tried.is_empty();
--- a/components/gateway/tests/later_tries.rs
+++ b/components/gateway/tests/later_tries.rs
@@ -64,8 +64,10 @@
         bed.now += 2;
         step = bed.outcome(100, AttemptOutcome::Denied { again_ms: 5 });
     }
-    assert!(matches!(step, Some(NextStep::Refuse { .. })), "{step:?}");
-    assert_eq!(questions, 4);
+    let Some(NextStep::Refuse { code, .. }) = step else {
+        panic!("expected a refusal, got {step:?}");
+    };
+    assert_eq!((code, questions), (errors::Code::LaterTry, 4));
 }
 
 #[test]
