A deadline tells nothing on routes where callers' deadlines differ widely

Callers whose deadlines lie anywhere between one and six seconds would all have been taken for later tries but the most patient ones, and stood behind for good in each shortage. A gateway now counts how many look like later tries while no caller was refused of late; from a quarter on nobody on the route stands behind. The test fails without it.

--- a/components/gateway/src/comeback.rs
+++ b/components/gateway/src/comeback.rs
@@ -32,6 +32,11 @@
 }
 
 impl Shortage {
+    /// Whether no caller that was refused has yet to come back.
+    pub(crate) fn is_past(&self, now: Millis) -> bool {
+        now.since(self.refused_at).0 > MAX_AWAY + RETURN_SPAN
+    }
+
     /// Notes a refusal and gives when its caller should come back, in milliseconds.
     pub(crate) fn refuse(&mut self, now: Millis, random: &mut impl Rng, outlook: Outlook) -> u64 {
         if now.since(self.refused_at).0 > SHORTAGE_GAP {
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -193,7 +193,8 @@
         self.budget(&arrival.service).count_request(now);
         let share = if self.keeps(Mechanism::Waiting) { WAIT_SHARE } else { 0.0 };
         let wait = (arrival.aim_ms as f64 * share) as u64;
-        let looks_later = self.usual_deadlines.is_later(&arrival);
+        let is_calm = self.shortages.get(&arrival.service).is_none_or(|it| it.is_past(now));
+        let looks_later = self.usual_deadlines.is_later(&arrival, is_calm);
         let progress = Progress {
             wait_until: now.plus(wait).min(arrival.limit),
             aim_until: now.plus(arrival.aim_ms),
--- a/components/gateway/src/tries.rs
+++ b/components/gateway/src/tries.rs
@@ -5,7 +5,8 @@
 //! is on time and a later one is late, so where places are short the first ones go before.
 //!
 //! A caller whose deadline is always short looks the same. What is usual is therefore learned for each workspace
-//! as well, and sidecars keep a part of their places for those who stand behind.
+//! as well, and sidecars keep a part of their places for those who stand behind. Where many look like later
+//! tries although nobody was refused, the deadline tells nothing, and nobody stands behind.
 
 use std::collections::BTreeMap;
 
@@ -27,6 +28,10 @@
 const WORKSPACE_STEP: f64 = 0.02;
 /// How many times as far an estimate moves with a request above it.
 const UP: f64 = 3.0;
+/// The share of requests that look like later tries in calm times from which on their deadline tells nothing.
+const MAX_DOUBT: f64 = 0.25;
+/// The part of one request in that share: it is that of the last fifty or so.
+const DOUBT_STEP: f64 = 0.02;
 /// Estimates that are kept. More are forgotten together.
 const MAX_KEPT: usize = 4096;
 
@@ -35,6 +40,8 @@
 struct Usual {
     deadline_ms: f64,
     seen: u32,
+    /// The share of requests that were far below it in calm times.
+    doubt: f64,
 }
 
 impl Usual {
@@ -44,6 +51,15 @@
         self.seen = self.seen.saturating_add(1);
     }
 
+    fn note_calm(&mut self, looks_later: bool) {
+        self.doubt += DOUBT_STEP * (f64::from(u8::from(looks_later)) - self.doubt);
+    }
+
+    /// Whether a deadline far below it tells that a request is a later try.
+    fn is_evidence(&self) -> bool {
+        self.seen >= MIN_SEEN && self.doubt <= MAX_DOUBT
+    }
+
     fn is_far_above(&self, deadline_ms: f64) -> bool {
         deadline_ms < self.deadline_ms * LATER_SHARE
     }
@@ -58,7 +74,8 @@
 
 impl UsualDeadlines {
     /// Takes in the deadline of a request and tells whether it looks like a later try. One without a deadline does not.
-    pub(crate) fn is_later(&mut self, arrival: &Arrival) -> bool {
+    /// `is_calm` tells that no caller was refused of late, so that none comes back.
+    pub(crate) fn is_later(&mut self, arrival: &Arrival, is_calm: bool) -> bool {
         let Some(deadline) = arrival.deadline_ms.map(|it| it as f64) else {
             return false;
         };
@@ -75,9 +92,11 @@
                 before
             }
         };
-        of_route.seen >= MIN_SEEN
-            && of_route.is_far_above(deadline)
-            && of_workspace.is_far_above(deadline)
+        let is_below = of_route.is_far_above(deadline) && of_workspace.is_far_above(deadline);
+        if is_calm {
+            kept(&mut self.routes, arrival.route.clone(), deadline).note_calm(is_below);
+        }
+        is_below && of_route.is_evidence()
     }
 }
 
@@ -86,5 +105,5 @@
     if all.len() >= MAX_KEPT && !all.contains_key(&key) {
         all.clear();
     }
-    all.entry(key).or_insert(Usual { deadline_ms, seen: 0 })
+    all.entry(key).or_insert(Usual { deadline_ms, seen: 0, doubt: 0.0 })
 }
--- a/components/gateway/tests/later_tries.rs
+++ b/components/gateway/tests/later_tries.rs
@@ -41,6 +41,17 @@
     assert_eq!(left_of(&mut bed, 2, 600), 400);
 }
 
+#[test]
+fn nothing_is_a_later_try_on_a_route_whose_deadlines_differ_widely() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    for key in 0..200 {
+        bed.arrive(try_of(key, 1000 + key * 371 % 5000));
+        bed.feed(Event::Gone(RequestKey(key)));
+    }
+    assert_eq!(left_of(&mut bed, 300, 1500), 400);
+}
+
 #[test]
 fn callers_whose_deadlines_become_shorter_are_first_tries_again_after_a_while() {
     let mut bed = bed();
