--- a/components/account/src/account.rs
+++ b/components/account/src/account.rs
@@ -129,11 +129,14 @@
             let age = age_ms.map_or("never".into(), |age| format!("{age} ms ago"));
             format!("no route or key in configuration {configuration}, confirmed {age}")
         }
-        Decision::Chosen { runner, attempt, occupancy, report_age_ms, candidates, homes } => {
+        Decision::Chosen {
+            runner, attempt, occupancy, report_age_ms, candidates, homes, left_ms
+        } => {
             let age = report_age_ms.map_or("no report".into(), |age| format!("report {age} ms old"));
             let homes = bound(homes);
+            let left = left_of_aim(*left_ms);
             format!(
-                "attempt {attempt}: {runner} of {candidates}{homes}, {occupancy} requests there, {age}"
+                "attempt {attempt}: {runner} of {candidates}{homes}, {occupancy} requests there, {age}{left}"
             )
         }
         Decision::NoPlace { runner, outcome } => format!("no place at {runner}: {outcome}"),
@@ -165,3 +168,12 @@
         }
     }
 }
+
+/// What was left of a request's aim, in words. Nothing where the line does not say.
+fn left_of_aim(left_ms: Option<u64>) -> String {
+    match left_ms {
+        None => String::new(),
+        Some(0) => ", a later try by its deadline: stands behind first ones".into(),
+        Some(left) => format!(", {left} ms of its aim left"),
+    }
+}
--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -42,6 +42,10 @@
         /// have none in common.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         homes: Vec<String>,
+        /// What was left of its aim, in milliseconds: zero where it looks like a later try of a caller that was
+        /// refused. Absent in older lines.
+        #[serde(default)]
+        left_ms: Option<u64>,
     },
     /// The sidecar beside a runner gave no place, or did not answer.
     NoPlace {
--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -104,6 +104,7 @@
             report_age_ms: target.seen.report_age_ms,
             candidates: target.seen.candidates,
             homes: names(&target.seen.homes),
+            left_ms: Some(target.left_ms),
         });
     }
 
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -229,7 +229,7 @@
 }
 
 fn take_operator_table(core: &Core, listing: Listing) {
-    let Listing { revision, changes } = listing;
+    let Listing { revision, changes, .. } = listing;
     // Before it knows its runner: it gives no place until then, and none in an evacuated hall from then on.
     let evacuated = EvacuatedHalls::default().take_listing(Instant::now(), revision, &changes);
     core.feed(Event::Evacuations(evacuated));
--- a/components/fleet/src/ablation.rs
+++ b/components/fleet/src/ablation.rs
@@ -46,11 +46,13 @@
     HomeRoom,
     /// A data hall that is evacuated is left over a part of the time that this may take.
     EvenLeaving,
+    /// Where places are short, first tries of callers go before later ones.
+    FirstTries,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::Reservations,
         Self::QueuedReservations,
         Self::Waiting,
@@ -70,6 +72,7 @@
         Self::SlowStarts,
         Self::HomeRoom,
         Self::EvenLeaving,
+        Self::FirstTries,
     ];
 
     /// The name in settings.
@@ -94,6 +97,7 @@
             Self::SlowStarts => "slow_starts",
             Self::HomeRoom => "home_room",
             Self::EvenLeaving => "even_leaving",
+            Self::FirstTries => "first_tries",
         }
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod reducer;
 mod runner;
 mod silence;
+mod tries;
 mod versions;
 
 pub use budget::{BudgetLimits, RetryBudget};
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -26,6 +26,7 @@
 use crate::members::Members;
 use crate::pool::Pool;
 use crate::runner::RunnerState;
+use crate::tries::UsualDeadlines;
 
 /// The part of its aim that a request may wait for a place: an earlier refusal leaves the caller
 /// time to come back.
@@ -59,6 +60,10 @@
     may_have_run: bool,
     /// Until when it may wait for a place.
     wait_until: Millis,
+    /// Until when an answer is on time.
+    aim_until: Millis,
+    /// Whether it looks like a later try of a caller that was refused.
+    is_later: bool,
     /// Whether the last runner that was chosen for it had no place.
     was_denied: bool,
     /// How often some runner was chosen for it.
@@ -110,6 +115,7 @@
     /// Homes where nothing can be served, by the configuration in force.
     home_faults: Vec<HomeFault>,
     home_room: HomeRoom,
+    usual_deadlines: UsualDeadlines,
     requests: BTreeMap<RequestKey, Progress>,
     queue: BTreeSet<Place>,
 }
@@ -127,6 +133,7 @@
             shortages: BTreeMap::new(),
             home_faults: Vec::new(),
             home_room: HomeRoom::default(),
+            usual_deadlines: UsualDeadlines::default(),
             requests: BTreeMap::new(),
             queue: BTreeSet::new(),
         }
@@ -292,8 +299,13 @@
         self.budget(now, &arrival.service).count_request(now);
         let share = if self.keeps(Mechanism::Waiting) { WAIT_SHARE } else { 0.0 };
         let wait = (arrival.aim_ms as f64 * share) as u64;
+        let reach = arrival.reach();
+        let is_calm = self.shortages.get(&reach).is_none_or(|it| it.is_past(now));
+        let looks_later = self.usual_deadlines.is_later(&arrival, is_calm);
         let progress = Progress {
             wait_until: now.plus(wait).min(arrival.limit),
+            aim_until: now.plus(arrival.aim_ms),
+            is_later: looks_later && self.keeps(Mechanism::FirstTries),
             tried: Vec::new(),
             current: None,
             sent_at: now,
@@ -302,7 +314,7 @@
             answered: false,
             may_have_run: false,
             reason: Code::Overloaded,
-            reach: arrival.reach(),
+            reach,
             arrival,
         };
         self.enqueue(key, &progress);
@@ -419,7 +431,7 @@
         };
         let wait = if progress.may_have_run && resumes_patiently { RESUME_WAIT } else { 0 };
         progress.wait_until = progress.wait_until.max(now.plus(wait)).min(progress.arrival.limit);
-        let place = Place { priority: 0, key };
+        let place = Place { priority: 0, is_later: progress.is_later, key };
         self.queue.insert(place);
         if matches!(outcome, AttemptOutcome::Denied { .. }) {
             return Vec::new();
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod directory;
 mod event;
+mod first_tries;
 mod manifests;
 mod places;
 mod precedence;
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -11,6 +11,7 @@
 use crate::event::{
     Effect, Event, ManifestSource, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan,
 };
+use crate::first_tries::FirstTries;
 use crate::manifests::Manifests;
 use crate::places::Places;
 use crate::questions::Questions;
@@ -59,6 +60,7 @@
     places: Places,
     cold: ColdStart,
     questions: Questions,
+    first_tries: FirstTries,
     manifests: Manifests,
     /// When this sidecar gave an order, if no other one is known to have given one since. Trouble
     /// strikes that machine first.
@@ -96,6 +98,7 @@
             own_order_at: Millis(0),
             places,
             questions: Questions::default(),
+            first_tries: FirstTries::default(),
             manifests: Manifests::default(),
             ordered_at: None,
             peers: None,
--- a/components/rollout/tests/cold.rs
+++ b/components/rollout/tests/cold.rs
@@ -67,6 +67,7 @@
             request,
             prompt_tokens: 10,
             rank: 0,
+            left_ms: 400,
             wait_ms,
         }))
     }
--- a/components/rollout/tests/evacuations.rs
+++ b/components/rollout/tests/evacuations.rs
@@ -54,6 +54,7 @@
         request: "q".into(),
         prompt_tokens: 10,
         rank: 1,
+        left_ms: 400,
         wait_ms: 500,
     };
     let now = Millis(fleet.now);
