Record of versions: a read's time counts as age; reads end; a row that differs again waits

Cause: an age was taken from the store's clock in the answer alone, so that a read of up to 1.2 s, or a process that stood still between the answer and its reading, made a version too young and its bound late. A read that failed was repeated without end, and a row that was another one at each write was written again without a pause for as long as a version's bound lasts. Ruled out: a fixed allowance for the answer's way; a process may stand still for seconds. Change: the time from the question to the answer is added; reads end with the bound of the version found last; the second and later writes that find another row wait as failed calls do. Tests: one for each, seen to fail before.

--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -70,6 +70,8 @@
     at: Millis,
     /// When the row is of no more use.
     until: Millis,
+    /// Whether the row was another one than expected before: it should have been told as it is.
+    has_differed: bool,
 }
 
 /// What is to be read and written.
@@ -83,6 +85,10 @@
     unknown: BTreeMap<ModelName, u64>,
     /// When the record is to be read.
     read_at: Option<Millis>,
+    /// When the ages of all versions that are known to be named are of no more use.
+    read_until: Millis,
+    /// When the call that was made last was due.
+    asked_at: Millis,
     pending: BTreeMap<ModelName, Pending>,
     /// The revisions of the rows as they were last seen.
     revisions: BTreeMap<ModelName, u64>,
@@ -97,6 +103,8 @@
             newest: BTreeMap::new(),
             unknown: BTreeMap::new(),
             read_at: None,
+            read_until: Millis(0),
+            asked_at: Millis(0),
             pending: BTreeMap::new(),
             revisions: BTreeMap::new(),
             failures: 0,
@@ -122,11 +130,13 @@
         let Some(not_before_ms) = not_before_ms else {
             self.unknown.insert(model, version);
             self.read_at = Some(now);
+            self.read_until = now.plus(self.version_ms);
             return;
         };
         let heard = FirstHeard { model: model.clone(), version, not_before_ms };
         let at = now.plus(seed % WRITE_SPREAD);
-        self.pending.insert(model, Pending { heard, at, until: now.plus(self.version_ms) });
+        let until = now.plus(self.version_ms);
+        self.pending.insert(model, Pending { heard, at, until, has_differed: false });
     }
 
     /// Takes in what processes have told of the ages of versions: what they know need not be read.
@@ -144,6 +154,11 @@
     /// The call that is due. It stays due until its answer is taken in.
     pub fn due(&mut self, now: Millis) -> Option<RecordCall> {
         self.pending.retain(|_, it| now < it.until);
+        if now >= self.read_until {
+            self.unknown.clear();
+            self.read_at = None;
+        }
+        self.asked_at = now;
         if self.read_at.is_some_and(|at| at <= now) {
             return Some(RecordCall::Read);
         }
@@ -169,6 +184,8 @@
             (_, RecordAnswer::Failed) => self.wait(now, seed, call),
             (RecordCall::Read, RecordAnswer::Rows(rows, clock_ms)) => {
                 self.failures = 0;
+                // The store may have read its clock as soon as it was asked.
+                let clock_ms = clock_ms.saturating_add(now.since(self.asked_at).0);
                 return self.take_rows(rows, clock_ms);
             }
             (RecordCall::Write(heard, _), RecordAnswer::Written(revision)) => {
@@ -177,8 +194,8 @@
                 self.settle(heard);
             }
             (RecordCall::Write(heard, expected), RecordAnswer::Differs(row)) => {
-                self.failures = 0;
                 self.take_other(heard, *expected, row);
+                self.pause_if_differed(now, seed, call);
             }
             // An answer to another call than the one that was made.
             (RecordCall::Read, _) | (RecordCall::Write(..), RecordAnswer::Rows(..)) => {
@@ -188,7 +205,8 @@
         Vec::new()
     }
 
-    /// Takes in every row. Where nobody wrote one for a version its age stays unknown.
+    /// Takes in every row, by what the store's clock may show now at the latest. Where nobody wrote one for a version
+    /// its age stays unknown.
     fn take_rows(&mut self, rows: Vec<RecordRow>, clock_ms: u64) -> Vec<NamedVersion> {
         self.read_at = None;
         let unknown = std::mem::take(&mut self.unknown);
@@ -226,6 +244,19 @@
         }
     }
 
+    /// A row that differs again although it was told as it is would be written without end: the next write waits.
+    fn pause_if_differed(&mut self, now: Millis, seed: u64, call: &RecordCall) {
+        let RecordCall::Write(heard, _) = call else {
+            return;
+        };
+        let pending = self.pending.get_mut(&heard.model);
+        let differed = pending.map(|it| std::mem::replace(&mut it.has_differed, true));
+        match differed {
+            Some(true) => self.wait(now, seed, call),
+            Some(false) | None => self.failures = 0,
+        }
+    }
+
     /// A row needs no more writing.
     fn settle(&mut self, heard: &FirstHeard) {
         if self.pending.get(&heard.model).is_some_and(|it| it.heard.version <= heard.version) {
--- a/components/gateway/tests/record.rs
+++ b/components/gateway/tests/record.rs
@@ -192,3 +192,37 @@
     let told = answer(&mut record, 0, RecordAnswer::Rows(vec![row(2, 5000, 9)], 5000 + 7500));
     assert!(told.is_empty());
 }
+
+#[test]
+fn the_time_of_a_read_counts_as_age() {
+    let mut record = newcomer();
+    let call = record.due(Millis(0)).expect("a read is due");
+    let rows = RecordAnswer::Rows(vec![row(2, 5000, 9)], 9500);
+    let told = record.take(Millis(900), 7, &call, rows);
+    assert_eq!(ages(&told), [Some(5400)], "the store's clock may have been read at once");
+}
+
+#[test]
+fn a_read_that_is_never_answered_ends_with_the_versions_bound() {
+    let mut record = newcomer();
+    let mut calls = 0;
+    while let Some(at) = record.next_at() {
+        if record.due(at).is_none() {
+            break;
+        }
+        calls += 1;
+        assert!(calls <= 13, "still asked at {} ms", at.0);
+        answer(&mut record, at.0, RecordAnswer::Failed);
+    }
+    assert_eq!(record.next_at(), None);
+}
+
+#[test]
+fn a_row_that_changes_with_each_answer_is_not_written_without_a_pause() {
+    let mut record = witness();
+    answer(&mut record, LATER, RecordAnswer::Differs(Some(row(1, 100, 4))));
+    answer(&mut record, LATER, RecordAnswer::Differs(Some(row(1, 100, 5))));
+    let again = record.next_at().expect("it is tried again");
+    assert!(again.0 > LATER, "after a pause");
+    assert_eq!(record.due(again), Some(RecordCall::Write(first_heard(2, 5000), 5)));
+}
