Gateway: an answer to a request ends the silence of a hall

Cause: only reports of sidecars did. Runners without sidecars report nothing, so two of them that had crashed had all others of a hall passed over for 4 s and again after that, although these answered. Change: whatever a runner or its sidecar answers, a refusal too, is word from its hall. Test: a_hall_of_which_a_runner_answers_is_not_silent, seen to fail before.

--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -142,6 +142,16 @@
         matches!(self, Self::Full | Self::Misdirected) || !self.has_arrived()
     }
 
+    /// Whether the runner, or the sidecar beside it, said something: its hall is there.
+    pub(crate) fn was_answered(self) -> bool {
+        match self {
+            Self::Answered | Self::Finished | Self::Denied { .. } => true,
+            Self::Full | Self::Misdirected | Self::Failed => true,
+            Self::NotSent | Self::Silent | Self::Expired | Self::Withdrawn => false,
+            Self::Lost | Self::Cut => false,
+        }
+    }
+
     /// The code that tells why it did not end in an answer.
     pub fn code(self) -> Code {
         match self {
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Takes in that a runner, or the sidecar beside it, answered.
+    pub fn note_answered(&mut self, id: &InstanceId) {
+        if let Some(runner) = self.runners.get(id) {
+            self.silent.note_heard(&runner.record.hall);
+        }
+    }
+
     /// Takes in that a runner did not answer.
     pub fn note_unanswered(&mut self, now: Millis, id: &InstanceId) {
         if let Some(runner) = self.runners.get(id) {
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -325,6 +325,7 @@
             progress.may_have_run = true;
             progress.answered = true;
             let took = now.since(progress.sent_at);
+            self.pool.note_answered(&id);
             self.note_wait(now, &id, took);
             return Vec::new();
         }
@@ -383,7 +384,9 @@
             }
             AttemptOutcome::Failed | AttemptOutcome::Expired | AttemptOutcome::Withdrawn => {}
         }
-        if suspects && matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Silent) {
+        if outcome.was_answered() {
+            self.pool.note_answered(id);
+        } else if suspects && matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Silent) {
             self.pool.note_unanswered(now, id);
         }
     }
--- a/components/gateway/src/silence.rs
+++ b/components/gateway/src/silence.rs
@@ -27,7 +27,7 @@
 }
 
 impl SilentHalls {
-    /// Something was heard of a runner of a hall.
+    /// Something was heard of a runner of a hall: a report, or an answer to a request.
     pub(crate) fn note_heard(&mut self, hall: &Hall) {
         self.unanswered.remove(hall);
     }
--- a/components/gateway/tests/halls.rs
+++ b/components/gateway/tests/halls.rs
@@ -102,3 +102,24 @@
     bed.now += 4100;
     assert!(is_in_first_hall(&next(&mut bed, 3)));
 }
+
+/// Runners without sidecars report nothing: only their answers tell that their hall is there.
+#[test]
+fn a_hall_of_which_a_runner_answers_is_not_silent() {
+    let mut bed = Bed::new();
+    for port in 1..=8 {
+        let hall = if port <= 4 { "a" } else { "b" };
+        let id = format!("r{port}");
+        let record = RunnerRecord { hall: hall.into(), ..record(&id, PLAIN_SERVICE, port) };
+        bed.feed(Event::Listed(record));
+    }
+    bed.arrive(arrival(9, PLAIN_SERVICE, RouteKind::Safe));
+    for key in 1..=2 {
+        let first = sent_to(bed.arrive(arrival(key, PLAIN_SERVICE, RouteKind::Safe)));
+        assert!(is_in_first_hall(&first), "near runners go first: {first:?}");
+        bed.outcome(key, AttemptOutcome::NotSent);
+    }
+    bed.outcome(9, AttemptOutcome::Answered);
+    let next = sent_to(bed.arrive(arrival(3, PLAIN_SERVICE, RouteKind::Safe)));
+    assert!(is_in_first_hall(&next));
+}
