Gateway: runners of a silent hall are tried where all others were tried for the request

Cause: a runner that a request had been tried at counted as one that can run it, so with one runner left outside a silent hall a second try went nowhere. Change: those that were tried do not count. Test: a_silent_hall_is_tried_where_all_others_were_tried, seen to fail before.

--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -65,7 +65,7 @@
     ) -> Option<(InstanceId, Seen)> {
         let mut candidates = 0;
         let tight = self.room.tight(now, arrival, &self.options.halls);
-        let only_heard = self.has_heard_runner(now, arrival);
+        let only_heard = self.has_heard_runner(now, arrival, tried);
         let usable = self.pool.of_service(&arrival.service).filter(|it| {
             !tried.contains(&it.record.id)
                 && self.can_run(now, it, arrival)
@@ -85,14 +85,17 @@
         Some((runner.record.id.clone(), seen))
     }
 
-    /// Whether some runner can run a request, room aside, that is not passed over because its hall is silent. Where
-    /// none can, those are tried. That the others are full is no reason: each silent one costs 45 ms.
-    fn has_heard_runner(&self, now: Millis, arrival: &Arrival) -> bool {
+    /// Whether some runner that was not tried yet can run a request, room aside, and is not passed over because its
+    /// hall is silent. Where none can, those are tried. That the others are full is no reason: each silent one costs
+    /// 45 ms.
+    fn has_heard_runner(&self, now: Millis, arrival: &Arrival, tried: &[InstanceId]) -> bool {
         let runners = self.pool.of_service(&arrival.service);
-        self.pool.silent.count(now) > 0
-            && runners
-                .into_iter()
-                .any(|it| !self.pool.silent.defers(now, it) && self.can_run(now, it, arrival))
+        let is_heard = |it: &Runner| {
+            !tried.contains(&it.record.id)
+                && !self.pool.silent.defers(now, it)
+                && self.can_run(now, it, arrival)
+        };
+        self.pool.silent.count(now) > 0 && runners.into_iter().any(is_heard)
     }
 
     /// When some runner that a request may go to can run it, room aside.
--- a/components/gateway/tests/halls.rs
+++ b/components/gateway/tests/halls.rs
@@ -123,3 +123,16 @@
     let next = sent_to(bed.arrive(arrival(3, PLAIN_SERVICE, RouteKind::Safe)));
     assert!(is_in_first_hall(&next));
 }
+
+#[test]
+fn a_silent_hall_is_tried_where_all_others_were_tried() {
+    let mut bed = two_halls();
+    bed.now += 700;
+    lose_hall(&mut bed);
+    (6..=8).for_each(|port| {
+        bed.feed(Event::Unlisted(format!("r{port}").as_str().into()));
+    });
+    assert_eq!(next(&mut bed, 3), "r5".into());
+    let again = sent_to(bed.outcome(3, AttemptOutcome::Failed));
+    assert!(is_in_first_hall(&again));
+}
