Tests: a sidecar that stood still while a hall could be taken for silent

Asked for by review: everything it asked for before is late when it goes on, so that all halls may seem silent and all chunks its own. The test keeps that below half a copy. A comment is wrapped.

--- a/components/reducer/src/spread/version/silence.rs
+++ b/components/reducer/src/spread/version/silence.rs
@@ -114,9 +114,9 @@
     }
 
     /// Finds out whether a hall is gone, where nothing comes or an instance there did not answer: draws from other
-    /// halls that take too long are given up, and two instances of the hall in which most of what is missing lies, or is waited for, are asked for it. Nobody
-    /// else says that a hall is gone: its instances seem to hold chunks, and their turns at the origin pass. Only where
-    /// chunks enter halls once: there one instance waits for all.
+    /// halls that take too long are given up, and two instances of the hall in which most of what is missing lies,
+    /// or is waited for, are asked for it. Nobody else says that a hall is gone: its instances seem to hold chunks,
+    /// and their turns at the origin pass. Only where chunks enter halls once: there one instance waits for all.
     pub(super) fn probe_halls(&mut self, now: Millis) -> Vec<SpreadEffect> {
         if self.hall_gate.is_none() {
             return Vec::new();
--- a/components/rollout/tests/halls.rs
+++ b/components/rollout/tests/halls.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use proptest::prelude::*;
-use rollout::Rollout;
+use rollout::{Event, Rollout};
 use support::*;
 
 /// Longer than sidecars wait for the list before they take their shares, and than the draws take.
@@ -176,3 +176,23 @@
         assert!(took <= 6000, "hall {lost} lost after {after} ms: whole after {took} ms");
     }
 }
+
+/// Everything that it asked for before is late when it goes on, and it has asked nobody since.
+#[test]
+fn a_sidecar_that_stood_still_draws_little_twice() {
+    let mut fleet = Fleet::with_narrow_origin(30, 912_500);
+    fleet.chunk_ms = 140;
+    fleet.run(3000);
+    fleet.name(2);
+    fleet.run(500);
+    fleet.frozen = Some(4);
+    fleet.run(2500);
+    fleet.frozen = None;
+    // It looks around before it reads what came meanwhile.
+    fleet.feed(4, Event::Tick);
+    fleet.run(VERSION_MS);
+    let late = (0..30).filter(|it| fleet.runners[*it].version != Some(2)).count();
+    assert_eq!(late, 0);
+    let drawn = fleet.origin_chunks;
+    assert!(drawn <= CHUNKS * 3 / 2, "{drawn} chunks from the origin");
+}
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -66,6 +66,8 @@
     pub dead: BTreeSet<usize>,
     /// Sidecars that reach each other only, and not the origin.
     pub cut_off: BTreeSet<usize>,
+    /// A sidecar that stands still: what it is told waits.
+    pub frozen: Option<usize>,
     /// How long it takes to find that a sidecar is gone: a machine without power does not refuse connections.
     pub dead_ms: u64,
 }
@@ -145,6 +147,7 @@
             between_halls: 0,
             dead: BTreeSet::new(),
             cut_off: BTreeSet::new(),
+            frozen: None,
             dead_ms: 5,
         };
         (0..count).for_each(|index| fleet.introduce(index));
@@ -214,6 +217,12 @@
         if self.dead.contains(&index) {
             return;
         }
+        if self.frozen == Some(index) {
+            if !matches!(event, Event::Tick | Event::Status(_)) {
+                self.after(0, index, event);
+            }
+            return;
+        }
         let effects = self.sidecars[index].reduce(Millis(self.now), event);
         for effect in effects {
             self.perform(index, effect);
