Tests: runs of the process tests side by side share no address

Cause: the support looked for a port that was free, let it go and had a daemon bind it later. Runs with process ids close to each other walk the same ports, so that the daemon of one took what the other had seen free. The loser exits at its start with "501 AddressInUse", its stderr went nowhere, and the test waited its 60 s; or it spoke to the other run's daemon, which has the same token, until the change of the token did not show.

Change: each stage takes a network of loopback and holds it by a listener, which its daemons inherit, so that also a daemon that outlives a killed run keeps its network. Each daemon has a machine of its own with fixed ports. A failed test tells how its daemons ended and what they logged. What is asserted and how long it may take stay.

--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -1,9 +1,11 @@
 //! Runs daemons as processes against stand-ins in the test's own process.
 
-use std::net::{SocketAddr, TcpListener};
+use std::fs::File;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -19,19 +21,30 @@
 /// The operators' token of these tests.
 pub const TOKEN: &str = "token-of-the-process-tests";
 const KEY: &str = "key-of-the-process-tests";
-/// Ports are taken from below the range that the system hands out by itself.
-const FIRST_PORT: u16 = 20_000;
-const PORTS: u16 = 12_000;
+/// Where daemons listen for each other on their machines. All ports lie below the range that the system hands out by
+/// itself.
+const DAEMONS_PORT: u16 = 7101;
+/// Where daemons listen for operators.
+const OPERATORS_PORT: u16 = 7102;
+/// Where entries listen for callers.
+const CALLERS_PORT: u16 = 7103;
+/// Where agents listen for weights.
+const WEIGHTS_PORT: u16 = 7104;
+/// The networks of loopback that stages take, so that several can run at the same time.
+const NETWORKS: std::ops::Range<u8> = 1..250;
+/// The machine and the port by which a stage holds its network.
+const HOLDER: (u8, u16) = (254, 7999);
 /// How long anything may take before a test is given up as hung.
 pub const HANG: Duration = Duration::from_secs(60);
 
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-/// The platform, and a folder for settings.
+/// The platform, a folder for settings, and a network of loopback with a machine for each daemon.
 pub struct Stage {
     pub platform: PlatformStandIn,
     pub folder: PathBuf,
     tasks: Tasks,
+    network: u8,
+    holder: TcpListener,
+    machines: AtomicU8,
 }
 
 /// A daemon as a process. It is ended with the test.
@@ -41,6 +54,8 @@
     pub callers: SocketAddr,
     /// The engine beside an agent.
     pub engine: Option<Arc<Engine>>,
+    name: String,
+    log: PathBuf,
 }
 
 impl Stage {
@@ -55,14 +70,23 @@
         std::fs::create_dir_all(&folder).unwrap();
         std::fs::write(folder.join("key"), KEY).unwrap();
         std::fs::write(folder.join("token"), TOKEN).unwrap();
-        Self { platform, folder, tasks }
+        let (network, holder) = take_network();
+        Self { platform, folder, tasks, network, holder, machines: AtomicU8::new(0) }
+    }
+
+    /// The address of the next machine.
+    fn machine(&self) -> IpAddr {
+        let machine = self.machines.fetch_add(1, Ordering::Relaxed) + 1;
+        assert!(machine < HOLDER.0, "a stage has no more machines");
+        network_address(self.network, machine).into()
     }
 
     /// Starts an entry.
     pub fn entry(&self, name: &str) -> Daemon {
-        let callers = free_port();
+        let machine = self.machine();
+        let callers = SocketAddr::new(machine, CALLERS_PORT);
         let role = format!("[entry]\ncallers = {callers}\ndeadline_s = 30\n");
-        self.start(name, "entry", Process::Entry, callers, &role)
+        self.start(name, "entry", Process::Entry, machine, &role)
     }
 
     /// Starts an engine stand-in and an agent beside it.
@@ -71,11 +95,13 @@
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let serving = Server::start(&self.tasks, any, Bounds::default(), engine.clone());
         let server = async_io::block_on(serving).unwrap();
+        let machine = self.machine();
+        let weights = SocketAddr::new(machine, WEIGHTS_PORT);
         let role =
-            format!("[agent]\nupstream = {}\nweights_listen = {}\n", server.address(), free_port());
+            format!("[agent]\nupstream = {}\nweights_listen = {weights}\n", server.address());
         // The engine lives as long as the test's process.
         std::mem::forget(server);
-        let mut daemon = self.start(name, "agent", Process::Engine, any, &role);
+        let mut daemon = self.start(name, "agent", Process::Engine, machine, &role);
         daemon.engine = Some(engine);
         daemon
     }
@@ -85,10 +111,11 @@
         name: &str,
         role: &str,
         process: Process,
-        callers: SocketAddr,
+        machine: IpAddr,
         section: &str,
     ) -> Daemon {
-        let (listen, operators) = (free_port(), free_port());
+        let at = |port| SocketAddr::new(machine, port);
+        let (listen, operators) = (at(DAEMONS_PORT), at(OPERATORS_PORT));
         let [table, objects, weights, instances] = self.platform.addresses();
         let folder = self.folder.display();
         let text = format!(
@@ -108,8 +135,14 @@
             memory_bytes: 1 << 40,
             state: ListedState::Live,
         });
-        let child = run_daemon(&path).spawn().unwrap();
-        Daemon { child, operators, callers, engine: None }
+        let log = self.folder.join(format!("{name}.log"));
+        // The daemon holds the network too: one that outlives a killed run keeps later ones away.
+        let holder = OwnedFd::from(self.holder.try_clone().unwrap());
+        let mut command = run_daemon(&path);
+        command.stdin(holder).stderr(File::create(&log).unwrap());
+        let child = command.spawn().unwrap();
+        let (callers, name) = (at(CALLERS_PORT), name.to_owned());
+        Daemon { child, operators, callers, engine: None, name, log }
     }
 
     /// Publishes weights and makes a number of replicas live.
@@ -159,10 +192,20 @@
             sleep(Duration::from_millis(10));
         }
     }
+
+    /// Tells how the daemon of a failed test fared, for one that ended at its start looks like one that hangs.
+    fn tell(&mut self) {
+        let ended = self.child.try_wait();
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        eprintln!("{}: ended: {ended:?}, log:\n{log}", self.name);
+    }
 }
 
 impl Drop for Daemon {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.tell();
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -196,13 +239,16 @@
     }
 }
 
-fn free_port() -> SocketAddr {
-    let offset = (std::process::id() % u32::from(PORTS)) as u16;
-    loop {
-        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed).wrapping_add(offset) % PORTS;
-        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + next));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
+/// Takes a network of loopback that no other stage has, of this process or another one. It is held as long as the
+/// stage or one of its daemons lives. A port that is only seen to be free can be taken by another run before the
+/// daemon binds it.
+fn take_network() -> (u8, TcpListener) {
+    let (machine, port) = HOLDER;
+    let hold = |network| TcpListener::bind((network_address(network, machine), port));
+    let free = NETWORKS.into_iter().find_map(|it| Some((it, hold(it).ok()?)));
+    free.expect("some network of loopback is free")
+}
+
+fn network_address(network: u8, machine: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 78, network, machine)
 }
