Cold starts: only a list that the store has just confirmed calls a runner warm

Cause: a gateway told sidecars that their runners are warm as long as the store did not refuse it. A feed waits for up to 5 s, so where the store has just gone away, or the gateway stood still, its list may be older than a start; 3 s after the start the sidecar believed it and ended its assumption, up to a start's length too early. Ruled out: the rule for answers that are overdue, for it allows an age of a feed's wait and more. Change: the store has answered within the last second. The test fails with the old condition.

--- a/components/edge/src/gateway/sidecars.rs
+++ b/components/edge/src/gateway/sidecars.rs
@@ -21,6 +21,10 @@
 /// How many sidecars are asked in a second which gateways they hear, by one that is unsure and by any other.
 const ASKED_UNSURE: usize = 3;
 const ASKED: usize = 1;
+/// How old the list may be by which a sidecar is told that its runner is warm. Sidecars believe that from 3 s after a
+/// start on, and an entry takes 1.2 s to be written; a feed waits for up to 5 s, and a store that has just gone away
+/// is not known to be gone.
+const WARM_WORD_AGE: Duration = Duration::from_millis(1000);
 /// The shortest time between two such rounds.
 const SUBSCRIBE_SPACING: Duration = Duration::from_millis(100);
 
@@ -107,7 +111,7 @@
 impl Subscription {
     fn new(core: &Core) -> Self {
         let now = core.clock.now();
-        let is_fresh = !core.tables.runners.lost.get();
+        let is_fresh = core.tables.runners.was_heard_within(WARM_WORD_AGE);
         let mut cold = core.read(|gateway| gateway.cold_machines(now));
         cold.retain(|_, left| is_fresh || *left > 0);
         Self {
@@ -144,3 +148,6 @@
         runners.map(|it| SocketAddr::new(it.record.address.ip(), port)).collect()
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/edge/src/gateway/tables.rs
+++ b/components/edge/src/gateway/tables.rs
@@ -25,8 +25,12 @@
 
     /// Whether the store has just confirmed what is known: it answers, and no answer is overdue.
     pub fn is_confirmed(&self) -> bool {
-        let heard = self.heard.get();
-        !self.lost.get() && heard.is_some_and(|at| at.elapsed() <= self.longest_gap)
+        !self.lost.get() && self.was_heard_within(self.longest_gap)
+    }
+
+    /// Whether the store answered a question for it within the last `span`.
+    pub fn was_heard_within(&self, span: Duration) -> bool {
+        self.heard.get().is_some_and(|at| at.elapsed() <= span)
     }
 
     /// Takes in that the store answered.
