Cold starts: a hall that is taken back is doubted for a whole start where the list is not heard

Cause: a gateway that the store refuses hears from a sidecar that a hall was taken back, held its runners for cold for 2 s, and then went by its old list again, while they are cold for as long as a start can be. Change: the doubt lasts for the length of a start, and ends when the store has answered 2 s after the news or later. Sidecars are told of it 2 s ahead, for they keep the longest word.

--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -51,7 +51,12 @@
             core.tell_sidecars();
         }
         Seen::Evacuations(list) => core.feed(Event::Evacuations(list)),
-        Seen::Heard => tables.of(table).note_heard(),
+        Seen::Heard => {
+            tables.of(table).note_heard();
+            if table == Table::Runners {
+                core.feed(Event::ListHeard);
+            }
+        }
         Seen::Reached(reached) => tables.of(table).lost.set(!reached),
         Seen::Change { change, late } => {
             let concerns_sidecars = concerns_sidecars(&change) || turns_cold(&core, &change);
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -239,7 +239,8 @@
         runner.usual_first_ms(now)
     }
 
-    /// Whether a runner may have room, and its turn has come where it is cold. At runners with a sidecar a few requests may wait for a place there.
+    /// Whether a runner may have room, and its turn has come where it is cold. At runners with a sidecar a few requests
+    /// may wait for a place there.
     fn has_room(&self, now: Millis, runner: &Runner, arrival: &Arrival, tight: &[&Region]) -> bool {
         let held_back = if tight.is_empty() { 0 } else { self.held_back(runner, tight) };
         let waits_there = arrival.model.is_some() && held_back == 0;
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -174,6 +174,8 @@
     Named(NamedVersion),
     /// These data halls are evacuated, by the store or by another process.
     Evacuations(EvacuationList),
+    /// The store answered: the list of runners holds nothing newer than what was told.
+    ListHeard,
     /// A runner was listed or its entry changed.
     Listed(RunnerRecord),
     /// A runner is listed no more.
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -116,10 +116,16 @@
         ids.filter_map(|id| self.runners.get(id))
     }
 
-    /// The runners of a hall may have turned cold lately.
-    pub fn doubt_warmth(&mut self, now: Millis, hall: &Hall) {
-        let there = self.runners.values_mut().filter(|it| &it.record.hall == hall);
-        there.for_each(|it| it.doubt_warmth(now));
+    /// The runners of a service in a hall may have turned cold lately, for so many milliseconds at the most.
+    pub fn doubt_warmth(&mut self, now: Millis, hall: &Hall, service: &ServiceName, start_ms: u64) {
+        let runners = self.runners.values_mut().filter(|it| &it.record.service == service);
+        let there = runners.filter(|it| &it.record.hall == hall);
+        there.for_each(|it| it.doubt_warmth(now, start_ms));
+    }
+
+    /// The list tells of everything up to now.
+    pub fn settle_doubts(&mut self, now: Millis) {
+        self.runners.values_mut().for_each(|it| it.settle_doubt(now));
     }
 
     /// How many runners are known.
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -228,7 +228,7 @@
                 let changes = self.pool.evacuations.take(now, &list);
                 for change in &changes {
                     if let EvacuationChange::Ended { hall, .. } = change {
-                        self.pool.doubt_warmth(now, hall);
+                        self.doubt_warmth(now, hall);
                     }
                 }
                 let mut effects: Vec<Effect> =
@@ -238,6 +238,10 @@
                 }
                 effects
             }
+            Event::ListHeard => {
+                self.pool.settle_doubts(now);
+                Vec::new()
+            }
             Event::Listed(record) => {
                 self.pool.list(now, record);
                 self.dispatch(now, &mut random)
--- a/components/gateway/src/reducer/cold.rs
+++ b/components/gateway/src/reducer/cold.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 
-use fleet::{Millis, ServiceName};
+use fleet::{Hall, Millis, ServiceName};
 
 use super::Gateway;
 use crate::catalog::Catalog;
@@ -21,6 +21,18 @@
         self.cold.set_services(cold.collect());
     }
 
+    /// Notes that runners of a hall may have turned cold lately: those of services whose runners start cold.
+    pub(super) fn doubt_warmth(&mut self, now: Millis, hall: &Hall) {
+        let Some(catalog) = self.catalog.clone().filter(|_| self.options.cold.is_some()) else {
+            return;
+        };
+        for service in catalog.services() {
+            if let Some(profile) = service.cold {
+                self.pool.doubt_warmth(now, hall, &service.name, profile.start_ms);
+            }
+        }
+    }
+
     /// Sets what this gateway may send to each cold runner, by whether it is responsible for it.
     pub(super) fn tend_cold_runners(&mut self, now: Millis) {
         let services: Vec<(ServiceName, ColdShare)> = self.cold.services().collect();
@@ -48,7 +60,7 @@
         let services = catalog.into_iter().flat_map(|it| it.services());
         let models = services.filter(|it| it.engine.is_some() && it.cold.is_some());
         let runners = models.flat_map(|it| self.pool.of_service(&it.name));
-        runners.map(|it| (it.record.address.ip(), it.cold_left_ms(now))).collect()
+        runners.map(|it| (it.record.address.ip(), it.cold_told_ms(now))).collect()
     }
 
     /// Cold plain runners, and those of them that this gateway may send to.
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -115,6 +115,8 @@
     /// Until when it is cold by the list, and until when it may be without the list telling it yet.
     cold_until: Millis,
     may_be_cold_until: Millis,
+    /// Since when it may be.
+    doubted_at: Millis,
     /// The incarnation was refused there; nothing is sent until the list changes.
     pub misdirected: bool,
 }
@@ -125,6 +127,7 @@
         Self {
             cold_until: now.plus(record.cold_ms),
             may_be_cold_until: Millis(0),
+            doubted_at: Millis(0),
             record,
             in_flight: 0,
             reported: None,
@@ -141,9 +144,18 @@
         self.record = record;
     }
 
-    /// It may have turned cold lately.
-    pub fn doubt_warmth(&mut self, now: Millis) {
-        self.may_be_cold_until = now.plus(ENTRY_LAG);
+    /// It may have turned cold lately, for so many milliseconds at the most. The doubt ends with that, or when the list
+    /// can tell.
+    pub fn doubt_warmth(&mut self, now: Millis, start_ms: u64) {
+        self.doubted_at = now;
+        self.may_be_cold_until = now.plus(start_ms.max(ENTRY_LAG));
+    }
+
+    /// The list tells of everything up to now.
+    pub fn settle_doubt(&mut self, now: Millis) {
+        if now.since(self.doubted_at).0 >= ENTRY_LAG {
+            self.may_be_cold_until = Millis(0);
+        }
     }
 
     /// How much longer it is cold, as far as known, in milliseconds.
@@ -151,6 +163,12 @@
         self.cold_until.max(self.may_be_cold_until).since(now).0
     }
 
+    /// The same, as others are told who do not hear when a doubt ends: they are told of it again and again.
+    pub fn cold_told_ms(&self, now: Millis) -> u64 {
+        let doubt = self.may_be_cold_until.min(now.plus(ENTRY_LAG));
+        self.cold_until.max(doubt).since(now).0
+    }
+
     /// Takes in a report.
     pub fn take_load(&mut self, now: Millis, load: RunnerLoad) {
         self.reported = Some(Reported { load, at: now, own: self.in_flight });
