Repeats: a window that is made longer counts what the shorter one forgot

Change: a gateway counts as new for that window and 5 s. Who is responsible for cold runners stays as it was. The test fails without the change.

--- a/components/gateway/src/members.rs
+++ b/components/gateway/src/members.rs
@@ -108,7 +108,7 @@
 pub enum Sureness {
     /// No sidecar has told of them lately.
     Unsure,
-    /// It was told, and may not be known to all of them yet, or they have used what would be its part.
+    /// It was told, and may not be known to all of them yet, or what would be its part may have been used.
     New,
     /// It knows the others and they know it.
     Sure,
@@ -134,6 +134,8 @@
     told_at: Option<Millis>,
     /// Since when it has been told without a break.
     since: Millis,
+    /// Since when the window is no longer than now. What a shorter one had forgotten counts again.
+    window_since: Millis,
     /// The lowest part of the sidecars that was heard from in each step of time, oldest first.
     reach: VecDeque<(Millis, f64)>,
     reach_at: Millis,
@@ -150,6 +152,7 @@
             heard: BTreeMap::new(),
             told_at: None,
             since: Millis(0),
+            window_since: Millis(0),
             reach: VecDeque::new(),
             reach_at: Millis(0),
             has_sidecars: false,
@@ -157,7 +160,10 @@
     }
 
     /// Goes on with another window.
-    pub fn set_window(&mut self, window_ms: u64) {
+    pub fn set_window(&mut self, now: Millis, window_ms: u64) {
+        if window_ms > self.window_ms {
+            self.window_since = now;
+        }
         self.window_ms = window_ms;
     }
 
@@ -206,7 +212,7 @@
     pub fn sureness(&self, now: Millis) -> Sureness {
         if !self.was_told(now) {
             Sureness::Unsure
-        } else if now.since(self.since).0 < self.window_ms + INTRODUCTION {
+        } else if now.since(self.since.max(self.window_since)).0 < self.window_ms + INTRODUCTION {
             Sureness::New
         } else {
             Sureness::Sure
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -211,7 +211,7 @@
                 self.pool.set_version_ms(options.version_ms);
                 self.pool.evacuations.set_bound(evacuation_bound(&options));
                 self.options = options;
-                self.members.set_window(self.options.budget_window_ms);
+                self.members.set_window(now, self.options.budget_window_ms);
                 if let Some(catalog) = self.catalog.clone() {
                     self.note_cold_services(&catalog);
                 }
--- a/components/gateway/tests/membership.rs
+++ b/components/gateway/tests/membership.rs
@@ -358,6 +358,22 @@
     assert_eq!(taken(&mut budget, 1_010_900), 0, "the first ten are in this window");
 }
 
+#[test]
+fn a_window_that_is_made_longer_counts_what_was_forgotten_by_the_shorter_one() {
+    let mut town = Town::new(9, 5, 10);
+    town.run(40_000);
+    let members = &mut town.lives[1].as_mut().unwrap().members;
+    let (now, before) = (Millis(town.now), members.part(Millis(town.now)));
+    members.set_window(now, WINDOW / 2);
+    assert!(members.part(now) >= before, "a shorter one counts less");
+    members.set_window(now, 2 * WINDOW);
+    assert!(members.part(now) < 0.01, "others may have used it all ten seconds ago");
+    assert!(members.responsible(now, "p1", 5).is_some(), "who they are is known as before");
+    town.run(2 * WINDOW + 5000);
+    let members = &town.lives[1].as_ref().unwrap().members;
+    assert_eq!(members.part(Millis(town.now)), before);
+}
+
 /// A gateway that knows itself, with a plain service whose runners start cold.
 fn bed_with_cold_services(told: bool) -> Bed {
     let mut bed = Bed::with(GatewayOptions { cold: Some(BOUNDS), ..options() });
