--- a/components/rollout/src/cold.rs
+++ b/components/rollout/src/cold.rs
@@ -11,8 +11,8 @@
 const ENTRY_LAG: u64 = 3000;
 /// The most places that are saved up: with fewer, places are lost where reports come every 100 ms.
 const BURST: f64 = 3.0;
-/// How much longer than a second the places of one second of sending were given over: an answer is waited for for 45 ms,
-/// and a place is used up to 350 ms after it, for a connection may have to be opened first.
+/// How much longer than a second the places of one second of sending were given over: an answer is waited for for
+/// 45 ms, and a place is used up to 350 ms after it, for a connection may have to be opened first.
 const GRANT_STRETCH: f64 = 1.4;
 
 /// How a service's runners start cold.
