--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -144,6 +144,16 @@
         matches!(self, Self::Full | Self::Misdirected) || !self.has_arrived()
     }
 
+    /// Whether the runner, or the sidecar beside it, said something: its hall is there.
+    pub(crate) fn was_answered(self) -> bool {
+        match self {
+            Self::Answered | Self::Finished | Self::Denied { .. } => true,
+            Self::Full | Self::Misdirected | Self::Failed => true,
+            Self::NotSent | Self::Silent | Self::Expired | Self::Withdrawn => false,
+            Self::Lost | Self::Cut => false,
+        }
+    }
+
     /// The code that tells why it did not end in an answer.
     pub fn code(self) -> Code {
         match self {
@@ -176,6 +186,8 @@
     Named(NamedVersion),
     /// These data halls are evacuated, by the store or by another process.
     Evacuations(EvacuationList),
+    /// The store answered: the list of runners holds nothing newer than what was told.
+    ListHeard,
     /// A runner was listed or its entry changed.
     Listed(RunnerRecord),
     /// A runner is listed no more.
