Shortage: a stream that goes on is not pushed behind first tries

A stream whose attempt was lost went back into the gateway's queue as a later try, behind first tries that had been denied, though its question at the sidecar goes before anything new. The queue now asks the same as the question. The test gave [101, 100] before, [100, 101] with it.

--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -431,7 +431,7 @@
         };
         let wait = if progress.may_have_run && resumes_patiently { RESUME_WAIT } else { 0 };
         progress.wait_until = progress.wait_until.max(now.plus(wait)).min(progress.arrival.limit);
-        let place = Place { priority: 0, is_later: progress.is_later, key };
+        let place = Place { priority: 0, is_later: progress.stands_behind(), key };
         self.queue.insert(place);
         if matches!(outcome, AttemptOutcome::Denied { .. }) {
             return Vec::new();
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -51,7 +51,7 @@
     }
 
     /// Whether first tries of others go before it. What may have run already goes on before anything new.
-    fn stands_behind(&self) -> bool {
+    pub(super) fn stands_behind(&self) -> bool {
         self.is_later && !self.may_have_run
     }
 
--- a/components/gateway/tests/later_tries.rs
+++ b/components/gateway/tests/later_tries.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use errors::Code;
 use gateway::*;
 use support::*;
 
@@ -78,7 +79,7 @@
     let Some(NextStep::Refuse { code, .. }) = step else {
         panic!("expected a refusal, got {step:?}");
     };
-    assert_eq!((code, questions), (errors::Code::LaterTry, 4));
+    assert_eq!((code, questions), (Code::LaterTry, 4));
 }
 
 #[test]
@@ -90,3 +91,26 @@
     let target = target_of(bed.outcome(100, AttemptOutcome::Lost));
     assert_eq!((target.rank, target.left_ms), (0, 1));
 }
+
+#[test]
+fn a_stream_that_goes_on_is_not_pushed_behind_first_tries_though_it_is_a_later_try() {
+    let mut bed = bed();
+    bed.list("r2", MODEL_SERVICE, 2);
+    let lost_at = sent_to(bed.arrive(try_of(100, 3700)));
+    bed.arrive(try_of(101, 5500));
+    for _ in 0..2 {
+        bed.outcome(101, AttemptOutcome::Denied { again_ms: 60 });
+    }
+    assert_eq!(bed.outcome(100, AttemptOutcome::Lost), None, "both runners are left alone");
+    bed.feed(Event::Unlisted(lost_at));
+    bed.now += 65;
+    let sent: Vec<u64> = bed
+        .feed(Event::Tick)
+        .iter()
+        .filter_map(|it| match it {
+            Effect::Proceed(key, NextStep::Send(_)) => Some(key.0),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(sent, [100, 101]);
+}
