Shortage: a later try whose homes are emptied is told NoHome, not LaterTry

What is refused for want of a place is told NoHome where its homes have no runner that serves; the code of later tries was left out of it. Its caller was told that first tries go before, where nothing serves. The test gave LaterTry before.

--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -88,7 +88,8 @@
 
     /// Why it is refused, while the runners that it may go to stand so.
     fn refusal(&self, outlook: Outlook) -> Code {
-        let for_want_of_place = matches!(self.reason, Code::Overloaded | Code::Withdrawn);
+        let for_want_of_place =
+            matches!(self.reason, Code::Overloaded | Code::Withdrawn | Code::LaterTry);
         let is_missing = match outlook {
             Outlook::NotServing => true,
             // One that serves and is paused for a moment is full.
--- a/components/gateway/tests/later_tries.rs
+++ b/components/gateway/tests/later_tries.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use errors::Code;
+use fleet::HomeRegions;
 use gateway::*;
 use support::*;
 
@@ -114,3 +115,22 @@
         .collect();
     assert_eq!(sent, [100, 101]);
 }
+
+#[test]
+fn a_later_try_whose_homes_are_emptied_is_told_so() {
+    let mut bed = bed();
+    let south = RunnerRecord { hall: "b".into(), ..record("s", MODEL_SERVICE, 9) };
+    bed.feed(Event::Listed(south));
+    bed.feed(bound(2, &HomeRegions::only(["north".into()])));
+    bed.arrive(try_of(100, 3700));
+    for _ in 0..3 {
+        bed.outcome(100, AttemptOutcome::Denied { again_ms: 5 });
+        bed.pass(6);
+    }
+    bed.feed(Event::Unlisted("r1".into()));
+    let step = bed.outcome(100, AttemptOutcome::Denied { again_ms: 5 });
+    let Some(NextStep::Refuse { code, .. }) = step else {
+        panic!("expected a refusal, got {step:?}");
+    };
+    assert_eq!(code, Code::NoHome);
+}
