Shortage: one long deadline, or one of zero, does not mislead a gateway that has just started

The usual deadline of a route began with that of its first request. It comes down by 0.4 in 100 a request: after one of u64::MAX all first tries looked like later ones for thousands of requests, where a shortage kept calm times from doubting it. One of zero stayed zero for good, and no later try was known on the route. The least of the first 16 counts now, one millisecond at least. A gateway that starts among later tries needs some forty requests more (reckoned, not measured); until then it takes them for first ones. Both tests failed before.

--- a/components/gateway/src/tries.rs
+++ b/components/gateway/src/tries.rs
@@ -17,6 +17,8 @@
 /// The part of the usual deadline below which a request is taken for a later try. First tries of one route were seen
 /// to differ by a sixth; a caller that stayed away for 1.2 s of 6 s is below it.
 const LATER_SHARE: f64 = 0.8;
+/// The shortest deadline that is reckoned with, in milliseconds: an estimate of zero would never move again.
+const LEAST: u64 = 1;
 /// Requests of a route before its usual deadline is known.
 const MIN_SEEN: u32 = 16;
 /// By which part of itself the estimate of a route moves with one request that is below it. It moves three times as
@@ -51,6 +53,14 @@
         self.seen = self.seen.saturating_add(1);
     }
 
+    /// Takes the least of the first deadlines. One that is far longer than usual would else count for thousands of
+    /// requests, and first tries would look like later ones meanwhile.
+    fn begin(&mut self, deadline_ms: f64) {
+        if self.seen < MIN_SEEN {
+            self.deadline_ms = self.deadline_ms.min(deadline_ms);
+        }
+    }
+
     fn note_calm(&mut self, looks_later: bool) {
         self.doubt += DOUBT_STEP * (f64::from(u8::from(looks_later)) - self.doubt);
     }
@@ -76,10 +86,11 @@
     /// Takes in the deadline of a request and tells whether it looks like a later try. One without a deadline does not.
     /// `is_calm` tells that no caller was refused of late, so that none comes back.
     pub(crate) fn is_later(&mut self, arrival: &Arrival, is_calm: bool) -> bool {
-        let Some(deadline) = arrival.deadline_ms.map(|it| it as f64) else {
+        let Some(deadline) = arrival.deadline_ms.map(|it| it.max(LEAST) as f64) else {
             return false;
         };
         let route = kept(&mut self.routes, arrival.route.clone(), deadline);
+        route.begin(deadline);
         let of_route = *route;
         route.take(deadline, ROUTE_STEP);
         let of_workspace = match &arrival.workspace {
--- a/components/gateway/tests/later_tries.rs
+++ b/components/gateway/tests/later_tries.rs
@@ -134,3 +134,29 @@
     };
     assert_eq!(code, Code::NoHome);
 }
+
+/// One caller that waits for days made every first try after it look like a later one.
+#[test]
+fn a_gateway_that_starts_in_a_shortage_is_not_misled_by_one_long_deadline() {
+    let mut bed = Bed::new();
+    bed.arrive(try_of(1, u64::MAX));
+    bed.pass(100);
+    bed.list("r1", MODEL_SERVICE, 1);
+    for key in 100..140 {
+        assert_eq!(left_of(&mut bed, key, 5000 + key * 371 % 1000), 400, "{key}");
+        bed.feed(Event::Gone(RequestKey(key)));
+    }
+    assert_eq!(left_of(&mut bed, 200, 3700), 0);
+}
+
+#[test]
+fn a_deadline_of_zero_does_not_keep_later_tries_unknown_for_good() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    for key in 0..1000 {
+        let deadline_ms = if key == 0 { 0 } else { 5000 + key * 371 % 1000 };
+        bed.arrive(try_of(key, deadline_ms));
+        bed.feed(Event::Gone(RequestKey(key)));
+    }
+    assert_eq!(left_of(&mut bed, 2000, 3700), 0);
+}
