Codes: LaterTry claims no more than is known

A later try is refused once four sidecars gave it no place, whatever their reason was: the answer on the wire holds none, so an evacuated hall or a runner that leaves counts as well. The meaning said that first tries go before in each case.

--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -51,7 +51,7 @@
     /// The upstream may not take the request any more: it leaves, its data hall is evacuated, or the request's homes
     /// have changed. Nothing was sent.
     Withdrawn,
-    /// Places are short, and first tries of other callers go before this later one.
+    /// The sidecars that were asked gave this later try no place. Where places are short, first tries of other callers go before.
     LaterTry,
     /// The upstream's reply ended before it was whole.
     CutShort,
@@ -203,7 +203,7 @@
     Row { code: Code::RetryBudget, number: 114, name: "RetryBudget", ran: Ran::NotRun, retry: true, status: 503, meaning: "The first try did not run and the share of retries is used up." },
     Row { code: Code::NoHome, number: 115, name: "NoHome", ran: Ran::NotRun, retry: true, status: 503, meaning: "No upstream in the request's home regions can run it." },
     Row { code: Code::Withdrawn, number: 116, name: "Withdrawn", ran: Ran::NotRun, retry: true, status: 503, meaning: "The upstream may not take the request any more: it leaves, its data hall is evacuated, or the request's homes have changed." },
-    Row { code: Code::LaterTry, number: 117, name: "LaterTry", ran: Ran::NotRun, retry: true, status: 503, meaning: "Places are short, and first tries of other callers go before this later one." },
+    Row { code: Code::LaterTry, number: 117, name: "LaterTry", ran: Ran::NotRun, retry: true, status: 503, meaning: "The sidecars that were asked gave this later try no place. Where places are short, first tries of other callers go before." },
     Row { code: Code::CutShort, number: 200, name: "CutShort", ran: Ran::Unknown, retry: false, status: 502, meaning: "The upstream's reply ended before it was whole." },
     Row { code: Code::TimedOut, number: 201, name: "TimedOut", ran: Ran::Unknown, retry: false, status: 504, meaning: "The upstream did not answer in time." },
     Row { code: Code::UpstreamFailed, number: 202, name: "UpstreamFailed", ran: Ran::Unknown, retry: false, status: 502, meaning: "The upstream answered with an error of its own." },
