Shortage: what is past is forgotten

The shortages of a gateway were kept for each pair of service and homes that a configuration ever held. One that is past counts like none: the next refusal begins anew and the time is calm.

--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -491,6 +491,8 @@
     }
 
     fn look_around(&mut self, now: Millis) {
+        // Homes come and go with configurations; what is past would stay for each of them.
+        self.shortages.retain(|_, it| !it.is_past(now));
         if self.members.wants_reach(now) {
             let reach = self.reach(now);
             self.members.note_reach(now, reach);
