--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -88,7 +88,8 @@
 
     /// Why it is refused, while the runners that it may go to stand so.
     fn refusal(&self, outlook: Outlook) -> Code {
-        let for_want_of_place = matches!(self.reason, Code::Overloaded | Code::Withdrawn);
+        let for_want_of_place =
+            matches!(self.reason, Code::Overloaded | Code::Withdrawn | Code::LaterTry);
         let is_missing = match outlook {
             Outlook::NotServing => true,
             // One that serves and is paused for a moment is full.
@@ -438,7 +439,7 @@
         };
         let wait = if progress.may_have_run && resumes_patiently { RESUME_WAIT } else { 0 };
         progress.wait_until = progress.wait_until.max(now.plus(wait)).min(progress.arrival.limit);
-        let place = Place { priority: 0, is_later: progress.is_later, key };
+        let place = Place { priority: 0, is_later: progress.stands_behind(), key };
         self.queue.insert(place);
         if matches!(outcome, AttemptOutcome::Denied { .. }) {
             return Vec::new();
@@ -497,6 +498,8 @@
     }
 
     fn look_around(&mut self, now: Millis) {
+        // Homes come and go with configurations; what is past would stay for each of them.
+        self.shortages.retain(|_, it| !it.is_past(now));
         if self.members.wants_reach(now) {
             let reach = self.reach(now);
             self.members.note_reach(now, reach);
--- a/components/gateway/tests/later_tries.rs
+++ b/components/gateway/tests/later_tries.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use errors::Code;
+use fleet::HomeRegions;
 use gateway::*;
 use support::*;
 
@@ -78,7 +80,7 @@
     let Some(NextStep::Refuse { code, .. }) = step else {
         panic!("expected a refusal, got {step:?}");
     };
-    assert_eq!((code, questions), (errors::Code::LaterTry, 4));
+    assert_eq!((code, questions), (Code::LaterTry, 4));
 }
 
 #[test]
@@ -90,3 +92,84 @@
     let target = target_of(bed.outcome(100, AttemptOutcome::Lost));
     assert_eq!((target.rank, target.left_ms), (0, 1));
 }
+
+#[test]
+fn a_stream_that_goes_on_is_not_pushed_behind_first_tries_though_it_is_a_later_try() {
+    let mut bed = bed();
+    bed.list("r2", MODEL_SERVICE, 2);
+    let lost_at = sent_to(bed.arrive(try_of(100, 3700)));
+    bed.arrive(try_of(101, 5500));
+    for _ in 0..2 {
+        bed.outcome(101, AttemptOutcome::Denied { again_ms: 60 });
+    }
+    assert_eq!(bed.outcome(100, AttemptOutcome::Lost), None, "both runners are left alone");
+    bed.feed(Event::Unlisted(lost_at));
+    bed.now += 65;
+    let sent: Vec<u64> = bed
+        .feed(Event::Tick)
+        .iter()
+        .filter_map(|it| match it {
+            Effect::Proceed(key, NextStep::Send(_)) => Some(key.0),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(sent, [100, 101]);
+}
+
+#[test]
+fn a_later_try_whose_homes_are_emptied_is_told_so() {
+    let mut bed = bed();
+    let south = RunnerRecord { hall: "b".into(), ..record("s", MODEL_SERVICE, 9) };
+    bed.feed(Event::Listed(south));
+    bed.feed(bound(2, &HomeRegions::only(["north".into()])));
+    bed.arrive(try_of(100, 3700));
+    for _ in 0..3 {
+        bed.outcome(100, AttemptOutcome::Denied { again_ms: 5 });
+        bed.pass(6);
+    }
+    bed.feed(Event::Unlisted("r1".into()));
+    let step = bed.outcome(100, AttemptOutcome::Denied { again_ms: 5 });
+    let Some(NextStep::Refuse { code, .. }) = step else {
+        panic!("expected a refusal, got {step:?}");
+    };
+    assert_eq!(code, Code::NoHome);
+}
+
+/// One caller that waits for days made every first try after it look like a later one.
+#[test]
+fn a_gateway_that_starts_in_a_shortage_is_not_misled_by_one_long_deadline() {
+    let mut bed = Bed::new();
+    bed.arrive(try_of(1, u64::MAX));
+    bed.pass(100);
+    bed.list("r1", MODEL_SERVICE, 1);
+    for key in 100..140 {
+        assert_eq!(left_of(&mut bed, key, 5000 + key * 371 % 1000), 400, "{key}");
+        bed.feed(Event::Gone(RequestKey(key)));
+    }
+    assert_eq!(left_of(&mut bed, 200, 3700), 0);
+}
+
+#[test]
+fn a_deadline_of_zero_does_not_keep_later_tries_unknown_for_good() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    for key in 0..1000 {
+        let deadline_ms = if key == 0 { 0 } else { 5000 + key * 371 % 1000 };
+        bed.arrive(try_of(key, deadline_ms));
+        bed.feed(Event::Gone(RequestKey(key)));
+    }
+    assert_eq!(left_of(&mut bed, 2000, 3700), 0);
+}
+
+/// Sidecars keep one place in twenty-one for those who stand behind: one caller in seven would be served far less.
+#[test]
+fn nobody_stands_behind_where_one_caller_in_seven_has_a_short_deadline() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    for key in 0..300 {
+        let short = if key % 7 == 0 { 2 } else { 1 };
+        bed.arrive(try_of(key, (5000 + key * 371 % 1000) / short));
+        bed.feed(Event::Gone(RequestKey(key)));
+    }
+    assert_eq!(left_of(&mut bed, 400, 2700), 400);
+}
