--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -1,5 +1,6 @@
 //! The reducer of a gateway.
 
+mod attempts;
 mod cold;
 mod queue;
 
@@ -20,7 +21,7 @@
 use crate::choice::{Chooser, Outlook};
 use crate::cold::ColdGates;
 use crate::comeback::Shortage;
-use crate::event::{Arrival, AttemptOutcome, Effect, Event, GatewayOptions, Reach, RequestKey};
+use crate::event::{Arrival, Effect, Event, GatewayOptions, Reach, RequestKey};
 use crate::home_faults::{self, HomeFault};
 use crate::home_room::HomeRoom;
 use crate::members::Members;
@@ -31,12 +32,6 @@
 /// The part of its aim that a request may wait for a place: an earlier refusal leaves the caller
 /// time to come back.
 const WAIT_SHARE: f64 = 0.22;
-/// How long a request that may have run already waits for another place, in milliseconds.
-const RESUME_WAIT: u64 = 600;
-/// How long a runner whose sidecar had no place is left alone at most, in milliseconds.
-const MAX_DENIED_PAUSE: u64 = 500;
-/// How long a runner that said it is full is left alone, in milliseconds.
-const FULL_PAUSE: u64 = 60;
 /// The age up to which a report shows that its sidecar is heard, in milliseconds: sidecars of other halls report every
 /// 420 ms.
 const REACH_AGE: u64 = 2000;
@@ -327,126 +322,6 @@
         self.dispatch(now, random)
     }
 
-    fn take_outcome(
-        &mut self,
-        now: Millis,
-        random: &mut SmallRng,
-        key: RequestKey,
-        outcome: AttemptOutcome,
-    ) -> Vec<Effect> {
-        let Some(progress) = self.requests.get_mut(&key) else {
-            return Vec::new();
-        };
-        let Some(id) = progress.current.clone() else {
-            return Vec::new();
-        };
-        if outcome == AttemptOutcome::Answered {
-            progress.may_have_run = true;
-            progress.answered = true;
-            let took = now.since(progress.sent_at);
-            self.pool.note_answered(&id);
-            self.note_wait(now, &id, took);
-            return Vec::new();
-        }
-        progress.current = None;
-        let unsent = [AttemptOutcome::Silent, AttemptOutcome::Expired, AttemptOutcome::Withdrawn];
-        if matches!(outcome, AttemptOutcome::Denied { .. }) || unsent.contains(&outcome) {
-            // Nothing was sent: this was not one of the attempts that the route allows.
-            progress.tried.retain(|it| it != &id);
-        }
-        let waited = now.since(progress.sent_at);
-        let answered = std::mem::take(&mut progress.answered);
-        progress.may_have_run |= !outcome.is_not_run();
-        progress.was_denied = matches!(outcome, AttemptOutcome::Denied { .. });
-        progress.reason = outcome.code();
-        if outcome == AttemptOutcome::Lost && !answered {
-            self.note_wait(now, &id, waited);
-        }
-        self.judge(now, &id, outcome);
-        if outcome == AttemptOutcome::Finished {
-            self.requests.remove(&key);
-            return self.dispatch(now, random);
-        }
-        let mut effects = self.try_again(now, random, key, outcome);
-        effects.extend(self.dispatch(now, random));
-        effects
-    }
-
-    /// Notes that a runner let a request wait for so long.
-    fn note_wait(&mut self, now: Millis, id: &InstanceId, waited: Millis) {
-        if let Some(runner) = self.pool.runner_mut(id) {
-            runner.note_first(now, waited);
-        }
-    }
-
-    /// Notes at the runner how an attempt ended.
-    fn judge(&mut self, now: Millis, id: &InstanceId, outcome: AttemptOutcome) {
-        let suspects = self.keeps(Mechanism::Suspicion);
-        let Some(runner) = self.pool.runner_mut(id) else {
-            return;
-        };
-        runner.in_flight = runner.in_flight.saturating_sub(1);
-        match outcome {
-            AttemptOutcome::Answered | AttemptOutcome::Finished => runner.reward(),
-            AttemptOutcome::Full => runner.note_full(now, FULL_PAUSE),
-            AttemptOutcome::Denied { again_ms } => {
-                runner.note_full(now, again_ms.min(MAX_DENIED_PAUSE));
-            }
-            AttemptOutcome::Misdirected => runner.misdirected = true,
-            AttemptOutcome::NotSent
-            | AttemptOutcome::Silent
-            | AttemptOutcome::Lost
-            | AttemptOutcome::Cut => {
-                if suspects {
-                    runner.punish(now);
-                }
-            }
-            AttemptOutcome::Failed | AttemptOutcome::Expired | AttemptOutcome::Withdrawn => {}
-        }
-        if outcome.was_answered() {
-            self.pool.note_answered(id);
-        } else if suspects && matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Silent) {
-            self.pool.note_unanswered(now, id);
-        }
-    }
-
-    /// Queues a request for another attempt, or ends it.
-    fn try_again(
-        &mut self,
-        now: Millis,
-        random: &mut SmallRng,
-        key: RequestKey,
-        outcome: AttemptOutcome,
-    ) -> Vec<Effect> {
-        let Some(progress) = self.requests.get(&key) else {
-            return Vec::new();
-        };
-        let arrival = &progress.arrival;
-        let allowed = !progress.may_have_run || arrival.kind.is_repeatable();
-        let left = (progress.tried.len() as u32) < arrival.attempts.max(1);
-        let service = arrival.service.clone();
-        // An attempt that never reached a runner is no arrival there, so it costs no repeat.
-        let free = !outcome.has_arrived();
-        if !allowed || !left || now >= arrival.limit {
-            return self.finish_without_answer(now, random, key);
-        }
-        if !free && !self.take_repeat(now, &service) {
-            return self.finish_without_answer(now, random, key);
-        }
-        let resumes_patiently = self.keeps(Mechanism::ResumeWait);
-        let Some(progress) = self.requests.get_mut(&key) else {
-            return Vec::new();
-        };
-        let wait = if progress.may_have_run && resumes_patiently { RESUME_WAIT } else { 0 };
-        progress.wait_until = progress.wait_until.max(now.plus(wait)).min(progress.arrival.limit);
-        let place = Place { priority: 0, is_later: progress.stands_behind(), key };
-        self.queue.insert(place);
-        if matches!(outcome, AttemptOutcome::Denied { .. }) {
-            return Vec::new();
-        }
-        vec![Effect::CountRetry(outcome.code())]
-    }
-
     fn end(&mut self, now: Millis, random: &mut SmallRng, key: RequestKey) -> Vec<Effect> {
         let Some(progress) = self.requests.remove(&key) else {
             return Vec::new();
--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -240,7 +240,7 @@
     HALL_NAMES[hall % HALLS].1
 }
 
-/// Gives routes and tenants homes, a route that is always bound, and runners that start cold.
+/// Gives routes and workspaces homes, a route that is always bound, and runners that start cold.
 fn add_terms(configuration: &mut Value) {
     let mut bound = configuration["routes"][1].clone();
     bound["name"] = json!("bound");
