Sight: a request's tries are found by its digest, failed attempts are counted

Cause of the change: no line and no figure told that two tries are the same request, for each has another id, so a request that ends runners could not be told from requests that are victims of runners that end for another reason. Change: the line of a request's arrival and explain name a digest of its method, path, workspace and body, equal at every gateway; attempts without an answer are counted by code. Decides nothing. Test: tries at two gateways have the same digest in their logs, another path has another one.

--- a/components/account/src/account.rs
+++ b/components/account/src/account.rs
@@ -122,8 +122,9 @@
 
 fn words(decision: &Decision) -> String {
     match decision {
-        Decision::Routed { route, service, configuration, kind, held_ms } => format!(
-            "route {route} ({kind}) to {service}, configuration {configuration}, held {held_ms} ms at most"
+        Decision::Routed { route, service, configuration, kind, held_ms, digest } => format!(
+            "route {route} ({kind}) to {service}, configuration {configuration}, held {held_ms} ms at most, \
+             digest {digest}"
         ),
         Decision::Unrouted { configuration, age_ms } => {
             let age = age_ms.map_or("never".into(), |age| format!("{age} ms ago"));
--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -18,6 +18,9 @@
         kind: String,
         /// How long it may be held, in milliseconds.
         held_ms: u64,
+        /// What the request is made of, the same for each try of its caller. Empty in older lines.
+        #[serde(default)]
+        digest: String,
     },
     /// The configuration names no route for it, or not the key.
     Unrouted {
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use bytes::Bytes;
 use errors::Code;
-use fleet::{HomeRegions, Millis, ModelName, ServiceName, WorkspaceId};
+use fleet::{HomeRegions, Millis, ModelName, RequestDigest, ServiceName, WorkspaceId};
 use futures_lite::future;
 use gateway::{Arrival, Catalog, NextStep, RouteKind, Standing};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -122,6 +122,9 @@
             return own_answer(status, id.as_deref(), code);
         }
     };
+    let body = body.to_bytes();
+    let path = head.uri.path_and_query().map_or("", |it| it.as_str());
+    let digest = RequestDigest::of(head.method.as_str(), path, routed.workspace.as_ref(), &body);
     let held = routed.timeout_ms.min(facts.deadline_ms.unwrap_or(DEFAULT_DEADLINE));
     trace.set_kind(kind_name(routed.kind));
     trace.note(Decision::Routed {
@@ -130,13 +133,14 @@
         configuration: catalog.version,
         kind: kind_name(routed.kind).into(),
         held_ms: held,
+        digest: digest.to_string(),
     });
     let job = Job {
         trace,
         method: head.method,
         uri: head.uri,
         headers: head.headers,
-        body: body.to_bytes(),
+        body,
         kind: routed.kind,
         prompt_tokens: routed.prompt_tokens,
         workspace: routed.workspace,
--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -122,6 +122,7 @@
             return;
         }
         let code = outcome.code();
+        self.core.metrics.count_failed_attempt(code);
         self.note(Decision::Failed {
             runner,
             code: code.number(),
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 mod bitmap;
 mod bucket;
 mod configuration;
+mod digest;
 mod evacuation;
 mod homes;
 mod id;
@@ -20,6 +21,7 @@
 pub use configuration::{
     Change, ChangeRecord, Configuration, Deployment, Placement, Release, Role,
 };
+pub use digest::RequestDigest;
 pub use evacuation::{Evacuation, EvacuationChange, EvacuationList, Evacuations};
 pub use homes::HomeRegions;
 pub use id::{
--- /dev/null
+++ b/components/fleet/tests/digest.rs
@@ -0,0 +1,32 @@
+//! Which requests count as the same.
+
+use fleet::{RequestDigest, WorkspaceId};
+
+fn digest(method: &str, path: &str, workspace: &str, body: &[u8]) -> RequestDigest {
+    RequestDigest::of(method, path, Some(&WorkspaceId::from(workspace)), body)
+}
+
+#[test]
+fn a_request_that_comes_again_has_the_same_digest() {
+    assert_eq!(digest("POST", "/a/b?c", "w", b"body"), digest("POST", "/a/b?c", "w", b"body"));
+}
+
+#[test]
+fn the_digest_is_the_same_in_every_build() {
+    assert_eq!(digest("POST", "/a/b?c", "w", b"body").to_string(), "83de13c29da3f60f");
+}
+
+#[test]
+fn every_part_of_a_request_tells_it_apart() {
+    let request = digest("POST", "/a", "w", b"body");
+    assert_ne!(request, digest("PUT", "/a", "w", b"body"));
+    assert_ne!(request, digest("POST", "/b", "w", b"body"));
+    assert_ne!(request, digest("POST", "/a", "v", b"body"));
+    assert_ne!(request, digest("POST", "/a", "w", b"other"));
+    assert_ne!(request, RequestDigest::of("POST", "/a", None, b"body"));
+}
+
+#[test]
+fn parts_that_run_together_are_told_apart() {
+    assert_ne!(digest("POST", "/ab", "c", b""), digest("POST", "/a", "bc", b""));
+}
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -48,6 +48,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    failed_attempts: Counter<u64>,
     chunks: Counter<u64>,
     control_bytes: Counter<u64>,
     platform_calls: Counter<u64>,
@@ -84,6 +85,10 @@
                     "Requests sent again, by the name of the code of the failure before",
                 )
                 .build(),
+            failed_attempts: meter
+                .u64_counter("silverdock_failed_attempts")
+                .with_description("Attempts that did not end in an answer, by the name of a code")
+                .build(),
             chunks: meter
                 .u64_counter("silverdock_chunks")
                 .with_description("Chunks, by what became of them")
@@ -139,6 +144,11 @@
         self.retries.add(1, &[KeyValue::new("reason", code.name())]);
     }
 
+    /// Counts an attempt that was sent, or could not be, and did not end in an answer, by its code.
+    pub fn count_failed_attempt(&self, code: Code) {
+        self.failed_attempts.add(1, &[KeyValue::new("reason", code.name())]);
+    }
+
     /// Counts a chunk, by what became of it: `origin`, `peer`, `sent` or the name of a code.
     pub fn count_chunk(&self, outcome: &'static str) {
         self.chunks.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/daemon/tests/deployment/logs.rs
+++ b/daemon/tests/deployment/logs.rs
@@ -135,3 +135,29 @@
         assert!(page.contains(part), "{part} is missing from\n{page}");
     }
 }
+
+#[test]
+fn tries_of_the_same_request_are_found_by_their_digest_at_every_gateway() {
+    let mut deployment = Deployment::start();
+    let gateways = [deployment.add_gateway(), deployment.add_gateway()];
+    for gateway in gateways {
+        deployment.wait_until_ready(gateway);
+    }
+    for machine in [1, 2] {
+        let runner = SocketAddr::new(neighbour(gateways[0], machine), 8001);
+        deployment.standin.change_runner(runner, |it| it.fault = RunnerFault::AnswerLost);
+    }
+    let digest = |path: &str, id: &str, gateway: SocketAddr| {
+        Caller::new(Method::POST, path, id).call(gateway);
+        let account = deployment.account(id);
+        let digests = account.lines.iter().filter_map(|it| match &it.decision {
+            Decision::Routed { digest, .. } => Some(digest.clone()),
+            _ => None,
+        });
+        digests.last().expect("a line of its arrival")
+    };
+    let first = digest("/post/x", "try-1", gateways[0]);
+    assert!(!first.is_empty());
+    assert_eq!(digest("/post/x", "try-2", gateways[1]), first);
+    assert_ne!(digest("/post/y", "try-3", gateways[1]), first);
+}
