--- a/daemon/tests/deployment/support.rs
+++ b/daemon/tests/deployment/support.rs
@@ -81,6 +81,19 @@
         SocketAddr::new(machine, CALLERS_PORT)
     }
 
+    /// Kills processes at the same moment and starts them again.
+    pub fn lose_power(&mut self, machines: &[IpAddr]) {
+        for machine in machines {
+            self.signal(*machine, rustix::process::Signal::KILL);
+        }
+        for machine in machines {
+            self.wait_for_end(*machine);
+        }
+        for machine in machines {
+            self.run(*machine);
+        }
+    }
+
     /// Starts the process of a machine again after it ended.
     pub fn restart_gateway(&mut self, gateway: SocketAddr) {
         self.spawn(gateway.ip(), &gateway_section(gateway.ip()));
@@ -98,6 +111,12 @@
              repeat_allowance = 200\n"
         );
         std::fs::write(&path, text).unwrap();
+        self.run(machine);
+    }
+
+    /// Runs the process of a machine by its settings file.
+    fn run(&mut self, machine: IpAddr) {
+        let path = self.files.join(format!("{machine}.ini"));
         let log = std::fs::File::create(self.files.join(format!("{machine}.log"))).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_silverdockd"))
             .arg(&path)
