Quarantine: a component of its own

Moves only; the one change is that who may try a request once more is asked by a closure instead of the gateways' membership. All tests of the parts pass as before.

--- a/components/edge/src/crash_log.rs
+++ b/components/edge/src/crash_log.rs
@@ -1,7 +1,6 @@
 //! Logs and counts what is known of requests that runners crash under. As warnings: the log keeps room for them.
 
-use fleet::CrashChange;
-use gateway::CrashNews;
+use quarantine::{CrashChange, CrashNews};
 use telemetry::Metrics;
 
 /// Logs and counts what a gateway has found or heard.
--- a/components/edge/src/gateway/core.rs
+++ b/components/edge/src/gateway/core.rs
@@ -6,9 +6,8 @@
 use std::sync::Arc;
 
 use async_channel::{Receiver, Sender};
-use gateway::{
-    Arrival, Catalog, CrashNews, Effect, Event, Gateway, GatewayOptions, NextStep, RequestKey,
-};
+use gateway::{Arrival, Catalog, Effect, Event, Gateway, GatewayOptions, NextStep, RequestKey};
+use quarantine::CrashNews;
 use telemetry::Metrics;
 
 use super::home_log;
--- a/components/edge/src/gateway/quarantine.rs
+++ b/components/edge/src/gateway/quarantine.rs
@@ -7,8 +7,9 @@
 
 use async_channel::Receiver;
 use errors::Result;
-use gateway::{CrashNews, Event, QuarantineAnswer, QuarantineCall, QuarantineRecord};
-use platform::quarantine;
+use gateway::Event;
+use platform::quarantine as rows;
+use quarantine::{CrashNews, QuarantineAnswer, QuarantineCall, QuarantineRecord};
 
 use super::core::Core;
 use crate::exchange::within;
@@ -67,8 +68,8 @@
 }
 
 async fn ask(link: &mut Link, call: &QuarantineCall) -> Result<QuarantineAnswer> {
-    let answer = link.call(quarantine::call(call)?, CALL_TIMEOUT).await?;
-    quarantine::read(call, answer.status, &answer.body)
+    let answer = link.call(rows::call(call)?, CALL_TIMEOUT).await?;
+    rows::read(call, answer.status, &answer.body)
 }
 
 /// Logs what became of a call.
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -7,13 +7,14 @@
 use async_io::Timer;
 use bytes::Bytes;
 use errors::Code;
-use fleet::{HomeRegions, Millis, ModelName, RequestDigest, ServiceName, WorkspaceId};
+use fleet::{HomeRegions, Millis, ModelName, ServiceName, WorkspaceId};
 use futures_lite::future;
 use gateway::{Arrival, Catalog, NextStep, RouteKind, Standing};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform::headers::{self, RequestFacts};
+use quarantine::RequestDigest;
 use telemetry::Span;
 
 use super::answer::{own_answer, refusal, AnswerBody};
--- a/components/edge/src/gateway/sidecars.rs
+++ b/components/edge/src/gateway/sidecars.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use fleet::{CrashList, EvacuationList, Hall, NamedVersion};
+use fleet::{EvacuationList, Hall, NamedVersion};
 use gateway::{Event, Sureness};
+use quarantine::CrashList;
 use rand::seq::IteratorRandom;
 
 use super::core::Core;
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -3,11 +3,10 @@
 use std::net::{IpAddr, SocketAddr};
 
 use errors::{Code, Error, Result};
-use fleet::{
-    Bitmap, CrashList, EvacuationList, Hall, InstanceId, Manifest, NamedVersion, Place, ServiceName,
-};
+use fleet::{Bitmap, EvacuationList, Hall, InstanceId, Manifest, NamedVersion, Place, ServiceName};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use gateway::{Catalog, GatewayList, RunnerLoad, Service};
+use quarantine::CrashList;
 use rollout::{ColdPlan, WeightsPlan};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
--- a/components/edge/src/message/tests.rs
+++ b/components/edge/src/message/tests.rs
@@ -1,7 +1,8 @@
 //! Sizes of messages.
 
-use fleet::{CrashLedger, Evacuation, LifeDigest, Millis, RequestDigest, Told};
+use fleet::{Evacuation, Millis};
 use gateway::{GatewayList, HeardGateway};
+use quarantine::{CrashLedger, LifeDigest, RequestDigest, Told};
 
 use super::*;
 
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -7,11 +7,9 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use fleet::{
-    Bitmap, CrashLedger, CrashList, EvacuationList, InstanceId, Millis, ModelName, NamedVersion,
-    Place, Told,
-};
+use fleet::{Bitmap, EvacuationList, InstanceId, Millis, ModelName, NamedVersion, Place};
 use gateway::{GatewaysHeard, RunnerLoad};
+use quarantine::{CrashLedger, CrashList, Told};
 use rollout::{Effect, Event, Rollout, RolloutOptions};
 use settings::SidecarSettings;
 use telemetry::Metrics;
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -10,8 +10,8 @@
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
 use errors::{Code, Error};
-use fleet::Told;
 use net::{write_paced, Pacer};
+use quarantine::Told;
 use rollout::{Denial, Event, Question, Verdict};
 
 use super::core::{Core, Subscription};
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -7,9 +7,10 @@
 use async_io::Timer;
 use bytes::Bytes;
 use errors::{Code, Error, Result};
-use fleet::{Bitmap, ModelName, Told};
+use fleet::{Bitmap, ModelName};
 use gateway::RunnerLoad;
 use platform::{runner, weights};
+use quarantine::Told;
 use rollout::{Audience, Event, OrderOutcome, Reports};
 
 use super::core::Core;
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -4,8 +4,6 @@
 mod bitmap;
 mod bucket;
 mod configuration;
-mod crashes;
-mod digest;
 mod evacuation;
 mod homes;
 mod id;
@@ -22,10 +20,6 @@
 pub use configuration::{
     Change, ChangeRecord, Configuration, Deployment, Placement, Release, Role,
 };
-pub use crashes::{
-    CrashChange, CrashLedger, CrashList, LifeDigest, Told, ToldCrash, ToldRequest, Verdict,
-};
-pub use digest::RequestDigest;
 pub use evacuation::{Evacuation, EvacuationChange, EvacuationList, Evacuations};
 pub use homes::HomeRegions;
 pub use id::{
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -6,12 +6,12 @@
 
 use errors::Code;
 use fleet::{
-    Ablation, CrashList, EvacuationChange, EvacuationList, Hall, HomeRegions, InstanceId, Millis,
-    ModelName, NamedVersion, Region, RequestDigest, ServiceName, WorkspaceId,
+    Ablation, EvacuationChange, EvacuationList, Hall, HomeRegions, InstanceId, Millis, ModelName,
+    NamedVersion, Region, ServiceName, WorkspaceId,
 };
+use quarantine::{CrashList, CrashNews, RequestDigest};
 
 use crate::catalog::{Catalog, RouteKind};
-use crate::crashes::CrashNews;
 use crate::home_faults::HomeFault;
 use crate::members::GatewayList;
 use crate::runner::{RunnerLoad, RunnerRecord};
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -9,13 +9,11 @@
 mod choice;
 mod cold;
 mod comeback;
-mod crashes;
 mod event;
 mod home_faults;
 mod home_room;
 mod members;
 mod pool;
-mod quarantine;
 mod record;
 mod reducer;
 mod runner;
@@ -29,7 +27,6 @@
     Workspace,
 };
 pub use cold::{ColdGates, ColdShare};
-pub use crashes::CrashNews;
 pub use event::{
     Arrival, AttemptOutcome, ColdBounds, Effect, Event, GatewayOptions, NextStep, RequestKey,
     RunnerTarget, Seen, Standing,
@@ -37,7 +34,6 @@
 pub use home_faults::HomeFault;
 pub use members::{GatewayList, GatewaysHeard, HeardGateway, Members, Sureness};
 pub use pool::Pool;
-pub use quarantine::{QuarantineAnswer, QuarantineCall, QuarantineRecord};
 pub use record::{FirstHeard, RecordAnswer, RecordCall, RecordRow, VersionRecord};
 pub use reducer::Gateway;
 pub use runner::{Runner, RunnerLoad, RunnerRecord, RunnerState, WeightsHeld};
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -13,6 +13,7 @@
     EvacuationChange, EvacuationList, Hall, InstanceId, Mechanism, Millis, NamedVersion,
     ServiceName,
 };
+use quarantine::Crashes;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
@@ -22,7 +23,6 @@
 use crate::choice::{Chooser, Outlook};
 use crate::cold::ColdGates;
 use crate::comeback::Shortage;
-use crate::crashes::Crashes;
 use crate::event::{Arrival, Effect, Event, GatewayOptions, Reach, RequestKey};
 use crate::home_faults::{self, HomeFault};
 use crate::home_room::HomeRoom;
@@ -116,7 +116,7 @@
     home_faults: Vec<HomeFault>,
     home_room: HomeRoom,
     usual_deadlines: UsualDeadlines,
-    crashes: Crashes,
+    crashes: Crashes<RequestKey>,
     requests: BTreeMap<RequestKey, Progress>,
     queue: BTreeSet<Place>,
 }
--- a/components/gateway/src/reducer/crashes.rs
+++ b/components/gateway/src/reducer/crashes.rs
@@ -1,11 +1,11 @@
 //! Requests that runners crash under: what is noted of them, and which are refused.
 
 use errors::Code;
-use fleet::{CrashList, InstanceId, LifeDigest, Millis, RequestDigest, Told};
+use fleet::{InstanceId, Millis};
+use quarantine::{Admission, CrashList, CrashNews, Crashes, LifeDigest, RequestDigest, Sign, Told};
 use rand::rngs::SmallRng;
 
 use super::{Gateway, Progress};
-use crate::crashes::{Admission, CrashNews, Crashes, Sign};
 use crate::event::{Arrival, AttemptOutcome, Effect, NextStep, RequestKey};
 
 fn effects(news: impl IntoIterator<Item = CrashNews>) -> Vec<Effect> {
@@ -19,7 +19,10 @@
         now: Millis,
         arrival: &Arrival,
     ) -> Option<Vec<Effect>> {
-        let admission = self.crashes.admit(now, arrival.key, arrival.digest, &self.members);
+        let (digest, members) = (arrival.digest, &self.members);
+        // One gateway is responsible, so that a request that is tried again ends one runner and not one for each.
+        let may_try = || members.responsible(now, &digest.to_string(), 1).is_some();
+        let admission = self.crashes.admit(now, arrival.key, digest, may_try);
         let Admission::Barred { retry_after_ms } = admission else {
             return None;
         };
@@ -30,7 +33,7 @@
 
     /// Whether a request that was admitted is not sent on.
     pub(super) fn is_barred(
-        crashes: &Crashes,
+        crashes: &Crashes<RequestKey>,
         now: Millis,
         key: RequestKey,
         progress: &Progress,
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -5,12 +5,12 @@
 
 use errors::Code;
 use fleet::{Mechanism, Millis};
+use quarantine::Admission;
 use rand::rngs::SmallRng;
 use rand::Rng;
 
 use super::{Gateway, Progress};
 use crate::choice::Outlook;
-use crate::crashes::Admission;
 use crate::event::{Effect, NextStep, Reach, RequestKey, RunnerTarget};
 
 /// When callers are asked to come back where the shortage is not looked at, in milliseconds. For
--- a/components/gateway/tests/crashes.rs
+++ b/components/gateway/tests/crashes.rs
@@ -5,8 +5,9 @@
 use std::collections::BTreeSet;
 
 use errors::Code;
-use fleet::{CrashChange, LifeDigest, Millis, RequestDigest};
+use fleet::Millis;
 use gateway::*;
+use quarantine::*;
 use support::*;
 
 const REQUEST: RequestDigest = RequestDigest(77);
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -4,10 +4,9 @@
 
 use std::sync::Arc;
 
-use fleet::{
-    Ablation, HomeRegions, InstanceId, Millis, ModelName, NamedVersion, RequestDigest, ServiceName,
-};
+use fleet::{Ablation, HomeRegions, InstanceId, Millis, ModelName, NamedVersion, ServiceName};
 use gateway::*;
+use quarantine::RequestDigest;
 
 /// The model service of the tests.
 pub const MODEL_SERVICE: &str = "assistant";
--- a/components/gateway/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -1,16 +1,14 @@
 //! Whether runners crash under a request, and what that makes of it.
 //!
 //! An attempt that breaks off is a suspicion against the request as well as against the runner. It becomes a crash where
-//! the runner shows no sign of life afterwards. See `fleet::CrashLedger` for how gateways add these up.
+//! the runner shows no sign of life afterwards. See `CrashLedger` for how gateways add these up.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use fleet::{
-    CrashChange, CrashLedger, CrashList, InstanceId, LifeDigest, Millis, RequestDigest, Verdict,
-};
+use fleet::{InstanceId, Millis};
 
-use crate::event::RequestKey;
-use crate::members::Members;
+use crate::digest::RequestDigest;
+use crate::ledger::{CrashChange, CrashLedger, CrashList, LifeDigest, Verdict};
 
 /// How long a runner has to show that it lives, in milliseconds: sidecars of other halls report every 420 ms.
 const CONFIRM_AFTER: u64 = 600;
@@ -23,7 +21,7 @@
 
 /// What is seen of the life of a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Sign {
+pub enum Sign {
     /// It is listed, and was last heard of then.
     Heard(Millis),
     /// It is listed no more, or has started anew.
@@ -62,25 +60,38 @@
 
 /// What becomes of a request by what is known of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Admission {
+pub enum Admission {
     /// It may be sent. A suspect is kept apart from others.
-    Admitted { is_suspect: bool },
+    Admitted {
+        /// Whether runners crashed under it.
+        is_suspect: bool,
+    },
     /// It is refused.
-    Barred { retry_after_ms: u64 },
+    Barred {
+        /// When its caller may come back, in milliseconds.
+        retry_after_ms: u64,
+    },
 }
 
-/// The requests that runners crashed under, as a gateway knows them.
-#[derive(Debug, Default)]
-pub(crate) struct Crashes {
-    pub(crate) ledger: CrashLedger,
+/// The requests that runners crashed under, as one who sends requests knows them. `K` is the key of a request there.
+#[derive(Debug)]
+pub struct Crashes<K> {
+    /// What is known of requests.
+    pub ledger: CrashLedger,
     open: Vec<Suspicion>,
     /// Requests in quarantine that are tried once more here now.
-    trials: BTreeMap<RequestDigest, RequestKey>,
+    trials: BTreeMap<RequestDigest, K>,
+}
+
+impl<K> Default for Crashes<K> {
+    fn default() -> Self {
+        Self { ledger: CrashLedger::default(), open: Vec::new(), trials: BTreeMap::new() }
+    }
 }
 
-impl Crashes {
+impl<K: Copy + PartialEq> Crashes<K> {
     /// An attempt that may have run broke off.
-    pub(crate) fn suspect(
+    pub fn suspect(
         &mut self,
         now: Millis,
         digest: RequestDigest,
@@ -91,7 +102,7 @@
     }
 
     /// Decides on suspicions by what was seen of their runners meanwhile.
-    pub(crate) fn settle(
+    pub fn settle(
         &mut self,
         now: Millis,
         sign: impl Fn(&InstanceId, LifeDigest) -> Sign,
@@ -118,30 +129,31 @@
     }
 
     /// A request ended well.
-    pub(crate) fn note_success(&mut self, now: Millis, digest: RequestDigest) -> Option<CrashNews> {
+    pub fn note_success(&mut self, now: Millis, digest: RequestDigest) -> Option<CrashNews> {
         self.open.retain(|it| it.digest != digest);
         let change = self.ledger.note_success(now, digest)?;
         Some(CrashNews::Changed { change, is_own: true })
     }
 
     /// Takes in what a sidecar or the platform's store tells.
-    pub(crate) fn take(&mut self, now: Millis, list: &CrashList) -> Vec<CrashNews> {
+    pub fn take(&mut self, now: Millis, list: &CrashList) -> Vec<CrashNews> {
         let changes = self.ledger.take(now, list);
         changes.into_iter().map(|change| CrashNews::Changed { change, is_own: false }).collect()
     }
 
-    /// Whether a request that arrives may be sent.
-    pub(crate) fn admit(
+    /// Whether a request that arrives may be sent. `may_try` tells whether it is up to this process to try a request in
+    /// quarantine once more.
+    pub fn admit(
         &mut self,
         now: Millis,
-        key: RequestKey,
+        key: K,
         digest: RequestDigest,
-        members: &Members,
+        may_try: impl Fn() -> bool,
     ) -> Admission {
         self.ledger.ask(now, digest);
         let admission = self.admission(now, digest);
         let is_due = self.is_trial_due(now, digest) && !self.trials.contains_key(&digest);
-        if is_due && members.responsible(now, &digest.to_string(), 1).is_some() {
+        if is_due && may_try() {
             self.trials.insert(digest, key);
             return Admission::Admitted { is_suspect: true };
         }
@@ -149,7 +161,7 @@
     }
 
     /// Whether a request that was admitted may still be sent.
-    pub(crate) fn admits(&self, now: Millis, key: RequestKey, digest: RequestDigest) -> Admission {
+    pub fn admits(&self, now: Millis, key: K, digest: RequestDigest) -> Admission {
         let is_trial = self.trials.get(&digest) == Some(&key);
         match self.admission(now, digest) {
             // Its attempt has broken off as well: no second one.
@@ -160,7 +172,7 @@
     }
 
     /// A request has ended.
-    pub(crate) fn end(&mut self, key: RequestKey, digest: RequestDigest) {
+    pub fn end(&mut self, key: K, digest: RequestDigest) {
         if self.trials.get(&digest) == Some(&key) {
             self.trials.remove(&digest);
         }
--- a/components/fleet/src/digest.rs
+++ b/components/quarantine/src/digest.rs
@@ -2,10 +2,9 @@
 
 use std::fmt;
 
+use fleet::WorkspaceId;
 use serde::{Deserialize, Serialize};
 
-use crate::id::WorkspaceId;
-
 /// A digest of what a request is made of. A caller that tries again sends another id, mostly to another gateway; the
 /// digest stays. The same in every process and build: gateways compare theirs.
 #[derive(
--- a/components/fleet/src/crashes.rs
+++ b/components/quarantine/src/ledger.rs
@@ -7,10 +7,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use fleet::{InstanceId, Millis};
 use serde::{Deserialize, Serialize};
 
 use crate::digest::RequestDigest;
-use crate::id::{InstanceId, Millis};
 
 /// Runners that a request has ended, without a success since, when it is in quarantine. One or two may end under
 /// anybody's: whoever shares a runner with the cause is cut as well.
--- a/components/gateway/src/quarantine.rs
+++ b/components/quarantine/src/record.rs
@@ -4,9 +4,11 @@
 
 use std::collections::BTreeMap;
 
-use fleet::{CrashChange, CrashList, LifeDigest, Millis, RequestDigest};
+use fleet::Millis;
 
 use crate::crashes::CrashNews;
+use crate::digest::RequestDigest;
+use crate::ledger::{CrashChange, CrashList, LifeDigest};
 
 /// How long the gateway that found a request guilty has to write the row before others try, in milliseconds: a call
 /// that fails and another one. The others come apart over the same time.
--- a/components/fleet/tests/digest.rs
+++ b/components/quarantine/tests/digest.rs
@@ -1,6 +1,7 @@
 //! Which requests count as the same.
 
-use fleet::{RequestDigest, WorkspaceId};
+use fleet::WorkspaceId;
+use quarantine::RequestDigest;
 
 fn digest(method: &str, path: &str, workspace: &str, body: &[u8]) -> RequestDigest {
     RequestDigest::of(method, path, Some(&WorkspaceId::from(workspace)), body)
--- a/components/fleet/tests/crashes.rs
+++ b/components/quarantine/tests/ledger.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use fleet::{CrashChange, CrashLedger, LifeDigest, Millis, RequestDigest, Told, Verdict};
+use fleet::Millis;
 use proptest::prelude::*;
+use quarantine::{CrashChange, CrashLedger, LifeDigest, RequestDigest, Told, Verdict};
 
 const REQUEST: RequestDigest = RequestDigest(7);
 const SECOND: u64 = 1000;
