Entries remember and tell each other which requests end upstreams

Cause: the same as in gateways, found by looking for it elsewhere: an entry tries a request four times, notes a failure at the upstream alone, and knows nothing of tries before or at other entries. Four tests of the entry's reducer, three of them red before (the fourth, that a success clears, was not): the third crash is followed by a fourth try, the next request is sent, other entries are told nothing. Change: the entry uses the component that gateways use; an answer that the agent reports as broken off counts at once, for the agent outlives its upstream; entries tell each other in datagrams each second. Not covered: the loss of power of all entries. Tests of the reducer: 43 passed. Logging of crashes moves from edge to telemetry, for both use it.

--- a/components/edge/src/gateway/core.rs
+++ b/components/edge/src/gateway/core.rs
@@ -8,13 +8,12 @@
 use async_channel::{Receiver, Sender};
 use gateway::{Arrival, Catalog, Effect, Event, Gateway, GatewayOptions, NextStep, RequestKey};
 use quarantine::CrashNews;
-use telemetry::Metrics;
+use telemetry::{note_crash, Metrics};
 
 use super::home_log;
 use super::reservations::Reservations;
 use super::tables::Tables;
 use crate::clock::Clock;
-use crate::crash_log;
 use crate::metrics::note_evacuation;
 
 /// A gateway's state, shared by the tasks of its process.
@@ -92,8 +91,8 @@
                 Effect::CountRetry(code) => self.metrics.count_retry(code),
                 Effect::TellOfHomes(faults) => home_log::tell(&faults),
                 Effect::Crash(news) => {
-                    crash_log::note(&self.metrics, &news);
-                    if crash_log::is_own(&news) {
+                    note_crash(&self.metrics, &news);
+                    if news.is_own() {
                         self.tell_sidecars();
                     }
                     // The record ends with the process.
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -2,7 +2,6 @@
 //! `gateway` and `rollout` decide.
 
 mod clock;
-mod crash_log;
 mod evacuated;
 mod exchange;
 mod gateway;
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -12,12 +12,11 @@
 use quarantine::{CrashLedger, CrashList, Told};
 use rollout::{Effect, Event, Rollout, RolloutOptions};
 use settings::SidecarSettings;
-use telemetry::Metrics;
+use telemetry::{note_verdict, Metrics};
 
 use super::chunks::Chunks;
 use super::streams::Streams;
 use crate::clock::Clock;
-use crate::crash_log::note_verdict;
 use crate::link::Link;
 use crate::message::WeightsService;
 
--- a/components/node/src/entry/callers.rs
+++ b/components/node/src/entry/callers.rs
@@ -9,6 +9,7 @@
 use futures_lite::FutureExt;
 use http_types::{Request, Response, StatusCode};
 use net::{refuse, Caller, Handler, Reply};
+use quarantine::RequestDigest;
 use reducer::{Arrival, EntryEvent, SavedAnswer, Target};
 use serde::Deserialize;
 use settings::Kind;
@@ -86,6 +87,7 @@
     let budget = read_budget(shared, request)?;
     let key = header(request, "idempotency-key");
     let workspace = header(request, "x-workspace").unwrap_or_else(|| NO_WORKSPACE.to_owned());
+    let workspace = WorkspaceId(workspace);
     let query = request.url().query().map(|query| format!("?{query}")).unwrap_or_default();
     let (target, prefix, stream) = match kind.and_then(|it| it.service.clone()) {
         Some(service) => (Target::Service(service), 0, false),
@@ -93,8 +95,14 @@
     };
     let arrival = Arrival {
         request: id,
+        digest: RequestDigest::of(
+            request.method().as_ref(),
+            &format!("{path}{query}"),
+            Some(&workspace),
+            &body,
+        ),
         target: target.clone(),
-        workspace: WorkspaceId(workspace),
+        workspace,
         prefix,
         deadline: shared.now().plus(budget.as_millis() as u64),
         max_wait: kind.map_or(Kind::USUAL_WAIT_MS, |it| it.max_wait_ms),
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -218,6 +218,7 @@
         // The task of the request has ended with its caller, and the connection with it.
         EntryEffect::Cancel(attempt) => shared.requests.end(attempt.request),
         EntryEffect::CountRetry(code) => host.metrics.count_retry(code),
+        EntryEffect::Crash(news) => telemetry::note_crash(&host.metrics, &news),
         EntryEffect::Drained => {
             let _ = drain.try_send(());
         }
--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -58,6 +58,16 @@
     },
 }
 
+impl CrashNews {
+    /// Whether this process found it itself, so that others should hear of it at once.
+    pub fn is_own(&self) -> bool {
+        match self {
+            Self::Crashed { .. } => true,
+            Self::Changed { is_own, .. } => *is_own,
+        }
+    }
+}
+
 /// What becomes of a request by what is known of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -119,6 +129,17 @@
         news
     }
 
+    /// Notes a crash that needs no other sign.
+    pub fn note_crash(
+        &mut self,
+        now: Millis,
+        digest: RequestDigest,
+        runner: InstanceId,
+        life: LifeDigest,
+    ) -> Vec<CrashNews> {
+        self.confirm(now, Suspicion { digest, runner, life, at: now })
+    }
+
     fn confirm(&mut self, now: Millis, suspicion: Suspicion) -> Vec<CrashNews> {
         let Suspicion { digest, runner, life, at } = suspicion;
         let change = self.ledger.note_crash(now, digest, life, at);
--- a/components/reducer/src/entry/event.rs
+++ b/components/reducer/src/entry/event.rs
@@ -4,6 +4,7 @@
 
 use errors::{Code, Error};
 use fleet::{InstanceId, Millis, ModelName, RequestId, ServiceName, WorkspaceId};
+use quarantine::{CrashNews, RequestDigest};
 use wire::Load;
 
 use crate::changes::{ChangeEffect, ChangeEvent};
@@ -41,6 +42,8 @@
 pub struct Arrival {
     /// Its identity.
     pub request: RequestId,
+    /// What it is made of: the same for each try of its caller.
+    pub digest: RequestDigest,
     /// What it asks for.
     pub target: Target,
     /// Who pays.
@@ -172,6 +175,8 @@
     Cancel(AttemptId),
     /// Count a retry.
     CountRetry(Code),
+    /// Log what is known of a request that upstreams crashed under.
+    Crash(CrashNews),
     /// Nothing is in progress any more.
     Drained,
 }
--- a/components/reducer/src/entry/mod.rs
+++ b/components/reducer/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The reducer of an entry: requests from callers and changes by operators.
 
+mod crashes;
 mod event;
 mod plans;
 mod requests;
@@ -10,8 +11,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use fleet::{Millis, RequestId};
-use wire::MemberRecord;
+use wire::{DatagramBody, MemberRecord};
 
+use self::crashes::KnownCrashes;
 pub use self::event::{Arrival, AttemptId, EntryEffect, EntryEvent, EntryOptions, Failure, Target};
 use self::requests::{Place, Progress};
 use self::shares::Shares;
@@ -32,6 +34,7 @@
     requests: BTreeMap<RequestId, Progress>,
     queue: BTreeSet<Place>,
     shares: Shares,
+    known_crashes: KnownCrashes,
     stopping: bool,
 }
 
@@ -47,6 +50,7 @@
             requests: BTreeMap::new(),
             queue: BTreeSet::new(),
             shares: Shares::default(),
+            known_crashes: KnownCrashes::default(),
             stopping: false,
         }
     }
@@ -75,6 +79,7 @@
             EntryEvent::Tick => {
                 let mut effects = self.take_control(now, &mut seed, ControlEvent::Tick);
                 self.router.retain(&self.control);
+                effects.extend(self.tell_entries(now, &mut seed));
                 effects.extend(self.dispatch(now));
                 effects
             }
@@ -87,8 +92,15 @@
         seed: &mut Seed,
         event: ControlEvent,
     ) -> Vec<EntryEffect> {
+        let mut heard = Vec::new();
+        if let ControlEvent::Datagram { datagram, .. } = &event {
+            if let DatagramBody::Crashes(list) = &datagram.body {
+                heard = self.take_crashes(now, list);
+            }
+        }
         let effects = self.control.reduce(now, seed, event);
         let mut effects: Vec<EntryEffect> = effects.into_iter().map(EntryEffect::Control).collect();
+        effects.extend(heard);
         if !self.queue.is_empty() {
             effects.extend(self.dispatch(now));
         }
--- a/components/reducer/src/entry/requests.rs
+++ b/components/reducer/src/entry/requests.rs
@@ -44,7 +44,9 @@
 
 impl Entry {
     pub(super) fn arrive(&mut self, now: Millis, arrival: Arrival) -> Vec<EntryEffect> {
-        if let Some(code) = self.refusal(now, &arrival) {
+        let refusal = self.refusal(now, &arrival);
+        let is_quarantined = refusal.is_none() && self.is_quarantined(now, &arrival);
+        if let Some(code) = refusal.or(is_quarantined.then_some(Code::Quarantined)) {
             let detail = code.meaning().to_owned();
             let error = Error::new(code, detail);
             return vec![EntryEffect::Refuse { request: arrival.request, error }];
@@ -130,7 +132,14 @@
         if now >= arrival.deadline {
             return self.refuse(request, Error::new(Code::TooLate, Code::TooLate.meaning()));
         }
-        let (target, prefix) = (arrival.target.clone(), arrival.prefix);
+        let (target, prefix, digest) = (arrival.target.clone(), arrival.prefix, arrival.digest);
+        if self.is_barred(now, request, digest) {
+            return self
+                .refuse(request, Error::new(Code::Quarantined, Code::Quarantined.meaning()));
+        }
+        let Some(progress) = self.requests.get_mut(&request) else {
+            return Vec::new();
+        };
         let found = self.router.choose(now, &self.control, &target, prefix, &progress.tried);
         let Some((agent, address)) = found else {
             return self.wait(now, request);
@@ -212,7 +221,10 @@
             self.router.end(now, agent, Some(load), None);
             self.shares.give_back(&progress.arrival.workspace);
         }
-        self.after_end(now)
+        let mut effects = self.note_whole(now, progress.arrival.digest);
+        self.note_gone(attempt.request, progress.arrival.digest);
+        effects.extend(self.after_end(now));
+        effects
     }
 
     pub(super) fn fail(
@@ -224,24 +236,32 @@
         let Some(mut progress) = self.take_current(attempt) else {
             return Vec::new();
         };
+        let mut effects = Vec::new();
         if let Some(agent) = progress.at.take() {
             self.router.end(now, &agent, failure.load, Some(failure.code));
             self.shares.give_back(&progress.arrival.workspace);
+            effects = self.note_failure(now, progress.arrival.digest, &agent, failure.code);
         }
         if failure.code.ran() == Ran::Unknown {
             progress.unknown = Some(failure.code);
         }
         let request = attempt.request;
-        let decision = self.may_retry(&progress, failure.code);
+        let is_barred = self.is_barred(now, request, progress.arrival.digest);
+        let decision = if is_barred {
+            Err(Code::Quarantined)
+        } else {
+            self.may_retry(&progress, failure.code)
+        };
         self.requests.insert(request, progress);
-        let mut effects = match decision {
+        match decision {
             Ok(()) => {
-                let mut effects = vec![EntryEffect::CountRetry(failure.code)];
+                effects.push(EntryEffect::CountRetry(failure.code));
                 effects.extend(self.route(now, request));
-                effects
             }
-            Err(code) => self.refuse(request, Error::new(code, failure.code.meaning())),
-        };
+            Err(code) => {
+                effects.extend(self.refuse(request, Error::new(code, failure.code.meaning())));
+            }
+        }
         effects.extend(self.after_end(now));
         effects
     }
@@ -272,6 +292,7 @@
         let Some(progress) = self.requests.remove(&request) else {
             return Vec::new();
         };
+        self.note_gone(request, progress.arrival.digest);
         let mut effects = Vec::new();
         if let Some(agent) = &progress.at {
             self.router.end(now, agent, None, None);
@@ -295,6 +316,9 @@
     /// Ends a request with a code that is true of all its tries.
     fn refuse(&mut self, request: RequestId, mut error: Error) -> Vec<EntryEffect> {
         let progress = self.requests.remove(&request);
+        if let Some(progress) = &progress {
+            self.note_gone(request, progress.arrival.digest);
+        }
         let unknown = progress.as_ref().and_then(|it| it.unknown);
         if let (Some(code), Ran::NotRun) = (unknown, error.code.ran()) {
             error = Error::new(code, format!("{}; then: {error}", code.meaning()));
--- a/components/reducer/src/entry/tests.rs
+++ b/components/reducer/src/entry/tests.rs
@@ -1,11 +1,13 @@
 use std::net::SocketAddr;
 
 use super::*;
+use crate::control::ControlEffect;
 use crate::planner::Estimate;
 use crate::routing::RouteChoice;
 use errors::{Code, Ran};
 use fleet::{Incarnation, Instance, InstanceId, ListedState, Place, Process};
-use wire::{Load, MemberState};
+use quarantine::RequestDigest;
+use wire::{DatagramBody, Load, MemberState};
 
 const NOW: Millis = Millis(1_000);
 
@@ -53,6 +55,7 @@
 fn arrival(serial: u64, repeatable: bool) -> Arrival {
     Arrival {
         request: RequestId { entry: Incarnation(1), serial },
+        digest: RequestDigest(serial),
         target: Target::Service("till".into()),
         workspace: "w".into(),
         prefix: 0,
@@ -319,3 +322,79 @@
         prop_assert_eq!(entry.load(), (0, 0));
     }
 }
+
+/// Tries of one request by its caller, each with an id of its own.
+fn again(serial: u64) -> Arrival {
+    Arrival { digest: RequestDigest(77), ..arrival(serial, true) }
+}
+
+/// Lets a request end three upstreams, by two tries of its caller.
+fn crash_three(entry: &mut Entry) {
+    let mut sent = arrive(entry, again(1));
+    for _ in 0..3 {
+        sent = fail(entry, attempt_of(&sent), Code::ConnectionLost);
+        if refusal_of(&sent).is_some() {
+            return;
+        }
+    }
+}
+
+#[test]
+fn a_request_that_ended_three_upstreams_is_refused_and_others_are_served() {
+    let mut entry = entry(6, 10);
+    crash_three(&mut entry);
+    assert_eq!(refusal_of(&arrive(&mut entry, again(2))), Some(Code::Quarantined));
+    attempt_of(&arrive(&mut entry, arrival(3, true)));
+}
+
+#[test]
+fn a_try_that_has_ended_three_upstreams_is_not_sent_on() {
+    let mut entry = entry(6, 10);
+    let second = arrive(&mut entry, again(1));
+    let third = fail(&mut entry, attempt_of(&second), Code::CutShort);
+    let fourth = fail(&mut entry, attempt_of(&third), Code::ConnectionLost);
+    let effects = fail(&mut entry, attempt_of(&fourth), Code::CutShort);
+    assert_eq!(refusal_of(&effects), Some(Code::CutShort), "it has run");
+}
+
+#[test]
+fn an_answer_that_is_whole_takes_all_suspicion() {
+    let mut entry = entry(6, 10);
+    let sent = arrive(&mut entry, again(1));
+    let sent = fail(&mut entry, attempt_of(&sent), Code::ConnectionLost);
+    let sent = fail(&mut entry, attempt_of(&sent), Code::ConnectionLost);
+    let load = Load { running: 0, limit: 4, uploads: 0 };
+    entry.reduce(NOW, 0, EntryEvent::Ended { attempt: attempt_of(&sent), load });
+    let sent = arrive(&mut entry, again(2));
+    fail(&mut entry, attempt_of(&sent), Code::ConnectionLost);
+    attempt_of(&arrive(&mut entry, again(3)));
+}
+
+#[test]
+fn entries_tell_each_other_of_requests_that_end_upstreams() {
+    let mut first = entry(6, 10);
+    let other = Instance {
+        id: "entry-2".into(),
+        place: Place::default(),
+        process: Process::Entry,
+        address: address(50),
+        memory_bytes: 0,
+        state: ListedState::Live,
+    };
+    first.reduce(NOW, 0, EntryEvent::Control(ControlEvent::Listed(vec![other])));
+    crash_three(&mut first);
+    let effects = first.reduce(NOW.plus(50), 0, EntryEvent::Tick);
+    let told = effects.into_iter().find_map(|it| match it {
+        EntryEffect::Control(ControlEffect::Send { to, datagram })
+            if matches!(datagram.body, DatagramBody::Crashes(_)) && to == address(50) =>
+        {
+            Some(datagram)
+        }
+        _ => None,
+    });
+    let datagram = told.expect("the other entry is told");
+    let mut second = entry(6, 10);
+    let from = address(1);
+    second.reduce(NOW, 0, EntryEvent::Control(ControlEvent::Datagram { from, datagram }));
+    assert_eq!(refusal_of(&arrive(&mut second, again(9))), Some(Code::Quarantined));
+}
--- a/components/reducer/src/members/mod.rs
+++ b/components/reducer/src/members/mod.rs
@@ -196,7 +196,9 @@
             }
             DatagramBody::Ack { nonce } => self.take_ack(*nonce, revision),
             DatagramBody::PingFor { target } => self.relay(from, target, revision, seed),
-            DatagramBody::News | DatagramBody::Summary { .. } => Vec::new(),
+            DatagramBody::News | DatagramBody::Summary { .. } | DatagramBody::Crashes(_) => {
+                Vec::new()
+            }
         }
     }
 
@@ -242,7 +244,7 @@
     /// Builds a datagram with as many records as fit, news first.
     pub fn build(&mut self, body: DatagramBody, revision: Revision) -> Datagram {
         let news = match body {
-            DatagramBody::Summary { .. } => Vec::new(),
+            DatagramBody::Summary { .. } | DatagramBody::Crashes(_) => Vec::new(),
             _ => self.take_news(),
         };
         self.budget -= DATAGRAM_BYTES + NEWS_BYTES * news.len() as f64;
--- a/components/edge/src/crash_log.rs
+++ b/components/telemetry/src/crashes.rs
@@ -1,10 +1,11 @@
 //! Logs and counts what is known of requests that runners crash under. As warnings: the log keeps room for them.
 
 use quarantine::{CrashChange, CrashNews};
-use telemetry::Metrics;
 
-/// Logs and counts what a gateway has found or heard.
-pub fn note(metrics: &Metrics, news: &CrashNews) {
+use crate::metrics::Metrics;
+
+/// Logs and counts what was found or heard.
+pub fn note_crash(metrics: &Metrics, news: &CrashNews) {
     match news {
         CrashNews::Crashed { digest, runner, crashes } => {
             let digest = digest.to_string();
@@ -15,14 +16,6 @@
     }
 }
 
-/// Whether a gateway found it itself, so that others should hear of it at once.
-pub fn is_own(news: &CrashNews) -> bool {
-    match news {
-        CrashNews::Crashed { .. } => true,
-        CrashNews::Changed { is_own, .. } => *is_own,
-    }
-}
-
 /// Logs and counts that the verdict on a request has changed.
 pub fn note_verdict(metrics: &Metrics, change: &CrashChange, is_own: bool) {
     match change {
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -7,6 +7,7 @@
     Bitmap, Incarnation, InstanceId, ModelName, Place, Process, RequestId, Revision, Role,
     VersionId, WorkspaceId,
 };
+use quarantine::CrashList;
 use serde::{Deserialize, Serialize};
 
 /// What an agent says of its own load; it rides back on each answer.
@@ -307,6 +308,8 @@
         /// The chunks held.
         have: Bitmap,
     },
+    /// Tells another entry of requests that upstreams crashed under.
+    Crashes(CrashList),
 }
 
 /// One datagram between daemons.
--- a/examples/slopes/entry.rs
+++ b/examples/slopes/entry.rs
@@ -1,6 +1,7 @@
 //! An entry: the decisions of one request, by the number of upstreams.
 
 use fleet::{Incarnation, Instance, Millis, Process, RequestId, ServiceName};
+use quarantine::RequestDigest;
 use reducer::{
     Arrival, AttemptId, ControlEvent, Entry, EntryEvent, EntryOptions, Estimate, RouteChoice,
     Target,
@@ -39,6 +40,7 @@
             let request = RequestId { entry: Incarnation(1), serial: u64::from(n) };
             let arrival = Arrival {
                 request,
+                digest: RequestDigest(u64::from(n)),
                 target: Target::Service("till".into()),
                 workspace: "w".into(),
                 prefix: u64::from(n),
