Lives of runners told apart, entries of another writer name no runner

Cause: a gateway knew a runner by its name alone and a sidecar by a count of orders that fell, so a runner that starts again under the name that it had passed for the old one, with its load, pauses, places and requests. An entry that could not be read was passed over, but one that had been good before stayed in use, and one row of another shape spoilt its whole page.

Change: a word about a runner carries the life that it is from (birth, and orders taken); a later life begins with nothing known, a word of an earlier one or without the birth that was told before is an error that is logged and counted and changes nothing; where no birth is ever told, fewer orders are another life, which is logged once and shown as a gauge. Requests, places and answers of an earlier life leave no trace at the later one. Rows are read one by one; an unreadable entry of the list takes the runner out, is counted and told once.

Fixtures of two tests lacked sequence, which the pages name for each entry; they have it now, for an entry with neither that nor a birth cannot be told from another life.

--- a/components/edge/src/gateway/core.rs
+++ b/components/edge/src/gateway/core.rs
@@ -14,6 +14,7 @@
 use super::reservations::Reservations;
 use super::tables::Tables;
 use crate::clock::Clock;
+use crate::life_log::note_life;
 use crate::metrics::note_evacuation;
 
 /// A gateway's state, shared by the tasks of its process.
@@ -90,6 +91,7 @@
                 }
                 Effect::CountRetry(code) => self.metrics.count_retry(code),
                 Effect::TellOfHomes(faults) => home_log::tell(&faults),
+                Effect::Life(news) => note_life(&self.metrics, &news),
                 Effect::Crash(news) => {
                     note_crash(&self.metrics, &news);
                     if news.is_own() {
--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -113,7 +113,7 @@
     match change {
         Change::Version { .. } => true,
         Change::Runner(record) => record.weights.is_none(),
-        Change::Configuration(_) | Change::RunnerGone(_) => false,
+        Change::Configuration(_) | Change::RunnerGone(_) | Change::RunnerUnreadable(_) => false,
         // The reducer says so where it took them in.
         Change::Evacuated(_) | Change::Reopened(_) => false,
     }
@@ -148,7 +148,7 @@
             log::info!(runner = record.id.0.as_str(), state = state.as_str(), cold_ms = record.cold_ms; "runner listed");
             Event::Listed(record)
         }
-        Change::RunnerGone(id) => {
+        Change::RunnerGone(id) | Change::RunnerUnreadable(id) => {
             log::info!(runner = id.0.as_str(); "runner gone");
             Event::Unlisted(id)
         }
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -206,6 +206,8 @@
         core.metrics.set("requests_under_way", under_way as u64);
         core.metrics.set("requests_waiting", waiting as u64);
         core.metrics.set("runners_listed", runners as u64);
+        let untold = core.read(|gateway| gateway.pool().count_untold());
+        core.metrics.set("runners_without_birth", untold as u64);
         let now = core.clock.now();
         let (cold, responsible) = core.read(|it| it.cold_runners(now));
         let evacuated = core.read(|gateway| gateway.pool().evacuations.len());
--- a/components/edge/src/gateway/sidecars/tests.rs
+++ b/components/edge/src/gateway/sidecars/tests.rs
@@ -45,6 +45,7 @@
     let parts = CatalogParts { version: 1, services: vec![service], ..CatalogParts::default() };
     core.feed(Event::Configured(Arc::new(Catalog::new(parts))));
     core.feed(Event::Listed(RunnerRecord {
+        life: Default::default(),
         id: "r".into(),
         service: "s".into(),
         address: RUNNER.into(),
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -7,6 +7,7 @@
 mod gateway;
 mod lapses;
 mod lateness;
+mod life_log;
 mod link;
 mod message;
 mod metrics;
--- /dev/null
+++ b/components/edge/src/life_log.rs
@@ -0,0 +1,33 @@
+//! Logs and counts what words about runners tell of their lives.
+
+use fleet::LifeChange;
+use gateway::LifeNews;
+use telemetry::Metrics;
+
+/// Logs and counts a word that is not of the life that is known.
+pub fn note_life(metrics: &Metrics, news: &LifeNews) {
+    let runner = news.runner.0.as_str();
+    let (born, known) = (news.told.born, news.known_born);
+    match news.change {
+        LifeChange::Same => return,
+        LifeChange::Began => {
+            log::info!(runner = runner, born = born, known = known, sequence = news.told.sequence; "runner started anew");
+        }
+        LifeChange::Earlier => {
+            log::warn!(runner = runner, born = born, known = known; "word of an earlier life of a runner");
+        }
+        LifeChange::Untold => {
+            log::error!(runner = runner, known = known; "a runner that told when it started does not tell it any more");
+        }
+    }
+    metrics.count_life(name(news.change));
+}
+
+fn name(change: LifeChange) -> &'static str {
+    match change {
+        LifeChange::Same => "same",
+        LifeChange::Began => "began",
+        LifeChange::Earlier => "earlier",
+        LifeChange::Untold => "untold",
+    }
+}
--- a/components/edge/src/sidecar/directory.rs
+++ b/components/edge/src/sidecar/directory.rs
@@ -18,7 +18,7 @@
 use crate::link::Link;
 use crate::message::{Datagram, SidecarsPart};
 use crate::news::News;
-use crate::watch::list;
+use crate::watch::{list, log_faults};
 
 /// How long a gateway may take to answer. It is at most a few milliseconds away and answers at once.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(250);
@@ -167,6 +167,7 @@
 
     async fn listed_peers(&mut self) -> Result<Vec<Peer>> {
         let listing = list(&mut self.link, Table::Runners).await?;
+        log_faults(Table::Runners, &listing.faults);
         let mut peers = Vec::new();
         for change in listing.changes {
             let Change::Runner(record) = change else {
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -9,6 +9,7 @@
 use async_io::Timer;
 use errors::Result;
 use fleet::{Bitmap, InstanceId, Millis, NamedVersion};
+use gateway::LifeNews;
 use platform::store::{Change, Table};
 use rollout::{ColdLimit, Effect, Event, RolloutOptions, GATEWAY_PATIENCE};
 use settings::{BoundSettings, DeploymentSettings, SidecarSettings};
@@ -19,13 +20,14 @@
 use super::runner::{self, Job};
 use super::{draws, peers};
 use crate::evacuated::EvacuatedHalls;
+use crate::life_log::note_life;
 use crate::link::Link;
 use crate::message::{weights_services, Datagram};
 use crate::metrics::{note_evacuation, serve_metrics};
 use crate::news::News;
 use crate::server::listen;
 use crate::spawner::Spawner;
-use crate::watch::{list, Listing};
+use crate::watch::{list, log_faults, Listing};
 
 /// How often the named versions are listed by a sidecar that no gateway reaches.
 const VERSIONS_SPACING: Duration = Duration::from_millis(30_000);
@@ -145,6 +147,10 @@
             Effect::Answer(question, verdict) => {
                 peers::reply(&core, &news, question, verdict).await;
             }
+            Effect::Life(change, told) => {
+                let news = LifeNews { runner: core.me.clone(), change, told, known_born: None };
+                note_life(&core.metrics, &news);
+            }
             Effect::Evacuation(change) => {
                 note_evacuation(&core.metrics, &change);
                 core.look_at_runner();
@@ -188,6 +194,7 @@
         }
         match list(&mut link, Table::Versions).await {
             Ok(listing) => {
+                log_faults(Table::Versions, &listing.faults);
                 take_versions(&core, listing.changes);
                 Timer::after(VERSIONS_SPACING).await;
             }
@@ -229,7 +236,8 @@
 }
 
 fn take_operator_table(core: &Core, listing: Listing) {
-    let Listing { revision, changes, .. } = listing;
+    let Listing { revision, changes, faults, .. } = listing;
+    log_faults(Table::Operator, &faults);
     // Before it knows its runner: it gives no place until then, and none in an evacuated hall from then on.
     let evacuated = EvacuatedHalls::default().take_listing(Instant::now(), revision, &changes);
     core.feed(Event::Evacuations(evacuated));
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -24,6 +24,8 @@
 /// The longest pause between two pieces of an answer. A large configuration may take seconds on a
 /// narrow link that others use too.
 const PIECE_PAUSE: Duration = Duration::from_millis(900);
+/// The most rows that cannot be read of which is told, each by its key and what was wrong.
+const MOST_FAULTS: usize = 256;
 
 /// How a table is followed.
 #[derive(Clone)]
@@ -74,6 +76,7 @@
         revision: None,
         runners: BTreeSet::new(),
         evacuated: EvacuatedHalls::default(),
+        faults: ToldFaults::default(),
         connected: true,
         heard: None,
         lateness: Lateness::default(),
@@ -140,6 +143,7 @@
     /// The runners that are listed.
     runners: BTreeSet<InstanceId>,
     evacuated: EvacuatedHalls,
+    faults: ToldFaults,
     connected: bool,
     /// When the store last answered.
     heard: Option<Instant>,
@@ -152,9 +156,10 @@
 
 impl Watch {
     async fn list(&mut self, deliver: &mut impl FnMut(Seen)) -> Result<()> {
-        let Listing { revision, clock_ms, changes } =
+        let Listing { revision, clock_ms, changes, faults } =
             list(&mut self.link, self.options.table).await?;
         self.note_answer();
+        self.faults.tell_all(&self.options, &faults);
         let listed: BTreeSet<InstanceId> = changes.iter().filter_map(listed_runner).collect();
         let gone: Vec<InstanceId> = self.runners.difference(&listed).cloned().collect();
         let lost = Lost { gone: gone.len(), known: self.runners.len() };
@@ -189,7 +194,7 @@
         }
         let page: Page = store::read(self.options.table, &answer.success()?)?;
         self.note_answer();
-        note_faults(self.options.table, &page);
+        self.faults.tell(&self.options, &page.faults);
         let was_silent = self.was_silent();
         let late = self.lateness.take_feed(was_silent, waited, page.changes.is_empty());
         let now = Instant::now();
@@ -248,6 +253,13 @@
                     return;
                 }
             }
+            Change::RunnerUnreadable(id) => {
+                // Whatever the entry was before, another writer has put this in its place.
+                if self.runners.remove(id) {
+                    deliver(Seen::Change { change: Change::RunnerGone(id.clone()), late });
+                }
+                return;
+            }
             Change::Configuration(_)
             | Change::Version { .. }
             | Change::Evacuated(_)
@@ -280,37 +292,62 @@
     pub clock_ms: Option<u64>,
     /// What its rows say.
     pub changes: Vec<Change>,
+    /// What was wrong with rows that could not be read.
+    pub faults: Vec<Error>,
 }
 
 /// Lists a whole table.
 pub async fn list(link: &mut Link, table: Table) -> Result<Listing> {
     let mut from = String::new();
-    let mut changes = Vec::new();
+    let (mut changes, mut faults) = (Vec::new(), Vec::new());
     let mut first = None;
     loop {
         let call = store::list(table, &from);
         let answer = link.call_patiently(call, Patience::LIST_BEGIN, PIECE_PAUSE).await?;
         let page = store::read(table, &answer.success()?)?;
-        note_faults(table, &page);
+        faults.extend(page.faults);
         // Changes behind the first page's version may be missing on it, so the feed starts there.
         let (revision, clock_ms) = *first.get_or_insert((page.revision, page.clock_ms));
         changes.extend(page.changes);
         match page.next {
             Some(next) => from = next,
-            None => return Ok(Listing { revision, clock_ms, changes }),
+            None => return Ok(Listing { revision, clock_ms, changes, faults }),
         }
     }
 }
 
 /// Logs rows that cannot be read: what they say is not in force here.
-fn note_faults(table: Table, page: &Page) {
+pub fn log_faults(table: Table, faults: &[Error]) {
     let table = format!("{table:?}");
-    for fault in &page.faults {
+    for fault in faults {
         let reason = fault.to_string();
         log::error!(table = table.as_str(), reason = reason.as_str(); "row cannot be read");
     }
 }
 
+/// Rows that could not be read and were told of: once, and not at every reading.
+#[derive(Debug, Default)]
+struct ToldFaults(BTreeSet<String>);
+
+impl ToldFaults {
+    /// Tells of the faults of a whole listing. Those that it lacks are over.
+    fn tell_all(&mut self, options: &WatchOptions, faults: &[Error]) {
+        let listed: BTreeSet<String> = faults.iter().map(Error::to_string).collect();
+        self.0.retain(|it| listed.contains(it));
+        self.tell(options, faults);
+    }
+
+    /// Logs and counts the faults that are new.
+    fn tell(&mut self, options: &WatchOptions, faults: &[Error]) {
+        for fault in faults {
+            if self.0.len() < MOST_FAULTS && self.0.insert(fault.to_string()) {
+                log_faults(options.table, std::slice::from_ref(fault));
+                options.metrics.count_platform(call_name(options.table), "unreadable_row");
+            }
+        }
+    }
+}
+
 fn listed_runner(change: &Change) -> Option<InstanceId> {
     match change {
         Change::Runner(record) => Some(record.id.clone()),
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod id;
 mod instance;
 mod intent;
+mod life;
 mod manifest;
 mod named;
 mod plan;
@@ -28,6 +29,7 @@
 };
 pub use instance::{Instance, ListedState, Place, Process};
 pub use intent::Intent;
+pub use life::{LifeChange, LifeWord};
 pub use manifest::{Manifest, MAX_CHUNKS, MAX_CHUNK_BYTES, MIN_CHUNK_BYTES};
 pub use named::{NamedVersion, VersionName};
 pub use plan::{Plan, Source, Step};
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -6,8 +6,8 @@
 
 use errors::Code;
 use fleet::{
-    Ablation, EvacuationChange, EvacuationList, Hall, HomeRegions, InstanceId, Millis, ModelName,
-    NamedVersion, Region, ServiceName, WorkspaceId,
+    Ablation, EvacuationChange, EvacuationList, Hall, HomeRegions, InstanceId, LifeChange,
+    LifeWord, Millis, ModelName, NamedVersion, Region, ServiceName, WorkspaceId,
 };
 use quarantine::{CrashList, CrashNews, RequestDigest};
 
@@ -287,6 +287,19 @@
     GiveUp(Code),
 }
 
+/// What a word about a runner told of its life.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LifeNews {
+    /// The runner.
+    pub runner: InstanceId,
+    /// What it told: never that it is of the life that is known.
+    pub change: LifeChange,
+    /// The word.
+    pub told: LifeWord,
+    /// The birth that is known.
+    pub known_born: Option<u64>,
+}
+
 /// What a gateway does.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -298,6 +311,8 @@
     TellOfHomes(Vec<HomeFault>),
     /// Log that a data hall is evacuated or taken back, and tell sidecars.
     Evacuation(EvacuationChange),
+    /// Log that a runner has started anew, or that a word about it is not of the life that is known.
+    Life(LifeNews),
     /// Log what is known of a request that runners crashed under, and tell sidecars.
     Crash(CrashNews),
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -28,12 +28,12 @@
 };
 pub use cold::{ColdGates, ColdShare};
 pub use event::{
-    Arrival, AttemptOutcome, ColdBounds, Effect, Event, GatewayOptions, NextStep, RequestKey,
-    RunnerTarget, Seen, Standing,
+    Arrival, AttemptOutcome, ColdBounds, Effect, Event, GatewayOptions, LifeNews, NextStep,
+    RequestKey, RunnerTarget, Seen, Standing,
 };
 pub use home_faults::HomeFault;
 pub use members::{GatewayList, GatewaysHeard, HeardGateway, Members, Sureness};
 pub use pool::Pool;
 pub use record::{FirstHeard, RecordAnswer, RecordCall, RecordRow, VersionRecord};
 pub use reducer::Gateway;
-pub use runner::{Runner, RunnerLoad, RunnerRecord, RunnerState, WeightsHeld};
+pub use runner::{Runner, RunnerLife, RunnerLoad, RunnerRecord, RunnerState, WeightsHeld};
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -3,10 +3,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-use fleet::{Evacuations, Hall, InstanceId, Millis, ModelName, NamedVersion, ServiceName};
+use fleet::{
+    Evacuations, Hall, InstanceId, LifeChange, LifeWord, Millis, ModelName, NamedVersion,
+    ServiceName,
+};
 
-use crate::event::GatewayOptions;
-use crate::runner::{Runner, RunnerLoad, RunnerRecord};
+use crate::event::{GatewayOptions, LifeNews};
+use crate::runner::{Runner, RunnerLife, RunnerLoad, RunnerRecord};
 use crate::silence::SilentHalls;
 use crate::versions::NamedVersions;
 
@@ -38,17 +41,34 @@
         self.named.set_version_ms(version_ms);
     }
 
-    /// Takes in an entry of the list.
-    pub fn list(&mut self, now: Millis, record: RunnerRecord) {
-        if let Some(runner) = self.runners.get_mut(&record.id) {
-            runner.misdirected = false;
-            runner.list(now, record);
-            return;
+    /// Takes in an entry of the list. Tells of its life, where that is not the one that is known.
+    pub fn list(&mut self, now: Millis, record: RunnerRecord) -> Option<LifeNews> {
+        let Some(runner) = self.runners.get_mut(&record.id) else {
+            self.add(now, record, 0);
+            return None;
+        };
+        let news = life_news(runner, record.life, true);
+        match news.as_ref().map(|it| it.change) {
+            None | Some(LifeChange::Same) => {
+                runner.misdirected = false;
+                runner.list(now, record);
+            }
+            Some(LifeChange::Began) => {
+                let restarts = runner.life.restarts + 1;
+                self.unlist(&record.id.clone());
+                self.add(now, record, restarts);
+            }
+            Some(LifeChange::Earlier | LifeChange::Untold) => {}
         }
+        news
+    }
+
+    /// Adds a life of a runner.
+    fn add(&mut self, now: Millis, record: RunnerRecord, restarts: u32) {
         let id = record.id.clone();
         self.by_address.insert(record.address, id.clone());
         self.by_service.entry(record.service.clone()).or_default().push(id.clone());
-        self.runners.insert(id, Runner::new(now, record));
+        self.runners.insert(id, Runner::new(now, record, restarts));
     }
 
     /// Forgets a runner that is listed no more.
@@ -64,23 +84,39 @@
         }
     }
 
-    /// Takes in a report on the runner at an address.
-    pub fn take_load(&mut self, now: Millis, address: SocketAddr, load: RunnerLoad) {
+    /// Takes in a report on the runner at an address. Tells of its life, where that is not the one that is known.
+    pub fn take_load(
+        &mut self,
+        now: Millis,
+        address: SocketAddr,
+        load: RunnerLoad,
+    ) -> Option<LifeNews> {
         if let Some(named) = load.named.clone() {
             self.named.name(now, named);
         }
-        let Some(id) = self.by_address.get(&address) else {
-            return;
-        };
-        if let Some(runner) = self.runners.get_mut(id) {
-            self.silent.note_heard(&runner.record.hall);
-            runner.take_load(now, load);
+        let id = self.by_address.get(&address)?.clone();
+        let runner = self.runners.get_mut(&id)?;
+        self.silent.note_heard(&runner.record.hall);
+        let news = life_news(runner, load.life, false);
+        match news.as_ref().map(|it| it.change) {
+            None | Some(LifeChange::Same) => runner.take_load(now, load),
+            Some(LifeChange::Began) => {
+                // The entry is still that of the life before: what it holds is past.
+                let entry = runner.record.clone();
+                let record = RunnerRecord { life: load.life, weights: None, ..entry };
+                let restarts = runner.life.restarts + 1;
+                self.unlist(&id);
+                self.add(now, record, restarts);
+                self.runners.get_mut(&id)?.take_load(now, load);
+            }
+            Some(LifeChange::Earlier | LifeChange::Untold) => {}
         }
+        news
     }
 
     /// Takes in that a runner, or the sidecar beside it, answered.
-    pub fn note_answered(&mut self, now: Millis, id: &InstanceId) {
-        if let Some(runner) = self.runners.get_mut(id) {
+    pub fn note_answered(&mut self, now: Millis, id: &InstanceId, life: RunnerLife) {
+        if let Some(runner) = self.runners.get_mut(id).filter(|it| it.life == life) {
             runner.heard_at = now;
             self.silent.note_heard(&runner.record.hall);
         }
@@ -113,6 +149,16 @@
         self.runners.get(id)
     }
 
+    /// A runner in one of its lives, to change it.
+    pub fn life_mut(&mut self, id: &InstanceId, life: RunnerLife) -> Option<&mut Runner> {
+        self.runners.get_mut(id).filter(|it| it.life == life)
+    }
+
+    /// How many runners have not told when they started.
+    pub fn count_untold(&self) -> usize {
+        self.runners.values().filter(|it| it.born.is_none()).count()
+    }
+
     /// A runner, to change it.
     pub fn runner_mut(&mut self, id: &InstanceId) -> Option<&mut Runner> {
         self.runners.get_mut(id)
@@ -146,3 +192,15 @@
         self.runners.is_empty()
     }
 }
+
+/// What a word about a runner tells of its life, where that is not the one that is known.
+fn life_news(runner: &Runner, told: LifeWord, is_listed: bool) -> Option<LifeNews> {
+    let change = runner.compare(told, is_listed);
+    let runner_id = runner.record.id.clone();
+    (change != LifeChange::Same).then_some(LifeNews {
+        runner: runner_id,
+        change,
+        told,
+        known_born: runner.born,
+    })
+}
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -10,8 +10,8 @@
 
 use errors::Code;
 use fleet::{
-    EvacuationChange, EvacuationList, Hall, InstanceId, Mechanism, Millis, NamedVersion,
-    ServiceName,
+    EvacuationChange, EvacuationList, Hall, InstanceId, LifeChange, Mechanism, Millis,
+    NamedVersion, ServiceName,
 };
 use quarantine::Crashes;
 use rand::rngs::SmallRng;
@@ -23,12 +23,12 @@
 use crate::choice::{Chooser, Outlook};
 use crate::cold::ColdGates;
 use crate::comeback::Shortage;
-use crate::event::{Arrival, Effect, Event, GatewayOptions, Reach, RequestKey};
+use crate::event::{Arrival, Effect, Event, GatewayOptions, LifeNews, Reach, RequestKey};
 use crate::home_faults::{self, HomeFault};
 use crate::home_room::HomeRoom;
 use crate::members::Members;
 use crate::pool::Pool;
-use crate::runner::RunnerState;
+use crate::runner::{RunnerLife, RunnerState};
 use crate::tries::UsualDeadlines;
 
 /// The part of its aim that a request may wait for a place: an earlier refusal leaves the caller
@@ -40,6 +40,13 @@
 /// The part of the ratio of repeats that is used, for what cannot be counted exactly.
 const RATIO_SHARE: f64 = 0.75;
 
+/// A life of a runner that a request was sent to.
+#[derive(Clone, Debug)]
+struct Chosen {
+    id: InstanceId,
+    life: RunnerLife,
+}
+
 /// A request under way.
 #[derive(Clone, Debug)]
 struct Progress {
@@ -48,7 +55,7 @@
     reach: Arc<Reach>,
     tried: Vec<InstanceId>,
     /// The runner of the attempt under way.
-    current: Option<InstanceId>,
+    current: Option<Chosen>,
     /// When that attempt was sent.
     sent_at: Millis,
     /// Whether its answer has begun.
@@ -176,7 +183,9 @@
         let Some(progress) = self.requests.get(&key) else {
             return false;
         };
-        let runner = progress.current.as_ref().and_then(|id| self.pool.runner(id));
+        let current = progress.current.as_ref();
+        let runner = current.and_then(|it| Some((self.pool.runner(&it.id)?, it.life)));
+        let runner = runner.filter(|(runner, life)| runner.life == *life).map(|it| it.0);
         let is_barred = Self::is_barred(&self.crashes, now, key, progress);
         !is_barred
             && runner.is_some_and(|it| {
@@ -254,8 +263,10 @@
                 Vec::new()
             }
             Event::Listed(record) => {
-                self.pool.list(now, record);
-                self.dispatch(now, &mut random)
+                let news = self.pool.list(now, record);
+                let mut effects = self.note_life(news);
+                effects.extend(self.dispatch(now, &mut random));
+                effects
             }
             Event::Unlisted(id) => {
                 self.pool.unlist(&id);
@@ -263,8 +274,10 @@
                 Vec::new()
             }
             Event::Load(address, load) => {
-                self.pool.take_load(now, address, load);
-                self.dispatch(now, &mut random)
+                let news = self.pool.take_load(now, address, load);
+                let mut effects = self.note_life(news);
+                effects.extend(self.dispatch(now, &mut random));
+                effects
             }
             Event::Gateways(list) => {
                 self.members.take(now, list);
@@ -347,12 +360,24 @@
         };
         self.queue.retain(|place| place.key != key);
         self.crashes.end(key, progress.arrival.digest);
-        if let Some(runner) = progress.current.and_then(|id| self.pool.runner_mut(&id)) {
+        let current = progress.current.as_ref();
+        if let Some(runner) = current.and_then(|it| self.pool.life_mut(&it.id, it.life)) {
             runner.leave(progress.is_suspect);
         }
         self.dispatch(now, random)
     }
 
+    /// Takes in that a word about a runner was not of the life that is known.
+    fn note_life(&mut self, news: Option<LifeNews>) -> Vec<Effect> {
+        let Some(news) = news else {
+            return Vec::new();
+        };
+        if news.change == LifeChange::Began {
+            self.cold.close(&news.runner);
+        }
+        vec![Effect::Life(news)]
+    }
+
     fn chooser(&self) -> Chooser<'_> {
         Chooser {
             pool: &self.pool,
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -1,10 +1,10 @@
 //! What follows from an attempt of a request: what is noted of its runner, and whether the request is tried again.
 
-use fleet::{InstanceId, Mechanism, Millis};
+use fleet::{Mechanism, Millis};
 use rand::rngs::SmallRng;
 
 use super::queue::Place;
-use super::Gateway;
+use super::{Chosen, Gateway};
 use crate::event::{AttemptOutcome, Effect, RequestKey};
 
 /// How long a request that may have run already waits for another place, in milliseconds.
@@ -26,22 +26,23 @@
         let Some(progress) = self.requests.get_mut(&key) else {
             return Vec::new();
         };
-        let Some(id) = progress.current.clone() else {
+        let Some(chosen) = progress.current.clone() else {
             return Vec::new();
         };
+        let id = &chosen.id;
         if outcome == AttemptOutcome::Answered {
             progress.may_have_run = true;
             progress.answered = true;
             let took = now.since(progress.sent_at);
-            self.pool.note_answered(now, &id);
-            self.note_wait(now, &id, took);
+            self.pool.note_answered(now, &chosen.id, chosen.life);
+            self.note_wait(now, &chosen, took);
             return Vec::new();
         }
         progress.current = None;
         let unsent = [AttemptOutcome::Silent, AttemptOutcome::Expired, AttemptOutcome::Withdrawn];
         if matches!(outcome, AttemptOutcome::Denied { .. }) || unsent.contains(&outcome) {
             // Nothing was sent: this was not one of the attempts that the route allows.
-            progress.tried.retain(|it| it != &id);
+            progress.tried.retain(|it| it != id);
         }
         let waited = now.since(progress.sent_at);
         let answered = std::mem::take(&mut progress.answered);
@@ -51,10 +52,10 @@
         let was_suspect = std::mem::take(&mut progress.is_suspect);
         let digest = progress.arrival.digest;
         if outcome == AttemptOutcome::Lost && !answered {
-            self.note_wait(now, &id, waited);
+            self.note_wait(now, &chosen, waited);
         }
-        self.judge(now, &id, outcome, was_suspect);
-        let mut effects = self.note_end(now, digest, &id, outcome);
+        self.judge(now, &chosen, outcome, was_suspect);
+        let mut effects = self.note_end(now, digest, &chosen, outcome);
         if outcome == AttemptOutcome::Finished {
             self.requests.remove(&key);
             self.crashes.end(key, digest);
@@ -67,16 +68,17 @@
     }
 
     /// Notes that a runner let a request wait for so long.
-    fn note_wait(&mut self, now: Millis, id: &InstanceId, waited: Millis) {
-        if let Some(runner) = self.pool.runner_mut(id) {
+    fn note_wait(&mut self, now: Millis, chosen: &Chosen, waited: Millis) {
+        if let Some(runner) = self.pool.life_mut(&chosen.id, chosen.life) {
             runner.note_first(now, waited);
         }
     }
 
     /// Notes at the runner how an attempt ended.
-    fn judge(&mut self, now: Millis, id: &InstanceId, outcome: AttemptOutcome, was_suspect: bool) {
+    fn judge(&mut self, now: Millis, chosen: &Chosen, outcome: AttemptOutcome, was_suspect: bool) {
         let suspects = self.keeps(Mechanism::Suspicion);
-        let Some(runner) = self.pool.runner_mut(id) else {
+        // What an earlier life did says nothing of the one that is there now.
+        let Some(runner) = self.pool.life_mut(&chosen.id, chosen.life) else {
             return;
         };
         runner.leave(was_suspect);
@@ -98,9 +100,9 @@
             AttemptOutcome::Failed | AttemptOutcome::Expired | AttemptOutcome::Withdrawn => {}
         }
         if outcome.was_answered() {
-            self.pool.note_answered(now, id);
+            self.pool.note_answered(now, &chosen.id, chosen.life);
         } else if suspects && matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Silent) {
-            self.pool.note_unanswered(now, id);
+            self.pool.note_unanswered(now, &chosen.id);
         }
     }
 
--- a/components/gateway/src/reducer/crashes.rs
+++ b/components/gateway/src/reducer/crashes.rs
@@ -5,7 +5,7 @@
 use quarantine::{Admission, CrashList, CrashNews, Crashes, LifeDigest, RequestDigest, Sign, Told};
 use rand::rngs::SmallRng;
 
-use super::{Gateway, Progress};
+use super::{Chosen, Gateway, Progress};
 use crate::event::{Arrival, AttemptOutcome, Effect, NextStep, RequestKey};
 
 fn effects(news: impl IntoIterator<Item = CrashNews>) -> Vec<Effect> {
@@ -59,11 +59,11 @@
         &mut self,
         now: Millis,
         digest: RequestDigest,
-        id: &InstanceId,
+        chosen: &Chosen,
         outcome: AttemptOutcome,
     ) -> Vec<Effect> {
         if outcome.may_have_crashed() {
-            self.crashes.suspect(now, digest, id.clone(), LifeDigest::of(id, None));
+            self.crashes.suspect(now, digest, chosen.id.clone(), chosen.life.digest);
         }
         if !outcome.has_ended_well() {
             return Vec::new();
@@ -75,9 +75,9 @@
     pub(super) fn settle_crashes(&mut self, now: Millis) -> Vec<Effect> {
         self.crashes.ledger.forget_old(now);
         let pool = &self.pool;
-        let sign = |id: &InstanceId, _: LifeDigest| match pool.runner(id) {
-            Some(runner) => Sign::Heard(runner.heard_at),
-            None => Sign::Over,
+        let sign = |id: &InstanceId, life: LifeDigest| match pool.runner(id) {
+            Some(runner) if runner.life.digest == life => Sign::Heard(runner.heard_at),
+            Some(_) | None => Sign::Over,
         };
         effects(self.crashes.settle(now, sign))
     }
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::Rng;
 
-use super::{Gateway, Progress};
+use super::{Chosen, Gateway, Progress};
 use crate::choice::Outlook;
 use crate::event::{Effect, NextStep, Reach, RequestKey, RunnerTarget};
 
@@ -202,8 +202,9 @@
         let runner = self.pool.runner_mut(&id)?;
         runner.enter(is_suspect);
         let address = runner.record.address;
+        let chosen = Chosen { id: id.clone(), life: runner.life };
         progress.tried.push(id.clone());
-        progress.current = Some(id.clone());
+        progress.current = Some(chosen);
         progress.is_suspect = is_suspect;
         progress.sent_at = now;
         let reserve = progress.arrival.model.is_some() && ablation.keeps(Mechanism::Reservations);
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use fleet::{Hall, InstanceId, Millis, ModelName, NamedVersion, ServiceName};
+use fleet::{Hall, InstanceId, LifeChange, LifeWord, Millis, ModelName, NamedVersion, ServiceName};
+use quarantine::LifeDigest;
 use serde::{Deserialize, Serialize};
 
 /// The part of a new measurement in a smoothed one.
@@ -41,11 +42,22 @@
     pub whole: bool,
 }
 
+/// One life of a runner, as this process tells it from others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunnerLife {
+    /// What all processes know it by.
+    pub digest: LifeDigest,
+    /// Restarts that were seen of a runner that does not tell when it started.
+    pub restarts: u32,
+}
+
 /// What the list of runners says of one.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunnerRecord {
-    /// Its incarnation. A restarted runner has another one.
+    /// Its name. It may start again under the same one.
     pub id: InstanceId,
+    /// The life that the entry is from.
+    pub life: LifeWord,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -72,6 +84,8 @@
 /// What the sidecar beside a runner says of it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RunnerLoad {
+    /// The life that the report is from.
+    pub life: LifeWord,
     /// Requests that it works on.
     pub running: u32,
     /// Requests that wait there.
@@ -105,6 +119,13 @@
 pub struct Runner {
     /// What the list says.
     pub record: RunnerRecord,
+    /// Its life.
+    pub life: RunnerLife,
+    /// When that life began, by any word of it.
+    pub born: Option<u64>,
+    /// The last word of the list, and of the sidecar: each counts orders at other moments.
+    listed: LifeWord,
+    told: Option<LifeWord>,
     /// Own requests there.
     pub in_flight: u32,
     /// Those of them that runners crashed under before.
@@ -128,9 +149,18 @@
 }
 
 impl Runner {
-    /// A runner that was just listed.
-    pub fn new(now: Millis, record: RunnerRecord) -> Self {
+    /// A life of a runner of which nothing but an entry is known. `restarts` counts those of a runner that does not tell
+    /// when it started.
+    pub fn new(now: Millis, record: RunnerRecord, restarts: u32) -> Self {
         Self {
+            life: RunnerLife {
+                digest: LifeDigest::of(&record.id, record.life.born),
+                // Its birth tells its lives apart, also where the entry was gone for a while.
+                restarts: if record.life.born.is_some() { 0 } else { restarts },
+            },
+            born: record.life.born,
+            listed: record.life,
+            told: None,
             cold_until: now.plus(record.cold_ms),
             may_be_cold_until: Millis(0),
             doubted_at: Millis(0),
@@ -147,8 +177,16 @@
         }
     }
 
+    /// How a word of the list, or of a sidecar, stands to the life that is known.
+    pub fn compare(&self, word: LifeWord, is_listed: bool) -> LifeChange {
+        let last = if is_listed { Some(self.listed) } else { self.told };
+        let sequence = last.map_or(word.sequence, |it| it.sequence);
+        LifeWord { born: self.born, sequence }.compare(word)
+    }
+
     /// Takes in a newer entry of the list.
     pub fn list(&mut self, now: Millis, record: RunnerRecord) {
+        self.listed = record.life;
         self.cold_until = now.plus(record.cold_ms);
         self.record = record;
     }
@@ -193,6 +231,7 @@
     /// Takes in a report.
     pub fn take_load(&mut self, now: Millis, load: RunnerLoad) {
         self.heard_at = now;
+        self.told = Some(load.life);
         self.reported = Some(Reported { load, at: now, own: self.in_flight });
     }
 
--- a/components/gateway/tests/shortage.rs
+++ b/components/gateway/tests/shortage.rs
@@ -167,8 +167,14 @@
 
     fn report(&mut self, runner: usize) {
         let running = self.ends[runner].len() as u32;
-        let status =
-            RunnerStatus { sequence: 0, busy: false, running, waiting: 0, version: Some(1) };
+        let status = RunnerStatus {
+            born: None,
+            sequence: 0,
+            busy: false,
+            running,
+            waiting: 0,
+            version: Some(1),
+        };
         self.ask(runner, rollout::Event::Status(status));
         for gateway in 0..GATEWAYS {
             self.tell(gateway, runner);
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -4,7 +4,9 @@
 
 use std::sync::Arc;
 
-use fleet::{Ablation, HomeRegions, InstanceId, Millis, ModelName, NamedVersion, ServiceName};
+use fleet::{
+    Ablation, HomeRegions, InstanceId, LifeWord, Millis, ModelName, NamedVersion, ServiceName,
+};
 use gateway::*;
 use quarantine::RequestDigest;
 
@@ -89,6 +91,7 @@
         (service == MODEL_SERVICE).then(|| WeightsHeld { model: model(), version: 1, whole: true });
     RunnerRecord {
         id: id.into(),
+        life: LifeWord::default(),
         service: service.into(),
         address: ([127, 0, 0, 1], port).into(),
         hall: "a".into(),
@@ -101,6 +104,7 @@
 
 pub fn load(version: u64, running: u32) -> RunnerLoad {
     RunnerLoad {
+        life: LifeWord::default(),
         running,
         waiting: 0,
         busy: false,
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -5,8 +5,8 @@
 
 use errors::Code;
 use fleet::{
-    Ablation, Bitmap, EvacuationChange, EvacuationList, InstanceId, Manifest, Millis, ModelName,
-    Place,
+    Ablation, Bitmap, EvacuationChange, EvacuationList, InstanceId, LifeChange, LifeWord, Manifest,
+    Millis, ModelName, Place,
 };
 use reducer::{Draw, DrawSource};
 use serde::{Deserialize, Serialize};
@@ -69,6 +69,8 @@
 /// What the runner says of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunnerStatus {
+    /// When it started, in milliseconds of Unix time, where it tells that.
+    pub born: Option<u64>,
     /// Orders that it has taken since it started.
     pub sequence: u64,
     /// Whether it is taking an order now.
@@ -216,6 +218,8 @@
         /// The chunks.
         have: Bitmap,
     },
+    /// Log that the runner has started anew, or that its word is not of the life that is known.
+    Life(LifeChange, LifeWord),
     /// Answer a gateway's question for a place.
     Answer(Question, Verdict),
     /// Log that a data hall is evacuated or taken back, and tell gateways how the runner stands.
--- a/components/rollout/src/places.rs
+++ b/components/rollout/src/places.rs
@@ -103,6 +103,12 @@
         self.tokens_per_ms = tokens_per_ms;
     }
 
+    /// Forgets what is at the runner and on its way there: it has started anew.
+    pub fn forget(&mut self) {
+        self.reported = None;
+        self.given.clear();
+    }
+
     /// Takes in how many requests are at the runner.
     pub fn take_report(&mut self, now: Millis, requests: u32) {
         self.reported = Some((requests, now));
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -16,7 +16,10 @@
 use crate::places::Places;
 use crate::questions::Questions;
 use crate::target::{Step, Target};
-use fleet::{Bitmap, Evacuations, InstanceId, Mechanism, Millis, NamedVersion, VersionName};
+use fleet::{
+    Bitmap, Evacuations, InstanceId, LifeChange, LifeWord, Mechanism, Millis, NamedVersion,
+    VersionName,
+};
 use reducer::DrawSource;
 
 /// The version that runners hold before any was named.
@@ -53,6 +56,8 @@
     /// Since when requests have waited at the runner, if some do.
     waiting_since: Option<Millis>,
     status: Option<RunnerStatus>,
+    /// The last word of the runner on its life. It stays while the runner is silent.
+    life: Option<LifeWord>,
     /// When the runner last said that, and when it was last ordered: words from before an order do not
     /// tell what it does now.
     status_at: Millis,
@@ -94,6 +99,7 @@
             named: VersionName { version: FIRST_VERSION, at: Millis(0), known: false },
             waiting_since: None,
             status: None,
+            life: None,
             status_at: Millis(0),
             own_order_at: Millis(0),
             places,
@@ -159,8 +165,9 @@
             Event::Named { version, named_at } => self.name(now, version, named_at),
             Event::VersionsKnown => self.versions_known = true,
             Event::Status(status) => {
-                self.take_status(now, status);
-                return self.settle_questions(now);
+                let mut effects = self.take_status(now, status);
+                effects.extend(self.settle_questions(now));
+                return effects;
             }
             Event::ColdFor(left_ms) => self.cold.take_word(now, left_ms),
             Event::Silent => {
@@ -343,24 +350,39 @@
         self.peers = Some(peers);
     }
 
-    fn take_status(&mut self, now: Millis, status: RunnerStatus) {
+    fn take_status(&mut self, now: Millis, status: RunnerStatus) -> Vec<Effect> {
+        let told = LifeWord { born: status.born, sequence: status.sequence };
+        let change = self.life.map_or(LifeChange::Same, |known| known.compare(told));
+        let effects = match change {
+            LifeChange::Same => Vec::new(),
+            change => vec![Effect::Life(change, told)],
+        };
+        if matches!(change, LifeChange::Earlier | LifeChange::Untold) {
+            return effects;
+        }
+        self.life = Some(told);
+        let has_begun = change == LifeChange::Began;
+        if has_begun {
+            self.places.forget();
+            self.waiting_since = None;
+        }
         self.places.take_report(now, status.running);
         self.status_at = now;
         self.waiting_since = match status.waiting {
             0 => None,
             _ => self.waiting_since.or(Some(now)),
         };
-        let before = self.status.replace(status.clone());
-        let restarted = before.as_ref().is_none_or(|it| status.sequence < it.sequence);
-        if restarted {
+        let was_heard = self.status.replace(status.clone()).is_some();
+        if has_begun || !was_heard {
             self.cold.assume(now);
         }
         let Some(target) = &mut self.current else {
-            return;
+            return effects;
         };
         let holds = status.version.is_some_and(|it| it >= target.version);
-        let restarted = restarted && before.is_some();
         match target.step {
+            // What was put there is put again: an order to this life is given by what is known of it.
+            Step::Staging if has_begun => target.step = Step::Waiting(now),
             Step::Served if !holds && !status.busy => {
                 target.step = if target.is_whole() {
                     Step::Waiting(now)
@@ -373,12 +395,13 @@
             Step::Ordered(at, sequence) => {
                 let late = now.since(at).0 > ORDER_PATIENCE && !status.busy;
                 let settled = status.sequence > sequence && !status.busy;
-                if late || settled || restarted {
+                if late || settled || has_begun {
                     target.step = Step::Waiting(now);
                 }
             }
             _ => {}
         }
+        effects
     }
 
     fn take_found(&mut self, version: u64, found: &Bitmap) {
--- a/components/rollout/tests/cold.rs
+++ b/components/rollout/tests/cold.rs
@@ -53,8 +53,14 @@
 
     fn report(&mut self) {
         let sequence = self.sequence;
-        let status =
-            RunnerStatus { sequence, busy: false, running: 0, waiting: 0, version: Some(1) };
+        let status = RunnerStatus {
+            born: None,
+            sequence,
+            busy: false,
+            running: 0,
+            waiting: 0,
+            version: Some(1),
+        };
         self.feed(Event::Status(status));
     }
 
--- a/components/rollout/tests/questions.rs
+++ b/components/rollout/tests/questions.rs
@@ -61,7 +61,14 @@
 }
 
 fn report(sidecar: &mut Rollout, now: u64, running: u32) -> Vec<(u64, Verdict)> {
-    let status = RunnerStatus { sequence: 0, busy: false, running, waiting: 0, version: Some(1) };
+    let status = RunnerStatus {
+        born: None,
+        sequence: 0,
+        busy: false,
+        running,
+        waiting: 0,
+        version: Some(1),
+    };
     answers(sidecar.reduce(Millis(now), Event::Status(status)))
 }
 
@@ -186,7 +193,7 @@
                 Step::Report { running: reported } => {
                     (running, given) = (reported, 0);
                     let status =
-                        RunnerStatus { sequence: 0, busy: false, running, waiting: 0, version: Some(1) };
+                        RunnerStatus { born: None, sequence: 0, busy: false, running, waiting: 0, version: Some(1) };
                     sidecar.reduce(Millis(now), Event::Status(status))
                 }
                 Step::Silent => sidecar.reduce(Millis(now), Event::Silent),
@@ -251,8 +258,14 @@
         let mut sidecar = sidecar(NAMED_AT, 0);
         name(&mut sidecar, NAMED_AT, Some(Millis(NAMED_AT)));
         for now in [BOUND - 1800, BOUND - 1400, BOUND - 1000] {
-            let status =
-                RunnerStatus { sequence: 0, busy: false, running: 2, waiting, version: Some(1) };
+            let status = RunnerStatus {
+                born: None,
+                sequence: 0,
+                busy: false,
+                running: 2,
+                waiting,
+                version: Some(1),
+            };
             sidecar.reduce(Millis(now), Event::Status(status));
         }
         assert_eq!(is_denied(ask(&mut sidecar, BOUND - 990, question(1, 1, 0))), denied);
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -264,6 +264,7 @@
 
     pub fn perform(&mut self, index: usize, effect: Effect) {
         match effect {
+            Effect::Life(..) => {}
             Effect::Describe(version, source) => self.describe(index, version, source),
             Effect::Find(version) => {
                 let none = fleet::Bitmap::new(CHUNKS);
@@ -420,6 +421,7 @@
                 runner.version = Some(version);
             }
             let status = RunnerStatus {
+                born: None,
                 sequence: runner.sequence,
                 busy: runner.taking.is_some(),
                 waiting: 0,
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -54,6 +54,7 @@
     platform_calls: Counter<u64>,
     evacuations: Counter<u64>,
     crashes: Counter<u64>,
+    lives: Counter<u64>,
     settings: Counter<u64>,
     gauges: Gauge<u64>,
     spans: Histogram<f64>,
@@ -110,6 +111,10 @@
                 .u64_counter("silverdock_crashes")
                 .with_description("Runners that crashed under requests, and verdicts on these")
                 .build(),
+            lives: meter
+                .u64_counter("silverdock_runner_lives")
+                .with_description("Words about runners that are not of the life that is known")
+                .build(),
             settings: meter
                 .u64_counter("silverdock_reloads")
                 .with_description("Settings of a file that was read again, by what became of them")
@@ -180,6 +185,11 @@
         self.crashes.add(1, &[KeyValue::new("what", what)]);
     }
 
+    /// Counts a word about a runner that is not of the life that is known: `began`, `earlier` or `untold`.
+    pub fn count_life(&self, change: &'static str) {
+        self.lives.add(1, &[KeyValue::new("change", change)]);
+    }
+
     /// Counts a setting of a file that was read again: `applied`, `refused` until the next start, or a whole file
     /// that is `faulty` or `unreadable`.
     pub fn count_setting(&self, outcome: &'static str) {
--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -2,6 +2,8 @@
 
 mod crashes;
 mod evacuations;
+mod foreign_rows;
+mod lives;
 mod logs;
 mod outages;
 mod record;
