Time goes on while the machine is suspended

Cause: all spans came from the steady clock, which stands while a machine is suspended: lists, reports, leases, versions and places looked younger than they were, and requests were held beyond their time. Used by gateways, sidecars, entries and agents. The time of day decides nothing. Not built: that nothing is sent until what binds is confirmed; a gateway that goes on is as one that was frozen.

--- a/components/edge/src/clock.rs
+++ b/components/edge/src/clock.rs
@@ -1,8 +1,9 @@
 //! The time of a process.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use fleet::Millis;
+use uptime::Instant;
 
 /// A clock that counts from the start of the process and never goes back.
 #[derive(Clone, Copy, Debug)]
--- a/components/edge/src/evacuated.rs
+++ b/components/edge/src/evacuated.rs
@@ -1,10 +1,10 @@
 //! The data halls that are evacuated, as the pages of the store's table tell it.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
 
 use fleet::{Evacuation, EvacuationList, Hall};
 use platform::store::Change;
+use uptime::Instant;
 
 /// The rows of evacuations that the table holds.
 #[derive(Debug, Default)]
--- a/components/edge/src/exchange.rs
+++ b/components/edge/src/exchange.rs
@@ -7,9 +7,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use async_io::Timer;
 use async_net::TcpStream;
 use bytes::Bytes;
 use errors::{Code, Error, Result};
@@ -21,6 +20,7 @@
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
+use uptime::Instant;
 
 /// How long a peer may leave sent bytes unacknowledged, in milliseconds.
 const USER_TIMEOUT_MS: u32 = 4000;
@@ -128,7 +128,7 @@
 /// Waits for a future until a moment. `None` when the moment comes first.
 pub async fn within<T>(until: Instant, future: impl Future<Output = T>) -> Option<T> {
     future::or(async { Some(future.await) }, async {
-        Timer::at(until).await;
+        uptime::sleep_until(until).await;
         None
     })
     .await
--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -1,8 +1,7 @@
 //! One attempt of a request at one runner.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::future;
 use gateway::{AttemptOutcome, RequestKey, RunnerTarget};
@@ -11,6 +10,7 @@
 use hyper::body::Incoming;
 use platform::headers::{self, Added, AnswerFacts};
 use telemetry::Span;
+use uptime::Instant;
 
 use super::answer::{whole_body, AnswerBody};
 use super::core::Core;
@@ -139,7 +139,7 @@
             return future::pending().await;
         }
         let patience = ((self.job.aim_ms as f64 * PATIENCE) as u64).max(MIN_PATIENCE);
-        Timer::after(Duration::from_millis(patience)).await;
+        uptime::sleep(Duration::from_millis(patience)).await;
     }
 
     fn request(&self, last_event: Option<&str>) -> Option<Request<Full<Bytes>>> {
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
@@ -15,6 +15,7 @@
 use platform::store::Table;
 use settings::DeploymentSettings;
 use telemetry::Metrics;
+use uptime::{Instant, Suspensions};
 
 use super::answer::{own_answer, whole_body, AnswerBody};
 use super::core::Core;
@@ -26,7 +27,7 @@
 use super::state_log;
 use super::tables::Tables;
 use crate::clock::Clock;
-use crate::metrics::serve_metrics;
+use crate::metrics::{note_suspension, serve_metrics};
 use crate::news::News;
 use crate::server::{listen, serve, ServerOptions};
 use crate::spawner::Spawner;
@@ -237,8 +238,10 @@
 }
 
 async fn tick(core: Core) {
+    let mut suspensions = Suspensions::default();
     loop {
         Timer::after(TICK).await;
+        note_suspension(&core.metrics, &mut suspensions);
         core.feed(Event::Tick);
     }
 }
--- a/components/edge/src/gateway/quarantine.rs
+++ b/components/edge/src/gateway/quarantine.rs
@@ -3,13 +3,14 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::Receiver;
 use errors::Result;
 use gateway::Event;
 use platform::quarantine as rows;
 use quarantine::{CrashNews, QuarantineAnswer, QuarantineCall, QuarantineRecord};
+use uptime::Instant;
 
 use super::core::Core;
 use crate::exchange::within;
--- a/components/edge/src/gateway/record.rs
+++ b/components/edge/src/gateway/record.rs
@@ -1,13 +1,14 @@
 //! Keeps the record of when versions were first heard of.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use errors::Result;
 use fleet::ModelName;
 use gateway::{Event, RecordAnswer, RecordCall, VersionRecord};
 use platform::record;
+use uptime::Instant;
 
 use super::core::Core;
 use crate::exchange::within;
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use account::Decision;
-use async_io::Timer;
 use bytes::Bytes;
 use errors::{Code, Error, Result};
 use futures_lite::{future, stream};
@@ -169,7 +168,7 @@
         let wait = if may_resume { gap } else { left };
         let RunnerAnswer { exchange, body, .. } = &mut self.begun.answer;
         let next = future::or(async { Some(exchange.next(body).await) }, async {
-            Timer::after(wait).await;
+            uptime::sleep(wait).await;
             None
         })
         .await;
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use account::Decision;
-use async_io::Timer;
 use bytes::Bytes;
 use errors::Code;
 use fleet::{HomeRegions, Millis, ModelName, ServiceName, WorkspaceId};
@@ -282,7 +281,7 @@
 ) -> Option<T> {
     let left = Duration::from_millis(limit.since(core.clock.now()).0);
     future::or(async { Some(future.await) }, async {
-        Timer::after(left).await;
+        uptime::sleep(left).await;
         None
     })
     .await
--- a/components/edge/src/gateway/reservations.rs
+++ b/components/edge/src/gateway/reservations.rs
@@ -4,10 +4,11 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use gateway::AttemptOutcome;
+use uptime::Instant;
 
 use crate::exchange::within;
 use crate::message::{Datagram, Reply};
--- a/components/edge/src/gateway/sidecars.rs
+++ b/components/edge/src/gateway/sidecars.rs
@@ -2,13 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_io::Timer;
 use fleet::{EvacuationList, Hall, NamedVersion};
 use gateway::{Event, Sureness};
 use quarantine::CrashList;
 use rand::seq::IteratorRandom;
+use uptime::Instant;
 
 use super::core::Core;
 use super::directory;
--- a/components/edge/src/gateway/sidecars/tests.rs
+++ b/components/edge/src/gateway/sidecars/tests.rs
@@ -9,9 +9,12 @@
 
 use super::*;
 use crate::clock::Clock;
+use crate::gateway::request::before;
 use crate::gateway::reservations::Reservations;
 use crate::gateway::tables::Tables;
 
+/// Longer than anything that was heard counts.
+const SUSPENDED: Duration = Duration::from_secs(8);
 const RUNNER: ([u8; 4], u16) = ([10, 0, 0, 1], 80);
 
 /// A gateway that lists one warm runner of a service whose runners start cold.
@@ -77,3 +80,56 @@
         assert!(core.tables.runners.is_confirmed(), "no answer is overdue");
     });
 }
+
+/// The steady clock stands while a machine is suspended, and so did all ages here: a gateway that went on took what it
+/// had believed before for news of that moment, and held requests for seconds beyond their time.
+#[test]
+fn what_was_believed_before_a_suspension_is_as_old_as_it_is() {
+    block_on(async {
+        let core = core().await;
+        core.tables.runners.note_heard();
+        core.tables.operator.note_heard();
+        let load = RunnerLoad {
+            life: Default::default(),
+            running: 0,
+            waiting: 0,
+            busy: false,
+            pace: 1.0,
+            reading_ms: 0,
+            weights: None,
+            serves_in_ms: Some(0),
+            named: None,
+        };
+        core.feed(Event::Load(RUNNER.into(), load));
+        let is_heard = |core: &Core| {
+            let now = core.clock.now();
+            core.read(|it| it.pool().runner(&"r".into()).is_some_and(|it| it.load(now).is_some()))
+        };
+        let before = core.clock.now();
+        assert!(is_heard(&core) && core.tables.operator.is_confirmed());
+        uptime::pretend_suspended(SUSPENDED);
+        assert!(core.clock.now().since(before).0 >= SUSPENDED.as_millis() as u64);
+        assert!(!is_heard(&core), "a report of before");
+        assert!(!core.tables.operator.is_confirmed() && !core.tables.runners.is_confirmed());
+        assert_eq!(told_cold_ms(&core), None);
+    });
+}
+
+#[test]
+fn a_request_whose_time_is_over_ends_as_the_machine_goes_on() {
+    block_on(async {
+        let core = core().await;
+        let mut suspensions = uptime::Suspensions::default();
+        let limit = core.clock.now().plus(SUSPENDED.as_millis() as u64);
+        let begun = std::time::Instant::now();
+        let held = before(&core, limit, std::future::pending::<()>());
+        let going_on = async {
+            Timer::after(Duration::from_millis(20)).await;
+            uptime::pretend_suspended(SUSPENDED);
+            suspensions.look()
+        };
+        let (held, span) = futures_lite::future::zip(held, going_on).await;
+        assert!(held.is_none() && span.is_some());
+        assert!(begun.elapsed() < Duration::from_secs(2), "{:?}", begun.elapsed());
+    });
+}
--- a/components/edge/src/gateway/tables.rs
+++ b/components/edge/src/gateway/tables.rs
@@ -1,9 +1,10 @@
 //! What a gateway knows of the store's tables, and how old that is.
 
 use std::cell::Cell;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use platform::store::Table;
+use uptime::Instant;
 
 /// How a table of the store stands.
 pub struct TableState {
--- a/components/edge/src/lapses.rs
+++ b/components/edge/src/lapses.rs
@@ -6,9 +6,10 @@
 //! machine was cut off, the store has been right all along.
 
 use std::collections::BTreeSet;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use fleet::InstanceId;
+use uptime::Instant;
 
 /// How long after its return the store's word that a runner is gone is not yet believed: two seconds for
 /// the runner to write again, and half a second for us to hear of it.
--- a/components/edge/src/link.rs
+++ b/components/edge/src/link.rs
@@ -1,7 +1,7 @@
 //! Calls to one server over a kept connection.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use errors::{Code, Error, Result};
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::Call;
+use uptime::Instant;
 
 use crate::exchange::{within, Exchange};
 
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -11,6 +11,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use telemetry::Metrics;
+use uptime::Suspensions;
 
 use crate::gateway::{own_answer, whole_body, AnswerBody};
 use crate::server::{listen, serve, ServerOptions};
@@ -58,6 +59,15 @@
     }
 }
 
+/// Logs and counts that the machine was suspended, if it was since the last look. What was believed before is as old as
+/// it is: all time here goes on meanwhile.
+pub fn note_suspension(metrics: &Metrics, suspensions: &mut Suspensions) {
+    if let Some(span) = suspensions.look() {
+        log::warn!(ms = span.as_millis() as u64; "the machine was suspended");
+        metrics.count_suspension();
+    }
+}
+
 fn page(request: &Request<Incoming>, metrics: &Metrics) -> Response<AnswerBody> {
     if request.uri().path() != PATH {
         return own_answer(StatusCode::NOT_FOUND, None, Code::UnknownTarget);
--- a/components/edge/src/sidecar/directory.rs
+++ b/components/edge/src/sidecar/directory.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::Receiver;
 use errors::Result;
@@ -12,6 +12,7 @@
 use rand::seq::IteratorRandom;
 use rollout::{Directory, DirectoryAnswer, Event, Peer};
 use settings::DeploymentSettings;
+use uptime::Instant;
 
 use super::core::Core;
 use crate::exchange::within;
--- a/components/edge/src/sidecar/draws.rs
+++ b/components/edge/src/sidecar/draws.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use errors::{Code, Error, Result};
@@ -10,6 +10,7 @@
 use platform::weights;
 use reducer::{Draw, DrawSource};
 use rollout::{Event, ManifestSource};
+use uptime::Instant;
 
 use super::core::Core;
 use crate::exchange::{connect, within};
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -14,6 +14,7 @@
 use rollout::{ColdLimit, Effect, Event, RolloutOptions, GATEWAY_PATIENCE};
 use settings::{BoundSettings, DeploymentSettings, SidecarSettings};
 use telemetry::Metrics;
+use uptime::{Instant, Suspensions};
 
 use super::core::Core;
 use super::directory::{self, DirectorySettings};
@@ -23,7 +24,7 @@
 use crate::life_log::note_life;
 use crate::link::Link;
 use crate::message::{weights_services, Datagram};
-use crate::metrics::{note_evacuation, serve_metrics};
+use crate::metrics::{note_evacuation, note_suspension, serve_metrics};
 use crate::news::News;
 use crate::server::listen;
 use crate::spawner::Spawner;
@@ -276,8 +277,10 @@
 async fn tick(core: Core) {
     let mut progress = Progress::default();
     let mut was_cold = false;
+    let mut suspensions = Suspensions::default();
     loop {
         Timer::after(TICK).await;
+        note_suspension(&core.metrics, &mut suspensions);
         core.feed(Event::Tick);
         core.close_rested_links();
         core.crashes.borrow_mut().forget_old(core.clock.now());
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use account::{Decision, RequestLine};
 use async_channel::Sender;
@@ -13,6 +13,7 @@
 use net::{write_paced, Pacer};
 use quarantine::Told;
 use rollout::{Denial, Event, Question, Verdict};
+use uptime::Instant;
 
 use super::core::{Core, Subscription};
 use crate::exchange::{prepare, within};
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -1,7 +1,7 @@
 //! What a sidecar does at the runner beside it.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::Receiver;
 use async_io::Timer;
@@ -12,6 +12,7 @@
 use platform::{runner, weights};
 use quarantine::Told;
 use rollout::{Audience, Event, OrderOutcome, Reports};
+use uptime::Instant;
 
 use super::core::Core;
 use crate::exchange::within;
--- a/components/edge/src/sidecar/streams.rs
+++ b/components/edge/src/sidecar/streams.rs
@@ -2,9 +2,10 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_net::TcpStream;
+use uptime::Instant;
 
 /// How long a connection may rest. The other side closes it a little later.
 const REST: Duration = Duration::from_millis(1000);
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_io::Timer;
 use errors::{Code, Error, Result};
@@ -12,6 +12,7 @@
 use platform::store::{self, Change, Page, Table};
 use rand::Rng;
 use telemetry::Metrics;
+use uptime::Instant;
 
 use crate::evacuated::EvacuatedHalls;
 use crate::lapses::Lapses;
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -5,14 +5,14 @@
 //! chunked body that is cut is an error; a body with neither is taken as empty.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use async_io::Timer;
 use async_net::TcpStream;
 use errors::{Code, Error, Result};
 use futures_lite::future::FutureExt;
 use futures_lite::io::{AsyncBufRead, AsyncReadExt};
 use http_types::{Request, Response};
+use uptime::Instant;
 
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -36,7 +36,7 @@
         future: impl std::future::Future<Output = Result<T>>,
     ) -> Result<T> {
         let expired = async {
-            Timer::at(self.0).await;
+            uptime::sleep_until(self.0).await;
             Err(Error::new(code, "the time for the call ran out"))
         };
         future.or(expired).await
--- a/components/node/src/clock.rs
+++ b/components/node/src/clock.rs
@@ -1,8 +1,9 @@
 //! The time that reducers are told.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use fleet::{Incarnation, Millis};
+use uptime::Instant;
 
 /// A clock that starts at the Unix time and then never goes back.
 #[derive(Clone, Copy, Debug)]
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -10,6 +10,7 @@
 use fleet::Configuration;
 use net::Deadline;
 use reducer::{ControlEffect, ControlEvent};
+use uptime::Suspensions;
 use wire::{open_datagram, seal_datagram, Message, MAX_DATAGRAM_BYTES};
 
 use crate::host::Surroundings;
@@ -81,8 +82,12 @@
         tasks.spawn(self.clone().receive());
         let inbox = self.inbox.clone();
         tasks.spawn(async move {
+            let mut suspensions = Suspensions::default();
             loop {
                 Timer::after(TICK).await;
+                if let Some(span) = suspensions.look() {
+                    log::warn!(ms = span.as_millis() as u64; "the machine was suspended");
+                }
                 inbox.offer(tick());
             }
         });
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -55,6 +55,7 @@
     evacuations: Counter<u64>,
     crashes: Counter<u64>,
     lives: Counter<u64>,
+    suspensions: Counter<u64>,
     settings: Counter<u64>,
     gauges: Gauge<u64>,
     spans: Histogram<f64>,
@@ -115,6 +116,10 @@
                 .u64_counter("silverdock_runner_lives")
                 .with_description("Words about runners that are not of the life that is known")
                 .build(),
+            suspensions: meter
+                .u64_counter("silverdock_suspensions")
+                .with_description("How often the machine was suspended while the process ran")
+                .build(),
             settings: meter
                 .u64_counter("silverdock_reloads")
                 .with_description("Settings of a file that was read again, by what became of them")
@@ -190,6 +195,11 @@
         self.lives.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Counts that the machine was suspended.
+    pub fn count_suspension(&self) {
+        self.suspensions.add(1, &[]);
+    }
+
     /// Counts a setting of a file that was read again: `applied`, `refused` until the next start, or a whole file
     /// that is `faulty` or `unreadable`.
     pub fn count_setting(&self, outcome: &'static str) {
