What has just been served is not blamed for runners that end; the soak learns it

Cause: found by the soak, which learns requests that crash their runners, runners that start again under their names and rows of another writer. Ruled out: a trial that fails (four crashes, so the next one was 40 s away), the record of the store.

Change: what crashes each runner that begins it never ends well, so a success speaks for a request for three seconds: at the gateway that saw it, and in the ledger that others are told.

--- a/components/gateway/tests/crashes.rs
+++ b/components/gateway/tests/crashes.rs
@@ -130,6 +130,39 @@
     assert_eq!(bed.gateway.crash_counts(), (0, 0));
 }
 
+/// Found by a soak in which all callers send one and the same request: it was on each runner that another one ended.
+#[test]
+fn what_has_just_been_served_is_not_blamed_for_runners_that_end() {
+    let mut bed = bed(8);
+    sent_to(bed.arrive(attempt(1)));
+    bed.outcome(1, AttemptOutcome::Answered);
+    bed.outcome(1, AttemptOutcome::Finished);
+    for key in 2..=4 {
+        sent_to(bed.arrive(Arrival { attempts: 1, ..attempt(key) }));
+        bed.outcome(key, AttemptOutcome::Cut);
+    }
+    bed.pass(SETTLED);
+    assert_eq!(bed.gateway.crash_counts(), (0, 0));
+    sent_to(bed.arrive(attempt(9)));
+}
+
+#[test]
+fn what_others_blame_and_has_just_been_served_here_is_cleared_for_all() {
+    let mut other = bed(6);
+    crash(&mut other, 3);
+    let told = other.gateway.crash_list(Millis(other.now), 0);
+    let mut bed = bed(2);
+    sent_to(bed.arrive(attempt(1)));
+    bed.outcome(1, AttemptOutcome::Answered);
+    bed.outcome(1, AttemptOutcome::Finished);
+    bed.feed(Event::Crashes(told));
+    sent_to(bed.arrive(attempt(2)));
+    let cleared = bed.gateway.crash_list(Millis(bed.now), 0);
+    other.now += 1000;
+    other.feed(Event::Crashes(cleared));
+    sent_to(other.arrive(attempt(9)));
+}
+
 /// Three that shared a runner go on at three runners, although one has more room than the others: the guilty one of
 /// them ends its next runner under itself alone.
 #[test]
--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -8,7 +8,7 @@
 use fleet::{InstanceId, Millis};
 
 use crate::digest::RequestDigest;
-use crate::ledger::{CrashChange, CrashLedger, CrashList, LifeDigest, Verdict};
+use crate::ledger::{CrashChange, CrashLedger, CrashList, LifeDigest, Verdict, INNOCENT_FOR};
 
 /// How long a runner has to show that it lives, in milliseconds: sidecars of other halls report every 420 ms.
 const CONFIRM_AFTER: u64 = 600;
@@ -19,6 +19,10 @@
 /// When they do where none is to come, in milliseconds.
 const NO_TRIAL: u64 = 3_600_000;
 
+/// The most successes that are remembered, of 16 bytes each: more than a gateway hands on within their time. What finds
+/// no room has to be told apart without.
+const MOST_SUCCESSES: usize = 8192;
+
 /// What is seen of the life of a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sign {
@@ -89,13 +93,20 @@
     /// What is known of requests.
     pub ledger: CrashLedger,
     open: Vec<Suspicion>,
+    /// When requests last ended well here, as long as that speaks for them.
+    successes: BTreeMap<RequestDigest, Millis>,
     /// Requests in quarantine that are tried once more here now.
     trials: BTreeMap<RequestDigest, K>,
 }
 
 impl<K> Default for Crashes<K> {
     fn default() -> Self {
-        Self { ledger: CrashLedger::default(), open: Vec::new(), trials: BTreeMap::new() }
+        Self {
+            ledger: CrashLedger::default(),
+            open: Vec::new(),
+            successes: BTreeMap::new(),
+            trials: BTreeMap::new(),
+        }
     }
 }
 
@@ -142,6 +153,9 @@
 
     fn confirm(&mut self, now: Millis, suspicion: Suspicion) -> Vec<CrashNews> {
         let Suspicion { digest, runner, life, at } = suspicion;
+        if self.is_innocent(digest, at) {
+            return Vec::new();
+        }
         let change = self.ledger.note_crash(now, digest, life, at);
         let crashes = self.ledger.crashes(digest);
         let crashed = CrashNews::Crashed { digest, runner, crashes };
@@ -152,14 +166,34 @@
     /// A request ended well.
     pub fn note_success(&mut self, now: Millis, digest: RequestDigest) -> Option<CrashNews> {
         self.open.retain(|it| it.digest != digest);
-        let change = self.ledger.note_success(now, digest)?;
+        if self.successes.len() >= MOST_SUCCESSES {
+            self.successes.retain(|_, at| now.since(*at).0 <= INNOCENT_FOR);
+        }
+        if self.successes.len() < MOST_SUCCESSES {
+            self.successes.insert(digest, now);
+        }
+        let change = self.ledger.note_success(now, digest, now)?;
         Some(CrashNews::Changed { change, is_own: true })
     }
 
+    /// Whether a request had ended well here shortly before a moment, or has since.
+    fn is_innocent(&self, digest: RequestDigest, moment: Millis) -> bool {
+        self.successes.get(&digest).is_some_and(|at| moment <= at.plus(INNOCENT_FOR))
+    }
+
     /// Takes in what a sidecar or the platform's store tells.
     pub fn take(&mut self, now: Millis, list: &CrashList) -> Vec<CrashNews> {
-        let changes = self.ledger.take(now, list);
-        changes.into_iter().map(|change| CrashNews::Changed { change, is_own: false }).collect()
+        let changes = self.ledger.take(now, list).into_iter();
+        let mut news: Vec<CrashNews> =
+            changes.map(|change| CrashNews::Changed { change, is_own: false }).collect();
+        // What others blame may have just ended well here.
+        for told in &list.0 {
+            if let Some(at) = self.successes.get(&told.digest).copied() {
+                let change = self.ledger.note_success(now, told.digest, at);
+                news.extend(change.map(|change| CrashNews::Changed { change, is_own: true }));
+            }
+        }
+        news
     }
 
     /// Whether a request that arrives may be sent. `may_try` tells whether it is up to this process to try a request in
--- a/components/quarantine/src/ledger.rs
+++ b/components/quarantine/src/ledger.rs
@@ -30,6 +30,10 @@
 const QUARANTINE_MEMORY: u64 = 3_600_000;
 /// How long a success is remembered, in milliseconds: as long as crashes before it may still be told.
 const SUCCESS_MEMORY: u64 = 10_000;
+/// How long after a success crashes are not blamed on a request, in milliseconds. What crashes each runner that begins
+/// it has no success; what many callers ask for is on every runner that crashes. Where all callers sent one and the same
+/// request, it was in quarantine beside the one that crashed runners after 0.6 s.
+pub(crate) const INNOCENT_FOR: u64 = 3000;
 /// The first pause after which a request in quarantine may be tried once more, in milliseconds; it doubles twice with
 /// each crash. Ten seconds are more than the shortages that its crashes make.
 const TRIAL_PAUSE: u64 = 10_000;
@@ -162,7 +166,7 @@
 
     /// Adds a crash. Whether it is news.
     fn add(&mut self, life: LifeDigest, at: Millis) -> bool {
-        if self.succeeded_at.is_some_and(|it| at <= it) {
+        if self.succeeded_at.is_some_and(|it| at <= it.plus(INNOCENT_FOR)) {
             return false;
         }
         if let Some(known) = self.crashes.get_mut(&life) {
@@ -184,7 +188,7 @@
         }
         self.succeeded_at = Some(at);
         let before = self.crashes.len();
-        self.crashes.retain(|_, crashed_at| *crashed_at > at);
+        self.crashes.retain(|_, crashed_at| *crashed_at > at.plus(INNOCENT_FOR));
         self.crashes.len() < before
     }
 
@@ -228,11 +232,16 @@
 
     /// Notes that a request ended well. Only of requests that a runner crashed under: of the others there is nothing
     /// to take back.
-    pub fn note_success(&mut self, now: Millis, digest: RequestDigest) -> Option<CrashChange> {
+    pub fn note_success(
+        &mut self,
+        now: Millis,
+        digest: RequestDigest,
+        at: Millis,
+    ) -> Option<CrashChange> {
         if !self.requests.contains_key(&digest) {
             return None;
         }
-        self.change(now, digest, |entry| entry.clear(now))
+        self.change(now, digest, |entry| entry.clear(at))
     }
 
     /// Takes in what another process tells.
--- a/components/quarantine/tests/ledger.rs
+++ b/components/quarantine/tests/ledger.rs
@@ -69,7 +69,7 @@
 fn a_success_takes_all_suspicion_and_older_news_does_not_bring_it_back() {
     let mut ledger = crashed(3);
     let older = ledger.list(at(2500), Told::Suspects, 0);
-    let cleared = ledger.note_success(at(3000), REQUEST);
+    let cleared = ledger.note_success(at(3000), REQUEST, at(3000));
     let change = CrashChange::Cleared { digest: REQUEST, was_quarantined: true };
     assert_eq!(cleared, Some(change));
     assert_eq!(verdict(&mut ledger, 3000), Verdict::Clear);
@@ -84,16 +84,30 @@
     let mut other = CrashLedger::default();
     other.take(at(2500), &ledger.list(at(2500), Told::FreshSuspects, 0));
     assert!(is_quarantined(verdict(&mut other, 2500)));
-    ledger.note_success(at(4000), REQUEST);
+    ledger.note_success(at(4000), REQUEST, at(4000));
     let told = ledger.list(at(5000), Told::FreshSuspects, 0);
     let change = CrashChange::Cleared { digest: REQUEST, was_quarantined: true };
     assert_eq!(other.take(at(5000), &told), [change]);
 }
 
+#[test]
+fn a_success_speaks_for_a_request_for_three_seconds() {
+    let mut ledger = crashed(2);
+    ledger.note_success(at(2500), REQUEST, at(2500));
+    for number in 3..6 {
+        crash(&mut ledger, 5500, number);
+    }
+    assert_eq!(verdict(&mut ledger, 5500), Verdict::Clear);
+    for number in 6..9 {
+        crash(&mut ledger, 5501, number);
+    }
+    assert!(is_quarantined(verdict(&mut ledger, 5501)));
+}
+
 #[test]
 fn a_request_that_nobody_suspects_is_not_kept() {
     let mut ledger = CrashLedger::default();
-    assert_eq!(ledger.note_success(at(0), REQUEST), None);
+    assert_eq!(ledger.note_success(at(0), REQUEST, at(0)), None);
     assert_eq!(ledger.list(at(0), Told::Fresh, 0).0, []);
 }
 
@@ -182,8 +196,8 @@
                 }
                 // Who does not know of a crash has no reason to tell of a success.
                 Seen::Success if ledgers[*process].crashes(REQUEST) > 0 => {
-                    ledgers[*process].note_success(at(now), REQUEST);
-                    whole.note_success(at(now), REQUEST);
+                    ledgers[*process].note_success(at(now), REQUEST, at(now));
+                    whole.note_success(at(now), REQUEST, at(now));
                 }
                 Seen::Success => {}
             }
--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -19,6 +19,7 @@
 use rand::{Rng, SeedableRng};
 use smol_hyper::rt::FuturesIo;
 
+use crate::faults::CRASH_PATH;
 use crate::history::{Kind, Request, Seen};
 
 /// How long a caller waits for an answer.
@@ -32,6 +33,9 @@
 /// The part of the requests after which a caller opens another connection.
 const LEAVES: f64 = 0.15;
 
+/// The part of the requests that crash runners, while there are any.
+const CRASHES: f64 = 0.05;
+
 /// What callers share.
 #[derive(Clone)]
 pub struct Shared {
@@ -41,6 +45,8 @@
     pub gateways: Arc<Vec<(SocketAddr, AtomicU64)>>,
     /// The newest version of the configuration that added a route of its own.
     pub configuration: Arc<AtomicU64>,
+    /// The number of the request under which runners crash, while callers send it. Zero while they do not.
+    pub crashing: Arc<AtomicU64>,
     /// Whether callers should end.
     pub over: Arc<AtomicBool>,
     /// What they saw.
@@ -123,6 +129,10 @@
 
     fn kind(&mut self) -> Kind {
         let newest = self.shared.configuration.load(Ordering::Relaxed);
+        let crashing = self.shared.crashing.load(Ordering::Relaxed);
+        if crashing > 0 && self.random.random_bool(CRASHES) {
+            return Kind::Crash(crashing);
+        }
         match self.random.random_range(0..10) {
             0..4 => Kind::Stream,
             4..5 => Kind::Safe,
@@ -147,6 +157,7 @@
 fn request(kind: Kind, id: &str) -> Option<HttpRequest<Full<Bytes>>> {
     let (method, path) = match kind {
         Kind::Stream => (Method::POST, "/s/x".to_owned()),
+        Kind::Crash(number) => (Method::POST, format!("{CRASH_PATH}{number}")),
         Kind::Safe => (Method::GET, "/get/x".to_owned()),
         Kind::Unsafe => (Method::POST, "/post/x".to_owned()),
         Kind::Bound => (Method::GET, "/bound/x".to_owned()),
--- a/examples/soak/checker.rs
+++ b/examples/soak/checker.rs
@@ -23,6 +23,13 @@
 const COLD_WINDOW: Duration = Duration::from_millis(1000);
 /// The most requests that a cold runner gets in one window: 1.5 times the 6 that it bears and 5 on top.
 pub const COLD_LIMIT: usize = 14;
+/// The crashes after which a request is not sent on, how long after it began such a request ends its runner, and within
+/// what time every gateway knows.
+const QUARANTINE_AT: usize = 3;
+const CRASH_AFTER: Duration = Duration::from_millis(30);
+const CONTACT: Duration = Duration::from_millis(3000);
+/// How often it may reach runners after that.
+const MOST_RETRIES: usize = 3;
 /// How long a process must have been left alone to be held to a bound of time.
 const IN_TOUCH: Duration = Duration::from_millis(3500);
 /// How long a request may be under way when its connection is closed between two requests.
@@ -57,6 +64,7 @@
         violations.extend(check_evacuated(history, request, runs));
     }
     violations.extend(history.cold.iter().filter_map(|cold| check_cold(history, cold)));
+    violations.extend(check_quarantine(history));
     violations.extend(check_configuration(history));
     violations.extend(check_recovery(history));
     violations.extend(history.mixtures.iter().map(|runner| Violation {
@@ -74,7 +82,7 @@
 
 /// The body of a whole answer to a request.
 pub fn whole_body(kind: Kind, id: &str) -> String {
-    if kind == Kind::Stream {
+    if matches!(kind, Kind::Stream | Kind::Crash(_)) {
         return (1..=EVENTS).map(|it| format!("id: {it}\ndata: {id}/{it}\n\n")).collect();
     }
     format!("ledger {id}")
@@ -92,7 +100,8 @@
     if request.kind == Kind::Unsafe && runs.len() > 1 {
         return Some(broken("runs at most once", request, &format!("{runs:?}")));
     }
-    let service = if request.kind == Kind::Stream { "assistant" } else { "ledger" };
+    let is_stream = matches!(request.kind, Kind::Stream | Kind::Crash(_));
+    let service = if is_stream { "assistant" } else { "ledger" };
     for run in runs {
         if run.service != service {
             return Some(broken("runs where its route says", request, &run.service));
@@ -196,6 +205,40 @@
     })
 }
 
+/// Once a request has crashed three runners and every gateway must have heard of that, it reaches few more, of all
+/// gateways that were left alone together.
+fn check_quarantine(history: &History) -> Vec<Violation> {
+    let mut runs: BTreeMap<u64, Vec<(Duration, &Request)>> = BTreeMap::new();
+    for request in &history.requests {
+        let Kind::Crash(number) = request.kind else {
+            continue;
+        };
+        let of_request = history.runs.get(&request.id).into_iter().flatten();
+        runs.entry(number).or_default().extend(of_request.map(|it| (it.at, request)));
+    }
+    let late = runs.into_iter().filter_map(|(number, mut runs)| {
+        runs.sort_by_key(|it| it.0);
+        // Each run ends its runner.
+        let known = runs.get(QUARANTINE_AT - 1)?.0 + CRASH_AFTER + CONTACT;
+        let is_late = |(at, request): &&(Duration, &Request)| {
+            *at > known && request.sent > known && is_in_touch(history, request)
+        };
+        let late = runs.iter().filter(is_late).count();
+        (late > MOST_RETRIES).then(|| Violation {
+            promise: "a request that crashes its runners is not sent on",
+            seen: format!("request {number}: {late} of {} runs later than {known:?}", runs.len()),
+        })
+    });
+    late.collect()
+}
+
+/// Whether a request's gateway and the store were left alone from a while before it.
+fn is_in_touch(history: &History, request: &Request) -> bool {
+    is_calm(history, request, |target| {
+        target == Target::Gateway(request.gateway.0) || target == Target::Store
+    })
+}
+
 /// A route of one version of the configuration is served as soon as that version binds, and no longer than
 /// until the next one does.
 fn check_in_force(history: &History, request: &Request) -> Option<Violation> {
@@ -261,7 +304,7 @@
         let what = match request.kind {
             Kind::Stream => "streams",
             Kind::Safe | Kind::Unsafe | Kind::Bound => "plain requests",
-            Kind::Probe(_) => continue,
+            Kind::Probe(_) | Kind::Crash(_) => continue,
         };
         let whole = matches!(request.seen, Seen::Answer { status: 200, whole: true, .. });
         let (good, all) = served.entry((request.gateway.0, what)).or_default();
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -39,8 +39,14 @@
     "homes",
     "cold",
     "settings",
+    "crash",
+    "reborn",
+    "foreign",
 ];
 
+/// The start of the paths of requests under which model runners crash. Behind it stands the number of the fault.
+pub const CRASH_PATH: &str = "/s/crash";
+
 /// Something that is done.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
@@ -82,6 +88,12 @@
     Homes(Option<usize>),
     /// A plain runner starts anew and is cold for a while.
     ColdStart(usize),
+    /// Callers send a request under which each runner crashes that begins it, again and again for a while.
+    Crash,
+    /// A model runner starts anew under the name that it had.
+    Reborn(usize),
+    /// Another writer puts rows into the list, one of them in the place of a runner's, for a while.
+    Foreign(usize),
     /// The settings file of a process changes; it may be told of that or not.
     Settings(usize, bool),
 }
@@ -150,6 +162,9 @@
         "evacuate" => Fault::Evacuate(random.random_range(0..HALLS)),
         "homes" => Fault::Homes(random.random_bool(0.7).then(|| random.random_range(0..HALLS))),
         "cold" => Fault::ColdStart(random.random_range(sizes.models..sizes.runners)),
+        "crash" => Fault::Crash,
+        "reborn" => Fault::Reborn(model),
+        "foreign" => Fault::Foreign(runner),
         "settings" => Fault::Settings(process, random.random_bool(0.5)),
         _ => Fault::Spoil(model, random.random_range(0..64)),
     }
--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -11,7 +11,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 
-use crate::faults::HALLS;
+use crate::faults::{CRASH_PATH, HALLS};
 use crate::proxy::Proxy;
 
 /// Where proxies listen in front of runners.
@@ -31,6 +31,8 @@
 const HALL_NAMES: [(&str, &str); HALLS] = [("a", "north"), ("b", "south")];
 /// How long a runner is cold after a start.
 pub const COLD_START: Duration = Duration::from_millis(3000);
+/// When model runners first started, in milliseconds of Unix time.
+const FIRST_BIRTH: u64 = 1_764_720_000_000;
 /// Requests a second that a cold runner bears.
 const COLD_PER_S: f64 = 6.0;
 
@@ -151,6 +153,10 @@
         let listed = SocketAddr::new(machine, RUNNER_PORT);
         let mut engine = engine(&format!("{name}-0"));
         engine.listed_at = Some(listed);
+        if engine.model {
+            engine.born = Some(FIRST_BIRTH);
+            engine.crashes_on = Some(CRASH_PATH.into());
+        }
         let address = SocketAddr::new(machine, ENGINE_PORT);
         let proxy = Proxy::start(listed, address).wrap_err("a proxy cannot listen")?;
         let engine = self.standin.add_runner(address, engine);
--- a/examples/soak/history.rs
+++ b/examples/soak/history.rs
@@ -11,6 +11,8 @@
 pub enum Kind {
     /// A stream that may be resumed.
     Stream,
+    /// A stream under which each runner crashes that begins it, by its number.
+    Crash(u64),
     /// A plain request that may be repeated.
     Safe,
     /// A plain request that may not.
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -5,6 +5,7 @@
 mod args;
 mod callers;
 mod checker;
+mod conductor;
 mod faults;
 mod fleet;
 mod history;
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -277,3 +277,33 @@
     history.requests[0].sent = at(13_000);
     assert_eq!(broken(&history), Some("back in service soon after the last fault"));
 }
+
+/// Tries of a request that crashes its runners, with the moments at which they reached one.
+fn crashing(moments: &[u64]) -> History {
+    let mut history = History { calm_from: at(100_000), ..History::default() };
+    for (number, moment) in moments.iter().enumerate() {
+        let id = format!("k{number}");
+        let (sent, ended) = (at(moment - 10), at(moment + 40));
+        let seen = Seen::Lost;
+        let kind = Kind::Crash(1);
+        history.requests.push(Request { id: id.clone(), kind, gateway: (0, 0), sent, ended, seen });
+        let run = Run { service: "assistant".into(), ..run_at("e1", *moment) };
+        history.runs.insert(id, vec![run]);
+    }
+    history
+}
+
+#[test]
+fn a_request_that_crashes_its_runners_and_is_sent_on_is_caught() {
+    let early = [10_000, 10_500, 11_000, 11_500, 13_900, 14_000];
+    assert_eq!(broken(&crashing(&early)), None, "not all have heard of it yet");
+    let few = [10_000, 10_500, 11_000, 14_100, 20_000, 30_000];
+    assert_eq!(broken(&crashing(&few)), None, "three more are allowed");
+    let many = [10_000, 10_500, 11_000, 14_100, 20_000, 30_000, 40_000];
+    let promise = "a request that crashes its runners is not sent on";
+    assert_eq!(broken(&crashing(&many)), Some(promise));
+    let mut harmed = crashing(&many);
+    let (from, until) = (at(19_000), at(20_000));
+    harmed.harmed.push(Harmed { target: Target::Gateway(0), from, until });
+    assert_eq!(broken(&harmed), None, "one was sent by a gateway that was not in touch");
+}
