--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -12,7 +12,7 @@
 use quarantine::{CrashLedger, CrashList, Told};
 use rollout::{Effect, Event, Rollout, RolloutOptions};
 use settings::SidecarSettings;
-use telemetry::{note_verdict, Metrics};
+use telemetry::{note_crash_change, Metrics};
 
 use super::chunks::Chunks;
 use super::streams::Streams;
@@ -209,7 +209,7 @@
     /// Takes in what a gateway knows of requests that runners crashed under.
     pub fn take_crashes(&self, list: &CrashList) {
         for change in self.crashes.borrow_mut().take(self.clock.now(), list) {
-            note_verdict(&self.metrics, &change, false);
+            note_crash_change(&self.metrics, &change, false);
         }
     }
 
--- a/components/gateway/tests/crashes.rs
+++ b/components/gateway/tests/crashes.rs
@@ -113,10 +113,10 @@
 }
 
 #[test]
-fn what_was_cut_with_the_guilty_one_is_cleared_by_its_next_answer() {
+fn what_was_cut_with_the_one_that_crashes_is_cleared_by_its_next_answer() {
     let mut bed = bed(6);
-    let innocent = arrival(20, MODEL_SERVICE, RouteKind::Stream { resumable: true });
-    sent_to(bed.arrive(innocent));
+    let bystander = arrival(20, MODEL_SERVICE, RouteKind::Stream { resumable: true });
+    sent_to(bed.arrive(bystander));
     bed.outcome(20, AttemptOutcome::Answered);
     sent_to(bed.outcome(20, AttemptOutcome::Cut));
     bed.pass(SETTLED);
@@ -163,7 +163,7 @@
     sent_to(other.arrive(attempt(9)));
 }
 
-/// Three that shared a runner go on at three runners, although one has more room than the others: the guilty one of
+/// Three that shared a runner go on at three runners, although one has more room than the others: the one that crashes of
 /// them ends its next runner under itself alone.
 #[test]
 fn those_that_were_cut_together_go_on_apart() {
@@ -184,7 +184,7 @@
 }
 
 #[test]
-fn a_verdict_of_another_gateway_holds_here_for_what_waits_too() {
+fn a_quarantine_of_another_gateway_holds_here_for_what_waits_too() {
     let mut other = bed(6);
     crash(&mut other, 3);
     let told = other.gateway.crash_list(Millis(other.now), 0);
@@ -198,7 +198,7 @@
 }
 
 #[test]
-fn it_is_not_sent_to_a_runner_that_was_chosen_before_the_verdict() {
+fn it_is_not_sent_to_a_runner_that_was_chosen_before_the_quarantine() {
     let mut other = bed(6);
     crash(&mut other, 3);
     let told = other.gateway.crash_list(Millis(other.now), 0);
@@ -223,7 +223,7 @@
 }
 
 #[test]
-fn a_wrong_verdict_is_undone_by_a_trial_at_the_gateway_that_is_responsible() {
+fn a_wrong_quarantine_is_undone_by_a_probe_at_the_gateway_that_is_responsible() {
     let mut bed = bed(6);
     crash(&mut bed, 3);
     assert_eq!(refusal(bed.arrive(attempt(9))).0, Code::Quarantined);
@@ -236,7 +236,7 @@
 }
 
 #[test]
-fn a_trial_that_ends_a_runner_is_not_sent_on_and_no_other_follows_soon() {
+fn a_probe_that_ends_a_runner_is_not_sent_on_and_no_other_follows_soon() {
     let mut bed = bed(6);
     crash(&mut bed, 3);
     be_alone(&mut bed, 12_000);
@@ -258,7 +258,7 @@
     assert_eq!(refusal(bed.arrive(attempt(9))).0, Code::Quarantined);
 }
 
-fn guilty(is_own: bool) -> CrashNews {
+fn quarantined(is_own: bool) -> CrashNews {
     CrashNews::Changed { change: CrashChange::Quarantined(REQUEST), is_own }
 }
 
@@ -279,12 +279,12 @@
 #[test]
 fn who_finds_it_writes_at_once_and_the_others_only_where_that_does_not_come_about() {
     let mut own = record();
-    own.hear(Millis(0), 900, &guilty(true));
+    own.hear(Millis(0), 900, &quarantined(true));
     let call = own.due(Millis(0), lives).unwrap();
     assert_eq!(own.take(Millis(5), 0, &call, &QuarantineAnswer::Done), Some(REQUEST));
     assert_eq!(own.next_at(), None);
     let mut other = record();
-    other.hear(Millis(0), 900, &guilty(false));
+    other.hear(Millis(0), 900, &quarantined(false));
     assert_eq!(other.next_at(), Some(Millis(2900)));
     assert_eq!(other.due(Millis(3000), |_| None), None, "it was told that the row is written");
     assert_eq!(other.next_at(), None);
@@ -293,7 +293,7 @@
 #[test]
 fn a_store_that_fails_is_asked_ever_less_until_the_row_is_written() {
     let mut record = record();
-    record.hear(Millis(0), 0, &guilty(true));
+    record.hear(Millis(0), 0, &quarantined(true));
     let (mut now, mut pauses) = (Millis(0), Vec::new());
     for _ in 0..6 {
         let call = record.due(now, lives).unwrap();
--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -8,16 +8,18 @@
 use fleet::{InstanceId, Millis};
 
 use crate::digest::RequestDigest;
-use crate::ledger::{CrashChange, CrashLedger, CrashList, LifeDigest, Verdict, INNOCENT_FOR};
+use crate::ledger::{
+    CrashChange, CrashLedger, CrashList, LifeDigest, RequestStatus, SUCCESS_COUNTS_FOR,
+};
 
 /// How long a runner has to show that it lives, in milliseconds: sidecars of other halls report every 420 ms.
 const CONFIRM_AFTER: u64 = 600;
 /// What arrives so soon may have left the runner before it ended, in milliseconds.
 const WAY: u64 = 60;
-/// When callers come back where a trial is due that is for another gateway, in milliseconds.
-const TRIAL_ELSEWHERE: u64 = 1000;
+/// When callers come back where a probe is due that is for another gateway, in milliseconds.
+const PROBE_ELSEWHERE: u64 = 1000;
 /// When they do where none is to come, in milliseconds.
-const NO_TRIAL: u64 = 3_600_000;
+const NO_PROBE: u64 = 3_600_000;
 
 /// The most successes that are remembered, of 16 bytes each: more than a gateway hands on within their time. What finds
 /// no room has to be told apart without.
@@ -53,7 +55,7 @@
         /// How many have crashed under the request, as far as known.
         crashes: usize,
     },
-    /// The verdict on a request has changed.
+    /// The status of a request has changed.
     Changed {
         /// How.
         change: CrashChange,
@@ -96,7 +98,7 @@
     /// When requests last ended well here, as long as that speaks for them.
     successes: BTreeMap<RequestDigest, Millis>,
     /// Requests in quarantine that are tried once more here now.
-    trials: BTreeMap<RequestDigest, K>,
+    probes: BTreeMap<RequestDigest, K>,
 }
 
 impl<K> Default for Crashes<K> {
@@ -105,7 +107,7 @@
             ledger: CrashLedger::default(),
             open: Vec::new(),
             successes: BTreeMap::new(),
-            trials: BTreeMap::new(),
+            probes: BTreeMap::new(),
         }
     }
 }
@@ -153,7 +155,7 @@
 
     fn confirm(&mut self, now: Millis, suspicion: Suspicion) -> Vec<CrashNews> {
         let Suspicion { digest, runner, life, at } = suspicion;
-        if self.is_innocent(digest, at) {
+        if self.has_just_succeeded(digest, at) {
             return Vec::new();
         }
         let change = self.ledger.note_crash(now, digest, life, at);
@@ -167,7 +169,7 @@
     pub fn note_success(&mut self, now: Millis, digest: RequestDigest) -> Option<CrashNews> {
         self.open.retain(|it| it.digest != digest);
         if self.successes.len() >= MOST_SUCCESSES {
-            self.successes.retain(|_, at| now.since(*at).0 <= INNOCENT_FOR);
+            self.successes.retain(|_, at| now.since(*at).0 <= SUCCESS_COUNTS_FOR);
         }
         if self.successes.len() < MOST_SUCCESSES {
             self.successes.insert(digest, now);
@@ -177,8 +179,8 @@
     }
 
     /// Whether a request had ended well here shortly before a moment, or has since.
-    fn is_innocent(&self, digest: RequestDigest, moment: Millis) -> bool {
-        self.successes.get(&digest).is_some_and(|at| moment <= at.plus(INNOCENT_FOR))
+    fn has_just_succeeded(&self, digest: RequestDigest, moment: Millis) -> bool {
+        self.successes.get(&digest).is_some_and(|at| moment <= at.plus(SUCCESS_COUNTS_FOR))
     }
 
     /// Takes in what a sidecar or the platform's store tells.
@@ -207,9 +209,9 @@
     ) -> Admission {
         self.ledger.ask(now, digest);
         let admission = self.admission(now, digest);
-        let is_due = self.is_trial_due(now, digest) && !self.trials.contains_key(&digest);
+        let is_due = self.is_probe_due(now, digest) && !self.probes.contains_key(&digest);
         if is_due && may_try() {
-            self.trials.insert(digest, key);
+            self.probes.insert(digest, key);
             return Admission::Admitted { is_suspect: true };
         }
         admission
@@ -217,10 +219,10 @@
 
     /// Whether a request that was admitted may still be sent.
     pub fn admits(&self, now: Millis, key: K, digest: RequestDigest) -> Admission {
-        let is_trial = self.trials.get(&digest) == Some(&key);
+        let is_probe = self.probes.get(&digest) == Some(&key);
         match self.admission(now, digest) {
             // Its attempt has broken off as well: no second one.
-            barred @ Admission::Barred { .. } if !is_trial || self.has_open(digest) => barred,
+            barred @ Admission::Barred { .. } if !is_probe || self.has_open(digest) => barred,
             Admission::Barred { .. } => Admission::Admitted { is_suspect: true },
             admitted => admitted,
         }
@@ -228,32 +230,32 @@
 
     /// A request has ended.
     pub fn end(&mut self, key: K, digest: RequestDigest) {
-        if self.trials.get(&digest) == Some(&key) {
-            self.trials.remove(&digest);
+        if self.probes.get(&digest) == Some(&key) {
+            self.probes.remove(&digest);
         }
     }
 
     fn admission(&self, now: Millis, digest: RequestDigest) -> Admission {
-        match self.verdict(now, digest) {
-            Verdict::Clear => Admission::Admitted { is_suspect: false },
-            Verdict::Suspect => Admission::Admitted { is_suspect: true },
-            Verdict::Quarantined { trial_in_ms } => Admission::Barred {
-                retry_after_ms: trial_in_ms.map_or(NO_TRIAL, |it| it.max(TRIAL_ELSEWHERE)),
+        match self.status(now, digest) {
+            RequestStatus::Clear => Admission::Admitted { is_suspect: false },
+            RequestStatus::Suspect => Admission::Admitted { is_suspect: true },
+            RequestStatus::Quarantined { probe_in_ms } => Admission::Barred {
+                retry_after_ms: probe_in_ms.map_or(NO_PROBE, |it| it.max(PROBE_ELSEWHERE)),
             },
         }
     }
 
-    /// The verdict with the suspicions that are still open: a caller that comes back at once is not sent to more
+    /// The status with the suspicions that are still open: a caller that comes back at once is not sent to more
     /// runners than it takes.
-    fn verdict(&self, now: Millis, digest: RequestDigest) -> Verdict {
+    fn status(&self, now: Millis, digest: RequestDigest) -> RequestStatus {
         let open = self.open.iter().filter(|it| it.digest == digest);
         let lives: BTreeSet<LifeDigest> = open.map(|it| it.life).collect();
-        self.ledger.verdict(now, digest, &lives)
+        self.ledger.status(now, digest, &lives)
     }
 
-    fn is_trial_due(&self, now: Millis, digest: RequestDigest) -> bool {
-        let verdict = self.ledger.verdict(now, digest, &BTreeSet::new());
-        verdict == Verdict::Quarantined { trial_in_ms: Some(0) } && !self.has_open(digest)
+    fn is_probe_due(&self, now: Millis, digest: RequestDigest) -> bool {
+        let status = self.ledger.status(now, digest, &BTreeSet::new());
+        status == RequestStatus::Quarantined { probe_in_ms: Some(0) } && !self.has_open(digest)
     }
 
     fn has_open(&self, digest: RequestDigest) -> bool {
--- a/components/quarantine/src/ledger.rs
+++ b/components/quarantine/src/ledger.rs
@@ -33,13 +33,13 @@
 /// How long after a success crashes are not blamed on a request, in milliseconds. What crashes each runner that begins
 /// it has no success; what many callers ask for is on every runner that crashes. Where all callers sent one and the same
 /// request, it was in quarantine beside the one that crashed runners after 0.6 s.
-pub(crate) const INNOCENT_FOR: u64 = 3000;
+pub(crate) const SUCCESS_COUNTS_FOR: u64 = 3000;
 /// The first pause after which a request in quarantine may be tried once more, in milliseconds; it doubles twice with
 /// each crash. Ten seconds are more than the shortages that its crashes make.
-const TRIAL_PAUSE: u64 = 10_000;
-/// The most crashes after which there is a trial. At most two, so a request that was tried at both times has ended five
+const PROBE_PAUSE: u64 = 10_000;
+/// The most crashes after which there is a probe. At most two, so a request that was tried at both times has ended five
 /// runners.
-const LAST_TRIAL: usize = QUARANTINE_AT + 1;
+const LAST_PROBE: usize = QUARANTINE_AT + 1;
 
 /// One life of a runner, in short.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -92,13 +92,13 @@
     Fresh,
     /// What changed lately of requests that two runners or more crashed under: the next one may be the third.
     FreshSuspects,
-    /// All requests that two runners or more crashed under.
+    /// All requests that two runners or more crashed under, and what changed lately.
     Suspects,
 }
 
 /// What a ledger says of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
+pub enum RequestStatus {
     /// No runner crashed under it.
     Clear,
     /// Some did, fewer than it takes.
@@ -106,7 +106,7 @@
     /// It is refused.
     Quarantined {
         /// In how many milliseconds it may be tried once more. `None` where it is not.
-        trial_in_ms: Option<u64>,
+        probe_in_ms: Option<u64>,
     },
 }
 
@@ -166,7 +166,7 @@
 
     /// Adds a crash. Whether it is news.
     fn add(&mut self, life: LifeDigest, at: Millis) -> bool {
-        if self.succeeded_at.is_some_and(|it| at <= it.plus(INNOCENT_FOR)) {
+        if self.succeeded_at.is_some_and(|it| at <= it.plus(SUCCESS_COUNTS_FOR)) {
             return false;
         }
         if let Some(known) = self.crashes.get_mut(&life) {
@@ -188,15 +188,15 @@
         }
         self.succeeded_at = Some(at);
         let before = self.crashes.len();
-        self.crashes.retain(|_, crashed_at| *crashed_at > at.plus(INNOCENT_FOR));
+        self.crashes.retain(|_, crashed_at| *crashed_at > at.plus(SUCCESS_COUNTS_FOR));
         self.crashes.len() < before
     }
 
     /// When it may be tried once more, if it may.
-    fn trial_at(&self) -> Option<Millis> {
+    fn probe_at(&self) -> Option<Millis> {
         let last = self.crashes.values().max()?;
-        let pause = TRIAL_PAUSE << (2 * (self.crashes.len() - QUARANTINE_AT));
-        (self.crashes.len() <= LAST_TRIAL).then(|| last.plus(pause))
+        let pause = PROBE_PAUSE << (2 * (self.crashes.len() - QUARANTINE_AT));
+        (self.crashes.len() <= LAST_PROBE).then(|| last.plus(pause))
     }
 
     fn told(&self, now: Millis, digest: RequestDigest) -> ToldRequest {
@@ -308,29 +308,29 @@
     }
 
     /// What is known of a request that somebody asks for.
-    pub fn ask(&mut self, now: Millis, digest: RequestDigest) -> Verdict {
+    pub fn ask(&mut self, now: Millis, digest: RequestDigest) -> RequestStatus {
         if let Some(entry) = self.requests.get_mut(&digest) {
             entry.asked_at = now;
         }
-        self.verdict(now, digest, &BTreeSet::new())
+        self.status(now, digest, &BTreeSet::new())
     }
 
     /// What would be known of a request if these lives had ended under it as well.
-    pub fn verdict(
+    pub fn status(
         &self,
         now: Millis,
         digest: RequestDigest,
         suspected: &BTreeSet<LifeDigest>,
-    ) -> Verdict {
+    ) -> RequestStatus {
         let known = self.requests.get(&digest);
         let is_new = |life: &&LifeDigest| known.is_none_or(|it| !it.crashes.contains_key(life));
         let crashes = known.map_or(0, |it| it.crashes.len());
         match crashes + suspected.iter().filter(is_new).count() {
-            0 => Verdict::Clear,
-            sum if sum < QUARANTINE_AT => Verdict::Suspect,
+            0 => RequestStatus::Clear,
+            sum if sum < QUARANTINE_AT => RequestStatus::Suspect,
             _ => {
-                let trial_at = known.filter(|it| it.is_quarantined()).and_then(Entry::trial_at);
-                Verdict::Quarantined { trial_in_ms: trial_at.map(|at| at.since(now).0) }
+                let probe_at = known.filter(|it| it.is_quarantined()).and_then(Entry::probe_at);
+                RequestStatus::Quarantined { probe_in_ms: probe_at.map(|at| at.since(now).0) }
             }
         }
     }
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -10,6 +10,6 @@
 pub use crashes::{Admission, CrashNews, Crashes, Sign};
 pub use digest::RequestDigest;
 pub use ledger::{
-    CrashChange, CrashLedger, CrashList, LifeDigest, Told, ToldCrash, ToldRequest, Verdict,
+    CrashChange, CrashLedger, CrashList, LifeDigest, RequestStatus, Told, ToldCrash, ToldRequest,
 };
 pub use record::{QuarantineAnswer, QuarantineCall, QuarantineRecord};
--- a/components/quarantine/src/record.rs
+++ b/components/quarantine/src/record.rs
@@ -1,6 +1,6 @@
 //! The record of requests in quarantine in the platform's store: it outlasts every process.
 //!
-//! A gateway that starts reads it once; while the fleet lives, gateways hear of each other's verdicts through sidecars.
+//! A gateway that starts reads it once; while the fleet lives, gateways hear of each other's quarantines through sidecars.
 
 use std::collections::BTreeMap;
 
@@ -10,7 +10,7 @@
 use crate::digest::RequestDigest;
 use crate::ledger::{CrashChange, CrashList, LifeDigest};
 
-/// How long the gateway that found a request guilty has to write the row before others try, in milliseconds: a call
+/// How long the gateway that put a request into quarantine has to write the row before others try, in milliseconds: a call
 /// that fails and another one. The others come apart over the same time.
 const OTHERS_AFTER: u64 = 2000;
 /// The pause after the first call that failed, in milliseconds; it doubles with each.
@@ -62,7 +62,7 @@
         Self { read_at: Some(now), rows: BTreeMap::new(), failures: 0 }
     }
 
-    /// Takes in a verdict.
+    /// Takes in that the status of a request has changed.
     pub fn hear(&mut self, now: Millis, seed: u64, news: &CrashNews) {
         let CrashNews::Changed { change, is_own } = news else {
             return;
--- a/components/quarantine/tests/ledger.rs
+++ b/components/quarantine/tests/ledger.rs
@@ -4,7 +4,7 @@
 
 use fleet::Millis;
 use proptest::prelude::*;
-use quarantine::{CrashChange, CrashLedger, LifeDigest, RequestDigest, Told, Verdict};
+use quarantine::{CrashChange, CrashLedger, LifeDigest, RequestDigest, RequestStatus, Told};
 
 const REQUEST: RequestDigest = RequestDigest(7);
 const SECOND: u64 = 1000;
@@ -30,39 +30,39 @@
     ledger
 }
 
-fn verdict(ledger: &mut CrashLedger, ms: u64) -> Verdict {
+fn status(ledger: &mut CrashLedger, ms: u64) -> RequestStatus {
     ledger.ask(at(ms), REQUEST)
 }
 
-fn is_quarantined(verdict: Verdict) -> bool {
-    matches!(verdict, Verdict::Quarantined { .. })
+fn is_quarantined(decision: RequestStatus) -> bool {
+    matches!(decision, RequestStatus::Quarantined { .. })
 }
 
 #[test]
 fn three_runners_bring_a_request_into_quarantine() {
     let mut ledger = crashed(2);
-    assert_eq!(verdict(&mut ledger, 2000), Verdict::Suspect);
+    assert_eq!(status(&mut ledger, 2000), RequestStatus::Suspect);
     assert_eq!(crash(&mut ledger, 2000, 2), Some(CrashChange::Quarantined(REQUEST)));
-    assert!(is_quarantined(verdict(&mut ledger, 2000)));
+    assert!(is_quarantined(status(&mut ledger, 2000)));
 }
 
 #[test]
 fn one_life_of_a_runner_counts_once_and_the_next_one_again() {
     let mut ledger = crashed(2);
     assert_eq!(crash(&mut ledger, 2000, 1), None);
-    assert_eq!(verdict(&mut ledger, 2000), Verdict::Suspect);
+    assert_eq!(status(&mut ledger, 2000), RequestStatus::Suspect);
     let reborn = LifeDigest::of(&"i-1".into(), Some(1));
     assert_ne!(reborn, life(1));
     ledger.note_crash(at(2000), REQUEST, reborn, at(2000));
-    assert!(is_quarantined(verdict(&mut ledger, 2000)));
+    assert!(is_quarantined(status(&mut ledger, 2000)));
 }
 
 #[test]
 fn suspicions_that_are_still_open_count_with_the_crashes() {
     let ledger = crashed(2);
     let open = |numbers: &[u8]| numbers.iter().map(|it| life(*it)).collect::<BTreeSet<_>>();
-    assert_eq!(ledger.verdict(at(2000), REQUEST, &open(&[1])), Verdict::Suspect);
-    assert!(is_quarantined(ledger.verdict(at(2000), REQUEST, &open(&[1, 2]))));
+    assert_eq!(ledger.status(at(2000), REQUEST, &open(&[1])), RequestStatus::Suspect);
+    assert!(is_quarantined(ledger.status(at(2000), REQUEST, &open(&[1, 2]))));
 }
 
 #[test]
@@ -72,10 +72,10 @@
     let cleared = ledger.note_success(at(3000), REQUEST, at(3000));
     let change = CrashChange::Cleared { digest: REQUEST, was_quarantined: true };
     assert_eq!(cleared, Some(change));
-    assert_eq!(verdict(&mut ledger, 3000), Verdict::Clear);
+    assert_eq!(status(&mut ledger, 3000), RequestStatus::Clear);
     // It was on its way for 900 ms: the ages that it tells are as they were when it left.
     assert_eq!(ledger.take(at(2900), &older), []);
-    assert_eq!(verdict(&mut ledger, 3400), Verdict::Clear);
+    assert_eq!(status(&mut ledger, 3400), RequestStatus::Clear);
 }
 
 #[test]
@@ -83,7 +83,7 @@
     let mut ledger = crashed(3);
     let mut other = CrashLedger::default();
     other.take(at(2500), &ledger.list(at(2500), Told::FreshSuspects, 0));
-    assert!(is_quarantined(verdict(&mut other, 2500)));
+    assert!(is_quarantined(status(&mut other, 2500)));
     ledger.note_success(at(4000), REQUEST, at(4000));
     let told = ledger.list(at(5000), Told::FreshSuspects, 0);
     let change = CrashChange::Cleared { digest: REQUEST, was_quarantined: true };
@@ -97,11 +97,11 @@
     for number in 3..6 {
         crash(&mut ledger, 5500, number);
     }
-    assert_eq!(verdict(&mut ledger, 5500), Verdict::Clear);
+    assert_eq!(status(&mut ledger, 5500), RequestStatus::Clear);
     for number in 6..9 {
         crash(&mut ledger, 5501, number);
     }
-    assert!(is_quarantined(verdict(&mut ledger, 5501)));
+    assert!(is_quarantined(status(&mut ledger, 5501)));
 }
 
 #[test]
@@ -113,32 +113,32 @@
 
 #[test]
 fn a_request_in_quarantine_may_be_tried_after_ten_seconds_and_after_forty_more_and_then_no_more() {
-    let trial = |ledger: &mut CrashLedger, ms| match verdict(ledger, ms) {
-        Verdict::Quarantined { trial_in_ms } => trial_in_ms,
+    let probe = |ledger: &mut CrashLedger, ms| match status(ledger, ms) {
+        RequestStatus::Quarantined { probe_in_ms } => probe_in_ms,
         other => panic!("{other:?}"),
     };
     let mut ledger = crashed(3);
-    assert_eq!(trial(&mut ledger, 2000), Some(10_000));
-    assert_eq!(trial(&mut ledger, 12_000), Some(0));
+    assert_eq!(probe(&mut ledger, 2000), Some(10_000));
+    assert_eq!(probe(&mut ledger, 12_000), Some(0));
     crash(&mut ledger, 13_000, 3);
-    assert_eq!(trial(&mut ledger, 13_000), Some(40_000));
+    assert_eq!(probe(&mut ledger, 13_000), Some(40_000));
     crash(&mut ledger, 53_000, 4);
-    assert_eq!(trial(&mut ledger, 53_000), None);
+    assert_eq!(probe(&mut ledger, 53_000), None);
 }
 
 #[test]
 fn quarantine_lasts_as_long_as_anybody_asks_and_an_hour_more() {
     let mut ledger = crashed(3);
     let hour = 3600 * SECOND;
-    assert!(is_quarantined(verdict(&mut ledger, hour)));
+    assert!(is_quarantined(status(&mut ledger, hour)));
     ledger.forget_old(at(2 * hour - 1));
-    assert!(is_quarantined(verdict(&mut ledger, 2 * hour - 1)));
+    assert!(is_quarantined(status(&mut ledger, 2 * hour - 1)));
     ledger.forget_old(at(3 * hour));
-    assert_eq!(verdict(&mut ledger, 3 * hour), Verdict::Clear);
+    assert_eq!(status(&mut ledger, 3 * hour), RequestStatus::Clear);
 }
 
 #[test]
-fn what_is_kept_and_told_is_bounded_and_the_guilty_go_first() {
+fn what_is_kept_and_told_is_bounded_and_those_with_most_crashes_go_first() {
     let mut ledger = crashed(3);
     for number in 100..5000 {
         ledger.note_crash(at(4000), RequestDigest(number), life(9), at(4000));
@@ -151,7 +151,7 @@
 }
 
 #[test]
-fn whoever_has_forgotten_hears_of_old_verdicts_one_by_one() {
+fn whoever_has_forgotten_hears_of_old_quarantines_one_by_one() {
     let mut ledger = CrashLedger::default();
     for digest in [1, 2, 3].map(RequestDigest) {
         for number in 0..3 {
--- a/components/reducer/src/entry/crashes.rs
+++ b/components/reducer/src/entry/crashes.rs
@@ -12,7 +12,7 @@
 use crate::control::ControlEffect;
 use crate::Seed;
 
-/// How often other entries are told of what changed lately and of one older verdict, in milliseconds. There are a few
+/// How often other entries are told of what changed lately and of one older quarantine, in milliseconds. There are a few
 /// entries, and mostly nothing to tell.
 const TELL_EVERY: u64 = 1000;
 
--- a/components/telemetry/src/crashes.rs
+++ b/components/telemetry/src/crashes.rs
@@ -12,12 +12,12 @@
             log::warn!(digest = digest.as_str(), runner = runner.0.as_str(), crashes = *crashes; "runner crashed under a request");
             metrics.count_crash("crashed");
         }
-        CrashNews::Changed { change, is_own } => note_verdict(metrics, change, *is_own),
+        CrashNews::Changed { change, is_own } => note_crash_change(metrics, change, *is_own),
     }
 }
 
-/// Logs and counts that the verdict on a request has changed.
-pub fn note_verdict(metrics: &Metrics, change: &CrashChange, is_own: bool) {
+/// Logs and counts that the status of a request has changed.
+pub fn note_crash_change(metrics: &Metrics, change: &CrashChange, is_own: bool) {
     match change {
         CrashChange::Quarantined(digest) => {
             let digest = digest.to_string();
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -6,6 +6,6 @@
 mod metrics;
 
 pub use bounded::{dropped_lines, start_bounded_logs, BoundedLogs, REQUEST_TARGET};
-pub use crashes::{note_crash, note_verdict};
+pub use crashes::{note_crash, note_crash_change};
 pub use logs::{start_logs, unix_millis};
 pub use metrics::{Metrics, Span};
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -110,7 +110,7 @@
                 .build(),
             crashes: meter
                 .u64_counter("silverdock_crashes")
-                .with_description("Runners that crashed under requests, and verdicts on these")
+                .with_description("Runners that crashed under requests, and what became of these")
                 .build(),
             lives: meter
                 .u64_counter("silverdock_runner_lives")
@@ -185,7 +185,7 @@
         self.evacuations.add(1, &[KeyValue::new("change", change)]);
     }
 
-    /// Counts a runner that crashed under a request, or a verdict on a request: `crashed`, `quarantined` or `cleared`.
+    /// Counts a runner that crashed under a request, or a request whose status changed: `crashed`, `quarantined` or `cleared`.
     pub fn count_crash(&self, what: &'static str) {
         self.crashes.add(1, &[KeyValue::new("what", what)]);
     }
