--- a/components/account/src/account.rs
+++ b/components/account/src/account.rs
@@ -148,6 +148,11 @@
             let ran = if *not_run { "not run" } else { "may have run" };
             format!("{runner} failed after {took_ms} ms: {code} {name}, {ran}")
         }
+        Decision::Told { runner, leaving, rest_ms } => {
+            let leaves = if *leaving { " leaves" } else { "" };
+            let rest = rest_ms.map_or(String::new(), |ms| format!(" wants nothing for {ms} ms"));
+            format!("{runner} says that it{leaves}{rest}")
+        }
         Decision::Answered { runner, status, after_ms } => {
             format!("{runner} answers {status} after {after_ms} ms")
         }
--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -81,6 +81,16 @@
         /// How long the attempt took, in milliseconds.
         took_ms: u64,
     },
+    /// A runner said of itself, in its answer, that it wants no more requests.
+    Told {
+        /// The runner.
+        runner: String,
+        /// Whether it is leaving.
+        leaving: bool,
+        /// How long it wants to be left alone, in milliseconds. Absent where it did not turn the request away for a
+        /// time.
+        rest_ms: Option<u64>,
+    },
     /// A runner began to answer.
     Answered {
         /// The runner.
--- a/components/account/src/profile.rs
+++ b/components/account/src/profile.rs
@@ -78,6 +78,10 @@
                 *profile.denials.entry(reason).or_default() += 1;
                 continue;
             }
+            if matches!(line.decision, Decision::Told { .. }) {
+                // What a runner says of itself beside its answer is no step.
+                continue;
+            }
             by_request.entry((line.instance.clone(), line.request.clone())).or_default().push(line);
         }
         let mut spans: BTreeMap<(String, Step), Histogram<u64>> = BTreeMap::new();
@@ -143,7 +147,8 @@
             Some(Step::HandedOn)
         }
         (_, Decision::Ended { .. }) => Some(Step::Concluded),
-        (_, Decision::Routed { .. } | Decision::Unrouted { .. } | Decision::Denied { .. }) => None,
+        (_, Decision::Routed { .. } | Decision::Unrouted { .. }) => None,
+        (_, Decision::Denied { .. } | Decision::Told { .. }) => None,
     }
 }
 
--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use account::Decision;
 use bytes::Bytes;
 use futures_lite::future;
 use gateway::{AttemptOutcome, RequestKey, RunnerTarget};
@@ -158,9 +159,25 @@
         Some(request)
     }
 
+    /// Notes that the runner wants no more requests, where its answer says so.
+    fn note_wishes(&self, status: StatusCode, facts: &AnswerFacts) {
+        let rest_ms = facts.rest_ms.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+        if facts.is_leaving {
+            self.core.metrics.count_runner_word("leaving");
+        }
+        if rest_ms.is_some() {
+            self.core.metrics.count_runner_word("rest");
+        }
+        if facts.is_leaving || rest_ms.is_some() {
+            let runner = self.target.id.0.clone();
+            self.job.trace.note(Decision::Told { runner, leaving: facts.is_leaving, rest_ms });
+        }
+    }
+
     async fn judge(&self, mut exchange: Exchange, answer: Response<Incoming>) -> Outcome {
         let (head, mut body) = answer.into_parts();
         let facts = headers::read_answer(&head.headers);
+        self.note_wishes(head.status, &facts);
         if let Some(outcome) = refused(head.status, &facts) {
             return outcome.into();
         }
--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -49,7 +49,10 @@
 /// Whether a decision is one of those that are made on a request which ends well: a question for a place
 /// that finds none is asked elsewhere.
 fn is_ordinary(entry: &Entry) -> bool {
-    !matches!(entry.decision, Decision::Failed { .. } | Decision::Resumed { .. })
+    !matches!(
+        entry.decision,
+        Decision::Failed { .. } | Decision::Resumed { .. } | Decision::Told { .. }
+    )
 }
 
 /// Homes as they stand in a log.
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -55,6 +55,7 @@
     evacuations: Counter<u64>,
     crashes: Counter<u64>,
     lives: Counter<u64>,
+    runner_words: Counter<u64>,
     suspensions: Counter<u64>,
     settings: Counter<u64>,
     gauges: Gauge<u64>,
@@ -116,6 +117,10 @@
                 .u64_counter("silverdock_runner_lives")
                 .with_description("Words about runners that are not of the life that is known")
                 .build(),
+            runner_words: meter
+                .u64_counter("silverdock_runner_words")
+                .with_description("Answers in which a runner says that it wants no more requests")
+                .build(),
             suspensions: meter
                 .u64_counter("silverdock_suspensions")
                 .with_description("How often the machine was suspended while the process ran")
@@ -195,6 +200,11 @@
         self.lives.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Counts an answer in which a runner says that it wants no more requests: `leaving` or `rest`.
+    pub fn count_runner_word(&self, word: &'static str) {
+        self.runner_words.add(1, &[KeyValue::new("word", word)]);
+    }
+
     /// Counts that the machine was suspended.
     pub fn count_suspension(&self) {
         self.suspensions.add(1, &[]);
