--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -3,11 +3,13 @@
 mod crashes;
 mod evacuations;
 mod foreign_rows;
+mod leaving;
 mod lives;
 mod logs;
 mod outages;
 mod record;
 mod reload;
+mod rests;
 mod support;
 
 use std::time::{Duration, Instant};
