--- a/components/standins/src/service.rs
+++ b/components/standins/src/service.rs
@@ -2,11 +2,11 @@
 
 use std::collections::HashMap;
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use async_trait::async_trait;
-use http_types::Request;
+use http_types::{Request, Response, StatusCode};
 use net::{json, Caller, Handler, Reply};
 use serde::Serialize;
 
@@ -23,12 +23,39 @@
 pub struct Service {
     work: Duration,
     runs: Mutex<HashMap<String, u64>>,
+    /// For how long it wants nothing more, while it turns everything away.
+    sheds: Mutex<Option<Duration>>,
+    turned_away: Mutex<Vec<Instant>>,
 }
 
 impl Service {
     /// A service whose requests take `work`.
     pub fn new(work: Duration) -> Self {
-        Self { work, runs: Mutex::default() }
+        Self {
+            work,
+            runs: Mutex::default(),
+            sheds: Mutex::default(),
+            turned_away: Mutex::default(),
+        }
+    }
+
+    /// Makes it turn requests away and ask for so long a rest with each, or stop that.
+    pub fn set_shedding(&self, rest: Option<Duration>) {
+        *self.sheds.lock().expect("the lock is never poisoned") = rest;
+    }
+
+    /// When it turned requests away, oldest first.
+    pub fn turned_away(&self) -> Vec<Instant> {
+        self.turned_away.lock().expect("the lock is never poisoned").clone()
+    }
+
+    /// The answer to a request that is turned away, if it is.
+    fn shed(&self) -> Option<Reply> {
+        let rest = (*self.sheds.lock().expect("the lock is never poisoned"))?;
+        self.turned_away.lock().expect("the lock is never poisoned").push(Instant::now());
+        let mut answer = Response::new(StatusCode::ServiceUnavailable);
+        answer.insert_header("retry-after", format!("{:.3}", rest.as_secs_f64()));
+        Some(Reply::Answer(answer))
     }
 
     /// How often each body ran, by its digest.
@@ -43,6 +70,9 @@
         let Ok(body) = request.body_bytes().await else {
             return Reply::HangUp;
         };
+        if let Some(answer) = self.shed() {
+            return answer;
+        }
         let body = blake3::hash(&body).to_hex().to_string();
         let runs = {
             let mut all = self.runs.lock().expect("the lock is never poisoned");
--- a/daemon/tests/deployment/leaving.rs
+++ b/daemon/tests/deployment/leaving.rs
@@ -13,7 +13,7 @@
 use platform_standin::{Answer, Caller, StoreFault};
 
 use crate::neighbour;
-use crate::support::{wait_until, Deployment};
+use crate::support::{stream, wait_until, Deployment};
 
 /// How long after it handed on such an answer a gateway may still send what callers send it, by the settings of the
 /// deployment.
@@ -23,6 +23,15 @@
 /// The pause between two calls.
 const PAUSE: Duration = Duration::from_millis(15);
 
+/// Silences the store and waits until nobody hears of the list any more: feeds that wait are answered before.
+fn silence(deployment: &Deployment) {
+    let before = deployment.standin.unanswered_calls("servers");
+    deployment.standin.set_store_fault(StoreFault::Silent);
+    wait_until("the silent store has taken a call for the list", || {
+        deployment.standin.unanswered_calls("servers") > before
+    });
+}
+
 /// Calls one path over and over until the answer says that a runner leaves, and gives when that was.
 fn wait_for_word(gateway: SocketAddr, method: &Method, path: &str) -> Instant {
     let mut number = 0;
@@ -68,7 +77,7 @@
     path: &str,
 ) {
     let method = if path.starts_with("/get") { Method::GET } else { Method::POST };
-    deployment.standin.set_store_fault(StoreFault::Silent);
+    silence(deployment);
     deployment.standin.change_runner(runner, |it| it.draining = true);
     let heard = wait_for_word(gateway, &method, path);
     let answers = call_on(gateway, &method, path, heard);
@@ -91,3 +100,39 @@
     expect_nothing_for(&deployment, gateway, plain, "/get/x");
     expect_nothing_for(&deployment, gateway, model, "/s/x");
 }
+
+/// How long a sidecar may take to hear from its runner that it leaves: a few of its questions.
+const HEARD_BY_SIDECAR: Duration = Duration::from_millis(500);
+
+/// Streams that begin at once: more than one runner would be chosen for.
+const AT_ONCE: u32 = 6;
+
+/// The sidecar beside a model runner hears it as well, by its own questions. It tells every gateway, so that none has to
+/// find out by a request of its own.
+#[test]
+fn a_gateway_that_got_no_answer_of_a_model_runner_that_leaves_hears_it_from_the_sidecar() {
+    let mut deployment = Deployment::start();
+    let model = deployment.add_model_runner("e1", Some(1));
+    deployment.add_model_runner("e2", Some(1));
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    wait_until("both runners serve", || {
+        let ran =
+            |id: &str| deployment.standin.all_runs().values().flatten().any(|it| it.runner == id);
+        stream(gateway, "warm-up");
+        ran("e1") && ran("e2")
+    });
+    silence(&deployment);
+    deployment.standin.change_runner(model, |it| it.draining = true);
+    std::thread::sleep(HEARD_BY_SIDECAR);
+    let id = |number: u32| format!("heard-{number}");
+    std::thread::scope(|scope| {
+        for number in 0..AT_ONCE {
+            scope.spawn(move || stream(gateway, &id(number)));
+        }
+    });
+    let runners: Vec<String> =
+        (0..AT_ONCE).flat_map(|it| deployment.standin.runs(&id(it))).map(|it| it.runner).collect();
+    assert!(!runners.is_empty(), "the other one serves");
+    assert!(!runners.iter().any(|it| it == "e1"), "{runners:?}");
+}
