Sidecars hear that their runner leaves, agents obey the rest of their upstream

A sidecar reads now what the answers to its reports say: a runner that leaves gets no place, and its load says that it takes nothing new, in the fields that are there, so gateways of any build stop at once. An agent obeys Retry-After of its upstream's 503, refuses meanwhile and says when to ask again in a field that was always sent as zero; entries go by it, and refuse at once where every upstream opens too late. fleet::Rest holds the rule for both interfaces.

Looked at and left: health checks (none are sent on the platform's interface), orders and staging (the sidecar's own runner, after its report), an agent that leaves (its refusals are final at the last gate).

--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -59,7 +59,7 @@
     },
     /// A sidecar gave no place.
     Denied {
-        /// Why: `evacuated`, `leaving`, `too_old`, `full`, `reading`, `unheard`, `not_serving` or `cold`.
+        /// Why: `evacuated`, `runner_leaves`, `leaving`, `too_old`, `full`, `reading`, `unheard`, `not_serving` or `cold`.
         reason: String,
         /// Requests at the runner and on their way to it.
         taken: u32,
--- a/components/edge/src/link.rs
+++ b/components/edge/src/link.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use errors::{Code, Error, Result};
 use http::header::{CONTENT_TYPE, HOST};
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::Call;
@@ -21,6 +21,8 @@
 pub struct CallAnswer {
     /// The status.
     pub status: u16,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -91,10 +93,10 @@
         let begun = begin_call(self.address, kept, call, begin);
         let (mut exchange, answer) =
             within(Instant::now() + begin, begun).await.ok_or_else(late)??;
-        let status = answer.status().as_u16();
-        let body = collect(&mut exchange, &mut answer.into_body(), pause).await?;
+        let (head, mut body) = answer.into_parts();
+        let body = collect(&mut exchange, &mut body, pause).await?;
         self.exchange = Some((exchange, Instant::now()));
-        Ok(CallAnswer { status, body })
+        Ok(CallAnswer { status: head.status.as_u16(), headers: head.headers, body })
     }
 }
 
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -196,6 +196,7 @@
         load.reading_ms = load.reading_ms.max(cold);
         load.busy |= rollout.is_leaving(self.clock.now());
         load.busy |= rollout.is_evacuated(self.clock.now());
+        load.busy |= rollout.runner_leaves();
         load.serves_in_ms = rollout.serves_in_ms(self.clock.now());
         load.named = rollout.named(self.clock.now());
         Some(load)
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -9,7 +9,7 @@
 use errors::{Code, Error, Result};
 use fleet::{Bitmap, ModelName};
 use gateway::RunnerLoad;
-use platform::{runner, weights};
+use platform::{headers, runner, weights};
 use quarantine::Told;
 use rollout::{Audience, Event, OrderOutcome, Reports};
 use uptime::Instant;
@@ -53,6 +53,7 @@
     let mut heard = false;
     let mut reports = Reports::default();
     let mut told = None;
+    let mut leaves = false;
     loop {
         let report = read_report(&core, &mut link).await;
         if report.is_ok() != heard {
@@ -60,8 +61,9 @@
             log::info!(heard = heard; "runner");
         }
         match report {
-            Ok(report) => {
+            Ok((report, is_leaving)) => {
                 core.feed(Event::Status(report.status));
+                note_leaving(&core, &mut leaves, is_leaving);
                 *core.load.borrow_mut() = Some(report.load);
                 if let Some(load) = core.load_now() {
                     tell_due(&core, &news, &mut reports, &mut told, load).await;
@@ -106,9 +108,20 @@
     }
 }
 
-async fn read_report(core: &Core, link: &mut Link) -> Result<runner::Report> {
-    let body = link.call(runner::report(), CALL_TIMEOUT).await?.success()?;
-    runner::read_report(&body, *core.layers.borrow())
+/// Reads the runner's report, and whether it says that it is leaving.
+async fn read_report(core: &Core, link: &mut Link) -> Result<(runner::Report, bool)> {
+    let answer = link.call(runner::report(), CALL_TIMEOUT).await?;
+    let is_leaving = headers::read_answer(&answer.headers).is_leaving;
+    let report = runner::read_report(&answer.success()?, *core.layers.borrow())?;
+    Ok((report, is_leaving))
+}
+
+/// Takes in whether the runner is leaving. `known` is what it said before.
+fn note_leaving(core: &Core, known: &mut bool, is_leaving: bool) {
+    if std::mem::replace(known, is_leaving) != is_leaving {
+        log::info!(leaves = is_leaving; "the runner says whether it leaves");
+        core.feed(Event::RunnerLeaves(is_leaving));
+    }
 }
 
 /// Does jobs at the runner for as long as the task runs.
--- a/components/externals/src/http_upstream.rs
+++ b/components/externals/src/http_upstream.rs
@@ -5,8 +5,8 @@
 
 use async_trait::async_trait;
 use errors::{Code, Error, Result};
-use fleet::RequestId;
-use http_types::{Method, Request};
+use fleet::{RequestId, UNREADABLE_REST_MS};
+use http_types::{Method, Request, Response, StatusCode};
 use net::{read_body, send, Deadline, HttpBody};
 
 use crate::http_platform::build;
@@ -38,6 +38,7 @@
         let content_type = response.header("content-type");
         Ok(UpstreamAnswer {
             status: response.status().into(),
+            rest_ms: rest_ms(&response),
             content_type: content_type.map(|it| it.last().to_string()).unwrap_or_default(),
             body: Box::new(HttpBody::new(response)),
         })
@@ -95,6 +96,19 @@
     }
 }
 
+/// How long an upstream that turned a call away wants to be left alone, in milliseconds. What can't be read is still a
+/// request for rest.
+fn rest_ms(response: &Response) -> Option<u64> {
+    let text = response.header("retry-after")?.last().as_str();
+    if response.status() != StatusCode::ServiceUnavailable {
+        return None;
+    }
+    Some(fleet::rest_ms(text).unwrap_or_else(|| {
+        log::warn!(text = text, taken_ms = UNREADABLE_REST_MS; "an upstream asks for a rest that can't be read");
+        UNREADABLE_REST_MS
+    }))
+}
+
 fn bad(detail: &str) -> Error {
     Error::new(Code::BadRequest, detail)
 }
--- a/components/externals/src/traits.rs
+++ b/components/externals/src/traits.rs
@@ -123,6 +123,8 @@
     pub status: u16,
     /// The type of the body.
     pub content_type: String,
+    /// How long it wants to be left alone, in milliseconds, where it turned the call away for a time.
+    pub rest_ms: Option<u64>,
     /// The body.
     pub body: Box<dyn AnswerBody>,
 }
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 mod named;
 mod plan;
 mod report;
+mod rest;
 
 pub use ablation::{Ablation, Mechanism, UnknownMechanism};
 pub use bitmap::Bitmap;
@@ -34,3 +35,4 @@
 pub use named::{NamedVersion, VersionName};
 pub use plan::{Plan, Source, Step};
 pub use report::{DeploymentStatus, MemberStatus, PlanReply, RolloutStatus, Status};
+pub use rest::{rest_ms, Rest, UNREADABLE_REST_MS};
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -147,7 +147,7 @@
         }
         let runners = self.pool.of_service(&arrival.service);
         let homes = runners.filter(|it| self.may_serve(now, it, arrival));
-        let back_in_ms = |it: &Runner| it.failed_ms(now).max(it.notices.rest_left_ms(now));
+        let back_in_ms = |it: &Runner| it.failed_ms(now).max(it.notices.rest.left_ms(now));
         homes.map(back_in_ms).min().filter(|left| *left > 0)
     }
 
@@ -155,7 +155,7 @@
     fn rested_in_ms(&self, now: Millis, arrival: &Arrival) -> Option<u64> {
         let runners = self.pool.of_service(&arrival.service);
         let open = runners.filter(|it| self.may_serve(now, it, arrival));
-        open.map(|it| it.notices.rest_left_ms(now)).min().filter(|left| *left > 0)
+        open.map(|it| it.notices.rest.left_ms(now)).min().filter(|left| *left > 0)
     }
 
     /// Whether a runner may be waited for. For a request that is not bound also one that is leaving or was replaced,
@@ -200,7 +200,7 @@
 
     /// Whether a runner is fit for a request, room aside.
     fn can_run(&self, now: Millis, runner: &Runner, arrival: &Arrival) -> bool {
-        let is_left_alone = runner.is_suspect(now) || runner.notices.rest_left_ms(now) > 0;
+        let is_left_alone = runner.is_suspect(now) || runner.notices.rest.left_ms(now) > 0;
         if is_left_alone || !self.may_serve(now, runner, arrival) {
             return false;
         }
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -204,7 +204,7 @@
     /// How many runners have said that they are leaving, and how many want to be left alone for now.
     pub fn count_notices(&self, now: Millis) -> (usize, usize) {
         let leaving = self.runners.values().filter(|it| it.notices.is_leaving()).count();
-        let resting = self.runners.values().filter(|it| it.notices.rest_left_ms(now) > 0).count();
+        let resting = self.runners.values().filter(|it| it.notices.rest.left_ms(now) > 0).count();
         (leaving, resting)
     }
 
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -368,7 +368,7 @@
         let current = progress.current.as_ref();
         if let Some(runner) = current.and_then(|it| self.pool.life_mut(&it.id, it.life)) {
             runner.leave(progress.is_suspect);
-            runner.notices.note_end(key);
+            runner.notices.rest.note_end(key);
         }
         self.dispatch(now, random)
     }
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -36,7 +36,7 @@
             let took = now.since(progress.sent_at);
             self.pool.note_answered(now, &chosen.id, chosen.life);
             if let Some(runner) = self.pool.life_mut(&chosen.id, chosen.life) {
-                runner.notices.note_run(key);
+                runner.notices.rest.note_run(key);
             }
             self.note_wait(now, &chosen, took);
             return Vec::new();
@@ -93,9 +93,9 @@
         };
         runner.leave(was_suspect);
         if outcome.has_ended_well() {
-            runner.notices.note_run(key);
+            runner.notices.rest.note_run(key);
         }
-        runner.notices.note_end(key);
+        runner.notices.rest.note_end(key);
         match outcome {
             AttemptOutcome::Answered | AttemptOutcome::Finished => runner.reward(),
             AttemptOutcome::Full => runner.note_full(now, FULL_PAUSE),
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -201,7 +201,7 @@
         self.cold.take(now, &id);
         let runner = self.pool.runner_mut(&id)?;
         runner.enter(is_suspect);
-        runner.notices.note_chosen(key);
+        runner.notices.rest.note_sent(key);
         let address = runner.record.address;
         let chosen = Chosen { id: id.clone(), life: runner.life };
         progress.tried.push(id.clone());
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -281,7 +281,7 @@
         let reported = self.reported.as_ref()?;
         let age = now.since(reported.at).0;
         let serves_in = u64::from(reported.load.serves_in_ms?);
-        let left = serves_in.saturating_sub(age).max(self.notices.rest_left_ms(now));
+        let left = serves_in.saturating_sub(age).max(self.notices.rest.left_ms(now));
         // A moment that has passed without a newer report is worth nothing.
         (age <= REPORT_LIFE + serves_in).then_some(left)
     }
--- a/components/node/src/agent/calls.rs
+++ b/components/node/src/agent/calls.rs
@@ -36,8 +36,8 @@
             drop(place);
             result
         }
-        AgentEffect::Refuse { code, load, .. } => {
-            door.writer.send(&Message::Refused { code, retry_after_ms: 0, load }).await
+        AgentEffect::Refuse { code, retry_after_ms, load, .. } => {
+            door.writer.send(&Message::Refused { code, retry_after_ms, load }).await
         }
         _ => fail(shared, door, call.request, Code::Internal).await,
     }
@@ -101,6 +101,10 @@
 ) -> Result<()> {
     let request = call.request;
     let mut answer = send_upstream(&shared.upstream, call, body).await?;
+    // Before the answer is handed on, so that no call that follows it can miss this.
+    let upstream_rests_ms = answer.rest_ms.unwrap_or(0);
+    let answered = AgentEvent::UpstreamAnswered { request, rest_ms: upstream_rests_ms };
+    shared.inbox.send(answered).await;
     let (status, content_type) = (answer.status, answer.content_type.clone());
     writer.send(&Message::AnswerHead { request, status, content_type, version }).await?;
     let mut bytes = 0;
--- a/components/node/src/entry/attempts.rs
+++ b/components/node/src/entry/attempts.rs
@@ -76,7 +76,7 @@
             Part::End(load) => break load,
         }
         if whole.len() > ANSWER_BYTES {
-            return Err(Failure { code: Code::UpstreamFailed, load: None });
+            return Err(Failure { code: Code::UpstreamFailed, load: None, retry_after_ms: 0 });
         }
     };
     shared.surroundings.peers.keep(session);
@@ -108,7 +108,9 @@
 ) -> Result<Parts, Failure> {
     let first = match next_part(&mut session, attempt.id, 0).await? {
         Part::More(bytes) => bytes,
-        Part::End(_) => return Err(Failure { code: Code::CutShort, load: None }),
+        Part::End(_) => {
+            return Err(Failure { code: Code::CutShort, load: None, retry_after_ms: 0 })
+        }
     };
     shared.inbox.send(EntryEvent::Started(attempt.id)).await;
     let (sender, body) = stream_body(PARTS_AHEAD);
@@ -200,22 +202,27 @@
         Message::AnswerEnd { request, bytes, load } if request == id.request && bytes == passed => {
             Ok(Part::End(load))
         }
-        Message::AnswerEnd { .. } => Err(Failure { code: Code::CutShort, load: None }),
+        Message::AnswerEnd { .. } => {
+            Err(Failure { code: Code::CutShort, load: None, retry_after_ms: 0 })
+        }
         other => Err(refusal(other)),
     }
 }
 
 fn refusal(message: Message) -> Failure {
     match message {
-        Message::Refused { code, load, .. } | Message::AnswerFailed { code, load, .. } => {
-            Failure { code, load: Some(load) }
+        Message::Refused { code, load, retry_after_ms } => {
+            Failure { code, load: Some(load), retry_after_ms }
+        }
+        Message::AnswerFailed { code, load, .. } => {
+            Failure { code, load: Some(load), retry_after_ms: 0 }
         }
-        _ => Failure { code: Code::BadFrame, load: None },
+        _ => Failure { code: Code::BadFrame, load: None, retry_after_ms: 0 },
     }
 }
 
 fn failure(error: &Error) -> Failure {
-    Failure { code: error.code, load: None }
+    Failure { code: error.code, load: None, retry_after_ms: 0 }
 }
 
 fn respond(head: &Head) -> Response {
--- a/components/reducer/src/admission.rs
+++ b/components/reducer/src/admission.rs
@@ -3,13 +3,15 @@
 use std::collections::BTreeSet;
 
 use errors::Code;
-use fleet::{Millis, RequestId, VersionId};
+use fleet::{Millis, RequestId, Rest, VersionId};
 use wire::{Call, Load, Serving};
 
 /// How an agent admits requests.
 pub struct Admission {
     limit: u32,
     running: BTreeSet<RequestId>,
+    /// The rest that the upstream asked for.
+    rest: Rest<RequestId>,
     /// Set once; an agent that stops never takes work again.
     stopping: bool,
 }
@@ -27,7 +29,7 @@
 impl Admission {
     /// A gate that lets `limit` requests run at once.
     pub fn new(limit: u32) -> Self {
-        Self { limit, running: BTreeSet::new(), stopping: false }
+        Self { limit, running: BTreeSet::new(), rest: Rest::default(), stopping: false }
     }
 
     /// Takes a request in, or says why not. A refused request has certainly not run.
@@ -54,16 +56,34 @@
             return Err(Code::AlreadyRun);
         }
         let version = find_version(call, standing.serving)?;
-        if self.running.len() as u32 >= self.limit {
+        let has_room = (self.running.len() as u32) < self.limit;
+        if !has_room || !self.rest.admit(now, call.request) {
             return Err(Code::Overloaded);
         }
         self.running.insert(call.request);
+        self.rest.note_sent(call.request);
         Ok(version)
     }
 
     /// Gives the place of a request back.
     pub fn end(&mut self, request: RequestId) {
         self.running.remove(&request);
+        self.rest.note_end(request);
+    }
+
+    /// Takes in that the upstream began to answer a request, or turned it away and wants to be left alone for so many
+    /// milliseconds. Without this an upstream that had asked for 1.5 s got 157 requests in that time.
+    pub fn take_answer(&mut self, now: Millis, request: RequestId, rest_ms: u64) {
+        if rest_ms > 0 {
+            self.rest.begin(now, rest_ms);
+        } else {
+            self.rest.note_run(request);
+        }
+    }
+
+    /// How much longer the upstream wants to be left alone, in milliseconds.
+    pub fn rest_left_ms(&self, now: Millis) -> u64 {
+        self.rest.left_ms(now)
     }
 
     /// Takes no new work from now on.
--- a/components/reducer/src/agent/event.rs
+++ b/components/reducer/src/agent/event.rs
@@ -91,6 +91,13 @@
         /// The call.
         request: Box<Call>,
     },
+    /// The upstream began to answer a request that was admitted.
+    UpstreamAnswered {
+        /// The request.
+        request: RequestId,
+        /// How long it wants to be left alone, in milliseconds: zero where it took the request.
+        rest_ms: u64,
+    },
     /// A request that was admitted has ended.
     CallEnded(RequestId),
     /// A planned stop.
@@ -159,6 +166,8 @@
         call: u64,
         /// Why.
         code: Code,
+        /// When to ask again, in milliseconds; zero if unknown.
+        retry_after_ms: u64,
         /// The load now.
         load: Load,
     },
--- a/components/reducer/src/agent/mod.rs
+++ b/components/reducer/src/agent/mod.rs
@@ -103,6 +103,10 @@
             AgentEvent::CallArrived { call, arrived, request } => {
                 vec![self.admit(now, call, arrived, &request)]
             }
+            AgentEvent::UpstreamAnswered { request, rest_ms } => {
+                self.admission.take_answer(now, request, rest_ms);
+                Vec::new()
+            }
             AgentEvent::CallEnded(request) => {
                 self.admission.end(request);
                 self.exit_if_drained()
@@ -159,7 +163,10 @@
                     request.model.as_ref().is_some_and(|model| self.orders.contains_key(model));
                 AgentEffect::Admit { call, version: version.filter(|_| !switching) }
             }
-            Err(code) => AgentEffect::Refuse { call, code, load: self.load() },
+            Err(code) => {
+                let retry_after_ms = self.admission.rest_left_ms(now);
+                AgentEffect::Refuse { call, code, retry_after_ms, load: self.load() }
+            }
         }
     }
 
--- a/components/reducer/src/entry/event.rs
+++ b/components/reducer/src/entry/event.rs
@@ -79,6 +79,8 @@
     pub code: Code,
     /// The load reported with it.
     pub load: Option<Load>,
+    /// When the upstream may be asked again, in milliseconds; zero where nobody said.
+    pub retry_after_ms: u64,
 }
 
 /// What happens to an entry.
--- a/components/reducer/src/entry/requests.rs
+++ b/components/reducer/src/entry/requests.rs
@@ -161,7 +161,9 @@
         // Upstreams that refused a moment ago may have room again by the next turn.
         progress.tried.clear();
         let overloaded = Error::new(Code::Overloaded, Code::Overloaded.meaning());
-        if now >= progress.waits_until {
+        // A place that comes too late need not be waited for.
+        let opens_at = self.router.opens_at(&self.control, &progress.arrival.target);
+        if now.max(opens_at) >= progress.waits_until {
             return self.refuse(request, overloaded);
         }
         let full = !progress.waiting && self.queue.len() as u32 >= self.options.queue_limit;
@@ -239,6 +241,7 @@
         let mut effects = Vec::new();
         if let Some(agent) = progress.at.take() {
             self.router.end(now, &agent, failure.load, Some(failure.code));
+            self.router.leave_alone(now, &agent, failure.retry_after_ms);
             self.shares.give_back(&progress.arrival.workspace);
             effects = self.note_failure(now, progress.arrival.digest, &agent, failure.code);
         }
--- a/components/reducer/src/entry/tests.rs
+++ b/components/reducer/src/entry/tests.rs
@@ -87,7 +87,7 @@
 }
 
 fn fail(entry: &mut Entry, attempt: AttemptId, code: Code) -> Vec<EntryEffect> {
-    let failure = Failure { code, load: None };
+    let failure = Failure { code, load: None, retry_after_ms: 0 };
     entry.reduce(NOW, 0, EntryEvent::Failed { attempt, failure })
 }
 
@@ -281,7 +281,7 @@
             Fate::Refused => Code::Overloaded,
             Fate::Unreachable => Code::Unreachable,
         };
-        let failure = Failure { code, load: None };
+        let failure = Failure { code, load: None, retry_after_ms: 0 };
         self.take(entry.reduce(now, 0, EntryEvent::Failed { attempt, failure }));
     }
 }
--- a/components/reducer/src/routing.rs
+++ b/components/reducer/src/routing.rs
@@ -138,6 +138,14 @@
         !self.candidates(control, target).is_empty()
     }
 
+    /// The first moment at which some upstream of a target takes work again: now, unless all are to be left alone.
+    pub fn opens_at(&mut self, control: &Control, target: &Target) -> Millis {
+        let candidates = self.candidates(control, target).to_vec();
+        let closed_until =
+            |id: &InstanceId| self.upstreams.get(id).map_or(Millis(0), |it| it.closed_until);
+        candidates.iter().map(|it| closed_until(&it.0)).min().unwrap_or(Millis(0))
+    }
+
     /// The candidates of a target, derived again only when something they depend on has changed.
     fn candidates(&mut self, control: &Control, target: &Target) -> &[Candidate] {
         let state = (control.members.changes(), control.configuration().revision);
@@ -169,6 +177,12 @@
         }
     }
 
+    /// Sends nothing to an upstream for so many milliseconds, as its agent asks.
+    pub fn leave_alone(&mut self, now: Millis, id: &InstanceId, span_ms: u64) {
+        let upstream = self.upstreams.entry(id.clone()).or_default();
+        upstream.closed_until = upstream.closed_until.max(now.plus(span_ms));
+    }
+
     /// Forgets upstreams that are no longer members.
     pub fn retain(&mut self, control: &Control) {
         let known = |id: &InstanceId| control.members.get(id).is_some();
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -119,6 +119,8 @@
     VersionsKnown,
     /// The runner said this of itself.
     Status(RunnerStatus),
+    /// Whether the runner says that it is leaving, where that has changed.
+    RunnerLeaves(bool),
     /// By the list of runners the runner is cold for so many milliseconds more.
     ColdFor(u64),
     /// The runner does not answer.
--- a/components/rollout/src/places.rs
+++ b/components/rollout/src/places.rs
@@ -32,6 +32,8 @@
 pub enum Denial {
     /// Its data hall is evacuated.
     Evacuated,
+    /// The runner says that it is leaving.
+    RunnerLeaves,
     /// The runner is about to be ordered.
     Leaving,
     /// The version that it holds may hardly be used any more.
@@ -63,6 +65,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Evacuated => "evacuated",
+            Self::RunnerLeaves => "runner_leaves",
             Self::Leaving => "leaving",
             Self::TooOld => "too_old",
             Self::LastOrder => "last_order",
@@ -124,7 +127,8 @@
             Denial::Full | Denial::Cold => FULL_AGAIN,
             Denial::Later => MIN_AGAIN,
             Denial::Leaving | Denial::TooOld | Denial::LastOrder => MOVE_AGAIN,
-            Denial::Evacuated | Denial::Unheard | Denial::NotServing => MOVE_AGAIN,
+            Denial::Evacuated | Denial::RunnerLeaves => MOVE_AGAIN,
+            Denial::Unheard | Denial::NotServing => MOVE_AGAIN,
         }
     }
 
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -62,6 +62,8 @@
     /// tell what it does now.
     status_at: Millis,
     own_order_at: Millis,
+    /// Whether the runner says that it is leaving.
+    runner_leaves: bool,
     places: Places,
     cold: ColdStart,
     questions: Questions,
@@ -102,6 +104,7 @@
             life: None,
             status_at: Millis(0),
             own_order_at: Millis(0),
+            runner_leaves: false,
             places,
             questions: Questions::default(),
             first_tries: FirstTries::default(),
@@ -169,6 +172,10 @@
                 effects.extend(self.settle_questions(now));
                 return effects;
             }
+            Event::RunnerLeaves(leaves) => {
+                self.runner_leaves = leaves;
+                return self.settle_questions(now);
+            }
             Event::ColdFor(left_ms) => self.cold.take_word(now, left_ms),
             Event::Silent => {
                 self.status = None;
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -102,6 +102,9 @@
         if self.is_evacuated(now) {
             return Err(Denial::Evacuated);
         }
+        if self.runner_leaves {
+            return Err(Denial::RunnerLeaves);
+        }
         if !self.status.as_ref().is_some_and(|it| !it.busy && it.version.is_some()) {
             return Err(Denial::NotServing);
         }
@@ -132,6 +135,11 @@
         !self.evacuations.admit(now, &self.options.place.hall)
     }
 
+    /// Whether the runner says that it is leaving. It gets nothing new.
+    pub fn runner_leaves(&self) -> bool {
+        self.runner_leaves
+    }
+
     /// The data halls that are evacuated.
     pub fn evacuations(&self) -> &Evacuations {
         &self.evacuations
