--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -278,5 +278,7 @@
     Error::new(Code::ConnectionLost, error.to_string())
 }
 
+#[cfg(test)]
+mod samples;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/components/edge/src/message/samples.rs
@@ -0,0 +1,221 @@
+//! A sample of every message, as builds that have landed wrote it. `SILVERDOCK_SAMPLES=FOLDER cargo test -p edge samples`
+//! writes those of this build.
+
+use std::path::{Path, PathBuf};
+
+use fleet::{Evacuation, LifeWord, Millis};
+use gateway::{HeardGateway, WeightsHeld};
+use quarantine::{CrashLedger, LifeDigest, RequestDigest, Told};
+use rollout::ColdPlan;
+
+use super::*;
+
+/// The builds that have landed, oldest first.
+const BUILDS: [&str; 1] = ["a81c536"];
+
+fn address(last: u8, port: u16) -> SocketAddr {
+    ([10, 0, 0, last], port).into()
+}
+
+fn evacuations() -> EvacuationList {
+    let evacuation = |hall: &str, age_ms| Evacuation { hall: hall.into(), age_ms };
+    let evacuated = vec![evacuation("nbo-hall-a", Some(1500)), evacuation("mba-hall-a", None)];
+    EvacuationList { revision: 530, evacuated }
+}
+
+fn crashes() -> CrashList {
+    let mut ledger = CrashLedger::default();
+    for number in 0..3 {
+        let life = LifeDigest::of(&format!("i-{number}").as_str().into(), Some(1));
+        ledger.note_crash(Millis(1_000_000), RequestDigest(77), life, Millis(500_000));
+    }
+    ledger.list(Millis(1_000_000), Told::Suspects, 0)
+}
+
+fn named() -> NamedVersion {
+    NamedVersion { model: "m".into(), version: 3, age_ms: Some(700) }
+}
+
+fn have() -> Bitmap {
+    let mut have = Bitmap::new(64);
+    [0, 5, 63].into_iter().for_each(|it| have.insert(it));
+    have
+}
+
+fn place() -> Place {
+    Place { region: "nairobi".into(), hall: "nbo-hall-a".into() }
+}
+
+fn load() -> RunnerLoad {
+    RunnerLoad {
+        life: LifeWord { born: Some(1_764_720_000_000), sequence: 4 },
+        running: 3,
+        waiting: 1,
+        busy: true,
+        pace: 1.25,
+        reading_ms: 40,
+        weights: Some(WeightsHeld { model: "m".into(), version: 2, whole: true }),
+        serves_in_ms: Some(900),
+        named: Some(named()),
+    }
+}
+
+fn services() -> Vec<WeightsService> {
+    let plan = WeightsPlan {
+        model: "m".into(),
+        warm_ms: 300,
+        origin_bytes_per_s: 1_237_500,
+        slots: 16,
+        prompt_tokens_per_ms: 19.1,
+        cold: Some(ColdPlan { start_ms: 3000, requests_per_s: 6.0 }),
+    };
+    vec![WeightsService { service: "s1".into(), origin: address(3, 8006), layers: 16, plan }]
+}
+
+/// Every datagram, by name.
+fn datagrams() -> Vec<(&'static str, Datagram)> {
+    let sidecars = vec![
+        ListedSidecar { machine: [10, 0, 0, 7].into(), version: Some(2) },
+        ListedSidecar { machine: [10, 0, 0, 8].into(), version: None },
+    ];
+    let part = SidecarsPart {
+        question: 9,
+        part: 0,
+        parts: 2,
+        fresh: true,
+        hall: "nbo-hall-a".into(),
+        sidecars,
+    };
+    let heard = HeardGateway { address: address(2, 7700), tenths: 12 };
+    let reserved = |reply| Datagram::Reserved {
+        question: 300,
+        reply,
+        load: Some(load()),
+        evacuations: evacuations(),
+    };
+    vec![
+        (
+            "subscribe",
+            Datagram::Subscribe {
+                hall: "nbo-hall-a".into(),
+                named: vec![named()],
+                services: services(),
+                evacuations: evacuations(),
+                cold_ms: Some(2500),
+                crashes: crashes(),
+                wants_gateways: true,
+            },
+        ),
+        (
+            "gateways",
+            Datagram::Gateways(GatewayList { asker: address(1, 7700), gateways: vec![heard] }),
+        ),
+        ("crashes", Datagram::Crashes(crashes())),
+        (
+            "load",
+            Datagram::Load {
+                runner: address(5, 8528),
+                load: load(),
+                evacuations: evacuations(),
+                crashes: crashes(),
+            },
+        ),
+        (
+            "reserve",
+            Datagram::Reserve {
+                question: 300,
+                request: "b23c7ba3fb5513d1".into(),
+                prompt_tokens: 977,
+                rank: 12,
+                left_ms: 380,
+                wait_ms: 88,
+            },
+        ),
+        ("reserved-granted", reserved(Reply::Granted)),
+        ("reserved-queued", reserved(Reply::Queued)),
+        ("reserved-denied", reserved(Reply::Denied { again_ms: 60 })),
+        ("want-sidecars", Datagram::WantSidecars { question: 9, service: "s1".into() }),
+        ("sidecars", Datagram::Sidecars(part)),
+        ("ordered", Datagram::Ordered),
+        ("who-ordered", Datagram::WhoOrdered),
+        ("you-ordered-last", Datagram::YouOrderedLast),
+        (
+            "summary",
+            Datagram::Summary { from: "10.0.0.7".into(), place: place(), version: 3, have: have() },
+        ),
+    ]
+}
+
+/// Every request over TCP, by name.
+fn requests() -> Vec<(&'static str, PeerRequest)> {
+    let chunk = ChunkRequest {
+        version: 3,
+        index: 17,
+        from: "10.0.0.7".into(),
+        place: place(),
+        have: have(),
+    };
+    vec![
+        ("request-chunk", PeerRequest::Chunk(chunk)),
+        ("request-manifest", PeerRequest::Manifest { version: 3 }),
+    ]
+}
+
+/// Every answer over TCP, by name.
+fn answers() -> Vec<(&'static str, PeerAnswer)> {
+    let manifest = Manifest::describe("v3", &[7; 5000]).expect("it has chunks");
+    vec![
+        ("answer-manifest", PeerAnswer::Manifest(manifest)),
+        ("answer-chunk", PeerAnswer::Chunk { bytes: vec![1, 2, 3, 250], have: have() }),
+        ("answer-missing", PeerAnswer::Missing),
+        ("answer-busy", PeerAnswer::Busy),
+    ]
+}
+
+fn folder(build: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("samples").join(build)
+}
+
+/// Holds the format to what a build wrote: each sample is read as the value that it stands for, and that is written in
+/// the same bytes.
+fn compare<T>(build: &str, samples: Vec<(&'static str, T)>)
+where
+    T: Serialize + DeserializeOwned + PartialEq + std::fmt::Debug,
+{
+    for (name, value) in samples {
+        let path = folder(build).join(name);
+        let bytes = std::fs::read(&path).unwrap_or_else(|error| panic!("{path:?}: {error}"));
+        assert_eq!(decode::<T>(&bytes).unwrap(), value, "{build} {name}");
+        assert_eq!(encode(&value), bytes, "{build} {name}");
+    }
+}
+
+#[test]
+fn every_message_of_each_landed_build_is_read_and_written_as_it_was() {
+    for build in BUILDS {
+        compare(build, datagrams());
+        compare(build, requests());
+        compare(build, answers());
+    }
+}
+
+#[test]
+fn every_kind_of_datagram_has_a_sample() {
+    let variants: std::collections::BTreeSet<u8> =
+        datagrams().iter().map(|(_, it)| encode(it)[0]).collect();
+    assert_eq!(variants, (0..variants.len() as u8).collect());
+    assert!(decode::<Datagram>(&[variants.len() as u8]).is_err(), "a variant without a sample");
+}
+
+#[test]
+fn samples_of_this_build_are_written_where_that_is_asked_for() {
+    let Ok(folder) = std::env::var("SILVERDOCK_SAMPLES") else {
+        return;
+    };
+    let of_datagrams = datagrams().into_iter().map(|(name, it)| (name, encode(&it)));
+    let of_requests = requests().into_iter().map(|(name, it)| (name, encode(&it)));
+    let of_answers = answers().into_iter().map(|(name, it)| (name, encode(&it)));
+    for (name, bytes) in of_datagrams.chain(of_requests).chain(of_answers) {
+        std::fs::write(Path::new(&folder).join(name), bytes).unwrap();
+    }
+}
--- /dev/null
+++ b/components/wire/tests/samples.rs
@@ -0,0 +1,171 @@
+//! A sample of every message, as builds that have landed wrote it.
+//! `SILVERDOCK_SAMPLES=FOLDER cargo test -p wire --test samples` writes those of this build.
+
+use std::fmt::Debug;
+use std::path::{Path, PathBuf};
+
+use errors::Code;
+use fleet::{Bitmap, Incarnation, Place, Process, RequestId, Revision, Role, VersionId};
+use quarantine::CrashList;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use wire::{
+    Call, Datagram, DatagramBody, Load, MemberNews, MemberRecord, MemberState, Message, Serving,
+    ServingTag,
+};
+
+/// The builds that have landed, oldest first.
+const BUILDS: [&str; 1] = ["a81c536"];
+const VERSION: VersionId = VersionId([7; 32]);
+
+fn request() -> RequestId {
+    RequestId { entry: Incarnation(5), serial: 900 }
+}
+
+fn have() -> Bitmap {
+    let mut have = Bitmap::new(20);
+    [0, 19].into_iter().for_each(|it| have.insert(it));
+    have
+}
+
+fn load() -> Load {
+    Load { running: 3, limit: 16, uploads: 1 }
+}
+
+fn messages() -> Vec<(&'static str, Message)> {
+    let call = Call {
+        request: request(),
+        model: Some("tips".into()),
+        version: Some(VERSION),
+        workspace: "w".into(),
+        method: "POST".into(),
+        path: "/v1/chat/completions?x=1".into(),
+        content_type: "application/json".into(),
+        budget_ms: 6000,
+        priority: 5,
+        idempotency_key: Some("shift-7".into()),
+        stream: true,
+    };
+    let refused = |code| Message::Refused { code, retry_after_ms: 1500, load: load() };
+    vec![
+        ("hello", Message::Hello { from: "engine-001".into() }),
+        ("get-configuration", Message::GetConfiguration),
+        ("configuration", Message::Configuration { revision: Revision(12) }),
+        ("get-manifest", Message::GetManifest { version: VERSION }),
+        ("manifest", Message::Manifest),
+        ("get-progress", Message::GetProgress { version: VERSION }),
+        ("progress", Message::Progress { held: 3, chunks: 20 }),
+        ("get-chunk", Message::GetChunk { version: VERSION, index: 4, have: have() }),
+        ("chunk", Message::Chunk { index: 4, have: have(), uploads: 2 }),
+        ("refused", refused(Code::Overloaded)),
+        ("call", Message::Call(call)),
+        (
+            "answer-head",
+            Message::AnswerHead {
+                request: request(),
+                status: 200,
+                content_type: "text/event-stream".into(),
+                version: Some(VERSION),
+            },
+        ),
+        ("answer-part", Message::AnswerPart { request: request() }),
+        ("answer-end", Message::AnswerEnd { request: request(), bytes: 70_000, load: load() }),
+        (
+            "answer-failed",
+            Message::AnswerFailed { request: request(), code: Code::CutShort, load: load() },
+        ),
+    ]
+}
+
+fn datagrams() -> Vec<(&'static str, Datagram)> {
+    let serving = Serving { model: "tips".into(), version: VERSION, role: Role::Serve };
+    let record = |state| MemberRecord {
+        id: "engine-001".into(),
+        incarnation: Incarnation(5),
+        serial: 3,
+        state,
+        place: Place { region: "north".into(), hall: "a".into() },
+        process: Process::Service("ledger".into()),
+        address: ([10, 0, 0, 7], 7400).into(),
+        serving: vec![ServingTag::of(&serving)],
+    };
+    let whole = |state| MemberNews::Whole(Box::new(record(state)));
+    let datagram = |body, news| Datagram {
+        from: "engine-001".into(),
+        incarnation: Incarnation(5),
+        revision: Revision(12),
+        body,
+        news,
+    };
+    vec![
+        ("ping", datagram(DatagramBody::Ping { nonce: 77 }, Vec::new())),
+        (
+            "ack",
+            datagram(
+                DatagramBody::Ack { nonce: 77 },
+                vec![MemberNews::listed(&record(MemberState::Alive))],
+            ),
+        ),
+        ("ping-for", datagram(DatagramBody::PingFor { target: "e".into() }, Vec::new())),
+        (
+            "news",
+            datagram(
+                DatagramBody::News,
+                vec![
+                    whole(MemberState::Suspect),
+                    whole(MemberState::Leaving),
+                    whole(MemberState::Dead),
+                ],
+            ),
+        ),
+        ("summary", datagram(DatagramBody::Summary { version: VERSION, have: have() }, Vec::new())),
+        ("crashes", datagram(DatagramBody::Crashes(CrashList(Vec::new())), Vec::new())),
+    ]
+}
+
+/// Codes are known by their place: none may move.
+fn codes() -> Vec<(&'static str, Vec<Code>)> {
+    vec![("codes", Code::all().collect())]
+}
+
+fn encode(value: &impl Serialize) -> Vec<u8> {
+    postcard::to_stdvec(value).unwrap()
+}
+
+fn folder(build: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("samples").join(build)
+}
+
+fn compare<T: Serialize + DeserializeOwned + PartialEq + Debug>(
+    build: &str,
+    samples: Vec<(&'static str, T)>,
+) {
+    for (name, value) in samples {
+        let path = folder(build).join(name);
+        let bytes = std::fs::read(&path).unwrap_or_else(|error| panic!("{path:?}: {error}"));
+        assert_eq!(postcard::from_bytes::<T>(&bytes).unwrap(), value, "{build} {name}");
+        assert_eq!(encode(&value), bytes, "{build} {name}");
+    }
+}
+
+#[test]
+fn every_message_of_each_landed_build_is_read_and_written_as_it_was() {
+    for build in BUILDS {
+        compare(build, messages());
+        compare(build, datagrams());
+        compare(build, codes());
+    }
+}
+
+#[test]
+fn samples_of_this_build_are_written_where_that_is_asked_for() {
+    let Ok(folder) = std::env::var("SILVERDOCK_SAMPLES") else {
+        return;
+    };
+    let messages = messages().into_iter().map(|(name, it)| (name, encode(&it)));
+    let datagrams = datagrams().into_iter().map(|(name, it)| (name, encode(&it)));
+    let codes = codes().into_iter().map(|(name, it)| (name, encode(&it)));
+    for (name, bytes) in messages.chain(datagrams).chain(codes) {
+        std::fs::write(Path::new(&folder).join(name), bytes).unwrap();
+    }
+}
