A store that comes back from an older copy: stand-in, soak, failing tests; a runner that left stays left

The stand-in's store goes back, begins another era, gives revisions out again and answers 410 from one that it lacks; what operators and runners wrote can be written again.

The soak learns runners that shed, the store's copies, two builds, and two checks from what answers said. Runners that leave are replaced instead of staying, as the platform's do.

--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -82,6 +82,7 @@
                 runner.notices = notices;
             }
         }
+        runner.note_listed_state(now);
         self.runners.insert(id, runner);
     }
 
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -6,7 +6,7 @@
 use quarantine::LifeDigest;
 use serde::{Deserialize, Serialize};
 
-use crate::notices::Notices;
+use crate::notices::{Notice, Notices};
 
 /// The part of a new measurement in a smoothed one.
 const SMOOTHING: f64 = 0.3;
@@ -194,6 +194,13 @@
         self.listed = record.life;
         self.cold_until = now.plus(record.cold_ms);
         self.record = record;
+        self.note_listed_state(now);
+    }
+
+    /// Keeps for its life that the list had it leaving. A store that comes back from an older copy has it ready again.
+    pub fn note_listed_state(&mut self, now: Millis) {
+        let is_leaving = self.record.state == RunnerState::Draining;
+        self.notices.take(now, Notice { is_leaving, rest_ms: None });
     }
 
     /// It may have turned cold lately, for so many milliseconds at the most. The doubt ends with that, or when the list
--- a/components/gateway/tests/fuzz.rs
+++ b/components/gateway/tests/fuzz.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use fleet::{Evacuation, EvacuationList, Hall, HomeRegions, InstanceId, Millis};
+use fleet::{Evacuation, EvacuationList, Hall, HomeRegions, InstanceId, LifeWord, Millis};
 use gateway::*;
 use proptest::prelude::*;
 use support::*;
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug)]
 enum Move {
     List(u8),
+    /// A runner starts again under the name that it had.
+    Restart(u8),
     Drain(u8),
     Unlist(u8),
     Load {
@@ -38,6 +40,7 @@
 fn moves() -> impl Strategy<Value = Vec<Move>> {
     let one = prop_oneof![
         3 => any::<u8>().prop_map(Move::List),
+        1 => any::<u8>().prop_map(Move::Restart),
         1 => any::<u8>().prop_map(Move::Drain),
         1 => any::<u8>().prop_map(Move::Unlist),
         4 => (any::<u8>(), 0..6u8, 1..4u8, any::<bool>()).prop_map(
@@ -86,6 +89,8 @@
     sends: u32,
     may_have_run: bool,
     current: Option<InstanceId>,
+    /// The life of that runner to which it was sent.
+    life: u64,
     /// Whether the answer of the attempt under way has begun.
     answered: bool,
     ended: bool,
@@ -95,6 +100,10 @@
 #[derive(Default)]
 struct Model {
     usable: BTreeSet<InstanceId>,
+    /// Runners that are leaving, until they start again: whatever the list says, they never stay.
+    leaving: BTreeSet<InstanceId>,
+    /// How often each has started again.
+    lives: BTreeMap<InstanceId, u64>,
     homes: HomeRegions,
     /// Halls that are evacuated, and were left at once.
     evacuated: Vec<Hall>,
@@ -123,6 +132,7 @@
                     known.sends += 1;
                     prop_assert!(known.sends <= 2, "more attempts than the route allows");
                     known.current = Some(target.id.clone());
+                    known.life = self.lives.get(&target.id).copied().unwrap_or(0);
                 }
                 NextStep::Refuse { .. } => {
                     prop_assert!(!known.may_have_run, "told that it did not run");
@@ -144,6 +154,13 @@
 }
 
 impl Model {
+    /// The entry of a runner in its present life.
+    fn listed(&self, runner: u8) -> RunnerRecord {
+        let lives = self.lives.get(&id(runner)).copied().unwrap_or(0);
+        let life = LifeWord { born: Some(lives), sequence: 0 };
+        RunnerRecord { life, ..listed(runner) }
+    }
+
     /// What was chosen earlier may still be sent just where it might be chosen now.
     fn ask(&self, bed: &Bed) -> Result<(), TestCaseError> {
         for (key, known) in self.requests.iter().filter(|(_, it)| !it.ended) {
@@ -152,7 +169,8 @@
             };
             let region = if hall(id) == "a" { "north" } else { "south" };
             let is_open = self.usable.contains(id) && !self.evacuated.contains(&hall(id).into());
-            let is_fit = is_open && self.homes.allow(&region.into());
+            let is_its_life = self.lives.get(id).copied().unwrap_or(0) == known.life;
+            let is_fit = is_open && is_its_life && self.homes.allow(&region.into());
             let may_send = bed.gateway.may_send(Millis(bed.now), RequestKey(*key));
             prop_assert_eq!(may_send, is_fit, "to {:?}, homes {:?}", id, self.homes);
         }
@@ -185,12 +203,22 @@
     for (number, one) in (1..).zip(moves) {
         let effects = match one {
             Move::List(runner) => {
+                if !model.leaving.contains(&id(runner)) {
+                    model.usable.insert(id(runner));
+                }
+                bed.feed(Event::Listed(model.listed(runner)))
+            }
+            Move::Restart(runner) => {
+                *model.lives.entry(id(runner)).or_default() += 1;
+                model.leaving.remove(&id(runner));
                 model.usable.insert(id(runner));
-                bed.feed(Event::Listed(listed(runner)))
+                bed.feed(Event::Listed(model.listed(runner)))
             }
             Move::Drain(runner) => {
-                let record = RunnerRecord { state: RunnerState::Draining, ..listed(runner) };
+                let state = RunnerState::Draining;
+                let record = RunnerRecord { state, ..model.listed(runner) };
                 model.usable.remove(&id(runner));
+                model.leaving.insert(id(runner));
                 bed.feed(Event::Listed(record))
             }
             Move::Unlist(runner) => {
@@ -200,6 +228,7 @@
             Move::Load { runner, running, version, busy } => {
                 let mut load = load(u64::from(version), u32::from(running));
                 load.busy = busy;
+                load.life = model.listed(runner).life;
                 let address = ([127, 0, 0, 1], u16::from(runner % 6) + 1).into();
                 bed.feed(Event::Load(address, load))
             }
@@ -226,6 +255,7 @@
                     sends: 0,
                     may_have_run: false,
                     current: None,
+                    life: 0,
                     answered: false,
                     ended: false,
                     arrived: bed.now,
--- a/examples/soak/args.rs
+++ b/examples/soak/args.rs
@@ -30,6 +30,9 @@
     /// the daemon to run; the one built beside this example where nothing is said
     #[argh(option)]
     pub program: Option<std::path::PathBuf>,
+    /// an earlier daemon, which all processes run at first and are changed from and to
+    #[argh(option)]
+    pub old: Option<std::path::PathBuf>,
     /// print JSON lines
     #[argh(switch)]
     pub json: bool,
--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -11,7 +11,7 @@
 use async_net::TcpStream;
 use bytes::Bytes;
 use futures_lite::future;
-use http::{Method, Request as HttpRequest};
+use http::{HeaderMap, Method, Request as HttpRequest};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use platform_standin::{headers, HOST, KEY};
@@ -20,7 +20,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::faults::CRASH_PATH;
-use crate::history::{Kind, Request, Seen};
+use crate::history::{Kind, Moment, Request, Seen, Told};
 
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_millis(5000);
@@ -115,15 +115,16 @@
         };
         let gateway = connection.as_ref().map_or((number, life), |it| it.gateway);
         let sent = if connection.is_some() { self.shared.begun.elapsed() } else { sent };
-        let seen = match &mut connection {
-            Some(connection) => exchange(&mut connection.sender, kind, &id).await,
-            None => Seen::NoConnection,
+        let begun = self.shared.begun;
+        let (seen, told) = match &mut connection {
+            Some(connection) => exchange(begun, &mut connection.sender, kind, &id).await,
+            None => (Seen::NoConnection, None),
         };
         if matches!(seen, Seen::Answer { whole: true, .. }) {
             self.connection = connection;
         }
         let ended = self.shared.begun.elapsed();
-        let request = Request { id, kind, gateway, sent, ended, seen };
+        let request = Request { id, kind, gateway, sent, ended, seen, told };
         self.shared.requests.lock().expect("never poisoned").push(request);
     }
 
@@ -170,14 +171,20 @@
     request.body(Full::new(Bytes::from_static(b"question"))).ok()
 }
 
-async fn exchange(sender: &mut SendRequest<Full<Bytes>>, kind: Kind, id: &str) -> Seen {
+async fn exchange(
+    begun: Instant,
+    sender: &mut SendRequest<Full<Bytes>>,
+    kind: Kind,
+    id: &str,
+) -> (Seen, Option<Told>) {
     let Some(request) = request(kind, id) else {
-        return Seen::NoConnection;
+        return (Seen::NoConnection, None);
     };
     let answer = within(PATIENCE, sender.send_request(request)).await;
     let Some(Ok(answer)) = answer else {
-        return Seen::Lost;
+        return (Seen::Lost, None);
     };
+    let told = told(begun.elapsed(), answer.headers());
     let status = answer.status().as_u16();
     let mut body = answer.into_body();
     let (mut bytes, mut whole) = (Vec::new(), true);
@@ -193,7 +200,15 @@
             }
         }
     }
-    Seen::Answer { status, whole, body: String::from_utf8_lossy(&bytes).into_owned() }
+    (Seen::Answer { status, whole, body: String::from_utf8_lossy(&bytes).into_owned() }, told)
+}
+
+/// What an answer says of its runner, if it says that the runner leaves. The stand-in signs with the runner, its life and
+/// the request.
+fn told(at: Moment, headers: &HeaderMap) -> Option<Told> {
+    headers.get("server-leaving")?;
+    let mut stamp = headers.get("response-stamp")?.to_str().ok()?.split('.');
+    Some(Told { runner: stamp.next()?.to_owned(), life: stamp.next()?.parse().ok()?, at })
 }
 
 async fn within<T>(time: Duration, future: impl std::future::Future<Output = T>) -> Option<T> {
--- a/examples/soak/checker.rs
+++ b/examples/soak/checker.rs
@@ -5,6 +5,7 @@
 
 use crate::history::{
     Cold, Configured, Evacuated, Harmed, History, Homes, Kind, Request, Run, Seen, Target,
+    TurnedAway,
 };
 
 /// Events of a whole stream of the stand-in's engines.
@@ -30,6 +31,9 @@
 const CONTACT: Duration = Duration::from_millis(3000);
 /// How often it may reach runners after that.
 const MOST_RETRIES: usize = 3;
+/// How long after a runner asked for rest requests may still be on their way, and how many it may get meanwhile.
+const TRANSIT: Duration = Duration::from_millis(500);
+const MOST_DURING_REST: usize = 2;
 /// How long a process must have been left alone to be held to a bound of time.
 const IN_TOUCH: Duration = Duration::from_millis(3500);
 /// How long a request may be under way when its connection is closed between two requests.
@@ -58,6 +62,7 @@
         violations.extend(check_promise_of_refusal(request, runs));
         violations.extend(check_planned_stop(history, request, runs));
         violations.extend(check_leaving(history, request, runs));
+        violations.extend(check_told(history, request, runs));
         violations.extend(check_in_force(history, request));
         violations.extend(check_bound(request, runs));
         violations.extend(check_homes(history, request, runs));
@@ -65,6 +70,7 @@
     }
     violations.extend(history.cold.iter().filter_map(|cold| check_cold(history, cold)));
     violations.extend(check_quarantine(history));
+    violations.extend(check_rest(history));
     violations.extend(check_configuration(history));
     violations.extend(check_recovery(history));
     violations.extend(history.mixtures.iter().map(|runner| Violation {
@@ -154,6 +160,73 @@
     Some(broken("a runner that leaves gets nothing new", request, &format!("{late:?}")))
 }
 
+/// A runner that has said in an answer that it leaves gets nothing new from the gateway that handed the answer on, in
+/// touch or not, until that gateway has stood still or started again.
+fn check_told(history: &History, request: &Request, runs: &[Run]) -> Option<Violation> {
+    if history.old.contains(&request.gateway) {
+        return None;
+    }
+    let told = |run: &Run| {
+        let same_gateway = history.requests.iter().filter(|it| it.gateway == request.gateway);
+        let mut told = same_gateway.filter_map(|it| it.told.as_ref());
+        told.any(|it| {
+            let stood_still = history.pauses.iter().any(|pause| {
+                pause.gateway == request.gateway.0 && pause.at > it.at && pause.at <= run.at
+            });
+            let is_its_life = (&it.runner, it.life) == (&run.runner, run.life);
+            is_its_life && !stood_still && request.sent > it.at + DRAIN
+        })
+    };
+    let late = runs.iter().find(|it| told(it))?;
+    Some(broken("a runner that says it leaves is left", request, &format!("{late:?}")))
+}
+
+/// A life of a runner, and the process of the gateway that sends there.
+type Way<'a> = (&'a str, u64, (usize, u32));
+
+/// A runner that asks a gateway for rest gets two requests from it at most meanwhile, if nothing was done to the gateway.
+fn check_rest(history: &History) -> Vec<Violation> {
+    let requests: BTreeMap<&str, &Request> =
+        history.requests.iter().map(|it| (it.id.as_str(), it)).collect();
+    let mut arrivals: BTreeMap<Way<'_>, Vec<Duration>> = BTreeMap::new();
+    for it in &history.turned_away {
+        let Some(request) = requests.get(it.request.as_str()) else {
+            continue;
+        };
+        arrivals.entry((&it.runner, it.life, request.gateway)).or_default().push(it.at);
+    }
+    for (id, runs) in &history.runs {
+        let Some(request) = requests.get(id.as_str()) else {
+            continue;
+        };
+        for run in runs {
+            arrivals.entry((&run.runner, run.life, request.gateway)).or_default().push(run.at);
+        }
+    }
+    let is_broken = |it: &&TurnedAway| {
+        let Some(request) = requests.get(it.request.as_str()) else {
+            return false;
+        };
+        let key = (it.runner.as_str(), it.life, request.gateway);
+        let rest = it.at + TRANSIT..it.at + it.rest;
+        let during =
+            arrivals.get(&key).map_or(0, |at| at.iter().filter(|at| rest.contains(at)).count());
+        let harmed = history.harmed.iter().any(|harm| {
+            harm.target == Target::Gateway(request.gateway.0)
+                && harm.from <= it.at + it.rest
+                && harm.until + IN_TOUCH >= it.at
+        });
+        during > MOST_DURING_REST && !harmed && !history.old.contains(&request.gateway)
+    };
+    let broken = history.turned_away.iter().filter(is_broken);
+    broken
+        .map(|it| Violation {
+            promise: "a runner that wants rest is left alone",
+            seen: format!("{it:?}"),
+        })
+        .collect()
+}
+
 /// What is bound throughout runs in its region alone, whoever was harmed.
 fn check_bound(request: &Request, runs: &[Run]) -> Option<Violation> {
     let elsewhere = runs.iter().find(|it| it.hall != BOUND_HALL)?;
--- a/examples/soak/conductor.rs
+++ b/examples/soak/conductor.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use platform_standin::{RunnerFault, StoreFault};
+use platform_standin::{LostRows, RunnerFault, StoreFault};
 use rustix::process::Signal;
 use serde_json::json;
 
@@ -22,6 +22,8 @@
 const EVACUATED: Duration = Duration::from_millis(3000);
 /// How long such a request comes again at least: until all must have heard of it, and some time to see it kept.
 const CRASHING: Duration = Duration::from_millis(5000);
+/// How long after the store went back what it lost is written again, at most.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(1500);
 /// Routes that every configuration has.
 const LASTING_ROUTES: usize = 4;
 /// How often the conductor looks what is due.
@@ -36,7 +38,10 @@
     HealStoreLink(usize),
     HealRunnerLink(usize),
     HealRunner(usize),
-    Stay(usize),
+    Relist(usize),
+    Replace(usize),
+    Serve(usize),
+    WriteAgain(LostRows),
     TakeBack(usize),
     Warm(usize),
     Crashing,
@@ -67,6 +72,12 @@
         }
     }
 
+    /// Notes which gateways run an earlier build as the run begins.
+    pub fn note_builds(&mut self) {
+        let gateways = self.fleet.gateways.iter().enumerate();
+        self.history.old.extend(gateways.filter(|(_, it)| it.is_old()).map(|it| (it.0, 0)));
+    }
+
     fn now(&self) -> Duration {
         self.shared.begun.elapsed()
     }
@@ -130,20 +141,18 @@
             }
             Fault::Pause(number) if self.is_going(number) => {
                 self.process(number).signal(Signal::STOP);
+                if let Target::Gateway(gateway) = self.target(number) {
+                    self.history.pauses.push(Stop { gateway, at: self.now() });
+                }
                 self.note(self.target(number), until);
                 self.ends.push((until, End::Wake(number)));
             }
-            Fault::Stop(number) if self.is_going(number) => {
-                self.process(number).signal(Signal::TERM);
-                let by = self.now() + GRACE;
-                if let Target::Gateway(gateway) = self.target(number) {
-                    self.history.stops.push(Stop { gateway, at: self.now() });
-                } else {
-                    self.note(self.target(number), self.now() + AWAY);
-                }
-                self.ends.push((self.now() + STEP, End::StoppedBy(number, by)));
+            Fault::Stop(number) if self.is_going(number) => self.stop(number),
+            Fault::Upgrade(number) if self.is_going(number) => {
+                self.process(number).change_build();
+                self.stop(number);
             }
-            Fault::Kill(_) | Fault::Pause(_) | Fault::Stop(_) => {}
+            Fault::Kill(_) | Fault::Pause(_) | Fault::Stop(_) | Fault::Upgrade(_) => {}
             Fault::Hup(number) => self.process(number).signal(Signal::HUP),
             Fault::Store(fault) => {
                 self.fleet.standin.set_store_fault(fault);
@@ -187,7 +196,7 @@
                 self.fleet.standin.change_runner(runner.engine, |it| it.draining = true);
                 let leaving = Leaving { runner: runner.id(), at: self.now(), until: None };
                 self.history.leaving.push(leaving);
-                self.ends.push((until + AWAY, End::Stay(number)));
+                self.ends.push((until + AWAY, End::Replace(number)));
             }
             Fault::Configure => self.configure(),
             Fault::Version => {
@@ -209,6 +218,14 @@
                 self.note(Target::Runner(number), until);
             }
             Fault::Foreign(number) => self.write_foreign_rows(number, until),
+            Fault::Shed(number, rest_ms) => {
+                let engine = self.fleet.runners[number].engine;
+                let rest = Duration::from_millis(rest_ms);
+                self.fleet.standin.change_runner(engine, |it| it.sheds = Some(rest));
+                self.note(Target::Runner(number), until);
+                self.ends.push((until, End::Serve(number)));
+            }
+            Fault::StoreCopy(age_ms) => self.go_back(Duration::from_millis(age_ms), until),
             Fault::Settings(number, told) => {
                 self.process(number).rewrite_settings()?;
                 if told {
@@ -219,6 +236,30 @@
         Ok(())
     }
 
+    /// Tells a process to stop. It starts again once it has ended.
+    fn stop(&mut self, number: usize) {
+        self.process(number).signal(Signal::TERM);
+        let by = self.now() + GRACE;
+        if let Target::Gateway(gateway) = self.target(number) {
+            self.history.stops.push(Stop { gateway, at: self.now() });
+        } else {
+            self.note(self.target(number), self.now() + AWAY);
+        }
+        self.ends.push((self.now() + STEP, End::StoppedBy(number, by)));
+    }
+
+    /// The store goes back to an older copy. Operators and runners write again what is lost, a while later: until then,
+    /// and until all have read it, the store is not itself.
+    fn go_back(&mut self, age: Duration, until: Duration) {
+        if self.ends.iter().any(|(_, end)| matches!(end, End::WriteAgain(_))) {
+            return;
+        }
+        let lost = self.fleet.standin.go_back(age);
+        let again_at = self.now() + WRITTEN_AGAIN.min(until.saturating_sub(self.now()));
+        self.note(Target::Store, again_at);
+        self.ends.push((again_at, End::WriteAgain(lost)));
+    }
+
     /// Evacuates a hall, unless it is evacuated already, for long enough that the bound passes.
     fn evacuate(&mut self, hall: usize, until: Duration) {
         if self.ends.iter().any(|(_, end)| matches!(end, End::TakeBack(it) if *it == hall)) {
@@ -263,7 +304,7 @@
         self.fleet.standin.write_row("servers", "foreign", row.clone());
         self.fleet.standin.write_row("servers", &runner, row);
         self.note(Target::Runner(number), until + AWAY);
-        self.ends.push((until + AWAY, End::Stay(number)));
+        self.ends.push((until + AWAY, End::Relist(number)));
     }
 
     /// Starts a plain runner anew, cold.
@@ -333,10 +374,21 @@
                 let engine = self.fleet.runners[number].engine;
                 self.fleet.standin.change_runner(engine, |_| {});
             }
-            End::Stay(number) => {
-                let runner = &self.fleet.runners[number];
+            End::Relist(number) => {
+                let engine = self.fleet.runners[number].engine;
+                self.fleet.standin.change_runner(engine, |_| {});
+            }
+            End::Serve(number) => {
+                let engine = self.fleet.runners[number].engine;
+                self.fleet.standin.change_runner(engine, |it| it.sheds = None);
+            }
+            End::WriteAgain(lost) => self.fleet.standin.write_again(lost),
+            End::Replace(number) => {
+                let runner = &mut self.fleet.runners[number];
                 let id = runner.id();
-                self.fleet.standin.change_runner(runner.engine, |it| it.draining = false);
+                runner.restarts += 1;
+                let next = runner.id();
+                self.fleet.standin.change_runner(runner.engine, |it| it.restart(&next));
                 let now = self.now();
                 let open = self.history.leaving.iter_mut();
                 open.filter(|it| it.runner == id && it.until.is_none())
@@ -347,12 +399,15 @@
     }
 
     fn start_again(&mut self, number: usize) -> eyre::Result<()> {
-        let program = self.fleet.program().to_owned();
+        let programs = self.fleet.programs().to_vec();
         let target = self.target(number);
         let process = self.process(number);
-        process.restart(&program)?;
-        let life = process.life;
+        process.restart(&programs)?;
+        let (life, is_old) = (process.life, process.is_old());
         if let Target::Gateway(gateway) = target {
+            if is_old {
+                self.history.old.insert((gateway, life));
+            }
             self.shared.gateways[gateway].1.store(u64::from(life), Ordering::Relaxed);
         }
         // It knows nothing yet.
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -42,6 +42,9 @@
     "crash",
     "reborn",
     "foreign",
+    "shed",
+    "store_copy",
+    "upgrade",
 ];
 
 /// The start of the paths of requests under which model runners crash. Behind it stands the number of the fault.
@@ -94,6 +97,13 @@
     Reborn(usize),
     /// Another writer puts rows into the list, one of them in the place of a runner's, for a while.
     Foreign(usize),
+    /// A runner turns everything away for a while and asks for so many milliseconds of rest each time.
+    Shed(usize, u64),
+    /// The store goes back to how it was so many milliseconds ago. What operators and runners wrote is written again after
+    /// a while.
+    StoreCopy(u64),
+    /// A process is told to stop and starts again with the other build, where there are two.
+    Upgrade(usize),
     /// The settings file of a process changes; it may be told of that or not.
     Settings(usize, bool),
 }
@@ -165,6 +175,9 @@
         "crash" => Fault::Crash,
         "reborn" => Fault::Reborn(model),
         "foreign" => Fault::Foreign(runner),
+        "shed" => Fault::Shed(runner, random.random_range(600..3000)),
+        "store_copy" => Fault::StoreCopy(random.random_range(500..6000)),
+        "upgrade" => Fault::Upgrade(process),
         "settings" => Fault::Settings(process, random.random_bool(0.5)),
         _ => Fault::Spoil(model, random.random_range(0..64)),
     }
--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -42,6 +42,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Child,
+    /// Which of the fleet's programs it runs, from its next start on.
+    build: usize,
     /// Which of its lives this is, counted from zero.
     pub life: u32,
     /// In front of the store.
@@ -78,15 +80,22 @@
     pub runners: Vec<Runner>,
     /// The folder of settings and logs.
     pub folder: PathBuf,
-    program: PathBuf,
+    programs: Vec<PathBuf>,
     network: u8,
     machines: u8,
 }
 
 impl Fleet {
-    /// Starts so many processes of a program, one in three of them a gateway.
-    pub fn start(processes: usize, seed: u64, program: Option<PathBuf>) -> eyre::Result<Self> {
+    /// Starts so many processes of a program, one in three of them a gateway. Where there is an earlier build, all run
+    /// that at first.
+    pub fn start(
+        processes: usize,
+        seed: u64,
+        program: Option<PathBuf>,
+        old: Option<PathBuf>,
+    ) -> eyre::Result<Self> {
         let program = program.map_or_else(built_beside, Ok)?;
+        let programs = [program].into_iter().chain(old).collect();
         let folder =
             std::env::temp_dir().join(format!("silverdock-soak-{}-{seed}", std::process::id()));
         fs::create_dir_all(&folder)?;
@@ -100,7 +109,7 @@
             sidecars: Vec::new(),
             runners: Vec::new(),
             folder,
-            program,
+            programs,
             network,
             machines: 0,
         };
@@ -181,8 +190,9 @@
         );
         fs::write(&settings, text)?;
         let log = self.folder.join(format!("{machine}.log"));
-        let child = start(&self.program, &settings, &log)?;
-        Ok(Process { machine, settings, log, child, life: 0, store })
+        let build = self.programs.len() - 1;
+        let child = start(&self.programs[build], &settings, &log)?;
+        Ok(Process { machine, settings, log, child, build, life: 0, store })
     }
 
     /// Ends every process that runs.
@@ -193,9 +203,9 @@
         }
     }
 
-    /// The program that processes run.
-    pub fn program(&self) -> &Path {
-        &self.program
+    /// The programs that processes run: the one that is tested, then an earlier one if there is one.
+    pub fn programs(&self) -> &[PathBuf] {
+        &self.programs
     }
 }
 
@@ -227,10 +237,21 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
+    /// Turns to the other build from its next start on, where there are two.
+    pub fn change_build(&mut self) {
+        self.build = 1 - self.build;
+    }
+
+    /// Whether it runs an earlier build.
+    pub fn is_old(&self) -> bool {
+        self.build > 0
+    }
+
     /// Starts it anew after it has ended.
-    pub fn restart(&mut self, program: &Path) -> eyre::Result<()> {
+    pub fn restart(&mut self, programs: &[PathBuf]) -> eyre::Result<()> {
         let _ = self.child.wait();
-        self.child = start(program, &self.settings, &self.log)?;
+        self.build = self.build.min(programs.len() - 1);
+        self.child = start(&programs[self.build], &self.settings, &self.log)?;
         self.life += 1;
         Ok(())
     }
--- a/examples/soak/history.rs
+++ b/examples/soak/history.rs
@@ -1,6 +1,6 @@
 //! What happened in a run: what callers saw, what runners ran, and what was done to whom.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A moment of the run, from its start.
@@ -56,6 +56,34 @@
     pub ended: Moment,
     /// What the caller got.
     pub seen: Seen,
+    /// What the answer said of its runner, if it said that the runner leaves.
+    pub told: Option<Told>,
+}
+
+/// An answer that a gateway handed on said that its runner leaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// The runner.
+    pub runner: String,
+    /// Which of its lives.
+    pub life: u64,
+    /// When the head of the answer came.
+    pub at: Moment,
+}
+
+/// A runner turned a request away and asked for rest.
+#[derive(Clone, Debug)]
+pub struct TurnedAway {
+    /// The runner.
+    pub runner: String,
+    /// Which of its lives.
+    pub life: u64,
+    /// The request.
+    pub request: String,
+    /// When that was.
+    pub at: Moment,
+    /// How long it wants nothing from the gateway that sent the request.
+    pub rest: Duration,
 }
 
 /// One run of a request at a runner.
@@ -63,6 +91,8 @@
 pub struct Run {
     /// The runner.
     pub runner: String,
+    /// Which of its lives.
+    pub life: u64,
     /// Its service.
     pub service: String,
     /// Whose request it was told to be.
@@ -97,12 +127,12 @@
     pub until: Moment,
 }
 
-/// A planned stop of a gateway's process.
+/// A planned stop of a gateway's process, or one that stood still.
 #[derive(Clone, Copy, Debug)]
 pub struct Stop {
     /// The gateway.
     pub gateway: usize,
-    /// When it was told to stop.
+    /// When that was.
     pub at: Moment,
 }
 
@@ -172,6 +202,12 @@
     pub harmed: Vec<Harmed>,
     /// Planned stops.
     pub stops: Vec<Stop>,
+    /// Gateways that stood still, and when that began.
+    pub pauses: Vec<Stop>,
+    /// Processes of gateways that ran an earlier build, as requests name them.
+    pub old: BTreeSet<(usize, u32)>,
+    /// Requests that runners turned away for a time.
+    pub turned_away: Vec<TurnedAway>,
     /// Runners that left.
     pub leaving: Vec<Leaving>,
     /// Versions of the configuration, oldest first.
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -14,7 +14,7 @@
 use crate::conductor::Conductor;
 use crate::faults::{plan, Sizes, KINDS};
 use crate::fleet::Fleet;
-use crate::history::{History, Leaving, Run};
+use crate::history::{History, Leaving, Run, TurnedAway};
 
 /// How long the fleet has to get ready.
 const WARM_UP: Duration = Duration::from_millis(1500);
@@ -60,7 +60,7 @@
 
 /// Plays a run and checks it.
 pub fn run(args: &Args, seed: u64) -> eyre::Result<Report> {
-    let mut fleet = Fleet::start(args.processes, seed, args.program.clone())?;
+    let mut fleet = Fleet::start(args.processes, seed, args.program.clone(), args.old.clone())?;
     thread::sleep(WARM_UP);
     let sizes = Sizes {
         processes: fleet.gateways.len() + fleet.sidecars.len(),
@@ -87,6 +87,7 @@
         thread::spawn(move || callers::run(&shared, count, seed))
     };
     let mut conductor = Conductor::new(&mut fleet, shared.clone());
+    conductor.note_builds();
     conductor.play(&planned)?;
     let mut history = conductor.history;
     thread::sleep(CALM);
@@ -127,6 +128,7 @@
         let runs = runs.into_iter().map(|run| Run {
             at: run.at.saturating_duration_since(shared.begun),
             runner: run.runner,
+            life: run.life,
             service: run.service,
             tenant: run.tenant,
             saw_key: run.saw_key,
@@ -140,6 +142,18 @@
         at: moment(it.from),
         until: it.until.map(moment),
     }));
+    history.turned_away = fleet
+        .standin
+        .turned_away()
+        .into_iter()
+        .map(|it| TurnedAway {
+            runner: it.runner,
+            life: it.life,
+            request: it.request,
+            at: moment(it.at),
+            rest: it.rest,
+        })
+        .collect();
     for runner in &fleet.runners {
         let engine = fleet.standin.runner(runner.engine);
         if engine.is_some_and(|it| it.took_mixture) {
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -20,12 +20,13 @@
 
 fn request(id: &str, kind: Kind, seen: Seen) -> Request {
     let (sent, ended) = (at(10_000), at(10_050));
-    Request { id: id.into(), kind, gateway: (0, 0), sent, ended, seen }
+    Request { id: id.into(), kind, gateway: (0, 0), sent, ended, seen, told: None }
 }
 
 fn run_at(runner: &str, millis: u64) -> Run {
     Run {
         runner: runner.into(),
+        life: 1,
         service: "ledger".into(),
         tenant: Some("t1".into()),
         saw_key: false,
@@ -284,9 +285,8 @@
     for (number, moment) in moments.iter().enumerate() {
         let id = format!("k{number}");
         let (sent, ended) = (at(moment - 10), at(moment + 40));
-        let seen = Seen::Lost;
-        let kind = Kind::Crash(1);
-        history.requests.push(Request { id: id.clone(), kind, gateway: (0, 0), sent, ended, seen });
+        let crashed = request(&id, Kind::Crash(1), Seen::Lost);
+        history.requests.push(Request { sent, ended, ..crashed });
         let run = Run { service: "assistant".into(), ..run_at("e1", *moment) };
         history.runs.insert(id, vec![run]);
     }
@@ -307,3 +307,47 @@
     harmed.harmed.push(Harmed { target: Target::Gateway(0), from, until });
     assert_eq!(broken(&harmed), None, "one was sent by a gateway that was not in touch");
 }
+
+/// A history in which `a` was told at 5 s that a runner leaves, and `b` is sent at 10 s and runs there.
+fn told_before(life: u64) -> History {
+    let later = request("b", Kind::Safe, answer(200, "ledger b"));
+    let mut history = history(later, vec![run_at("l1", 10_010)]);
+    let told = Told { runner: "l1".into(), life, at: at(5_000) };
+    let first = request("a", Kind::Safe, answer(200, "ledger a"));
+    history.requests.push(Request { told: Some(told), sent: at(4_900), ended: at(5_010), ..first });
+    history
+}
+
+#[test]
+fn a_request_to_a_runner_that_said_it_leaves_is_caught() {
+    let promise = "a runner that says it leaves is left";
+    assert_eq!(broken(&told_before(1)), Some(promise));
+    assert_eq!(broken(&told_before(0)), None, "that was an earlier life");
+    let mut stood_still = told_before(1);
+    stood_still.pauses.push(Stop { gateway: 0, at: at(7_000) });
+    assert_eq!(broken(&stood_still), None);
+    let mut harmed = told_before(1);
+    let target = Target::Gateway(0);
+    harmed.harmed.push(Harmed { target, from: at(6_000), until: at(11_000) });
+    assert_eq!(broken(&harmed), Some(promise), "a cut excuses nothing");
+}
+
+#[test]
+fn requests_within_the_rest_that_a_runner_asked_for_are_caught() {
+    let mut history = History { calm_from: at(100_000), ..History::default() };
+    for number in 0..4 {
+        let id = format!("r{number}");
+        history.requests.push(request(&id, Kind::Safe, answer(503, "")));
+        history.turned_away.push(TurnedAway {
+            runner: "l1".into(),
+            life: 1,
+            request: id,
+            at: at(10_000 + 700 * number),
+            rest: at(2_000),
+        });
+    }
+    assert_eq!(broken(&history), None, "two within each rest");
+    history.requests.push(request("r4", Kind::Safe, answer(200, "ledger r4")));
+    history.runs.insert("r4".into(), vec![run_at("l1", 11_000)]);
+    assert_eq!(broken(&history), Some("a runner that wants rest is left alone"));
+}
