After a standstill nothing is sent, given or ordered before what binds is confirmed

Now requests wait until the store has answered questions for both tables that were asked afterwards, 0.8 s at most; what was chosen before is not sent either. Feeds are given up and asked at once. A sidecar gives no place and no order until a gateway has told it again, later than 150 ms after it went on, for older datagrams lie in its socket. The clocks of tests move by hand.

One play of all tests on the way failed twice. The test of a runner that leaves waited for an answer that a sidecar makes needless; it takes the sidecar's word into account now, its bound is the same.

--- a/components/edge/src/era.rs
+++ b/components/edge/src/era.rs
@@ -30,11 +30,19 @@
         self.current.get()
     }
 
-    /// Told of each rise.
-    pub fn rises(&self) -> Receiver<()> {
-        let (task, rises) = async_channel::bounded(1);
+    /// Told of each rise, and whenever the store is to be asked at once.
+    pub fn calls(&self) -> Receiver<()> {
+        let (task, calls) = async_channel::bounded(1);
         self.tasks.borrow_mut().push(task);
-        rises
+        calls
+    }
+
+    /// Has every task that waits for the store ask it at once.
+    pub fn call_all(&self) {
+        for task in self.tasks.borrow().iter() {
+            // One that waits already is enough.
+            let _ = task.try_send(());
+        }
     }
 
     /// Takes in the head of an answer and gives its era. An answer of an earlier era than one that was told, or without
@@ -50,10 +58,7 @@
         if let (Some(before), Some(era)) = (known, told.filter(|_| told > known)) {
             log::warn!(era = era, before = before; "the store came back from an older copy");
             self.metrics.count_era();
-            for task in self.tasks.borrow().iter() {
-                // One that waits already is enough.
-                let _ = task.try_send(());
-            }
+            self.call_all();
         }
         Ok(told)
     }
--- a/components/edge/src/era/tests.rs
+++ b/components/edge/src/era/tests.rs
@@ -26,7 +26,7 @@
 #[test]
 fn the_first_era_is_no_rise_and_each_higher_one_is() {
     let era = era();
-    let rises = era.rises();
+    let rises = era.calls();
     era.note(&answer(Some("7"))).unwrap();
     assert!(rises.try_recv().is_err());
     era.note(&answer(Some("7"))).unwrap();
--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -5,7 +5,7 @@
 
 use async_channel::Sender;
 use fleet::NamedVersion;
-use gateway::Event;
+use gateway::{Event, StoreTable};
 use platform::store::{Change, Table};
 use settings::{BoundSettings, DeploymentSettings};
 
@@ -52,8 +52,10 @@
             core.tell_sidecars();
         }
         Seen::Evacuations(list) => core.feed(Event::Evacuations(list)),
-        Seen::Heard => {
+        Seen::Heard(took) => {
             tables.of(table).note_heard();
+            let asked = core.clock.now().minus(took.as_millis() as u64 + 1);
+            core.feed(Event::Confirmed(store_table(table), asked));
             if table == Table::Runners {
                 core.feed(Event::ListHeard);
             }
@@ -81,6 +83,14 @@
     }));
 }
 
+/// A table as the reducer knows it.
+fn store_table(table: Table) -> StoreTable {
+    match table {
+        Table::Operator | Table::Versions => StoreTable::Operator,
+        Table::Runners => StoreTable::Runners,
+    }
+}
+
 /// The version that a change tells of, for the record.
 fn heard_version(change: &Change, not_before_ms: Option<u64>) -> Option<Heard> {
     match change {
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -15,7 +15,7 @@
 use platform::store::Table;
 use settings::DeploymentSettings;
 use telemetry::Metrics;
-use uptime::{Instant, Suspensions};
+use uptime::Instant;
 
 use super::answer::{own_answer, whole_body, AnswerBody};
 use super::core::Core;
@@ -28,7 +28,7 @@
 use super::tables::Tables;
 use crate::clock::Clock;
 use crate::era::Era;
-use crate::metrics::{note_suspension, serve_metrics};
+use crate::metrics::{serve_metrics, Standstills};
 use crate::news::News;
 use crate::server::{listen, serve, ServerOptions};
 use crate::spawner::Spawner;
@@ -240,10 +240,13 @@
 }
 
 async fn tick(core: Core) {
-    let mut suspensions = Suspensions::default();
+    let mut standstills = Standstills::start();
     loop {
         Timer::after(TICK).await;
-        note_suspension(&core.metrics, &mut suspensions);
+        if standstills.look(&core.metrics) {
+            core.feed(Event::Woke);
+            core.tables.era.call_all();
+        }
         core.feed(Event::Tick);
     }
 }
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -11,7 +11,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use telemetry::Metrics;
-use uptime::Suspensions;
+use uptime::{Instant, Suspensions};
 
 use crate::gateway::{own_answer, whole_body, AnswerBody};
 use crate::server::{listen, serve, ServerOptions};
@@ -59,12 +59,36 @@
     }
 }
 
-/// Logs and counts that the machine was suspended, if it was since the last look. What was believed before is as old as
-/// it is: all time here goes on meanwhile.
-pub fn note_suspension(metrics: &Metrics, suspensions: &mut Suspensions) {
-    if let Some(span) = suspensions.look() {
-        log::warn!(ms = span.as_millis() as u64; "the machine was suspended");
-        metrics.count_suspension();
+/// How long a process that looks several times a second must not have looked to have stood still.
+const STOOD_STILL: Duration = Duration::from_millis(1000);
+
+/// Finds out whether the process stood still: its machine was suspended, or it got no processor.
+pub struct Standstills {
+    suspensions: Suspensions,
+    looked_at: Instant,
+}
+
+impl Standstills {
+    /// Begins to look.
+    pub fn start() -> Self {
+        Self { suspensions: Suspensions::default(), looked_at: Instant::now() }
+    }
+
+    /// Whether it stood still since the last look. Logs and counts that the machine was suspended, if it was. What was
+    /// believed before is as old as it is: all time here goes on meanwhile.
+    pub fn look(&mut self, metrics: &Metrics) -> bool {
+        let suspended = self.suspensions.look();
+        if let Some(span) = suspended {
+            log::warn!(ms = span.as_millis() as u64; "the machine was suspended");
+            metrics.count_suspension();
+        }
+        let now = Instant::now();
+        let since = now.saturating_duration_since(std::mem::replace(&mut self.looked_at, now));
+        let stood_still = since >= STOOD_STILL || suspended.is_some_and(|it| it >= STOOD_STILL);
+        if stood_still {
+            log::warn!(ms = since.as_millis() as u64; "the process stood still");
+        }
+        stood_still
     }
 }
 
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -14,7 +14,7 @@
 use rollout::{ColdLimit, Effect, Event, RolloutOptions, GATEWAY_PATIENCE};
 use settings::{BoundSettings, DeploymentSettings, SidecarSettings};
 use telemetry::Metrics;
-use uptime::{Instant, Suspensions};
+use uptime::Instant;
 
 use super::core::Core;
 use super::directory::{self, DirectorySettings};
@@ -24,7 +24,7 @@
 use crate::life_log::note_life;
 use crate::link::Link;
 use crate::message::{weights_services, Datagram};
-use crate::metrics::{note_evacuation, note_suspension, serve_metrics};
+use crate::metrics::{note_evacuation, serve_metrics, Standstills};
 use crate::news::News;
 use crate::server::listen;
 use crate::spawner::Spawner;
@@ -277,10 +277,12 @@
 async fn tick(core: Core) {
     let mut progress = Progress::default();
     let mut was_cold = false;
-    let mut suspensions = Suspensions::default();
+    let mut standstills = Standstills::start();
     loop {
         Timer::after(TICK).await;
-        note_suspension(&core.metrics, &mut suspensions);
+        if standstills.look(&core.metrics) {
+            core.feed(Event::Woke);
+        }
         core.feed(Event::Tick);
         core.close_rested_links();
         core.crashes.borrow_mut().forget_old(core.clock.now());
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -20,7 +20,7 @@
 use crate::evacuated::EvacuatedHalls;
 use crate::lapses::Lapses;
 use crate::lateness::{not_before, Lateness};
-use crate::link::Link;
+use crate::link::{CallAnswer, Link};
 use crate::patience::Patience;
 use crate::returns::Returns;
 
@@ -69,8 +69,8 @@
     NotBefore(u64),
     /// The table has been read whole at least once.
     Whole,
-    /// The store answered: nothing newer is in the table than what was told.
-    Heard,
+    /// The store answered a question that was asked so long ago: nothing newer was in the table than what was told.
+    Heard(Duration),
     /// The store answers again, or does not any more.
     Reached(bool),
     /// The store came back from an older copy: what was written since is gone. What is told next is of that copy.
@@ -79,11 +79,11 @@
 
 /// Follows a table for as long as the task runs.
 pub async fn watch(options: WatchOptions, mut deliver: impl FnMut(Seen)) {
-    let rises = options.era.rises();
+    let calls = options.era.calls();
     let mut watch = Watch {
         link: Link::new(options.store),
         options,
-        rises,
+        calls,
         place: None,
         era: None,
         returns: Returns::default(),
@@ -91,6 +91,7 @@
         evacuated: EvacuatedHalls::default(),
         faults: ToldFaults::default(),
         connected: true,
+        asked: Instant::now(),
         heard: None,
         lateness: Lateness::default(),
         lapses: Lapses::default(),
@@ -114,7 +115,7 @@
         let pause = match result {
             Ok(()) => {
                 failures = 0;
-                deliver(Seen::Heard);
+                deliver(Seen::Heard(watch.asked.elapsed()));
                 spacing
             }
             Err(_) => {
@@ -154,8 +155,8 @@
 struct Watch {
     options: WatchOptions,
     link: Link,
-    /// Told that the store came back from an older copy.
-    rises: Receiver<()>,
+    /// Told that the store came back from an older copy, or is to be asked at once.
+    calls: Receiver<()>,
     /// Where the feed goes on. `None` until the table has been listed, and where what was read is of a history that is
     /// gone.
     place: Option<StorePlace>,
@@ -168,6 +169,8 @@
     evacuated: EvacuatedHalls,
     faults: ToldFaults,
     connected: bool,
+    /// When the question was asked that was answered last, or is open.
+    asked: Instant,
     /// When the store last answered.
     heard: Option<Instant>,
     lateness: Lateness,
@@ -179,6 +182,7 @@
 
 impl Watch {
     async fn list(&mut self, deliver: &mut impl FnMut(Seen)) -> Result<()> {
+        self.asked = Instant::now();
         let Listing { place, clock_ms, changes, faults } =
             list(&mut self.link, self.options.table, &self.options.era).await?;
         self.note_answer();
@@ -206,7 +210,7 @@
         self.place = Some(place);
         if place.era == self.options.era.current() {
             // The rise that this listing shows need not be told of again.
-            let _ = self.rises.try_recv();
+            let _ = self.calls.try_recv();
         }
         deliver(Seen::Whole);
         Ok(())
@@ -235,18 +239,19 @@
         let patience = self.options.patience;
         let wait = patience.feed_wait(self.connected);
         let wait = self.due_in().map_or(wait, |left| wait.min(left));
-        let call = store::feed(self.options.table, place.revision, wait.as_millis() as u64);
-        let asked = Instant::now();
-        let answer = self.link.call_patiently(call, patience.feed_begin(wait), PIECE_PAUSE);
-        let answer = future::or(async { Some(answer.await) }, async {
-            // Another call of this process has found that the history is another one.
-            let _ = self.rises.recv().await;
-            None
-        });
-        let Some(answer) = answer.await.transpose()? else {
-            return Err(self.begin_again("the store came back from an older copy"));
+        let answer = match self.ask(place, wait).await {
+            Some(answer) => answer?,
+            None if self.options.era.current() != place.era => {
+                // Another call of this process has found that the history is another one.
+                return Err(self.begin_again("the store came back from an older copy"));
+            }
+            None => {
+                let at_once = self.ask(place, patience.feed_wait(false)).await;
+                let called = || Error::new(Code::TimedOut, "the feed was given up");
+                at_once.ok_or_else(called)??
+            }
         };
-        let waited = asked.elapsed();
+        let waited = self.asked.elapsed();
         if store::is_history_gone(answer.status) {
             return Err(self.begin_again("the store forgot its history"));
         }
@@ -274,11 +279,24 @@
         Ok(())
     }
 
+    /// Asks for the changes behind a place. `None` where it is to be asked anew first.
+    async fn ask(&mut self, place: StorePlace, wait: Duration) -> Option<Result<CallAnswer>> {
+        let call = store::feed(self.options.table, place.revision, wait.as_millis() as u64);
+        let begin = self.options.patience.feed_begin(wait);
+        self.asked = Instant::now();
+        let answer = self.link.call_patiently(call, begin, PIECE_PAUSE);
+        future::or(async { Some(answer.await) }, async {
+            let _ = self.calls.recv().await;
+            None
+        })
+        .await
+    }
+
     /// What was read is of a history that is gone: the table is listed next.
     fn begin_again(&mut self, reason: &str) -> Error {
         self.place = None;
         // Whatever this task was told of a rise, the listing will show.
-        let _ = self.rises.try_recv();
+        let _ = self.calls.try_recv();
         Error::new(Code::NotFound, reason.to_owned())
     }
 
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -16,6 +16,7 @@
 use crate::members::GatewayList;
 use crate::notices::Notice;
 use crate::runner::{RunnerLoad, RunnerRecord};
+use crate::standstill::StoreTable;
 
 /// Numbers that a gateway works with.
 #[derive(Clone, Debug)]
@@ -200,6 +201,10 @@
     Named(NamedVersion),
     /// These data halls are evacuated, by the store or by another process.
     Evacuations(EvacuationList),
+    /// The process goes on after it stood still, for a while in which it heard nothing.
+    Woke,
+    /// The store answered a question for a table that was asked then.
+    Confirmed(StoreTable, Millis),
     /// The store answered: the list of runners holds nothing newer than what was told.
     ListHeard,
     /// A runner was listed or its entry changed.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod reducer;
 mod runner;
 mod silence;
+mod standstill;
 mod tries;
 mod versions;
 
@@ -39,3 +40,4 @@
 pub use record::{FirstHeard, RecordAnswer, RecordCall, RecordRow, VersionRecord};
 pub use reducer::Gateway;
 pub use runner::{Runner, RunnerLife, RunnerLoad, RunnerRecord, RunnerState, WeightsHeld};
+pub use standstill::StoreTable;
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -32,11 +32,15 @@
 use crate::notices::Notice;
 use crate::pool::Pool;
 use crate::runner::RunnerLife;
+use crate::standstill::Standstill;
 use crate::tries::UsualDeadlines;
 
 /// The part of its aim that a request may wait for a place: an earlier refusal leaves the caller
 /// time to come back.
 const WAIT_SHARE: f64 = 0.22;
+/// How long a request that was held after a standstill may still wait for a place, in milliseconds: as long as one with an
+/// aim of half a second.
+const WAIT_AFTER_HOLD: u64 = 110;
 /// The age up to which a report shows that its sidecar is heard, in milliseconds: sidecars of other halls report every
 /// 420 ms.
 const REACH_AGE: u64 = 2000;
@@ -129,6 +133,7 @@
     crashes: Crashes<RequestKey>,
     requests: BTreeMap<RequestKey, Progress>,
     queue: BTreeSet<Place>,
+    standstill: Standstill,
 }
 
 impl Gateway {
@@ -148,6 +153,7 @@
             crashes: Crashes::default(),
             requests: BTreeMap::new(),
             queue: BTreeSet::new(),
+            standstill: Standstill::default(),
         }
     }
 
@@ -191,6 +197,7 @@
         let runner = runner.filter(|(runner, life)| runner.life == *life).map(|it| it.0);
         let is_barred = Self::is_barred(&self.crashes, now, key, progress);
         !is_barred
+            && !self.standstill.holds()
             && runner.is_some_and(|it| {
                 it.is_open()
                     && it.notices.admit(now, key)
@@ -256,6 +263,16 @@
                 }
                 effects
             }
+            Event::Woke => {
+                self.standstill.note_woke(now);
+                Vec::new()
+            }
+            Event::Confirmed(table, asked) => {
+                if !self.standstill.confirm(table, asked) {
+                    return Vec::new();
+                }
+                self.go_on(now, &mut random)
+            }
             Event::ListHeard => {
                 self.pool.settle_doubts(now);
                 Vec::new()
@@ -294,6 +311,9 @@
                 self.look_around(now);
                 self.tend_cold_runners(now);
                 let mut effects = self.settle_crashes(now);
+                if self.standstill.settle(now) {
+                    effects.extend(self.go_on(now, &mut random));
+                }
                 let changes = self.pool.evacuations.settle(now);
                 effects.extend(self.note_evacuations(now, changes));
                 effects.extend(self.dispatch(now, &mut random));
@@ -402,6 +422,17 @@
         news.map(Effect::Notice).into_iter().collect()
     }
 
+    /// Sends what waited while nothing was sent. Each request has a little longer to find a place.
+    fn go_on(&mut self, now: Millis, random: &mut SmallRng) -> Vec<Effect> {
+        for place in &self.queue {
+            if let Some(progress) = self.requests.get_mut(&place.key) {
+                let wait_until = progress.wait_until.max(now.plus(WAIT_AFTER_HOLD));
+                progress.wait_until = wait_until.min(progress.arrival.limit);
+            }
+        }
+        self.dispatch(now, random)
+    }
+
     fn chooser(&self) -> Chooser<'_> {
         Chooser {
             pool: &self.pool,
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -108,6 +108,13 @@
             progress.reason = Code::Quarantined;
             return Turn::Finish;
         }
+        if self.standstill.holds() {
+            if now < progress.arrival.limit {
+                return Turn::Wait;
+            }
+            progress.reason = Code::NotReady;
+            return Turn::Finish;
+        }
         if progress.was_denied && progress.has_asked_enough(now) {
             if progress.stands_behind() {
                 progress.reason = Code::LaterTry;
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -119,6 +119,8 @@
     VersionsKnown,
     /// The runner said this of itself.
     Status(RunnerStatus),
+    /// The process goes on after it stood still, for a while in which it heard nothing.
+    Woke,
     /// Whether the runner says that it is leaving, where that has changed.
     RunnerLeaves(bool),
     /// By the list of runners the runner is cold for so many milliseconds more.
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -45,12 +45,17 @@
 /// How close two orders may be so that nobody can tell which was the last, in milliseconds.
 const ORDER_ORDER: u64 = 40;
 
+/// How long after a standstill datagrams may still be read that came during it, in milliseconds.
+const OLD_DATAGRAMS: u64 = 150;
+
 /// The state of a sidecar.
 pub struct Rollout {
     options: RolloutOptions,
     plan: Option<WeightsPlan>,
     /// Whether the versions that were named are known.
     versions_known: bool,
+    /// When the process went on after it stood still, until it is told again.
+    woke_at: Option<Millis>,
     /// The version that was named last.
     named: VersionName,
     /// Since when requests have waited at the runner, if some do.
@@ -98,6 +103,7 @@
             options,
             plan: None,
             versions_known: false,
+            woke_at: None,
             named: VersionName { version: FIRST_VERSION, at: Millis(0), known: false },
             waiting_since: None,
             status: None,
@@ -166,7 +172,18 @@
                 self.plan = Some(plan);
             }
             Event::Named { version, named_at } => self.name(now, version, named_at),
-            Event::VersionsKnown => self.versions_known = true,
+            Event::VersionsKnown => {
+                if self.woke_at.is_none_or(|at| now.since(at).0 >= OLD_DATAGRAMS) {
+                    self.woke_at = None;
+                    self.versions_known = true;
+                }
+            }
+            // What was named or evacuated meanwhile is not known: a gateway tells within a second.
+            Event::Woke => {
+                self.versions_known = false;
+                self.woke_at = Some(now);
+                return self.settle_questions(now);
+            }
             Event::Status(status) => {
                 let mut effects = self.take_status(now, status);
                 effects.extend(self.settle_questions(now));
@@ -426,12 +443,12 @@
     }
 
     fn take_staged(&mut self, now: Millis, version: u64, sound: bool) -> Vec<Effect> {
-        let free = self.is_runner_free();
+        let (free, knows) = (self.is_runner_free(), self.versions_known);
         let status = self.status.clone();
         let Some(target) = self.target(version).filter(|it| it.step == Step::Staging) else {
             return Vec::new();
         };
-        let Some(status) = status.filter(|_| sound && free) else {
+        let Some(status) = status.filter(|_| sound && free && knows) else {
             target.step = Step::Waiting(now.plus(ORDER_PAUSE));
             return Vec::new();
         };
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -102,6 +102,10 @@
         if self.is_evacuated(now) {
             return Err(Denial::Evacuated);
         }
+        if self.woke_at.is_some() {
+            // Whether the hall is evacuated, or another version is due, is not known yet.
+            return Err(Denial::Unheard);
+        }
         if self.runner_leaves {
             return Err(Denial::RunnerLeaves);
         }
--- a/components/rollout/tests/questions.rs
+++ b/components/rollout/tests/questions.rs
@@ -346,3 +346,31 @@
         .collect();
     assert_eq!(order, [3, 2, 1]);
 }
+
+#[test]
+fn a_sidecar_that_stood_still_gives_no_place_until_a_gateway_has_told_it_again() {
+    let mut sidecar = sidecar(1000, 0);
+    assert_eq!(ask(&mut sidecar, 1001, question(1, 1, 0)), Verdict::Granted);
+    sidecar.reduce(Millis(5000), Event::Woke);
+    report(&mut sidecar, 5010, 0);
+    assert!(is_denied(ask(&mut sidecar, 5011, question(2, 1, 0))));
+    // What a gateway said meanwhile waits in the socket.
+    sidecar.reduce(Millis(5020), Event::VersionsKnown);
+    assert!(is_denied(ask(&mut sidecar, 5021, question(3, 1, 0))));
+    sidecar.reduce(Millis(5400), Event::VersionsKnown);
+    report(&mut sidecar, 5410, 0);
+    assert_eq!(ask(&mut sidecar, 5411, question(4, 1, 0)), Verdict::Granted);
+}
+
+#[test]
+fn a_runner_that_leaves_gives_no_place_and_those_who_wait_are_told() {
+    let mut sidecar = sidecar(1000, SLOTS);
+    assert_eq!(ask(&mut sidecar, 1001, question(1, 1, 400)), Verdict::Queued);
+    let told = answers(sidecar.reduce(Millis(1010), Event::RunnerLeaves(true)));
+    assert!(
+        matches!(told[..], [(1, Verdict::Denied { denial: Denial::RunnerLeaves, .. })]),
+        "{told:?}"
+    );
+    report(&mut sidecar, 1020, 0);
+    assert!(is_denied(ask(&mut sidecar, 1021, question(2, 1, 400))));
+}
--- a/daemon/tests/deployment/evacuations.rs
+++ b/daemon/tests/deployment/evacuations.rs
@@ -6,6 +6,8 @@
 use http::Method;
 use platform_standin::{Caller, Engine, StoreFault};
 
+use rustix::process::Signal;
+
 use crate::neighbour;
 use crate::support::{stream, wait_until, Deployment};
 
@@ -102,3 +104,33 @@
     let of_gauge = |line: &&str| line.contains("name=\"halls_evacuated\"");
     page.lines().find(of_gauge).is_some_and(|it| it.ends_with(&format!(" {halls}")))
 }
+
+/// A gateway that stood still while a hall was evacuated hears of that before it sends anything, though callers come in the
+/// moment in which it goes on.
+#[test]
+fn a_gateway_that_stood_still_sends_nothing_before_it_has_heard_the_store() {
+    let (deployment, gateway) = two_halls();
+    calls_in_a(&deployment, gateway, "near");
+    deployment.signal(gateway.ip(), Signal::STOP);
+    // Longer than a feed waits: an answer that says nothing lies there when the gateway goes on.
+    std::thread::sleep(Duration::from_millis(2300));
+    deployment.standin.evacuate("a");
+    std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..CALLS)
+            .map(|number| {
+                scope.spawn(move || {
+                    Caller::new(Method::GET, "/get/x", &format!("woken{number}")).call(gateway)
+                })
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(200));
+        deployment.signal(gateway.ip(), Signal::CONT);
+        for caller in callers {
+            assert_eq!(caller.join().unwrap().status, 200);
+        }
+    });
+    let runs = deployment.standin.all_runs();
+    let woken = runs.iter().filter(|(id, _)| id.starts_with("woken")).flat_map(|it| it.1);
+    let in_a = woken.filter(|it| it.zone == "a").count();
+    assert_eq!(in_a, 0, "requests to the hall that was evacuated meanwhile");
+}
--- a/daemon/tests/deployment/leaving.rs
+++ b/daemon/tests/deployment/leaving.rs
@@ -32,14 +32,16 @@
     });
 }
 
-/// Calls one path over and over until the answer says that a runner leaves, and gives when that was.
-fn wait_for_word(gateway: SocketAddr, method: &Method, path: &str) -> Instant {
-    let mut number = 0;
+/// Calls one path over and over until the answer says that a runner leaves, or the sidecar beside it must have heard that,
+/// and gives when that was.
+fn wait_for_word(gateway: SocketAddr, method: &Method, path: &str, has_sidecar: bool) -> Instant {
+    let (begun, mut number) = (Instant::now(), 0);
     wait_until("an answer says that its runner leaves", || {
         number += 1;
         let id = format!("before-{number}");
         let answer = Caller::new(method.clone(), path, &id).call(gateway);
-        answer.headers.contains_key("server-leaving")
+        let is_told = has_sidecar && begun.elapsed() > HEARD_BY_SIDECAR;
+        is_told || answer.headers.contains_key("server-leaving")
     });
     Instant::now()
 }
@@ -79,7 +81,8 @@
     let method = if path.starts_with("/get") { Method::GET } else { Method::POST };
     silence(deployment);
     deployment.standin.change_runner(runner, |it| it.draining = true);
-    let heard = wait_for_word(gateway, &method, path);
+    let has_sidecar = deployment.standin.runner(runner).is_some_and(|it| it.model);
+    let heard = wait_for_word(gateway, &method, path, has_sidecar);
     let answers = call_on(gateway, &method, path, heard);
     let id = deployment.standin.runner(runner).expect("the runner is there").id;
     let is_late = |request: &str| deployment.standin.runs(request).iter().any(|it| it.runner == id);
--- a/daemon/tests/deployment/support.rs
+++ b/daemon/tests/deployment/support.rs
@@ -1,5 +1,6 @@
 //! Gateways and sidecars as processes before a stand-in of the platform.
 
+use std::fs::OpenOptions;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -117,7 +118,8 @@
     /// Runs the process of a machine by its settings file.
     fn run(&mut self, machine: IpAddr) {
         let path = self.files.join(format!("{machine}.ini"));
-        let log = std::fs::File::create(self.files.join(format!("{machine}.log"))).unwrap();
+        let log = self.files.join(format!("{machine}.log"));
+        let log = OpenOptions::new().create(true).append(true).open(log).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_silverdockd"))
             .arg(&path)
             .stdout(if self.unread_logs { Stdio::piped() } else { log.into() })
