--- a/examples/burst/run.rs
+++ b/examples/burst/run.rs
@@ -29,8 +29,9 @@
 const POLL: Duration = Duration::from_millis(10);
 /// How often the progress is shown.
 const SHOW_EVERY: Duration = Duration::from_secs(1);
-/// How long callers go on after the last replica is live.
-const AFTERWARDS: Duration = Duration::from_millis(500);
+/// How long callers go on after the last replica is live: entries hear of replicas by gossip, and 50 callers or more are
+/// answered then.
+const AFTERWARDS: Duration = Duration::from_millis(4000);
 /// How long a fleet may take to be ready.
 const READY: Duration = Duration::from_secs(60);
 /// The counter of retries in the metrics.
