--- a/examples/soak/conductor.rs
+++ b/examples/soak/conductor.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 
 use crate::callers::Shared;
-use crate::faults::{Fault, Planned};
+use crate::faults::{Fault, Planned, HALLS};
 use crate::fleet::{hall_name, region_name, Fleet, Process, COLD_START};
 use crate::history::{Cold, Configured, Evacuated, Harmed, History, Homes, Leaving, Stop, Target};
 use crate::proxy::Harm;
@@ -24,6 +24,10 @@
 const CRASHING: Duration = Duration::from_millis(5000);
 /// How long after the store went back what it lost is written again, at most.
 const WRITTEN_AGAIN: Duration = Duration::from_millis(1500);
+/// Revisions that each copy lacks besides.
+const LOST_REVISIONS: usize = 60;
+/// How long after a copy every process is held to the bounds again, with some time to spare.
+const SETTLED: Duration = Duration::from_millis(4000);
 /// Routes that every configuration has.
 const LASTING_ROUTES: usize = 4;
 /// How often the conductor looks what is due.
@@ -42,6 +46,7 @@
     Replace(usize),
     Serve(usize),
     WriteAgain(LostRows),
+    EvacuateAfterCopy(usize),
     TakeBack(usize),
     Warm(usize),
     Crashing,
@@ -254,10 +259,15 @@
         if self.ends.iter().any(|(_, end)| matches!(end, End::WriteAgain(_))) {
             return;
         }
+        // Revisions that are lost, so that those given out next were read before.
+        let engine = self.fleet.runners[0].engine;
+        (0..LOST_REVISIONS).for_each(|_| self.fleet.standin.change_runner(engine, |_| {}));
         let lost = self.fleet.standin.go_back(age);
         let again_at = self.now() + WRITTEN_AGAIN.min(until.saturating_sub(self.now()));
         self.note(Target::Store, again_at);
         self.ends.push((again_at, End::WriteAgain(lost)));
+        let hall = age.as_millis() as usize % HALLS;
+        self.ends.push((again_at + SETTLED, End::EvacuateAfterCopy(hall)));
     }
 
     /// Evacuates a hall, unless it is evacuated already, for long enough that the bound passes.
@@ -383,6 +393,7 @@
                 self.fleet.standin.change_runner(engine, |it| it.sheds = None);
             }
             End::WriteAgain(lost) => self.fleet.standin.write_again(lost),
+            End::EvacuateAfterCopy(hall) => self.evacuate(hall, self.now()),
             End::Replace(number) => {
                 let runner = &mut self.fleet.runners[number];
                 let id = runner.id();
