--- a/components/edge/src/era/tests.rs
+++ b/components/edge/src/era/tests.rs
@@ -7,7 +7,7 @@
 fn answer(era: Option<&str>) -> HeaderMap {
     let mut headers = HeaderMap::new();
     if let Some(era) = era {
-        headers.insert("store-era", HeaderValue::from_str(era).unwrap());
+        headers.insert(store::ERA, HeaderValue::from_str(era).unwrap());
     }
     headers
 }
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod lateness;
 mod life_log;
 mod link;
+mod listing;
 mod message;
 mod metrics;
 mod news;
--- /dev/null
+++ b/components/edge/src/listing.rs
@@ -0,0 +1,96 @@
+//! A table of the platform's store, listed whole, and what cannot be read of it.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use errors::{Code, Error, Result};
+use fleet::StorePlace;
+use platform::store::{self, Change, Table};
+use telemetry::Metrics;
+
+use crate::era::Era;
+use crate::link::Link;
+use crate::patience::Patience;
+
+/// The longest pause between two pieces of an answer. A large configuration may take seconds on a
+/// narrow link that others use too.
+pub const PIECE_PAUSE: Duration = Duration::from_millis(900);
+/// The most rows that cannot be read of which is told, each by its key and what was wrong.
+const MOST_FAULTS: usize = 256;
+
+/// The name of a table's calls in the metrics.
+pub fn call_name(table: Table) -> &'static str {
+    match table {
+        Table::Operator | Table::Versions => "operator_table",
+        Table::Runners => "runner_table",
+    }
+}
+
+/// A table as it was listed.
+pub struct Listing {
+    /// Where a feed goes on.
+    pub place: StorePlace,
+    /// What the store's clock showed, in milliseconds, if it told.
+    pub clock_ms: Option<u64>,
+    /// What its rows say.
+    pub changes: Vec<Change>,
+    /// What was wrong with rows that could not be read.
+    pub faults: Vec<Error>,
+}
+
+/// Lists a whole table. All pages are of one era, or the listing has failed.
+pub async fn list(link: &mut Link, table: Table, era: &Era) -> Result<Listing> {
+    let mut from = String::new();
+    let (mut changes, mut faults) = (Vec::new(), Vec::new());
+    let mut first = None;
+    loop {
+        let call = store::list(table, &from);
+        let answer = link.call_patiently(call, Patience::LIST_BEGIN, PIECE_PAUSE).await?;
+        let era = era.note(&answer.headers)?;
+        let page = store::read(table, &answer.success()?)?;
+        faults.extend(page.faults);
+        // Changes behind the first page's version may be missing on it, so the feed starts there.
+        let place = StorePlace { era, revision: page.revision };
+        let (place, clock_ms) = *first.get_or_insert((place, page.clock_ms));
+        if place.era != era {
+            return Err(Error::new(Code::NotFound, "the store came back from an older copy"));
+        }
+        changes.extend(page.changes);
+        match page.next {
+            Some(next) => from = next,
+            None => return Ok(Listing { place, clock_ms, changes, faults }),
+        }
+    }
+}
+
+/// Logs rows that cannot be read: what they say is not in force here.
+pub fn log_faults(table: Table, faults: &[Error]) {
+    let table = format!("{table:?}");
+    for fault in faults {
+        let reason = fault.to_string();
+        log::error!(table = table.as_str(), reason = reason.as_str(); "row cannot be read");
+    }
+}
+
+/// Rows that could not be read and were told of: once, and not at every reading.
+#[derive(Debug, Default)]
+pub struct ToldFaults(BTreeSet<String>);
+
+impl ToldFaults {
+    /// Tells of the faults of a whole listing. Those that it lacks are over.
+    pub fn tell_all(&mut self, table: Table, metrics: &Metrics, faults: &[Error]) {
+        let listed: BTreeSet<String> = faults.iter().map(Error::to_string).collect();
+        self.0.retain(|it| listed.contains(it));
+        self.tell(table, metrics, faults);
+    }
+
+    /// Logs and counts the faults that are new.
+    pub fn tell(&mut self, table: Table, metrics: &Metrics, faults: &[Error]) {
+        for fault in faults {
+            if self.0.len() < MOST_FAULTS && self.0.insert(fault.to_string()) {
+                log_faults(table, std::slice::from_ref(fault));
+                metrics.count_platform(call_name(table), "unreadable_row");
+            }
+        }
+    }
+}
--- a/components/edge/src/sidecar/directory.rs
+++ b/components/edge/src/sidecar/directory.rs
@@ -17,9 +17,9 @@
 use super::core::Core;
 use crate::exchange::within;
 use crate::link::Link;
+use crate::listing::{list, log_faults};
 use crate::message::{Datagram, SidecarsPart};
 use crate::news::News;
-use crate::watch::{list, log_faults};
 
 /// How long a gateway may take to answer. It is at most a few milliseconds away and answers at once.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(250);
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -23,12 +23,12 @@
 use crate::evacuated::EvacuatedHalls;
 use crate::life_log::note_life;
 use crate::link::Link;
+use crate::listing::{list, log_faults, Listing};
 use crate::message::{weights_services, Datagram};
 use crate::metrics::{note_evacuation, serve_metrics, Standstills};
 use crate::news::News;
 use crate::server::listen;
 use crate::spawner::Spawner;
-use crate::watch::{list, log_faults, Listing};
 
 /// How often the named versions are listed by a sidecar that no gateway reaches.
 const VERSIONS_SPACING: Duration = Duration::from_millis(30_000);
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -21,16 +21,12 @@
 use crate::lapses::Lapses;
 use crate::lateness::{not_before, Lateness};
 use crate::link::{CallAnswer, Link};
+use crate::listing::{call_name, list, Listing, ToldFaults, PIECE_PAUSE};
 use crate::patience::Patience;
 use crate::returns::Returns;
 
 /// How much longer than a feed waits the store may be silent before its news is taken for old.
 const LATE_AFTER: Duration = Duration::from_millis(1200);
-/// The longest pause between two pieces of an answer. A large configuration may take seconds on a
-/// narrow link that others use too.
-const PIECE_PAUSE: Duration = Duration::from_millis(900);
-/// The most rows that cannot be read of which is told, each by its key and what was wrong.
-const MOST_FAULTS: usize = 256;
 
 /// How a table is followed.
 #[derive(Clone)]
@@ -137,14 +133,6 @@
     rand::rng().random_range(pause)
 }
 
-/// The name of a table's calls in the metrics.
-fn call_name(table: Table) -> &'static str {
-    match table {
-        Table::Operator | Table::Versions => "operator_table",
-        Table::Runners => "runner_table",
-    }
-}
-
 /// How many of the known runners one answer says are gone.
 #[derive(Clone, Copy)]
 struct Lost {
@@ -187,7 +175,7 @@
             list(&mut self.link, self.options.table, &self.options.era).await?;
         self.note_answer();
         let went_back = self.note_era(place.era, deliver);
-        self.faults.tell_all(&self.options, &faults);
+        self.faults.tell_all(self.options.table, &self.options.metrics, &faults);
         let listed: BTreeSet<InstanceId> = changes.iter().filter_map(listed_runner).collect();
         let gone: Vec<InstanceId> = self.runners.difference(&listed).cloned().collect();
         let lost = Lost { gone: gone.len(), known: self.runners.len() };
@@ -262,7 +250,7 @@
         }
         let page: Page = store::read(self.options.table, &answer.success()?)?;
         self.note_answer();
-        self.faults.tell(&self.options, &page.faults);
+        self.faults.tell(self.options.table, &self.options.metrics, &page.faults);
         let was_silent = self.was_silent();
         let late = self.lateness.take_feed(was_silent, waited, page.changes.is_empty());
         let now = Instant::now();
@@ -377,75 +365,6 @@
     }
 }
 
-/// A table as it was listed.
-pub struct Listing {
-    /// Where a feed goes on.
-    pub place: StorePlace,
-    /// What the store's clock showed, in milliseconds, if it told.
-    pub clock_ms: Option<u64>,
-    /// What its rows say.
-    pub changes: Vec<Change>,
-    /// What was wrong with rows that could not be read.
-    pub faults: Vec<Error>,
-}
-
-/// Lists a whole table. All pages are of one era, or the listing has failed.
-pub async fn list(link: &mut Link, table: Table, era: &Era) -> Result<Listing> {
-    let mut from = String::new();
-    let (mut changes, mut faults) = (Vec::new(), Vec::new());
-    let mut first = None;
-    loop {
-        let call = store::list(table, &from);
-        let answer = link.call_patiently(call, Patience::LIST_BEGIN, PIECE_PAUSE).await?;
-        let era = era.note(&answer.headers)?;
-        let page = store::read(table, &answer.success()?)?;
-        faults.extend(page.faults);
-        // Changes behind the first page's version may be missing on it, so the feed starts there.
-        let place = StorePlace { era, revision: page.revision };
-        let (place, clock_ms) = *first.get_or_insert((place, page.clock_ms));
-        if place.era != era {
-            return Err(Error::new(Code::NotFound, "the store came back from an older copy"));
-        }
-        changes.extend(page.changes);
-        match page.next {
-            Some(next) => from = next,
-            None => return Ok(Listing { place, clock_ms, changes, faults }),
-        }
-    }
-}
-
-/// Logs rows that cannot be read: what they say is not in force here.
-pub fn log_faults(table: Table, faults: &[Error]) {
-    let table = format!("{table:?}");
-    for fault in faults {
-        let reason = fault.to_string();
-        log::error!(table = table.as_str(), reason = reason.as_str(); "row cannot be read");
-    }
-}
-
-/// Rows that could not be read and were told of: once, and not at every reading.
-#[derive(Debug, Default)]
-struct ToldFaults(BTreeSet<String>);
-
-impl ToldFaults {
-    /// Tells of the faults of a whole listing. Those that it lacks are over.
-    fn tell_all(&mut self, options: &WatchOptions, faults: &[Error]) {
-        let listed: BTreeSet<String> = faults.iter().map(Error::to_string).collect();
-        self.0.retain(|it| listed.contains(it));
-        self.tell(options, faults);
-    }
-
-    /// Logs and counts the faults that are new.
-    fn tell(&mut self, options: &WatchOptions, faults: &[Error]) {
-        for fault in faults {
-            if self.0.len() < MOST_FAULTS && self.0.insert(fault.to_string()) {
-                log_faults(options.table, std::slice::from_ref(fault));
-                options.metrics.count_platform(call_name(options.table), "unreadable_row");
-            }
-        }
-    }
-}
-
 fn listed_runner(change: &Change) -> Option<InstanceId> {
     match change {
         Change::Runner(record) => Some(record.id.clone()),
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod cold;
 mod crashes;
+mod progress;
 mod queue;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,17 +11,18 @@
 
 use errors::Code;
 use fleet::{
-    EvacuationChange, EvacuationList, Hall, InstanceId, LifeChange, Mechanism, Millis,
-    NamedVersion, ServiceName,
+    EvacuationChange, EvacuationList, Hall, LifeChange, Mechanism, Millis, NamedVersion,
+    ServiceName,
 };
 use quarantine::Crashes;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
+use self::progress::{Chosen, Progress};
 use self::queue::Place;
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::catalog::Catalog;
-use crate::choice::{Chooser, Outlook};
+use crate::choice::Chooser;
 use crate::cold::ColdGates;
 use crate::comeback::Shortage;
 use crate::event::{
@@ -31,7 +33,6 @@
 use crate::members::Members;
 use crate::notices::Notice;
 use crate::pool::Pool;
-use crate::runner::RunnerLife;
 use crate::standstill::Standstill;
 use crate::tries::UsualDeadlines;
 
@@ -47,76 +48,6 @@
 /// The part of the ratio of repeats that is used, for what cannot be counted exactly.
 const RATIO_SHARE: f64 = 0.75;
 
-/// A life of a runner that a request was sent to.
-#[derive(Clone, Debug)]
-struct Chosen {
-    id: InstanceId,
-    life: RunnerLife,
-}
-
-/// A request under way.
-#[derive(Clone, Debug)]
-struct Progress {
-    arrival: Arrival,
-    /// The runners that it may go to. Each pass over the queue asks for it.
-    reach: Arc<Reach>,
-    tried: Vec<InstanceId>,
-    /// The runner of the attempt under way.
-    current: Option<Chosen>,
-    /// When that attempt was sent.
-    sent_at: Millis,
-    /// Whether its answer has begun.
-    answered: bool,
-    /// Whether some runner may have run it.
-    may_have_run: bool,
-    /// Until when it may wait for a place.
-    wait_until: Millis,
-    /// Until when an answer is on time.
-    aim_until: Millis,
-    /// Whether it looks like a later try of a caller that was refused.
-    is_later: bool,
-    /// Whether the last runner that was chosen for it had no place.
-    was_denied: bool,
-    /// Whether it was suspected of crashing runners when the runner of the attempt under way was chosen.
-    is_suspect: bool,
-    /// How often some runner was chosen for it.
-    asked: u32,
-    /// Why it was sent again or refused, if it was.
-    reason: Code,
-}
-
-impl Progress {
-    /// Whether waiting for a place is of no more use: its time is over, or it is known that no runner serves
-    /// before that. Where all runners lack a version that is due, nine of ten callers that were refused had
-    /// waited out their time, 88 ms of an aim of 400 ms, before they were told. What may have run already waits
-    /// all the same, for its caller cannot come back.
-    fn waits_in_vain(&self, now: Millis, outlook: Outlook) -> bool {
-        let serves_too_late = match outlook {
-            Outlook::ServesIn(left) => now.plus(left) >= self.wait_until,
-            Outlook::NotServing => true,
-            Outlook::Serving | Outlook::Unknown => false,
-        };
-        now >= self.wait_until || (serves_too_late && !self.may_have_run)
-    }
-
-    /// Why it is refused, while the runners that it may go to stand so.
-    fn refusal(&self, outlook: Outlook) -> Code {
-        let for_want_of_place =
-            matches!(self.reason, Code::Overloaded | Code::Withdrawn | Code::LaterTry);
-        let is_missing = match outlook {
-            Outlook::NotServing => true,
-            // One that serves and is paused for a moment is full.
-            Outlook::ServesIn(left) => left > 0,
-            Outlook::Serving | Outlook::Unknown => false,
-        };
-        if for_want_of_place && self.arrival.homes.is_bound() && is_missing {
-            Code::NoHome
-        } else {
-            self.reason
-        }
-    }
-}
-
 /// The state of a gateway.
 pub struct Gateway {
     options: GatewayOptions,
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod estimate;
 mod moves;
+mod status;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -17,8 +18,7 @@
 use crate::questions::Questions;
 use crate::target::{Step, Target};
 use fleet::{
-    Bitmap, Evacuations, InstanceId, LifeChange, LifeWord, Mechanism, Millis, NamedVersion,
-    VersionName,
+    Bitmap, Evacuations, InstanceId, LifeWord, Mechanism, Millis, NamedVersion, VersionName,
 };
 use reducer::DrawSource;
 
@@ -376,60 +376,6 @@
         self.peers = Some(peers);
     }
 
-    fn take_status(&mut self, now: Millis, status: RunnerStatus) -> Vec<Effect> {
-        let told = LifeWord { born: status.born, sequence: status.sequence };
-        let change = self.life.map_or(LifeChange::Same, |known| known.compare(told));
-        let effects = match change {
-            LifeChange::Same => Vec::new(),
-            change => vec![Effect::Life(change, told)],
-        };
-        if matches!(change, LifeChange::Earlier | LifeChange::Untold) {
-            return effects;
-        }
-        self.life = Some(told);
-        let has_begun = change == LifeChange::Began;
-        if has_begun {
-            self.places.forget();
-            self.waiting_since = None;
-        }
-        self.places.take_report(now, status.running);
-        self.status_at = now;
-        self.waiting_since = match status.waiting {
-            0 => None,
-            _ => self.waiting_since.or(Some(now)),
-        };
-        let was_heard = self.status.replace(status.clone()).is_some();
-        if has_begun || !was_heard {
-            self.cold.assume(now);
-        }
-        let Some(target) = &mut self.current else {
-            return effects;
-        };
-        let holds = status.version.is_some_and(|it| it >= target.version);
-        match target.step {
-            // What was put there is put again: an order to this life is given by what is known of it.
-            Step::Staging if has_begun => target.step = Step::Waiting(now),
-            Step::Served if !holds && !status.busy => {
-                target.step = if target.is_whole() {
-                    Step::Waiting(now)
-                } else {
-                    Step::Describing { not_before: now, asked: false }
-                };
-            }
-            Step::Served => {}
-            _ if holds && !status.busy => target.step = Step::Served,
-            Step::Ordered(at, sequence) => {
-                let late = now.since(at).0 > ORDER_PATIENCE && !status.busy;
-                let settled = status.sequence > sequence && !status.busy;
-                if late || settled || has_begun {
-                    target.step = Step::Waiting(now);
-                }
-            }
-            _ => {}
-        }
-        effects
-    }
-
     fn take_found(&mut self, version: u64, found: &Bitmap) {
         let Some(target) = self.target(version) else {
             return;
--- a/daemon/tests/deployment/drills.rs
+++ b/daemon/tests/deployment/drills.rs
@@ -23,13 +23,7 @@
 
 /// A gateway before two plain runners in hall `a` and two in hall `b`, all of it older than the copy.
 fn settled() -> (Deployment, SocketAddr) {
-    let mut deployment = Deployment::start();
-    let gateway = deployment.add_gateway();
-    for (id, machine) in [("b1", 31), ("b2", 32)] {
-        let address = SocketAddr::new(neighbour(gateway, machine), 8001);
-        deployment.standin.add_runner(address, Engine::plain(id, "ledger", "b"));
-    }
-    deployment.wait_until_ready(gateway);
+    let (deployment, gateway) = Deployment::start_in_two_halls();
     std::thread::sleep(COPY);
     (deployment, gateway)
 }
--- a/daemon/tests/deployment/evacuations.rs
+++ b/daemon/tests/deployment/evacuations.rs
@@ -4,28 +4,15 @@
 use std::time::Duration;
 
 use http::Method;
-use platform_standin::{Caller, Engine, StoreFault};
+use platform_standin::{Caller, StoreFault};
 
 use rustix::process::Signal;
 
-use crate::neighbour;
 use crate::support::{stream, wait_until, Deployment};
 
 /// Calls that are made to see where they go: two runners of equal load share them about evenly.
 const CALLS: usize = 12;
 
-/// A deployment with two plain runners in hall `a` and two in hall `b`.
-fn two_halls() -> (Deployment, SocketAddr) {
-    let mut deployment = Deployment::start();
-    let gateway = deployment.add_gateway();
-    for (id, machine) in [("b1", 31), ("b2", 32)] {
-        let address = SocketAddr::new(neighbour(gateway, machine), 8001);
-        deployment.standin.add_runner(address, Engine::plain(id, "ledger", "b"));
-    }
-    deployment.wait_until_ready(gateway);
-    (deployment, gateway)
-}
-
 /// How many of some calls ran in hall `a`, whose runners are named `l1` and `l2`.
 fn calls_in_a(deployment: &Deployment, gateway: SocketAddr, name: &str) -> usize {
     let ran_in_a = |number: usize| {
@@ -39,7 +26,7 @@
 
 #[test]
 fn an_evacuated_hall_gets_nothing_until_it_is_taken_back() {
-    let (deployment, gateway) = two_halls();
+    let (deployment, gateway) = Deployment::start_in_two_halls();
     assert_eq!(calls_in_a(&deployment, gateway, "near"), CALLS, "the hall at hand goes first");
     deployment.standin.evacuate("a");
     wait_until("the gateway hears of it", || is_evacuated(&deployment, gateway, 1));
@@ -51,7 +38,7 @@
 
 #[test]
 fn an_evacuation_is_believed_through_an_outage_and_ended_by_the_listing_after_it() {
-    let (deployment, gateway) = two_halls();
+    let (deployment, gateway) = Deployment::start_in_two_halls();
     deployment.standin.evacuate("a");
     wait_until("the gateway hears of it", || is_evacuated(&deployment, gateway, 1));
     deployment.standin.set_store_fault(StoreFault::Busy);
@@ -66,7 +53,7 @@
 
 #[test]
 fn a_gateway_that_starts_in_the_middle_sends_nothing_there() {
-    let (mut deployment, _) = two_halls();
+    let (mut deployment, _) = Deployment::start_in_two_halls();
     deployment.standin.evacuate("a");
     let gateway = deployment.add_gateway();
     deployment.wait_until_ready(gateway);
@@ -109,7 +96,7 @@
 /// moment in which it goes on.
 #[test]
 fn a_gateway_that_stood_still_sends_nothing_before_it_has_heard_the_store() {
-    let (deployment, gateway) = two_halls();
+    let (deployment, gateway) = Deployment::start_in_two_halls();
     calls_in_a(&deployment, gateway, "near");
     deployment.signal(gateway.ip(), Signal::STOP);
     // Longer than a feed waits: an answer that says nothing lies there when the gateway goes on.
--- a/daemon/tests/deployment/support.rs
+++ b/daemon/tests/deployment/support.rs
@@ -10,6 +10,8 @@
 use http::Method;
 use platform_standin::{Answer, Caller, Engine, Standin};
 
+use crate::neighbour;
+
 /// Where runners listen on their machines.
 const RUNNER_PORT: u16 = 8001;
 /// Where gateways listen for callers.
@@ -66,6 +68,18 @@
         Ipv4Addr::new(127, 77, self.network, self.machines).into()
     }
 
+    /// Two plain runners in hall `a` and two in hall `b`, and a gateway in hall `a` that is ready.
+    pub fn start_in_two_halls() -> (Self, SocketAddr) {
+        let mut deployment = Self::start();
+        let gateway = deployment.add_gateway();
+        for (id, machine) in [("b1", 31), ("b2", 32)] {
+            let address = SocketAddr::new(neighbour(gateway, machine), RUNNER_PORT);
+            deployment.standin.add_runner(address, Engine::plain(id, "ledger", "b"));
+        }
+        deployment.wait_until_ready(gateway);
+        (deployment, gateway)
+    }
+
     /// Starts a model runner with a sidecar beside it.
     pub fn add_model_runner(&mut self, id: &str, version: Option<u64>) -> SocketAddr {
         let machine = self.machine();
--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -11,16 +11,16 @@
 use async_net::TcpStream;
 use bytes::Bytes;
 use futures_lite::future;
-use http::{HeaderMap, Method, Request as HttpRequest};
+use http::{Method, Request as HttpRequest};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use platform_standin::{headers, HOST, KEY};
+use platform_standin::{headers, leaving_runner, HOST, KEY};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use smol_hyper::rt::FuturesIo;
 
 use crate::faults::CRASH_PATH;
-use crate::history::{Kind, Moment, Request, Seen, Told};
+use crate::history::{Kind, Request, Seen, Told};
 
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_millis(5000);
@@ -184,7 +184,8 @@
     let Some(Ok(answer)) = answer else {
         return (Seen::Lost, None);
     };
-    let told = told(begun.elapsed(), answer.headers());
+    let at = begun.elapsed();
+    let told = leaving_runner(answer.headers()).map(|(runner, life)| Told { runner, life, at });
     let status = answer.status().as_u16();
     let mut body = answer.into_body();
     let (mut bytes, mut whole) = (Vec::new(), true);
@@ -203,14 +204,6 @@
     (Seen::Answer { status, whole, body: String::from_utf8_lossy(&bytes).into_owned() }, told)
 }
 
-/// What an answer says of its runner, if it says that the runner leaves. The stand-in signs with the runner, its life and
-/// the request.
-fn told(at: Moment, headers: &HeaderMap) -> Option<Told> {
-    headers.get("server-leaving")?;
-    let mut stamp = headers.get("response-stamp")?.to_str().ok()?.split('.');
-    Some(Told { runner: stamp.next()?.to_owned(), life: stamp.next()?.parse().ok()?, at })
-}
-
 async fn within<T>(time: Duration, future: impl std::future::Future<Output = T>) -> Option<T> {
     future::or(async { Some(future.await) }, async {
         Timer::after(time).await;
