A version's bound stays when its chunks are left for a newer version

Cause: a sidecar kept the bound of a version in the work of drawing it, and threw it away with that work when the newer version was whole first; a runner on the version before both then worked on, and waited for its turn, by the newer bound, and of an older version no better word on its age was taken. Class: an obligation kept in a work item that can be dropped. Ruled out: the gateways, which keep a list.

Change: fleet::VersionNames, a list of what was named with a bound each, is what a sidecar asks whether its version is too old and until when its order is due; the newest name is no longer all that it knows. Both reducer tests pass; before, a place was given at the bound itself. All tests of the package pass.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -33,7 +33,7 @@
 pub use intent::Intent;
 pub use life::{LifeChange, LifeWord};
 pub use manifest::{Manifest, MAX_CHUNKS, MAX_CHUNK_BYTES, MIN_CHUNK_BYTES};
-pub use named::{NamedVersion, VersionName};
+pub use named::{NamedVersion, VersionName, VersionNames};
 pub use plan::{Plan, Source, Step};
 pub use report::{DeploymentStatus, MemberStatus, PlanReply, RolloutStatus, Status};
 pub use rest::{rest_ms, Rest, UNREADABLE_REST_MS};
--- a/components/fleet/src/named.rs
+++ b/components/fleet/src/named.rs
@@ -55,3 +55,51 @@
         self.at.plus(span)
     }
 }
+
+/// The versions of one model that were named, as one process knows of them. Each keeps its bound when a newer one is
+/// named, whatever becomes of its chunks.
+#[derive(Clone, Debug, Default)]
+pub struct VersionNames {
+    /// By version, oldest first.
+    names: Vec<VersionName>,
+}
+
+impl VersionNames {
+    /// Takes in a word on a version: one that is not known yet, or another word on one that is.
+    pub fn take(&mut self, heard: VersionName) {
+        match self.names.binary_search_by_key(&heard.version, |it| it.version) {
+            Ok(index) => self.names[index].merge(heard),
+            Err(index) => self.names.insert(index, heard),
+        }
+    }
+
+    /// What is known of a version.
+    pub fn get(&self, version: u64) -> Option<VersionName> {
+        self.names.iter().find(|it| it.version == version).copied()
+    }
+
+    /// The newest version.
+    pub fn newest(&self) -> Option<VersionName> {
+        self.names.last().copied()
+    }
+
+    /// The newest version whose bound has passed at a moment, where bounds lie `version_ms` after a naming: no request may
+    /// start on an older one then. Zero where none has.
+    pub fn required(&self, at: Millis, version_ms: u64) -> u64 {
+        let passed = self.names.iter().rev().find(|it| it.bound(version_ms) <= at);
+        passed.map_or(0, |it| it.version)
+    }
+
+    /// From when on no request may start on the version that is held: the first bound of all newer ones. `None` where
+    /// there is no newer one.
+    pub fn bound_of(&self, held: u64, version_ms: u64) -> Option<Millis> {
+        let newer = self.names.iter().filter(|it| it.version > held);
+        newer.map(|it| it.bound(version_ms)).min()
+    }
+
+    /// Forgets versions that a newer one has made needless: its bound has passed at this moment.
+    pub fn forget_before(&mut self, at: Millis, version_ms: u64) {
+        let required = self.required(at, version_ms);
+        self.names.retain(|it| it.version >= required);
+    }
+}
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -19,6 +19,7 @@
 use crate::target::{Step, Target};
 use fleet::{
     Bitmap, Evacuations, InstanceId, LifeWord, Mechanism, Millis, NamedVersion, VersionName,
+    VersionNames,
 };
 use reducer::DrawSource;
 
@@ -56,8 +57,8 @@
     versions_known: bool,
     /// When the process went on after it stood still, until it is told again.
     woke_at: Option<Millis>,
-    /// The version that was named last.
-    named: VersionName,
+    /// The versions that were named.
+    names: VersionNames,
     /// Since when requests have waited at the runner, if some do.
     waiting_since: Option<Millis>,
     status: Option<RunnerStatus>,
@@ -104,7 +105,7 @@
             plan: None,
             versions_known: false,
             woke_at: None,
-            named: VersionName { version: FIRST_VERSION, at: Millis(0), known: false },
+            names: VersionNames::default(),
             waiting_since: None,
             status: None,
             life: None,
@@ -309,25 +310,28 @@
     /// somebody does.
     fn name(&mut self, now: Millis, version: u64, named_at: Option<Millis>) {
         let heard = VersionName { version, at: named_at.unwrap_or(now), known: named_at.is_some() };
-        if version > self.named.version {
-            self.named = heard;
-        } else if version == self.named.version {
-            self.named.merge(heard);
-            let named = self.named;
-            if let Some(target) = self.target(version) {
-                target.named = named;
-            }
+        self.names.take(heard);
+        let named = self.names.get(version);
+        if let Some((target, named)) = self.target(version).zip(named) {
+            target.named = named;
         }
+        self.names.forget_before(now, self.options.version_ms);
     }
 
     /// The newest version that was named, or the one before any was.
     pub fn newest_named(&self) -> u64 {
-        self.named.version
+        self.newest_name().version
+    }
+
+    /// The version that was named last.
+    fn newest_name(&self) -> VersionName {
+        let first = VersionName { version: FIRST_VERSION, at: Millis(0), known: false };
+        self.names.newest().unwrap_or(first)
     }
 
     /// The version that should be served, as gateways are told of it, until its bound is over.
     pub fn named(&self, now: Millis) -> Option<NamedVersion> {
-        let VersionName { version, at, known } = self.named;
+        let VersionName { version, at, known } = self.newest_name();
         let age_ms = now.since(at).0;
         if !known || age_ms > self.options.version_ms {
             return None;
@@ -344,7 +348,7 @@
 
     /// Turns to the version that was named last, or finishes the one before it first.
     fn follow_name(&mut self, now: Millis) {
-        let named = self.named;
+        let named = self.newest_name();
         let newest = self.next.as_ref().or(self.current.as_ref()).map_or(0, |it| it.version);
         if named.version <= newest {
             return;
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -154,7 +154,7 @@
     /// version that is too old by then.
     pub(super) fn is_exposed(&self) -> bool {
         let held = self.status.as_ref().and_then(|it| it.version).unwrap_or(0);
-        self.keeps(Mechanism::LastOrder) && self.ordered_at.is_some() && held < self.named.version
+        self.keeps(Mechanism::LastOrder) && self.ordered_at.is_some() && held < self.newest_named()
     }
 
     /// Whether the runner's order is due. Nothing new is sent to it until the order has been taken, so that
@@ -187,9 +187,14 @@
 
     /// Whether the runner's version may hardly be used any more.
     pub(super) fn is_too_old(&self, now: Millis) -> bool {
-        let held = self.status.as_ref().and_then(|it| it.version).unwrap_or(0);
         let start = now.plus(START_MARGIN + self.start_delay_ms(now));
-        let mut targets = self.current.iter().chain(&self.next);
-        targets.any(|it| it.version > held && start >= it.named.bound(self.options.version_ms))
+        self.held_bound().is_some_and(|bound| start >= bound)
+    }
+
+    /// From when on no request may start on the version that the runner holds. It does not go with the chunks of the
+    /// version that set it: where a newer one is taken in its place, both bind.
+    pub(super) fn held_bound(&self) -> Option<Millis> {
+        let held = self.status.as_ref().and_then(|it| it.version).unwrap_or(0);
+        self.names.bound_of(held, self.options.version_ms)
     }
 }
--- a/components/rollout/src/reducer/moves.rs
+++ b/components/rollout/src/reducer/moves.rs
@@ -125,7 +125,8 @@
     /// differs between sidecars, so that not all of them stop at once.
     fn order_at(&self, now: Millis, target: &Target) -> Millis {
         let serves = self.serves();
-        let end = target.named.bound(self.options.version_ms).minus(TAKE_MARGIN);
+        let bound = target.named.bound(self.options.version_ms);
+        let end = self.held_bound().map_or(bound, |it| it.min(bound)).minus(TAKE_MARGIN);
         // One that takes nothing new has nothing to wait for.
         if !serves || self.is_exposed() || self.is_evacuated(now) {
             return now;
