A runner gives up a version shortly before its bound

What callers saw: requests that began on weights 0.15 to 0.48 s behind the bound of a version. Cause: a gateway gives up on an attempt after twice its aim, but what it has sent stays on its way, up to 1.5 s in the queue of a link that is narrow and full of chunks, and the runner begins whatever comes out: it doesn't know the bound, and whoever does is asked before the send only. Class: a check before an effect that can be late. Ruled out: a later bound for streams that go on elsewhere; in two of four cases the late runner was reached before the other one.

Weighed: a longer margin before the send (costs service, and no length is enough), resetting the connection (what lies in the link's queue comes first), a shorter time-out of unacknowledged bytes (the same). Change: 300 ms before the first known bound of all newer versions a sidecar whose runner holds an older one, and is about to get no whole one, orders it to keep its last layer alone; it turns requests away from then on, and the whole version is ordered later as before. No place is given for 900 ms by then, so callers lose nothing.

--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -158,17 +158,26 @@
             }
             Effect::Find(version) => add(&jobs, Job::Find(version)),
             Effect::Stage(version) => add(&jobs, Job::Stage(version)),
+            Effect::Retire { version, sequence } => {
+                tell_of_order(&core, &news).await;
+                add(&jobs, Job::Retire { version, sequence });
+            }
             Effect::Order { version, sequence, cut } => {
-                let peers = core.rollout.borrow().peer_addresses();
-                for peer in peers {
-                    news.send(peer, &Datagram::Ordered).await;
-                }
+                tell_of_order(&core, &news).await;
                 add(&jobs, Job::Order { version, sequence, cut });
             }
         }
     }
 }
 
+/// Tells the other sidecars that this one gives its runner an order.
+async fn tell_of_order(core: &Core, news: &News) {
+    let peers = core.rollout.borrow().peer_addresses();
+    for peer in peers {
+        news.send(peer, &Datagram::Ordered).await;
+    }
+}
+
 /// Asks the other sidecars, as soon as they are known, whether this machine gave the last order of all: a
 /// process that starts has forgotten that.
 async fn ask_who_ordered(core: Core, news: News) {
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -9,7 +9,7 @@
 use errors::{Code, Error, Result};
 use fleet::{Bitmap, ModelName};
 use gateway::RunnerLoad;
-use platform::{headers, runner, weights};
+use platform::{headers, runner, weights, Call};
 use quarantine::Told;
 use rollout::{Audience, Event, OrderOutcome, Reports};
 use uptime::Instant;
@@ -36,6 +36,13 @@
     Find(u64),
     /// Put every chunk of a version there.
     Stage(u64),
+    /// Order it to give up the version that it holds.
+    Retire {
+        /// The version.
+        version: u64,
+        /// The number of orders that it is expected to have taken.
+        sequence: u64,
+    },
     /// Order it to take a version.
     Order {
         /// The version.
@@ -135,6 +142,7 @@
         match job {
             Job::Find(version) => worker.find(version).await,
             Job::Stage(version) => worker.stage(version).await,
+            Job::Retire { version, sequence } => worker.retire(version, sequence).await,
             Job::Order { version, sequence, cut } => worker.order(version, sequence, cut).await,
         }
     }
@@ -208,14 +216,26 @@
         Err(Error::new(Code::UpstreamFailed, format!("status {}", answer.status)))
     }
 
-    async fn order(&mut self, version: u64, sequence: u64, cut: bool) {
-        let outcome = match runner::start(&self.model, version, sequence, cut) {
-            Ok(call) => match self.link.call(call, CALL_TIMEOUT).await {
-                Ok(answer) => runner::order_outcome(answer.status),
-                Err(_) => OrderOutcome::Unanswered,
-            },
-            Err(_) => OrderOutcome::Refused,
+    async fn retire(&mut self, version: u64, sequence: u64) {
+        let layers = *self.core.layers.borrow();
+        let outcome = self.give(runner::retire(&self.model, version, sequence, layers)).await;
+        let word = format!("{outcome:?}");
+        log::warn!(version = version, sequence = sequence, outcome = word.as_str(); "version given up at its bound");
+    }
+
+    /// Gives the runner an order.
+    async fn give(&mut self, order: Result<Call>) -> OrderOutcome {
+        let Ok(call) = order else {
+            return OrderOutcome::Refused;
         };
+        match self.link.call(call, CALL_TIMEOUT).await {
+            Ok(answer) => runner::order_outcome(answer.status),
+            Err(_) => OrderOutcome::Unanswered,
+        }
+    }
+
+    async fn order(&mut self, version: u64, sequence: u64, cut: bool) {
+        let outcome = self.give(runner::start(&self.model, version, sequence, cut)).await;
         let word = format!("{outcome:?}");
         log::info!(version = version, sequence = sequence, cut = cut, outcome = word.as_str(); "ordered");
         self.core.feed(Event::Ordered(version, outcome));
--- a/components/fleet/src/named.rs
+++ b/components/fleet/src/named.rs
@@ -96,6 +96,12 @@
         newer.map(|it| it.bound(version_ms)).min()
     }
 
+    /// The same by the versions alone of which somebody knows when they were named.
+    pub fn known_bound_of(&self, held: u64, version_ms: u64) -> Option<Millis> {
+        let newer = self.names.iter().filter(|it| it.version > held && it.known);
+        newer.map(|it| it.bound(version_ms)).min()
+    }
+
     /// Forgets versions that a newer one has made needless: its bound has passed at this moment.
     pub fn forget_before(&mut self, at: Millis, version_ms: u64) {
         let required = self.required(at, version_ms);
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -230,6 +230,13 @@
     Evacuation(EvacuationChange),
     /// Put every chunk of a version at the runner.
     Stage(u64),
+    /// Order the runner to give up all but a part of a version, so that no request can begin on it.
+    Retire {
+        /// The version that it holds.
+        version: u64,
+        /// The number of orders that the runner is expected to have taken.
+        sequence: u64,
+    },
     /// Order the runner to take a version.
     Order {
         /// The version.
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod estimate;
 mod moves;
+mod retirement;
 mod status;
 
 use std::collections::BTreeSet;
--- a/components/rollout/src/reducer/moves.rs
+++ b/components/rollout/src/reducer/moves.rs
@@ -48,6 +48,7 @@
             }
         }
         effects.extend(self.stage_when_due(now));
+        effects.extend(self.retire_when_due(now));
         effects
     }
 
@@ -166,6 +167,7 @@
         let drained = self.status.as_ref().is_some_and(|it| it.running <= MAX_CUT)
             && !self.places.awaits_arrival(now);
         let is_evacuated = self.is_evacuated(now);
+        let is_last_call = self.must_give_up(now);
         let target = self.current.as_mut()?;
         match target.step {
             // Its turn was for a runner that others would miss.
@@ -174,7 +176,9 @@
                 None
             }
             Step::Waiting(at)
-                if now >= at && free && (drained || now >= at.plus(DRAIN_PATIENCE)) =>
+                if now >= at
+                    && free
+                    && (drained || is_last_call || now >= at.plus(DRAIN_PATIENCE)) =>
             {
                 target.step = Step::Staging;
                 Some(Effect::Stage(target.version))
--- /dev/null
+++ b/components/rollout/src/reducer/retirement.rs
@@ -0,0 +1,39 @@
+//! Nothing begins at the runner on a version behind its bound, whoever sent it and whenever that was.
+//!
+//! A place is given well before the bound, but a request may be on its way for longer than anybody waits for it: in the
+//! queue of a narrow link, or until it is sent again where it was lost. Gateways can't take it back, and the runner
+//! doesn't know the bound. So a runner that still holds the version shortly before its bound is ordered to keep a part of
+//! it only, and turns away what comes. It couldn't have been sent anything by then.
+
+use fleet::Millis;
+
+use super::Rollout;
+use crate::event::Effect;
+use crate::target::Target;
+
+/// How long before its bound a version is given up, in milliseconds: later than the last request with a place has begun,
+/// and early enough for a sidecar that is short of processor time.
+const RETIRE_MARGIN: u64 = 300;
+
+impl Rollout {
+    /// Whether the bound of the version that the runner holds is about to pass. An order can't be taken back, so a bound
+    /// that is only assumed doesn't count.
+    pub(super) fn must_give_up(&self, now: Millis) -> bool {
+        let held = self.status.as_ref().and_then(|it| it.version).unwrap_or(0);
+        let bound = self.names.known_bound_of(held, self.options.version_ms);
+        bound.is_some_and(|it| now.plus(RETIRE_MARGIN) >= it)
+    }
+
+    /// Gives up the version that the runner holds, where its bound is about to pass and no order for a newer one is due.
+    pub(super) fn retire_when_due(&mut self, now: Millis) -> Option<Effect> {
+        let status = self.status.as_ref()?;
+        let (version, sequence) = (status.version?, status.sequence);
+        let is_moving = self.current.as_ref().is_some_and(Target::is_being_taken);
+        if is_moving || !self.must_give_up(now) || !self.is_runner_free() {
+            return None;
+        }
+        self.ordered_at = Some(now);
+        self.own_order_at = now;
+        Some(Effect::Retire { version, sequence })
+    }
+}
--- a/components/rollout/tests/bounds.rs
+++ b/components/rollout/tests/bounds.rs
@@ -58,3 +58,69 @@
     let given = fleet.sidecars[0].reserve(Millis(fleet.now), 10);
     assert_ne!(given, Ok(()), "a place on version 1 behind the bound of version 2");
 }
+
+/// A sidecar whose runner holds version 1, and that can't get any newer one.
+fn sidecar_without_chunks() -> Fleet {
+    let mut fleet = Fleet::new(1, Some(1), 0);
+    fleet.origin_out_until = u64::MAX;
+    fleet.run(500);
+    fleet
+}
+
+#[test]
+fn a_runner_gives_up_a_version_shortly_before_its_bound() {
+    let mut fleet = sidecar_without_chunks();
+    fleet.name(2);
+    let bound = fleet.now + VERSION_MS;
+    fleet.run(VERSION_MS - 500);
+    assert!(fleet.retired.is_empty(), "requests with a place begin until then");
+    fleet.run(1000);
+    let [(0, 1, at)] = fleet.retired[..] else {
+        panic!("{:?}", fleet.retired);
+    };
+    assert!(at <= bound - 200, "{at}, the bound is at {bound}");
+}
+
+#[test]
+fn a_version_that_was_given_up_is_replaced_once_the_newer_one_is_whole() {
+    let mut fleet = sidecar_without_chunks();
+    fleet.origin_out_until = fleet.now + VERSION_MS + 1000;
+    fleet.name(2);
+    fleet.run(VERSION_MS);
+    assert_eq!(fleet.versions().get(&None), Some(&1), "it holds a part of version 1");
+    fleet.run(9000);
+    assert_eq!(fleet.versions().get(&Some(2)), Some(&1));
+}
+
+#[test]
+fn a_runner_that_takes_the_newer_version_in_time_gives_up_nothing() {
+    let mut fleet = Fleet::new(20, Some(1), 0);
+    fleet.run(3000);
+    fleet.name(2);
+    fleet.run(VERSION_MS + 2000);
+    assert_eq!(fleet.versions().get(&Some(2)), Some(&20));
+    assert_eq!(fleet.retired, []);
+}
+
+#[test]
+fn nothing_is_given_up_for_a_bound_that_nobody_knows() {
+    let mut fleet = sidecar_without_chunks();
+    fleet.feed(0, rollout::Event::Named { version: 2, named_at: None });
+    fleet.run(VERSION_MS * 2);
+    assert_eq!(fleet.retired, []);
+    let given = fleet.sidecars[0].reserve(Millis(fleet.now), 10);
+    assert_eq!(given, Err(Denial::TooOld), "but it gets nothing");
+}
+
+/// The first of two versions binds although the second one is drawn.
+#[test]
+fn a_runner_gives_up_a_version_by_the_first_bound_of_all_newer_ones() {
+    let mut fleet = sidecar_without_chunks();
+    fleet.name(2);
+    let bound = fleet.now + VERSION_MS;
+    fleet.run(2000);
+    fleet.name(3);
+    fleet.run(VERSION_MS - 2000);
+    assert_eq!(fleet.retired.len(), 1);
+    assert!(fleet.retired[0].2 <= bound - 200, "{:?}, the bound is at {bound}", fleet.retired);
+}
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -42,6 +42,8 @@
     pub later: Vec<Later>,
     pub origin_chunks: u32,
     pub orders: Vec<(usize, u64, u64)>,
+    /// Runners that gave up a version, the version, and when.
+    pub retired: Vec<(usize, u64, u64)>,
     /// One in so many draws is lost.
     pub loses: u64,
     /// The origin is out until then.
@@ -134,6 +136,7 @@
             later: Vec::new(),
             origin_chunks: 0,
             orders: Vec::new(),
+            retired: Vec::new(),
             loses,
             origin_out_until: 0,
             draws: 0,
@@ -294,6 +297,14 @@
                 assert!(whole, "staged before every chunk was here");
                 self.after(20, index, Event::Staged(version, true));
             }
+            Effect::Retire { version, sequence } => {
+                let runner = &mut self.runners[index];
+                assert_eq!(runner.sequence, sequence, "ordered on an old view of the runner");
+                assert_eq!(runner.version, Some(version), "gives up what the runner does not hold");
+                runner.sequence += 1;
+                runner.version = None;
+                self.retired.push((index, version, self.now));
+            }
             Effect::Order { version, sequence, .. } => {
                 let runner = &mut self.runners[index];
                 assert_eq!(runner.sequence, sequence, "ordered on an old view of the runner");
