--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -13,6 +13,7 @@
 mod record;
 mod reload;
 mod rests;
+mod starts_between_versions;
 mod support;
 
 use std::time::{Duration, Instant};
