Processes tell each other, and the record tells them, of every version that still binds

What callers saw, or could: requests on weights that are too old, at a sidecar and a gateway that started between two namings; up to 0.9 s behind the first bound in a test with real processes. Cause: a row of the store, the record of first hearings and words between processes spoke of the newest version alone; a version that was heard of behind a newer one was dropped. Ruled out: the ages of the newest version, which were right.

Change: gateways keep fleet::VersionNames too and tell all that binds in the list that they always sent; sidecars, whose word has room for one, tell of each in turn; a row of the record names the older versions that bind by the store's clock. Builds before pass over all of it, and their rows are read as they are. Tests of the record that expected a row without older versions expect it with them now.

--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use fleet::{Bitmap, EvacuationList, InstanceId, Millis, ModelName, NamedVersion, Place};
+use fleet::{
+    Bitmap, EvacuationList, InstanceId, Millis, ModelName, NamedVersion, Place, VersionName,
+    VersionNames,
+};
 use gateway::{GatewaysHeard, RunnerLoad};
 use quarantine::{CrashLedger, CrashList, Told};
 use rollout::{Effect, Event, Rollout, RolloutOptions};
@@ -24,12 +27,8 @@
 /// How long a connection to the origin may rest between two chunks.
 const ORIGIN_REST: Duration = Duration::from_millis(150);
 
-/// A version that was named, and the earliest moment that somebody knows it to have been named at.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct HeardVersion {
-    version: u64,
-    named_at: Option<Millis>,
-}
+/// Versions of a model that are kept in mind. Those that still bind are few.
+const MOST_NAMES: usize = 8;
 
 /// A gateway that wants reports.
 #[derive(Clone, Copy, Debug)]
@@ -47,8 +46,10 @@
     pub rollout: Rc<RefCell<Rollout>>,
     /// The chunks.
     pub chunks: Rc<RefCell<Chunks>>,
-    /// The newest version that was named for each model.
-    pub names: Rc<RefCell<BTreeMap<ModelName, HeardVersion>>>,
+    /// The versions that were named for each model.
+    pub names: Rc<RefCell<BTreeMap<ModelName, VersionNames>>>,
+    /// How many words on the load have told of a named version: they tell of one in turn.
+    told_names: Rc<Cell<usize>>,
     /// Gateways that want reports.
     pub subscribers: Rc<RefCell<BTreeMap<SocketAddr, Subscription>>>,
     /// The gateways that were heard lately.
@@ -118,6 +119,7 @@
             rollout: Rc::new(RefCell::new(Rollout::new(options))),
             chunks: Rc::default(),
             names: Rc::default(),
+            told_names: Rc::default(),
             subscribers: Rc::default(),
             gateways: Rc::new(RefCell::new(GatewaysHeard::new(repeat_window_ms))),
             crashes: Rc::default(),
@@ -167,26 +169,34 @@
     pub fn take_names(&self, named: &[NamedVersion]) {
         let now = self.clock.now();
         for NamedVersion { model, version, age_ms } in named {
-            let named_at = age_ms.map(|age| now.minus(age));
             let mut names = self.names.borrow_mut();
-            let newest = names.entry(model.clone()).or_default();
-            if *version > newest.version {
-                *newest = HeardVersion { version: *version, named_at };
-            } else if *version == newest.version {
-                newest.named_at = newest.named_at.into_iter().chain(named_at).min();
-            }
+            let names = names.entry(model.clone()).or_default();
+            names.take(VersionName::heard(now, *version, *age_ms));
+            names.keep_newest(MOST_NAMES);
         }
         let model = self.rollout.borrow().plan().map(|it| it.model.clone());
-        let mine = model.and_then(|it| self.names.borrow().get(&it).copied());
-        if let Some(HeardVersion { version, named_at }) = mine {
-            if self.rollout.borrow().newest_named() < version {
-                // One that waits already is enough.
-                let _ = self.want_list.try_send(());
-            }
-            self.feed(Event::Named { version, named_at });
+        let mine = model.and_then(|it| self.names.borrow().get(&it).cloned()).unwrap_or_default();
+        let newest = mine.newest().map_or(0, |it| it.version);
+        if self.rollout.borrow().newest_named() < newest {
+            // One that waits already is enough.
+            let _ = self.want_list.try_send(());
+        }
+        let is_told = |it: &VersionName| {
+            named.is_empty() || named.iter().any(|told| told.version == it.version)
+        };
+        for VersionName { version, at, known } in mine.all().filter(is_told) {
+            self.feed(Event::Named { version, named_at: known.then_some(at) });
         }
     }
 
+    /// The named version that the next word on the load tells of: each that still binds in turn, for there is room for one.
+    fn next_told_name(&self) -> Option<NamedVersion> {
+        let named = self.rollout.borrow().named_versions(self.clock.now());
+        let turn = self.told_names.get();
+        self.told_names.set(turn.wrapping_add(1));
+        named.get(turn % named.len().max(1)).cloned()
+    }
+
     /// The load of the runner as gateways should see it now: with the places that were given since its
     /// last report, and busy when it takes nothing new.
     pub fn load_now(&self) -> Option<RunnerLoad> {
@@ -202,7 +212,7 @@
         load.busy |= rollout.is_evacuated(self.clock.now());
         load.busy |= rollout.runner_leaves();
         load.serves_in_ms = rollout.serves_in_ms(self.clock.now());
-        load.named = rollout.named(self.clock.now());
+        load.named = self.next_told_name();
         Some(load)
     }
 
--- a/components/fleet/src/named.rs
+++ b/components/fleet/src/named.rs
@@ -77,6 +77,11 @@
         self.names.iter().find(|it| it.version == version).copied()
     }
 
+    /// Every version that is known, oldest first.
+    pub fn all(&self) -> impl Iterator<Item = VersionName> + '_ {
+        self.names.iter().copied()
+    }
+
     /// The newest version.
     pub fn newest(&self) -> Option<VersionName> {
         self.names.last().copied()
@@ -102,6 +107,20 @@
         newer.map(|it| it.bound(version_ms)).min()
     }
 
+    /// The versions that others should hear of: those whose bound has yet to pass, and the newest. Oldest first.
+    pub fn told(&self, now: Millis, version_ms: u64) -> impl Iterator<Item = VersionName> + '_ {
+        let newest = self.newest().map(|it| it.version);
+        let binds =
+            move |it: &&VersionName| now < it.bound(version_ms) || Some(it.version) == newest;
+        self.names.iter().filter(binds).copied()
+    }
+
+    /// Forgets all but so many of the newest versions.
+    pub fn keep_newest(&mut self, count: usize) {
+        let surplus = self.names.len().saturating_sub(count);
+        self.names.drain(..surplus);
+    }
+
     /// Forgets versions that a newer one has made needless: its bound has passed at this moment.
     pub fn forget_before(&mut self, at: Millis, version_ms: u64) {
         let required = self.required(at, version_ms);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -37,7 +37,7 @@
 pub use members::{GatewayList, GatewaysHeard, HeardGateway, Members, Sureness};
 pub use notices::{Notice, Notices};
 pub use pool::Pool;
-pub use record::{FirstHeard, RecordAnswer, RecordCall, RecordRow, VersionRecord};
+pub use record::{FirstHeard, OlderName, RecordAnswer, RecordCall, RecordRow, VersionRecord};
 pub use reducer::Gateway;
 pub use runner::{Runner, RunnerLife, RunnerLoad, RunnerRecord, RunnerState, WeightsHeld};
 pub use standstill::StoreTable;
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -159,9 +159,9 @@
         self.named.required(now, model)
     }
 
-    /// The newest version that was named for each model.
+    /// The versions of each model that other processes should hear of, oldest first.
     pub fn named_versions(&self, now: Millis) -> Vec<NamedVersion> {
-        self.named.newest(now)
+        self.named.told(now)
     }
 
     /// A runner.
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -28,6 +28,18 @@
     pub version: u64,
     /// The store's clock at a moment when the version had not been named yet, in milliseconds.
     pub not_before_ms: u64,
+    /// The versions before it that still bind, for a row tells of one model and outlasts every process. Rows of earlier
+    /// builds tell of none.
+    pub older: Vec<OlderName>,
+}
+
+/// A version before the newest one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OlderName {
+    /// The version.
+    pub version: u64,
+    /// The store's clock at a moment when it had not been named yet, in milliseconds.
+    pub not_before_ms: u64,
 }
 
 /// A row of the record.
@@ -81,6 +93,8 @@
     version_ms: u64,
     /// Versions that are heard of, the newest of each model.
     newest: BTreeMap<ModelName, u64>,
+    /// What is known of versions that may still bind, by model and version, and until when they do.
+    known: BTreeMap<ModelName, BTreeMap<u64, (OlderName, Millis)>>,
     /// Versions whose age nobody has told yet.
     unknown: BTreeMap<ModelName, u64>,
     /// When the record is to be read.
@@ -103,6 +117,7 @@
         Self {
             version_ms,
             newest: BTreeMap::new(),
+            known: BTreeMap::new(),
             unknown: BTreeMap::new(),
             read_at: None,
             read_until: Millis(0),
@@ -136,7 +151,8 @@
             self.read_until = now.plus(self.version_ms);
             return;
         };
-        let heard = FirstHeard { model: model.clone(), version, not_before_ms };
+        self.remember(now, &model, OlderName { version, not_before_ms });
+        let heard = FirstHeard { model: model.clone(), version, not_before_ms, older: Vec::new() };
         let at = now.plus(seed % WRITE_SPREAD);
         let until = now.plus(self.version_ms);
         self.pending.insert(model, Pending { heard, at, until, has_differed: false });
@@ -181,7 +197,26 @@
         }
         let pending = self.pending.values().find(|it| it.at <= now)?;
         let revision = self.revisions.get(&pending.heard.model).copied().unwrap_or(0);
-        Some(RecordCall::Write(pending.heard.clone(), revision))
+        let older = self.older(now, &pending.heard);
+        Some(RecordCall::Write(FirstHeard { older, ..pending.heard.clone() }, revision))
+    }
+
+    /// Keeps a version in mind for as long as it can bind.
+    fn remember(&mut self, now: Millis, model: &ModelName, name: OlderName) {
+        let versions = self.known.entry(model.clone()).or_default();
+        versions.retain(|_, (_, until)| now < *until);
+        versions.entry(name.version).or_insert((name, now.plus(self.version_ms)));
+    }
+
+    /// The versions before a newer one that may still bind.
+    fn older(&self, now: Millis, newer: &FirstHeard) -> Vec<OlderName> {
+        let versions = self.known.get(&newer.model).into_iter().flatten();
+        let older = versions.filter(|(version, _)| **version < newer.version);
+        let binds = |(name, until): &(OlderName, Millis)| {
+            let before_ms = newer.not_before_ms.saturating_sub(name.not_before_ms);
+            now < *until && before_ms < self.version_ms
+        };
+        older.map(|(_, it)| it).filter(|it| binds(it)).map(|(name, _)| *name).collect()
     }
 
     /// When the next call is due.
@@ -203,7 +238,7 @@
                 self.failures = 0;
                 // The store may have read its clock as soon as it was asked.
                 let clock_ms = clock_ms.saturating_add(now.since(self.asked_at).0);
-                return self.take_rows(rows, clock_ms);
+                return self.take_rows(now, rows, clock_ms);
             }
             (RecordCall::Write(heard, _), RecordAnswer::Written(revision)) => {
                 self.failures = 0;
@@ -211,7 +246,7 @@
                 self.settle(heard);
             }
             (RecordCall::Write(heard, expected), RecordAnswer::Differs(row)) => {
-                self.take_other(heard, *expected, row);
+                self.take_other(now, heard, *expected, row);
                 self.pause_if_differed(now, seed, call);
             }
             // An answer to another call than the one that was made.
@@ -224,7 +259,7 @@
 
     /// Takes in every row, by what the store's clock may show now at the latest. Where nobody wrote one for a version
     /// its age stays unknown.
-    fn take_rows(&mut self, rows: Vec<RecordRow>, clock_ms: u64) -> Vec<NamedVersion> {
+    fn take_rows(&mut self, now: Millis, rows: Vec<RecordRow>, clock_ms: u64) -> Vec<NamedVersion> {
         self.read_at = None;
         let unknown = std::mem::take(&mut self.unknown);
         let mut ages = Vec::new();
@@ -233,13 +268,34 @@
                 continue;
             };
             self.revisions.insert(heard.model.clone(), revision);
+            self.remember_row(now, &heard);
             if unknown.get(&heard.model) == Some(&heard.version) {
+                ages.extend(
+                    heard.older.iter().map(|it| self.older_age(&heard.model, it, clock_ms)),
+                );
                 ages.extend(self.age(&heard, clock_ms));
             }
         }
         ages
     }
 
+    /// Keeps in mind what a row tells.
+    fn remember_row(&mut self, now: Millis, heard: &FirstHeard) {
+        let FirstHeard { version, not_before_ms, .. } = *heard;
+        for name in heard.older.iter().copied().chain([OlderName { version, not_before_ms }]) {
+            self.remember(now, &heard.model, name);
+        }
+    }
+
+    /// How old a version before the newest one is. Without an age where that is of no use: nobody else tells of it, and
+    /// it binds all the same.
+    fn older_age(&self, model: &ModelName, name: &OlderName, clock_ms: u64) -> NamedVersion {
+        let OlderName { version, not_before_ms } = *name;
+        let heard = FirstHeard { model: model.clone(), version, not_before_ms, older: Vec::new() };
+        let unknown = NamedVersion { model: model.clone(), version, age_ms: None };
+        self.age(&heard, clock_ms).unwrap_or(unknown)
+    }
+
     /// How old a version is by its row. `None` where that is of no use: the store's clock has gone back, or the
     /// process may serve from older versions for longer, because it has just started and nobody knows better.
     fn age(&self, heard: &FirstHeard, clock_ms: u64) -> Option<NamedVersion> {
@@ -251,8 +307,17 @@
     }
 
     /// Takes in the row that was found in place of the one expected.
-    fn take_other(&mut self, heard: &FirstHeard, expected: u64, row: Option<RecordRow>) {
+    fn take_other(
+        &mut self,
+        now: Millis,
+        heard: &FirstHeard,
+        expected: u64,
+        row: Option<RecordRow>,
+    ) {
         let found = row.as_ref().map_or(0, |it| it.revision);
+        if let Some(told) = row.as_ref().and_then(|it| it.heard.as_ref()) {
+            self.remember_row(now, told);
+        }
         self.revisions.insert(heard.model.clone(), found);
         let found_version = row.and_then(|it| it.heard).map_or(0, |it| it.version);
         // The same condition would fail for ever: the store contradicts itself.
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -108,7 +108,7 @@
         &self.members
     }
 
-    /// The newest version that was named for each model, as other processes are told of it.
+    /// The versions that were named for each model and still bind, as other processes are told of them.
     pub fn named_versions(&self, now: Millis) -> Vec<NamedVersion> {
         let mut named = self.pool.named_versions(now);
         if !self.options.ablation.keeps(Mechanism::VersionAges) {
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use fleet::{Millis, ModelName, NamedVersion, VersionName};
+use fleet::{Millis, ModelName, NamedVersion, VersionName, VersionNames};
 
 /// How long before its bound an older version is left alone, in milliseconds: before a request starts it
 /// may wait for a place, the place may be used a little later, and then it waits in the runner's queue.
@@ -13,7 +13,7 @@
 pub(crate) struct NamedVersions {
     /// How long requests may start on an older version after a newer one was named, in milliseconds.
     version_ms: u64,
-    by_model: HashMap<ModelName, Vec<VersionName>>,
+    by_model: HashMap<ModelName, VersionNames>,
 }
 
 impl NamedVersions {
@@ -27,42 +27,30 @@
         self.version_ms = version_ms;
     }
 
-    /// Takes in a version. Versions only rise, and each keeps its own bound when a newer one is named. Who hears
-    /// of a version late, or starts after it was named, is told its age by the others.
+    /// Takes in a version. Each keeps its own bound when a newer one is named, also where the newer one was heard of first.
+    /// Who hears of a version late, or starts after it was named, is told its age by the others.
     pub(crate) fn name(&mut self, now: Millis, named: NamedVersion) {
         let heard = VersionName::heard(now, named.version, named.age_ms);
-        let version_ms = self.version_ms;
         let names = self.by_model.entry(named.model).or_default();
-        let newest = names.last().map_or(0, |it| it.version);
-        if heard.version > newest {
-            names.push(heard);
-        } else if let Some(known) = names.iter_mut().find(|it| it.version == heard.version) {
-            known.merge(heard);
-        }
-        let is_required = |it: &VersionName| required_from(it, version_ms) <= now;
-        let required = names.iter().rposition(is_required).unwrap_or(0);
-        names.drain(..required);
+        names.take(heard);
+        names.forget_before(now.plus(VERSION_MARGIN), self.version_ms);
     }
 
     /// The oldest version of a model that a request may start on now.
     pub(crate) fn required(&self, now: Millis, model: &ModelName) -> u64 {
-        let names = self.by_model.get(model).into_iter().flatten();
-        let required = names.filter(|it| required_from(it, self.version_ms) <= now);
-        required.map(|it| it.version).max().unwrap_or(0)
+        let names = self.by_model.get(model);
+        names.map_or(0, |it| it.required(now.plus(VERSION_MARGIN), self.version_ms))
     }
 
-    /// The newest version that was named for each model.
-    pub(crate) fn newest(&self, now: Millis) -> Vec<NamedVersion> {
-        let newest = |(model, names): (&ModelName, &Vec<VersionName>)| {
-            let name = names.last()?;
-            let age_ms = name.known.then(|| now.since(name.at).0);
-            Some(NamedVersion { model: model.clone(), version: name.version, age_ms })
+    /// The versions of each model that other processes should hear of, oldest first.
+    pub(crate) fn told(&self, now: Millis) -> Vec<NamedVersion> {
+        let of_model = |(model, names): (&ModelName, &VersionNames)| {
+            let told = names.told(now, self.version_ms).map(|it| {
+                let age_ms = it.known.then(|| now.since(it.at).0);
+                NamedVersion { model: model.clone(), version: it.version, age_ms }
+            });
+            told.collect::<Vec<_>>()
         };
-        self.by_model.iter().filter_map(newest).collect()
+        self.by_model.iter().flat_map(of_model).collect()
     }
 }
-
-/// From when on no request is sent to a runner that holds an older version.
-fn required_from(name: &VersionName, version_ms: u64) -> Millis {
-    name.bound(version_ms).minus(VERSION_MARGIN)
-}
--- a/components/gateway/tests/record.rs
+++ b/components/gateway/tests/record.rs
@@ -1,7 +1,7 @@
 //! The record of when versions were first heard of, and what the store may do to it.
 
 use fleet::{Millis, ModelName, NamedVersion};
-use gateway::{FirstHeard, RecordAnswer, RecordCall, RecordRow, VersionRecord};
+use gateway::{FirstHeard, OlderName, RecordAnswer, RecordCall, RecordRow, VersionRecord};
 
 const VERSION_MS: u64 = 10_000;
 /// Longer than gateways that hear together write apart.
@@ -12,7 +12,14 @@
 }
 
 fn first_heard(version: u64, not_before_ms: u64) -> FirstHeard {
-    FirstHeard { model: model(), version, not_before_ms }
+    FirstHeard { model: model(), version, not_before_ms, older: Vec::new() }
+}
+
+/// The same behind a version that still binds.
+fn behind(version: u64, not_before_ms: u64, older: (u64, u64)) -> FirstHeard {
+    let (older, before) = older;
+    let older = vec![OlderName { version: older, not_before_ms: before }];
+    FirstHeard { older, ..first_heard(version, not_before_ms) }
 }
 
 fn row(version: u64, not_before_ms: u64, revision: u64) -> RecordRow {
@@ -64,7 +71,7 @@
     answer(&mut record, LATER, RecordAnswer::Written(9));
     record.hear(Millis(2000), 7, model(), 3, Some(7000));
     let due = record.due(Millis(2000 + LATER));
-    assert_eq!(due, Some(RecordCall::Write(first_heard(3, 7000), 9)));
+    assert_eq!(due, Some(RecordCall::Write(behind(3, 7000, (2, 5000)), 9)));
 }
 
 #[test]
@@ -80,7 +87,7 @@
     let mut record = witness();
     answer(&mut record, LATER, RecordAnswer::Differs(Some(row(1, 100, 4))));
     let due = record.due(Millis(LATER));
-    assert_eq!(due, Some(RecordCall::Write(first_heard(2, 5000), 4)));
+    assert_eq!(due, Some(RecordCall::Write(behind(2, 5000, (1, 100)), 4)));
 }
 
 #[test]
@@ -99,7 +106,7 @@
     record.hear(Millis(2000), 7, model(), 3, Some(7000));
     answer(&mut record, 2000 + LATER, RecordAnswer::Differs(None));
     let due = record.due(Millis(2000 + LATER));
-    assert_eq!(due, Some(RecordCall::Write(first_heard(3, 7000), 0)));
+    assert_eq!(due, Some(RecordCall::Write(behind(3, 7000, (2, 5000)), 0)));
 }
 
 #[test]
@@ -143,7 +150,7 @@
     answer(&mut record, LATER, RecordAnswer::Failed);
     record.hear(Millis(2000), 7, model(), 3, Some(7000));
     let due = record.due(Millis(2000 + LATER));
-    assert_eq!(due, Some(RecordCall::Write(first_heard(3, 7000), 0)));
+    assert_eq!(due, Some(RecordCall::Write(behind(3, 7000, (2, 5000)), 0)));
 }
 
 #[test]
@@ -224,7 +231,7 @@
     answer(&mut record, LATER, RecordAnswer::Differs(Some(row(1, 100, 5))));
     let again = record.next_at().expect("it is tried again");
     assert!(again.0 > LATER, "after a pause");
-    assert_eq!(record.due(again), Some(RecordCall::Write(first_heard(2, 5000), 5)));
+    assert_eq!(record.due(again), Some(RecordCall::Write(behind(2, 5000, (1, 100)), 5)));
 }
 
 #[test]
@@ -236,7 +243,7 @@
     // The revision that it had may have been given out for something else.
     assert_eq!(record.due(Millis(at)), Some(RecordCall::Write(first_heard(2, 5000), 0)));
     answer(&mut record, at, RecordAnswer::Differs(Some(row(1, 100, 4))));
-    assert_eq!(record.due(Millis(at)), Some(RecordCall::Write(first_heard(2, 5000), 4)));
+    assert_eq!(record.due(Millis(at)), Some(RecordCall::Write(behind(2, 5000, (1, 100)), 4)));
 }
 
 #[test]
@@ -250,3 +257,34 @@
     record.note_went_back(Millis(VERSION_MS + 1000), 0, |_| true);
     assert_eq!(record.next_at(), None);
 }
+
+#[test]
+fn a_row_names_the_versions_before_it_for_as_long_as_they_bind() {
+    let mut record = witness();
+    answer(&mut record, LATER, RecordAnswer::Written(9));
+    // Heard of within the span, but named too long before by the store's clock.
+    record.hear(Millis(2000), 7, model(), 3, Some(5000 + VERSION_MS));
+    let due = record.due(Millis(2000 + LATER));
+    assert_eq!(due, Some(RecordCall::Write(first_heard(3, 5000 + VERSION_MS), 9)));
+    let mut record = witness();
+    answer(&mut record, LATER, RecordAnswer::Written(9));
+    record.hear(Millis(VERSION_MS + 1), 7, model(), 3, Some(5000 + VERSION_MS - 1));
+    let due = record.due(Millis(VERSION_MS + 1 + LATER));
+    assert_eq!(due, Some(RecordCall::Write(first_heard(3, 5000 + VERSION_MS - 1), 9)));
+}
+
+#[test]
+fn who_finds_a_row_knows_the_versions_before_it_too() {
+    let mut record = VersionRecord::new(VERSION_MS);
+    record.hear(Millis(0), 7, model(), 3, None);
+    let found = RecordRow { heard: Some(behind(3, 7000, (2, 5000))), revision: 9 };
+    let told = answer(&mut record, 0, RecordAnswer::Rows(vec![found.clone()], 8000));
+    let told: Vec<(u64, Option<u64>)> = told.iter().map(|it| (it.version, it.age_ms)).collect();
+    assert_eq!(told, [(2, Some(3000)), (3, Some(1000))]);
+    // The first bound has nearly passed: a process that has just started may take as long as for an unknown age.
+    let mut record = VersionRecord::new(VERSION_MS);
+    record.hear(Millis(0), 7, model(), 3, None);
+    let told = answer(&mut record, 0, RecordAnswer::Rows(vec![found], 14_000));
+    let told: Vec<(u64, Option<u64>)> = told.iter().map(|it| (it.version, it.age_ms)).collect();
+    assert_eq!(told, [(2, None)], "and the newest one's age is of no use");
+}
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -330,16 +330,19 @@
         self.names.newest().unwrap_or(first)
     }
 
-    /// The version that should be served, as gateways are told of it, until its bound is over.
-    pub fn named(&self, now: Millis) -> Option<NamedVersion> {
-        let VersionName { version, at, known } = self.newest_name();
-        let age_ms = now.since(at).0;
-        if !known || age_ms > self.options.version_ms {
-            return None;
-        }
-        let model = self.plan.as_ref()?.model.clone();
-        let age_ms = self.keeps(Mechanism::VersionAges).then_some(age_ms);
-        Some(NamedVersion { model, version, age_ms })
+    /// The versions that were named, as gateways are told of them, each until its bound is over. Oldest first.
+    pub fn named_versions(&self, now: Millis) -> Vec<NamedVersion> {
+        let Some(plan) = &self.plan else {
+            return Vec::new();
+        };
+        let version_ms = self.options.version_ms;
+        let binds = |it: &VersionName| it.known && now.since(it.at).0 <= version_ms;
+        let told = self.names.told(now, version_ms).filter(binds).map(|it| NamedVersion {
+            model: plan.model.clone(),
+            version: it.version,
+            age_ms: self.keeps(Mechanism::VersionAges).then(|| now.since(it.at).0),
+        });
+        told.collect()
     }
 
     /// Whether a mechanism is at work.
