A version that may be used no more is not taken

An order of such a version was of no use before either: no place was given on it. Now none is staged once its own bound is past, and the time in which the runner will serve is reckoned by the newer one.

--- a/components/rollout/src/reducer/estimate.rs
+++ b/components/rollout/src/reducer/estimate.rs
@@ -21,16 +21,27 @@
             return Some(0);
         }
         let warm = self.plan.as_ref()?.warm_ms + REPORT_DELAY;
-        let left = match (self.current.as_ref()?.step, &self.current) {
-            (Step::Waiting(at), _) => self.until_order(now, at) + STAGING + warm,
-            (Step::Staging, _) => STAGING + warm,
-            (Step::Ordered(at, _), _) => at.plus(warm).since(now).0,
-            (Step::Drawing, Some(target)) => self.until_whole(now, target)? + STAGING + warm,
+        let target = self.usable_target(now)?;
+        let left = match target.step {
+            Step::Waiting(at) => self.until_order(now, at) + STAGING + warm,
+            Step::Staging => STAGING + warm,
+            Step::Ordered(at, _) => at.plus(warm).since(now).0,
+            Step::Drawing => self.until_whole(now, target)? + STAGING + warm,
             _ => return None,
         };
         u32::try_from(left).ok()
     }
 
+    /// The version that the runner serves next: the newer one where the other may be used no more.
+    fn usable_target(&self, now: Millis) -> Option<&Target> {
+        let current = self.current.as_ref()?;
+        if self.is_past(now, current.version) {
+            self.next.as_ref()
+        } else {
+            Some(current)
+        }
+    }
+
     /// How long the runner still works before it is ordered, in milliseconds.
     fn until_order(&self, now: Millis, at: Millis) -> u64 {
         let works = self.status.as_ref().is_some_and(|it| it.running > 0);
--- a/components/rollout/src/reducer/moves.rs
+++ b/components/rollout/src/reducer/moves.rs
@@ -168,6 +168,9 @@
             && !self.places.awaits_arrival(now);
         let is_evacuated = self.is_evacuated(now);
         let is_last_call = self.must_give_up(now);
+        if self.current.as_ref().is_some_and(|it| self.is_past(now, it.version)) {
+            return None;
+        }
         let target = self.current.as_mut()?;
         match target.step {
             // Its turn was for a runner that others would miss.
--- a/components/rollout/src/reducer/retirement.rs
+++ b/components/rollout/src/reducer/retirement.rs
@@ -20,7 +20,12 @@
     /// that is only assumed doesn't count.
     pub(super) fn must_give_up(&self, now: Millis) -> bool {
         let held = self.status.as_ref().and_then(|it| it.version).unwrap_or(0);
-        let bound = self.names.known_bound_of(held, self.options.version_ms);
+        self.is_past(now, held)
+    }
+
+    /// Whether a version is given up by now, or would be at once if the runner took it.
+    pub(super) fn is_past(&self, now: Millis, version: u64) -> bool {
+        let bound = self.names.known_bound_of(version, self.options.version_ms);
         bound.is_some_and(|it| now.plus(RETIRE_MARGIN) >= it)
     }
 
--- a/components/rollout/tests/bounds.rs
+++ b/components/rollout/tests/bounds.rs
@@ -124,3 +124,20 @@
     assert_eq!(fleet.retired.len(), 1);
     assert!(fleet.retired[0].2 <= bound - 200, "{:?}, the bound is at {bound}", fleet.retired);
 }
+
+/// Seen on a day with two versions in a row, after runners gave up versions for the first time: a sidecar that had every
+/// chunk of the version that was given up ordered it again, gave it up again, and so on, eleven orders in four seconds.
+#[test]
+fn a_version_that_was_given_up_is_not_taken_again() {
+    let mut fleet = Fleet::new(3, Some(1), 0);
+    fleet.run(3000);
+    fleet.name(2);
+    fleet.run(2000);
+    fleet.stalls = Some(3);
+    fleet.name(3);
+    fleet.run(VERSION_MS + 6000);
+    let orders: Vec<u64> = fleet.orders.iter().map(|it| it.1).collect();
+    assert_eq!(orders, [2, 2, 2], "each runner took version 2 once");
+    let retired: Vec<u64> = fleet.retired.iter().map(|it| it.1).collect();
+    assert_eq!(retired, [2, 2, 2], "and gave it up once");
+}
