--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -16,8 +16,10 @@
 use telemetry::Metrics;
 use uptime::Instant;
 
+use crate::answer_log::{log_answer, Told};
 use crate::era::Era;
 use crate::evacuated::EvacuatedHalls;
+use crate::freshness::{Arrival, Freshness};
 use crate::lapses::Lapses;
 use crate::lateness::{not_before, Lateness};
 use crate::link::{CallAnswer, Link};
@@ -65,8 +67,13 @@
     NotBefore(u64),
     /// The table has been read whole at least once.
     Whole,
-    /// The store answered a question that was asked so long ago: nothing newer was in the table than what was told.
-    Heard(Duration),
+    /// The store answered: nothing else was in the table than what was told.
+    Heard {
+        /// When the question was asked.
+        asked: Instant,
+        /// Up to when that is certain.
+        known: Instant,
+    },
     /// The store answers again, or does not any more.
     Reached(bool),
     /// The store came back from an older copy: what was written since is gone. What is told next is of that copy.
@@ -88,6 +95,9 @@
         faults: ToldFaults::default(),
         connected: true,
         asked: Instant::now(),
+        wait: Duration::ZERO,
+        freshness: Freshness::default(),
+        known: Instant::now(),
         heard: None,
         lateness: Lateness::default(),
         lapses: Lapses::default(),
@@ -102,18 +112,25 @@
         for record in watch.returns.take_due(Instant::now()) {
             deliver(Seen::Change { change: Change::Runner(record), late: true });
         }
-        let result = match watch.place {
-            Some(place) => watch.feed(place, &mut deliver).await,
-            None => watch.list(&mut deliver).await,
+        let (call, result) = match watch.place {
+            Some(place) => ("feed", watch.feed(place, &mut deliver).await),
+            None => ("list", watch.list(&mut deliver).await),
         };
+        log_answer(watch.options.table, call, watch.asked.elapsed(), &result);
+        let result = result.map(drop);
         let outcome = result.as_ref().map_or_else(|error| error.code.name(), |()| "ok");
         watch.options.metrics.count_platform(call_name(watch.options.table), outcome);
         let pause = match result {
             Ok(()) => {
                 failures = 0;
-                deliver(Seen::Heard(watch.asked.elapsed()));
+                deliver(Seen::Heard { asked: watch.asked, known: watch.known });
                 spacing
             }
+            Err(ref error) if is_history_gone(error) => {
+                let pause = watch.options.patience.pause_before_listing(failures);
+                failures = 0;
+                draw(pause)
+            }
             Err(_) => {
                 failures += 1;
                 draw(watch.options.patience.pause(failures))
@@ -128,6 +145,11 @@
     }
 }
 
+/// Whether the store has answered, and what was read before is of a history that is gone.
+fn is_history_gone(error: &Error) -> bool {
+    error.code == Code::NotFound
+}
+
 /// A pause out of a range.
 fn draw(pause: Range<Duration>) -> Duration {
     rand::rng().random_range(pause)
@@ -159,6 +181,11 @@
     connected: bool,
     /// When the question was asked that was answered last, or is open.
     asked: Instant,
+    /// How long the store was to wait for news then.
+    wait: Duration,
+    freshness: Freshness,
+    /// Up to when everything is known that is in the table.
+    known: Instant,
     /// When the store last answered.
     heard: Option<Instant>,
     lateness: Lateness,
@@ -169,13 +196,14 @@
 }
 
 impl Watch {
-    async fn list(&mut self, deliver: &mut impl FnMut(Seen)) -> Result<()> {
+    async fn list(&mut self, deliver: &mut impl FnMut(Seen)) -> Result<Told> {
         self.asked = Instant::now();
         let Listing { place, clock_ms, changes, faults } =
             list(&mut self.link, self.options.table, &self.options.era).await?;
-        self.note_answer();
+        self.note_answer(None, clock_ms);
         let went_back = self.note_era(place.era, deliver);
         self.faults.tell_all(self.options.table, &self.options.metrics, &faults);
+        let told = Told { rows: changes.len(), place };
         let listed: BTreeSet<InstanceId> = changes.iter().filter_map(listed_runner).collect();
         let gone: Vec<InstanceId> = self.runners.difference(&listed).cloned().collect();
         let lost = Lost { gone: gone.len(), known: self.runners.len() };
@@ -201,7 +229,7 @@
             let _ = self.calls.try_recv();
         }
         deliver(Seen::Whole);
-        Ok(())
+        Ok(told)
     }
 
     /// Takes in the era of a listing, and tells whether the store came back from an older copy since the one before.
@@ -223,7 +251,7 @@
         self.lapses.left(now).into_iter().chain(self.returns.left(now)).min()
     }
 
-    async fn feed(&mut self, place: StorePlace, deliver: &mut impl FnMut(Seen)) -> Result<()> {
+    async fn feed(&mut self, place: StorePlace, deliver: &mut impl FnMut(Seen)) -> Result<Told> {
         let patience = self.options.patience;
         let wait = patience.feed_wait(self.connected);
         let wait = self.due_in().map_or(wait, |left| wait.min(left));
@@ -249,12 +277,13 @@
             return Err(self.begin_again("the store came back from an older copy"));
         }
         let page: Page = store::read(self.options.table, &answer.success()?)?;
-        self.note_answer();
+        self.note_answer(Some(self.wait).filter(|_| page.rows == 0), page.clock_ms);
         self.faults.tell(self.options.table, &self.options.metrics, &page.faults);
         let was_silent = self.was_silent();
         let late = self.lateness.take_feed(was_silent, waited, page.changes.is_empty());
         let now = Instant::now();
         let read = StorePlace { era, revision: page.revision };
+        let told = Told { rows: page.rows, place: read };
         let evacuated = self.evacuated.take_feed(now, read, &page.changes, late);
         evacuated.into_iter().for_each(|list| deliver(Seen::Evacuations(list)));
         self.note_clock(page.clock_ms, waited, late, deliver);
@@ -264,14 +293,14 @@
         page.changes.into_iter().for_each(|change| self.pass_on(change, late, lost, deliver));
         self.heard = Some(Instant::now());
         self.place = Some(read.max(place));
-        Ok(())
+        Ok(told)
     }
 
     /// Asks for the changes behind a place. `None` where it is to be asked anew first.
     async fn ask(&mut self, place: StorePlace, wait: Duration) -> Option<Result<CallAnswer>> {
         let call = store::feed(self.options.table, place.revision, wait.as_millis() as u64);
         let begin = self.options.patience.feed_begin(wait);
-        self.asked = Instant::now();
+        (self.asked, self.wait) = (Instant::now(), wait);
         let answer = self.link.call_patiently(call, begin, PIECE_PAUSE);
         future::or(async { Some(answer.await) }, async {
             let _ = self.calls.recv().await;
@@ -310,8 +339,11 @@
         self.heard.is_none_or(|it| it.elapsed() > usual + LATE_AFTER)
     }
 
-    /// Notes that the store answered.
-    fn note_answer(&mut self) {
+    /// Notes that the store answered, and how long it waited where it had no news.
+    fn note_answer(&mut self, waited: Option<Duration>, clock_ms: Option<u64>) {
+        let arrived = Instant::now();
+        let answer = Arrival { asked: self.asked, arrived, waited, clock_ms };
+        self.known = self.freshness.take(&answer);
         if !self.connected {
             self.lapses.note_return(Instant::now());
         }
