--- a/daemon/tests/deployment/narrow_paths.rs
+++ b/daemon/tests/deployment/narrow_paths.rs
@@ -121,3 +121,29 @@
         runs.iter().map(|it| it.at.saturating_duration_since(bound)).collect();
     assert!(begun.is_empty(), "begun on version {} {begun:?} behind its bound", runs[0].version);
 }
+
+/// How long before its bound a version is given up at the latest that cannot be replaced.
+const GIVEN_UP: Duration = Duration::from_millis(120);
+
+/// A gateway that rests between two questions to the store hears of a version up to a quarter of a second after it was
+/// named, and took it for named at that moment: every bound that followed lay as much too late. Seen where gateways logged
+/// a version 0.2 s after it was acknowledged, and the version before it was given up 0.1 s before its bound.
+#[test]
+fn a_version_that_is_named_while_a_gateway_rests_is_as_old_as_it_may_be() {
+    let mut deployment = Deployment::start();
+    let runner = deployment.add_model_runner("e1", Some(1));
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    wait_until("streams are served", || stream(gateway, "first").whole);
+    deployment.standin.reconfigure(|it| it["services"][2]["origin"] = json!("127.77.0.1:9"));
+    thread::sleep(CALM);
+    // The gateway hears of this at once and rests then.
+    deployment.standin.reconfigure(|it| it["routes"][0]["timeoutMs"] = json!(4001));
+    thread::sleep(Duration::from_millis(30));
+    deployment.standin.name_version(2);
+    let bound = Instant::now() + VERSION;
+
+    sleep_until(bound - GIVEN_UP);
+    let taken = deployment.standin.runner(runner).map(|it| it.sequence);
+    assert_eq!(taken, Some(1), "the order to give up version 1 has been taken");
+}
