A version is as old as it may be when a gateway hears of it, not new

What callers saw: every bound that follows from a version's naming lay up to 0.25 s too late, which took that much from the margin before it. Cause: feeds of the operator's table are kept a quarter of a second apart, and what was written in that pause was taken for written when it was told. Class: the moment of hearing taken for the moment of the deed. Ruled out: the ages that others tell, for all of them came from the same answers.

Change: what an answer tells of happened behind the answer that did not hold it, or, where the store waited for it, when the answer was made.

--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -66,10 +66,10 @@
                 core.note_went_back();
             }
         }
-        Seen::Change { change, late } => {
+        Seen::Change { change, age } => {
             let concerns_sidecars = concerns_sidecars(&change) || turns_cold(&core, &change);
-            let version = heard_version(&change, since_ms.filter(|_| !late));
-            if let Some(event) = event(change, late) {
+            let version = heard_version(&change, since_ms.filter(|_| age.is_some()));
+            if let Some(event) = event(change, age) {
                 core.feed(event);
             }
             if let Some(version) = version {
@@ -147,7 +147,7 @@
 }
 
 /// What a change is to the reducer. `None` for what it is told of by whole lists.
-fn event(change: Change, late: bool) -> Option<Event> {
+fn event(change: Change, age: Option<Duration>) -> Option<Event> {
     Some(match change {
         Change::Configuration(catalog) => {
             let (routes, keys) = (catalog.route_count(), catalog.needs_keys());
@@ -155,8 +155,10 @@
             Event::Configured(Arc::new(*catalog))
         }
         Change::Version { model, version } => {
-            log::info!(model = model.0.as_str(), version = version; "version named");
-            Event::Named(NamedVersion { model, version, age_ms: (!late).then_some(0) })
+            // The bound runs from the naming, not from when this process heard of it.
+            let age_ms = age.map(|it| it.as_millis() as u64);
+            log::info!(model = model.0.as_str(), version = version, age_ms = age_ms; "version named");
+            Event::Named(NamedVersion { model, version, age_ms })
         }
         Change::Evacuated(_) | Change::Reopened(_) => return None,
         Change::Runner(record) => {
--- a/components/edge/src/lateness.rs
+++ b/components/edge/src/lateness.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use uptime::Instant;
+
 /// A feed that waited so long had nothing older to tell when it was asked: also a slow store answers
 /// sooner.
 const NOTHING_OLDER: Duration = Duration::from_millis(600);
@@ -63,5 +65,16 @@
     before_ms.max(answer_ms.saturating_sub(SLOW_ANSWER_MS))
 }
 
+/// The moment since which a change happened that an answer tells of. Everything up to `before` was known already, and the
+/// answer was made at `made`. Where the store `waited` for the change, it told of it at once; where it answered at once, the
+/// change may have lain there since `before`.
+pub fn happened_since(before: Instant, made: Instant, waited: Duration) -> Instant {
+    if waited < NOTHING_OLDER {
+        before
+    } else {
+        made
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/edge/src/lateness/tests.rs
+++ b/components/edge/src/lateness/tests.rs
@@ -57,3 +57,11 @@
 fn a_change_is_never_older_than_the_answer_that_did_not_hold_it() {
     assert_eq!(not_before(51_900, 52_000, AFTER_A_WAIT), 51_900);
 }
+
+#[test]
+fn a_change_happened_behind_the_answer_that_did_not_hold_it_or_while_the_store_waited_for_it() {
+    let before = Instant::now();
+    let made = before + Duration::from_millis(250);
+    assert_eq!(happened_since(before, made, AT_ONCE), before);
+    assert_eq!(happened_since(before, made, AFTER_A_WAIT), made);
+}
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -21,7 +21,7 @@
 use crate::evacuated::EvacuatedHalls;
 use crate::freshness::{Arrival, Freshness};
 use crate::lapses::Lapses;
-use crate::lateness::{not_before, Lateness};
+use crate::lateness::{happened_since, not_before, Lateness};
 use crate::link::{CallAnswer, Link};
 use crate::listing::{call_name, list, Listing, ToldFaults, PIECE_PAUSE};
 use crate::patience::Patience;
@@ -57,8 +57,8 @@
     Change {
         /// What.
         change: Change,
-        /// Whether it may have changed some time ago: the store was not heard before.
-        late: bool,
+        /// How long ago it happened at most. `None` where nobody knows: the store was not heard before.
+        age: Option<Duration>,
     },
     /// These data halls are evacuated.
     Evacuations(EvacuationList),
@@ -107,10 +107,10 @@
     let mut failures = 0;
     loop {
         for id in watch.lapses.take_due(Instant::now()) {
-            deliver(Seen::Change { change: Change::RunnerGone(id), late: true });
+            deliver(Seen::Change { change: Change::RunnerGone(id), age: None });
         }
         for record in watch.returns.take_due(Instant::now()) {
-            deliver(Seen::Change { change: Change::Runner(record), late: true });
+            deliver(Seen::Change { change: Change::Runner(record), age: None });
         }
         let (call, result) = match watch.place {
             Some(place) => ("feed", watch.feed(place, &mut deliver).await),
@@ -200,6 +200,7 @@
         self.asked = Instant::now();
         let Listing { place, clock_ms, changes, faults } =
             list(&mut self.link, self.options.table, &self.options.era).await?;
+        let before = self.known;
         self.note_answer(None, clock_ms);
         let went_back = self.note_era(place.era, deliver);
         self.faults.tell_all(self.options.table, &self.options.metrics, &faults);
@@ -208,7 +209,7 @@
         let gone: Vec<InstanceId> = self.runners.difference(&listed).cloned().collect();
         let lost = Lost { gone: gone.len(), known: self.runners.len() };
         for id in gone {
-            self.pass_on(Change::RunnerGone(id), true, lost, deliver);
+            self.pass_on(Change::RunnerGone(id), None, lost, deliver);
         }
         if self.options.table == Table::Operator {
             let evacuated = self.evacuated.take_listing(Instant::now(), place, &changes);
@@ -217,9 +218,10 @@
         let was_silent = self.was_silent();
         let late = self.lateness.take_listing(was_silent);
         self.note_clock(clock_ms, Duration::ZERO, late, deliver);
+        let age = self.greatest_age(late, Duration::ZERO, before);
         for change in changes {
             if !(went_back && self.returns.hold(Instant::now(), &change)) {
-                self.pass_on(change, late, lost, deliver);
+                self.pass_on(change, age, lost, deliver);
             }
         }
         self.heard = Some(Instant::now());
@@ -277,6 +279,7 @@
             return Err(self.begin_again("the store came back from an older copy"));
         }
         let page: Page = store::read(self.options.table, &answer.success()?)?;
+        let before = self.known;
         self.note_answer(Some(self.wait).filter(|_| page.rows == 0), page.clock_ms);
         self.faults.tell(self.options.table, &self.options.metrics, &page.faults);
         let was_silent = self.was_silent();
@@ -290,7 +293,8 @@
         let is_gone = |change: &&Change| matches!(change, Change::RunnerGone(_));
         let gone = page.changes.iter().filter(is_gone).count();
         let lost = Lost { gone, known: self.runners.len() };
-        page.changes.into_iter().for_each(|change| self.pass_on(change, late, lost, deliver));
+        let age = self.greatest_age(late, waited, before);
+        page.changes.into_iter().for_each(|change| self.pass_on(change, age, lost, deliver));
         self.heard = Some(Instant::now());
         self.place = Some(read.max(place));
         Ok(told)
@@ -349,8 +353,20 @@
         }
     }
 
+    /// How long ago what an answer tells of happened at most. `None` where it is late. Everything up to `before` was known
+    /// when the answer came, which took `waited`.
+    fn greatest_age(&self, late: bool, waited: Duration, before: Instant) -> Option<Duration> {
+        (!late).then(|| happened_since(before, self.known, waited).elapsed())
+    }
+
     /// Hands a change on, unless it is to be believed later only.
-    fn pass_on(&mut self, change: Change, late: bool, lost: Lost, deliver: &mut impl FnMut(Seen)) {
+    fn pass_on(
+        &mut self,
+        change: Change,
+        age: Option<Duration>,
+        lost: Lost,
+        deliver: &mut impl FnMut(Seen),
+    ) {
         match &change {
             Change::Runner(record) => {
                 self.runners.insert(record.id.clone());
@@ -369,7 +385,7 @@
             Change::RunnerUnreadable(id) => {
                 // Whatever the entry was before, another writer has put this in its place.
                 if self.runners.remove(id) {
-                    deliver(Seen::Change { change: Change::RunnerGone(id.clone()), late });
+                    deliver(Seen::Change { change: Change::RunnerGone(id.clone()), age });
                 }
                 return;
             }
@@ -378,7 +394,7 @@
             | Change::Evacuated(_)
             | Change::Reopened(_) => {}
         }
-        deliver(Seen::Change { change, late });
+        deliver(Seen::Change { change, age });
     }
 
     /// Logs when the store is lost and when it is back, and tells whether either happened.
--- a/daemon/tests/deployment/logs.rs
+++ b/daemon/tests/deployment/logs.rs
@@ -186,7 +186,7 @@
     let lines = || log.lines().filter_map(|it| serde_json::from_str::<serde_json::Value>(it).ok());
     let is_new = |it: &serde_json::Value| it["version"].as_u64().is_some_and(|it| it > 1);
     assert!(lines().any(|it| it["message"] == "configuration" && is_new(&it)), "{log}");
-    let mut answers = lines().filter(|it| it["message"] == "store answered");
+    let answers = lines().filter(|it| it["message"] == "store answered");
     let answer = answers.filter(|it| it["table"] == "Operator" && it["call"] == "feed").next_back();
     let answer = answer.expect("a line on an answer of the store");
     assert!(answer["asked_ms"].is_u64() && answer["revision"].is_u64(), "{answer}");
