Logs: what a process knows keeps a part of the allowance, and each answer of the store is told

After an incident nobody could say which answers of the store a gateway had had: requests that failed used up the allowance of lines, and 'configuration', 'store regained' and 'state' were dropped with ordinary lines.

New: one line for each call for a table of the store, with how long ago it was asked, rows, revision and era, or the reason.

--- /dev/null
+++ b/components/edge/src/answer_log.rs
@@ -0,0 +1,43 @@
+//! Log lines on the answers of the platform's store.
+
+use std::time::Duration;
+
+use errors::Result;
+use fleet::StorePlace;
+use platform::store::Table;
+
+/// What an answer of the store told.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    /// How many rows.
+    pub rows: usize,
+    /// The place in the store's history up to which it tells everything.
+    pub place: StorePlace,
+}
+
+/// Logs the outcome of a call for a table that was asked so long ago.
+pub fn log_answer(table: Table, call: &str, asked: Duration, outcome: &Result<Told>) {
+    let table = format!("{table:?}");
+    let asked_ms = asked.as_millis() as u64;
+    match outcome {
+        Ok(Told { rows, place }) => log::info!(
+            table = table.as_str(),
+            call = call,
+            asked_ms = asked_ms,
+            rows = rows,
+            revision = place.revision,
+            era = place.era;
+            "store answered"
+        ),
+        Err(error) => {
+            let reason = error.to_string();
+            log::info!(
+                table = table.as_str(),
+                call = call,
+                asked_ms = asked_ms,
+                reason = reason.as_str();
+                "store not heard"
+            );
+        }
+    }
+}
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -2,6 +2,7 @@
 //! `gateway` and `rollout` decide.
 
 mod additions;
+mod answer_log;
 mod clock;
 mod era;
 mod evacuated;
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -16,6 +16,7 @@
 use telemetry::Metrics;
 use uptime::Instant;
 
+use crate::answer_log::{log_answer, Told};
 use crate::era::Era;
 use crate::evacuated::EvacuatedHalls;
 use crate::lapses::Lapses;
@@ -102,10 +103,12 @@
         for record in watch.returns.take_due(Instant::now()) {
             deliver(Seen::Change { change: Change::Runner(record), late: true });
         }
-        let result = match watch.place {
-            Some(place) => watch.feed(place, &mut deliver).await,
-            None => watch.list(&mut deliver).await,
+        let (call, result) = match watch.place {
+            Some(place) => ("feed", watch.feed(place, &mut deliver).await),
+            None => ("list", watch.list(&mut deliver).await),
         };
+        log_answer(watch.options.table, call, watch.asked.elapsed(), &result);
+        let result = result.map(drop);
         let outcome = result.as_ref().map_or_else(|error| error.code.name(), |()| "ok");
         watch.options.metrics.count_platform(call_name(watch.options.table), outcome);
         let pause = match result {
@@ -169,13 +172,14 @@
 }
 
 impl Watch {
-    async fn list(&mut self, deliver: &mut impl FnMut(Seen)) -> Result<()> {
+    async fn list(&mut self, deliver: &mut impl FnMut(Seen)) -> Result<Told> {
         self.asked = Instant::now();
         let Listing { place, clock_ms, changes, faults } =
             list(&mut self.link, self.options.table, &self.options.era).await?;
         self.note_answer();
         let went_back = self.note_era(place.era, deliver);
         self.faults.tell_all(self.options.table, &self.options.metrics, &faults);
+        let told = Told { rows: changes.len(), place };
         let listed: BTreeSet<InstanceId> = changes.iter().filter_map(listed_runner).collect();
         let gone: Vec<InstanceId> = self.runners.difference(&listed).cloned().collect();
         let lost = Lost { gone: gone.len(), known: self.runners.len() };
@@ -201,7 +205,7 @@
             let _ = self.calls.try_recv();
         }
         deliver(Seen::Whole);
-        Ok(())
+        Ok(told)
     }
 
     /// Takes in the era of a listing, and tells whether the store came back from an older copy since the one before.
@@ -223,7 +227,7 @@
         self.lapses.left(now).into_iter().chain(self.returns.left(now)).min()
     }
 
-    async fn feed(&mut self, place: StorePlace, deliver: &mut impl FnMut(Seen)) -> Result<()> {
+    async fn feed(&mut self, place: StorePlace, deliver: &mut impl FnMut(Seen)) -> Result<Told> {
         let patience = self.options.patience;
         let wait = patience.feed_wait(self.connected);
         let wait = self.due_in().map_or(wait, |left| wait.min(left));
@@ -255,6 +259,7 @@
         let late = self.lateness.take_feed(was_silent, waited, page.changes.is_empty());
         let now = Instant::now();
         let read = StorePlace { era, revision: page.revision };
+        let told = Told { rows: page.changes.len(), place: read };
         let evacuated = self.evacuated.take_feed(now, read, &page.changes, late);
         evacuated.into_iter().for_each(|list| deliver(Seen::Evacuations(list)));
         self.note_clock(page.clock_ms, waited, late, deliver);
@@ -264,7 +269,7 @@
         page.changes.into_iter().for_each(|change| self.pass_on(change, late, lost, deliver));
         self.heard = Some(Instant::now());
         self.place = Some(read.max(place));
-        Ok(())
+        Ok(told)
     }
 
     /// Asks for the changes behind a place. `None` where it is to be asked anew first.
--- a/components/telemetry/src/bounded.rs
+++ b/components/telemetry/src/bounded.rs
@@ -11,17 +11,13 @@
 use log::{Level, LevelFilter, Record};
 use serde_json::json;
 
+use crate::allowance::{Allowance, LineKind};
 use crate::logs::{render, unix_millis};
 
 /// The target of lines that are JSON already.
 pub const REQUEST_TARGET: &str = "request";
 /// Lines that wait for the writer.
 const QUEUE: usize = 512;
-/// The part of the allowance that only warnings, errors and requests that failed may use.
-const RESERVED_SHARE: f64 = 0.5;
-/// Seconds of allowance that may be saved up.
-const BURST_S: f64 = 2.0;
-
 /// How often the log says how many lines were dropped.
 const TELL_DROPPED_EVERY: Duration = Duration::from_secs(1);
 
@@ -33,34 +29,6 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
-/// An allowance of lines that refills with time.
-struct Allowance {
-    per_s: f64,
-    left: f64,
-    at: Instant,
-}
-
-impl Allowance {
-    fn new(per_s: u32) -> Self {
-        let per_s = f64::from(per_s);
-        Self { per_s, left: per_s * BURST_S, at: Instant::now() }
-    }
-
-    /// Takes a line. Ordinary ones leave a part to those that tell of failures.
-    fn take(&mut self, urgent: bool) -> bool {
-        let now = Instant::now();
-        let gained = now.duration_since(self.at).as_secs_f64() * self.per_s;
-        self.left = (self.left + gained).min(self.per_s * BURST_S);
-        self.at = now;
-        let floor = if urgent { 0.0 } else { self.per_s * BURST_S * RESERVED_SHARE };
-        if self.left < floor + 1.0 {
-            return false;
-        }
-        self.left -= 1.0;
-        true
-    }
-}
-
 /// The logs of the process, to change how much they say.
 pub struct BoundedLogs {
     allowance: Arc<Mutex<Allowance>>,
@@ -71,7 +39,7 @@
     pub fn set(&self, level: &str, lines_per_s: u32) -> Result<()> {
         let level = read_level(level)?;
         let poisoned = |_| Error::new(Code::Internal, "the allowance of lines is lost");
-        self.allowance.lock().map_err(poisoned)?.per_s = f64::from(lines_per_s);
+        self.allowance.lock().map_err(poisoned)?.set(lines_per_s);
         log::set_max_level(level);
         Ok(())
     }
@@ -91,7 +59,7 @@
         .name("log-writer".into())
         .spawn(move || write(&name, &receiver))
         .map_err(|error| Error::new(Code::Internal, error.to_string()))?;
-    let allowance = Arc::new(Mutex::new(Allowance::new(lines_per_s)));
+    let allowance = Arc::new(Mutex::new(Allowance::new(Instant::now(), lines_per_s)));
     let logs = BoundedLogs { allowance: allowance.clone() };
     let instance = instance.to_owned();
     fern::Dispatch::new()
@@ -111,8 +79,8 @@
 }
 
 fn pass_on(record: &Record<'_>, sender: &SyncSender<String>, allowance: &Mutex<Allowance>) {
-    let urgent = record.level() <= Level::Warn;
-    let allowed = allowance.lock().is_ok_and(|mut it| it.take(urgent));
+    let kind = kind(record);
+    let allowed = allowance.lock().is_ok_and(|mut it| it.take(Instant::now(), kind));
     let sent = allowed
         && !matches!(sender.try_send(record.args().to_string()), Err(TrySendError::Full(_)));
     if !sent {
@@ -120,6 +88,15 @@
     }
 }
 
+/// What a line tells of.
+fn kind(record: &Record<'_>) -> LineKind {
+    match (record.target(), record.level()) {
+        (REQUEST_TARGET, Level::Error | Level::Warn) => LineKind::FailedRequest,
+        (REQUEST_TARGET, _) => LineKind::Request,
+        _ => LineKind::Process,
+    }
+}
+
 /// Writes lines for as long as the process runs, as many at once as wait, and says what was dropped.
 fn write(instance: &str, receiver: &Receiver<String>) {
     let mut told = 0;
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,5 +1,6 @@
 //! Structured logs and metrics.
 
+mod allowance;
 mod bounded;
 mod crashes;
 mod logs;
--- a/daemon/tests/deployment/logs.rs
+++ b/daemon/tests/deployment/logs.rs
@@ -161,3 +161,34 @@
     assert_eq!(digest("/post/x", "try-2", gateways[1]), first);
     assert_ne!(digest("/post/y", "try-3", gateways[1]), first);
 }
+
+/// Callers were handled by an old configuration, and no log told which answers of the store the gateway had had: lines
+/// on requests had used up the allowance.
+#[test]
+fn what_a_gateway_knows_is_logged_while_requests_use_up_the_allowance() {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    deployment.rewrite_settings(gateway.ip(), "log_lines_per_s = 1000", "log_lines_per_s = 20");
+    deployment.signal(gateway.ip(), Signal::HUP);
+    wait_until("the log tells of the new allowance", || {
+        deployment.log(gateway.ip()).contains("node.log_lines_per_s")
+    });
+    for number in 0..300 {
+        let answer = Caller::new(Method::GET, "/nowhere/x", &format!("n{number}")).call(gateway);
+        assert_eq!(answer.status, 404);
+    }
+    deployment.standin.reconfigure(|it| it["routes"][1]["pathPrefix"] = serde_json::json!("/new/"));
+    wait_until("the new configuration is in force", || {
+        Caller::new(Method::GET, "/new/x", "in-force").call(gateway).status == 200
+    });
+    let log = deployment.log(gateway.ip());
+    let lines = || log.lines().filter_map(|it| serde_json::from_str::<serde_json::Value>(it).ok());
+    let is_new = |it: &serde_json::Value| it["version"].as_u64().is_some_and(|it| it > 1);
+    assert!(lines().any(|it| it["message"] == "configuration" && is_new(&it)), "{log}");
+    let is_feed = |it: &serde_json::Value| it["table"] == "Operator" && it["call"] == "feed";
+    let answer = lines().filter(|it| it["message"] == "store answered").rfind(is_feed);
+    let answer = answer.expect("a line on an answer of the store");
+    assert!(answer["asked_ms"].is_u64() && answer["revision"].is_u64(), "{answer}");
+    assert_eq!(answer["rows"], 1, "{answer}");
+}
