--- a/daemon/tests/deployment/outages.rs
+++ b/daemon/tests/deployment/outages.rs
@@ -5,7 +5,7 @@
 
 use http::Method;
 use platform_standin::{Caller, StoreFault};
-use serde_json::json;
+use serde_json::{json, Value};
 
 use crate::neighbour;
 use crate::support::{wait_until, Deployment};
@@ -13,6 +13,11 @@
 /// How long after an outage of the store its changes are in force again, as the platform's bounds say.
 const CONTACT: Duration = Duration::from_millis(3000);
 
+/// How soon behind the answer that a history is gone its table is read, in milliseconds.
+const READ_AT_ONCE_MS: u64 = 300;
+/// How long an answer of the store confirms a configuration: the wait of a feed, the pause before it, and a margin.
+const CONFIRMED: Duration = Duration::from_millis(2500);
+
 /// Silences the store until it has taken so many calls for a table, and gives when it spoke again. The last
 /// of these calls was sent in its last moment and is lost.
 fn silence(deployment: &Deployment, table: &str, calls: u64) -> Instant {
@@ -109,6 +114,78 @@
     assert_eq!(Caller::new(Method::GET, "/get/x", "h2").call(gateway).status, 404);
 }
 
+/// When lines of a log on calls for a table tell this, in milliseconds.
+fn told_at(log: &str, table: &str, is_it: impl Fn(&Value) -> bool) -> Vec<u64> {
+    let lines = log.lines().filter_map(|it| serde_json::from_str::<Value>(it).ok());
+    let lines = lines.filter(|it| it["table"] == table && is_it(it));
+    lines.filter_map(|it| it["ts_ms"].as_u64()).collect()
+}
+
+/// Callers were handled by a configuration that had been replaced (docs/incidents/mizani-tips-config.md).
+///
+/// The store was away, and had forgotten its history when it was back. The first call that it answered was told so. That
+/// counted as one more call in a row that failed, so the gateway paused for up to 1.2 s and read the table only then. With
+/// the lost call and the pause before it a gateway could be deaf for longer than the contact time.
+#[test]
+fn a_table_whose_history_is_gone_is_read_at_once_however_long_the_store_was_away() {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    deployment.standin.set_store_fault(StoreFault::Busy);
+    let is_unheard = |it: &Value| it["message"] == "store not heard";
+    for table in ["Operator", "Runners"] {
+        wait_until("many calls in a row have failed", || {
+            told_at(&deployment.log(gateway.ip()), table, is_unheard).len() >= 6
+        });
+    }
+    deployment.standin.reconfigure(|it| it["routes"][1]["pathPrefix"] = json!("/new/"));
+    deployment.standin.forget_history();
+    deployment.standin.set_store_fault(StoreFault::None);
+    wait_until("both tables are read", || {
+        let log = deployment.log(gateway.ip());
+        let reads = |table| told_at(&log, table, |it| it["call"] == "list").len();
+        reads("Operator") >= 2 && reads("Runners") >= 2
+    });
+    let log = deployment.log(gateway.ip());
+    for table in ["Operator", "Runners"] {
+        let is_gone = |it: &Value| it["reason"].as_str().is_some_and(|it| it.contains("history"));
+        let gone_at = *told_at(&log, table, is_gone).last().expect("an answer that says so");
+        let read_at = *told_at(&log, table, |it| it["call"] == "list").last().unwrap();
+        assert!(read_at - gone_at <= READ_AT_ONCE_MS, "{table}: after {} ms", read_at - gone_at);
+    }
+    assert_eq!(Caller::new(Method::GET, "/new/x", "n1").call(gateway).status, 200);
+}
+
+/// A gateway refused a request with 404 by a configuration that had been replaced
+/// (docs/incidents/mizani-tips-config.md).
+///
+/// The store made an answer without news and delivered it late; right after it had been made a new configuration was
+/// acknowledged, and the next call was lost. The gateway took the moment at which the answer arrived for the moment up to
+/// which it knew everything, and refused for good for as much longer as the answer had been late.
+#[test]
+fn an_answer_confirms_a_configuration_from_when_it_was_made() {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    deployment.standin.set_store_fault(StoreFault::Late);
+    let made = || deployment.standin.late_answers("op");
+    // The first one may have been asked for before answers were late.
+    let before = made();
+    wait_until("an answer has been made", || made() > before + 1);
+    deployment.standin.set_store_fault(StoreFault::Silent);
+    deployment.standin.reconfigure(|it| {
+        let mut route = it["routes"][1].clone();
+        route["name"] = json!("new");
+        route["pathPrefix"] = json!("/new/");
+        it["routes"].as_array_mut().unwrap().push(route);
+    });
+    let replaced = Instant::now();
+    let caller = Caller::new(Method::GET, "/new/x", "n1");
+    assert_eq!(caller.call(gateway).status, 404, "the gateway cannot know yet");
+    std::thread::sleep(CONFIRMED.saturating_sub(replaced.elapsed()));
+    assert_eq!(caller.call(gateway).status, 503);
+}
+
 /// Entries of runners lapse while they cannot reach the store, and those of the living are back soon after
 /// it is.
 #[test]
