A table whose history is gone is listed at once, however long the store was away

The answer that the history is gone (410, or another era) counted as one more call in a row that failed: on top of the pause before that call the gateway paused again, for up to 1.2 s, and listed the table only then. A lost call of 0.85 s and two such pauses are more than the contact time of 3.0 s. Now nothing is waited for; processes that had not lost the store and hear of it together are still kept apart by up to 100 ms.

A feed that is lost at the end of an outage may be followed by the same answer, so feeds leave 150 ms more: they wait 1.75 s where the contact time is 3.0 s, and 3.75 s where it is 5.0 s. The property test of that is new; with feeds of 1.9 s it would be off by 0.1 s.

--- a/components/edge/src/patience.rs
+++ b/components/edge/src/patience.rs
@@ -28,6 +28,8 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
 /// The longest pause where it leaves less: the store is not pressed even then.
 const SHORTEST_LONGEST_PAUSE: Duration = Duration::from_millis(300);
+/// What the answer that a history is gone may take. It is followed by a listing at once.
+const HISTORY_GONE: Duration = Duration::from_millis(150);
 /// What is kept free for a new connection, the call behind it and a processor that is busy. Over a core that
 /// has a fifth of its time, answers were taken 20 to 60 ms late.
 const MARGIN: Duration = Duration::from_millis(200);
@@ -53,7 +55,7 @@
         if !connected {
             return PROBE_WAIT;
         }
-        let kept = SLACK + Duration::from_millis(FIRST_PAUSE.end) + MARGIN;
+        let kept = SLACK + Duration::from_millis(FIRST_PAUSE.end) + HISTORY_GONE + MARGIN;
         self.contact.saturating_sub(kept).clamp(SHORTEST_WAIT, LONGEST_WAIT)
     }
 
@@ -81,6 +83,16 @@
         least..pause(LATER_PAUSE.end).min(longest)
     }
 
+    /// The range of the pause before a table is listed whose history is gone, after so many calls in a row that
+    /// failed. The store answers, so nothing is waited for: processes that heard of it together are kept apart, and
+    /// those that had lost the store are so already.
+    pub fn pause_before_listing(&self, failures: u32) -> Range<Duration> {
+        if failures == 0 {
+            return self.pause(1);
+        }
+        Duration::ZERO..Duration::from_millis(1)
+    }
+
     /// The longest pause. A call that failed before it may have been a listing.
     fn longest_pause(&self) -> Duration {
         let left = self.contact.saturating_sub(Self::LIST_BEGIN + MARGIN);
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -117,6 +117,11 @@
                 deliver(Seen::Heard(watch.asked.elapsed()));
                 spacing
             }
+            Err(ref error) if is_history_gone(error) => {
+                let pause = watch.options.patience.pause_before_listing(failures);
+                failures = 0;
+                draw(pause)
+            }
             Err(_) => {
                 failures += 1;
                 draw(watch.options.patience.pause(failures))
@@ -131,6 +136,11 @@
     }
 }
 
+/// Whether the store has answered, and what was read before is of a history that is gone.
+fn is_history_gone(error: &Error) -> bool {
+    error.code == Code::NotFound
+}
+
 /// A pause out of a range.
 fn draw(pause: Range<Duration>) -> Duration {
     rand::rng().random_range(pause)
--- a/components/edge/tests/patience.rs
+++ b/components/edge/tests/patience.rs
@@ -27,6 +27,26 @@
         prop_assert!(lost_for <= contact, "{lost_for:?} of {contact:?} after {failures} failures");
     }
 
+    #[test]
+    fn a_table_is_listed_within_the_contact_time_though_a_feed_was_lost_and_its_history_is_gone(
+        contact in contact(),
+        failures in 1..FAILURES,
+    ) {
+        let patience = Patience::new(contact);
+        let wait = patience.feed_wait(failures == 1);
+        let lost_for = patience.feed_begin(wait) + patience.pause(failures).end + CALL;
+        let listed = lost_for + patience.pause_before_listing(failures).end + CALL;
+        prop_assert!(listed <= contact, "{listed:?} of {contact:?} after {failures} failures");
+    }
+
+    #[test]
+    fn processes_that_hear_together_that_a_history_is_gone_do_not_list_together(
+        contact in contact(),
+    ) {
+        let pause = Patience::new(contact).pause_before_listing(0);
+        prop_assert!(pause.end - pause.start >= Duration::from_millis(100), "{pause:?}");
+    }
+
     #[test]
     fn a_listing_that_is_lost_at_the_end_of_an_outage_is_asked_again_within_the_contact_time(
         contact in contact(),
