An answer of the store confirms what it knew when it was made, not when it arrived

A slow store, a full link or a busy processor delivers answers late. The moment of the arrival was taken for the moment up to which everything was known, so a configuration that had been replaced in between was held to be confirmed, and routes and keys that it lacks were refused with 404 and 401, for as much longer as the answer had been late.

Now an answer without news is as old as the end of the wait that was asked for, and one with news as old as the store's clock says (its way since the answer before), never older than its question. The ages in logs, metrics and towards sidecars (a list that calls a runner warm) follow from it.

Ruled out: to count from the question. A feed that waited for long and then told of a change would leave the configuration unconfirmed until the next one ends.

Test: 404 2.5 s after a configuration was replaced before; 503 now. The test asks for 404 after the answer has arrived, not before: with every answer 0.7 s late nothing is confirmed in between.

--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -52,9 +52,9 @@
             core.tell_sidecars();
         }
         Seen::Evacuations(list) => core.feed(Event::Evacuations(list)),
-        Seen::Heard(took) => {
-            tables.of(table).note_heard();
-            let asked = core.clock.now().minus(took.as_millis() as u64 + 1);
+        Seen::Heard { asked, known } => {
+            tables.of(table).note_heard(known);
+            let asked = core.clock.now().minus(asked.elapsed().as_millis() as u64 + 1);
             core.feed(Event::Confirmed(store_table(table), asked));
             if table == Table::Runners {
                 core.feed(Event::ListHeard);
--- a/components/edge/src/gateway/sidecars/tests.rs
+++ b/components/edge/src/gateway/sidecars/tests.rs
@@ -74,7 +74,7 @@
     block_on(async {
         let core = core().await;
         assert_eq!(told_cold_ms(&core), None, "the store was never heard");
-        core.tables.runners.note_heard();
+        core.tables.runners.note_heard(Instant::now());
         assert_eq!(told_cold_ms(&core), Some(0));
         Timer::after(WARM_WORD_AGE + Duration::from_millis(20)).await;
         assert_eq!(told_cold_ms(&core), None, "the runner may have started since");
@@ -88,8 +88,8 @@
 fn what_was_believed_before_a_suspension_is_as_old_as_it_is() {
     block_on(async {
         let core = core().await;
-        core.tables.runners.note_heard();
-        core.tables.operator.note_heard();
+        core.tables.runners.note_heard(Instant::now());
+        core.tables.operator.note_heard(Instant::now());
         let load = RunnerLoad {
             life: Default::default(),
             running: 0,
--- a/components/edge/src/gateway/tables.rs
+++ b/components/edge/src/gateway/tables.rs
@@ -17,7 +17,7 @@
     pub whole: Cell<bool>,
     /// Whether the store does not answer questions for it any more.
     pub lost: Cell<bool>,
-    /// When the store last answered a question for it.
+    /// Up to when everything is known of it that the store has.
     heard: Cell<Option<Instant>>,
 }
 
@@ -32,17 +32,17 @@
         !self.lost.get() && self.was_heard_within(self.longest_gap)
     }
 
-    /// Whether the store answered a question for it within the last `span`.
+    /// Whether everything is known that the store had at some moment within the last `span`.
     pub fn was_heard_within(&self, span: Duration) -> bool {
         self.heard.get().is_some_and(|at| at.elapsed() <= span)
     }
 
-    /// Takes in that the store answered.
-    pub fn note_heard(&self) {
-        self.heard.set(Some(Instant::now()));
+    /// Takes in an answer of the store, by which everything is known up to a moment.
+    pub fn note_heard(&self, up_to: Instant) {
+        self.heard.set(Some(up_to));
     }
 
-    /// How long ago the store last answered, in milliseconds. `None` where it never did.
+    /// How long ago everything was known, in milliseconds. `None` where the store never answered.
     pub fn age_ms(&self) -> Option<u64> {
         self.heard.get().map(|at| at.elapsed().as_millis() as u64)
     }
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -7,6 +7,7 @@
 mod era;
 mod evacuated;
 mod exchange;
+mod freshness;
 mod gateway;
 mod lapses;
 mod lateness;
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -19,6 +19,7 @@
 use crate::answer_log::{log_answer, Told};
 use crate::era::Era;
 use crate::evacuated::EvacuatedHalls;
+use crate::freshness::{Arrival, Freshness};
 use crate::lapses::Lapses;
 use crate::lateness::{not_before, Lateness};
 use crate::link::{CallAnswer, Link};
@@ -66,8 +67,13 @@
     NotBefore(u64),
     /// The table has been read whole at least once.
     Whole,
-    /// The store answered a question that was asked so long ago: nothing newer was in the table than what was told.
-    Heard(Duration),
+    /// The store answered: nothing else was in the table than what was told.
+    Heard {
+        /// When the question was asked.
+        asked: Instant,
+        /// Up to when that is certain.
+        known: Instant,
+    },
     /// The store answers again, or does not any more.
     Reached(bool),
     /// The store came back from an older copy: what was written since is gone. What is told next is of that copy.
@@ -89,6 +95,9 @@
         faults: ToldFaults::default(),
         connected: true,
         asked: Instant::now(),
+        wait: Duration::ZERO,
+        freshness: Freshness::default(),
+        known: Instant::now(),
         heard: None,
         lateness: Lateness::default(),
         lapses: Lapses::default(),
@@ -114,7 +123,7 @@
         let pause = match result {
             Ok(()) => {
                 failures = 0;
-                deliver(Seen::Heard(watch.asked.elapsed()));
+                deliver(Seen::Heard { asked: watch.asked, known: watch.known });
                 spacing
             }
             Err(ref error) if is_history_gone(error) => {
@@ -172,6 +181,11 @@
     connected: bool,
     /// When the question was asked that was answered last, or is open.
     asked: Instant,
+    /// How long the store was to wait for news then.
+    wait: Duration,
+    freshness: Freshness,
+    /// Up to when everything is known that is in the table.
+    known: Instant,
     /// When the store last answered.
     heard: Option<Instant>,
     lateness: Lateness,
@@ -186,7 +200,7 @@
         self.asked = Instant::now();
         let Listing { place, clock_ms, changes, faults } =
             list(&mut self.link, self.options.table, &self.options.era).await?;
-        self.note_answer();
+        self.note_answer(None, clock_ms);
         let went_back = self.note_era(place.era, deliver);
         self.faults.tell_all(self.options.table, &self.options.metrics, &faults);
         let told = Told { rows: changes.len(), place };
@@ -263,13 +277,13 @@
             return Err(self.begin_again("the store came back from an older copy"));
         }
         let page: Page = store::read(self.options.table, &answer.success()?)?;
-        self.note_answer();
+        self.note_answer(Some(self.wait).filter(|_| page.rows == 0), page.clock_ms);
         self.faults.tell(self.options.table, &self.options.metrics, &page.faults);
         let was_silent = self.was_silent();
         let late = self.lateness.take_feed(was_silent, waited, page.changes.is_empty());
         let now = Instant::now();
         let read = StorePlace { era, revision: page.revision };
-        let told = Told { rows: page.changes.len(), place: read };
+        let told = Told { rows: page.rows, place: read };
         let evacuated = self.evacuated.take_feed(now, read, &page.changes, late);
         evacuated.into_iter().for_each(|list| deliver(Seen::Evacuations(list)));
         self.note_clock(page.clock_ms, waited, late, deliver);
@@ -286,7 +300,7 @@
     async fn ask(&mut self, place: StorePlace, wait: Duration) -> Option<Result<CallAnswer>> {
         let call = store::feed(self.options.table, place.revision, wait.as_millis() as u64);
         let begin = self.options.patience.feed_begin(wait);
-        self.asked = Instant::now();
+        (self.asked, self.wait) = (Instant::now(), wait);
         let answer = self.link.call_patiently(call, begin, PIECE_PAUSE);
         future::or(async { Some(answer.await) }, async {
             let _ = self.calls.recv().await;
@@ -325,8 +339,11 @@
         self.heard.is_none_or(|it| it.elapsed() > usual + LATE_AFTER)
     }
 
-    /// Notes that the store answered.
-    fn note_answer(&mut self) {
+    /// Notes that the store answered, and how long it waited where it had no news.
+    fn note_answer(&mut self, waited: Option<Duration>, clock_ms: Option<u64>) {
+        let arrived = Instant::now();
+        let answer = Arrival { asked: self.asked, arrived, waited, clock_ms };
+        self.known = self.freshness.take(&answer);
         if !self.connected {
             self.lapses.note_return(Instant::now());
         }
--- a/daemon/tests/deployment/outages.rs
+++ b/daemon/tests/deployment/outages.rs
@@ -15,6 +15,8 @@
 
 /// How soon behind the answer that a history is gone its table is read, in milliseconds.
 const READ_AT_ONCE_MS: u64 = 300;
+/// When an answer has arrived that the store delivers late.
+const DELIVERED: Duration = Duration::from_millis(1000);
 /// How long an answer of the store confirms a configuration: the wait of a feed, the pause before it, and a margin.
 const CONFIRMED: Duration = Duration::from_millis(2500);
 
@@ -181,6 +183,7 @@
     });
     let replaced = Instant::now();
     let caller = Caller::new(Method::GET, "/new/x", "n1");
+    std::thread::sleep(DELIVERED.saturating_sub(replaced.elapsed()));
     assert_eq!(caller.call(gateway).status, 404, "the gateway cannot know yet");
     std::thread::sleep(CONFIRMED.saturating_sub(replaced.elapsed()));
     assert_eq!(caller.call(gateway).status, 503);
