A named version is forgotten only for one whose age is known

Found by reading the mend again: a version of unknown age is taken to bind three seconds after it was heard of, and the versions before it were forgotten then.

--- a/components/fleet/src/named.rs
+++ b/components/fleet/src/named.rs
@@ -121,9 +121,10 @@
         self.names.drain(..surplus);
     }
 
-    /// Forgets versions that a newer one has made needless: its bound has passed at this moment.
+    /// Forgets versions that a newer one has made needless: its bound has passed at this moment. One whose age is only
+    /// assumed makes none needless, for it may turn out to be younger.
     pub fn forget_before(&mut self, at: Millis, version_ms: u64) {
-        let required = self.required(at, version_ms);
-        self.names.retain(|it| it.version >= required);
+        let passed = self.names.iter().rposition(|it| it.known && it.bound(version_ms) <= at);
+        self.names.drain(..passed.unwrap_or(0));
     }
 }
