--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -8,9 +8,9 @@
 use fleet::{InstanceId, Millis};
 
 use crate::digest::RequestDigest;
-use crate::ledger::{
-    CrashChange, CrashLedger, CrashList, LifeDigest, RequestStatus, SUCCESS_COUNTS_FOR,
-};
+use crate::ledger::{CrashChange, CrashLedger, RequestStatus, SUCCESS_COUNTS_FOR};
+use crate::life::LifeDigest;
+use crate::told::CrashList;
 
 /// How long a runner has to show that it lives, in milliseconds: longer than the pause between two reports
 /// to other halls.
--- a/components/quarantine/src/ledger.rs
+++ b/components/quarantine/src/ledger.rs
@@ -4,96 +4,22 @@
 //! are united by what processes tell each other, in any order and as often as they like. So only those runners end under
 //! such a request that begin it before the third crash is known everywhere.
 
+mod entry;
+
 use std::collections::{BTreeMap, BTreeSet};
 
-use fleet::{InstanceId, Millis};
-use serde::{Deserialize, Serialize};
+use fleet::Millis;
 
+pub(crate) use self::entry::SUCCESS_COUNTS_FOR;
+use self::entry::{Entry, QUARANTINE_AT};
 use crate::digest::RequestDigest;
+use crate::life::LifeDigest;
+use crate::told::{CrashList, Told, ToldRequest};
 
-/// Runners that a request has ended, without a success since, when it is in quarantine. One or two may end under
-/// anybody's: whoever shares a runner with the cause is cut as well.
-const QUARANTINE_AT: usize = 3;
-/// The most crashes that are kept of one request: more say nothing new.
-const MOST_CRASHES: usize = 8;
 /// The most requests that are kept, a few hundred bytes each.
 const MOST_REQUESTS: usize = 1024;
 /// The most crashes in one list, of about 20 bytes with their request: half of a datagram.
 const MOST_TOLD: usize = 32;
-/// How long a change is told on, in milliseconds: gateways and sidecars speak to each other each second, and one
-/// datagram or two may be lost.
-const FRESH: u64 = 3000;
-/// How long one or two crashes are remembered, in milliseconds. A request that comes again less often does little harm.
-const SUSPECT_MEMORY: u64 = 600_000;
-/// How long a request stays in quarantine after anybody last asked for it, in milliseconds.
-const QUARANTINE_MEMORY: u64 = 3_600_000;
-/// How long a success is remembered, in milliseconds: as long as crashes before it may still be told.
-const SUCCESS_MEMORY: u64 = 10_000;
-/// How long after a success crashes are not blamed on a request, in milliseconds. What crashes each runner
-/// that begins it has no success; what many callers ask for is on every runner that crashes, and would come
-/// into quarantine beside the request that crashes them.
-pub(crate) const SUCCESS_COUNTS_FOR: u64 = 3000;
-/// The first pause after which a request in quarantine may be tried once more, in milliseconds; it doubles
-/// twice with each crash. It is longer than the shortages that its crashes make.
-const PROBE_PAUSE: u64 = 10_000;
-/// The most crashes after which there is a probe. At most two, so a request that was tried at both times has ended five
-/// runners.
-const LAST_PROBE: usize = QUARANTINE_AT + 1;
-
-/// One life of a runner, in short.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct LifeDigest(u32);
-
-impl LifeDigest {
-    /// The life of a runner that goes by this id, and says that it was born then.
-    pub fn of(id: &InstanceId, born: Option<u64>) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&born.unwrap_or(0).to_le_bytes());
-        hasher.update(id.0.as_bytes());
-        let mut first = [0; 4];
-        first.copy_from_slice(&hasher.finalize().as_bytes()[..4]);
-        Self(u32::from_le_bytes(first))
-    }
-}
-
-/// A crash, as processes tell each other of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldCrash {
-    /// The life that ended.
-    pub life: LifeDigest,
-    /// How long ago, in milliseconds.
-    pub age_ms: u32,
-}
-
-/// What one process knows of a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldRequest {
-    /// The request.
-    pub digest: RequestDigest,
-    /// The runners that crashed under it.
-    pub crashes: Vec<ToldCrash>,
-    /// How long ago it last ended well, in milliseconds, where that takes suspicion from it.
-    pub success_age_ms: Option<u32>,
-    /// Whether the platform's store holds that it is in quarantine.
-    pub is_recorded: bool,
-}
-
-/// A part of a ledger, as processes tell each other of it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct CrashList(pub Vec<ToldRequest>);
-
-/// Which part of a ledger is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Told {
-    /// What changed lately.
-    Fresh,
-    /// What changed lately of requests that two runners or more crashed under: the next one may be the third.
-    FreshSuspects,
-    /// All requests that two runners or more crashed under, and what changed lately.
-    Suspects,
-}
 
 /// What a ledger says of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -123,94 +49,6 @@
     },
 }
 
-/// What is kept of a request.
-#[derive(Clone, Debug)]
-struct Entry {
-    crashes: BTreeMap<LifeDigest, Millis>,
-    succeeded_at: Option<Millis>,
-    /// When anything about it last changed, and when it was last asked for.
-    changed_at: Millis,
-    asked_at: Millis,
-    is_recorded: bool,
-}
-
-impl Entry {
-    fn new(now: Millis) -> Self {
-        Self {
-            crashes: BTreeMap::new(),
-            succeeded_at: None,
-            changed_at: now,
-            asked_at: now,
-            is_recorded: false,
-        }
-    }
-
-    fn is_quarantined(&self) -> bool {
-        self.crashes.len() >= QUARANTINE_AT
-    }
-
-    fn is_fresh(&self, now: Millis) -> bool {
-        now.since(self.changed_at).0 <= FRESH
-    }
-
-    /// Until when it is kept.
-    fn kept_until(&self) -> Millis {
-        let memory = match self.crashes.len() {
-            0 => SUCCESS_MEMORY,
-            crashes if crashes < QUARANTINE_AT => SUSPECT_MEMORY,
-            _ => QUARANTINE_MEMORY,
-        };
-        self.changed_at.max(self.asked_at).plus(memory)
-    }
-
-    /// Adds a crash. Whether it is news.
-    fn add(&mut self, life: LifeDigest, at: Millis) -> bool {
-        if self.succeeded_at.is_some_and(|it| at <= it.plus(SUCCESS_COUNTS_FOR)) {
-            return false;
-        }
-        if let Some(known) = self.crashes.get_mut(&life) {
-            // The latest word counts, so that all processes end up with the same one.
-            *known = (*known).max(at);
-            return false;
-        }
-        if self.crashes.len() >= MOST_CRASHES {
-            return false;
-        }
-        self.crashes.insert(life, at);
-        true
-    }
-
-    /// Takes all suspicion from before a success. Whether it is news.
-    fn clear(&mut self, at: Millis) -> bool {
-        if self.succeeded_at.is_some_and(|it| at <= it) {
-            return false;
-        }
-        self.succeeded_at = Some(at);
-        let before = self.crashes.len();
-        self.crashes.retain(|_, crashed_at| *crashed_at > at.plus(SUCCESS_COUNTS_FOR));
-        self.crashes.len() < before
-    }
-
-    /// When it may be tried once more, if it may.
-    fn probe_at(&self) -> Option<Millis> {
-        let last = self.crashes.values().max()?;
-        let pause = PROBE_PAUSE << (2 * (self.crashes.len() - QUARANTINE_AT));
-        (self.crashes.len() <= LAST_PROBE).then(|| last.plus(pause))
-    }
-
-    fn told(&self, now: Millis, digest: RequestDigest) -> ToldRequest {
-        let age = |at: Millis| u32::try_from(now.since(at).0).unwrap_or(u32::MAX);
-        let crash =
-            |(life, at): (&LifeDigest, &Millis)| ToldCrash { life: *life, age_ms: age(*at) };
-        ToldRequest {
-            digest,
-            crashes: self.crashes.iter().map(crash).collect(),
-            success_age_ms: self.succeeded_at.map(age),
-            is_recorded: self.is_recorded,
-        }
-    }
-}
-
 /// The requests that runners crashed under, as one process knows them.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
@@ -245,19 +83,8 @@
 
     /// Takes in what another process tells.
     pub fn take(&mut self, now: Millis, list: &CrashList) -> Vec<CrashChange> {
-        let take = |told: &ToldRequest| {
-            self.change(now, told.digest, |entry| {
-                let is_recorded = told.is_recorded && !entry.is_recorded;
-                entry.is_recorded |= told.is_recorded;
-                let success = told.success_age_ms.map(|age| now.minus(u64::from(age)));
-                let is_cleared = success.is_some_and(|at| entry.clear(at));
-                let mut is_news = is_cleared || is_recorded;
-                for crash in &told.crashes {
-                    is_news |= entry.add(crash.life, now.minus(u64::from(crash.age_ms)));
-                }
-                is_news
-            })
-        };
+        let take =
+            |told: &ToldRequest| self.change(now, told.digest, |entry| entry.merge(now, told));
         list.0.iter().filter_map(take).collect()
     }
 
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -5,11 +5,13 @@
 mod crashes;
 mod digest;
 mod ledger;
+mod life;
 mod record;
+mod told;
 
 pub use crashes::{Admission, CrashNews, Crashes, Sign};
 pub use digest::RequestDigest;
-pub use ledger::{
-    CrashChange, CrashLedger, CrashList, LifeDigest, RequestStatus, Told, ToldCrash, ToldRequest,
-};
+pub use ledger::{CrashChange, CrashLedger, RequestStatus};
+pub use life::LifeDigest;
 pub use record::{QuarantineAnswer, QuarantineCall, QuarantineRecord};
+pub use told::{CrashList, Told, ToldCrash, ToldRequest};
--- a/components/quarantine/src/record.rs
+++ b/components/quarantine/src/record.rs
@@ -8,7 +8,9 @@
 
 use crate::crashes::CrashNews;
 use crate::digest::RequestDigest;
-use crate::ledger::{CrashChange, CrashList, LifeDigest};
+use crate::ledger::CrashChange;
+use crate::life::LifeDigest;
+use crate::told::CrashList;
 
 /// How long the gateway that put a request into quarantine has to write the row before others try, in
 /// milliseconds: a call and another one. The others come apart over the same time, so that the row is there
