Spread: arrivals and neighbours of a receiver are modules of their own

What becomes of chunks that were asked for, and who is exchanged with, stand apart from its state now; dropping those that are down is a step with a name. Behaviour is unchanged: the tests of reducer and rollout pass as they are.

--- a/components/reducer/src/spread/version/mod.rs
+++ b/components/reducer/src/spread/version/mod.rs
@@ -1,7 +1,9 @@
 //! The spread of one version at one receiver.
 
+mod arrivals;
 mod choice;
 mod keeping;
+mod neighbours;
 mod origin;
 mod silence;
 mod summaries;
@@ -11,7 +13,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use errors::Code;
 use fleet::{Bitmap, Hall, InstanceId, Manifest, Millis, Place, VersionId};
 
 use self::keeping::SecondCopies;
@@ -23,12 +24,6 @@
 };
 use super::gate::{Gate, GateOptions};
 use super::neighbour::Neighbour;
-use crate::seed::shared_hash;
-
-/// The part of a new measurement in the smoothed time of chunks.
-const CHUNK_SMOOTHING: f64 = 0.25;
-/// How long holders have to say what they hold before the origin is asked, in milliseconds.
-const HOLDER_GRACE: u64 = 500;
 
 /// A chunk on its way.
 #[derive(Clone, Debug)]
@@ -203,199 +198,10 @@
         self.in_flight.values().filter(|it| it.source == DrawSource::Origin).count()
     }
 
-    /// Takes in who receives or holds the version, and chooses neighbours among them.
-    pub fn set_participants(&mut self, now: Millis, participants: &[Participant]) {
-        let down = participants.iter().filter(|it| !it.up).map(|it| it.id.clone());
-        let down: BTreeSet<InstanceId> = down.collect();
-        participants.iter().for_each(|it| self.silent.learn(&it.id, &it.place.hall));
-        let is_over = self.silent.end_late(now);
-        if is_over || down != self.down {
-            self.down = down;
-            self.rank_those_up();
-        }
-        let (down, silent) = (&self.down, &self.silent);
-        self.neighbours.retain(|id, _| !down.contains(id) && !silent.holds(id));
-        let up = participants.iter().filter(|it| it.up);
-        self.addresses = up.map(|it| (it.id.clone(), it.address)).collect();
-        let holders = participants.iter().any(|it| it.up && it.holds);
-        if holders && self.have.count() == 0 && self.neighbours.is_empty() {
-            self.origin_not_before = now.plus(HOLDER_GRACE);
-        }
-        for participant in self.choose(participants) {
-            if self.silent.holds(&participant.id) {
-                continue;
-            }
-            self.meet(&participant.id, participant.address, &participant.place);
-        }
-        for participant in participants {
-            if let Some(neighbour) = self.neighbours.get_mut(&participant.id) {
-                neighbour.serves = participant.holds;
-            }
-        }
-    }
-
-    /// Takes in which chunks a daemon holds.
-    pub fn take_summary(
-        &mut self,
-        now: Millis,
-        id: &InstanceId,
-        address: SocketAddr,
-        place: &Place,
-        have: Bitmap,
-    ) {
-        if !have.is_well_formed(self.manifest.chunks()) {
-            return;
-        }
-        self.silent.learn(id, &place.hall);
-        self.note_heard(id);
-        self.meet(id, address, place);
-        if let Some(neighbour) = self.neighbours.get_mut(id) {
-            if have.count() == 0 && self.have.count() > 0 {
-                // It has just begun, and what it was told before that is lost.
-                neighbour.forget_told();
-            }
-            neighbour.set_have(have.clone());
-        }
-        self.note_offers(now, &have);
-    }
-
-    /// Takes in which chunks a known neighbour holds.
-    pub fn take_holdings(&mut self, now: Millis, id: &InstanceId, have: Bitmap) {
-        if !have.is_well_formed(self.manifest.chunks()) {
-            return;
-        }
-        self.note_heard(id);
-        if let Some(neighbour) = self.neighbours.get_mut(id) {
-            neighbour.set_have(have.clone());
-        }
-        self.note_offers(now, &have);
-    }
-
     /// Whether a chunk is here or at a neighbour.
     fn is_held(&self, index: u32) -> bool {
         self.have.contains(index) || self.neighbours.values().any(|it| it.have.contains(index))
     }
-
-    /// Takes in how long a neighbour's upload queue is.
-    pub fn take_uploads(&mut self, now: Millis, id: &InstanceId, uploads: u32) {
-        if let Some(neighbour) = self.neighbours.get_mut(id) {
-            neighbour.set_uploads(now, uploads);
-        }
-    }
-
-    /// A chunk arrived; `verified` tells whether its digest is right. Gives `false` when it had
-    /// not been asked for.
-    pub fn take_chunk(
-        &mut self,
-        now: Millis,
-        index: u32,
-        source: &DrawSource,
-        verified: bool,
-    ) -> bool {
-        let Some(flight) = self.end_flight(index, source) else {
-            return false;
-        };
-        let took = now.since(flight.sent).0 as f64;
-        self.chunk_ms += CHUNK_SMOOTHING * (took - self.chunk_ms);
-        if source == &DrawSource::Origin {
-            self.origin_failures = 0;
-            self.news_at = now;
-        }
-        if verified {
-            self.announce(index, source);
-        }
-        if let DrawSource::Peer(id, _) = source {
-            self.note_heard(id);
-            if let Some(neighbour) = self.neighbours.get_mut(id) {
-                if verified {
-                    neighbour.reward(now.since(flight.sent));
-                } else {
-                    neighbour.punish(now);
-                }
-            }
-        }
-        if verified {
-            self.second.note_arrival(index);
-            self.have.insert(index);
-            self.last_chunk_at = now;
-        }
-        true
-    }
-
-    /// A chunk did not arrive.
-    pub fn fail_chunk(
-        &mut self,
-        now: Millis,
-        index: u32,
-        source: &DrawSource,
-        code: Code,
-        retry_after: u64,
-    ) {
-        if self.end_flight(index, source).is_none() {
-            return;
-        }
-        self.second.note_failure(now, index);
-        let DrawSource::Peer(id, _) = source else {
-            self.note_origin_failure(now);
-            return;
-        };
-        self.note_failure_of(now, id, code);
-        let Some(neighbour) = self.neighbours.get_mut(id) else {
-            return;
-        };
-        match code {
-            Code::PeerBusy => neighbour.back_off(now, retry_after),
-            // It never said that it has it.
-            Code::ChunkMissing if !neighbour.have.contains(index) => {}
-            Code::ChunkMissing => {
-                neighbour.have.remove(index);
-                neighbour.punish(now);
-            }
-            _ => neighbour.punish(now),
-        }
-    }
-
-    fn end_flight(&mut self, index: u32, source: &DrawSource) -> Option<Flight> {
-        if self.in_flight.get(&index).is_none_or(|it| &it.source != source) {
-            return None;
-        }
-        if let DrawSource::Peer(id, _) = source {
-            if let Some(neighbour) = self.neighbours.get_mut(id) {
-                neighbour.outstanding = neighbour.outstanding.saturating_sub(1);
-            }
-        }
-        self.in_flight.remove(&index)
-    }
-
-    fn meet(&mut self, id: &InstanceId, address: SocketAddr, place: &Place) {
-        if id == &self.me {
-            return;
-        }
-        if let Some(known) = self.neighbours.get_mut(id) {
-            known.address = address;
-            return;
-        }
-        if self.neighbours.len() < self.options.reach.most {
-            let distance = distance(&self.place, place);
-            let in_group = self.gate.is_in_group(id);
-            let neighbour = Neighbour::new(address, distance, in_group, self.manifest.chunks());
-            self.neighbours.insert(id.clone(), neighbour);
-        }
-    }
-
-    /// A few participants near and a few anywhere. The choice depends on both names, so receivers
-    /// choose differently and the whole stays connected.
-    fn choose<'a>(&self, participants: &'a [Participant]) -> Vec<&'a Participant> {
-        let reach = self.options.reach;
-        let mut others: Vec<&Participant> =
-            participants.iter().filter(|it| it.up && it.id != self.me).collect();
-        others.sort_by_cached_key(|it| shared_hash(&[self.me.0.as_bytes(), it.id.0.as_bytes()]));
-        let (near, far): (Vec<_>, Vec<_>) =
-            others.into_iter().partition(|it| distance(&self.place, &it.place) == 0);
-        let near_count = near.len().min(reach.near.max(reach.chosen.saturating_sub(far.len())));
-        let far_count = reach.chosen - near_count.min(reach.chosen);
-        near.into_iter().take(near_count).chain(far.into_iter().take(far_count)).collect()
-    }
 }
 
 /// How chunks enter a hall, where they should enter it once. They wait for each other, not for the turns
@@ -410,17 +216,6 @@
     receivers.iter().filter(|(_, it)| it == hall).cloned().collect()
 }
 
-/// Zero in the same hall, one in the same region, two beyond.
-fn distance(a: &Place, b: &Place) -> u32 {
-    if a == b {
-        0
-    } else if a.region == b.region {
-        1
-    } else {
-        2
-    }
-}
-
 fn millis_for(bytes: u64, bytes_per_s: u64) -> f64 {
     bytes as f64 * 1000.0 / bytes_per_s.max(1) as f64
 }
