Planner: drafts, the estimate and each kind of plan are modules of their own

One file of 411 lines held everything from the intent to the plan. What it takes to place, go back, remove and leave stand apart now; a draft says bytes and receivers by name in place of a pair. The tests of planner and changes lie in their modules' folders like all others.

--- a/components/reducer/src/changes.rs
+++ b/components/reducer/src/changes.rs
@@ -280,5 +280,4 @@
 }
 
 #[cfg(test)]
-#[path = "changes_tests.rs"]
 mod tests;
--- a/components/reducer/src/planner_tests.rs
+++ b/components/reducer/src/planner/tests.rs
@@ -1,5 +1,8 @@
+use std::collections::BTreeSet;
+
 use super::*;
-use fleet::Region;
+use errors::Code;
+use fleet::{Change, Hall, Region, Role};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
