Soak: the checker's promises lie in modules by what they are about

Each promise is checked as before, by the same bounds and conditions: the 21 tests of the checker pass unchanged. Its folder has a `mod.rs`, so that these tests and the example find the same modules.

--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -1,6 +1,6 @@
 //! The checker of the soak catches every broken promise, and nothing else.
 
-#[path = "../examples/soak/checker.rs"]
+#[path = "../examples/soak/checker/mod.rs"]
 mod checker;
 #[path = "../examples/soak/history.rs"]
 mod history;
