--- a/components/rollout/src/reducer/moves.rs
+++ b/components/rollout/src/reducer/moves.rs
@@ -48,6 +48,7 @@
             }
         }
         effects.extend(self.stage_when_due(now));
+        effects.extend(self.retire_when_due(now));
         effects
     }
 
@@ -125,7 +126,8 @@
     /// differs between sidecars, so that not all of them stop at once.
     fn order_at(&self, now: Millis, target: &Target) -> Millis {
         let serves = self.serves();
-        let end = target.named.bound(self.options.version_ms).minus(TAKE_MARGIN);
+        let bound = target.named.bound(self.options.version_ms);
+        let end = self.held_bound().map_or(bound, |it| it.min(bound)).minus(TAKE_MARGIN);
         // One that takes nothing new has nothing to wait for.
         if !serves || self.is_exposed() || self.is_evacuated(now) {
             return now;
@@ -165,6 +167,7 @@
         let drained = self.status.as_ref().is_some_and(|it| it.running <= MAX_CUT)
             && !self.places.awaits_arrival(now);
         let is_evacuated = self.is_evacuated(now);
+        let is_last_call = self.must_give_up(now);
         let target = self.current.as_mut()?;
         match target.step {
             // Its turn was for a runner that others would miss.
@@ -173,7 +176,9 @@
                 None
             }
             Step::Waiting(at)
-                if now >= at && free && (drained || now >= at.plus(DRAIN_PATIENCE)) =>
+                if now >= at
+                    && free
+                    && (drained || is_last_call || now >= at.plus(DRAIN_PATIENCE)) =>
             {
                 target.step = Step::Staging;
                 Some(Effect::Stage(target.version))
--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -8,10 +8,12 @@
 mod leaving;
 mod lives;
 mod logs;
+mod narrow_paths;
 mod outages;
 mod record;
 mod reload;
 mod rests;
+mod starts_between_versions;
 mod support;
 
 use std::time::{Duration, Instant};
