Rollout tests: the made-up fleet looks sidecars up in one place, and a draw reads in steps

Effects that take several steps are methods. The fleet does what it did: all tests of the crate pass, and no assertion was changed.

--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use errors::Code;
-use fleet::{Ablation, InstanceId, Manifest, Millis, Place, VersionId};
+use fleet::{Ablation, Bitmap, InstanceId, Manifest, Millis, Place, VersionId};
 use reducer::{Draw, DrawSource};
 use rollout::*;
 
@@ -197,14 +197,29 @@
         self.run(100);
     }
 
+    /// A sidecar as the others know it.
+    fn peer(&self, index: usize) -> Peer {
+        let version = self.runners[index].version;
+        Peer { id: id(index), place: place(index), address: address(index), version }
+    }
+
+    /// The sidecar that goes by a name.
+    fn named(&self, name: &InstanceId) -> Option<usize> {
+        (0..self.sidecars.len()).find(|it| &id(*it) == name)
+    }
+
+    /// The sidecar that listens at an address.
+    fn listening_at(&self, peer: SocketAddr) -> Option<usize> {
+        (0..self.sidecars.len()).find(|it| address(*it) == peer)
+    }
+
+    /// Whether two sidecars stand on the same side of a cut.
+    fn are_joined(&self, one: usize, other: usize) -> bool {
+        self.cut_off.contains(&one) == self.cut_off.contains(&other)
+    }
+
     pub fn tell_peers(&mut self) {
-        let peer = |(index, runner): (usize, &Runner)| Peer {
-            id: id(index),
-            place: place(index),
-            address: address(index),
-            version: runner.version,
-        };
-        let peers: Vec<Peer> = self.runners.iter().enumerate().map(peer).collect();
+        let peers: Vec<Peer> = (0..self.runners.len()).map(|it| self.peer(it)).collect();
         for index in 0..self.sidecars.len() {
             self.feed(index, Event::Peers(peers.clone()));
         }
@@ -251,13 +266,7 @@
         lost.iter().for_each(|it| self.kill(*it));
         let alive = |it: &usize| !self.dead.contains(it);
         let alive: Vec<usize> = (0..self.sidecars.len()).filter(alive).collect();
-        let peer = |index: &usize| Peer {
-            id: id(*index),
-            place: place(*index),
-            address: address(*index),
-            version: self.runners[*index].version,
-        };
-        let peers: Vec<Peer> = alive.iter().map(peer).collect();
+        let peers: Vec<Peer> = alive.iter().map(|it| self.peer(*it)).collect();
         alive.iter().for_each(|it| self.feed(*it, Event::Peers(peers.clone())));
     }
 
@@ -270,27 +279,11 @@
             Effect::Life(..) => {}
             Effect::Describe(version, source) => self.describe(index, version, source),
             Effect::Find(version) => {
-                let none = fleet::Bitmap::new(CHUNKS);
+                let none = Bitmap::new(CHUNKS);
                 self.after(10, index, Event::Found(version, none));
             }
             Effect::Draw(version, draw) => self.draw(index, version, draw),
-            Effect::Summarize { to, version, have } => {
-                let Some(other) = (0..self.sidecars.len()).find(|it| address(*it) == to) else {
-                    return;
-                };
-                if self.cut_off.contains(&other) != self.cut_off.contains(&index) {
-                    return;
-                }
-                self.summaries += 1;
-                let event = Event::Summary {
-                    from: id(index),
-                    address: address(index),
-                    place: place(index),
-                    version,
-                    have,
-                };
-                self.after(3, other, event);
-            }
+            Effect::Summarize { to, version, have } => self.summarize(index, to, version, have),
             Effect::Answer(..) | Effect::Evacuation(_) => {}
             Effect::Stage(version) => {
                 let whole = self.sidecars[index].have(version).is_some_and(|it| it.is_full());
@@ -305,18 +298,34 @@
                 runner.version = None;
                 self.retired.push((index, version, self.now));
             }
-            Effect::Order { version, sequence, .. } => {
-                let runner = &mut self.runners[index];
-                assert_eq!(runner.sequence, sequence, "ordered on an old view of the runner");
-                assert!(runner.taking.is_none(), "ordered while it takes another order");
-                runner.sequence += 1;
-                runner.taking = Some((self.now + 500, version));
-                self.orders.push((index, version, self.now));
-                self.after(5, index, Event::Ordered(version, OrderOutcome::Taken));
-                for other in (0..self.sidecars.len()).filter(|it| *it != index) {
-                    self.after(3, other, Event::PeerOrdered);
-                }
-            }
+            Effect::Order { version, sequence, .. } => self.order(index, version, sequence),
+        }
+    }
+
+    /// Has another sidecar hear which chunks one holds.
+    fn summarize(&mut self, index: usize, to: SocketAddr, version: u64, have: Bitmap) {
+        let Some(other) = self.listening_at(to) else {
+            return;
+        };
+        if !self.are_joined(index, other) {
+            return;
+        }
+        self.summaries += 1;
+        let (from, address, place) = (id(index), address(index), place(index));
+        self.after(3, other, Event::Summary { from, address, place, version, have });
+    }
+
+    /// Orders a runner to take a version.
+    fn order(&mut self, index: usize, version: u64, sequence: u64) {
+        let runner = &mut self.runners[index];
+        assert_eq!(runner.sequence, sequence, "ordered on an old view of the runner");
+        assert!(runner.taking.is_none(), "ordered while it takes another order");
+        runner.sequence += 1;
+        runner.taking = Some((self.now + 500, version));
+        self.orders.push((index, version, self.now));
+        self.after(5, index, Event::Ordered(version, OrderOutcome::Taken));
+        for other in (0..self.sidecars.len()).filter(|it| *it != index) {
+            self.after(3, other, Event::PeerOrdered);
         }
     }
 
@@ -327,7 +336,7 @@
                 self.now >= self.origin_out_until
             }
             ManifestSource::Peer(peer) => {
-                let other = (0..self.sidecars.len()).find(|it| address(*it) == peer);
+                let other = self.listening_at(peer);
                 other.is_some_and(|it| self.sidecars[it].have(version).is_some())
             }
         };
@@ -343,34 +352,14 @@
         let Draw { index: chunk, source, deadline, .. } = draw;
         self.draws += 1;
         let lost = self.loses > 0 && self.draws.is_multiple_of(self.loses);
-        let side = |it: &usize| self.cut_off.contains(it);
-        let reaches = |peer: &InstanceId| {
-            let other = (0..self.sidecars.len()).find(|it| &id(*it) == peer);
-            other.is_some_and(|it| !self.dead.contains(&it) && side(&it) == side(&index))
-        };
-        let unreachable = match &source {
-            DrawSource::Origin => side(&index),
-            DrawSource::Peer(peer, _) => !reaches(peer),
-        };
-        if unreachable {
+        if !self.reaches(index, &source) {
             let code = Code::Unreachable;
             let delay = self.dead_ms.min(deadline.since(Millis(self.now)).0);
             self.after(delay, index, Event::Missed { version, index: chunk, source, code });
             return;
         }
-        let holds = match &source {
-            DrawSource::Origin => true,
-            DrawSource::Peer(peer, _) => {
-                let other = (0..self.sidecars.len()).find(|it| &id(*it) == peer);
-                let have = other.and_then(|it| self.sidecars[it].have(version));
-                have.is_some_and(|it| it.contains(chunk))
-            }
-        };
-        if let DrawSource::Peer(peer, _) = &source {
-            let other = (0..self.sidecars.len()).find(|it| &id(*it) == peer);
-            let far = other.is_some_and(|it| place(it).hall != place(index).hall);
-            self.between_halls += u32::from(far);
-        }
+        let holds = self.holds(&source, version, chunk);
+        self.note_way(index, &source);
         let out = source == DrawSource::Origin && self.now < self.origin_out_until;
         let mut delay = self.chunk_ms;
         if source == DrawSource::Origin && !out {
@@ -388,6 +377,34 @@
         self.after(delay, index, event);
     }
 
+    /// Whether a sidecar reaches a source.
+    fn reaches(&self, index: usize, source: &DrawSource) -> bool {
+        match source {
+            DrawSource::Origin => !self.cut_off.contains(&index),
+            DrawSource::Peer(peer, _) => {
+                let is_there = |it: usize| !self.dead.contains(&it) && self.are_joined(it, index);
+                self.named(peer).is_some_and(is_there)
+            }
+        }
+    }
+
+    /// Whether a source has a chunk of a version.
+    fn holds(&self, source: &DrawSource, version: u64, chunk: u32) -> bool {
+        let DrawSource::Peer(peer, _) = source else {
+            return true;
+        };
+        let have = self.named(peer).and_then(|it| self.sidecars[it].have(version));
+        have.is_some_and(|it| it.contains(chunk))
+    }
+
+    /// Counts a draw that goes from one hall to another.
+    fn note_way(&mut self, index: usize, source: &DrawSource) {
+        if let DrawSource::Peer(peer, _) = source {
+            let is_far = |it: usize| place(it).hall != place(index).hall;
+            self.between_halls += u32::from(self.named(peer).is_some_and(is_far));
+        }
+    }
+
     pub fn run(&mut self, span: u64) {
         let end = self.now + span;
         while self.now < end {
