--- a/components/errors/src/error.rs
+++ b/components/errors/src/error.rs
@@ -23,6 +23,13 @@
     }
 }
 
+/// An error that says what its code means and nothing else.
+impl From<Code> for Error {
+    fn from(code: Code) -> Self {
+        Self::new(code, code.meaning())
+    }
+}
+
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} {}: {}", self.code.number(), self.code.name(), self.detail)
--- a/components/node/src/entry/attempts.rs
+++ b/components/node/src/entry/attempts.rs
@@ -149,7 +149,7 @@
             }
             Err(failure) => {
                 // The caller sees the code, no `[DONE]`, and a body without its end.
-                let error = Error::new(failure.code, failure.code.meaning());
+                let error = Error::from(failure.code);
                 self.sender.send(stream_error(&error)).await;
                 shared.inbox.send(EntryEvent::Failed { attempt: self.id, failure }).await;
             }
--- a/components/reducer/src/entry/mod.rs
+++ b/components/reducer/src/entry/mod.rs
@@ -3,10 +3,12 @@
 mod crashes;
 mod event;
 mod plans;
+mod queue;
 mod requests;
 mod shares;
 #[cfg(test)]
 mod tests;
+mod tries;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,7 +17,8 @@
 
 use self::crashes::KnownCrashes;
 pub use self::event::{Arrival, AttemptId, EntryEffect, EntryEvent, EntryOptions, Failure, Target};
-use self::requests::{Place, Progress};
+use self::queue::Place;
+use self::requests::Progress;
 use self::shares::Shares;
 use crate::changes::Changes;
 use crate::control::{Control, ControlEvent};
--- a/components/reducer/src/entry/shares.rs
+++ b/components/reducer/src/entry/shares.rs
@@ -5,7 +5,7 @@
 
 use fleet::{RequestId, WorkspaceId};
 
-use super::requests::Place;
+use super::queue::Place;
 use super::Entry;
 
 /// How many requests each workspace has at upstreams.
@@ -37,11 +37,11 @@
     /// The waiting requests in the order of their turns: high priority, then the workspace with the
     /// least running, then the nearest deadline.
     pub(super) fn turns(&self) -> Vec<Place> {
-        let mut turns: Vec<Place> = self.queue.iter().cloned().collect();
+        let mut turns: Vec<Place> = self.queue.iter().copied().collect();
         turns.sort_by_cached_key(|place| {
-            let workspace = self.workspace_of(place.2);
+            let workspace = self.workspace_of(place.request);
             let running = workspace.map_or(0, |it| self.shares.running(it));
-            (place.0, running, place.1, place.2)
+            (place.priority, running, place.deadline, place.request)
         });
         turns
     }
@@ -50,7 +50,7 @@
     /// that waits most, if that has clearly more waiting than the newcomer's.
     pub(super) fn find_surplus(&self, newcomer: &WorkspaceId) -> Option<Place> {
         let mut waiting: BTreeMap<&WorkspaceId, usize> = BTreeMap::new();
-        for workspace in self.queue.iter().filter_map(|place| self.workspace_of(place.2)) {
+        for workspace in self.queue.iter().filter_map(|place| self.workspace_of(place.request)) {
             *waiting.entry(workspace).or_default() += 1;
         }
         let own = waiting.get(newcomer).copied().unwrap_or(0);
@@ -58,8 +58,8 @@
         if count <= own + 1 {
             return None;
         }
-        let theirs = |place: &&Place| self.workspace_of(place.2) == Some(largest);
-        self.queue.iter().rev().find(theirs).cloned()
+        let theirs = |place: &&Place| self.workspace_of(place.request) == Some(largest);
+        self.queue.iter().rev().find(theirs).copied()
     }
 
     fn workspace_of(&self, request: RequestId) -> Option<&WorkspaceId> {
