--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -2,10 +2,12 @@
 //! `gateway` and `rollout` decide.
 
 mod additions;
+mod answer_log;
 mod clock;
 mod era;
 mod evacuated;
 mod exchange;
+mod freshness;
 mod gateway;
 mod lapses;
 mod lateness;
