--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -4,13 +4,15 @@
 // Each test file uses a part of it.
 #![allow(dead_code)]
 
+mod effects;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use errors::Code;
 use fleet::{Ablation, InstanceId, Manifest, Millis, Place, VersionId};
-use reducer::{Draw, DrawSource};
+use reducer::DrawSource;
 use rollout::*;
 
 pub const CHUNKS: u32 = 64;
@@ -197,14 +199,29 @@
         self.run(100);
     }
 
+    /// A sidecar as the others know it.
+    fn peer(&self, index: usize) -> Peer {
+        let version = self.runners[index].version;
+        Peer { id: id(index), place: place(index), address: address(index), version }
+    }
+
+    /// The sidecar that goes by a name.
+    fn named(&self, name: &InstanceId) -> Option<usize> {
+        (0..self.sidecars.len()).find(|it| &id(*it) == name)
+    }
+
+    /// The sidecar that listens at an address.
+    fn listening_at(&self, peer: SocketAddr) -> Option<usize> {
+        (0..self.sidecars.len()).find(|it| address(*it) == peer)
+    }
+
+    /// Whether two sidecars stand on the same side of a cut.
+    fn are_joined(&self, one: usize, other: usize) -> bool {
+        self.cut_off.contains(&one) == self.cut_off.contains(&other)
+    }
+
     pub fn tell_peers(&mut self) {
-        let peer = |(index, runner): (usize, &Runner)| Peer {
-            id: id(index),
-            place: place(index),
-            address: address(index),
-            version: runner.version,
-        };
-        let peers: Vec<Peer> = self.runners.iter().enumerate().map(peer).collect();
+        let peers: Vec<Peer> = (0..self.runners.len()).map(|it| self.peer(it)).collect();
         for index in 0..self.sidecars.len() {
             self.feed(index, Event::Peers(peers.clone()));
         }
@@ -251,13 +268,7 @@
         lost.iter().for_each(|it| self.kill(*it));
         let alive = |it: &usize| !self.dead.contains(it);
         let alive: Vec<usize> = (0..self.sidecars.len()).filter(alive).collect();
-        let peer = |index: &usize| Peer {
-            id: id(*index),
-            place: place(*index),
-            address: address(*index),
-            version: self.runners[*index].version,
-        };
-        let peers: Vec<Peer> = alive.iter().map(peer).collect();
+        let peers: Vec<Peer> = alive.iter().map(|it| self.peer(*it)).collect();
         alive.iter().for_each(|it| self.feed(*it, Event::Peers(peers.clone())));
     }
 
@@ -265,129 +276,6 @@
         self.later.push(Later { at: self.now + delay, to, event });
     }
 
-    pub fn perform(&mut self, index: usize, effect: Effect) {
-        match effect {
-            Effect::Life(..) => {}
-            Effect::Describe(version, source) => self.describe(index, version, source),
-            Effect::Find(version) => {
-                let none = fleet::Bitmap::new(CHUNKS);
-                self.after(10, index, Event::Found(version, none));
-            }
-            Effect::Draw(version, draw) => self.draw(index, version, draw),
-            Effect::Summarize { to, version, have } => {
-                let Some(other) = (0..self.sidecars.len()).find(|it| address(*it) == to) else {
-                    return;
-                };
-                if self.cut_off.contains(&other) != self.cut_off.contains(&index) {
-                    return;
-                }
-                self.summaries += 1;
-                let event = Event::Summary {
-                    from: id(index),
-                    address: address(index),
-                    place: place(index),
-                    version,
-                    have,
-                };
-                self.after(3, other, event);
-            }
-            Effect::Answer(..) | Effect::Evacuation(_) => {}
-            Effect::Stage(version) => {
-                let whole = self.sidecars[index].have(version).is_some_and(|it| it.is_full());
-                assert!(whole, "staged before every chunk was here");
-                self.after(20, index, Event::Staged(version, true));
-            }
-            Effect::Retire { version, sequence } => {
-                let runner = &mut self.runners[index];
-                assert_eq!(runner.sequence, sequence, "ordered on an old view of the runner");
-                assert_eq!(runner.version, Some(version), "gives up what the runner does not hold");
-                runner.sequence += 1;
-                runner.version = None;
-                self.retired.push((index, version, self.now));
-            }
-            Effect::Order { version, sequence, .. } => {
-                let runner = &mut self.runners[index];
-                assert_eq!(runner.sequence, sequence, "ordered on an old view of the runner");
-                assert!(runner.taking.is_none(), "ordered while it takes another order");
-                runner.sequence += 1;
-                runner.taking = Some((self.now + 500, version));
-                self.orders.push((index, version, self.now));
-                self.after(5, index, Event::Ordered(version, OrderOutcome::Taken));
-                for other in (0..self.sidecars.len()).filter(|it| *it != index) {
-                    self.after(3, other, Event::PeerOrdered);
-                }
-            }
-        }
-    }
-
-    pub fn describe(&mut self, index: usize, version: u64, source: ManifestSource) {
-        let known = match source {
-            ManifestSource::Origin => {
-                self.origin_manifests += 1;
-                self.now >= self.origin_out_until
-            }
-            ManifestSource::Peer(peer) => {
-                let other = (0..self.sidecars.len()).find(|it| address(*it) == peer);
-                other.is_some_and(|it| self.sidecars[it].have(version).is_some())
-            }
-        };
-        let event = if known {
-            Event::Described(version, manifest(version))
-        } else {
-            Event::Undescribed(version)
-        };
-        self.after(if known { 60 } else { 20 }, index, event);
-    }
-
-    pub fn draw(&mut self, index: usize, version: u64, draw: Draw) {
-        let Draw { index: chunk, source, deadline, .. } = draw;
-        self.draws += 1;
-        let lost = self.loses > 0 && self.draws.is_multiple_of(self.loses);
-        let side = |it: &usize| self.cut_off.contains(it);
-        let reaches = |peer: &InstanceId| {
-            let other = (0..self.sidecars.len()).find(|it| &id(*it) == peer);
-            other.is_some_and(|it| !self.dead.contains(&it) && side(&it) == side(&index))
-        };
-        let unreachable = match &source {
-            DrawSource::Origin => side(&index),
-            DrawSource::Peer(peer, _) => !reaches(peer),
-        };
-        if unreachable {
-            let code = Code::Unreachable;
-            let delay = self.dead_ms.min(deadline.since(Millis(self.now)).0);
-            self.after(delay, index, Event::Missed { version, index: chunk, source, code });
-            return;
-        }
-        let holds = match &source {
-            DrawSource::Origin => true,
-            DrawSource::Peer(peer, _) => {
-                let other = (0..self.sidecars.len()).find(|it| &id(*it) == peer);
-                let have = other.and_then(|it| self.sidecars[it].have(version));
-                have.is_some_and(|it| it.contains(chunk))
-            }
-        };
-        if let DrawSource::Peer(peer, _) = &source {
-            let other = (0..self.sidecars.len()).find(|it| &id(*it) == peer);
-            let far = other.is_some_and(|it| place(it).hall != place(index).hall);
-            self.between_halls += u32::from(far);
-        }
-        let out = source == DrawSource::Origin && self.now < self.origin_out_until;
-        let mut delay = self.chunk_ms;
-        if source == DrawSource::Origin && !out {
-            self.origin_chunks += 1;
-            self.origin_busy_until = self.origin_busy_until.max(self.now) + self.origin_chunk_ms;
-            delay += self.origin_busy_until - self.now;
-        }
-        let lost = lost || out || self.stalls == Some(version);
-        let event = if lost || !holds {
-            let code = if lost { Code::PeerStalled } else { Code::ChunkMissing };
-            Event::Missed { version, index: chunk, source, code }
-        } else {
-            Event::Arrived { version, index: chunk, source, verified: true }
-        };
-        self.after(delay, index, event);
-    }
-
     pub fn run(&mut self, span: u64) {
         let end = self.now + span;
         while self.now < end {
@@ -410,20 +298,6 @@
         }
     }
 
-    /// What comes from the origin has left it, or is lost where it went out meanwhile.
-    fn leave_origin(&mut self, event: Event) -> Event {
-        let Event::Arrived { version, index, source: DrawSource::Origin, .. } = event else {
-            return event;
-        };
-        if self.now < self.origin_out_until {
-            let (source, code) = (DrawSource::Origin, Code::Unreachable);
-            self.origin_busy_until = 0;
-            return Event::Missed { version, index, source, code };
-        }
-        self.left_origin.entry(version).or_default().insert(index);
-        event
-    }
-
     pub fn report(&mut self) {
         for index in 0..self.runners.len() {
             let runner = &mut self.runners[index];
