Shortage: loads of 0.9 to 2 times the capacity on runners of unlike speed

The load test knew one load on runners that are all alike. It now also plays 0.9, 1.1, 1.5 and 2 times the capacity for 16 s on runners that take 0.6 to 2.0 times as long as usual, and counts who was refused once and again. The test of 1.5 times on runners alike is as it was, with the same figures.

Ruled out: that requests behind chunks which come in are the larger part of the loss.

--- a/components/gateway/tests/shortage.rs
+++ b/components/gateway/tests/shortage.rs
@@ -19,6 +19,9 @@
 const LASTS: u64 = 16_000;
 /// How long there is room for all before, in milliseconds: gateways learn the usual deadlines meanwhile.
 const BEFORE: u64 = 40_000;
+/// How many times as long as usual runners of unlike speed take for everything.
+const UNLIKE: [f64; RUNNERS] = [0.6, 0.8, 1.0, 1.2, 1.5, 2.0];
+const ALIKE: [f64; RUNNERS] = [1.0; RUNNERS];
 /// Callers that one runner's places serve in that time.
 const CAPACITY: u64 = RUNNERS as u64 * SLOTS as u64 * LASTS / WORK;
 /// One in so many callers has a deadline of half the usual length; and all of one workspace, which sends one request
@@ -34,6 +37,8 @@
     late: u64,
     /// Those of the late ones that were served after the load had fallen.
     afterwards: u64,
+    /// Those who were refused once or more, and those who were refused again and are not served.
+    refused_once: u64,
     refused: u64,
 }
 
@@ -45,6 +50,7 @@
 
 struct Load {
     now: u64,
+    slowness: [f64; RUNNERS],
     gateways: Vec<Gateway>,
     sidecars: Vec<Rollout>,
     /// When each runner's requests end, with the gateway and the key.
@@ -94,7 +100,7 @@
 }
 
 impl Load {
-    fn new(ablation: &Ablation) -> Self {
+    fn new(ablation: &Ablation, slowness: [f64; RUNNERS]) -> Self {
         let gateway = || {
             let mut gateway =
                 Gateway::new(GatewayOptions { ablation: ablation.clone(), ..options() });
@@ -107,6 +113,7 @@
         };
         Self {
             now: 0,
+            slowness,
             gateways: (0..GATEWAYS).map(|_| gateway()).collect(),
             sidecars: (0..RUNNERS).map(|_| sidecar(ablation)).collect(),
             ends: vec![Vec::new(); RUNNERS],
@@ -118,9 +125,15 @@
         }
     }
 
+    /// Callers that all places serve in that time.
+    fn capacity(&self) -> f64 {
+        let speed: f64 = self.slowness.iter().map(|it| 1.0 / it).sum();
+        CAPACITY as f64 * speed / RUNNERS as f64
+    }
+
     /// Plays the load, with as much before it as teaches the gateways the usual deadline.
     fn play(mut self, times: f64) -> Self {
-        let rate = CAPACITY as f64 / LASTS as f64;
+        let rate = self.capacity() / LASTS as f64;
         let mut due = 0.0;
         let mut caller = 0;
         for now in (0..BEFORE + LASTS + 4000).step_by(5) {
@@ -235,9 +248,11 @@
                 Verdict::Queued => continue,
                 Verdict::Denied { again_ms, .. } => AttemptOutcome::Denied { again_ms },
                 Verdict::Granted => {
-                    let end = self.now + WORK * 7 / 10 + scatter(key, WORK * 6 / 10);
+                    let work = WORK * 7 / 10 + scatter(key, WORK * 6 / 10);
+                    let slowness = self.slowness[runner];
+                    let end = self.now + (work as f64 * slowness) as u64;
                     self.ends[runner].push((end, gateway, key));
-                    self.serve(key);
+                    self.serve(key, (FIRST_EVENT as f64 * slowness) as u64);
                     AttemptOutcome::Answered
                 }
             };
@@ -245,9 +260,9 @@
         }
     }
 
-    fn serve(&mut self, key: u64) {
+    fn serve(&mut self, key: u64, first_event: u64) {
         let caller = key / 2;
-        let took = self.now + FIRST_EVENT - self.first_at[&caller];
+        let took = self.now + first_event - self.first_at[&caller];
         let afterwards = self.now >= BEFORE + LASTS;
         self.count(caller, |it| match took {
             0..=AIM => it.on_time += 1,
@@ -264,6 +279,7 @@
             self.count(caller, |it| it.refused += 1);
             return;
         }
+        self.count(caller, |it| it.refused_once += 1);
         let left = deadline_of(caller) - (self.now - self.first_at[&caller]);
         let back = self.now + retry_after_ms.min(left / 3).next_multiple_of(5).max(5);
         self.starts.entry(back).or_default().push(key + 1);
@@ -281,16 +297,21 @@
     }
 }
 
-fn played(without: Option<Mechanism>) -> (Count, Load) {
-    let load = Load::new(&Ablation::without(without)).play(1.5);
-    let [a, b] = load.by_rank;
-    let all = Count {
+/// The callers of both ranks.
+fn sum([a, b]: [Count; 2]) -> Count {
+    Count {
         asked: a.asked + b.asked,
         on_time: a.on_time + b.on_time,
         late: a.late + b.late,
         afterwards: a.afterwards + b.afterwards,
+        refused_once: a.refused_once + b.refused_once,
         refused: a.refused + b.refused,
-    };
+    }
+}
+
+fn played(without: Option<Mechanism>) -> (Count, Load) {
+    let load = Load::new(&Ablation::without(without), ALIKE).play(1.5);
+    let all = sum(load.by_rank);
     println!("without {without:?}: capacity {CAPACITY}, {all:?}, {:?}", load.by_rank);
     println!("short deadlines: {:?}, of one workspace {:?}", load.unusual, load.short_workspace);
     (all, load)
@@ -310,3 +331,40 @@
     assert!(workspace + 0.1 >= all.share_served(), "{:?}", load.short_workspace);
     assert!(load.unusual.share_served() * 4.0 >= all.share_served(), "{:?}", load.unusual);
 }
+
+/// Plays a load on runners of unlike speed.
+fn played_unlike(times: f64) -> (Count, Load) {
+    let load = Load::new(&Ablation::default(), UNLIKE).play(times);
+    let all = sum(load.by_rank);
+    println!("{times} of {:.0}: {all:?}", load.capacity());
+    println!("by rank {:?}, unusual {:?}", load.by_rank, load.unusual);
+    (all, load)
+}
+
+/// Nine in ten of those whom unlike runners can serve are on time, few of all are late, and nobody is put behind for
+/// a more urgent rank.
+fn check_unlike(times: f64) {
+    let (all, load) = played_unlike(times);
+    let servable = load.capacity().min(all.asked as f64);
+    assert!(all.on_time as f64 >= 0.9 * servable, "{all:?} of {servable:.0}");
+    assert!((all.late - all.afterwards) * 20 <= all.asked, "{all:?}");
+    let [urgent, other] = load.by_rank;
+    assert!(urgent.share_served() + 0.05 >= other.share_served(), "{:?}", load.by_rank);
+}
+
+#[test]
+fn unlike_runners_serve_everyone_on_time_while_there_is_room() {
+    let (all, _) = played_unlike(0.9);
+    assert_eq!(all.on_time, all.asked, "{all:?}");
+}
+
+#[test]
+fn unlike_runners_serve_on_time_in_a_slight_shortage() {
+    check_unlike(1.1);
+}
+
+#[test]
+fn unlike_runners_serve_on_time_in_a_shortage() {
+    check_unlike(1.5);
+    check_unlike(2.0);
+}
