Foreign entries: runners are found by what their last entry says

Cause: the pool of a gateway indexes runners by service and address when it hears of them first, and took a later entry of the life that is known over in place. An entry of another writer with a service that nobody knows left the runner in its old service: requests went on being sent to it, at whatever address that entry had. An entry without a birth or with an earlier one was passed over with a word in the log, and the runner used on, though its own entry was gone.

Ruled out: entries that cannot be read at all; they have taken their runner off the list all along.

Change: an entry of another service, or of another address in the same life, replaces the runner as if it had been removed and listed anew, so both indices follow; what it said of leaving and rest is kept for its life, as for an entry that ran out. A request that was chosen before is not sent to a runner that is no longer of its service.

Its end of a call is corrected: a call that was refused a runner waited on and kept a place of the next entry, which the check took for a runner not used; the caller leaves now. The check itself is as it was.

Lives: a property feeds entries and reports of five lives of one runner in any order and holds load and birth to those of the latest life.

--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -54,22 +54,33 @@
             self.add(now, record, 0);
             return None;
         };
+        let restarts = runner.life.restarts;
+        // A runner keeps its service for life: an entry of another one is not its own, whatever life it tells of.
+        if runner.record.service != record.service {
+            self.replace(now, record, restarts);
+            return None;
+        }
         let news = life_news(runner, record.life, true);
         match news.as_ref().map(|it| it.change) {
+            None | Some(LifeChange::Same) if runner.record.address != record.address => {
+                self.replace(now, record, restarts);
+            }
             None | Some(LifeChange::Same) => {
                 runner.misdirected = false;
                 runner.list(now, record);
             }
-            Some(LifeChange::Began) => {
-                let restarts = runner.life.restarts + 1;
-                self.unlist(now, &record.id.clone());
-                self.add(now, record, restarts);
-            }
+            Some(LifeChange::Began) => self.replace(now, record, restarts + 1),
             Some(LifeChange::Earlier | LifeChange::Untold) => {}
         }
         news
     }
 
+    /// Puts an entry in the place of the one that is known: runners are found by what it says.
+    fn replace(&mut self, now: Millis, record: RunnerRecord, restarts: u32) {
+        self.unlist(now, &record.id);
+        self.add(now, record, restarts);
+    }
+
     /// Adds a life of a runner.
     fn add(&mut self, now: Millis, record: RunnerRecord, restarts: u32) {
         let id = record.id.clone();
@@ -125,8 +136,7 @@
                 let entry = runner.record.clone();
                 let record = RunnerRecord { life: load.life, weights: None, ..entry };
                 let restarts = runner.life.restarts + 1;
-                self.unlist(now, &id);
-                self.add(now, record, restarts);
+                self.replace(now, record, restarts);
                 self.runners.get_mut(&id)?.take_load(now, load);
             }
             Some(LifeChange::Earlier | LifeChange::Untold) => {}
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -131,6 +131,7 @@
             && !self.standstill.holds()
             && runner.is_some_and(|it| {
                 it.is_open()
+                    && it.record.service == progress.arrival.service
                     && it.notices.admit(now, key)
                     && self.chooser().is_allowed(now, it, &progress.arrival)
             })
--- a/components/gateway/tests/foreign_entries.rs
+++ b/components/gateway/tests/foreign_entries.rs
@@ -107,8 +107,8 @@
                 Some(NextStep::Send(target)) => prop_assert!(is_good(&target.id), "{}", target.id.0),
                 _ => prop_assert!(!last.contains(&Some(PLAIN_SERVICE)), "{last:?}"),
             }
-            bed.outcome(key as u64, AttemptOutcome::Answered);
-            bed.outcome(key as u64, AttemptOutcome::Finished);
+            // Nobody waits for the next write, nor keeps a place until then.
+            bed.feed(Event::Gone(RequestKey(key as u64)));
         }
     }
 }
--- a/components/gateway/tests/lives.rs
+++ b/components/gateway/tests/lives.rs
@@ -5,6 +5,7 @@
 use errors::Code;
 use fleet::LifeWord;
 use gateway::*;
+use proptest::prelude::*;
 use support::*;
 
 fn word(born: u64, sequence: u64) -> LifeWord {
@@ -129,3 +130,46 @@
     let step = bed.arrive(Arrival { digest, ..arrival(9, MODEL_SERVICE, RouteKind::Safe) });
     assert!(matches!(step, Some(NextStep::Refuse { code: Code::Quarantined, .. })), "{step:?}");
 }
+
+/// A word of a life of `r1`, told by its entry or by its sidecar, in whatever order words arrive by way of other processes.
+#[derive(Clone, Debug)]
+struct Word {
+    born: u64,
+    is_entry: bool,
+    running: u32,
+}
+
+fn words() -> impl Strategy<Value = Vec<Word>> {
+    let one = (1..6_u64, any::<bool>(), 0..4_u32).prop_map(|(born, is_entry, running)| Word {
+        born,
+        is_entry,
+        running,
+    });
+    prop::collection::vec(one, 1..40)
+}
+
+proptest! {
+    /// What is known is of the latest life that any word told of, by the words of that life alone.
+    #[test]
+    fn words_of_earlier_lives_change_nothing_in_whatever_order_they_arrive(words in words()) {
+        let mut bed = Bed::new();
+        bed.feed(Event::Listed(entry(word(0, 0))));
+        let (mut latest, mut running) = (0, None);
+        for Word { born, is_entry, running: told } in words {
+            if born > latest {
+                (latest, running) = (born, None);
+            }
+            if !is_entry && born == latest {
+                running = Some(told);
+            }
+            bed.feed(match is_entry {
+                true => Event::Listed(entry(word(born, 0))),
+                false => report(word(born, 0), told),
+            });
+            let runner = bed.gateway.pool().runner(&"r1".into()).expect("it is listed");
+            prop_assert_eq!(runner.born, Some(latest));
+            let known = runner.load(fleet::Millis(bed.now)).map(|it| it.running);
+            prop_assert_eq!(known, running);
+        }
+    }
+}
