--- a/components/edge/src/message/samples.rs
+++ b/components/edge/src/message/samples.rs
@@ -9,9 +9,12 @@
 use rollout::ColdPlan;
 
 use super::*;
+use crate::additions::{decode_datagram, encode_datagram};
 
 /// The builds that have landed, oldest first.
-const BUILDS: [&str; 1] = ["a81c536"];
+const BUILDS: [&str; 2] = ["a81c536", "75577d2"];
+/// Those of them that tell of the store's era, behind the message.
+const BUILDS_WITH_ERAS: [&str; 1] = ["75577d2"];
 
 fn address(last: u8, port: u16) -> SocketAddr {
     ([10, 0, 0, last], port).into()
@@ -146,6 +149,23 @@
     ]
 }
 
+/// Every datagram that tells of the store's era, by name.
+fn datagrams_with_eras() -> Vec<(&'static str, Datagram)> {
+    let names = [
+        ("subscribe", "subscribe-era"),
+        ("load", "load-era"),
+        ("reserved-granted", "reserved-era"),
+    ];
+    let with_era = |(of, name)| {
+        let mut all = datagrams().into_iter();
+        let mut datagram = all.find(|it| it.0 == of).expect("it has a sample").1;
+        let evacuations = datagram.evacuations_mut().expect("it has a list of evacuations");
+        evacuations.place.era = Some(9);
+        (name, datagram)
+    };
+    names.into_iter().map(with_era).collect()
+}
+
 /// Every request over TCP, by name.
 fn requests() -> Vec<(&'static str, PeerRequest)> {
     let chunk = ChunkRequest {
@@ -176,6 +196,11 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("samples").join(build)
 }
 
+fn sample(build: &str, name: &str) -> Vec<u8> {
+    let path = folder(build).join(name);
+    std::fs::read(&path).unwrap_or_else(|error| panic!("{path:?}: {error}"))
+}
+
 /// Holds the format to what a build wrote: each sample is read as the value that it stands for, and that is written in
 /// the same bytes.
 fn compare<T>(build: &str, samples: Vec<(&'static str, T)>)
@@ -183,8 +208,7 @@
     T: Serialize + DeserializeOwned + PartialEq + std::fmt::Debug,
 {
     for (name, value) in samples {
-        let path = folder(build).join(name);
-        let bytes = std::fs::read(&path).unwrap_or_else(|error| panic!("{path:?}: {error}"));
+        let bytes = sample(build, name);
         assert_eq!(decode::<T>(&bytes).unwrap(), value, "{build} {name}");
         assert_eq!(encode(&value), bytes, "{build} {name}");
     }
@@ -199,6 +223,33 @@
     }
 }
 
+/// Builds without eras read the same but the era.
+#[test]
+fn every_datagram_with_an_era_is_read_and_written_as_it_was() {
+    for build in BUILDS_WITH_ERAS {
+        for (name, value) in datagrams_with_eras() {
+            let bytes = sample(build, name);
+            let (read, additions) = decode_datagram(&bytes).unwrap();
+            assert_eq!((&read, additions.unknown), (&value, 0), "{build} {name}");
+            assert_eq!(encode_datagram(&value), bytes, "{build} {name}");
+            let mut without = value;
+            without.evacuations_mut().expect("it has a list").place.era = None;
+            assert_eq!(decode::<Datagram>(&bytes).unwrap(), without, "{build} {name}");
+        }
+    }
+}
+
+/// A datagram of any landed build may come from one that is two landings older or newer than this one.
+#[test]
+fn what_all_landed_builds_say_is_the_same_in_each_of_them() {
+    let names = datagrams().into_iter().map(|it| it.0);
+    let names = names.chain(requests().into_iter().map(|it| it.0));
+    for name in names.chain(answers().into_iter().map(|it| it.0)) {
+        let first = sample(BUILDS[0], name);
+        assert!(BUILDS.iter().all(|build| sample(build, name) == first), "{name}");
+    }
+}
+
 #[test]
 fn every_kind_of_datagram_has_a_sample() {
     let variants: std::collections::BTreeSet<u8> =
@@ -215,7 +266,11 @@
     let of_datagrams = datagrams().into_iter().map(|(name, it)| (name, encode(&it)));
     let of_requests = requests().into_iter().map(|(name, it)| (name, encode(&it)));
     let of_answers = answers().into_iter().map(|(name, it)| (name, encode(&it)));
-    for (name, bytes) in of_datagrams.chain(of_requests).chain(of_answers) {
+    let with_eras =
+        datagrams_with_eras().into_iter().map(|(name, it)| (name, encode_datagram(&it)));
+    let all = of_datagrams.chain(with_eras).chain(of_requests).chain(of_answers);
+    std::fs::create_dir_all(&folder).unwrap();
+    for (name, bytes) in all {
         std::fs::write(Path::new(&folder).join(name), bytes).unwrap();
     }
 }
--- a/components/wire/src/datagram/tests.rs
+++ b/components/wire/src/datagram/tests.rs
@@ -30,6 +30,18 @@
         prop_assert!(open_datagram(&keys, &bytes).is_err());
     }
 
+    /// A newer build may say more behind a datagram, within its code.
+    #[test]
+    fn reads_what_additions_follow(additions in proptest::collection::vec(any::<u8>(), 0..60)) {
+        let keys = KeyRing::parse("0123456789abcdef").unwrap();
+        let plain = sealed(&keys);
+        let body = &plain[..plain.len() - TAG_BYTES];
+        let mut bytes = [body, &additions].concat();
+        let tag = keys.sign(&[DOMAIN, &bytes]);
+        bytes.extend_from_slice(&tag);
+        prop_assert_eq!(open_datagram(&keys, &bytes).unwrap(), open_datagram(&keys, &plain).unwrap());
+    }
+
     #[test]
     fn errors_on_noise(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         let keys = KeyRing::parse("0123456789abcdef").unwrap();
--- a/components/wire/tests/samples.rs
+++ b/components/wire/tests/samples.rs
@@ -6,6 +6,7 @@
 
 use errors::Code;
 use fleet::{Bitmap, Incarnation, Place, Process, RequestId, Revision, Role, VersionId};
+use proptest::prelude::*;
 use quarantine::CrashList;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -15,7 +16,7 @@
 };
 
 /// The builds that have landed, oldest first.
-const BUILDS: [&str; 1] = ["a81c536"];
+const BUILDS: [&str; 2] = ["a81c536", "75577d2"];
 const VERSION: VersionId = VersionId([7; 32]);
 
 fn request() -> RequestId {
@@ -157,11 +158,31 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+
+    /// What a newer build may say behind a message spoils nothing of it.
+    #[test]
+    fn a_message_with_unknown_additions_is_read_as_the_one_without(
+        additions in prop::collection::vec(any::<u8>(), 0..60)
+    ) {
+        for (name, message) in messages() {
+            let bytes = [encode(&message), additions.clone()].concat();
+            prop_assert_eq!(postcard::from_bytes::<Message>(&bytes).unwrap(), message, "{}", name);
+        }
+        for (name, datagram) in datagrams() {
+            let bytes = [encode(&datagram), additions.clone()].concat();
+            prop_assert_eq!(postcard::from_bytes::<Datagram>(&bytes).unwrap(), datagram, "{}", name);
+        }
+    }
+}
+
 #[test]
 fn samples_of_this_build_are_written_where_that_is_asked_for() {
     let Ok(folder) = std::env::var("SILVERDOCK_SAMPLES") else {
         return;
     };
+    std::fs::create_dir_all(&folder).unwrap();
     let messages = messages().into_iter().map(|(name, it)| (name, encode(&it)));
     let datagrams = datagrams().into_iter().map(|(name, it)| (name, encode(&it)));
     let codes = codes().into_iter().map(|(name, it)| (name, encode(&it)));
