Foreign entries: one at the address of another runner takes none of its reports (red)

Gateways know by an address which runner a report is of, and the last entry read has it. A copy of an entry under another name, with a service that nobody knows, takes the reports of the runner; once it is gone they are nobody's, for the runner's own entry has not changed. Red: no report is known beside it, nor after it.

--- a/components/gateway/tests/foreign_entries.rs
+++ b/components/gateway/tests/foreign_entries.rs
@@ -112,3 +112,17 @@
         }
     }
 }
+
+#[test]
+fn an_entry_with_the_address_of_another_runner_takes_none_of_its_reports() {
+    let mut bed = bed(MODEL_SERVICE);
+    let running = |bed: &mut Bed, told| {
+        bed.feed(Event::Load(([127, 0, 0, 1], PORT).into(), load(1, told)));
+        let now = fleet::Millis(bed.now);
+        bed.gateway.pool().runner(&"r1".into()).and_then(|it| it.load(now).map(|it| it.running))
+    };
+    bed.list("foreign", UNKNOWN_SERVICE, PORT);
+    assert_eq!(running(&mut bed, 1), Some(1), "beside it");
+    bed.feed(Event::Unlisted("foreign".into()));
+    assert_eq!(running(&mut bed, 2), Some(2), "after it");
+}
