Foreign entries: reports reach the runner of each service at an address

Cause: an address stood for the last entry that was read with it. An entry of another writer that names the address of a runner and a service that nobody knows took that runner's reports, and left them to nobody once it was gone: gateways went on by none.

Ruled out: to let a report reach every entry with its address. The next runner at an address would speak for one before it whose entry still stands, and give it a life that it does not have. Of each service the newest entry has the address, as before.

Change: addresses lead to the newest entry of each service there; a report is taken in by each of them. One of an unknown service is not used, so what it hears changes nothing.

--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -23,7 +23,8 @@
 pub struct Pool {
     runners: BTreeMap<InstanceId, Runner>,
     by_service: HashMap<ServiceName, Vec<InstanceId>>,
-    by_address: HashMap<SocketAddr, InstanceId>,
+    /// The newest of each service at an address: another writer may list one of another service there.
+    by_address: HashMap<SocketAddr, BTreeMap<ServiceName, InstanceId>>,
     /// What runners have said that are listed no more, and when their entries went.
     departed: BTreeMap<InstanceId, (RunnerLife, Notices, Millis)>,
     named: NamedVersions,
@@ -84,7 +85,8 @@
     /// Adds a life of a runner.
     fn add(&mut self, now: Millis, record: RunnerRecord, restarts: u32) {
         let id = record.id.clone();
-        self.by_address.insert(record.address, id.clone());
+        let here = self.by_address.entry(record.address).or_default();
+        here.insert(record.service.clone(), id.clone());
         self.by_service.entry(record.service.clone()).or_default().push(id.clone());
         let mut runner = Runner::new(now, record, restarts);
         if let Some((life, notices, _)) = self.departed.remove(&id) {
@@ -107,8 +109,11 @@
         if runner.notices.binds(now) {
             self.departed.insert(id.clone(), (runner.life, runner.notices, now));
         }
-        if self.by_address.get(&runner.record.address) == Some(id) {
-            self.by_address.remove(&runner.record.address);
+        if let Some(here) = self.by_address.get_mut(&runner.record.address) {
+            here.retain(|_, it| it != id);
+            if here.is_empty() {
+                self.by_address.remove(&runner.record.address);
+            }
         }
         if let Some(ids) = self.by_service.get_mut(&runner.record.service) {
             ids.retain(|it| it != id);
@@ -121,11 +126,18 @@
         now: Millis,
         address: SocketAddr,
         load: RunnerLoad,
-    ) -> Option<LifeNews> {
+    ) -> Vec<LifeNews> {
         if let Some(named) = load.named.clone() {
             self.named.name(now, named);
         }
-        let id = self.by_address.get(&address)?.clone();
+        let here = self.by_address.get(&address).into_iter().flat_map(BTreeMap::values);
+        let ids: Vec<InstanceId> = here.cloned().collect();
+        let news = ids.into_iter().filter_map(|id| self.take_load_of(now, id, load.clone()));
+        news.collect()
+    }
+
+    /// Takes in a report on a runner.
+    fn take_load_of(&mut self, now: Millis, id: InstanceId, load: RunnerLoad) -> Option<LifeNews> {
         let runner = self.runners.get_mut(&id)?;
         self.silent.note_heard(&runner.record.hall);
         let news = life_news(runner, load.life, false);
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -211,7 +211,7 @@
             }
             Event::Listed(record) => {
                 let news = self.pool.list(now, record);
-                let mut effects = self.note_life(news);
+                let mut effects = self.note_lives(news);
                 effects.extend(self.dispatch(now, &mut random));
                 effects
             }
@@ -222,7 +222,7 @@
             }
             Event::Load(address, load) => {
                 let news = self.pool.take_load(now, address, load);
-                let mut effects = self.note_life(news);
+                let mut effects = self.note_lives(news);
                 effects.extend(self.dispatch(now, &mut random));
                 effects
             }
@@ -331,15 +331,15 @@
         self.dispatch(now, random)
     }
 
-    /// Takes in that a word about a runner was not of the life that is known.
-    fn note_life(&mut self, news: Option<LifeNews>) -> Vec<Effect> {
-        let Some(news) = news else {
-            return Vec::new();
+    /// Takes in that words about runners were not of the lives that are known.
+    fn note_lives(&mut self, news: impl IntoIterator<Item = LifeNews>) -> Vec<Effect> {
+        let note = |it: LifeNews| {
+            if it.change == LifeChange::Began {
+                self.cold.close(&it.runner);
+            }
+            Effect::Life(it)
         };
-        if news.change == LifeChange::Began {
-            self.cold.close(&news.runner);
-        }
-        vec![Effect::Life(news)]
+        news.into_iter().map(note).collect()
     }
 
     /// Takes in what the runner of an attempt says of itself. What it said before its present life is past.
