Soak: rows of another writer that can be read and name an unknown service

Change: by turns the rows of the `foreign` kind are no entries, as before, or a whole entry at the runner's own address with a service that nobody knows. The check is as it was: a runner in whose place another writer has put a row gets nothing new.

--- a/examples/soak/conductor.rs
+++ b/examples/soak/conductor.rs
@@ -1,12 +1,13 @@
 //! Does to a fleet what a plan says.
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use platform_standin::{LostRows, RunnerFault, StoreFault};
 use rustix::process::Signal;
-use serde_json::json;
+use serde_json::{json, Value};
 
 use crate::callers::Shared;
 use crate::faults::{Fault, Planned, HALLS};
@@ -62,6 +63,8 @@
     version: u64,
     /// How many requests that crash runners callers have sent.
     crashing: u64,
+    /// How often rows of another writer were put in the place of an entry.
+    foreign: u64,
 }
 
 impl<'a> Conductor<'a> {
@@ -74,6 +77,7 @@
             ends: Vec::new(),
             version: 1,
             crashing: 0,
+            foreign: 0,
         }
     }
 
@@ -305,12 +309,18 @@
         self.ends.push((until, End::Crashing));
     }
 
-    /// Writes rows that are no entries: a new one, and one in the place of a runner's. That runner is to get nothing
-    /// until its own entry is back, which the stand-in notes: runners write theirs whenever it changes.
+    /// Writes rows of another writer: a new one, and one in the place of a runner's entry. That runner is to get nothing
+    /// until its own entry is back, which the stand-in notes: runners write theirs whenever it changes. Every other time
+    /// the rows can be read, and name a service that nobody knows.
     fn write_foreign_rows(&mut self, number: usize, until: Duration) {
-        let runner = self.fleet.runners[number].id();
+        let (runner, address) =
+            (self.fleet.runners[number].id(), self.fleet.runners[number].engine);
         let rows = [json!({"state": "resting"}), json!([1]), json!("no entry")];
-        let row = rows[number % rows.len()].clone();
+        self.foreign += 1;
+        let row = match self.foreign % 2 {
+            0 => entry_of_unknown_service(address),
+            _ => rows[number % rows.len()].clone(),
+        };
         self.fleet.standin.write_row("servers", "foreign", row.clone());
         self.fleet.standin.write_row("servers", &runner, row);
         self.note(Target::Runner(number), until + AWAY);
@@ -426,3 +436,11 @@
         Ok(())
     }
 }
+
+/// An entry that can be read and names no runner, for its service is none of the configuration.
+fn entry_of_unknown_service(address: SocketAddr) -> Value {
+    json!({
+        "service": "neither here nor there", "address": address, "zone": hall_name(0), "version": "v1", "slots": 16,
+        "state": "ready", "coldRemainingMs": 0, "sequence": 0,
+    })
+}
