--- a/examples/soak/conductor.rs
+++ b/examples/soak/conductor.rs
@@ -67,6 +67,8 @@
     version: u64,
     /// How many requests that crash runners callers have sent.
     crashing: u64,
+    /// How often rows of another writer were put in the place of an entry.
+    foreign: u64,
 }
 
 impl<'a> Conductor<'a> {
@@ -79,6 +81,7 @@
             ends: Vec::new(),
             version: 1,
             crashing: 0,
+            foreign: 0,
         }
     }
 
--- a/examples/soak/conductor/runners.rs
+++ b/examples/soak/conductor/runners.rs
@@ -1,13 +1,14 @@
 //! Runners, and the ways to them.
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use platform_standin::{Engine, RunnerFault};
-use serde_json::json;
+use serde_json::{json, Value};
 
 use super::{Conductor, End, AWAY};
-use crate::fleet::COLD_START;
+use crate::fleet::{hall_name, COLD_START};
 use crate::history::{Cold, Leaving, Target};
 use crate::proxy::Harm;
 
@@ -115,15 +116,29 @@
         self.later(until, End::Crashing);
     }
 
-    /// Writes rows that are no entries: a new one, and one in the place of a runner's. That runner is to get nothing
-    /// until its own entry is back, which the stand-in notes: runners write theirs whenever it changes.
+    /// Writes rows of another writer: a new one, and one in the place of a runner's entry. That runner is to get nothing
+    /// until its own entry is back, which the stand-in notes: runners write theirs whenever it changes. Every other time
+    /// the rows can be read, and name a service that nobody knows.
     pub(super) fn write_foreign_rows(&mut self, number: usize, until: Duration) {
-        let runner = self.fleet.runners[number].id();
+        let (runner, address) =
+            (self.fleet.runners[number].id(), self.fleet.runners[number].engine);
         let rows = [json!({"state": "resting"}), json!([1]), json!("no entry")];
-        let row = rows[number % rows.len()].clone();
+        self.foreign += 1;
+        let row = match self.foreign % 2 {
+            0 => entry_of_unknown_service(address),
+            _ => rows[number % rows.len()].clone(),
+        };
         self.fleet.standin.write_row("servers", "foreign", row.clone());
         self.fleet.standin.write_row("servers", &runner, row);
         self.note(Target::Runner(number), until + AWAY);
         self.later(until + AWAY, End::Relist(number));
     }
 }
+
+/// An entry that can be read and names no runner, for its service is none of the configuration.
+fn entry_of_unknown_service(address: SocketAddr) -> Value {
+    json!({
+        "service": "neither here nor there", "address": address, "zone": hall_name(0), "version": "v1", "slots": 16,
+        "state": "ready", "coldRemainingMs": 0, "sequence": 0,
+    })
+}
