Store: bytes by table and cause, what listings cost, and how long the first one was waited for

To see what a fleet asks of the store at its start: a counter of bytes by table and cause, a line for each listing with its pages, bytes and time, and a line and a gauge of the wait for the first whole listing.

--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -48,7 +48,7 @@
     spawner.detach(watch(options, move |seen| match seen {
         Seen::NotBefore(clock_ms) => since_ms = Some(clock_ms),
         Seen::Whole => {
-            tables.of(table).whole.set(true);
+            tables.of(table).note_whole(table);
             core.tell_sidecars();
         }
         Seen::Evacuations(list) => core.feed(Event::Evacuations(list)),
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -226,13 +226,14 @@
         core.metrics.set("gateways_known", core.read(|it| it.members().count(now)) as u64);
         core.metrics.set("cold_plain_runners", cold as u64);
         core.metrics.set("cold_plain_runners_own", responsible as u64);
-        for (name, table) in [
-            ("operator_table_age_ms", &core.tables.operator),
-            ("runner_table_age_ms", &core.tables.runners),
+        for (age, wait, table) in [
+            ("operator_table_age_ms", "operator_table_first_wait_ms", &core.tables.operator),
+            ("runner_table_age_ms", "runner_table_first_wait_ms", &core.tables.runners),
         ] {
+            core.metrics.set(wait, table.first_whole_wait_ms());
             // Absent until the store has answered once: zero would look fresh.
-            if let Some(age) = table.age_ms() {
-                core.metrics.set(name, age);
+            if let Some(age_ms) = table.age_ms() {
+                core.metrics.set(age, age_ms);
             }
         }
     };
--- a/components/edge/src/gateway/sidecars.rs
+++ b/components/edge/src/gateway/sidecars.rs
@@ -60,7 +60,7 @@
     loop {
         let (sender, datagram) = news.receive().await;
         match datagram {
-            Datagram::WantSidecars { question, service } if runners.whole.get() => {
+            Datagram::WantSidecars { question, service } if runners.is_whole() => {
                 let fresh = !runners.lost.get();
                 let answer = core.read(|it| directory::answer(it, &service, question, fresh));
                 for part in answer {
--- a/components/edge/src/gateway/tables.rs
+++ b/components/edge/src/gateway/tables.rs
@@ -13,8 +13,10 @@
 pub struct TableState {
     /// The longest time between two answers while the store works.
     longest_gap: Duration,
-    /// Whether it has been read whole at least once.
-    pub whole: Cell<bool>,
+    /// Since when it is followed.
+    since: Instant,
+    /// How long it took until it was read whole for the first time.
+    first_whole: Cell<Option<Duration>>,
     /// Whether the store does not answer questions for it any more.
     pub lost: Cell<bool>,
     /// When the store last answered a question for it.
@@ -24,7 +26,34 @@
 impl TableState {
     /// Nothing has been heard yet. Answers come at least every `longest_gap` while the store works.
     fn new(longest_gap: Duration) -> Self {
-        Self { longest_gap, whole: Cell::default(), lost: Cell::default(), heard: Cell::default() }
+        Self {
+            longest_gap,
+            since: Instant::now(),
+            first_whole: Cell::default(),
+            lost: Cell::default(),
+            heard: Cell::default(),
+        }
+    }
+
+    /// Whether it has been read whole at least once.
+    pub fn is_whole(&self) -> bool {
+        self.first_whole.get().is_some()
+    }
+
+    /// Takes in that it has been read whole.
+    pub fn note_whole(&self, table: Table) {
+        if self.is_whole() {
+            return;
+        }
+        let waited = self.since.elapsed();
+        self.first_whole.set(Some(waited));
+        let table = format!("{table:?}");
+        log::info!(table = table.as_str(), waited_ms = waited.as_millis() as u64; "table whole for the first time");
+    }
+
+    /// How long it has been waited for to be read whole for the first time, or was, in milliseconds.
+    pub fn first_whole_wait_ms(&self) -> u64 {
+        self.first_whole.get().unwrap_or_else(|| self.since.elapsed()).as_millis() as u64
     }
 
     /// Whether the store has just confirmed what is known: it answers, and no answer is overdue.
@@ -79,6 +108,6 @@
 
     /// Whether both have been read whole.
     pub fn are_whole(&self) -> bool {
-        self.operator.whole.get() && self.runners.whole.get()
+        self.operator.is_whole() && self.runners.is_whole()
     }
 }
--- a/components/edge/src/listing.rs
+++ b/components/edge/src/listing.rs
@@ -7,6 +7,7 @@
 use fleet::StorePlace;
 use platform::store::{self, Change, Table};
 use telemetry::Metrics;
+use uptime::Instant;
 
 use crate::era::Era;
 use crate::link::Link;
@@ -39,7 +40,45 @@
 }
 
 /// Lists a whole table. All pages are of one era, or the listing has failed.
-pub async fn list(link: &mut Link, table: Table, era: &Era) -> Result<Listing> {
+pub async fn list(link: &mut Link, table: Table, era: &Era, metrics: &Metrics) -> Result<Listing> {
+    let mut cost = ListingCost::begin();
+    let listed = list_pages(link, table, era, metrics, &mut cost).await;
+    cost.log(table, listed.as_ref().err());
+    listed
+}
+
+/// What a listing has taken so far.
+struct ListingCost {
+    begun: Instant,
+    pages: u64,
+    bytes: u64,
+}
+
+impl ListingCost {
+    fn begin() -> Self {
+        Self { begun: Instant::now(), pages: 0, bytes: 0 }
+    }
+
+    fn count(&mut self, table: Table, bytes: usize, metrics: &Metrics) {
+        self.pages += 1;
+        self.bytes += bytes as u64;
+        metrics.count_store_bytes(call_name(table), "listing", bytes as u64);
+    }
+
+    fn log(&self, table: Table, fault: Option<&Error>) {
+        let (table, outcome) = (format!("{table:?}"), fault.map_or("whole", |it| it.code.name()));
+        let took_ms = self.begun.elapsed().as_millis() as u64;
+        log::info!(table = table.as_str(), outcome = outcome, pages = self.pages, bytes = self.bytes, took_ms = took_ms; "table listed");
+    }
+}
+
+async fn list_pages(
+    link: &mut Link,
+    table: Table,
+    era: &Era,
+    metrics: &Metrics,
+    cost: &mut ListingCost,
+) -> Result<Listing> {
     let mut from = String::new();
     let (mut changes, mut faults) = (Vec::new(), Vec::new());
     let mut first = None;
@@ -47,7 +86,9 @@
         let call = store::list(table, &from);
         let answer = link.call_patiently(call, Patience::LIST_BEGIN, PIECE_PAUSE).await?;
         let era = era.note(&answer.headers)?;
-        let page = store::read(table, &answer.success()?)?;
+        let body = answer.success()?;
+        cost.count(table, body.len(), metrics);
+        let page = store::read(table, &body)?;
         faults.extend(page.faults);
         // Changes behind the first page's version may be missing on it, so the feed starts there.
         let place = StorePlace { era, revision: page.revision };
--- a/components/edge/src/sidecar/directory.rs
+++ b/components/edge/src/sidecar/directory.rs
@@ -167,7 +167,8 @@
     }
 
     async fn listed_peers(&mut self) -> Result<Vec<Peer>> {
-        let listing = list(&mut self.link, Table::Runners, &self.core.era).await?;
+        let listing =
+            list(&mut self.link, Table::Runners, &self.core.era, &self.core.metrics).await?;
         log_faults(Table::Runners, &listing.faults);
         let mut peers = Vec::new();
         for change in listing.changes {
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -193,7 +193,7 @@
         if !core.subscribers().is_empty() {
             continue;
         }
-        match list(&mut link, Table::Versions, &core.era).await {
+        match list(&mut link, Table::Versions, &core.era, &core.metrics).await {
             Ok(listing) => {
                 log_faults(Table::Versions, &listing.faults);
                 take_versions(&core, listing.changes);
@@ -226,7 +226,7 @@
         if core.rollout.borrow().plan().is_some() {
             return;
         }
-        match list(&mut link, Table::Operator, &core.era).await {
+        match list(&mut link, Table::Operator, &core.era, &core.metrics).await {
             Ok(listing) => take_operator_table(&core, listing),
             Err(error) => {
                 let reason = error.to_string();
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -172,7 +172,8 @@
     async fn list(&mut self, deliver: &mut impl FnMut(Seen)) -> Result<()> {
         self.asked = Instant::now();
         let Listing { place, clock_ms, changes, faults } =
-            list(&mut self.link, self.options.table, &self.options.era).await?;
+            list(&mut self.link, self.options.table, &self.options.era, &self.options.metrics)
+                .await?;
         self.note_answer();
         let went_back = self.note_era(place.era, deliver);
         self.faults.tell_all(self.options.table, &self.options.metrics, &faults);
@@ -248,7 +249,10 @@
             // The page tells of a history with a gap behind what was read before.
             return Err(self.begin_again("the store came back from an older copy"));
         }
-        let page: Page = store::read(self.options.table, &answer.success()?)?;
+        let body = answer.success()?;
+        let name = call_name(self.options.table);
+        self.options.metrics.count_store_bytes(name, "feed", body.len() as u64);
+        let page: Page = store::read(self.options.table, &body)?;
         self.note_answer();
         self.faults.tell(self.options.table, &self.options.metrics, &page.faults);
         let was_silent = self.was_silent();
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -52,6 +52,7 @@
     chunks: Counter<u64>,
     control_bytes: Counter<u64>,
     platform_calls: Counter<u64>,
+    store_bytes: Counter<u64>,
     evacuations: Counter<u64>,
     crashes: Counter<u64>,
     lives: Counter<u64>,
@@ -107,6 +108,12 @@
                 .u64_counter("silverdock_platform_calls")
                 .with_description("Calls to the platform, by service and outcome")
                 .build(),
+            store_bytes: meter
+                .u64_counter("silverdock_store_bytes")
+                .with_description(
+                    "Bytes of the platform's store that were read, by table and cause",
+                )
+                .build(),
             evacuations: meter
                 .u64_counter("silverdock_evacuations")
                 .with_description("Evacuations of data halls that were heard of, by what changed")
@@ -197,6 +204,12 @@
         self.platform_calls.add(1, &[service, KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts bytes of a table of the platform's store, by what they were read for: a `listing` or a `feed`.
+    pub fn count_store_bytes(&self, table: &'static str, cause: &'static str, bytes: u64) {
+        let table = KeyValue::new("table", table);
+        self.store_bytes.add(bytes, &[table, KeyValue::new("cause", cause)]);
+    }
+
     /// Counts an evacuation of a data hall that `began` or `ended`.
     pub fn count_evacuation(&self, change: &'static str) {
         self.evacuations.add(1, &[KeyValue::new("change", change)]);
