--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -1,6 +1,7 @@
 //! Gateways and sidecars as processes, against a stand-in of the users' platform.
 
 mod builds;
+mod bulk;
 mod crashes;
 mod drills;
 mod evacuations;
