A large fleet starts without filling the links to the store

Runners' own writes cross the same links, so entries lapse and are written again. Behind that feeds of 500 changed runners (140 KB) to each of 33 gateways a region queue for two seconds, so feeds of the operators' table are given up after 2.7 s and then every 0.85 s, for as long as the queue lasts.

Ruled out: first whole listings of gateways (43 bytes: nothing is written yet at their start), the number of calls, chance (the same request is wrong each time).

A feed of the runners rests eight times as long as its last large answer waited in the queue, by the store's clock, at most the time of contact. Pages of a listing begin with 100 rows and grow while they come quickly. A sidecar without a gateway asks 4 to 6 s after its start, rests between pages, and stops once a gateway has come. Fleets with fewer than 100 runners ask as before, but for the spread of sidecars that no gateway has reached.

The two tests are red without it: six of six gateways refused the new route two seconds after the acknowledgement, and ten of ten sidecars read the store within half a second (with a spread of 1 ms).

--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -35,6 +35,7 @@
         patience: patience(&settings.bounds),
         first_spacing: FIRST_SPACING,
         spacing: spacing(&settings.bounds, table),
+        longest_rest: longest_rest(&settings.bounds, table),
         metrics: core.metrics.clone(),
         era: tables.era.clone(),
     };
@@ -124,6 +125,15 @@
     }
 }
 
+/// How long the feed of a table may rest for the sake of others on the link to the store. Nobody serves a request by what
+/// operators wrote before, so that table rests for nothing.
+fn longest_rest(bounds: &BoundSettings, table: Table) -> Duration {
+    match table {
+        Table::Runners => Duration::from_millis(bounds.contact_ms),
+        Table::Operator | Table::Versions => Duration::ZERO,
+    }
+}
+
 /// Whether sidecars should hear at once: of a version that was named, or because one of them is new and
 /// waits to hear what its runner should hold.
 fn concerns_sidecars(change: &Change) -> bool {
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -15,6 +15,7 @@
 mod message;
 mod metrics;
 mod news;
+mod paging;
 mod patience;
 mod reload;
 mod returns;
@@ -23,6 +24,7 @@
 mod sidecar;
 mod spawner;
 mod watch;
+mod yielding;
 
 pub use patience::Patience;
 pub use run::run;
--- a/components/edge/src/listing.rs
+++ b/components/edge/src/listing.rs
@@ -3,14 +3,17 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use async_io::Timer;
 use errors::{Code, Error, Result};
 use fleet::StorePlace;
 use platform::store::{self, Change, Table};
+use platform::Call;
 use telemetry::Metrics;
 use uptime::Instant;
 
 use crate::era::Era;
 use crate::link::Link;
+use crate::paging::{Haste, Paging};
 use crate::patience::Patience;
 
 /// The longest pause between two pieces of an answer. A large configuration may take seconds on a
@@ -40,9 +43,15 @@
 }
 
 /// Lists a whole table. All pages are of one era, or the listing has failed.
-pub async fn list(link: &mut Link, table: Table, era: &Era, metrics: &Metrics) -> Result<Listing> {
+pub async fn list(
+    link: &mut Link,
+    table: Table,
+    era: &Era,
+    metrics: &Metrics,
+    haste: Haste,
+) -> Result<Listing> {
     let mut cost = ListingCost::begin();
-    let listed = list_pages(link, table, era, metrics, &mut cost).await;
+    let listed = list_pages(link, table, era, metrics, Paging::new(haste), &mut cost).await;
     cost.log(table, listed.as_ref().err());
     listed
 }
@@ -77,14 +86,17 @@
     table: Table,
     era: &Era,
     metrics: &Metrics,
+    mut paging: Paging,
     cost: &mut ListingCost,
 ) -> Result<Listing> {
     let mut from = String::new();
     let (mut changes, mut faults) = (Vec::new(), Vec::new());
     let mut first = None;
     loop {
-        let call = store::list(table, &from);
+        let call = page_call(table, &from, &paging);
+        let asked = Instant::now();
         let answer = link.call_patiently(call, Patience::LIST_BEGIN, PIECE_PAUSE).await?;
+        paging.take(asked.elapsed());
         let era = era.note(&answer.headers)?;
         let body = answer.success()?;
         cost.count(table, body.len(), metrics);
@@ -98,12 +110,23 @@
         }
         changes.extend(page.changes);
         match page.next {
-            Some(next) => from = next,
+            Some(next) => {
+                from = next;
+                Timer::after(paging.rest()).await;
+            }
             None => return Ok(Listing { place, clock_ms, changes, faults }),
         }
     }
 }
 
+/// Reads the next page. What operators write has few rows, and some of them are large.
+fn page_call(table: Table, from: &str, paging: &Paging) -> Call {
+    match table {
+        Table::Operator | Table::Versions => store::list(table, from),
+        Table::Runners => store::list_at_most(table, from, paging.rows()),
+    }
+}
+
 /// Logs rows that cannot be read: what they say is not in force here.
 pub fn log_faults(table: Table, faults: &[Error]) {
     let table = format!("{table:?}");
--- a/components/edge/src/sidecar/directory.rs
+++ b/components/edge/src/sidecar/directory.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
+use async_io::Timer;
 use errors::Result;
 use fleet::{Hall, InstanceId, Place, Region};
+use futures_lite::future;
 use gateway::RunnerState;
 use platform::store::{Change, Table};
 use rand::seq::IteratorRandom;
+use rand::Rng;
 use rollout::{Directory, DirectoryAnswer, Event, Peer};
 use settings::DeploymentSettings;
 use uptime::Instant;
@@ -20,9 +23,14 @@
 use crate::listing::{list, log_faults};
 use crate::message::{Datagram, SidecarsPart};
 use crate::news::News;
+use crate::paging::Haste;
 
 /// How long a gateway may take to answer. It is at most a few milliseconds away and answers at once.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(250);
+/// How far apart sidecars that have waited for a gateway equally long ask the store.
+const SPREAD: Duration = Duration::from_millis(2000);
+/// How often one that reads the store's list looks whether a gateway has come.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// How many gateways are asked, one after the other.
 const TRIES: usize = 3;
 
@@ -54,6 +62,18 @@
     }
 }
 
+/// A random part of the time over which sidecars spread what all of them ask of the store at once.
+pub fn spread() -> Duration {
+    rand::rng().random_range(Duration::ZERO..SPREAD)
+}
+
+/// Waits until some gateway wants reports.
+async fn wait_for_gateway(core: Core) {
+    while core.subscribers().is_empty() {
+        Timer::after(LOOK_EVERY).await;
+    }
+}
+
 /// What a directory is told at start.
 pub struct DirectorySettings {
     /// The store.
@@ -155,8 +175,20 @@
         }
     }
 
-    /// Reads the store's list.
+    /// Reads the store's list. Where no gateway is known, until one comes: its list is as good, and it crosses no link.
     async fn read_store(&mut self) {
+        let core = self.core.clone();
+        if !core.subscribers().is_empty() {
+            return self.read_list().await;
+        }
+        future::or(wait_for_gateway(core), async {
+            Timer::after(spread()).await;
+            self.read_list().await;
+        })
+        .await;
+    }
+
+    async fn read_list(&mut self) {
         match self.listed_peers().await {
             Ok(peers) => self.tell(peers),
             Err(error) => {
@@ -168,7 +200,8 @@
 
     async fn listed_peers(&mut self) -> Result<Vec<Peer>> {
         let listing =
-            list(&mut self.link, Table::Runners, &self.core.era, &self.core.metrics).await?;
+            list(&mut self.link, Table::Runners, &self.core.era, &self.core.metrics, Haste::Spread)
+                .await?;
         log_faults(Table::Runners, &listing.faults);
         let mut peers = Vec::new();
         for change in listing.changes {
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -17,7 +17,7 @@
 use uptime::Instant;
 
 use super::core::Core;
-use super::directory::{self, DirectorySettings};
+use super::directory::{self, spread, DirectorySettings};
 use super::runner::{self, Job};
 use super::{draws, peers};
 use crate::evacuated::EvacuatedHalls;
@@ -27,6 +27,7 @@
 use crate::message::{weights_services, Datagram};
 use crate::metrics::{note_evacuation, serve_metrics, Standstills};
 use crate::news::News;
+use crate::paging::Haste;
 use crate::server::listen;
 use crate::spawner::Spawner;
 
@@ -193,7 +194,7 @@
         if !core.subscribers().is_empty() {
             continue;
         }
-        match list(&mut link, Table::Versions, &core.era, &core.metrics).await {
+        match list(&mut link, Table::Versions, &core.era, &core.metrics, Haste::Spread).await {
             Ok(listing) => {
                 log_faults(Table::Versions, &listing.faults);
                 take_versions(&core, listing.changes);
@@ -222,11 +223,11 @@
 async fn find_plan(core: Core, store: SocketAddr) {
     let mut link = Link::new(store);
     loop {
-        Timer::after(Duration::from_millis(GATEWAY_PATIENCE)).await;
+        Timer::after(Duration::from_millis(GATEWAY_PATIENCE) + spread()).await;
         if core.rollout.borrow().plan().is_some() {
             return;
         }
-        match list(&mut link, Table::Operator, &core.era, &core.metrics).await {
+        match list(&mut link, Table::Operator, &core.era, &core.metrics, Haste::Spread).await {
             Ok(listing) => take_operator_table(&core, listing),
             Err(error) => {
                 let reason = error.to_string();
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -22,8 +22,10 @@
 use crate::lateness::{not_before, Lateness};
 use crate::link::{CallAnswer, Link};
 use crate::listing::{call_name, list, Listing, ToldFaults, PIECE_PAUSE};
+use crate::paging::Haste;
 use crate::patience::Patience;
 use crate::returns::Returns;
+use crate::yielding::Yielding;
 
 /// How much longer than a feed waits the store may be silent before its news is taken for old.
 const LATE_AFTER: Duration = Duration::from_millis(1200);
@@ -42,6 +44,8 @@
     pub first_spacing: Duration,
     /// The shortest time between two feeds or listings later on.
     pub spacing: Duration,
+    /// The longest rest after a large answer that waited behind others. Zero where the table yields to nothing.
+    pub longest_rest: Duration,
     /// Counts the calls.
     pub metrics: Rc<Metrics>,
     /// The store's era.
@@ -78,6 +82,8 @@
     let calls = options.era.calls();
     let mut watch = Watch {
         link: Link::new(options.store),
+        yielding: Yielding::new(options.longest_rest),
+        started: Instant::now(),
         options,
         calls,
         place: None,
@@ -112,7 +118,7 @@
             Ok(()) => {
                 failures = 0;
                 deliver(Seen::Heard(watch.asked.elapsed()));
-                spacing
+                spacing.max(watch.yielding.rest())
             }
             Err(_) => {
                 failures += 1;
@@ -143,6 +149,9 @@
 struct Watch {
     options: WatchOptions,
     link: Link,
+    yielding: Yielding,
+    /// When the task began.
+    started: Instant,
     /// Told that the store came back from an older copy, or is to be asked at once.
     calls: Receiver<()>,
     /// Where the feed goes on. `None` until the table has been listed, and where what was read is of a history that is
@@ -171,9 +180,14 @@
 impl Watch {
     async fn list(&mut self, deliver: &mut impl FnMut(Seen)) -> Result<()> {
         self.asked = Instant::now();
-        let Listing { place, clock_ms, changes, faults } =
-            list(&mut self.link, self.options.table, &self.options.era, &self.options.metrics)
-                .await?;
+        let Listing { place, clock_ms, changes, faults } = list(
+            &mut self.link,
+            self.options.table,
+            &self.options.era,
+            &self.options.metrics,
+            Haste::Urgent,
+        )
+        .await?;
         self.note_answer();
         let went_back = self.note_era(place.era, deliver);
         self.faults.tell_all(self.options.table, &self.options.metrics, &faults);
@@ -213,6 +227,7 @@
             // Entries that the copy lacks are written again, as after an outage, however few they are.
             self.lapses.note_copy(Instant::now());
             self.lateness.note_gap();
+            self.yielding.forget();
             deliver(Seen::WentBack);
         }
         went_back
@@ -253,6 +268,7 @@
         let name = call_name(self.options.table);
         self.options.metrics.count_store_bytes(name, "feed", body.len() as u64);
         let page: Page = store::read(self.options.table, &body)?;
+        self.yielding.take(self.started.elapsed(), page.clock_ms, body.len());
         self.note_answer();
         self.faults.tell(self.options.table, &self.options.metrics, &page.faults);
         let was_silent = self.was_silent();
--- a/daemon/tests/deployment/bulk.rs
+++ b/daemon/tests/deployment/bulk.rs
@@ -10,7 +10,7 @@
 use platform_standin::{Caller, Standin};
 use serde_json::{json, Value};
 
-use crate::support::Deployment;
+use crate::support::{wait_until, Deployment};
 
 /// How long after its acknowledgement a configuration is in force.
 const CONFIGURATION: Duration = Duration::from_millis(2000);
@@ -24,6 +24,12 @@
 /// How long the list changes before anything is asked of the gateways.
 const WARM_UP: Duration = Duration::from_secs(8);
 
+/// How many sidecars start without a gateway. All of them ask the store within the same part of the time over which they
+/// spread one time in some ten thousand.
+const SIDECARS: u64 = 10;
+/// A part of that time.
+const INSTANT: Duration = Duration::from_millis(500);
+
 /// Entries of runners that change until this is dropped.
 struct Churn {
     stop: Arc<AtomicBool>,
@@ -95,3 +101,17 @@
         gateways.iter().map(|it| status_of_the_new_route(*it, &format!("n{it}"))).collect();
     assert_eq!(statuses, [200; GATEWAYS]);
 }
+
+/// Many sidecars once listed the runners in the same instant, in a fleet whose runners were not listed yet.
+#[test]
+fn sidecars_without_a_gateway_do_not_read_the_store_all_at_once() {
+    let mut deployment = Deployment::start();
+    for number in 0..SIDECARS {
+        deployment.add_model_runner(&format!("e{number}"), Some(1));
+    }
+    let standin = deployment.standin.clone();
+    wait_until("the first sidecar reads the list", || standin.runner_reads() > 0);
+    thread::sleep(INSTANT);
+    assert!(standin.runner_reads() < SIDECARS, "{} of {SIDECARS}", standin.runner_reads());
+    wait_until("all sidecars have read it", || standin.runner_reads() >= SIDECARS);
+}
