--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -34,6 +34,7 @@
         patience: patience(&settings.bounds),
         first_spacing: FIRST_SPACING,
         spacing: spacing(&settings.bounds, table),
+        longest_rest: longest_rest(&settings.bounds, table),
         metrics: core.metrics.clone(),
         era: tables.era.clone(),
     };
@@ -47,7 +48,7 @@
     spawner.detach(watch(options, move |seen| match seen {
         Seen::NotBefore(clock_ms) => since_ms = Some(clock_ms),
         Seen::Whole => {
-            tables.of(table).whole.set(true);
+            tables.of(table).note_whole(table);
             core.tell_sidecars();
         }
         Seen::Evacuations(list) => core.feed(Event::Evacuations(list)),
@@ -123,6 +124,15 @@
     }
 }
 
+/// How long the feed of a table may rest for the sake of others on the link to the store: half of the time in which a
+/// leaving runner must be heard of. Nobody serves a request by what operators wrote before, so that table rests for nothing.
+fn longest_rest(bounds: &BoundSettings, table: Table) -> Duration {
+    match table {
+        Table::Runners => Duration::from_millis(bounds.drain_ms) / 2,
+        Table::Operator | Table::Versions => Duration::ZERO,
+    }
+}
+
 /// Whether sidecars should hear at once: of a version that was named, or because one of them is new and
 /// waits to hear what its runner should hold.
 fn concerns_sidecars(change: &Change) -> bool {
--- a/components/edge/src/listing.rs
+++ b/components/edge/src/listing.rs
@@ -3,13 +3,17 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use async_io::Timer;
 use errors::{Code, Error, Result};
 use fleet::StorePlace;
 use platform::store::{self, Change, Table};
+use platform::Call;
 use telemetry::Metrics;
+use uptime::Instant;
 
 use crate::era::Era;
 use crate::link::Link;
+use crate::paging::{Haste, Paging};
 use crate::patience::Patience;
 
 /// The longest pause between two pieces of an answer. A large configuration may take seconds on a
@@ -39,15 +43,64 @@
 }
 
 /// Lists a whole table. All pages are of one era, or the listing has failed.
-pub async fn list(link: &mut Link, table: Table, era: &Era) -> Result<Listing> {
+pub async fn list(
+    link: &mut Link,
+    table: Table,
+    era: &Era,
+    metrics: &Metrics,
+    haste: Haste,
+) -> Result<Listing> {
+    let mut cost = ListingCost::begin();
+    let listed = list_pages(link, table, era, metrics, Paging::new(haste), &mut cost).await;
+    cost.log(table, listed.as_ref().err());
+    listed
+}
+
+/// What a listing has taken so far.
+struct ListingCost {
+    begun: Instant,
+    pages: u64,
+    bytes: u64,
+}
+
+impl ListingCost {
+    fn begin() -> Self {
+        Self { begun: Instant::now(), pages: 0, bytes: 0 }
+    }
+
+    fn count(&mut self, table: Table, bytes: usize, metrics: &Metrics) {
+        self.pages += 1;
+        self.bytes += bytes as u64;
+        metrics.count_store_bytes(call_name(table), "listing", bytes as u64);
+    }
+
+    fn log(&self, table: Table, fault: Option<&Error>) {
+        let (table, outcome) = (format!("{table:?}"), fault.map_or("whole", |it| it.code.name()));
+        let took_ms = self.begun.elapsed().as_millis() as u64;
+        log::info!(table = table.as_str(), outcome = outcome, pages = self.pages, bytes = self.bytes, took_ms = took_ms; "table listed");
+    }
+}
+
+async fn list_pages(
+    link: &mut Link,
+    table: Table,
+    era: &Era,
+    metrics: &Metrics,
+    mut paging: Paging,
+    cost: &mut ListingCost,
+) -> Result<Listing> {
     let mut from = String::new();
     let (mut changes, mut faults) = (Vec::new(), Vec::new());
     let mut first = None;
     loop {
-        let call = store::list(table, &from);
+        let call = page_call(table, &from, &paging);
+        let asked = Instant::now();
         let answer = link.call_patiently(call, Patience::LIST_BEGIN, PIECE_PAUSE).await?;
+        paging.take(asked.elapsed());
         let era = era.note(&answer.headers)?;
-        let page = store::read(table, &answer.success()?)?;
+        let body = answer.success()?;
+        cost.count(table, body.len(), metrics);
+        let page = store::read(table, &body)?;
         faults.extend(page.faults);
         // Changes behind the first page's version may be missing on it, so the feed starts there.
         let place = StorePlace { era, revision: page.revision };
@@ -57,12 +110,23 @@
         }
         changes.extend(page.changes);
         match page.next {
-            Some(next) => from = next,
+            Some(next) => {
+                from = next;
+                Timer::after(paging.rest()).await;
+            }
             None => return Ok(Listing { place, clock_ms, changes, faults }),
         }
     }
 }
 
+/// Reads the next page. What operators write has few rows, and some of them are large.
+fn page_call(table: Table, from: &str, paging: &Paging) -> Call {
+    match table {
+        Table::Operator | Table::Versions => store::list(table, from),
+        Table::Runners => store::list_at_most(table, from, paging.rows()),
+    }
+}
+
 /// Logs rows that cannot be read: what they say is not in force here.
 pub fn log_faults(table: Table, faults: &[Error]) {
     let table = format!("{table:?}");
