The test of a request that is given up on makes sure that the request was sent

Found by a reviewer: since news has its greatest age, the gateway left the old version before the test's request came, which was refused, and the test passed whatever the sidecar did. The request is sent 0.5 s earlier and must have been held on its way.

--- a/daemon/tests/deployment/narrow_paths.rs
+++ b/daemon/tests/deployment/narrow_paths.rs
@@ -21,8 +21,9 @@
 
 /// How long requests may begin on an older version, by the settings of the deployment.
 const VERSION: Duration = Duration::from_millis(8000);
-/// How long before that the request is sent: gateways still use the older version.
-const BEFORE: Duration = Duration::from_millis(1400);
+/// How long before that the request is sent. Gateways leave the older version 1.2 s before its bound, and may take it for
+/// named half a second before it was.
+const BEFORE: Duration = Duration::from_millis(1900);
 /// How long behind it the path lets through what it held.
 const BEHIND: Duration = Duration::from_millis(150);
 /// How long after its start a gateway has heard that nothing older is left.
@@ -40,13 +41,15 @@
 struct NarrowPath {
     address: SocketAddr,
     holds: Arc<AtomicBool>,
+    /// Whether it has held anything.
+    has_held: Arc<AtomicBool>,
 }
 
 impl NarrowPath {
     fn start(runner: SocketAddr) -> Self {
         let address = SocketAddr::new(runner.ip(), PATH_PORT);
         let listener = TcpListener::bind(address).unwrap();
-        let path = Self { address, holds: Arc::default() };
+        let path = Self { address, holds: Arc::default(), has_held: Arc::default() };
         let held = path.clone();
         thread::spawn(move || {
             for caller in listener.incoming().flatten() {
@@ -64,16 +67,18 @@
     fn carry(&self, caller: TcpStream, runner: TcpStream) {
         let (from_caller, to_caller) = (caller.try_clone().unwrap(), caller);
         let (from_runner, to_runner) = (runner.try_clone().unwrap(), runner);
-        let holds = self.holds.clone();
-        thread::spawn(move || pass_on(from_caller, to_runner, &holds));
-        thread::spawn(move || pass_on(from_runner, to_caller, &AtomicBool::new(false)));
+        let (holds, has_held) = (self.holds.clone(), self.has_held.clone());
+        thread::spawn(move || pass_on(from_caller, to_runner, &holds, &has_held));
+        let (never, unused) = (AtomicBool::new(false), AtomicBool::new(false));
+        thread::spawn(move || pass_on(from_runner, to_caller, &never, &unused));
     }
 }
 
-fn pass_on(mut from: TcpStream, mut to: TcpStream, holds: &AtomicBool) {
+fn pass_on(mut from: TcpStream, mut to: TcpStream, holds: &AtomicBool, has_held: &AtomicBool) {
     let mut buffer = [0; 4096];
     while let Ok(length @ 1..) = from.read(&mut buffer) {
         while holds.load(Ordering::SeqCst) {
+            has_held.store(true, Ordering::SeqCst);
             thread::sleep(LOOK);
         }
         if to.write_all(&buffer[..length]).is_err() {
@@ -112,6 +117,7 @@
     late.deadline_ms = 1000;
     let answer = late.call(gateway);
     assert!(!answer.whole || answer.status != 200, "nobody could serve it: {answer:?}");
+    assert!(path.has_held.load(Ordering::SeqCst), "the request was sent to the runner");
     sleep_until(bound + BEHIND);
     path.hold(false);
     // What the path held has reached the runner by then.
