A version is given up although an order for the newer one is only intended

Found by a reviewer, with a test that failed first: a sidecar with every chunk of the newer version took the older one for about to be replaced, for as long as what it put at the runner did not arrive whole. Class: an intention taken for the deed. Also: the order goes past other work at the runner, is repeated after a pause and not at each report, and does not wait for the list of sidecars.

--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -160,8 +160,8 @@
             Effect::Find(version) => add(&jobs, Job::Find(version)),
             Effect::Stage(version) => add(&jobs, Job::Stage(version)),
             Effect::Retire { version, sequence } => {
+                spawner.detach(runner::retire(core.clone(), version, sequence));
                 tell_of_order(&core, &news).await;
-                add(&jobs, Job::Retire { version, sequence });
             }
             Effect::Order { version, sequence, cut } => {
                 tell_of_order(&core, &news).await;
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -36,13 +36,6 @@
     Find(u64),
     /// Put every chunk of a version there.
     Stage(u64),
-    /// Order it to give up the version that it holds.
-    Retire {
-        /// The version.
-        version: u64,
-        /// The number of orders that it is expected to have taken.
-        sequence: u64,
-    },
     /// Order it to take a version.
     Order {
         /// The version.
@@ -142,12 +135,35 @@
         match job {
             Job::Find(version) => worker.find(version).await,
             Job::Stage(version) => worker.stage(version).await,
-            Job::Retire { version, sequence } => worker.retire(version, sequence).await,
             Job::Order { version, sequence, cut } => worker.order(version, sequence, cut).await,
         }
     }
 }
 
+/// Orders the runner to give up the version that it holds. The bound does not wait for other work at the runner, so this goes
+/// past it; the runner takes an order only if it has taken as many as expected.
+pub async fn retire(core: Core, version: u64, sequence: u64) {
+    let Some(model) = core.rollout.borrow().plan().map(|it| it.model.clone()) else {
+        return;
+    };
+    let layers = *core.layers.borrow();
+    let mut link = Link::new(core.settings.runner);
+    let outcome = give(&mut link, runner::retire(&model, version, sequence, layers)).await;
+    let word = format!("{outcome:?}");
+    log::warn!(version = version, sequence = sequence, outcome = word.as_str(); "version given up at its bound");
+}
+
+/// Gives the runner an order.
+async fn give(link: &mut Link, order: Result<Call>) -> OrderOutcome {
+    let Ok(call) = order else {
+        return OrderOutcome::Refused;
+    };
+    match link.call(call, CALL_TIMEOUT).await {
+        Ok(answer) => runner::order_outcome(answer.status),
+        Err(_) => OrderOutcome::Unanswered,
+    }
+}
+
 struct Worker<'a> {
     core: &'a Core,
     link: &'a mut Link,
@@ -216,26 +232,8 @@
         Err(Error::new(Code::UpstreamFailed, format!("status {}", answer.status)))
     }
 
-    async fn retire(&mut self, version: u64, sequence: u64) {
-        let layers = *self.core.layers.borrow();
-        let outcome = self.give(runner::retire(&self.model, version, sequence, layers)).await;
-        let word = format!("{outcome:?}");
-        log::warn!(version = version, sequence = sequence, outcome = word.as_str(); "version given up at its bound");
-    }
-
-    /// Gives the runner an order.
-    async fn give(&mut self, order: Result<Call>) -> OrderOutcome {
-        let Ok(call) = order else {
-            return OrderOutcome::Refused;
-        };
-        match self.link.call(call, CALL_TIMEOUT).await {
-            Ok(answer) => runner::order_outcome(answer.status),
-            Err(_) => OrderOutcome::Unanswered,
-        }
-    }
-
     async fn order(&mut self, version: u64, sequence: u64, cut: bool) {
-        let outcome = self.give(runner::start(&self.model, version, sequence, cut)).await;
+        let outcome = give(self.link, runner::start(&self.model, version, sequence, cut)).await;
         let word = format!("{outcome:?}");
         log::info!(version = version, sequence = sequence, cut = cut, outcome = word.as_str(); "ordered");
         self.core.feed(Event::Ordered(version, outcome));
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -69,6 +69,8 @@
     /// tell what it does now.
     status_at: Millis,
     own_order_at: Millis,
+    /// When the runner was last ordered to give up a version.
+    retired_at: Option<Millis>,
     /// Whether the runner says that it is leaving.
     runner_leaves: bool,
     places: Places,
@@ -112,6 +114,7 @@
             life: None,
             status_at: Millis(0),
             own_order_at: Millis(0),
+            retired_at: None,
             runner_leaves: false,
             places,
             questions: Questions::default(),
--- a/components/rollout/src/reducer/moves.rs
+++ b/components/rollout/src/reducer/moves.rs
@@ -15,7 +15,8 @@
     pub(super) fn advance(&mut self, now: Millis) -> Vec<Effect> {
         let ready = self.plan.is_some() && self.versions_known && self.peers.is_some();
         if !ready || self.status.is_none() {
-            return Vec::new();
+            // What is held may be too old whoever else there is.
+            return self.retire_when_due(now).into_iter().collect();
         }
         self.follow_name(now);
         let mut effects = Vec::new();
--- a/components/rollout/tests/bounds.rs
+++ b/components/rollout/tests/bounds.rs
@@ -141,3 +141,18 @@
     let retired: Vec<u64> = fleet.retired.iter().map(|it| it.1).collect();
     assert_eq!(retired, [2, 2, 2], "and gave it up once");
 }
+
+/// Every chunk of the newer version is here, and what is put at the runner never arrives whole: an order is intended for
+/// any time, and none is given.
+#[test]
+fn a_version_is_given_up_although_an_order_for_the_newer_one_is_intended() {
+    let mut fleet = Fleet::new(3, Some(1), 0);
+    fleet.spoils_staging = true;
+    fleet.run(3000);
+    fleet.name(2);
+    let bound = fleet.now + VERSION_MS;
+    fleet.run(VERSION_MS + 1000);
+    assert_eq!(fleet.orders, []);
+    assert_eq!(fleet.retired.len(), 3, "{:?}", fleet.retired);
+    assert!(fleet.retired.iter().all(|it| it.2 < bound), "{:?} {bound}", fleet.retired);
+}
--- a/components/rollout/tests/support/effects.rs
+++ b/components/rollout/tests/support/effects.rs
@@ -25,7 +25,7 @@
             Effect::Stage(version) => {
                 let whole = self.sidecars[index].have(version).is_some_and(|it| it.is_full());
                 assert!(whole, "staged before every chunk was here");
-                self.after(20, index, Event::Staged(version, true));
+                self.after(20, index, Event::Staged(version, !self.spoils_staging));
             }
             Effect::Retire { version, sequence } => {
                 let runner = &mut self.runners[index];
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -44,6 +44,8 @@
     pub later: Vec<Later>,
     pub origin_chunks: u32,
     pub orders: Vec<(usize, u64, u64)>,
+    /// Whether what is put at runners never arrives whole.
+    pub spoils_staging: bool,
     /// Runners that gave up a version, the version, and when.
     pub retired: Vec<(usize, u64, u64)>,
     /// One in so many draws is lost.
@@ -139,6 +141,7 @@
             origin_chunks: 0,
             orders: Vec::new(),
             retired: Vec::new(),
+            spoils_staging: false,
             loses,
             origin_out_until: 0,
             draws: 0,
