A gateway tells of a version until its bound, though it left older ones before

Found by a reviewer, with a test: of two versions named half a second apart a gateway forgot the older one 1.2 s before its bound, the margin by which it leaves runners alone, and no more told a sidecar that starts then.

--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -33,7 +33,7 @@
         let heard = VersionName::heard(now, named.version, named.age_ms);
         let names = self.by_model.entry(named.model).or_default();
         names.take(heard);
-        names.forget_before(now.plus(VERSION_MARGIN), self.version_ms);
+        names.forget_before(now, self.version_ms);
     }
 
     /// The oldest version of a model that a request may start on now.
--- a/components/gateway/tests/versions.rs
+++ b/components/gateway/tests/versions.rs
@@ -38,3 +38,17 @@
     let step = bed.arrive(arrival(1, MODEL_SERVICE, STREAM));
     assert!(matches!(step, Some(NextStep::Refuse { .. })), "{step:?}");
 }
+
+/// A gateway leaves a version alone before its bound, but others have to hear of that bound until it has passed.
+#[test]
+fn a_gateway_tells_of_a_version_until_its_bound_though_it_has_left_older_ones_already() {
+    let mut bed = Bed::new();
+    bed.feed(named(2, Some(0)));
+    bed.now += 500;
+    bed.feed(named(3, Some(0)));
+    bed.now += VERSION_MS - 600;
+    bed.feed(named(3, Some(VERSION_MS - 600)));
+    let now = fleet::Millis(bed.now);
+    let told: Vec<u64> = bed.gateway.named_versions(now).iter().map(|it| it.version).collect();
+    assert_eq!(told, [2, 3]);
+}
