A sidecar draws the version that a word tells of

Found by a reviewer by reading: versions that were told in turn over all words, also those that nobody was told, may reach one gateway always at the same turn.

--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -13,6 +13,7 @@
 };
 use gateway::{GatewaysHeard, RunnerLoad};
 use quarantine::{CrashLedger, CrashList, Told};
+use rand::seq::IteratorRandom;
 use rollout::{Effect, Event, Rollout, RolloutOptions};
 use settings::SidecarSettings;
 use telemetry::{note_crash_change, Metrics};
@@ -48,8 +49,6 @@
     pub chunks: Rc<RefCell<Chunks>>,
     /// The versions that were named for each model.
     pub names: Rc<RefCell<BTreeMap<ModelName, VersionNames>>>,
-    /// How many words on the load have told of a named version: they tell of one in turn.
-    told_names: Rc<Cell<usize>>,
     /// Gateways that want reports.
     pub subscribers: Rc<RefCell<BTreeMap<SocketAddr, Subscription>>>,
     /// The gateways that were heard lately.
@@ -119,7 +118,6 @@
             rollout: Rc::new(RefCell::new(Rollout::new(options))),
             chunks: Rc::default(),
             names: Rc::default(),
-            told_names: Rc::default(),
             subscribers: Rc::default(),
             gateways: Rc::new(RefCell::new(GatewaysHeard::new(repeat_window_ms))),
             crashes: Rc::default(),
@@ -189,12 +187,11 @@
         }
     }
 
-    /// The named version that the next word on the load tells of: each that still binds in turn, for there is room for one.
-    fn next_told_name(&self) -> Option<NamedVersion> {
+    /// A named version that a word on the load tells of. There is room for one, so any that still binds is drawn: whoever
+    /// hears some words hears of all.
+    fn told_name(&self) -> Option<NamedVersion> {
         let named = self.rollout.borrow().named_versions(self.clock.now());
-        let turn = self.told_names.get();
-        self.told_names.set(turn.wrapping_add(1));
-        named.get(turn % named.len().max(1)).cloned()
+        named.into_iter().choose(&mut rand::rng())
     }
 
     /// The load of the runner as gateways should see it now: with the places that were given since its
@@ -212,7 +209,7 @@
         load.busy |= rollout.is_evacuated(self.clock.now());
         load.busy |= rollout.runner_leaves();
         load.serves_in_ms = rollout.serves_in_ms(self.clock.now());
-        load.named = self.next_told_name();
+        load.named = self.told_name();
         Some(load)
     }
 
