What an answer tells of is dated by the store's clock, not by how long the answer took

Found by a reviewer by reading: an answer that was made at once and delivered late passed for one that the store had waited with, so news could be taken for younger than it may be; and one that the store did wait with for less than 0.6 s was taken for as old as the answer before, 0.85 s at the most, which took as much from the time in which older weights serve. Both follow from when the answer was made, by the store's clock.

--- a/components/edge/src/lateness.rs
+++ b/components/edge/src/lateness.rs
@@ -11,6 +11,9 @@
 /// sooner.
 const NOTHING_OLDER: Duration = Duration::from_millis(600);
 
+/// A store that took longer for an answer than this has waited for the change that it tells of.
+const AT_ONCE: Duration = Duration::from_millis(50);
+
 /// How long the store may take for an answer, in milliseconds, while it is slow.
 const SLOW_ANSWER_MS: u64 = 400;
 
@@ -65,11 +68,12 @@
     before_ms.max(answer_ms.saturating_sub(SLOW_ANSWER_MS))
 }
 
-/// The moment since which a change happened that an answer tells of. Everything up to `before` was known already, and the
-/// answer was made at `made`. Where the store `waited` for the change, it told of it at once; where it answered at once, the
-/// change may have lain there since `before`.
-pub fn happened_since(before: Instant, made: Instant, waited: Duration) -> Instant {
-    if waited < NOTHING_OLDER {
+/// The moment since which a change happened that an answer tells of. Everything up to `before` was known already; the
+/// question was asked at `asked`, and the answer made at `made`, by the store's clock: its way does not count. Where the
+/// store waited for the change, it told of it at once; where it answered at once, the change may have lain there since
+/// `before`.
+pub fn happened_since(before: Instant, asked: Instant, made: Instant) -> Instant {
+    if made.saturating_duration_since(asked) < AT_ONCE {
         before
     } else {
         made
--- a/components/edge/src/lateness/tests.rs
+++ b/components/edge/src/lateness/tests.rs
@@ -61,7 +61,8 @@
 #[test]
 fn a_change_happened_behind_the_answer_that_did_not_hold_it_or_while_the_store_waited_for_it() {
     let before = Instant::now();
-    let made = before + Duration::from_millis(250);
-    assert_eq!(happened_since(before, made, AT_ONCE), before);
-    assert_eq!(happened_since(before, made, AFTER_A_WAIT), made);
+    let asked = before + Duration::from_millis(250);
+    let (at_once, later) = (asked + Duration::from_millis(4), asked + Duration::from_millis(120));
+    assert_eq!(happened_since(before, asked, at_once), before);
+    assert_eq!(happened_since(before, asked, later), later);
 }
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -233,7 +233,7 @@
         let was_silent = self.was_silent();
         let late = self.lateness.take_listing(was_silent);
         self.note_clock(clock_ms, Duration::ZERO, late, deliver);
-        let age = self.greatest_age(late, Duration::ZERO, before);
+        let age = self.greatest_age(late, before);
         for change in changes {
             if !(went_back && self.returns.hold(Instant::now(), &change)) {
                 self.pass_on(change, age, lost, deliver);
@@ -313,7 +313,7 @@
         let is_gone = |change: &&Change| matches!(change, Change::RunnerGone(_));
         let gone = page.changes.iter().filter(is_gone).count();
         let lost = Lost { gone, known: self.runners.len() };
-        let age = self.greatest_age(late, waited, before);
+        let age = self.greatest_age(late, before);
         page.changes.into_iter().for_each(|change| self.pass_on(change, age, lost, deliver));
         self.heard = Some(Instant::now());
         self.place = Some(read.max(place));
@@ -374,9 +374,9 @@
     }
 
     /// How long ago what an answer tells of happened at most. `None` where it is late. Everything up to `before` was known
-    /// when the answer came, which took `waited`.
-    fn greatest_age(&self, late: bool, waited: Duration, before: Instant) -> Option<Duration> {
-        (!late).then(|| happened_since(before, self.known, waited).elapsed())
+    /// when it came.
+    fn greatest_age(&self, late: bool, before: Instant) -> Option<Duration> {
+        (!late).then(|| happened_since(before, self.asked, self.known).elapsed())
     }
 
     /// Hands a change on, unless it is to be believed later only.
