Sight: rate limits that runners name are read, logged and counted

The header is read in platform/ and kept by life at the gateway's runner, with the moment it was so: an answer without it ends the limit only if its request was sent after the limit was last heard of. Logged on each change by gateways, and by sidecars for the answers to their own questions; counted by answer (word="limit") and by runner (gauge, state line). No decision looks at it yet. A value that can't be read is a limit all the same (the one before, or one a second) and is said in the log.

--- a/components/account/src/account.rs
+++ b/components/account/src/account.rs
@@ -148,10 +148,12 @@
             let ran = if *not_run { "not run" } else { "may have run" };
             format!("{runner} failed after {took_ms} ms: {code} {name}, {ran}")
         }
-        Decision::Told { runner, leaving, rest_ms } => {
+        Decision::Told { runner, leaving, rest_ms, limit_per_s } => {
             let leaves = if *leaving { " leaves" } else { "" };
             let rest = rest_ms.map_or(String::new(), |ms| format!(" wants nothing for {ms} ms"));
-            format!("{runner} says that it{leaves}{rest}")
+            let limit =
+                limit_per_s.map_or(String::new(), |rate| format!(" takes {rate} requests a second"));
+            format!("{runner} says that it{leaves}{rest}{limit}")
         }
         Decision::Answered { runner, status, after_ms } => {
             format!("{runner} answers {status} after {after_ms} ms")
--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -90,6 +90,9 @@
         /// How long it wants to be left alone, in milliseconds. Absent where it did not turn the request away for a
         /// time.
         rest_ms: Option<u64>,
+        /// The rate limit that it names, in requests a second. Absent where it names none, and in lines of earlier builds.
+        #[serde(default)]
+        limit_per_s: Option<f64>,
     },
     /// A runner began to answer.
     Answered {
--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
 
 use account::Decision;
 use bytes::Bytes;
+use fleet::RateWord;
 use futures_lite::future;
 use gateway::{AttemptOutcome, Event, Notice, RequestKey, RunnerTarget};
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -171,16 +172,48 @@
         if notice.rest_ms.is_some() {
             self.core.metrics.count_runner_word("rest");
         }
+        if notice.limit.is_some() {
+            self.core.metrics.count_runner_word("limit");
+        }
         let runner = self.target.id.0.clone();
-        let Notice { is_leaving, rest_ms } = notice;
-        self.job.trace.note(Decision::Told { runner, leaving: is_leaving, rest_ms });
+        let Notice { is_leaving, rest_ms, limit } = notice;
+        let limit_per_s = match limit {
+            Some(RateWord::Limited(rate)) => Some(rate.per_s()),
+            _ => None,
+        };
+        let told = Decision::Told { runner, leaving: is_leaving, rest_ms, limit_per_s };
+        self.job.trace.note(told);
         self.core.feed(Event::Noticed(self.key, notice));
     }
 
+    /// What an answer says of its runner. One that sends the request elsewhere is that of another runner.
+    fn notice(&self, status: StatusCode, facts: &AnswerFacts) -> Notice {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return Notice::default();
+        }
+        let asks_for_rest = status == StatusCode::SERVICE_UNAVAILABLE;
+        Notice {
+            is_leaving: facts.is_leaving,
+            rest_ms: facts.rest_ms.filter(|_| asks_for_rest),
+            limit: self.limit_news(facts),
+        }
+    }
+
+    /// What an answer says of the runner's rate limit, as far as it matters: that there is none only where one is known,
+    /// and only if it is the answer to this request.
+    fn limit_news(&self, facts: &AnswerFacts) -> Option<RateWord> {
+        let is_own = facts.id.is_some() && facts.id == self.job.facts.id;
+        let is_limited = || self.core.read(|gateway| gateway.is_limited(&self.target.id));
+        match facts.limit {
+            RateWord::Unlimited if !is_own || !is_limited() => None,
+            word => Some(word),
+        }
+    }
+
     async fn judge(&self, mut exchange: Exchange, answer: Response<Incoming>) -> Outcome {
         let (head, mut body) = answer.into_parts();
         let facts = headers::read_answer(&head.headers);
-        self.take_notice(notice(head.status, &facts));
+        self.take_notice(self.notice(head.status, &facts));
         if let Some(outcome) = refused(head.status, &facts) {
             return outcome.into();
         }
@@ -202,15 +235,6 @@
     }
 }
 
-/// What an answer says of its runner. One that sends the request elsewhere is that of another runner.
-fn notice(status: StatusCode, facts: &AnswerFacts) -> Notice {
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return Notice::default();
-    }
-    let asks_for_rest = status == StatusCode::SERVICE_UNAVAILABLE;
-    Notice { is_leaving: facts.is_leaving, rest_ms: facts.rest_ms.filter(|_| asks_for_rest) }
-}
-
 /// How a runner turned a request away, if it did.
 fn refused(status: StatusCode, facts: &AnswerFacts) -> Option<AttemptOutcome> {
     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -260,6 +260,8 @@
         let silent = core.read(|gateway| gateway.pool().silent.count(now));
         core.metrics.set("halls_silent", silent as u64);
         let (suspects, quarantined) = core.read(|gateway| gateway.crash_counts());
+        let limited = core.read(|gateway| gateway.pool().count_limited());
+        core.metrics.set("runners_limited", limited as u64);
         core.metrics.set("requests_suspected", suspects as u64);
         core.metrics.set("requests_quarantined", quarantined as u64);
         core.metrics.set("configuration", configuration);
--- a/components/edge/src/gateway/notice_log.rs
+++ b/components/edge/src/gateway/notice_log.rs
@@ -1,8 +1,10 @@
 //! Logs what runners say of themselves in answers.
 
+use fleet::RateWord;
 use gateway::NoticeNews;
 
-/// Logs that a runner leaves, or wants to be left alone. Said once: for each life of a runner, and for each rest.
+/// Logs that a runner leaves, wants to be left alone or names a rate limit. Said once: for each life of a runner, for each
+/// rest, and for each change of its limit.
 pub fn note_notice(news: &NoticeNews) {
     let (runner, notice) = (news.runner.0.as_str(), news.notice);
     if notice.is_leaving {
@@ -11,4 +13,16 @@
     if let Some(rest_ms) = notice.rest_ms {
         log::warn!(runner = runner, rest_ms = rest_ms; "the runner turns requests away and wants to be left alone");
     }
+    match notice.limit {
+        Some(RateWord::Limited(rate)) => {
+            log::info!(runner = runner, per_s = rate.per_s(); "the runner names a rate limit");
+        }
+        Some(RateWord::Unreadable) => {
+            log::warn!(runner = runner; "the runner names a rate limit that can't be read");
+        }
+        Some(RateWord::Unlimited) => {
+            log::info!(runner = runner; "the runner names no rate limit any more");
+        }
+        None => {}
+    }
 }
--- a/components/edge/src/gateway/state_log.rs
+++ b/components/edge/src/gateway/state_log.rs
@@ -28,6 +28,7 @@
             core.read(|it| (it.members().count(now), it.members().sureness(now).name()));
         let (cold, responsible) = core.read(|it| it.cold_runners(now));
         let (leaving, resting) = core.read(|gateway| gateway.pool().count_notices(now));
+        let limited = core.read(|gateway| gateway.pool().count_limited());
         let (suspected, quarantined) = core.read(|gateway| gateway.crash_counts());
         let (under_way, waiting) = core.read(|gateway| gateway.load());
         log::info!(
@@ -37,6 +38,7 @@
             runners = runners,
             leaving = leaving,
             resting = resting,
+            limited = limited,
             silent_halls = silent_halls,
             under_way = under_way,
             waiting = waiting,
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -7,8 +7,9 @@
 use async_io::Timer;
 use bytes::Bytes;
 use errors::{Code, Error, Result};
-use fleet::{Bitmap, ModelName};
+use fleet::{Bitmap, Millis, ModelName, Rate, RateLimit, RateWord};
 use gateway::RunnerLoad;
+use platform::headers::AnswerFacts;
 use platform::{headers, runner, weights, Call};
 use quarantine::Told;
 use rollout::{Audience, Event, Followers, OrderOutcome, Reports};
@@ -54,16 +55,19 @@
     let mut reports = Reports::default();
     let mut told = None;
     let mut leaves = false;
+    let mut limit = RateLimit::default();
     loop {
+        let asked_at = core.clock.now();
         let report = read_report(&core, &mut link).await;
         if report.is_ok() != heard {
             heard = report.is_ok();
             log::info!(heard = heard; "runner");
         }
         match report {
-            Ok((report, is_leaving)) => {
+            Ok((report, facts)) => {
                 core.feed(Event::Status(report.status));
-                note_leaving(&core, &mut leaves, is_leaving);
+                note_leaving(&core, &mut leaves, facts.is_leaving);
+                note_limit(&core, &mut limit, asked_at, facts.limit);
                 *core.load.borrow_mut() = Some(report.load);
                 if let Some(load) = core.load_now() {
                     tell_due(&core, &news, &mut reports, &mut told, load).await;
@@ -110,12 +114,12 @@
     }
 }
 
-/// Reads the runner's report, and whether it says that it is leaving.
-async fn read_report(core: &Core, link: &mut Link) -> Result<(runner::Report, bool)> {
+/// Reads the runner's report, and what else its answer says.
+async fn read_report(core: &Core, link: &mut Link) -> Result<(runner::Report, AnswerFacts)> {
     let answer = link.call(runner::report(), CALL_TIMEOUT).await?;
-    let is_leaving = headers::read_answer(&answer.headers).is_leaving;
+    let facts = headers::read_answer(&answer.headers);
     let report = runner::read_report(&answer.success()?, *core.layers.borrow())?;
-    Ok((report, is_leaving))
+    Ok((report, facts))
 }
 
 /// Takes in whether the runner is leaving. `known` is what it said before.
@@ -126,6 +130,14 @@
     }
 }
 
+/// Logs a change of the rate limit that the runner names in answers to the sidecar.
+fn note_limit(core: &Core, known: &mut RateLimit, asked_at: Millis, word: RateWord) {
+    if known.hear(core.clock.now(), asked_at, word) {
+        let per_s = known.rate().map(Rate::per_s);
+        log::info!(per_s = per_s; "the runner's reports name a rate limit");
+    }
+}
+
 /// Does jobs at the runner for as long as the task runs.
 pub async fn work(core: Core, jobs: Receiver<Job>) {
     let mut link = Link::new(core.settings.runner);
--- /dev/null
+++ b/components/fleet/src/rate_limit.rs
@@ -0,0 +1,85 @@
+//! The rate of requests that an upstream takes from all processes together, as it says in its answers.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Millis;
+
+/// The thousandths in a whole.
+const THOUSAND: f64 = 1000.0;
+
+/// A rate of requests, exact to a thousandth of a request a second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Rate {
+    thousandths: u64,
+}
+
+impl Rate {
+    /// What a limit is taken for that can't be read.
+    pub const UNREADABLE: Self = Self { thousandths: 1000 };
+
+    /// Takes requests a second. `None` for what is no rate: a negative number, or none at all.
+    pub fn from_per_s(per_s: f64) -> Option<Self> {
+        let is_rate = per_s.is_finite() && per_s >= 0.0;
+        is_rate.then_some(Self { thousandths: (per_s * THOUSAND).round() as u64 })
+    }
+
+    /// Requests a second.
+    pub fn per_s(self) -> f64 {
+        self.thousandths as f64 / THOUSAND
+    }
+}
+
+/// What one answer of an upstream says of its rate limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RateWord {
+    /// It names none.
+    Unlimited,
+    /// It names this one.
+    Limited(Rate),
+    /// It names one that can't be read.
+    Unreadable,
+}
+
+impl RateWord {
+    /// Reads a limit as requests a second: a decimal number.
+    pub fn read(text: &str) -> Self {
+        let rate = text.trim().parse().ok().and_then(Rate::from_per_s);
+        rate.map_or(Self::Unreadable, Self::Limited)
+    }
+}
+
+/// The rate limit of one life of an upstream, by the newest word on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RateLimit {
+    rate: Option<Rate>,
+    /// When that was so. `None` where no limit was ever named.
+    known_at: Option<Millis>,
+}
+
+impl RateLimit {
+    /// Takes in what an answer says to a request that was sent at `sent_at`. Gives whether it changes the limit.
+    ///
+    /// Answers may overtake each other, so the limit ends only with an answer to a request that was sent after the
+    /// limit was last heard of.
+    pub fn hear(&mut self, now: Millis, sent_at: Millis, word: RateWord) -> bool {
+        match word {
+            RateWord::Limited(rate) => self.set(now, Some(rate)),
+            // Somebody who names a limit is in need of one, whatever it reads.
+            RateWord::Unreadable => self.set(now, Some(self.rate.unwrap_or(Rate::UNREADABLE))),
+            RateWord::Unlimited if self.known_at.is_some_and(|at| sent_at > at) => {
+                self.set(sent_at, None)
+            }
+            RateWord::Unlimited => false,
+        }
+    }
+
+    /// The limit, where there is one.
+    pub fn rate(&self) -> Option<Rate> {
+        self.rate
+    }
+
+    fn set(&mut self, at: Millis, rate: Option<Rate>) -> bool {
+        self.known_at = Some(at);
+        std::mem::replace(&mut self.rate, rate) != rate
+    }
+}
--- /dev/null
+++ b/components/fleet/tests/rate_limit.rs
@@ -0,0 +1,53 @@
+//! The rate limit of an upstream, by what its answers say.
+
+use fleet::*;
+
+fn rate(per_s: f64) -> Rate {
+    Rate::from_per_s(per_s).unwrap()
+}
+
+fn limited(per_s: f64) -> RateWord {
+    RateWord::Limited(rate(per_s))
+}
+
+#[test]
+fn a_limit_is_a_decimal_number_of_requests_a_second() {
+    for (text, per_s) in [("1.6", 1.6), (" 12 ", 12.0), ("0", 0.0), ("0.0004", 0.0), (".5", 0.5)] {
+        assert_eq!(RateWord::read(text), limited(per_s), "{text}");
+    }
+    for text in ["", "soon", "-1", "NaN", "inf", "1,5", "1.6/s", "1.6, 2"] {
+        assert_eq!(RateWord::read(text), RateWord::Unreadable, "{text}");
+    }
+}
+
+#[test]
+fn the_newest_word_counts() {
+    let mut limit = RateLimit::default();
+    assert!(limit.hear(Millis(10), Millis(5), limited(1.6)));
+    assert!(!limit.hear(Millis(20), Millis(12), limited(1.6)), "no news");
+    assert!(limit.hear(Millis(30), Millis(22), limited(0.4)));
+    assert_eq!(limit.rate(), Some(rate(0.4)));
+    assert!(limit.hear(Millis(40), Millis(32), RateWord::Unlimited));
+    assert_eq!(limit.rate(), None);
+}
+
+#[test]
+fn an_answer_that_was_overtaken_does_not_end_a_limit() {
+    let mut limit = RateLimit::default();
+    limit.hear(Millis(100), Millis(80), limited(1.0));
+    assert!(
+        !limit.hear(Millis(101), Millis(90), RateWord::Unlimited),
+        "sent before the limit was heard of"
+    );
+    assert_eq!(limit.rate(), Some(rate(1.0)));
+}
+
+#[test]
+fn a_limit_that_cannot_be_read_is_the_one_before_or_a_low_one() {
+    let mut limit = RateLimit::default();
+    limit.hear(Millis(10), Millis(5), RateWord::Unreadable);
+    assert_eq!(limit.rate(), Some(Rate::UNREADABLE));
+    limit.hear(Millis(20), Millis(15), limited(7.5));
+    limit.hear(Millis(30), Millis(25), RateWord::Unreadable);
+    assert_eq!(limit.rate(), Some(rate(7.5)));
+}
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -312,7 +312,7 @@
     pub known_born: Option<u64>,
 }
 
-/// What a runner said of itself that was not known.
+/// What a runner said of itself that was not known. The rest of the notice is empty.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NoticeNews {
     /// The runner.
--- a/components/gateway/src/notices.rs
+++ b/components/gateway/src/notices.rs
@@ -1,11 +1,12 @@
-//! What a runner has said of itself in its answers: that it is leaving, and how long it wants to be left alone.
+//! What a runner has said of itself in its answers: that it is leaving, how long it wants to be left alone, and how many
+//! requests a second it takes.
 //!
 //! This stands beside what the list and the sidecar say, for it binds whatever these say: an entry runs out, comes back as
 //! it was before, or cannot be read at all while the platform's store is away, and a runner that turns everything away
 //! reports that it is idle. With the list alone as the source requests would go on to a runner that has said that it is
 //! leaving, and to one that has asked for rest.
 
-use fleet::{Millis, Rest};
+use fleet::{Millis, RateLimit, RateWord, Rest};
 
 use crate::event::RequestKey;
 
@@ -16,12 +17,14 @@
     pub is_leaving: bool,
     /// It turned the request away and wants nothing from this gateway for so many milliseconds.
     pub rest_ms: Option<u64>,
+    /// The rate that it takes from all gateways together. `None` where the answer does not tell.
+    pub limit: Option<RateWord>,
 }
 
 impl Notice {
     /// Whether it says anything.
     pub fn is_empty(self) -> bool {
-        !self.is_leaving && self.rest_ms.is_none()
+        !self.is_leaving && self.rest_ms.is_none() && self.limit.is_none()
     }
 }
 
@@ -32,15 +35,18 @@
     is_leaving: bool,
     /// The rest that it asked for.
     pub rest: Rest<RequestKey>,
+    /// The rate that it takes from all gateways together.
+    pub limit: RateLimit,
 }
 
 impl Notices {
-    /// Takes in what an answer says. Gives whether that is news.
-    pub fn take(&mut self, now: Millis, notice: Notice) -> bool {
+    /// Takes in what the answer to a request says that was sent at `sent_at`. Gives what of it is news.
+    pub fn take(&mut self, now: Millis, sent_at: Millis, notice: Notice) -> Notice {
         let leaves_now = notice.is_leaving && !self.is_leaving;
         self.is_leaving |= notice.is_leaving;
-        let rests_now = notice.rest_ms.is_some_and(|it| self.rest.begin(now, it));
-        leaves_now || rests_now
+        let rest_ms = notice.rest_ms.filter(|it| self.rest.begin(now, *it));
+        let limit = notice.limit.filter(|it| self.limit.hear(now, sent_at, *it));
+        Notice { is_leaving: leaves_now, rest_ms, limit }
     }
 
     /// Whether the runner has said that it is leaving.
@@ -55,6 +61,6 @@
 
     /// Whether anything of it still binds.
     pub fn binds(&self, now: Millis) -> bool {
-        self.is_leaving || self.rest.left_ms(now) > 0
+        self.is_leaving || self.rest.left_ms(now) > 0 || self.limit.rate().is_some()
     }
 }
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -269,6 +269,11 @@
         (leaving, resting)
     }
 
+    /// How many runners name a rate limit.
+    pub fn count_limited(&self) -> usize {
+        self.runners.values().filter(|it| it.notices.limit.rate().is_some()).count()
+    }
+
     /// How many runners are known.
     pub fn len(&self) -> usize {
         self.runners.len()
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -12,8 +12,8 @@
 
 use errors::Code;
 use fleet::{
-    EvacuationChange, EvacuationList, Hall, LifeChange, Mechanism, Millis, NamedVersion,
-    ServiceName,
+    EvacuationChange, EvacuationList, Hall, InstanceId, LifeChange, Mechanism, Millis,
+    NamedVersion, ServiceName,
 };
 use quarantine::Crashes;
 use rand::rngs::SmallRng;
@@ -135,6 +135,11 @@
             })
     }
 
+    /// Whether a runner names a rate limit, as far as known.
+    pub fn is_limited(&self, runner: &InstanceId) -> bool {
+        self.pool.runner(runner).is_some_and(|it| it.notices.limit.rate().is_some())
+    }
+
     /// Homes where nothing can be served, by the configuration in force.
     pub fn home_faults(&self) -> &[HomeFault] {
         &self.home_faults
@@ -343,14 +348,19 @@
 
     /// Takes in what the runner of an attempt says of itself. What it said before its present life is past.
     fn take_notice(&mut self, now: Millis, key: RequestKey, notice: Notice) -> Vec<Effect> {
-        let current = self.requests.get(&key).and_then(|it| it.current.clone());
+        let Some(progress) = self.requests.get(&key) else {
+            return Vec::new();
+        };
+        let (current, sent_at) = (progress.current.clone(), progress.sent_at);
         let Some(chosen) = current else {
             return Vec::new();
         };
         let runner = self.pool.life_mut(&chosen.id, chosen.life);
-        let is_news = runner.is_some_and(|it| it.notices.take(now, notice));
-        let news = is_news.then_some(NoticeNews { runner: chosen.id, notice });
-        news.map(Effect::Notice).into_iter().collect()
+        let news = runner.map_or(Notice::default(), |it| it.notices.take(now, sent_at, notice));
+        if news.is_empty() {
+            return Vec::new();
+        }
+        vec![Effect::Notice(NoticeNews { runner: chosen.id, notice: news })]
     }
 
     /// Sends what waited while nothing was sent. Each request has a little longer to find a place.
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -221,7 +221,7 @@
     /// Keeps for its life that the list had it leaving. A store that comes back from an older copy has it ready again.
     pub fn note_listed_state(&mut self, now: Millis) {
         let is_leaving = self.record.state == RunnerState::Draining;
-        self.notices.take(now, Notice { is_leaving, rest_ms: None });
+        self.notices.take(now, now, Notice { is_leaving, ..Notice::default() });
     }
 
     /// It may have turned cold lately, for so many milliseconds at the most. The doubt ends with that, or when the list
--- a/components/gateway/tests/notices.rs
+++ b/components/gateway/tests/notices.rs
@@ -5,14 +5,14 @@
 
 mod support;
 
-use fleet::LifeWord;
+use fleet::{LifeWord, Rate, RateWord};
 use gateway::*;
 use proptest::prelude::*;
 use support::*;
 
 const REST: u64 = 3000;
-const LEAVES: Notice = Notice { is_leaving: true, rest_ms: None };
-const RESTS: Notice = Notice { is_leaving: false, rest_ms: Some(REST) };
+const LEAVES: Notice = Notice { is_leaving: true, rest_ms: None, limit: None };
+const RESTS: Notice = Notice { is_leaving: false, rest_ms: Some(REST), limit: None };
 
 /// A gateway that knows so many runners of the model, heard just now.
 fn bed(runners: u16) -> Bed {
@@ -114,6 +114,32 @@
     assert_eq!(sent_to(call(&mut bed, 1)).0, "r1");
 }
 
+/// Lets the runner of a request name a rate, and gives what of it was news.
+fn named(bed: &mut Bed, key: u64, limit: RateWord) -> Option<RateWord> {
+    bed.now += 1;
+    sent_to(call(bed, key));
+    bed.now += 1;
+    let notice = Notice { limit: Some(limit), ..Notice::default() };
+    let effects = bed.feed(Event::Noticed(RequestKey(key), notice));
+    bed.outcome(key, AttemptOutcome::Finished);
+    effects.into_iter().find_map(|effect| match effect {
+        Effect::Notice(news) => news.notice.limit,
+        _ => None,
+    })
+}
+
+#[test]
+fn a_rate_limit_is_told_of_when_it_begins_changes_and_ends() {
+    let mut bed = bed(1);
+    let limited = |per_s| RateWord::Limited(Rate::from_per_s(per_s).unwrap());
+    let words =
+        [limited(1.6), limited(1.6), limited(4.0), RateWord::Unlimited, RateWord::Unlimited];
+    let told: Vec<_> = (0..).zip(words).map(|(key, word)| named(&mut bed, key, word)).collect();
+    let news = [Some(limited(1.6)), None, Some(limited(4.0)), Some(RateWord::Unlimited), None];
+    assert_eq!(told, news);
+    assert!(!bed.gateway.is_limited(&"r1".into()));
+}
+
 #[test]
 fn a_runner_that_asked_for_rest_gets_nothing_until_it_is_over() {
     let mut bed = bed(2);
@@ -241,7 +267,7 @@
                     said[runner].leaves |= leaves;
                     let until = rest_ms.map_or(0, |it| bed.now + it);
                     said[runner].rest_until = said[runner].rest_until.max(until);
-                    bed.feed(Event::Noticed(RequestKey(key), Notice { is_leaving: leaves, rest_ms }))
+                    bed.feed(Event::Noticed(RequestKey(key), Notice { is_leaving: leaves, rest_ms, limit: None }))
                 }
                 Move::End { request, outcome } if !open.is_empty() => {
                     let (key, _) = open.swap_remove(request as usize % open.len());
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -129,7 +129,7 @@
                 .build(),
             runner_words: meter
                 .u64_counter("silverdock_runner_words")
-                .with_description("Answers in which a runner says that it wants no more requests")
+                .with_description("Answers in which a runner says what requests it takes")
                 .build(),
             slow_readers: meter
                 .u64_counter("silverdock_slow_readers")
@@ -230,7 +230,7 @@
         self.lives.add(1, &[KeyValue::new("change", change)]);
     }
 
-    /// Counts an answer in which a runner says that it wants no more requests: `leaving` or `rest`.
+    /// Counts an answer in which a runner says what it takes: `leaving`, `rest` or `limit`.
     pub fn count_runner_word(&self, word: &'static str) {
         self.runner_words.add(1, &[KeyValue::new("word", word)]);
     }
