--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -7,6 +7,7 @@
 mod evacuations;
 mod foreign_rows;
 mod leaving;
+mod limits;
 mod lives;
 mod logs;
 mod narrow_paths;
