Sidecars give places at the rate that their runner names

Cause: nobody read what they name. A gateway alone could not go by it either, for the rate is one for all gateways: each keeping to it sends a multiple.

Change: the sidecar beside the runner gives every place there, so the rate has its home there: a bucket of places, saved up for half a second, empty when the limit begins. Gateways tell what they hear with each question for a place, so a sidecar that starts anew knows it before it gives the first one, and are told what the sidecar goes by with each answer. The newest word counts, by ages; words are of one life of the runner; the sidecar reads its runner's reports too, where these name the limit. A question waits only for a place that comes in time, and such a denial does not count as a shortage. The next place shows in the load, so gateways prefer others.

Ruled out: a share for each gateway (requests are whole: with many gateways each share is less than one), a rate per gateway (the sum is a multiple).

New: addition 3 behind Reserve and Reserved.

--- a/components/edge/src/additions.rs
+++ b/components/edge/src/additions.rs
@@ -5,6 +5,7 @@
 //! the first of them passes over all that follows a message. See `docs/design/builds.md`.
 
 use errors::{Code, Error, Result};
+use fleet::ToldLimit;
 use serde::{Deserialize, Serialize};
 
 use crate::message::Datagram;
@@ -13,6 +14,8 @@
 const ERA: u16 = 1;
 /// How long places have been short at the runner that has none, in milliseconds.
 const SHORT_MS: u16 = 2;
+/// What the sender knows of the rate limit of the runner beside the sidecar.
+const LIMIT: u16 = 3;
 
 /// One addition.
 #[derive(Serialize, Deserialize)]
@@ -23,7 +26,7 @@
 
 impl Addition {
     fn new(number: u16, value: &impl Serialize) -> Self {
-        let bytes = postcard::to_stdvec(value).expect("a number can be encoded");
+        let bytes = postcard::to_stdvec(value).expect("it holds numbers alone");
         Self { number, bytes }
     }
 }
@@ -35,6 +38,8 @@
     era: Option<u64>,
     /// How long places have been short at the runner that has none, in milliseconds.
     short_ms: Option<u32>,
+    /// What the sender knows of the rate limit of the runner beside the sidecar.
+    limit: Option<ToldLimit>,
     /// Additions that this build does not know.
     pub unknown: usize,
 }
@@ -54,6 +59,7 @@
                 SHORT_MS => {
                     additions.short_ms = Some(postcard::from_bytes(&bytes).map_err(unreadable)?);
                 }
+                LIMIT => additions.limit = Some(postcard::from_bytes(&bytes).map_err(unreadable)?),
                 _ => additions.unknown += 1,
             }
         }
@@ -64,7 +70,8 @@
     fn write(&self) -> Vec<u8> {
         let era = self.era.map(|it| Addition::new(ERA, &it));
         let short_ms = self.short_ms.map(|it| Addition::new(SHORT_MS, &it));
-        let listed: Vec<Addition> = era.into_iter().chain(short_ms).collect();
+        let limit = self.limit.map(|it| Addition::new(LIMIT, &it));
+        let listed: Vec<Addition> = era.into_iter().chain(short_ms).chain(limit).collect();
         if listed.is_empty() {
             return Vec::new();
         }
@@ -74,7 +81,7 @@
     /// What a datagram says in additions.
     fn of(datagram: &Datagram) -> Self {
         let era = datagram.evacuations().and_then(|it| it.place.era);
-        Self { era, short_ms: datagram.short_ms(), unknown: 0 }
+        Self { era, short_ms: datagram.short_ms(), limit: datagram.limit(), unknown: 0 }
     }
 }
 
@@ -95,6 +102,7 @@
         evacuations.place.era = additions.era;
     }
     datagram.set_short_ms(additions.short_ms);
+    datagram.set_limit(additions.limit);
     Ok((datagram, additions))
 }
 
--- a/components/edge/src/additions/tests.rs
+++ b/components/edge/src/additions/tests.rs
@@ -6,11 +6,15 @@
 use super::*;
 use crate::message::encode;
 
+/// The first number that no addition of this build has.
+const UNKNOWN: u16 = 4;
+
 fn load(era: Option<u64>) -> Datagram {
     Datagram::Reserved {
         question: 7,
         reply: crate::message::Reply::Granted,
         load: None,
+        limit: None,
         evacuations: EvacuationList {
             place: StorePlace { era, revision: 530 },
             evacuated: Vec::new(),
@@ -18,6 +22,18 @@
     }
 }
 
+fn reserve() -> Datagram {
+    Datagram::Reserve {
+        question: 7,
+        request: "r".into(),
+        prompt_tokens: 100,
+        rank: 0,
+        left_ms: 400,
+        wait_ms: 0,
+        limit: None,
+    }
+}
+
 #[test]
 fn a_datagram_without_an_era_is_one_of_the_first_format() {
     assert_eq!(encode_datagram(&load(None)), encode(&load(None)));
@@ -39,6 +55,7 @@
         reply: crate::message::Reply::Denied { again_ms: 60, short_ms },
         load: None,
         evacuations: EvacuationList::default(),
+        limit: None,
     };
     let bytes = encode_datagram(&denied(Some(1500)));
     assert_eq!(decode_datagram(&bytes).unwrap().0, denied(Some(1500)));
@@ -46,6 +63,20 @@
     assert_eq!(first_format, denied(None));
 }
 
+#[test]
+fn a_rate_limit_arrives_behind_a_question_for_a_place_and_its_answer() {
+    let told = |rate| ToldLimit { born: Some(1_764_720_000_000), rate, age_ms: 1200 };
+    for rate in [fleet::Rate::from_per_s(1.6), None] {
+        for mut datagram in [load(Some(9)), reserve()] {
+            datagram.set_limit(Some(told(rate)));
+            let bytes = encode_datagram(&datagram);
+            assert_eq!(decode_datagram(&bytes).unwrap().0, datagram);
+            let first_format: Datagram = crate::message::decode(&bytes).unwrap();
+            assert_eq!(first_format.limit(), None);
+        }
+    }
+}
+
 #[test]
 fn the_first_format_reads_a_datagram_with_an_era() {
     let read: Datagram = crate::message::decode(&encode_datagram(&load(Some(9)))).unwrap();
@@ -55,7 +86,7 @@
 proptest! {
     #[test]
     fn a_datagram_with_unknown_additions_is_read_as_the_one_without(
-        numbers in proptest::collection::vec((3..u16::MAX, proptest::collection::vec(any::<u8>(), 0..40)), 0..5),
+        numbers in proptest::collection::vec((UNKNOWN..u16::MAX, proptest::collection::vec(any::<u8>(), 0..40)), 0..5),
         era in proptest::option::of(any::<u64>()),
     ) {
         let mut listed: Vec<Addition> =
--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -17,7 +17,7 @@
 use super::answer::{whole_body, AnswerBody};
 use super::core::Core;
 use super::request::Job;
-use super::reservations::Patience;
+use super::reservations::Wanted;
 use crate::exchange::Exchange;
 
 /// How long a connection to a runner may take to come up.
@@ -127,9 +127,10 @@
         let facts = &self.job.facts;
         let id = facts.id.as_deref().unwrap_or("");
         let reservations = &self.core.reservations;
-        let RunnerTarget { rank, left_ms, wait_ms, .. } = *self.target;
-        let patience = Patience { rank, left_ms, wait_ms };
-        match reservations.ask(self.target.address, id, self.job.prompt_tokens, patience).await {
+        let prompt_tokens = self.job.prompt_tokens;
+        let RunnerTarget { rank, left_ms, wait_ms, limit, .. } = *self.target;
+        let wanted = Wanted { prompt_tokens, rank, left_ms, wait_ms, limit };
+        match reservations.ask(self.target.address, id, wanted).await {
             None => Ok(()),
             Some(outcome) => Err(outcome),
         }
--- a/components/edge/src/gateway/reservations.rs
+++ b/components/edge/src/gateway/reservations.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use fleet::ToldLimit;
 use gateway::AttemptOutcome;
 use uptime::Instant;
 
@@ -17,15 +18,19 @@
 /// How long a sidecar may take to answer. One that is awake answers within a few milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(45);
 
-/// What a question may wait for.
+/// What a question says of its request.
 #[derive(Clone, Copy, Debug)]
-pub struct Patience {
+pub struct Wanted {
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
     /// The rank of the request; zero goes first.
     pub rank: u8,
     /// What is left of the request's aim, in milliseconds. Zero for a later try of a caller that was refused.
     pub left_ms: u64,
     /// How long the question may wait for a place, in milliseconds.
     pub wait_ms: u64,
+    /// What the gateway heard of the runner's rate limit, lately.
+    pub limit: Option<ToldLimit>,
 }
 
 /// Waits for the next answer.
@@ -61,10 +66,9 @@
         &self,
         runner: SocketAddr,
         request: &str,
-        prompt_tokens: u32,
-        patience: Patience,
+        wanted: Wanted,
     ) -> Option<AttemptOutcome> {
-        let Patience { rank, left_ms, wait_ms } = patience;
+        let Wanted { prompt_tokens, rank, left_ms, wait_ms, limit } = wanted;
         let left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
         let (sender, answers) = async_channel::bounded(2);
         let question = {
@@ -78,7 +82,7 @@
         let sidecar = SocketAddr::new(runner.ip(), self.port);
         let request = request.to_owned();
         let reserve =
-            Datagram::Reserve { question, request, prompt_tokens, rank, left_ms, wait_ms };
+            Datagram::Reserve { question, request, prompt_tokens, rank, left_ms, wait_ms, limit };
         self.news.send(sidecar, &reserve).await;
         let mut reply = next(&answers, ANSWER_TIMEOUT).await;
         if reply == Some(Reply::Queued) {
--- a/components/edge/src/gateway/sidecars.rs
+++ b/components/edge/src/gateway/sidecars.rs
@@ -88,12 +88,15 @@
                 core.feed(Event::Crashes(crashes));
                 core.feed(Event::Load(runner, load));
             }
-            Datagram::Reserved { question, reply, load, evacuations } => {
+            Datagram::Reserved { question, reply, load, evacuations, limit } => {
                 core.feed(Event::Evacuations(evacuations));
                 let runner = core.reservations.runner(question);
                 if let Some((runner, load)) = runner.zip(load) {
                     core.feed(Event::Load(runner, load));
                 }
+                if let Some(runner) = runner {
+                    core.feed(Event::LimitTold(runner, limit));
+                }
                 core.reservations.settle(question, reply);
             }
             Datagram::Gateways(list) => core.feed(Event::Gateways(list)),
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -3,7 +3,9 @@
 use std::net::{IpAddr, SocketAddr};
 
 use errors::{Code, Error, Result};
-use fleet::{Bitmap, EvacuationList, Hall, InstanceId, Manifest, NamedVersion, Place, ServiceName};
+use fleet::{
+    Bitmap, EvacuationList, Hall, InstanceId, Manifest, NamedVersion, Place, ServiceName, ToldLimit,
+};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use gateway::{Catalog, GatewayList, RunnerLoad, Service};
 use quarantine::CrashList;
@@ -67,6 +69,9 @@
         left_ms: u32,
         /// How long the question may wait for a place, in milliseconds.
         wait_ms: u64,
+        /// What the gateway heard of the runner's rate limit, lately. It rides behind the message.
+        #[serde(skip)]
+        limit: Option<ToldLimit>,
     },
     /// The answer to a question for a place.
     Reserved {
@@ -78,6 +83,10 @@
         load: Option<RunnerLoad>,
         /// The data halls that are evacuated.
         evacuations: EvacuationList,
+        /// The rate limit that the sidecar keeps the runner's places to. It rides behind the message: `None` also from
+        /// a sidecar that keeps to none.
+        #[serde(skip)]
+        limit: Option<ToldLimit>,
     },
     /// A sidecar wants to know the other sidecars of its service.
     WantSidecars {
@@ -146,6 +155,23 @@
     }
 }
 
+impl Datagram {
+    /// What it tells of the rate limit of the runner beside the sidecar.
+    pub fn limit(&self) -> Option<ToldLimit> {
+        match self {
+            Self::Reserve { limit, .. } | Self::Reserved { limit, .. } => *limit,
+            _ => None,
+        }
+    }
+
+    /// Takes that in.
+    pub fn set_limit(&mut self, told: Option<ToldLimit>) {
+        if let Self::Reserve { limit, .. } | Self::Reserved { limit, .. } = self {
+            *limit = told;
+        }
+    }
+}
+
 /// A part of a gateway's answer to a sidecar that wants to know the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SidecarsPart {
--- a/components/edge/src/message/samples.rs
+++ b/components/edge/src/message/samples.rs
@@ -95,6 +95,7 @@
         reply,
         load: Some(load()),
         evacuations: evacuations(),
+        limit: None,
     };
     vec![
         (
@@ -132,6 +133,7 @@
                 rank: 12,
                 left_ms: 380,
                 wait_ms: 88,
+                limit: None,
             },
         ),
         ("reserved-granted", reserved(Reply::Granted)),
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -205,9 +205,8 @@
         load.running = rollout.places().taken();
         load.reading_ms = rollout.places().reading_ms(self.clock.now()) as u32;
         load.waiting = rollout.waiting() as u32;
-        // A cold runner's next place is as far away as if it still read prompts.
-        let cold = rollout.cold().place_in_ms(self.clock.now()) as u32;
-        load.reading_ms = load.reading_ms.max(cold);
+        // The next place of a runner that is cold or names a rate is as far away as if it still read prompts.
+        load.reading_ms = load.reading_ms.max(rollout.place_in_ms(self.clock.now()));
         load.busy |= rollout.is_leaving(self.clock.now());
         load.busy |= rollout.is_evacuated(self.clock.now());
         load.busy |= rollout.runner_leaves();
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -8,7 +8,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use errors::Result;
-use fleet::{Bitmap, InstanceId, Millis, NamedVersion};
+use fleet::{Bitmap, InstanceId, Millis, NamedVersion, Rate};
 use gateway::LifeNews;
 use platform::store::{Change, Table};
 use rand::seq::IteratorRandom;
@@ -160,6 +160,10 @@
                 let news = LifeNews { runner: core.me.clone(), change, told, known_born: None };
                 note_life(&core.metrics, &news);
             }
+            Effect::Limit(rate) => {
+                let per_s = rate.map(Rate::per_s);
+                log::info!(per_s = per_s; "rate limit of the runner");
+            }
             Effect::Evacuation(change) => {
                 note_evacuation(&core.metrics, &change);
                 core.look_at_runner();
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -181,7 +181,11 @@
                 rank,
                 left_ms,
                 wait_ms,
+                limit,
             } => {
+                if let Some(told) = limit {
+                    core.feed(Event::LimitTold(told));
+                }
                 let (asker, left_ms) = (sender, u64::from(left_ms));
                 let question =
                     Question { asker, number, request, prompt_tokens, rank, left_ms, wait_ms };
@@ -221,7 +225,9 @@
     };
     let load = core.load_now();
     let evacuations = core.evacuations();
-    let reserved = Datagram::Reserved { question: question.number, reply, load, evacuations };
+    let limit = core.rollout.borrow().told_limit(core.clock.now());
+    let reserved =
+        Datagram::Reserved { question: question.number, reply, load, evacuations, limit };
     news.send(question.asker, &reserved).await;
     match verdict {
         Verdict::Granted => {}
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use bytes::Bytes;
 use errors::{Code, Error, Result};
-use fleet::{Bitmap, Millis, ModelName, Rate, RateLimit, RateWord};
+use fleet::{Bitmap, ModelName};
 use gateway::RunnerLoad;
 use platform::headers::AnswerFacts;
 use platform::{headers, runner, weights, Call};
@@ -55,7 +55,6 @@
     let mut reports = Reports::default();
     let mut told = None;
     let mut leaves = false;
-    let mut limit = RateLimit::default();
     loop {
         let asked_at = core.clock.now();
         let report = read_report(&core, &mut link).await;
@@ -67,7 +66,7 @@
             Ok((report, facts)) => {
                 core.feed(Event::Status(report.status));
                 note_leaving(&core, &mut leaves, facts.is_leaving);
-                note_limit(&core, &mut limit, asked_at, facts.limit);
+                core.feed(Event::LimitReported(asked_at, facts.limit));
                 *core.load.borrow_mut() = Some(report.load);
                 if let Some(load) = core.load_now() {
                     tell_due(&core, &news, &mut reports, &mut told, load).await;
@@ -130,14 +129,6 @@
     }
 }
 
-/// Logs a change of the rate limit that the runner names in answers to the sidecar.
-fn note_limit(core: &Core, known: &mut RateLimit, asked_at: Millis, word: RateWord) {
-    if known.hear(core.clock.now(), asked_at, word) {
-        let per_s = known.rate().map(Rate::per_s);
-        log::info!(per_s = per_s; "the runner's reports name a rate limit");
-    }
-}
-
 /// Does jobs at the runner for as long as the task runs.
 pub async fn work(core: Core, jobs: Receiver<Job>) {
     let mut link = Link::new(core.settings.runner);
--- a/components/fleet/src/bucket.rs
+++ b/components/fleet/src/bucket.rs
@@ -47,6 +47,14 @@
         (self.per_s > 0.0).then(|| (missing * 1000.0 / self.per_s).ceil() as u64)
     }
 
+    /// How many milliseconds so many units take. `None` if they never come.
+    pub fn refill_ms(&self, units: usize) -> Option<u64> {
+        if units == 0 {
+            return Some(0);
+        }
+        (self.per_s > 0.0).then(|| (units as f64 * 1000.0 / self.per_s).ceil() as u64)
+    }
+
     fn held(&self, now: Millis) -> f64 {
         let gained = now.since(self.at).0 as f64 * self.per_s / 1000.0;
         (self.held + gained).min(self.most)
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -36,7 +36,7 @@
 pub use manifest::{Manifest, MAX_CHUNKS, MAX_CHUNK_BYTES, MIN_CHUNK_BYTES};
 pub use named::{NamedVersion, VersionName, VersionNames};
 pub use plan::{Plan, Source, Step};
-pub use rate_limit::{Rate, RateLimit, RateWord};
+pub use rate_limit::{Rate, RateLimit, RateWord, ToldLimit};
 pub use report::{DeploymentStatus, MemberStatus, PlanReply, RolloutStatus, Status};
 pub use rest::{rest_ms, Rest, UNREADABLE_REST_MS};
 pub use store_place::StorePlace;
--- a/components/fleet/src/rate_limit.rs
+++ b/components/fleet/src/rate_limit.rs
@@ -4,6 +4,8 @@
 
 use crate::Millis;
 
+/// How long after the end of a limit others are told of that, in milliseconds.
+const END_TOLD_FOR: u64 = 10_000;
 /// The thousandths in a whole.
 const THOUSAND: f64 = 1000.0;
 
@@ -48,6 +50,17 @@
     }
 }
 
+/// What one process tells another of an upstream's rate limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLimit {
+    /// When the life of the upstream began that it is of, in milliseconds of Unix time, where that is known.
+    pub born: Option<u64>,
+    /// The limit. `None` where there is none any more.
+    pub rate: Option<Rate>,
+    /// How long ago that was heard, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// The rate limit of one life of an upstream, by the newest word on it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RateLimit {
@@ -73,6 +86,24 @@
         }
     }
 
+    /// Takes in what another process tells of the life that began at `born`. Gives whether it changes the limit.
+    pub fn learn(&mut self, now: Millis, born: Option<u64>, told: ToldLimit) -> bool {
+        let is_other_life = born.zip(told.born).is_some_and(|(known, told)| known != told);
+        let at = now.minus(u64::from(told.age_ms));
+        // What is known already gets no younger by being told to and fro.
+        let is_newer = told.rate != self.rate && self.known_at.is_none_or(|known| at > known);
+        let is_news = is_newer && !is_other_life;
+        is_news && self.set(at, told.rate)
+    }
+
+    /// What others are told of it. `None` where they need not be.
+    pub fn told(&self, now: Millis, born: Option<u64>) -> Option<ToldLimit> {
+        let age = now.since(self.known_at?).0;
+        let is_wanted = self.rate.is_some() || age <= END_TOLD_FOR;
+        let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+        is_wanted.then_some(ToldLimit { born, rate: self.rate, age_ms })
+    }
+
     /// The limit, where there is one.
     pub fn rate(&self) -> Option<Rate> {
         self.rate
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -7,7 +7,7 @@
 use errors::Code;
 use fleet::{
     Ablation, EvacuationChange, EvacuationList, Hall, HomeRegions, InstanceId, LifeChange,
-    LifeWord, Millis, ModelName, NamedVersion, Region, ServiceName, WorkspaceId,
+    LifeWord, Millis, ModelName, NamedVersion, Region, ServiceName, ToldLimit, WorkspaceId,
 };
 use quarantine::{CrashList, CrashNews, RequestDigest};
 
@@ -217,6 +217,8 @@
     Unlisted(InstanceId),
     /// A sidecar told of the runner at this address.
     Load(SocketAddr, RunnerLoad),
+    /// The sidecar beside the runner at this address told of the rate limit that it keeps places to. `None`: it told of none.
+    LimitTold(SocketAddr, Option<ToldLimit>),
     /// A sidecar told of the gateways that it hears.
     Gateways(GatewayList),
     /// A sidecar, or the platform's store, told of requests that runners crashed under.
@@ -250,6 +252,8 @@
     pub left_ms: u64,
     /// How long the request may wait for the place, in milliseconds.
     pub wait_ms: u64,
+    /// What the sidecar is told of the runner's rate limit. `None` where none was heard of lately.
+    pub limit: Option<ToldLimit>,
     /// What the choice was made by.
     pub seen: Seen,
 }
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -5,13 +5,13 @@
 
 use fleet::{
     Evacuations, Hall, InstanceId, LifeChange, LifeWord, Millis, ModelName, NamedVersion,
-    ServiceName,
+    ServiceName, ToldLimit,
 };
 
-use crate::event::{GatewayOptions, LifeNews};
+use crate::event::{GatewayOptions, LifeNews, NoticeNews};
 use crate::followed::{self, Candidate};
 use crate::members::weight;
-use crate::notices::Notices;
+use crate::notices::{Notice, Notices};
 use crate::runner::{Runner, RunnerLife, RunnerLoad, RunnerRecord};
 use crate::silence::SilentHalls;
 use crate::versions::NamedVersions;
@@ -145,6 +145,23 @@
         news.collect()
     }
 
+    /// Takes in what the sidecar beside the runner at an address told of its rate limit.
+    pub fn take_limit(
+        &mut self,
+        now: Millis,
+        address: SocketAddr,
+        told: Option<ToldLimit>,
+    ) -> Vec<NoticeNews> {
+        let ids: Vec<InstanceId> =
+            self.by_address.get(&address).into_iter().flat_map(BTreeMap::values).cloned().collect();
+        let take = |id: InstanceId| {
+            let limit = self.runners.get_mut(&id)?.take_limit(now, told);
+            let notice = Notice { limit, ..Notice::default() };
+            (!notice.is_empty()).then_some(NoticeNews { runner: id, notice })
+        };
+        ids.into_iter().filter_map(take).collect()
+    }
+
     /// Takes in a report on a runner.
     fn take_load_of(&mut self, now: Millis, id: InstanceId, load: RunnerLoad) -> Option<LifeNews> {
         let runner = self.runners.get_mut(&id)?;
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -229,6 +229,10 @@
                 effects.extend(self.dispatch(now, &mut random));
                 effects
             }
+            Event::LimitTold(address, told) => {
+                let news = self.pool.take_limit(now, address, told);
+                news.into_iter().map(Effect::Notice).collect()
+            }
             Event::Gateways(list) => {
                 self.members.take(now, list);
                 Vec::new()
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -210,6 +210,7 @@
         runner.enter(is_suspect);
         runner.notices.rest.note_sent(key);
         let address = runner.record.address;
+        let limit = runner.told_limit(now);
         let chosen = Chosen { id: id.clone(), life: runner.life };
         progress.tried.push(id.clone());
         progress.current = Some(chosen);
@@ -225,6 +226,6 @@
         // What may have run already goes on before anything new.
         let unranked = progress.may_have_run || !ablation.keeps(Mechanism::Ranks);
         let rank = if unranked { 0 } else { progress.arrival.priority };
-        Some(RunnerTarget { id, address, reserve, rank, left_ms, wait_ms, seen })
+        Some(RunnerTarget { id, address, reserve, rank, left_ms, wait_ms, limit, seen })
     }
 }
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use fleet::{Hall, InstanceId, LifeChange, LifeWord, Millis, ModelName, NamedVersion, ServiceName};
+use fleet::{
+    Hall, InstanceId, LifeChange, LifeWord, Millis, ModelName, NamedVersion, RateWord, ServiceName,
+    ToldLimit,
+};
 use quarantine::LifeDigest;
 use serde::{Deserialize, Serialize};
 
@@ -154,6 +157,8 @@
     pub is_followed: bool,
     /// What it has said in its answers.
     pub notices: Notices,
+    /// Whether its sidecar keeps its places to the rate that it names, by the last answer to a question.
+    pub is_limit_kept: bool,
     /// The incarnation was refused there; nothing is sent until the list changes.
     pub misdirected: bool,
 }
@@ -187,6 +192,7 @@
             weight: 0,
             is_followed: false,
             notices: Notices::default(),
+            is_limit_kept: false,
             misdirected: false,
         }
     }
@@ -249,6 +255,20 @@
         self.cold_until.max(doubt).since(now).0
     }
 
+    /// Takes in what its sidecar told of its rate limit. Gives what changed.
+    pub fn take_limit(&mut self, now: Millis, told: Option<ToldLimit>) -> Option<RateWord> {
+        self.is_limit_kept = told.is_some();
+        let limit = &mut self.notices.limit;
+        let is_news = limit.learn(now, self.born, told?);
+        let word = limit.rate().map_or(RateWord::Unlimited, RateWord::Limited);
+        is_news.then_some(word)
+    }
+
+    /// What its sidecar is told of its rate limit.
+    pub fn told_limit(&self, now: Millis) -> Option<ToldLimit> {
+        self.notices.limit.told(now, self.born)
+    }
+
     /// A request is sent there.
     pub fn enter(&mut self, is_suspect: bool) {
         self.in_flight += 1;
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -6,7 +6,7 @@
 use errors::Code;
 use fleet::{
     Ablation, Bitmap, EvacuationChange, EvacuationList, InstanceId, LifeChange, LifeWord, Manifest,
-    Millis, ModelName, Place,
+    Millis, ModelName, Place, Rate, RateWord, ToldLimit,
 };
 use reducer::{Draw, DrawSource};
 use serde::{Deserialize, Serialize};
@@ -123,6 +123,10 @@
     Woke,
     /// Whether the runner says that it is leaving, where that has changed.
     RunnerLeaves(bool),
+    /// What the runner's report says of a rate limit, and when the report was asked for.
+    LimitReported(Millis, RateWord),
+    /// What a gateway heard of the runner's rate limit.
+    LimitTold(ToldLimit),
     /// By the list of runners the runner is cold for so many milliseconds more.
     ColdFor(u64),
     /// The runner does not answer.
@@ -224,6 +228,8 @@
     },
     /// Log that the runner has started anew, or that its word is not of the life that is known.
     Life(LifeChange, LifeWord),
+    /// Log that the runner's rate limit has changed. `None`: it has ended.
+    Limit(Option<Rate>),
     /// Answer a gateway's question for a place.
     Answer(Question, Verdict),
     /// Log that a data hall is evacuated or taken back, and tell gateways how the runner stands.
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -11,6 +11,7 @@
 mod places;
 mod precedence;
 mod questions;
+mod rate;
 mod reducer;
 mod reports;
 mod target;
@@ -23,6 +24,7 @@
 };
 pub use places::{Denial, Places};
 pub use questions::{Question, Verdict};
+pub use rate::RateGate;
 pub use reducer::Rollout;
 pub use reports::{Audience, Followers, Reports};
 pub use turns::turn;
--- a/components/rollout/src/places.rs
+++ b/components/rollout/src/places.rs
@@ -43,6 +43,8 @@
     LastOrder,
     /// It is cold, and has got as much as it bears.
     Cold,
+    /// It names a rate of requests that it takes, and has got as many.
+    Limited,
     /// Every place is taken.
     Full,
     /// It still reads the prompts that came before.
@@ -58,7 +60,7 @@
 impl Denial {
     /// Whether a place may come free within a fraction of a second.
     pub(crate) fn is_short(self) -> bool {
-        matches!(self, Self::Cold | Self::Full | Self::Reading)
+        matches!(self, Self::Cold | Self::Limited | Self::Full | Self::Reading)
     }
 
     /// The word in logs.
@@ -70,6 +72,7 @@
             Self::TooOld => "too_old",
             Self::LastOrder => "last_order",
             Self::Cold => "cold",
+            Self::Limited => "limited",
             Self::Full => "full",
             Self::Reading => "reading",
             Self::Later => "later",
@@ -124,7 +127,7 @@
     pub fn again_ms(&self, now: Millis, denial: Denial) -> u64 {
         match denial {
             Denial::Reading => self.reading_ms(now) + MIN_AGAIN,
-            Denial::Full | Denial::Cold => FULL_AGAIN,
+            Denial::Full | Denial::Cold | Denial::Limited => FULL_AGAIN,
             Denial::Later => MIN_AGAIN,
             Denial::Leaving | Denial::TooOld | Denial::LastOrder => MOVE_AGAIN,
             Denial::Evacuated | Denial::RunnerLeaves => MOVE_AGAIN,
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -17,6 +17,7 @@
 use crate::manifests::Manifests;
 use crate::places::Places;
 use crate::questions::Questions;
+use crate::rate::RateGate;
 use crate::target::{Step, Target};
 use fleet::{
     Bitmap, Evacuations, InstanceId, LifeWord, Mechanism, Millis, NamedVersion, VersionName,
@@ -75,6 +76,7 @@
     runner_leaves: bool,
     places: Places,
     cold: ColdStart,
+    rate: RateGate,
     questions: Questions,
     first_tries: FirstTries,
     manifests: Manifests,
@@ -117,6 +119,7 @@
             retired_at: None,
             runner_leaves: false,
             places,
+            rate: RateGate::default(),
             questions: Questions::default(),
             first_tries: FirstTries::default(),
             manifests: Manifests::default(),
@@ -198,6 +201,14 @@
                 self.runner_leaves = leaves;
                 return self.settle_questions(now);
             }
+            Event::LimitReported(asked_at, word) => {
+                let is_news = self.rate.take_report(now, asked_at, word);
+                return self.note_limit(now, is_news);
+            }
+            Event::LimitTold(told) => {
+                let is_news = self.rate.learn(now, self.born(), told);
+                return self.note_limit(now, is_news);
+            }
             Event::ColdFor(left_ms) => self.cold.take_word(now, left_ms),
             Event::Silent => {
                 self.status = None;
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -1,14 +1,17 @@
 //! Which requests the sidecar lets through to its runner.
 
-use fleet::{Evacuations, Mechanism, Millis};
+use fleet::{Evacuations, Mechanism, Millis, ToldLimit};
 
 use super::Rollout;
 use crate::cold::ColdStart;
 use crate::event::Effect;
 use crate::places::{Denial, Places, MIN_AGAIN};
 use crate::questions::{Question, Verdict};
+use crate::rate::RateGate;
 use crate::target::Step;
 
+/// The time after which to ask again where the runner takes nothing, in milliseconds.
+const LIMITED_AGAIN: u64 = 1000;
 /// How long before its bound nothing is started on an older version any more, in milliseconds.
 pub(super) const START_MARGIN: u64 = 900;
 
@@ -19,9 +22,7 @@
         self.note_admission(now, &question, given);
         let verdict = match given {
             Ok(()) => Verdict::Granted,
-            Err(denial)
-                if denial.is_short() && question.wait_ms > 0 && self.questions.has_room() =>
-            {
+            Err(denial) if self.may_wait(now, &question, denial) => {
                 self.questions.push(now, question.clone());
                 Verdict::Queued
             }
@@ -30,6 +31,13 @@
         Effect::Answer(question, verdict)
     }
 
+    /// Whether a question may wait for a place. For one that the rate gives too late it would wait in vain.
+    fn may_wait(&self, now: Millis, question: &Question, denial: Denial) -> bool {
+        let place_in_ms = self.rate.place_in_ms(now, self.questions.len());
+        let is_in_time = place_in_ms.is_some_and(|it| it <= question.wait_ms);
+        denial.is_short() && is_in_time && question.wait_ms > 0 && self.questions.has_room()
+    }
+
     fn admit(&mut self, now: Millis, question: &Question) -> Result<(), Denial> {
         if question.is_later() && self.holds_back(now, question.rank) {
             return Err(Denial::Later);
@@ -50,6 +58,8 @@
     fn note_admission(&mut self, now: Millis, question: &Question, given: Result<(), Denial>) {
         match given {
             Ok(()) => self.first_tries.note_given(question.is_later()),
+            // A runner that takes few requests by its own word says nothing of how short places are elsewhere.
+            Err(Denial::Limited) => {}
             Err(denial) if denial.is_short() && !question.is_later() => {
                 self.first_tries.note_denied(now, question.rank);
             }
@@ -92,6 +102,7 @@
     fn deny(&self, now: Millis, denial: Denial) -> Verdict {
         let again_ms = match denial {
             Denial::Cold => self.cold.place_in_ms(now) + MIN_AGAIN,
+            Denial::Limited => self.rate.place_in_ms(now, 0).unwrap_or(LIMITED_AGAIN) + MIN_AGAIN,
             _ => self.places.again_ms(now, denial),
         };
         Verdict::Denied { denial, again_ms, short_ms: self.first_tries.short_ms(now) }
@@ -124,11 +135,46 @@
         if !self.cold.has_place(now) {
             return Err(Denial::Cold);
         }
+        if !self.rate.has_place(now) {
+            return Err(Denial::Limited);
+        }
         self.places.give(now, prompt_tokens)?;
         self.cold.take_place(now);
+        self.rate.take_place(now);
         Ok(())
     }
 
+    /// The rate of requests that the runner takes.
+    pub fn rate(&self) -> &RateGate {
+        &self.rate
+    }
+
+    /// What gateways are told of the runner's rate limit. `None` where it named none lately.
+    pub fn told_limit(&self, now: Millis) -> Option<ToldLimit> {
+        self.rate.told(now, self.born())
+    }
+
+    /// When the life of the runner began, where it tells that.
+    pub(super) fn born(&self) -> Option<u64> {
+        self.life.and_then(|it| it.born)
+    }
+
+    /// Goes on with a limit that may have changed.
+    pub(super) fn note_limit(&mut self, now: Millis, is_news: bool) -> Vec<Effect> {
+        if !is_news {
+            return Vec::new();
+        }
+        let mut effects = vec![Effect::Limit(self.rate.rate())];
+        effects.extend(self.settle_questions(now));
+        effects
+    }
+
+    /// In how many milliseconds there is a place, as far as a cold start and the rate of the runner go.
+    pub fn place_in_ms(&self, now: Millis) -> u32 {
+        let limited = self.rate.place_in_ms(now, 0).unwrap_or(LIMITED_AGAIN);
+        u32::try_from(limited.max(self.cold.place_in_ms(now))).unwrap_or(u32::MAX)
+    }
+
     /// How cold the runner is.
     pub fn cold(&self) -> &ColdStart {
         &self.cold
--- a/components/rollout/src/reducer/status.rs
+++ b/components/rollout/src/reducer/status.rs
@@ -4,6 +4,7 @@
 
 use super::{Rollout, ORDER_PATIENCE};
 use crate::event::{Effect, RunnerStatus};
+use crate::rate::RateGate;
 use crate::target::Step;
 
 impl Rollout {
@@ -21,6 +22,7 @@
         let has_begun = change == LifeChange::Began;
         if has_begun {
             self.places.forget();
+            self.rate = RateGate::default();
             self.waiting_since = None;
         }
         self.places.take_report(now, status.running);
--- a/components/rollout/tests/support/effects.rs
+++ b/components/rollout/tests/support/effects.rs
@@ -21,7 +21,7 @@
             }
             Effect::Draw(version, draw) => self.draw(index, version, draw),
             Effect::Summarize { to, version, have } => self.summarize(index, to, version, have),
-            Effect::Answer(..) | Effect::Evacuation(_) => {}
+            Effect::Answer(..) | Effect::Evacuation(_) | Effect::Limit(_) => {}
             Effect::Stage(version) => {
                 let whole = self.sidecars[index].have(version).is_some_and(|it| it.is_full());
                 assert!(whole, "staged before every chunk was here");
