A few gateways share the rate of a runner that no sidecar answers for

What was seen: a plain runner that names 1.6 requests a second got 143 in 4 s from three gateways (14 allowed). The same cause as at model runners; here no sidecar gives places, so there was no home for the rate.

Change: the gateways that are responsible for a runner, by the same hash as for cold ones, share its rate: as many that each has half a request a second or more, and at most four more than the rate, for each may save up one. All others send it nothing. Limits and their ends go round with subscriptions and with what sidecars tell of crashes, by life and age; whoever tells of a limit that has passed is told of its end again. A request that was chosen before the limit was heard of goes elsewhere, also at a model runner whose sidecar is of an earlier build and answers without a limit. The buckets of cold plain runners and of limited ones are one component now.

Ruled out, see docs/design/rate-limits.md: places given by a responsible gateway (a question for each request to a plain service, and a message that builds before this one do not know), a part for each gateway, a row.

--- a/components/edge/src/additions.rs
+++ b/components/edge/src/additions.rs
@@ -6,6 +6,7 @@
 
 use errors::{Code, Error, Result};
 use fleet::ToldLimit;
+use gateway::LifeLimit;
 use serde::{Deserialize, Serialize};
 
 use crate::message::Datagram;
@@ -16,6 +17,8 @@
 const SHORT_MS: u16 = 2;
 /// What the sender knows of the rate limit of the runner beside the sidecar.
 const LIMIT: u16 = 3;
+/// What gateways heard of the rate limits of runners.
+const LIMITS: u16 = 4;
 
 /// One addition.
 #[derive(Serialize, Deserialize)]
@@ -32,7 +35,7 @@
 }
 
 /// What rides behind a datagram.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Additions {
     /// The era of the store that its list of evacuations is of.
     era: Option<u64>,
@@ -40,6 +43,8 @@
     short_ms: Option<u32>,
     /// What the sender knows of the rate limit of the runner beside the sidecar.
     limit: Option<ToldLimit>,
+    /// What gateways heard of the rate limits of runners.
+    limits: Vec<LifeLimit>,
     /// Additions that this build does not know.
     pub unknown: usize,
 }
@@ -60,6 +65,9 @@
                     additions.short_ms = Some(postcard::from_bytes(&bytes).map_err(unreadable)?);
                 }
                 LIMIT => additions.limit = Some(postcard::from_bytes(&bytes).map_err(unreadable)?),
+                LIMITS => {
+                    additions.limits = postcard::from_bytes(&bytes).map_err(unreadable)?;
+                }
                 _ => additions.unknown += 1,
             }
         }
@@ -71,7 +79,9 @@
         let era = self.era.map(|it| Addition::new(ERA, &it));
         let short_ms = self.short_ms.map(|it| Addition::new(SHORT_MS, &it));
         let limit = self.limit.map(|it| Addition::new(LIMIT, &it));
-        let listed: Vec<Addition> = era.into_iter().chain(short_ms).chain(limit).collect();
+        let limits = (!self.limits.is_empty()).then(|| Addition::new(LIMITS, &self.limits));
+        let listed = era.into_iter().chain(short_ms).chain(limit).chain(limits);
+        let listed: Vec<Addition> = listed.collect();
         if listed.is_empty() {
             return Vec::new();
         }
@@ -81,7 +91,13 @@
     /// What a datagram says in additions.
     fn of(datagram: &Datagram) -> Self {
         let era = datagram.evacuations().and_then(|it| it.place.era);
-        Self { era, short_ms: datagram.short_ms(), limit: datagram.limit(), unknown: 0 }
+        Self {
+            era,
+            short_ms: datagram.short_ms(),
+            limit: datagram.limit(),
+            limits: datagram.limits().to_vec(),
+            unknown: 0,
+        }
     }
 }
 
@@ -103,6 +119,7 @@
     }
     datagram.set_short_ms(additions.short_ms);
     datagram.set_limit(additions.limit);
+    datagram.set_limits(additions.limits.clone());
     Ok((datagram, additions))
 }
 
--- a/components/edge/src/gateway/sidecars.rs
+++ b/components/edge/src/gateway/sidecars.rs
@@ -6,7 +6,7 @@
 
 use async_io::Timer;
 use fleet::{EvacuationList, Hall, NamedVersion};
-use gateway::{Event, Sureness};
+use gateway::{Event, LifeLimit, Sureness};
 use quarantine::CrashList;
 use rand::seq::IteratorRandom;
 use uptime::Instant;
@@ -100,7 +100,10 @@
                 core.reservations.settle(question, reply);
             }
             Datagram::Gateways(list) => core.feed(Event::Gateways(list)),
-            Datagram::Crashes(list) => core.feed(Event::Crashes(list)),
+            Datagram::Crashes { crashes, limits } => {
+                core.feed(Event::Crashes(crashes));
+                core.feed(Event::Limits(limits));
+            }
             Datagram::Subscribe { .. }
             | Datagram::Sidecars(_)
             | Datagram::Ordered
@@ -132,6 +135,7 @@
     services: Vec<WeightsService>,
     evacuations: EvacuationList,
     crashes: CrashList,
+    limits: Vec<LifeLimit>,
     /// How much longer the runner on each machine is cold, as far as that can be told.
     cold: BTreeMap<IpAddr, u64>,
 }
@@ -149,6 +153,7 @@
             hall: core.read(|gateway| gateway.hall().clone()),
             evacuations: core.read(|gateway| gateway.evacuations(now)),
             crashes: core.read(|gateway| gateway.crash_list(now, rand::random())),
+            limits: core.read(|gateway| gateway.told_limits(now, &mut rand::rng())),
         }
     }
 
@@ -161,6 +166,7 @@
             services: self.services.clone(),
             evacuations: self.evacuations.clone(),
             crashes: self.crashes.clone(),
+            limits: self.limits.clone(),
             cold_ms: left.map(|it| (*it).min(u64::from(u32::MAX)) as u32),
             wants_gateways,
         }
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -7,7 +7,7 @@
     Bitmap, EvacuationList, Hall, InstanceId, Manifest, NamedVersion, Place, ServiceName, ToldLimit,
 };
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use gateway::{Catalog, GatewayList, RunnerLoad, Service};
+use gateway::{Catalog, GatewayList, LifeLimit, RunnerLoad, Service};
 use quarantine::CrashList;
 use rollout::{ColdPlan, WeightsPlan};
 use serde::de::DeserializeOwned;
@@ -38,12 +38,21 @@
         crashes: CrashList,
         /// Whether the gateway wants to know the gateways that the receiver hears.
         wants_gateways: bool,
+        /// Rate limits of runners that the gateway knows of. They ride behind the message.
+        #[serde(skip)]
+        limits: Vec<LifeLimit>,
     },
     /// The gateways that the sender hears.
     Gateways(GatewayList),
     /// The requests that two runners or more crashed under, for whoever wants to know the gateways: both are what one
     /// that has just started lacks, and they fill a datagram each.
-    Crashes(CrashList),
+    Crashes {
+        /// The requests.
+        crashes: CrashList,
+        /// Rate limits of runners that gateways heard of. They ride behind the message.
+        #[serde(skip)]
+        limits: Vec<LifeLimit>,
+    },
     /// The load of the runner beside the sender.
     Load {
         /// Where the runner listens.
@@ -172,6 +181,23 @@
     }
 }
 
+impl Datagram {
+    /// What it tells of the rate limits of runners.
+    pub fn limits(&self) -> &[LifeLimit] {
+        match self {
+            Self::Subscribe { limits, .. } | Self::Crashes { limits, .. } => limits,
+            _ => &[],
+        }
+    }
+
+    /// Takes that in.
+    pub fn set_limits(&mut self, told: Vec<LifeLimit>) {
+        if let Self::Subscribe { limits, .. } | Self::Crashes { limits, .. } = self {
+            *limits = told;
+        }
+    }
+}
+
 /// A part of a gateway's answer to a sidecar that wants to know the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SidecarsPart {
--- a/components/edge/src/message/samples.rs
+++ b/components/edge/src/message/samples.rs
@@ -108,13 +108,14 @@
                 cold_ms: Some(2500),
                 crashes: crashes(),
                 wants_gateways: true,
+                limits: Vec::new(),
             },
         ),
         (
             "gateways",
             Datagram::Gateways(GatewayList { asker: address(1, 7700), gateways: vec![heard] }),
         ),
-        ("crashes", Datagram::Crashes(crashes())),
+        ("crashes", Datagram::Crashes { crashes: crashes(), limits: Vec::new() }),
         (
             "load",
             Datagram::Load {
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -11,7 +11,7 @@
     Bitmap, EvacuationList, InstanceId, Millis, ModelName, NamedVersion, Place, VersionName,
     VersionNames,
 };
-use gateway::{GatewaysHeard, RunnerLoad};
+use gateway::{GatewaysHeard, LimitsHeard, RunnerLoad};
 use quarantine::{CrashLedger, CrashList, Told};
 use rand::seq::IteratorRandom;
 use rollout::{Effect, Event, Rollout, RolloutOptions};
@@ -55,6 +55,8 @@
     pub gateways: Rc<RefCell<GatewaysHeard>>,
     /// Requests that runners crashed under, by what gateways tell.
     pub crashes: Rc<RefCell<CrashLedger>>,
+    /// Rate limits of runners elsewhere, by what gateways tell.
+    pub limits: Rc<RefCell<LimitsHeard>>,
     /// What the runner last said of its load.
     pub load: Rc<RefCell<Option<RunnerLoad>>>,
     /// Where the origin of weights listens.
@@ -123,6 +125,7 @@
             subscribers: Rc::default(),
             gateways: Rc::new(RefCell::new(GatewaysHeard::new(repeat_window_ms))),
             crashes: Rc::default(),
+            limits: Rc::default(),
             load: Rc::default(),
             origin: Rc::default(),
             draws: Rc::default(),
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -145,9 +145,11 @@
                 cold_ms,
                 crashes,
                 wants_gateways,
+                limits,
             } => {
                 core.feed(Event::Evacuations(evacuations));
                 core.take_crashes(&crashes);
+                core.limits.borrow_mut().take(core.clock.now(), &limits);
                 let until = core.clock.now().plus(SUBSCRIPTION);
                 let near = hall == core.place.hall;
                 core.subscribers.borrow_mut().insert(sender, Subscription { near, until });
@@ -157,8 +159,9 @@
                     let list = core.gateways.borrow().list(now, sender);
                     news.send(sender, &Datagram::Gateways(list)).await;
                     let crashes = core.crash_list(Told::Suspects);
-                    if !crashes.0.is_empty() {
-                        news.send(sender, &Datagram::Crashes(crashes)).await;
+                    let limits = core.limits.borrow().list(now, &mut rand::rng());
+                    if !crashes.0.is_empty() || !limits.is_empty() {
+                        news.send(sender, &Datagram::Crashes { crashes, limits }).await;
                     }
                 }
                 core.take_services(&services);
@@ -208,7 +211,7 @@
             | Datagram::Load { .. }
             | Datagram::Reserved { .. }
             | Datagram::Gateways(_)
-            | Datagram::Crashes(_) => {}
+            | Datagram::Crashes { .. } => {}
         }
     }
 }
--- a/components/fleet/src/rate_limit.rs
+++ b/components/fleet/src/rate_limit.rs
@@ -4,8 +4,11 @@
 
 use crate::Millis;
 
-/// How long after the end of a limit others are told of that, in milliseconds.
+/// How long after the end of a limit, or after somebody was heard who does not know of it, others are told of that, in
+/// milliseconds.
 const END_TOLD_FOR: u64 = 10_000;
+/// The lowest rate at which an upstream is still asked, in requests a second: only answers tell that its limit has ended.
+const LEAST_ASKED_PER_S: f64 = 0.2;
 /// The thousandths in a whole.
 const THOUSAND: f64 = 1000.0;
 
@@ -29,6 +32,11 @@
     pub fn per_s(self) -> f64 {
         self.thousandths as f64 / THOUSAND
     }
+
+    /// Requests a second that are sent where only answers to them tell that the limit has ended.
+    pub fn asked_per_s(self) -> f64 {
+        self.per_s().max(LEAST_ASKED_PER_S)
+    }
 }
 
 /// What one answer of an upstream says of its rate limit.
@@ -67,6 +75,8 @@
     rate: Option<Rate>,
     /// When that was so. `None` where no limit was ever named.
     known_at: Option<Millis>,
+    /// When somebody last told of a limit that has passed.
+    contradicted_at: Option<Millis>,
 }
 
 impl RateLimit {
@@ -89,17 +99,24 @@
     /// Takes in what another process tells of the life that began at `born`. Gives whether it changes the limit.
     pub fn learn(&mut self, now: Millis, born: Option<u64>, told: ToldLimit) -> bool {
         let is_other_life = born.zip(told.born).is_some_and(|(known, told)| known != told);
-        let at = now.minus(u64::from(told.age_ms));
         // What is known already gets no younger by being told to and fro.
-        let is_newer = told.rate != self.rate && self.known_at.is_none_or(|known| at > known);
-        let is_news = is_newer && !is_other_life;
-        is_news && self.set(at, told.rate)
+        if is_other_life || told.rate == self.rate {
+            return false;
+        }
+        let at = now.minus(u64::from(told.age_ms));
+        if self.known_at.is_some_and(|known| known >= at) {
+            self.contradicted_at = Some(now);
+            return false;
+        }
+        self.set(at, told.rate)
     }
 
     /// What others are told of it. `None` where they need not be.
     pub fn told(&self, now: Millis, born: Option<u64>) -> Option<ToldLimit> {
         let age = now.since(self.known_at?).0;
-        let is_wanted = self.rate.is_some() || age <= END_TOLD_FOR;
+        let is_contradicted =
+            self.contradicted_at.is_some_and(|at| now.since(at).0 <= END_TOLD_FOR);
+        let is_wanted = self.rate.is_some() || age <= END_TOLD_FOR || is_contradicted;
         let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
         is_wanted.then_some(ToldLimit { born, rate: self.rate, age_ms })
     }
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -6,6 +6,7 @@
 use crate::cold::ColdGates;
 use crate::event::{Arrival, GatewayOptions, Seen, Standing};
 use crate::home_room::{self, HomeRoom};
+use crate::limits::LimitGates;
 use crate::pool::Pool;
 use crate::runner::Runner;
 
@@ -56,6 +57,8 @@
     pub room: &'a HomeRoom,
     /// What may be sent to cold runners that have no sidecar.
     pub cold: &'a ColdGates,
+    /// What may be sent to runners that name a rate limit.
+    pub limits: &'a LimitGates,
 }
 
 impl Chooser<'_> {
@@ -264,6 +267,13 @@
         runner.usual_first_ms(now)
     }
 
+    /// Whether a request may go to a runner as far as the runner's rate goes. Where a sidecar gives the places it is asked,
+    /// for it may know more.
+    fn has_turn(&self, now: Millis, runner: &Runner, arrival: &Arrival) -> bool {
+        let asks = arrival.model.is_some() && self.options.ablation.keeps(Mechanism::Reservations);
+        asks || self.limits.admit(now, runner)
+    }
+
     /// Whether a runner may have room, and its turn has come where it is cold. At runners with a sidecar a few
     /// requests may wait for a place there.
     fn has_room(&self, now: Millis, runner: &Runner, arrival: &Arrival, tight: &[&Region]) -> bool {
@@ -271,7 +281,7 @@
         let waits_there = arrival.model.is_some() && held_back == 0;
         let waiting = if waits_there { MAX_WAITING } else { 0 };
         let has_place = runner.occupancy(now) + held_back < runner.record.slots + waiting;
-        has_place && self.cold.admit(now, runner)
+        has_place && self.cold.admit(now, runner) && self.has_turn(now, runner, arrival)
     }
 }
 
--- a/components/gateway/src/cold.rs
+++ b/components/gateway/src/cold.rs
@@ -4,14 +4,13 @@
 
 use std::collections::BTreeMap;
 
-use fleet::{Bucket, InstanceId, Millis, ServiceName};
+use fleet::{InstanceId, Millis, ServiceName};
 
 use crate::catalog::ColdProfile;
 use crate::event::ColdBounds;
 use crate::runner::Runner;
+use crate::shares::{RunnerShares, BURST};
 
-/// Requests of one gateway that may come at once.
-const BURST: f64 = 1.0;
 /// How much longer than a second what is sent in a second was chosen over: by the time of a connection and,
 /// for a machine that is short of processor time, some more.
 const SEND_STRETCH: f64 = 1.35;
@@ -41,7 +40,7 @@
 pub struct ColdGates {
     /// The plain services whose runners start cold.
     services: BTreeMap<ServiceName, ColdShare>,
-    buckets: BTreeMap<InstanceId, Bucket>,
+    shares: RunnerShares,
 }
 
 impl ColdGates {
@@ -57,17 +56,12 @@
 
     /// Sets what this gateway may send to a cold runner that it is responsible for with so many others.
     pub fn set(&mut self, now: Millis, runner: &InstanceId, share: ColdShare, gateways: usize) {
-        let bucket = self.buckets.entry(runner.clone()).or_insert_with(|| {
-            let mut bucket = Bucket::default();
-            bucket.empty(now);
-            bucket
-        });
-        bucket.set(now, share.per_s / gateways.max(1) as f64, BURST);
+        self.shares.set(now, runner, share.per_s / gateways.max(1) as f64);
     }
 
     /// Lets nothing through to a runner.
     pub fn close(&mut self, runner: &InstanceId) {
-        self.buckets.remove(runner);
+        self.shares.close(runner);
     }
 
     /// Whether a request may be sent to a runner as far as a cold start goes.
@@ -75,16 +69,16 @@
         if !self.services.contains_key(&runner.record.service) || runner.cold_left_ms(now) == 0 {
             return true;
         }
-        self.buckets.get(&runner.record.id).is_some_and(|it| it.has_one(now))
+        self.shares.has_turn(now, &runner.record.id)
     }
 
     /// Whether this gateway is one of those that send to a cold runner.
     pub fn is_open(&self, runner: &InstanceId) -> bool {
-        self.buckets.contains_key(runner)
+        self.shares.is_open(runner)
     }
 
     /// Counts a request that is sent to a cold runner, if its turn has come.
     pub fn take(&mut self, now: Millis, runner: &InstanceId) -> bool {
-        self.buckets.get_mut(runner).is_some_and(|it| it.take(now))
+        self.shares.take_turn(now, runner)
     }
 }
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -13,6 +13,7 @@
 
 use crate::catalog::{Catalog, RouteKind};
 use crate::home_faults::HomeFault;
+use crate::limits::LifeLimit;
 use crate::members::GatewayList;
 use crate::notices::Notice;
 use crate::runner::{RunnerLoad, RunnerRecord};
@@ -219,6 +220,8 @@
     Load(SocketAddr, RunnerLoad),
     /// The sidecar beside the runner at this address told of the rate limit that it keeps places to. `None`: it told of none.
     LimitTold(SocketAddr, Option<ToldLimit>),
+    /// A sidecar told of rate limits that gateways heard of.
+    Limits(Vec<LifeLimit>),
     /// A sidecar told of the gateways that it hears.
     Gateways(GatewayList),
     /// A sidecar, or the platform's store, told of requests that runners crashed under.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod followed;
 mod home_faults;
 mod home_room;
+mod limits;
 mod members;
 mod notices;
 mod pool;
@@ -20,6 +21,7 @@
 mod record;
 mod reducer;
 mod runner;
+mod shares;
 mod silence;
 mod standstill;
 mod tries;
@@ -36,6 +38,7 @@
     NoticeNews, RequestKey, RunnerTarget, Seen, Standing,
 };
 pub use home_faults::HomeFault;
+pub use limits::{LifeLimit, LimitsHeard};
 pub use members::{GatewayList, GatewaysHeard, HeardGateway, Members, Sureness};
 pub use notices::{Notice, Notices};
 pub use pool::Pool;
--- a/components/gateway/src/members.rs
+++ b/components/gateway/src/members.rs
@@ -28,7 +28,7 @@
 /// How many times the gateways that are known there may be, where each sidecar knows a part of them only.
 const UNHEARD_MARGIN: f64 = 1.1;
 /// The most gateways of a deployment that never had a sidecar: nobody can tell how many there are.
-const MOST_WITHOUT_SIDECARS: f64 = 10.0;
+const MOST_WITHOUT_SIDECARS: usize = 10;
 /// The part of the sidecars that a gateway must hear from to be responsible for anything: of two sides that do not
 /// hear each other only one does.
 const QUORUM: f64 = 0.5;
@@ -251,7 +251,7 @@
                 let margin = if self.is_partial { UNHEARD_MARGIN } else { 1.0 };
                 SURE_PART * reach / (self.count(now) as f64 * margin)
             }
-            Sureness::Unsure if !self.has_sidecars => 1.0 / MOST_WITHOUT_SIDECARS,
+            Sureness::Unsure if !self.has_sidecars => 1.0 / MOST_WITHOUT_SIDECARS as f64,
             Sureness::Unsure | Sureness::New => {
                 (1.0 - SURE_PART) / self.sidecars.max(MOST_UNSURE) as f64
             }
@@ -273,6 +273,15 @@
         (before < most).then_some((weights.len() + 1).min(most))
     }
 
+    /// Among how many gateways this one shares something that `most` at most share. `None` where it has no share. Where
+    /// there never was a sidecar nobody can tell who is responsible, and as many as there may be share it.
+    pub fn sharers(&self, now: Millis, thing: &str, most: usize) -> Option<usize> {
+        if !self.has_sidecars {
+            return Some(MOST_WITHOUT_SIDECARS);
+        }
+        self.responsible(now, thing, most)
+    }
+
     /// The lowest part of the sidecars that was heard from in a span that ends now.
     fn lowest_reach(&self, now: Millis, span: u64) -> f64 {
         let steps = self.reach.iter().filter(|it| now.since(it.0).0 <= span + REACH_STEP);
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -8,8 +8,11 @@
     ServiceName, ToldLimit,
 };
 
+use quarantine::LifeDigest;
+
 use crate::event::{GatewayOptions, LifeNews, NoticeNews};
 use crate::followed::{self, Candidate};
+use crate::limits::LifeLimit;
 use crate::members::weight;
 use crate::notices::{Notice, Notices};
 use crate::runner::{Runner, RunnerLife, RunnerLoad, RunnerRecord};
@@ -162,6 +165,22 @@
         ids.into_iter().filter_map(take).collect()
     }
 
+    /// Takes in what another gateway heard of the rate limit of a life of a runner.
+    pub fn take_life_limit(&mut self, now: Millis, told: &LifeLimit) -> Vec<NoticeNews> {
+        let of_life = self.runners.iter_mut().filter(|(_, it)| it.life.digest == told.life);
+        let news = of_life.filter_map(|(id, runner)| {
+            let limit = runner.learn_limit(now, told.limit);
+            let notice = Notice { limit, ..Notice::default() };
+            (!notice.is_empty()).then(|| NoticeNews { runner: id.clone(), notice })
+        });
+        news.collect()
+    }
+
+    /// The runners in a life.
+    pub fn of_life(&self, life: LifeDigest) -> impl Iterator<Item = &Runner> {
+        self.runners.values().filter(move |it| it.life.digest == life)
+    }
+
     /// Takes in a report on a runner.
     fn take_load_of(&mut self, now: Millis, id: InstanceId, load: RunnerLoad) -> Option<LifeNews> {
         let runner = self.runners.get_mut(&id)?;
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod crashes;
 mod following;
+mod limits;
 mod progress;
 mod queue;
 
@@ -26,14 +27,14 @@
 use crate::choice::Chooser;
 use crate::cold::ColdGates;
 use crate::comeback::Shortage;
-use crate::event::{
-    Arrival, Effect, Event, GatewayOptions, LifeNews, NoticeNews, Reach, RequestKey,
-};
+use crate::event::{Arrival, Effect, Event, GatewayOptions, LifeNews, Reach, RequestKey};
 use crate::home_faults::{self, HomeFault};
 use crate::home_room::HomeRoom;
+use crate::limits::LimitGates;
 use crate::members::Members;
 use crate::notices::Notice;
 use crate::pool::Pool;
+use crate::runner::Runner;
 use crate::standstill::Standstill;
 use crate::tries::UsualDeadlines;
 
@@ -53,6 +54,7 @@
     pool: Pool,
     members: Members,
     cold: ColdGates,
+    limits: LimitGates,
     budgets: BTreeMap<ServiceName, RetryBudget>,
     shortages: BTreeMap<Arc<Reach>, Shortage>,
     /// Homes where nothing can be served, by the configuration in force.
@@ -72,6 +74,7 @@
             pool: Pool::new(&options),
             members: Members::new(options.budget_window_ms),
             cold: ColdGates::default(),
+            limits: LimitGates::default(),
             options,
             catalog: None,
             budgets: BTreeMap::new(),
@@ -129,6 +132,7 @@
             && !self.standstill.holds()
             && runner.is_some_and(|it| {
                 it.is_open()
+                    && self.may_send_by_rate(progress, it)
                     && it.record.service == progress.arrival.service
                     && it.notices.admit(now, key)
                     && self.chooser().is_allowed(now, it, &progress.arrival)
@@ -140,6 +144,19 @@
         self.pool.runner(runner).is_some_and(|it| it.notices.limit.rate().is_some())
     }
 
+    /// Whether a request may be sent to the runner that was chosen for it, as far as the runner's rate goes: its sidecar gave
+    /// the place by that, or this gateway sends it by itself.
+    fn may_send_by_rate(&self, progress: &Progress, runner: &Runner) -> bool {
+        let by_sidecar = self.asks_sidecars(&progress.arrival) && runner.is_limit_kept;
+        let by_itself = progress.current.as_ref().is_some_and(|it| it.has_turn);
+        runner.notices.limit.rate().is_none() || by_sidecar || by_itself
+    }
+
+    /// Whether a request needs a place that the sidecar beside its runner gives.
+    fn asks_sidecars(&self, arrival: &Arrival) -> bool {
+        arrival.model.is_some() && self.keeps(Mechanism::Reservations)
+    }
+
     /// Homes where nothing can be served, by the configuration in force.
     pub fn home_faults(&self) -> &[HomeFault] {
         &self.home_faults
@@ -231,8 +248,9 @@
             }
             Event::LimitTold(address, told) => {
                 let news = self.pool.take_limit(now, address, told);
-                news.into_iter().map(Effect::Notice).collect()
+                self.note_limits(now, news)
             }
+            Event::Limits(told) => self.take_limits(now, &told),
             Event::Gateways(list) => {
                 self.members.take(now, list);
                 Vec::new()
@@ -249,6 +267,7 @@
             Event::Tick => {
                 self.look_around(now);
                 self.tend_cold_runners(now);
+                self.tend_limited_runners(now);
                 let mut effects = self.settle_crashes(now);
                 if self.standstill.settle(now) {
                     effects.extend(self.go_on(now, &mut random));
@@ -364,7 +383,7 @@
         if news.is_empty() {
             return Vec::new();
         }
-        vec![Effect::Notice(NoticeNews { runner: chosen.id, notice: news })]
+        self.note_notice(now, chosen.id, news)
     }
 
     /// Sends what waited while nothing was sent. Each request has a little longer to find a place.
@@ -384,6 +403,7 @@
             options: &self.options,
             room: &self.home_room,
             cold: &self.cold,
+            limits: &self.limits,
         }
     }
 
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -114,6 +114,10 @@
                     runner.punish(now);
                 }
             }
+            // Its sidecar does not keep it to its rate, and this gateway has had its share.
+            AttemptOutcome::Withdrawn if runner.notices.limit.rate().is_some() => {
+                runner.note_full(now, MAX_DENIED_PAUSE);
+            }
             AttemptOutcome::Failed | AttemptOutcome::Expired | AttemptOutcome::Withdrawn => {}
         }
         if outcome.was_answered() {
--- /dev/null
+++ b/components/gateway/src/reducer/limits.rs
@@ -0,0 +1,79 @@
+//! What this gateway may send to runners that name a rate limit, and what it tells of them.
+
+use fleet::{InstanceId, Millis};
+use rand::Rng;
+
+use super::Gateway;
+use crate::event::{Effect, NoticeNews};
+use crate::limits::{draw_told, most_gateways, LifeLimit};
+use crate::notices::Notice;
+
+impl Gateway {
+    /// Takes in which limits other gateways heard of, as a sidecar tells.
+    pub(super) fn take_limits(&mut self, now: Millis, told: &[LifeLimit]) -> Vec<Effect> {
+        let mut news = Vec::new();
+        for it in told {
+            news.extend(self.pool.take_life_limit(now, it));
+            // Where somebody does not know of its end, that is told once more.
+            let runners = self.pool.of_life(it.life).map(|it| it.record.id.clone());
+            runners.for_each(|id| self.limits.add(&id));
+        }
+        self.note_limits(now, news)
+    }
+
+    /// Goes on by limits that have changed.
+    pub(super) fn note_limits(&mut self, now: Millis, news: Vec<NoticeNews>) -> Vec<Effect> {
+        for NoticeNews { runner, .. } in &news {
+            self.limits.add(runner);
+            self.tend_limited_runner(now, runner);
+        }
+        news.into_iter().map(Effect::Notice).collect()
+    }
+
+    /// Goes on by what a runner said of itself.
+    pub(super) fn note_notice(
+        &mut self,
+        now: Millis,
+        runner: InstanceId,
+        news: Notice,
+    ) -> Vec<Effect> {
+        let has_limit_changed = news.limit.is_some();
+        let news = NoticeNews { runner, notice: news };
+        if has_limit_changed {
+            return self.note_limits(now, vec![news]);
+        }
+        vec![Effect::Notice(news)]
+    }
+
+    /// Sets what this gateway may send to each runner that names a limit.
+    pub(super) fn tend_limited_runners(&mut self, now: Millis) {
+        if !self.limits.is_due(now) {
+            return;
+        }
+        let runners: Vec<InstanceId> = self.limits.runners().cloned().collect();
+        runners.iter().for_each(|it| self.tend_limited_runner(now, it));
+    }
+
+    /// Sets what this gateway may send to a runner by itself, by whether it is responsible for it.
+    fn tend_limited_runner(&mut self, now: Millis, id: &InstanceId) {
+        let runner = self.pool.runner(id).filter(|it| it.told_limit(now).is_some());
+        let Some(runner) = runner else {
+            self.limits.forget(id);
+            return;
+        };
+        let Some(rate) = runner.notices.limit.rate() else {
+            return;
+        };
+        let gateways = self.members.sharers(now, &id.0, most_gateways(rate));
+        self.limits.set_share(now, id, rate, gateways);
+    }
+
+    /// The limits that this gateway knows of, for those who do not hear them from the runners: some of them, where they
+    /// are many.
+    pub fn told_limits(&self, now: Millis, random: &mut impl Rng) -> Vec<LifeLimit> {
+        let runners = self.limits.runners().filter_map(|id| self.pool.runner(id));
+        let told = runners
+            .filter_map(|it| Some(LifeLimit { life: it.life.digest, limit: it.told_limit(now)? }));
+        draw_told(told, random)
+    }
+}
--- a/components/gateway/src/reducer/progress.rs
+++ b/components/gateway/src/reducer/progress.rs
@@ -14,6 +14,8 @@
 pub(super) struct Chosen {
     pub(super) id: InstanceId,
     pub(super) life: RunnerLife,
+    /// Whether this gateway may send it by itself, though the runner names a rate limit.
+    pub(super) has_turn: bool,
 }
 
 /// A request under way.
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -203,20 +203,21 @@
         let admission = self.crashes.admits(now, key, arrival.digest);
         let is_suspect = admission == Admission::Admitted { is_suspect: true };
         let (id, seen) = self.chooser().choose(now, random, arrival, tried, is_suspect)?;
+        let reserve = self.asks_sidecars(arrival);
         let ablation = self.options.ablation.clone();
         let progress = self.requests.get_mut(&key)?;
         self.cold.take(now, &id);
+        let has_turn = self.limits.take_turn(now, &id);
         let runner = self.pool.runner_mut(&id)?;
         runner.enter(is_suspect);
         runner.notices.rest.note_sent(key);
         let address = runner.record.address;
         let limit = runner.told_limit(now);
-        let chosen = Chosen { id: id.clone(), life: runner.life };
+        let chosen = Chosen { id: id.clone(), life: runner.life, has_turn };
         progress.tried.push(id.clone());
         progress.current = Some(chosen);
         progress.is_suspect = is_suspect;
         progress.sent_at = now;
-        let reserve = progress.arrival.model.is_some() && ablation.keeps(Mechanism::Reservations);
         progress.asked += 1;
         // While others may have a place at once, the question does not wait.
         let others = progress.asked < PATIENT_QUESTION && seen.candidates > 1;
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -258,8 +258,13 @@
     /// Takes in what its sidecar told of its rate limit. Gives what changed.
     pub fn take_limit(&mut self, now: Millis, told: Option<ToldLimit>) -> Option<RateWord> {
         self.is_limit_kept = told.is_some();
+        self.learn_limit(now, told?)
+    }
+
+    /// Takes in what another process told of its rate limit. Gives what changed.
+    pub fn learn_limit(&mut self, now: Millis, told: ToldLimit) -> Option<RateWord> {
         let limit = &mut self.notices.limit;
-        let is_news = limit.learn(now, self.born, told?);
+        let is_news = limit.learn(now, self.born, told);
         let word = limit.rate().map_or(RateWord::Unlimited, RateWord::Limited);
         is_news.then_some(word)
     }
--- /dev/null
+++ b/components/gateway/src/shares.rs
@@ -0,0 +1,46 @@
+//! What this gateway may send to runners whose rate it shares with other gateways.
+
+use std::collections::BTreeMap;
+
+use fleet::{Bucket, InstanceId, Millis};
+
+/// Requests of one gateway that may come at once.
+pub(crate) const BURST: f64 = 1.0;
+
+/// A bucket for each runner that this gateway may send to. It may send to no other one.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RunnerShares {
+    buckets: BTreeMap<InstanceId, Bucket>,
+}
+
+impl RunnerShares {
+    /// Sets how many requests a second this gateway may send to a runner. What it did not send before does not count.
+    pub(crate) fn set(&mut self, now: Millis, runner: &InstanceId, per_s: f64) {
+        let bucket = self.buckets.entry(runner.clone()).or_insert_with(|| {
+            let mut bucket = Bucket::default();
+            bucket.empty(now);
+            bucket
+        });
+        bucket.set(now, per_s, BURST);
+    }
+
+    /// Lets nothing through to a runner.
+    pub(crate) fn close(&mut self, runner: &InstanceId) {
+        self.buckets.remove(runner);
+    }
+
+    /// Whether this gateway is one of those that send to a runner.
+    pub(crate) fn is_open(&self, runner: &InstanceId) -> bool {
+        self.buckets.contains_key(runner)
+    }
+
+    /// Whether a request may be sent to a runner now.
+    pub(crate) fn has_turn(&self, now: Millis, runner: &InstanceId) -> bool {
+        self.buckets.get(runner).is_some_and(|it| it.has_one(now))
+    }
+
+    /// Counts a request that is sent to a runner, if its turn has come.
+    pub(crate) fn take_turn(&mut self, now: Millis, runner: &InstanceId) -> bool {
+        self.buckets.get_mut(runner).is_some_and(|it| it.take(now))
+    }
+}
--- a/components/rollout/src/rate.rs
+++ b/components/rollout/src/rate.rs
@@ -8,8 +8,6 @@
 const SAVED_S: f64 = 0.5;
 /// The most places that are saved up.
 const MOST_SAVED: f64 = 3.0;
-/// The lowest rate that is kept to, in requests a second, where only answers to requests tell that a limit has ended.
-const LEAST_PER_S: f64 = 0.1;
 
 /// The rate of places at the runner, where it names one.
 #[derive(Clone, Debug, Default)]
@@ -78,8 +76,7 @@
             // What was saved up before it had a limit does not count.
             self.bucket.empty(now);
         }
-        let least = if self.is_reported { 0.0 } else { LEAST_PER_S };
-        let per_s = rate.per_s().max(least);
+        let per_s = if self.is_reported { rate.per_s() } else { rate.asked_per_s() };
         self.bucket.set(now, per_s, (per_s * SAVED_S).clamp(1.0, MOST_SAVED));
     }
 }
