--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -7,7 +7,6 @@
     Evacuations, Hall, InstanceId, LifeChange, LifeWord, Millis, ModelName, NamedVersion,
     ServiceName, ToldLimit,
 };
-
 use quarantine::LifeDigest;
 
 use crate::event::{GatewayOptions, LifeNews, NoticeNews};
