Callers are refused at once where every runner has had the rate that it names

What callers saw: while all runners that could serve them had had what they take by their own word, they waited out the part of their aim that a request may wait (102 ms of 400 in a trial) and were told to come back in a time that knew nothing of the rate.

Cause: after a denial a runner was left alone for half a second at the most and counted as one that serves, so a request waited for a turn that was known to come later.

Change: a sidecar's denial tells when the next place comes by the rate, and that is kept by runner. Where all runners that are fit have no turn, callers are refused at once with a code of its own (600, RateLimited: last in the list, for codes on the wire are only added at the end), unless the first turn comes while they may wait. Retry-After is the time to the first turn at the least. First tries go before later ones at such a runner too; how long places are short elsewhere is not told by it.

--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -121,6 +121,8 @@
     RowChanged,
     /// The platform holds no object of this name.
     NotFound,
+    /// Every upstream that may run it names a rate of requests that it takes, and has had as many.
+    RateLimited,
 }
 
 /// What is known of one code.
@@ -240,6 +242,7 @@
     Row { code: Code::PlatformRefused, number: 505, name: "PlatformRefused", ran: Ran::NotRun, retry: false, status: 502, meaning: "A service of the platform refused the call." },
     Row { code: Code::RowChanged, number: 506, name: "RowChanged", ran: Ran::NotRun, retry: false, status: 409, meaning: "The row in the table is not the one the write was based on." },
     Row { code: Code::NotFound, number: 507, name: "NotFound", ran: Ran::NotRun, retry: false, status: 404, meaning: "The platform holds no object of this name." },
+    Row { code: Code::RateLimited, number: 600, name: "RateLimited", ran: Ran::NotRun, retry: true, status: 503, meaning: "Every upstream that may run it names a rate of requests that it takes, and has had as many." },
 ];
 
 #[cfg(test)]
--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -43,6 +43,8 @@
     ServesIn(u64),
     /// None does, as all of them have said lately, and no sidecar can tell when its runner will.
     NotServing,
+    /// All of them name a rate, and the first one takes another request in so many milliseconds.
+    Limited(u64),
     /// Not all runners were heard lately whose sidecars are followed.
     Unknown,
 }
@@ -119,6 +121,9 @@
         if runners().next().is_none() && listed().next().is_some() {
             return Outlook::NotServing;
         }
+        if let Some(left) = self.limited_ms(now, arrival) {
+            return Outlook::Limited(left);
+        }
         let Some(model) = &arrival.model else {
             let back_in = self.back_in_ms(now, arrival).or(self.rested_in_ms(now, arrival));
             return back_in.map_or(Outlook::Serving, Outlook::ServesIn);
@@ -142,6 +147,19 @@
         }
     }
 
+    /// When the first runner takes another request by the rate that it names, where all that could run this one have had
+    /// as many as they take.
+    fn limited_ms(&self, now: Millis, arrival: &Arrival) -> Option<u64> {
+        let is_fit = |it: &&Runner| {
+            let is_busy = it.load(now).is_some_and(|load| load.busy);
+            let holds =
+                arrival.model.as_ref().is_none_or(|model| self.holds_required(now, it, model));
+            self.may_serve(now, it, arrival) && holds && !is_busy
+        };
+        let fit = self.pool.of_service(&arrival.service).filter(is_fit);
+        fit.map(|it| self.turn_in_ms(now, it, arrival)).min().filter(|left| *left > 0)
+    }
+
     /// When the first of the runners that failed or rest is tried again, where all do that a bound request may go to.
     fn back_in_ms(&self, now: Millis, arrival: &Arrival) -> Option<u64> {
         if !arrival.homes.is_bound() {
@@ -267,11 +285,14 @@
         runner.usual_first_ms(now)
     }
 
-    /// Whether a request may go to a runner as far as the runner's rate goes. Where a sidecar gives the places it is asked,
-    /// for it may know more.
-    fn has_turn(&self, now: Millis, runner: &Runner, arrival: &Arrival) -> bool {
-        let asks = arrival.model.is_some() && self.options.ablation.keeps(Mechanism::Reservations);
-        asks || self.limits.admit(now, runner)
+    /// In how many milliseconds a request may go to a runner as far as the runner's rate goes. Where a sidecar gives the
+    /// places it is asked, for it may know more.
+    fn turn_in_ms(&self, now: Millis, runner: &Runner, arrival: &Arrival) -> u64 {
+        if arrival.model.is_some() && self.options.ablation.keeps(Mechanism::Reservations) {
+            runner.turn_in_ms(now)
+        } else {
+            self.limits.turn_in_ms(now, runner)
+        }
     }
 
     /// Whether a runner may have room, and its turn has come where it is cold. At runners with a sidecar a few
@@ -281,7 +302,8 @@
         let waits_there = arrival.model.is_some() && held_back == 0;
         let waiting = if waits_there { MAX_WAITING } else { 0 };
         let has_place = runner.occupancy(now) + held_back < runner.record.slots + waiting;
-        has_place && self.cold.admit(now, runner) && self.has_turn(now, runner, arrival)
+        let has_turn = self.turn_in_ms(now, runner, arrival) == 0;
+        has_place && has_turn && self.cold.admit(now, runner)
     }
 }
 
--- a/components/gateway/src/comeback.rs
+++ b/components/gateway/src/comeback.rs
@@ -2,7 +2,8 @@
 //!
 //! A caller repeats a request once or twice, so a time that is too short costs it its last try. Where no
 //! runner serves, the sidecars tell how long that will last. Where places are short, nobody knows; a
-//! shortage that has lasted for a while is expected to last about as long again.
+//! shortage that has lasted for a while is expected to last about as long again, and where runners name the rate that
+//! they take, until the first of them takes another request at the least.
 
 use fleet::Millis;
 use rand::Rng;
@@ -53,9 +54,10 @@
         if let Outlook::ServesIn(left) = outlook {
             return left.max(MIN_AWAY) + random.random_range(0..RETURN_SPAN);
         }
+        let turn_in_ms = if let Outlook::Limited(left) = outlook { left } else { 0 };
         let lasted = now.since(self.since).0.max(short_ms);
         let lasted = lasted.clamp(MIN_AWAY, MAX_AWAY) as f64;
         let away = lasted * (1.0 + SPREAD * random.random::<f64>());
-        away.min(MAX_AWAY as f64) as u64
+        (away.min(MAX_AWAY as f64) as u64).max(turn_in_ms)
     }
 }
--- a/components/gateway/src/limits.rs
+++ b/components/gateway/src/limits.rs
@@ -87,9 +87,14 @@
         }
     }
 
-    /// Whether a request may be sent to a runner, as far as its own word on its rate goes.
-    pub(crate) fn admit(&self, now: Millis, runner: &Runner) -> bool {
-        runner.notices.limit.rate().is_none() || self.shares.has_turn(now, &runner.record.id)
+    /// In how many milliseconds this gateway may send a request to a runner by itself. Where it has no share, in how many
+    /// another one may.
+    pub(crate) fn turn_in_ms(&self, now: Millis, runner: &Runner) -> u64 {
+        let Some(rate) = runner.notices.limit.rate() else {
+            return 0;
+        };
+        let own = self.shares.turn_in_ms(now, &runner.record.id);
+        own.unwrap_or((1000.0 / rate.asked_per_s()) as u64)
     }
 
     /// Counts a request that is sent to a runner, if this gateway may send one by itself.
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -11,6 +11,9 @@
 const RESUME_WAIT: u64 = 600;
 /// How long a runner whose sidecar had no place is left alone at most, in milliseconds.
 const MAX_DENIED_PAUSE: u64 = 500;
+/// How long a runner that names a rate is left alone at most after its sidecar had no place, in milliseconds: its limit may
+/// end meanwhile.
+const MAX_NO_TURN: u64 = 2000;
 /// How long a runner that said it is full is left alone, in milliseconds.
 const FULL_PAUSE: u64 = 60;
 
@@ -99,9 +102,14 @@
             runner.notices.rest.note_run(key);
         }
         runner.notices.rest.note_end(key);
+        let is_limited = runner.notices.limit.rate().is_some();
         match outcome {
             AttemptOutcome::Answered | AttemptOutcome::Finished => runner.reward(),
             AttemptOutcome::Full => runner.note_full(now, FULL_PAUSE),
+            // The sidecar counts by the rate, so it knows when the next place comes.
+            AttemptOutcome::Denied { again_ms, .. } if is_limited => {
+                runner.note_no_turn(now, again_ms.min(MAX_NO_TURN));
+            }
             AttemptOutcome::Denied { again_ms, .. } => {
                 runner.note_full(now, again_ms.min(MAX_DENIED_PAUSE));
             }
@@ -115,8 +123,8 @@
                 }
             }
             // Its sidecar does not keep it to its rate, and this gateway has had its share.
-            AttemptOutcome::Withdrawn if runner.notices.limit.rate().is_some() => {
-                runner.note_full(now, MAX_DENIED_PAUSE);
+            AttemptOutcome::Withdrawn if is_limited => {
+                runner.note_no_turn(now, MAX_DENIED_PAUSE);
             }
             AttemptOutcome::Failed | AttemptOutcome::Expired | AttemptOutcome::Withdrawn => {}
         }
--- a/components/gateway/src/reducer/progress.rs
+++ b/components/gateway/src/reducer/progress.rs
@@ -58,7 +58,7 @@
     /// caller cannot come back.
     pub(super) fn waits_in_vain(&self, now: Millis, outlook: Outlook) -> bool {
         let serves_too_late = match outlook {
-            Outlook::ServesIn(left) => now.plus(left) >= self.wait_until,
+            Outlook::ServesIn(left) | Outlook::Limited(left) => now.plus(left) >= self.wait_until,
             Outlook::NotServing => true,
             Outlook::Serving | Outlook::Unknown => false,
         };
@@ -73,8 +73,11 @@
             Outlook::NotServing => true,
             // One that serves and is paused for a moment is full.
             Outlook::ServesIn(left) => left > 0,
-            Outlook::Serving | Outlook::Unknown => false,
+            Outlook::Serving | Outlook::Limited(_) | Outlook::Unknown => false,
         };
+        if for_want_of_place && matches!(outlook, Outlook::Limited(_)) {
+            return Code::RateLimited;
+        }
         if for_want_of_place && self.arrival.homes.is_bound() && is_missing {
             Code::NoHome
         } else {
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -159,6 +159,8 @@
     pub notices: Notices,
     /// Whether its sidecar keeps its places to the rate that it names, by the last answer to a question.
     pub is_limit_kept: bool,
+    /// Until when it takes nothing by its rate, as its sidecar told.
+    no_turn_until: Millis,
     /// The incarnation was refused there; nothing is sent until the list changes.
     pub misdirected: bool,
 }
@@ -193,6 +195,7 @@
             is_followed: false,
             notices: Notices::default(),
             is_limit_kept: false,
+            no_turn_until: Millis(0),
             misdirected: false,
         }
     }
@@ -269,6 +272,19 @@
         is_news.then_some(word)
     }
 
+    /// Its sidecar has no place for so many milliseconds, while it names a rate limit.
+    pub fn note_no_turn(&mut self, now: Millis, again_ms: u64) {
+        self.no_turn_until = now.plus(again_ms);
+    }
+
+    /// In how many milliseconds its sidecar may have a place, as far as its rate goes.
+    pub fn turn_in_ms(&self, now: Millis) -> u64 {
+        match self.notices.limit.rate() {
+            Some(_) => self.no_turn_until.since(now).0,
+            None => 0,
+        }
+    }
+
     /// What its sidecar is told of its rate limit.
     pub fn told_limit(&self, now: Millis) -> Option<ToldLimit> {
         self.notices.limit.told(now, self.born)
--- a/components/gateway/src/shares.rs
+++ b/components/gateway/src/shares.rs
@@ -39,6 +39,11 @@
         self.buckets.get(runner).is_some_and(|it| it.has_one(now))
     }
 
+    /// In how many milliseconds a request may be sent to a runner. `None` where this gateway sends none.
+    pub(crate) fn turn_in_ms(&self, now: Millis, runner: &InstanceId) -> Option<u64> {
+        self.buckets.get(runner)?.ready_in_ms(now)
+    }
+
     /// Counts a request that is sent to a runner, if its turn has come.
     pub(crate) fn take_turn(&mut self, now: Millis, runner: &InstanceId) -> bool {
         self.buckets.get_mut(runner).is_some_and(|it| it.take(now))
--- a/components/rollout/src/first_tries.rs
+++ b/components/rollout/src/first_tries.rs
@@ -21,7 +21,8 @@
 pub(crate) struct FirstTries {
     /// When a first try of each rank last found no place.
     pressed: BTreeMap<u8, Millis>,
-    /// Since when places have been short, as of the last first try that found none.
+    /// When a first try last found no place because they are short, and since when they have been.
+    denied_at: Option<Millis>,
     since: Millis,
     /// Places that went to first tries since the last one that went to a later try, or since places are short.
     given: u32,
@@ -34,12 +35,18 @@
             self.since = now;
             self.given = 0;
         }
+        self.denied_at = Some(now);
+        self.note_pressed(now, rank);
+    }
+
+    /// A first try of this rank found no place, though places are not short.
+    pub(crate) fn note_pressed(&mut self, now: Millis, rank: u8) {
         self.pressed.insert(rank, now);
     }
 
     /// How long places have been short, in milliseconds. Zero where they are not.
     pub(crate) fn short_ms(&self, now: Millis) -> u64 {
-        let is_short = self.pressed.values().any(|at| now.since(*at).0 <= SHORTAGE_GAP);
+        let is_short = self.denied_at.is_some_and(|at| now.since(at).0 <= SHORTAGE_GAP);
         if is_short {
             now.since(self.since).0
         } else {
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -59,7 +59,9 @@
         match given {
             Ok(()) => self.first_tries.note_given(question.is_later()),
             // A runner that takes few requests by its own word says nothing of how short places are elsewhere.
-            Err(Denial::Limited) => {}
+            Err(Denial::Limited) if !question.is_later() => {
+                self.first_tries.note_pressed(now, question.rank);
+            }
             Err(denial) if denial.is_short() && !question.is_later() => {
                 self.first_tries.note_denied(now, question.rank);
             }
--- a/daemon/tests/deployment/limits.rs
+++ b/daemon/tests/deployment/limits.rs
@@ -45,6 +45,9 @@
     counted.iter().map(|from| within(*from)).max().unwrap_or(0)
 }
 
+/// Within how long a caller is refused that no runner takes: less than the part of its aim that it would wait for a place.
+const AT_ONCE: Duration = Duration::from_millis(60);
+
 /// Calls a gateway with a request of an id, and gives the status.
 type Call = fn(SocketAddr, &str) -> u16;
 
@@ -159,3 +162,28 @@
     let most = most_in_window(&limits.deployment.standin.limited_arrivals());
     assert!(most <= 8, "{most} requests in {WINDOW:?} where 8 are allowed");
 }
+
+#[test]
+fn callers_are_refused_at_once_while_every_runner_has_had_the_rate_that_it_names() {
+    let (limits, model) = Limits::start(2);
+    let other = SocketAddr::new(neighbour(model, 4), 8001);
+    for runner in [model, other] {
+        limits.name(runner, Some("0.4"));
+    }
+    limits.call(Duration::from_secs(4), assist);
+    let answers: Vec<_> = (0..60)
+        .map(|number| {
+            std::thread::sleep(PAUSE);
+            stream(limits.gateways[number % 2], &format!("r{number}"))
+        })
+        .collect();
+    let refused: Vec<_> = answers.iter().filter(|it| it.status == 503).collect();
+    assert!(refused.len() > 40, "{} of {} are refused", refused.len(), answers.len());
+    let at_once = refused.iter().filter(|it| it.took < AT_ONCE).count();
+    assert!(at_once * 10 >= refused.len() * 9, "{at_once} of {} at once", refused.len());
+    assert!(refused.iter().all(|it| it.body.contains("RateLimited")), "{refused:?}");
+    for answer in refused {
+        let away: f64 = answer.headers["retry-after"].to_str().unwrap().parse().unwrap();
+        assert!((0.25..=2.5).contains(&away), "back in {away} s, where a place comes within 2.5 s");
+    }
+}
