Soak: runners that name rate limits

A runner names a limit for a while: fractions, zero, one that can't be read, one after the other, in its reports as well or not; no two are the same, so that it is known which one a gateway was told of. Checked by the stated rule: from three seconds after a runner first named one, in any four seconds one and a half times the rate and five requests, summed over all gateways that handed such an answer on half a second before or earlier; a gateway that was killed, stood still, was cut off or runs an earlier build is left out. A test breaks it in a made-up history, by one request too many, and holds each exception.

--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -14,13 +14,13 @@
 use http::{Method, Request as HttpRequest};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use platform_standin::{headers, leaving_runner, HOST, KEY, PADDING};
+use platform_standin::{headers, leaving_runner, limited_runner, HOST, KEY, PADDING};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use smol_hyper::rt::FuturesIo;
 
 use crate::faults::CRASH_PATH;
-use crate::history::{Kind, Request, Seen, Told};
+use crate::history::{Kind, NamedLimit, Request, Seen, Told};
 
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_millis(5000);
@@ -124,15 +124,15 @@
         let gateway = connection.as_ref().map_or((number, life), |it| it.gateway);
         let sent = if connection.is_some() { self.shared.begun.elapsed() } else { sent };
         let begun = self.shared.begun;
-        let (seen, told) = match &mut connection {
+        let Exchanged { seen, told, limit } = match &mut connection {
             Some(connection) => exchange(begun, &mut connection.sender, kind, &id, slow).await,
-            None => (Seen::NoConnection, None),
+            None => Exchanged::without_answer(Seen::NoConnection),
         };
         if matches!(seen, Seen::Answer { whole: true, .. }) {
             self.connection = connection;
         }
         let ended = self.shared.begun.elapsed();
-        let request = Request { id, kind, gateway, sent, ended, seen, told };
+        let request = Request { id, kind, gateway, sent, ended, seen, told, limit };
         self.shared.requests.lock().expect("never poisoned").push(request);
     }
 
@@ -179,22 +179,39 @@
     request.body(Full::new(Bytes::from_static(b"question"))).ok()
 }
 
+/// What a caller got, and what the answer said of its runner.
+struct Exchanged {
+    seen: Seen,
+    told: Option<Told>,
+    limit: Option<NamedLimit>,
+}
+
+impl Exchanged {
+    fn without_answer(seen: Seen) -> Self {
+        Self { seen, told: None, limit: None }
+    }
+}
+
 async fn exchange(
     begun: Instant,
     sender: &mut SendRequest<Full<Bytes>>,
     kind: Kind,
     id: &str,
     slow: usize,
-) -> (Seen, Option<Told>) {
+) -> Exchanged {
     let Some(request) = request(kind, id) else {
-        return (Seen::NoConnection, None);
+        return Exchanged::without_answer(Seen::NoConnection);
     };
     let answer = within(PATIENCE, sender.send_request(request)).await;
     let Some(Ok(answer)) = answer else {
-        return (Seen::Lost, None);
+        return Exchanged::without_answer(Seen::Lost);
     };
     let at = begun.elapsed();
     let told = leaving_runner(answer.headers()).map(|(runner, life)| Told { runner, life, at });
+    let limit = limited_runner(answer.headers()).map(|(runner, life, limit)| {
+        let limit = limit.to_owned();
+        NamedLimit { runner, life, limit, at }
+    });
     let status = answer.status().as_u16();
     let mut body = answer.into_body();
     let (mut bytes, mut whole, mut pieces) = (Vec::new(), true, 0);
@@ -215,7 +232,8 @@
         }
     }
     bytes.retain(|byte| *byte != PADDING);
-    (Seen::Answer { status, whole, body: String::from_utf8_lossy(&bytes).into_owned() }, told)
+    let body = String::from_utf8_lossy(&bytes).into_owned();
+    Exchanged { seen: Seen::Answer { status, whole, body }, told, limit }
 }
 
 async fn within<T>(time: Duration, future: impl std::future::Future<Output = T>) -> Option<T> {
--- a/examples/soak/checker/mod.rs
+++ b/examples/soak/checker/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod configuration;
+mod limits;
 mod places;
 mod quarantine;
 mod runners;
@@ -11,6 +12,7 @@
 
 use self::answers::{check_answer, check_planned_stop, check_promise_of_refusal, check_runs};
 use self::configuration::{check_configuration, check_in_force};
+use self::limits::check_limits;
 use self::places::{check_bound, check_evacuated, check_homes};
 use self::quarantine::check_quarantine;
 use self::runners::{check_cold, check_leaving, check_rest, check_told};
@@ -53,6 +55,7 @@
     violations.extend(history.cold.iter().filter_map(|cold| check_cold(history, cold)));
     violations.extend(check_quarantine(history));
     violations.extend(check_rest(history));
+    violations.extend(check_limits(history));
     violations.extend(check_configuration(history));
     violations.extend(check_recovery(history));
     violations.extend(history.mixtures.iter().map(|runner| Violation {
--- a/examples/soak/conductor.rs
+++ b/examples/soak/conductor.rs
@@ -47,6 +47,8 @@
     Replace(usize),
     /// A runner that asked for rest serves again.
     Serve(usize),
+    /// A runner names no rate limit any more, if it still names this one.
+    Unlimit(usize, String),
     /// Operators and runners write again what the store lost.
     WriteAgain(LostRows),
     /// A hall is evacuated after the store came back from a copy.
@@ -71,6 +73,8 @@
     version: u64,
     /// How many requests that crash runners callers have sent.
     crashing: u64,
+    /// How many rate limits runners have named.
+    limits: u32,
     /// How often rows of another writer were put in the place of an entry.
     foreign: u64,
 }
@@ -85,6 +89,7 @@
             ends: Vec::new(),
             version: 1,
             crashing: 0,
+            limits: 0,
             foreign: 0,
         }
     }
@@ -174,6 +179,9 @@
             Fault::Shed(number, rest_ms) => {
                 self.shed(number, Duration::from_millis(rest_ms), until);
             }
+            Fault::Limit(number, word, reported) => {
+                self.name_limit(number, word, reported, until);
+            }
             Fault::Bulk(number) => {
                 self.change_runner(number, |it| it.padding = BULK);
                 self.later(until, End::Slim(number));
@@ -201,6 +209,7 @@
             End::Warm(number) | End::Relist(number) => self.list_again(number),
             End::Slim(number) => self.change_runner(number, |it| it.padding = 0),
             End::Serve(number) => self.change_runner(number, |it| it.sheds = None),
+            End::Unlimit(number, limit) => self.end_limit(number, &limit),
             End::Replace(number) => self.replace(number),
             End::Crashing => self.shared.crashing.store(0, Ordering::Relaxed),
             End::WriteAgain(lost) => self.fleet.standin.write_again(lost),
--- a/examples/soak/conductor/runners.rs
+++ b/examples/soak/conductor/runners.rs
@@ -8,12 +8,15 @@
 use serde_json::{json, Value};
 
 use super::{Conductor, End, AWAY};
+use crate::faults::LimitWord;
 use crate::fleet::{hall_name, COLD_START};
 use crate::history::{Cold, Leaving, Target};
 use crate::proxy::Harm;
 
 /// How long such a request comes again at least: until all must have heard of it, and some time to see it kept.
 const CRASHING: Duration = Duration::from_millis(5000);
+/// How long a runner names a rate limit at least: until it binds, and the window in which requests are counted.
+const LIMITED: Duration = Duration::from_millis(8000);
 
 impl Conductor<'_> {
     /// Changes a runner and its entry in the list.
@@ -87,6 +90,37 @@
         self.later(until, End::Serve(number));
     }
 
+    /// Has a runner name a rate limit for a while, another one than it may name already.
+    pub(super) fn name_limit(
+        &mut self,
+        number: usize,
+        word: LimitWord,
+        reported: bool,
+        until: Duration,
+    ) {
+        self.limits += 1;
+        let limit = match word {
+            LimitWord::Thousandths(rate) => {
+                format!("{:.3}", f64::from(rate + self.limits) / 1000.0)
+            }
+            LimitWord::Unreadable => format!("some {}", self.limits),
+        };
+        self.change_runner(number, |it| {
+            it.limit = Some(limit.clone());
+            it.reports_name_limit = reported;
+        });
+        self.later(until + LIMITED, End::Unlimit(number, limit));
+    }
+
+    /// Has a runner name no rate limit any more, unless it names another one by now.
+    pub(super) fn end_limit(&mut self, number: usize, limit: &str) {
+        self.change_runner(number, |it| {
+            if it.limit.as_deref() == Some(limit) {
+                it.limit = None;
+            }
+        });
+    }
+
     /// Starts a plain runner anew, cold.
     pub(super) fn start_cold(&mut self, number: usize) {
         let runner = &mut self.fleet.runners[number];
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -43,6 +43,7 @@
     "reborn",
     "foreign",
     "shed",
+    "limit",
     "store_copy",
     "upgrade",
     "bulk",
@@ -100,6 +101,8 @@
     Foreign(usize),
     /// A runner turns everything away for a while and asks for so many milliseconds of rest each time.
     Shed(usize, u64),
+    /// A runner names a rate limit for a while, in its reports as well or in other answers alone.
+    Limit(usize, LimitWord, bool),
     /// The store goes back to how it was so many milliseconds ago. What operators and runners wrote is written again after
     /// a while.
     StoreCopy(u64),
@@ -111,6 +114,19 @@
     Settings(usize, bool),
 }
 
+/// What a runner names as its rate limit.
+#[derive(Clone, Copy, Debug)]
+pub enum LimitWord {
+    /// So many thousandths of a request a second.
+    Thousandths(u32),
+    /// Something that can't be read.
+    Unreadable,
+}
+
+/// Rates that runners name, in thousandths of a request a second. Each is named with a number added, so that no two are
+/// the same.
+const RATES: [u32; 6] = [0, 400, 1000, 1600, 3000, 8000];
+
 /// A fault with its time.
 #[derive(Clone, Copy, Debug)]
 pub struct Planned {
@@ -179,6 +195,7 @@
         "reborn" => Fault::Reborn(model),
         "foreign" => Fault::Foreign(runner),
         "shed" => Fault::Shed(runner, random.random_range(600..3000)),
+        "limit" => Fault::Limit(runner, limit_word(random), random.random_bool(0.3)),
         "store_copy" => Fault::StoreCopy(random.random_range(500..6000)),
         "upgrade" => Fault::Upgrade(process),
         "bulk" => Fault::Bulk(runner),
@@ -187,6 +204,14 @@
     }
 }
 
+fn limit_word(random: &mut SmallRng) -> LimitWord {
+    if random.random_bool(0.1) {
+        LimitWord::Unreadable
+    } else {
+        LimitWord::Thousandths(RATES[random.random_range(0..RATES.len())])
+    }
+}
+
 fn harm(random: &mut SmallRng) -> Harm {
     match random.random_range(0..4) {
         0 => Harm::Delay(random.random_range(20..400)),
--- a/examples/soak/history.rs
+++ b/examples/soak/history.rs
@@ -58,6 +58,8 @@
     pub seen: Seen,
     /// What the answer said of its runner, if it said that the runner leaves.
     pub told: Option<Told>,
+    /// The rate limit that the runner named in the answer, if it named one.
+    pub limit: Option<NamedLimit>,
 }
 
 /// An answer that a gateway handed on said that its runner leaves.
@@ -71,6 +73,19 @@
     pub at: Moment,
 }
 
+/// A runner named a rate limit: in an answer that a gateway handed on, or while a request reached it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NamedLimit {
+    /// The runner.
+    pub runner: String,
+    /// Which of its lives.
+    pub life: u64,
+    /// The limit, as the runner names it.
+    pub limit: String,
+    /// When that was.
+    pub at: Moment,
+}
+
 /// A runner turned a request away and asked for rest.
 #[derive(Clone, Debug)]
 pub struct TurnedAway {
@@ -208,6 +223,8 @@
     pub old: BTreeSet<(usize, u32)>,
     /// Requests that runners turned away for a time.
     pub turned_away: Vec<TurnedAway>,
+    /// Requests that reached runners while they named a rate limit, each with the request's id.
+    pub limited: Vec<(String, NamedLimit)>,
     /// Runners that left.
     pub leaving: Vec<Leaving>,
     /// Versions of the configuration, oldest first.
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -14,7 +14,7 @@
 use crate::conductor::Conductor;
 use crate::faults::{plan, Sizes, KINDS};
 use crate::fleet::Fleet;
-use crate::history::{History, Leaving, Run, TurnedAway};
+use crate::history::{History, Leaving, NamedLimit, Run, TurnedAway};
 
 /// How long the fleet has to get ready.
 const WARM_UP: Duration = Duration::from_millis(1500);
@@ -154,6 +154,15 @@
             rest: it.rest,
         })
         .collect();
+    history.limited = fleet
+        .standin
+        .limited_arrivals()
+        .into_iter()
+        .map(|it| {
+            let (runner, life, limit, at) = (it.runner, it.life, it.limit, moment(it.at));
+            (it.request, NamedLimit { runner, life, limit, at })
+        })
+        .collect();
     for runner in &fleet.runners {
         let engine = fleet.standin.runner(runner.engine);
         if engine.is_some_and(|it| it.took_mixture) {
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -20,7 +20,8 @@
 
 fn request(id: &str, kind: Kind, seen: Seen) -> Request {
     let (sent, ended) = (at(10_000), at(10_050));
-    Request { id: id.into(), kind, gateway: (0, 0), sent, ended, seen, told: None }
+    let gateway = (0, 0);
+    Request { id: id.into(), kind, gateway, sent, ended, seen, told: None, limit: None }
 }
 
 fn run_at(runner: &str, millis: u64) -> Run {
@@ -351,3 +352,48 @@
     history.runs.insert("r4".into(), vec![run_at("l1", 11_000)]);
     assert_eq!(broken(&history), Some("a runner that wants rest is left alone"));
 }
+
+/// A history in which two gateways were told at 10 s that a runner takes one request a second, and so many requests reach
+/// it by turns within two seconds from then on.
+fn limited(named_at: u64, arrivals: u64, from: u64) -> History {
+    let mut history = History { calm_from: at(100_000), ..History::default() };
+    let named =
+        |millis| NamedLimit { runner: "l1".into(), life: 1, limit: "1.000".into(), at: at(millis) };
+    for gateway in 0..2 {
+        let id = format!("told{gateway}");
+        let safe = request(&id, Kind::Safe, answer(200, &format!("ledger {id}")));
+        let limit = Some(named(named_at));
+        history.requests.push(Request { gateway: (gateway, 0), limit, ..safe });
+        history.limited.push((id, named(named_at)));
+    }
+    for number in 0..arrivals {
+        let id = format!("r{number}");
+        let safe = request(&id, Kind::Safe, answer(200, &format!("ledger {id}")));
+        let gateway = ((number % 2) as usize, 0);
+        history.requests.push(Request { gateway, ..safe });
+        history.limited.push((id, named(from + number * 2000 / arrivals)));
+    }
+    history
+}
+
+#[test]
+fn more_requests_than_a_runner_takes_are_caught() {
+    let promise = "a runner gets no more than the rate that it names";
+    assert_eq!(
+        broken(&limited(10_000, 11, 14_000)),
+        None,
+        "one and a half times the rate and five"
+    );
+    assert_eq!(broken(&limited(10_000, 12, 14_000)), Some(promise), "over both gateways");
+    assert_eq!(broken(&limited(10_000, 12, 10_600)), None, "it has just named it");
+    let mut restarted = limited(10_000, 12, 14_000);
+    restarted.requests.iter_mut().for_each(|it| it.gateway.1 += u32::from(it.limit.is_none()));
+    assert_eq!(broken(&restarted), None, "another process that was not told");
+    let mut harmed = limited(10_000, 12, 14_000);
+    let target = Target::Gateway(1);
+    harmed.harmed.push(Harmed { target, from: at(13_000), until: at(13_500) });
+    assert_eq!(broken(&harmed), None, "a gateway that was cut off is excused");
+    let mut unreadable = limited(10_000, 30, 14_000);
+    unreadable.limited.iter_mut().for_each(|it| it.1.limit = "some".into());
+    assert_eq!(broken(&unreadable), None);
+}
