The end of a rate limit is kept by processes that never heard of the limit

A sidecar that starts while a limit ends is told of the end alone, which it took for nothing new (no limit is what it knew) and passed on to nobody; a word on the limit from before, from a gateway that was cut off, then counted as news. Found by reading. The moment is kept now; the new test is red without.

--- a/components/fleet/src/rate_limit.rs
+++ b/components/fleet/src/rate_limit.rs
@@ -99,11 +99,15 @@
     /// Takes in what another process tells of the life that began at `born`. Gives whether it changes the limit.
     pub fn learn(&mut self, now: Millis, born: Option<u64>, told: ToldLimit) -> bool {
         let is_other_life = born.zip(told.born).is_some_and(|(known, told)| known != told);
-        // What is known already gets no younger by being told to and fro.
-        if is_other_life || told.rate == self.rate {
+        if is_other_life {
             return false;
         }
         let at = now.minus(u64::from(told.age_ms));
+        if told.rate == self.rate {
+            // What is known already gets no younger by being told to and fro.
+            self.known_at = self.known_at.or(Some(at));
+            return false;
+        }
         if self.known_at.is_some_and(|known| known >= at) {
             self.contradicted_at = Some(now);
             return false;
--- a/components/fleet/tests/rate_limit.rs
+++ b/components/fleet/tests/rate_limit.rs
@@ -66,6 +66,14 @@
     assert!(limit.learn(Millis(2000), Some(9), told(None, 10)));
 }
 
+#[test]
+fn the_end_of_a_limit_is_known_also_to_whoever_never_heard_of_the_limit() {
+    let mut limit = RateLimit::default();
+    limit.learn(Millis(1000), None, told(None, 100));
+    assert!(!limit.learn(Millis(1000), None, told(Some(2.0), 300)), "that had ended");
+    assert_eq!(limit.told(Millis(1000), None).map(|it| it.rate), Some(None));
+}
+
 #[test]
 fn a_limit_gets_no_younger_by_being_told_to_and_fro() {
     let (mut near, mut far) = (RateLimit::default(), RateLimit::default());
