Rate limits that sidecars keep places to do not go round

A list holds eight limits, drawn anew each time. Where many model runners name one, those of plain runners, which nobody else tells of, would come up late. Whoever asks the sidecar of a model runner hears of its limit there, before anything is sent, so only limits that no sidecar keeps to are told on. Found by reading; held by a test.

--- a/components/gateway/src/reducer/limits.rs
+++ b/components/gateway/src/reducer/limits.rs
@@ -69,10 +69,11 @@
     }
 
     /// The limits that this gateway knows of, for those who do not hear them from the runners: some of them, where they
-    /// are many.
+    /// are many. Those that a sidecar keeps places to are heard of there.
     pub fn told_limits(&self, now: Millis, random: &mut impl Rng) -> Vec<LifeLimit> {
         let runners = self.limits.runners().filter_map(|id| self.pool.runner(id));
         let told = runners
+            .filter(|it| !it.is_limit_kept)
             .filter_map(|it| Some(LifeLimit { life: it.life.digest, limit: it.told_limit(now)? }));
         draw_told(told, random)
     }
--- a/components/gateway/tests/limits.rs
+++ b/components/gateway/tests/limits.rs
@@ -403,6 +403,8 @@
     let told = ToldLimit { born: None, rate: Some(rate(1.0)), age_ms: 0 };
     let bed = before_model_runner(Some(told));
     assert!(bed.gateway.may_send(Millis(bed.now), RequestKey(2)));
+    let told = bed.gateway.told_limits(Millis(bed.now), &mut SmallRng::seed_from_u64(1));
+    assert_eq!(told, [], "whoever asks that sidecar hears of it");
 }
 
 #[test]
