Tests of sidecars: their options and plans stand once

cold.rs, lives.rs and limits.rs each wrote out the same options and plan of one sidecar; they take those of the shared support and change what they look at. Only the name of the data hall differs, which none of them reads. No check changed; the tests of rollout pass.

--- a/components/rollout/tests/cold.rs
+++ b/components/rollout/tests/cold.rs
@@ -1,7 +1,10 @@
 //! Places at a runner that is cold.
 
-use fleet::{Ablation, InstanceId, Millis, Place};
+mod support;
+
+use fleet::Millis;
 use rollout::*;
+use support::{options, plan};
 
 const PLAN: ColdPlan = ColdPlan { start_ms: 3000, requests_per_s: 26.0 };
 const LIMIT: ColdLimit = ColdLimit { overrun: 1.5, slack: 5.0 };
@@ -16,24 +19,8 @@
 
 impl Bed {
     fn new(limit: Option<ColdLimit>, cold: Option<ColdPlan>) -> Self {
-        let options = RolloutOptions {
-            ablation: Ablation::default(),
-            me: InstanceId("10.0.0.1".into()),
-            place: Place { region: "r".into(), hall: "h".into() },
-            link_bytes_per_s: 950_000,
-            control_bytes_per_s: 6000,
-            version_ms: 8000,
-            evacuate_ms: None,
-            cold: limit,
-        };
-        let plan = WeightsPlan {
-            model: "m".into(),
-            warm_ms: 300,
-            origin_bytes_per_s: 1_240_000,
-            slots: 500,
-            prompt_tokens_per_ms: 100.0,
-            cold,
-        };
+        let options = RolloutOptions { evacuate_ms: None, cold: limit, ..options(1) };
+        let plan = WeightsPlan { slots: 500, prompt_tokens_per_ms: 100.0, cold, ..plan() };
         let sidecar = Rollout::new(options);
         let mut bed = Self { sidecar, now: 1_000_000, sequence: 3, granted: Vec::new() };
         bed.feed(Event::Planned(plan));
--- a/components/rollout/tests/limits.rs
+++ b/components/rollout/tests/limits.rs
@@ -1,9 +1,12 @@
 //! Places at a runner that names the rate of requests that it takes.
 
-use fleet::{Ablation, InstanceId, Millis, Place, Rate, RateWord, ToldLimit};
+mod support;
+
+use fleet::{Millis, Rate, RateWord, ToldLimit};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rollout::*;
+use support::{options, plan};
 
 /// How many times its rate a runner may get in a window, how many requests on top, and the window in milliseconds.
 const OVERRUN: f64 = 1.5;
@@ -23,24 +26,8 @@
 
 impl Bed {
     fn new() -> Self {
-        let options = RolloutOptions {
-            ablation: Ablation::default(),
-            me: InstanceId("10.0.0.1".into()),
-            place: Place { region: "r".into(), hall: "h".into() },
-            link_bytes_per_s: 950_000,
-            control_bytes_per_s: 6000,
-            version_ms: 8000,
-            evacuate_ms: None,
-            cold: None,
-        };
-        let plan = WeightsPlan {
-            model: "m".into(),
-            warm_ms: 300,
-            origin_bytes_per_s: 1_240_000,
-            slots: 500,
-            prompt_tokens_per_ms: 100.0,
-            cold: None,
-        };
+        let options = RolloutOptions { evacuate_ms: None, ..options(1) };
+        let plan = WeightsPlan { slots: 500, prompt_tokens_per_ms: 100.0, ..plan() };
         let sidecar = Rollout::new(options);
         let mut bed = Self { sidecar, now: 1_000_000, born: 9, granted: Vec::new(), denied: 0 };
         bed.feed(Event::Planned(plan));
--- a/components/rollout/tests/lives.rs
+++ b/components/rollout/tests/lives.rs
@@ -1,7 +1,10 @@
 //! A runner that starts again under the name that it had, as its sidecar finds.
 
-use fleet::{Ablation, InstanceId, LifeChange, Millis, Place};
+mod support;
+
+use fleet::{LifeChange, Millis};
 use rollout::*;
+use support::{options, plan};
 
 /// A sidecar whose runner, born at 5, has taken two orders and works on so many requests.
 struct Bed {
@@ -16,22 +19,15 @@
 
     fn born(born: Option<u64>, running: u32) -> Self {
         let options = RolloutOptions {
-            ablation: Ablation::default(),
-            me: InstanceId("10.0.0.1".into()),
-            place: Place { region: "r".into(), hall: "h".into() },
-            link_bytes_per_s: 950_000,
-            control_bytes_per_s: 6000,
-            version_ms: 8000,
             evacuate_ms: None,
             cold: Some(ColdLimit { overrun: 1.5, slack: 5.0 }),
+            ..options(1)
         };
         let plan = WeightsPlan {
-            model: "m".into(),
-            warm_ms: 300,
-            origin_bytes_per_s: 1_240_000,
             slots: 4,
             prompt_tokens_per_ms: 100.0,
             cold: Some(ColdPlan { start_ms: 3000, requests_per_s: 26.0 }),
+            ..plan()
         };
         let mut bed = Self { sidecar: Rollout::new(options), now: 1_000_000 };
         bed.feed(Event::Planned(plan));
