Sight: what a version's age rests on, and what sidecars believe of it

Neither was in any log, so an age that was inferred from a slow answer could not be told from a true one, nor a word that came late from one that was wrong. A gateway now logs with each answer that holds a version when it was asked, made and how long before everything was known; a sidecar logs what it believes whenever that changes by 20 ms or more.

--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -30,6 +30,8 @@
 
 /// Versions of a model that are kept in mind. Those that still bind are few.
 const MOST_NAMES: usize = 8;
+/// By how much a word must change the age of a version to be logged, in milliseconds.
+const LOGGED_CHANGE: u64 = 20;
 
 /// A gateway that wants reports.
 #[derive(Clone, Copy, Debug)]
@@ -175,7 +177,9 @@
         for NamedVersion { model, version, age_ms } in named {
             let mut names = self.names.borrow_mut();
             let names = names.entry(model.clone()).or_default();
+            let before = names.get(*version);
             names.take(VersionName::heard(now, *version, *age_ms));
+            log_name(model, now, before, names.get(*version));
             names.keep_newest(MOST_NAMES);
         }
         let model = self.rollout.borrow().plan().map(|it| it.model.clone());
@@ -280,3 +284,21 @@
         }
     }
 }
+
+/// Logs what is believed of a version where that has changed by more than the jitter of words on it.
+fn log_name(
+    model: &ModelName,
+    now: Millis,
+    before: Option<VersionName>,
+    heard: Option<VersionName>,
+) {
+    let Some(VersionName { version, at, known }) = heard else {
+        return;
+    };
+    let is_same = |it: VersionName| it.known == known && it.at.since(at).0 < LOGGED_CHANGE;
+    if before.is_some_and(is_same) {
+        return;
+    }
+    let age_ms = now.since(at).0;
+    log::info!(model = model.0.as_str(), version = version, age_ms = age_ms, known = known; "version heard of");
+}
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -204,6 +204,7 @@
         let late = self.lateness.take_listing(was_silent);
         self.note_clock(clock_ms, Duration::ZERO, late, deliver);
         let age = self.greatest_age(late, before, None);
+        self.log_versions(&changes, before);
         for change in changes {
             if !(went_back && self.returns.hold(Instant::now(), &change)) {
                 self.pass_on(change, age, lost, deliver);
@@ -291,6 +292,7 @@
         let gone = page.changes.iter().filter(is_gone).count();
         let lost = Lost { gone, known: self.runners.len() };
         let age = self.greatest_age(late, before, told);
+        self.log_versions(&page.changes, before);
         if self.reader.is_none() {
             self.options.reading.keep_changes(self.options.table, &body, age);
         }
@@ -378,6 +380,19 @@
         Some(by_reader.map_or(since, |it| it.min(since)))
     }
 
+    /// Logs what the age of versions in an answer rests on. Everything up to `before` was known when it came.
+    fn log_versions(&self, changes: &[Change], before: Instant) {
+        if !changes.iter().any(|it| matches!(it, Change::Version { .. })) {
+            return;
+        }
+        log::info!(
+            known_ms = before.elapsed().as_millis() as u64,
+            asked_ms = self.asked.elapsed().as_millis() as u64,
+            made_ms = self.known.elapsed().as_millis() as u64;
+            "versions told"
+        );
+    }
+
     /// Hands a change on, unless it is to be believed later only.
     fn pass_on(
         &mut self,
