Three failing tests: versions taken for too young, and a request that begins behind a bound

One for each hypothesis of the incident, all with real processes: a store that looks at calls 0.4 s after they arrived, datagrams to a sidecar that take 1 s from just before a version is named, and a runner that reads a prompt for 2.15 s from 2.0 s before the bound. In the first two the order to give the old version up had not been taken 0.12 s before its bound (it is due 0.3 s before), in the third the request began on version 1 0.15 s behind it.

--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -19,6 +19,7 @@
 mod slow_callers;
 mod starts_between_versions;
 mod support;
+mod version_ages;
 
 use std::time::{Duration, Instant};
 
--- a/daemon/tests/deployment/support.rs
+++ b/daemon/tests/deployment/support.rs
@@ -89,6 +89,24 @@
         address
     }
 
+    /// Starts a model runner with a sidecar beside it, which the list and the sidecar know by where it is reached over another
+    /// machine. Gives where it stands.
+    pub fn add_model_runner_behind(
+        &mut self,
+        id: &str,
+        version: Option<u64>,
+        path: impl FnOnce(IpAddr, SocketAddr) -> SocketAddr,
+    ) -> SocketAddr {
+        let (machine, way) = (self.machine(), self.machine());
+        let address = SocketAddr::new(machine, RUNNER_PORT);
+        let listed = path(way, address);
+        let mut engine = Engine::model(id, "assistant", "a", version);
+        engine.listed_at = Some(listed);
+        self.standin.add_runner(address, engine);
+        self.spawn(machine, &format!("[sidecar]\nrunner = {listed}\nservice = assistant\n"));
+        address
+    }
+
     /// Starts a gateway and gives where callers reach it.
     pub fn add_gateway(&mut self) -> SocketAddr {
         let machine = self.machine();
