Versions are dated by the store's history, not by how long an answer took

What callers would have seen: requests that begin on an old version behind its bound. Cause: an answer of the store that took 50 ms or more passed for one that the store had waited with, so what it told of had just happened; one that took 600 ms showed that nothing older was left, and its clock less 400 ms went into the record. A slow store, a connection that comes up slowly, a packet that is sent again or a process without processor take as long without any wait. Everybody believed it, for a known age goes before none. Class: a moment inferred from how long something took.

Change: every answer tells the store's newest revision and its clock. A row whose revision is higher was written after that moment, whatever took how long, so the last such answer of either table dates a version (edge::StoreTime). The date is the store's, so the record is written by it too, and of two dates by the store's history the later one holds: it was not named at either. Words without such a date count after those with one. Pages that may be cut short, listings after a start and another era date nothing. Followers of a reader read the same revisions; one that took its own wait at the reader for the store's believed 0 ms where the reader knew better. For evacuations, an answer that took long no longer ends the time in which news is old.

--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -15,7 +15,7 @@
 use super::record::{self, Heard, RecordNews};
 use crate::patience::Patience;
 use crate::spawner::Spawner;
-use crate::watch::{watch, Seen, WatchOptions};
+use crate::watch::{watch, Dated, Seen, WatchOptions};
 
 /// The shortest time between the first two feeds of a table, when a fleet that starts appears in it.
 const FIRST_SPACING: Duration = Duration::from_millis(60);
@@ -46,6 +46,7 @@
         metrics: core.metrics.clone(),
         era: tables.era.clone(),
         reading: reading.clone(),
+        time: tables.time.clone(),
     };
     let reading = reading.clone();
     let (hand_over, heard) = record::channel();
@@ -54,9 +55,8 @@
         spawner.detach(record::keep(core.clone(), settings.store.address, version_ms, heard));
     }
     let core = core.clone();
-    let mut since_ms = None;
+    let version_ms = settings.bounds.version_ms;
     spawner.detach(watch(options, move |seen| match seen {
-        Seen::NotBefore(clock_ms) => since_ms = Some(clock_ms),
         Seen::Whole => {
             tables.of(table).note_whole(table);
             core.tell_sidecars();
@@ -78,13 +78,13 @@
                 reading.note_went_back();
             }
         }
-        Seen::Change { change, age } => {
+        Seen::Change { change, dated } => {
             let concerns_sidecars = concerns_sidecars(&change) || turns_cold(&core, &change);
             // One that follows another leaves the record to it.
             let records = reading.source() == Source::Store;
-            let version = heard_version(&change, since_ms.filter(|_| age.is_some()));
-            let version = version.filter(|_| records);
-            if let Some(event) = event(change, age) {
+            let event = event(change, dated, version_ms);
+            let version = event.as_ref().and_then(heard_version).filter(|_| records);
+            if let Some(event) = event {
                 core.feed(event);
             }
             if let Some(version) = version {
@@ -105,11 +105,11 @@
     }
 }
 
-/// The version that a change tells of, for the record.
-fn heard_version(change: &Change, not_before_ms: Option<u64>) -> Option<Heard> {
-    match change {
-        Change::Version { model, version } => {
-            Some(Heard { model: model.clone(), version: *version, not_before_ms })
+/// The version that an event tells of, for the record.
+fn heard_version(event: &Event) -> Option<Heard> {
+    match event {
+        Event::Named(NamedVersion { model, version, after_ms, .. }) => {
+            Some(Heard { model: model.clone(), version: *version, not_before_ms: *after_ms })
         }
         _ => None,
     }
@@ -171,18 +171,25 @@
 }
 
 /// What a change is to the reducer. `None` for what it is told of by whole lists.
-fn event(change: Change, age: Option<Duration>) -> Option<Event> {
+fn event(change: Change, dated: Dated, version_ms: u64) -> Option<Event> {
     Some(match change {
         Change::Configuration(catalog) => {
             let (routes, keys) = (catalog.route_count(), catalog.needs_keys());
             log::info!(version = catalog.version, routes = routes, keys = keys; "configuration");
             Event::Configured(Arc::new(*catalog))
         }
-        Change::Version { model, version } => {
+        Change::Version { model, version, .. } => {
             // The bound runs from the naming, not from when this process heard of it.
-            let age_ms = age.map(|it| it.as_millis() as u64);
-            log::info!(model = model.0.as_str(), version = version, age_ms = age_ms; "version named");
-            Event::Named(NamedVersion { model, version, age_ms })
+            let age_ms = dated.age.map(|it| it.as_millis() as u64 + 1);
+            let named = NamedVersion { model, version, age_ms, after_ms: dated.after_ms };
+            let named = if named.outlasts_guess(version_ms) {
+                named
+            } else {
+                NamedVersion { age_ms: None, after_ms: None, ..named }
+            };
+            let model = named.model.0.as_str();
+            log::info!(model = model, version = version, age_ms = named.age_ms; "version named");
+            Event::Named(named)
         }
         Change::Evacuated(_) | Change::Reopened(_) => return None,
         Change::Runner(record) => {
--- a/components/edge/src/gateway/tables.rs
+++ b/components/edge/src/gateway/tables.rs
@@ -1,6 +1,6 @@
 //! What a gateway knows of the store's tables, and how old that is.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
 use uptime::Instant;
 
 use crate::era::Era;
+use crate::store_time::StoreTime;
 
 /// How a table of the store stands.
 pub struct TableState {
@@ -85,6 +86,8 @@
     pub runners: TableState,
     /// The store's era.
     pub era: Rc<Era>,
+    /// What answers told of the store's history.
+    pub time: Rc<RefCell<StoreTime>>,
 }
 
 impl Tables {
@@ -95,6 +98,7 @@
             operator: TableState::new(longest_gap(Table::Operator)),
             runners: TableState::new(longest_gap(Table::Runners)),
             era: Rc::new(era),
+            time: Rc::default(),
         }
     }
 
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -27,6 +27,7 @@
 mod server;
 mod sidecar;
 mod spawner;
+mod store_time;
 mod watch;
 mod yielding;
 
--- a/components/edge/src/message/samples.rs
+++ b/components/edge/src/message/samples.rs
@@ -36,7 +36,7 @@
 }
 
 fn named() -> NamedVersion {
-    NamedVersion { model: "m".into(), version: 3, age_ms: Some(700) }
+    NamedVersion { model: "m".into(), version: 3, age_ms: Some(700), after_ms: None }
 }
 
 fn have() -> Bitmap {
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -174,12 +174,12 @@
     /// which model is the runner's.
     pub fn take_names(&self, named: &[NamedVersion]) {
         let now = self.clock.now();
-        for NamedVersion { model, version, age_ms } in named {
+        for it in named {
             let mut names = self.names.borrow_mut();
-            let names = names.entry(model.clone()).or_default();
-            let before = names.get(*version);
-            names.take(VersionName::heard(now, *version, *age_ms));
-            log_name(model, now, before, names.get(*version));
+            let names = names.entry(it.model.clone()).or_default();
+            let before = names.get(it.version);
+            names.take(VersionName::heard(now, it));
+            log_name(&it.model, now, before, names.get(it.version));
             names.keep_newest(MOST_NAMES);
         }
         let model = self.rollout.borrow().plan().map(|it| it.model.clone());
@@ -192,8 +192,8 @@
         let is_told = |it: &VersionName| {
             named.is_empty() || named.iter().any(|told| told.version == it.version)
         };
-        for VersionName { version, at, known } in mine.all().filter(is_told) {
-            self.feed(Event::Named { version, named_at: known.then_some(at) });
+        for VersionName { version, at, known, after_ms } in mine.all().filter(is_told) {
+            self.feed(Event::Named { version, named_at: known.then_some(at), after_ms });
         }
     }
 
@@ -292,13 +292,15 @@
     before: Option<VersionName>,
     heard: Option<VersionName>,
 ) {
-    let Some(VersionName { version, at, known }) = heard else {
+    let Some(VersionName { version, at, known, after_ms }) = heard else {
         return;
     };
-    let is_same = |it: VersionName| it.known == known && it.at.since(at).0 < LOGGED_CHANGE;
+    let is_same = |it: VersionName| {
+        it.known == known && it.after_ms == after_ms && it.at.0.abs_diff(at.0) < LOGGED_CHANGE
+    };
     if before.is_some_and(is_same) {
         return;
     }
     let age_ms = now.since(at).0;
-    log::info!(model = model.0.as_str(), version = version, age_ms = age_ms, known = known; "version heard of");
+    log::info!(model = model.0.as_str(), version = version, age_ms = age_ms, known = known, after_ms = after_ms; "version heard of");
 }
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -240,9 +240,9 @@
 
 fn take_versions(core: &Core, changes: Vec<Change>) {
     for change in changes {
-        if let Change::Version { model, version } = change {
+        if let Change::Version { model, version, .. } = change {
             // A row does not tell when it was written.
-            core.take_names(&[NamedVersion { model, version, age_ms: None }]);
+            core.take_names(&[NamedVersion { model, version, age_ms: None, after_ms: None }]);
         }
     }
     core.feed(Event::VersionsKnown);
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -22,11 +22,12 @@
 use crate::freshness::{Arrival, Freshness};
 use crate::gateway::{read_age, ToldAge};
 use crate::lapses::Lapses;
-use crate::lateness::{happened_since, not_before, Lateness};
+use crate::lateness::Lateness;
 use crate::link::{CallAnswer, Link};
 use crate::listing::{call_name, list, Listing, ToldFaults, PIECE_PAUSE};
 use crate::paging::Haste;
 use crate::returns::Returns;
+use crate::store_time::Unwritten;
 use crate::yielding::Yielding;
 
 /// How much longer than a feed waits the store may be silent before its news is taken for old.
@@ -35,7 +36,7 @@
 /// The pause before the next look where nobody is to be asked yet.
 const NOBODY_PAUSE: Duration = Duration::from_millis(50);
 
-pub use self::options::{Seen, WatchOptions};
+pub use self::options::{Dated, Seen, WatchOptions};
 
 /// Follows a table for as long as the task runs.
 pub async fn watch(options: WatchOptions, mut deliver: impl FnMut(Seen)) {
@@ -61,17 +62,16 @@
         heard: None,
         lateness: Lateness::default(),
         lapses: Lapses::default(),
-        clock_ms: None,
     };
     watch.options.reading.wait_until_settled().await;
     let mut spacing = watch.options.first_spacing;
     let mut failures = 0;
     loop {
         for id in watch.lapses.take_due(Instant::now()) {
-            deliver(Seen::Change { change: Change::RunnerGone(id), age: None });
+            deliver(Seen::Change { change: Change::RunnerGone(id), dated: Dated::default() });
         }
         for record in watch.returns.take_due(Instant::now()) {
-            deliver(Seen::Change { change: Change::Runner(record), age: None });
+            deliver(Seen::Change { change: Change::Runner(record), dated: Dated::default() });
         }
         if !watch.choose_source() {
             Timer::after(NOBODY_PAUSE).await;
@@ -168,8 +168,6 @@
     lateness: Lateness,
     /// Runners that have been missing since it was back.
     lapses: Lapses,
-    /// What the store's clock showed at its last answer.
-    clock_ms: Option<u64>,
 }
 
 impl Watch {
@@ -185,8 +183,8 @@
             Some(_) => self.options.reading.forget(table),
         }
         drop(pages);
-        let before = self.known;
-        self.note_answer(None, clock_ms, told);
+        let made = self.note_answer(None, clock_ms, told);
+        self.note_reading(place, clock_ms, made);
         let went_back = self.note_era(place.era, deliver);
         self.faults.tell_all(self.options.table, &self.options.metrics, &faults);
         let answered = Told { rows: changes.len(), place };
@@ -194,20 +192,16 @@
         let gone: Vec<InstanceId> = self.runners.difference(&listed).cloned().collect();
         let lost = Lost { gone: gone.len(), known: self.runners.len() };
         for id in gone {
-            self.pass_on(Change::RunnerGone(id), None, lost, deliver);
+            self.pass_on(Change::RunnerGone(id), told, lost, deliver);
         }
         if self.options.table == Table::Operator {
             let evacuated = self.evacuated.take_listing(Instant::now(), place, &changes);
             deliver(Seen::Evacuations(evacuated));
         }
-        let was_silent = self.was_silent();
-        let late = self.lateness.take_listing(was_silent);
-        self.note_clock(clock_ms, Duration::ZERO, late, deliver);
-        let age = self.greatest_age(late, before, None);
-        self.log_versions(&changes, before);
+        self.lateness.take_listing(self.was_silent());
         for change in changes {
             if !(went_back && self.returns.hold(Instant::now(), &change)) {
-                self.pass_on(change, age, lost, deliver);
+                self.pass_on(change, told, lost, deliver);
             }
         }
         self.heard = Some(Instant::now());
@@ -256,7 +250,6 @@
                 at_once.ok_or_else(called)??
             }
         };
-        let waited = self.asked.elapsed();
         if store::is_history_gone(answer.status) {
             return Err(self.begin_again("the store forgot its history"));
         }
@@ -276,27 +269,27 @@
         }
         let before = self.known;
         let waited_for = Some(self.wait).filter(|_| page.rows == 0);
-        self.note_answer(waited_for, page.clock_ms, told);
+        let made = self.note_answer(waited_for, page.clock_ms, told);
+        let read = StorePlace { era, revision: page.revision };
+        if page.is_newest {
+            self.note_reading(read, page.clock_ms, made);
+        }
         self.faults.tell(self.options.table, &self.options.metrics, &page.faults);
         let was_silent = self.was_silent();
-        let late = self.lateness.take_feed(was_silent, waited, page.changes.is_empty());
+        let late = self.lateness.take_feed(was_silent, page.changes.is_empty());
         let now = Instant::now();
-        let read = StorePlace { era, revision: page.revision };
         let answered = Told { rows: page.rows, place: read };
         let evacuated = self.evacuated.take_feed(now, read, &page.changes, late);
         evacuated.into_iter().for_each(|list| deliver(Seen::Evacuations(list)));
-        // A reader may have waited for the store while it was asked: what it tells may have lain there.
-        let waited_at_store = if self.reader.is_some() { Duration::ZERO } else { waited };
-        self.note_clock(page.clock_ms, waited_at_store, late, deliver);
         let is_gone = |change: &&Change| matches!(change, Change::RunnerGone(_));
         let gone = page.changes.iter().filter(is_gone).count();
         let lost = Lost { gone, known: self.runners.len() };
-        let age = self.greatest_age(late, before, told);
-        self.log_versions(&page.changes, before);
         if self.reader.is_none() {
+            // What the page tells of happened behind the answer that did not hold it.
+            let age = (!late).then(|| before.elapsed());
             self.options.reading.keep_changes(self.options.table, &body, age);
         }
-        page.changes.into_iter().for_each(|change| self.pass_on(change, age, lost, deliver));
+        page.changes.into_iter().for_each(|change| self.pass_on(change, told, lost, deliver));
         self.heard = Some(Instant::now());
         self.place = Some(read.max(place));
         Ok(answered)
@@ -327,18 +320,10 @@
         Error::new(Code::NotFound, reason.to_owned())
     }
 
-    /// Takes in the store's clock at an answer that took `waited`, and tells since when its changes may have
-    /// happened.
-    fn note_clock(
-        &mut self,
-        clock_ms: Option<u64>,
-        waited: Duration,
-        late: bool,
-        deliver: &mut impl FnMut(Seen),
-    ) {
-        let before = std::mem::replace(&mut self.clock_ms, clock_ms);
-        if let (false, Some((before, answer))) = (late, before.zip(clock_ms)) {
-            deliver(Seen::NotBefore(not_before(before, answer, waited)));
+    /// Takes in the newest revision and the store's clock at an answer that was not made before `made`.
+    fn note_reading(&self, newest: StorePlace, clock_ms: Option<u64>, made: Instant) {
+        if let Some(clock_ms) = clock_ms {
+            self.options.time.borrow_mut().note(newest, clock_ms, made);
         }
     }
 
@@ -349,55 +334,54 @@
         self.heard.is_none_or(|it| it.elapsed() > usual + LATE_AFTER)
     }
 
-    /// Notes that the store answered, and how long it waited where it had no news.
+    /// Notes that the store answered, and how long it waited where it had no news. Gives a moment before which the answer
+    /// was not made.
     fn note_answer(
         &mut self,
         waited: Option<Duration>,
         clock_ms: Option<u64>,
         told: Option<ToldAge>,
-    ) {
+    ) -> Instant {
         let arrived = Instant::now();
         let told = told.map(|it| (it.held, it.known));
         let answer = Arrival { asked: self.asked, arrived, waited, clock_ms, told };
-        self.known = self.freshness.take(&answer).max(self.known);
+        let made = self.freshness.take(&answer);
+        self.known = made.max(self.known);
         if !self.connected {
             self.lapses.note_return(Instant::now());
         }
+        made
     }
 
-    /// How long ago what an answer tells of happened at most. `None` where it is late. Everything up to `before` was known
-    /// when it came.
-    fn greatest_age(&self, late: bool, before: Instant, told: Option<ToldAge>) -> Option<Duration> {
-        if late {
-            return None;
-        }
-        // A reader knows better when it happened; its answer was on its way for as long as it was not held, at most.
+    /// When a version was named, as far as the store's history tells. A reader of the hall may know where this process has
+    /// read nothing from before.
+    fn date(&self, change: &Change, told: Option<ToldAge>) -> Dated {
+        let Change::Version { version, revision, .. } = *change else {
+            return Dated::default();
+        };
+        let row = StorePlace { era: self.era, revision };
+        let unwritten = self.options.time.borrow().unwritten(row);
         let by_reader = told.and_then(|it| {
             let way = self.asked.elapsed().saturating_sub(it.held);
             it.news.map(|news| news + way)
         });
-        let since = happened_since(before, self.asked, self.known).elapsed();
-        Some(by_reader.map_or(since, |it| it.min(since)))
-    }
-
-    /// Logs what the age of versions in an answer rests on. Everything up to `before` was known when it came.
-    fn log_versions(&self, changes: &[Change], before: Instant) {
-        if !changes.iter().any(|it| matches!(it, Change::Version { .. })) {
-            return;
-        }
-        log::info!(
-            known_ms = before.elapsed().as_millis() as u64,
-            asked_ms = self.asked.elapsed().as_millis() as u64,
-            made_ms = self.known.elapsed().as_millis() as u64;
-            "versions told"
-        );
+        let dated = match unwritten {
+            Some(Unwritten { clock_ms, at }) => {
+                Dated { age: Some(at.elapsed()), after_ms: Some(clock_ms) }
+            }
+            None => Dated { age: by_reader, after_ms: None },
+        };
+        let age_ms = dated.age.map(|it| it.as_millis() as u64);
+        let asked_ms = self.asked.elapsed().as_millis() as u64;
+        log::info!(version = version, revision = revision, age_ms = age_ms, after_ms = dated.after_ms, asked_ms = asked_ms; "version told");
+        dated
     }
 
     /// Hands a change on, unless it is to be believed later only.
     fn pass_on(
         &mut self,
         change: Change,
-        age: Option<Duration>,
+        told: Option<ToldAge>,
         lost: Lost,
         deliver: &mut impl FnMut(Seen),
     ) {
@@ -419,7 +403,8 @@
             Change::RunnerUnreadable(id) => {
                 // Whatever the entry was before, another writer has put this in its place.
                 if self.runners.remove(id) {
-                    deliver(Seen::Change { change: Change::RunnerGone(id.clone()), age });
+                    let change = Change::RunnerGone(id.clone());
+                    deliver(Seen::Change { change, dated: Dated::default() });
                 }
                 return;
             }
@@ -428,7 +413,8 @@
             | Change::Evacuated(_)
             | Change::Reopened(_) => {}
         }
-        deliver(Seen::Change { change, age });
+        let dated = self.date(&change, told);
+        deliver(Seen::Change { change, dated });
     }
 
     /// Logs when the store is lost and when it is back, and tells whether either happened.
--- a/components/edge/src/watch/options.rs
+++ b/components/edge/src/watch/options.rs
@@ -1,5 +1,6 @@
 //! How a table is followed, and what is told of it.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use crate::era::Era;
 use crate::gateway::Reading;
 use crate::patience::Patience;
+use crate::store_time::StoreTime;
 
 /// How a table is followed.
 #[derive(Clone)]
@@ -35,6 +37,17 @@
     pub era: Rc<Era>,
     /// Who reads the store for this hall.
     pub reading: Reading,
+    /// What answers told of the store's history, for every table of this process.
+    pub time: Rc<RefCell<StoreTime>>,
+}
+
+/// When a change happened, as far as that is known.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Dated {
+    /// How long ago at most. `None` where nobody knows: the store was not heard before.
+    pub age: Option<Duration>,
+    /// What the store's clock showed, in milliseconds, when it had not happened, where the age is by that.
+    pub after_ms: Option<u64>,
 }
 
 /// What a watch tells of.
@@ -44,14 +57,11 @@
     Change {
         /// What.
         change: Change,
-        /// How long ago it happened at most. `None` where nobody knows: the store was not heard before.
-        age: Option<Duration>,
+        /// When it happened, if it is a version of weights.
+        dated: Dated,
     },
     /// These data halls are evacuated.
     Evacuations(EvacuationList),
-    /// The changes told of next had not happened when the store's clock showed this, in milliseconds. Said of
-    /// changes that are not late, where the store tells its clock.
-    NotBefore(u64),
     /// The table has been read whole at least once.
     Whole,
     /// The store answered: nothing else was in the table than what was told.
--- a/components/fleet/src/named.rs
+++ b/components/fleet/src/named.rs
@@ -16,9 +16,22 @@
     pub model: ModelName,
     /// The version.
     pub version: u64,
-    /// How long ago it was named at least, in milliseconds. `None` where it lay in the store when it
+    /// How long ago it was named at most, in milliseconds. `None` where it lay in the store when it
     /// was first read, and nobody knows.
     pub age_ms: Option<u64>,
+    /// What the store's clock showed, in milliseconds, at the last moment at which it is known not to have been named. The
+    /// age is by that. `None` where the store did not tell. It rides behind messages.
+    #[serde(skip)]
+    pub after_ms: Option<u64>,
+}
+
+impl NamedVersion {
+    /// Whether older versions may be used for longer by its age than if nobody knew that, where they may for `version_ms`.
+    /// A process that has not heard the store for a while may go by either.
+    pub fn outlasts_guess(&self, version_ms: u64) -> bool {
+        self.age_ms
+            .is_some_and(|it| version_ms.saturating_sub(it) > version_ms.min(OLD_NEWS_WITHIN))
+    }
 }
 
 /// A version that was named, as one process knows of it.
@@ -30,19 +43,29 @@
     pub at: Millis,
     /// Whether it is known when it was named.
     pub known: bool,
+    /// What the store's clock showed, in milliseconds, when it had not been named yet, where the moment is by that.
+    pub after_ms: Option<u64>,
 }
 
 impl VersionName {
-    /// A version that is heard of now. `age_ms` is how long ago it was named, where that is known.
-    pub fn heard(now: Millis, version: u64, age_ms: Option<u64>) -> Self {
-        Self { version, at: now.minus(age_ms.unwrap_or(0)), known: age_ms.is_some() }
+    /// A version that is heard of now.
+    pub fn heard(now: Millis, named: &NamedVersion) -> Self {
+        let NamedVersion { version, age_ms, after_ms, .. } = *named;
+        let after_ms = after_ms.filter(|_| age_ms.is_some());
+        Self { version, at: now.minus(age_ms.unwrap_or(0)), known: age_ms.is_some(), after_ms }
     }
 
-    /// Takes in another word on the same version: whoever knows its age is believed, and the earliest of
-    /// those. A process that has just started only guesses; by its guess it would leave older versions
-    /// sooner than the others, and serve nothing until its runners have the new one.
+    /// Takes in another word on the same version. The store's history is believed before any other word, and the latest
+    /// moment by it: it was not named at either. Of other words the earliest moment is believed, for they may have been
+    /// long on their way. A process that has just started only guesses; by its guess it would leave older versions sooner
+    /// than the others, and serve nothing until its runners have the new one.
     pub fn merge(&mut self, other: Self) {
-        let is_better = other.known && (!self.known || other.at < self.at);
+        let is_better = match (self.after_ms, other.after_ms) {
+            (Some(known), Some(told)) => told > known,
+            (None, Some(_)) => true,
+            (Some(_), None) => false,
+            (None, None) => other.known && (!self.known || other.at < self.at),
+        };
         if is_better {
             *self = other;
         }
--- a/components/gateway/src/record.rs
+++ b/components/gateway/src/record.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 
-use fleet::{Millis, ModelName, NamedVersion, VersionName};
+use fleet::{Millis, ModelName, NamedVersion};
 
 /// Gateways that hear of a version together write within so many milliseconds of each other. The first one's write
 /// does; power may be lost soon after a version was named, so the span is short.
@@ -292,7 +292,7 @@
     fn older_age(&self, model: &ModelName, name: &OlderName, clock_ms: u64) -> NamedVersion {
         let OlderName { version, not_before_ms } = *name;
         let heard = FirstHeard { model: model.clone(), version, not_before_ms, older: Vec::new() };
-        let unknown = NamedVersion { model: model.clone(), version, age_ms: None };
+        let unknown = NamedVersion { model: model.clone(), version, age_ms: None, after_ms: None };
         self.age(&heard, clock_ms).unwrap_or(unknown)
     }
 
@@ -300,10 +300,10 @@
     /// process may serve from older versions for longer, because it has just started and nobody knows better.
     fn age(&self, heard: &FirstHeard, clock_ms: u64) -> Option<NamedVersion> {
         let age_ms = clock_ms.checked_sub(heard.not_before_ms)?;
-        let by_row = self.version_ms.saturating_sub(age_ms);
-        let unknown = VersionName::heard(Millis(0), heard.version, None).bound(self.version_ms);
         let (model, version) = (heard.model.clone(), heard.version);
-        (by_row > unknown.0).then_some(NamedVersion { model, version, age_ms: Some(age_ms) })
+        // Rows of earlier builds may say that a version was named later than it was, so none counts as the store's history.
+        let named = NamedVersion { model, version, age_ms: Some(age_ms), after_ms: None };
+        named.outlasts_guess(self.version_ms).then_some(named)
     }
 
     /// Takes in the row that was found in place of the one expected.
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -113,7 +113,7 @@
     pub fn named_versions(&self, now: Millis) -> Vec<NamedVersion> {
         let mut named = self.pool.named_versions(now);
         if !self.options.ablation.keeps(Mechanism::VersionAges) {
-            named.iter_mut().for_each(|it| it.age_ms = None);
+            named.iter_mut().for_each(|it| (it.age_ms, it.after_ms) = (None, None));
         }
         named
     }
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -30,7 +30,7 @@
     /// Takes in a version. Each keeps its own bound when a newer one is named, also where the newer one was heard of first.
     /// Who hears of a version late, or starts after it was named, is told its age by the others.
     pub(crate) fn name(&mut self, now: Millis, named: NamedVersion) {
-        let heard = VersionName::heard(now, named.version, named.age_ms);
+        let heard = VersionName::heard(now, &named);
         let names = self.by_model.entry(named.model).or_default();
         names.take(heard);
         names.forget_before(now, self.version_ms);
@@ -47,7 +47,8 @@
         let of_model = |(model, names): (&ModelName, &VersionNames)| {
             let told = names.told(now, self.version_ms).map(|it| {
                 let age_ms = it.known.then(|| now.since(it.at).0);
-                NamedVersion { model: model.clone(), version: it.version, age_ms }
+                let (model, version, after_ms) = (model.clone(), it.version, it.after_ms);
+                NamedVersion { model, version, age_ms, after_ms }
             });
             told.collect::<Vec<_>>()
         };
--- a/components/gateway/tests/record.rs
+++ b/components/gateway/tests/record.rs
@@ -174,7 +174,12 @@
 #[test]
 fn nothing_is_read_where_others_have_told_the_age() {
     let mut record = newcomer();
-    record.note_known(&[NamedVersion { model: model(), version: 2, age_ms: Some(900) }]);
+    record.note_known(&[NamedVersion {
+        model: model(),
+        version: 2,
+        age_ms: Some(900),
+        after_ms: None,
+    }]);
     assert_eq!(record.due(Millis(0)), None);
 }
 
--- a/components/gateway/tests/routing.rs
+++ b/components/gateway/tests/routing.rs
@@ -230,7 +230,8 @@
     bed.now += 2500;
     bed.feed(named(2, Some(0)));
     let mut told = load(1, 0);
-    told.named = Some(NamedVersion { model: model(), version: 2, age_ms: Some(2500) });
+    told.named =
+        Some(NamedVersion { model: model(), version: 2, age_ms: Some(2500), after_ms: None });
     bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), told));
     bed.now += VERSION_MS - 2500;
     bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), load(1, 0)));
@@ -255,7 +256,8 @@
     bed.list("r1", MODEL_SERVICE, 1);
     bed.feed(named(2, None));
     let mut told = load(1, 0);
-    told.named = Some(NamedVersion { model: model(), version: 2, age_ms: Some(1000) });
+    told.named =
+        Some(NamedVersion { model: model(), version: 2, age_ms: Some(1000), after_ms: None });
     bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), told));
     bed.now += 4000;
     bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), load(1, 0)));
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -40,7 +40,7 @@
 
 /// A version that was named so long ago, where that is known.
 pub fn named(version: u64, age_ms: Option<u64>) -> Event {
-    Event::Named(NamedVersion { model: model(), version, age_ms })
+    Event::Named(NamedVersion { model: model(), version, age_ms, after_ms: None })
 }
 
 pub fn catalog(version: u64) -> Arc<Catalog> {
--- a/components/gateway/tests/versions.rs
+++ b/components/gateway/tests/versions.rs
@@ -31,7 +31,8 @@
     bed.list("r1", MODEL_SERVICE, 1);
     bed.feed(named(3, Some(0)));
     let mut told = load(1, 0);
-    told.named = Some(NamedVersion { model: model(), version: 2, age_ms: Some(2000) });
+    told.named =
+        Some(NamedVersion { model: model(), version: 2, age_ms: Some(2000), after_ms: None });
     bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), told));
     bed.now += VERSION_MS - 2000;
     bed.feed(Event::Load(([127, 0, 0, 1], 1).into(), load(1, 0)));
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -114,6 +114,8 @@
         version: u64,
         /// The earliest moment that somebody knows it to have been named at. `None` where nobody told.
         named_at: Option<Millis>,
+        /// What the store's clock showed, in milliseconds, when it had not been named yet, where that moment is by it.
+        after_ms: Option<u64>,
     },
     /// Every version that was named before now has been told of.
     VersionsKnown,
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -179,7 +179,10 @@
                 self.cold.set_plan(now, plan.cold);
                 self.plan = Some(plan);
             }
-            Event::Named { version, named_at } => self.name(now, version, named_at),
+            Event::Named { version, named_at, after_ms } => {
+                let (at, known) = (named_at.unwrap_or(now), named_at.is_some());
+                self.name(now, VersionName { version, at, known, after_ms });
+            }
             Event::VersionsKnown => {
                 if self.woke_at.is_none_or(|at| now.since(at).0 >= OLD_DATAGRAMS) {
                     self.woke_at = None;
@@ -323,11 +326,10 @@
 
     /// Takes in a version that was named. Where nobody knows when that was, it counts from now until
     /// somebody does.
-    fn name(&mut self, now: Millis, version: u64, named_at: Option<Millis>) {
-        let heard = VersionName { version, at: named_at.unwrap_or(now), known: named_at.is_some() };
+    fn name(&mut self, now: Millis, heard: VersionName) {
         self.names.take(heard);
-        let named = self.names.get(version);
-        if let Some((target, named)) = self.target(version).zip(named) {
+        let named = self.names.get(heard.version);
+        if let Some((target, named)) = self.target(heard.version).zip(named) {
             target.named = named;
         }
         self.names.forget_before(now, self.options.version_ms);
@@ -340,7 +342,8 @@
 
     /// The version that was named last.
     fn newest_name(&self) -> VersionName {
-        let first = VersionName { version: FIRST_VERSION, at: Millis(0), known: false };
+        let first =
+            VersionName { version: FIRST_VERSION, at: Millis(0), known: false, after_ms: None };
         self.names.newest().unwrap_or(first)
     }
 
@@ -355,6 +358,7 @@
             model: plan.model.clone(),
             version: it.version,
             age_ms: self.keeps(Mechanism::VersionAges).then(|| now.since(it.at).0),
+            after_ms: it.after_ms.filter(|_| self.keeps(Mechanism::VersionAges)),
         });
         told.collect()
     }
--- a/components/rollout/tests/bounds.rs
+++ b/components/rollout/tests/bounds.rs
@@ -52,7 +52,7 @@
     fleet.name(2);
     fleet.run(500);
     fleet.name(3);
-    let event = rollout::Event::Named { version: 2, named_at: Some(Millis(named)) };
+    let event = rollout::Event::Named { version: 2, named_at: Some(Millis(named)), after_ms: None };
     fleet.feed(0, event);
     fleet.run(named + VERSION_MS - MARGIN - fleet.now);
     let given = fleet.sidecars[0].reserve(Millis(fleet.now), 10);
@@ -105,7 +105,7 @@
 #[test]
 fn nothing_is_given_up_for_a_bound_that_nobody_knows() {
     let mut fleet = sidecar_without_chunks();
-    fleet.feed(0, rollout::Event::Named { version: 2, named_at: None });
+    fleet.feed(0, rollout::Event::Named { version: 2, named_at: None, after_ms: None });
     fleet.run(VERSION_MS * 2);
     assert_eq!(fleet.retired, []);
     let given = fleet.sidecars[0].reserve(Millis(fleet.now), 10);
--- a/components/rollout/tests/fleet.rs
+++ b/components/rollout/tests/fleet.rs
@@ -341,7 +341,7 @@
     let mut fleet = Fleet::with_narrow_origin(40, 742_500);
     fleet.run(5000);
     for index in 0..40 {
-        fleet.feed(index, Event::Named { version: 2, named_at: None });
+        fleet.feed(index, Event::Named { version: 2, named_at: None, after_ms: None });
     }
     while !(0..40).all(|it| fleet.sidecars[it].have(2).is_some_and(|it| it.is_full())) {
         fleet.run(STEP_MS);
@@ -358,9 +358,9 @@
     fleet.run(500);
     fleet.loses = 1;
     let named_at = Some(Millis(fleet.now + 20));
-    fleet.feed(0, Event::Named { version: 2, named_at: None });
+    fleet.feed(0, Event::Named { version: 2, named_at: None, after_ms: None });
     fleet.run(20);
-    fleet.feed(0, Event::Named { version: 2, named_at });
+    fleet.feed(0, Event::Named { version: 2, named_at, after_ms: None });
     fleet.run(VERSION_MS - 2000);
     let now = Millis(fleet.now);
     assert_eq!(fleet.sidecars[0].reserve(now, 10), Ok(()), "its bound is the usual one");
--- a/components/rollout/tests/questions.rs
+++ b/components/rollout/tests/questions.rs
@@ -226,7 +226,7 @@
 const BOUND: u64 = NAMED_AT + 8000;
 
 fn name(sidecar: &mut Rollout, now: u64, named_at: Option<Millis>) {
-    sidecar.reduce(Millis(now), Event::Named { version: 2, named_at });
+    sidecar.reduce(Millis(now), Event::Named { version: 2, named_at, after_ms: None });
     sidecar.reduce(Millis(now), Event::Peers(Vec::new()));
     sidecar.reduce(Millis(now), Event::Tick);
 }
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -232,7 +232,10 @@
 
     pub fn name(&mut self, version: u64) {
         for index in 0..self.sidecars.len() {
-            self.feed(index, Event::Named { version, named_at: Some(Millis(self.now)) });
+            self.feed(
+                index,
+                Event::Named { version, named_at: Some(Millis(self.now)), after_ms: None },
+            );
         }
     }
 
