Words on a version tell the store's clock, for they are on their way for a while

What callers would have seen: requests that begin on an old version behind its bound at runners whose sidecars are hard to reach. Cause: gateways and sidecars tell each other how long ago a version was named, and the way of the word was not counted: behind chunks on a narrow link, or in the queue of a process without processor, each second made the version a second younger there, and the order to give the old one up came behind the bound. Class: an age that is told without its moment.

Change: behind Subscribe and Load rides what the store's clock shows and what it showed when each version had not been named yet (addition 5; older builds pass over it). Sidecars know that clock by the word of the last minute that was on its way for the shortest time, so a single late word moves nothing, and a date is handed on as it was read, however many tell it on.

The first number that no addition has, in a test of unknown ones, was that of a known one since rate limits came; it is the next free one now.

--- a/components/edge/src/additions.rs
+++ b/components/edge/src/additions.rs
@@ -9,7 +9,7 @@
 use gateway::LifeLimit;
 use serde::{Deserialize, Serialize};
 
-use crate::message::Datagram;
+use crate::message::{Datagram, VersionDates};
 
 /// The era of the store that a datagram's list of evacuations is of. A number is never used for anything else.
 const ERA: u16 = 1;
@@ -19,6 +19,8 @@
 const LIMIT: u16 = 3;
 /// What gateways heard of the rate limits of runners.
 const LIMITS: u16 = 4;
+/// When the versions in the datagram were named, by the store's clock.
+const VERSION_DATES: u16 = 5;
 
 /// One addition.
 #[derive(Serialize, Deserialize)]
@@ -45,6 +47,8 @@
     limit: Option<ToldLimit>,
     /// What gateways heard of the rate limits of runners.
     limits: Vec<LifeLimit>,
+    /// When the versions in it were named, by the store's clock.
+    version_dates: Option<VersionDates>,
     /// Additions that this build does not know.
     pub unknown: usize,
 }
@@ -68,6 +72,10 @@
                 LIMITS => {
                     additions.limits = postcard::from_bytes(&bytes).map_err(unreadable)?;
                 }
+                VERSION_DATES => {
+                    let dates = postcard::from_bytes(&bytes).map_err(unreadable)?;
+                    additions.version_dates = Some(dates);
+                }
                 _ => additions.unknown += 1,
             }
         }
@@ -80,7 +88,8 @@
         let short_ms = self.short_ms.map(|it| Addition::new(SHORT_MS, &it));
         let limit = self.limit.map(|it| Addition::new(LIMIT, &it));
         let limits = (!self.limits.is_empty()).then(|| Addition::new(LIMITS, &self.limits));
-        let listed = era.into_iter().chain(short_ms).chain(limit).chain(limits);
+        let dates = self.version_dates.as_ref().map(|it| Addition::new(VERSION_DATES, it));
+        let listed = era.into_iter().chain(short_ms).chain(limit).chain(limits).chain(dates);
         let listed: Vec<Addition> = listed.collect();
         if listed.is_empty() {
             return Vec::new();
@@ -96,6 +105,7 @@
             short_ms: datagram.short_ms(),
             limit: datagram.limit(),
             limits: datagram.limits().to_vec(),
+            version_dates: datagram.version_dates(),
             unknown: 0,
         }
     }
@@ -120,6 +130,7 @@
     datagram.set_short_ms(additions.short_ms);
     datagram.set_limit(additions.limit);
     datagram.set_limits(additions.limits.clone());
+    datagram.set_version_dates(additions.version_dates.clone());
     Ok((datagram, additions))
 }
 
--- a/components/edge/src/additions/tests.rs
+++ b/components/edge/src/additions/tests.rs
@@ -1,13 +1,15 @@
 //! Additions behind datagrams, known and unknown.
 
-use fleet::{EvacuationList, StorePlace};
+use fleet::{EvacuationList, LifeWord, NamedVersion, StorePlace};
+use gateway::RunnerLoad;
 use proptest::prelude::*;
+use quarantine::CrashList;
 
 use super::*;
 use crate::message::encode;
 
 /// The first number that no addition of this build has.
-const UNKNOWN: u16 = 4;
+const UNKNOWN: u16 = 6;
 
 fn load(era: Option<u64>) -> Datagram {
     Datagram::Reserved {
@@ -77,6 +79,33 @@
     }
 }
 
+#[test]
+fn dates_of_versions_arrive_behind_a_load_and_the_first_format_reads_it_without() {
+    let named =
+        |after_ms| NamedVersion { model: "m".into(), version: 2, age_ms: Some(700), after_ms };
+    let load = |clock_ms, after_ms| Datagram::Load {
+        runner: "10.1.0.4:8001".parse().unwrap(),
+        load: RunnerLoad {
+            life: LifeWord::default(),
+            running: 0,
+            waiting: 0,
+            busy: false,
+            pace: 1.0,
+            reading_ms: 0,
+            weights: None,
+            serves_in_ms: None,
+            named: Some(named(after_ms)),
+        },
+        evacuations: EvacuationList::default(),
+        crashes: CrashList::default(),
+        clock_ms,
+    };
+    let bytes = encode_datagram(&load(Some(50_000), Some(49_300)));
+    assert_eq!(decode_datagram(&bytes).unwrap().0, load(Some(50_000), Some(49_300)));
+    let first_format: Datagram = crate::message::decode(&bytes).unwrap();
+    assert_eq!(first_format, load(None, None));
+}
+
 #[test]
 fn the_first_format_reads_a_datagram_with_an_era() {
     let read: Datagram = crate::message::decode(&encode_datagram(&load(Some(9)))).unwrap();
--- a/components/edge/src/gateway/sidecars.rs
+++ b/components/edge/src/gateway/sidecars.rs
@@ -83,7 +83,11 @@
                 let pending = SidecarsPart::pending(question, hall);
                 news.send(sender, &Datagram::Sidecars(pending)).await;
             }
-            Datagram::Load { runner, load, evacuations, crashes } => {
+            Datagram::Load { runner, mut load, evacuations, crashes, clock_ms } => {
+                let mut time = core.tables.time.borrow_mut();
+                clock_ms.into_iter().for_each(|it| time.note_told(it));
+                time.set_ages(&mut load.named);
+                drop(time);
                 core.feed(Event::Evacuations(evacuations));
                 core.feed(Event::Crashes(crashes));
                 core.feed(Event::Load(runner, load));
@@ -136,6 +140,8 @@
     evacuations: EvacuationList,
     crashes: CrashList,
     limits: Vec<LifeLimit>,
+    /// What the store's clock shows, in milliseconds.
+    clock_ms: Option<u64>,
     /// How much longer the runner on each machine is cold, as far as that can be told.
     cold: BTreeMap<IpAddr, u64>,
 }
@@ -147,6 +153,7 @@
         let mut cold = core.read(|gateway| gateway.cold_machines(now));
         cold.retain(|_, left| is_fresh || *left > 0);
         Self {
+            clock_ms: core.tables.time.borrow().clock_ms(Instant::now()),
             cold,
             named: core.read(|gateway| gateway.named_versions(now)),
             services: core.catalog().map(|it| weights_services(&it)).unwrap_or_default(),
@@ -167,6 +174,7 @@
             evacuations: self.evacuations.clone(),
             crashes: self.crashes.clone(),
             limits: self.limits.clone(),
+            clock_ms: self.clock_ms,
             cold_ms: left.map(|it| (*it).min(u64::from(u32::MAX)) as u32),
             wants_gateways,
         }
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -41,6 +41,10 @@
         /// Rate limits of runners that the gateway knows of. They ride behind the message.
         #[serde(skip)]
         limits: Vec<LifeLimit>,
+        /// What the store's clock shows as this is sent, in milliseconds, as far as the sender knows. It rides behind the
+        /// message.
+        #[serde(skip)]
+        clock_ms: Option<u64>,
     },
     /// The gateways that the sender hears.
     Gateways(GatewayList),
@@ -63,6 +67,10 @@
         evacuations: EvacuationList,
         /// Requests that two runners or more crashed under, where that changed lately.
         crashes: CrashList,
+        /// What the store's clock shows as this is sent, in milliseconds, where a version that is named is dated by it. It
+        /// rides behind the message.
+        #[serde(skip)]
+        clock_ms: Option<u64>,
     },
     /// A gateway wants to send a request to the runner beside the receiver.
     Reserve {
@@ -198,6 +206,48 @@
     }
 }
 
+/// When the versions in a datagram were named, by the store's clock.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionDates {
+    /// What the clock shows as the datagram is sent, in milliseconds.
+    pub clock_ms: u64,
+    /// What it showed when each version had not been named yet, in milliseconds, in the datagram's order. `None` where the
+    /// store did not tell.
+    pub after_ms: Vec<Option<u64>>,
+}
+
+impl Datagram {
+    /// When the versions in it were named.
+    pub fn version_dates(&self) -> Option<VersionDates> {
+        match self {
+            Self::Subscribe { clock_ms, named, .. } => {
+                let after_ms = named.iter().map(|it| it.after_ms).collect();
+                Some(VersionDates { clock_ms: (*clock_ms)?, after_ms })
+            }
+            Self::Load { clock_ms, load, .. } => {
+                let after_ms = load.named.iter().map(|it| it.after_ms).collect();
+                Some(VersionDates { clock_ms: (*clock_ms)?, after_ms })
+            }
+            _ => None,
+        }
+    }
+
+    /// Takes that in.
+    pub fn set_version_dates(&mut self, told: Option<VersionDates>) {
+        let (VersionDates { clock_ms: told_ms, after_ms }, clock_ms, named) = match (told, self) {
+            (Some(told), Self::Subscribe { clock_ms, named, .. }) => {
+                (told, clock_ms, named.as_mut_slice())
+            }
+            (Some(told), Self::Load { clock_ms, load, .. }) => {
+                (told, clock_ms, load.named.as_mut_slice())
+            }
+            _ => return,
+        };
+        *clock_ms = Some(told_ms);
+        named.iter_mut().zip(after_ms).for_each(|(version, after_ms)| version.after_ms = after_ms);
+    }
+}
+
 /// A part of a gateway's answer to a sidecar that wants to know the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SidecarsPart {
--- a/components/edge/src/message/samples.rs
+++ b/components/edge/src/message/samples.rs
@@ -109,6 +109,7 @@
                 crashes: crashes(),
                 wants_gateways: true,
                 limits: Vec::new(),
+                clock_ms: None,
             },
         ),
         (
@@ -123,6 +124,7 @@
                 load: load(),
                 evacuations: evacuations(),
                 crashes: crashes(),
+                clock_ms: None,
             },
         ),
         (
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -24,6 +24,7 @@
 use crate::era::Era;
 use crate::link::Link;
 use crate::message::WeightsService;
+use crate::store_time::StoreTime;
 
 /// How long a connection to the origin may rest between two chunks.
 const ORIGIN_REST: Duration = Duration::from_millis(150);
@@ -85,6 +86,8 @@
     pub is_alone: Rc<Cell<bool>>,
     /// The store's era.
     pub era: Rc<Era>,
+    /// What gateways tell of the store's clock.
+    pub time: Rc<RefCell<StoreTime>>,
     /// The time.
     pub clock: Clock,
     /// Counters.
@@ -136,6 +139,7 @@
             layers: Rc::default(),
             is_alone: Rc::default(),
             era: Rc::new(Era::new(metrics.clone())),
+            time: Rc::default(),
             settings,
             name,
             port,
@@ -170,6 +174,18 @@
         }
     }
 
+    /// Sets the ages of versions that a gateway tells of by the store's clock, which shows this by its word.
+    pub fn date_names(
+        &self,
+        clock_ms: Option<u64>,
+        mut named: Vec<NamedVersion>,
+    ) -> Vec<NamedVersion> {
+        let mut time = self.time.borrow_mut();
+        clock_ms.into_iter().for_each(|it| time.note_told(it));
+        time.set_ages(&mut named);
+        named
+    }
+
     /// Takes in versions that were named, of any model. They are kept until the configuration tells
     /// which model is the runner's.
     pub fn take_names(&self, named: &[NamedVersion]) {
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -146,6 +146,7 @@
                 crashes,
                 wants_gateways,
                 limits,
+                clock_ms,
             } => {
                 core.feed(Event::Evacuations(evacuations));
                 core.take_crashes(&crashes);
@@ -168,7 +169,7 @@
                 if let Some(left_ms) = cold_ms {
                     core.feed(Event::ColdFor(u64::from(left_ms)));
                 }
-                core.take_names(&named);
+                core.take_names(&core.date_names(clock_ms, named));
                 if !services.is_empty() {
                     // This gateway has read what operators wrote, the versions among it.
                     core.feed(Event::VersionsKnown);
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -102,8 +102,10 @@
 }
 
 async fn tell_gateways(core: &Core, news: &News, gateways: &[SocketAddr], load: RunnerLoad) {
+    let clock_ms = core.time.borrow().clock_ms(Instant::now());
     let datagram = Datagram::Load {
         runner: core.settings.runner,
+        clock_ms: clock_ms.filter(|_| load.named.is_some()),
         load,
         evacuations: core.evacuations(),
         crashes: core.crash_list(Told::FreshSuspects),
--- a/components/edge/src/store_time.rs
+++ b/components/edge/src/store_time.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use fleet::StorePlace;
+use fleet::{NamedVersion, StorePlace};
 use uptime::Instant;
 
 /// How long readings are kept: longer than any version binds.
@@ -40,6 +40,7 @@
 pub struct StoreTime {
     /// Oldest first by the store's clock.
     readings: VecDeque<Reading>,
+    told: ToldClock,
 }
 
 impl StoreTime {
@@ -63,6 +64,73 @@
         let reading = self.readings.iter().rev().find(is_before)?;
         Some(Unwritten { clock_ms: reading.clock_ms, at: reading.made })
     }
+
+    /// Takes in what another process says that the clock shows now, in milliseconds. What it says of a moment may be long
+    /// on its way, so the word counts that puts the clock ahead furthest.
+    pub fn note_told(&mut self, clock_ms: u64) {
+        self.told.note(Instant::now(), clock_ms);
+    }
+
+    /// What the store's clock shows at a moment, in milliseconds, at most as far as answers tell. `None` where nothing was
+    /// heard of it lately.
+    pub fn clock_ms(&self, now: Instant) -> Option<u64> {
+        let shown = |it: &Reading| it.clock_ms + millis(now, it.made) + 1;
+        self.readings.iter().map(shown).min().or_else(|| self.told.clock_ms(now))
+    }
+
+    /// Sets the ages of versions that others tell of by the store's clock, for those words were on their way.
+    pub fn set_ages<'a>(&self, named: impl IntoIterator<Item = &'a mut NamedVersion>) {
+        let Some(clock_ms) = self.clock_ms(Instant::now()) else {
+            return;
+        };
+        for version in named {
+            let age_ms = version.after_ms.map(|it| clock_ms.saturating_sub(it));
+            version.age_ms = age_ms.or(version.age_ms);
+        }
+    }
+}
+
+fn millis(now: Instant, earlier: Instant) -> u64 {
+    now.saturating_duration_since(earlier).as_millis() as u64
+}
+
+/// What others say of the store's clock: of the words of a while the one that was on its way for the shortest time.
+#[derive(Debug, Default)]
+struct ToldClock {
+    /// Of the words of this span of `KEPT_FOR`, and of the one before.
+    best: Option<Word>,
+    before: Option<Word>,
+    /// When this span began.
+    since: Option<Instant>,
+}
+
+/// What the store's clock showed at a moment, in milliseconds, by somebody's word.
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    clock_ms: u64,
+    heard: Instant,
+}
+
+impl Word {
+    fn clock_ms(&self, now: Instant) -> u64 {
+        self.clock_ms + millis(now, self.heard)
+    }
+}
+
+impl ToldClock {
+    fn note(&mut self, now: Instant, clock_ms: u64) {
+        if self.since.is_none_or(|it| now.saturating_duration_since(it) >= KEPT_FOR) {
+            self.before = self.best.take();
+            self.since = Some(now);
+        }
+        if self.best.is_none_or(|it| it.clock_ms(now) < clock_ms) {
+            self.best = Some(Word { clock_ms, heard: now });
+        }
+    }
+
+    fn clock_ms(&self, now: Instant) -> Option<u64> {
+        self.best.iter().chain(&self.before).map(|it| it.clock_ms(now)).max()
+    }
 }
 
 #[cfg(test)]
--- a/components/edge/src/store_time/tests.rs
+++ b/components/edge/src/store_time/tests.rs
@@ -39,6 +39,14 @@
     assert_eq!(time.unwritten(StorePlace { era: Some(2), revision: 11 }), None);
 }
 
+/// An answer that was asked for long before it was made would put the store's clock too far ahead.
+#[test]
+fn the_clock_is_read_from_the_answer_that_tells_most_exactly() {
+    let (mut time, now) = read(&[(900, 7)]);
+    time.note(place(9), 49_800, now - Duration::from_millis(1000));
+    assert_eq!(time.clock_ms(now), Some(50_001));
+}
+
 #[test]
 fn readings_are_bounded() {
     let (mut time, now) = read(&[]);
@@ -46,3 +54,32 @@
     assert!(time.readings.len() <= MOST_READINGS);
     assert_eq!(time.unwritten(place(5000)).map(|it| it.clock_ms), Some(41_999));
 }
+
+fn named(age_ms: Option<u64>, after_ms: Option<u64>) -> NamedVersion {
+    NamedVersion { model: "m".into(), version: 2, age_ms, after_ms }
+}
+
+/// A word that was held for three seconds on a narrow link tells an age that lacks those.
+#[test]
+fn ages_that_others_tell_are_by_the_clock_and_not_by_when_the_word_came() {
+    let mut time = StoreTime::default();
+    time.note_told(50_000);
+    time.note_told(47_000);
+    let mut words = [named(Some(10), Some(49_400)), named(Some(10), None), named(None, None)];
+    time.set_ages(&mut words);
+    assert!((600..700).contains(&words[0].age_ms.unwrap()), "{words:?}");
+    assert_eq!((words[1].age_ms, words[2].age_ms), (Some(10), None));
+}
+
+#[test]
+fn a_word_on_the_clock_is_forgotten_after_a_while() {
+    let mut told = ToldClock::default();
+    let now = Instant::now();
+    told.note(now, 50_000);
+    told.note(now + KEPT_FOR, 50_100 + KEPT_FOR.as_millis() as u64);
+    assert_eq!(told.clock_ms(now + KEPT_FOR), Some(50_100 + KEPT_FOR.as_millis() as u64));
+    told.note(now + KEPT_FOR, 1_000_000);
+    told.note(now + 2 * KEPT_FOR, 0);
+    told.note(now + 3 * KEPT_FOR, 100_000);
+    assert_eq!(told.clock_ms(now + 3 * KEPT_FOR), Some(100_000));
+}
