A request that has not begun when its version's time comes is taken back

What callers would have seen: requests that begin behind the bound though they were sent 1.2 s before it, at runners that read long prompts or have no processor. Cause: the bound was looked at before a request was sent, and a runner that has taken one goes on with it whatever it is ordered meanwhile; a gateway waited for twice the aim, which may be longer than the margin.

Change: a gateway takes back a request that may run again and has had no answer 0.1 s before requests may begin on its runner's version no more, by closing the connection, and tries another runner. The runner is not blamed for it. Requests that may not run again stay: nobody could serve them elsewhere.

--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
 
 use account::Decision;
 use bytes::Bytes;
-use fleet::RateWord;
+use fleet::{Millis, RateWord};
 use futures_lite::future;
 use gateway::{AttemptOutcome, Event, Notice, RequestKey, RunnerTarget};
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -30,6 +30,9 @@
 const PATIENCE: f64 = 2.0;
 /// The least such wait, in milliseconds.
 const MIN_PATIENCE: u64 = 600;
+/// How long before a version may be used no more a request is taken back that has not begun on it, in milliseconds: the
+/// runner hears of it a little later.
+const TAKE_BACK_MARGIN: u64 = 100;
 /// The largest failure of a runner that is held to be handed on, in bytes.
 const HELD_BYTES: usize = 64 * 1024;
 
@@ -102,13 +105,10 @@
         }
         let was_sent = std::mem::replace(sent, true);
         let begun = Instant::now();
-        let answer = future::or(async { exchange.send(request).await.ok() }, async {
-            self.lose_patience().await;
-            None
-        })
-        .await;
-        let Some(answer) = answer else {
-            return AttemptOutcome::Lost.into();
+        let answer = async { exchange.send(request).await.map_err(|_| AttemptOutcome::Lost) };
+        let answer = match future::or(answer, async { Err(self.lose_patience(now).await) }).await {
+            Ok(answer) => answer,
+            Err(outcome) => return outcome.into(),
         };
         self.core.metrics.note_span(Span::Runner, begun.elapsed().as_millis() as u64);
         let outcome = self.judge(exchange, answer).await;
@@ -136,13 +136,20 @@
         }
     }
 
-    /// Waits as long as a request that may run again should wait for an answer.
-    async fn lose_patience(&self) {
+    /// Waits as long as a request that may run again, and was sent at `sent`, should wait for an answer. Gives why no longer.
+    async fn lose_patience(&self, sent: Millis) -> AttemptOutcome {
         if !self.job.kind.is_repeatable() {
             return future::pending().await;
         }
         let patience = ((self.job.aim_ms as f64 * PATIENCE) as u64).max(MIN_PATIENCE);
-        uptime::sleep(Duration::from_millis(patience)).await;
+        let begin_by = self.core.read(|gateway| gateway.begin_by(sent, self.key));
+        let left = begin_by.map(|it| it.minus(TAKE_BACK_MARGIN).since(sent).0);
+        let outdated = left.filter(|it| *it < patience);
+        uptime::sleep(Duration::from_millis(outdated.unwrap_or(patience))).await;
+        match outdated {
+            Some(_) => AttemptOutcome::Outdated,
+            None => AttemptOutcome::Lost,
+        }
     }
 
     fn request(&self, last_event: Option<&str>) -> Option<Request<Full<Bytes>>> {
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -142,6 +142,8 @@
     Misdirected,
     /// The runner answered with a failure of its own.
     Failed,
+    /// The request was sent, and the runner had not begun to answer when requests may begin on its version no more.
+    Outdated,
     /// The request was sent and no answer came.
     Lost,
     /// The answer ended before it was whole.
@@ -160,7 +162,7 @@
             Self::Answered | Self::Finished | Self::Denied { .. } => true,
             Self::Full | Self::Misdirected | Self::Failed => true,
             Self::NotSent | Self::Silent | Self::Expired | Self::Withdrawn => false,
-            Self::Lost | Self::Cut => false,
+            Self::Outdated | Self::Lost | Self::Cut => false,
         }
     }
 
@@ -182,6 +184,7 @@
             Self::Misdirected => Code::NotServing,
             Self::Failed => Code::UpstreamFailed,
             Self::Withdrawn => Code::Withdrawn,
+            Self::Outdated => Code::TimedOut,
             Self::Lost => Code::ConnectionLost,
             Self::Cut => Code::CutShort,
             Self::Answered | Self::Finished => Code::Internal,
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -229,6 +229,13 @@
         self.named.required(now, model)
     }
 
+    /// From when on no request may start on the weights that a runner holds. `None` where it holds none, or no newer ones are
+    /// named.
+    pub fn bound_of(&self, now: Millis, runner: &Runner) -> Option<Millis> {
+        let held = runner.weights(now)?;
+        self.named.bound_of(&held.model, held.version)
+    }
+
     /// The versions of each model that other processes should hear of, oldest first.
     pub fn named_versions(&self, now: Millis) -> Vec<NamedVersion> {
         self.named.told(now)
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -139,6 +139,13 @@
             })
     }
 
+    /// Until when a request that is sent now must have begun at the runner that was chosen for it: its version may be used no
+    /// longer. `None` where there is no such time.
+    pub fn begin_by(&self, now: Millis, key: RequestKey) -> Option<Millis> {
+        let chosen = self.requests.get(&key)?.current.as_ref()?;
+        self.pool.bound_of(now, self.pool.runner(&chosen.id)?)
+    }
+
     /// Whether a runner names a rate limit, as far as known.
     pub fn is_limited(&self, runner: &InstanceId) -> bool {
         self.pool.runner(runner).is_some_and(|it| it.notices.limit.rate().is_some())
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -126,7 +126,10 @@
             AttemptOutcome::Withdrawn if is_limited => {
                 runner.note_no_turn(now, MAX_DENIED_PAUSE);
             }
-            AttemptOutcome::Failed | AttemptOutcome::Expired | AttemptOutcome::Withdrawn => {}
+            AttemptOutcome::Failed
+            | AttemptOutcome::Expired
+            | AttemptOutcome::Withdrawn
+            | AttemptOutcome::Outdated => {}
         }
         if outcome.was_answered() {
             self.pool.note_answered(now, &chosen.id, chosen.life);
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -42,6 +42,11 @@
         names.map_or(0, |it| it.required(now.plus(VERSION_MARGIN), self.version_ms))
     }
 
+    /// From when on no request may start on the version of a model that is held. `None` where there is no newer one.
+    pub(crate) fn bound_of(&self, model: &ModelName, held: u64) -> Option<Millis> {
+        self.by_model.get(model)?.bound_of(held, self.version_ms)
+    }
+
     /// The versions of each model that other processes should hear of, oldest first.
     pub(crate) fn told(&self, now: Millis) -> Vec<NamedVersion> {
         let of_model = |(model, names): (&ModelName, &VersionNames)| {
--- a/components/gateway/tests/versions.rs
+++ b/components/gateway/tests/versions.rs
@@ -53,3 +53,22 @@
     let told: Vec<u64> = bed.gateway.named_versions(now).iter().map(|it| it.version).collect();
     assert_eq!(told, [2, 3]);
 }
+
+#[test]
+fn a_request_that_is_taken_back_at_the_bound_of_its_version_goes_to_another_runner() {
+    let mut bed = Bed::new();
+    bed.list("r1", MODEL_SERVICE, 1);
+    bed.list("r2", MODEL_SERVICE, 2);
+    bed.feed(named(2, Some(0)));
+    let bound = fleet::Millis(bed.now + VERSION_MS);
+    bed.now += VERSION_MS - 3000;
+    for port in [1, 2] {
+        bed.feed(Event::Load(([127, 0, 0, 1], port).into(), load(0, 0)));
+    }
+    let first = sent_to(bed.arrive(arrival(1, MODEL_SERVICE, STREAM)));
+    let now = fleet::Millis(bed.now);
+    assert_eq!(bed.gateway.begin_by(now, RequestKey(1)), Some(bound));
+    let second = sent_to(bed.outcome(1, AttemptOutcome::Outdated));
+    assert_ne!(first, second);
+    assert!(!AttemptOutcome::Outdated.is_not_run(), "nobody knows whether it has begun");
+}
