Two gateways ask often, so that versions are dated closely in a calm

Dates by the store's history are as close as its answers: where nothing happens for a while they come every 1.8 to 2.8 s, and an old version would be left as much too early. Any process's date holds for all, so two gateways of a fleet let their feeds of the operators' table wait 0.2 s; the others ask as before.

--- a/components/edge/src/gateway/follow.rs
+++ b/components/edge/src/gateway/follow.rs
@@ -1,12 +1,13 @@
 //! Follows the tables of the platform's store for a gateway.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Sender;
 use fleet::NamedVersion;
 use gateway::readers::Source;
-use gateway::{Event, StoreTable};
+use gateway::{Event, Gateway, StoreTable};
 use platform::store::{Change, Table};
 use settings::{BoundSettings, DeploymentSettings};
 
@@ -17,6 +18,9 @@
 use crate::spawner::Spawner;
 use crate::watch::{watch, Dated, Seen, WatchOptions};
 
+/// What gateways that date versions closely are responsible for, and how many do: one may have just been lost.
+const DATING: &str = "dates of versions";
+const DATING_GATEWAYS: usize = 2;
 /// The shortest time between the first two feeds of a table, when a fleet that starts appears in it.
 const FIRST_SPACING: Duration = Duration::from_millis(60);
 /// How many feeds of what operators write fit into the time within which a configuration is in force. A
@@ -47,6 +51,7 @@
         era: tables.era.clone(),
         reading: reading.clone(),
         time: tables.time.clone(),
+        dates_closely: dates_closely(core, table),
     };
     let reading = reading.clone();
     let (hand_over, heard) = record::channel();
@@ -97,6 +102,19 @@
     }));
 }
 
+/// Whether this gateway dates versions closely for all: older versions serve until a bound that runs from the date, and any
+/// gateway's date holds for everybody.
+fn dates_closely(core: &Core, table: Table) -> Rc<dyn Fn() -> bool> {
+    let core = core.clone();
+    Rc::new(move || {
+        let is_responsible = |gateway: &Gateway| {
+            let members = gateway.members();
+            members.responsible(core.clock.now(), DATING, DATING_GATEWAYS).is_some()
+        };
+        table == Table::Operator && core.read(is_responsible)
+    })
+}
+
 /// A table as the reducer knows it.
 fn store_table(table: Table) -> StoreTable {
     match table {
--- a/components/edge/src/watch/options.rs
+++ b/components/edge/src/watch/options.rs
@@ -39,6 +39,8 @@
     pub reading: Reading,
     /// What answers told of the store's history, for every table of this process.
     pub time: Rc<RefCell<StoreTime>>,
+    /// Whether this process asks often, so that a change can be dated closely.
+    pub dates_closely: Rc<dyn Fn() -> bool>,
 }
 
 /// When a change happened, as far as that is known.
--- a/components/edge/src/watch/source.rs
+++ b/components/edge/src/watch/source.rs
@@ -10,6 +10,9 @@
 use crate::link::Link;
 use crate::listing::call_name;
 
+/// How long a feed waits where changes are to be dated closely.
+const CLOSE_WAIT: Duration = Duration::from_millis(200);
+
 impl Watch {
     /// Chooses whom to ask next, and tells whether somebody is to be asked. A gateway that has to tell others what it has not
     /// read itself lists it.
@@ -86,7 +89,9 @@
             return reading.feed_wait();
         }
         let wait = patience.feed_wait(self.connected);
-        if reading.is_reader() {
+        if (self.options.dates_closely)() {
+            wait.min(CLOSE_WAIT)
+        } else if reading.is_reader() {
             wait.min(reading.feed_wait())
         } else {
             wait
--- a/daemon/tests/deployment/version_ages.rs
+++ b/daemon/tests/deployment/version_ages.rs
@@ -174,3 +174,32 @@
     assert!(begun.is_empty(), "begun on version {} {begun:?} behind its bound", runs[0].version);
     caller.join().unwrap();
 }
+
+/// How long before its bound an old version is still kept that was named in a calm, where a gateway has been up for this
+/// long.
+const KEPT_UNTIL: Duration = Duration::from_millis(1000);
+const SETTLED: Duration = Duration::from_millis(6000);
+/// How long nothing happens before the version is named: a little less than feeds wait.
+const NOTHING: Duration = Duration::from_millis(1900);
+
+#[test]
+fn an_old_version_serves_until_shortly_before_its_bound_though_nothing_else_happens() {
+    let mut deployment = Deployment::start();
+    let runner = deployment.add_model_runner("e1", Some(1));
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    wait_until("streams are served", || stream(gateway, "first").whole);
+    close_origin(&deployment);
+    thread::sleep(SETTLED);
+    // The feeds of both tables begin to wait anew.
+    deployment.standin.reconfigure(|it| it["routes"][0]["timeoutMs"] = json!(4001));
+    deployment.standin.change_runner(runner, |_| {});
+    thread::sleep(NOTHING);
+    deployment.standin.name_version(2);
+    let bound = Instant::now() + VERSION;
+
+    sleep_until(bound - KEPT_UNTIL);
+    let taken = deployment.standin.runner(runner).map(|it| it.sequence);
+    assert_eq!(taken, Some(0), "version 1 is still kept");
+    expect_given_up(&deployment, runner, bound);
+}
