Soak: on which version of the weights requests begin, slow and uneven stores, slow origins, gateways that start amid a version

The soak named versions and no check looked at which one a run began on, so the only place where silverdock runs as real processes never held that promise. Now no request may begin on a version more than 8 s after a newer one was named, counted while the store was left alone; a runner or another gateway that was harmed excuses nothing. New kinds: an origin that takes 6 s for a copy, a store that looks at calls up to 0.27 s late, ways to it with jitter or loss (no excuse for anybody), and a gateway that is killed as a version is named. The checker's tests break the promise in made-up histories.

--- a/daemon/tests/deployment/version_ages.rs
+++ b/daemon/tests/deployment/version_ages.rs
@@ -49,7 +49,7 @@
     wait_until("streams are served", || stream(gateway, "first").whole);
     close_origin(&deployment);
     thread::sleep(CALM);
-    deployment.standin.set_store_fault(StoreFault::Slow);
+    deployment.standin.set_store_fault(StoreFault::Slow { least_ms: 400, most_ms: 400 });
     // The gateway hears of this at once, rests, asks again and is not answered for a while.
     deployment.standin.reconfigure(|it| it["routes"][0]["timeoutMs"] = json!(4001));
     thread::sleep(Duration::from_millis(30));
--- a/examples/soak/checker/mod.rs
+++ b/examples/soak/checker/mod.rs
@@ -6,6 +6,7 @@
 mod places;
 mod quarantine;
 mod runners;
+mod versions;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use self::places::{check_bound, check_evacuated, check_homes};
 use self::quarantine::check_quarantine;
 use self::runners::{check_cold, check_leaving, check_rest, check_told};
+use self::versions::check_versions;
 use crate::history::{Harmed, History, Kind, Request, Seen, Target};
 
 /// Events of a whole stream of the stand-in's engines.
@@ -47,6 +49,7 @@
         violations.extend(check_planned_stop(history, request, runs));
         violations.extend(check_leaving(history, request, runs));
         violations.extend(check_told(history, request, runs));
+        violations.extend(check_versions(history, request, runs));
         violations.extend(check_in_force(history, request));
         violations.extend(check_bound(request, runs));
         violations.extend(check_homes(history, request, runs));
--- a/examples/soak/conductor.rs
+++ b/examples/soak/conductor.rs
@@ -35,6 +35,8 @@
     StoppedBy(usize, Duration),
     /// The store works again.
     HealStore,
+    /// The origin of weights is quick again.
+    HealOrigin,
     /// The way of a process to the store works again.
     HealStoreLink(usize),
     /// The way to a runner works again.
@@ -189,6 +191,18 @@
             Fault::Configure => self.configure(),
             Fault::Homes(hall) => self.bind_streams(hall),
             Fault::Version => self.name_version(),
+            Fault::SlowOrigin => self.slow_origin(until),
+            Fault::SlowStore { least_ms, most_ms } => self.slow_store(least_ms, most_ms, until),
+            Fault::UnevenStoreLink(number, harm) => {
+                self.process(number).store.set(harm);
+                self.later(until, End::HealStoreLink(number));
+            }
+            Fault::NewGateway(number) => {
+                self.name_version();
+                if self.is_going(number) {
+                    self.kill(number);
+                }
+            }
             Fault::Evacuate(hall) => self.evacuate(hall, until),
         }
         Ok(())
@@ -201,6 +215,7 @@
             End::Wake(number) => self.process(number).signal(Signal::CONT),
             End::StoppedBy(number, by) => self.see_stopped(number, by)?,
             End::HealStore => self.fleet.standin.set_store_fault(StoreFault::None),
+            End::HealOrigin => self.fleet.standin.set_origin_rate(None),
             End::HealStoreLink(number) => self.process(number).store.set(Harm::None),
             End::HealRunnerLink(number) => self.fleet.runners[number].proxy.set(Harm::None),
             End::HealRunner(number) => {
--- a/examples/soak/conductor/operators.rs
+++ b/examples/soak/conductor/operators.rs
@@ -7,10 +7,13 @@
 
 use super::{Conductor, End};
 use crate::fleet::{hall_name, region_name};
-use crate::history::{Configured, Evacuated, Homes};
+use crate::history::{Configured, Evacuated, Homes, Named};
 
 /// How long a hall is evacuated at least: the bound and some time to see it kept.
 const EVACUATED: Duration = Duration::from_millis(3000);
+/// Bytes a second of an origin that takes six seconds for a copy of the weights, and how long it stays so at least.
+const SLOW_ORIGIN: u64 = 44_000;
+const SLOW_ORIGIN_FOR: Duration = Duration::from_millis(10_000);
 /// Routes that every configuration has.
 const LASTING_ROUTES: usize = 4;
 
@@ -46,6 +49,13 @@
     pub(super) fn name_version(&mut self) {
         self.version += 1;
         self.fleet.standin.name_version(self.version);
+        self.history.named.push(Named { version: self.version, taken: self.now() });
+    }
+
+    /// Has the weights of new versions take most of the time within which they must be there.
+    pub(super) fn slow_origin(&mut self, until: Duration) {
+        self.fleet.standin.set_origin_rate(Some(SLOW_ORIGIN));
+        self.later(until + SLOW_ORIGIN_FOR, End::HealOrigin);
     }
 
     /// Evacuates a hall, unless it is evacuated already, for long enough that the bound passes.
--- a/examples/soak/conductor/store.rs
+++ b/examples/soak/conductor/store.rs
@@ -24,6 +24,15 @@
         self.later(until, End::HealStore);
     }
 
+    /// Has the store take a while for each call, unless it misbehaves otherwise. That is no harm that excuses anybody.
+    pub(super) fn slow_store(&mut self, least_ms: u64, most_ms: u64, until: Duration) {
+        if self.ends.iter().any(|(_, end)| matches!(end, End::HealStore)) {
+            return;
+        }
+        self.fleet.standin.set_store_fault(StoreFault::Slow { least_ms, most_ms });
+        self.later(until, End::HealStore);
+    }
+
     /// Harms the way of a process to the store for a while.
     pub(super) fn harm_store_link(&mut self, number: usize, harm: Harm, until: Duration) {
         self.process(number).store.set(harm);
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -47,6 +47,10 @@
     "store_copy",
     "upgrade",
     "bulk",
+    "slow_origin",
+    "slow_store",
+    "uneven_link",
+    "new_gateway",
 ];
 
 /// The start of the paths of requests under which model runners crash. Behind it stands the number of the fault.
@@ -85,6 +89,19 @@
     Configure,
     /// A new version of the weights is named.
     Version,
+    /// A version of the weights is named, and a gateway is killed and starts anew amid it.
+    NewGateway(usize),
+    /// The origin sends weights slowly for a while: a new version takes most of the time within which it must be there.
+    SlowOrigin,
+    /// The store takes so many milliseconds before it looks at each call, for a while. Nobody is excused by that.
+    SlowStore {
+        /// The least.
+        least_ms: u64,
+        /// The most.
+        most_ms: u64,
+    },
+    /// The way of one process to the store is uneven for a while. Nobody is excused by that.
+    UnevenStoreLink(usize, Harm),
     /// A chunk that lies at a runner turns bad.
     Spoil(usize, u64),
     /// A data hall is evacuated for a while.
@@ -149,6 +166,13 @@
     pub runners: usize,
 }
 
+impl Sizes {
+    /// Gateways: every process that is no sidecar of a model runner.
+    fn gateways(self) -> usize {
+        self.processes - self.models
+    }
+}
+
 /// The faults of a run.
 pub fn plan(seed: u64, span: Duration, sizes: Sizes, kinds: &[&str]) -> Vec<Planned> {
     let mut random = SmallRng::seed_from_u64(seed);
@@ -199,6 +223,17 @@
         "store_copy" => Fault::StoreCopy(random.random_range(500..6000)),
         "upgrade" => Fault::Upgrade(process),
         "bulk" => Fault::Bulk(runner),
+        "slow_origin" => Fault::SlowOrigin,
+        "slow_store" => {
+            let least_ms = random.random_range(0..120);
+            Fault::SlowStore { least_ms, most_ms: least_ms + random.random_range(0..150) }
+        }
+        "uneven_link" => {
+            let longest_ms = random.random_range(20..250);
+            let harms = [Harm::Jitter(longest_ms), Harm::Lossy];
+            Fault::UnevenStoreLink(process, harms[random.random_range(0..harms.len())])
+        }
+        "new_gateway" => Fault::NewGateway(random.random_range(0..sizes.gateways())),
         "settings" => Fault::Settings(process, random.random_bool(0.5)),
         _ => Fault::Spoil(model, random.random_range(0..64)),
     }
--- a/examples/soak/history.rs
+++ b/examples/soak/history.rs
@@ -112,6 +112,8 @@
     pub service: String,
     /// Whose request it was told to be.
     pub tenant: Option<String>,
+    /// The version of the runner's weights. Zero where it has none.
+    pub version: u64,
     /// Whether it was given the caller's key.
     pub saw_key: bool,
     /// The data hall of the runner.
@@ -173,6 +175,15 @@
     pub taken: Moment,
 }
 
+/// A version of the weights that was named.
+#[derive(Clone, Copy, Debug)]
+pub struct Named {
+    /// The version.
+    pub version: u64,
+    /// When the store had taken it.
+    pub taken: Moment,
+}
+
 /// The homes of the streams, as a configuration has them.
 #[derive(Clone, Debug)]
 pub struct Homes {
@@ -229,6 +240,8 @@
     pub leaving: Vec<Leaving>,
     /// Versions of the configuration, oldest first.
     pub configured: Vec<Configured>,
+    /// Versions of the weights, oldest first.
+    pub named: Vec<Named>,
     /// The homes of the streams, oldest first.
     pub homes: Vec<Homes>,
     /// Data halls that were evacuated.
--- a/examples/soak/proxy.rs
+++ b/examples/soak/proxy.rs
@@ -10,9 +10,13 @@
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use rand::Rng;
 
 /// How often a silenced connection looks whether it may go on.
 const LOOK_EVERY: Duration = Duration::from_millis(15);
+/// The part of the pieces that a lossy way loses, and when they are sent again, in milliseconds.
+const LOSS: f64 = 1.0 / 12.0;
+const RETRANSMISSION_MS: u64 = 210;
 /// Bytes that are passed on at once.
 const BUFFER: usize = 16 * 1024;
 
@@ -24,6 +28,10 @@
     None,
     /// Everything comes later by so many milliseconds.
     Delay(u64),
+    /// Each piece comes later by up to so many milliseconds.
+    Jitter(u64),
+    /// One piece in twelve is lost and sent again after as long as a first retransmission takes.
+    Lossy,
     /// Nothing passes, and nobody is told.
     Silence,
     /// Nothing passes from the server to the client.
@@ -153,13 +161,24 @@
     ((), ())
 }
 
+/// How much later a piece comes that passes now.
+fn delay(harm: Harm) -> Option<Duration> {
+    let millis = match harm {
+        Harm::Delay(millis) => millis,
+        Harm::Jitter(longest) => rand::rng().random_range(0..=longest),
+        Harm::Lossy if rand::rng().random_bool(LOSS) => RETRANSMISSION_MS,
+        Harm::None | Harm::Lossy | Harm::Silence | Harm::OneWay | Harm::Reset => return None,
+    };
+    Some(Duration::from_millis(millis))
+}
+
 /// Passes bytes on. `silenced_by` stops this direction, as does silence of both.
 async fn copy(mut from: TcpStream, mut to: TcpStream, way: &Way, silenced_by: Harm) {
     let mut buffer = [0; BUFFER];
     loop {
         let length = from.read(&mut buffer).await.unwrap_or(0);
-        if let Harm::Delay(millis) = way.open(silenced_by).await {
-            Timer::after(Duration::from_millis(millis)).await;
+        if let Some(delay) = delay(way.open(silenced_by).await) {
+            Timer::after(delay).await;
         }
         if length == 0 {
             let _ = to.shutdown(std::net::Shutdown::Write);
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -131,6 +131,7 @@
             life: run.life,
             service: run.service,
             tenant: run.tenant,
+            version: run.version,
             saw_key: run.saw_key,
             hall: run.zone,
         });
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -30,6 +30,7 @@
         life: 1,
         service: "ledger".into(),
         tenant: Some("t1".into()),
+        version: 0,
         saw_key: false,
         hall: "a".into(),
         at: at(millis),
@@ -397,3 +398,46 @@
     unreadable.limited.iter_mut().for_each(|it| it.1.limit = "some".into());
     assert_eq!(broken(&unreadable), None);
 }
+
+/// A request that began on version 1 at a moment; version 2 was named at one second.
+fn on_version_one(begun: u64) -> History {
+    let body = whole_body(Kind::Stream, "a");
+    let mut stream = request("a", Kind::Stream, answer(200, &body));
+    (stream.sent, stream.ended) = (at(begun - 300), at(begun + 100));
+    let run = Run { service: "assistant".into(), version: 1, ..run_at("e1", begun) };
+    let mut history = history(stream, vec![run]);
+    history.named.push(Named { version: 2, taken: at(1000) });
+    history
+}
+
+const VERSIONS: &str = "requests begin on a version that is new enough";
+
+#[test]
+fn a_request_that_begins_on_an_old_version_behind_its_bound_is_caught() {
+    assert_eq!(broken(&on_version_one(9000)), None);
+    assert_eq!(broken(&on_version_one(9010)), Some(VERSIONS));
+    let mut newer = on_version_one(9010);
+    newer.runs.values_mut().flatten().for_each(|it| it.version = 2);
+    assert_eq!(broken(&newer), None);
+}
+
+#[test]
+fn the_time_of_an_old_version_counts_from_a_while_after_the_store_was_harmed() {
+    let harmed = |begun| {
+        let mut history = on_version_one(begun);
+        let harmed = Harmed { target: Target::Store, from: at(1500), until: at(2500) };
+        history.harmed.push(harmed);
+        broken(&history)
+    };
+    assert_eq!(harmed(13_900), None);
+    assert_eq!(harmed(14_100), Some(VERSIONS));
+}
+
+#[test]
+fn a_runner_or_another_gateway_that_was_harmed_excuses_no_old_version() {
+    for target in [Target::Runner(0), Target::Gateway(1)] {
+        let mut history = on_version_one(9010);
+        history.harmed.push(Harmed { target, from: at(8000), until: at(9000) });
+        assert_eq!(broken(&history), Some(VERSIONS));
+    }
+}
