Soak: versions named while gateways rest, stores that are slow for long, runners that read for long

A store that is slow excuses the other promises, as on the platform, and not that of versions. A version named right behind a configuration finds all gateways between two questions.

--- a/examples/soak/conductor.rs
+++ b/examples/soak/conductor.rs
@@ -22,6 +22,8 @@
 const AWAY: Duration = Duration::from_millis(600);
 /// Bytes of padding in a large answer, and in each event of a stream.
 const BULK: usize = 60_000;
+/// How long a runner reads slowly at least: until the bound of a version that was named before.
+const READS_FOR: Duration = Duration::from_millis(9000);
 /// How often the conductor looks what is due.
 const STEP: Duration = Duration::from_millis(10);
 
@@ -35,6 +37,8 @@
     StoppedBy(usize, Duration),
     /// The store works again.
     HealStore,
+    /// A version of the weights is named.
+    NameVersion,
     /// The origin of weights is quick again.
     HealOrigin,
     /// The way of a process to the store works again.
@@ -47,6 +51,8 @@
     Relist(usize),
     /// A runner that leaves is replaced by another one.
     Replace(usize),
+    /// A runner reads requests quickly again.
+    Read(usize),
     /// A runner that asked for rest serves again.
     Serve(usize),
     /// A runner names no rate limit any more, if it still names this one.
@@ -188,6 +194,14 @@
                 self.change_runner(number, |it| it.padding = BULK);
                 self.later(until, End::Slim(number));
             }
+            Fault::BusyVersion(millis) => {
+                self.configure();
+                self.later(self.now() + Duration::from_millis(millis), End::NameVersion);
+            }
+            Fault::Reading(number, millis) => {
+                self.change_runner(number, |it| it.reading = Duration::from_millis(millis));
+                self.later(until + READS_FOR, End::Read(number));
+            }
             Fault::Configure => self.configure(),
             Fault::Homes(hall) => self.bind_streams(hall),
             Fault::Version => self.name_version(),
@@ -215,6 +229,7 @@
             End::Wake(number) => self.process(number).signal(Signal::CONT),
             End::StoppedBy(number, by) => self.see_stopped(number, by)?,
             End::HealStore => self.fleet.standin.set_store_fault(StoreFault::None),
+            End::NameVersion => self.name_version(),
             End::HealOrigin => self.fleet.standin.set_origin_rate(None),
             End::HealStoreLink(number) => self.process(number).store.set(Harm::None),
             End::HealRunnerLink(number) => self.fleet.runners[number].proxy.set(Harm::None),
@@ -223,6 +238,7 @@
             }
             End::Warm(number) | End::Relist(number) => self.list_again(number),
             End::Slim(number) => self.change_runner(number, |it| it.padding = 0),
+            End::Read(number) => self.change_runner(number, |it| it.reading = Duration::ZERO),
             End::Serve(number) => self.change_runner(number, |it| it.sheds = None),
             End::Unlimit(number, limit) => self.end_limit(number, &limit),
             End::Replace(number) => self.replace(number),
--- a/examples/soak/conductor/store.rs
+++ b/examples/soak/conductor/store.rs
@@ -24,12 +24,13 @@
         self.later(until, End::HealStore);
     }
 
-    /// Has the store take a while for each call, unless it misbehaves otherwise. That is no harm that excuses anybody.
+    /// Has the store take a while for each call, unless it misbehaves otherwise.
     pub(super) fn slow_store(&mut self, least_ms: u64, most_ms: u64, until: Duration) {
         if self.ends.iter().any(|(_, end)| matches!(end, End::HealStore)) {
             return;
         }
         self.fleet.standin.set_store_fault(StoreFault::Slow { least_ms, most_ms });
+        self.note(Target::SlowStore, until);
         self.later(until, End::HealStore);
     }
 
--- a/examples/soak/history.rs
+++ b/examples/soak/history.rs
@@ -131,6 +131,8 @@
     Runner(usize),
     /// The store.
     Store,
+    /// The store, which only takes longer than usual for each call.
+    SlowStore,
 }
 
 /// Something that was done.
