The store's clock is told on once an answer has shown it closely

A process that has just started knows the clock by its first listing alone, which may take a second on a busy link; it may put the clock ahead by as much. Sidecars go by the word that puts it ahead furthest for up to a minute, and would take versions for older by that. Found by reading.

--- a/components/edge/src/gateway/sidecars.rs
+++ b/components/edge/src/gateway/sidecars.rs
@@ -153,7 +153,7 @@
         let mut cold = core.read(|gateway| gateway.cold_machines(now));
         cold.retain(|_, left| is_fresh || *left > 0);
         Self {
-            clock_ms: core.tables.time.borrow().clock_ms(Instant::now()),
+            clock_ms: core.tables.time.borrow().told_clock_ms(Instant::now()),
             cold,
             named: core.read(|gateway| gateway.named_versions(now)),
             services: core.catalog().map(|it| weights_services(&it)).unwrap_or_default(),
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -102,7 +102,7 @@
 }
 
 async fn tell_gateways(core: &Core, news: &News, gateways: &[SocketAddr], load: RunnerLoad) {
-    let clock_ms = core.time.borrow().clock_ms(Instant::now());
+    let clock_ms = core.time.borrow().told_clock_ms(Instant::now());
     let datagram = Datagram::Load {
         runner: core.settings.runner,
         clock_ms: clock_ms.filter(|_| load.named.is_some()),
--- a/components/edge/src/store_time.rs
+++ b/components/edge/src/store_time.rs
@@ -12,6 +12,8 @@
 
 /// How long readings are kept: longer than any version binds.
 const KEPT_FOR: Duration = Duration::from_secs(30);
+/// How long an answer may have been under way that shows the store's clock closely.
+const CLOSE: Duration = Duration::from_millis(50);
 /// The most readings that are kept. Those between may go: a row is then taken for older than it is.
 const MOST_READINGS: usize = 256;
 
@@ -24,6 +26,8 @@
     clock_ms: u64,
     /// The answer was not made before this.
     made: Instant,
+    /// When it had arrived.
+    arrived: Instant,
 }
 
 /// A moment at which a row had not been written.
@@ -50,7 +54,7 @@
         self.readings.retain(|it| now.saturating_duration_since(it.made) < KEPT_FOR);
         let behind = self.readings.iter().rposition(|it| it.clock_ms <= clock_ms);
         let index = behind.map_or(0, |it| it + 1);
-        self.readings.insert(index, Reading { newest, clock_ms, made });
+        self.readings.insert(index, Reading { newest, clock_ms, made, arrived: now });
         if self.readings.len() > MOST_READINGS {
             self.readings.pop_front();
         }
@@ -78,6 +82,14 @@
         self.readings.iter().map(shown).min().or_else(|| self.told.clock_ms(now))
     }
 
+    /// What others are told of the clock now, in milliseconds. `None` until an answer has shown it closely: who is told goes by
+    /// the word that puts it ahead furthest.
+    pub fn told_clock_ms(&self, now: Instant) -> Option<u64> {
+        let is_close = |it: &Reading| it.arrived.saturating_duration_since(it.made) <= CLOSE;
+        let is_known = self.readings.is_empty() || self.readings.iter().any(is_close);
+        self.clock_ms(now).filter(|_| is_known)
+    }
+
     /// Sets the ages of versions that others tell of by the store's clock, for those words were on their way.
     pub fn set_ages<'a>(&self, named: impl IntoIterator<Item = &'a mut NamedVersion>) {
         let Some(clock_ms) = self.clock_ms(Instant::now()) else {
--- a/components/edge/src/store_time/tests.rs
+++ b/components/edge/src/store_time/tests.rs
@@ -55,6 +55,17 @@
     assert_eq!(time.unwritten(place(5000)).map(|it| it.clock_ms), Some(41_999));
 }
 
+#[test]
+fn the_clock_is_told_on_once_an_answer_has_shown_it_closely() {
+    let mut time = StoreTime::default();
+    let now = Instant::now() + Duration::from_secs(10);
+    time.note(place(7), 49_000, Instant::now() - Duration::from_secs(1));
+    time.readings[0].arrived = time.readings[0].made + Duration::from_secs(1);
+    assert_eq!(time.told_clock_ms(now), None);
+    time.note(place(7), 50_000, now);
+    assert!(time.told_clock_ms(now).is_some());
+}
+
 fn named(age_ms: Option<u64>, after_ms: Option<u64>) -> NamedVersion {
     NamedVersion { model: "m".into(), version: 2, age_ms, after_ms }
 }
