A caller that waited for a runner's turn in vain hears that the rate was the reason

Traced: that request waited for a turn that was known to come in time; its place was denied, and at that moment the other runner's turn had come by the gateway's own reckoning, so not all runners were "out of turns" and the code fell back. The caller's time was over all the same.

Change: where every runner that could serve a request names a rate, that is the outlook also at the moment of a turn.

--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -147,8 +147,8 @@
         }
     }
 
-    /// When the first runner takes another request by the rate that it names, where all that could run this one have had
-    /// as many as they take.
+    /// When the first runner takes another request by the rate that it names, where all that could run this one name one, or
+    /// have had as many as they take.
     fn limited_ms(&self, now: Millis, arrival: &Arrival) -> Option<u64> {
         let is_fit = |it: &&Runner| {
             let is_busy = it.load(now).is_some_and(|load| load.busy);
@@ -156,8 +156,11 @@
                 arrival.model.as_ref().is_none_or(|model| self.holds_required(now, it, model));
             self.may_serve(now, it, arrival) && holds && !is_busy
         };
-        let fit = self.pool.of_service(&arrival.service).filter(is_fit);
-        fit.map(|it| self.turn_in_ms(now, it, arrival)).min().filter(|left| *left > 0)
+        let fit = || self.pool.of_service(&arrival.service).filter(is_fit);
+        let left = fit().map(|it| self.turn_in_ms(now, it, arrival)).min()?;
+        // A turn that has come may be somebody else's.
+        let all_limited = || fit().all(|it| it.notices.limit.rate().is_some());
+        (left > 0 || all_limited()).then_some(left)
     }
 
     /// When the first of the runners that failed or rest is tried again, where all do that a bound request may go to.
--- a/components/gateway/tests/limits.rs
+++ b/components/gateway/tests/limits.rs
@@ -481,6 +481,18 @@
     sent_to(bed.step(1, Event::Tick));
 }
 
+#[test]
+fn a_caller_that_waited_for_a_turn_in_vain_hears_that_the_rate_was_the_reason() {
+    let mut bed = all_limited(2);
+    assert_eq!(denied(&mut bed, 1, 40), None);
+    bed.now += 41;
+    sent_to(bed.step(1, Event::Tick));
+    bed.now += 400;
+    // The turn of the other runner has come meanwhile, but this caller's time is over.
+    let (code, _) = refused(bed.outcome(1, AttemptOutcome::Denied { again_ms: 2000, short_ms: 0 }));
+    assert_eq!(code, errors::Code::RateLimited);
+}
+
 #[test]
 fn callers_of_a_plain_service_are_refused_at_once_while_its_only_runner_has_had_its_rate() {
     let mut fleet = responsible();
