--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -1,5 +1,6 @@
 //! Follows a table of the platform's store.
 
+mod dating;
 mod options;
 mod source;
 
@@ -27,7 +28,6 @@
 use crate::listing::{call_name, list, Listing, ToldFaults, PIECE_PAUSE};
 use crate::paging::Haste;
 use crate::returns::Returns;
-use crate::store_time::Unwritten;
 use crate::yielding::Yielding;
 
 /// How much longer than a feed waits the store may be silent before its news is taken for old.
@@ -320,13 +320,6 @@
         Error::new(Code::NotFound, reason.to_owned())
     }
 
-    /// Takes in the newest revision and the store's clock at an answer that was not made before `made`.
-    fn note_reading(&self, newest: StorePlace, clock_ms: Option<u64>, made: Instant) {
-        if let Some(clock_ms) = clock_ms {
-            self.options.time.borrow_mut().note(newest, clock_ms, made);
-        }
-    }
-
     /// Whether the store has not answered for longer than usual. One that fails is not silent because nothing
     /// changes.
     fn was_silent(&self) -> bool {
@@ -353,30 +346,6 @@
         made
     }
 
-    /// When a version was named, as far as the store's history tells. A reader of the hall may know where this process has
-    /// read nothing from before.
-    fn date(&self, change: &Change, told: Option<ToldAge>) -> Dated {
-        let Change::Version { version, revision, .. } = *change else {
-            return Dated::default();
-        };
-        let row = StorePlace { era: self.era, revision };
-        let unwritten = self.options.time.borrow().unwritten(row);
-        let by_reader = told.and_then(|it| {
-            let way = self.asked.elapsed().saturating_sub(it.held);
-            it.news.map(|news| news + way)
-        });
-        let dated = match unwritten {
-            Some(Unwritten { clock_ms, at }) => {
-                Dated { age: Some(at.elapsed()), after_ms: Some(clock_ms) }
-            }
-            None => Dated { age: by_reader, after_ms: None },
-        };
-        let age_ms = dated.age.map(|it| it.as_millis() as u64);
-        let asked_ms = self.asked.elapsed().as_millis() as u64;
-        log::info!(version = version, revision = revision, age_ms = age_ms, after_ms = dated.after_ms, asked_ms = asked_ms; "version told");
-        dated
-    }
-
     /// Hands a change on, unless it is to be believed later only.
     fn pass_on(
         &mut self,
--- /dev/null
+++ b/components/edge/src/watch/dating.rs
@@ -0,0 +1,42 @@
+//! When what an answer tells of happened, by the store's history.
+
+use fleet::StorePlace;
+use platform::store::Change;
+use uptime::Instant;
+
+use super::{Dated, Watch};
+use crate::gateway::ToldAge;
+use crate::store_time::Unwritten;
+
+impl Watch {
+    /// Takes in the newest revision and the store's clock at an answer that was not made before `made`.
+    pub(super) fn note_reading(&self, newest: StorePlace, clock_ms: Option<u64>, made: Instant) {
+        if let Some(clock_ms) = clock_ms {
+            self.options.time.borrow_mut().note(newest, clock_ms, made);
+        }
+    }
+
+    /// When a version was named, as far as the store's history tells. A reader of the hall may know where this process has
+    /// read nothing from before.
+    pub(super) fn date(&self, change: &Change, told: Option<ToldAge>) -> Dated {
+        let Change::Version { version, revision, .. } = *change else {
+            return Dated::default();
+        };
+        let row = StorePlace { era: self.era, revision };
+        let unwritten = self.options.time.borrow().unwritten(row);
+        let by_reader = told.and_then(|it| {
+            let way = self.asked.elapsed().saturating_sub(it.held);
+            it.news.map(|news| news + way)
+        });
+        let dated = match unwritten {
+            Some(Unwritten { clock_ms, at }) => {
+                Dated { age: Some(at.elapsed()), after_ms: Some(clock_ms) }
+            }
+            None => Dated { age: by_reader, after_ms: None },
+        };
+        let age_ms = dated.age.map(|it| it.as_millis() as u64);
+        let asked_ms = self.asked.elapsed().as_millis() as u64;
+        log::info!(version = version, revision = revision, age_ms = age_ms, after_ms = dated.after_ms, asked_ms = asked_ms; "version told");
+        dated
+    }
+}
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod progress;
 mod queue;
+mod sending;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -34,7 +35,6 @@
 use crate::members::Members;
 use crate::notices::Notice;
 use crate::pool::Pool;
-use crate::runner::Runner;
 use crate::standstill::Standstill;
 use crate::tries::UsualDeadlines;
 
@@ -118,47 +118,11 @@
         named
     }
 
-    /// Whether a request may still be sent to the runner that was chosen for it. Asked right before it is sent:
-    /// what has changed since the choice counts.
-    pub fn may_send(&self, now: Millis, key: RequestKey) -> bool {
-        let Some(progress) = self.requests.get(&key) else {
-            return false;
-        };
-        let current = progress.current.as_ref();
-        let runner = current.and_then(|it| Some((self.pool.runner(&it.id)?, it.life)));
-        let runner = runner.filter(|(runner, life)| runner.life == *life).map(|it| it.0);
-        let is_barred = Self::is_barred(&self.crashes, now, key, progress);
-        !is_barred
-            && !self.standstill.holds()
-            && runner.is_some_and(|it| {
-                it.is_open()
-                    && self.may_send_by_rate(progress, it)
-                    && it.record.service == progress.arrival.service
-                    && it.notices.admit(now, key)
-                    && self.chooser().is_allowed(now, it, &progress.arrival)
-            })
-    }
-
-    /// Until when a request that is sent now must have begun at the runner that was chosen for it: its version may be used no
-    /// longer. `None` where there is no such time.
-    pub fn begin_by(&self, now: Millis, key: RequestKey) -> Option<Millis> {
-        let chosen = self.requests.get(&key)?.current.as_ref()?;
-        self.pool.bound_of(now, self.pool.runner(&chosen.id)?)
-    }
-
     /// Whether a runner names a rate limit, as far as known.
     pub fn is_limited(&self, runner: &InstanceId) -> bool {
         self.pool.runner(runner).is_some_and(|it| it.notices.limit.rate().is_some())
     }
 
-    /// Whether a request may be sent to the runner that was chosen for it, as far as the runner's rate goes: its sidecar gave
-    /// the place by that, or this gateway sends it by itself.
-    fn may_send_by_rate(&self, progress: &Progress, runner: &Runner) -> bool {
-        let by_sidecar = self.asks_sidecars(&progress.arrival) && runner.is_limit_kept;
-        let by_itself = progress.current.as_ref().is_some_and(|it| it.has_turn);
-        runner.notices.limit.rate().is_none() || by_sidecar || by_itself
-    }
-
     /// Whether a request needs a place that the sidecar beside its runner gives.
     fn asks_sidecars(&self, arrival: &Arrival) -> bool {
         arrival.model.is_some() && self.keeps(Mechanism::Reservations)
