A version whose row is written again is dated by its first row

Found while reading the mends as a newcomer: since the latest date by the store's history holds, a row that is written again under the same version made that version younger for everybody. An age that was known before could only grow. The new test, a row written again after 2.5 s, was red (the old version had not been given up 0.12 s before its bound) and passes: a process dates a version when it first reads it and never again.

--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -4,7 +4,7 @@
 mod options;
 mod source;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::time::Duration;
@@ -12,7 +12,7 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use errors::{Code, Error, Result};
-use fleet::{InstanceId, StorePlace};
+use fleet::{InstanceId, ModelName, StorePlace};
 use futures_lite::future;
 use platform::store::{self, Change, Page, Table};
 use rand::Rng;
@@ -61,6 +61,7 @@
         known: Instant::now(),
         heard: None,
         lateness: Lateness::default(),
+        named: BTreeMap::new(),
         lapses: Lapses::default(),
     };
     watch.options.reading.wait_until_settled().await;
@@ -166,6 +167,8 @@
     /// When the store last answered.
     heard: Option<Instant>,
     lateness: Lateness,
+    /// The newest version of each model that was read.
+    named: BTreeMap<ModelName, u64>,
     /// Runners that have been missing since it was back.
     lapses: Lapses,
 }
--- a/components/edge/src/watch/dating.rs
+++ b/components/edge/src/watch/dating.rs
@@ -16,12 +16,17 @@
         }
     }
 
-    /// When a version was named, as far as the store's history tells. A reader of the hall may know where this process has
-    /// read nothing from before.
-    pub(super) fn date(&self, change: &Change, told: Option<ToldAge>) -> Dated {
-        let Change::Version { version, revision, .. } = *change else {
+    /// When a version was named, as far as the store's history tells: by its first row, for one that is known may be written
+    /// again. A reader of the hall may know where this process has read nothing from before.
+    pub(super) fn date(&mut self, change: &Change, told: Option<ToldAge>) -> Dated {
+        let Change::Version { ref model, version, revision } = *change else {
             return Dated::default();
         };
+        let newest = self.named.entry(model.clone()).or_default();
+        if version <= *newest {
+            return Dated::default();
+        }
+        *newest = version;
         let row = StorePlace { era: self.era, revision };
         let unwritten = self.options.time.borrow().unwritten(row);
         let by_reader = told.and_then(|it| {
--- a/daemon/tests/deployment/version_ages.rs
+++ b/daemon/tests/deployment/version_ages.rs
@@ -203,3 +203,23 @@
     assert_eq!(taken, Some(0), "version 1 is still kept");
     expect_given_up(&deployment, runner, bound);
 }
+
+/// How long after a version was named its row is written again.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(2500);
+
+#[test]
+fn a_version_is_no_younger_because_its_row_is_written_again() {
+    let mut deployment = Deployment::start();
+    let runner = deployment.add_model_runner("e1", Some(1));
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    wait_until("streams are served", || stream(gateway, "first").whole);
+    close_origin(&deployment);
+    thread::sleep(CALM);
+    deployment.standin.name_version(2);
+    let bound = Instant::now() + VERSION;
+    thread::sleep(WRITTEN_AGAIN);
+    deployment.standin.name_version(2);
+
+    expect_given_up(&deployment, runner, bound);
+}
