--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -1,7 +1,7 @@
 //! Gateways and sidecars as processes before a stand-in of the platform, each behind proxies.
 
 use std::fs::{self, File, OpenOptions};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -18,6 +18,8 @@
 const RUNNER_PORT: u16 = 8001;
 /// Where runners listen.
 const ENGINE_PORT: u16 = 8101;
+/// Where gateways and sidecars take datagrams.
+const DATAGRAM_PORT: u16 = 7700;
 /// Where gateways listen for callers.
 const CALLERS_PORT: u16 = 8005;
 /// Where gateways say whether they are ready.
@@ -283,13 +285,14 @@
     configuration["services"][1]["coldPerS"] = json!(COLD_PER_S);
 }
 
-/// A network of loopback on which no other soak runs.
+/// A network of loopback on which no other soak runs, and no process is left of one that was ended.
 fn free_network(seed: u64) -> eyre::Result<u8> {
     let first = (seed % u64::from(NETWORKS)) as u8;
     let networks = (0..NETWORKS).map(|it| FIRST_NETWORK + (first + it) % NETWORKS);
     let is_free = |network: &u8| {
         let address = Ipv4Addr::new(127, 78, *network, 1);
-        TcpListener::bind((address, RUNNER_PORT)).is_ok()
+        let is_unheard = UdpSocket::bind((address, DATAGRAM_PORT)).is_ok();
+        is_unheard && TcpListener::bind((address, RUNNER_PORT)).is_ok()
     };
     let free = networks.into_iter().find(is_free);
     free.ok_or_else(|| eyre::eyre!("every network of loopback is taken"))
