Count and log how each connection of a caller ends

A request that a gateway cuts by closing its connection left no line: logs held how requests ended, and nothing of connections, so a request that was never read, or whose trace ended with the process, could not be seen.

Each connection now carries what is under way on it (idle, a part of a head, the body, waiting for an answer, the answer) and the first cause of its end (caller, idle timeout, stop, slow reader, write error, aborted answer, bytes that are no request, answered unread, last answer, end of the process). Every end is counted by both; where a request was under way that its caller did not give up, a warning gives them. A stop ends with one line on the connections and requests that were still open. No decision changes.

The states cost a cell write each at the head, the body and the answer, and one counter at the end of a connection. A test reaches five causes in their states over connections in memory.

--- a/components/edge/src/caller.rs
+++ b/components/edge/src/caller.rs
@@ -19,6 +19,7 @@
 
 use crate::caller_buffers::{BufferLimits, CallerBuffers, ConnectionId, NoMemory, SlowConnection};
 use crate::clock::Clock;
+use crate::connection_state::{CloseCause, ConnectionState};
 use crate::gateway::AnswerBody;
 
 /// Why the connection of a caller that does not read is closed.
@@ -74,13 +75,21 @@
         self.0.buffers.borrow().total()
     }
 
-    /// Adds a connection. `read_timeout` is how long the caller may read nothing until a request sets another
+    /// Adds a connection to a server. `read_timeout` is how long the caller may read nothing until a request sets another
     /// value.
-    pub fn connect(&self, read_timeout: Duration) -> Rc<Caller> {
+    pub fn connect(&self, server: ServerName, read_timeout: Duration) -> Rc<Caller> {
         let id = self.0.buffers.borrow_mut().open();
         let caller = Rc::new(Caller {
             callers: self.clone(),
             id,
+            server,
+            opened: Instant::now(),
+            state: Cell::default(),
+            has_read_ahead: Cell::default(),
+            is_unread: Cell::default(),
+            requests: Cell::default(),
+            end: Cell::default(),
+            is_end_logged: Cell::default(),
             read_timeout: Cell::new(read_timeout),
             stream_deadline: Cell::new(None),
             is_closed: Cell::new(false),
@@ -97,10 +106,31 @@
             return;
         };
         caller.is_closed.set(true);
+        // The bytes that are not sent are no longer accounted for.
+        caller.note_end_in(CloseCause::SlowReader, ConnectionState::Answer);
         let waker = caller.waker.take();
         waker.into_iter().for_each(Waker::wake);
     }
 
+    /// The number of connections to a server, by what they are doing.
+    pub fn count_open(&self, server: ServerName) -> BTreeMap<ConnectionState, usize> {
+        let mut open = BTreeMap::new();
+        let callers = self.open_to(server);
+        callers.iter().for_each(|it| *open.entry(it.state()).or_default() += 1);
+        open
+    }
+
+    /// Counts and logs the connections to a server that end with the process.
+    pub fn log_process_end(&self, server: ServerName) {
+        self.open_to(server).iter().for_each(|it| it.log_end(CloseCause::ProcessEnd));
+    }
+
+    fn open_to(&self, server: ServerName) -> Vec<Rc<Caller>> {
+        let connections = self.0.connections.borrow();
+        let open = connections.values().filter_map(Weak::upgrade);
+        open.filter(|it| it.server == server && !it.is_end_logged.get()).collect()
+    }
+
     fn log_closed(&self, reason: CloseReason, slow: SlowConnection) {
         let SlowConnection { bytes, age_ms, .. } = slow;
         log::warn!(reason = reason.name(), bytes = bytes, age_ms = age_ms; "connection of a slow reader closed");
@@ -108,10 +138,46 @@
     }
 }
 
+/// A server of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerName {
+    /// Answers the requests of callers.
+    Callers,
+    /// Tells the platform whether the process is ready.
+    Readiness,
+    /// Serves the store's tables to other processes.
+    Tables,
+    /// Serves the metrics.
+    Metrics,
+}
+
+impl ServerName {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Readiness => "readiness",
+            Self::Tables => "tables",
+            Self::Metrics => "metrics",
+        }
+    }
+}
+
 /// The connection of one caller.
 pub struct Caller {
     callers: Callers,
     id: ConnectionId,
+    server: ServerName,
+    opened: Instant,
+    state: Cell<ConnectionState>,
+    /// Whether bytes after the current request have arrived.
+    has_read_ahead: Cell<bool>,
+    /// Whether the last request was answered before it was read.
+    is_unread: Cell<bool>,
+    /// The number of requests that arrived on it.
+    requests: Cell<u64>,
+    /// The first cause of its end, and what was under way then.
+    end: Cell<Option<(CloseCause, ConnectionState)>>,
+    is_end_logged: Cell<bool>,
     read_timeout: Cell<Duration>,
     /// Until when a runner may work on the current stream.
     stream_deadline: Cell<Option<Instant>>,
@@ -146,6 +212,92 @@
         self.stream_deadline.set(until);
     }
 
+    /// Records that the head of a request was read.
+    pub fn begin_request(&self) {
+        self.requests.set(self.requests.get() + 1);
+        self.has_read_ahead.set(false);
+        self.is_unread.set(true);
+        self.state.set(ConnectionState::Body);
+    }
+
+    /// Records that the body of the request was read.
+    pub fn finish_reading(&self) {
+        self.is_unread.set(false);
+        self.state.set(ConnectionState::Waiting);
+    }
+
+    /// Records that the request has an answer.
+    pub fn begin_answer(&self) {
+        self.state.set(ConnectionState::Answer);
+    }
+
+    fn end_answer(&self) {
+        let has_next = self.has_read_ahead.get();
+        self.state.set(if has_next { ConnectionState::Head } else { ConnectionState::Idle });
+    }
+
+    /// What the connection is doing.
+    pub fn state(&self) -> ConnectionState {
+        match self.state.get() {
+            ConnectionState::Idle if self.has_unsent_bytes() => ConnectionState::Answer,
+            state => state,
+        }
+    }
+
+    fn has_unsent_bytes(&self) -> bool {
+        self.callers.0.buffers.borrow().bytes_of(self.id) > 0
+    }
+
+    /// Notes why the connection ends. Only the first call counts.
+    pub fn note_end(&self, cause: CloseCause) {
+        self.note_end_in(cause, self.state());
+    }
+
+    fn note_end_in(&self, cause: CloseCause, state: ConnectionState) {
+        if self.end.get().is_none() {
+            self.end.set(Some((cause, state)));
+        }
+    }
+
+    /// Why the connection ends if nothing was noted: by what the last answer or request said, or because the
+    /// last request was not read.
+    pub fn unnoted_cause(&self) -> CloseCause {
+        if self.is_unread.get() {
+            CloseCause::Unread
+        } else {
+            CloseCause::LastAnswer
+        }
+    }
+
+    /// Counts the end of the connection, and logs it if a request was under way that its caller did not give
+    /// up. `cause` is used if none was noted.
+    pub fn log_end(&self, cause: CloseCause) {
+        if self.is_end_logged.replace(true) {
+            return;
+        }
+        let (cause, state) = self.end.get().unwrap_or((cause, self.state()));
+        let (server, reason, state_name) = (self.server.name(), cause.name(), state.name());
+        self.callers.0.metrics.count_connection_end(server, reason, state_name);
+        if !state.has_request() || cause == CloseCause::Caller {
+            return;
+        }
+        let age_ms = self.opened.elapsed().as_millis() as u64;
+        let requests = self.requests.get();
+        log::warn!(server = server, reason = reason, state = state_name, requests = requests, age_ms = age_ms; "connection closed with a request under way");
+    }
+
+    fn record_arrival(&self, bytes: usize) {
+        if bytes == 0 {
+            self.note_end(CloseCause::Caller);
+            return;
+        }
+        match self.state.get() {
+            ConnectionState::Idle => self.state.set(ConnectionState::Head),
+            ConnectionState::Waiting | ConnectionState::Answer => self.has_read_ahead.set(true),
+            ConnectionState::Head | ConnectionState::Body => {}
+        }
+    }
+
     fn reserve_answer(&self, bytes: usize) {
         let now = self.callers.0.clock.now();
         let slow = self.callers.0.buffers.borrow_mut().reserve_answer(now, self.id, bytes);
@@ -200,6 +352,7 @@
         let (until, reason) = self.caller.read_deadline(since);
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() {
+            self.caller.note_end(CloseCause::SlowReader);
             self.caller.log_timeout(reason, since);
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
@@ -225,7 +378,13 @@
         cx: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        match &read {
+            Poll::Ready(Ok(bytes)) => self.caller.record_arrival(*bytes),
+            Poll::Ready(Err(_)) => self.caller.note_end(CloseCause::Caller),
+            Poll::Pending => {}
+        }
+        read
     }
 }
 
@@ -245,7 +404,10 @@
                 self.caller.record_read(written);
                 Poll::Ready(Ok(written))
             }
-            failed => failed,
+            failed => {
+                self.caller.note_end(CloseCause::WriteError);
+                failed
+            }
         }
     }
 
@@ -280,8 +442,12 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         let frame = self.body.as_mut().poll_frame(cx);
-        if let Poll::Ready(Some(Ok(frame))) = &frame {
-            self.caller.reserve_answer(frame.data_ref().map_or(0, Bytes::len));
+        match &frame {
+            Poll::Ready(Some(Ok(frame))) => {
+                self.caller.reserve_answer(frame.data_ref().map_or(0, Bytes::len));
+            }
+            Poll::Ready(Some(Err(_))) => self.caller.note_end(CloseCause::AnswerAborted),
+            Poll::Ready(None) | Poll::Pending => {}
         }
         frame
     }
@@ -295,5 +461,11 @@
     }
 }
 
+impl Drop for AccountedBody {
+    fn drop(&mut self) {
+        self.caller.end_answer();
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/edge/src/caller/tests.rs
+++ b/components/edge/src/caller/tests.rs
@@ -11,7 +11,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use bytes::Bytes;
-use errors::Error;
+use errors::{Code, Error};
 use futures_lite::future;
 use futures_lite::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use futures_lite::stream;
@@ -21,7 +21,7 @@
 use hyper::body::Incoming;
 use telemetry::Metrics;
 
-use super::{Caller, Callers};
+use super::{Caller, Callers, ServerName};
 use crate::caller_buffers::BufferLimits;
 use crate::clock::Clock;
 use crate::gateway::{full_body, AnswerBody};
@@ -84,7 +84,7 @@
     executor: Rc<LocalExecutor<'static>>,
     options: ServerOptions,
     callers: Callers,
-    _open: Sender<()>,
+    open: Sender<()>,
 }
 
 impl TestServer {
@@ -93,12 +93,13 @@
         let callers = Callers::new(limits, Clock::start(), Rc::new(Metrics::start().unwrap()));
         let (open, stopping) = async_channel::bounded(1);
         let options = ServerOptions {
+            name: ServerName::Callers,
             idle_timeout: IDLE_TIMEOUT,
             stopping,
             open_connections: Rc::default(),
             callers: callers.clone(),
         };
-        Self { executor: Rc::default(), options, callers, _open: open }
+        Self { executor: Rc::default(), options, callers, open }
     }
 
     fn connect<F>(&self, answer: impl Fn(Rc<Caller>) -> F + Clone + 'static) -> ConnectionEnd
@@ -124,6 +125,61 @@
             .lines()
             .any(|it| it.replace(",otel_scope_name=\"silverdock\"", "").starts_with(&line))
     }
+
+    /// Waits until a connection has ended with this reason, in this state.
+    async fn wait_for_end(&self, reason: &str, state: &str) {
+        let (reason, state) = (format!("reason=\"{reason}\""), format!("state=\"{state}\""));
+        let started = Instant::now();
+        loop {
+            let text = self.callers.0.metrics.render();
+            let mut ends = text.lines().filter(|it| it.starts_with("silverdock_connection_ends"));
+            if ends.any(|it| it.contains(&reason) && it.contains(&state)) {
+                return;
+            }
+            assert!(started.elapsed() < 3 * READ_TIMEOUT, "no end by {reason} in {state}:\n{text}");
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// Leaves the request without an answer.
+async fn no_answer(caller: Rc<Caller>) -> Response<AnswerBody> {
+    caller.finish_reading();
+    future::pending().await
+}
+
+async fn aborted_answer(_: Rc<Caller>) -> Response<AnswerBody> {
+    let frames = stream::once(Err(Error::new(Code::CutShort, "")));
+    Response::new(Box::pin(StreamBody::new(frames)))
+}
+
+#[test]
+fn a_closed_connection_does_not_hide_which_request_was_on_it() {
+    let server = TestServer::new();
+    server.run(async {
+        let mut waiting = server.connect(no_answer);
+        waiting.write_all(REQUEST).await.unwrap();
+        Timer::after(SLOW_AFTER).await;
+        drop(waiting);
+        server.wait_for_end("caller", "waiting").await;
+
+        let mut aborted = server.connect(aborted_answer);
+        aborted.write_all(REQUEST).await.unwrap();
+        server.wait_for_end("answer_aborted", "answer").await;
+
+        let mut broken = server.connect(no_answer);
+        broken.write_all(b"no request\r\n\r\n").await.unwrap();
+        server.wait_for_end("bad_request", "head").await;
+
+        let mut unread = server.connect(large_answer);
+        unread.write_all(REQUEST).await.unwrap();
+        server.wait_for_end("slow_reader", "answer").await;
+
+        let _idle = server.connect(no_answer);
+        Timer::after(SLOW_AFTER).await;
+        server.open.close();
+        server.wait_for_end("stop", "idle").await;
+    });
 }
 
 async fn large_answer(caller: Rc<Caller>) -> Response<AnswerBody> {
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -28,9 +28,10 @@
 use super::state_log;
 use super::table_server;
 use super::table_state::Tables;
-use crate::caller::Callers;
+use crate::caller::{Callers, ServerName};
 use crate::caller_buffers::BufferLimits;
 use crate::clock::Clock;
+use crate::connection_state::ConnectionState;
 use crate::datagram_socket::DatagramSocket;
 use crate::era::Era;
 use crate::metrics::{serve_metrics, StallDetector};
@@ -129,6 +130,7 @@
         };
         let listener = listen(gateway.callers).await?;
         let options = ServerOptions {
+            name: ServerName::Callers,
             idle_timeout: Duration::from_millis(gateway::Limits::default().idle_timeout_ms),
             stopping: stopped,
             open_connections: self.open_connections.clone(),
@@ -153,6 +155,7 @@
         };
         let listener = listen(gateway.readiness).await?;
         let options = ServerOptions {
+            name: ServerName::Readiness,
             idle_timeout: Duration::from_secs(30),
             stopping: stopped,
             open_connections: Rc::default(),
@@ -178,6 +181,7 @@
         let address = SocketAddr::new(settings.node.address, settings.node.first_port);
         let listener = listen(address).await?;
         let options = ServerOptions {
+            name: ServerName::Tables,
             idle_timeout: Duration::from_secs(30),
             stopping: stopped,
             open_connections: Rc::default(),
@@ -211,9 +215,22 @@
         while self.open_connections.get() > 0 && Instant::now() < end {
             Timer::after(STOP_POLL_INTERVAL).await;
         }
+        log_open_connections(&self.callers);
     }
 }
 
+/// Logs what ends with the process.
+fn log_open_connections(callers: &Callers) {
+    let open = callers.count_open(ServerName::Callers);
+    let count = |state| open.get(&state).copied().unwrap_or(0);
+    let [idle, head, body, waiting, answer] = ConnectionState::ALL.map(count);
+    let connections: usize = open.values().sum();
+    let requests = connections - idle;
+    let level = if requests > 0 { log::Level::Warn } else { log::Level::Info };
+    log::log!(level, connections = connections, requests = requests, head = head, body = body, waiting = waiting, answer = answer; "open at the end of the stop");
+    callers.log_process_end(ServerName::Callers);
+}
+
 fn options(settings: &DeploymentSettings) -> GatewayOptions {
     GatewayOptions {
         name: settings.node.name.clone(),
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -143,6 +143,7 @@
             return error.refuse(&trace, id.as_deref());
         }
     };
+    caller.finish_reading();
     let path = head.uri.path_and_query().map_or("", |it| it.as_str());
     let digest = RequestDigest::of(head.method.as_str(), path, routed.workspace.as_ref(), &body);
     trace.set_kind(kind_name(routed.kind));
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -6,6 +6,7 @@
 mod caller_buffers;
 mod catch_up;
 mod clock;
+mod connection_state;
 mod datagram_socket;
 mod delayed_removals;
 mod delayed_returns;
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -13,7 +13,7 @@
 use telemetry::Metrics;
 use uptime::{Instant, SuspensionDetector};
 
-use crate::caller::Callers;
+use crate::caller::{Callers, ServerName};
 use crate::gateway::{error_answer, full_body, AnswerBody};
 use crate::server::{listen, serve, ServerOptions};
 use crate::spawner::Spawner;
@@ -36,6 +36,7 @@
 ) -> Result<()> {
     let listener = listen(address).await?;
     let options = ServerOptions {
+        name: ServerName::Metrics,
         idle_timeout: IDLE_TIMEOUT,
         stopping,
         open_connections: Rc::default(),
--- a/components/edge/src/server.rs
+++ b/components/edge/src/server.rs
@@ -18,7 +18,8 @@
 use hyper::service::service_fn;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::caller::{AccountedBody, Caller, CallerStream, Callers};
+use crate::caller::{AccountedBody, Caller, CallerStream, Callers, ServerName};
+use crate::connection_state::CloseCause;
 use crate::gateway::AnswerBody;
 use crate::http_connection::set_socket_options;
 use crate::spawner::Spawner;
@@ -29,6 +30,8 @@
 /// The settings and state shared by the connections of a server.
 #[derive(Clone)]
 pub struct ServerOptions {
+    /// The server, in logs and metrics.
+    pub name: ServerName,
     /// How long a connection may be idle, and how long a request head may take.
     pub idle_timeout: Duration,
     /// Closed when the server stops.
@@ -77,12 +80,16 @@
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     options.open_connections.set(options.open_connections.get() + 1);
-    let caller = options.callers.connect(options.idle_timeout);
+    let caller = options.callers.connect(options.name, options.idle_timeout);
     let stream = CallerStream::new(stream, caller.clone());
+    let ending = caller.clone();
     let service = service_fn(move |request| {
+        caller.begin_request();
         let (answer, caller) = (handler(request, caller.clone()), caller.clone());
         async move {
-            let answer = answer.await.map(|body| AccountedBody::new(body, caller));
+            let answer = answer.await;
+            caller.begin_answer();
+            let answer = answer.map(|body| AccountedBody::new(body, caller));
             Ok::<_, std::convert::Infallible>(answer)
         }
     });
@@ -92,20 +99,32 @@
         .header_read_timeout(options.idle_timeout)
         .max_buf_size(options.callers.limits().read_ahead);
     let mut connection = std::pin::pin!(builder.serve_connection(FuturesIo::new(stream), service));
-    let served = future::or(
-        async {
-            let _ = connection.as_mut().await;
-            true
-        },
-        async {
-            let _ = options.stopping.recv().await;
-            false
-        },
-    )
+    let served = future::or(async { Some(connection.as_mut().await) }, async {
+        let _ = options.stopping.recv().await;
+        None
+    })
     .await;
-    if !served {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
-    }
+    let result = match served {
+        Some(result) => result,
+        None => {
+            if !ending.state().has_request() {
+                ending.note_end(CloseCause::Stop);
+            }
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    ending.log_end(result.err().map_or(ending.unnoted_cause(), |it| cause_of(&it)));
     options.open_connections.set(options.open_connections.get() - 1);
 }
+
+/// Why a connection ended with an error that neither its stream nor its answer has noted.
+fn cause_of(error: &hyper::Error) -> CloseCause {
+    if error.is_timeout() {
+        CloseCause::IdleTimeout
+    } else if error.is_parse() {
+        CloseCause::BadRequest
+    } else {
+        CloseCause::WriteError
+    }
+}
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -59,6 +59,7 @@
     runner_life_reports: Counter<u64>,
     runner_load_notices: Counter<u64>,
     slow_readers: Counter<u64>,
+    connection_ends: Counter<u64>,
     store_restores: Counter<u64>,
     foreign_messages: Counter<u64>,
     suspensions: Counter<u64>,
@@ -136,6 +137,12 @@
                 .u64_counter("silverdock_slow_readers")
                 .with_description("Connections that were closed on callers who did not read")
                 .build(),
+            connection_ends: meter
+                .u64_counter("silverdock_connection_ends")
+                .with_description(
+                    "Connections that ended, by server, cause and what was under way on them",
+                )
+                .build(),
             store_restores: meter
                 .u64_counter("silverdock_store_eras")
                 .with_description("How often the platform's store came back from an older copy")
@@ -244,6 +251,17 @@
         self.slow_readers.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a connection to a server of this process that ended, by the cause and by what was under way on it.
+    pub fn count_connection_end(
+        &self,
+        server: &'static str,
+        cause: &'static str,
+        state: &'static str,
+    ) {
+        let labels = [("server", server), ("reason", cause), ("state", state)];
+        self.connection_ends.add(1, &labels.map(|(name, value)| KeyValue::new(name, value)));
+    }
+
     /// Counts that the platform's store was restored from an older copy.
     pub fn count_store_restore(&self) {
         self.store_restores.add(1, &[]);
