Read a request before it is refused, and close connections in stages

What callers saw: a request without a route or key, or at a gateway whose configuration was not known or not confirmed, was refused from its head alone. Callers whose body was still on its way lost the refusal to a reset, or the next request that they sent on the connection, which had not been announced to end.

Cause: the handler dropped the unread body. The HTTP library then tries one read, closes the connection if the body is not complete, and sends no announcement, since the head of the answer is written before; closing a socket with unread bytes resets it. Ruled out: the library's own drain, which covers only a body that has already arrived in full and in one read.

Evidence before, on bytes over real sockets (head first, body 30 ms later): "the head is sent: Broken pipe" for the request after a 404 with a body of 8 bytes; the same after a 503 without a configuration; "the body is taken: Broken pipe" for a body over the limit. Three tests of three failed.

Change: the body of a request that is refused is read and discarded, within the limit of the configuration and the request's time; so is a body for which there is no memory. An answer to a request that stays unread (413, 408) carries "Connection: close", on every server of the process. A connection that the process closes under a caller that may still send is shut down for writing first, and what arrives is discarded until the caller closes or a second is over. A caller that asked for the end itself costs nothing more.

After: the three tests pass, with 8 and 60,000 bytes kept alive over four requests, and 6 MB refused with 413 and no reset.

--- a/components/edge/src/caller.rs
+++ b/components/edge/src/caller.rs
@@ -87,6 +87,7 @@
             state: Cell::default(),
             has_read_ahead: Cell::default(),
             is_unread: Cell::default(),
+            is_last_request: Cell::default(),
             requests: Cell::default(),
             end: Cell::default(),
             is_end_logged: Cell::default(),
@@ -122,7 +123,9 @@
 
     /// Counts and logs the connections to a server that end with the process.
     pub fn log_process_end(&self, server: ServerName) {
-        self.open_to(server).iter().for_each(|it| it.log_end(CloseCause::ProcessEnd));
+        for caller in self.open_to(server) {
+            caller.log_end(CloseCause::ProcessEnd);
+        }
     }
 
     fn open_to(&self, server: ServerName) -> Vec<Rc<Caller>> {
@@ -171,8 +174,9 @@
     state: Cell<ConnectionState>,
     /// Whether bytes after the current request have arrived.
     has_read_ahead: Cell<bool>,
-    /// Whether the last request was answered before it was read.
+    /// Whether a part of the last request's body was not read.
     is_unread: Cell<bool>,
+    is_last_request: Cell<bool>,
     /// The number of requests that arrived on it.
     requests: Cell<u64>,
     /// The first cause of its end, and what was under way then.
@@ -212,11 +216,12 @@
         self.stream_deadline.set(until);
     }
 
-    /// Records that the head of a request was read.
-    pub fn begin_request(&self) {
+    /// Records that the head of a request was read, and whether a body follows and another request may.
+    pub fn begin_request(&self, has_body: bool, is_last: bool) {
         self.requests.set(self.requests.get() + 1);
         self.has_read_ahead.set(false);
-        self.is_unread.set(true);
+        self.is_unread.set(has_body);
+        self.is_last_request.set(is_last);
         self.state.set(ConnectionState::Body);
     }
 
@@ -226,6 +231,16 @@
         self.state.set(ConnectionState::Waiting);
     }
 
+    /// Whether a part of the request's body was not read.
+    pub fn is_unread(&self) -> bool {
+        self.is_unread.get()
+    }
+
+    /// Whether the caller sends no request after this one.
+    pub fn is_last_request(&self) -> bool {
+        self.is_last_request.get()
+    }
+
     /// Records that the request has an answer.
     pub fn begin_answer(&self) {
         self.state.set(ConnectionState::Answer);
@@ -270,12 +285,16 @@
     }
 
     /// Counts the end of the connection, and logs it if a request was under way that its caller did not give
-    /// up. `cause` is used if none was noted.
-    pub fn log_end(&self, cause: CloseCause) {
-        if self.is_end_logged.replace(true) {
-            return;
-        }
+    /// up. Returns the cause, which is `cause` if none was noted. Only the first call counts.
+    pub fn log_end(&self, cause: CloseCause) -> CloseCause {
         let (cause, state) = self.end.get().unwrap_or((cause, self.state()));
+        if !self.is_end_logged.replace(true) {
+            self.log_end_in(cause, state);
+        }
+        cause
+    }
+
+    fn log_end_in(&self, cause: CloseCause, state: ConnectionState) {
         let (server, reason, state_name) = (self.server.name(), cause.name(), state.name());
         self.callers.0.metrics.count_connection_end(server, reason, state_name);
         if !state.has_request() || cause == CloseCause::Caller {
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -8,7 +8,7 @@
 use errors::Code;
 use fleet::{HomeRegions, Millis, ModelName, ServiceName, WorkspaceId};
 use futures_lite::future;
-use gateway::{Arrival, Catalog, NextStep, RouteKind, ServiceState};
+use gateway::{Arrival, Catalog, Limits, NextStep, RouteKind, ServiceState};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -22,7 +22,6 @@
 use super::relay::StartedAnswer;
 use super::trace::{RequestEnd, Trace};
 use crate::caller::Caller;
-use crate::caller_buffers::NoMemory;
 
 /// `Retry-After` of a gateway that has no configuration, or does not know whether its own is current, in
 /// milliseconds: about the mean time until the next call to the store.
@@ -110,7 +109,11 @@
     let request_headers = headers::read_request(&head.headers);
     let id = request_headers.id.clone();
     let trace = Trace::new(&core, id.as_deref());
+    let own_timeout_ms = request_headers.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let own_deadline = arrived.plus(own_timeout_ms.min(DEFAULT_DEADLINE_MS));
     let Some(catalog) = core.catalog() else {
+        let max_bytes = Limits::default().body_bytes;
+        discard_body(&core, &caller, body, max_bytes, own_deadline).await;
         return not_ready(&trace, id.as_deref());
     };
     let routed = match route(&catalog, &head.headers, &head.uri, &request_headers) {
@@ -120,7 +123,9 @@
                 configuration: catalog.version,
                 age_ms: core.tables.operator.age_ms(),
             });
-            if !core.tables.operator.is_confirmed() {
+            let is_confirmed = core.tables.operator.is_confirmed();
+            discard_body(&core, &caller, body, catalog.limits.body_bytes, own_deadline).await;
+            if !is_confirmed {
                 // A newer configuration may have the route, and callers treat these statuses as final.
                 return not_ready(&trace, id.as_deref());
             }
@@ -128,8 +133,7 @@
             return error_answer(status, id.as_deref(), code);
         }
     };
-    let timeout_ms =
-        routed.timeout_ms.min(request_headers.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS));
+    let timeout_ms = routed.timeout_ms.min(own_timeout_ms);
     let answer_deadline = arrived.plus(timeout_ms);
     caller.set_read_timeout(Duration::from_millis(routed.timeout_ms));
     let reading = read_body(&caller, body, catalog.limits.body_bytes);
@@ -143,7 +147,6 @@
             return error.refuse(&trace, id.as_deref());
         }
     };
-    caller.finish_reading();
     let path = head.uri.path_and_query().map_or("", |it| it.as_str());
     let digest = RequestDigest::of(head.method.as_str(), path, routed.workspace.as_ref(), &body);
     trace.set_kind(kind_name(routed.kind));
@@ -219,22 +222,62 @@
     }
 }
 
-/// Reads the body of a request, as far as there is memory for it.
+/// Reads the body of a request, as far as there is memory for it. What there is no memory for is discarded, so
+/// that the caller does not lose its refusal to a reset.
 async fn read_body(
     caller: &Caller,
     mut body: Incoming,
     max_bytes: usize,
 ) -> Result<Bytes, BodyError> {
     let mut body_bytes = BytesMut::new();
+    let mut length = 0;
+    let mut has_memory = true;
     while let Some(frame) = body.frame().await {
         let bytes = frame.map_err(|_| BodyError::Broken)?.into_data().unwrap_or_default();
-        if body_bytes.len() + bytes.len() > max_bytes {
+        length += bytes.len();
+        if length > max_bytes {
             return Err(BodyError::TooLarge);
         }
-        caller.reserve_body(bytes.len()).map_err(|NoMemory| BodyError::NoMemory)?;
-        body_bytes.extend_from_slice(&bytes);
+        has_memory = has_memory && caller.reserve_body(bytes.len()).is_ok();
+        if has_memory {
+            body_bytes.extend_from_slice(&bytes);
+        } else {
+            body_bytes = BytesMut::new();
+            caller.release_body();
+        }
+    }
+    caller.finish_reading();
+    if has_memory {
+        Ok(body_bytes.freeze())
+    } else {
+        Err(BodyError::NoMemory)
     }
-    Ok(body_bytes.freeze())
+}
+
+/// Reads the body of a request that is refused, so that its connection can serve the next one. A body that is too
+/// large, or does not arrive in time, stays unread.
+async fn discard_body(
+    core: &Core,
+    caller: &Caller,
+    mut body: Incoming,
+    max_bytes: usize,
+    until: Millis,
+) {
+    let reading = async {
+        let mut length = 0;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return;
+            };
+            length += frame.data_ref().map_or(0, Bytes::len);
+            if length > max_bytes {
+                return;
+            }
+        }
+        caller.finish_reading();
+    };
+    // The answer announces the end of the connection if the body stays unread.
+    let _ = with_request_deadline(core, until, reading).await;
 }
 
 /// Refuses a request because no configuration is known, or it may be outdated.
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -28,6 +28,7 @@
 mod server;
 mod sidecar;
 mod spawner;
+mod staged_close;
 mod store_time;
 mod store_timeouts;
 mod watch;
--- a/components/edge/src/server.rs
+++ b/components/edge/src/server.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,7 +13,9 @@
 use errors::{Code, Error, Result};
 use futures_lite::future;
 use futures_lite::io::{AsyncRead, AsyncWrite};
-use http::{Request, Response};
+use http::header::{HeaderValue, CONNECTION};
+use http::{Request, Response, Version};
+use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -23,9 +26,12 @@
 use crate::gateway::AnswerBody;
 use crate::http_connection::set_socket_options;
 use crate::spawner::Spawner;
+use crate::staged_close::close_in_stages;
 
 /// How long to wait after the system failed to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The value that announces the end of a connection.
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
 /// The settings and state shared by the connections of a server.
 #[derive(Clone)]
@@ -83,11 +89,14 @@
     let caller = options.callers.connect(options.name, options.idle_timeout);
     let stream = CallerStream::new(stream, caller.clone());
     let ending = caller.clone();
-    let service = service_fn(move |request| {
-        caller.begin_request();
+    let service = service_fn(move |request: Request<Incoming>| {
+        caller.begin_request(!request.body().is_end_stream(), is_last_request(&request));
         let (answer, caller) = (handler(request, caller.clone()), caller.clone());
         async move {
-            let answer = answer.await;
+            let mut answer = answer.await;
+            if caller.is_unread() {
+                answer.headers_mut().insert(CONNECTION, CLOSE);
+            }
             caller.begin_answer();
             let answer = answer.map(|body| AccountedBody::new(body, caller));
             Ok::<_, std::convert::Infallible>(answer)
@@ -98,8 +107,8 @@
         .timer(SmolTimer::new())
         .header_read_timeout(options.idle_timeout)
         .max_buf_size(options.callers.limits().read_ahead);
-    let mut connection = std::pin::pin!(builder.serve_connection(FuturesIo::new(stream), service));
-    let served = future::or(async { Some(connection.as_mut().await) }, async {
+    let mut connection = builder.serve_connection(FuturesIo::new(stream), service);
+    let served = future::or(async { Some((&mut connection).await) }, async {
         let _ = options.stopping.recv().await;
         None
     })
@@ -110,14 +119,46 @@
             if !ending.state().has_request() {
                 ending.note_end(CloseCause::Stop);
             }
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
-    ending.log_end(result.err().map_or(ending.unnoted_cause(), |it| cause_of(&it)));
+    let cause = ending.log_end(result.err().map_or(ending.unnoted_cause(), |it| cause_of(&it)));
+    if needs_staged_close(cause, &ending) {
+        let stream = connection.into_parts().io.into_inner();
+        // On the heap, because few connections need it.
+        Box::pin(close_in_stages(stream)).await;
+    }
     options.open_connections.set(options.open_connections.get() - 1);
 }
 
+/// Whether the caller said that it sends no request after this one.
+fn is_last_request(request: &Request<Incoming>) -> bool {
+    let says_close = |value: &HeaderValue| {
+        let names = value.to_str().unwrap_or("").split(',');
+        names.into_iter().any(|it| it.trim().eq_ignore_ascii_case("close"))
+    };
+    request.version() == Version::HTTP_10
+        || request.headers().get_all(CONNECTION).iter().any(says_close)
+}
+
+/// Whether the caller may still send, and may have bytes to read. Bytes on their way would reset the connection
+/// otherwise.
+fn needs_staged_close(cause: CloseCause, caller: &Caller) -> bool {
+    match cause {
+        CloseCause::Caller
+        | CloseCause::SlowReader
+        | CloseCause::WriteError
+        | CloseCause::ProcessEnd => false,
+        CloseCause::LastAnswer => !caller.is_last_request(),
+        CloseCause::IdleTimeout
+        | CloseCause::Stop
+        | CloseCause::AnswerAborted
+        | CloseCause::BadRequest
+        | CloseCause::Unread => true,
+    }
+}
+
 /// Why a connection ended with an error that neither its stream nor its answer has noted.
 fn cause_of(error: &hyper::Error) -> CloseCause {
     if error.is_timeout() {
--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -9,6 +9,7 @@
 mod narrow_paths;
 mod narrow_store_links;
 mod outages;
+mod refusals;
 mod reload;
 mod rests;
 mod runner_restarts;
