Tell callers of a stop, accept until its end, and close only idle connections

What callers saw: 2.6 s after SIGTERM a gateway closed all idle connections in one moment, and its listener. No answer before had announced it, so callers went on using these connections; a connection that came later was refused by the system, although the platform sends new ones to stopping gateways while most of a hall is out.

Cause: the stop called the HTTP library's graceful shutdown on every connection. It closes a connection that is idle by its own count: also one on which a part of the next head has been read, and one that was opened and has sent nothing yet. Ruled out: a request that has arrived in full and unread, which the library reads before it looks at the stop.

Evidence before, on bytes of real processes: an answer after SIGTERM without "Connection: close"; "a whole head arrives: UnexpectedEof" for a head sent in two parts around the closing moment, and for a connection opened at 2.5 s that sends its request at 2.8 s. Three tests of three failed.

Change: from the stop on each answer announces the end of its connection. A connection ends only when it is idle since before the stop (or for half a second, if it was opened or answered during the stop) and a read of its socket finds nothing; its stream then reports the end of input. The listener stays until no connection is left or the time is over, and the connections in its queue are accepted before it goes. Connections no longer wait for a stop signal each; the stop goes over them every 20 ms. The process ends early as before once no connection is left.

After: the three tests pass; so does one over the queue of a closing listener, which also passes without the last accepts, since the system reports connections fast there.

--- a/components/edge/src/caller.rs
+++ b/components/edge/src/caller.rs
@@ -50,6 +50,8 @@
 struct Shared {
     buffers: RefCell<CallerBuffers>,
     connections: RefCell<BTreeMap<ConnectionId, Weak<Caller>>>,
+    /// Whether the process is stopping.
+    is_stopping: Cell<bool>,
     clock: Clock,
     metrics: Rc<Metrics>,
 }
@@ -60,6 +62,7 @@
         Self(Rc::new(Shared {
             buffers: RefCell::new(CallerBuffers::new(limits)),
             connections: RefCell::default(),
+            is_stopping: Cell::default(),
             clock,
             metrics,
         }))
@@ -94,6 +97,8 @@
             read_timeout: Cell::new(read_timeout),
             stream_deadline: Cell::new(None),
             is_closed: Cell::new(false),
+            idle: Cell::default(),
+            ends_when_idle: Cell::default(),
             waker: RefCell::default(),
         });
         self.0.connections.borrow_mut().insert(id, Rc::downgrade(&caller));
@@ -109,8 +114,34 @@
         caller.is_closed.set(true);
         // The bytes that are not sent are no longer accounted for.
         caller.note_end_in(CloseCause::SlowReader, ConnectionState::Answer);
-        let waker = caller.waker.take();
-        waker.into_iter().for_each(Waker::wake);
+        caller.wake();
+    }
+
+    /// From now on each answer announces the end of its connection.
+    pub fn begin_stop(&self) {
+        self.0.is_stopping.set(true);
+    }
+
+    /// Notes which connections are idle at a time.
+    pub fn note_idle(&self, now: Instant) {
+        for caller in self.open() {
+            caller.note_idle(now);
+        }
+    }
+
+    /// Ends the connections that have been idle for some time, and notes which others are idle.
+    pub fn end_idle(&self, min_idle: Duration) {
+        let now = Instant::now();
+        for caller in self.open() {
+            let idle_since = caller.note_idle(now);
+            if idle_since.is_some_and(|it| now.saturating_duration_since(it) >= min_idle) {
+                caller.end_when_idle();
+            }
+        }
+    }
+
+    fn open(&self) -> Vec<Rc<Caller>> {
+        self.0.connections.borrow().values().filter_map(Weak::upgrade).collect()
     }
 
     /// The number of connections to a server, by what they are doing.
@@ -129,9 +160,9 @@
     }
 
     fn open_to(&self, server: ServerName) -> Vec<Rc<Caller>> {
-        let connections = self.0.connections.borrow();
-        let open = connections.values().filter_map(Weak::upgrade);
-        open.filter(|it| it.server == server && !it.is_end_logged.get()).collect()
+        let mut open = self.open();
+        open.retain(|it| it.server == server && !it.is_end_logged.get());
+        open
     }
 
     fn log_closed(&self, reason: CloseReason, slow: SlowConnection) {
@@ -186,7 +217,11 @@
     /// Until when a runner may work on the current stream.
     stream_deadline: Cell<Option<Instant>>,
     is_closed: Cell<bool>,
-    /// Wakes the connection while it waits for its reader.
+    /// Since when it is idle, and how many requests had arrived on it then.
+    idle: Cell<Option<(Instant, u64)>>,
+    /// Whether it is closed as soon as it is idle and nothing has arrived on it.
+    ends_when_idle: Cell<bool>,
+    /// Wakes the task of the connection.
     waker: RefCell<Option<Waker>>,
 }
 
@@ -231,6 +266,42 @@
         self.state.set(ConnectionState::Waiting);
     }
 
+    /// Whether the process is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.callers.0.is_stopping.get()
+    }
+
+    /// Since when the connection is known to be idle.
+    fn note_idle(&self, now: Instant) -> Option<Instant> {
+        if self.state().has_request() {
+            self.idle.set(None);
+            return None;
+        }
+        let requests = self.requests.get();
+        let earlier = self.idle.get().filter(|it| it.1 == requests);
+        let (since, _) = earlier.unwrap_or((now, requests));
+        self.idle.set(Some((since, requests)));
+        Some(since)
+    }
+
+    fn end_when_idle(&self) {
+        if !self.ends_when_idle.replace(true) {
+            self.wake();
+        }
+    }
+
+    /// Sets what wakes the task of the connection.
+    pub fn set_waker(&self, waker: &Waker) {
+        let mut current = self.waker.borrow_mut();
+        if !current.as_ref().is_some_and(|it| it.will_wake(waker)) {
+            *current = Some(waker.clone());
+        }
+    }
+
+    fn wake(&self) {
+        self.waker.borrow().iter().for_each(Waker::wake_by_ref);
+    }
+
     /// Whether a part of the request's body was not read.
     pub fn is_unread(&self) -> bool {
         self.is_unread.get()
@@ -366,6 +437,12 @@
         Self { stream, caller, blocked_since: None, timer: None }
     }
 
+    /// Whether the connection ends because it is idle and nothing has arrived on it.
+    fn ends_now(&self) -> bool {
+        let is_blocked = self.blocked_since.is_some();
+        self.caller.ends_when_idle.get() && !is_blocked && !self.caller.state().has_request()
+    }
+
     fn poll_read_timeout(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let since = *self.blocked_since.get_or_insert_with(Instant::now);
         let (until, reason) = self.caller.read_deadline(since);
@@ -375,7 +452,6 @@
             self.caller.log_timeout(reason, since);
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
-        self.caller.waker.replace(Some(cx.waker().clone()));
         if self.timer.as_ref().is_none_or(|(at, _)| *at != until) {
             self.timer = Some((until, Timer::after(left)));
         }
@@ -401,6 +477,10 @@
         match &read {
             Poll::Ready(Ok(bytes)) => self.caller.record_arrival(*bytes),
             Poll::Ready(Err(_)) => self.caller.note_end(CloseCause::Caller),
+            Poll::Pending if self.ends_now() => {
+                self.caller.note_end(CloseCause::Stop);
+                return Poll::Ready(Ok(0));
+            }
             Poll::Pending => {}
         }
         read
--- a/components/edge/src/caller/tests.rs
+++ b/components/edge/src/caller/tests.rs
@@ -7,7 +7,6 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use bytes::Bytes;
@@ -84,22 +83,19 @@
     executor: Rc<LocalExecutor<'static>>,
     options: ServerOptions,
     callers: Callers,
-    open: Sender<()>,
 }
 
 impl TestServer {
     fn new() -> Self {
         let limits = BufferLimits::from_memory_mb(MEMORY_MB);
         let callers = Callers::new(limits, Clock::start(), Rc::new(Metrics::start().unwrap()));
-        let (open, stopping) = async_channel::bounded(1);
         let options = ServerOptions {
             name: ServerName::Callers,
             idle_timeout: IDLE_TIMEOUT,
-            stopping,
             open_connections: Rc::default(),
             callers: callers.clone(),
         };
-        Self { executor: Rc::default(), options, callers, open }
+        Self { executor: Rc::default(), options, callers }
     }
 
     fn connect<F>(&self, answer: impl Fn(Rc<Caller>) -> F + Clone + 'static) -> ConnectionEnd
@@ -108,6 +104,8 @@
     {
         let (caller, end) = connection();
         let handler = move |_: Request<Incoming>, caller| answer(caller);
+        let open_connections = &self.options.open_connections;
+        open_connections.set(open_connections.get() + 1);
         self.executor.spawn(serve_connection(end, self.options.clone(), handler)).detach();
         caller
     }
@@ -177,7 +175,7 @@
 
         let _idle = server.connect(no_answer);
         Timer::after(SLOW_AFTER).await;
-        server.open.close();
+        server.callers.end_idle(Duration::ZERO);
         server.wait_for_end("stop", "idle").await;
     });
 }
--- a/components/edge/src/gateway/mod.rs
+++ b/components/edge/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod sidecar_datagrams;
 mod sidecar_list;
 mod state_log;
+mod stop;
 mod table_server;
 mod table_state;
 mod trace;
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -5,8 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_channel::{Receiver, Sender};
-use async_executor::Task;
 use async_io::Timer;
 use errors::{Code, Result};
 use gateway::{ColdBounds, Event, GatewayOptions};
@@ -15,7 +13,6 @@
 use platform::store::Table;
 use settings::DeploymentSettings;
 use telemetry::Metrics;
-use uptime::Instant;
 
 use super::answer::{error_answer, full_body, AnswerBody};
 use super::core::Core;
@@ -26,37 +23,29 @@
 use super::reservations::Reservations;
 use super::sidecar_datagrams::exchange_datagrams;
 use super::state_log;
+use super::stop::{Accepting, Stop};
 use super::table_server;
 use super::table_state::Tables;
 use crate::caller::{Callers, ServerName};
 use crate::caller_buffers::BufferLimits;
 use crate::clock::Clock;
-use crate::connection_state::ConnectionState;
 use crate::datagram_socket::DatagramSocket;
 use crate::era::Era;
 use crate::metrics::{serve_metrics, StallDetector};
-use crate::server::{listen, serve, ServerOptions};
+use crate::server::{listen, serve, serve_until, ServerOptions};
 use crate::spawner::Spawner;
 
 /// How often the reducer receives a tick.
 const TICK_INTERVAL: Duration = Duration::from_millis(15);
-/// How long a stopping gateway continues to accept connections: the platform needs this long to detect the
-/// stop.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2600);
-/// How often a stopping gateway checks whether its connections have ended.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// A gateway stops this long before the end of its grace period.
-const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
 /// A gateway.
 pub struct GatewayNode {
     core: Core,
     grace: Cell<Duration>,
     stopping: Rc<Cell<bool>>,
-    stop: Sender<()>,
     open_connections: Rc<Cell<usize>>,
     callers: Callers,
-    accepting: RefCell<Option<Task<()>>>,
+    accepting: RefCell<Option<Accepting>>,
 }
 
 impl GatewayNode {
@@ -81,12 +70,10 @@
         );
         let bounds = BufferLimits::from_memory_mb(settings.node.memory_mb);
         let callers = Callers::new(bounds, core.clock, core.metrics.clone());
-        let (stop, stopped) = async_channel::bounded(1);
         let node = Self {
             core: core.clone(),
             grace: Cell::new(Duration::from_secs(settings.bounds.grace_s)),
             stopping: Rc::default(),
-            stop,
             open_connections: Rc::default(),
             callers: callers.clone(),
             accepting: RefCell::default(),
@@ -100,10 +87,10 @@
             has_read_quarantine.clone(),
         ));
         let is_ready = move || tables.are_complete() && has_read_quarantine.get();
-        node.serve_readiness(spawner, settings, is_ready, stopped.clone()).await?;
+        node.serve_readiness(spawner, settings, is_ready).await?;
         let era = core.tables.era.clone();
         let readers = HallReaders::new(settings, core.clock, era, core.metrics.clone());
-        node.serve_tables(spawner, settings, &readers, stopped.clone()).await?;
+        node.serve_tables(spawner, settings, &readers).await?;
         spawner.detach(maintain_readers_row(
             readers.clone(),
             store,
@@ -112,19 +99,14 @@
         follow_table(spawner, settings, &core, &readers, Table::Operator);
         follow_table(spawner, settings, &core, &readers, Table::Runners);
         exchange_datagrams(spawner, &core, socket, port);
-        serve_gateway_metrics(spawner, settings, &core, callers, stopped.clone()).await?;
+        serve_gateway_metrics(spawner, settings, &core, callers).await?;
         spawner.detach(tick(core.clone()));
         spawner.detach(state_log::log_state(core.clone()));
-        node.serve_callers(spawner, settings, stopped).await?;
+        node.serve_callers(spawner, settings).await?;
         Ok(node)
     }
 
-    async fn serve_callers(
-        &self,
-        spawner: &Spawner,
-        settings: &DeploymentSettings,
-        stopped: Receiver<()>,
-    ) -> Result<()> {
+    async fn serve_callers(&self, spawner: &Spawner, settings: &DeploymentSettings) -> Result<()> {
         let Some(gateway) = settings.gateway() else {
             return Ok(());
         };
@@ -132,14 +114,15 @@
         let options = ServerOptions {
             name: ServerName::Callers,
             idle_timeout: Duration::from_millis(gateway::Limits::default().idle_timeout_ms),
-            stopping: stopped,
             open_connections: self.open_connections.clone(),
             callers: self.callers.clone(),
         };
         let core = self.core.clone();
         let handler = move |request, caller| request::answer(core.clone(), caller, request);
-        let accepting = serve(spawner.clone(), listener, options, handler);
-        *self.accepting.borrow_mut() = Some(spawner.spawn(accepting));
+        let (closing, close) = async_channel::bounded(1);
+        let accepting = serve_until(close, spawner.clone(), listener, options, handler);
+        let task = spawner.spawn(accepting);
+        *self.accepting.borrow_mut() = Some(Accepting { closing, task });
         Ok(())
     }
 
@@ -148,7 +131,6 @@
         spawner: &Spawner,
         settings: &DeploymentSettings,
         is_ready: impl Fn() -> bool + Clone + 'static,
-        stopped: Receiver<()>,
     ) -> Result<()> {
         let Some(gateway) = settings.gateway() else {
             return Ok(());
@@ -157,7 +139,6 @@
         let options = ServerOptions {
             name: ServerName::Readiness,
             idle_timeout: Duration::from_secs(30),
-            stopping: stopped,
             open_connections: Rc::default(),
             callers: self.callers.clone(),
         };
@@ -176,14 +157,12 @@
         spawner: &Spawner,
         settings: &DeploymentSettings,
         readers: &HallReaders,
-        stopped: Receiver<()>,
     ) -> Result<()> {
         let address = SocketAddr::new(settings.node.address, settings.node.first_port);
         let listener = listen(address).await?;
         let options = ServerOptions {
             name: ServerName::Tables,
             idle_timeout: Duration::from_secs(30),
-            stopping: stopped,
             open_connections: Rc::default(),
             callers: self.callers.clone(),
         };
@@ -207,30 +186,13 @@
     /// Stops without interrupting requests: reports that it is not ready, continues until the platform has
     /// detected that, and ends when no request is in progress.
     pub async fn stop(&self) {
-        let end = Instant::now() + self.grace.get().saturating_sub(GRACE_MARGIN);
         self.stopping.set(true);
-        Timer::after(ACCEPT_AFTER_STOP).await;
-        drop(self.accepting.borrow_mut().take());
-        self.stop.close();
-        while self.open_connections.get() > 0 && Instant::now() < end {
-            Timer::after(STOP_POLL_INTERVAL).await;
-        }
-        log_open_connections(&self.callers);
+        let accepting = self.accepting.borrow_mut().take();
+        let open_connections = self.open_connections.clone();
+        Stop::begin(self.callers.clone(), open_connections, self.grace.get()).run(accepting).await;
     }
 }
 
-/// Logs what ends with the process.
-fn log_open_connections(callers: &Callers) {
-    let open = callers.count_open(ServerName::Callers);
-    let count = |state| open.get(&state).copied().unwrap_or(0);
-    let [idle, head, body, waiting, answer] = ConnectionState::ALL.map(count);
-    let connections: usize = open.values().sum();
-    let requests = connections - idle;
-    let level = if requests > 0 { log::Level::Warn } else { log::Level::Info };
-    log::log!(level, connections = connections, requests = requests, head = head, body = body, waiting = waiting, answer = answer; "open at the end of the stop");
-    callers.log_process_end(ServerName::Callers);
-}
-
 fn options(settings: &DeploymentSettings) -> GatewayOptions {
     GatewayOptions {
         name: settings.node.name.clone(),
@@ -262,7 +224,6 @@
     settings: &DeploymentSettings,
     core: &Core,
     callers: Callers,
-    stopped: Receiver<()>,
 ) -> Result<()> {
     let address = SocketAddr::new(settings.node.address, settings.node.last_port);
     let (metrics, core) = (core.metrics.clone(), core.clone());
@@ -305,7 +266,7 @@
             }
         }
     };
-    serve_metrics(spawner, address, stopped, metrics, callers, refresh).await
+    serve_metrics(spawner, address, metrics, callers, refresh).await
 }
 
 async fn tick(core: Core) {
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_channel::Receiver;
 use errors::{Code, Result};
 use fleet::EvacuationChange;
 use http::header::{HeaderValue, CONTENT_TYPE};
@@ -29,7 +28,6 @@
 pub async fn serve_metrics(
     spawner: &Spawner,
     address: SocketAddr,
-    stopping: Receiver<()>,
     metrics: Rc<Metrics>,
     callers: Callers,
     refresh: impl Fn() + Clone + 'static,
@@ -38,7 +36,6 @@
     let options = ServerOptions {
         name: ServerName::Metrics,
         idle_timeout: IDLE_TIMEOUT,
-        stopping,
         open_connections: Rc::default(),
         callers,
     };
--- a/components/edge/src/server.rs
+++ b/components/edge/src/server.rs
@@ -40,8 +40,6 @@
     pub name: ServerName,
     /// How long a connection may be idle, and how long a request head may take.
     pub idle_timeout: Duration,
-    /// Closed when the server stops.
-    pub stopping: Receiver<()>,
     /// The number of open connections.
     pub open_connections: Rc<Cell<usize>>,
     /// The state of the callers that are connected.
@@ -65,27 +63,71 @@
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (options, handler) = (options.clone(), handler.clone());
-                set_socket_options(&stream);
-                spawner.detach(serve_connection(stream, options, handler));
-            }
-            Err(_) => {
-                Timer::after(ACCEPT_PAUSE).await;
-            }
+        // After an error the next one is tried.
+        let _ = accept(&spawner, &listener, &options, &handler).await;
+    }
+}
+
+/// Accepts connections and answers their requests until `closing` is closed. The connections that are then in the
+/// listener's queue are accepted, and the listener is closed.
+pub async fn serve_until<H, F>(
+    closing: Receiver<()>,
+    spawner: Spawner,
+    listener: TcpListener,
+    options: ServerOptions,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, Rc<Caller>) -> F + Clone + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let accepting = async {
+        loop {
+            // After an error the next one is tried.
+            let _ = accept(&spawner, &listener, &options, &handler).await;
+        }
+    };
+    let closed = async {
+        let _ = closing.recv().await;
+    };
+    future::or(accepting, closed).await;
+    while let Some(Ok(_)) = future::poll_once(accept(&spawner, &listener, &options, &handler)).await
+    {
+    }
+}
+
+/// Accepts the next connection and answers its requests in a task.
+async fn accept<H, F>(
+    spawner: &Spawner,
+    listener: &TcpListener,
+    options: &ServerOptions,
+    handler: &H,
+) -> std::io::Result<()>
+where
+    H: Fn(Request<Incoming>, Rc<Caller>) -> F + Clone + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    match listener.accept().await {
+        Ok((stream, _)) => {
+            let (options, handler) = (options.clone(), handler.clone());
+            set_socket_options(&stream);
+            options.open_connections.set(options.open_connections.get() + 1);
+            spawner.detach(serve_connection(stream, options, handler));
+            Ok(())
+        }
+        Err(error) => {
+            Timer::after(ACCEPT_PAUSE).await;
+            Err(error)
         }
     }
 }
 
-/// Answers the requests of one connection until it ends.
+/// Answers the requests of one connection until it ends. The connection is already counted as open.
 pub async fn serve_connection<S, H, F>(stream: S, options: ServerOptions, handler: H)
 where
     S: AsyncRead + AsyncWrite + Unpin + 'static,
     H: Fn(Request<Incoming>, Rc<Caller>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
-    options.open_connections.set(options.open_connections.get() + 1);
     let caller = options.callers.connect(options.name, options.idle_timeout);
     let stream = CallerStream::new(stream, caller.clone());
     let ending = caller.clone();
@@ -94,7 +136,7 @@
         let (answer, caller) = (handler(request, caller.clone()), caller.clone());
         async move {
             let mut answer = answer.await;
-            if caller.is_unread() {
+            if caller.is_unread() || caller.is_stopping() {
                 answer.headers_mut().insert(CONNECTION, CLOSE);
             }
             caller.begin_answer();
@@ -108,21 +150,11 @@
         .header_read_timeout(options.idle_timeout)
         .max_buf_size(options.callers.limits().read_ahead);
     let mut connection = builder.serve_connection(FuturesIo::new(stream), service);
-    let served = future::or(async { Some((&mut connection).await) }, async {
-        let _ = options.stopping.recv().await;
-        None
+    let result = future::poll_fn(|cx| {
+        ending.set_waker(cx.waker());
+        Pin::new(&mut connection).poll(cx)
     })
     .await;
-    let result = match served {
-        Some(result) => result,
-        None => {
-            if !ending.state().has_request() {
-                ending.note_end(CloseCause::Stop);
-            }
-            Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
-        }
-    };
     let cause = ending.log_end(result.err().map_or(ending.unnoted_cause(), |it| cause_of(&it)));
     if needs_staged_close(cause, &ending) {
         let stream = connection.into_parts().io.into_inner();
@@ -169,3 +201,6 @@
         CloseCause::WriteError
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -53,8 +53,6 @@
 /// A sidecar. It has nothing to finish on a stop: the runner's work does not depend on it.
 pub struct SidecarNode {
     core: Core,
-    /// Keeps the metrics page open until the process ends.
-    _open: Sender<()>,
 }
 
 impl SidecarNode {
@@ -101,10 +99,9 @@
         let directory = DirectorySettings::new(settings);
         spawner.detach(directory::follow(core.clone(), socket.clone(), parts, directory));
         spawner.detach(ask_who_ordered(core.clone(), socket.clone()));
-        let (open, stopping) = async_channel::bounded(1);
-        serve_sidecar_metrics(spawner, settings, &core, stopping).await?;
+        serve_sidecar_metrics(spawner, settings, &core).await?;
         spawner.detach(tick(core.clone()));
-        Ok(Self { core, _open: open })
+        Ok(Self { core })
     }
 
     /// The metrics of this process.
@@ -312,7 +309,6 @@
     spawner: &Spawner,
     settings: &DeploymentSettings,
     core: &Core,
-    stopping: Receiver<()>,
 ) -> Result<()> {
     let address = SocketAddr::new(settings.node.address, settings.node.last_port);
     let bounds = BufferLimits::from_memory_mb(settings.node.memory_mb);
@@ -331,7 +327,7 @@
         core.metrics.set_gauge("requests_quarantined", quarantined as u64);
         core.metrics.set_gauge("places_taken", u64::from(rollout.slots().used()));
     };
-    serve_metrics(spawner, address, stopping, metrics, callers, refresh).await
+    serve_metrics(spawner, address, metrics, callers, refresh).await
 }
 
 async fn tick(core: Core) {
--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod evacuations;
 mod foreign_rows;
+mod kept_connection;
 mod leaving;
 mod limits;
 mod logs;
@@ -15,6 +16,7 @@
 mod runner_restarts;
 mod slow_callers;
 mod starts_between_versions;
+mod stops;
 mod store_rollbacks;
 mod support;
 mod table_readers;
