End every request before a stopping gateway ends

What callers saw: a request that was queued, waited for the head of an answer, or was streaming at the end of the grace period ended with the process: no answer, no refusal, no line in the log. A route may allow more time than the grace period, so this does not need a fault.

Ruled out: only requests that arrived after SIGTERM; those of before were lost as well.

One that was not sent is refused with 503 Stopping and Retry-After 0, one that was sent gets 504, a body on its way 503. A stream that has nothing ready is broken off, so that it does not look complete, and its trace says Stopping; an answer that is ready is delivered. A request that arrives once the platform has detected the stop, and may take longer than the process lives, is refused at once with 503 Stopping and Retry-After 0; one that arrives earlier is served. Nothing waits for the stop: it wakes the connections.

--- a/components/edge/src/caller.rs
+++ b/components/edge/src/caller.rs
@@ -10,7 +10,7 @@
 
 use async_io::Timer;
 use bytes::Bytes;
-use errors::Error;
+use errors::{Code, Error};
 use futures_lite::io::{AsyncRead, AsyncWrite};
 use futures_lite::FutureExt;
 use http_body::{Body, Frame, SizeHint};
@@ -21,6 +21,7 @@
 use crate::clock::Clock;
 use crate::connection_state::{CloseCause, ConnectionState};
 use crate::gateway::AnswerBody;
+use crate::stop_state::StopState;
 
 /// Why the connection of a caller that does not read is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,19 +51,23 @@
 struct Shared {
     buffers: RefCell<CallerBuffers>,
     connections: RefCell<BTreeMap<ConnectionId, Weak<Caller>>>,
-    /// Whether the process is stopping.
-    is_stopping: Cell<bool>,
+    stop: Rc<StopState>,
     clock: Clock,
     metrics: Rc<Metrics>,
 }
 
 impl Callers {
     /// Creates the state without connections.
-    pub fn new(limits: BufferLimits, clock: Clock, metrics: Rc<Metrics>) -> Self {
+    pub fn new(
+        limits: BufferLimits,
+        clock: Clock,
+        metrics: Rc<Metrics>,
+        stop: Rc<StopState>,
+    ) -> Self {
         Self(Rc::new(Shared {
             buffers: RefCell::new(CallerBuffers::new(limits)),
             connections: RefCell::default(),
-            is_stopping: Cell::default(),
+            stop,
             clock,
             metrics,
         }))
@@ -117,9 +122,18 @@
         caller.wake();
     }
 
-    /// From now on each answer announces the end of its connection.
-    pub fn begin_stop(&self) {
-        self.0.is_stopping.set(true);
+    /// Wakes all connections, so that their requests see what has changed.
+    pub fn wake(&self) {
+        self.open().iter().for_each(|it| it.wake());
+    }
+
+    /// Ends all connections whose callers do not read.
+    pub fn close_blocked(&self) {
+        for caller in self.open() {
+            caller.note_end(CloseCause::ProcessEnd);
+            caller.is_closed.set(true);
+            caller.wake();
+        }
     }
 
     /// Notes which connections are idle at a time.
@@ -268,7 +282,12 @@
 
     /// Whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
-        self.callers.0.is_stopping.get()
+        self.callers.0.stop.has_begun()
+    }
+
+    /// Whether all requests end, since the process does.
+    pub fn is_over(&self) -> bool {
+        self.callers.0.stop.is_over()
     }
 
     /// Since when the connection is known to be idle.
@@ -519,7 +538,8 @@
     }
 }
 
-/// The body of an answer whose bytes are accounted for until they are read.
+/// The body of an answer whose bytes are accounted for until they are read. One that is not there when the process
+/// ends is broken off, so that it does not look complete.
 pub struct AccountedBody {
     body: AnswerBody,
     caller: Rc<Caller>,
@@ -545,6 +565,10 @@
             Poll::Ready(Some(Ok(frame))) => {
                 self.caller.reserve_answer(frame.data_ref().map_or(0, Bytes::len));
             }
+            Poll::Pending if self.caller.is_over() => {
+                self.caller.note_end(CloseCause::ProcessEnd);
+                return Poll::Ready(Some(Err(Error::new(Code::Stopping, "the process ends"))));
+            }
             Poll::Ready(Some(Err(_))) => self.caller.note_end(CloseCause::AnswerAborted),
             Poll::Ready(None) | Poll::Pending => {}
         }
--- a/components/edge/src/caller/tests.rs
+++ b/components/edge/src/caller/tests.rs
@@ -88,7 +88,8 @@
 impl TestServer {
     fn new() -> Self {
         let limits = BufferLimits::from_memory_mb(MEMORY_MB);
-        let callers = Callers::new(limits, Clock::start(), Rc::new(Metrics::start().unwrap()));
+        let callers =
+            Callers::new(limits, Clock::start(), Rc::new(Metrics::start().unwrap()), Rc::default());
         let options = ServerOptions {
             name: ServerName::Callers,
             idle_timeout: IDLE_TIMEOUT,
--- a/components/edge/src/gateway/core.rs
+++ b/components/edge/src/gateway/core.rs
@@ -20,6 +20,7 @@
 use crate::clock::Clock;
 use crate::incarnation_log::log_incarnation_change;
 use crate::metrics::record_evacuation;
+use crate::stop_state::StopState;
 
 /// Number of gateways that rewrite a row which the store may have lost. It is more than one because a gateway
 /// may itself just have failed.
@@ -39,6 +40,8 @@
     pub reservations: Reservations,
     /// What is known of the store's tables.
     pub tables: Rc<Tables>,
+    /// The planned stop of the process.
+    pub stop: Rc<StopState>,
     /// Receives a message when sidecars have to be updated at once.
     pub sidecar_updates: Receiver<()>,
     notify_sidecar_update: Sender<()>,
@@ -77,6 +80,7 @@
             name: name.into(),
             reservations,
             tables,
+            stop: Rc::default(),
             sidecar_updates,
             notify_sidecar_update,
             crashes,
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -69,7 +69,7 @@
             tables.clone(),
         );
         let bounds = BufferLimits::from_memory_mb(settings.node.memory_mb);
-        let callers = Callers::new(bounds, core.clock, core.metrics.clone());
+        let callers = Callers::new(bounds, core.clock, core.metrics.clone(), core.stop.clone());
         let node = Self {
             core: core.clone(),
             grace: Cell::new(Duration::from_secs(settings.bounds.grace_s)),
@@ -188,8 +188,13 @@
     pub async fn stop(&self) {
         self.stopping.set(true);
         let accepting = self.accepting.borrow_mut().take();
-        let open_connections = self.open_connections.clone();
-        Stop::begin(self.callers.clone(), open_connections, self.grace.get()).run(accepting).await;
+        let stop = Stop {
+            state: self.core.stop.clone(),
+            clock: self.core.clock,
+            callers: self.callers.clone(),
+            open_connections: self.open_connections.clone(),
+        };
+        stop.run(self.grace.get(), accepting).await;
     }
 }
 
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -1,6 +1,7 @@
 //! Handling of one request of a caller, until the head of its answer.
 
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use account::Decision;
@@ -139,7 +140,7 @@
     let reading = read_body(&caller, body, catalog.limits.body_bytes);
     let body = with_request_deadline(&core, answer_deadline, reading)
         .await
-        .unwrap_or(Err(BodyError::Late));
+        .unwrap_or(Err(if core.stop.is_over() { BodyError::Stopping } else { BodyError::Late }));
     let body = match body {
         Ok(body) => body,
         Err(error) => {
@@ -147,6 +148,10 @@
             return error.refuse(&trace, id.as_deref());
         }
     };
+    if core.stop.refuses(arrived, answer_deadline) {
+        caller.release_body();
+        return refuse_stopping(&trace, id.as_deref());
+    }
     let path = head.uri.path_and_query().map_or("", |it| it.as_str());
     let digest = RequestDigest::of(head.method.as_str(), path, routed.workspace.as_ref(), &body);
     trace.set_kind(kind_name(routed.kind));
@@ -203,6 +208,8 @@
     Late,
     /// Too many bytes are buffered for other callers.
     NoMemory,
+    /// The process ends.
+    Stopping,
 }
 
 impl BodyError {
@@ -211,6 +218,7 @@
             Self::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, Code::TooLarge),
             Self::Broken => (StatusCode::BAD_REQUEST, Code::BadRequest),
             Self::Late => (StatusCode::REQUEST_TIMEOUT, Code::TooLate),
+            Self::Stopping => return refuse_stopping(trace, id),
             Self::NoMemory => {
                 let retry_after_ms = NO_MEMORY_RETRY_AFTER_MS;
                 trace.refuse(503, Code::Overloaded, Some(retry_after_ms), ServiceState::default());
@@ -287,6 +295,12 @@
     refusal(id, Code::NotReady, NOT_READY_RETRY_AFTER_MS)
 }
 
+/// Refuses a request because the process is stopping: another gateway serves it at once.
+fn refuse_stopping(trace: &Trace, id: Option<&str>) -> Response<AnswerBody> {
+    trace.refuse(503, Code::Stopping, Some(0), ServiceState::default());
+    refusal(id, Code::Stopping, 0)
+}
+
 /// Finds the route of a request and checks its API key.
 fn route(
     catalog: &Catalog,
@@ -387,19 +401,22 @@
     runner_answer
 }
 
-/// The final answer if the time limit of the request has expired.
+/// The final answer if the time limit of the request has expired, or the process ends.
 fn deadline_expired(context: &RequestContext, sent: bool) -> Response<AnswerBody> {
     let id = context.request_headers.id.as_deref();
     if sent {
         context.trace.end(RequestEnd::Unknown, 504, Some(Code::TimedOut));
         error_answer(StatusCode::GATEWAY_TIMEOUT, id, Code::TimedOut)
+    } else if context.caller.is_over() {
+        refuse_stopping(&context.trace, id)
     } else {
         context.trace.refuse(503, Code::TooLate, Some(0), ServiceState::default());
         refusal(id, Code::TooLate, 0)
     }
 }
 
-/// Waits for a future until a time of the process's clock. `None` if the time comes first.
+/// Waits for a future until a time of the process's clock. `None` if the time comes first, or if the process ends: the
+/// stop then wakes the connections, and with them the tasks that wait here.
 pub async fn with_request_deadline<T>(
     core: &Core,
     answer_deadline: Millis,
@@ -407,8 +424,12 @@
 ) -> Option<T> {
     let left = Duration::from_millis(answer_deadline.since(core.clock.now()).0);
     future::or(async { Some(future.await) }, async {
-        uptime::sleep(left).await;
+        future::or(uptime::sleep(left), end_of_requests(core)).await;
         None
     })
     .await
 }
+
+async fn end_of_requests(core: &Core) {
+    future::poll_fn(|_| if core.stop.is_over() { Poll::Ready(()) } else { Poll::Pending }).await;
+}
--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -161,6 +161,11 @@
         if self.ended.replace(true) {
             return;
         }
+        let is_cut = matches!(ending, RequestEnd::Cut | RequestEnd::Disconnected);
+        let (ending, code) = match code {
+            _ if is_cut && self.core.stop.is_over() => (RequestEnd::Cut, Some(Code::Stopping)),
+            code => (ending, code),
+        };
         self.core.metrics.count_request(self.kind.get(), ending.name());
         if let Some(code) = code {
             self.core.metrics.count_refusal(code);
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -29,6 +29,7 @@
 mod sidecar;
 mod spawner;
 mod staged_close;
+mod stop_state;
 mod store_time;
 mod store_timeouts;
 mod watch;
--- a/components/edge/src/server.rs
+++ b/components/edge/src/server.rs
@@ -178,16 +178,14 @@
 /// otherwise.
 fn needs_staged_close(cause: CloseCause, caller: &Caller) -> bool {
     match cause {
-        CloseCause::Caller
-        | CloseCause::SlowReader
-        | CloseCause::WriteError
-        | CloseCause::ProcessEnd => false,
+        CloseCause::Caller | CloseCause::SlowReader | CloseCause::WriteError => false,
         CloseCause::LastAnswer => !caller.is_last_request(),
         CloseCause::IdleTimeout
         | CloseCause::Stop
         | CloseCause::AnswerAborted
         | CloseCause::BadRequest
-        | CloseCause::Unread => true,
+        | CloseCause::Unread
+        | CloseCause::ProcessEnd => true,
     }
 }
 
--- a/components/edge/src/server/tests.rs
+++ b/components/edge/src/server/tests.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
+use fleet::Millis;
 use futures_lite::future;
 use telemetry::Metrics;
 
@@ -12,6 +13,7 @@
 use crate::caller_buffers::BufferLimits;
 use crate::clock::Clock;
 use crate::gateway::full_body;
+use crate::stop_state::{StopPlan, StopState};
 
 /// Timeout of any single wait.
 const TEST_TIMEOUT: Duration = Duration::from_secs(5);
@@ -21,13 +23,13 @@
 /// The number of connections in the listener's queue.
 const QUEUED: usize = 5;
 
-fn options() -> ServerOptions {
+fn options(stop: Rc<StopState>) -> ServerOptions {
     let limits = BufferLimits::from_memory_mb(MEMORY_MB);
     ServerOptions {
         name: ServerName::Callers,
         idle_timeout: TEST_TIMEOUT,
         open_connections: Rc::default(),
-        callers: Callers::new(limits, Clock::start(), Rc::new(Metrics::start().unwrap())),
+        callers: Callers::new(limits, Clock::start(), Rc::new(Metrics::start().unwrap()), stop),
     }
 }
 
@@ -38,9 +40,10 @@
 #[test]
 fn connections_in_the_queue_of_a_listener_that_closes_are_not_reset() {
     let executor = Rc::new(LocalExecutor::new());
-    let options = options();
+    let stop = Rc::<StopState>::default();
+    let options = options(stop.clone());
     let open_connections = options.open_connections.clone();
-    options.callers.begin_stop();
+    stop.begin(StopPlan { detected_at: Millis(0), requests_end: Millis(u64::MAX) });
     let served = executor.run(async {
         let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await.unwrap();
         let address = listener.local_addr().unwrap();
--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -312,7 +312,7 @@
 ) -> Result<()> {
     let address = SocketAddr::new(settings.node.address, settings.node.last_port);
     let bounds = BufferLimits::from_memory_mb(settings.node.memory_mb);
-    let callers = Callers::new(bounds, core.clock, core.metrics.clone());
+    let callers = Callers::new(bounds, core.clock, core.metrics.clone(), Rc::default());
     let (metrics, core) = (core.metrics.clone(), core.clone());
     let refresh = move || {
         let rollout = core.rollout.borrow();
--- a/daemon/tests/deployment/kept_connection.rs
+++ b/daemon/tests/deployment/kept_connection.rs
@@ -104,4 +104,18 @@
             Err(error) => panic!("{error}"),
         }
     }
+
+    /// Reads until the gateway closes the connection.
+    pub fn read_to_end(&mut self) -> std::io::Result<String> {
+        let mut bytes = Vec::new();
+        self.0.read_to_end(&mut bytes)?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    }
+
+    /// Reads at most this many bytes after a pause. Returns whether the connection is still open.
+    pub fn read_some(&mut self, bytes: usize, pause: Duration) -> bool {
+        thread::sleep(pause);
+        let mut buffer = vec![0; bytes];
+        matches!(self.0.read(&mut buffer), Ok(1..))
+    }
 }
