Follow the configuration's idle timeout, and time heads from their first byte

What callers saw: the idle timeout of a configuration had no effect. Callers take up connections that rested for a part of the timeout that they know, so one that a configuration raises makes them use connections that the gateway closes. And a request whose head began late in the idle time was cut in the middle of the head.

Cause: the server took the default once, at its start, and gave it to the HTTP library, whose one timer runs from the end of the last answer to the end of the next head. Ruled out: the decoding of the configuration, which is right.

Evidence before: with 1,500 ms in the configuration a connection was closed after 15.0 s; with a timeout of 200 ms, a head whose first half arrived at 150 ms and its second at 250 ms got no answer.

Change: a timer of the connection itself. A wait lasts as long as the timeout in force at its start, or now if that is longer: a raised one counts at once, a lowered one from the next wait, and neither touches a request. A head has the time from its first byte. When the time is over the socket is read once more, and the connection ends in stages only if nothing has arrived. A timer that fires early is kept for the next wait, so that a request costs no timer.

Not done: the configuration's limits for the size and the time of a head stay unused.

--- a/components/edge/src/caller.rs
+++ b/components/edge/src/caller.rs
@@ -233,8 +233,8 @@
     is_closed: Cell<bool>,
     /// Since when it is idle, and how many requests had arrived on it then.
     idle: Cell<Option<(Instant, u64)>>,
-    /// Whether it is closed as soon as it is idle and nothing has arrived on it.
-    ends_when_idle: Cell<bool>,
+    /// Why it is closed as soon as it is idle and nothing has arrived on it.
+    ends_when_idle: Cell<Option<CloseCause>>,
     /// Wakes the task of the connection.
     waker: RefCell<Option<Waker>>,
 }
@@ -271,6 +271,7 @@
         self.has_read_ahead.set(false);
         self.is_unread.set(has_body);
         self.is_last_request.set(is_last);
+        self.ends_when_idle.set(None);
         self.state.set(ConnectionState::Body);
     }
 
@@ -304,11 +305,16 @@
     }
 
     fn end_when_idle(&self) {
-        if !self.ends_when_idle.replace(true) {
+        if self.ends_when_idle.replace(Some(CloseCause::Stop)).is_none() {
             self.wake();
         }
     }
 
+    /// Ends the connection, because it has waited for its caller for too long, unless something has arrived.
+    pub fn expire(&self) {
+        self.ends_when_idle.set(Some(CloseCause::IdleTimeout));
+    }
+
     /// Sets what wakes the task of the connection.
     pub fn set_waker(&self, waker: &Waker) {
         let mut current = self.waker.borrow_mut();
@@ -321,6 +327,11 @@
         self.waker.borrow().iter().for_each(Waker::wake_by_ref);
     }
 
+    /// The number of requests that arrived on the connection.
+    pub fn requests(&self) -> u64 {
+        self.requests.get()
+    }
+
     /// Whether a part of the request's body was not read.
     pub fn is_unread(&self) -> bool {
         self.is_unread.get()
@@ -401,7 +412,10 @@
             return;
         }
         match self.state.get() {
-            ConnectionState::Idle => self.state.set(ConnectionState::Head),
+            ConnectionState::Idle => {
+                self.state.set(ConnectionState::Head);
+                self.ends_when_idle.set(None);
+            }
             ConnectionState::Waiting | ConnectionState::Answer => self.has_read_ahead.set(true),
             ConnectionState::Head | ConnectionState::Body => {}
         }
@@ -456,10 +470,16 @@
         Self { stream, caller, blocked_since: None, timer: None }
     }
 
-    /// Whether the connection ends because it is idle and nothing has arrived on it.
-    fn ends_now(&self) -> bool {
-        let is_blocked = self.blocked_since.is_some();
-        self.caller.ends_when_idle.get() && !is_blocked && !self.caller.state().has_request()
+    /// Why the connection ends now that nothing has arrived on it. A head that is incomplete is waited for, unless
+    /// its time is over.
+    fn end_now(&self) -> Option<CloseCause> {
+        let cause = self.caller.ends_when_idle.get().filter(|_| self.blocked_since.is_none())?;
+        let ends = match self.caller.state() {
+            ConnectionState::Idle => true,
+            ConnectionState::Head => cause == CloseCause::IdleTimeout,
+            ConnectionState::Body | ConnectionState::Waiting | ConnectionState::Answer => false,
+        };
+        ends.then_some(cause)
     }
 
     fn poll_read_timeout(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
@@ -496,11 +516,12 @@
         match &read {
             Poll::Ready(Ok(bytes)) => self.caller.record_arrival(*bytes),
             Poll::Ready(Err(_)) => self.caller.note_end(CloseCause::Caller),
-            Poll::Pending if self.ends_now() => {
-                self.caller.note_end(CloseCause::Stop);
-                return Poll::Ready(Ok(0));
+            Poll::Pending => {
+                if let Some(cause) = self.end_now() {
+                    self.caller.note_end(cause);
+                    return Poll::Ready(Ok(0));
+                }
             }
-            Poll::Pending => {}
         }
         read
     }
--- a/components/edge/src/caller/tests.rs
+++ b/components/edge/src/caller/tests.rs
@@ -24,6 +24,7 @@
 use crate::caller_buffers::BufferLimits;
 use crate::clock::Clock;
 use crate::gateway::{full_body, AnswerBody};
+use crate::idle_timer::IdleTimeout;
 use crate::server::{serve_connection, ServerOptions};
 
 /// Memory of the process, in MB.
@@ -92,7 +93,7 @@
             Callers::new(limits, Clock::start(), Rc::new(Metrics::start().unwrap()), Rc::default());
         let options = ServerOptions {
             name: ServerName::Callers,
-            idle_timeout: IDLE_TIMEOUT,
+            idle_timeout: IdleTimeout::fixed(IDLE_TIMEOUT),
             open_connections: Rc::default(),
             callers: callers.clone(),
         };
@@ -152,6 +153,99 @@
     Response::new(Box::pin(StreamBody::new(frames)))
 }
 
+/// Answers after a while.
+async fn late_answer(_: Rc<Caller>) -> Response<AnswerBody> {
+    Timer::after(SLOW_AFTER).await;
+    Response::new(full_body("answer"))
+}
+
+/// Reads an answer, and returns whether it is whole.
+async fn reads_answer(end: &mut ConnectionEnd) -> bool {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"answer") {
+        let mut byte = [0];
+        match end.read(&mut byte).await {
+            Ok(1) => bytes.push(byte[0]),
+            _ => return false,
+        }
+    }
+    bytes.starts_with(b"HTTP/1.1 200")
+}
+
+/// A server whose idle timeout can be changed.
+fn server_with_idle_timeout(timeout: Duration) -> (TestServer, Rc<Cell<Duration>>) {
+    let timeout = Rc::new(Cell::new(timeout));
+    let mut server = TestServer::new();
+    let in_force = timeout.clone();
+    server.options.idle_timeout = IdleTimeout::new(move || in_force.get());
+    (server, timeout)
+}
+
+#[test]
+fn a_lowered_idle_timeout_neither_cuts_a_request_nor_is_ignored() {
+    let (server, timeout) = server_with_idle_timeout(IDLE_TIMEOUT);
+    let mut end = server.connect(late_answer);
+    server.run(async {
+        end.write_all(REQUEST).await.unwrap();
+        Timer::after(SLOW_AFTER / 2).await;
+        timeout.set(SLOW_AFTER / 4);
+        assert!(reads_answer(&mut end).await);
+        assert_eq!(end.read(&mut [0]).await.unwrap(), 0, "the idle connection is closed");
+        server.wait_for_end("idle_timeout", "idle").await;
+    });
+}
+
+#[test]
+fn a_raised_idle_timeout_does_not_close_connections_that_callers_still_use() {
+    let (server, timeout) = server_with_idle_timeout(SLOW_AFTER);
+    let mut end = server.connect(late_answer);
+    server.run(async {
+        Timer::after(SLOW_AFTER / 2).await;
+        timeout.set(IDLE_TIMEOUT);
+        Timer::after(2 * SLOW_AFTER).await;
+        end.write_all(REQUEST).await.unwrap();
+        assert!(reads_answer(&mut end).await);
+    });
+}
+
+#[test]
+fn a_request_head_that_begins_late_in_the_idle_time_is_not_cut() {
+    let (server, _) = server_with_idle_timeout(SLOW_AFTER);
+    let mut end = server.connect(late_answer);
+    let (first, rest) = REQUEST.split_at(REQUEST.len() / 2);
+    server.run(async {
+        Timer::after(SLOW_AFTER * 3 / 4).await;
+        end.write_all(first).await.unwrap();
+        Timer::after(SLOW_AFTER / 2).await;
+        end.write_all(rest).await.unwrap();
+        assert!(reads_answer(&mut end).await);
+    });
+}
+
+#[test]
+fn requests_that_are_sent_before_the_answer_to_the_first_are_not_lost() {
+    let (server, _) = server_with_idle_timeout(IDLE_TIMEOUT);
+    let mut end = server.connect(late_answer);
+    server.run(async {
+        end.write_all(&REQUEST.repeat(2)).await.unwrap();
+        Timer::after(SLOW_AFTER / 2).await;
+        end.write_all(REQUEST).await.unwrap();
+        for _ in 0..3 {
+            assert!(reads_answer(&mut end).await);
+        }
+    });
+}
+
+#[test]
+fn a_request_head_that_stays_incomplete_does_not_hold_its_connection() {
+    let (server, _) = server_with_idle_timeout(SLOW_AFTER);
+    let mut end = server.connect(late_answer);
+    server.run(async {
+        end.write_all(&REQUEST[..5]).await.unwrap();
+        server.wait_for_end("idle_timeout", "head").await;
+    });
+}
+
 #[test]
 fn a_closed_connection_does_not_hide_which_request_was_on_it() {
     let server = TestServer::new();
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -7,7 +7,7 @@
 
 use async_io::Timer;
 use errors::{Code, Result};
-use gateway::{ColdBounds, Event, GatewayOptions};
+use gateway::{ColdBounds, Event, GatewayOptions, Limits};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use platform::store::Table;
@@ -31,12 +31,15 @@
 use crate::clock::Clock;
 use crate::datagram_socket::DatagramSocket;
 use crate::era::Era;
+use crate::idle_timer::IdleTimeout;
 use crate::metrics::{serve_metrics, StallDetector};
 use crate::server::{listen, serve, serve_until, ServerOptions};
 use crate::spawner::Spawner;
 
 /// How often the reducer receives a tick.
 const TICK_INTERVAL: Duration = Duration::from_millis(15);
+/// How long a connection of the platform or of another gateway may be idle.
+const INTERNAL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A gateway.
 pub struct GatewayNode {
@@ -111,9 +114,10 @@
             return Ok(());
         };
         let listener = listen(gateway.callers).await?;
+        let configured = self.core.clone();
         let options = ServerOptions {
             name: ServerName::Callers,
-            idle_timeout: Duration::from_millis(gateway::Limits::default().idle_timeout_ms),
+            idle_timeout: IdleTimeout::new(move || idle_timeout(&configured)),
             open_connections: self.open_connections.clone(),
             callers: self.callers.clone(),
         };
@@ -138,7 +142,7 @@
         let listener = listen(gateway.readiness).await?;
         let options = ServerOptions {
             name: ServerName::Readiness,
-            idle_timeout: Duration::from_secs(30),
+            idle_timeout: IdleTimeout::fixed(INTERNAL_IDLE_TIMEOUT),
             open_connections: Rc::default(),
             callers: self.callers.clone(),
         };
@@ -162,7 +166,7 @@
         let listener = listen(address).await?;
         let options = ServerOptions {
             name: ServerName::Tables,
-            idle_timeout: Duration::from_secs(30),
+            idle_timeout: IdleTimeout::fixed(INTERNAL_IDLE_TIMEOUT),
             open_connections: Rc::default(),
             callers: self.callers.clone(),
         };
@@ -198,6 +202,12 @@
     }
 }
 
+/// How long a caller's connection may be idle, by the configuration in force.
+fn idle_timeout(core: &Core) -> Duration {
+    let limits = core.catalog().map_or_else(Limits::default, |it| it.limits);
+    Duration::from_millis(limits.idle_timeout_ms)
+}
+
 fn options(settings: &DeploymentSettings) -> GatewayOptions {
     GatewayOptions {
         name: settings.node.name.clone(),
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod gateway;
 mod http_client;
 mod http_connection;
+mod idle_timer;
 mod incarnation_log;
 mod link_yield;
 mod listing;
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -14,6 +14,7 @@
 
 use crate::caller::{Callers, ServerName};
 use crate::gateway::{error_answer, full_body, AnswerBody};
+use crate::idle_timer::IdleTimeout;
 use crate::server::{listen, serve, ServerOptions};
 use crate::spawner::Spawner;
 
@@ -35,7 +36,7 @@
     let listener = listen(address).await?;
     let options = ServerOptions {
         name: ServerName::Metrics,
-        idle_timeout: IDLE_TIMEOUT,
+        idle_timeout: IdleTimeout::fixed(IDLE_TIMEOUT),
         open_connections: Rc::default(),
         callers,
     };
--- a/components/edge/src/server.rs
+++ b/components/edge/src/server.rs
@@ -19,12 +19,13 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::FuturesIo;
 
 use crate::caller::{AccountedBody, Caller, CallerStream, Callers, ServerName};
 use crate::connection_state::CloseCause;
 use crate::gateway::AnswerBody;
 use crate::http_connection::set_socket_options;
+use crate::idle_timer::{IdleTimeout, IdleTimer};
 use crate::spawner::Spawner;
 use crate::staged_close::close_in_stages;
 
@@ -39,7 +40,7 @@
     /// The server, in logs and metrics.
     pub name: ServerName,
     /// How long a connection may be idle, and how long a request head may take.
-    pub idle_timeout: Duration,
+    pub idle_timeout: IdleTimeout,
     /// The number of open connections.
     pub open_connections: Rc<Cell<usize>>,
     /// The state of the callers that are connected.
@@ -128,7 +129,7 @@
     H: Fn(Request<Incoming>, Rc<Caller>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
-    let caller = options.callers.connect(options.name, options.idle_timeout);
+    let caller = options.callers.connect(options.name, options.idle_timeout.current());
     let stream = CallerStream::new(stream, caller.clone());
     let ending = caller.clone();
     let service = service_fn(move |request: Request<Incoming>| {
@@ -146,13 +147,19 @@
     });
     let mut builder = Builder::new();
     builder
-        .timer(SmolTimer::new())
-        .header_read_timeout(options.idle_timeout)
+        // The timer of the stream replaces it.
+        .header_read_timeout(None)
         .max_buf_size(options.callers.limits().read_ahead);
     let mut connection = builder.serve_connection(FuturesIo::new(stream), service);
+    let mut idle_timer = IdleTimer::new(options.idle_timeout.clone());
     let result = future::poll_fn(|cx| {
         ending.set_waker(cx.waker());
-        Pin::new(&mut connection).poll(cx)
+        let polled = Pin::new(&mut connection).poll(cx);
+        if polled.is_pending() && idle_timer.poll_expired(cx, &ending) {
+            ending.expire();
+            return Pin::new(&mut connection).poll(cx);
+        }
+        polled
     })
     .await;
     let cause = ending.log_end(result.err().map_or(ending.unnoted_cause(), |it| cause_of(&it)));
@@ -191,9 +198,7 @@
 
 /// Why a connection ended with an error that neither its stream nor its answer has noted.
 fn cause_of(error: &hyper::Error) -> CloseCause {
-    if error.is_timeout() {
-        CloseCause::IdleTimeout
-    } else if error.is_parse() {
+    if error.is_parse() {
         CloseCause::BadRequest
     } else {
         CloseCause::WriteError
--- a/components/edge/src/server/tests.rs
+++ b/components/edge/src/server/tests.rs
@@ -27,7 +27,7 @@
     let limits = BufferLimits::from_memory_mb(MEMORY_MB);
     ServerOptions {
         name: ServerName::Callers,
-        idle_timeout: TEST_TIMEOUT,
+        idle_timeout: IdleTimeout::fixed(TEST_TIMEOUT),
         open_connections: Rc::default(),
         callers: Callers::new(limits, Clock::start(), Rc::new(Metrics::start().unwrap()), stop),
     }
--- a/daemon/tests/deployment/reload.rs
+++ b/daemon/tests/deployment/reload.rs
@@ -1,11 +1,20 @@
 //! Tests of settings that change while a process runs.
 
+use std::time::{Duration, Instant};
+
 use http::Method;
 use platform_standin::Caller;
 use rustix::process::Signal;
+use serde_json::json;
 
+use crate::kept_connection::KeptConnection;
 use crate::support::{wait_until, Deployment};
 
+/// The idle timeout of a new configuration, in milliseconds.
+const IDLE_TIMEOUT_MS: u64 = 1500;
+/// How much earlier the caller may see the end than the gateway's time of the answer says.
+const TOLERANCE: Duration = Duration::from_millis(100);
+
 #[test]
 fn after_sighup_reloadable_settings_are_in_force_and_the_others_are_logged() {
     let mut deployment = Deployment::start();
@@ -59,3 +68,23 @@
     let answer = Caller::new(Method::GET, "/get/x", "f1").call(gateway);
     assert_eq!(answer.status, 200);
 }
+
+#[test]
+fn the_idle_timeout_of_a_new_configuration_is_not_ignored() {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    deployment.standin.reconfigure(|it| it["limits"]["idleTimeoutMs"] = json!(IDLE_TIMEOUT_MS));
+    wait_until("the configuration is in force", || {
+        let metrics = deployment.metrics(gateway.ip());
+        let mut lines = metrics.lines().filter(|it| it.contains("name=\"configuration\""));
+        lines.any(|it| it.ends_with(" 4"))
+    });
+    let mut connection = KeptConnection::open(gateway);
+    assert_eq!(connection.call("/post/x", "idle", 8).status, 200);
+    let answered = Instant::now();
+    assert!(connection.ends_without_reset());
+    let idle = answered.elapsed();
+    let timeout = Duration::from_millis(IDLE_TIMEOUT_MS);
+    assert!((timeout..2 * timeout).contains(&(idle + TOLERANCE)), "{idle:?}");
+}
