--- a/components/edge/src/caller/tests.rs
+++ b/components/edge/src/caller/tests.rs
@@ -7,11 +7,10 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use bytes::Bytes;
-use errors::Error;
+use errors::{Code, Error};
 use futures_lite::future;
 use futures_lite::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use futures_lite::stream;
@@ -21,10 +20,11 @@
 use hyper::body::Incoming;
 use telemetry::Metrics;
 
-use super::{Caller, Callers};
+use super::{Caller, Callers, ServerName};
 use crate::caller_buffers::BufferLimits;
 use crate::clock::Clock;
 use crate::gateway::{full_body, AnswerBody};
+use crate::idle_timer::IdleTimeout;
 use crate::server::{serve_connection, ServerOptions};
 
 /// Memory of the process, in MB.
@@ -84,21 +84,20 @@
     executor: Rc<LocalExecutor<'static>>,
     options: ServerOptions,
     callers: Callers,
-    _open: Sender<()>,
 }
 
 impl TestServer {
     fn new() -> Self {
         let limits = BufferLimits::from_memory_mb(MEMORY_MB);
-        let callers = Callers::new(limits, Clock::start(), Rc::new(Metrics::start().unwrap()));
-        let (open, stopping) = async_channel::bounded(1);
+        let callers =
+            Callers::new(limits, Clock::start(), Rc::new(Metrics::start().unwrap()), Rc::default());
         let options = ServerOptions {
-            idle_timeout: IDLE_TIMEOUT,
-            stopping,
+            name: ServerName::Callers,
+            idle_timeout: IdleTimeout::fixed(IDLE_TIMEOUT),
             open_connections: Rc::default(),
             callers: callers.clone(),
         };
-        Self { executor: Rc::default(), options, callers, _open: open }
+        Self { executor: Rc::default(), options, callers }
     }
 
     fn connect<F>(&self, answer: impl Fn(Rc<Caller>) -> F + Clone + 'static) -> ConnectionEnd
@@ -107,6 +106,8 @@
     {
         let (caller, end) = connection();
         let handler = move |_: Request<Incoming>, caller| answer(caller);
+        let open_connections = &self.options.open_connections;
+        open_connections.set(open_connections.get() + 1);
         self.executor.spawn(serve_connection(end, self.options.clone(), handler)).detach();
         caller
     }
@@ -124,6 +125,154 @@
             .lines()
             .any(|it| it.replace(",otel_scope_name=\"silverdock\"", "").starts_with(&line))
     }
+
+    /// Waits until a connection has ended with this reason, in this state.
+    async fn wait_for_end(&self, reason: &str, state: &str) {
+        let (reason, state) = (format!("reason=\"{reason}\""), format!("state=\"{state}\""));
+        let started = Instant::now();
+        loop {
+            let text = self.callers.0.metrics.render();
+            let mut ends = text.lines().filter(|it| it.starts_with("silverdock_connection_ends"));
+            if ends.any(|it| it.contains(&reason) && it.contains(&state)) {
+                return;
+            }
+            assert!(started.elapsed() < 3 * READ_TIMEOUT, "no end by {reason} in {state}:\n{text}");
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// Leaves the request without an answer.
+async fn no_answer(caller: Rc<Caller>) -> Response<AnswerBody> {
+    caller.finish_reading();
+    future::pending().await
+}
+
+async fn aborted_answer(_: Rc<Caller>) -> Response<AnswerBody> {
+    let frames = stream::once(Err(Error::new(Code::CutShort, "")));
+    Response::new(Box::pin(StreamBody::new(frames)))
+}
+
+/// Answers after a while.
+async fn late_answer(_: Rc<Caller>) -> Response<AnswerBody> {
+    Timer::after(SLOW_AFTER).await;
+    Response::new(full_body("answer"))
+}
+
+/// Reads an answer, and returns whether it is whole.
+async fn reads_answer(end: &mut ConnectionEnd) -> bool {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"answer") {
+        let mut byte = [0];
+        match end.read(&mut byte).await {
+            Ok(1) => bytes.push(byte[0]),
+            _ => return false,
+        }
+    }
+    bytes.starts_with(b"HTTP/1.1 200")
+}
+
+/// A server whose idle timeout can be changed.
+fn server_with_idle_timeout(timeout: Duration) -> (TestServer, Rc<Cell<Duration>>) {
+    let timeout = Rc::new(Cell::new(timeout));
+    let mut server = TestServer::new();
+    let in_force = timeout.clone();
+    server.options.idle_timeout = IdleTimeout::new(move || in_force.get());
+    (server, timeout)
+}
+
+#[test]
+fn a_lowered_idle_timeout_neither_cuts_a_request_nor_is_ignored() {
+    let (server, timeout) = server_with_idle_timeout(IDLE_TIMEOUT);
+    let mut end = server.connect(late_answer);
+    server.run(async {
+        end.write_all(REQUEST).await.unwrap();
+        Timer::after(SLOW_AFTER / 2).await;
+        timeout.set(SLOW_AFTER / 4);
+        assert!(reads_answer(&mut end).await);
+        assert_eq!(end.read(&mut [0]).await.unwrap(), 0, "the idle connection is closed");
+        server.wait_for_end("idle_timeout", "idle").await;
+    });
+}
+
+#[test]
+fn a_raised_idle_timeout_does_not_close_connections_that_callers_still_use() {
+    let (server, timeout) = server_with_idle_timeout(SLOW_AFTER);
+    let mut end = server.connect(late_answer);
+    server.run(async {
+        Timer::after(SLOW_AFTER / 2).await;
+        timeout.set(IDLE_TIMEOUT);
+        Timer::after(2 * SLOW_AFTER).await;
+        end.write_all(REQUEST).await.unwrap();
+        assert!(reads_answer(&mut end).await);
+    });
+}
+
+#[test]
+fn a_request_head_that_begins_late_in_the_idle_time_is_not_cut() {
+    let (server, _) = server_with_idle_timeout(SLOW_AFTER);
+    let mut end = server.connect(late_answer);
+    let (first, rest) = REQUEST.split_at(REQUEST.len() / 2);
+    server.run(async {
+        Timer::after(SLOW_AFTER * 3 / 4).await;
+        end.write_all(first).await.unwrap();
+        Timer::after(SLOW_AFTER / 2).await;
+        end.write_all(rest).await.unwrap();
+        assert!(reads_answer(&mut end).await);
+    });
+}
+
+#[test]
+fn requests_that_are_sent_before_the_answer_to_the_first_are_not_lost() {
+    let (server, _) = server_with_idle_timeout(IDLE_TIMEOUT);
+    let mut end = server.connect(late_answer);
+    server.run(async {
+        end.write_all(&REQUEST.repeat(2)).await.unwrap();
+        Timer::after(SLOW_AFTER / 2).await;
+        end.write_all(REQUEST).await.unwrap();
+        for _ in 0..3 {
+            assert!(reads_answer(&mut end).await);
+        }
+    });
+}
+
+#[test]
+fn a_request_head_that_stays_incomplete_does_not_hold_its_connection() {
+    let (server, _) = server_with_idle_timeout(SLOW_AFTER);
+    let mut end = server.connect(late_answer);
+    server.run(async {
+        end.write_all(&REQUEST[..5]).await.unwrap();
+        server.wait_for_end("idle_timeout", "head").await;
+    });
+}
+
+#[test]
+fn a_closed_connection_does_not_hide_which_request_was_on_it() {
+    let server = TestServer::new();
+    server.run(async {
+        let mut waiting = server.connect(no_answer);
+        waiting.write_all(REQUEST).await.unwrap();
+        Timer::after(SLOW_AFTER).await;
+        drop(waiting);
+        server.wait_for_end("caller", "waiting").await;
+
+        let mut aborted = server.connect(aborted_answer);
+        aborted.write_all(REQUEST).await.unwrap();
+        server.wait_for_end("answer_aborted", "answer").await;
+
+        let mut broken = server.connect(no_answer);
+        broken.write_all(b"no request\r\n\r\n").await.unwrap();
+        server.wait_for_end("bad_request", "head").await;
+
+        let mut unread = server.connect(large_answer);
+        unread.write_all(REQUEST).await.unwrap();
+        server.wait_for_end("slow_reader", "answer").await;
+
+        let _idle = server.connect(no_answer);
+        Timer::after(SLOW_AFTER).await;
+        server.callers.end_idle(Duration::ZERO);
+        server.wait_for_end("stop", "idle").await;
+    });
 }
 
 async fn large_answer(caller: Rc<Caller>) -> Response<AnswerBody> {
--- a/components/edge/src/gateway/node.rs
+++ b/components/edge/src/gateway/node.rs
@@ -5,17 +5,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_channel::{Receiver, Sender};
-use async_executor::Task;
 use async_io::Timer;
 use errors::{Code, Result};
-use gateway::{ColdBounds, Event, GatewayOptions};
+use gateway::{ColdBounds, Event, GatewayOptions, Limits};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use platform::store::Table;
 use settings::DeploymentSettings;
 use telemetry::Metrics;
-use uptime::Instant;
 
 use super::answer::{error_answer, full_body, AnswerBody};
 use super::core::Core;
@@ -26,36 +23,32 @@
 use super::reservations::Reservations;
 use super::sidecar_datagrams::exchange_datagrams;
 use super::state_log;
+use super::stop::{Accepting, Stop};
 use super::table_server;
 use super::table_state::Tables;
-use crate::caller::Callers;
+use crate::caller::{Callers, ServerName};
 use crate::caller_buffers::BufferLimits;
 use crate::clock::Clock;
 use crate::datagram_socket::DatagramSocket;
 use crate::era::Era;
+use crate::idle_timer::IdleTimeout;
 use crate::metrics::{serve_metrics, StallDetector};
-use crate::server::{listen, serve, ServerOptions};
+use crate::server::{listen, serve, serve_until, ServerOptions};
 use crate::spawner::Spawner;
 
 /// How often the reducer receives a tick.
 const TICK_INTERVAL: Duration = Duration::from_millis(15);
-/// How long a stopping gateway continues to accept connections: the platform needs this long to detect the
-/// stop.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2600);
-/// How often a stopping gateway checks whether its connections have ended.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// A gateway stops this long before the end of its grace period.
-const GRACE_MARGIN: Duration = Duration::from_millis(300);
+/// How long a connection of the platform or of another gateway may be idle.
+const INTERNAL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A gateway.
 pub struct GatewayNode {
     core: Core,
     grace: Cell<Duration>,
     stopping: Rc<Cell<bool>>,
-    stop: Sender<()>,
     open_connections: Rc<Cell<usize>>,
     callers: Callers,
-    accepting: RefCell<Option<Task<()>>>,
+    accepting: RefCell<Option<Accepting>>,
 }
 
 impl GatewayNode {
@@ -79,13 +72,11 @@
             tables.clone(),
         );
         let bounds = BufferLimits::from_memory_mb(settings.node.memory_mb);
-        let callers = Callers::new(bounds, core.clock, core.metrics.clone());
-        let (stop, stopped) = async_channel::bounded(1);
+        let callers = Callers::new(bounds, core.clock, core.metrics.clone(), core.stop.clone());
         let node = Self {
             core: core.clone(),
             grace: Cell::new(Duration::from_secs(settings.bounds.grace_s)),
             stopping: Rc::default(),
-            stop,
             open_connections: Rc::default(),
             callers: callers.clone(),
             accepting: RefCell::default(),
@@ -99,10 +90,10 @@
             has_read_quarantine.clone(),
         ));
         let is_ready = move || tables.are_complete() && has_read_quarantine.get();
-        node.serve_readiness(spawner, settings, is_ready, stopped.clone()).await?;
+        node.serve_readiness(spawner, settings, is_ready).await?;
         let era = core.tables.era.clone();
         let readers = HallReaders::new(settings, core.clock, era, core.metrics.clone());
-        node.serve_tables(spawner, settings, &readers, stopped.clone()).await?;
+        node.serve_tables(spawner, settings, &readers).await?;
         spawner.detach(maintain_readers_row(
             readers.clone(),
             store,
@@ -111,33 +102,31 @@
         follow_table(spawner, settings, &core, &readers, Table::Operator);
         follow_table(spawner, settings, &core, &readers, Table::Runners);
         exchange_datagrams(spawner, &core, socket, port);
-        serve_gateway_metrics(spawner, settings, &core, callers, stopped.clone()).await?;
+        serve_gateway_metrics(spawner, settings, &core, callers).await?;
         spawner.detach(tick(core.clone()));
         spawner.detach(state_log::log_state(core.clone()));
-        node.serve_callers(spawner, settings, stopped).await?;
+        node.serve_callers(spawner, settings).await?;
         Ok(node)
     }
 
-    async fn serve_callers(
-        &self,
-        spawner: &Spawner,
-        settings: &DeploymentSettings,
-        stopped: Receiver<()>,
-    ) -> Result<()> {
+    async fn serve_callers(&self, spawner: &Spawner, settings: &DeploymentSettings) -> Result<()> {
         let Some(gateway) = settings.gateway() else {
             return Ok(());
         };
         let listener = listen(gateway.callers).await?;
+        let configured = self.core.clone();
         let options = ServerOptions {
-            idle_timeout: Duration::from_millis(gateway::Limits::default().idle_timeout_ms),
-            stopping: stopped,
+            name: ServerName::Callers,
+            idle_timeout: IdleTimeout::new(move || idle_timeout(&configured)),
             open_connections: self.open_connections.clone(),
             callers: self.callers.clone(),
         };
         let core = self.core.clone();
         let handler = move |request, caller| request::answer(core.clone(), caller, request);
-        let accepting = serve(spawner.clone(), listener, options, handler);
-        *self.accepting.borrow_mut() = Some(spawner.spawn(accepting));
+        let (closing, close) = async_channel::bounded(1);
+        let accepting = serve_until(close, spawner.clone(), listener, options, handler);
+        let task = spawner.spawn(accepting);
+        *self.accepting.borrow_mut() = Some(Accepting { closing, task });
         Ok(())
     }
 
@@ -146,15 +135,14 @@
         spawner: &Spawner,
         settings: &DeploymentSettings,
         is_ready: impl Fn() -> bool + Clone + 'static,
-        stopped: Receiver<()>,
     ) -> Result<()> {
         let Some(gateway) = settings.gateway() else {
             return Ok(());
         };
         let listener = listen(gateway.readiness).await?;
         let options = ServerOptions {
-            idle_timeout: Duration::from_secs(30),
-            stopping: stopped,
+            name: ServerName::Readiness,
+            idle_timeout: IdleTimeout::fixed(INTERNAL_IDLE_TIMEOUT),
             open_connections: Rc::default(),
             callers: self.callers.clone(),
         };
@@ -173,13 +161,12 @@
         spawner: &Spawner,
         settings: &DeploymentSettings,
         readers: &HallReaders,
-        stopped: Receiver<()>,
     ) -> Result<()> {
         let address = SocketAddr::new(settings.node.address, settings.node.first_port);
         let listener = listen(address).await?;
         let options = ServerOptions {
-            idle_timeout: Duration::from_secs(30),
-            stopping: stopped,
+            name: ServerName::Tables,
+            idle_timeout: IdleTimeout::fixed(INTERNAL_IDLE_TIMEOUT),
             open_connections: Rc::default(),
             callers: self.callers.clone(),
         };
@@ -203,17 +190,24 @@
     /// Stops without interrupting requests: reports that it is not ready, continues until the platform has
     /// detected that, and ends when no request is in progress.
     pub async fn stop(&self) {
-        let end = Instant::now() + self.grace.get().saturating_sub(GRACE_MARGIN);
         self.stopping.set(true);
-        Timer::after(ACCEPT_AFTER_STOP).await;
-        drop(self.accepting.borrow_mut().take());
-        self.stop.close();
-        while self.open_connections.get() > 0 && Instant::now() < end {
-            Timer::after(STOP_POLL_INTERVAL).await;
-        }
+        let accepting = self.accepting.borrow_mut().take();
+        let stop = Stop {
+            state: self.core.stop.clone(),
+            clock: self.core.clock,
+            callers: self.callers.clone(),
+            open_connections: self.open_connections.clone(),
+        };
+        stop.run(self.grace.get(), accepting).await;
     }
 }
 
+/// How long a caller's connection may be idle, by the configuration in force.
+fn idle_timeout(core: &Core) -> Duration {
+    let limits = core.catalog().map_or_else(Limits::default, |it| it.limits);
+    Duration::from_millis(limits.idle_timeout_ms)
+}
+
 fn options(settings: &DeploymentSettings) -> GatewayOptions {
     GatewayOptions {
         name: settings.node.name.clone(),
@@ -245,7 +239,6 @@
     settings: &DeploymentSettings,
     core: &Core,
     callers: Callers,
-    stopped: Receiver<()>,
 ) -> Result<()> {
     let address = SocketAddr::new(settings.node.address, settings.node.last_port);
     let (metrics, core) = (core.metrics.clone(), core.clone());
@@ -288,7 +281,7 @@
             }
         }
     };
-    serve_metrics(spawner, address, stopped, metrics, callers, refresh).await
+    serve_metrics(spawner, address, metrics, callers, refresh).await
 }
 
 async fn tick(core: Core) {
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_channel::Receiver;
 use errors::{Code, Result};
 use fleet::EvacuationChange;
 use http::header::{HeaderValue, CONTENT_TYPE};
@@ -13,8 +12,9 @@
 use telemetry::Metrics;
 use uptime::{Instant, SuspensionDetector};
 
-use crate::caller::Callers;
+use crate::caller::{Callers, ServerName};
 use crate::gateway::{error_answer, full_body, AnswerBody};
+use crate::idle_timer::IdleTimeout;
 use crate::server::{listen, serve, ServerOptions};
 use crate::spawner::Spawner;
 
@@ -29,15 +29,14 @@
 pub async fn serve_metrics(
     spawner: &Spawner,
     address: SocketAddr,
-    stopping: Receiver<()>,
     metrics: Rc<Metrics>,
     callers: Callers,
     refresh: impl Fn() + Clone + 'static,
 ) -> Result<()> {
     let listener = listen(address).await?;
     let options = ServerOptions {
-        idle_timeout: IDLE_TIMEOUT,
-        stopping,
+        name: ServerName::Metrics,
+        idle_timeout: IdleTimeout::fixed(IDLE_TIMEOUT),
         open_connections: Rc::default(),
         callers,
     };
--- a/components/edge/src/server.rs
+++ b/components/edge/src/server.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,27 +13,34 @@
 use errors::{Code, Error, Result};
 use futures_lite::future;
 use futures_lite::io::{AsyncRead, AsyncWrite};
-use http::{Request, Response};
+use http::header::{HeaderValue, CONNECTION};
+use http::{Request, Response, Version};
+use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::FuturesIo;
 
-use crate::caller::{AccountedBody, Caller, CallerStream, Callers};
+use crate::caller::{AccountedBody, Caller, CallerStream, Callers, ServerName};
+use crate::connection_state::CloseCause;
 use crate::gateway::AnswerBody;
 use crate::http_connection::set_socket_options;
+use crate::idle_timer::{IdleTimeout, IdleTimer};
 use crate::spawner::Spawner;
+use crate::staged_close::close_in_stages;
 
 /// How long to wait after the system failed to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The value that announces the end of a connection.
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
 /// The settings and state shared by the connections of a server.
 #[derive(Clone)]
 pub struct ServerOptions {
+    /// The server, in logs and metrics.
+    pub name: ServerName,
     /// How long a connection may be idle, and how long a request head may take.
-    pub idle_timeout: Duration,
-    /// Closed when the server stops.
-    pub stopping: Receiver<()>,
+    pub idle_timeout: IdleTimeout,
     /// The number of open connections.
     pub open_connections: Rc<Cell<usize>>,
     /// The state of the callers that are connected.
@@ -56,56 +64,146 @@
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (options, handler) = (options.clone(), handler.clone());
-                set_socket_options(&stream);
-                spawner.detach(serve_connection(stream, options, handler));
-            }
-            Err(_) => {
-                Timer::after(ACCEPT_PAUSE).await;
-            }
+        // After an error the next one is tried.
+        let _ = accept(&spawner, &listener, &options, &handler).await;
+    }
+}
+
+/// Accepts connections and answers their requests until `closing` is closed. The connections that are then in the
+/// listener's queue are accepted, and the listener is closed.
+pub async fn serve_until<H, F>(
+    closing: Receiver<()>,
+    spawner: Spawner,
+    listener: TcpListener,
+    options: ServerOptions,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, Rc<Caller>) -> F + Clone + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let accepting = async {
+        loop {
+            // After an error the next one is tried.
+            let _ = accept(&spawner, &listener, &options, &handler).await;
         }
+    };
+    let closed = async {
+        let _ = closing.recv().await;
+    };
+    future::or(accepting, closed).await;
+    while let Some(Ok(_)) = future::poll_once(accept(&spawner, &listener, &options, &handler)).await
+    {
     }
 }
 
-/// Answers the requests of one connection until it ends.
+/// Accepts the next connection and answers its requests in a task.
+async fn accept<H, F>(
+    spawner: &Spawner,
+    listener: &TcpListener,
+    options: &ServerOptions,
+    handler: &H,
+) -> std::io::Result<()>
+where
+    H: Fn(Request<Incoming>, Rc<Caller>) -> F + Clone + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    match listener.accept().await {
+        Ok((stream, _)) => {
+            let (options, handler) = (options.clone(), handler.clone());
+            set_socket_options(&stream);
+            options.open_connections.set(options.open_connections.get() + 1);
+            spawner.detach(serve_connection(stream, options, handler));
+            Ok(())
+        }
+        Err(error) => {
+            Timer::after(ACCEPT_PAUSE).await;
+            Err(error)
+        }
+    }
+}
+
+/// Answers the requests of one connection until it ends. The connection is already counted as open.
 pub async fn serve_connection<S, H, F>(stream: S, options: ServerOptions, handler: H)
 where
     S: AsyncRead + AsyncWrite + Unpin + 'static,
     H: Fn(Request<Incoming>, Rc<Caller>) -> F + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
-    options.open_connections.set(options.open_connections.get() + 1);
-    let caller = options.callers.connect(options.idle_timeout);
+    let caller = options.callers.connect(options.name, options.idle_timeout.current());
     let stream = CallerStream::new(stream, caller.clone());
-    let service = service_fn(move |request| {
+    let ending = caller.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        caller.begin_request(!request.body().is_end_stream(), is_last_request(&request));
         let (answer, caller) = (handler(request, caller.clone()), caller.clone());
         async move {
-            let answer = answer.await.map(|body| AccountedBody::new(body, caller));
+            let mut answer = answer.await;
+            if caller.is_unread() || caller.is_stopping() {
+                answer.headers_mut().insert(CONNECTION, CLOSE);
+            }
+            caller.begin_answer();
+            let answer = answer.map(|body| AccountedBody::new(body, caller));
             Ok::<_, std::convert::Infallible>(answer)
         }
     });
     let mut builder = Builder::new();
     builder
-        .timer(SmolTimer::new())
-        .header_read_timeout(options.idle_timeout)
+        // The timer of the stream replaces it.
+        .header_read_timeout(None)
         .max_buf_size(options.callers.limits().read_ahead);
-    let mut connection = std::pin::pin!(builder.serve_connection(FuturesIo::new(stream), service));
-    let served = future::or(
-        async {
-            let _ = connection.as_mut().await;
-            true
-        },
-        async {
-            let _ = options.stopping.recv().await;
-            false
-        },
-    )
+    let mut connection = builder.serve_connection(FuturesIo::new(stream), service);
+    let mut idle_timer = IdleTimer::new(options.idle_timeout.clone());
+    let result = future::poll_fn(|cx| {
+        ending.set_waker(cx.waker());
+        let polled = Pin::new(&mut connection).poll(cx);
+        if polled.is_pending() && idle_timer.poll_expired(cx, &ending) {
+            ending.expire();
+            return Pin::new(&mut connection).poll(cx);
+        }
+        polled
+    })
     .await;
-    if !served {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+    let cause = ending.log_end(result.err().map_or(ending.unnoted_cause(), |it| cause_of(&it)));
+    if needs_staged_close(cause, &ending) {
+        let stream = connection.into_parts().io.into_inner();
+        // On the heap, because few connections need it.
+        Box::pin(close_in_stages(stream)).await;
     }
     options.open_connections.set(options.open_connections.get() - 1);
 }
+
+/// Whether the caller said that it sends no request after this one.
+fn is_last_request(request: &Request<Incoming>) -> bool {
+    let says_close = |value: &HeaderValue| {
+        let names = value.to_str().unwrap_or("").split(',');
+        names.into_iter().any(|it| it.trim().eq_ignore_ascii_case("close"))
+    };
+    request.version() == Version::HTTP_10
+        || request.headers().get_all(CONNECTION).iter().any(says_close)
+}
+
+/// Whether the caller may still send, and may have bytes to read. Bytes on their way would reset the connection
+/// otherwise.
+fn needs_staged_close(cause: CloseCause, caller: &Caller) -> bool {
+    match cause {
+        CloseCause::Caller | CloseCause::SlowReader | CloseCause::WriteError => false,
+        CloseCause::LastAnswer => !caller.is_last_request(),
+        CloseCause::IdleTimeout
+        | CloseCause::Stop
+        | CloseCause::AnswerAborted
+        | CloseCause::BadRequest
+        | CloseCause::Unread
+        | CloseCause::ProcessEnd => true,
+    }
+}
+
+/// Why a connection ended with an error that neither its stream nor its answer has noted.
+fn cause_of(error: &hyper::Error) -> CloseCause {
+    if error.is_parse() {
+        CloseCause::BadRequest
+    } else {
+        CloseCause::WriteError
+    }
+}
+
+#[cfg(test)]
+mod tests;
