The request log tells a silent runner from a lost connection

Operators who look for the reason of a cut stream saw the same line, failed with CutShort or ConnectionLost, for a runner that closed its connection and for one that is only silent and may go on. Nothing else in the log tells the two apart, so the hypothesis that pauses are taken for losses can't be checked on a record. The gateway now adds a line silent with the runner, for how long it has sent nothing and whether its response had begun, and counts these in silverdock_silences. Both are additions: lines and metrics that exist stay as they are, and the profile of steps passes over the new line. No decision changes.

--- a/components/account/src/account.rs
+++ b/components/account/src/account.rs
@@ -162,6 +162,10 @@
         Decision::Answered { runner, status, after_ms } => {
             format!("{runner} responds with {status} after {after_ms} ms")
         }
+        Decision::Silent { runner, silent_ms, begun } => {
+            let place = if *begun { "in its response" } else { "before its response" };
+            format!("{runner} has been silent for {silent_ms} ms {place}, its connection is open")
+        }
         Decision::Resumed { after_event } => format!("resumes after event {after_event:?}"),
         Decision::Ended {
             outcome, code, name, status, retry_after_ms, runners, usable, homes, evacuated
--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -107,6 +107,15 @@
         /// The time since the arrival of the request, in milliseconds.
         after_ms: u64,
     },
+    /// A runner whose connection is open has been silent for longer than expected.
+    Silent {
+        /// The runner.
+        runner: String,
+        /// How long it has been silent, in milliseconds.
+        silent_ms: u64,
+        /// Whether its response had begun.
+        begun: bool,
+    },
     /// A stream was resumed after an interruption.
     Resumed {
         /// The id of the last event that was received; empty if there was none.
--- a/components/account/src/profile.rs
+++ b/components/account/src/profile.rs
@@ -79,8 +79,8 @@
                 *profile.denials.entry(reason).or_default() += 1;
                 continue;
             }
-            if matches!(line.decision, Decision::Told { .. }) {
-                // These lines accompany a response and do not mark the end of a step.
+            if matches!(line.decision, Decision::Told { .. } | Decision::Silent { .. }) {
+                // These lines accompany an attempt and do not mark the end of a step.
                 continue;
             }
             by_request.entry((line.instance.clone(), line.request.clone())).or_default().push(line);
@@ -155,7 +155,7 @@
         }
         (_, Decision::Ended { .. }) => Some(Step::Concluded),
         (_, Decision::Routed { .. } | Decision::Unrouted { .. }) => None,
-        (_, Decision::Denied { .. } | Decision::Told { .. }) => None,
+        (_, Decision::Denied { .. } | Decision::Told { .. } | Decision::Silent { .. }) => None,
     }
 }
 
--- a/components/account/tests/accounts.rs
+++ b/components/account/tests/accounts.rs
@@ -81,3 +81,12 @@
     let text = Account::of("r1", [line]).to_string();
     assert!(text.contains("a later try by its deadline"), "{text}");
 }
+
+#[test]
+fn a_silence_is_not_taken_for_the_end_of_a_connection() {
+    let lines = r#"{"ts_ms":1001,"instance":"g1","request":"r1","decision":"silent","runner":"i-1","silent_ms":1000,"begun":true}
+{"ts_ms":1001,"instance":"g1","request":"r1","decision":"failed","runner":"i-1","code":111,"name":"CutShort","not_run":false,"took_ms":1600}"#;
+    let text = Account::of("r1", [lines]).to_string();
+    let silence = "i-1 has been silent for 1000 ms in its response, its connection is open";
+    assert!(text.contains(silence), "{text}");
+}
--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -154,7 +154,10 @@
         uptime::sleep(Duration::from_millis(withdraw_after.unwrap_or(timeout_ms))).await;
         match withdraw_after {
             Some(_) => AttemptOutcome::VersionDeadlinePassed,
-            None => AttemptOutcome::Lost,
+            None => {
+                self.context.trace.add_silence(self.target, timeout_ms, false);
+                AttemptOutcome::Lost
+            }
         }
     }
 
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -192,7 +192,11 @@
             Some(Some(Ok(bytes))) => ReadResult::Bytes(bytes),
             Some(Some(Err(_))) => ReadResult::Cut,
             Some(None) => ReadResult::End,
-            None if may_resume => ReadResult::Cut,
+            None if may_resume => {
+                let silent_ms = gap.as_millis() as u64;
+                self.current.context.trace.add_silence(&self.current.target, silent_ms, true);
+                ReadResult::Cut
+            }
             None => ReadResult::Late,
         }
     }
--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -50,7 +50,10 @@
 fn is_ordinary(entry: &TimedDecision) -> bool {
     !matches!(
         entry.decision,
-        Decision::Failed { .. } | Decision::Resumed { .. } | Decision::Told { .. }
+        Decision::Failed { .. }
+            | Decision::Resumed { .. }
+            | Decision::Silent { .. }
+            | Decision::Told { .. }
     )
 }
 
@@ -110,6 +113,12 @@
         });
     }
 
+    /// Adds that a runner has been silent for longer than expected while its connection is open.
+    pub fn add_silence(&self, target: &RunnerTarget, silent_ms: u64, begun: bool) {
+        self.core.metrics.count_silence("began");
+        self.add(Decision::Silent { runner: target.id.0.clone(), silent_ms, begun });
+    }
+
     /// Adds an attempt that failed.
     pub fn add_failure(&self, target: &RunnerTarget, outcome: AttemptOutcome, took_ms: u64) {
         let runner = target.id.0.clone();
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -58,6 +58,7 @@
     crashes: Counter<u64>,
     runner_life_reports: Counter<u64>,
     runner_load_notices: Counter<u64>,
+    silences: Counter<u64>,
     slow_readers: Counter<u64>,
     store_restores: Counter<u64>,
     foreign_messages: Counter<u64>,
@@ -132,6 +133,10 @@
                 .u64_counter("silverdock_runner_words")
                 .with_description("Answers in which a runner says what requests it takes")
                 .build(),
+            silences: meter
+                .u64_counter("silverdock_silences")
+                .with_description("Silences of runners whose connections are open, by what came")
+                .build(),
             slow_readers: meter
                 .u64_counter("silverdock_slow_readers")
                 .with_description("Connections that were closed on callers who did not read")
@@ -238,6 +243,11 @@
         self.runner_load_notices.add(1, &[KeyValue::new("word", notice)]);
     }
 
+    /// Counts a silence of a runner whose connection is open: one that `began` before or within a response.
+    pub fn count_silence(&self, what: &'static str) {
+        self.silences.add(1, &[KeyValue::new("what", what)]);
+    }
+
     /// Counts a connection that was closed because the caller did not read, by the reason: `stalled`, `late` or
     /// `memory`.
     pub fn count_slow_reader(&self, reason: &'static str) {
