A silent runner keeps its request until another one answers

What callers saw: a stream whose runner fell silent for 1.5 s and went on was cut, and a plain request whose head was late got 502, although the runner completed the answer. It happened wherever no other runner could take the request over: one runner, all others full, the attempts or the retry budget used up.

Cause: silence was taken for an end. After 2.5 times the gap target within a stream, or 2 times the latency target before the head, the gateway closed the connection (Cut, Lost) and only then looked for another attempt; with none left it gave up.

Ruled out: the end of a connection (the request log shows none before the cut; the runner's fault is a pause alone), the request's deadline (4 s here, the cut came after 1.04 s), and the caller's side.

Change: an attempt whose runner is silent becomes stalled (Event::Stalled). The request is queued for another runner as far as attempts and budget reach, and the first connection stays. Another runner's head, or anything that the stalled one sends (StalledEvent::Continued), decides; the loser's connection is closed and its runner freed. While an attempt is stalled, the reducer neither refuses nor gives up, and asks nobody again once the wait for a slot is over. A runner that goes on is not suspected; a replaced one counts as Cut or Lost as before. What has not started at the deadline of its version is withdrawn, also from a stalled attempt, and for versions announced after the send. Requests that may not be repeated are untouched. The driver polls all attempts of a request in one place (attempts.rs) and drops them together when the caller leaves.

--- a/components/account/src/account.rs
+++ b/components/account/src/account.rs
@@ -166,6 +166,9 @@
             let place = if *begun { "in its response" } else { "before its response" };
             format!("{runner} has been silent for {silent_ms} ms {place}, its connection is open")
         }
+        Decision::Continued { runner, after_ms } => {
+            format!("{runner} goes on after {after_ms} ms")
+        }
         Decision::Resumed { after_event } => format!("resumes after event {after_event:?}"),
         Decision::Ended {
             outcome, code, name, status, retry_after_ms, runners, usable, homes, evacuated
--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -116,6 +116,13 @@
         /// Whether its response had begun.
         begun: bool,
     },
+    /// A runner that was silent goes on.
+    Continued {
+        /// The runner.
+        runner: String,
+        /// The time since the arrival of the request, in milliseconds.
+        after_ms: u64,
+    },
     /// A stream was resumed after an interruption.
     Resumed {
         /// The id of the last event that was received; empty if there was none.
--- a/components/account/src/profile.rs
+++ b/components/account/src/profile.rs
@@ -79,8 +79,7 @@
                 *profile.denials.entry(reason).or_default() += 1;
                 continue;
             }
-            if matches!(line.decision, Decision::Told { .. } | Decision::Silent { .. }) {
-                // These lines accompany an attempt and do not mark the end of a step.
+            if is_remark(&line.decision) {
                 continue;
             }
             by_request.entry((line.instance.clone(), line.request.clone())).or_default().push(line);
@@ -141,6 +140,11 @@
     }
 }
 
+/// Whether a line accompanies an attempt and does not mark the end of a step.
+fn is_remark(decision: &Decision) -> bool {
+    matches!(decision, Decision::Told { .. } | Decision::Silent { .. } | Decision::Continued { .. })
+}
+
 /// Classifies the time between two consecutive lines; `None` if the second one does not end a step.
 fn step(before: &Decision, after: &Decision) -> Option<Step> {
     match (before, after) {
@@ -155,7 +159,8 @@
         }
         (_, Decision::Ended { .. }) => Some(Step::Concluded),
         (_, Decision::Routed { .. } | Decision::Unrouted { .. }) => None,
-        (_, Decision::Denied { .. } | Decision::Told { .. } | Decision::Silent { .. }) => None,
+        (_, Decision::Denied { .. } | Decision::Told { .. }) => None,
+        (_, Decision::Silent { .. } | Decision::Continued { .. }) => None,
     }
 }
 
--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -1,12 +1,14 @@
 //! One attempt of a request at one runner.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use account::Decision;
 use bytes::Bytes;
-use fleet::{AdvertisedLimit, Millis};
+use fleet::AdvertisedLimit;
 use futures_lite::future;
-use gateway::{AttemptOutcome, Event, Notice, RequestKey, RunnerTarget};
+use gateway::{AttemptOutcome, Event, Notice, RequestKey, RunnerTarget, StalledEvent};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -18,6 +20,7 @@
 use super::core::Core;
 use super::request::RequestContext;
 use super::reservations::SlotRequest;
+use super::withdrawal::wait_for_withdrawal;
 use crate::http_connection::HttpConnection;
 
 /// How long opening a connection to a runner may take.
@@ -26,26 +29,45 @@
 /// and the rest allows for a machine that is short of processor time. A sidecar's margin before a version's
 /// deadline covers it.
 const SLOT_VALIDITY: Duration = Duration::from_millis(350);
-/// A repeatable request waits for the head of an answer for this multiple of its latency target.
-const TIMEOUT_FACTOR: f64 = 2.0;
-/// The shortest such timeout, in milliseconds.
-const MIN_TIMEOUT_MS: u64 = 600;
-/// A request that has not started is withdrawn from the runner this long before the version's deadline, in
-/// milliseconds, because the runner receives the withdrawal a little later.
-const WITHDRAWAL_MARGIN_MS: u64 = 100;
+/// A repeatable request is sent to another runner as well after a silence of this multiple of its latency
+/// target.
+const SILENCE_FACTOR: f64 = 2.0;
+/// The shortest such silence, in milliseconds.
+const MIN_SILENCE_MS: u64 = 600;
 /// The largest error answer of a runner that is buffered to be forwarded, in bytes.
 const MAX_ERROR_ANSWER_BYTES: usize = 64 * 1024;
 
 /// An attempt.
-pub struct Attempt<'a> {
+pub struct Attempt {
     /// The gateway.
-    pub core: &'a Core,
+    pub core: Core,
     /// The request.
-    pub context: &'a RequestContext,
+    pub context: Rc<RequestContext>,
     /// Its key.
     pub key: RequestKey,
     /// The runner.
-    pub target: &'a RunnerTarget,
+    pub target: Rc<RunnerTarget>,
+    /// How far it has come.
+    pub state: Rc<AttemptState>,
+}
+
+/// How far an attempt has come.
+#[derive(Default)]
+pub struct AttemptState {
+    sent: Cell<bool>,
+    stalled: Cell<bool>,
+}
+
+impl AttemptState {
+    /// Whether the runner may have received the request.
+    pub fn is_sent(&self) -> bool {
+        self.sent.get()
+    }
+
+    /// Whether the reducer was told that the runner is silent.
+    pub fn is_stalled(&self) -> bool {
+        self.stalled.get()
+    }
 }
 
 /// A runner's answer whose head has arrived.
@@ -81,10 +103,10 @@
     }
 }
 
-impl Attempt<'_> {
+impl Attempt {
     /// Sends the request and waits for the head of the answer. `last_event` is the event after which a stream
-    /// resumes; `sent` is set once the runner may have received the request.
-    pub async fn run(&self, last_event: Option<&str>, sent: &mut bool) -> AttemptResult {
+    /// resumes.
+    pub async fn run(self, last_event: Option<String>) -> AttemptResult {
         if let Err(outcome) = self.reserve().await {
             return outcome.into();
         }
@@ -93,7 +115,7 @@
         else {
             return AttemptOutcome::NotSent.into();
         };
-        let Some(request) = self.request(last_event) else {
+        let Some(request) = self.request(last_event.as_deref()) else {
             return AttemptOutcome::NotSent.into();
         };
         if self.target.reserve && granted.elapsed() > SLOT_VALIDITY {
@@ -104,22 +126,19 @@
         if !self.core.read(|gateway| gateway.may_send(now, self.key)) {
             return AttemptOutcome::Withdrawn.into();
         }
-        let was_sent = std::mem::replace(sent, true);
+        self.state.sent.set(true);
         let started = Instant::now();
         let answer = async { connection.send(request).await.map_err(|_| AttemptOutcome::Lost) };
-        let answer = match future::or(answer, async { Err(self.wait_for_timeout(now).await) }).await
-        {
+        let withdrawal = async { Err(self.wait_for_withdrawal().await) };
+        let silence = async { Err(self.report_silence().await) };
+        let answer = match future::or(answer, future::or(withdrawal, silence)).await {
             Ok(answer) => answer,
             Err(outcome) => return outcome.into(),
         };
         self.core
             .metrics
             .record_duration(MeasuredDuration::RunnerHeaders, started.elapsed().as_millis() as u64);
-        let result = self.evaluate(connection, answer).await;
-        if let AttemptResult::Failure { outcome, .. } = &result {
-            *sent = was_sent || !outcome.is_not_run();
-        }
-        result
+        self.evaluate(connection, answer).await
     }
 
     /// Asks the sidecar for a slot, if the runner has a sidecar. The connection is opened afterwards: under
@@ -140,29 +159,30 @@
         }
     }
 
-    /// Waits for as long as a repeatable request sent at `sent` may wait for an answer. Returns why the wait
-    /// ended.
-    async fn wait_for_timeout(&self, sent: Millis) -> AttemptOutcome {
-        if !self.context.kind.is_repeatable() {
-            return future::pending().await;
+    async fn wait_for_withdrawal(&self) -> AttemptOutcome {
+        if self.context.kind.is_repeatable() {
+            wait_for_withdrawal(&self.core, &self.target.id).await;
+            return AttemptOutcome::VersionDeadlinePassed;
         }
-        let timeout_ms =
-            ((self.context.target_latency_ms as f64 * TIMEOUT_FACTOR) as u64).max(MIN_TIMEOUT_MS);
-        let start_deadline = self.core.read(|gateway| gateway.start_deadline(sent, self.key));
-        let left = start_deadline.map(|it| it.minus(WITHDRAWAL_MARGIN_MS).since(sent).0);
-        let withdraw_after = left.filter(|it| *it < timeout_ms);
-        uptime::sleep(Duration::from_millis(withdraw_after.unwrap_or(timeout_ms))).await;
-        match withdraw_after {
-            Some(_) => AttemptOutcome::VersionDeadlinePassed,
-            None => {
-                self.context.trace.add_silence(self.target, timeout_ms, false);
-                AttemptOutcome::Lost
-            }
+        future::pending().await
+    }
+
+    /// Tells the reducer when a repeatable request has waited for too long. The runner keeps it, since it may
+    /// still answer.
+    async fn report_silence(&self) -> AttemptOutcome {
+        if self.context.kind.is_repeatable() {
+            let target_ms = self.context.target_latency_ms as f64;
+            let silent_ms = ((target_ms * SILENCE_FACTOR) as u64).max(MIN_SILENCE_MS);
+            uptime::sleep(Duration::from_millis(silent_ms)).await;
+            self.context.trace.add_silence(&self.target, silent_ms, false);
+            self.state.stalled.set(true);
+            self.core.dispatch(Event::Stalled(self.key));
         }
+        future::pending().await
     }
 
     fn request(&self, last_event: Option<&str>) -> Option<Request<Full<Bytes>>> {
-        let context = self.context;
+        let context = &self.context;
         let now = self.core.clock.now();
         let added = AddedHeaders {
             runner: &self.target.id,
@@ -201,7 +221,12 @@
         let decision =
             Decision::Told { runner, leaving: is_leaving, rest_ms: backoff_ms, limit_per_s };
         self.context.trace.add(decision);
-        self.core.dispatch(Event::NoticeReceived(self.key, notice));
+        self.core.dispatch(if self.state.is_stalled() {
+            let runner = self.target.id.clone();
+            Event::StalledAttempt(self.key, runner, StalledEvent::Notice(notice))
+        } else {
+            Event::NoticeReceived(self.key, notice)
+        });
     }
 
     /// What an answer says about its runner. A misdirected answer comes from another runner.
--- a/components/edge/src/gateway/core.rs
+++ b/components/edge/src/gateway/core.rs
@@ -182,6 +182,12 @@
     pub async fn next_step(&self) -> Option<NextStep> {
         self.steps.recv().await.ok()
     }
+
+    /// Discards a step that nobody has waited for.
+    pub fn discard_step(&self) {
+        // There is none in most cases.
+        let _ = self.steps.try_recv();
+    }
 }
 
 impl Drop for RequestHandle {
--- a/components/edge/src/gateway/mod.rs
+++ b/components/edge/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod attempt;
+mod attempts;
 mod core;
 mod event_splitter;
 mod follow_table;
@@ -20,6 +21,7 @@
 mod table_state;
 mod trace;
 mod version_record;
+mod withdrawal;
 
 pub use self::answer::{error_answer, full_body, AnswerBody};
 pub use self::node::GatewayNode;
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use errors::{Code, Error, Result};
 use futures_lite::{future, stream};
-use gateway::{AttemptOutcome, Event, NextStep, RunnerTarget};
+use gateway::{AttemptOutcome, RunnerTarget};
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Response, StatusCode};
 use http_body::Frame;
@@ -15,14 +15,17 @@
 use telemetry::MeasuredDuration;
 
 use super::answer::{error_answer, full_body, AnswerBody};
-use super::attempt::{Attempt, AttemptResult, RunnerAnswer};
-use super::core::{Core, RequestHandle};
+use super::attempt::RunnerAnswer;
+use super::attempts::{AnsweredAttempt, Attempts, AttemptsResult};
+use super::core::Core;
 use super::event_splitter::EventSplitter;
 use super::request::{with_request_deadline, RequestContext};
 use super::trace::RequestEnd;
+use super::withdrawal::wait_for_withdrawal;
 
-/// A stream resumes at another runner after a pause between events of this multiple of its target.
-const GAP_TIMEOUT_FACTOR: f64 = 2.5;
+/// Another runner is asked to resume a stream after a silence of this multiple of its target for the pause
+/// between events.
+const SILENCE_FACTOR: f64 = 2.5;
 
 /// An answer of a runner whose head has arrived.
 pub struct StartedAnswer {
@@ -30,10 +33,10 @@
     pub core: Core,
     /// The request.
     pub context: Rc<RequestContext>,
-    /// The reducer's registration of the request.
-    pub handle: RequestHandle,
+    /// The attempts of the request.
+    pub attempts: Attempts,
     /// The runner that it comes from.
-    pub target: RunnerTarget,
+    pub target: Rc<RunnerTarget>,
     /// The answer.
     pub answer: RunnerAnswer,
 }
@@ -41,7 +44,6 @@
 impl StartedAnswer {
     /// Forwards the answer.
     pub async fn forward(self) -> Response<AnswerBody> {
-        self.core.dispatch(Event::Attempt(self.handle.key, AttemptOutcome::Answered));
         self.record_start();
         if self.context.kind.is_stream() && self.answer.status.is_success() {
             return self.forward_stream();
@@ -59,7 +61,7 @@
 
     /// Records that the answer is complete.
     fn finish(&self) {
-        self.core.dispatch(Event::Attempt(self.handle.key, AttemptOutcome::Finished));
+        self.attempts.finish();
         self.core
             .metrics
             .record_duration(MeasuredDuration::FullResponse, self.context.trace.age_ms());
@@ -98,7 +100,13 @@
         self.context
             .caller
             .set_stream_deadline(Some(self.core.clock.instant(self.context.answer_deadline)));
-        let relay = StreamRelay { current: self, splitter, ended: false };
+        let relay = StreamRelay {
+            current: self,
+            runner: RunnerState::Sending,
+            has_started: false,
+            splitter,
+            ended: false,
+        };
         let frames = stream::unfold(relay, |mut relay| async move {
             let bytes = relay.next().await?;
             Some((bytes.map(Frame::data), relay))
@@ -125,10 +133,45 @@
 struct StreamRelay {
     /// The answer of the current runner.
     current: StartedAnswer,
+    /// The state of the current runner.
+    runner: RunnerState,
+    /// Whether it has sent a part of its stream.
+    has_started: bool,
     splitter: EventSplitter,
     ended: bool,
 }
 
+/// The state of the runner whose answer is forwarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunnerState {
+    /// It sends events.
+    Sending,
+    /// It is silent and may go on. Another runner may be asked to resume the stream.
+    Silent,
+    /// Its connection is closed. Another runner has to resume the stream.
+    Lost,
+}
+
+/// An event on the way from the runners to the caller.
+// It is moved once per event; a box would cost more than it saves.
+#[allow(clippy::large_enum_variant)]
+enum RelayEvent {
+    /// Bytes of the current runner.
+    Bytes(Bytes),
+    /// The end of its answer.
+    End,
+    /// Its connection has ended within its answer.
+    Cut,
+    /// It has been silent for too long.
+    Silent,
+    /// It is silent, has not started, and may not start any more on the version that it holds.
+    Withdrawn,
+    /// The result of attempts at other runners.
+    Attempts(AttemptsResult),
+    /// The time limit of the request has expired.
+    Late,
+}
+
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         self.current.context.caller.set_stream_deadline(None);
@@ -139,27 +182,31 @@
     /// The next events. `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes>> {
         while !self.ended {
-            match self.read_runner().await {
-                ReadResult::Bytes(bytes) => {
+            match self.next_event().await {
+                RelayEvent::Bytes(bytes) => {
+                    self.note_sending();
                     let events = self.split_events(&bytes);
                     if !events.is_empty() {
                         return Some(Ok(events));
                     }
                 }
-                ReadResult::End if !self.splitter.has_partial() => {
+                RelayEvent::End if !self.splitter.has_partial() => {
+                    self.note_sending();
                     self.ended = true;
                     self.current.context.caller.set_stream_deadline(None);
                     self.current.finish();
                 }
-                ReadResult::Late => {
-                    return Some(Err(self.abort(Code::TimedOut)));
-                }
                 // A stream that ends within an event was truncated, however its connection ended.
-                ReadResult::Cut | ReadResult::End => {
-                    if let Err(code) = self.resume().await {
-                        return Some(Err(self.abort(code)));
-                    }
+                RelayEvent::Cut | RelayEvent::End => self.lose_runner(AttemptOutcome::Cut),
+                RelayEvent::Withdrawn => self.lose_runner(AttemptOutcome::VersionDeadlinePassed),
+                RelayEvent::Silent => self.note_silence(),
+                RelayEvent::Attempts(AttemptsResult::Answered(answered)) => {
+                    self.resume(answered);
                 }
+                RelayEvent::Attempts(
+                    AttemptsResult::Refused { .. } | AttemptsResult::GaveUp(_),
+                ) => return Some(Err(self.abort(Code::CutShort))),
+                RelayEvent::Late => return Some(Err(self.abort(Code::TimedOut))),
             }
         }
         None
@@ -174,31 +221,92 @@
         }
     }
 
-    async fn read_runner(&mut self) -> ReadResult {
+    async fn next_event(&mut self) -> RelayEvent {
+        let runner = self.runner;
         let now = self.current.core.clock.now();
         let left = Duration::from_millis(self.current.context.answer_deadline.since(now).0);
-        let gap = Duration::from_millis(
-            (self.current.context.max_event_gap_ms as f64 * GAP_TIMEOUT_FACTOR) as u64,
-        );
-        let may_resume = self.current.context.kind.is_repeatable() && gap < left;
-        let wait = if may_resume { gap } else { left };
-        let RunnerAnswer { connection, body, .. } = &mut self.current.answer;
-        let next = future::or(async { Some(connection.next_bytes(body).await) }, async {
-            uptime::sleep(wait).await;
-            None
-        })
-        .await;
-        match next {
-            Some(Some(Ok(bytes))) => ReadResult::Bytes(bytes),
-            Some(Some(Err(_))) => ReadResult::Cut,
-            Some(None) => ReadResult::End,
-            None if may_resume => {
-                let silent_ms = gap.as_millis() as u64;
-                self.current.context.trace.add_silence(&self.current.target, silent_ms, true);
-                ReadResult::Cut
+        let silence = self.silence_limit().filter(|it| *it < left);
+        let last_event = self.last_event();
+        let may_be_withdrawn = runner == RunnerState::Silent && !self.has_started;
+        let StartedAnswer { core, attempts, target, answer, .. } = &mut self.current;
+        let RunnerAnswer { connection, body, .. } = answer;
+        let bytes = async {
+            if runner == RunnerState::Lost {
+                return future::pending().await;
             }
-            None => ReadResult::Late,
+            match connection.next_bytes(body).await {
+                Some(Ok(bytes)) => RelayEvent::Bytes(bytes),
+                Some(Err(_)) => RelayEvent::Cut,
+                None => RelayEvent::End,
+            }
+        };
+        let others = async {
+            if runner == RunnerState::Sending {
+                return future::pending().await;
+            }
+            RelayEvent::Attempts(attempts.next(last_event.as_deref()).await)
+        };
+        let withdrawal = async {
+            if !may_be_withdrawn {
+                return future::pending().await;
+            }
+            wait_for_withdrawal(core, &target.id).await;
+            RelayEvent::Withdrawn
+        };
+        let timer = async {
+            uptime::sleep(silence.unwrap_or(left)).await;
+            silence.map_or(RelayEvent::Late, |_| RelayEvent::Silent)
+        };
+        future::or(bytes, future::or(others, future::or(withdrawal, timer))).await
+    }
+
+    /// How long the runner may be silent before another one is asked, if it is sending.
+    fn silence_limit(&self) -> Option<Duration> {
+        let context = &self.current.context;
+        let is_watched = self.runner == RunnerState::Sending && context.kind.is_repeatable();
+        let silent_ms = (context.max_event_gap_ms as f64 * SILENCE_FACTOR) as u64;
+        is_watched.then(|| Duration::from_millis(silent_ms))
+    }
+
+    /// The event after which another runner would resume the stream.
+    fn last_event(&self) -> Option<String> {
+        if self.runner == RunnerState::Sending {
+            return None;
         }
+        let received = self.splitter.last_id();
+        received.or(self.current.context.request_headers.last_event.as_deref()).map(str::to_owned)
+    }
+
+    /// Records that the runner sends something, which decides for it if it was silent.
+    fn note_sending(&mut self) {
+        self.has_started = true;
+        if self.runner == RunnerState::Silent {
+            self.current.attempts.keep(&self.current.target);
+            self.runner = RunnerState::Sending;
+        }
+    }
+
+    /// Asks another runner to resume the stream, while this one may go on.
+    fn note_silence(&mut self) {
+        let silent_ms = self.silence_limit().map_or(0, |it| it.as_millis() as u64);
+        self.current.context.trace.add_silence(&self.current.target, silent_ms, true);
+        self.runner = RunnerState::Silent;
+        self.current.attempts.stall();
+    }
+
+    /// Ends the part of a runner whose connection has ended or is closed.
+    fn lose_runner(&mut self, outcome: AttemptOutcome) {
+        self.note_failure(outcome);
+        self.current.answer.connection.close();
+        let was_silent = self.runner == RunnerState::Silent;
+        self.current.attempts.end(&self.current.target, was_silent, outcome);
+        self.runner = RunnerState::Lost;
+        self.splitter.discard_partial();
+    }
+
+    fn note_failure(&self, outcome: AttemptOutcome) {
+        let trace = &self.current.context.trace;
+        trace.add_failure(&self.current.target, outcome, trace.age_ms());
     }
 
     /// Ends the stream with an error, so that it does not look complete.
@@ -212,85 +320,22 @@
         Error::new(code, "the stream cannot continue")
     }
 
-    /// Resumes at another runner, after the last complete event.
-    async fn resume(&mut self) -> Result<(), Code> {
-        self.splitter.discard_partial();
-        let mut outcome = AttemptOutcome::Cut;
-        let mut attempts = 1;
-        self.current.context.trace.add_failure(
-            &self.current.target,
-            outcome,
-            self.current.context.trace.age_ms(),
-        );
-        loop {
-            self.current.core.dispatch(Event::Attempt(self.current.handle.key, outcome));
-            let step = with_request_deadline(
-                &self.current.core,
-                self.current.context.answer_deadline,
-                self.current.handle.next_step(),
-            )
-            .await
-            .flatten();
-            let Some(NextStep::Send(target)) = step else {
-                return Err(Code::CutShort);
-            };
-            attempts += 1;
-            self.current.context.trace.add_choice(&target, attempts);
-            let started_ms = self.current.context.trace.age_ms();
-            outcome = match self.attempt(&target).await.ok_or(Code::TimedOut)? {
-                AttemptResult::Answer(answer) if answer.status.is_success() => {
-                    self.switch_runner(target, answer);
-                    return Ok(());
-                }
-                AttemptResult::Answer(_) => AttemptOutcome::Failed,
-                AttemptResult::Failure { outcome, .. } => outcome,
-            };
-            self.current.context.trace.add_failure(
-                &target,
-                outcome,
-                self.current.context.trace.age_ms() - started_ms,
-            );
+    /// Resumes with the answer of another runner, after the last complete event.
+    fn resume(&mut self, answered: AnsweredAttempt) {
+        if !answered.answer.status.is_success() {
+            self.current.attempts.reject(answered);
+            return;
         }
-    }
-
-    /// Asks a runner to resume the stream. `None` if the time limit of the request expires first.
-    async fn attempt(&self, target: &RunnerTarget) -> Option<AttemptResult> {
-        let last_event =
-            self.splitter.last_id().or(self.current.context.request_headers.last_event.as_deref());
-        let attempt = Attempt {
-            core: &self.current.core,
-            context: &self.current.context,
-            key: self.current.handle.key,
-            target,
-        };
-        let mut sent = true;
-        with_request_deadline(
-            &self.current.core,
-            self.current.context.answer_deadline,
-            attempt.run(last_event, &mut sent),
-        )
-        .await
-    }
-
-    fn switch_runner(&mut self, target: RunnerTarget, answer: RunnerAnswer) {
-        self.current
-            .core
-            .dispatch(Event::Attempt(self.current.handle.key, AttemptOutcome::Answered));
+        if self.runner == RunnerState::Silent {
+            self.note_failure(AttemptOutcome::Cut);
+        }
+        self.splitter.discard_partial();
+        self.current.attempts.accept(&answered);
         let after_event = self.splitter.last_id().unwrap_or("").to_owned();
         self.current.context.trace.add(Decision::Resumed { after_event });
-        self.current.answer = answer;
-        self.current.target = target;
+        self.current.target = answered.target;
+        self.current.answer = answered.answer;
+        self.runner = RunnerState::Sending;
+        self.has_started = false;
     }
 }
-
-/// The result of a read from a runner.
-enum ReadResult {
-    /// Bytes.
-    Bytes(Bytes),
-    /// The end of a complete answer.
-    End,
-    /// The answer was truncated, or paused for too long.
-    Cut,
-    /// The time limit of the request has expired.
-    Late,
-}
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -8,16 +8,15 @@
 use errors::Code;
 use fleet::{HomeRegions, Millis, ModelName, ServiceName, WorkspaceId};
 use futures_lite::future;
-use gateway::{Arrival, Catalog, NextStep, RouteKind, ServiceState};
+use gateway::{Arrival, Catalog, RouteKind, ServiceState};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use platform::headers::{self, RequestHeaders};
 use quarantine::RequestDigest;
-use telemetry::MeasuredDuration;
 
 use super::answer::{error_answer, refusal, AnswerBody};
-use super::attempt::{Attempt, AttemptResult};
+use super::attempts::{AnsweredAttempt, Attempts, AttemptsResult};
 use super::core::{Core, RequestHandle};
 use super::relay::StartedAnswer;
 use super::trace::{RequestEnd, Trace};
@@ -286,44 +285,21 @@
     context: Rc<RequestContext>,
     handle: RequestHandle,
 ) -> Response<AnswerBody> {
-    let mut last_error_answer = None;
-    let mut sent = false;
-    let mut attempts = 0;
-    let id = context.request_headers.id.clone();
-    loop {
-        let Some(step) = with_request_deadline(&core, context.answer_deadline, handle.next_step())
-            .await
-            .flatten()
-        else {
-            return deadline_expired(&context, sent);
-        };
-        let target = match step {
-            NextStep::Send(target) => target,
-            NextStep::Refuse { code, retry_after_ms, service_state } => {
-                context.trace.refuse(503, code, Some(retry_after_ms), service_state);
-                return refusal(id.as_deref(), code, retry_after_ms);
-            }
-            NextStep::GiveUp(code) => return final_failure(&context, last_error_answer, code),
-        };
-        if attempts == 0 {
-            core.metrics.record_duration(MeasuredDuration::QueueWait, context.trace.age_ms());
+    let deadline = context.answer_deadline;
+    let mut attempts = Attempts::new(core.clone(), context.clone(), handle);
+    match with_request_deadline(&core, deadline, attempts.next(None)).await {
+        None => deadline_expired(&context, attempts.may_have_run()),
+        Some(AttemptsResult::Refused { code, retry_after_ms, service_state }) => {
+            context.trace.refuse(503, code, Some(retry_after_ms), service_state);
+            refusal(context.request_headers.id.as_deref(), code, retry_after_ms)
         }
-        attempts += 1;
-        context.trace.add_choice(&target, attempts);
-        let started_ms = context.trace.age_ms();
-        let attempt = Attempt { core: &core, context: &context, key: handle.key, target: &target };
-        match with_request_deadline(&core, context.answer_deadline, attempt.run(None, &mut sent))
-            .await
-        {
-            None => return deadline_expired(&context, sent),
-            Some(AttemptResult::Answer(answer)) => {
-                return StartedAnswer { core, context, handle, target, answer }.forward().await;
-            }
-            Some(AttemptResult::Failure { outcome, answer }) => {
-                last_error_answer = answer;
-                context.trace.add_failure(&target, outcome, context.trace.age_ms() - started_ms);
-                core.dispatch(gateway::Event::Attempt(handle.key, outcome));
-            }
+        Some(AttemptsResult::GaveUp(code)) => {
+            final_failure(&context, attempts.take_error_answer(), code)
+        }
+        Some(AttemptsResult::Answered(answered)) => {
+            attempts.accept(&answered);
+            let AnsweredAttempt { target, answer, .. } = answered;
+            StartedAnswer { core, context, attempts, target, answer }.forward().await
         }
     }
 }
--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -53,6 +53,7 @@
         Decision::Failed { .. }
             | Decision::Resumed { .. }
             | Decision::Silent { .. }
+            | Decision::Continued { .. }
             | Decision::Told { .. }
     )
 }
@@ -119,6 +120,13 @@
         self.add(Decision::Silent { runner: target.id.0.clone(), silent_ms, begun });
     }
 
+    /// Adds that a runner that was silent goes on.
+    pub fn add_continuation(&self, target: &RunnerTarget) {
+        self.core.metrics.count_silence("continued");
+        let (runner, after_ms) = (target.id.0.clone(), self.age_ms());
+        self.add(Decision::Continued { runner, after_ms });
+    }
+
     /// Adds an attempt that failed.
     pub fn add_failure(&self, target: &RunnerTarget, outcome: AttemptOutcome, took_ms: u64) {
         let runner = target.id.0.clone();
--- a/components/edge/src/http_connection.rs
+++ b/components/edge/src/http_connection.rs
@@ -35,7 +35,8 @@
 
 /// A connection to a server.
 pub struct HttpConnection {
-    driver: Pin<Box<Driver>>,
+    /// `None` once the connection was closed.
+    driver: Option<Pin<Box<Driver>>>,
     /// Whether the connection has ended.
     ended: bool,
     sender: SendRequest<Full<Bytes>>,
@@ -49,12 +50,17 @@
             .handshake(FuturesIo::new(stream))
             .await
             .map_err(|error| Error::new(Code::Unreachable, error.to_string()))?;
-        Ok(Self { driver: Box::pin(connection), ended: false, sender })
+        Ok(Self { driver: Some(Box::pin(connection)), ended: false, sender })
+    }
+
+    /// Closes the connection.
+    pub fn close(&mut self) {
+        self.driver = None;
     }
 
     /// Whether another request can be sent.
     pub fn is_open(&self) -> bool {
-        !self.ended && !self.sender.is_closed()
+        !self.ended && self.driver.is_some() && !self.sender.is_closed()
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -100,8 +106,11 @@
 }
 
 /// Polls the connection, so that it reads and writes what it can.
-fn poll_driver(driver: &mut Pin<Box<Driver>>, ended: &mut bool, cx: &mut Context<'_>) {
-    if !*ended && driver.as_mut().poll(cx).is_ready() {
+fn poll_driver(driver: &mut Option<Pin<Box<Driver>>>, ended: &mut bool, cx: &mut Context<'_>) {
+    let Some(driver) = driver.as_mut().filter(|_| !*ended) else {
+        return;
+    };
+    if driver.as_mut().poll(cx).is_ready() {
         *ended = true;
     }
 }
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -247,12 +247,29 @@
     NoticeReceived(RequestKey, Notice),
     /// An attempt of a request made progress or ended.
     Attempt(RequestKey, AttemptOutcome),
+    /// The runner of the current attempt of a repeatable request is silent. The attempt goes on,
+    /// and the request may be sent to another runner as well.
+    Stalled(RequestKey),
+    /// Something became of the stalled attempt of a request at this runner.
+    StalledAttempt(RequestKey, InstanceId, StalledEvent),
     /// The caller disconnected, or the request has ended.
     RequestEnded(RequestKey),
     /// Periodic timer.
     Tick,
 }
 
+/// What becomes of a stalled attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StalledEvent {
+    /// Its runner begins its response or goes on with it, and the response is forwarded to the
+    /// caller. It becomes the current attempt, and all others are dropped.
+    Continued,
+    /// Its response contains this information about the runner.
+    Notice(Notice),
+    /// It ended.
+    Ended(AttemptOutcome),
+}
+
 /// The runner that a request is sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunnerTarget {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -35,7 +35,7 @@
 pub use cold::{ColdRateShares, ColdShare};
 pub use event::{
     Arrival, AttemptOutcome, ColdBounds, Effect, Event, GatewayOptions, IncarnationEvent, NextStep,
-    NoticeChange, RequestKey, RunnerTarget, SelectionInfo, ServiceState,
+    NoticeChange, RequestKey, RunnerTarget, SelectionInfo, ServiceState, StalledEvent,
 };
 pub use home_faults::HomeFault;
 pub use limits::{IncarnationLimit, KnownLimits};
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -8,6 +8,7 @@
 mod progress;
 mod queue;
 mod send_checks;
+mod stalled;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -21,7 +22,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
-use self::progress::{Progress, SelectedRunner};
+use self::progress::{ActiveAttempt, Progress, SelectedRunner};
 use self::queue::QueuePosition;
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::catalog::Catalog;
@@ -237,6 +238,10 @@
             Event::Arrived(arrival) => self.arrive(now, &mut random, arrival),
             Event::NoticeReceived(key, notice) => self.apply_notice(now, key, notice),
             Event::Attempt(key, outcome) => self.apply_outcome(now, &mut random, key, outcome),
+            Event::Stalled(key) => self.stall(now, &mut random, key),
+            Event::StalledAttempt(key, runner, event) => {
+                self.apply_stalled_event(now, &mut random, key, &runner, event)
+            }
             Event::RequestEnded(key) => self.end(now, &mut random, key),
             Event::Tick => {
                 self.run_periodic_checks(now);
@@ -303,12 +308,10 @@
             is_repeated: looks_repeated && self.is_enabled(Mechanism::FirstTries),
             tried: Vec::new(),
             current: None,
-            sent_at: now,
+            stalled: Vec::new(),
             was_denied: false,
             short_ms: 0,
-            is_suspect: false,
             queries: 0,
-            answered: false,
             may_have_run: false,
             reason: Code::Overloaded,
             scope,
@@ -320,18 +323,12 @@
     }
 
     fn end(&mut self, now: Millis, random: &mut SmallRng, key: RequestKey) -> Vec<Effect> {
-        let Some(progress) = self.requests.remove(&key) else {
+        let Some(mut progress) = self.requests.remove(&key) else {
             return Vec::new();
         };
         self.queue.retain(|position| position.key != key);
         self.crashes.remove(key, progress.arrival.digest);
-        let current = progress.current.as_ref();
-        if let Some(runner) =
-            current.and_then(|it| self.pool.incarnation_mut(&it.id, it.incarnation))
-        {
-            runner.end_request(progress.is_suspect);
-            runner.notices.backoff.note_end(key);
-        }
+        self.release(key, progress.take_attempts());
         self.dispatch(now, random)
     }
 
@@ -355,16 +352,27 @@
         let Some(progress) = self.requests.get(&key) else {
             return Vec::new();
         };
-        let (current, sent_at) = (progress.current.clone(), progress.sent_at);
-        let Some(selected) = current else {
-            return Vec::new();
-        };
+        match progress.current.clone() {
+            Some(attempt) => self.apply_attempt_notice(now, &attempt, notice),
+            None => Vec::new(),
+        }
+    }
+
+    /// Applies information that the runner of this attempt sent.
+    fn apply_attempt_notice(
+        &mut self,
+        now: Millis,
+        attempt: &ActiveAttempt,
+        notice: Notice,
+    ) -> Vec<Effect> {
+        let selected = &attempt.runner;
         let runner = self.pool.incarnation_mut(&selected.id, selected.incarnation);
-        let change = runner.map_or(Notice::default(), |it| it.notices.apply(now, sent_at, notice));
+        let change =
+            runner.map_or(Notice::default(), |it| it.notices.apply(now, attempt.sent_at, notice));
         if change.is_empty() {
             return Vec::new();
         }
-        self.note_notice(now, selected.id, change)
+        self.note_notice(now, selected.id.clone(), change)
     }
 
     /// Resumes sending after a hold. Each queued request gets a little more time to find a slot.
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -5,7 +5,7 @@
 use rand::rngs::SmallRng;
 
 use super::queue::QueuePosition;
-use super::{Gateway, SelectedRunner};
+use super::{ActiveAttempt, Gateway, SelectedRunner};
 use crate::event::{AttemptOutcome, Effect, RequestKey};
 
 /// How long a request that may have run already waits for another slot, in milliseconds.
@@ -29,52 +29,82 @@
         let Some(progress) = self.requests.get_mut(&key) else {
             return Vec::new();
         };
-        let Some(selected) = progress.current.clone() else {
-            return Vec::new();
-        };
-        let id = &selected.id;
         if outcome == AttemptOutcome::Answered {
-            progress.may_have_run = true;
-            progress.answered = true;
-            let took = now.since(progress.sent_at);
-            self.pool.note_answered(now, &selected.id, selected.incarnation);
-            if let Some(runner) = self.pool.incarnation_mut(&selected.id, selected.incarnation) {
-                runner.notices.backoff.note_run(key);
-            }
-            self.note_wait(now, &selected, took);
+            self.note_response_begun(now, key);
             return Vec::new();
         }
-        progress.current = None;
+        let Some(attempt) = progress.current.take() else {
+            return Vec::new();
+        };
+        let mut effects = self.end_attempt(now, key, &attempt, outcome);
+        if outcome == AttemptOutcome::Finished {
+            self.finish(key);
+        } else {
+            effects.extend(self.retry_or_end(now, random, key, outcome));
+        }
+        effects.extend(self.dispatch(now, random));
+        effects
+    }
+
+    /// Records that the response of the current attempt has begun, which replaces the stalled ones.
+    pub(super) fn note_response_begun(&mut self, now: Millis, key: RequestKey) {
+        let Some(progress) = self.requests.get_mut(&key) else {
+            return;
+        };
+        let Some(attempt) = progress.current.as_mut() else {
+            return;
+        };
+        progress.may_have_run = true;
+        attempt.answered = true;
+        let took = now.since(attempt.sent_at);
+        let selected = attempt.runner.clone();
+        self.pool.note_answered(now, &selected.id, selected.incarnation);
+        if let Some(runner) = self.pool.incarnation_mut(&selected.id, selected.incarnation) {
+            runner.notices.backoff.note_run(key);
+        }
+        self.note_wait(now, &selected, took);
+        self.replace_stalled(now, key);
+    }
+
+    /// Removes a request whose response is complete.
+    fn finish(&mut self, key: RequestKey) {
+        let Some(mut progress) = self.requests.remove(&key) else {
+            return;
+        };
+        self.crashes.remove(key, progress.arrival.digest);
+        self.release(key, progress.take_attempts());
+    }
+
+    /// Records the end of an attempt that is no longer among those of its request.
+    pub(super) fn end_attempt(
+        &mut self,
+        now: Millis,
+        key: RequestKey,
+        attempt: &ActiveAttempt,
+        outcome: AttemptOutcome,
+    ) -> Vec<Effect> {
+        let Some(progress) = self.requests.get_mut(&key) else {
+            return Vec::new();
+        };
+        let selected = &attempt.runner;
         let unsent = [AttemptOutcome::Silent, AttemptOutcome::Expired, AttemptOutcome::Withdrawn];
         if matches!(outcome, AttemptOutcome::Denied { .. }) || unsent.contains(&outcome) {
             // Nothing was sent, so this does not count as one of the attempts that the route
             // allows.
-            progress.tried.retain(|it| it != id);
+            progress.tried.retain(|it| it != &selected.id);
         }
-        let waited = now.since(progress.sent_at);
-        let answered = std::mem::take(&mut progress.answered);
         progress.may_have_run |= !outcome.is_not_run();
         progress.was_denied = matches!(outcome, AttemptOutcome::Denied { .. });
         if let AttemptOutcome::Denied { shortage_ms, .. } = outcome {
             progress.short_ms = progress.short_ms.max(shortage_ms);
         }
         progress.reason = outcome.code();
-        let was_suspect = std::mem::take(&mut progress.is_suspect);
         let digest = progress.arrival.digest;
-        if outcome == AttemptOutcome::Lost && !answered {
-            self.note_wait(now, &selected, waited);
-        }
-        self.record_outcome(now, key, &selected, outcome, was_suspect);
-        let mut effects = self.note_end(now, digest, &selected, outcome);
-        if outcome == AttemptOutcome::Finished {
-            self.requests.remove(&key);
-            self.crashes.remove(key, digest);
-            effects.extend(self.dispatch(now, random));
-            return effects;
+        if outcome == AttemptOutcome::Lost && !attempt.answered {
+            self.note_wait(now, selected, now.since(attempt.sent_at));
         }
-        effects.extend(self.retry_or_end(now, random, key, outcome));
-        effects.extend(self.dispatch(now, random));
-        effects
+        self.record_outcome(now, key, selected, outcome, attempt.is_suspect);
+        self.note_end(now, digest, selected, outcome)
     }
 
     /// Records how long a request waited at a runner.
@@ -143,44 +173,58 @@
     }
 
     /// Queues a request for another attempt, or ends it.
-    fn retry_or_end(
+    pub(super) fn retry_or_end(
         &mut self,
         now: Millis,
         random: &mut SmallRng,
         key: RequestKey,
         outcome: AttemptOutcome,
     ) -> Vec<Effect> {
-        let Some(progress) = self.requests.get(&key) else {
-            return Vec::new();
-        };
-        let arrival = &progress.arrival;
-        let may_repeat = !progress.may_have_run || arrival.kind.is_repeatable();
-        let has_attempts_left = (progress.tried.len() as u32) < arrival.attempts.max(1);
-        let (service, limit) = (arrival.service.clone(), arrival.deadline);
         // An attempt that never reached a runner causes no load there, so it costs no retry.
         let is_free = !outcome.has_arrived();
-        if self.bar_if_quarantined(now, key) {
+        if !self.take_another_attempt(now, key, is_free) {
             return self.finish_without_answer(now, random, key);
         }
-        if !may_repeat || !has_attempts_left || now >= limit {
-            return self.finish_without_answer(now, random, key);
+        self.enqueue_again(now, key);
+        if matches!(outcome, AttemptOutcome::Denied { .. }) {
+            return Vec::new();
         }
-        if !is_free && !self.take_retry(now, &service) {
-            return self.finish_without_answer(now, random, key);
+        vec![Effect::CountRetry(outcome.code())]
+    }
+
+    /// Whether a request may be sent to another runner. Takes a retry from the budget unless it is
+    /// free.
+    pub(super) fn take_another_attempt(
+        &mut self,
+        now: Millis,
+        key: RequestKey,
+        is_free: bool,
+    ) -> bool {
+        let is_barred = self.bar_if_quarantined(now, key);
+        let Some(progress) = self.requests.get(&key).filter(|_| !is_barred) else {
+            return false;
+        };
+        let arrival = &progress.arrival;
+        let may_repeat = !progress.counts_as_run() || arrival.kind.is_repeatable();
+        let has_attempts_left = (progress.tried.len() as u32) < arrival.attempts.max(1);
+        if !may_repeat || !has_attempts_left || now >= arrival.deadline {
+            return false;
         }
+        let service = arrival.service.clone();
+        is_free || self.take_retry(now, &service)
+    }
+
+    /// Queues a request for another attempt.
+    pub(super) fn enqueue_again(&mut self, now: Millis, key: RequestKey) {
         let waits_to_resume = self.is_enabled(Mechanism::ResumeWait);
         let Some(progress) = self.requests.get_mut(&key) else {
-            return Vec::new();
+            return;
         };
-        let wait = if progress.may_have_run && waits_to_resume { RESUME_WAIT_MS } else { 0 };
+        let wait = if progress.counts_as_run() && waits_to_resume { RESUME_WAIT_MS } else { 0 };
         progress.wait_until =
             progress.wait_until.max(now.plus(wait)).min(progress.arrival.deadline);
         let position =
             QueuePosition { priority: 0, is_repeated: progress.yields_to_first_attempts(), key };
         self.queue.insert(position);
-        if matches!(outcome, AttemptOutcome::Denied { .. }) {
-            return Vec::new();
-        }
-        vec![Effect::CountRetry(outcome.code())]
     }
 }
--- a/components/gateway/src/reducer/progress.rs
+++ b/components/gateway/src/reducer/progress.rs
@@ -6,7 +6,7 @@
 use fleet::{InstanceId, Millis};
 
 use crate::choice::Availability;
-use crate::event::{Arrival, RunnerScope};
+use crate::event::{Arrival, AttemptOutcome, RunnerScope};
 use crate::runner::RunnerIncarnation;
 
 /// The incarnation of a runner that a request was sent to.
@@ -19,6 +19,29 @@
     pub(super) has_token: bool,
 }
 
+/// An attempt of a request at a runner.
+#[derive(Clone, Debug)]
+pub(super) struct ActiveAttempt {
+    pub(super) runner: SelectedRunner,
+    /// When it was sent.
+    pub(super) sent_at: Millis,
+    /// Whether its response has begun.
+    pub(super) answered: bool,
+    /// Whether the request was suspected of crashing runners when the runner was selected.
+    pub(super) is_suspect: bool,
+}
+
+impl ActiveAttempt {
+    /// How it counts as ended if another attempt takes its place.
+    pub(super) fn replaced_outcome(&self) -> AttemptOutcome {
+        if self.answered {
+            AttemptOutcome::Cut
+        } else {
+            AttemptOutcome::Lost
+        }
+    }
+}
+
 /// An active request.
 #[derive(Clone, Debug)]
 pub(super) struct Progress {
@@ -26,13 +49,11 @@
     /// The runners that it may use. Stored here because each pass over the queue needs it.
     pub(super) scope: Arc<RunnerScope>,
     pub(super) tried: Vec<InstanceId>,
-    /// The runner of the current attempt.
-    pub(super) current: Option<SelectedRunner>,
-    /// When the current attempt was sent.
-    pub(super) sent_at: Millis,
-    /// Whether its response has begun.
-    pub(super) answered: bool,
-    /// Whether a runner may have run it.
+    /// The current attempt.
+    pub(super) current: Option<ActiveAttempt>,
+    /// The attempts whose runners are silent and may go on.
+    pub(super) stalled: Vec<ActiveAttempt>,
+    /// Whether a runner whose attempt has ended or whose response has begun may have run it.
     pub(super) may_have_run: bool,
     /// Until when it may wait for a slot.
     pub(super) wait_until: Millis,
@@ -44,8 +65,6 @@
     pub(super) was_denied: bool,
     /// How long reservations have been short at the runners that denied one, in milliseconds.
     pub(super) short_ms: u64,
-    /// Whether it was suspected of crashing runners when the current runner was selected.
-    pub(super) is_suspect: bool,
     /// How often a runner was selected for it.
     pub(super) queries: u32,
     /// Why it was retried or refused, if it was.
@@ -53,6 +72,24 @@
 }
 
 impl Progress {
+    /// Whether a runner may have run it or may be running it in silence.
+    pub(super) fn counts_as_run(&self) -> bool {
+        self.may_have_run || !self.stalled.is_empty()
+    }
+
+    /// Removes the stalled attempt at a runner.
+    pub(super) fn take_stalled(&mut self, runner: &InstanceId) -> Option<ActiveAttempt> {
+        let index = self.stalled.iter().position(|it| &it.runner.id == runner)?;
+        Some(self.stalled.remove(index))
+    }
+
+    /// Removes all attempts, which end without a result.
+    pub(super) fn take_attempts(&mut self) -> Vec<ActiveAttempt> {
+        let mut attempts = std::mem::take(&mut self.stalled);
+        attempts.extend(self.current.take());
+        attempts
+    }
+
     /// Whether waiting for a slot is useless: its time is over, or no runner is known to serve
     /// before that. If all runners lack a required version, callers are thus refused at once
     /// instead of after their waiting time. A request that may have run waits anyway, because its
@@ -65,7 +102,7 @@
             Availability::NotServing => true,
             Availability::Serving | Availability::Unknown => false,
         };
-        now >= self.wait_until || (serves_too_late && !self.may_have_run)
+        now >= self.wait_until || (serves_too_late && !self.counts_as_run())
     }
 
     /// The code of a refusal in this state of the runners.
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::Rng;
 
-use super::{Gateway, Progress, SelectedRunner};
+use super::{ActiveAttempt, Gateway, Progress, SelectedRunner};
 use crate::choice::Availability;
 use crate::event::{Effect, NextStep, RequestKey, RunnerScope, RunnerTarget};
 
@@ -59,7 +59,7 @@
     /// Whether first attempts of others are served first. A request that may have run already has
     /// precedence over new ones.
     pub(super) fn yields_to_first_attempts(&self) -> bool {
-        self.is_repeated && !self.may_have_run
+        self.is_repeated && !self.counts_as_run()
     }
 
     /// Time left of its target latency, in milliseconds: zero for a repeated attempt, and for
@@ -161,13 +161,19 @@
         }
     }
 
-    /// Builds the final response of a request that gets none from a runner.
+    /// Builds the final response of a request that gets none from a runner. A request with a stalled
+    /// attempt goes on without one.
     pub(super) fn finish_without_answer(
         &mut self,
         now: Millis,
         random: &mut SmallRng,
         key: RequestKey,
     ) -> Vec<Effect> {
+        let is_stalled = self.requests.get(&key).is_some_and(|it| !it.stalled.is_empty());
+        if is_stalled {
+            // A silent runner may still go on.
+            return Vec::new();
+        }
         let Some(progress) = self.requests.remove(&key) else {
             return Vec::new();
         };
@@ -228,9 +234,8 @@
         let selected =
             SelectedRunner { id: id.clone(), incarnation: runner.incarnation, has_token };
         progress.tried.push(id.clone());
-        progress.current = Some(selected);
-        progress.is_suspect = is_suspect;
-        progress.sent_at = now;
+        progress.current =
+            Some(ActiveAttempt { runner: selected, sent_at: now, answered: false, is_suspect });
         progress.queries += 1;
         // While other runners may have a slot at once, the query does not wait at this one.
         let others_available = progress.queries < FIRST_WAITING_QUERY && selection.candidates > 1;
@@ -239,7 +244,7 @@
         let wait_ms = if others_available { 0 } else { progress.wait_until.since(now).0 };
         let left_ms = progress.left_ms(now);
         // A request that may have run already has precedence over new ones.
-        let ignores_priority = progress.may_have_run || !ablation.is_enabled(Mechanism::Ranks);
+        let ignores_priority = progress.counts_as_run() || !ablation.is_enabled(Mechanism::Ranks);
         let rank = if ignores_priority { 0 } else { progress.arrival.priority };
         Some(RunnerTarget { id, address, reserve, rank, left_ms, wait_ms, limit, selection })
     }
--- a/components/gateway/src/reducer/send_checks.rs
+++ b/components/gateway/src/reducer/send_checks.rs
@@ -1,6 +1,6 @@
 //! The checks right before a request is sent to the selected runner.
 
-use fleet::Millis;
+use fleet::{InstanceId, Millis};
 
 use super::progress::Progress;
 use super::Gateway;
@@ -14,7 +14,7 @@
         let Some(progress) = self.requests.get(&key) else {
             return false;
         };
-        let current = progress.current.as_ref();
+        let current = progress.current.as_ref().map(|it| &it.runner);
         let runner = current.and_then(|it| Some((self.pool.runner(&it.id)?, it.incarnation)));
         let runner = runner
             .filter(|(runner, incarnation)| runner.incarnation == *incarnation)
@@ -34,15 +34,21 @@
     /// The time by which a request that is sent now must have begun at the selected runner, after
     /// which its version may no longer be used. `None` if there is no such time.
     pub fn start_deadline(&self, now: Millis, key: RequestKey) -> Option<Millis> {
-        let selected = self.requests.get(&key)?.current.as_ref()?;
-        self.pool.deadline_of(now, self.pool.runner(&selected.id)?)
+        let current = self.requests.get(&key)?.current.as_ref()?;
+        self.start_deadline_at(now, &current.runner.id)
+    }
+
+    /// The time by which a request must have begun at a runner, after which its version may no
+    /// longer be used. `None` if there is no such time.
+    pub fn start_deadline_at(&self, now: Millis, runner: &InstanceId) -> Option<Millis> {
+        self.pool.deadline_of(now, self.pool.runner(runner)?)
     }
 
     /// Whether the runner's rate limit allows sending a request to the selected runner: its sidecar
     /// granted the reservation within the limit, or this gateway has a share of the rate.
     fn may_send_by_rate(&self, progress: &Progress, runner: &Runner) -> bool {
         let by_sidecar = self.asks_sidecars(&progress.arrival) && runner.is_limit_enforced;
-        let by_itself = progress.current.as_ref().is_some_and(|it| it.has_token);
+        let by_itself = progress.current.as_ref().is_some_and(|it| it.runner.has_token);
         runner.notices.limit.rate().is_none() || by_sidecar || by_itself
     }
 }
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod network;
+pub mod random_actions;
 
 use std::sync::Arc;
 
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -243,7 +243,8 @@
         self.runner_load_notices.add(1, &[KeyValue::new("word", notice)]);
     }
 
-    /// Counts a silence of a runner whose connection is open: one that `began` before or within a response.
+    /// Counts a silence of a runner whose connection is open: one that `began` before or within a response, or
+    /// after which the runner `continued`.
     pub fn count_silence(&self, what: &'static str) {
         self.silences.add(1, &[KeyValue::new("what", what)]);
     }
--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -12,6 +12,7 @@
 mod reload;
 mod rests;
 mod runner_restarts;
+mod silences;
 mod slow_callers;
 mod starts_between_versions;
 mod store_rollbacks;
