Test: both runners of a stalled stream are released when its caller leaves

While a runner is silent its request is at two runners, and both connections have to close at once when the caller leaves, or runners work for nobody. The test opens a stream on a plain connection, waits until the silent runner and a second one that still reads the prompt both count it, closes the connection and expects both free within 400 ms. No change of logic.

--- a/daemon/tests/deployment/silences.rs
+++ b/daemon/tests/deployment/silences.rs
@@ -4,12 +4,13 @@
 //! runner could take the request over, its caller got a cut stream or an error, although the runner would have
 //! completed the answer.
 
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use account::{Decision, RequestLine};
 use http::Method;
-use platform_standin::{Answer, Caller, RunnerFault};
+use platform_standin::{Answer, Caller, RunnerFault, HOST, KEY};
 use serde_json::json;
 
 use crate::machine_address;
@@ -23,6 +24,8 @@
 const VERSION_BOUND: Duration = Duration::from_millis(8000);
 /// How long after its start a gateway knows that no older version is left.
 const SETTLE_TIME: Duration = Duration::from_millis(2500);
+/// Within what time the runners of a caller that has disconnected are free.
+const RELEASE_BOUND: Duration = Duration::from_millis(400);
 /// How long before the deadline of a version a request is sent that starts after it.
 const SENT_BEFORE_DEADLINE: Duration = Duration::from_millis(2000);
 
@@ -191,3 +194,40 @@
     assert!(deployment.standin.runs("kept").is_empty(), "{answer:?}");
     assert_eq!(answer.status, 502, "{answer:?}");
 }
+
+/// Sends a stream request and returns its connection.
+fn open_stream(gateway: SocketAddr, id: &str) -> TcpStream {
+    let mut connection = TcpStream::connect(gateway).unwrap();
+    let headers = platform_standin::headers(id, KEY, 4000);
+    let lines: Vec<String> =
+        headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+    let head = format!("POST /s/x HTTP/1.1\r\nhost: {HOST}\r\n{}\r\n", lines.concat());
+    connection.write_all(head.as_bytes()).unwrap();
+    connection
+}
+
+#[test]
+fn both_runners_of_a_stalled_stream_are_released_when_its_caller_disconnects() {
+    let (mut deployment, gateway, silent) = start();
+    let second = add_second_runner(&mut deployment, gateway);
+    deployment.standin.change_runner(silent, |it| {
+        it.fault = RunnerFault::PauseAfter { events: EVENTS_BEFORE_PAUSE, pause: PAUSE * 10 };
+    });
+    deployment.standin.change_runner(second, |it| it.prompt_read_time = PAUSE * 10);
+    let running = || {
+        [silent, second].map(|it| deployment.standin.runner(it).map_or(0, |runner| runner.running))
+    };
+    let mut number = 0;
+    wait_until("a stream is at both runners", || {
+        number += 1;
+        let connection = open_stream(gateway, &format!("both-{number}"));
+        std::thread::sleep(PAUSE);
+        if running() != [1, 1] {
+            return false;
+        }
+        drop(connection);
+        std::thread::sleep(RELEASE_BOUND);
+        assert_eq!(running(), [0, 0]);
+        true
+    });
+}
