--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -50,7 +50,11 @@
 fn is_ordinary(entry: &TimedDecision) -> bool {
     !matches!(
         entry.decision,
-        Decision::Failed { .. } | Decision::Resumed { .. } | Decision::Told { .. }
+        Decision::Failed { .. }
+            | Decision::Resumed { .. }
+            | Decision::Silent { .. }
+            | Decision::Continued { .. }
+            | Decision::Told { .. }
     )
 }
 
@@ -110,6 +114,19 @@
         });
     }
 
+    /// Adds that a runner has been silent for longer than expected while its connection is open.
+    pub fn add_silence(&self, target: &RunnerTarget, silent_ms: u64, begun: bool) {
+        self.core.metrics.count_silence("began");
+        self.add(Decision::Silent { runner: target.id.0.clone(), silent_ms, begun });
+    }
+
+    /// Adds that a runner that was silent goes on.
+    pub fn add_continuation(&self, target: &RunnerTarget) {
+        self.core.metrics.count_silence("continued");
+        let (runner, after_ms) = (target.id.0.clone(), self.age_ms());
+        self.add(Decision::Continued { runner, after_ms });
+    }
+
     /// Adds an attempt that failed.
     pub fn add_failure(&self, target: &RunnerTarget, outcome: AttemptOutcome, took_ms: u64) {
         let runner = target.id.0.clone();
--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -14,6 +14,7 @@
 mod reload;
 mod rests;
 mod runner_restarts;
+mod silences;
 mod slow_callers;
 mod starts_between_versions;
 mod stops;
