Judge the confirmation of a configuration by the logged times

Cause: the store stand-in sends the answer 700 ms after it has made it, and a gateway gives up on a feed call 800 ms after its wait. The rest of the call takes some 6 ms, which leaves about 94 ms. The test slept for a second and took it for granted that the answer had arrived. If the stand-in or the gateway runs that much late, the gateway logs "store not heard, asked_ms 2550, no answer in time" and "store lost", and refuses with 503 as retryable. That is what it has to do without contact, so the product broke no promise and is not changed. Ruled out: the age of the configuration (2200 ms allowed, 1020 ms at that time) and a late test thread (the call was made after 1000.06 ms).

Change: the test waits for the logged end of the call. If the call timed out, the play has not shown anything and is repeated, at most five times. If it was answered, the gateway must refuse with 404, and the log of these refusals must state that the configuration was known up to a time before it was replaced; this is the guarantee itself and used to be checked with 320 ms to spare. The check for 503 at 2500 ms stays.

--- a/daemon/tests/deployment/outages.rs
+++ b/daemon/tests/deployment/outages.rs
@@ -3,20 +3,25 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use account::Decision;
 use http::Method;
 use platform_standin::{Caller, StoreFault};
 use serde_json::{json, Value};
 
 use crate::machine_address;
-use crate::support::{wait_until, Deployment};
+use crate::support::{unix_millis, wait_until, Deployment};
 
 /// Within what time after an outage of the store its changes must be in force, by the platform's bounds.
 const CONTACT_BOUND: Duration = Duration::from_millis(3000);
 
 /// Within what time after the answer that the history is lost its table is read, in milliseconds.
 const MAX_READ_DELAY_MS: u64 = 300;
-/// Time by which a delayed answer of the store has arrived.
-const DELIVERY_TIME: Duration = Duration::from_millis(1000);
+/// How often a play is repeated in which the delayed answer came too late for the gateway.
+const MAX_PLAYS: usize = 5;
+/// How many requests are refused by the confirmed configuration.
+const EARLY_REFUSALS: usize = 5;
+/// The largest error of a time in a log line that was computed from two rounded ones, in milliseconds.
+const ROUNDING_MS: u64 = 1;
 /// How long an answer of the store confirms a configuration: the wait of a feed, the pause before it, and a
 /// margin.
 const CONFIRMATION_PERIOD: Duration = Duration::from_millis(2500);
@@ -33,6 +38,16 @@
     Instant::now()
 }
 
+/// Adds a route whose paths start with its name.
+fn add_route(deployment: &Deployment, name: &str) {
+    deployment.standin.reconfigure(|it| {
+        let mut route = it["routes"][1].clone();
+        route["name"] = json!(name);
+        route["pathPrefix"] = json!(format!("/{name}/"));
+        it["routes"].as_array_mut().unwrap().push(route);
+    });
+}
+
 /// Adds a route after an outage and returns the status of a call to it at the time at which it must be in
 /// force.
 fn status_of_a_new_route_after(calls: u64) -> u16 {
@@ -40,12 +55,7 @@
     let gateway = deployment.add_gateway();
     deployment.wait_until_ready(gateway);
     let available_at = silence_store(&deployment, "op", calls);
-    deployment.standin.reconfigure(|it| {
-        let mut route = it["routes"][1].clone();
-        route["name"] = json!("new");
-        route["pathPrefix"] = json!("/new/");
-        it["routes"].as_array_mut().unwrap().push(route);
-    });
+    add_route(&deployment, "new");
     std::thread::sleep(CONTACT_BOUND.saturating_sub(available_at.elapsed()));
     Caller::new(Method::GET, "/new/x", "n1").call(gateway).status
 }
@@ -163,6 +173,55 @@
     assert_eq!(Caller::new(Method::GET, "/new/x", "n1").call(gateway).status, 200);
 }
 
+/// When a configuration was replaced.
+struct Replacement {
+    at: Instant,
+    unix_ms: u64,
+}
+
+/// Delays the answers of the store, replaces the configuration right after an answer was made, and loses all
+/// later calls. Returns once the gateway has the answer; `None` if it had given up on that call before.
+fn replace_after_a_delayed_answer(
+    deployment: &Deployment,
+    gateway: SocketAddr,
+    route: &str,
+) -> Option<Replacement> {
+    let outcomes = || {
+        let log = deployment.log(gateway.ip());
+        let lines = log.lines().filter_map(|it| serde_json::from_str::<Value>(it).ok());
+        let is_outcome = |it: &Value| it["table"] == "Operator" && it["call"] == "feed";
+        lines.filter(is_outcome).collect::<Vec<Value>>()
+    };
+    deployment.standin.set_store_fault(StoreFault::DelayedResponses);
+    let late_answers = || deployment.standin.late_answers("op");
+    // The call of the first one may have been sent before answers were delayed.
+    let before = late_answers();
+    wait_until("an answer has been made", || late_answers() > before + 1);
+    deployment.standin.set_store_fault(StoreFault::NoResponse);
+    add_route(deployment, route);
+    let replacement = Replacement { at: Instant::now(), unix_ms: unix_millis() };
+    let earlier_calls = outcomes().len();
+    wait_until("the call has ended", || outcomes().len() > earlier_calls);
+    let outcome = &outcomes()[earlier_calls];
+    if outcome["message"] == "store answered" {
+        assert_eq!(outcome["rows"], 0, "the answer was made before the configuration was replaced");
+        return Some(replacement);
+    }
+    let reason = outcome["reason"].as_str().unwrap_or_default();
+    assert!(reason.contains("no answer in time"), "{outcome}");
+    None
+}
+
+/// Up to which time a gateway knew its configuration when it refused a request by it, in Unix time.
+fn known_until_ms(deployment: &Deployment, request: &str) -> u64 {
+    let account = deployment.account(request);
+    let known_until = account.lines.iter().find_map(|line| match line.decision {
+        Decision::Unrouted { age_ms, .. } => Some(line.ts_ms - age_ms?),
+        _ => None,
+    });
+    known_until.expect("a line states the age of the configuration")
+}
+
 /// Guards against a failure in which a gateway refused a request with 404 by a configuration that had been
 /// replaced.
 ///
@@ -175,24 +234,34 @@
     let mut deployment = Deployment::start();
     let gateway = deployment.add_gateway();
     deployment.wait_until_ready(gateway);
-    deployment.standin.set_store_fault(StoreFault::DelayedResponses);
-    let late_answers = || deployment.standin.late_answers("op");
-    // The call of the first one may have been sent before answers were delayed.
-    let before = late_answers();
-    wait_until("an answer has been made", || late_answers() > before + 1);
-    deployment.standin.set_store_fault(StoreFault::NoResponse);
-    deployment.standin.reconfigure(|it| {
-        let mut route = it["routes"][1].clone();
-        route["name"] = json!("new");
-        route["pathPrefix"] = json!("/new/");
-        it["routes"].as_array_mut().unwrap().push(route);
+    let played = (0..MAX_PLAYS).find_map(|play| {
+        let route = format!("new{play}");
+        let replaced = replace_after_a_delayed_answer(&deployment, gateway, &route);
+        if replaced.is_none() {
+            deployment.standin.set_store_fault(StoreFault::None);
+            wait_until("the gateway has the configuration", || {
+                Caller::new(Method::GET, &format!("/{route}/x"), "again").call(gateway).status
+                    == 200
+            });
+        }
+        Some((replaced?, format!("/{route}/x")))
+    });
+    let (replaced, path) = played.expect("a delayed answer reaches the gateway in time");
+    let known_until = (0..EARLY_REFUSALS).map(|number| {
+        let id = format!("early{number}");
+        let status = Caller::new(Method::GET, &path, &id).call(gateway).status;
+        assert_eq!(status, 404, "the gateway cannot know yet");
+        known_until_ms(&deployment, &id)
     });
-    let replaced = Instant::now();
-    let caller = Caller::new(Method::GET, "/new/x", "n1");
-    std::thread::sleep(DELIVERY_TIME.saturating_sub(replaced.elapsed()));
-    assert_eq!(caller.call(gateway).status, 404, "the gateway cannot know yet");
-    std::thread::sleep(CONFIRMATION_PERIOD.saturating_sub(replaced.elapsed()));
-    assert_eq!(caller.call(gateway).status, 503);
+    // A process that pauses between the two readings of a line states a time that is too late.
+    let known_until = known_until.min().unwrap();
+    assert!(
+        known_until <= replaced.unix_ms + ROUNDING_MS,
+        "confirmed for {} ms after it was replaced",
+        known_until - replaced.unix_ms
+    );
+    std::thread::sleep(CONFIRMATION_PERIOD.saturating_sub(replaced.at.elapsed()));
+    assert_eq!(Caller::new(Method::GET, &path, "late").call(gateway).status, 503);
 }
 
 /// Entries of runners expire while the runners cannot reach the store, and live runners write theirs again soon
--- a/daemon/tests/deployment/support.rs
+++ b/daemon/tests/deployment/support.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use account::Account;
 use http::Method;
@@ -275,6 +275,11 @@
     network
 }
 
+/// The Unix time, in milliseconds.
+pub fn unix_millis() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
 /// Sleeps until `moment`.
 pub fn sleep_until(moment: Instant) {
     std::thread::sleep(moment.saturating_duration_since(Instant::now()));
