Say how many requests run at an order and why it is sent then

Callers saw streams that ended although nothing had failed, while versions were rolled out. An order to load a version may abort up to two requests that run at the runner, and its log line said only that it may (`cut`), not how many there were, nor whether the runner had drained, had not drained in time, or was about to reach its deadline. So nobody could tell which of the streams that ended at gateways were ended by an order.

The reason is now decided once, when the order falls due, and is kept until the order is sent. The line `ordered` has `running` and `reason` beside its earlier keys, and `silverdock_orders_total` counts orders by reason.

--- a/components/edge/src/sidecar/node.rs
+++ b/components/edge/src/sidecar/node.rs
@@ -187,9 +187,9 @@
                 spawner.detach(runner::retire(core.clone(), version, sequence));
                 notify_of_order(&core, &socket).await;
             }
-            Effect::Order { version, sequence, abort_running } => {
+            Effect::Order(order) => {
                 notify_of_order(&core, &socket).await;
-                queue_job(&jobs, Job::Order { version, sequence, abort_running });
+                queue_job(&jobs, Job::Order(order));
             }
         }
     }
--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -12,7 +12,7 @@
 use platform::headers::ResponseHeaders;
 use platform::{headers, runner, weights, Call};
 use quarantine::ListScope;
-use rollout::{Event, OrderOutcome, Recipients, Reports, Subscribers};
+use rollout::{Event, LoadOrder, OrderOutcome, Recipients, Reports, Subscribers};
 use uptime::Instant;
 
 use super::core::Core;
@@ -37,15 +37,8 @@
     Find(u64),
     /// Stage every chunk of a version there.
     Stage(u64),
-    /// Order the runner to start a version.
-    Order {
-        /// The version.
-        version: u64,
-        /// The number of orders that the runner is expected to have taken.
-        sequence: u64,
-        /// Whether running requests are interrupted.
-        abort_running: bool,
-    },
+    /// Order the runner to load a version.
+    Order(LoadOrder),
 }
 
 /// Polls the runner's report and sends its load to the gateways.
@@ -155,9 +148,7 @@
         match job {
             Job::Find(version) => worker.find_staged(version).await,
             Job::Stage(version) => worker.stage(version).await,
-            Job::Order { version, sequence, abort_running } => {
-                worker.order(version, sequence, abort_running).await
-            }
+            Job::Order(order) => worker.order(order).await,
         }
     }
 }
@@ -256,12 +247,13 @@
         Err(Error::new(Code::UpstreamFailed, format!("status {}", answer.status)))
     }
 
-    async fn order(&mut self, version: u64, sequence: u64, abort_running: bool) {
-        let outcome =
-            send_order(self.client, runner::start(&self.model, version, sequence, abort_running))
-                .await;
+    async fn order(&mut self, order: LoadOrder) {
+        let LoadOrder { version, sequence, running, abort_running, reason } = order;
+        let call = runner::start(&self.model, version, sequence, abort_running);
+        let outcome = send_order(self.client, call).await;
         let outcome_text = format!("{outcome:?}");
-        log::info!(version = version, sequence = sequence, cut = abort_running, outcome = outcome_text.as_str(); "ordered");
+        log::info!(version = version, sequence = sequence, running = running, cut = abort_running, reason = reason.name(), outcome = outcome_text.as_str(); "ordered");
+        self.core.metrics.count_order(reason.name());
         self.core.dispatch(Event::Ordered(version, outcome));
     }
 }
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -83,6 +83,31 @@
     pub version: Option<u64>,
 }
 
+/// Why the runner is ordered to load a version at this moment and not later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderReason {
+    /// No request runs at the runner.
+    Idle,
+    /// Few requests run at the runner. The order aborts them.
+    FewRunning,
+    /// The runner has not drained in time.
+    DrainTimeout,
+    /// The deadline of the version that the runner holds is about to pass.
+    Deadline,
+}
+
+impl OrderReason {
+    /// The name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::FewRunning => "few_running",
+            Self::DrainTimeout => "drain_timeout",
+            Self::Deadline => "deadline",
+        }
+    }
+}
+
 /// The result of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderOutcome {
@@ -212,6 +237,21 @@
     Peer(SocketAddr),
 }
 
+/// An order to the runner to load a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadOrder {
+    /// The version.
+    pub version: u64,
+    /// The expected number of orders accepted by the runner.
+    pub sequence: u64,
+    /// Number of requests at the runner, running or waiting.
+    pub running: u32,
+    /// Whether to abort running requests. Otherwise the runner completes them first.
+    pub abort_running: bool,
+    /// Why the order is sent at this moment.
+    pub reason: OrderReason,
+}
+
 /// An action requested by the reducer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
@@ -249,12 +289,5 @@
         sequence: u64,
     },
     /// Order the runner to load a version.
-    Order {
-        /// The version.
-        version: u64,
-        /// The expected number of orders accepted by the runner.
-        sequence: u64,
-        /// Whether to abort running requests. Otherwise the runner completes them first.
-        abort_running: bool,
-    },
+    Order(LoadOrder),
 }
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -20,7 +20,8 @@
 pub use cold::{ColdLimit, ColdPlan, ColdStart};
 pub use directory::{Directory, DirectoryAnswer, DirectoryStep, GATEWAY_TIMEOUT_MS};
 pub use event::{
-    Effect, Event, ManifestSource, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan,
+    Effect, Event, LoadOrder, ManifestSource, OrderOutcome, OrderReason, Peer, RolloutOptions,
+    RunnerStatus, WeightsPlan,
 };
 pub use rate::RateLimiter;
 pub use reducer::Rollout;
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -11,7 +11,8 @@
 
 use crate::cold::ColdStart;
 use crate::event::{
-    Effect, Event, ManifestSource, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan,
+    Effect, Event, LoadOrder, ManifestSource, OrderOutcome, Peer, RolloutOptions, RunnerStatus,
+    WeightsPlan,
 };
 use crate::first_attempts::FirstAttempts;
 use crate::manifest_searches::ManifestSearches;
@@ -425,7 +426,10 @@
     fn apply_staged(&mut self, now: Millis, version: u64, is_complete: bool) -> Vec<Effect> {
         let (is_ready, knows_versions) = (self.is_runner_ready_for_order(), self.versions_known);
         let status = self.status.clone();
-        let Some(target) = self.target(version).filter(|it| it.step == Step::Staging) else {
+        let Some(target) = self.target(version) else {
+            return Vec::new();
+        };
+        let Step::Staging(reason) = target.step else {
             return Vec::new();
         };
         let Some(status) = status.filter(|_| is_complete && is_ready && knows_versions) else {
@@ -436,7 +440,13 @@
         self.ordered_at = Some(now);
         self.own_order_at = now;
         let abort_running = status.running > 0 && status.running <= MAX_ABORTED_REQUESTS;
-        vec![Effect::Order { version, sequence: status.sequence, abort_running }]
+        vec![Effect::Order(LoadOrder {
+            version,
+            sequence: status.sequence,
+            running: status.running,
+            abort_running,
+            reason,
+        })]
     }
 
     fn apply_order_outcome(&mut self, now: Millis, version: u64, outcome: OrderOutcome) {
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -238,7 +238,7 @@
         };
         match target.step {
             Step::Waiting(at) => now >= at,
-            Step::Staging | Step::Ordered(..) => true,
+            Step::Staging(_) | Step::Ordered(..) => true,
             _ => false,
         }
     }
--- a/components/rollout/src/reducer/estimate.rs
+++ b/components/rollout/src/reducer/estimate.rs
@@ -26,7 +26,7 @@
         let target = self.next_served_target(now)?;
         let left_ms = match target.step {
             Step::Waiting(at) => self.until_order_ms(now, at) + STAGING_MS + load_ms,
-            Step::Staging => STAGING_MS + load_ms,
+            Step::Staging(_) => STAGING_MS + load_ms,
             Step::Ordered(at, _) => at.plus(load_ms).since(now).0,
             Step::Fetching => self.until_fetched_ms(now, target)? + STAGING_MS + load_ms,
             _ => return None,
--- a/components/rollout/src/reducer/moves.rs
+++ b/components/rollout/src/reducer/moves.rs
@@ -5,7 +5,7 @@
 
 use super::admission::START_MARGIN_MS;
 use super::{Rollout, DRAIN_TIMEOUT_MS, LAST_ORDER_MARGIN_MS, MAX_ABORTED_REQUESTS};
-use crate::event::Effect;
+use crate::event::{Effect, OrderReason};
 use crate::precedence::{self, RemainingWork};
 use crate::target::{Step, Target};
 use crate::turns;
@@ -175,13 +175,11 @@
 
     fn stage_when_due(&mut self, now: Millis) -> Option<Effect> {
         let is_ready = self.is_runner_ready_for_order();
-        let is_drained = self.status.as_ref().is_some_and(|it| it.running <= MAX_ABORTED_REQUESTS)
-            && !self.slots.has_request_in_transit(now);
         let is_evacuated = self.is_evacuated(now);
-        let is_deadline_near = self.is_deadline_near(now);
         if self.current.as_ref().is_some_and(|it| self.is_expired(now, it.version)) {
             return None;
         }
+        let reason = self.order_reason(now);
         let target = self.current.as_mut()?;
         match target.step {
             // The scheduled time only exists to keep the runner in service, which does not apply during an
@@ -190,15 +188,30 @@
                 target.step = Step::Waiting(now);
                 None
             }
-            Step::Waiting(at)
-                if now >= at
-                    && is_ready
-                    && (is_drained || is_deadline_near || now >= at.plus(DRAIN_TIMEOUT_MS)) =>
-            {
-                target.step = Step::Staging;
+            Step::Waiting(at) if now >= at && is_ready => {
+                target.step = Step::Staging(reason?);
                 Some(Effect::Stage(target.version))
             }
             _ => None,
         }
     }
+
+    /// Returns why a scheduled order is sent now. `None` if the runner drains first.
+    fn order_reason(&self, now: Millis) -> Option<OrderReason> {
+        let running = self.status.as_ref()?.running;
+        let is_in_transit = self.slots.has_request_in_transit(now);
+        if running == 0 && !is_in_transit {
+            return Some(OrderReason::Idle);
+        }
+        if running <= MAX_ABORTED_REQUESTS && !is_in_transit {
+            return Some(OrderReason::FewRunning);
+        }
+        if self.is_deadline_near(now) {
+            return Some(OrderReason::Deadline);
+        }
+        let Some(Step::Waiting(at)) = self.current.as_ref().map(|it| it.step) else {
+            return None;
+        };
+        (now >= at.plus(DRAIN_TIMEOUT_MS)).then_some(OrderReason::DrainTimeout)
+    }
 }
--- a/components/rollout/src/reducer/retirement.rs
+++ b/components/rollout/src/reducer/retirement.rs
@@ -47,7 +47,8 @@
         if !self.is_deadline_near(now) || !self.is_runner_ready_for_order() {
             return None;
         }
-        let is_staging = self.current.as_ref().is_some_and(|it| it.step == Step::Staging);
+        let is_staging =
+            self.current.as_ref().is_some_and(|it| matches!(it.step, Step::Staging(_)));
         if is_staging && !self.is_deadline_within(now, version, STAGING_RETIRE_MARGIN_MS) {
             return None;
         }
--- a/components/rollout/src/reducer/status.rs
+++ b/components/rollout/src/reducer/status.rs
@@ -43,7 +43,7 @@
         match target.step {
             // Chunks that were written to the previous incarnation are written again: the order must refer to
             // the state of the new incarnation.
-            Step::Staging if has_restarted => target.step = Step::Waiting(now),
+            Step::Staging(_) if has_restarted => target.step = Step::Waiting(now),
             Step::Served if !holds_target && !status.is_executing_order => {
                 target.step = if target.is_complete() {
                     Step::Waiting(now)
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -9,7 +9,7 @@
     SpreadPhase,
 };
 
-use crate::event::{Effect, Peer, RolloutOptions, WeightsPlan};
+use crate::event::{Effect, OrderReason, Peer, RolloutOptions, WeightsPlan};
 
 /// Number of neighbours that a sidecar selects itself, and how many of them in its own hall.
 const SELECTED_NEIGHBOURS: usize = 16;
@@ -77,8 +77,8 @@
     Fetching,
     /// All chunks are here. The runner is ordered at the given time.
     Waiting(Millis),
-    /// The chunks are being written to the runner.
-    Staging,
+    /// The chunks are being written to the runner. The reason is that of the order that follows.
+    Staging(OrderReason),
     /// The runner was ordered at the given time, when it had accepted the given number of orders.
     Ordered(Millis, u64),
     /// The runner holds the version.
@@ -129,7 +129,7 @@
 
     /// Returns whether all chunks are here and the runner has not loaded them yet.
     pub(crate) fn is_awaiting_load(&self) -> bool {
-        matches!(self.step, Step::Waiting(_) | Step::Staging | Step::Ordered(..))
+        matches!(self.step, Step::Waiting(_) | Step::Staging(_) | Step::Ordered(..))
     }
 
     /// Returns whether chunks are being fetched.
--- a/components/rollout/tests/support/effects.rs
+++ b/components/rollout/tests/support/effects.rs
@@ -45,7 +45,7 @@
                 runner.version = None;
                 self.retired.push((index, version, self.now));
             }
-            Effect::Order { version, sequence, .. } => self.order(index, version, sequence),
+            Effect::Order(order) => self.order(index, order.version, order.sequence),
         }
     }
 
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -55,6 +55,7 @@
     platform_calls: Counter<u64>,
     store_bytes: Counter<u64>,
     evacuations: Counter<u64>,
+    orders: Counter<u64>,
     crashes: Counter<u64>,
     runner_life_reports: Counter<u64>,
     runner_load_notices: Counter<u64>,
@@ -120,6 +121,12 @@
                 .u64_counter("silverdock_evacuations")
                 .with_description("Evacuations of data halls that were heard of, by what changed")
                 .build(),
+            orders: meter
+                .u64_counter("silverdock_orders")
+                .with_description(
+                    "Orders to the runner to load a version, by why they were sent then",
+                )
+                .build(),
             crashes: meter
                 .u64_counter("silverdock_crashes")
                 .with_description("Runners that crashed under requests, and what became of these")
@@ -221,6 +228,11 @@
         self.evacuations.add(1, &[KeyValue::new("change", change)]);
     }
 
+    /// Counts an order to the runner to load a version, by why it was sent then.
+    pub fn count_order(&self, reason: &'static str) {
+        self.orders.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a runner that `crashed` while it executed a request, or a request that was `quarantined` or `cleared`.
     pub fn count_crash(&self, what: &'static str) {
         self.crashes.add(1, &[KeyValue::new("what", what)]);
