Don't count a pending order's wait for running requests as loading time

Callers who were refused while a runner completed its last requests under a pending order were told to return too early: gateways derive Retry-After from how soon the sidecar says that its runner serves, and the sidecar counted the loading time from when it sent the order. While a request went on for longer than the load takes, it said 40 ms, then zero.

Cause: the runner starts to load a version once its last request has ended, which the estimate ignored. Ruled out: the estimate before the order; it includes the time to drain.

Before, the new test fails with "Some(40) while the request runs". The simulated runner of the tests now starts to load when its last request has ended; it used to load beside them.

Change: while the runner executes the order and still has requests, the time from which it loads is moved on with each of its reports. The timeout of an order that the runner never reports is as before, since it only applies to a runner that executes none.

--- a/components/rollout/src/reducer/status.rs
+++ b/components/rollout/src/reducer/status.rs
@@ -53,6 +53,10 @@
             }
             Step::Served => {}
             _ if holds_target && !status.is_executing_order => target.step = Step::Served,
+            // The runner starts to load the version only once its last request has ended.
+            Step::Ordered(_, sequence) if status.is_executing_order && status.running > 0 => {
+                target.step = Step::Ordered(now, sequence);
+            }
             Step::Ordered(at, sequence) => {
                 let has_timed_out =
                     now.since(at).0 > ORDER_TIMEOUT_MS && !status.is_executing_order;
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -79,7 +79,8 @@
     Waiting(Millis),
     /// The chunks are being written to the runner. The reason is that of the order that follows.
     Staging(OrderReason),
-    /// The runner was ordered at the given time, when it had accepted the given number of orders.
+    /// The runner was ordered when it had accepted the given number of orders, and has been loading the version
+    /// since the given time at the earliest.
     Ordered(Millis, u64),
     /// The runner holds the version.
     Served,
--- a/components/rollout/tests/orders.rs
+++ b/components/rollout/tests/orders.rs
@@ -57,3 +57,21 @@
     assert!(at < deadline, "ordered at {at}, the deadline is {deadline}");
     assert_eq!(fleet.retired, [], "the order for the newer version is enough");
 }
+
+/// Guards against callers that are told to come back too early. The runner still completed a request, and its sidecar
+/// reported that it serves at once.
+#[test]
+fn time_until_the_runner_serves_does_not_pass_while_a_request_delays_the_load() {
+    let mut fleet = fleet_with_due_order(1);
+    fleet.run(MAX_DRAIN_MS + 300);
+    assert_eq!(fleet.orders.len(), 1);
+    let warm_ms = plan().warm_ms as u32;
+    for _ in 0..20 {
+        fleet.run(100);
+        let serves_in = fleet.sidecars[0].serves_in_ms(Millis(fleet.now));
+        assert!(serves_in >= Some(warm_ms), "{serves_in:?} while the request runs");
+    }
+    fleet.runners[0].running = 0;
+    fleet.run(LOAD_MS + 200);
+    assert_eq!(fleet.sidecars[0].serves_in_ms(Millis(fleet.now)), Some(0));
+}
--- a/components/rollout/tests/support/effects.rs
+++ b/components/rollout/tests/support/effects.rs
@@ -7,7 +7,7 @@
 use reducer::{Fetch, FetchSource};
 use rollout::*;
 
-use super::{address, id, manifest, place, Fleet, CHUNKS};
+use super::{address, id, manifest, place, Fleet, CHUNKS, LOAD_MS};
 
 impl Fleet {
     /// Executes an effect of a sidecar after a delay.
@@ -71,7 +71,7 @@
         );
         assert!(runner.taking.is_none(), "ordered while another order is pending");
         runner.sequence += 1;
-        runner.taking = Some((self.now + 500, version));
+        runner.taking = Some((self.now + LOAD_MS, version));
         self.orders.push((index, version, self.now));
         self.schedule(5, index, Event::Ordered(version, OrderOutcome::Taken));
         for other in (0..self.sidecars.len()).filter(|it| *it != index) {
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -18,6 +18,8 @@
 pub const CHUNKS: u32 = 64;
 pub const STEP_MS: u64 = 10;
 pub const VERSION_MS: u64 = 8000;
+/// How long a runner takes to load a version, in milliseconds.
+pub const LOAD_MS: u64 = 500;
 
 /// The runner of a sidecar.
 #[derive(Clone, Debug, Default)]
@@ -309,6 +311,10 @@
     pub fn report(&mut self) {
         for index in 0..self.runners.len() {
             let runner = &mut self.runners[index];
+            // A runner loads a version after the last request has ended.
+            if let Some((completes_at, _)) = runner.taking.as_mut().filter(|_| runner.running > 0) {
+                *completes_at = self.now + LOAD_MS;
+            }
             if let Some((_, version)) = runner.taking.filter(|it| it.0 <= self.now) {
                 runner.taking = None;
                 runner.version = Some(version);
