Don't count an unreachable runner as an attempt of a request that may have run

Callers got half an answer although nothing had been sent to the runner that was chosen to go on with it. When a stream was cut at one runner and the next had just left, been replaced or didn't take connections for a moment, the route's two attempts counted as used up, and the stream ended with Unreachable while a third runner was free.

Cause: every runner that was selected and didn't deny counts as an attempt, also one to which no connection could be opened. A route's attempts limit the runners that a request is sent to, and nothing was sent there.

Ruled out: the retry budget; an attempt that reached no runner costs none already. Left as it is: a request that no runner can have run. It is refused after as many unreachable runners as before, which is a true answer, and its caller can return.

Change: where a runner may have run the request, only runners that a connection reached count as attempts, as long as a runner is listed that was not tried yet; without one the request ends at once, as before. Each runner is still tried once, and at most as many as the route allows receive the request.

--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -120,6 +120,12 @@
         self.pool.silent.count(now) > 0 && runners.into_iter().any(is_responsive)
     }
 
+    /// Whether a runner that a request may use was not yet tried for it, regardless of free capacity.
+    pub fn has_untried_runner(&self, now: Millis, arrival: &Arrival, tried: &[InstanceId]) -> bool {
+        let mut runners = self.pool.of_service(&arrival.service);
+        runners.any(|it| !tried.contains(&it.record.id) && self.may_serve(now, it, arrival))
+    }
+
     /// When a runner that a request may use will be able to run it, regardless of free capacity.
     pub fn availability(&self, now: Millis, arrival: &Arrival) -> Availability {
         let listed = || self.pool.of_service(&arrival.service);
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -302,6 +302,7 @@
             on_time_until: now.plus(arrival.target_latency_ms),
             is_repeated: looks_repeated && self.is_enabled(Mechanism::FirstTries),
             tried: Vec::new(),
+            unreachable: 0,
             current: None,
             sent_at: now,
             was_denied: false,
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -4,6 +4,7 @@
 use fleet::{Mechanism, Millis};
 use rand::rngs::SmallRng;
 
+use super::progress::Progress;
 use super::queue::QueuePosition;
 use super::{Gateway, SelectedRunner};
 use crate::event::{AttemptOutcome, Effect, RequestKey};
@@ -51,6 +52,7 @@
             // allows.
             progress.tried.retain(|it| it != id);
         }
+        progress.unreachable += u32::from(outcome == AttemptOutcome::NotSent);
         let waited = now.since(progress.sent_at);
         let answered = std::mem::take(&mut progress.answered);
         progress.may_have_run |= !outcome.is_not_run();
@@ -142,6 +144,18 @@
         }
     }
 
+    /// Returns whether a request may be sent to another runner. If no runner can have run it, unreachable runners
+    /// count as attempts: its caller is refused and can return.
+    fn has_attempts_left(&self, now: Millis, progress: &Progress) -> bool {
+        let attempts = progress.arrival.attempts.max(1);
+        if (progress.tried.len() as u32) < attempts {
+            return true;
+        }
+        progress.may_have_run
+            && progress.sends() < attempts
+            && self.chooser().has_untried_runner(now, &progress.arrival, &progress.tried)
+    }
+
     /// Queues a request for another attempt, or ends it.
     fn retry_or_end(
         &mut self,
@@ -155,7 +169,7 @@
         };
         let arrival = &progress.arrival;
         let may_repeat = !progress.may_have_run || arrival.kind.is_repeatable();
-        let has_attempts_left = (progress.tried.len() as u32) < arrival.attempts.max(1);
+        let has_attempts_left = self.has_attempts_left(now, progress);
         let (service, limit) = (arrival.service.clone(), arrival.deadline);
         // An attempt that never reached a runner causes no load there, so it costs no retry.
         let is_free = !outcome.has_arrived();
--- a/components/gateway/src/reducer/progress.rs
+++ b/components/gateway/src/reducer/progress.rs
@@ -26,6 +26,8 @@
     /// The runners that it may use. Stored here because each pass over the queue needs it.
     pub(super) scope: Arc<RunnerScope>,
     pub(super) tried: Vec<InstanceId>,
+    /// How many of the tried runners it was not sent to because no connection could be opened.
+    pub(super) unreachable: u32,
     /// The runner of the current attempt.
     pub(super) current: Option<SelectedRunner>,
     /// When the current attempt was sent.
@@ -53,6 +55,11 @@
 }
 
 impl Progress {
+    /// How many runners the request was sent to.
+    pub(super) fn sends(&self) -> u32 {
+        (self.tried.len() as u32).saturating_sub(self.unreachable)
+    }
+
     /// Whether waiting for a slot is useless: its time is over, or no runner is known to serve
     /// before that. If all runners lack a required version, callers are thus refused at once
     /// instead of after their waiting time. A request that may have run waits anyway, because its
--- a/components/gateway/tests/retries.rs
+++ b/components/gateway/tests/retries.rs
@@ -97,6 +97,21 @@
     }
 }
 
+/// Guards against streams cut by a runner that has just left: nothing was sent to it, but it counted as the last attempt.
+#[test]
+fn a_stream_whose_next_runner_is_unreachable_is_resumed_at_a_third_one() {
+    let mut fixture = two_runners(MODEL_SERVICE);
+    fixture.list("r3", MODEL_SERVICE, 3);
+    let stream = arrival(1, MODEL_SERVICE, RouteKind::Stream { resumable: true });
+    let first = sent_to(fixture.arrive(stream));
+    fixture.outcome(1, AttemptOutcome::Answered);
+    let second = sent_to(fixture.outcome(1, AttemptOutcome::Cut));
+    let third = sent_to(fixture.outcome(1, AttemptOutcome::NotSent));
+    assert!(third != first && third != second);
+    let step = fixture.outcome(1, AttemptOutcome::Cut);
+    assert_eq!(step, Some(NextStep::GiveUp(Code::CutShort)), "two runners received it");
+}
+
 #[test]
 fn the_slot_of_a_disconnected_caller_is_free_again() {
     let mut fixture = Fixture::new();
