--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -4,6 +4,7 @@
 use fleet::{Mechanism, Millis};
 use rand::rngs::SmallRng;
 
+use super::progress::Progress;
 use super::queue::QueuePosition;
 use super::{ActiveAttempt, Gateway, SelectedRunner};
 use crate::event::{AttemptOutcome, Effect, RequestKey};
@@ -93,6 +94,7 @@
             // allows.
             progress.tried.retain(|it| it != &selected.id);
         }
+        progress.unreachable += u32::from(outcome == AttemptOutcome::NotSent);
         progress.may_have_run |= !outcome.is_not_run();
         progress.was_denied = matches!(outcome, AttemptOutcome::Denied { .. });
         if let AttemptOutcome::Denied { shortage_ms, .. } = outcome {
@@ -172,6 +174,18 @@
         }
     }
 
+    /// Returns whether a request may be sent to another runner. If no runner can have run it, unreachable runners
+    /// count as attempts: its caller is refused and can return.
+    fn has_attempts_left(&self, now: Millis, progress: &Progress) -> bool {
+        let attempts = progress.arrival.attempts.max(1);
+        if (progress.tried.len() as u32) < attempts {
+            return true;
+        }
+        progress.counts_as_run()
+            && progress.sends() < attempts
+            && self.chooser().has_untried_runner(now, &progress.arrival, &progress.tried)
+    }
+
     /// Queues a request for another attempt, or ends it.
     pub(super) fn retry_or_end(
         &mut self,
@@ -206,7 +220,7 @@
         };
         let arrival = &progress.arrival;
         let may_repeat = !progress.counts_as_run() || arrival.kind.is_repeatable();
-        let has_attempts_left = (progress.tried.len() as u32) < arrival.attempts.max(1);
+        let has_attempts_left = self.has_attempts_left(now, progress);
         if !may_repeat || !has_attempts_left || now >= arrival.deadline {
             return false;
         }
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -11,7 +11,8 @@
 
 use crate::cold::ColdStart;
 use crate::event::{
-    Effect, Event, ManifestSource, OrderOutcome, Peer, RolloutOptions, RunnerStatus, WeightsPlan,
+    Effect, Event, LoadOrder, ManifestSource, OrderOutcome, Peer, RolloutOptions, RunnerStatus,
+    WeightsPlan,
 };
 use crate::first_attempts::FirstAttempts;
 use crate::manifest_searches::ManifestSearches;
@@ -35,10 +36,7 @@
 /// a pending order starts no new requests.
 const LAST_ORDER_MARGIN_MS: u64 = 1500;
 
-/// Maximum number of running requests that an order may abort. Gateways resume them at other runners, which
-/// costs less than a runner that waits for its last few requests.
-const MAX_ABORTED_REQUESTS: u32 = 2;
-/// How long a runner may take to drain to `MAX_ABORTED_REQUESTS`, in milliseconds.
+/// How long a runner may take to drain before it is ordered all the same, in milliseconds.
 const DRAIN_TIMEOUT_MS: u64 = 1500;
 /// Time for writing the chunks of a version to the runner, in milliseconds.
 const STAGING_MS: u64 = 20;
@@ -425,7 +423,10 @@
     fn apply_staged(&mut self, now: Millis, version: u64, is_complete: bool) -> Vec<Effect> {
         let (is_ready, knows_versions) = (self.is_runner_ready_for_order(), self.versions_known);
         let status = self.status.clone();
-        let Some(target) = self.target(version).filter(|it| it.step == Step::Staging) else {
+        let Some(target) = self.target(version) else {
+            return Vec::new();
+        };
+        let Step::Staging(reason) = target.step else {
             return Vec::new();
         };
         let Some(status) = status.filter(|_| is_complete && is_ready && knows_versions) else {
@@ -435,8 +436,12 @@
         target.step = Step::Ordered(now, status.sequence);
         self.ordered_at = Some(now);
         self.own_order_at = now;
-        let abort_running = status.running > 0 && status.running <= MAX_ABORTED_REQUESTS;
-        vec![Effect::Order { version, sequence: status.sequence, abort_running }]
+        vec![Effect::Order(LoadOrder {
+            version,
+            sequence: status.sequence,
+            running: status.running,
+            reason,
+        })]
     }
 
     fn apply_order_outcome(&mut self, now: Millis, version: u64, outcome: OrderOutcome) {
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -9,7 +9,7 @@
     SpreadPhase,
 };
 
-use crate::event::{Effect, Peer, RolloutOptions, WeightsPlan};
+use crate::event::{Effect, OrderReason, Peer, RolloutOptions, WeightsPlan};
 
 /// Number of neighbours that a sidecar selects itself, and how many of them in its own hall.
 const SELECTED_NEIGHBOURS: usize = 16;
@@ -77,9 +77,10 @@
     Fetching,
     /// All chunks are here. The runner is ordered at the given time.
     Waiting(Millis),
-    /// The chunks are being written to the runner.
-    Staging,
-    /// The runner was ordered at the given time, when it had accepted the given number of orders.
+    /// The chunks are being written to the runner. The reason is that of the order that follows.
+    Staging(OrderReason),
+    /// The runner was ordered when it had accepted the given number of orders, and has been loading the version
+    /// since the given time at the earliest.
     Ordered(Millis, u64),
     /// The runner holds the version.
     Served,
@@ -129,7 +130,7 @@
 
     /// Returns whether all chunks are here and the runner has not loaded them yet.
     pub(crate) fn is_awaiting_load(&self) -> bool {
-        matches!(self.step, Step::Waiting(_) | Step::Staging | Step::Ordered(..))
+        matches!(self.step, Step::Waiting(_) | Step::Staging(_) | Step::Ordered(..))
     }
 
     /// Returns whether chunks are being fetched.
