Close the connections of the project's own interface in stages

What callers saw: a request to an entry whose body is over the limit is rejected with 413 from its head, and the connection is closed at once. The caller, still sending, got a reset and lost the rejection. The same holds for a head that cannot be parsed, and for the last answer of a stop if the caller sends at that moment.

Cause: the server dropped the socket with unread bytes, which resets it. Ruled out: the announcement, which is in the answer. It is the fault of the gateways' refusals in the other HTTP server of the project.

Evidence before, over a real socket: "the body is taken: Connection reset by peer" for a body of 6 MB against a limit of 1,000 bytes.

Change: the staged close of the gateways moves to the networking crate, and every connection of its server ends with it: shut down for writing, discard what arrives until the caller closes or a second is over.

Open: the listener of this server still drops its queue at a stop, and an entry whose grace period ends aborts its requests without an answer.

--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -29,7 +29,6 @@
 mod server;
 mod sidecar;
 mod spawner;
-mod staged_close;
 mod stop_state;
 mod store_time;
 mod store_timeouts;
--- a/components/edge/src/server.rs
+++ b/components/edge/src/server.rs
@@ -19,6 +19,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
+use net::close_in_stages;
 use smol_hyper::rt::FuturesIo;
 
 use crate::caller::{AccountedBody, Caller, CallerStream, Callers, ServerName};
@@ -27,7 +28,6 @@
 use crate::http_connection::set_socket_options;
 use crate::idle_timer::{IdleTimeout, IdleTimer};
 use crate::spawner::Spawner;
-use crate::staged_close::close_in_stages;
 
 /// How long to wait after the system failed to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -5,6 +5,7 @@
 mod client;
 mod pacer;
 mod server;
+mod staged_close;
 mod stream;
 mod tasks;
 
@@ -14,4 +15,5 @@
 pub use server::{
     bearer_token, error_response, json_response, Caller, Handler, Reply, Server, ServerLimits,
 };
+pub use staged_close::close_in_stages;
 pub use tasks::Tasks;
--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -14,6 +14,7 @@
 use http_types::{Method, Request, Response, StatusCode};
 use serde::Serialize;
 
+use crate::staged_close::close_in_stages;
 use crate::stream::BoundedStream;
 use crate::Tasks;
 
@@ -189,9 +190,11 @@
         bounded.set_request_limit(HEAD_ALLOWANCE_BYTES + shared.limits.body_bytes);
         match serve_one(&stream, &bounded, &shared, &handler).await {
             Ok(ConnectionStatus::KeepAlive) => {}
-            _ => return,
+            _ => break,
         }
     }
+    drop(bounded);
+    close_in_stages(stream).await;
 }
 
 /// Serves one request. A request counts as in progress from the end of its head to the end of its response.
--- a/components/edge/src/staged_close.rs
+++ b/components/net/src/staged_close.rs
@@ -2,10 +2,8 @@
 
 use std::time::Duration;
 
+use futures_lite::future;
 use futures_lite::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use uptime::Instant;
-
-use crate::http_connection::with_deadline;
 
 /// How long a caller may take to close its side.
 const CALLER_CLOSE_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -24,5 +22,5 @@
         while let Ok(1..) = stream.read(&mut buffer).await {}
     };
     // A caller that keeps its side open has had the time to read the answer.
-    let _ = with_deadline(Instant::now() + CALLER_CLOSE_TIMEOUT, closing).await;
+    future::or(closing, uptime::sleep(CALLER_CLOSE_TIMEOUT)).await;
 }
--- a/components/net/tests/server.rs
+++ b/components/net/tests/server.rs
@@ -16,6 +16,8 @@
 };
 
 const MAX_BODY_BYTES: u64 = 1000;
+/// A body that exceeds the buffers of a socket.
+const LARGE_BODY_BYTES: usize = 6_000_000;
 
 /// A handler whose behaviour depends on the path.
 struct TestHandler(Tasks);
@@ -98,6 +100,20 @@
     });
 }
 
+#[test]
+fn the_rejection_of_a_large_body_is_not_lost_to_a_reset() {
+    with_server(|server| async move {
+        let mut stream = TcpStream::connect(server.address()).await.unwrap();
+        let head =
+            format!("POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: {LARGE_BODY_BYTES}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(&vec![7; LARGE_BODY_BYTES]).await.expect("the body is taken");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("the connection is not reset");
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    });
+}
+
 #[test]
 fn a_chunked_body_beyond_the_limit_is_not_accepted() {
     with_server(|server| async move {
