End idle connections in stages too, and count the requests that cross

What callers saw: an idle connection that a gateway ends was still closed at once, not in stages, so a request that was on its way was reset; and nothing said how often that happens.

Cause: the staged close read from the stream that reports the end of input for a connection that ends when it is idle. That stream did so again, and the staged close took it for the caller's close. Ruled out: connections that end after an announced answer, which the earlier tests cover.

Evidence before: in a test that sends a request 50 ms after the end of its idle connection, no byte of it was discarded; the connection was gone by then.

Change: the staged close reads from the socket itself. What it discards after the end of an idle connection, or after an announced last answer, is a request that crossed: it is counted by server and reason, and logged as a warning with its size and the age of the connection. It was not read, so its caller may send it again.

After: the test passes; the request is counted, and its caller sees the end of the connection without a reset.

--- a/components/edge/src/caller.rs
+++ b/components/edge/src/caller.rs
@@ -395,6 +395,19 @@
         cause
     }
 
+    /// Counts and logs a request that arrived after the end of an idle connection. It was not read, and its caller may
+    /// send it again.
+    pub fn log_crossing(&self, cause: CloseCause, bytes: usize) {
+        let is_idle_end = matches!(cause, CloseCause::IdleTimeout | CloseCause::Stop);
+        if !is_idle_end && cause != CloseCause::LastAnswer {
+            return;
+        }
+        let (server, reason) = (self.server.name(), cause.name());
+        self.callers.0.metrics.count_crossing(server, reason);
+        let age_ms = self.opened.elapsed().as_millis() as u64;
+        log::warn!(server = server, reason = reason, bytes = bytes, age_ms = age_ms; "a request crossed the end of its connection");
+    }
+
     fn log_end_in(&self, cause: CloseCause, state: ConnectionState) {
         let (server, reason, state_name) = (self.server.name(), cause.name(), state.name());
         self.callers.0.metrics.count_connection_end(server, reason, state_name);
@@ -470,6 +483,11 @@
         Self { stream, caller, blocked_since: None, timer: None }
     }
 
+    /// The stream itself.
+    pub fn into_inner(self) -> S {
+        self.stream
+    }
+
     /// Why the connection ends now that nothing has arrived on it. A head that is incomplete is waited for, unless
     /// its time is over.
     fn end_now(&self) -> Option<CloseCause> {
--- a/components/edge/src/server.rs
+++ b/components/edge/src/server.rs
@@ -164,9 +164,13 @@
     .await;
     let cause = ending.log_end(result.err().map_or(ending.unnoted_cause(), |it| cause_of(&it)));
     if needs_staged_close(cause, &ending) {
-        let stream = connection.into_parts().io.into_inner();
+        // The caller's own stream would report the end of the input once more.
+        let stream = connection.into_parts().io.into_inner().into_inner();
         // On the heap, because few connections need it.
-        Box::pin(close_in_stages(stream)).await;
+        let discarded = Box::pin(close_in_stages(stream)).await;
+        if discarded > 0 {
+            ending.log_crossing(cause, discarded);
+        }
     }
     options.open_connections.set(options.open_connections.get() - 1);
 }
--- a/components/edge/src/server/tests.rs
+++ b/components/edge/src/server/tests.rs
@@ -37,6 +37,37 @@
     Response::new(full_body("answer"))
 }
 
+#[test]
+fn a_request_that_crosses_the_end_of_its_connection_does_not_go_unseen() {
+    let executor = Rc::new(LocalExecutor::new());
+    let metrics = Rc::new(Metrics::start().unwrap());
+    let mut options = options(Rc::default());
+    let limits = options.callers.limits();
+    options.callers = Callers::new(limits, Clock::start(), metrics.clone(), Rc::default());
+    let crossing = async {
+        let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let spawner = Spawner::new(&executor);
+        let _serving = executor.spawn(serve(spawner, listener, options.clone(), answer));
+        let mut connection = TcpStream::connect(address).unwrap();
+        while options.open_connections.get() == 0 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        options.callers.end_idle(Duration::ZERO);
+        // The end is on its way.
+        Timer::after(Duration::from_millis(50)).await;
+        connection.write_all(REQUEST).unwrap();
+        assert_eq!(connection.read(&mut [0]).unwrap(), 0, "the connection ends without a reset");
+        drop(connection);
+        while options.open_connections.get() > 0 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    };
+    future::block_on(executor.run(crossing));
+    let text = metrics.render();
+    assert!(text.lines().any(|it| it.starts_with("silverdock_crossed_requests_total")), "{text}");
+}
+
 #[test]
 fn connections_in_the_queue_of_a_listener_that_closes_are_not_reset() {
     let executor = Rc::new(LocalExecutor::new());
--- a/components/net/src/staged_close.rs
+++ b/components/net/src/staged_close.rs
@@ -12,15 +12,19 @@
 
 /// Shuts down the write side, and closes the connection once the caller has closed its side or its time is over.
 /// What arrives meanwhile is discarded: unread bytes would reset the connection, and the caller would lose
-/// the answer before it.
-pub async fn close_in_stages(mut stream: impl AsyncRead + AsyncWrite + Unpin) {
+/// the answer before it. Returns the number of discarded bytes.
+pub async fn close_in_stages(mut stream: impl AsyncRead + AsyncWrite + Unpin) -> usize {
+    let mut discarded = 0;
     let closing = async {
         if stream.close().await.is_err() {
             return;
         }
         let mut buffer = vec![0; BUFFER_BYTES];
-        while let Ok(1..) = stream.read(&mut buffer).await {}
+        while let Ok(bytes @ 1..) = stream.read(&mut buffer).await {
+            discarded += bytes;
+        }
     };
     // A caller that keeps its side open has had the time to read the answer.
     future::or(closing, uptime::sleep(CALLER_CLOSE_TIMEOUT)).await;
+    discarded
 }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -60,6 +60,7 @@
     runner_load_notices: Counter<u64>,
     slow_readers: Counter<u64>,
     connection_ends: Counter<u64>,
+    crossings: Counter<u64>,
     store_restores: Counter<u64>,
     foreign_messages: Counter<u64>,
     suspensions: Counter<u64>,
@@ -143,6 +144,12 @@
                     "Connections that ended, by server, cause and what was under way on them",
                 )
                 .build(),
+            crossings: meter
+                .u64_counter("silverdock_crossed_requests")
+                .with_description(
+                    "Requests that arrived after the end of their connections, by server and cause",
+                )
+                .build(),
             store_restores: meter
                 .u64_counter("silverdock_store_eras")
                 .with_description("How often the platform's store came back from an older copy")
@@ -262,6 +269,12 @@
         self.connection_ends.add(1, &labels.map(|(name, value)| KeyValue::new(name, value)));
     }
 
+    /// Counts a request that arrived on a connection which had just been ended, by the cause.
+    pub fn count_crossing(&self, server: &'static str, cause: &'static str) {
+        let server = KeyValue::new("server", server);
+        self.crossings.add(1, &[server, KeyValue::new("reason", cause)]);
+    }
+
     /// Counts that the platform's store was restored from an older copy.
     pub fn count_store_restore(&self) {
         self.store_restores.add(1, &[]);
