Leave a request unread that crosses the end of its idle connection

The staged close of an idle connection discards what arrives. A request that crosses the end of its connection would be read in full and get neither an answer nor a refusal, and its caller could no longer tell that it was not read: a request that must not run twice may be sent again only then.

Cause: the staged close exists for answers that a reset would lose. An idle connection has none: its caller has read everything, since it is idle since before the stop, for half a second, or for the whole idle timeout. Ruled out: closing such a connection at once, which hides that a request crossed.

Change: an idle connection is shut down for writing, and then waits for the caller's close, for one byte, or for a second. A byte is the start of a request that crossed; the connection is then closed with the rest unread, which resets it, and the crossing is counted and logged as before. The other ends are as they were. No red test: a test over sockets cannot tell the two apart by what the caller reads, which is the end of the connection both times.

--- a/components/edge/src/caller.rs
+++ b/components/edge/src/caller.rs
@@ -395,17 +395,13 @@
         cause
     }
 
-    /// Counts and logs a request that arrived after the end of an idle connection. It was not read, and its caller may
-    /// send it again.
-    pub fn log_crossing(&self, cause: CloseCause, bytes: usize) {
-        let is_idle_end = matches!(cause, CloseCause::IdleTimeout | CloseCause::Stop);
-        if !is_idle_end && cause != CloseCause::LastAnswer {
-            return;
-        }
+    /// Counts and logs a request that arrived after the end of its idle connection. It was not read, and its caller
+    /// may send it again.
+    pub fn log_crossing(&self, cause: CloseCause) {
         let (server, reason) = (self.server.name(), cause.name());
         self.callers.0.metrics.count_crossing(server, reason);
         let age_ms = self.opened.elapsed().as_millis() as u64;
-        log::warn!(server = server, reason = reason, bytes = bytes, age_ms = age_ms; "a request crossed the end of its connection");
+        log::warn!(server = server, reason = reason, age_ms = age_ms; "a request crossed the end of its connection");
     }
 
     fn log_end_in(&self, cause: CloseCause, state: ConnectionState) {
--- a/components/edge/src/server.rs
+++ b/components/edge/src/server.rs
@@ -19,7 +19,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use net::close_in_stages;
+use net::{close_idle, close_in_stages};
 use smol_hyper::rt::FuturesIo;
 
 use crate::caller::{AccountedBody, Caller, CallerStream, Callers, ServerName};
@@ -163,13 +163,16 @@
     })
     .await;
     let cause = ending.log_end(result.err().map_or(ending.unnoted_cause(), |it| cause_of(&it)));
-    if needs_staged_close(cause, &ending) {
-        // The caller's own stream would report the end of the input once more.
-        let stream = connection.into_parts().io.into_inner().into_inner();
+    // The caller's own stream would report the end of the input once more.
+    let stream = connection.into_parts().io.into_inner().into_inner();
+    match close_kind(cause, &ending) {
+        CloseKind::AtOnce => drop(stream),
         // On the heap, because few connections need it.
-        let discarded = Box::pin(close_in_stages(stream)).await;
-        if discarded > 0 {
-            ending.log_crossing(cause, discarded);
+        CloseKind::InStages => Box::pin(close_in_stages(stream)).await,
+        CloseKind::Idle => {
+            if Box::pin(close_idle(stream)).await {
+                ending.log_crossing(cause);
+            }
         }
     }
     options.open_connections.set(options.open_connections.get() - 1);
@@ -185,18 +188,26 @@
         || request.headers().get_all(CONNECTION).iter().any(says_close)
 }
 
-/// Whether the caller may still send, and may have bytes to read. Bytes on their way would reset the connection
-/// otherwise.
-fn needs_staged_close(cause: CloseCause, caller: &Caller) -> bool {
+/// How a connection is closed.
+enum CloseKind {
+    /// Nothing can be lost.
+    AtOnce,
+    /// The caller may still send, and may have bytes to read, which a reset would lose.
+    InStages,
+    /// The caller may still send, and has read everything.
+    Idle,
+}
+
+fn close_kind(cause: CloseCause, caller: &Caller) -> CloseKind {
     match cause {
-        CloseCause::Caller | CloseCause::SlowReader | CloseCause::WriteError => false,
-        CloseCause::LastAnswer => !caller.is_last_request(),
-        CloseCause::IdleTimeout
-        | CloseCause::Stop
+        CloseCause::Caller | CloseCause::SlowReader | CloseCause::WriteError => CloseKind::AtOnce,
+        CloseCause::LastAnswer if caller.is_last_request() => CloseKind::AtOnce,
+        CloseCause::IdleTimeout | CloseCause::Stop => CloseKind::Idle,
+        CloseCause::LastAnswer
         | CloseCause::AnswerAborted
         | CloseCause::BadRequest
         | CloseCause::Unread
-        | CloseCause::ProcessEnd => true,
+        | CloseCause::ProcessEnd => CloseKind::InStages,
     }
 }
 
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -15,5 +15,5 @@
 pub use server::{
     bearer_token, error_response, json_response, Caller, Handler, Reply, Server, ServerLimits,
 };
-pub use staged_close::close_in_stages;
+pub use staged_close::{close_idle, close_in_stages};
 pub use tasks::Tasks;
