Soak: runners that fall silent for a second and go on

A sound runner may be silent for a second or so, in the middle of a stream or before the head of an answer, and then continue. No stand-in did this, so no run could show what gateways do to such answers. The stand-in's runners can now pause once in each answer or as a whole, and the soak has the kind 'silence', which records no disruption and therefore excuses no violation.

--- a/examples/soak/fault_injector.rs
+++ b/examples/soak/fault_injector.rs
@@ -47,6 +47,8 @@
     RestoreRunnerLink(usize),
     /// Ends the fault of a runner.
     RestoreRunner(usize),
+    /// Ends the pauses in the answers of a runner.
+    EndSilence(usize),
     /// Has a runner overwrite the row of a foreign writer with its own entry.
     RelistRunner(usize),
     /// Replaces a leaving runner by a new one.
@@ -186,6 +188,7 @@
             }
             Fault::SilentRunnerConnections(number) => self.silence_runner_connections(number),
             Fault::Runner(number, fault) => self.set_runner_fault(number, fault, until),
+            Fault::Silence(number, silence) => self.silence_runner(number, silence, until),
             Fault::RestartWithNewId(number) => self.restart_with_new_id(number, until),
             Fault::RestartWithSameId(number) => self.restart_with_same_id(number, until),
             Fault::ColdStart(number) => self.start_cold_runner(number),
@@ -258,6 +261,7 @@
             DelayedAction::RestoreRunner(number) => {
                 self.change_runner(number, |it| it.fault = RunnerFault::None);
             }
+            DelayedAction::EndSilence(number) => self.end_silence(number),
             DelayedAction::ReportWarm(number) | DelayedAction::RelistRunner(number) => {
                 self.relist_runner(number)
             }
--- a/examples/soak/fault_injector/runners.rs
+++ b/examples/soak/fault_injector/runners.rs
@@ -8,7 +8,7 @@
 use serde_json::{json, Value};
 
 use super::{DelayedAction, FaultInjector, RESTART_DELAY};
-use crate::faults::StatedLimit;
+use crate::faults::{Silence, StatedLimit};
 use crate::fleet::{hall_name, COLD_START};
 use crate::history::{Cold, Leaving, Target};
 use crate::proxy::LinkFault;
@@ -57,6 +57,37 @@
         self.schedule(until, DelayedAction::RestoreRunner(number));
     }
 
+    /// Has a runner fall silent and go on. It is sound all the while, so no disruption is recorded.
+    pub(super) fn silence_runner(&mut self, number: usize, silence: Silence, until: Duration) {
+        match silence {
+            Silence::Complete(millis) => {
+                let end = Instant::now() + Duration::from_millis(millis);
+                self.change_runner(number, |it| it.silent_until = Some(end));
+            }
+            Silence::InEachAnswer(events, millis) => {
+                let engine = self.fleet.runners[number].engine;
+                let is_sound = |it: RunnerStandin| it.fault == RunnerFault::None;
+                if self.fleet.standin.runner(engine).is_some_and(is_sound) {
+                    // A plain answer can only pause before its head.
+                    let events = if number < self.fleet.sidecars.len() { events } else { 0 };
+                    let pause = Duration::from_millis(millis);
+                    let fault = RunnerFault::PauseAfter { events, pause };
+                    self.change_runner(number, |it| it.fault = fault);
+                    self.schedule(until, DelayedAction::EndSilence(number));
+                }
+            }
+        }
+    }
+
+    /// Ends the pauses in the answers of a runner.
+    pub(super) fn end_silence(&mut self, number: usize) {
+        self.change_runner(number, |it| {
+            if matches!(it.fault, RunnerFault::PauseAfter { .. }) {
+                it.fault = RunnerFault::None;
+            }
+        });
+    }
+
     /// Restarts a runner without weights and under a new id.
     pub(super) fn restart_with_new_id(&mut self, number: usize, until: Duration) {
         self.fleet.runners[number].restarts += 1;
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -53,6 +53,7 @@
     "new_gateway",
     "reading",
     "busy_version",
+    "silence",
 ];
 
 /// Path prefix of requests that crash model runners. The number of the fault follows it.
@@ -83,6 +84,8 @@
     SilentRunnerConnections(usize),
     /// A runner has a fault for a while.
     Runner(usize, RunnerFault),
+    /// A runner falls silent in the middle of its work and goes on. This excuses no violation.
+    Silence(usize, Silence),
     /// A runner restarts without weights and under a new id.
     RestartWithNewId(usize),
     /// A runner reports that it leaves and is replaced later.
@@ -141,6 +144,18 @@
     Settings(usize, bool),
 }
 
+/// The silence of a runner.
+#[derive(Clone, Copy, Debug)]
+pub enum Silence {
+    /// Each of its answers pauses once, for a while: after this number of events, for this many milliseconds.
+    InEachAnswer(u64, u64),
+    /// The runner sends nothing at all for this many milliseconds.
+    Complete(u64),
+}
+
+/// Length of the silence of a runner, in milliseconds.
+const SILENCE_MS: std::ops::Range<u64> = 800..1600;
+
 /// The rate limit that a runner states.
 #[derive(Clone, Copy, Debug)]
 pub enum StatedLimit {
@@ -251,11 +266,21 @@
         "busy_version" => Fault::ConfigurationThenVersion(random.random_range(20..900)),
         "reading" => Fault::SlowReading(model, random.random_range(200..1000)),
         "new_gateway" => Fault::VersionAndGatewayRestart(random.random_range(0..sizes.gateways())),
+        "silence" => Fault::Silence(runner, random_silence(random)),
         "settings" => Fault::Settings(process, random.random_bool(0.5)),
         _ => Fault::CorruptChunk(model, random.random_range(0..64)),
     }
 }
 
+fn random_silence(random: &mut SmallRng) -> Silence {
+    let (events, millis) = (random.random_range(0..12), random.random_range(SILENCE_MS));
+    if random.random_bool(0.5) {
+        Silence::InEachAnswer(events, millis)
+    } else {
+        Silence::Complete(millis)
+    }
+}
+
 fn random_limit(random: &mut SmallRng) -> StatedLimit {
     if random.random_bool(0.1) {
         StatedLimit::Unreadable
