Soak: every request ends with an answer or a refusal, whatever is planned

The check of planned stops excused any loss within 200 ms, even of a request that timed out, and no check covered reloads, configurations, versions, sidecars or runners that leave. It is replaced by a stricter one for all requests: only an unplanned disruption of the gateway or of a runner of the service, or a run that its runner broke off, excuses a loss. Callers now record how a connection ended and whether any byte arrived, so that only a request that was closed or reset at once, with nothing received and no run, counts as one that crossed a close; the report counts these.

Callers also send bodies in pieces after the head, keep connections until they are closed, and state deadlines of up to 9 s on routes whose runners take up to 7.5 s. A stream that outlasts the grace period is excused only as the rule on planned stops says. Leaving runners are replaced once they are idle, as announced ends are.

The test in which a cold runner gets requests now has an answered request, since a lost one would be reported by the new check; what it checks is unchanged.

--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -1,5 +1,8 @@
 //! Callers. Each reuses its connection if possible and sends one request after another.
 
+mod connection;
+mod exchange;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -9,34 +12,36 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_net::TcpStream;
-use bytes::Bytes;
-use futures_lite::future;
-use http::{Method, Request as HttpRequest};
-use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use platform_standin::{headers, leaving_runner, limited_runner, HOST, KEY, PADDING};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use smol_hyper::rt::FuturesIo;
 
-use crate::faults::CRASH_PATH;
-use crate::history::{Kind, LeaveNotice, LimitNotice, Outcome, Request};
+use self::connection::{Observations, ObservedStream};
+use self::exchange::{exchange, with_timeout, Exchange, RequestBody, RequestPlan};
+use crate::history::{Kind, Outcome, Request};
 
-/// How long a caller waits for the head and for each piece of an answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(5000);
-/// Deadline that a caller states in its requests, in milliseconds.
+/// Deadline that a caller states in most requests, in milliseconds.
 const DEADLINE_MS: u64 = 4000;
+/// Deadlines of long requests, and the time that their runners take, in milliseconds.
+const LONG_DEADLINE_MS: std::ops::Range<u64> = 3000..9000;
+const LONG_RUN_MS: std::ops::Range<u64> = 1000..7500;
+/// Share of long requests.
+const LONG_SHARE: f64 = 0.03;
 /// How long a caller waits for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Pause between two requests, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 5..70;
-/// Share of requests for which a caller opens a new connection.
+/// Share of requests for which every other caller opens a new connection. The rest keep theirs until it closes.
 const RECONNECT_SHARE: f64 = 0.15;
+/// Share of requests whose body is sent in pieces after the head.
+const PIECES_SHARE: f64 = 0.25;
+/// Number of these pieces, and the pause before each of them, in milliseconds.
+const PIECES: std::ops::Range<usize> = 1..5;
+const PIECE_PAUSE_MS: std::ops::Range<u64> = 1..30;
 
 /// Share of answers that are read slowly.
 const SLOW_READ_SHARE: f64 = 0.15;
-/// Pause before each of the first pieces of a slowly read answer.
-const SLOW_READ_PAUSE: Duration = Duration::from_millis(120);
 /// Number of pieces of an answer that are read slowly.
 const SLOW_READ_PIECES: usize = 10;
 
@@ -70,6 +75,7 @@
                 executor: executor.clone(),
                 random: SmallRng::seed_from_u64(seed ^ (number as u64) << 32),
                 connection: None,
+                reconnect_share: if number % 2 == 0 { 0.0 } else { RECONNECT_SHARE },
                 name: format!("c{number}"),
                 sent: 0,
             };
@@ -84,10 +90,14 @@
     async_io::block_on(executor.run(all));
 }
 
-/// A connection to a gateway. `gateway` holds its number and how often its process had been restarted.
+/// A connection to a gateway.
 struct Connection {
+    /// Number of the gateway, and how often its process had been restarted.
     gateway: (usize, u32),
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
+    observations: Rc<Observations>,
+    /// Whether a request has been sent on it.
+    used: bool,
 }
 
 struct Caller {
@@ -95,6 +105,7 @@
     executor: Rc<LocalExecutor<'static>>,
     random: SmallRng,
     connection: Option<Connection>,
+    reconnect_share: f64,
     name: String,
     sent: u64,
 }
@@ -109,39 +120,78 @@
     }
 
     async fn call(&mut self) {
-        let reconnects = self.random.random_bool(RECONNECT_SHARE);
-        let slow = if self.random.random_bool(SLOW_READ_SHARE) { SLOW_READ_PIECES } else { 0 };
+        let plan = self.plan_request();
+        let reconnects = self.random.random_bool(self.reconnect_share);
         let reusable = self.connection.take().filter(|it| !reconnects && !it.sender.is_closed());
         let number = self.random.random_range(0..self.shared.gateways.len());
         let restarts = self.shared.gateways[number].1.load(Ordering::Relaxed) as u32;
-        let (kind, id) = (self.kind(), format!("{}-{}", self.name, self.sent));
-        self.sent += 1;
         let sent = self.shared.start.elapsed();
         let mut connection = match reusable {
             Some(connection) => Some(connection),
             None => self.connect(number, restarts).await,
         };
         let gateway = connection.as_ref().map_or((number, restarts), |it| it.gateway);
+        let on_kept_connection = connection.as_ref().is_some_and(|it| it.used);
         let sent = if connection.is_some() { self.shared.start.elapsed() } else { sent };
-        let start = self.shared.start;
-        let Exchange { outcome, leave_notice, limit } = match &mut connection {
-            Some(connection) => exchange(start, &mut connection.sender, kind, &id, slow).await,
-            None => Exchange::without_answer(Outcome::NoConnection),
+        let Exchange { outcome, ending, received, leave_notice, limit } = match &mut connection {
+            Some(connection) => exchange(self.shared.start, connection, &plan).await,
+            None => Exchange::not_sent(),
         };
         if matches!(outcome, Outcome::Answer { whole: true, .. }) {
             self.connection = connection;
         }
         let ended = self.shared.start.elapsed();
-        let request = Request { id, kind, gateway, sent, ended, outcome, leave_notice, limit };
+        let RequestPlan { id, kind, deadline, .. } = plan;
+        let request = Request {
+            id,
+            kind,
+            gateway,
+            sent,
+            ended,
+            outcome,
+            ending,
+            received,
+            on_kept_connection,
+            deadline,
+            leave_notice,
+            limit,
+        };
         self.shared.requests.lock().expect("never poisoned").push(request);
     }
 
+    fn plan_request(&mut self) -> RequestPlan {
+        let kind = self.kind();
+        let id = format!("{}-{}", self.name, self.sent);
+        self.sent += 1;
+        let deadline_ms = match kind {
+            Kind::LongStream(_) | Kind::LongUnsafe(_) => self.random.random_range(LONG_DEADLINE_MS),
+            _ => DEADLINE_MS,
+        };
+        let reads_slowly = self.random.random_bool(SLOW_READ_SHARE);
+        let in_pieces = self.random.random_bool(PIECES_SHARE);
+        let pieces = if in_pieces { self.random.random_range(PIECES) } else { 0 };
+        let pauses = (0..pieces).map(|_| self.random.random_range(PIECE_PAUSE_MS));
+        RequestPlan {
+            id,
+            kind,
+            deadline: Duration::from_millis(deadline_ms),
+            slow_pieces: if reads_slowly { SLOW_READ_PIECES } else { 0 },
+            body_pauses: pauses.map(Duration::from_millis).collect(),
+            writes_before_reading: self.random.random_bool(0.5),
+        }
+    }
+
     fn kind(&mut self) -> Kind {
         let newest = self.shared.configuration.load(Ordering::Relaxed);
         let crash_request = self.shared.crash_request.load(Ordering::Relaxed);
         if crash_request > 0 && self.random.random_bool(CRASH_REQUEST_SHARE) {
             return Kind::Crash(crash_request);
         }
+        if self.random.random_bool(LONG_SHARE) {
+            let millis = self.random.random_range(LONG_RUN_MS);
+            let is_stream = self.random.random_bool(0.5);
+            return if is_stream { Kind::LongStream(millis) } else { Kind::LongUnsafe(millis) };
+        }
         match self.random.random_range(0..10) {
             0..4 => Kind::Stream,
             4..5 => Kind::Safe,
@@ -154,96 +204,13 @@
     async fn connect(&self, number: usize, restarts: u32) -> Option<Connection> {
         let address = self.shared.gateways[number].0;
         let stream = with_timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await?.ok()?;
+        let observations: Rc<Observations> = Rc::default();
+        let stream = ObservedStream::new(stream, observations.clone());
         let (sender, connection) = Builder::new().handshake(FuturesIo::new(stream)).await.ok()?;
         let drive_connection = async move {
             let _ = connection.await;
         };
         self.executor.spawn(drive_connection).detach();
-        Some(Connection { gateway: (number, restarts), sender })
+        Some(Connection { gateway: (number, restarts), sender, observations, used: false })
     }
 }
-
-fn request(kind: Kind, id: &str) -> Option<HttpRequest<Full<Bytes>>> {
-    let (method, path) = match kind {
-        Kind::Stream => (Method::POST, "/s/x".to_owned()),
-        Kind::Crash(number) => (Method::POST, format!("{CRASH_PATH}{number}")),
-        Kind::Safe => (Method::GET, "/get/x".to_owned()),
-        Kind::Unsafe => (Method::POST, "/post/x".to_owned()),
-        Kind::Bound => (Method::GET, "/bound/x".to_owned()),
-        Kind::Probe(version) => (Method::GET, format!("/v{version}/x")),
-    };
-    let mut request = HttpRequest::builder().method(method).uri(path).header("host", HOST);
-    for (name, value) in headers(id, KEY, DEADLINE_MS) {
-        request = request.header(name, value);
-    }
-    request.body(Full::new(Bytes::from_static(b"question"))).ok()
-}
-
-/// The outcome of a request, and what the answer stated about its runner.
-struct Exchange {
-    outcome: Outcome,
-    leave_notice: Option<LeaveNotice>,
-    limit: Option<LimitNotice>,
-}
-
-impl Exchange {
-    fn without_answer(outcome: Outcome) -> Self {
-        Self { outcome, leave_notice: None, limit: None }
-    }
-}
-
-async fn exchange(
-    start: Instant,
-    sender: &mut SendRequest<Full<Bytes>>,
-    kind: Kind,
-    id: &str,
-    slow: usize,
-) -> Exchange {
-    let Some(request) = request(kind, id) else {
-        return Exchange::without_answer(Outcome::NoConnection);
-    };
-    let answer = with_timeout(ANSWER_TIMEOUT, sender.send_request(request)).await;
-    let Some(Ok(answer)) = answer else {
-        return Exchange::without_answer(Outcome::Lost);
-    };
-    let at = start.elapsed();
-    let leave_notice =
-        leaving_runner(answer.headers()).map(|(runner, life)| LeaveNotice { runner, life, at });
-    let limit = limited_runner(answer.headers()).map(|(runner, life, limit)| {
-        let limit = limit.to_owned();
-        LimitNotice { runner, life, limit, at }
-    });
-    let status = answer.status().as_u16();
-    let mut body = answer.into_body();
-    let (mut bytes, mut whole, mut pieces) = (Vec::new(), true, 0);
-    loop {
-        if pieces < slow {
-            Timer::after(SLOW_READ_PAUSE).await;
-        }
-        pieces += 1;
-        match with_timeout(ANSWER_TIMEOUT, body.frame()).await {
-            Some(None) => break,
-            Some(Some(Ok(frame))) => {
-                bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
-            }
-            Some(Some(Err(_))) | None => {
-                whole = false;
-                break;
-            }
-        }
-    }
-    bytes.retain(|byte| *byte != PADDING);
-    let body = String::from_utf8_lossy(&bytes).into_owned();
-    Exchange { outcome: Outcome::Answer { status, whole, body }, leave_notice, limit }
-}
-
-async fn with_timeout<T>(
-    time: Duration,
-    future: impl std::future::Future<Output = T>,
-) -> Option<T> {
-    future::or(async { Some(future.await) }, async {
-        Timer::after(time).await;
-        None
-    })
-    .await
-}
--- a/examples/soak/checker/mod.rs
+++ b/examples/soak/checker/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod configuration;
 mod limits;
+mod lost;
 mod placement;
 mod quarantine;
 mod runners;
@@ -11,9 +12,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use self::answers::{check_answer, check_planned_stop, check_refusals, check_runs};
+use self::answers::{check_answer, check_refusals, check_runs};
 use self::configuration::{check_configuration, check_in_force};
 use self::limits::check_limits;
+use self::lost::check_lost;
+pub use self::lost::is_close_race;
 use self::placement::{check_bound, check_evacuated, check_homes};
 use self::quarantine::check_quarantine;
 use self::runners::{check_cold, check_leave_notices, check_leaving, check_rest_periods};
@@ -46,7 +49,7 @@
         violations.extend(check_answer(request));
         violations.extend(check_runs(request, runs));
         violations.extend(check_refusals(request, runs));
-        violations.extend(check_planned_stop(history, request, runs));
+        violations.extend(check_lost(history, request, runs));
         violations.extend(check_leaving(history, request, runs));
         violations.extend(check_leave_notices(history, request, runs));
         violations.extend(check_versions(history, request, runs));
@@ -77,7 +80,7 @@
 
 /// Returns the body of a complete answer to a request.
 pub fn complete_body(kind: Kind, id: &str) -> String {
-    if matches!(kind, Kind::Stream | Kind::Crash(_)) {
+    if kind.is_stream() {
         return (1..=STREAM_EVENTS).map(|it| format!("id: {it}\ndata: {id}/{it}\n\n")).collect();
     }
     format!("ledger {id}")
@@ -101,6 +104,15 @@
     !history.disruptions.iter().any(|it| overlaps(&it))
 }
 
+/// Whether an unplanned disruption of the selected targets lasted at any time from `UNDISTURBED_PERIOD` before a request
+/// until its end.
+fn was_disrupted(history: &History, request: &Request, selects: impl Fn(Target) -> bool) -> bool {
+    let from = request.sent.saturating_sub(UNDISTURBED_PERIOD);
+    let overlaps = |it: &Disruption| it.from <= request.ended && it.until >= from;
+    let mut unplanned = history.disruptions.iter().filter(|it| !it.planned);
+    unplanned.any(|it| selects(it.target) && overlaps(it))
+}
+
 /// Every gateway serves plain requests and streams again soon after the last fault.
 fn check_recovery(history: &History) -> Vec<Violation> {
     let from = history.faults_ended_at + RECOVERY_BOUND;
@@ -109,7 +121,7 @@
         let request_kind = match request.kind {
             Kind::Stream => "streams",
             Kind::Safe | Kind::Unsafe | Kind::Bound => "plain requests",
-            Kind::Probe(_) | Kind::Crash(_) => continue,
+            Kind::Probe(_) | Kind::Crash(_) | Kind::LongStream(_) | Kind::LongUnsafe(_) => continue,
         };
         let whole = matches!(request.outcome, Outcome::Answer { status: 200, whole: true, .. });
         let (complete, all) = served.entry((request.gateway.0, request_kind)).or_default();
--- a/examples/soak/fault_injector.rs
+++ b/examples/soak/fault_injector.rs
@@ -15,7 +15,7 @@
 use crate::callers::Shared;
 use crate::faults::{Fault, PlannedFault};
 use crate::fleet::{Fleet, Process};
-use crate::history::{Disruption, History, Target};
+use crate::history::{Disruption, History, PlannedWork, Target};
 use crate::proxy::LinkFault;
 
 /// Delay until a killed process is restarted.
@@ -29,8 +29,10 @@
 
 /// An action that runs at a later time, usually the end of a fault.
 enum DelayedAction {
-    /// Restarts a process.
+    /// Restarts a process that was killed.
     RestartProcess(usize),
+    /// Restarts a process that was asked to stop and killed at the end of its grace period.
+    RestartStoppedProcess(usize),
     /// Resumes a paused process.
     ResumeProcess(usize),
     /// Restarts a process that was asked to stop and has ended, and kills it if it has not ended by this time.
@@ -51,8 +53,8 @@
     EndSilence(usize),
     /// Has a runner overwrite the row of a foreign writer with its own entry.
     RelistRunner(usize),
-    /// Replaces a leaving runner by a new one.
-    ReplaceRunner(usize),
+    /// Replaces a leaving runner by a new one once it is idle, or at the latest at this time.
+    ReplaceRunner(usize, Duration),
     /// Ends the slow reading of a runner.
     EndSlowReading(usize),
     /// Ends the load shedding of a runner.
@@ -154,7 +156,18 @@
 
     fn record_disruption(&mut self, target: Target, until: Duration) {
         let from = self.now();
-        self.history.disruptions.push(Disruption { target, from, until });
+        self.history.disruptions.push(Disruption { target, from, until, planned: false });
+    }
+
+    /// Records a disruption by planned work.
+    fn record_planned_disruption(&mut self, target: Target, until: Duration) {
+        let from = self.now();
+        self.history.disruptions.push(Disruption { target, from, until, planned: true });
+    }
+
+    fn record_planned_work(&mut self, what: String) {
+        let at = self.now();
+        self.history.planned_work.push(PlannedWork { what, at });
     }
 
     /// Schedules an action.
@@ -166,6 +179,9 @@
     /// active there.
     fn inject(&mut self, PlannedFault { span, fault, .. }: PlannedFault) -> eyre::Result<()> {
         let until = self.now() + span;
+        if fault.is_planned_work() {
+            self.record_planned_work(format!("{fault:?}"));
+        }
         match fault {
             Fault::Kill(number) if self.is_available(number) => self.kill_process(number),
             Fault::Pause(number) if self.is_available(number) => self.pause_process(number, until),
@@ -244,7 +260,8 @@
     /// Runs a delayed action.
     fn run_delayed(&mut self, action: DelayedAction) -> eyre::Result<()> {
         match action {
-            DelayedAction::RestartProcess(number) => self.restart_process(number)?,
+            DelayedAction::RestartProcess(number) => self.restart_killed_process(number)?,
+            DelayedAction::RestartStoppedProcess(number) => self.restart_stopped_process(number)?,
             DelayedAction::ResumeProcess(number) => self.process(number).signal(Signal::CONT),
             DelayedAction::CheckStopped(number, deadline) => {
                 self.check_stopped(number, deadline)?
@@ -275,7 +292,7 @@
                 self.change_runner(number, |it| it.reject_with_retry_after = None)
             }
             DelayedAction::ClearLimit(number, limit) => self.clear_limit(number, &limit),
-            DelayedAction::ReplaceRunner(number) => self.replace_runner(number),
+            DelayedAction::ReplaceRunner(number, latest) => self.replace_runner(number, latest),
             DelayedAction::EndCrashRequests => {
                 self.shared.crash_request.store(0, Ordering::Relaxed)
             }
--- a/examples/soak/fault_injector/processes.rs
+++ b/examples/soak/fault_injector/processes.rs
@@ -15,7 +15,8 @@
     /// Whether a process runs and no fault that kills, pauses or stops it is active.
     pub(super) fn is_available(&mut self, number: usize) -> bool {
         let is_busy = self.delayed_actions.iter().any(|(_, action)| {
-            matches!(action, DelayedAction::RestartProcess(it) | DelayedAction::ResumeProcess(it) | DelayedAction::CheckStopped(it, _)
+            matches!(action, DelayedAction::RestartProcess(it) | DelayedAction::RestartStoppedProcess(it)
+                | DelayedAction::ResumeProcess(it) | DelayedAction::CheckStopped(it, _)
                 if *it == number)
         });
         !is_busy && !self.process(number).has_ended()
@@ -46,7 +47,7 @@
         if let Target::Gateway(gateway) = self.target(number) {
             self.history.stops.push(Stop { gateway, at: self.now() });
         } else {
-            self.record_disruption(self.target(number), self.now() + RESTART_DELAY);
+            self.record_planned_disruption(self.target(number), self.now() + RESTART_DELAY);
         }
         self.schedule(self.now() + POLL_INTERVAL, DelayedAction::CheckStopped(number, deadline));
     }
@@ -60,11 +61,12 @@
     /// Restarts a stopped process if it has ended. Kills it if it has not ended by `deadline`.
     pub(super) fn check_stopped(&mut self, number: usize, deadline: Duration) -> eyre::Result<()> {
         if self.process(number).has_ended() {
-            return self.restart_process(number);
+            return self.restart_stopped_process(number);
         }
         let next_action = if self.now() >= deadline {
             self.process(number).signal(Signal::KILL);
-            DelayedAction::RestartProcess(number)
+            self.record_planned_work(format!("end of the grace period of {number}"));
+            DelayedAction::RestartStoppedProcess(number)
         } else {
             DelayedAction::CheckStopped(number, deadline)
         };
@@ -72,8 +74,23 @@
         Ok(())
     }
 
-    /// Restarts a process that has ended.
-    pub(super) fn restart_process(&mut self, number: usize) -> eyre::Result<()> {
+    /// Restarts a process that was killed.
+    pub(super) fn restart_killed_process(&mut self, number: usize) -> eyre::Result<()> {
+        self.restart_process(number)?;
+        self.record_disruption(self.target(number), self.now() + RESTART_DELAY);
+        Ok(())
+    }
+
+    /// Restarts a process that was asked to stop.
+    pub(super) fn restart_stopped_process(&mut self, number: usize) -> eyre::Result<()> {
+        self.restart_process(number)?;
+        self.record_planned_work(format!("start of {number}"));
+        self.record_planned_disruption(self.target(number), self.now() + RESTART_DELAY);
+        Ok(())
+    }
+
+    /// Restarts a process that has ended. The new one has no state yet, so the caller records a disruption.
+    fn restart_process(&mut self, number: usize) -> eyre::Result<()> {
         let programs = self.fleet.programs().to_vec();
         let target = self.target(number);
         let process = self.process(number);
@@ -85,8 +102,6 @@
             }
             self.shared.gateways[gateway].1.store(u64::from(restarts), Ordering::Relaxed);
         }
-        // The new process has no state yet.
-        self.record_disruption(target, self.now() + RESTART_DELAY);
         Ok(())
     }
 
--- a/examples/soak/fault_injector/runners.rs
+++ b/examples/soak/fault_injector/runners.rs
@@ -7,7 +7,7 @@
 use platform_standin::{RunnerFault, RunnerStandin};
 use serde_json::{json, Value};
 
-use super::{DelayedAction, FaultInjector, RESTART_DELAY};
+use super::{DelayedAction, FaultInjector, POLL_INTERVAL, RESTART_DELAY};
 use crate::faults::{Silence, StatedLimit};
 use crate::fleet::{hall_name, COLD_START};
 use crate::history::{Cold, Leaving, Target};
@@ -20,6 +20,9 @@
 /// requests are counted.
 const MIN_LIMIT: Duration = Duration::from_millis(8000);
 
+/// How long a leaving runner may take to finish its requests.
+const MAX_LEAVING: Duration = Duration::from_millis(10_000);
+
 impl FaultInjector<'_> {
     /// Changes a runner and its entry in the list of runners.
     pub(super) fn change_runner(&mut self, number: usize, change: impl FnOnce(&mut RunnerStandin)) {
@@ -106,11 +109,20 @@
         self.change_runner(number, |it| it.is_leaving = true);
         let runner = self.fleet.runners[number].id();
         self.history.leaving.push(Leaving { runner, at: self.now(), until: None });
-        self.schedule(until + RESTART_DELAY, DelayedAction::ReplaceRunner(number));
+        let at = until + RESTART_DELAY;
+        self.schedule(at, DelayedAction::ReplaceRunner(number, at + MAX_LEAVING));
     }
 
-    /// Replaces a runner that left by one with a new id.
-    pub(super) fn replace_runner(&mut self, number: usize) {
+    /// Replaces a runner that left by one with a new id, once it has finished its requests.
+    pub(super) fn replace_runner(&mut self, number: usize, latest: Duration) {
+        let engine = self.fleet.runners[number].engine;
+        let is_busy = self.fleet.standin.runner(engine).is_some_and(|it| it.running > 0);
+        if is_busy && self.now() < latest {
+            let next = self.now() + POLL_INTERVAL;
+            self.schedule(next, DelayedAction::ReplaceRunner(number, latest));
+            return;
+        }
+        self.record_planned_work(format!("replacement of runner {number}"));
         let runner = &mut self.fleet.runners[number];
         let id = runner.id();
         runner.restarts += 1;
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -59,6 +59,11 @@
 /// Path prefix of requests that crash model runners. The number of the fault follows it.
 pub const CRASH_PATH: &str = "/s/crash";
 
+/// Path prefixes of requests for which runners take long. The time in milliseconds follows them.
+pub const LONG_STREAM_PATH: &str = "/long/";
+/// As `LONG_STREAM_PATH`, for plain requests that may not be repeated.
+pub const LONG_UNSAFE_PATH: &str = "/slow/";
+
 /// A fault. A `usize` is the number of the affected process, runner or data hall.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
@@ -144,6 +149,26 @@
     Settings(usize, bool),
 }
 
+impl Fault {
+    /// Whether this is work that operators do on purpose, or a silence, which is no trouble.
+    pub fn is_planned_work(&self) -> bool {
+        matches!(
+            self,
+            Fault::Stop(_)
+                | Fault::Upgrade(_)
+                | Fault::Reload(_)
+                | Fault::Settings(..)
+                | Fault::Configure
+                | Fault::TargetVersion
+                | Fault::ConfigurationThenVersion(_)
+                | Fault::Evacuate(_)
+                | Fault::BindStreams(_)
+                | Fault::Drain(_)
+                | Fault::Silence(..)
+        )
+    }
+}
+
 /// The silence of a runner.
 #[derive(Clone, Copy, Debug)]
 pub enum Silence {
--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -12,7 +12,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 
-use crate::faults::{CRASH_PATH, HALLS};
+use crate::faults::{CRASH_PATH, HALLS, LONG_STREAM_PATH, LONG_UNSAFE_PATH};
 use crate::proxy::Proxy;
 
 /// Port of the proxies in front of runners.
@@ -34,6 +34,10 @@
 const HALL_NAMES: [(&str, &str); HALLS] = [("a", "north"), ("b", "south")];
 /// How long a plain runner is cold after a cold start.
 pub const COLD_START: Duration = Duration::from_millis(3000);
+/// Timeout and targets of the routes for requests that take long.
+const LONG_ROUTE_TIMEOUT: Duration = Duration::from_millis(9000);
+const LONG_ROUTE_TARGET: Duration = Duration::from_millis(7000);
+const LONG_GAP_TARGET: Duration = Duration::from_millis(900);
 /// First start time that model runners report, in milliseconds of Unix time.
 const FIRST_START_MS: u64 = 1_764_720_000_000;
 /// Rate limit of a cold runner, in requests per second.
@@ -165,6 +169,8 @@
         let listed = SocketAddr::new(machine, RUNNER_PORT);
         let mut engine = engine(&format!("{name}-0"));
         engine.advertised_address = Some(listed);
+        let long_path = if engine.model { LONG_STREAM_PATH } else { LONG_UNSAFE_PATH };
+        engine.takes_long_on = Some(long_path.into());
         if engine.model {
             engine.started_at_ms = Some(FIRST_START_MS);
             engine.crashes_on = Some(CRASH_PATH.into());
@@ -270,14 +276,32 @@
     HALL_NAMES[hall % HALLS].1
 }
 
+/// Returns a route for requests that take long, like another route.
+fn long_route(like: &Value, name: &str, path: &str) -> Value {
+    let mut route = like.clone();
+    route["name"] = json!(name);
+    route["pathPrefix"] = json!(path);
+    route["timeoutMs"] = json!(LONG_ROUTE_TIMEOUT.as_millis() as u64);
+    route["targetLatencyMs"] = json!(LONG_ROUTE_TARGET.as_millis() as u64);
+    route["gapTargetMs"] = json!(LONG_GAP_TARGET.as_millis() as u64);
+    route
+}
+
 /// Extends the configuration by home regions of routes and workspaces, a route that is always bound to a
-/// region, and a plain service whose runners start cold.
+/// region, routes for requests that take long, and a plain service whose runners start cold.
 fn extend_configuration(configuration: &mut Value) {
     let mut bound = configuration["routes"][1].clone();
     bound["name"] = json!("bound");
     bound["pathPrefix"] = json!("/bound/");
+    let long = [
+        long_route(&configuration["routes"][0], "long", LONG_STREAM_PATH),
+        long_route(&configuration["routes"][2], "slow", LONG_UNSAFE_PATH),
+    ];
     let routes = configuration["routes"].as_array_mut();
-    routes.into_iter().for_each(|it| it.push(bound.clone()));
+    routes.into_iter().for_each(|it| {
+        it.push(bound.clone());
+        it.extend(long.clone());
+    });
     for list in ["routes", "tenants"] {
         let entries = configuration[list].as_array_mut().into_iter().flatten();
         entries.for_each(|it| it["homeRegions"] = json!([]));
--- a/examples/soak/history.rs
+++ b/examples/soak/history.rs
@@ -19,16 +19,48 @@
     Unsafe,
     /// A plain request that may be repeated, on the route that is bound to one region during the whole run.
     Bound,
+    /// A stream that may be resumed, on a route with a long timeout, and how long its runner takes, in milliseconds.
+    LongStream(u64),
+    /// A plain request that may not be repeated, on a route with a long timeout, and how long its runner takes, in
+    /// milliseconds.
+    LongUnsafe(u64),
     /// A request on the route that this version of the configuration added and the next one removes.
     Probe(u64),
 }
 
+impl Kind {
+    /// Whether requests of this kind are streams.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Kind::Stream | Kind::Crash(_) | Kind::LongStream(_))
+    }
+
+    /// Whether requests of this kind may run only once.
+    pub fn is_unsafe(self) -> bool {
+        matches!(self, Kind::Unsafe | Kind::LongUnsafe(_))
+    }
+}
+
+/// How a request ended on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// With a complete answer.
+    Complete,
+    /// The gateway closed the connection.
+    Closed,
+    /// The connection was reset.
+    Reset,
+    /// The gateway sent bytes that are not HTTP.
+    Invalid,
+    /// The caller waited for longer than its deadline and gave up.
+    TimedOut,
+}
+
 /// The outcome of a request at its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// The caller could not connect, so nothing was sent.
+    /// Nothing was sent: the caller could not connect, or it saw its connection closed before it used it.
     NoConnection,
-    /// The connection was closed or the wait timed out before the head of an answer.
+    /// The connection ended or the wait timed out before the head of an answer.
     Lost,
     /// An answer.
     Answer {
@@ -56,6 +88,14 @@
     pub ended: Moment,
     /// The outcome.
     pub outcome: Outcome,
+    /// How the request ended on its connection.
+    pub ending: Ending,
+    /// Whether any byte arrived on the connection after the request was sent.
+    pub received: bool,
+    /// Whether earlier requests were sent on the same connection.
+    pub on_kept_connection: bool,
+    /// The deadline that the request stated.
+    pub deadline: Duration,
     /// The notice in the answer that its runner leaves, if it had one.
     pub leave_notice: Option<LeaveNotice>,
     /// The rate limit that the runner stated in the answer, if any.
@@ -121,6 +161,10 @@
     pub hall: String,
     /// When the run began.
     pub at: Moment,
+    /// When the run ended, if it did.
+    pub ended: Option<Moment>,
+    /// Whether the runner ended the run early.
+    pub broken_off: bool,
 }
 
 /// The target of a fault.
@@ -145,6 +189,18 @@
     pub from: Moment,
     /// End of the disruption.
     pub until: Moment,
+    /// Whether it was announced to the processes: a stop by SIGTERM and the start after it. Such a disruption is
+    /// no reason to lose a request.
+    pub planned: bool,
+}
+
+/// Work that operators did on purpose, for the descriptions of violations.
+#[derive(Clone, Debug)]
+pub struct PlannedWork {
+    /// What was done.
+    pub what: String,
+    /// When it was done.
+    pub at: Moment,
 }
 
 /// A planned stop or a pause of a gateway process.
@@ -229,6 +285,10 @@
     pub runs: BTreeMap<String, Vec<Run>>,
     /// Disruptions by injected faults.
     pub disruptions: Vec<Disruption>,
+    /// Planned work.
+    pub planned_work: Vec<PlannedWork>,
+    /// Number of model runners. Runners with smaller numbers serve streams, all others plain requests.
+    pub model_runners: usize,
     /// Planned stops of gateways.
     pub stops: Vec<Stop>,
     /// Pauses of gateways.
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -10,7 +10,7 @@
 
 use crate::args::Args;
 use crate::callers::{self, Shared};
-use crate::checker::{check, Violation};
+use crate::checker::{check, is_close_race, Violation};
 use crate::fault_injector::FaultInjector;
 use crate::faults::{plan, FleetSizes, FAULT_KINDS};
 use crate::fleet::Fleet;
@@ -25,6 +25,8 @@
 pub struct Report {
     seed: u64,
     requests: usize,
+    /// Requests that crossed the close of their connection.
+    close_races: usize,
     whole: usize,
     faults: usize,
     /// The violations of guarantees.
@@ -40,14 +42,16 @@
         if as_json {
             let line = json!({
                 "seed": self.seed, "requests": self.requests, "whole": self.whole,
+                "close_races": self.close_races,
                 "faults": self.faults, "violations": violations, "replay": self.replay,
             });
             println!("{line}");
             return;
         }
-        let Self { seed, requests, whole, faults, replay, .. } = self;
+        let Self { seed, requests, close_races, whole, faults, replay, .. } = self;
         println!(
-            "seed {seed}: {faults} faults, {requests} requests, {whole} answered whole, {} broken",
+            "seed {seed}: {faults} faults, {requests} requests, {whole} answered whole, \
+             {close_races} crossed a close, {} broken",
             violations.len()
         );
         for (guarantee, details) in violations.iter().take(5) {
@@ -102,12 +106,17 @@
     } else {
         keep_logs(&fleet, &args.keep, seed)?;
     }
+    let is_close_race = |it: &&crate::history::Request| {
+        is_close_race(it, history.runs.get(&it.id).map_or(&[], Vec::as_slice))
+    };
+    let close_races = history.requests.iter().filter(is_close_race).count();
     let whole = history.requests.iter().filter(|it| {
         matches!(it.outcome, crate::history::Outcome::Answer { status: 200, whole: true, .. })
     });
     Ok(Report {
         seed,
         requests: history.requests.len(),
+        close_races,
         whole: whole.count(),
         faults: planned.len(),
         violations,
@@ -124,6 +133,7 @@
 
 /// Adds what callers and runners observed to the history.
 fn collect_observations(history: &mut History, fleet: &Fleet, shared: &Shared) {
+    history.model_runners = fleet.sidecars.len();
     history.requests = shared.requests.lock().expect("never poisoned").clone();
     for (request, runs) in fleet.standin.all_runs() {
         let runs = runs.into_iter().map(|run| Run {
@@ -135,6 +145,8 @@
             version: run.version,
             saw_key: run.received_api_key,
             hall: run.zone,
+            ended: run.ended_at.map(|it| it.saturating_duration_since(shared.start)),
+            broken_off: run.is_broken_off,
         });
         history.runs.insert(request, runs.collect());
     }
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use checker::{check, complete_body};
+use checker::{check, complete_body, is_close_race};
 use history::*;
 
 fn at(millis: u64) -> Moment {
@@ -20,8 +20,24 @@
 
 fn request(id: &str, kind: Kind, outcome: Outcome) -> Request {
     let (sent, ended) = (at(10_000), at(10_050));
-    let gateway = (0, 0);
-    Request { id: id.into(), kind, gateway, sent, ended, outcome, leave_notice: None, limit: None }
+    let ending = match &outcome {
+        Outcome::Answer { whole: true, .. } => Ending::Complete,
+        _ => Ending::Closed,
+    };
+    Request {
+        id: id.into(),
+        kind,
+        gateway: (0, 0),
+        sent,
+        ended,
+        received: matches!(outcome, Outcome::Answer { .. }),
+        outcome,
+        ending,
+        on_kept_connection: true,
+        deadline: at(4_000),
+        leave_notice: None,
+        limit: None,
+    }
 }
 
 fn run_at(runner: &str, millis: u64) -> Run {
@@ -34,9 +50,15 @@
         saw_key: false,
         hall: "a".into(),
         at: at(millis),
+        ended: Some(at(millis + 20)),
+        broken_off: false,
     }
 }
 
+fn disruption(target: Target, from: u64, until: u64) -> Disruption {
+    Disruption { target, from: at(from), until: at(until), planned: false }
+}
+
 /// Returns a history of one request with its runs.
 fn history(request: Request, runs: Vec<Run>) -> History {
     let mut history = History { faults_ended_at: at(100_000), ..History::default() };
@@ -83,7 +105,7 @@
 
 #[test]
 fn a_second_run_of_an_unsafe_request_is_reported() {
-    let ran_twice = request("a", Kind::Unsafe, Outcome::Lost);
+    let ran_twice = request("a", Kind::Unsafe, answer(200, "ledger a"));
     let runs = vec![run_at("l1", 10_010), run_at("l2", 10_030)];
     assert_eq!(violated_guarantee(&history(ran_twice, runs)), Some("runs at most once"));
 }
@@ -111,34 +133,154 @@
     }
 }
 
+const ANSWERED: &str = "planned work ends no request without an answer";
+
+/// Returns a history in which a request that one runner started ended without an answer.
+fn lost_history() -> History {
+    let lost = Request { ended: at(10_400), ..request("a", Kind::Safe, Outcome::Lost) };
+    history(lost, vec![run_at("l1", 10_010)])
+}
+
 #[test]
-fn a_request_cut_off_by_a_planned_stop_is_reported_unless_there_was_a_disruption() {
-    let cut = Request { ended: at(10_400), ..request("a", Kind::Safe, Outcome::Lost) };
-    let mut history = history(cut, vec![run_at("l1", 10_010)]);
-    assert_eq!(violated_guarantee(&history), None, "nobody stopped the gateway");
+fn a_request_without_an_answer_is_reported_unless_there_was_an_unplanned_disruption() {
+    let mut history = lost_history();
+    assert_eq!(violated_guarantee(&history), Some(ANSWERED), "nothing was done at all");
     history.stops.push(Stop { gateway: 0, at: at(9_000) });
-    assert_eq!(violated_guarantee(&history), Some("a planned stop cuts nothing"));
-    let target = Target::Runner(1);
-    history.disruptions.push(Disruption { target, from: at(8_000), until: at(9_500) });
-    assert_eq!(violated_guarantee(&history), None, "a runner was harmed shortly before");
+    assert_eq!(violated_guarantee(&history), Some(ANSWERED), "the gateway was stopped");
+    for target in [Target::Runner(1), Target::Gateway(0)] {
+        history.disruptions = vec![disruption(target, 8_000, 9_500)];
+        assert_eq!(violated_guarantee(&history), None, "{target:?} was harmed shortly before");
+        history.disruptions = vec![disruption(target, 5_000, 6_000)];
+        assert_eq!(
+            violated_guarantee(&history),
+            Some(ANSWERED),
+            "{target:?} was harmed long before"
+        );
+    }
+    for target in [Target::Store, Target::SlowStore, Target::Gateway(1)] {
+        history.disruptions = vec![disruption(target, 8_000, 9_500)];
+        assert_eq!(violated_guarantee(&history), Some(ANSWERED), "{target:?} did not take it");
+    }
 }
 
 #[test]
-fn a_request_that_crosses_the_close_of_its_connection_is_not_reported_as_cut_off() {
-    let crossing = request("a", Kind::Safe, Outcome::Lost);
-    let mut history = history(crossing, vec![]);
-    history.stops.push(Stop { gateway: 0, at: at(9_000) });
+fn a_planned_disruption_excuses_no_request_without_an_answer() {
+    let mut history = lost_history();
+    for target in [Target::Runner(1), Target::Gateway(0)] {
+        let planned = Disruption { planned: true, ..disruption(target, 8_000, 9_500) };
+        history.disruptions = vec![planned];
+        assert_eq!(violated_guarantee(&history), Some(ANSWERED));
+    }
+}
+
+#[test]
+fn a_disruption_of_runners_of_another_service_excuses_no_request_without_an_answer() {
+    let mut history = lost_history();
+    history.model_runners = 2;
+    history.disruptions = vec![disruption(Target::Runner(1), 8_000, 9_500)];
+    assert_eq!(
+        violated_guarantee(&history),
+        Some(ANSWERED),
+        "a model runner serves no plain request"
+    );
+    history.disruptions = vec![disruption(Target::Runner(2), 8_000, 9_500)];
     assert_eq!(violated_guarantee(&history), None);
 }
 
 #[test]
-fn a_failed_connection_is_not_reported_as_cut_off() {
+fn a_request_that_its_runner_broke_off_is_not_reported_as_lost() {
+    let mut history = lost_history();
+    history.runs.values_mut().flatten().for_each(|it| it.broken_off = true);
+    assert_eq!(violated_guarantee(&history), None);
+}
+
+#[test]
+fn only_a_request_that_crosses_the_close_of_its_connection_may_be_lost_without_a_run() {
+    let with = |change: &dyn Fn(&mut Request)| {
+        let mut crossing = request("a", Kind::Safe, Outcome::Lost);
+        change(&mut crossing);
+        history(crossing, vec![])
+    };
+    for ending in [Ending::Closed, Ending::Reset] {
+        let crossing = with(&|it| it.ending = ending);
+        assert_eq!(violated_guarantee(&crossing), None);
+        assert!(is_close_race(&crossing.requests[0], &[]));
+    }
+    let late = with(&|it| it.ended = at(10_210));
+    assert_eq!(violated_guarantee(&late), Some(ANSWERED), "it was closed too late");
+    for ending in [Ending::TimedOut, Ending::Invalid] {
+        let not_closed = with(&|it| it.ending = ending);
+        assert_eq!(violated_guarantee(&not_closed), Some(ANSWERED), "{ending:?} is no close");
+    }
+    let refused = with(&|it| it.received = true);
+    assert_eq!(violated_guarantee(&refused), Some(ANSWERED), "a part of an answer arrived");
+    let mut ran = with(&|_| {});
+    ran.runs.insert("a".into(), vec![run_at("l1", 10_010)]);
+    assert_eq!(violated_guarantee(&ran), Some(ANSWERED), "a runner started it");
+}
+
+#[test]
+fn a_request_of_which_nothing_was_sent_is_not_reported_as_lost() {
     let refused = request("a", Kind::Safe, Outcome::NoConnection);
     let mut history = history(refused, vec![]);
     history.stops.push(Stop { gateway: 0, at: at(9_000) });
     assert_eq!(violated_guarantee(&history), None);
 }
 
+/// Returns a history in which a stream with a deadline of nine seconds, sent at 10 s, is cut at `ended` within its
+/// answer. Its runner is at work until then.
+fn cut_history(kind: Kind, ended: u64) -> History {
+    let outcome = Outcome::Answer { status: 200, whole: false, body: "id: 1".into() };
+    let (deadline, ended) = (at(9_000), at(ended));
+    let cut = Request { deadline, ended, ..request("a", kind, outcome) };
+    let service = if kind.is_stream() { "assistant" } else { "ledger" };
+    let run = Run { service: service.into(), ended: Some(ended), ..run_at("e1", 10_010) };
+    history(cut, vec![run])
+}
+
+#[test]
+fn a_cut_answer_is_reported_before_the_deadline_and_the_timeout_of_the_route() {
+    let long = |ended| cut_history(Kind::LongStream(9_000), ended);
+    assert_eq!(violated_guarantee(&long(18_900)), Some(ANSWERED));
+    assert_eq!(violated_guarantee(&long(19_000)), None);
+    let stream = |ended| cut_history(Kind::Stream, ended);
+    assert_eq!(violated_guarantee(&stream(13_900)), Some(ANSWERED));
+    assert_eq!(violated_guarantee(&stream(14_000)), None, "the timeout of the route has passed");
+    let mut held = long(20_000);
+    held.requests[0].ending = Ending::TimedOut;
+    assert_eq!(violated_guarantee(&held), Some(ANSWERED), "the gateway did not end it");
+}
+
+#[test]
+fn only_a_stream_at_work_at_the_end_of_the_grace_period_may_be_cut_by_a_stop() {
+    let stopped = |kind, ended, stop| {
+        let mut history = cut_history(kind, ended);
+        history.stops.push(Stop { gateway: 0, at: at(stop) });
+        history
+    };
+    let stream = Kind::LongStream(9_000);
+    assert_eq!(violated_guarantee(&stopped(stream, 17_700, 10_000)), None);
+    let early = stopped(stream, 16_000, 10_000);
+    assert_eq!(violated_guarantee(&early), Some(ANSWERED), "the grace period was not used");
+    let late = stopped(stream, 14_700, 6_900);
+    assert_eq!(violated_guarantee(&late), Some(ANSWERED), "it was sent long after the stop");
+    let plain = stopped(Kind::LongUnsafe(9_000), 17_700, 10_000);
+    assert_eq!(violated_guarantee(&plain), Some(ANSWERED), "a plain request can be answered");
+    let mut finished = stopped(stream, 17_700, 10_000);
+    finished.runs.values_mut().flatten().for_each(|it| it.ended = Some(at(16_000)));
+    assert_eq!(violated_guarantee(&finished), Some(ANSWERED), "its runner had finished");
+    let mut elsewhere = stopped(stream, 17_700, 10_000);
+    elsewhere.stops[0].gateway = 1;
+    assert_eq!(violated_guarantee(&elsewhere), Some(ANSWERED), "another gateway was stopped");
+}
+
+#[test]
+fn a_second_run_of_a_long_unsafe_request_is_reported() {
+    let ran_twice = request("a", Kind::LongUnsafe(2_000), answer(200, "ledger a"));
+    let runs = vec![run_at("l1", 10_010), run_at("l2", 10_030)];
+    assert_eq!(violated_guarantee(&history(ran_twice, runs)), Some("runs at most once"));
+}
+
 #[test]
 fn a_run_at_a_leaving_runner_is_reported_after_the_bound() {
     let safe = request("a", Kind::Safe, answer(200, "ledger a"));
@@ -148,7 +290,7 @@
     history.leaving[0].at = at(7_000);
     assert_eq!(violated_guarantee(&history), Some("a runner that leaves gets nothing new"));
     for target in [Target::Gateway(0), Target::Store] {
-        history.disruptions.push(Disruption { target, from: at(8_000), until: at(9_500) });
+        history.disruptions.push(disruption(target, 8_000, 9_500));
         assert_eq!(violated_guarantee(&history), None, "{target:?} was harmed shortly before");
         history.disruptions.clear();
     }
@@ -204,7 +346,7 @@
     assert_eq!(violated_guarantee(&next), None, "a newer one may be in force already");
     for target in [Target::Gateway(0), Target::Store] {
         let mut disrupted = probe(2, 404);
-        disrupted.disruptions.push(Disruption { target, from: at(7_000), until: at(7_100) });
+        disrupted.disruptions.push(disruption(target, 7_000, 7_100));
         assert_eq!(violated_guarantee(&disrupted), None, "{target:?} was harmed shortly before");
     }
 }
@@ -216,7 +358,7 @@
     let elsewhere = Run { hall: "b".into(), ..run_at("l2", 10_010) };
     let mut history = history(bound(), vec![elsewhere]);
     let target = Target::Gateway(0);
-    history.disruptions.push(Disruption { target, from: at(9_000), until: at(11_000) });
+    history.disruptions.push(disruption(target, 9_000, 11_000));
     assert_eq!(violated_guarantee(&history), Some("a bound request stays in its region"));
 }
 
@@ -239,11 +381,7 @@
     history.homes = vec![homes("b", 5_000), homes("a", 10_100)];
     assert_eq!(violated_guarantee(&history), None, "a newer one allows it");
     history.homes = vec![homes("b", 5_000)];
-    history.disruptions.push(Disruption {
-        target: Target::Store,
-        from: at(8_000),
-        until: at(9_500),
-    });
+    history.disruptions.push(disruption(Target::Store, 8_000, 9_500));
     assert_eq!(violated_guarantee(&history), None, "the store was harmed shortly before");
 }
 
@@ -267,7 +405,7 @@
     let runs = |count: u64, pause: u64| -> Vec<Run> {
         (0..count).map(|it| run_at("l1", 10_000 + it * pause)).collect()
     };
-    let safe = || request("a", Kind::Safe, Outcome::Lost);
+    let safe = || request("a", Kind::Safe, answer(200, "ledger a"));
     let cold = Cold { runner: "l1".into(), from: at(9_900), until: at(12_900) };
     let with = |runs| {
         let mut history = history(safe(), runs);
@@ -312,7 +450,8 @@
         let (sent, ended) = (at(moment - 10), at(moment + 40));
         let crashed = request(&id, Kind::Crash(1), Outcome::Lost);
         history.requests.push(Request { sent, ended, ..crashed });
-        let run = Run { service: "assistant".into(), ..run_at("e1", *moment) };
+        let run = run_at("e1", *moment);
+        let run = Run { service: "assistant".into(), broken_off: true, ..run };
         history.runs.insert(id, vec![run]);
     }
     history
@@ -332,8 +471,7 @@
     let guarantee = "a request that crashes its runners is not sent on";
     assert_eq!(violated_guarantee(&crash_history(&many)), Some(guarantee));
     let mut disrupted = crash_history(&many);
-    let (from, until) = (at(19_000), at(20_000));
-    disrupted.disruptions.push(Disruption { target: Target::Gateway(0), from, until });
+    disrupted.disruptions.push(disruption(Target::Gateway(0), 19_000, 20_000));
     assert_eq!(
         violated_guarantee(&disrupted),
         None,
@@ -371,7 +509,7 @@
     assert_eq!(violated_guarantee(&paused), None);
     let mut disrupted = history_with_leave_notice(1);
     let target = Target::Gateway(0);
-    disrupted.disruptions.push(Disruption { target, from: at(6_000), until: at(11_000) });
+    disrupted.disruptions.push(disruption(target, 6_000, 11_000));
     assert_eq!(
         violated_guarantee(&disrupted),
         Some(guarantee),
@@ -453,7 +591,7 @@
     );
     let mut disrupted = limited_history(10_000, 12, 14_000);
     let target = Target::Gateway(1);
-    disrupted.disruptions.push(Disruption { target, from: at(13_000), until: at(13_500) });
+    disrupted.disruptions.push(disruption(target, 13_000, 13_500));
     assert_eq!(violated_guarantee(&disrupted), None, "one gateway was disconnected");
     let mut unreadable = limited_history(10_000, 30, 14_000);
     unreadable.limited_requests.iter_mut().for_each(|it| it.1.limit = "some".into());
@@ -487,7 +625,7 @@
 fn the_bound_of_an_old_version_starts_after_a_store_outage_and_a_margin() {
     let violation_at = |begun| {
         let mut history = on_version_one(begun);
-        let outage = Disruption { target: Target::Store, from: at(1500), until: at(2500) };
+        let outage = disruption(Target::Store, 1500, 2500);
         history.disruptions.push(outage);
         violated_guarantee(&history)
     };
@@ -499,7 +637,7 @@
 fn faults_of_runners_and_other_gateways_and_a_slow_store_excuse_no_old_version() {
     for target in [Target::Runner(0), Target::Gateway(1), Target::SlowStore] {
         let mut history = on_version_one(9010);
-        history.disruptions.push(Disruption { target, from: at(8000), until: at(9000) });
+        history.disruptions.push(disruption(target, 8000, 9000));
         assert_eq!(violated_guarantee(&history), Some(VERSION_GUARANTEE));
     }
 }
