Soak: rolling stops, storms of SIGHUPs and configurations, and releases

Planned work came one piece at a time. The kinds 'rolling', 'hup_storm', 'config_storm' and 'release' do it in series that overlap: gateways and sidecars are stopped one after the other whether those before have ended or not, every process gets many SIGHUPs, and the configuration changes routes, timeouts, targets and keys many times within a second or so. Processes that are killed, paused or being stopped are now kept in a set: an action that was due in the same moment as the check of a stop was not seen, so a process could be stopped twice and its successor killed.

--- a/examples/soak/fault_injector.rs
+++ b/examples/soak/fault_injector.rs
@@ -3,8 +3,10 @@
 mod operators;
 mod processes;
 mod runners;
+mod series;
 mod store;
 
+use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -49,6 +51,12 @@
     RestoreRunnerLink(usize),
     /// Ends the fault of a runner.
     RestoreRunner(usize),
+    /// Stops a process, and restarts it with the other build if the flag is set.
+    StopProcess(usize, bool),
+    /// Changes the settings of a process or not, and sends it SIGHUP.
+    ReloadProcess(usize, bool),
+    /// Changes the configuration for the given time in a series.
+    ChangeConfiguration(u64),
     /// Ends the pauses in the answers of a runner.
     EndSilence(usize),
     /// Has a runner overwrite the row of a foreign writer with its own entry.
@@ -82,6 +90,8 @@
     /// The recorded events.
     pub history: History,
     delayed_actions: Vec<(Duration, DelayedAction)>,
+    /// Processes that are killed, paused or being stopped.
+    unavailable_processes: BTreeSet<usize>,
     version: u64,
     /// Number of requests that crash runners so far.
     crash_requests: u64,
@@ -99,6 +109,7 @@
             shared,
             history: History::default(),
             delayed_actions: Vec::new(),
+            unavailable_processes: BTreeSet::new(),
             version: 1,
             crash_requests: 0,
             limits_stated: 0,
@@ -204,6 +215,15 @@
             }
             Fault::SilentRunnerConnections(number) => self.silence_runner_connections(number),
             Fault::Runner(number, fault) => self.set_runner_fault(number, fault, until),
+            Fault::Rolling(rolling) => self.schedule_rolling(rolling, false),
+            Fault::ReloadStorm(series) => self.schedule_reloads(series),
+            Fault::ConfigurationStorm(series) => self.schedule_configurations(series),
+            Fault::Release(rolling, series) => {
+                self.schedule_rolling(rolling, true);
+                self.schedule_configurations(series);
+                self.schedule_reloads(series);
+                self.set_target_version();
+            }
             Fault::Silence(number, silence) => self.silence_runner(number, silence, until),
             Fault::RestartWithNewId(number) => self.restart_with_new_id(number, until),
             Fault::RestartWithSameId(number) => self.restart_with_same_id(number, until),
@@ -262,7 +282,7 @@
         match action {
             DelayedAction::RestartProcess(number) => self.restart_killed_process(number)?,
             DelayedAction::RestartStoppedProcess(number) => self.restart_stopped_process(number)?,
-            DelayedAction::ResumeProcess(number) => self.process(number).signal(Signal::CONT),
+            DelayedAction::ResumeProcess(number) => self.resume_process(number),
             DelayedAction::CheckStopped(number, deadline) => {
                 self.check_stopped(number, deadline)?
             }
@@ -278,6 +298,11 @@
             DelayedAction::RestoreRunner(number) => {
                 self.change_runner(number, |it| it.fault = RunnerFault::None);
             }
+            DelayedAction::StopProcess(number, upgrade) => self.stop_in_turn(number, upgrade),
+            DelayedAction::ReloadProcess(number, rewrite) => {
+                self.reload_in_turn(number, rewrite)?
+            }
+            DelayedAction::ChangeConfiguration(time) => self.change_configuration(time),
             DelayedAction::EndSilence(number) => self.end_silence(number),
             DelayedAction::ReportWarm(number) | DelayedAction::RelistRunner(number) => {
                 self.relist_runner(number)
--- a/examples/soak/fault_injector/processes.rs
+++ b/examples/soak/fault_injector/processes.rs
@@ -14,17 +14,14 @@
 impl FaultInjector<'_> {
     /// Whether a process runs and no fault that kills, pauses or stops it is active.
     pub(super) fn is_available(&mut self, number: usize) -> bool {
-        let is_busy = self.delayed_actions.iter().any(|(_, action)| {
-            matches!(action, DelayedAction::RestartProcess(it) | DelayedAction::RestartStoppedProcess(it)
-                | DelayedAction::ResumeProcess(it) | DelayedAction::CheckStopped(it, _)
-                if *it == number)
-        });
+        let is_busy = self.unavailable_processes.contains(&number);
         !is_busy && !self.process(number).has_ended()
     }
 
     /// Kills a process and schedules its restart.
     pub(super) fn kill_process(&mut self, number: usize) {
         let restart_at = self.now() + RESTART_DELAY;
+        self.unavailable_processes.insert(number);
         self.process(number).signal(Signal::KILL);
         self.record_disruption(self.target(number), restart_at);
         self.schedule(restart_at, DelayedAction::RestartProcess(number));
@@ -32,6 +29,7 @@
 
     /// Pauses a process with SIGSTOP until `until`.
     pub(super) fn pause_process(&mut self, number: usize, until: Duration) {
+        self.unavailable_processes.insert(number);
         self.process(number).signal(Signal::STOP);
         if let Target::Gateway(gateway) = self.target(number) {
             self.history.pauses.push(Stop { gateway, at: self.now() });
@@ -40,8 +38,15 @@
         self.schedule(until, DelayedAction::ResumeProcess(number));
     }
 
+    /// Resumes a paused process.
+    pub(super) fn resume_process(&mut self, number: usize) {
+        self.process(number).signal(Signal::CONT);
+        self.unavailable_processes.remove(&number);
+    }
+
     /// Sends SIGTERM to a process, which is restarted once it has ended.
     pub(super) fn stop_process(&mut self, number: usize) {
+        self.unavailable_processes.insert(number);
         self.process(number).signal(Signal::TERM);
         let deadline = self.now() + STOP_TIMEOUT;
         if let Target::Gateway(gateway) = self.target(number) {
@@ -95,6 +100,8 @@
         let target = self.target(number);
         let process = self.process(number);
         process.restart(&programs)?;
+        self.unavailable_processes.remove(&number);
+        let process = self.process(number);
         let (restarts, runs_old_build) = (process.restarts, process.runs_old_build());
         if let Target::Gateway(gateway) = target {
             if runs_old_build {
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -54,6 +54,10 @@
     "reading",
     "busy_version",
     "silence",
+    "rolling",
+    "hup_storm",
+    "config_storm",
+    "release",
 ];
 
 /// Path prefix of requests that crash model runners. The number of the fault follows it.
@@ -91,6 +95,14 @@
     Runner(usize, RunnerFault),
     /// A runner falls silent in the middle of its work and goes on. This excuses no violation.
     Silence(usize, Silence),
+    /// Processes are stopped by SIGTERM one after the other, whether those before have ended or not, and restarted.
+    Rolling(Rolling),
+    /// Processes receive SIGHUP many times.
+    ReloadStorm(Series),
+    /// The configuration changes many times.
+    ConfigurationStorm(Series),
+    /// A rolling upgrade, many configurations, many SIGHUPs and a new target version of the weights at the same time.
+    Release(Rolling, Series),
     /// A runner restarts without weights and under a new id.
     RestartWithNewId(usize),
     /// A runner reports that it leaves and is replaced later.
@@ -164,11 +176,50 @@
                 | Fault::Evacuate(_)
                 | Fault::BindStreams(_)
                 | Fault::Drain(_)
+                | Fault::Rolling(_)
+                | Fault::ReloadStorm(_)
+                | Fault::ConfigurationStorm(_)
+                | Fault::Release(..)
                 | Fault::Silence(..)
         )
     }
 }
 
+/// Stops of several processes, one after the other.
+#[derive(Clone, Copy, Debug)]
+pub struct Rolling {
+    /// The processes that are stopped.
+    pub processes: RollingProcesses,
+    /// Interval between two stops, in milliseconds.
+    pub interval_ms: u64,
+}
+
+/// The processes that a rolling stop includes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RollingProcesses {
+    /// All gateways.
+    Gateways,
+    /// All sidecars.
+    Sidecars,
+    /// All gateways, then all sidecars.
+    All,
+}
+
+/// The same action several times.
+#[derive(Clone, Copy, Debug)]
+pub struct Series {
+    /// Number of times.
+    pub count: u64,
+    /// Interval between two times, in milliseconds.
+    pub interval_ms: u64,
+}
+
+/// Interval between two stops of a rolling stop, in milliseconds.
+const ROLLING_INTERVAL_MS: std::ops::Range<u64> = 200..4000;
+/// Number of actions in a series, and the interval between two of them, in milliseconds.
+const SERIES_COUNT: std::ops::Range<u64> = 4..25;
+const SERIES_INTERVAL_MS: std::ops::Range<u64> = 10..250;
+
 /// The silence of a runner.
 #[derive(Clone, Copy, Debug)]
 pub enum Silence {
@@ -292,11 +343,29 @@
         "reading" => Fault::SlowReading(model, random.random_range(200..1000)),
         "new_gateway" => Fault::VersionAndGatewayRestart(random.random_range(0..sizes.gateways())),
         "silence" => Fault::Silence(runner, random_silence(random)),
+        "rolling" => Fault::Rolling(random_rolling(random)),
+        "hup_storm" => Fault::ReloadStorm(random_series(random)),
+        "config_storm" => Fault::ConfigurationStorm(random_series(random)),
+        "release" => Fault::Release(random_rolling(random), random_series(random)),
         "settings" => Fault::Settings(process, random.random_bool(0.5)),
         _ => Fault::CorruptChunk(model, random.random_range(0..64)),
     }
 }
 
+fn random_rolling(random: &mut SmallRng) -> Rolling {
+    let processes = match random.random_range(0..4) {
+        0 | 1 => RollingProcesses::Gateways,
+        2 => RollingProcesses::Sidecars,
+        _ => RollingProcesses::All,
+    };
+    Rolling { processes, interval_ms: random.random_range(ROLLING_INTERVAL_MS) }
+}
+
+fn random_series(random: &mut SmallRng) -> Series {
+    let count = random.random_range(SERIES_COUNT);
+    Series { count, interval_ms: random.random_range(SERIES_INTERVAL_MS) }
+}
+
 fn random_silence(random: &mut SmallRng) -> Silence {
     let (events, millis) = (random.random_range(0..12), random.random_range(SILENCE_MS));
     if random.random_bool(0.5) {
