Soak: distant callers, whose requests cross the close of their connection

On half of the connections callers now see what arrives, and the end of the connection, 5 to 40 ms late.

--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -34,6 +34,9 @@
 const PAUSE_MS: std::ops::Range<u64> = 5..70;
 /// Share of requests for which every other caller opens a new connection. The rest keep theirs until it closes.
 const RECONNECT_SHARE: f64 = 0.15;
+/// Share of connections that are distant, and how much later callers see there what gateways send, in milliseconds.
+const DISTANT_SHARE: f64 = 0.5;
+const LATENCY_MS: std::ops::Range<u64> = 5..40;
 /// Share of requests whose body is sent in pieces after the head.
 const PIECES_SHARE: f64 = 0.25;
 /// Number of these pieces, and the pause before each of them, in milliseconds.
@@ -201,11 +204,14 @@
         }
     }
 
-    async fn connect(&self, number: usize, restarts: u32) -> Option<Connection> {
+    async fn connect(&mut self, number: usize, restarts: u32) -> Option<Connection> {
         let address = self.shared.gateways[number].0;
         let stream = with_timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await?.ok()?;
         let observations: Rc<Observations> = Rc::default();
-        let stream = ObservedStream::new(stream, observations.clone());
+        let is_distant = self.random.random_bool(DISTANT_SHARE);
+        let latency_ms = if is_distant { self.random.random_range(LATENCY_MS) } else { 0 };
+        let latency = Duration::from_millis(latency_ms);
+        let stream = ObservedStream::new(stream, observations.clone(), latency);
         let (sender, connection) = Builder::new().handshake(FuturesIo::new(stream)).await.ok()?;
         let drive_connection = async move {
             let _ = connection.await;
--- a/examples/soak/callers/connection.rs
+++ b/examples/soak/callers/connection.rs
@@ -1,11 +1,15 @@
 //! A connection that records how it ends.
 
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{ready, Context, Poll, Waker};
+use std::time::Duration;
 
+use async_io::{Async, Timer};
 use async_net::TcpStream;
 use futures_lite::{AsyncRead, AsyncWrite};
 
@@ -60,16 +64,41 @@
     }
 }
 
-/// A TCP stream whose end and received bytes are recorded.
+/// A TCP stream whose end and received bytes are recorded. What arrives on it, and its end, is seen after a delay.
 pub(super) struct ObservedStream {
     stream: TcpStream,
+    /// The same stream, to wait for what arrives.
+    readiness: Arc<Async<std::net::TcpStream>>,
     observations: Rc<Observations>,
+    latency: Duration,
+    /// Runs while something has arrived that is not seen yet.
+    delay: Option<Timer>,
 }
 
 impl ObservedStream {
     /// Wraps a stream.
-    pub(super) fn new(stream: TcpStream, observations: Rc<Observations>) -> Self {
-        Self { stream, observations }
+    pub(super) fn new(
+        stream: TcpStream,
+        observations: Rc<Observations>,
+        latency: Duration,
+    ) -> Self {
+        let readiness = stream.clone().into();
+        Self { stream, readiness, observations, latency, delay: None }
+    }
+
+    /// Waits until something has arrived, and then for the delay.
+    fn poll_arrival(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        if self.latency.is_zero() {
+            return Poll::Ready(());
+        }
+        if self.delay.is_none() {
+            // An error shows up in the read that follows.
+            let _ = ready!(self.readiness.poll_readable(context));
+        }
+        let delay = self.delay.get_or_insert_with(|| Timer::after(self.latency));
+        ready!(Pin::new(delay).poll(context));
+        self.delay = None;
+        Poll::Ready(())
     }
 
     /// Records whether bytes have arrived that were not read yet.
@@ -92,6 +121,7 @@
             self.observations.reader.replace(Some(context.waker().clone()));
             return Poll::Pending;
         }
+        ready!(self.poll_arrival(context));
         let read = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
         match &read {
             Ok(0) => self.observations.ending.set(Some(Ending::Closed)),
