--- a/examples/soak/args.rs
+++ b/examples/soak/args.rs
@@ -21,7 +21,7 @@
     /// number of concurrent callers
     #[argh(option, default = "10")]
     pub callers: usize,
-    /// comma-separated kinds of faults; all kinds if empty
+    /// comma-separated kinds of faults; all kinds if empty, `planned` for all planned work
     #[argh(option, default = "String::new()")]
     pub faults: String,
     /// directory for the logs of seeds with a violation
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -60,6 +60,23 @@
     "release",
 ];
 
+/// Names of the kinds of planned work, and of those that are no trouble.
+pub const PLANNED_KINDS: &[&str] = &[
+    "stop",
+    "hup",
+    "configuration",
+    "version",
+    "drain",
+    "evacuate",
+    "homes",
+    "settings",
+    "silence",
+    "rolling",
+    "hup_storm",
+    "config_storm",
+    "release",
+];
+
 /// Path prefix of requests that crash model runners. The number of the fault follows it.
 pub const CRASH_PATH: &str = "/s/crash";
 
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -12,7 +12,7 @@
 use crate::callers::{self, Shared};
 use crate::checker::{check, is_close_race, Violation};
 use crate::fault_injector::FaultInjector;
-use crate::faults::{plan, FleetSizes, FAULT_KINDS};
+use crate::faults::{plan, FleetSizes, FAULT_KINDS, PLANNED_KINDS};
 use crate::fleet::Fleet;
 use crate::history::{History, Leaving, LimitNotice, Run, TurnedAway};
 
@@ -74,6 +74,7 @@
     };
     let kinds: Vec<&str> = match args.faults.as_str() {
         "" => FAULT_KINDS.to_vec(),
+        "planned" => PLANNED_KINDS.to_vec(),
         text => text.split(',').collect(),
     };
     let span = Duration::from_secs(args.seconds);
