--- a/examples/soak/fault_injector.rs
+++ b/examples/soak/fault_injector.rs
@@ -3,8 +3,10 @@
 mod operators;
 mod processes;
 mod runners;
+mod series;
 mod store;
 
+use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -15,7 +17,7 @@
 use crate::callers::Shared;
 use crate::faults::{Fault, PlannedFault};
 use crate::fleet::{Fleet, Process};
-use crate::history::{Disruption, History, Target};
+use crate::history::{Disruption, History, PlannedWork, Target};
 use crate::proxy::LinkFault;
 
 /// Delay until a killed process is restarted.
@@ -29,8 +31,10 @@
 
 /// An action that runs at a later time, usually the end of a fault.
 enum DelayedAction {
-    /// Restarts a process.
+    /// Restarts a process that was killed.
     RestartProcess(usize),
+    /// Restarts a process that was asked to stop and killed at the end of its grace period.
+    RestartStoppedProcess(usize),
     /// Resumes a paused process.
     ResumeProcess(usize),
     /// Restarts a process that was asked to stop and has ended, and kills it if it has not ended by this time.
@@ -47,10 +51,18 @@
     RestoreRunnerLink(usize),
     /// Ends the fault of a runner.
     RestoreRunner(usize),
+    /// Stops a process, and restarts it with the other build if the flag is set.
+    StopProcess(usize, bool),
+    /// Changes the settings of a process or not, and sends it SIGHUP.
+    ReloadProcess(usize, bool),
+    /// Changes the configuration for the given time in a series.
+    ChangeConfiguration(u64),
+    /// Ends the pauses in the answers of a runner.
+    EndSilence(usize),
     /// Has a runner overwrite the row of a foreign writer with its own entry.
     RelistRunner(usize),
-    /// Replaces a leaving runner by a new one.
-    ReplaceRunner(usize),
+    /// Replaces a leaving runner by a new one once it is idle, or at the latest at this time.
+    ReplaceRunner(usize, Duration),
     /// Ends the slow reading of a runner.
     EndSlowReading(usize),
     /// Ends the load shedding of a runner.
@@ -78,6 +90,8 @@
     /// The recorded events.
     pub history: History,
     delayed_actions: Vec<(Duration, DelayedAction)>,
+    /// Processes that are killed, paused or being stopped.
+    unavailable_processes: BTreeSet<usize>,
     version: u64,
     /// Number of requests that crash runners so far.
     crash_requests: u64,
@@ -95,6 +109,7 @@
             shared,
             history: History::default(),
             delayed_actions: Vec::new(),
+            unavailable_processes: BTreeSet::new(),
             version: 1,
             crash_requests: 0,
             limits_stated: 0,
@@ -152,7 +167,18 @@
 
     fn record_disruption(&mut self, target: Target, until: Duration) {
         let from = self.now();
-        self.history.disruptions.push(Disruption { target, from, until });
+        self.history.disruptions.push(Disruption { target, from, until, planned: false });
+    }
+
+    /// Records a disruption by planned work.
+    fn record_planned_disruption(&mut self, target: Target, until: Duration) {
+        let from = self.now();
+        self.history.disruptions.push(Disruption { target, from, until, planned: true });
+    }
+
+    fn record_planned_work(&mut self, what: String) {
+        let at = self.now();
+        self.history.planned_work.push(PlannedWork { what, at });
     }
 
     /// Schedules an action.
@@ -164,6 +190,9 @@
     /// active there.
     fn inject(&mut self, PlannedFault { span, fault, .. }: PlannedFault) -> eyre::Result<()> {
         let until = self.now() + span;
+        if fault.is_planned_work() {
+            self.record_planned_work(format!("{fault:?}"));
+        }
         match fault {
             Fault::Kill(number) if self.is_available(number) => self.kill_process(number),
             Fault::Pause(number) if self.is_available(number) => self.pause_process(number, until),
@@ -186,6 +215,16 @@
             }
             Fault::SilentRunnerConnections(number) => self.silence_runner_connections(number),
             Fault::Runner(number, fault) => self.set_runner_fault(number, fault, until),
+            Fault::Rolling(rolling) => self.schedule_rolling(rolling, false),
+            Fault::ReloadStorm(series) => self.schedule_reloads(series),
+            Fault::ConfigurationStorm(series) => self.schedule_configurations(series),
+            Fault::Release(rolling, series) => {
+                self.schedule_rolling(rolling, true);
+                self.schedule_configurations(series);
+                self.schedule_reloads(series);
+                self.set_target_version();
+            }
+            Fault::Silence(number, silence) => self.silence_runner(number, silence, until),
             Fault::RestartWithNewId(number) => self.restart_with_new_id(number, until),
             Fault::RestartWithSameId(number) => self.restart_with_same_id(number, until),
             Fault::ColdStart(number) => self.start_cold_runner(number),
@@ -241,8 +280,9 @@
     /// Runs a delayed action.
     fn run_delayed(&mut self, action: DelayedAction) -> eyre::Result<()> {
         match action {
-            DelayedAction::RestartProcess(number) => self.restart_process(number)?,
-            DelayedAction::ResumeProcess(number) => self.process(number).signal(Signal::CONT),
+            DelayedAction::RestartProcess(number) => self.restart_killed_process(number)?,
+            DelayedAction::RestartStoppedProcess(number) => self.restart_stopped_process(number)?,
+            DelayedAction::ResumeProcess(number) => self.resume_process(number),
             DelayedAction::CheckStopped(number, deadline) => {
                 self.check_stopped(number, deadline)?
             }
@@ -258,6 +298,12 @@
             DelayedAction::RestoreRunner(number) => {
                 self.change_runner(number, |it| it.fault = RunnerFault::None);
             }
+            DelayedAction::StopProcess(number, upgrade) => self.stop_in_turn(number, upgrade),
+            DelayedAction::ReloadProcess(number, rewrite) => {
+                self.reload_in_turn(number, rewrite)?
+            }
+            DelayedAction::ChangeConfiguration(time) => self.change_configuration(time),
+            DelayedAction::EndSilence(number) => self.end_silence(number),
             DelayedAction::ReportWarm(number) | DelayedAction::RelistRunner(number) => {
                 self.relist_runner(number)
             }
@@ -271,7 +317,7 @@
                 self.change_runner(number, |it| it.reject_with_retry_after = None)
             }
             DelayedAction::ClearLimit(number, limit) => self.clear_limit(number, &limit),
-            DelayedAction::ReplaceRunner(number) => self.replace_runner(number),
+            DelayedAction::ReplaceRunner(number, latest) => self.replace_runner(number, latest),
             DelayedAction::EndCrashRequests => {
                 self.shared.crash_request.store(0, Ordering::Relaxed)
             }
--- a/examples/soak/fault_injector/processes.rs
+++ b/examples/soak/fault_injector/processes.rs
@@ -14,16 +14,14 @@
 impl FaultInjector<'_> {
     /// Whether a process runs and no fault that kills, pauses or stops it is active.
     pub(super) fn is_available(&mut self, number: usize) -> bool {
-        let is_busy = self.delayed_actions.iter().any(|(_, action)| {
-            matches!(action, DelayedAction::RestartProcess(it) | DelayedAction::ResumeProcess(it) | DelayedAction::CheckStopped(it, _)
-                if *it == number)
-        });
+        let is_busy = self.unavailable_processes.contains(&number);
         !is_busy && !self.process(number).has_ended()
     }
 
     /// Kills a process and schedules its restart.
     pub(super) fn kill_process(&mut self, number: usize) {
         let restart_at = self.now() + RESTART_DELAY;
+        self.unavailable_processes.insert(number);
         self.process(number).signal(Signal::KILL);
         self.record_disruption(self.target(number), restart_at);
         self.schedule(restart_at, DelayedAction::RestartProcess(number));
@@ -31,6 +29,7 @@
 
     /// Pauses a process with SIGSTOP until `until`.
     pub(super) fn pause_process(&mut self, number: usize, until: Duration) {
+        self.unavailable_processes.insert(number);
         self.process(number).signal(Signal::STOP);
         if let Target::Gateway(gateway) = self.target(number) {
             self.history.pauses.push(Stop { gateway, at: self.now() });
@@ -39,14 +38,21 @@
         self.schedule(until, DelayedAction::ResumeProcess(number));
     }
 
+    /// Resumes a paused process.
+    pub(super) fn resume_process(&mut self, number: usize) {
+        self.process(number).signal(Signal::CONT);
+        self.unavailable_processes.remove(&number);
+    }
+
     /// Sends SIGTERM to a process, which is restarted once it has ended.
     pub(super) fn stop_process(&mut self, number: usize) {
+        self.unavailable_processes.insert(number);
         self.process(number).signal(Signal::TERM);
         let deadline = self.now() + STOP_TIMEOUT;
         if let Target::Gateway(gateway) = self.target(number) {
             self.history.stops.push(Stop { gateway, at: self.now() });
         } else {
-            self.record_disruption(self.target(number), self.now() + RESTART_DELAY);
+            self.record_planned_disruption(self.target(number), self.now() + RESTART_DELAY);
         }
         self.schedule(self.now() + POLL_INTERVAL, DelayedAction::CheckStopped(number, deadline));
     }
@@ -60,11 +66,12 @@
     /// Restarts a stopped process if it has ended. Kills it if it has not ended by `deadline`.
     pub(super) fn check_stopped(&mut self, number: usize, deadline: Duration) -> eyre::Result<()> {
         if self.process(number).has_ended() {
-            return self.restart_process(number);
+            return self.restart_stopped_process(number);
         }
         let next_action = if self.now() >= deadline {
             self.process(number).signal(Signal::KILL);
-            DelayedAction::RestartProcess(number)
+            self.record_planned_work(format!("end of the grace period of {number}"));
+            DelayedAction::RestartStoppedProcess(number)
         } else {
             DelayedAction::CheckStopped(number, deadline)
         };
@@ -72,12 +79,29 @@
         Ok(())
     }
 
-    /// Restarts a process that has ended.
-    pub(super) fn restart_process(&mut self, number: usize) -> eyre::Result<()> {
+    /// Restarts a process that was killed.
+    pub(super) fn restart_killed_process(&mut self, number: usize) -> eyre::Result<()> {
+        self.restart_process(number)?;
+        self.record_disruption(self.target(number), self.now() + RESTART_DELAY);
+        Ok(())
+    }
+
+    /// Restarts a process that was asked to stop.
+    pub(super) fn restart_stopped_process(&mut self, number: usize) -> eyre::Result<()> {
+        self.restart_process(number)?;
+        self.record_planned_work(format!("start of {number}"));
+        self.record_planned_disruption(self.target(number), self.now() + RESTART_DELAY);
+        Ok(())
+    }
+
+    /// Restarts a process that has ended. The new one has no state yet, so the caller records a disruption.
+    fn restart_process(&mut self, number: usize) -> eyre::Result<()> {
         let programs = self.fleet.programs().to_vec();
         let target = self.target(number);
         let process = self.process(number);
         process.restart(&programs)?;
+        self.unavailable_processes.remove(&number);
+        let process = self.process(number);
         let (restarts, runs_old_build) = (process.restarts, process.runs_old_build());
         if let Target::Gateway(gateway) = target {
             if runs_old_build {
@@ -85,8 +109,6 @@
             }
             self.shared.gateways[gateway].1.store(u64::from(restarts), Ordering::Relaxed);
         }
-        // The new process has no state yet.
-        self.record_disruption(target, self.now() + RESTART_DELAY);
         Ok(())
     }
 
--- a/examples/soak/fault_injector/runners.rs
+++ b/examples/soak/fault_injector/runners.rs
@@ -7,8 +7,8 @@
 use platform_standin::{RunnerFault, RunnerStandin};
 use serde_json::{json, Value};
 
-use super::{DelayedAction, FaultInjector, RESTART_DELAY};
-use crate::faults::StatedLimit;
+use super::{DelayedAction, FaultInjector, POLL_INTERVAL, RESTART_DELAY};
+use crate::faults::{Silence, StatedLimit};
 use crate::fleet::{hall_name, COLD_START};
 use crate::history::{Cold, Leaving, Target};
 use crate::proxy::LinkFault;
@@ -20,6 +20,9 @@
 /// requests are counted.
 const MIN_LIMIT: Duration = Duration::from_millis(8000);
 
+/// How long a leaving runner may take to finish its requests.
+const MAX_LEAVING: Duration = Duration::from_millis(10_000);
+
 impl FaultInjector<'_> {
     /// Changes a runner and its entry in the list of runners.
     pub(super) fn change_runner(&mut self, number: usize, change: impl FnOnce(&mut RunnerStandin)) {
@@ -57,6 +60,37 @@
         self.schedule(until, DelayedAction::RestoreRunner(number));
     }
 
+    /// Has a runner fall silent and go on. It is sound all the while, so no disruption is recorded.
+    pub(super) fn silence_runner(&mut self, number: usize, silence: Silence, until: Duration) {
+        match silence {
+            Silence::Complete(millis) => {
+                let end = Instant::now() + Duration::from_millis(millis);
+                self.change_runner(number, |it| it.silent_until = Some(end));
+            }
+            Silence::InEachAnswer(events, millis) => {
+                let engine = self.fleet.runners[number].engine;
+                let is_sound = |it: RunnerStandin| it.fault == RunnerFault::None;
+                if self.fleet.standin.runner(engine).is_some_and(is_sound) {
+                    // A plain answer can only pause before its head.
+                    let events = if number < self.fleet.sidecars.len() { events } else { 0 };
+                    let pause = Duration::from_millis(millis);
+                    let fault = RunnerFault::PauseAfter { events, pause };
+                    self.change_runner(number, |it| it.fault = fault);
+                    self.schedule(until, DelayedAction::EndSilence(number));
+                }
+            }
+        }
+    }
+
+    /// Ends the pauses in the answers of a runner.
+    pub(super) fn end_silence(&mut self, number: usize) {
+        self.change_runner(number, |it| {
+            if matches!(it.fault, RunnerFault::PauseAfter { .. }) {
+                it.fault = RunnerFault::None;
+            }
+        });
+    }
+
     /// Restarts a runner without weights and under a new id.
     pub(super) fn restart_with_new_id(&mut self, number: usize, until: Duration) {
         self.fleet.runners[number].restarts += 1;
@@ -75,11 +109,20 @@
         self.change_runner(number, |it| it.is_leaving = true);
         let runner = self.fleet.runners[number].id();
         self.history.leaving.push(Leaving { runner, at: self.now(), until: None });
-        self.schedule(until + RESTART_DELAY, DelayedAction::ReplaceRunner(number));
+        let at = until + RESTART_DELAY;
+        self.schedule(at, DelayedAction::ReplaceRunner(number, at + MAX_LEAVING));
     }
 
-    /// Replaces a runner that left by one with a new id.
-    pub(super) fn replace_runner(&mut self, number: usize) {
+    /// Replaces a runner that left by one with a new id, once it has finished its requests.
+    pub(super) fn replace_runner(&mut self, number: usize, latest: Duration) {
+        let engine = self.fleet.runners[number].engine;
+        let is_busy = self.fleet.standin.runner(engine).is_some_and(|it| it.running > 0);
+        if is_busy && self.now() < latest {
+            let next = self.now() + POLL_INTERVAL;
+            self.schedule(next, DelayedAction::ReplaceRunner(number, latest));
+            return;
+        }
+        self.record_planned_work(format!("replacement of runner {number}"));
         let runner = &mut self.fleet.runners[number];
         let id = runner.id();
         runner.restarts += 1;
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -53,11 +53,38 @@
     "new_gateway",
     "reading",
     "busy_version",
+    "silence",
+    "rolling",
+    "hup_storm",
+    "config_storm",
+    "release",
+];
+
+/// Names of the kinds of planned work, and of those that are no trouble.
+pub const PLANNED_KINDS: &[&str] = &[
+    "stop",
+    "hup",
+    "configuration",
+    "version",
+    "drain",
+    "evacuate",
+    "homes",
+    "settings",
+    "silence",
+    "rolling",
+    "hup_storm",
+    "config_storm",
+    "release",
 ];
 
 /// Path prefix of requests that crash model runners. The number of the fault follows it.
 pub const CRASH_PATH: &str = "/s/crash";
 
+/// Path prefixes of requests for which runners take long. The time in milliseconds follows them.
+pub const LONG_STREAM_PATH: &str = "/long/";
+/// As `LONG_STREAM_PATH`, for plain requests that may not be repeated.
+pub const LONG_UNSAFE_PATH: &str = "/slow/";
+
 /// A fault. A `usize` is the number of the affected process, runner or data hall.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
@@ -83,6 +110,16 @@
     SilentRunnerConnections(usize),
     /// A runner has a fault for a while.
     Runner(usize, RunnerFault),
+    /// A runner falls silent in the middle of its work and goes on. This excuses no violation.
+    Silence(usize, Silence),
+    /// Processes are stopped by SIGTERM one after the other, whether those before have ended or not, and restarted.
+    Rolling(Rolling),
+    /// Processes receive SIGHUP many times.
+    ReloadStorm(Series),
+    /// The configuration changes many times.
+    ConfigurationStorm(Series),
+    /// A rolling upgrade, many configurations, many SIGHUPs and a new target version of the weights at the same time.
+    Release(Rolling, Series),
     /// A runner restarts without weights and under a new id.
     RestartWithNewId(usize),
     /// A runner reports that it leaves and is replaced later.
@@ -141,6 +178,77 @@
     Settings(usize, bool),
 }
 
+impl Fault {
+    /// Whether this is work that operators do on purpose, or a silence, which is no trouble.
+    pub fn is_planned_work(&self) -> bool {
+        matches!(
+            self,
+            Fault::Stop(_)
+                | Fault::Upgrade(_)
+                | Fault::Reload(_)
+                | Fault::Settings(..)
+                | Fault::Configure
+                | Fault::TargetVersion
+                | Fault::ConfigurationThenVersion(_)
+                | Fault::Evacuate(_)
+                | Fault::BindStreams(_)
+                | Fault::Drain(_)
+                | Fault::Rolling(_)
+                | Fault::ReloadStorm(_)
+                | Fault::ConfigurationStorm(_)
+                | Fault::Release(..)
+                | Fault::Silence(..)
+        )
+    }
+}
+
+/// Stops of several processes, one after the other.
+#[derive(Clone, Copy, Debug)]
+pub struct Rolling {
+    /// The processes that are stopped.
+    pub processes: RollingProcesses,
+    /// Interval between two stops, in milliseconds.
+    pub interval_ms: u64,
+}
+
+/// The processes that a rolling stop includes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RollingProcesses {
+    /// All gateways.
+    Gateways,
+    /// All sidecars.
+    Sidecars,
+    /// All gateways, then all sidecars.
+    All,
+}
+
+/// The same action several times.
+#[derive(Clone, Copy, Debug)]
+pub struct Series {
+    /// Number of times.
+    pub count: u64,
+    /// Interval between two times, in milliseconds.
+    pub interval_ms: u64,
+}
+
+/// Interval between two stops of a rolling stop, in milliseconds.
+const ROLLING_INTERVAL_MS: std::ops::Range<u64> = 200..4000;
+/// Number of actions in a series, and the interval between two of them, in milliseconds.
+const SERIES_COUNT: std::ops::Range<u64> = 4..25;
+const SERIES_INTERVAL_MS: std::ops::Range<u64> = 10..250;
+
+/// The silence of a runner.
+#[derive(Clone, Copy, Debug)]
+pub enum Silence {
+    /// Each of its answers pauses once, for a while: after this number of events, for this many milliseconds.
+    InEachAnswer(u64, u64),
+    /// The runner sends nothing at all for this many milliseconds.
+    Complete(u64),
+}
+
+/// Length of the silence of a runner, in milliseconds.
+const SILENCE_MS: std::ops::Range<u64> = 800..1600;
+
 /// The rate limit that a runner states.
 #[derive(Clone, Copy, Debug)]
 pub enum StatedLimit {
@@ -251,11 +359,39 @@
         "busy_version" => Fault::ConfigurationThenVersion(random.random_range(20..900)),
         "reading" => Fault::SlowReading(model, random.random_range(200..1000)),
         "new_gateway" => Fault::VersionAndGatewayRestart(random.random_range(0..sizes.gateways())),
+        "silence" => Fault::Silence(runner, random_silence(random)),
+        "rolling" => Fault::Rolling(random_rolling(random)),
+        "hup_storm" => Fault::ReloadStorm(random_series(random)),
+        "config_storm" => Fault::ConfigurationStorm(random_series(random)),
+        "release" => Fault::Release(random_rolling(random), random_series(random)),
         "settings" => Fault::Settings(process, random.random_bool(0.5)),
         _ => Fault::CorruptChunk(model, random.random_range(0..64)),
     }
 }
 
+fn random_rolling(random: &mut SmallRng) -> Rolling {
+    let processes = match random.random_range(0..4) {
+        0 | 1 => RollingProcesses::Gateways,
+        2 => RollingProcesses::Sidecars,
+        _ => RollingProcesses::All,
+    };
+    Rolling { processes, interval_ms: random.random_range(ROLLING_INTERVAL_MS) }
+}
+
+fn random_series(random: &mut SmallRng) -> Series {
+    let count = random.random_range(SERIES_COUNT);
+    Series { count, interval_ms: random.random_range(SERIES_INTERVAL_MS) }
+}
+
+fn random_silence(random: &mut SmallRng) -> Silence {
+    let (events, millis) = (random.random_range(0..12), random.random_range(SILENCE_MS));
+    if random.random_bool(0.5) {
+        Silence::InEachAnswer(events, millis)
+    } else {
+        Silence::Complete(millis)
+    }
+}
+
 fn random_limit(random: &mut SmallRng) -> StatedLimit {
     if random.random_bool(0.1) {
         StatedLimit::Unreadable
