Answer the requests that are left at the end of an entry's grace period

What callers saw: a request whose answer takes longer than the grace period of a stopping entry lost its connection when the process ended, without an answer or a refusal. It is the fault of the gateways' stop in the project's own interface.

Cause: the wait for the stop ended at the grace period, and the process with all requests under way; no request knew of it. Ruled out: the refusal of new requests during a stop, which works.

Evidence before, with real processes, a grace period of 2 s and an endless completion: Unknown(ConnectionLost) where Unknown(TimedOut) is expected.

Change: 300 ms before the end of the grace period all requests that have no answer yet end: with 503 Stopping if no upstream can have run them, with 504 otherwise. The reducer hears of it as of a caller that left, so that upstreams are released. The process still reports that the stop was not complete. A stream that is under way ends with its connection, as before, and does not look complete.

Open: a stream under way leaves no log line at that moment, and the listener of this interface closes with its queue.

--- a/components/node/src/entry/callers.rs
+++ b/components/node/src/entry/callers.rs
@@ -1,10 +1,11 @@
 //! The HTTP handler for callers: parses a request, executes the commands of the reducer for it, and responds.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use errors::{Code, Error, Result};
+use errors::{Code, Error, Ran, Result};
 use fleet::{Millis, ModelName, RequestId, WorkspaceId};
 use futures_lite::FutureExt;
 use http_types::{Request, Response, StatusCode};
@@ -175,8 +176,29 @@
     request.header(name).map(|values| values.last().to_string())
 }
 
-/// Executes the commands of the reducer until the request is answered or refused.
+/// Answers or refuses a request, before the process ends.
 async fn serve(shared: &Arc<Shared>, parsed: ParsedRequest) -> Response {
+    let (request, kind) = (parsed.arrival.request, parsed.kind.clone());
+    let may_have_run = AtomicBool::new(false);
+    let ended = async {
+        let _ = shared.requests_end.recv().await;
+        let code =
+            if may_have_run.load(Ordering::Relaxed) { Code::TimedOut } else { Code::Stopping };
+        let error = Error::new(code, "the process is stopping");
+        let response = refuse_request(shared, request, &kind, &error);
+        shared.inbox.send(EntryEvent::CallerDisconnected(request)).await;
+        response
+    };
+    run_commands(shared, parsed, &may_have_run).or(ended).await
+}
+
+/// Executes the commands of the reducer until the request is answered or refused. `may_have_run` is set while an
+/// upstream may run the request or may have run it.
+async fn run_commands(
+    shared: &Arc<Shared>,
+    parsed: ParsedRequest,
+    may_have_run: &AtomicBool,
+) -> Response {
     let ParsedRequest { arrival, mut call, body, kind } = parsed;
     let request = arrival.request;
     let deadline = arrival.deadline;
@@ -197,6 +219,7 @@
             }
         };
         call.budget_ms = budget_ms;
+        let has_run = may_have_run.swap(true, Ordering::Relaxed);
         let current = Attempt { id: attempt, address, call: &call, body: &body, deadline };
         match attempts::run(shared, current).await {
             Ok(AttemptAnswer::Whole(response)) => {
@@ -208,6 +231,8 @@
                 return response;
             }
             Err(failure) => {
+                let ran = has_run || failure.code.ran() != Ran::NotRun;
+                may_have_run.store(ran, Ordering::Relaxed);
                 shared.inbox.send(EntryEvent::Failed { attempt, failure }).await;
             }
         }
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -28,6 +28,9 @@
 use changes::OperatorCalls;
 use requests::{Command, RequestTasks};
 
+/// Requests that are left at the end of a grace period end this long before it, so that their answers are sent.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+
 /// The parameters of an entry.
 pub struct EntryConfig {
     /// The services that the entry uses.
@@ -54,6 +57,8 @@
     operators: Server,
     address: SocketAddr,
     drained: Receiver<()>,
+    /// Closed to end all requests.
+    end_requests: Sender<()>,
 }
 
 /// The state that the tasks of an entry share.
@@ -64,6 +69,8 @@
     pub(crate) request_timeout: Duration,
     pub(crate) requests: RequestTasks,
     pub(crate) calls: OperatorCalls,
+    /// Closed when all requests end, since the process does.
+    pub(crate) requests_end: Receiver<()>,
     entry: Mutex<Entry>,
     next_serial: AtomicU64,
 }
@@ -76,12 +83,14 @@
         let context = Arc::new(DaemonContext::new(config.services, config.identity));
         let record = context.initial_record(Process::Entry, sockets.address);
         let (inbox, events) = Inbox::new();
+        let (end_requests, requests_end) = async_channel::bounded(1);
         let shared = Arc::new(Shared {
             inbox: inbox.clone(),
             kinds: config.kinds,
             request_timeout: config.request_timeout,
             requests: RequestTasks::default(),
             calls: OperatorCalls::default(),
+            requests_end,
             entry: Mutex::new(Entry::new(record, config.options)),
             next_serial: AtomicU64::new(1),
             context: context.clone(),
@@ -100,7 +109,15 @@
         let callers = Server::start(&tasks, config.callers, limits, caller_handler).await?;
         let (drain, drained) = async_channel::bounded(1);
         tasks.spawn(run(shared.clone(), control, events, drain));
-        Ok(Self { shared, tasks, callers, operators, address: sockets.address, drained })
+        Ok(Self {
+            shared,
+            tasks,
+            callers,
+            operators,
+            address: sockets.address,
+            drained,
+            end_requests,
+        })
     }
 
     /// The address for other daemons.
@@ -124,8 +141,8 @@
         self.callers.stop();
     }
 
-    /// Waits until a planned stop is complete, at most for `grace`. `true` if it is complete, so that no request was
-    /// aborted.
+    /// Waits until a planned stop is complete, at most for `grace`. Shortly before, the requests that are left are
+    /// answered with an error. `true` if the stop is complete and no request ended so.
     pub async fn wait_stopped(&self, grace: Duration) -> bool {
         let done = async {
             let drained = self.drained.recv().await.is_ok();
@@ -133,11 +150,15 @@
             self.callers.drain().await;
             drained
         };
+        let answer_time = ANSWER_TIME.min(grace);
         let timeout = async {
-            async_io::Timer::after(grace).await;
+            async_io::Timer::after(grace - answer_time).await;
+            self.end_requests.close();
+            async_io::Timer::after(answer_time).await;
             false
         };
-        futures_lite::future::or(done, timeout).await
+        let is_drained = futures_lite::future::or(done, timeout).await;
+        is_drained && !self.end_requests.is_closed()
     }
 
     /// Stops the entry abruptly, as if its process had been killed.
--- a/daemon/tests/processes.rs
+++ b/daemon/tests/processes.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use errors::Code;
 use lab::{ChatCaller, Outcome};
@@ -14,6 +14,8 @@
 const LONG_STREAM_TOKENS: u32 = 40;
 /// Number of tokens of a stream that would last for hours.
 const ENDLESS_STREAM_TOKENS: u32 = 1_000_000;
+/// A grace period that is shorter than a request.
+const SHORT_GRACE: Duration = Duration::from_secs(2);
 
 fn caller(entry: &Daemon, tokens: u32, stream: bool) -> ChatCaller {
     ChatCaller {
@@ -74,6 +76,23 @@
     assert_eq!(entry.wait_exit().code(), Some(0));
 }
 
+#[test]
+fn a_request_at_the_end_of_an_entry_s_grace_period_does_not_end_without_an_answer() {
+    let mut cluster = TestCluster::new("entry-grace");
+    cluster.stop_grace_s = SHORT_GRACE.as_secs();
+    let mut entry = cluster.entry("entry-1");
+    let agent = cluster.engine("engine-1", slow_engine());
+    cluster.deploy(&entry, 1);
+    let endless = caller(&entry, ENDLESS_STREAM_TOKENS, false);
+    let call = std::thread::spawn(move || async_io::block_on(endless.chat("an endless question")));
+    wait_until(|| agent.engine.as_ref().is_some_and(|engine| engine.completions_started() > 0));
+    let began = Instant::now();
+    entry.signal(Signal::TERM);
+    assert_eq!(call.join().unwrap().outcome, Outcome::Unknown(Code::TimedOut));
+    assert!(began.elapsed() < SHORT_GRACE, "{:?}", began.elapsed());
+    assert_ne!(entry.wait_exit().code(), Some(0), "the stop is not reported as complete");
+}
+
 #[test]
 fn the_answer_of_a_killed_agent_is_not_passed_on_as_complete() {
     let cluster = TestCluster::new("agent-kill");
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -45,6 +45,8 @@
     network: u8,
     network_lock: TcpListener,
     machine_count: AtomicU8,
+    /// The grace period of the daemons that are started from now on, in seconds.
+    pub stop_grace_s: u64,
 }
 
 /// A daemon process, which is killed at the end of the test.
@@ -72,7 +74,15 @@
         std::fs::write(directory.join("key"), CLUSTER_KEY).unwrap();
         std::fs::write(directory.join("token"), OPERATOR_TOKEN).unwrap();
         let (network, network_lock) = reserve_network();
-        Self { platform, directory, tasks, network, network_lock, machine_count: AtomicU8::new(0) }
+        Self {
+            platform,
+            directory,
+            tasks,
+            network,
+            network_lock,
+            machine_count: AtomicU8::new(0),
+            stop_grace_s: 30,
+        }
     }
 
     /// Returns the address of a new machine.
@@ -119,10 +129,11 @@
         let (listen, operators) = (address(DAEMONS_PORT), address(OPERATORS_PORT));
         let [table, objects, weights, instances] = self.platform.addresses();
         let directory = self.directory.display();
+        let stop_grace_s = self.stop_grace_s;
         let text = format!(
             "[node]\nname = {name}\nrole = {role}\nregion = r\nhall = h\nlisten = {listen}\n\
              operators = {operators}\ncluster_key_file = {directory}/key\n\
-             token_file = {directory}/token\nstop_grace_s = 30\n\
+             token_file = {directory}/token\nstop_grace_s = {stop_grace_s}\n\
              [platform]\ntable = {table}\nobjects = {objects}\nweights = {weights}\n\
              instances = {instances}\n{section}"
         );
