Accept the queue of a stopping server before its listener closes

What callers saw: a connection that had come up with a stopping entry, and waited in the queue of its listener, was reset at the stop.

Cause: the task that accepts was cancelled, which closes the listener with its queue. Ruled out: connections that were accepted, which are served as before.

Evidence before, over real sockets: "Connection reset by peer" for five connections that came up before the stop and sent their request after it.

Change: a stop tells the task to end; it then accepts what is in the queue and closes the listener. A node that is killed in a test closes its listener at once, as before, by a call of its own.

Open: an entry that has no request may end its process before the request on such a connection has arrived; only requests whose head was read are waited for.

--- a/components/net/src/server.rs
+++ b/components/net/src/server.rs
@@ -5,11 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use async_h1::server::{ConnectionStatus, Encoder, Server as Connection};
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
 use async_trait::async_trait;
 use errors::{Code, Error, Result};
+use futures_lite::future;
 use futures_lite::io::{self, AsyncWriteExt};
 use http_types::{Method, Request, Response, StatusCode};
 use serde::Serialize;
@@ -93,6 +95,8 @@
     /// The task that accepts connections, in a group of its own so that it can be cancelled while open connections are
     /// served.
     accept_task: Tasks,
+    /// Closed to end that task.
+    close_listener: Sender<()>,
 }
 
 impl Server {
@@ -114,8 +118,10 @@
             in_progress: AtomicUsize::new(0),
         });
         let accept_task = tasks.group();
-        accept_task.spawn(accept_connections(tasks.clone(), listener, shared.clone(), handler));
-        Ok(Self { shared, address, accept_task })
+        let (close_listener, closing) = async_channel::bounded(1);
+        let acceptor = Acceptor { tasks: tasks.clone(), listener, shared: shared.clone(), handler };
+        accept_task.spawn(async move { acceptor.run(closing).await });
+        Ok(Self { shared, address, accept_task, close_listener })
     }
 
     /// The address on which the server listens.
@@ -128,8 +134,15 @@
         self.shared.in_progress.load(Ordering::SeqCst)
     }
 
-    /// Stops accepting connections. Each open connection is closed after its next response.
+    /// Stops accepting connections, after those in the queue of the listener. Each open connection is closed after its
+    /// next response.
     pub fn stop(&self) {
+        self.shared.stopping.store(true, Ordering::SeqCst);
+        self.close_listener.close();
+    }
+
+    /// Closes the listener at once, with the connections in its queue.
+    pub fn kill(&self) {
         self.shared.stopping.store(true, Ordering::SeqCst);
         self.accept_task.cancel();
     }
@@ -148,21 +161,38 @@
     }
 }
 
-async fn accept_connections(
+/// Accepts the connections of a server.
+struct Acceptor {
     tasks: Tasks,
     listener: TcpListener,
     shared: Arc<Shared>,
     handler: Arc<dyn Handler>,
-) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            Timer::after(ACCEPT_RETRY_DELAY).await;
-            continue;
+}
+
+impl Acceptor {
+    /// Accepts connections until `closing` is closed, and then those in the queue of the listener.
+    async fn run(self, closing: Receiver<()>) {
+        let accepting = async {
+            loop {
+                if self.accept().await.is_err() {
+                    Timer::after(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        };
+        let closed = async {
+            let _ = closing.recv().await;
         };
-        if shared.connections.load(Ordering::Relaxed) >= shared.limits.max_connections {
-            continue;
+        future::or(accepting, closed).await;
+        while let Some(Ok(())) = future::poll_once(self.accept()).await {}
+    }
+
+    async fn accept(&self) -> io::Result<()> {
+        let (stream, _) = self.listener.accept().await?;
+        let shared = self.shared.clone();
+        if shared.connections.load(Ordering::Relaxed) < shared.limits.max_connections {
+            self.tasks.spawn(serve_connection(stream, shared, self.handler.clone()));
         }
-        tasks.spawn(serve_connection(stream, shared.clone(), handler.clone()));
+        Ok(())
     }
 }
 
--- a/components/net/tests/server.rs
+++ b/components/net/tests/server.rs
@@ -16,6 +16,8 @@
 };
 
 const MAX_BODY_BYTES: u64 = 1000;
+/// Number of connections in the listener's queue.
+const QUEUED_CONNECTIONS: usize = 5;
 /// A body that exceeds the buffers of a socket.
 const LARGE_BODY_BYTES: usize = 6_000_000;
 
@@ -165,6 +167,25 @@
     });
 }
 
+#[test]
+fn connections_in_the_queue_of_a_stopping_server_are_not_reset() {
+    with_server(|server| async move {
+        // The server waits for a connection before there is one.
+        post(&server, "/echo", vec![7]).await.unwrap();
+        let queued: Vec<_> = (0..QUEUED_CONNECTIONS)
+            .map(|_| std::net::TcpStream::connect(server.address()).unwrap())
+            .collect();
+        server.stop();
+        for connection in queued {
+            let mut stream = TcpStream::try_from(connection).unwrap();
+            stream.write_all(b"GET /echo HTTP/1.1\r\nhost: x\r\n\r\n").await.unwrap();
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.expect("the connection is not reset");
+            assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("close"), "{answer}");
+        }
+    });
+}
+
 #[test]
 fn no_connection_is_accepted_after_a_stop() {
     with_server(|server| async move {
--- a/components/node/src/agent/mod.rs
+++ b/components/node/src/agent/mod.rs
@@ -162,7 +162,7 @@
 
     /// Stops the agent abruptly, as if its process had been killed.
     pub fn kill(&self) {
-        self.operators.stop();
+        self.operators.kill();
         self.tasks.cancel();
     }
 
--- a/components/node/src/entry/mod.rs
+++ b/components/node/src/entry/mod.rs
@@ -163,8 +163,8 @@
 
     /// Stops the entry abruptly, as if its process had been killed.
     pub fn kill(&self) {
-        self.callers.stop();
-        self.operators.stop();
+        self.callers.kill();
+        self.operators.kill();
         self.tasks.cancel();
     }
 
