Soak: only a request at a stopping gateway crosses a close

A gateway closes a connection regularly only when it stops or when the connection is idle, which callers never leave one for long. Yet any request that was reset at once, with no run and nothing received, counted as one that crossed a close. A crossing now needs a stop of that gateway.

--- a/examples/soak/checker/lost.rs
+++ b/examples/soak/checker/lost.rs
@@ -23,7 +23,7 @@
 pub(super) fn check_lost(history: &History, request: &Request, runs: &[Run]) -> Option<Violation> {
     let lost = match &request.outcome {
         Outcome::NoConnection => false,
-        Outcome::Lost => !is_close_race(request, runs),
+        Outcome::Lost => !is_close_race(history, request, runs),
         Outcome::Answer { whole: true, .. } => false,
         Outcome::Answer { whole: false, .. } => {
             !has_reached_deadline(request) && !outlasts_grace_period(history, request, runs)
@@ -46,12 +46,23 @@
     Some(broken("planned work ends no request without an answer", request, &detail))
 }
 
-/// Whether a request crossed the regular close of its connection: the caller saw the close soon after it had sent the
-/// request, nothing arrived on the connection, and no runner started the request.
-pub fn is_close_race(request: &Request, runs: &[Run]) -> bool {
+/// Whether a request crossed the regular close of its connection: its gateway was stopping, the caller saw the close soon
+/// after it had sent the request, nothing arrived on the connection, and no runner started the request. Gateways close
+/// connections for no other reason, since callers never leave one idle for long.
+pub fn is_close_race(history: &History, request: &Request, runs: &[Run]) -> bool {
+    let is_stopping = history.stops.iter().any(|it| {
+        it.gateway == request.gateway.0
+            && it.at <= request.ended
+            && request.sent <= it.at + GRACE_PERIOD
+    });
     let is_closed = matches!(request.ending, Ending::Closed | Ending::Reset);
     let is_soon = request.ended - request.sent <= CLOSE_RACE_PERIOD;
-    request.outcome == Outcome::Lost && is_closed && is_soon && !request.received && runs.is_empty()
+    request.outcome == Outcome::Lost
+        && is_stopping
+        && is_closed
+        && is_soon
+        && !request.received
+        && runs.is_empty()
 }
 
 /// Whether a gateway closed the connection because the deadline of the request or the timeout of its route had passed.
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -108,7 +108,7 @@
         keep_logs(&fleet, &args.keep, seed)?;
     }
     let is_close_race = |it: &&crate::history::Request| {
-        is_close_race(it, history.runs.get(&it.id).map_or(&[], Vec::as_slice))
+        is_close_race(&history, it, history.runs.get(&it.id).map_or(&[], Vec::as_slice))
     };
     let close_races = history.requests.iter().filter(is_close_race).count();
     let whole = history.requests.iter().filter(|it| {
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -199,12 +199,19 @@
     let with = |change: &dyn Fn(&mut Request)| {
         let mut crossing = request("a", Kind::Safe, Outcome::Lost);
         change(&mut crossing);
-        history(crossing, vec![])
+        let mut history = history(crossing, vec![]);
+        history.stops.push(Stop { gateway: 0, at: at(9_000) });
+        history
     };
     for ending in [Ending::Closed, Ending::Reset] {
         let crossing = with(&|it| it.ending = ending);
         assert_eq!(violated_guarantee(&crossing), None);
-        assert!(is_close_race(&crossing.requests[0], &[]));
+        assert!(is_close_race(&crossing, &crossing.requests[0], &[]));
+    }
+    for (gateway, stopped) in [(1, 9_000), (0, 10_100), (0, 1_900)] {
+        let mut elsewhere = with(&|_| {});
+        elsewhere.stops = vec![Stop { gateway, at: at(stopped) }];
+        assert_eq!(violated_guarantee(&elsewhere), Some(ANSWERED), "the gateway was not stopping");
     }
     let late = with(&|it| it.ended = at(10_210));
     assert_eq!(violated_guarantee(&late), Some(ANSWERED), "it was closed too late");
