Mix reloads and silent runners into the plays of changed configurations

The property test of configurations in between only knew attempts that end. Since then an attempt may stall while its runner is silent, go on or end later, and a reload changes the options of the reducer. Both are new ways to a request that no event wakes again, which its caller would see as one without an answer. The plays now contain reloads of the values that a process reads again, runners that fall silent, and the end or the continuation of their attempts. A request with a silent runner may wait for it and must not be refused or given up meanwhile; once no silent runner is left, the next step is due within 800 ms as before.

--- a/components/gateway/tests/configuration_changes.rs
+++ b/components/gateway/tests/configuration_changes.rs
@@ -1,4 +1,4 @@
-//! Configurations that come into force while requests are active: whatever a configuration changes or removes, each
+//! Configurations and settings that come into force while requests are active: whatever they change or remove, each
 //! request keeps a next step until it has ended.
 
 mod support;
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use errors::Code;
-use fleet::{HomeRegions, Millis, WorkspaceId};
+use fleet::{HomeRegions, InstanceId, Millis, WorkspaceId};
 use gateway::*;
 use proptest::prelude::*;
 use support::*;
@@ -264,11 +264,26 @@
 #[derive(Clone, Debug)]
 enum Action {
     Configure(Contents),
+    /// The settings are read again; the bits select which of them differ.
+    Reload(u8),
     List(u8),
     Unlist(u8),
     Pause,
-    Arrive { plain: bool, kind: u8 },
-    Outcome { request: u8, outcome: u8 },
+    Arrive {
+        plain: bool,
+        kind: u8,
+    },
+    Outcome {
+        request: u8,
+        outcome: u8,
+    },
+    /// The runner of a request falls silent.
+    Stall(u8),
+    /// A silent runner goes on, or its attempt ends.
+    EndStall {
+        request: u8,
+        goes_on: bool,
+    },
     Wait(u8),
 }
 
@@ -286,12 +301,16 @@
 fn actions() -> impl Strategy<Value = Vec<Action>> {
     let action = prop_oneof![
         4 => contents().prop_map(Action::Configure),
+        1 => any::<u8>().prop_map(Action::Reload),
         3 => any::<u8>().prop_map(Action::List),
         1 => any::<u8>().prop_map(Action::Unlist),
         1 => Just(Action::Pause),
         6 => (any::<bool>(), any::<u8>()).prop_map(|(plain, kind)| Action::Arrive { plain, kind }),
         8 => (any::<u8>(), any::<u8>())
             .prop_map(|(request, outcome)| Action::Outcome { request, outcome }),
+        3 => any::<u8>().prop_map(Action::Stall),
+        3 => (any::<u8>(), any::<bool>())
+            .prop_map(|(request, goes_on)| Action::EndStall { request, goes_on }),
         3 => (1..60u8).prop_map(Action::Wait),
     ];
     proptest::collection::vec(action, 1..120)
@@ -317,6 +336,10 @@
 const OUTCOMES_AFTER_RESPONSE: [AttemptOutcome; 2] =
     [AttemptOutcome::Finished, AttemptOutcome::Cut];
 
+/// Numbers of the outcomes of an attempt that is lost, and of one whose response has begun and is cut.
+const LAST_LOST: u8 = 9;
+const LAST_CUT: u8 = 1;
+
 /// What a request waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Waiting {
@@ -328,10 +351,21 @@
     End,
 }
 
+/// A request that has not ended.
+#[derive(Clone, Debug)]
+struct Request {
+    kind: RouteKind,
+    waiting: Waiting,
+    /// The runner of the current attempt.
+    runner: Option<InstanceId>,
+    /// The silent runners that may go on, and whether their responses have begun.
+    silent: Vec<(InstanceId, bool)>,
+}
+
 /// A gateway and the requests that have not ended.
 struct Play {
     fixture: Fixture,
-    requests: BTreeMap<u64, Waiting>,
+    requests: BTreeMap<u64, Request>,
     /// When the gateway last continued after a process pause.
     paused_at: u64,
 }
@@ -343,22 +377,26 @@
             let Effect::Proceed(RequestKey(key), step) = effect else {
                 continue;
             };
-            let waiting = self.requests.get(&key).copied();
-            let is_due = matches!(waiting, Some(Waiting::Step(_)));
-            prop_assert!(is_due, "{step:?} for a request that waits for {waiting:?}");
-            match step {
-                NextStep::Send(_) => self.requests.insert(key, Waiting::Response),
-                NextStep::Refuse { .. } | NextStep::GiveUp(_) => self.requests.remove(&key),
+            let request = self.requests.get_mut(&key);
+            let request = request.filter(|it| matches!(it.waiting, Waiting::Step(_)));
+            let Some(request) = request else {
+                return Err(TestCaseError::fail(format!("{key} waits for no step: {step:?}")));
             };
+            if let NextStep::Send(target) = step {
+                (request.waiting, request.runner) = (Waiting::Response, Some(target.id));
+            } else {
+                prop_assert!(request.silent.is_empty(), "{step:?} beside a silent runner");
+                self.requests.remove(&key);
+            }
         }
         Ok(())
     }
 
-    /// Checks that no request has been without a step for too long.
+    /// Checks that no request has been without a step for too long. One whose runner is silent may wait for it.
     fn check_delays(&self) -> Result<(), TestCaseError> {
-        for (key, waiting) in &self.requests {
-            if let Waiting::Step(since) = waiting {
-                let since = self.paused_at.max(*since);
+        for (key, request) in self.requests.iter().filter(|(_, it)| it.silent.is_empty()) {
+            if let Waiting::Step(since) = request.waiting {
+                let since = self.paused_at.max(since);
                 let waited = self.fixture.now.saturating_sub(since);
                 prop_assert!(waited <= MAX_STEP_DELAY_MS, "{key} has no step for {waited} ms");
             }
@@ -367,19 +405,57 @@
     }
 
     fn outcome(&mut self, key: u64, number: u8) -> Result<(), TestCaseError> {
-        let possible = match self.requests[&key] {
+        let now = self.fixture.now;
+        let request = self.requests.get_mut(&key).expect("it has not ended");
+        let possible = match request.waiting {
             Waiting::End => &OUTCOMES_AFTER_RESPONSE[..],
             _ => &OUTCOMES[..],
         };
         let outcome = possible[number as usize % possible.len()];
-        match outcome {
-            AttemptOutcome::Answered => self.requests.insert(key, Waiting::End),
-            AttemptOutcome::Finished => self.requests.remove(&key),
-            _ => self.requests.insert(key, Waiting::Step(self.fixture.now)),
+        request.waiting = match outcome {
+            AttemptOutcome::Answered => Waiting::End,
+            _ => Waiting::Step(now),
         };
+        if outcome == AttemptOutcome::Answered {
+            request.silent.clear();
+        }
+        if outcome == AttemptOutcome::Finished {
+            self.requests.remove(&key);
+        }
         self.feed(Event::Attempt(RequestKey(key), outcome))
     }
 
+    /// The runner of a request falls silent.
+    fn stall(&mut self, key: u64) -> Result<(), TestCaseError> {
+        let now = self.fixture.now;
+        let request = self.requests.get_mut(&key).expect("it has not ended");
+        let Some(runner) = request.runner.clone().filter(|_| request.kind.is_repeatable()) else {
+            return Ok(());
+        };
+        request.silent.push((runner, request.waiting == Waiting::End));
+        request.waiting = Waiting::Step(now);
+        self.feed(Event::Stalled(RequestKey(key)))
+    }
+
+    /// The first silent runner of a request goes on, or its attempt ends.
+    fn end_stall(&mut self, key: u64, goes_on: bool) -> Result<(), TestCaseError> {
+        let now = self.fixture.now;
+        let request = self.requests.get_mut(&key).expect("it has not ended");
+        let (runner, has_begun) = request.silent.remove(0);
+        let event = match (goes_on, has_begun) {
+            (true, _) => StalledEvent::Continued,
+            (false, true) => StalledEvent::Ended(AttemptOutcome::Cut),
+            (false, false) => StalledEvent::Ended(AttemptOutcome::Lost),
+        };
+        if goes_on {
+            request.silent.clear();
+            (request.waiting, request.runner) = (Waiting::End, Some(runner.clone()));
+        } else if matches!(request.waiting, Waiting::Step(_)) {
+            request.waiting = Waiting::Step(now);
+        }
+        self.feed(Event::StalledAttempt(RequestKey(key), runner, event))
+    }
+
     fn wait(&mut self, ticks: u64) -> Result<(), TestCaseError> {
         for _ in 0..ticks {
             self.fixture.now += TICK_MS;
@@ -389,10 +465,19 @@
         Ok(())
     }
 
+    /// The requests for which `check` returns `true`.
+    fn keys(&self, check: impl Fn(&Request) -> bool) -> Vec<u64> {
+        self.requests.iter().filter(|(_, it)| check(it)).map(|(key, _)| *key).collect()
+    }
+
     /// The requests that wait for a runner.
     fn running(&self) -> Vec<u64> {
-        let running = self.requests.iter().filter(|(_, it)| !matches!(it, Waiting::Step(_)));
-        running.map(|(key, _)| *key).collect()
+        self.keys(|it| !matches!(it.waiting, Waiting::Step(_)))
+    }
+
+    /// The requests that have a silent runner.
+    fn stalled(&self) -> Vec<u64> {
+        self.keys(|it| !it.silent.is_empty())
     }
 
     fn act(&mut self, number: u64, action: Action) -> Result<(), TestCaseError> {
@@ -400,8 +485,10 @@
         match action {
             // Every third one repeats an earlier version.
             Action::Configure(contents) => {
-                self.feed(contents.event(if number.is_multiple_of(3) { 1 } else { number + 1 }))
+                let version = if number.is_multiple_of(3) { 1 } else { number + 1 };
+                self.feed(contents.event(version))
             }
+            Action::Reload(bits) => self.feed(Event::OptionsChanged(reloaded(bits))),
             Action::List(runner) => self.feed(Event::Listed(runner_record(runner))),
             Action::Unlist(runner) => self.feed(Event::Unlisted(runner_record(runner).id)),
             Action::Pause => {
@@ -411,19 +498,60 @@
             Action::Arrive { plain, kind } => {
                 let service = if plain { PLAIN_SERVICE } else { MODEL_SERVICE };
                 let kind = KINDS[kind as usize % KINDS.len()];
-                self.requests.insert(number, Waiting::Step(now));
+                let waiting = Waiting::Step(now);
+                let entry = Request { kind, waiting, runner: None, silent: Vec::new() };
+                self.requests.insert(number, entry);
                 self.feed(Event::Arrived(request(number, now, service, kind)))
             }
-            Action::Outcome { request, outcome } => {
-                let running = self.running();
-                match running.get(request as usize % running.len().max(1)) {
-                    Some(key) => self.outcome(*key, outcome),
-                    None => Ok(()),
-                }
-            }
+            Action::Outcome { request, outcome } => match pick(&self.running(), request) {
+                Some(key) => self.outcome(key, outcome),
+                None => Ok(()),
+            },
+            Action::Stall(request) => match pick(&self.running(), request) {
+                Some(key) => self.stall(key),
+                None => Ok(()),
+            },
+            Action::EndStall { request, goes_on } => match pick(&self.stalled(), request) {
+                Some(key) => self.end_stall(key, goes_on),
+                None => Ok(()),
+            },
             Action::Wait(ticks) => self.wait(u64::from(ticks)),
         }
     }
+
+    /// Ends all attempts without a whole response, also those that follow.
+    fn end_attempts(&mut self) -> Result<(), TestCaseError> {
+        loop {
+            if let Some(key) = self.running().first().copied() {
+                let has_begun = self.requests[&key].waiting == Waiting::End;
+                self.outcome(key, if has_begun { LAST_CUT } else { LAST_LOST })?;
+            } else if let Some(key) = self.stalled().first().copied() {
+                self.end_stall(key, false)?;
+            } else {
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Picks one of some requests.
+fn pick(keys: &[u64], number: u8) -> Option<u64> {
+    keys.get(number as usize % keys.len().max(1)).copied()
+}
+
+/// Options with other values in what a process reads again while it runs.
+fn reloaded(bits: u8) -> GatewayOptions {
+    let is_set = |bit: u8| bits & (1 << bit) != 0;
+    let before = options();
+    GatewayOptions {
+        budget_window_ms: if is_set(0) { 100 } else { before.budget_window_ms },
+        budget_ratio: if is_set(1) { 0.0 } else { before.budget_ratio },
+        budget_allowance: if is_set(2) { 0.0 } else { before.budget_allowance },
+        version_ms: if is_set(3) { 0 } else { before.version_ms },
+        evacuate_ms: is_set(4).then_some(500),
+        cold: is_set(5).then_some(ColdBounds { overrun: 1.0, slack: 0.0 }),
+        ..before
+    }
 }
 
 /// A runner of one of the two services in one of the two data halls.
@@ -446,11 +574,8 @@
             play.act(number, action)?;
             play.check_delays()?;
         }
-        // Each response ends, and after it every request ends without another event.
-        while let Some(key) = play.running().first().copied() {
-            let last = OUTCOMES.len() as u8 - 2;
-            play.outcome(key, if play.requests[&key] == Waiting::End { 1 } else { last })?;
-        }
+        // After the end of its attempts every request ends without another event.
+        play.end_attempts()?;
         play.wait(DEADLINE_MS / TICK_MS)?;
         let left: Vec<u64> = play.requests.keys().copied().collect();
         prop_assert_eq!(left, play.running(), "these have no next step");
