Keep a silent stream whose head has arrived past the deadline of its version

What callers saw: a resumable stream whose runner paused between its head and its first event was cut, with an empty body, when the deadline of the runner's version came meanwhile and no other runner could take the stream over.

Cause: the relay withdrew a silent runner that had sent no event by that deadline. A head means that the runner has started the request: it answers 503 from its queue, so the status is decided after the queue. The bound on versions is on starts, and streams with a head were not withdrawn before a silence either. Ruled out: the request's deadline (4 s, the cut came after 1.28 s), and the end of the runner's connection (the stand-in completes its stream).

Change: the relay withdraws nothing. A request without a head is still withdrawn from its runner, by the attempt.

--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -21,7 +21,6 @@
 use super::event_splitter::EventSplitter;
 use super::request::{with_request_deadline, RequestContext};
 use super::trace::RequestEnd;
-use super::withdrawal::wait_for_withdrawal;
 
 /// Another runner is asked to resume a stream after a silence of this multiple of its target for the pause
 /// between events.
@@ -100,13 +99,8 @@
         self.context
             .caller
             .set_stream_deadline(Some(self.core.clock.instant(self.context.answer_deadline)));
-        let relay = StreamRelay {
-            current: self,
-            runner: RunnerState::Sending,
-            has_started: false,
-            splitter,
-            ended: false,
-        };
+        let relay =
+            StreamRelay { current: self, runner: RunnerState::Sending, splitter, ended: false };
         let frames = stream::unfold(relay, |mut relay| async move {
             let bytes = relay.next().await?;
             Some((bytes.map(Frame::data), relay))
@@ -135,8 +129,6 @@
     current: StartedAnswer,
     /// The state of the current runner.
     runner: RunnerState,
-    /// Whether it has sent a part of its stream.
-    has_started: bool,
     splitter: EventSplitter,
     ended: bool,
 }
@@ -164,8 +156,6 @@
     Cut,
     /// It has been silent for too long.
     Silent,
-    /// It is silent, has not started, and may not start any more on the version that it holds.
-    Withdrawn,
     /// The result of attempts at other runners.
     Attempts(AttemptsResult),
     /// The time limit of the request has expired.
@@ -197,8 +187,7 @@
                     self.current.finish();
                 }
                 // A stream that ends within an event was truncated, however its connection ended.
-                RelayEvent::Cut | RelayEvent::End => self.lose_runner(AttemptOutcome::Cut),
-                RelayEvent::Withdrawn => self.lose_runner(AttemptOutcome::VersionDeadlinePassed),
+                RelayEvent::Cut | RelayEvent::End => self.lose_runner(),
                 RelayEvent::Silent => self.note_silence(),
                 RelayEvent::Attempts(AttemptsResult::Answered(answered)) => {
                     self.resume(answered);
@@ -227,8 +216,7 @@
         let left = Duration::from_millis(self.current.context.answer_deadline.since(now).0);
         let silence = self.silence_limit().filter(|it| *it < left);
         let last_event = self.last_event();
-        let may_be_withdrawn = runner == RunnerState::Silent && !self.has_started;
-        let StartedAnswer { core, attempts, target, answer, .. } = &mut self.current;
+        let StartedAnswer { attempts, answer, .. } = &mut self.current;
         let RunnerAnswer { connection, body, .. } = answer;
         let bytes = async {
             if runner == RunnerState::Lost {
@@ -246,18 +234,11 @@
             }
             RelayEvent::Attempts(attempts.next(last_event.as_deref()).await)
         };
-        let withdrawal = async {
-            if !may_be_withdrawn {
-                return future::pending().await;
-            }
-            wait_for_withdrawal(core, &target.id).await;
-            RelayEvent::Withdrawn
-        };
         let timer = async {
             uptime::sleep(silence.unwrap_or(left)).await;
             silence.map_or(RelayEvent::Late, |_| RelayEvent::Silent)
         };
-        future::or(bytes, future::or(others, future::or(withdrawal, timer))).await
+        future::or(bytes, future::or(others, timer)).await
     }
 
     /// How long the runner may be silent before another one is asked, if it is sending.
@@ -279,7 +260,6 @@
 
     /// Records that the runner sends something, which decides for it if it was silent.
     fn note_sending(&mut self) {
-        self.has_started = true;
         if self.runner == RunnerState::Silent {
             self.current.attempts.keep(&self.current.target);
             self.runner = RunnerState::Sending;
@@ -294,12 +274,12 @@
         self.current.attempts.stall();
     }
 
-    /// Ends the part of a runner whose connection has ended or is closed.
-    fn lose_runner(&mut self, outcome: AttemptOutcome) {
-        self.note_failure(outcome);
+    /// Ends the part of a runner whose connection has ended.
+    fn lose_runner(&mut self) {
+        self.note_failure(AttemptOutcome::Cut);
         self.current.answer.connection.close();
         let was_silent = self.runner == RunnerState::Silent;
-        self.current.attempts.end(&self.current.target, was_silent, outcome);
+        self.current.attempts.end(&self.current.target, was_silent, AttemptOutcome::Cut);
         self.runner = RunnerState::Lost;
         self.splitter.discard_partial();
     }
@@ -336,6 +316,5 @@
         self.current.target = answered.target;
         self.current.answer = answered.answer;
         self.runner = RunnerState::Sending;
-        self.has_started = false;
     }
 }
--- a/daemon/tests/deployment/silences.rs
+++ b/daemon/tests/deployment/silences.rs
@@ -28,6 +28,10 @@
 const RELEASE_BOUND: Duration = Duration::from_millis(400);
 /// How long before the deadline of a version a request is sent that starts after it.
 const SENT_BEFORE_DEADLINE: Duration = Duration::from_millis(2000);
+/// The path of a stream that takes this long, in milliseconds.
+const PATH_OF_PACED_STREAM: &str = "/s/1500";
+/// By when the head of a stream that was started has arrived; its first event has not.
+const HEAD_TIME: Duration = Duration::from_millis(50);
 
 fn pause_after(events: u64) -> RunnerFault {
     RunnerFault::PauseAfter { events, pause: PAUSE }
@@ -195,6 +199,25 @@
     assert_eq!(answer.status, 502, "{answer:?}");
 }
 
+/// A runner whose response has begun has started the request on the version in time.
+#[test]
+fn a_stream_that_pauses_before_its_first_event_survives_the_deadline_of_its_version() {
+    let (deployment, gateway, runner) = start();
+    deployment.standin.reconfigure(|it| it["services"][2]["origin"] = json!("127.77.0.1:9"));
+    deployment.standin.change_runner(runner, |it| it.takes_long_on = Some("/s/".into()));
+    std::thread::sleep(SETTLE_TIME);
+    deployment.standin.announce_version(2);
+    let deadline = Instant::now() + VERSION_BOUND;
+    sleep_until(deadline - SENT_BEFORE_DEADLINE);
+    let caller = Caller::new(Method::POST, PATH_OF_PACED_STREAM, "begun");
+    let calling = std::thread::spawn(move || caller.call(gateway));
+    wait_until("the stream is started", || !deployment.standin.runs("begun").is_empty());
+    std::thread::sleep(HEAD_TIME);
+    deployment.standin.change_runner(runner, |it| it.silent_until = Some(deadline));
+    let answer = calling.join().unwrap();
+    assert!(is_whole_stream(&answer, "begun"), "{answer:?}");
+}
+
 /// Sends a stream request and returns its connection.
 fn open_stream(gateway: SocketAddr, id: &str) -> TcpStream {
     let mut connection = TcpStream::connect(gateway).unwrap();
