Test requests beside changes of the configuration and reloads as processes

A suspected cause of requests without an answer or a refusal was a change of the configuration that meets a request between its arrival and its end. The tests cover what the reducer does not see: a request whose body is still on its way when its route or its key is removed must be run and answered or refused, and its connection must serve the next one; a stream that its runner still reads must be completed though its route and service are removed and the settings are read again; and four callers must get every stream whole beside 50 configurations 60 ms apart, each second one with a reload.

Result: nothing had to be changed. Requests whose body is under way are run by the configuration that they arrived under. With the active requests dropped by each configuration the third one fails with refusals; the others do not see that fault, because the reducer does not know these requests yet or is not asked for another step.

--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -1,5 +1,6 @@
 //! Tests of gateways and sidecars as processes, with a stand-in of the users' platform.
 
+mod configuration_changes;
 mod crashes;
 mod evacuations;
 mod foreign_rows;
