--- a/examples/soak/fault_injector.rs
+++ b/examples/soak/fault_injector.rs
@@ -92,6 +92,8 @@
     delayed_actions: Vec<(Duration, DelayedAction)>,
     /// Processes that are killed, paused or being stopped.
     unavailable_processes: BTreeSet<usize>,
+    /// When the fault or action began that is being carried out. Callers may see its effect before it is recorded.
+    action_start: Duration,
     version: u64,
     /// Number of requests that crash runners so far.
     crash_requests: u64,
@@ -110,6 +112,7 @@
             history: History::default(),
             delayed_actions: Vec::new(),
             unavailable_processes: BTreeSet::new(),
+            action_start: Duration::ZERO,
             version: 1,
             crash_requests: 0,
             limits_stated: 0,
@@ -166,13 +169,13 @@
     }
 
     fn record_disruption(&mut self, target: Target, until: Duration) {
-        let from = self.now();
+        let from = self.action_start;
         self.history.disruptions.push(Disruption { target, from, until, planned: false });
     }
 
     /// Records a disruption by planned work.
     fn record_planned_disruption(&mut self, target: Target, until: Duration) {
-        let from = self.now();
+        let from = self.action_start;
         self.history.disruptions.push(Disruption { target, from, until, planned: true });
     }
 
@@ -189,6 +192,7 @@
     /// Injects a fault. A fault that kills, pauses or stops a process is skipped while another one of these is
     /// active there.
     fn inject(&mut self, PlannedFault { span, fault, .. }: PlannedFault) -> eyre::Result<()> {
+        self.action_start = self.now();
         let until = self.now() + span;
         if fault.is_planned_work() {
             self.record_planned_work(format!("{fault:?}"));
@@ -279,6 +283,7 @@
 
     /// Runs a delayed action.
     fn run_delayed(&mut self, action: DelayedAction) -> eyre::Result<()> {
+        self.action_start = self.now();
         match action {
             DelayedAction::RestartProcess(number) => self.restart_killed_process(number)?,
             DelayedAction::RestartStoppedProcess(number) => self.restart_stopped_process(number)?,
--- a/examples/soak/fault_injector/processes.rs
+++ b/examples/soak/fault_injector/processes.rs
@@ -50,7 +50,7 @@
         self.process(number).signal(Signal::TERM);
         let deadline = self.now() + STOP_TIMEOUT;
         if let Target::Gateway(gateway) = self.target(number) {
-            self.history.stops.push(Stop { gateway, at: self.now() });
+            self.history.stops.push(Stop { gateway, at: self.action_start });
         } else {
             self.record_planned_disruption(self.target(number), self.now() + RESTART_DELAY);
         }
