Don't count a withdrawn attempt that was not sent

Cause: the reducer kept the withdrawn runner among those that were tried; it did not know whether the request had been sent there. The driver does, and says so now when a silent runner goes on. An unsent runner may be chosen again.

Before, the new test fails with "left: None, right: Some(r2)". After, it passes, as do all tests of the gateway and its random plays. The retry taken from the shared budget for it is not given back, as for other unsent attempts that were paid for. The two factors on silences and the relay's state carry names of their own.

--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -31,7 +31,7 @@
 const SLOT_VALIDITY: Duration = Duration::from_millis(350);
 /// A repeatable request is sent to another runner as well after a silence of this multiple of its latency
 /// target.
-const SILENCE_FACTOR: f64 = 2.0;
+const HEAD_SILENCE_FACTOR: f64 = 2.0;
 /// The shortest such silence, in milliseconds.
 const MIN_SILENCE_MS: u64 = 600;
 /// The largest error answer of a runner that is buffered to be forwarded, in bytes.
@@ -172,7 +172,7 @@
     async fn report_silence(&self) -> AttemptOutcome {
         if self.context.kind.is_repeatable() {
             let target_ms = self.context.target_latency_ms as f64;
-            let silent_ms = ((target_ms * SILENCE_FACTOR) as u64).max(MIN_SILENCE_MS);
+            let silent_ms = ((target_ms * HEAD_SILENCE_FACTOR) as u64).max(MIN_SILENCE_MS);
             uptime::sleep(Duration::from_millis(silent_ms)).await;
             self.context.trace.add_silence(&self.target, silent_ms, false);
             self.state.stalled.set(true);
--- a/components/edge/src/gateway/attempts.rs
+++ b/components/edge/src/gateway/attempts.rs
@@ -202,10 +202,12 @@
     /// Decides for the stalled attempt at a runner, which goes on. All other attempts are dropped.
     pub fn keep(&mut self, target: &RunnerTarget) {
         self.context.trace.add_continuation(target);
+        let is_other = |it: &&AttemptInProgress| !it.state.is_stalled();
+        let is_other_sent = self.in_progress.iter().filter(is_other).any(|it| it.state.is_sent());
         self.core.dispatch(Event::StalledAttempt(
             self.handle.key,
             target.id.clone(),
-            StalledEvent::Continued,
+            StalledEvent::Continued { is_other_sent },
         ));
         // The reducer may have decided on another attempt before.
         self.handle.discard_step();
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -24,7 +24,7 @@
 
 /// Another runner is asked to resume a stream after a silence of this multiple of its target for the pause
 /// between events.
-const SILENCE_FACTOR: f64 = 2.5;
+const EVENT_SILENCE_FACTOR: f64 = 2.5;
 
 /// An answer of a runner whose head has arrived.
 pub struct StartedAnswer {
@@ -139,7 +139,7 @@
     /// It sends events.
     Sending,
     /// It is silent and may go on. Another runner may be asked to resume the stream.
-    Silent,
+    Stalled,
     /// Its connection is closed. Another runner has to resume the stream.
     Lost,
 }
@@ -155,7 +155,7 @@
     /// Its connection has ended within its answer.
     Cut,
     /// It has been silent for too long.
-    Silent,
+    Stalled,
     /// The result of attempts at other runners.
     Attempts(AttemptsResult),
     /// The time limit of the request has expired.
@@ -188,7 +188,7 @@
                 }
                 // A stream that ends within an event was truncated, however its connection ended.
                 RelayEvent::Cut | RelayEvent::End => self.lose_runner(),
-                RelayEvent::Silent => self.note_silence(),
+                RelayEvent::Stalled => self.note_silence(),
                 RelayEvent::Attempts(AttemptsResult::Answered(answered)) => {
                     self.resume(answered);
                 }
@@ -236,7 +236,7 @@
         };
         let timer = async {
             uptime::sleep(silence.unwrap_or(left)).await;
-            silence.map_or(RelayEvent::Late, |_| RelayEvent::Silent)
+            silence.map_or(RelayEvent::Late, |_| RelayEvent::Stalled)
         };
         future::or(bytes, future::or(others, timer)).await
     }
@@ -245,7 +245,7 @@
     fn silence_limit(&self) -> Option<Duration> {
         let context = &self.current.context;
         let is_watched = self.runner == RunnerState::Sending && context.kind.is_repeatable();
-        let silent_ms = (context.max_event_gap_ms as f64 * SILENCE_FACTOR) as u64;
+        let silent_ms = (context.max_event_gap_ms as f64 * EVENT_SILENCE_FACTOR) as u64;
         is_watched.then(|| Duration::from_millis(silent_ms))
     }
 
@@ -260,7 +260,7 @@
 
     /// Records that the runner sends something, which decides for it if it was silent.
     fn note_sending(&mut self) {
-        if self.runner == RunnerState::Silent {
+        if self.runner == RunnerState::Stalled {
             self.current.attempts.keep(&self.current.target);
             self.runner = RunnerState::Sending;
         }
@@ -270,7 +270,7 @@
     fn note_silence(&mut self) {
         let silent_ms = self.silence_limit().map_or(0, |it| it.as_millis() as u64);
         self.current.context.trace.add_silence(&self.current.target, silent_ms, true);
-        self.runner = RunnerState::Silent;
+        self.runner = RunnerState::Stalled;
         self.current.attempts.stall();
     }
 
@@ -278,7 +278,7 @@
     fn lose_runner(&mut self) {
         self.note_failure(AttemptOutcome::Cut);
         self.current.answer.connection.close();
-        let was_silent = self.runner == RunnerState::Silent;
+        let was_silent = self.runner == RunnerState::Stalled;
         self.current.attempts.end(&self.current.target, was_silent, AttemptOutcome::Cut);
         self.runner = RunnerState::Lost;
         self.splitter.discard_partial();
@@ -306,7 +306,7 @@
             self.current.attempts.reject(answered);
             return;
         }
-        if self.runner == RunnerState::Silent {
+        if self.runner == RunnerState::Stalled {
             self.note_failure(AttemptOutcome::Cut);
         }
         self.splitter.discard_partial();
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -263,7 +263,10 @@
 pub enum StalledEvent {
     /// Its runner begins its response or goes on with it, and the response is forwarded to the
     /// caller. It becomes the current attempt, and all others are dropped.
-    Continued,
+    Continued {
+        /// Whether the attempt that was made after it was sent to its runner.
+        is_other_sent: bool,
+    },
     /// Its response contains this information about the runner.
     Notice(Notice),
     /// It ended.
--- a/components/gateway/src/reducer/stalled.rs
+++ b/components/gateway/src/reducer/stalled.rs
@@ -47,7 +47,9 @@
         event: StalledEvent,
     ) -> Vec<Effect> {
         match event {
-            StalledEvent::Continued => self.continue_stalled(now, random, key, runner),
+            StalledEvent::Continued { is_other_sent } => {
+                self.continue_stalled(now, random, key, runner, is_other_sent)
+            }
             StalledEvent::Notice(notice) => self.apply_stalled_notice(now, key, runner, notice),
             StalledEvent::Ended(outcome) => self.end_stalled(now, random, key, runner, outcome),
         }
@@ -61,6 +63,7 @@
         random: &mut SmallRng,
         key: RequestKey,
         runner: &InstanceId,
+        is_other_sent: bool,
     ) -> Vec<Effect> {
         let Some(progress) = self.requests.get_mut(&key) else {
             return Vec::new();
@@ -70,6 +73,9 @@
         };
         let has_begun = attempt.answered;
         let withdrawn = progress.current.replace(attempt);
+        if let Some(unsent) = withdrawn.as_ref().filter(|_| !is_other_sent) {
+            progress.tried.retain(|it| it != &unsent.runner.id);
+        }
         self.queue.retain(|position| position.key != key);
         self.release(key, withdrawn);
         if has_begun {
--- a/components/gateway/tests/configuration_changes.rs
+++ b/components/gateway/tests/configuration_changes.rs
@@ -443,7 +443,7 @@
         let request = self.requests.get_mut(&key).expect("it has not ended");
         let (runner, has_begun) = request.silent.remove(0);
         let event = match (goes_on, has_begun) {
-            (true, _) => StalledEvent::Continued,
+            (true, _) => StalledEvent::Continued { is_other_sent: true },
             (false, true) => StalledEvent::Ended(AttemptOutcome::Cut),
             (false, false) => StalledEvent::Ended(AttemptOutcome::Lost),
         };
--- a/components/gateway/tests/fuzz.rs
+++ b/components/gateway/tests/fuzz.rs
@@ -369,7 +369,11 @@
                     continue;
                 };
                 let runner = request_model.continue_stalled();
-                fixture.feed(Event::StalledAttempt(key, runner, StalledEvent::Continued))
+                fixture.feed(Event::StalledAttempt(
+                    key,
+                    runner,
+                    StalledEvent::Continued { is_other_sent: true },
+                ))
             }
             Action::EndStalled { request, outcome } => {
                 let Some((key, request_model)) = model.pick(request, |it| !it.stalled.is_empty())
--- a/components/gateway/tests/silences.rs
+++ b/components/gateway/tests/silences.rs
@@ -61,7 +61,7 @@
         assert_eq!(fixture.step(KEY.0, Event::Stalled(KEY)), None);
         assert_eq!(step_within(&mut fixture, LONGER_THAN_ANY_WAIT_MS), None);
         assert_eq!(in_flight(&fixture, "r1"), 1);
-        stalled(&mut fixture, &first, StalledEvent::Continued);
+        stalled(&mut fixture, &first, StalledEvent::Continued { is_other_sent: true });
         fixture.outcome(KEY.0, AttemptOutcome::Finished);
         assert_eq!(in_flight(&fixture, "r1"), 0);
         assert_eq!(fixture.gateway.load(), (0, 0));
@@ -117,12 +117,28 @@
     assert_eq!(in_flight(&fixture, &first.0), 1);
 }
 
+#[test]
+fn a_withdrawn_attempt_that_was_not_sent_does_not_use_up_the_attempts() {
+    for (is_other_sent, is_resumed) in [(false, true), (true, false)] {
+        let (mut fixture, first) = sent_request(&["r1", "r2"], request(RESUMABLE));
+        fixture.outcome(KEY.0, AttemptOutcome::Answered);
+        let second = sent_to(fixture.step(KEY.0, Event::Stalled(KEY)));
+        stalled(&mut fixture, &first, StalledEvent::Continued { is_other_sent });
+        let step = fixture.outcome(KEY.0, AttemptOutcome::Cut);
+        let resumed_at = match step {
+            Some(NextStep::Send(target)) => Some(target.id),
+            _ => None,
+        };
+        assert_eq!(resumed_at, is_resumed.then_some(second));
+    }
+}
+
 #[test]
 fn a_runner_that_goes_on_is_neither_paused_nor_suspected() {
     let (mut fixture, first) = sent_request(&["r1", "r2"], request(RESUMABLE));
     fixture.outcome(KEY.0, AttemptOutcome::Answered);
     let second = sent_to(fixture.step(KEY.0, Event::Stalled(KEY)));
-    stalled(&mut fixture, &first, StalledEvent::Continued);
+    stalled(&mut fixture, &first, StalledEvent::Continued { is_other_sent: true });
     assert_eq!(in_flight(&fixture, &second.0), 0, "the second attempt is withdrawn");
     fixture.outcome(KEY.0, AttemptOutcome::Finished);
     for runner in ["r1", "r2"] {
