--- a/components/edge/src/server.rs
+++ b/components/edge/src/server.rs
@@ -64,7 +64,7 @@
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     loop {
-        // After an error the next one is tried.
+        // After an error, which is logged, the next one is tried.
         let _ = accept(&spawner, &listener, &options, &handler).await;
     }
 }
@@ -83,7 +83,7 @@
 {
     let accepting = async {
         loop {
-            // After an error the next one is tried.
+            // After an error, which is logged, the next one is tried.
             let _ = accept(&spawner, &listener, &options, &handler).await;
         }
     };
@@ -116,6 +116,8 @@
             Ok(())
         }
         Err(error) => {
+            let reason = error.to_string();
+            log::warn!(reason = reason.as_str(); "a connection cannot be accepted");
             Timer::after(ACCEPT_PAUSE).await;
             Err(error)
         }
