--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -248,11 +248,11 @@
     }
 
     async fn order(&mut self, order: LoadOrder) {
-        let LoadOrder { version, sequence, running, reason } = order;
-        let call = runner::start(&self.model, version, sequence);
+        let LoadOrder { version, sequence, running, abort_running, reason } = order;
+        let call = runner::start(&self.model, version, sequence, abort_running);
         let outcome = send_order(self.client, call).await;
         let outcome_text = format!("{outcome:?}");
-        log::info!(version = version, sequence = sequence, running = running, cut = false, reason = reason.name(), outcome = outcome_text.as_str(); "ordered");
+        log::info!(version = version, sequence = sequence, running = running, cut = abort_running, reason = reason.name(), outcome = outcome_text.as_str(); "ordered");
         self.core.metrics.count_order(reason.name());
         self.core.dispatch(Event::Ordered(version, outcome));
     }
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -88,7 +88,9 @@
 pub enum OrderReason {
     /// No request runs at the runner.
     Idle,
-    /// The runner has not drained in time. It completes the remaining requests before it loads the version.
+    /// Few requests run at the runner. The order aborts them.
+    FewRunning,
+    /// The runner has not drained in time.
     DrainTimeout,
     /// The deadline of the version that the runner holds is about to pass.
     Deadline,
@@ -99,6 +101,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Idle => "idle",
+            Self::FewRunning => "few_running",
             Self::DrainTimeout => "drain_timeout",
             Self::Deadline => "deadline",
         }
@@ -234,8 +237,7 @@
     Peer(SocketAddr),
 }
 
-/// An order to the runner to load a version as soon as all running requests have ended. Until then the runner
-/// starts no new ones.
+/// An order to the runner to load a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadOrder {
     /// The version.
@@ -244,6 +246,8 @@
     pub sequence: u64,
     /// Number of requests at the runner, running or waiting.
     pub running: u32,
+    /// Whether to abort running requests. Otherwise the runner completes them first.
+    pub abort_running: bool,
     /// Why the order is sent at this moment.
     pub reason: OrderReason,
 }
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -36,7 +36,10 @@
 /// a pending order starts no new requests.
 const LAST_ORDER_MARGIN_MS: u64 = 1500;
 
-/// How long a runner may take to drain before it is ordered all the same, in milliseconds.
+/// Maximum number of running requests that an order may abort. Gateways resume them at other runners, which
+/// costs less than a runner that waits for its last few requests.
+const MAX_ABORTED_REQUESTS: u32 = 2;
+/// How long a runner may take to drain to `MAX_ABORTED_REQUESTS`, in milliseconds.
 const DRAIN_TIMEOUT_MS: u64 = 1500;
 /// Time for writing the chunks of a version to the runner, in milliseconds.
 const STAGING_MS: u64 = 20;
@@ -436,10 +439,12 @@
         target.step = Step::Ordered(now, status.sequence);
         self.ordered_at = Some(now);
         self.own_order_at = now;
+        let abort_running = status.running > 0 && status.running <= MAX_ABORTED_REQUESTS;
         vec![Effect::Order(LoadOrder {
             version,
             sequence: status.sequence,
             running: status.running,
+            abort_running,
             reason,
         })]
     }
--- a/components/rollout/src/reducer/moves.rs
+++ b/components/rollout/src/reducer/moves.rs
@@ -4,7 +4,7 @@
 use reducer::OriginShare;
 
 use super::admission::START_MARGIN_MS;
-use super::{Rollout, DRAIN_TIMEOUT_MS, LAST_ORDER_MARGIN_MS};
+use super::{Rollout, DRAIN_TIMEOUT_MS, LAST_ORDER_MARGIN_MS, MAX_ABORTED_REQUESTS};
 use crate::event::{Effect, OrderReason};
 use crate::precedence::{self, RemainingWork};
 use crate::target::{Step, Target};
@@ -199,9 +199,13 @@
     /// Returns why a scheduled order is sent now. `None` if the runner drains first.
     fn order_reason(&self, now: Millis) -> Option<OrderReason> {
         let running = self.status.as_ref()?.running;
-        if running == 0 && !self.slots.has_request_in_transit(now) {
+        let is_in_transit = self.slots.has_request_in_transit(now);
+        if running == 0 && !is_in_transit {
             return Some(OrderReason::Idle);
         }
+        if running <= MAX_ABORTED_REQUESTS && !is_in_transit {
+            return Some(OrderReason::FewRunning);
+        }
         if self.is_deadline_near(now) {
             return Some(OrderReason::Deadline);
         }
