--- a/examples/soak/checker/mod.rs
+++ b/examples/soak/checker/mod.rs
@@ -68,6 +68,10 @@
         guarantee: "no runner takes partial or mixed weights",
         details: runner.clone(),
     }));
+    violations.extend(history.ended_processes.iter().map(|process| Violation {
+        guarantee: "a process ends only when it is stopped or killed",
+        details: process.clone(),
+    }));
     violations
 }
 
--- a/examples/soak/fault_injector.rs
+++ b/examples/soak/fault_injector.rs
@@ -12,7 +12,6 @@
 use std::time::Duration;
 
 use platform_standin::{LostRows, RunnerFault, StoreFault};
-use rustix::process::Signal;
 
 use crate::callers::Shared;
 use crate::faults::{Fault, PlannedFault};
@@ -203,7 +202,7 @@
             Fault::Stop(number) if self.is_available(number) => self.stop_process(number),
             Fault::Upgrade(number) if self.is_available(number) => self.upgrade_process(number),
             Fault::Kill(_) | Fault::Pause(_) | Fault::Stop(_) | Fault::Upgrade(_) => {}
-            Fault::Reload(number) => self.process(number).signal(Signal::HUP),
+            Fault::Reload(number) => self.process(number).reload(),
             Fault::Settings(number, signalled) => self.rewrite_settings(number, signalled)?,
             Fault::Store(fault) => self.set_store_fault(fault, until),
             Fault::ForgetHistory => self.fleet.standin.discard_history(),
--- a/examples/soak/fault_injector/processes.rs
+++ b/examples/soak/fault_injector/processes.rs
@@ -117,7 +117,7 @@
         let process = self.process(number);
         process.rewrite_settings()?;
         if signalled {
-            process.signal(Signal::HUP);
+            process.reload();
         }
         Ok(())
     }
--- a/examples/soak/fault_injector/series.rs
+++ b/examples/soak/fault_injector/series.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use rustix::process::Signal;
 use serde_json::json;
 
 use super::{DelayedAction, FaultInjector};
@@ -73,7 +72,7 @@
         if rewrite {
             self.process(number).rewrite_settings()?;
         }
-        self.process(number).signal(Signal::HUP);
+        self.process(number).reload();
         Ok(())
     }
 
--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -5,7 +5,8 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use eyre::{ensure, WrapErr};
 use platform_standin::{RunnerStandin, Standin};
@@ -40,6 +41,11 @@
 const LONG_GAP_TARGET: Duration = Duration::from_millis(900);
 /// First start time that model runners report, in milliseconds of Unix time.
 const FIRST_START_MS: u64 = 1_764_720_000_000;
+/// How long a process may take from its start until it handles signals, and how often that is checked.
+const START_TIMEOUT: Duration = Duration::from_millis(1000);
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+/// SIGHUP in the signal masks of `/proc`.
+const SIGHUP_MASK: u64 = 1;
 /// Rate limit of a cold runner, in requests per second.
 const COLD_REQUESTS_PER_S: f64 = 6.0;
 
@@ -204,6 +210,12 @@
         Ok(Process { machine, settings, log, child, build, restarts: 0, store_proxy })
     }
 
+    /// Returns the processes that have ended, with their exit status.
+    pub fn ended_processes(&mut self) -> Vec<String> {
+        let processes = self.gateways.iter_mut().chain(&mut self.sidecars);
+        processes.filter_map(Process::end).collect()
+    }
+
     /// Kills all processes.
     pub fn stop(&mut self) {
         for process in self.gateways.iter_mut().chain(&mut self.sidecars) {
@@ -232,6 +244,26 @@
         }
     }
 
+    /// Sends SIGHUP to the process once it handles the signal, which would end it before.
+    pub fn reload(&mut self) {
+        let latest = Instant::now() + START_TIMEOUT;
+        while !self.has_ended() && !self.handles_hangup() && Instant::now() < latest {
+            thread::sleep(START_CHECK_INTERVAL);
+        }
+        if !self.has_ended() {
+            self.signal(Signal::HUP);
+        }
+    }
+
+    /// Whether the process has a handler for SIGHUP, as far as the system tells.
+    fn handles_hangup(&self) -> bool {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let handled = status.lines().find_map(|it| it.strip_prefix("SigCgt:"));
+        let mask = handled.and_then(|it| u64::from_str_radix(it.trim(), 16).ok());
+        mask.is_some_and(|it| it & SIGHUP_MASK != 0)
+    }
+
     /// Changes a bound in the settings file of the process, to a different value each time.
     pub fn rewrite_settings(&self) -> eyre::Result<()> {
         let text = fs::read_to_string(&self.settings)?;
@@ -241,6 +273,12 @@
         Ok(fs::write(&self.settings, text)?)
     }
 
+    /// Describes how the process ended, if it has.
+    fn end(&mut self) -> Option<String> {
+        let status = self.child.try_wait().ok().flatten()?;
+        Some(format!("{}: {status}", self.machine))
+    }
+
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -99,6 +99,7 @@
     thread::sleep(RECOVERY_TIME);
     shared.stopped.store(true, Ordering::Relaxed);
     caller_thread.join().map_err(|_| eyre::eyre!("the thread of the callers panicked"))?;
+    history.ended_processes = fleet.ended_processes();
     fleet.stop();
     collect_observations(&mut history, &fleet, &shared);
     let violations = check(&history);
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -431,6 +431,16 @@
     assert_eq!(violated_guarantee(&warm), None, "it was warm again");
 }
 
+#[test]
+fn processes_that_end_unasked_are_reported() {
+    let mut history = History::default();
+    history.ended_processes.push("127.0.0.1: signal: 1 (SIGHUP)".into());
+    assert_eq!(
+        violated_guarantee(&history),
+        Some("a process ends only when it is stopped or killed")
+    );
+}
+
 #[test]
 fn mixed_weights_are_reported() {
     let safe = request("a", Kind::Safe, answer(200, "ledger a"));
