Handle signals before the settings are read

A gateway that was told to reload while it started ended without a log line, and its callers with it. The process handled SIGHUP only after its settings, logs and executor were set up, and until a signal has a handler it ends the process.

Change: both kinds of daemon receive signals from the first line of main on. The new test holds a start in the reading of its settings by a pipe and sends SIGHUP: the gateway was gone before, and is ready after.

--- a/components/edge/src/run.rs
+++ b/components/edge/src/run.rs
@@ -17,8 +17,9 @@
 use crate::sidecar::SidecarNode;
 use crate::spawner::Spawner;
 
-/// Runs a process until it receives a stop signal. `path` is the file that its settings were read from.
-pub fn run(settings: &DeploymentSettings, path: PathBuf) -> eyre::Result<()> {
+/// Runs a process until it receives a stop signal. `path` is the file that its settings were read from; `signals` has
+/// received signals since before that.
+pub fn run(settings: &DeploymentSettings, path: PathBuf, signals: Signals) -> eyre::Result<()> {
     let node = &settings.node;
     let logs =
         telemetry::start_rate_limited_logs(&node.name.0, &node.log_level, node.log_lines_per_s)?;
@@ -28,7 +29,7 @@
     }
     let executor = Rc::new(LocalExecutor::new());
     let file = SettingsFile::new(path, settings.clone());
-    let main_loop = run_node(Spawner::new(&executor), file, logs);
+    let main_loop = run_node(Spawner::new(&executor), file, logs, signals);
     async_io::block_on(executor.run(main_loop))
 }
 
@@ -111,9 +112,8 @@
     spawner: Spawner,
     mut file: SettingsFile,
     logs: RateLimitedLogs,
+    mut signals: Signals,
 ) -> eyre::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
-        .wrap_err("signals cannot be received")?;
     let node = Node::start(&spawner, file.in_force()).await?;
     log::info!("started");
     loop {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,6 +3,8 @@
 mod run;
 mod secrets;
 mod setup;
+mod signals;
 
 pub use run::run;
 pub use setup::Daemon;
+pub use signals::receive_signals;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -19,6 +19,7 @@
 }
 
 fn main() -> ExitCode {
+    let signals = silverdockd::receive_signals();
     let cli: Cli = argh::from_env();
     let settings = match read_settings(&cli) {
         Ok(settings) => settings,
@@ -27,10 +28,10 @@
             return ExitCode::from(SETTINGS_EXIT_CODE);
         }
     };
-    let result = match settings {
-        AnySettings::Fleet(settings) => silverdockd::run(&settings),
-        AnySettings::Deployment(settings) => edge::run(&settings, cli.settings),
-    };
+    let result = signals.and_then(|signals| match settings {
+        AnySettings::Fleet(settings) => silverdockd::run(&settings, signals),
+        AnySettings::Deployment(settings) => edge::run(&settings, cli.settings, signals),
+    });
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -18,11 +18,11 @@
 const LEAVE_NOTICE_DELAY: Duration = Duration::from_millis(100);
 
 /// Runs a daemon until it receives SIGTERM or SIGINT. SIGHUP reloads keys and tokens.
-pub fn run(settings: &Settings) -> eyre::Result<()> {
+pub fn run(settings: &Settings, signals: Signals) -> eyre::Result<()> {
     telemetry::start_logs(&settings.node.name.0, &settings.node.log_level)?;
     let secrets = Secrets::load(&settings.node)?;
     let executor = Arc::new(Executor::new());
-    let daemon_task = run_until_signal(&executor, settings, &secrets);
+    let daemon_task = run_until_signal(&executor, settings, &secrets, signals);
     async_io::block_on(executor.run(daemon_task))
 }
 
@@ -30,9 +30,8 @@
     executor: &Arc<Executor<'static>>,
     settings: &Settings,
     secrets: &Secrets,
+    mut signals: Signals,
 ) -> eyre::Result<()> {
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
-    let mut signals = signals.wrap_err("signals cannot be received")?;
     let tasks = Tasks::new(executor);
     let daemon = Daemon::start(&tasks, settings, secrets).await?;
     log::info!("started");
--- a/daemon/tests/deployment/reload.rs
+++ b/daemon/tests/deployment/reload.rs
@@ -1,5 +1,6 @@
 //! Tests of settings that change while a process runs.
 
+use std::io::Write;
 use std::time::{Duration, Instant};
 
 use http::Method;
@@ -42,6 +43,18 @@
     assert_eq!(answer.status, 200);
 }
 
+#[test]
+fn sighup_while_the_process_starts_does_not_end_it() {
+    let mut deployment = Deployment::start();
+    let (gateway, mut pipe, settings) = deployment.add_gateway_that_waits_for_settings();
+    deployment.signal(gateway.ip(), Signal::HUP);
+    pipe.write_all(settings.as_bytes()).expect("the process reads its settings");
+    drop(pipe);
+    deployment.wait_until_ready(gateway);
+    let answer = Caller::new(Method::GET, "/get/x", "s1").call(gateway);
+    assert_eq!(answer.status, 200);
+}
+
 #[test]
 fn a_changed_settings_file_is_read_without_a_signal() {
     let mut deployment = Deployment::start();
--- a/daemon/tests/deployment/support.rs
+++ b/daemon/tests/deployment/support.rs
@@ -1,6 +1,6 @@
 //! Starts gateways and sidecars as processes, with a stand-in of the platform.
 
-use std::fs::OpenOptions;
+use std::fs::{File, OpenOptions};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -9,6 +9,7 @@
 use account::Account;
 use http::Method;
 use platform_standin::{Answer, Caller, RunnerStandin, Standin};
+use rustix::fs::{mknodat, FileType, Mode, CWD};
 
 use crate::machine_address;
 
@@ -139,7 +140,30 @@
         self.write_settings_and_start(gateway.ip(), &gateway_section(gateway.ip()));
     }
 
+    /// Starts a gateway that waits for its settings. Returns its address for callers, the pipe that it reads and the
+    /// settings to write to it.
+    pub fn add_gateway_that_waits_for_settings(&mut self) -> (SocketAddr, File, String) {
+        let machine = self.new_machine();
+        let path = self.write_settings(machine, &gateway_section(machine));
+        let text = std::fs::read_to_string(&path).unwrap();
+        let complete = path.with_extension("complete");
+        std::fs::rename(&path, &complete).unwrap();
+        let mode = Mode::RUSR | Mode::WUSR;
+        mknodat(CWD, &path, FileType::Fifo, mode, 0).unwrap();
+        self.start_process(machine);
+        // Opening returns once the process has opened the pipe.
+        let pipe = OpenOptions::new().write(true).open(&path).unwrap();
+        // A reload reads the file.
+        std::fs::rename(&complete, &path).unwrap();
+        (SocketAddr::new(machine, CALLERS_PORT), pipe, text)
+    }
+
     fn write_settings_and_start(&mut self, machine: IpAddr, role: &str) {
+        self.write_settings(machine, role);
+        self.start_process(machine);
+    }
+
+    fn write_settings(&self, machine: IpAddr, role: &str) -> PathBuf {
         let path = self.directory.join(format!("{machine}.ini"));
         let store = self.standin.store;
         let log_lines_per_s = if self.unread_logs { 100_000 } else { 1000 };
@@ -151,7 +175,7 @@
              repeat_allowance = 200\n"
         );
         std::fs::write(&path, text).unwrap();
-        self.start_process(machine);
+        path
     }
 
     /// Starts the process of a machine with its settings file.
--- a/examples/control/main.rs
+++ b/examples/control/main.rs
@@ -15,8 +15,9 @@
     let args: Args = argh::from_env();
     // The example runs itself as each daemon, so that it measures the code of the daemon itself.
     if let Some(file) = &args.daemon {
+        let signals = silverdockd::receive_signals()?;
         let settings = Settings::parse(&std::fs::read_to_string(file)?)?;
-        return silverdockd::run(&settings);
+        return silverdockd::run(&settings, signals);
     }
     let report = run::run(&args)?;
     if args.json {
