Let SIGTERM end a process that is still starting

With signals handled from the first line of main on, a SIGTERM during a start waited for its end, and a start that hangs, as in reading its settings, could only be killed. Found by reading.

Change: only SIGHUP is handled from the beginning; SIGTERM and SIGINT from where they were before. The test that holds a start in the reading of its settings fails in time if the program ends first, where it waited forever. Eleven deployment tests of stops and the start pass.

--- a/components/edge/src/run.rs
+++ b/components/edge/src/run.rs
@@ -18,7 +18,7 @@
 use crate::spawner::Spawner;
 
 /// Runs a process until it receives a stop signal. `path` is the file that its settings were read from; `signals` has
-/// received signals since before that.
+/// received SIGHUP since before that.
 pub fn run(settings: &DeploymentSettings, path: PathBuf, signals: Signals) -> eyre::Result<()> {
     let node = &settings.node;
     let logs =
@@ -114,6 +114,7 @@
     logs: RateLimitedLogs,
     mut signals: Signals,
 ) -> eyre::Result<()> {
+    signals.add_signals([Signal::Term, Signal::Int]).wrap_err("signals cannot be received")?;
     let node = Node::start(&spawner, file.in_force()).await?;
     log::info!("started");
     loop {
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -32,6 +32,7 @@
     secrets: &Secrets,
     mut signals: Signals,
 ) -> eyre::Result<()> {
+    signals.add_signals([Signal::Term, Signal::Int]).wrap_err("signals cannot be received")?;
     let tasks = Tasks::new(executor);
     let daemon = Daemon::start(&tasks, settings, secrets).await?;
     log::info!("started");
--- a/daemon/src/signals.rs
+++ b/daemon/src/signals.rs
@@ -3,8 +3,8 @@
 use async_signal::{Signal, Signals};
 use eyre::WrapErr;
 
-/// Starts to receive SIGTERM, SIGINT and SIGHUP. Until then each of them ends the process, so this comes first.
+/// Starts to receive SIGHUP. Until then it ends the process, so this comes first. SIGTERM and SIGINT are added by
+/// what runs the daemon, so that they still end a process that has nothing to stop yet.
 pub fn receive_signals() -> eyre::Result<Signals> {
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
-    signals.wrap_err("signals cannot be received")
+    Signals::new([Signal::Hup]).wrap_err("signals cannot be received")
 }
--- a/daemon/tests/deployment/support.rs
+++ b/daemon/tests/deployment/support.rs
@@ -9,7 +9,7 @@
 use account::Account;
 use http::Method;
 use platform_standin::{Answer, Caller, RunnerStandin, Standin};
-use rustix::fs::{mknodat, FileType, Mode, CWD};
+use rustix::fs::{mknodat, FileType, Mode, OFlags, CWD};
 
 use crate::machine_address;
 
@@ -151,8 +151,13 @@
         let mode = Mode::RUSR | Mode::WUSR;
         mknodat(CWD, &path, FileType::Fifo, mode, 0).unwrap();
         self.start_process(machine);
-        // Opening returns once the process has opened the pipe.
-        let pipe = OpenOptions::new().write(true).open(&path).unwrap();
+        let flags = OFlags::WRONLY | OFlags::NONBLOCK;
+        let mut pipe = None;
+        wait_until("the process reads its settings", || {
+            pipe = rustix::fs::open(&path, flags, Mode::empty()).ok();
+            pipe.is_some()
+        });
+        let pipe = File::from(pipe.unwrap());
         // A reload reads the file.
         std::fs::rename(&complete, &path).unwrap();
         (SocketAddr::new(machine, CALLERS_PORT), pipe, text)
