Gateway: a message of a sidecar ends the pause after its first silence

A sidecar that did not answer a reservation query within 45 ms paused its runner for at least 300 ms at that gateway, and each further query of the same silence doubled the pause, up to 4 s. A caller may wait for 22 % of its latency target, 88 ms in the deployment tests. So while the other runner was at its rate limit, a sidecar that was late once by some 15 ms had all callers of the gateway refused for 300 ms and more, although its next report had arrived long before: the pause rested on time alone.

The first message after a silence now ends the pause and sends what waits. Queries that were sent before it count as part of that silence. A sidecar that is silent again without an answer in between is paused as before, up to 4 s, whatever it reports, so a lost direction of a link costs one query more. Failures of the runner itself are counted apart, and no message of the sidecar ends their pause.

Ruled out in trials that stopped processes once or twice a second during the limit: stops of 60 ms of all gateways, or of the sidecar of the limited runner, refused nobody. Stops of the other sidecar did.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod members;
 mod notices;
+mod pauses;
 mod pool;
 mod rate_shares;
 pub mod readers;
--- /dev/null
+++ b/components/gateway/src/pauses.rs
@@ -0,0 +1,77 @@
+//! Pauses of a runner after failures.
+
+use fleet::Millis;
+
+/// The shortest pause after a failure, in milliseconds.
+const MIN_PAUSE_MS: u64 = 300;
+/// The longest pause after a failure, in milliseconds.
+const MAX_PAUSE_MS: u64 = 4000;
+/// Maximum number of doublings of the pause.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// A pause that doubles with each failure in a row.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FailurePause {
+    until: Millis,
+    failures: u32,
+}
+
+impl FailurePause {
+    /// Begins a pause after a failure.
+    pub(crate) fn note_failure(&mut self, now: Millis) {
+        let pause_ms = MIN_PAUSE_MS << self.failures.min(MAX_DOUBLINGS);
+        self.failures += 1;
+        self.until = now.plus(pause_ms.min(MAX_PAUSE_MS));
+    }
+
+    /// The remaining pause, in milliseconds.
+    pub(crate) fn left_ms(&self, now: Millis) -> u64 {
+        self.until.since(now).0
+    }
+}
+
+/// The pause of a runner whose sidecar does not answer reservation queries.
+///
+/// The first message after a silence ends its pause: the sidecar may have been short of processor
+/// time for a moment. If it is silent again, its messages no longer show that it answers queries.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SilencePause {
+    pause: FailurePause,
+    /// When the first unanswered query was given up.
+    began_at: Millis,
+    /// Whether the next message ends the pause.
+    ends_with_message: bool,
+    /// When a message ended the pause.
+    ended_at: Millis,
+}
+
+impl SilencePause {
+    /// Records that the sidecar did not answer a query that was sent at `asked_at`.
+    pub(crate) fn note_silence(&mut self, now: Millis, asked_at: Millis) {
+        if asked_at < self.ended_at {
+            // The query belongs to a silence that is over.
+            return;
+        }
+        if self.pause.failures == 0 {
+            self.began_at = now;
+            self.ends_with_message = true;
+        } else if asked_at > self.began_at {
+            self.ends_with_message = false;
+        }
+        self.pause.note_failure(now);
+    }
+
+    /// Records a message from the sidecar.
+    pub(crate) fn note_message(&mut self, now: Millis) {
+        if self.ends_with_message {
+            self.pause = FailurePause { until: now, failures: 1 };
+            self.ends_with_message = false;
+            self.ended_at = now;
+        }
+    }
+
+    /// The remaining pause, in milliseconds.
+    pub(crate) fn left_ms(&self, now: Millis) -> u64 {
+        self.pause.left_ms(now)
+    }
+}
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -105,7 +105,7 @@
         if outcome == AttemptOutcome::Lost && !attempt.answered {
             self.note_wait(now, selected, now.since(attempt.sent_at));
         }
-        self.record_outcome(now, key, selected, outcome, attempt.is_suspect);
+        self.record_outcome(now, key, attempt, outcome);
         self.note_end(now, digest, selected, outcome)
     }
 
@@ -121,16 +121,16 @@
         &mut self,
         now: Millis,
         key: RequestKey,
-        selected: &SelectedRunner,
+        attempt: &ActiveAttempt,
         outcome: AttemptOutcome,
-        was_suspect: bool,
     ) {
+        let selected = &attempt.runner;
         let is_suspicion_enabled = self.is_enabled(Mechanism::Suspicion);
         // Results of an earlier incarnation say nothing about the current one.
         let Some(runner) = self.pool.incarnation_mut(&selected.id, selected.incarnation) else {
             return;
         };
-        runner.end_request(was_suspect);
+        runner.end_request(attempt.is_suspect);
         if outcome.has_ended_well() {
             runner.notices.backoff.note_run(key);
         }
@@ -148,14 +148,16 @@
                 runner.note_full(now, retry_after_ms.min(MAX_DENIED_PAUSE_MS));
             }
             AttemptOutcome::Misdirected => runner.misdirected = true,
-            AttemptOutcome::NotSent
-            | AttemptOutcome::Silent
-            | AttemptOutcome::Lost
-            | AttemptOutcome::Cut => {
+            AttemptOutcome::NotSent | AttemptOutcome::Lost | AttemptOutcome::Cut => {
                 if is_suspicion_enabled {
                     runner.note_failure(now);
                 }
             }
+            AttemptOutcome::Silent => {
+                if is_suspicion_enabled {
+                    runner.note_silence(now, attempt.sent_at);
+                }
+            }
             // Its sidecar does not enforce the rate limit, and this gateway has used its share.
             AttemptOutcome::Withdrawn if is_limited => {
                 runner.note_rate_exhausted(now, MAX_DENIED_PAUSE_MS);
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::notices::{Notice, Notices};
+use crate::pauses::{FailurePause, SilencePause};
 
 /// Weight of a new measurement in the smoothed value.
 const SMOOTHING_WEIGHT: f64 = 0.3;
@@ -18,15 +19,9 @@
 const FIRST_BYTE_DECAY_MS: f64 = 4000.0;
 /// How long a load report counts, in milliseconds.
 const REPORT_VALIDITY_MS: u64 = 1000;
-/// The shortest pause after a failure of a runner, in milliseconds.
-const MIN_FAILURE_PAUSE_MS: u64 = 300;
-/// The longest pause after a failure of a runner, in milliseconds.
-const MAX_FAILURE_PAUSE_MS: u64 = 4000;
 /// Delay until the list shows that a runner has become cold, in milliseconds: the time between two
 /// writes of its entry plus the time between two reads of the list.
 const LIST_DELAY_MS: u64 = 2000;
-/// Maximum number of doublings of the pause.
-const MAX_PAUSE_DOUBLINGS: u32 = 4;
 
 /// Whether a runner accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -147,10 +142,10 @@
     reported: Option<Reported>,
     /// Smoothed time to first byte, in milliseconds, and when it was last measured.
     first_byte_ms: (f64, Millis),
-    /// End of the current pause for any reason, and of the last pause after a failure.
-    paused_until: Millis,
-    failed_until: Millis,
-    failures: u32,
+    /// Until when it counts as full.
+    full_until: Millis,
+    failure_pause: FailurePause,
+    silence_pause: SilencePause,
     /// Until when the runner is cold according to the list, and until when it may be cold without
     /// the list showing it yet.
     cold_until: Millis,
@@ -196,9 +191,9 @@
             last_alive_at: Millis(0),
             reported: None,
             first_byte_ms: (0.0, Millis(0)),
-            paused_until: Millis(0),
-            failed_until: Millis(0),
-            failures: 0,
+            full_until: Millis(0),
+            failure_pause: FailurePause::default(),
+            silence_pause: SilencePause::default(),
             weight: 0,
             is_followed: false,
             notices: Notices::default(),
@@ -331,6 +326,7 @@
     /// Applies a load report.
     pub fn apply_load(&mut self, now: Millis, load: RunnerLoad) {
         self.last_alive_at = now;
+        self.silence_pause.note_message(now);
         self.reported_incarnation = Some(load.life);
         self.reported = Some(Reported { load, at: now, own_requests: self.in_flight });
     }
@@ -406,32 +402,34 @@
 
     /// Whether it is paused after a failure or because it was full.
     pub fn is_paused(&self, now: Millis) -> bool {
-        now < self.paused_until
+        now < self.full_until || self.failure_pause_ms(now) > 0
     }
 
-    /// Remaining pause after a failure, in milliseconds. A pause of a runner that was full does not
-    /// count.
+    /// Remaining pause after a failure or a silence of its sidecar, in milliseconds. A pause of a
+    /// runner that was full does not count.
     pub fn failure_pause_ms(&self, now: Millis) -> u64 {
-        self.failed_until.since(now).0
+        self.failure_pause.left_ms(now).max(self.silence_pause.left_ms(now))
     }
 
     /// Records a response, which ends its pause.
     pub fn note_response(&mut self) {
-        self.failures = 0;
-        self.paused_until = Millis(0);
-        self.failed_until = Millis(0);
+        self.full_until = Millis(0);
+        self.failure_pause = FailurePause::default();
+        self.silence_pause = SilencePause::default();
     }
 
     /// Records a failure: the runner is paused for a time that doubles with each failure.
     pub fn note_failure(&mut self, now: Millis) {
-        let pause_ms = MIN_FAILURE_PAUSE_MS << self.failures.min(MAX_PAUSE_DOUBLINGS);
-        self.failures += 1;
-        self.failed_until = now.plus(pause_ms.min(MAX_FAILURE_PAUSE_MS));
-        self.paused_until = self.failed_until;
+        self.failure_pause.note_failure(now);
+    }
+
+    /// Records that its sidecar did not answer a query that was sent at `asked_at`.
+    pub fn note_silence(&mut self, now: Millis, asked_at: Millis) {
+        self.silence_pause.note_silence(now, asked_at);
     }
 
     /// Records that it rejected a request because it is full.
     pub fn note_full(&mut self, now: Millis, pause_ms: u64) {
-        self.paused_until = self.paused_until.max(now.plus(pause_ms));
+        self.full_until = self.full_until.max(now.plus(pause_ms));
     }
 }
