Gateway: silences between answered queries do not add up

A denial of a reservation is an answer of the sidecar, but only a response of the runner itself ended the row of silences that doubles the pause of a runner. While all runners are at their rate limits nearly every query is denied, so each silence doubled the pause, up to 4 s, however many queries the sidecar had answered since.

A denial now ends the row. Answers of the runner do as before; a request that is lost or cut says nothing of the sidecar's answers and ends nothing.

The test was red: the second silence paused the runner for more than 300 ms.

--- a/components/gateway/src/pauses.rs
+++ b/components/gateway/src/pauses.rs
@@ -61,6 +61,12 @@
         self.pause.note_failure(now);
     }
 
+    /// Records that the sidecar answered a query in time.
+    pub(crate) fn note_answer(&mut self) {
+        self.pause = FailurePause::default();
+        self.ends_with_message = false;
+    }
+
     /// Records a message from the sidecar.
     pub(crate) fn note_message(&mut self, now: Millis) {
         if self.ends_with_message {
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -428,6 +428,11 @@
         self.silence_pause.note_silence(now, asked_at);
     }
 
+    /// Records that its sidecar denied a reservation, so it answers queries.
+    pub fn note_denial(&mut self) {
+        self.silence_pause.note_answer();
+    }
+
     /// Records that it rejected a request because it is full.
     pub fn note_full(&mut self, now: Millis, pause_ms: u64) {
         self.full_until = self.full_until.max(now.plus(pause_ms));
--- a/components/gateway/tests/sidecar_silences.rs
+++ b/components/gateway/tests/sidecar_silences.rs
@@ -9,6 +9,7 @@
 const STREAM: RouteKind = RouteKind::Stream { resumable: true };
 /// How long a query waits for an answer, in milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 45;
+const DENIED: AttemptOutcome = AttemptOutcome::Denied { retry_after_ms: 1000, shortage_ms: 0 };
 
 /// A gateway with one model runner.
 fn fixture() -> Fixture {
@@ -104,3 +105,18 @@
         assert!(is_paused(&fixture), "{outcome:?}");
     }
 }
+
+#[test]
+fn silences_between_answered_queries_do_not_add_up() {
+    let mut fixture = fixture();
+    for key in 1..=5 {
+        ask_in_vain(&mut fixture, key);
+        fixture.feed(Event::RequestEnded(RequestKey(key)));
+        fixture.now += 300;
+        assert!(!is_paused(&fixture), "the pause after query {key}");
+        ask(&mut fixture, 100 + key);
+        fixture.outcome(100 + key, DENIED);
+        fixture.feed(Event::RequestEnded(RequestKey(100 + key)));
+        fixture.now += 1000;
+    }
+}
