Gateway: a sidecar that answers or is heard again pauses its runner no longer

Callers were refused where a runner could serve them, after a second short silence of its sidecar, or one silence longer than 300 ms.

- Only a denial and the end of a request reset the row of silences, not a grant or the begin of an answer: two stalls of 60 ms with answered queries between them gave 585 ms, with four queries in each 3985 ms.
Now each answer to a query does; the event that tells of it is the one that carries the rate limit.
- A second query without an answer, in the same silence, counted as a second silence, so no message ended the pause: 590 ms after a stop of 400 ms.
Now only a message that ended a pause uses up that right.
- Queries in flight at the same time each doubled the pause, up to 4 s at once.
Now those that were sent before the pause began belong to it.

Ruled out: to count reports as answers; a sidecar that reports over a link that works one way only would never stay paused. The time of the begin and that of the end became one, so there is less state than before. Tests of gateway and edge pass.

--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -229,8 +229,8 @@
     Unlisted(InstanceId),
     /// A sidecar reported the load of the runner at this address.
     Load(SocketAddr, RunnerLoad),
-    /// The sidecar of the runner at this address reported the rate limit that it enforces for
-    /// reservations. `None` if it reported none.
+    /// The sidecar of the runner at this address answered a reservation query in time, with the rate
+    /// limit that it enforces. `None` if it reported none.
     LimitReported(SocketAddr, Option<ReportedLimit>),
     /// A sidecar forwarded rate limits that gateways received.
     Limits(Vec<IncarnationLimit>),
--- a/components/gateway/src/pauses.rs
+++ b/components/gateway/src/pauses.rs
@@ -37,27 +37,23 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct SilencePause {
     pause: FailurePause,
-    /// When the first unanswered query was given up.
-    began_at: Millis,
+    /// When the pause last began, or was ended by a message.
+    changed_at: Millis,
     /// Whether the next message ends the pause.
     ends_with_message: bool,
-    /// When a message ended the pause.
-    ended_at: Millis,
 }
 
 impl SilencePause {
     /// Records that the sidecar did not answer a query that was sent at `asked_at`.
     pub(crate) fn note_silence(&mut self, now: Millis, asked_at: Millis) {
-        if asked_at < self.ended_at {
-            // The query belongs to a silence that is over.
+        if asked_at < self.changed_at {
+            // The query belongs to a silence that is known or over.
             return;
         }
         if self.pause.failures == 0 {
-            self.began_at = now;
             self.ends_with_message = true;
-        } else if asked_at > self.began_at {
-            self.ends_with_message = false;
         }
+        self.changed_at = now;
         self.pause.note_failure(now);
     }
 
@@ -71,8 +67,8 @@
     pub(crate) fn note_message(&mut self, now: Millis) {
         if self.ends_with_message {
             self.pause = FailurePause { until: now, failures: 1 };
+            self.changed_at = now;
             self.ends_with_message = false;
-            self.ended_at = now;
         }
     }
 
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -136,9 +136,6 @@
         }
         runner.notices.backoff.note_end(key);
         let is_limited = runner.notices.limit.rate().is_some();
-        if matches!(outcome, AttemptOutcome::Denied { .. }) {
-            runner.note_denial();
-        }
         match outcome {
             AttemptOutcome::Answered | AttemptOutcome::Finished => runner.note_response(),
             AttemptOutcome::Full => runner.note_full(now, FULL_PAUSE_MS),
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -265,12 +265,14 @@
         self.cold_until.max(doubt).since(now).0
     }
 
-    /// Applies the rate limit that its sidecar reported. Returns the change, if any.
+    /// Applies an answer of its sidecar to a reservation query: the rate limit that it reports, and that it
+    /// answers. Returns the change of the limit, if any.
     pub fn apply_limit(
         &mut self,
         now: Millis,
         reported_limit: Option<ReportedLimit>,
     ) -> Option<AdvertisedLimit> {
+        self.silence_pause.note_answer();
         self.is_limit_enforced = reported_limit.is_some();
         self.learn_limit(now, reported_limit?)
     }
@@ -428,11 +430,6 @@
         self.silence_pause.note_silence(now, asked_at);
     }
 
-    /// Records that its sidecar denied a reservation, so it answers queries.
-    pub fn note_denial(&mut self) {
-        self.silence_pause.note_answer();
-    }
-
     /// Records that it rejected a request because it is full.
     pub fn note_full(&mut self, now: Millis, pause_ms: u64) {
         self.full_until = self.full_until.max(now.plus(pause_ms));
--- a/components/gateway/tests/sidecar_silences.rs
+++ b/components/gateway/tests/sidecar_silences.rs
@@ -23,6 +23,11 @@
     Event::Load(record("r1", MODEL_SERVICE, 1).address, load(1, 0))
 }
 
+/// An answer of the sidecar to a query.
+fn answer() -> Event {
+    Event::LimitReported(record("r1", MODEL_SERVICE, 1).address, None)
+}
+
 fn ask(fixture: &mut Fixture, key: u64) {
     sent_to(fixture.arrive(arrival(key, MODEL_SERVICE, STREAM)));
 }
@@ -108,15 +113,45 @@
 
 #[test]
 fn silences_between_answered_queries_do_not_add_up() {
+    for outcome in [AttemptOutcome::Answered, DENIED] {
+        let mut fixture = fixture();
+        for key in 1..=5 {
+            ask_in_vain(&mut fixture, key);
+            fixture.feed(Event::RequestEnded(RequestKey(key)));
+            fixture.now += 300;
+            assert!(!is_paused(&fixture), "the pause after query {key}, {outcome:?}");
+            ask(&mut fixture, 100 + key);
+            fixture.feed(answer());
+            fixture.outcome(100 + key, outcome);
+            fixture.feed(Event::RequestEnded(RequestKey(100 + key)));
+            fixture.now += 1000;
+        }
+    }
+}
+
+#[test]
+fn the_first_message_after_a_long_silence_ends_its_pause() {
     let mut fixture = fixture();
-    for key in 1..=5 {
+    for key in 1..=3 {
         ask_in_vain(&mut fixture, key);
         fixture.feed(Event::RequestEnded(RequestKey(key)));
-        fixture.now += 300;
-        assert!(!is_paused(&fixture), "the pause after query {key}");
-        ask(&mut fixture, 100 + key);
-        fixture.outcome(100 + key, DENIED);
-        fixture.feed(Event::RequestEnded(RequestKey(100 + key)));
-        fixture.now += 1000;
+        fixture.now += 300 << (key - 1);
     }
+    ask_in_vain(&mut fixture, 4);
+    fixture.now += 10;
+    sent_to(fixture.step(4, report()));
+}
+
+#[test]
+fn queries_of_one_silence_double_no_pause() {
+    let mut fixture = fixture();
+    ask_in_vain(&mut fixture, 1);
+    fixture.feed(report());
+    fixture.feed(Event::RequestEnded(RequestKey(1)));
+    let keys = 2..=5;
+    keys.clone().for_each(|key| ask(&mut fixture, key));
+    fixture.now += ANSWER_TIMEOUT_MS;
+    keys.for_each(|key| drop(fixture.outcome(key, AttemptOutcome::Silent)));
+    fixture.now += 600;
+    assert!(!is_paused(&fixture));
 }
