Correct the date of a version when a faster report on it arrives

Callers may have seen requests begin on an older version after its deadline, at runners whose sidecars received the first report on a new version late.

Cause: a process converts a date by the store's clock to its own clock with the best reports of that clock that it has received. While all of them were delayed, its clock is behind and the date late by as much. Reports that followed faster carry the same date, and `Announcement::merge` kept the first conversion of it.

Ruled out: that a later date replaces an earlier one wrongly. Each date is a time at which the version had not been announced yet, so the later one is closer, and the stand-in takes revision and clock under one lock.

Change: of reports with the same date the earliest conversion is kept. A reported clock is ahead by at most 51 ms, so a version is dated no earlier than that before its date; a gateway derives it from its own readings, which bound the clock from above, as before. Messages are unchanged. `StoreTime` takes the time of a report as an argument, so that a property can cover delays and orders of arrival.

--- a/components/edge/src/gateway/sidecar_datagrams.rs
+++ b/components/edge/src/gateway/sidecar_datagrams.rs
@@ -88,9 +88,10 @@
                 socket.send(sender, &Datagram::Sidecars(pending)).await;
             }
             Datagram::Load { runner, mut load, evacuations, crashes, clock_ms } => {
+                let now = Instant::now();
                 let mut time = core.tables.time.borrow_mut();
-                clock_ms.into_iter().for_each(|it| time.record_report(it));
-                time.set_ages(&mut load.named);
+                clock_ms.into_iter().for_each(|it| time.record_report(now, it));
+                time.set_ages(now, &mut load.named);
                 drop(time);
                 core.dispatch(Event::Evacuations(evacuations));
                 core.dispatch(Event::Crashes(crashes));
--- a/components/edge/src/sidecar/core.rs
+++ b/components/edge/src/sidecar/core.rs
@@ -17,6 +17,7 @@
 use rollout::{Effect, Event, Rollout, RolloutOptions};
 use settings::SidecarSettings;
 use telemetry::{record_crash_change, Metrics};
+use uptime::Instant;
 
 use super::chunk_store::ChunkStore;
 use super::peer_connections::IdleConnections;
@@ -182,9 +183,10 @@
         clock_ms: Option<u64>,
         mut announced: Vec<AnnouncedVersion>,
     ) -> Vec<AnnouncedVersion> {
+        let now = Instant::now();
         let mut time = self.time.borrow_mut();
-        clock_ms.into_iter().for_each(|it| time.record_report(it));
-        time.set_ages(&mut announced);
+        clock_ms.into_iter().for_each(|it| time.record_report(now, it));
+        time.set_ages(now, &mut announced);
         announced
     }
 
--- a/components/edge/src/store_time.rs
+++ b/components/edge/src/store_time.rs
@@ -71,10 +71,10 @@
         Some(WrittenAfter { clock_ms: reading.clock_ms, at: reading.produced_at })
     }
 
-    /// Records the clock value that another process reported. Reports are delayed in transit, so the one that
-    /// implies the highest clock value counts.
-    pub fn record_report(&mut self, clock_ms: u64) {
-        self.reported.record(Instant::now(), clock_ms);
+    /// Records the clock value in another process's report, received at `now`. Reports are delayed in transit,
+    /// so the one that implies the highest clock value counts.
+    pub fn record_report(&mut self, now: Instant, clock_ms: u64) {
+        self.reported.record(now, clock_ms);
     }
 
     /// An upper bound of the store's clock at a time, in milliseconds, from answers of the store, or else
@@ -94,9 +94,14 @@
         self.clock_ms(now).filter(|_| is_known)
     }
 
-    /// Sets the ages of reported versions by the store's clock, since the reports were delayed in transit.
-    pub fn set_ages<'a>(&self, announced: impl IntoIterator<Item = &'a mut AnnouncedVersion>) {
-        let Some(clock_ms) = self.clock_ms(Instant::now()) else {
+    /// Sets the ages that reported versions have at `now` by the store's clock, since the reports were delayed
+    /// in transit.
+    pub fn set_ages<'a>(
+        &self,
+        now: Instant,
+        announced: impl IntoIterator<Item = &'a mut AnnouncedVersion>,
+    ) {
+        let Some(clock_ms) = self.clock_ms(now) else {
             return;
         };
         for version in announced {
--- a/components/edge/src/store_time/tests.rs
+++ b/components/edge/src/store_time/tests.rs
@@ -1,5 +1,8 @@
 //! Tests of `store_time`.
 
+use fleet::{Announcement, Announcements, Millis};
+use proptest::prelude::*;
+
 use super::*;
 
 fn position(revision: u64) -> StorePosition {
@@ -73,13 +76,14 @@
 #[test]
 fn reported_ages_follow_the_clock_and_not_the_arrival_of_the_report() {
     let mut time = StoreTime::default();
-    time.record_report(50_000);
-    time.record_report(47_000);
+    let now = Instant::now();
+    time.record_report(now, 50_000);
+    time.record_report(now, 47_000);
     let mut reported_versions =
         [named(Some(10), Some(49_400)), named(Some(10), None), named(None, None)];
-    time.set_ages(&mut reported_versions);
-    assert!((600..700).contains(&reported_versions[0].age_ms.unwrap()), "{reported_versions:?}");
-    assert_eq!((reported_versions[1].age_ms, reported_versions[2].age_ms), (Some(10), None));
+    time.set_ages(now, &mut reported_versions);
+    let ages: Vec<Option<u64>> = reported_versions.iter().map(|it| it.age_ms).collect();
+    assert_eq!(ages, [Some(600), Some(10), None]);
 }
 
 #[test]
@@ -97,3 +101,80 @@
     reported.record(now + 3 * MAX_READING_AGE, 100_000);
     assert_eq!(reported.clock_ms(now + 3 * MAX_READING_AGE), Some(100_000));
 }
+
+/// When a version is announced, in milliseconds.
+const ANNOUNCED_MS: u64 = 10_000;
+/// The maximum time between the last reading of the store without a version and its announcement, in milliseconds.
+const MAX_READING_GAP_MS: u64 = 300;
+/// How far a reported clock may be ahead, in milliseconds.
+const MAX_CLOCK_ERROR_MS: u64 = MAX_PRECISE_TRANSIT.as_millis() as u64 + 1;
+/// Rounding of the ages and dates in a report, in milliseconds.
+const ROUNDING_MS: u64 = 2;
+
+/// A report on a version that another process sends.
+#[derive(Clone, Copy, Debug)]
+struct VersionReport {
+    sent_ms: u64,
+    delay_ms: u64,
+    /// How far its clock is ahead, in milliseconds. `None` if it does not report the clock.
+    clock_error_ms: Option<u64>,
+    /// When the version had not been announced yet, in milliseconds.
+    after_ms: u64,
+}
+
+impl VersionReport {
+    fn arrival_ms(&self) -> u64 {
+        self.sent_ms + self.delay_ms
+    }
+}
+
+prop_compose! {
+    fn any_report()(
+        sent_ms in ANNOUNCED_MS..ANNOUNCED_MS + 4000,
+        delay_ms in 0..3000u64,
+        clock_error_ms in prop::option::of(0..=MAX_CLOCK_ERROR_MS),
+        after_ms in ANNOUNCED_MS - MAX_READING_GAP_MS..=ANNOUNCED_MS,
+    ) -> VersionReport {
+        VersionReport { sent_ms, delay_ms, clock_error_ms, after_ms }
+    }
+}
+
+/// The date of a version at a process that receives reports on it, in milliseconds.
+fn date_ms(mut reports: Vec<VersionReport>) -> u64 {
+    let start = Instant::now();
+    let mut time = StoreTime::default();
+    let mut announcements = Announcements::default();
+    reports.sort_by_key(VersionReport::arrival_ms);
+    for report in reports {
+        let now = start + Duration::from_millis(report.arrival_ms());
+        let after_ms = report.clock_error_ms.map(|_| report.after_ms);
+        let mut announced = named(Some(report.sent_ms - report.after_ms), after_ms);
+        if let Some(error_ms) = report.clock_error_ms {
+            time.record_report(now, report.sent_ms + error_ms);
+        }
+        time.set_ages(now, [&mut announced]);
+        announcements.add(Announcement::received_at(Millis(report.arrival_ms()), &announced));
+    }
+    announcements.get(2).unwrap().at.0
+}
+
+proptest! {
+    /// Reports arrive in any order, late, with or without the clock. Of those with the best date, one is not late.
+    #[test]
+    fn a_version_is_dated_neither_late_nor_early_once_a_report_was_not_delayed(
+        mut reports in prop::collection::vec(any_report(), 0..8),
+        sent_ms in ANNOUNCED_MS..ANNOUNCED_MS + 7000,
+        clock_error_ms in 0..=MAX_CLOCK_ERROR_MS,
+    ) {
+        let punctual = VersionReport {
+            sent_ms,
+            delay_ms: 0,
+            clock_error_ms: Some(clock_error_ms),
+            after_ms: ANNOUNCED_MS,
+        };
+        reports.push(punctual);
+        let date_ms = date_ms(reports);
+        prop_assert!(date_ms <= ANNOUNCED_MS + ROUNDING_MS, "{date_ms}");
+        prop_assert!(date_ms + MAX_CLOCK_ERROR_MS + ROUNDING_MS >= ANNOUNCED_MS, "{date_ms}");
+    }
+}
--- a/components/fleet/src/announced_versions.rs
+++ b/components/fleet/src/announced_versions.rs
@@ -61,12 +61,13 @@
     }
 
     /// Merges another report on the same version. Times from the store's history take precedence over all
-    /// other reports, and among them the latest one: the version was not announced at either time. Of the
-    /// other reports the earliest time is kept, because reports may have been delayed. A process that has
-    /// just started assumes a time; with that it would stop using older versions earlier than other
-    /// processes, and serve nothing until its runners have the new version.
+    /// other reports, and among them the latest one: the version was not announced at either time. Of
+    /// reports of the same time, and of the other reports, the earliest `at` is kept, because reports may
+    /// have been delayed. A process that has just started assumes a time; with that it would stop using
+    /// older versions earlier than other processes, and serve nothing until its runners have the new version.
     pub fn merge(&mut self, other: Self) {
         let is_better = match (self.after_ms, other.after_ms) {
+            (Some(known), Some(reported)) if known == reported => other.at < self.at,
             (Some(known), Some(reported)) => reported > known,
             (None, Some(_)) => true,
             (Some(_), None) => false,
--- a/components/fleet/tests/announcements.rs
+++ b/components/fleet/tests/announcements.rs
@@ -57,3 +57,14 @@
         assert_eq!(names.get(2), Some(dated(2000, 52_000)));
     }
 }
+
+/// The clock of a process that has received only delayed reports is behind, and so are all dates until a faster one.
+#[test]
+fn a_version_whose_first_report_was_delayed_does_not_look_newer_after_a_faster_one() {
+    let dated = |at| Announcement { after_ms: Some(52_000), ..name(2, at, true) };
+    for reports in [[dated(3000), dated(2000)], [dated(2000), dated(3000)]] {
+        let mut names = Announcements::default();
+        reports.into_iter().for_each(|it| names.add(it));
+        assert_eq!(names.get(2), Some(dated(2000)));
+    }
+}
--- a/daemon/tests/deployment/version_ages.rs
+++ b/daemon/tests/deployment/version_ages.rs
@@ -143,6 +143,38 @@
     expect_given_up(&deployment, runner, deadline);
 }
 
+/// Delay of the first datagrams that carry the store's clock: longer than a version may be dated too early.
+const FIRST_CLOCK_DELAY_MS: u64 = 1500;
+/// Time for an empty answer of each feed, which determines the store's clock precisely.
+const CLOCK_TIME: Duration = Duration::from_millis(4500);
+
+/// Guards against a failure in which a sidecar kept the date that it had derived from a delayed first report.
+#[test]
+fn a_delayed_first_report_of_the_clock_does_not_make_a_version_look_newer() {
+    let mut deployment = Deployment::start();
+    let mut proxy = None;
+    let runner = deployment.add_model_runner_behind("e1", Some(1), |machine, runner| {
+        proxy.insert(DelayingProxy::start(machine, runner)).runner
+    });
+    let proxy = proxy.unwrap();
+    // Gateways do not report the clock of a store that answers late.
+    deployment.standin.set_store_fault(StoreFault::Slow { least_ms: 200, most_ms: 200 });
+    let gateway = deployment.add_gateway();
+    wait_and_close_origin(&deployment, gateway);
+    proxy.delay_ms.store(FIRST_CLOCK_DELAY_MS, Ordering::SeqCst);
+    deployment.standin.set_store_fault(StoreFault::None);
+    thread::sleep(CLOCK_TIME);
+    // The gateway has just read the store when the version is announced.
+    deployment.standin.reconfigure(|it| it["routes"][0]["timeoutMs"] = json!(4001));
+    thread::sleep(Duration::from_millis(30));
+    deployment.standin.announce_version(2);
+    let deadline = Instant::now() + VERSION_BOUND;
+    thread::sleep(Duration::from_millis(2 * FIRST_CLOCK_DELAY_MS));
+    proxy.delay_ms.store(0, Ordering::SeqCst);
+
+    expect_given_up(&deployment, runner, deadline);
+}
+
 /// How long a runner reads a prompt, so that its request would begin after the deadline.
 const READING_TIME: Duration = Duration::from_millis(2150);
 /// How long before the deadline that request is sent: earlier than a gateway stops using the version.
