Report the clock of a store whose answers take 50 to 150 ms

Callers may have seen requests begin on an older version after its deadline, at runners whose sidecars were reached late while every answer of the store took longer than 50 ms, as from another region or on a machine short of processor time.

Cause: a gateway reported the store's clock only once a single answer had arrived within 50 ms of its earliest possible production. Without the clock no dates are sent either, so sidecars went by ages that lack the time of the datagram.

Ruled out: reporting the upper bound of the clock in any case. Receivers use the highest value and would stop using older versions up to a whole call too early.

Change: all answers of the last 30 s together bound the clock. If the bounds are within 150 ms, the gateway reports the lower one plus 50 ms, or the upper one if that is less. So it is ahead by at most 50 ms, as before, and behind by at most 100 ms, less than the 150 ms before a deadline at which a runner is ordered to give a version up at the latest. Older versions serve longer where a sidecar went by the earlier age before.

--- a/components/edge/src/store_time.rs
+++ b/components/edge/src/store_time.rs
@@ -13,8 +13,12 @@
 
 /// How long readings are kept: longer than any version is relevant.
 const MAX_READING_AGE: Duration = Duration::from_secs(30);
-/// The longest transit time of an answer that determines the store's clock precisely.
-const MAX_PRECISE_TRANSIT: Duration = Duration::from_millis(50);
+/// How far a reported clock may be ahead of the store's, in milliseconds: receivers use the highest reported
+/// value, and by one that is ahead they stop using older versions too early.
+const MAX_REPORTED_LEAD_MS: u64 = 50;
+/// How far a reported clock may be behind the store's, in milliseconds: less than the time before a deadline
+/// at which runners are ordered to give up older versions at the latest.
+const MAX_REPORTED_LAG_MS: u64 = 100;
 /// The most readings that are kept. If some in between are removed, a row is considered older than it is.
 const MAX_READINGS: usize = 256;
 
@@ -80,18 +84,29 @@
     /// An upper bound of the store's clock at a time, in milliseconds, from answers of the store, or else
     /// from reports of other processes. `None` if nothing was received lately.
     pub fn clock_ms(&self, now: Instant) -> Option<u64> {
-        let upper_bound = |it: &Reading| it.clock_ms + elapsed_ms(now, it.produced_at) + 1;
-        self.readings.iter().map(upper_bound).min().or_else(|| self.reported.clock_ms(now))
+        self.upper_bound_ms(now).or_else(|| self.reported.clock_ms(now))
     }
 
-    /// The clock value to report to other processes, in milliseconds. `None` until an answer has determined
-    /// it precisely, since receivers use the highest reported value.
+    /// The clock value to report to other processes, in milliseconds. `None` while the answers of the store
+    /// do not bound it closely enough.
     pub fn clock_ms_to_report(&self, now: Instant) -> Option<u64> {
-        let is_precise = |it: &Reading| {
-            it.arrived_at.saturating_duration_since(it.produced_at) <= MAX_PRECISE_TRANSIT
+        let Some((lower, upper)) = self.lower_bound_ms(now).zip(self.upper_bound_ms(now)) else {
+            return self.reported.clock_ms(now);
         };
-        let is_known = self.readings.is_empty() || self.readings.iter().any(is_precise);
-        self.clock_ms(now).filter(|_| is_known)
+        let is_close = upper.saturating_sub(lower) <= MAX_REPORTED_LEAD_MS + MAX_REPORTED_LAG_MS;
+        is_close.then_some(upper.min(lower + MAX_REPORTED_LEAD_MS))
+    }
+
+    /// An upper bound of the store's clock by its answers, in milliseconds.
+    fn upper_bound_ms(&self, now: Instant) -> Option<u64> {
+        let upper_bound = |it: &Reading| it.clock_ms + elapsed_ms(now, it.produced_at) + 1;
+        self.readings.iter().map(upper_bound).min()
+    }
+
+    /// A lower bound of the store's clock by its answers, in milliseconds.
+    fn lower_bound_ms(&self, now: Instant) -> Option<u64> {
+        let lower_bound = |it: &Reading| it.clock_ms + elapsed_ms(now, it.arrived_at);
+        self.readings.iter().map(lower_bound).max()
     }
 
     /// Sets the ages that reported versions have at `now` by the store's clock, since the reports were delayed
