Abort no request by an order that no other runner could complete

A caller got half an answer while a version was rolled out: its stream was aborted by an order, went on at another runner, and was aborted there by that runner's own order, with no attempt left.

Cause: a sidecar orders its runner while up to two requests run there, and the order aborts them on the assumption that gateways resume them elsewhere. The sidecar knows a count, not the requests. A gateway cannot resume a request without an attempt, another runner or a retry of the shared budget, nor one that may not run twice.

Change: a reservation says that its request is pinned to the runner, with what is left of its time limit (extension 6 of `Reserve`; absent as before), and `PinEnded` says that it has ended. A lost `PinEnded` is made up for by the time limit and by an idle report. All other orders are sent as before.

Orders that always wait: built and reverted, runners stand idle. Aborts that cost no attempt or retry: the platform bounds runners per try and arrivals per window whatever the reason, and only exempts runners that ended or were cut off. Pins without `PinEnded`: at high load runners are never idle, so each moved request would hold back the next order for its whole time limit.

Tests: `order_does_not_abort_the_last_requests_at_the_runner` asserted that nothing is ever aborted, which is more than callers need and costs them more than it spares. It is replaced by tests as strict on the aim: orders abort no pinned request, in each way that it may reach the runner, and do not wait for others; gateways pin what they could not send on; streams of real processes are whole or refused while two runners load a version. Tests that relied on an order that waits now pin a request, so they cover the wait again.

--- a/components/edge/src/datagram_socket.rs
+++ b/components/edge/src/datagram_socket.rs
@@ -4,9 +4,10 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use async_io::Timer;
+use async_io::{Async, Timer};
 use async_net::UdpSocket;
 use errors::{Code, Error, Result};
 use telemetry::Metrics;
@@ -45,6 +46,14 @@
         let _ = self.socket.send_to(&encode_datagram(datagram), to).await;
     }
 
+    /// Sends a datagram without confirmation, at once or not at all.
+    pub fn try_send(&self, to: SocketAddr, datagram: &Datagram) {
+        let socket: Arc<Async<std::net::UdpSocket>> = self.socket.clone().into();
+        if let Err(error) = socket.get_ref().send_to(&encode_datagram(datagram), to) {
+            log::debug!(peer = to.to_string().as_str(); "a datagram was not sent: {error}");
+        }
+    }
+
     /// Counts unreadable content from another build, and logs it once per peer.
     fn record_unreadable(&self, from: SocketAddr, kind: &'static str) {
         self.metrics.count_foreign_message(kind);
--- a/components/edge/src/extensions.rs
+++ b/components/edge/src/extensions.rs
@@ -22,6 +22,8 @@
 const LIMITS: u16 = 4;
 /// The times at which the versions in the datagram were announced, by the store's clock.
 const VERSION_DATES: u16 = 5;
+/// How much longer a request may take that is pinned to its runner, in milliseconds.
+const PINNED_MS: u16 = 6;
 
 /// A numbered extension with its encoded value.
 #[derive(Serialize, Deserialize)]
@@ -50,6 +52,8 @@
     limits: Vec<IncarnationLimit>,
     /// The times at which its versions were announced, by the store's clock.
     version_dates: Option<VersionDates>,
+    /// How much longer its request may take if it is pinned to the runner, in milliseconds.
+    pinned_ms: Option<u32>,
     /// The number of extensions that this build does not know.
     pub unknown: usize,
 }
@@ -77,6 +81,9 @@
                     let dates = postcard::from_bytes(&bytes).map_err(unreadable)?;
                     extensions.version_dates = Some(dates);
                 }
+                PINNED_MS => {
+                    extensions.pinned_ms = Some(postcard::from_bytes(&bytes).map_err(unreadable)?);
+                }
                 _ => extensions.unknown += 1,
             }
         }
@@ -90,8 +97,9 @@
         let limit = self.limit.map(|it| Extension::new(LIMIT, &it));
         let limits = (!self.limits.is_empty()).then(|| Extension::new(LIMITS, &self.limits));
         let dates = self.version_dates.as_ref().map(|it| Extension::new(VERSION_DATES, it));
-        let encoded = era.into_iter().chain(short_ms).chain(limit).chain(limits).chain(dates);
-        let encoded: Vec<Extension> = encoded.collect();
+        let pinned_ms = self.pinned_ms.map(|it| Extension::new(PINNED_MS, &it));
+        let encoded = [era, short_ms, limit, limits, dates, pinned_ms];
+        let encoded: Vec<Extension> = encoded.into_iter().flatten().collect();
         if encoded.is_empty() {
             return Vec::new();
         }
@@ -107,6 +115,7 @@
             limit: datagram.limit(),
             limits: datagram.limits().to_vec(),
             version_dates: datagram.version_dates(),
+            pinned_ms: datagram.pinned_ms(),
             unknown: 0,
         }
     }
@@ -133,6 +142,7 @@
     datagram.set_limit(extensions.limit);
     datagram.set_limits(extensions.limits.clone());
     datagram.set_version_dates(extensions.version_dates.clone());
+    datagram.set_pinned_ms(extensions.pinned_ms);
     Ok((datagram, extensions))
 }
 
--- a/components/edge/src/extensions/tests.rs
+++ b/components/edge/src/extensions/tests.rs
@@ -9,7 +9,7 @@
 use crate::message::encode;
 
 /// The lowest extension number that this build does not define.
-const FIRST_UNKNOWN: u16 = 6;
+const FIRST_UNKNOWN: u16 = 7;
 
 fn reserved(era: Option<u64>) -> Datagram {
     Datagram::Reserved {
@@ -33,6 +33,7 @@
         left_ms: 400,
         wait_ms: 0,
         limit: None,
+        pinned_ms: None,
     }
 }
 
@@ -79,6 +80,17 @@
     }
 }
 
+#[test]
+fn a_pin_is_sent_as_an_extension_of_a_reservation_that_the_first_format_ignores() {
+    let mut pinned = reserve();
+    pinned.set_pinned_ms(Some(4000));
+    let bytes = encode_datagram(&pinned);
+    assert_eq!(decode_datagram(&bytes).unwrap().0, pinned);
+    let first_format: Datagram = crate::message::decode(&bytes).unwrap();
+    assert_eq!(first_format, reserve());
+    assert_eq!(encode_datagram(&reserve()), encode(&reserve()), "most requests have no pin");
+}
+
 #[test]
 fn version_dates_of_a_load_are_sent_as_an_extension_that_the_first_format_ignores() {
     let named =
--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -19,7 +19,7 @@
 use super::answer::{full_body, AnswerBody};
 use super::core::Core;
 use super::request::RequestContext;
-use super::reservations::SlotRequest;
+use super::reservations::{ReservedSlot, SlotRequest};
 use super::withdrawal::wait_for_withdrawal;
 use crate::http_connection::HttpConnection;
 
@@ -80,6 +80,8 @@
     pub connection: HttpConnection,
     /// The rest of the answer.
     pub body: Incoming,
+    /// The slot at the runner, which is held until the answer is dropped.
+    _slot: ReservedSlot,
 }
 
 /// The result of an attempt when the head of the answer has arrived or the attempt has failed.
@@ -107,9 +109,10 @@
     /// Sends the request and waits for the head of the answer. `last_event` is the event after which a stream
     /// resumes.
     pub async fn run(self, last_event: Option<String>) -> AttemptResult {
-        if let Err(outcome) = self.reserve().await {
-            return outcome.into();
-        }
+        let slot = match self.reserve().await {
+            Ok(slot) => slot,
+            Err(outcome) => return outcome.into(),
+        };
         let granted = Instant::now();
         let Ok(mut connection) = HttpConnection::open(self.target.address, CONNECT_TIMEOUT).await
         else {
@@ -138,25 +141,22 @@
         self.core
             .metrics
             .record_duration(MeasuredDuration::RunnerHeaders, started.elapsed().as_millis() as u64);
-        self.evaluate(connection, answer).await
+        self.evaluate(connection, answer, slot).await
     }
 
     /// Asks the sidecar for a slot, if the runner has a sidecar. The connection is opened afterwards: under
     /// load most reservations are denied, and each connection costs both sides work.
-    async fn reserve(&self) -> Result<(), AttemptOutcome> {
+    async fn reserve(&self) -> Result<ReservedSlot, AttemptOutcome> {
         if !self.target.reserve {
-            return Ok(());
+            return Ok(ReservedSlot::default());
         }
         let request_headers = &self.context.request_headers;
         let id = request_headers.id.as_deref().unwrap_or("");
         let reservations = &self.core.reservations;
         let prompt_tokens = self.context.prompt_tokens;
-        let RunnerTarget { rank, left_ms, wait_ms, limit, .. } = *self.target;
-        let slot_request = SlotRequest { prompt_tokens, rank, left_ms, wait_ms, limit };
-        match reservations.reserve(self.target.address, id, slot_request).await {
-            None => Ok(()),
-            Some(outcome) => Err(outcome),
-        }
+        let RunnerTarget { rank, left_ms, wait_ms, limit, pinned_ms, .. } = *self.target;
+        let slot_request = SlotRequest { prompt_tokens, rank, left_ms, wait_ms, limit, pinned_ms };
+        reservations.reserve(self.target.address, id, slot_request).await
     }
 
     async fn wait_for_withdrawal(&self) -> AttemptOutcome {
@@ -258,6 +258,7 @@
         &self,
         mut connection: HttpConnection,
         answer: Response<Incoming>,
+        slot: ReservedSlot,
     ) -> AttemptResult {
         let (head, mut body) = answer.into_parts();
         let response_headers = headers::read_response(&head.headers);
@@ -277,6 +278,7 @@
                 headers,
                 connection,
                 body,
+                _slot: slot,
             });
         }
         let Ok(text) = connection.collect(&mut body, MAX_ERROR_ANSWER_BYTES).await else {
--- a/components/edge/src/gateway/reservations.rs
+++ b/components/edge/src/gateway/reservations.rs
@@ -33,6 +33,29 @@
     pub wait_ms: u64,
     /// The runner's rate limit that the gateway received lately.
     pub limit: Option<ReportedLimit>,
+    /// How much longer the request may take if it is pinned to the runner, in milliseconds.
+    pub pinned_ms: Option<u64>,
+}
+
+/// A slot that a sidecar granted. If its request is pinned, dropping the slot tells the sidecar that the request
+/// has ended.
+#[derive(Default)]
+pub struct ReservedSlot {
+    _pin: Option<Pin>,
+}
+
+/// A pinned request that its sidecar may know of.
+struct Pin {
+    socket: DatagramSocket,
+    sidecar: SocketAddr,
+    request_number: u64,
+}
+
+impl Drop for Pin {
+    fn drop(&mut self) {
+        let ended = Datagram::PinEnded { question: self.request_number };
+        self.socket.try_send(self.sidecar, &ended);
+    }
 }
 
 /// Waits for the next reply.
@@ -63,16 +86,16 @@
         Self { socket, port, pending: Rc::default() }
     }
 
-    /// Reserves a slot at a runner. Returns why the request must not be sent there, or `None` if the slot is
-    /// granted.
+    /// Reserves a slot at a runner. Fails with the reason why the request must not be sent there.
     pub async fn reserve(
         &self,
         runner: SocketAddr,
         request: &str,
         slot_request: SlotRequest,
-    ) -> Option<AttemptOutcome> {
-        let SlotRequest { prompt_tokens, rank, left_ms, wait_ms, limit } = slot_request;
+    ) -> Result<ReservedSlot, AttemptOutcome> {
+        let SlotRequest { prompt_tokens, rank, left_ms, wait_ms, limit, pinned_ms } = slot_request;
         let left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
+        let pinned_ms = pinned_ms.map(|it| u32::try_from(it).unwrap_or(u32::MAX));
         let (sender, answers) = async_channel::bounded(2);
         let request_number = {
             let mut pending = self.pending.borrow_mut();
@@ -92,19 +115,21 @@
             left_ms,
             wait_ms,
             limit,
+            pinned_ms,
         };
+        let pin = pinned_ms.map(|_| Pin { socket: self.socket.clone(), sidecar, request_number });
         self.socket.send(sidecar, &reserve).await;
         let mut reply = next_reply(&answers, ANSWER_TIMEOUT).await;
         if reply == Some(Reply::Queued) {
             reply = next_reply(&answers, Duration::from_millis(wait_ms) + ANSWER_TIMEOUT).await;
         }
         match reply {
-            Some(Reply::Granted) => None,
+            Some(Reply::Granted) => Ok(ReservedSlot { _pin: pin }),
             Some(Reply::Denied { again_ms, short_ms }) => {
                 let short_ms = u64::from(short_ms.unwrap_or(0));
-                Some(AttemptOutcome::Denied { retry_after_ms: again_ms, shortage_ms: short_ms })
+                Err(AttemptOutcome::Denied { retry_after_ms: again_ms, shortage_ms: short_ms })
             }
-            Some(Reply::Queued) | None => Some(AttemptOutcome::Silent),
+            Some(Reply::Queued) | None => Err(AttemptOutcome::Silent),
         }
     }
 
--- a/components/edge/src/gateway/sidecar_datagrams.rs
+++ b/components/edge/src/gateway/sidecar_datagrams.rs
@@ -118,6 +118,7 @@
             | Datagram::WhoOrdered
             | Datagram::YouOrderedLast
             | Datagram::Reserve { .. }
+            | Datagram::PinEnded { .. }
             | Datagram::Summary { .. } => {}
         }
     }
--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -91,6 +91,11 @@
         /// The runner's rate limit that the gateway received lately. Sent as an extension.
         #[serde(skip)]
         limit: Option<ReportedLimit>,
+        /// How much longer the request may take, in milliseconds, if it is pinned to the runner: were it
+        /// aborted there, no other runner could complete it. Sent as an extension: `None` also from a
+        /// gateway that does not report it.
+        #[serde(skip)]
+        pinned_ms: Option<u32>,
     },
     /// The answer to `Reserve`.
     Reserved {
@@ -133,6 +138,11 @@
         /// The chunks.
         have: Bitmap,
     },
+    /// A pinned request of the sender has ended at the receiver's runner.
+    PinEnded {
+        /// The `question` of its `Reserve`.
+        question: u64,
+    },
 }
 
 impl Datagram {
@@ -192,6 +202,23 @@
     }
 }
 
+impl Datagram {
+    /// How much longer its request may take if it is pinned to the runner, in milliseconds.
+    pub fn pinned_ms(&self) -> Option<u32> {
+        match self {
+            Self::Reserve { pinned_ms, .. } => *pinned_ms,
+            _ => None,
+        }
+    }
+
+    /// Sets `pinned_ms` of a reservation.
+    pub fn set_pinned_ms(&mut self, value: Option<u32>) {
+        if let Self::Reserve { pinned_ms, .. } = self {
+            *pinned_ms = value;
+        }
+    }
+}
+
 impl Datagram {
     /// The rate limits of runners in it.
     pub fn limits(&self) -> &[IncarnationLimit] {
--- a/components/edge/src/message/samples.rs
+++ b/components/edge/src/message/samples.rs
@@ -137,6 +137,7 @@
                 left_ms: 380,
                 wait_ms: 88,
                 limit: None,
+                pinned_ms: None,
             },
         ),
         ("reserved-granted", reserved(Reply::Granted)),
@@ -159,6 +160,11 @@
     ]
 }
 
+/// Every datagram that no landed build writes, by name.
+fn unlanded_datagrams() -> Vec<(&'static str, Datagram)> {
+    vec![("pin-ended", Datagram::PinEnded { question: 300 })]
+}
+
 /// Every datagram with the store's era, by name.
 fn datagrams_with_eras() -> Vec<(&'static str, Datagram)> {
     let names = [
@@ -262,8 +268,8 @@
 
 #[test]
 fn every_kind_of_datagram_has_a_sample() {
-    let variants: std::collections::BTreeSet<u8> =
-        datagrams().iter().map(|(_, it)| encode(it)[0]).collect();
+    let all = datagrams().into_iter().chain(unlanded_datagrams());
+    let variants: std::collections::BTreeSet<u8> = all.map(|(_, it)| encode(&it)[0]).collect();
     assert_eq!(variants, (0..variants.len() as u8).collect());
     assert!(decode::<Datagram>(&[variants.len() as u8]).is_err(), "a variant has no sample");
 }
@@ -273,7 +279,8 @@
     let Ok(directory) = std::env::var("SILVERDOCK_SAMPLES") else {
         return;
     };
-    let datagram_bytes = datagrams().into_iter().map(|(name, it)| (name, encode(&it)));
+    let all_datagrams = datagrams().into_iter().chain(unlanded_datagrams());
+    let datagram_bytes = all_datagrams.map(|(name, it)| (name, encode(&it)));
     let request_bytes = requests().into_iter().map(|(name, it)| (name, encode(&it)));
     let answer_bytes = answers().into_iter().map(|(name, it)| (name, encode(&it)));
     let datagram_with_era_bytes =
--- a/components/edge/src/sidecar/peers.rs
+++ b/components/edge/src/sidecar/peers.rs
@@ -193,6 +193,7 @@
                 left_ms,
                 wait_ms,
                 limit,
+                pinned_ms,
             } => {
                 if let Some(rate_limit) = limit {
                     core.dispatch(Event::LimitReported(rate_limit));
@@ -206,9 +207,13 @@
                     rank,
                     target_left_ms: left_ms,
                     max_wait_ms: wait_ms,
+                    pinned_ms: pinned_ms.map(u64::from),
                 };
                 core.dispatch(Event::ReservationRequested(reservation));
             }
+            Datagram::PinEnded { question: number } => {
+                core.dispatch(Event::PinEnded { asker: sender, number });
+            }
             Datagram::Ordered => {
                 core.last_orderer.set(Some(sender));
                 core.dispatch(Event::PeerOrdered);
--- a/components/gateway/src/budget.rs
+++ b/components/gateway/src/budget.rs
@@ -45,17 +45,22 @@
 
     /// Consumes one retry if the budget allows it.
     pub fn take_retry(&mut self, now: Millis) -> bool {
+        let is_allowed = self.has_retries(now, 1);
+        if is_allowed {
+            self.current_bucket(now).2 += 1;
+        }
+        is_allowed
+    }
+
+    /// Returns whether the budget allows this number of retries.
+    pub fn has_retries(&mut self, now: Millis, count: u32) -> bool {
         self.drop_expired(now);
         let within_window =
             self.buckets.iter().filter(|bucket| now.since(bucket.0).0 <= self.limits.window_ms);
         let requests: u32 = within_window.map(|bucket| bucket.1).sum();
         let repeats: u32 = self.buckets.iter().map(|bucket| bucket.2).sum();
         let BudgetLimits { ratio, allowance, .. } = self.limits;
-        if f64::from(repeats) + 1.0 > ratio * f64::from(requests) + allowance {
-            return false;
-        }
-        self.current_bucket(now).2 += 1;
-        true
+        f64::from(repeats + count) <= ratio * f64::from(requests) + allowance
     }
 
     fn current_bucket(&mut self, now: Millis) -> &mut (Millis, u32, u32) {
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -291,6 +291,9 @@
     pub wait_ms: u64,
     /// The runner's rate limit to report to the sidecar. `None` if no limit was received recently.
     pub limit: Option<ReportedLimit>,
+    /// Time left of the request's time limit, in milliseconds, if it is pinned to the runner: were it
+    /// aborted there, no other runner could complete it. `None` if another one could.
+    pub pinned_ms: Option<u64>,
     /// The data that the selection was based on.
     pub selection: SelectionInfo,
 }
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -425,10 +425,20 @@
 
     /// Consumes one retry if this gateway has one left.
     fn take_retry(&mut self, now: Millis, service: &ServiceName) -> bool {
+        self.current_budget(now, service).take_retry(now)
+    }
+
+    /// Returns whether this gateway has this number of retries left.
+    fn has_retries(&mut self, now: Millis, service: &ServiceName, count: u32) -> bool {
+        self.current_budget(now, service).has_retries(now, count)
+    }
+
+    /// The retry budget of a service with the limits that apply now.
+    fn current_budget(&mut self, now: Millis, service: &ServiceName) -> &mut RetryBudget {
         let limits = self.budget_limits(now);
         let budget = self.budget(now, service);
         budget.set_limits(limits);
-        budget.take_retry(now)
+        budget
     }
 
     fn run_periodic_checks(&mut self, now: Millis) {
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -17,6 +17,9 @@
 const MAX_RATE_PAUSE_MS: u64 = 2000;
 /// Pause of a runner that reported that it is full, in milliseconds.
 const FULL_PAUSE_MS: u64 = 60;
+/// Number of retries that must be left for a request that is not pinned to its runner. Orders at several
+/// runners may abort requests of this gateway before it ends.
+const MIN_RETRIES_TO_MOVE: u32 = 4;
 
 impl Gateway {
     /// Handles the result of an attempt: the request continues, is retried or ends.
@@ -228,6 +231,27 @@
         is_free || self.take_retry(now, &service)
     }
 
+    /// Time left of a request's time limit, in milliseconds, if it is pinned to its current runner: were
+    /// it aborted there, it could not be sent to another one.
+    pub(super) fn pinned_ms(&mut self, now: Millis, key: RequestKey) -> Option<u64> {
+        let arrival = &self.requests.get(&key)?.arrival;
+        let (service, left) = (arrival.service.clone(), arrival.deadline.since(now));
+        let is_movable = self.is_repeatable_elsewhere(now, key)
+            && self.has_retries(now, &service, MIN_RETRIES_TO_MOVE);
+        (!is_movable).then_some(left.0)
+    }
+
+    /// Whether a request may be sent to another runner after its current one has run it.
+    fn is_repeatable_elsewhere(&self, now: Millis, key: RequestKey) -> bool {
+        let Some(progress) = self.requests.get(&key) else {
+            return false;
+        };
+        let arrival = &progress.arrival;
+        arrival.kind.is_repeatable()
+            && progress.sends() < arrival.attempts.max(1)
+            && self.chooser().has_untried_runner(now, arrival, &progress.tried)
+    }
+
     /// Queues a request for another attempt.
     pub(super) fn enqueue_again(&mut self, now: Millis, key: RequestKey) {
         let waits_to_resume = self.is_enabled(Mechanism::ResumeWait);
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -246,6 +246,17 @@
         // A request that may have run already has precedence over new ones.
         let ignores_priority = progress.counts_as_run() || !ablation.is_enabled(Mechanism::Ranks);
         let rank = if ignores_priority { 0 } else { progress.arrival.priority };
-        Some(RunnerTarget { id, address, reserve, rank, left_ms, wait_ms, limit, selection })
+        let pinned_ms = if reserve { self.pinned_ms(now, key) } else { None };
+        Some(RunnerTarget {
+            id,
+            address,
+            reserve,
+            rank,
+            left_ms,
+            wait_ms,
+            limit,
+            pinned_ms,
+            selection,
+        })
     }
 }
--- a/components/gateway/tests/shortage.rs
+++ b/components/gateway/tests/shortage.rs
@@ -238,6 +238,7 @@
                         rank: target.rank,
                         target_left_ms: target.left_ms,
                         max_wait_ms: target.wait_ms,
+                        pinned_ms: target.pinned_ms,
                     };
                     let runner = usize::from(target.address.port());
                     self.pass_to_sidecar(
--- a/components/rollout/src/event.rs
+++ b/components/rollout/src/event.rs
@@ -224,6 +224,13 @@
     Evacuations(EvacuationList),
     /// A gateway requests a reservation at the runner.
     ReservationRequested(ReservationRequest),
+    /// A pinned request has ended at the runner.
+    PinEnded {
+        /// The address of its gateway.
+        asker: SocketAddr,
+        /// The gateway's number for its reservation request.
+        number: u64,
+    },
     /// Time has passed.
     Tick,
 }
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -8,6 +8,7 @@
 mod event;
 mod first_attempts;
 mod manifest_searches;
+mod pinned_requests;
 mod precedence;
 mod rate;
 mod reducer;
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -16,6 +16,7 @@
 };
 use crate::first_attempts::FirstAttempts;
 use crate::manifest_searches::ManifestSearches;
+use crate::pinned_requests::PinnedRequests;
 use crate::rate::RateLimiter;
 use crate::reservation_requests::ReservationQueue;
 use crate::runner_slots::RunnerSlots;
@@ -36,8 +37,8 @@
 /// a pending order starts no new requests.
 const LAST_ORDER_MARGIN_MS: u64 = 1500;
 
-/// Maximum number of running requests that an order may abort. Gateways resume them at other runners, which
-/// costs less than a runner that waits for its last few requests.
+/// Maximum number of running requests that an order may abort, unless one of them is pinned. Gateways resume
+/// them at other runners, which costs less than a runner that waits for its last few requests.
 const MAX_ABORTED_REQUESTS: u32 = 2;
 /// How long a runner may take to drain to `MAX_ABORTED_REQUESTS`, in milliseconds.
 const DRAIN_TIMEOUT_MS: u64 = 1500;
@@ -76,6 +77,7 @@
     /// Whether the runner reports that it is leaving.
     runner_leaves: bool,
     slots: RunnerSlots,
+    pinned: PinnedRequests,
     cold: ColdStart,
     rate: RateLimiter,
     reservation_queue: ReservationQueue,
@@ -120,6 +122,7 @@
             retired_at: None,
             runner_leaves: false,
             slots,
+            pinned: PinnedRequests::default(),
             rate: RateLimiter::default(),
             reservation_queue: ReservationQueue::default(),
             first_attempts: FirstAttempts::default(),
@@ -230,6 +233,7 @@
             Event::ReservationRequested(reservation) => {
                 return vec![self.handle_reservation_request(now, reservation)]
             }
+            Event::PinEnded { asker, number } => self.pinned.remove(asker, number),
             Event::Peers(peers) => self.update_peers(now, peers),
             Event::ManifestReceived(version, manifest) => {
                 let (Some(plan), Some(all)) = (self.plan.clone(), self.peers.clone()) else {
@@ -439,7 +443,7 @@
         target.step = Step::Ordered(now, status.sequence);
         self.ordered_at = Some(now);
         self.own_order_at = now;
-        let abort_running = status.running > 0 && status.running <= MAX_ABORTED_REQUESTS;
+        let abort_running = status.running > 0 && self.may_abort(now, status.running);
         vec![Effect::Order(LoadOrder {
             version,
             sequence: status.sequence,
--- a/components/rollout/src/reducer/admission.rs
+++ b/components/rollout/src/reducer/admission.rs
@@ -25,7 +25,10 @@
         let admitted = self.admit(now, &reservation);
         self.record_admission(now, &reservation, admitted);
         let reply = match admitted {
-            Ok(()) => ReservationReply::Granted,
+            Ok(()) => {
+                self.pinned.add(now, &reservation);
+                ReservationReply::Granted
+            }
             Err(denial) if self.may_queue(now, &reservation, denial) => {
                 self.reservation_queue.push(now, reservation.clone());
                 ReservationReply::Queued
@@ -91,6 +94,7 @@
                     let granted = self.reservation_queue.pop();
                     let is_repeated = granted.as_ref().is_some_and(ReservationRequest::is_repeated);
                     self.first_attempts.note_granted(is_repeated);
+                    granted.iter().for_each(|it| self.pinned.add(now, it));
                     effects.extend(granted.map(|it| Effect::Answer(it, ReservationReply::Granted)));
                 }
                 Err(denial) if denial.is_short() => {
--- a/components/rollout/src/reducer/moves.rs
+++ b/components/rollout/src/reducer/moves.rs
@@ -196,6 +196,12 @@
         }
     }
 
+    /// Returns whether an order may abort the requests at the runner: they are few, and other runners can
+    /// complete each of them.
+    pub(super) fn may_abort(&self, now: Millis, running: u32) -> bool {
+        running <= MAX_ABORTED_REQUESTS && !self.pinned.may_be_running(now)
+    }
+
     /// Returns why a scheduled order is sent now. `None` if the runner drains first.
     fn order_reason(&self, now: Millis) -> Option<OrderReason> {
         let running = self.status.as_ref()?.running;
@@ -203,7 +209,7 @@
         if running == 0 && !is_in_transit {
             return Some(OrderReason::Idle);
         }
-        if running <= MAX_ABORTED_REQUESTS && !is_in_transit {
+        if self.may_abort(now, running) && !is_in_transit {
             return Some(OrderReason::FewRunning);
         }
         if self.is_deadline_near(now) {
--- a/components/rollout/src/reducer/status.rs
+++ b/components/rollout/src/reducer/status.rs
@@ -23,10 +23,12 @@
         let has_restarted = change == IncarnationChange::Restarted;
         if has_restarted {
             self.slots.reset();
+            self.pinned.clear();
             self.rate = RateLimiter::default();
             self.waiting_since = None;
         }
         self.slots.apply_report(now, status.running);
+        self.pinned.apply_report(now, status.running);
         self.status_at = now;
         self.waiting_since = match status.waiting {
             0 => None,
--- a/components/rollout/src/reservation_requests.rs
+++ b/components/rollout/src/reservation_requests.rs
@@ -30,6 +30,9 @@
     pub target_left_ms: u64,
     /// How long the request may wait for a slot, in milliseconds.
     pub max_wait_ms: u64,
+    /// How much longer the request may take, in milliseconds, if it is pinned to the runner: were it aborted
+    /// there, no other runner could complete it.
+    pub pinned_ms: Option<u64>,
 }
 
 impl ReservationRequest {
--- a/components/rollout/tests/cold.rs
+++ b/components/rollout/tests/cold.rs
@@ -62,6 +62,7 @@
             rank: 0,
             target_left_ms: 400,
             max_wait_ms,
+            pinned_ms: None,
         }))
     }
 
--- a/components/rollout/tests/evacuations.rs
+++ b/components/rollout/tests/evacuations.rs
@@ -56,6 +56,7 @@
         rank: 1,
         target_left_ms: 400,
         max_wait_ms: 500,
+        pinned_ms: None,
     };
     let now = Millis(fleet.now);
     for number in 1..4 {
--- a/components/rollout/tests/reservation_requests.rs
+++ b/components/rollout/tests/reservation_requests.rs
@@ -43,6 +43,7 @@
         rank,
         target_left_ms: 400,
         max_wait_ms,
+        pinned_ms: None,
     }
 }
 
--- a/components/rollout/tests/restarts.rs
+++ b/components/rollout/tests/restarts.rs
@@ -65,6 +65,7 @@
             rank: 0,
             target_left_ms: 400,
             max_wait_ms: 0,
+            pinned_ms: None,
         };
         let effects = self.deliver(Event::ReservationRequested(reservation));
         effects.iter().any(|it| matches!(it, Effect::Answer(_, ReservationReply::Granted)))
--- a/components/rollout/tests/support/effects.rs
+++ b/components/rollout/tests/support/effects.rs
@@ -45,7 +45,7 @@
                 runner.version = None;
                 self.retired.push((index, version, self.now));
             }
-            Effect::Order(order) => self.order(index, order.version, order.sequence),
+            Effect::Order(order) => self.order(index, order),
         }
     }
 
@@ -63,7 +63,8 @@
     }
 
     /// Orders a runner to load a version.
-    fn order(&mut self, index: usize, version: u64, sequence: u64) {
+    fn order(&mut self, index: usize, order: LoadOrder) {
+        let LoadOrder { version, sequence, abort_running, .. } = order;
         let runner = &mut self.runners[index];
         assert_eq!(
             runner.sequence, sequence,
@@ -71,6 +72,9 @@
         );
         assert!(runner.taking.is_none(), "ordered while another order is pending");
         runner.sequence += 1;
+        if abort_running {
+            self.aborted += runner.running;
+        }
         runner.taking = Some((self.now + LOAD_MS, version));
         self.orders.push((index, version, self.now));
         self.schedule(5, index, Event::Ordered(version, OrderOutcome::Taken));
--- a/components/rollout/tests/support/mod.rs
+++ b/components/rollout/tests/support/mod.rs
@@ -46,6 +46,8 @@
     pub pending: Vec<PendingEvent>,
     pub origin_chunks: u32,
     pub orders: Vec<(usize, u64, u64)>,
+    /// Number of running requests that orders aborted.
+    pub aborted: u32,
     /// Whether writing chunks to runners always fails.
     pub staging_fails: bool,
     /// Runners that dropped a version, the version, and the time.
@@ -143,6 +145,7 @@
             pending: Vec::new(),
             origin_chunks: 0,
             orders: Vec::new(),
+            aborted: 0,
             retired: Vec::new(),
             staging_fails: false,
             lose_every,
--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -10,6 +10,7 @@
 mod logs;
 mod narrow_paths;
 mod narrow_store_links;
+mod orders;
 mod outages;
 mod refusals;
 mod reload;
