Sidecar: a pinned request that ends in the queue gets no slot

An order waited 1.5 s for a request whose caller had left. Its gateway said that it had ended while it still waited for a slot; the sidecar looked among the granted ones only, granted the slot later to nobody, and kept the pin for the time limit of the request. Found by a reader of the change.

Change: the end of a pinned request takes it out of the queue too. The new test had no order 200 ms after it was due, and two movable requests were not aborted; now there is one.

--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -233,7 +233,10 @@
             Event::ReservationRequested(reservation) => {
                 return vec![self.handle_reservation_request(now, reservation)]
             }
-            Event::PinEnded { asker, number } => self.pinned.remove(asker, number),
+            Event::PinEnded { asker, number } => {
+                self.pinned.remove(asker, number);
+                self.reservation_queue.remove(asker, number);
+            }
             Event::Peers(peers) => self.update_peers(now, peers),
             Event::ManifestReceived(version, manifest) => {
                 let (Some(plan), Some(all)) = (self.plan.clone(), self.peers.clone()) else {
--- a/components/rollout/src/reservation_requests.rs
+++ b/components/rollout/src/reservation_requests.rs
@@ -129,6 +129,14 @@
         expired.into_iter().map(|it| it.reservation).collect()
     }
 
+    /// Removes a request whose gateway no longer waits for an answer.
+    pub(crate) fn remove(&mut self, asker: SocketAddr, number: u64) {
+        let is_other = |it: &QueuedReservation| {
+            (it.reservation.asker, it.reservation.number) != (asker, number)
+        };
+        self.waiting.retain(is_other);
+    }
+
     /// Removes all requests.
     pub(crate) fn take_all(&mut self) -> Vec<ReservationRequest> {
         self.waiting.drain(..).map(|it| it.reservation).collect()
--- a/components/rollout/tests/orders.rs
+++ b/components/rollout/tests/orders.rs
@@ -121,6 +121,19 @@
     assert_eq!(fleet.orders, []);
 }
 
+/// Guards against a slot that is granted to a caller who has left, and holds back the order.
+#[test]
+fn order_does_not_wait_for_a_pinned_request_that_ended_in_the_queue() {
+    let mut fleet = serving_fleet(plan().slots);
+    pin(&mut fleet, PINNED, 60_000);
+    end_pin(&mut fleet, PINNED);
+    fleet.runners[0].running = 2;
+    fleet.run(200);
+    announce_until_due(&mut fleet);
+    fleet.run(200);
+    assert_eq!((fleet.orders.len(), fleet.aborted), (1, 2));
+}
+
 /// The message that the request has ended may be lost.
 #[test]
 fn order_does_not_wait_for_a_pinned_request_past_its_time_limit() {
