Gateway: pin requests by the retries that its own requests may need

Change: a request is movable if there is a retry for it and one for each other request of its service under way at this gateway, four at most. The margin of four was for several streams that orders abort at the same time; a gateway that has one request needs one. Ruled out: one retry for all, with which real processes cut streams.

--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -1,7 +1,7 @@
 //! Handles the results of attempts: updates the state of the runner and decides whether the request
 //! is retried.
 
-use fleet::{Mechanism, Millis};
+use fleet::{Mechanism, Millis, ServiceName};
 use rand::rngs::SmallRng;
 
 use super::progress::Progress;
@@ -17,9 +17,8 @@
 const MAX_RATE_PAUSE_MS: u64 = 2000;
 /// Pause of a runner that reported that it is full, in milliseconds.
 const FULL_PAUSE_MS: u64 = 60;
-/// Number of retries that must be left for a request that is not pinned to its runner. Orders at several
-/// runners may abort requests of this gateway before it ends.
-const MIN_RETRIES_TO_MOVE: u32 = 4;
+/// Maximum number of requests of a gateway that orders at several runners may abort within a short time.
+const MAX_ABORTED_TOGETHER: usize = 4;
 
 impl Gateway {
     /// Handles the result of an attempt: the request continues, is retried or ends.
@@ -238,11 +237,22 @@
     pub(super) fn pinned_ms(&mut self, now: Millis, key: RequestKey) -> Option<u64> {
         let arrival = &self.requests.get(&key)?.arrival;
         let (service, left) = (arrival.service.clone(), arrival.deadline.since(now));
-        let is_movable = self.is_repeatable_elsewhere(now, key)
-            && self.has_retries(now, &service, MIN_RETRIES_TO_MOVE);
+        let retries = self.retries_to_move(key, &service);
+        let is_movable =
+            self.is_repeatable_elsewhere(now, key) && self.has_retries(now, &service, retries);
         (!is_movable).then_some(left.0)
     }
 
+    /// Number of retries that must be left for a request that is not pinned: one for it, and one for each
+    /// other request of its service that an order may abort before it ends.
+    fn retries_to_move(&self, key: RequestKey, service: &ServiceName) -> u32 {
+        let is_under_way = |it: &&Progress| {
+            it.arrival.key != key && it.arrival.service == *service && it.current.is_some()
+        };
+        let others = self.requests.values().filter(is_under_way).take(MAX_ABORTED_TOGETHER - 1);
+        1 + others.count() as u32
+    }
+
     /// Whether a request may be sent to another runner after its current one has run it.
     fn is_repeatable_elsewhere(&self, now: Millis, key: RequestKey) -> bool {
         let Some(progress) = self.requests.get(&key) else {
