Date versions by the reported clock while the store's answers are slow

A gateway that starts against a slow store could refuse an older version up to one call early: its only answer bounds the store's clock from above by the length of the call, and a version is dated by that bound, and stays so since keeps the earliest conversion of a date.

Change: while the answers leave more than 150 ms between the bounds, and another process has reported the clock, that value counts, within the bounds. With closer answers, or without reports, nothing changes.

The new test dated a version 1,300 ms too early; now by the report, and by the next fast answer within 11 ms.

--- a/components/edge/src/store_time.rs
+++ b/components/edge/src/store_time.rs
@@ -81,32 +81,32 @@
         self.reported.record(now, clock_ms);
     }
 
-    /// An upper bound of the store's clock at a time, in milliseconds, from answers of the store, or else
-    /// from reports of other processes. `None` if nothing was received lately.
-    pub fn clock_ms(&self, now: Instant) -> Option<u64> {
-        self.upper_bound_ms(now).or_else(|| self.reported.clock_ms(now))
+    /// The store's clock at a time, in milliseconds: the upper bound by its answers, or the clock that other
+    /// processes reported if the answers do not bound it closely. `None` if nothing was received lately.
+    fn clock_ms(&self, now: Instant) -> Option<u64> {
+        let reported_ms = self.reported.clock_ms(now);
+        let Some((lower, upper)) = self.bounds_ms(now) else {
+            return reported_ms;
+        };
+        let estimate_ms = reported_ms.filter(|_| !is_close(lower, upper));
+        Some(estimate_ms.map_or(upper, |it| it.max(lower).min(upper)))
     }
 
     /// The clock value to report to other processes, in milliseconds. `None` while the answers of the store
     /// do not bound it closely enough.
     pub fn clock_ms_to_report(&self, now: Instant) -> Option<u64> {
-        let Some((lower, upper)) = self.lower_bound_ms(now).zip(self.upper_bound_ms(now)) else {
+        let Some((lower, upper)) = self.bounds_ms(now) else {
             return self.reported.clock_ms(now);
         };
-        let is_close = upper.saturating_sub(lower) <= MAX_REPORTED_LEAD_MS + MAX_REPORTED_LAG_MS;
-        is_close.then_some(upper.min(lower + MAX_REPORTED_LEAD_MS))
-    }
-
-    /// An upper bound of the store's clock by its answers, in milliseconds.
-    fn upper_bound_ms(&self, now: Instant) -> Option<u64> {
-        let upper_bound = |it: &Reading| it.clock_ms + elapsed_ms(now, it.produced_at) + 1;
-        self.readings.iter().map(upper_bound).min()
+        is_close(lower, upper).then_some(upper.min(lower + MAX_REPORTED_LEAD_MS))
     }
 
-    /// A lower bound of the store's clock by its answers, in milliseconds.
-    fn lower_bound_ms(&self, now: Instant) -> Option<u64> {
+    /// The lower and the upper bound of the store's clock by its answers, in milliseconds.
+    fn bounds_ms(&self, now: Instant) -> Option<(u64, u64)> {
         let lower_bound = |it: &Reading| it.clock_ms + elapsed_ms(now, it.arrived_at);
-        self.readings.iter().map(lower_bound).max()
+        let upper_bound = |it: &Reading| it.clock_ms + elapsed_ms(now, it.produced_at) + 1;
+        let lower_ms = self.readings.iter().map(lower_bound).max();
+        lower_ms.zip(self.readings.iter().map(upper_bound).min())
     }
 
     /// Sets the ages that reported versions have at `now` by the store's clock, since the reports were delayed
@@ -126,6 +126,11 @@
     }
 }
 
+/// Whether bounds of the store's clock, in milliseconds, determine it well enough to tell others.
+fn is_close(lower_ms: u64, upper_ms: u64) -> bool {
+    upper_ms.saturating_sub(lower_ms) <= MAX_REPORTED_LEAD_MS + MAX_REPORTED_LAG_MS
+}
+
 fn elapsed_ms(now: Instant, earlier: Instant) -> u64 {
     now.saturating_duration_since(earlier).as_millis() as u64
 }
--- a/components/edge/src/store_time/tests.rs
+++ b/components/edge/src/store_time/tests.rs
@@ -88,6 +88,21 @@
     assert_eq!(time.clock_ms_to_report(now), Some(9011));
 }
 
+/// A gateway that starts against a slow store hears the clock from others first.
+#[test]
+fn a_slow_answer_of_the_store_does_not_make_a_version_look_older() {
+    let (mut time, start) = (StoreTime::default(), Instant::now());
+    let now = start + Duration::from_millis(10_000);
+    time.record_report(now, 10_000);
+    record_answer(&mut time, start, 9900, AnswerTimes { call_ms: 1300, transit_ms: 100 });
+    let mut reported_versions = [named(None, Some(9000))];
+    time.set_ages(now, &mut reported_versions);
+    assert_eq!(reported_versions[0].age_ms, Some(1000));
+    record_answer(&mut time, start, 9950, AnswerTimes { call_ms: 10, transit_ms: 20 });
+    time.set_ages(now, &mut reported_versions);
+    assert_eq!(reported_versions[0].age_ms, Some(1011));
+}
+
 proptest! {
     /// Late answers do not put the reported clock further ahead or behind than receivers can bear.
     #[test]
