Gateway: an answer of a sidecar also ends older silences, before its load sends waiting requests

A query that was sent before an answer and was lost began a pause after it; and a reply dispatched its load, which sends waiting requests, before the answer had ended the pause, so they waited for the next event.

Change: the time of an answer counts as the end of a silence, and a reply ends the pause first.

--- a/components/edge/src/gateway/sidecar_datagrams.rs
+++ b/components/edge/src/gateway/sidecar_datagrams.rs
@@ -100,12 +100,13 @@
             Datagram::Reserved { question: request_number, reply, load, evacuations, limit } => {
                 core.dispatch(Event::Evacuations(evacuations));
                 let runner = core.reservations.runner(request_number);
-                if let Some((runner, load)) = runner.zip(load) {
-                    core.dispatch(Event::Load(runner, load));
-                }
                 if let Some(runner) = runner {
                     core.dispatch(Event::LimitReported(runner, limit));
                 }
+                // Sends waiting requests, so it comes last.
+                if let Some((runner, load)) = runner.zip(load) {
+                    core.dispatch(Event::Load(runner, load));
+                }
                 core.reservations.deliver_reply(request_number, reply);
             }
             Datagram::Gateways(list) => core.dispatch(Event::Gateways(list)),
--- a/components/gateway/src/pauses.rs
+++ b/components/gateway/src/pauses.rs
@@ -37,7 +37,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct SilencePause {
     pause: FailurePause,
-    /// When the pause last began, or was ended by a message.
+    /// When the pause last began or ended.
     changed_at: Millis,
     /// Whether the next message ends the pause.
     ends_with_message: bool,
@@ -58,8 +58,9 @@
     }
 
     /// Records that the sidecar answered a query in time.
-    pub(crate) fn note_answer(&mut self) {
+    pub(crate) fn note_answer(&mut self, now: Millis) {
         self.pause = FailurePause::default();
+        self.changed_at = now;
         self.ends_with_message = false;
     }
 
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -272,7 +272,7 @@
         now: Millis,
         reported_limit: Option<ReportedLimit>,
     ) -> Option<AdvertisedLimit> {
-        self.silence_pause.note_answer();
+        self.silence_pause.note_answer(now);
         self.is_limit_enforced = reported_limit.is_some();
         self.learn_limit(now, reported_limit?)
     }
--- a/components/gateway/tests/sidecar_silences.rs
+++ b/components/gateway/tests/sidecar_silences.rs
@@ -129,6 +129,17 @@
     }
 }
 
+#[test]
+fn a_query_from_before_an_answer_pauses_no_runner() {
+    let mut fixture = fixture();
+    ask(&mut fixture, 1);
+    fixture.now += 20;
+    fixture.feed(answer());
+    fixture.now += 25;
+    fixture.outcome(1, AttemptOutcome::Silent);
+    assert!(!is_paused(&fixture));
+}
+
 #[test]
 fn the_first_message_after_a_long_silence_ends_its_pause() {
     let mut fixture = fixture();
