Quarantine: name digests and reports by what crashes are attributed to

RequestDigest, RequestReport and RequestStatus become SubjectDigest, SubjectReport and SubjectStatus: what crashes are attributed to will be parts of prompts as well as whole requests. Names only; the encoding of messages and rows has no names of types, and the samples of landed builds are read as before.

--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -14,7 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use platform::headers::{self, RequestHeaders};
-use quarantine::RequestDigest;
+use quarantine::SubjectDigest;
 
 use super::answer::{error_answer, refusal, AnswerBody};
 use super::attempts::{AnsweredAttempt, Attempts, AttemptsResult};
@@ -152,7 +152,8 @@
         return refuse_stopping(&trace, id.as_deref());
     }
     let path = head.uri.path_and_query().map_or("", |it| it.as_str());
-    let digest = RequestDigest::of(head.method.as_str(), path, routed.workspace.as_ref(), &body);
+    let digest =
+        SubjectDigest::of_request(head.method.as_str(), path, routed.workspace.as_ref(), &body);
     trace.set_kind(kind_name(routed.kind));
     trace.add(Decision::Routed {
         route: routed.route.clone(),
--- a/components/edge/src/message/samples.rs
+++ b/components/edge/src/message/samples.rs
@@ -5,7 +5,7 @@
 
 use fleet::{Evacuation, IncarnationReport, Millis};
 use gateway::{KnownGateway, WeightsHeld};
-use quarantine::{CrashLedger, IncarnationDigest, ListScope, RequestDigest};
+use quarantine::{CrashLedger, IncarnationDigest, ListScope, SubjectDigest};
 use rollout::ColdPlan;
 
 use super::*;
@@ -30,7 +30,7 @@
     let mut ledger = CrashLedger::default();
     for number in 0..3 {
         let life = IncarnationDigest::of(&format!("i-{number}").as_str().into(), Some(1));
-        ledger.note_crash(Millis(1_000_000), RequestDigest(77), life, Millis(500_000));
+        ledger.note_crash(Millis(1_000_000), SubjectDigest(77), life, Millis(500_000));
     }
     ledger.list(Millis(1_000_000), ListScope::Suspects, 0)
 }
--- a/components/edge/src/message/tests.rs
+++ b/components/edge/src/message/tests.rs
@@ -2,7 +2,7 @@
 
 use fleet::{Evacuation, Millis};
 use gateway::{GatewayList, KnownGateway};
-use quarantine::{CrashLedger, IncarnationDigest, ListScope, RequestDigest};
+use quarantine::{CrashLedger, IncarnationDigest, ListScope, SubjectDigest};
 
 use super::*;
 
@@ -49,7 +49,7 @@
 fn crash_bytes(requests: u64, crashes_of_each: u32) -> usize {
     let mut ledger = CrashLedger::default();
     for request in 0..requests {
-        let digest = RequestDigest(u64::MAX - request);
+        let digest = SubjectDigest(u64::MAX - request);
         for number in 0..crashes_of_each {
             let life = IncarnationDigest::of(&format!("i-{number}").as_str().into(), Some(1));
             ledger.note_crash(Millis(1_000_000), digest, life, Millis(500_000));
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -10,7 +10,7 @@
     IncarnationChange, IncarnationReport, InstanceId, Millis, ModelName, Region, ReportedLimit,
     ServiceName, WorkspaceId,
 };
-use quarantine::{CrashEvent, CrashList, RequestDigest};
+use quarantine::{CrashEvent, CrashList, SubjectDigest};
 
 use crate::catalog::{Catalog, RouteKind};
 use crate::home_faults::HomeFault;
@@ -67,7 +67,7 @@
     /// Key of the request.
     pub key: RequestKey,
     /// Digest of its content: the same for each attempt of its caller.
-    pub digest: RequestDigest,
+    pub digest: SubjectDigest,
     /// Name of its route.
     pub route: String,
     /// The workspace that it belongs to.
@@ -239,7 +239,7 @@
     /// A sidecar or the platform's store reported requests that crashed runners.
     Crashes(CrashList),
     /// The platform's store holds the quarantine of this request.
-    QuarantineRecorded(RequestDigest),
+    QuarantineRecorded(SubjectDigest),
     /// A request arrived.
     Arrived(Arrival),
     /// The response of the runner that a request was sent to contains this information about the
--- a/components/gateway/src/reducer/crashes.rs
+++ b/components/gateway/src/reducer/crashes.rs
@@ -3,8 +3,8 @@
 use errors::Code;
 use fleet::{InstanceId, Millis};
 use quarantine::{
-    Admission, CrashEvent, CrashList, Crashes, IncarnationDigest, ListScope, RequestDigest,
-    RunnerLiveness,
+    Admission, CrashEvent, CrashList, Crashes, IncarnationDigest, ListScope, RunnerLiveness,
+    SubjectDigest,
 };
 use rand::rngs::SmallRng;
 
@@ -63,7 +63,7 @@
     pub(super) fn note_end(
         &mut self,
         now: Millis,
-        digest: RequestDigest,
+        digest: SubjectDigest,
         selected: &SelectedRunner,
         outcome: AttemptOutcome,
     ) -> Vec<Effect> {
@@ -118,14 +118,14 @@
     /// the platform's store is not known to hold the quarantine.
     pub fn crashed_incarnations(
         &self,
-        digest: RequestDigest,
+        digest: SubjectDigest,
         unrecorded: bool,
     ) -> Option<Vec<IncarnationDigest>> {
         self.crashes.ledger.incarnations_under(digest, unrecorded)
     }
 
     /// The quarantined requests.
-    pub fn quarantined(&self) -> Vec<RequestDigest> {
+    pub fn quarantined(&self) -> Vec<SubjectDigest> {
         self.crashes.ledger.quarantined()
     }
 
--- a/components/gateway/tests/crashes.rs
+++ b/components/gateway/tests/crashes.rs
@@ -10,7 +10,7 @@
 use quarantine::*;
 use support::*;
 
-const REQUEST: RequestDigest = RequestDigest(77);
+const REQUEST: SubjectDigest = SubjectDigest(77);
 /// Longer than the time within which a runner has to show that it is alive, in milliseconds.
 const SETTLE_MS: u64 = 700;
 
@@ -127,7 +127,7 @@
     assert_eq!(fixture.gateway.crash_counts(), (1, 0));
     fixture.outcome(20, AttemptOutcome::Answered);
     let effects = fixture.feed(Event::Attempt(RequestKey(20), AttemptOutcome::Finished));
-    let digest = RequestDigest(20);
+    let digest = SubjectDigest(20);
     let change = CrashChange::Cleared { digest, was_quarantined: false };
     let cleared = Effect::Crash(CrashEvent::Changed { change, is_own: true });
     assert!(effects.contains(&cleared), "{effects:?}");
@@ -272,7 +272,7 @@
     CrashEvent::Changed { change: CrashChange::Quarantined(REQUEST), is_own }
 }
 
-fn crashed_incarnations(_: RequestDigest, _: bool) -> Option<Vec<IncarnationDigest>> {
+fn crashed_incarnations(_: SubjectDigest, _: bool) -> Option<Vec<IncarnationDigest>> {
     Some(vec![IncarnationDigest::of(&"r1".into(), None)])
 }
 
@@ -344,7 +344,7 @@
 }
 
 /// The incarnations ended by a request whose row is known to be written.
-fn recorded(digest: RequestDigest, unrecorded: bool) -> Option<Vec<IncarnationDigest>> {
+fn recorded(digest: SubjectDigest, unrecorded: bool) -> Option<Vec<IncarnationDigest>> {
     crashed_incarnations(digest, unrecorded).filter(|_| !unrecorded)
 }
 
--- a/components/gateway/tests/runner_incarnations.rs
+++ b/components/gateway/tests/runner_incarnations.rs
@@ -155,7 +155,7 @@
 #[test]
 fn each_life_that_a_request_crashes_counts() {
     let mut fixture = Fixture::new();
-    let digest = quarantine::RequestDigest(77);
+    let digest = quarantine::SubjectDigest(77);
     for incarnation in 1..=3 {
         fixture.feed(Event::Listed(entry(incarnation_at(incarnation, 0))));
         fixture.pass(5000);
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -12,7 +12,7 @@
     ServiceName,
 };
 use gateway::*;
-use quarantine::RequestDigest;
+use quarantine::SubjectDigest;
 
 /// The model service in the tests.
 pub const MODEL_SERVICE: &str = "assistant";
@@ -124,7 +124,7 @@
 pub fn arrival(key: u64, service: &str, kind: RouteKind) -> Arrival {
     Arrival {
         key: RequestKey(key),
-        digest: RequestDigest(key),
+        digest: SubjectDigest(key),
         route: "r".into(),
         workspace: None,
         homes: HomeRegions::anywhere(),
--- a/components/node/src/entry/callers.rs
+++ b/components/node/src/entry/callers.rs
@@ -10,7 +10,7 @@
 use futures_lite::FutureExt;
 use http_types::{Request, Response, StatusCode};
 use net::{error_response, Caller, Handler, Reply};
-use quarantine::RequestDigest;
+use quarantine::SubjectDigest;
 use reducer::{Arrival, EntryEvent, SavedAnswer, Target};
 use serde::Deserialize;
 use settings::RequestKind;
@@ -100,7 +100,7 @@
     };
     let arrival = Arrival {
         request: id,
-        digest: RequestDigest::of(
+        digest: SubjectDigest::of_request(
             request.method().as_ref(),
             &format!("{path}{query}"),
             Some(&workspace),
--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -8,9 +8,9 @@
 
 use fleet::{InstanceId, Millis};
 
-use crate::digest::RequestDigest;
+use crate::digest::SubjectDigest;
 use crate::incarnation::IncarnationDigest;
-use crate::ledger::{CrashChange, CrashLedger, RequestStatus, SUCCESS_GRACE_MS};
+use crate::ledger::{CrashChange, CrashLedger, SubjectStatus, SUCCESS_GRACE_MS};
 use crate::messages::CrashList;
 
 /// How long to wait for a report of the runner before a suspicion is confirmed as a crash. Longer than the
@@ -40,7 +40,7 @@
 /// An attempt that failed midway and may have crashed its runner.
 #[derive(Clone, Debug)]
 struct Suspicion {
-    digest: RequestDigest,
+    digest: SubjectDigest,
     runner: InstanceId,
     life: IncarnationDigest,
     at: Millis,
@@ -52,7 +52,7 @@
     /// A runner crashed while it processed an attempt of this gateway.
     Crashed {
         /// The request.
-        digest: RequestDigest,
+        digest: SubjectDigest,
         /// The runner.
         runner: InstanceId,
         /// The number of known crashes under the request.
@@ -101,9 +101,9 @@
     pending: Vec<Suspicion>,
     /// When requests last succeeded here. Entries are removed once older than `SUCCESS_GRACE_MS` if space
     /// is needed.
-    successes: BTreeMap<RequestDigest, Millis>,
+    successes: BTreeMap<SubjectDigest, Millis>,
     /// Quarantined requests that this process is currently probing, with the key of the probing request.
-    probes: BTreeMap<RequestDigest, K>,
+    probes: BTreeMap<SubjectDigest, K>,
 }
 
 impl<K> Default for Crashes<K> {
@@ -122,7 +122,7 @@
     pub fn record_suspicion(
         &mut self,
         now: Millis,
-        digest: RequestDigest,
+        digest: SubjectDigest,
         runner: InstanceId,
         life: IncarnationDigest,
     ) {
@@ -154,7 +154,7 @@
     pub fn note_crash(
         &mut self,
         now: Millis,
-        digest: RequestDigest,
+        digest: SubjectDigest,
         runner: InstanceId,
         life: IncarnationDigest,
     ) -> Vec<CrashEvent> {
@@ -174,7 +174,7 @@
     }
 
     /// Records that a request succeeded.
-    pub fn note_success(&mut self, now: Millis, digest: RequestDigest) -> Option<CrashEvent> {
+    pub fn note_success(&mut self, now: Millis, digest: SubjectDigest) -> Option<CrashEvent> {
         self.pending.retain(|it| it.digest != digest);
         if self.successes.len() >= MAX_SUCCESSES {
             self.successes.retain(|_, at| now.since(*at).0 <= SUCCESS_GRACE_MS);
@@ -187,7 +187,7 @@
     }
 
     /// Whether a request succeeded here at most `SUCCESS_GRACE_MS` before `moment`, or after it.
-    fn has_recent_success(&self, digest: RequestDigest, moment: Millis) -> bool {
+    fn has_recent_success(&self, digest: SubjectDigest, moment: Millis) -> bool {
         self.successes.get(&digest).is_some_and(|at| moment <= at.plus(SUCCESS_GRACE_MS))
     }
 
@@ -212,7 +212,7 @@
         &mut self,
         now: Millis,
         key: K,
-        digest: RequestDigest,
+        digest: SubjectDigest,
         may_try: impl Fn() -> bool,
     ) -> Admission {
         self.ledger.ask(now, digest);
@@ -226,7 +226,7 @@
     }
 
     /// Whether a request that was admitted before may still be sent.
-    pub fn still_admits(&self, now: Millis, key: K, digest: RequestDigest) -> Admission {
+    pub fn still_admits(&self, now: Millis, key: K, digest: SubjectDigest) -> Admission {
         let is_probe = self.probes.get(&digest) == Some(&key);
         match self.admission(now, digest) {
             // The attempt of the probe failed as well; the request does not get a second one.
@@ -237,17 +237,17 @@
     }
 
     /// Removes the state of a request that has ended.
-    pub fn remove(&mut self, key: K, digest: RequestDigest) {
+    pub fn remove(&mut self, key: K, digest: SubjectDigest) {
         if self.probes.get(&digest) == Some(&key) {
             self.probes.remove(&digest);
         }
     }
 
-    fn admission(&self, now: Millis, digest: RequestDigest) -> Admission {
+    fn admission(&self, now: Millis, digest: SubjectDigest) -> Admission {
         match self.status(now, digest) {
-            RequestStatus::Clear => Admission::Admitted { is_suspect: false },
-            RequestStatus::Suspect => Admission::Admitted { is_suspect: true },
-            RequestStatus::Quarantined { probe_in_ms } => Admission::Refused {
+            SubjectStatus::Clear => Admission::Admitted { is_suspect: false },
+            SubjectStatus::Suspect => Admission::Admitted { is_suspect: true },
+            SubjectStatus::Quarantined { probe_in_ms } => Admission::Refused {
                 retry_after_ms: probe_in_ms
                     .map_or(NO_PROBE_RETRY_MS, |it| it.max(PROBE_ELSEWHERE_RETRY_MS)),
             },
@@ -256,18 +256,18 @@
 
     /// The status of a request, counting pending suspicions as crashes: a caller that retries immediately
     /// cannot reach more runners than the quarantine threshold.
-    fn status(&self, now: Millis, digest: RequestDigest) -> RequestStatus {
+    fn status(&self, now: Millis, digest: SubjectDigest) -> SubjectStatus {
         let pending = self.pending.iter().filter(|it| it.digest == digest);
         let incarnations: BTreeSet<IncarnationDigest> = pending.map(|it| it.life).collect();
         self.ledger.status(now, digest, &incarnations)
     }
 
-    fn is_probe_due(&self, now: Millis, digest: RequestDigest) -> bool {
+    fn is_probe_due(&self, now: Millis, digest: SubjectDigest) -> bool {
         let status = self.ledger.status(now, digest, &BTreeSet::new());
-        status == RequestStatus::Quarantined { probe_in_ms: Some(0) } && !self.has_pending(digest)
+        status == SubjectStatus::Quarantined { probe_in_ms: Some(0) } && !self.has_pending(digest)
     }
 
-    fn has_pending(&self, digest: RequestDigest) -> bool {
+    fn has_pending(&self, digest: SubjectDigest) -> bool {
         self.pending.iter().any(|it| it.digest == digest)
     }
 }
--- a/components/quarantine/src/digest.rs
+++ b/components/quarantine/src/digest.rs
@@ -12,9 +12,9 @@
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
-pub struct RequestDigest(pub u64);
+pub struct SubjectDigest(pub u64);
 
-impl RequestDigest {
+impl SubjectDigest {
     /// Computes the digest from the method, the path with its query, the workspace and the body.
     pub fn of(method: &str, path: &str, workspace: Option<&WorkspaceId>, body: &[u8]) -> Self {
         let workspace = workspace.map_or("", |it| it.0.as_str());
@@ -31,7 +31,7 @@
     }
 }
 
-impl fmt::Display for RequestDigest {
+impl fmt::Display for SubjectDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
     }
--- a/components/quarantine/src/ledger.rs
+++ b/components/quarantine/src/ledger.rs
@@ -12,9 +12,9 @@
 
 pub(crate) use self::entry::SUCCESS_GRACE_MS;
 use self::entry::{Entry, QUARANTINE_THRESHOLD};
-use crate::digest::RequestDigest;
+use crate::digest::SubjectDigest;
 use crate::incarnation::IncarnationDigest;
-use crate::messages::{CrashList, ListScope, RequestReport};
+use crate::messages::{CrashList, ListScope, SubjectReport};
 
 /// Most requests that are kept, a few hundred bytes each.
 const MAX_REQUESTS: usize = 1024;
@@ -23,7 +23,7 @@
 
 /// The status of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RequestStatus {
+pub enum SubjectStatus {
     /// No runner is known to have crashed under it.
     Clear,
     /// Runners crashed under it, fewer than the quarantine threshold.
@@ -39,11 +39,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashChange {
     /// The request is in quarantine now.
-    Quarantined(RequestDigest),
+    Quarantined(SubjectDigest),
     /// The request succeeded and is no longer suspect.
     Cleared {
         /// The request.
-        digest: RequestDigest,
+        digest: SubjectDigest,
         /// Whether the request was in quarantine.
         was_quarantined: bool,
     },
@@ -52,7 +52,7 @@
 /// The requests that runners crashed under, as known to one process.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
-    requests: BTreeMap<RequestDigest, Entry>,
+    requests: BTreeMap<SubjectDigest, Entry>,
 }
 
 impl CrashLedger {
@@ -60,7 +60,7 @@
     pub fn note_crash(
         &mut self,
         now: Millis,
-        digest: RequestDigest,
+        digest: SubjectDigest,
         life: IncarnationDigest,
         at: Millis,
     ) -> Option<CrashChange> {
@@ -71,7 +71,7 @@
     pub fn note_success(
         &mut self,
         now: Millis,
-        digest: RequestDigest,
+        digest: SubjectDigest,
         at: Millis,
     ) -> Option<CrashChange> {
         if !self.requests.contains_key(&digest) {
@@ -82,7 +82,7 @@
 
     /// Merges a list from another process.
     pub fn merge(&mut self, now: Millis, list: &CrashList) -> Vec<CrashChange> {
-        let take = |report: &RequestReport| {
+        let take = |report: &SubjectReport| {
             self.change(now, report.digest, |entry| entry.merge(now, report))
         };
         list.0.iter().filter_map(take).collect()
@@ -93,7 +93,7 @@
     fn change(
         &mut self,
         now: Millis,
-        digest: RequestDigest,
+        digest: SubjectDigest,
         change: impl FnOnce(&mut Entry) -> bool,
     ) -> Option<CrashChange> {
         let entry = self.requests.entry(digest).or_insert_with(|| Entry::new(now));
@@ -137,7 +137,7 @@
     }
 
     /// The status of a request for which a caller asks. Extends the time for which the request is kept.
-    pub fn ask(&mut self, now: Millis, digest: RequestDigest) -> RequestStatus {
+    pub fn ask(&mut self, now: Millis, digest: SubjectDigest) -> SubjectStatus {
         if let Some(entry) = self.requests.get_mut(&digest) {
             entry.asked_at = now;
         }
@@ -149,25 +149,25 @@
     pub fn status(
         &self,
         now: Millis,
-        digest: RequestDigest,
+        digest: SubjectDigest,
         suspected: &BTreeSet<IncarnationDigest>,
-    ) -> RequestStatus {
+    ) -> SubjectStatus {
         let known = self.requests.get(&digest);
         let is_new =
             |life: &&IncarnationDigest| known.is_none_or(|it| !it.crashes.contains_key(life));
         let crashes = known.map_or(0, |it| it.crashes.len());
         match crashes + suspected.iter().filter(is_new).count() {
-            0 => RequestStatus::Clear,
-            sum if sum < QUARANTINE_THRESHOLD => RequestStatus::Suspect,
+            0 => SubjectStatus::Clear,
+            sum if sum < QUARANTINE_THRESHOLD => SubjectStatus::Suspect,
             _ => {
                 let probe_at = known.filter(|it| it.is_quarantined()).and_then(Entry::probe_at);
-                RequestStatus::Quarantined { probe_in_ms: probe_at.map(|at| at.since(now).0) }
+                SubjectStatus::Quarantined { probe_in_ms: probe_at.map(|at| at.since(now).0) }
             }
         }
     }
 
     /// The number of runners that crashed under a request since it last succeeded.
-    pub fn crashes(&self, digest: RequestDigest) -> usize {
+    pub fn crashes(&self, digest: SubjectDigest) -> usize {
         self.requests.get(&digest).map_or(0, |it| it.crashes.len())
     }
 
@@ -175,7 +175,7 @@
     /// platform's store is not known to contain the quarantine.
     pub fn incarnations_under(
         &self,
-        digest: RequestDigest,
+        digest: SubjectDigest,
         unrecorded: bool,
     ) -> Option<Vec<IncarnationDigest>> {
         let entry = self.requests.get(&digest).filter(|it| it.is_quarantined())?;
@@ -184,13 +184,13 @@
     }
 
     /// The requests in quarantine.
-    pub fn quarantined(&self) -> Vec<RequestDigest> {
+    pub fn quarantined(&self) -> Vec<SubjectDigest> {
         let quarantined = self.requests.iter().filter(|it| it.1.is_quarantined());
         quarantined.map(|it| *it.0).collect()
     }
 
     /// Records that the platform's store contains the quarantine of a request.
-    pub fn note_recorded(&mut self, now: Millis, digest: RequestDigest) {
+    pub fn note_recorded(&mut self, now: Millis, digest: SubjectDigest) {
         if let Some(entry) = self.requests.get_mut(&digest) {
             entry.is_recorded = true;
             entry.changed_at = now;
@@ -230,9 +230,9 @@
 
     /// One quarantined request that has not changed recently, so that processes that lost it receive it
     /// again.
-    fn older_quarantine(&self, now: Millis, draw: u64) -> Option<RequestReport> {
+    fn older_quarantine(&self, now: Millis, draw: u64) -> Option<SubjectReport> {
         let is_older =
-            |it: &&(&RequestDigest, &Entry)| it.1.is_quarantined() && !it.1.is_fresh(now);
+            |it: &&(&SubjectDigest, &Entry)| it.1.is_quarantined() && !it.1.is_fresh(now);
         let older: Vec<_> = self.requests.iter().filter(|it| is_older(&it)).collect();
         let index = draw.checked_rem(older.len() as u64)?;
         let (digest, entry) = older.get(index as usize)?;
--- a/components/quarantine/src/ledger/entry.rs
+++ b/components/quarantine/src/ledger/entry.rs
@@ -4,9 +4,9 @@
 
 use fleet::Millis;
 
-use crate::digest::RequestDigest;
+use crate::digest::SubjectDigest;
 use crate::incarnation::IncarnationDigest;
-use crate::messages::{CrashReport, RequestReport};
+use crate::messages::{CrashReport, SubjectReport};
 
 /// Number of runners that must crash under a request, with no success in between, to quarantine it. One or
 /// two may crash under a harmless request, because every request on a runner fails when another one crashes
@@ -105,7 +105,7 @@
     }
 
     /// Merges what another process reports of the request. Returns whether the entry changed.
-    pub(super) fn merge(&mut self, now: Millis, report: &RequestReport) -> bool {
+    pub(super) fn merge(&mut self, now: Millis, report: &SubjectReport) -> bool {
         let is_recorded = report.is_recorded && !self.is_recorded;
         self.is_recorded |= report.is_recorded;
         let success = report.success_age_ms.map(|age| now.minus(u64::from(age)));
@@ -125,13 +125,13 @@
     }
 
     /// The entry in the form that is sent to other processes.
-    pub(super) fn to_message(&self, now: Millis, digest: RequestDigest) -> RequestReport {
+    pub(super) fn to_message(&self, now: Millis, digest: SubjectDigest) -> SubjectReport {
         let age = |at: Millis| u32::try_from(now.since(at).0).unwrap_or(u32::MAX);
         let crash = |(life, at): (&IncarnationDigest, &Millis)| CrashReport {
             life: *life,
             age_ms: age(*at),
         };
-        RequestReport {
+        SubjectReport {
             digest,
             crashes: self.crashes.iter().map(crash).collect(),
             success_age_ms: self.succeeded_at.map(age),
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -12,8 +12,8 @@
 mod record;
 
 pub use crashes::{Admission, CrashEvent, Crashes, RunnerLiveness};
-pub use digest::RequestDigest;
+pub use digest::SubjectDigest;
 pub use incarnation::IncarnationDigest;
-pub use ledger::{CrashChange, CrashLedger, RequestStatus};
-pub use messages::{CrashList, CrashReport, ListScope, RequestReport};
+pub use ledger::{CrashChange, CrashLedger, SubjectStatus};
+pub use messages::{CrashList, CrashReport, ListScope, SubjectReport};
 pub use record::{QuarantineAnswer, QuarantineCall, QuarantineRecord};
--- a/components/quarantine/src/messages.rs
+++ b/components/quarantine/src/messages.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::digest::RequestDigest;
+use crate::digest::SubjectDigest;
 use crate::incarnation::IncarnationDigest;
 
 /// A crash.
@@ -16,9 +16,9 @@
 
 /// What one process knows of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RequestReport {
+pub struct SubjectReport {
     /// The request.
-    pub digest: RequestDigest,
+    pub digest: SubjectDigest,
     /// The crashes under the request.
     pub crashes: Vec<CrashReport>,
     /// How long ago the request last succeeded, in milliseconds, if that success is still kept.
@@ -30,7 +30,7 @@
 /// A part of a ledger, in the form that is sent to other processes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct CrashList(pub Vec<RequestReport>);
+pub struct CrashList(pub Vec<SubjectReport>);
 
 /// Which part of a ledger is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/components/quarantine/src/record.rs
+++ b/components/quarantine/src/record.rs
@@ -8,7 +8,7 @@
 use fleet::Millis;
 
 use crate::crashes::CrashEvent;
-use crate::digest::RequestDigest;
+use crate::digest::SubjectDigest;
 use crate::incarnation::IncarnationDigest;
 use crate::ledger::CrashChange;
 use crate::messages::CrashList;
@@ -30,9 +30,9 @@
     Read,
     /// Write the row of a request, with the runner incarnations that crashed under it. The call is
     /// idempotent.
-    Write(RequestDigest, Vec<IncarnationDigest>),
+    Write(SubjectDigest, Vec<IncarnationDigest>),
     /// Remove the row of a request that succeeded.
-    Remove(RequestDigest),
+    Remove(SubjectDigest),
 }
 
 /// The result of a call.
@@ -66,9 +66,9 @@
 pub struct QuarantineRecord {
     /// When the rows are to be read. `None` once they have been.
     read_at: Option<Millis>,
-    rows: BTreeMap<RequestDigest, (TargetState, Millis)>,
+    rows: BTreeMap<SubjectDigest, (TargetState, Millis)>,
     /// Rows that this process removed, and when.
-    removed: BTreeMap<RequestDigest, Millis>,
+    removed: BTreeMap<SubjectDigest, Millis>,
     failures: u32,
 }
 
@@ -105,7 +105,7 @@
         &mut self,
         now: Millis,
         seed: u64,
-        quarantined: impl IntoIterator<Item = RequestDigest>,
+        quarantined: impl IntoIterator<Item = SubjectDigest>,
     ) {
         let at = now.plus(seed % REWRITE_SPREAD_MS);
         for digest in quarantined {
@@ -122,12 +122,12 @@
     pub fn due(
         &mut self,
         now: Millis,
-        incarnations: impl Fn(RequestDigest, bool) -> Option<Vec<IncarnationDigest>>,
+        incarnations: impl Fn(SubjectDigest, bool) -> Option<Vec<IncarnationDigest>>,
     ) -> Option<QuarantineCall> {
         if self.read_at.is_some_and(|at| at <= now) {
             return Some(QuarantineCall::Read);
         }
-        let written = |digest: &RequestDigest, target: &TargetState| match target {
+        let written = |digest: &SubjectDigest, target: &TargetState| match target {
             TargetState::Present => incarnations(*digest, true),
             TargetState::PresentAgain => incarnations(*digest, false),
             TargetState::Absent => None,
@@ -155,7 +155,7 @@
         seed: u64,
         call: &QuarantineCall,
         answer: &QuarantineAnswer,
-    ) -> Option<RequestDigest> {
+    ) -> Option<SubjectDigest> {
         match (call, answer) {
             (QuarantineCall::Read, QuarantineAnswer::Rows(_)) => {
                 self.read_at = None;
@@ -179,7 +179,7 @@
     }
 
     /// Unschedules a row that is in its target state, unless the target has changed since.
-    fn complete(&mut self, digest: RequestDigest, done: &[TargetState]) {
+    fn complete(&mut self, digest: SubjectDigest, done: &[TargetState]) {
         self.failures = 0;
         if self.rows.get(&digest).is_some_and(|it| done.contains(&it.0)) {
             self.rows.remove(&digest);
--- a/components/quarantine/tests/digest.rs
+++ b/components/quarantine/tests/digest.rs
@@ -1,10 +1,10 @@
 //! Tests of which requests get the same digest.
 
 use fleet::WorkspaceId;
-use quarantine::RequestDigest;
+use quarantine::SubjectDigest;
 
-fn digest(method: &str, path: &str, workspace: &str, body: &[u8]) -> RequestDigest {
-    RequestDigest::of(method, path, Some(&WorkspaceId::from(workspace)), body)
+fn digest(method: &str, path: &str, workspace: &str, body: &[u8]) -> SubjectDigest {
+    SubjectDigest::of_request(method, path, Some(&WorkspaceId::from(workspace)), body)
 }
 
 #[test]
@@ -24,7 +24,7 @@
     assert_ne!(request, digest("POST", "/b", "w", b"body"));
     assert_ne!(request, digest("POST", "/a", "v", b"body"));
     assert_ne!(request, digest("POST", "/a", "w", b"other"));
-    assert_ne!(request, RequestDigest::of("POST", "/a", None, b"body"));
+    assert_ne!(request, SubjectDigest::of_request("POST", "/a", None, b"body"));
 }
 
 #[test]
--- a/components/quarantine/tests/ledger.rs
+++ b/components/quarantine/tests/ledger.rs
@@ -5,10 +5,10 @@
 use fleet::Millis;
 use proptest::prelude::*;
 use quarantine::{
-    CrashChange, CrashLedger, IncarnationDigest, ListScope, RequestDigest, RequestStatus,
+    CrashChange, CrashLedger, IncarnationDigest, ListScope, SubjectDigest, SubjectStatus,
 };
 
-const REQUEST: RequestDigest = RequestDigest(7);
+const REQUEST: SubjectDigest = SubjectDigest(7);
 const SECOND_MS: u64 = 1000;
 
 fn life(number: u8) -> IncarnationDigest {
@@ -32,18 +32,18 @@
     ledger
 }
 
-fn status(ledger: &mut CrashLedger, ms: u64) -> RequestStatus {
+fn status(ledger: &mut CrashLedger, ms: u64) -> SubjectStatus {
     ledger.ask(at(ms), REQUEST)
 }
 
-fn is_quarantined(status_of_request: RequestStatus) -> bool {
-    matches!(status_of_request, RequestStatus::Quarantined { .. })
+fn is_quarantined(status_of_request: SubjectStatus) -> bool {
+    matches!(status_of_request, SubjectStatus::Quarantined { .. })
 }
 
 #[test]
 fn three_crashes_quarantine_a_request() {
     let mut ledger = crashed(2);
-    assert_eq!(status(&mut ledger, 2000), RequestStatus::Suspect);
+    assert_eq!(status(&mut ledger, 2000), SubjectStatus::Suspect);
     assert_eq!(crash(&mut ledger, 2000, 2), Some(CrashChange::Quarantined(REQUEST)));
     assert!(is_quarantined(status(&mut ledger, 2000)));
 }
@@ -52,7 +52,7 @@
 fn each_incarnation_of_a_runner_counts_once() {
     let mut ledger = crashed(2);
     assert_eq!(crash(&mut ledger, 2000, 1), None);
-    assert_eq!(status(&mut ledger, 2000), RequestStatus::Suspect);
+    assert_eq!(status(&mut ledger, 2000), SubjectStatus::Suspect);
     let restarted = IncarnationDigest::of(&"i-1".into(), Some(1));
     assert_ne!(restarted, life(1));
     ledger.note_crash(at(2000), REQUEST, restarted, at(2000));
@@ -63,7 +63,7 @@
 fn pending_suspicions_count_as_crashes() {
     let ledger = crashed(2);
     let open = |numbers: &[u8]| numbers.iter().map(|it| life(*it)).collect::<BTreeSet<_>>();
-    assert_eq!(ledger.status(at(2000), REQUEST, &open(&[1])), RequestStatus::Suspect);
+    assert_eq!(ledger.status(at(2000), REQUEST, &open(&[1])), SubjectStatus::Suspect);
     assert!(is_quarantined(ledger.status(at(2000), REQUEST, &open(&[1, 2]))));
 }
 
@@ -74,10 +74,10 @@
     let cleared = ledger.note_success(at(3000), REQUEST, at(3000));
     let change = CrashChange::Cleared { digest: REQUEST, was_quarantined: true };
     assert_eq!(cleared, Some(change));
-    assert_eq!(status(&mut ledger, 3000), RequestStatus::Clear);
+    assert_eq!(status(&mut ledger, 3000), SubjectStatus::Clear);
     // The list was in transit for 900 ms; its ages are as of when it was sent.
     assert_eq!(ledger.merge(at(2900), &older), []);
-    assert_eq!(status(&mut ledger, 3400), RequestStatus::Clear);
+    assert_eq!(status(&mut ledger, 3400), SubjectStatus::Clear);
 }
 
 #[test]
@@ -99,7 +99,7 @@
     for number in 3..6 {
         crash(&mut ledger, 5500, number);
     }
-    assert_eq!(status(&mut ledger, 5500), RequestStatus::Clear);
+    assert_eq!(status(&mut ledger, 5500), SubjectStatus::Clear);
     for number in 6..9 {
         crash(&mut ledger, 5501, number);
     }
@@ -116,7 +116,7 @@
 #[test]
 fn a_quarantined_request_is_probed_after_ten_seconds_then_after_forty_more_and_never_again() {
     let probe = |ledger: &mut CrashLedger, ms| match status(ledger, ms) {
-        RequestStatus::Quarantined { probe_in_ms } => probe_in_ms,
+        SubjectStatus::Quarantined { probe_in_ms } => probe_in_ms,
         other => panic!("{other:?}"),
     };
     let mut ledger = crashed(3);
@@ -136,14 +136,14 @@
     ledger.forget_old(at(2 * hour - 1));
     assert!(is_quarantined(status(&mut ledger, 2 * hour - 1)));
     ledger.forget_old(at(3 * hour));
-    assert_eq!(status(&mut ledger, 3 * hour), RequestStatus::Clear);
+    assert_eq!(status(&mut ledger, 3 * hour), SubjectStatus::Clear);
 }
 
 #[test]
 fn ledger_and_lists_are_bounded_and_requests_with_most_crashes_come_first() {
     let mut ledger = crashed(3);
     for number in 100..5000 {
-        ledger.note_crash(at(4000), RequestDigest(number), life(9), at(4000));
+        ledger.note_crash(at(4000), SubjectDigest(number), life(9), at(4000));
     }
     assert_eq!(ledger.count(), (1024, 1));
     let report = ledger.list(at(4500), ListScope::Fresh, 0);
@@ -155,7 +155,7 @@
 #[test]
 fn older_quarantines_are_sent_one_per_list() {
     let mut ledger = CrashLedger::default();
-    for digest in [1, 2, 3].map(RequestDigest) {
+    for digest in [1, 2, 3].map(SubjectDigest) {
         for number in 0..3 {
             ledger.note_crash(at(0), digest, life(number), at(0));
         }
--- a/components/reducer/src/entry/crashes.rs
+++ b/components/reducer/src/entry/crashes.rs
@@ -7,7 +7,7 @@
 use errors::Code;
 use fleet::{InstanceId, Millis, Process, RequestId};
 use quarantine::{
-    Admission, CrashEvent, CrashList, Crashes, IncarnationDigest, ListScope, RequestDigest,
+    Admission, CrashEvent, CrashList, Crashes, IncarnationDigest, ListScope, SubjectDigest,
 };
 use wire::DatagramBody;
 
@@ -37,7 +37,7 @@
     }
 
     /// Whether a further attempt of a request is rejected because it crashes upstreams.
-    pub(super) fn is_barred(&self, now: Millis, request: RequestId, digest: RequestDigest) -> bool {
+    pub(super) fn is_barred(&self, now: Millis, request: RequestId, digest: SubjectDigest) -> bool {
         let admission = self.known_crashes.crashes.still_admits(now, request, digest);
         matches!(admission, Admission::Refused { .. })
     }
@@ -46,7 +46,7 @@
     pub(super) fn record_failure(
         &mut self,
         now: Millis,
-        digest: RequestDigest,
+        digest: SubjectDigest,
         agent: &InstanceId,
         code: Code,
     ) -> Vec<EntryEffect> {
@@ -62,14 +62,14 @@
     pub(super) fn record_success(
         &mut self,
         now: Millis,
-        digest: RequestDigest,
+        digest: SubjectDigest,
     ) -> Vec<EntryEffect> {
         let changes = self.known_crashes.crashes.note_success(now, digest);
         self.schedule_report(now, changes.into_iter().collect())
     }
 
     /// Removes the crash state of a request that has ended.
-    pub(super) fn remove_crash_state(&mut self, request: RequestId, digest: RequestDigest) {
+    pub(super) fn remove_crash_state(&mut self, request: RequestId, digest: SubjectDigest) {
         self.known_crashes.crashes.remove(request, digest);
     }
 
--- a/components/reducer/src/entry/event.rs
+++ b/components/reducer/src/entry/event.rs
@@ -4,7 +4,7 @@
 
 use errors::{Code, Error};
 use fleet::{InstanceId, Millis, ModelName, RequestId, ServiceName, WorkspaceId};
-use quarantine::{CrashEvent, RequestDigest};
+use quarantine::{CrashEvent, SubjectDigest};
 use wire::Load;
 
 use crate::changes::{ChangeEffect, ChangeEvent};
@@ -43,7 +43,7 @@
     /// Its id.
     pub request: RequestId,
     /// A digest of its content, which stays the same when the caller sends the request again.
-    pub digest: RequestDigest,
+    pub digest: SubjectDigest,
     /// The model or service that it addresses.
     pub target: Target,
     /// The workspace that it is accounted to.
--- a/components/reducer/src/entry/tests.rs
+++ b/components/reducer/src/entry/tests.rs
@@ -6,7 +6,7 @@
 use crate::routing::RoutingStrategy;
 use errors::{Code, Ran};
 use fleet::{Incarnation, Instance, InstanceId, ListedState, Location, Process};
-use quarantine::RequestDigest;
+use quarantine::SubjectDigest;
 use wire::{DatagramBody, Load, MemberState};
 
 const NOW: Millis = Millis(1_000);
@@ -55,7 +55,7 @@
 fn arrival(serial: u64, repeatable: bool) -> Arrival {
     Arrival {
         request: RequestId { entry: Incarnation(1), serial },
-        digest: RequestDigest(serial),
+        digest: SubjectDigest(serial),
         target: Target::Service("till".into()),
         workspace: "w".into(),
         prefix: 0,
@@ -334,7 +334,7 @@
 
 /// A request that its caller sends repeatedly, each time with a new id.
 fn repeated(serial: u64) -> Arrival {
-    Arrival { digest: RequestDigest(77), ..arrival(serial, true) }
+    Arrival { digest: SubjectDigest(77), ..arrival(serial, true) }
 }
 
 /// Lets a request crash three upstreams.
--- a/examples/slopes/entry.rs
+++ b/examples/slopes/entry.rs
@@ -1,7 +1,7 @@
 //! Entry: the time of the decisions for one request and of a tick, by the number of upstreams.
 
 use fleet::{Incarnation, Instance, Millis, Process, RequestId, ServiceName};
-use quarantine::RequestDigest;
+use quarantine::SubjectDigest;
 use reducer::{
     Arrival, AttemptId, ControlEvent, Entry, EntryEvent, EntryOptions, Estimate, RoutingStrategy,
     Target,
@@ -40,7 +40,7 @@
             let request = RequestId { entry: Incarnation(1), serial: u64::from(n) };
             let arrival = Arrival {
                 request,
-                digest: RequestDigest(u64::from(n)),
+                digest: SubjectDigest(u64::from(n)),
                 target: Target::Service("till".into()),
                 workspace: "w".into(),
                 prefix: u64::from(n),
