Logs: name the shared parts of prompts, how answers end and how long they had gone on

The hypotheses of the incident differ in three things that no line showed: whether two requests have a part of their prompts in common, whether an answer came with a length or chunks or ends with its connection, and how long a runner had been answering when an attempt failed.

Change: the adapter reads `Prompt-Prefix` (all parts but the last, which is the request's own) and whether an answer is delimited; `routed` names the digests of the parts, `answered` says that an answer ends with its connection, and `failed` how long the answer had gone on. Digests of parts have their upper 16 bits set, so that they can be told from those of requests. Nothing decides by any of this yet.

--- a/components/account/src/account.rs
+++ b/components/account/src/account.rs
@@ -126,18 +126,32 @@
 
 fn describe(decision: &Decision) -> String {
     match decision {
-        Decision::Routed { route, service, configuration, kind, held_ms, digest } => format!(
-            "route {route} ({kind}) to {service}, configuration {configuration}, held for {held_ms} ms at most, \
-             digest {digest}"
-        ),
+        Decision::Routed { route, service, configuration, kind, held_ms, digest, parts } => {
+            let parts = if parts.is_empty() {
+                String::new()
+            } else {
+                format!(", parts {}", parts.join(" "))
+            };
+            format!(
+                "route {route} ({kind}) to {service}, configuration {configuration}, held for {held_ms} ms at \
+                 most, digest {digest}{parts}"
+            )
+        }
         Decision::Unrouted { configuration, age_ms } => {
             let age = age_ms.map_or("never".into(), |age| format!("{age} ms ago"));
             format!("no route or key in configuration {configuration}, confirmed {age}")
         }
         Decision::Chosen {
-            runner, attempt, occupancy, report_age_ms, candidates, homes, left_ms
+            runner,
+            attempt,
+            occupancy,
+            report_age_ms,
+            candidates,
+            homes,
+            left_ms,
         } => {
-            let age = report_age_ms.map_or("no report".into(), |age| format!("report {age} ms old"));
+            let age =
+                report_age_ms.map_or("no report".into(), |age| format!("report {age} ms old"));
             let homes = homes_suffix(homes);
             let left = time_left_suffix(*left_ms);
             format!(
@@ -148,19 +162,22 @@
         Decision::Denied { reason, taken, slots, version } => {
             format!("denies the reservation: {reason}, {taken} of {slots} slots taken, version {version}")
         }
-        Decision::Failed { runner, code, name, not_run, took_ms } => {
+        Decision::Failed { runner, code, name, not_run, took_ms, answering_ms } => {
             let ran = if *not_run { "not run" } else { "may have run" };
-            format!("{runner} failed after {took_ms} ms: {code} {name}, {ran}")
+            let answering =
+                answering_ms.map_or(String::new(), |ms| format!(", {ms} ms into its response"));
+            format!("{runner} failed after {took_ms} ms{answering}: {code} {name}, {ran}")
         }
         Decision::Told { runner, leaving, rest_ms, limit_per_s } => {
             let leaves = if *leaving { " is leaving;" } else { "" };
             let rest = rest_ms.map_or(String::new(), |ms| format!(" no requests for {ms} ms;"));
-            let limit =
-                limit_per_s.map_or(String::new(), |rate| format!(" at most {rate} requests per second;"));
+            let limit = limit_per_s
+                .map_or(String::new(), |rate| format!(" at most {rate} requests per second;"));
             format!("notice from {runner}:{leaves}{rest}{limit}")
         }
-        Decision::Answered { runner, status, after_ms } => {
-            format!("{runner} responds with {status} after {after_ms} ms")
+        Decision::Answered { runner, status, after_ms, ends_with_connection } => {
+            let end = if *ends_with_connection { ", ends with its connection" } else { "" };
+            format!("{runner} responds with {status} after {after_ms} ms{end}")
         }
         Decision::Silent { runner, silent_ms, begun } => {
             let place = if *begun { "in its response" } else { "before its response" };
@@ -171,7 +188,15 @@
         }
         Decision::Resumed { after_event } => format!("resumes after event {after_event:?}"),
         Decision::Ended {
-            outcome, code, name, status, retry_after_ms, runners, usable, homes, evacuated
+            outcome,
+            code,
+            name,
+            status,
+            retry_after_ms,
+            runners,
+            usable,
+            homes,
+            evacuated,
         } => {
             let code = if *code == 0 { String::new() } else { format!(", {code} {name}") };
             let back = retry_after_ms.map_or(String::new(), |ms| format!(", retry after {ms} ms"));
@@ -180,7 +205,9 @@
                 evacuated => format!(", {evacuated} in evacuated halls"),
             };
             let standing = match outcome.as_str() {
-                "refused" => format!("; {usable} of {runners} runners usable{left}{}", homes_suffix(homes)),
+                "refused" => {
+                    format!("; {usable} of {runners} runners usable{left}{}", homes_suffix(homes))
+                }
                 _ => String::new(),
             };
             format!("ends {outcome} with {status}{code}{back}{standing}")
--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -22,6 +22,9 @@
         /// did not write it.
         #[serde(default)]
         digest: String,
+        /// Digests of the parts of its prompt that other requests may share.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        parts: Vec<String>,
     },
     /// The configuration has no route for the request or does not know its API key.
     Unrouted {
@@ -83,6 +86,9 @@
         not_run: bool,
         /// The duration of the attempt, in milliseconds.
         took_ms: u64,
+        /// How long the runner had been responding, in milliseconds. Absent if its response had not begun.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        answering_ms: Option<u64>,
     },
     /// The response of a runner asked for fewer requests or none.
     Told {
@@ -106,6 +112,9 @@
         status: u16,
         /// The time since the arrival of the request, in milliseconds.
         after_ms: u64,
+        /// Whether the response ends with its connection, without a length or chunks.
+        #[serde(default, skip_serializing_if = "is_false")]
+        ends_with_connection: bool,
     },
     /// A runner whose connection is open has been silent for longer than expected.
     Silent {
@@ -175,3 +184,7 @@
     /// The decision.
     pub decision: Decision,
 }
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -76,6 +76,8 @@
     pub status: StatusCode,
     /// Its headers, without the hop-by-hop ones.
     pub headers: HeaderMap,
+    /// Whether its body ends with the connection, without a length or chunks.
+    pub ends_with_connection: bool,
     /// The connection that it arrives on.
     pub connection: HttpConnection,
     /// The rest of the answer.
@@ -276,6 +278,7 @@
             return AttemptResult::Answer(RunnerAnswer {
                 status: head.status,
                 headers,
+                ends_with_connection: response_headers.ends_with_connection,
                 connection,
                 body,
                 _slot: slot,
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -55,7 +55,9 @@
         let after_ms = self.context.trace.age_ms();
         self.core.metrics.record_duration(MeasuredDuration::FirstByte, after_ms);
         let (runner, status) = (self.target.id.0.clone(), self.answer.status.as_u16());
-        self.context.trace.add(Decision::Answered { runner, status, after_ms });
+        let ends_with_connection = self.answer.ends_with_connection;
+        let answered = Decision::Answered { runner, status, after_ms, ends_with_connection };
+        self.context.trace.add(answered);
     }
 
     /// Records that the answer is complete.
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -154,6 +154,8 @@
     let path = head.uri.path_and_query().map_or("", |it| it.as_str());
     let digest =
         SubjectDigest::of_request(head.method.as_str(), path, routed.workspace.as_ref(), &body);
+    let parts: Vec<_> =
+        request_headers.shared_parts.iter().map(|it| SubjectDigest::of_part(it)).collect();
     trace.set_kind(kind_name(routed.kind));
     trace.add(Decision::Routed {
         route: routed.route.clone(),
@@ -162,6 +164,7 @@
         kind: kind_name(routed.kind).into(),
         held_ms: timeout_ms,
         digest: digest.to_string(),
+        parts: parts.iter().map(SubjectDigest::to_string).collect(),
     });
     let context = RequestContext {
         trace,
--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -148,9 +148,22 @@
             name: code.name().into(),
             not_run: outcome.is_not_run(),
             took_ms,
+            answering_ms: self.answering_ms(target),
         });
     }
 
+    /// How long a runner has been responding, if its response has begun.
+    fn answering_ms(&self, target: &RunnerTarget) -> Option<u64> {
+        let entries = self.entries.borrow();
+        let begun_ms = entries.iter().rev().find_map(|it| match &it.decision {
+            Decision::Answered { runner, after_ms, .. } if *runner == target.id.0 => {
+                Some(*after_ms)
+            }
+            _ => None,
+        })?;
+        Some(self.age_ms().saturating_sub(begun_ms))
+    }
+
     /// Ends the trace. Only the first call counts.
     pub fn end(&self, ending: RequestEnd, status: u16, code: Option<Code>) {
         self.end_with(ending, status, code, None, ServiceState::default());
--- a/components/quarantine/tests/digest.rs
+++ b/components/quarantine/tests/digest.rs
@@ -31,3 +31,12 @@
 fn moving_bytes_between_parts_changes_the_digest() {
     assert_ne!(digest("POST", "/ab", "c", b""), digest("POST", "/a", "bc", b""));
 }
+
+#[test]
+fn the_digest_of_a_prompt_part_is_the_same_in_every_build_and_differs_from_that_of_a_request() {
+    let part = SubjectDigest::of_part("5c1e07a2");
+    assert_eq!(part.to_string(), "ffff5f9c56ac5a5b");
+    assert!(part.is_part());
+    assert_ne!(part, SubjectDigest::of_part("5c1e07a3"));
+    assert!(!digest("POST", "/a", "w", b"body").is_part());
+}
