--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -1,6 +1,7 @@
 //! Tests of gateways and sidecars as processes, with a stand-in of the users' platform.
 
 mod configuration_changes;
+mod crash_parts;
 mod crashes;
 mod evacuations;
 mod foreign_rows;
