Quarantine parts of prompts as well as whole requests, and blame what explains the crashes

Cause: crashes were attributed to whole requests only.

Change: each part of a prompt but the last, which is the request's own, is a subject like the whole request, with the same ledger, messages and rows; its digest is marked in the upper 16 bits. Sound requests share runners and parts with the cause, so blame is decided over all subjects together: from the most crashes down, and a crash that a quarantined subject has does not count against subjects with fewer. Of a request and a part with equally many, the request is blamed. Success clears a part as it clears a request. While a network fails, pending suspicions alone refuse no part. 16 crashes are kept of a subject in place of 8, so that the cause has all that its company has. Lists and the ledger prefer parts to whole requests with as many crashes. Nothing changes on the wire.

--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -14,7 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use platform::headers::{self, RequestHeaders};
-use quarantine::SubjectDigest;
+use quarantine::{SubjectDigest, Subjects};
 
 use super::answer::{error_answer, refusal, AnswerBody};
 use super::attempts::{AnsweredAttempt, Attempts, AttemptsResult};
@@ -184,7 +184,7 @@
     };
     let handle = core.register_request(|key| Arrival {
         key,
-        digest,
+        subjects: Subjects::new(digest, parts),
         route: routed.route,
         workspace: context.workspace.clone(),
         homes: routed.homes,
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -10,7 +10,7 @@
     IncarnationChange, IncarnationReport, InstanceId, Millis, ModelName, Region, ReportedLimit,
     ServiceName, WorkspaceId,
 };
-use quarantine::{CrashEvent, CrashList, SubjectDigest};
+use quarantine::{CrashEvent, CrashList, SubjectDigest, Subjects};
 
 use crate::catalog::{Catalog, RouteKind};
 use crate::home_faults::HomeFault;
@@ -66,8 +66,8 @@
 pub struct Arrival {
     /// Key of the request.
     pub key: RequestKey,
-    /// Digest of its content: the same for each attempt of its caller.
-    pub digest: SubjectDigest,
+    /// What it holds that may crash its runner: the same for each attempt of its caller.
+    pub subjects: Subjects,
     /// Name of its route.
     pub route: String,
     /// The workspace that it belongs to.
--- a/components/gateway/src/reducer.rs
+++ b/components/gateway/src/reducer.rs
@@ -328,7 +328,7 @@
             return Vec::new();
         };
         self.queue.retain(|position| position.key != key);
-        self.crashes.remove(key, progress.arrival.digest);
+        self.crashes.remove(key, &progress.arrival.subjects);
         self.release(key, progress.take_attempts());
         self.dispatch(now, random)
     }
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -74,7 +74,7 @@
         let Some(mut progress) = self.requests.remove(&key) else {
             return;
         };
-        self.crashes.remove(key, progress.arrival.digest);
+        self.crashes.remove(key, &progress.arrival.subjects);
         self.release(key, progress.take_attempts());
     }
 
@@ -103,12 +103,12 @@
             progress.short_ms = progress.short_ms.max(shortage_ms);
         }
         progress.reason = outcome.code();
-        let digest = progress.arrival.digest;
+        let subjects = progress.arrival.subjects.clone();
         if outcome == AttemptOutcome::Lost && !attempt.answered {
             self.note_wait(now, selected, now.since(attempt.sent_at));
         }
         self.record_outcome(now, key, attempt, outcome);
-        self.note_end(now, digest, selected, outcome)
+        self.note_end(now, &subjects, selected, outcome)
     }
 
     /// Records how long a request waited at a runner.
--- a/components/gateway/src/reducer/crashes.rs
+++ b/components/gateway/src/reducer/crashes.rs
@@ -1,10 +1,10 @@
-//! Tracks requests that crash runners, and decides which of them are refused.
+//! Tracks requests and parts of prompts that crash runners, and decides which requests are refused.
 
 use errors::Code;
 use fleet::{InstanceId, Millis};
 use quarantine::{
     Admission, CrashEvent, CrashList, Crashes, IncarnationDigest, ListScope, RunnerLiveness,
-    SubjectDigest,
+    SubjectDigest, Subjects,
 };
 use rand::rngs::SmallRng;
 
@@ -23,11 +23,13 @@
         now: Millis,
         arrival: &Arrival,
     ) -> Option<Vec<Effect>> {
-        let (digest, members) = (arrival.digest, &self.members);
+        let members = &self.members;
         // Only one gateway is responsible, so that a trial of the request crashes one runner and
         // not one per gateway.
-        let may_try = || members.responsible_count(now, &digest.to_string(), 1).is_some();
-        let admission = self.crashes.admit(now, arrival.key, digest, may_try);
+        let may_try = |digest: SubjectDigest| {
+            members.responsible_count(now, &digest.to_string(), 1).is_some()
+        };
+        let admission = self.crashes.admit(now, arrival.key, &arrival.subjects, may_try);
         let Admission::Refused { retry_after_ms } = admission else {
             return None;
         };
@@ -43,7 +45,7 @@
         key: RequestKey,
         progress: &Progress,
     ) -> bool {
-        let admission = crashes.still_admits(now, key, progress.arrival.digest);
+        let admission = crashes.still_admits(now, key, &progress.arrival.subjects);
         matches!(admission, Admission::Refused { .. })
     }
 
@@ -63,22 +65,18 @@
     pub(super) fn note_end(
         &mut self,
         now: Millis,
-        digest: SubjectDigest,
+        subjects: &Subjects,
         selected: &SelectedRunner,
         outcome: AttemptOutcome,
     ) -> Vec<Effect> {
         if outcome.may_have_crashed() {
-            self.crashes.record_suspicion(
-                now,
-                digest,
-                selected.id.clone(),
-                selected.incarnation.digest,
-            );
+            let life = selected.incarnation.digest;
+            self.crashes.record_suspicion(now, subjects.iter(), &selected.id, life);
         }
         if !outcome.has_ended_well() {
             return Vec::new();
         }
-        effects(self.crashes.note_success(now, digest))
+        effects(self.crashes.note_success(now, subjects.iter()))
     }
 
     /// Decides which of the attempts that were cut off were crashes.
@@ -114,7 +112,7 @@
         self.crashes.ledger.list(now, ListScope::Fresh, draw)
     }
 
-    /// The incarnations that ended while running a quarantined request. With `unrecorded`, only if
+    /// The incarnations that ended while running a quarantined subject. With `unrecorded`, only if
     /// the platform's store is not known to hold the quarantine.
     pub fn crashed_incarnations(
         &self,
@@ -124,12 +122,12 @@
         self.crashes.ledger.incarnations_under(digest, unrecorded)
     }
 
-    /// The quarantined requests.
+    /// The quarantined requests and parts of prompts.
     pub fn quarantined(&self) -> Vec<SubjectDigest> {
         self.crashes.ledger.quarantined()
     }
 
-    /// The numbers of requests suspected of crashing runners, and of those in quarantine.
+    /// The numbers of subjects suspected of crashing runners, and of those in quarantine.
     pub fn crash_counts(&self) -> (usize, usize) {
         self.crashes.ledger.count()
     }
--- a/components/gateway/src/reducer/queue.rs
+++ b/components/gateway/src/reducer/queue.rs
@@ -177,8 +177,8 @@
         let Some(progress) = self.requests.remove(&key) else {
             return Vec::new();
         };
-        self.crashes.remove(key, progress.arrival.digest);
-        let admission = self.crashes.still_admits(now, key, progress.arrival.digest);
+        self.crashes.remove(key, &progress.arrival.subjects);
+        let admission = self.crashes.still_admits(now, key, &progress.arrival.subjects);
         let step = if progress.may_have_run {
             NextStep::GiveUp(progress.reason)
         } else {
@@ -218,7 +218,7 @@
     ) -> Option<RunnerTarget> {
         let progress = self.requests.get(&key)?;
         let (arrival, tried) = (&progress.arrival, &progress.tried);
-        let admission = self.crashes.still_admits(now, key, arrival.digest);
+        let admission = self.crashes.still_admits(now, key, &arrival.subjects);
         let is_suspect = admission == Admission::Admitted { is_suspect: true };
         let (id, selection) = self.chooser().choose(now, random, arrival, tried, is_suspect)?;
         let reserve = self.asks_sidecars(arrival);
--- a/components/gateway/tests/crashes.rs
+++ b/components/gateway/tests/crashes.rs
@@ -17,7 +17,7 @@
 /// One attempt of the same request, a resumable stream.
 fn attempt_of_request(key: u64) -> Arrival {
     let stream = arrival(key, MODEL_SERVICE, RouteKind::Stream { resumable: true });
-    Arrival { digest: REQUEST, ..stream }
+    Arrival { subjects: REQUEST.into(), ..stream }
 }
 
 fn fixture(runners: u16) -> Fixture {
@@ -372,3 +372,45 @@
     record.handle_store_restore(Millis(90_000), 0, []);
     assert_eq!(record.next_at(), None);
 }
+
+/// A request of its own with these shared parts in its prompt.
+fn prompt(key: u64, parts: &[&str]) -> Arrival {
+    let parts = parts.iter().map(|it| SubjectDigest::of_part(it));
+    let stream = arrival(key, MODEL_SERVICE, RouteKind::Stream { resumable: true });
+    Arrival { subjects: Subjects::new(SubjectDigest(key), parts), attempts: 1, ..stream }
+}
+
+/// Sends requests with the part `bad`, of which no two are alike, until three runners have crashed.
+fn crash_by_part(fixture: &mut Fixture) {
+    for key in 1..=3 {
+        let runner = sent_to(fixture.arrive(prompt(key, &["first", "bad"])));
+        fixture.outcome(key, AttemptOutcome::Answered);
+        fixture.outcome(key, AttemptOutcome::Cut);
+        fixture.pass(SETTLE_MS);
+        fixture.feed(Event::Unlisted(runner));
+        sent_to(fixture.arrive(prompt(10 + key, &["first", "sound"])));
+        fixture.outcome(10 + key, AttemptOutcome::Finished);
+    }
+}
+
+#[test]
+fn requests_that_differ_crash_runners_by_a_common_part_of_their_prompts() {
+    let mut fixture = fixture(6);
+    crash_by_part(&mut fixture);
+    assert_eq!(refusal(fixture.arrive(prompt(20, &["first", "bad"]))).0, Code::Quarantined);
+    assert_eq!(refusal(fixture.arrive(prompt(21, &["bad", "sound"]))).0, Code::Quarantined);
+    sent_to(fixture.arrive(prompt(22, &["first", "sound"])));
+}
+
+#[test]
+fn a_request_that_waits_is_sent_though_a_part_of_its_prompt_was_quarantined_meanwhile() {
+    let mut other = fixture(6);
+    crash_by_part(&mut other);
+    let reported = other.gateway.crash_list(Millis(other.now), 0);
+    let mut fixture = Fixture::new();
+    fixture.list("full", MODEL_SERVICE, 1);
+    fixture.feed(Event::Load(([127, 0, 0, 1], 1).into(), load(1, 8)));
+    assert_eq!(fixture.arrive(prompt(1, &["first", "bad"])), None, "it waits for a slot");
+    let step = fixture.step(1, Event::Crashes(reported));
+    assert_eq!(refusal(step).0, Code::Quarantined);
+}
--- a/components/gateway/tests/runner_incarnations.rs
+++ b/components/gateway/tests/runner_incarnations.rs
@@ -159,14 +159,18 @@
     for incarnation in 1..=3 {
         fixture.feed(Event::Listed(entry(incarnation_at(incarnation, 0))));
         fixture.pass(5000);
-        let single =
-            Arrival { attempts: 1, digest, ..arrival(incarnation, MODEL_SERVICE, RouteKind::Safe) };
+        let single = Arrival {
+            attempts: 1,
+            subjects: digest.into(),
+            ..arrival(incarnation, MODEL_SERVICE, RouteKind::Safe)
+        };
         sent_to(fixture.arrive(single));
         fixture.outcome(incarnation, AttemptOutcome::Cut);
         fixture.feed(load_report(incarnation_at(incarnation + 1, 0), 0));
         fixture.pass(20);
     }
-    let step = fixture.arrive(Arrival { digest, ..arrival(9, MODEL_SERVICE, RouteKind::Safe) });
+    let step = fixture
+        .arrive(Arrival { subjects: digest.into(), ..arrival(9, MODEL_SERVICE, RouteKind::Safe) });
     assert!(matches!(step, Some(NextStep::Refuse { code: Code::Quarantined, .. })), "{step:?}");
 }
 
--- a/components/gateway/tests/support/mod.rs
+++ b/components/gateway/tests/support/mod.rs
@@ -124,7 +124,7 @@
 pub fn arrival(key: u64, service: &str, kind: RouteKind) -> Arrival {
     Arrival {
         key: RequestKey(key),
-        digest: SubjectDigest(key),
+        subjects: SubjectDigest(key).into(),
         route: "r".into(),
         workspace: None,
         homes: HomeRegions::anywhere(),
--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -1,6 +1,6 @@
-//! Detects crashes of runners and attributes them to requests.
+//! Detects crashes of runners and attributes them to requests and to the parts of their prompts.
 //!
-//! An attempt that fails midway makes both the request and the runner suspect. The suspicion is confirmed as
+//! An attempt that fails midway makes its subjects and the runner suspect. The suspicion is confirmed as
 //! a crash if no report of the runner is received afterwards. `CrashLedger` describes how gateways combine
 //! their observations.
 
@@ -12,6 +12,7 @@
 use crate::incarnation::IncarnationDigest;
 use crate::ledger::{CrashChange, CrashLedger, SubjectStatus, SUCCESS_GRACE_MS};
 use crate::messages::CrashList;
+use crate::subjects::Subjects;
 
 /// How long to wait for a report of the runner before a suspicion is confirmed as a crash. Longer than the
 /// interval between two reports to other halls.
@@ -25,7 +26,7 @@
 const NO_PROBE_RETRY_MS: u64 = 3_600_000;
 
 /// Most successes that are kept, 16 bytes each: more than a gateway forwards within `SUCCESS_GRACE_MS`. A
-/// success beyond this limit is not recorded and does not clear the request of later crashes.
+/// success beyond this limit is not recorded and does not clear its subject of later crashes.
 const MAX_SUCCESSES: usize = 8192;
 
 /// Whether a runner is still running, as far as known.
@@ -37,28 +38,27 @@
     Gone,
 }
 
-/// An attempt that failed midway and may have crashed its runner.
+/// An attempt that may have crashed its runner, held against one of its subjects.
 #[derive(Clone, Debug)]
 struct Suspicion {
-    digest: SubjectDigest,
     runner: InstanceId,
     life: IncarnationDigest,
     at: Millis,
 }
 
-/// A change in what is known of requests and crashes.
+/// A change in what is known of subjects and crashes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CrashEvent {
     /// A runner crashed while it processed an attempt of this gateway.
     Crashed {
-        /// The request.
+        /// The subject of the attempt that the crash is attributed to.
         digest: SubjectDigest,
         /// The runner.
         runner: InstanceId,
-        /// The number of known crashes under the request.
+        /// The number of known crashes under the subject.
         crashes: usize,
     },
-    /// The status of a request has changed.
+    /// The status of a subject has changed.
     Changed {
         /// The new status.
         change: CrashChange,
@@ -92,17 +92,17 @@
     },
 }
 
-/// The requests that runners crashed under, as known to a process that sends requests. `K` identifies a
+/// The subjects that runners crashed under, as known to a process that sends requests. `K` identifies a
 /// request in that process.
 #[derive(Debug)]
 pub struct Crashes<K> {
-    /// The crashes and successes of requests.
+    /// The crashes and successes of subjects.
     pub ledger: CrashLedger,
-    pending: Vec<Suspicion>,
-    /// When requests last succeeded here. Entries are removed once older than `SUCCESS_GRACE_MS` if space
-    /// is needed.
+    pending: BTreeMap<SubjectDigest, Vec<Suspicion>>,
+    /// When requests with a subject last succeeded here. Entries are removed once older than `SUCCESS_GRACE_MS`
+    /// if space is needed.
     successes: BTreeMap<SubjectDigest, Millis>,
-    /// Quarantined requests that this process is currently probing, with the key of the probing request.
+    /// Quarantined subjects that this process is currently probing, with the key of the probing request.
     probes: BTreeMap<SubjectDigest, K>,
 }
 
@@ -110,7 +110,7 @@
     fn default() -> Self {
         Self {
             ledger: CrashLedger::default(),
-            pending: Vec::new(),
+            pending: BTreeMap::new(),
             successes: BTreeMap::new(),
             probes: BTreeMap::new(),
         }
@@ -118,15 +118,18 @@
 }
 
 impl<K: Copy + PartialEq> Crashes<K> {
-    /// Records that an attempt which may have run failed midway.
+    /// Records for these subjects of an attempt that it failed midway and may have run.
     pub fn record_suspicion(
         &mut self,
         now: Millis,
-        digest: SubjectDigest,
-        runner: InstanceId,
+        subjects: impl IntoIterator<Item = SubjectDigest>,
+        runner: &InstanceId,
         life: IncarnationDigest,
     ) {
-        self.pending.push(Suspicion { digest, runner, life, at: now });
+        for digest in subjects {
+            let suspicion = Suspicion { runner: runner.clone(), life, at: now };
+            self.pending.entry(digest).or_default().push(suspicion);
+        }
     }
 
     /// Confirms or drops pending suspicions according to the state of their runners. `liveness` returns that
@@ -137,13 +140,18 @@
         liveness: impl Fn(&InstanceId, IncarnationDigest) -> RunnerLiveness,
     ) -> Vec<CrashEvent> {
         let mut events = Vec::new();
-        for suspicion in std::mem::take(&mut self.pending) {
-            let is_due = now.since(suspicion.at).0 >= CRASH_CONFIRM_DELAY_MS;
-            match liveness(&suspicion.runner, suspicion.life) {
-                RunnerLiveness::ReportedAt(at) if at >= suspicion.at.plus(REPORT_TRANSIT_MS) => {}
-                RunnerLiveness::ReportedAt(_) if !is_due => self.pending.push(suspicion),
-                RunnerLiveness::ReportedAt(_) | RunnerLiveness::Gone => {
-                    events.extend(self.confirm(now, suspicion))
+        for (digest, suspicions) in std::mem::take(&mut self.pending) {
+            for suspicion in suspicions {
+                let is_due = now.since(suspicion.at).0 >= CRASH_CONFIRM_DELAY_MS;
+                match liveness(&suspicion.runner, suspicion.life) {
+                    RunnerLiveness::ReportedAt(seen)
+                        if seen >= suspicion.at.plus(REPORT_TRANSIT_MS) => {}
+                    RunnerLiveness::ReportedAt(_) if !is_due => {
+                        self.pending.entry(digest).or_default().push(suspicion);
+                    }
+                    RunnerLiveness::ReportedAt(_) | RunnerLiveness::Gone => {
+                        events.extend(self.confirm(now, digest, suspicion));
+                    }
                 }
             }
         }
@@ -154,39 +162,59 @@
     pub fn note_crash(
         &mut self,
         now: Millis,
-        digest: SubjectDigest,
-        runner: InstanceId,
+        subjects: &Subjects,
+        runner: &InstanceId,
         life: IncarnationDigest,
     ) -> Vec<CrashEvent> {
-        self.confirm(now, Suspicion { digest, runner, life, at: now })
+        let mut events = Vec::new();
+        for digest in subjects.iter() {
+            let suspicion = Suspicion { runner: runner.clone(), life, at: now };
+            events.extend(self.confirm(now, digest, suspicion));
+        }
+        events
     }
 
-    fn confirm(&mut self, now: Millis, suspicion: Suspicion) -> Vec<CrashEvent> {
-        let Suspicion { digest, runner, life, at } = suspicion;
+    fn confirm(
+        &mut self,
+        now: Millis,
+        digest: SubjectDigest,
+        suspicion: Suspicion,
+    ) -> Vec<CrashEvent> {
+        let Suspicion { runner, life, at } = suspicion;
         if self.has_recent_success(digest, at) {
             return Vec::new();
         }
-        let change = self.ledger.note_crash(now, digest, life, at);
+        let changes = self.ledger.note_crash(now, digest, life, at);
         let crashes = self.ledger.crashes(digest);
         let crashed = CrashEvent::Crashed { digest, runner, crashes };
-        let changed = change.map(|change| CrashEvent::Changed { change, is_own: true });
-        std::iter::once(crashed).chain(changed).collect()
+        std::iter::once(crashed).chain(own_changes(changes)).collect()
     }
 
-    /// Records that a request succeeded.
-    pub fn note_success(&mut self, now: Millis, digest: SubjectDigest) -> Option<CrashEvent> {
-        self.pending.retain(|it| it.digest != digest);
+    /// Records that a request with these subjects succeeded.
+    pub fn note_success(
+        &mut self,
+        now: Millis,
+        subjects: impl IntoIterator<Item = SubjectDigest>,
+    ) -> Vec<CrashEvent> {
+        let mut events = Vec::new();
+        for digest in subjects {
+            self.pending.remove(&digest);
+            events.extend(self.succeed(now, digest));
+        }
+        events
+    }
+
+    fn succeed(&mut self, now: Millis, digest: SubjectDigest) -> Vec<CrashEvent> {
         if self.successes.len() >= MAX_SUCCESSES {
             self.successes.retain(|_, at| now.since(*at).0 <= SUCCESS_GRACE_MS);
         }
         if self.successes.len() < MAX_SUCCESSES {
             self.successes.insert(digest, now);
         }
-        let change = self.ledger.note_success(now, digest, now)?;
-        Some(CrashEvent::Changed { change, is_own: true })
+        own_changes(self.ledger.note_success(now, digest, now)).collect()
     }
 
-    /// Whether a request succeeded here at most `SUCCESS_GRACE_MS` before `moment`, or after it.
+    /// Whether a request with a subject succeeded here at most `SUCCESS_GRACE_MS` before `moment`, or after it.
     fn has_recent_success(&self, digest: SubjectDigest, moment: Millis) -> bool {
         self.successes.get(&digest).is_some_and(|at| moment <= at.plus(SUCCESS_GRACE_MS))
     }
@@ -196,78 +224,101 @@
         let changes = self.ledger.merge(now, list).into_iter();
         let mut events: Vec<CrashEvent> =
             changes.map(|change| CrashEvent::Changed { change, is_own: false }).collect();
-        // A request that others report may have succeeded here recently.
+        // A subject that others report may have succeeded here recently.
         for report in &list.0 {
             if let Some(at) = self.successes.get(&report.digest).copied() {
-                let change = self.ledger.note_success(now, report.digest, at);
-                events.extend(change.map(|change| CrashEvent::Changed { change, is_own: true }));
+                events.extend(own_changes(self.ledger.note_success(now, report.digest, at)));
             }
         }
         events
     }
 
     /// Whether an arriving request may be sent. `may_try` tells whether this process is the one to probe a
-    /// quarantined request.
+    /// quarantined subject. A request probes all of its subjects that are in quarantine, or none.
     pub fn admit(
         &mut self,
         now: Millis,
         key: K,
-        digest: SubjectDigest,
-        may_try: impl Fn() -> bool,
+        subjects: &Subjects,
+        may_try: impl Fn(SubjectDigest) -> bool,
     ) -> Admission {
-        self.ledger.ask(now, digest);
-        let admission = self.admission(now, digest);
-        let is_due = self.is_probe_due(now, digest) && !self.probes.contains_key(&digest);
-        if is_due && may_try() {
-            self.probes.insert(digest, key);
-            return Admission::Admitted { is_suspect: true };
+        for digest in subjects.iter() {
+            self.ledger.ask(now, digest);
+        }
+        let admission = self.still_admits(now, key, subjects);
+        if !matches!(admission, Admission::Refused { .. }) {
+            return admission;
         }
-        admission
+        let is_quarantined = |digest: &SubjectDigest| self.retry_after_ms(now, *digest).is_some();
+        let probed: Vec<_> = subjects.iter().filter(is_quarantined).collect();
+        let may_probe = |digest: &SubjectDigest| {
+            self.is_probe_due(now, *digest) && !self.probes.contains_key(digest) && may_try(*digest)
+        };
+        if !probed.iter().all(may_probe) {
+            return admission;
+        }
+        self.probes.extend(probed.into_iter().map(|digest| (digest, key)));
+        Admission::Admitted { is_suspect: true }
     }
 
     /// Whether a request that was admitted before may still be sent.
-    pub fn still_admits(&self, now: Millis, key: K, digest: SubjectDigest) -> Admission {
-        let is_probe = self.probes.get(&digest) == Some(&key);
-        match self.admission(now, digest) {
-            // The attempt of the probe failed as well; the request does not get a second one.
-            refused @ Admission::Refused { .. } if !is_probe || self.has_pending(digest) => refused,
-            Admission::Refused { .. } => Admission::Admitted { is_suspect: true },
-            admitted => admitted,
+    pub fn still_admits(&self, now: Millis, key: K, subjects: &Subjects) -> Admission {
+        // A probe whose attempt has failed does not get a second one.
+        let is_probe = |digest: SubjectDigest| {
+            self.probes.get(&digest) == Some(&key) && !self.pending.contains_key(&digest)
+        };
+        let refused = subjects.iter().filter(|digest| !is_probe(*digest));
+        match refused.filter_map(|digest| self.retry_after_ms(now, digest)).max() {
+            Some(retry_after_ms) => Admission::Refused { retry_after_ms },
+            None => Admission::Admitted { is_suspect: self.is_suspect(now, subjects) },
         }
     }
 
     /// Removes the state of a request that has ended.
-    pub fn remove(&mut self, key: K, digest: SubjectDigest) {
-        if self.probes.get(&digest) == Some(&key) {
-            self.probes.remove(&digest);
+    pub fn remove(&mut self, key: K, subjects: &Subjects) {
+        for digest in subjects.iter() {
+            if self.probes.get(&digest) == Some(&key) {
+                self.probes.remove(&digest);
+            }
         }
     }
 
-    fn admission(&self, now: Millis, digest: SubjectDigest) -> Admission {
+    /// When callers may retry a request with a subject that is in quarantine. `None` for any other subject.
+    fn retry_after_ms(&self, now: Millis, digest: SubjectDigest) -> Option<u64> {
         match self.status(now, digest) {
-            SubjectStatus::Clear => Admission::Admitted { is_suspect: false },
-            SubjectStatus::Suspect => Admission::Admitted { is_suspect: true },
-            SubjectStatus::Quarantined { probe_in_ms } => Admission::Refused {
-                retry_after_ms: probe_in_ms
-                    .map_or(NO_PROBE_RETRY_MS, |it| it.max(PROBE_ELSEWHERE_RETRY_MS)),
-            },
+            SubjectStatus::Clear | SubjectStatus::Suspect => None,
+            SubjectStatus::Quarantined { probe_in_ms } => {
+                let probe_in_ms = probe_in_ms.map(|it| it.max(PROBE_ELSEWHERE_RETRY_MS));
+                Some(probe_in_ms.unwrap_or(NO_PROBE_RETRY_MS))
+            }
         }
     }
 
-    /// The status of a request, counting pending suspicions as crashes: a caller that retries immediately
+    fn is_suspect(&self, now: Millis, subjects: &Subjects) -> bool {
+        subjects.iter().any(|digest| self.status(now, digest) != SubjectStatus::Clear)
+    }
+
+    /// The status of a subject, counting pending suspicions as crashes: a caller that retries immediately
     /// cannot reach more runners than the quarantine threshold.
     fn status(&self, now: Millis, digest: SubjectDigest) -> SubjectStatus {
-        let pending = self.pending.iter().filter(|it| it.digest == digest);
-        let incarnations: BTreeSet<IncarnationDigest> = pending.map(|it| it.life).collect();
+        let pending = self.pending.get(&digest).into_iter().flatten();
+        let counted = pending.filter(|it| !self.has_recent_success(digest, it.at));
+        // Many requests share a part, and all of them fail midway when a network fails.
+        let is_known = !digest.is_part() || self.ledger.crashes(digest) > 0;
+        let most = if is_known { usize::MAX } else { 1 };
+        let incarnations: BTreeSet<IncarnationDigest> =
+            counted.map(|it| it.life).take(most).collect();
         self.ledger.status(now, digest, &incarnations)
     }
 
     fn is_probe_due(&self, now: Millis, digest: SubjectDigest) -> bool {
         let status = self.ledger.status(now, digest, &BTreeSet::new());
-        status == SubjectStatus::Quarantined { probe_in_ms: Some(0) } && !self.has_pending(digest)
+        let is_due = status == SubjectStatus::Quarantined { probe_in_ms: Some(0) };
+        is_due && !self.pending.contains_key(&digest)
     }
+}
 
-    fn has_pending(&self, digest: SubjectDigest) -> bool {
-        self.pending.iter().any(|it| it.digest == digest)
-    }
+/// Changes that this process detected itself.
+fn own_changes(changes: Vec<CrashChange>) -> impl Iterator<Item = CrashEvent> {
+    changes.into_iter().map(|change| CrashEvent::Changed { change, is_own: true })
 }
--- a/components/quarantine/src/ledger/entry.rs
+++ b/components/quarantine/src/ledger/entry.rs
@@ -1,4 +1,4 @@
-//! The entry of one request in the ledger.
+//! The entry of one subject in the ledger.
 
 use std::collections::BTreeMap;
 
@@ -12,8 +12,9 @@
 /// two may crash under a harmless request, because every request on a runner fails when another one crashes
 /// it.
 pub(super) const QUARANTINE_THRESHOLD: usize = 3;
-/// Most crashes that are kept of one request; more would not change its status.
-const MAX_CRASHES_PER_REQUEST: usize = 8;
+/// Most crashes that are kept of one subject: all that happen until every gateway refuses it. Crashes that are not
+/// kept would count against the subjects that accompany it.
+const MAX_CRASHES_PER_SUBJECT: usize = 16;
 /// How long a change is sent to other processes. Gateways and sidecars exchange messages every second, and
 /// one or two datagrams may be lost.
 const FRESH_MS: u64 = 3000;
@@ -58,10 +59,6 @@
         }
     }
 
-    pub(super) fn is_quarantined(&self) -> bool {
-        self.crashes.len() >= QUARANTINE_THRESHOLD
-    }
-
     pub(super) fn is_fresh(&self, now: Millis) -> bool {
         now.since(self.changed_at).0 <= FRESH_MS
     }
@@ -86,7 +83,7 @@
             *known = (*known).max(at);
             return false;
         }
-        if self.crashes.len() >= MAX_CRASHES_PER_REQUEST {
+        if self.crashes.len() >= MAX_CRASHES_PER_SUBJECT {
             return false;
         }
         self.crashes.insert(life, at);
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -10,6 +10,7 @@
 mod ledger;
 mod messages;
 mod record;
+mod subjects;
 
 pub use crashes::{Admission, CrashEvent, Crashes, RunnerLiveness};
 pub use digest::SubjectDigest;
@@ -17,3 +18,4 @@
 pub use ledger::{CrashChange, CrashLedger, SubjectStatus};
 pub use messages::{CrashList, CrashReport, ListScope, SubjectReport};
 pub use record::{QuarantineAnswer, QuarantineCall, QuarantineRecord};
+pub use subjects::Subjects;
--- a/components/quarantine/src/messages.rs
+++ b/components/quarantine/src/messages.rs
@@ -14,16 +14,16 @@
     pub age_ms: u32,
 }
 
-/// What one process knows of a request.
+/// What one process knows of a subject.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SubjectReport {
-    /// The request.
+    /// The subject.
     pub digest: SubjectDigest,
-    /// The crashes under the request.
+    /// The crashes under the subject.
     pub crashes: Vec<CrashReport>,
-    /// How long ago the request last succeeded, in milliseconds, if that success is still kept.
+    /// How long ago a request with the subject last succeeded, in milliseconds, if that success is still kept.
     pub success_age_ms: Option<u32>,
-    /// Whether the platform's store contains the quarantine of the request.
+    /// Whether the platform's store contains the quarantine of the subject.
     pub is_recorded: bool,
 }
 
@@ -37,9 +37,9 @@
 pub enum ListScope {
     /// The entries that changed recently.
     Fresh,
-    /// The recently changed entries of requests that at least two runners crashed under, whose next crash may
-    /// be the third, and of requests that succeeded.
+    /// The recently changed entries of subjects that at least two runners crashed under, whose next crash may
+    /// be the third, and of those that succeeded.
     FreshSuspects,
-    /// The entries of all requests that at least two runners crashed under, and all that changed recently.
+    /// The entries of all subjects that at least two runners crashed under, and all that changed recently.
     Suspects,
 }
--- a/components/quarantine/src/record.rs
+++ b/components/quarantine/src/record.rs
@@ -1,4 +1,4 @@
-//! The rows of quarantined requests in the platform's store, which persist when every process has stopped.
+//! The rows of quarantined subjects in the platform's store, which persist when every process has stopped.
 //!
 //! A gateway reads the rows once, at its start. While the fleet is running, gateways learn of each other's
 //! quarantines through sidecars.
@@ -13,7 +13,7 @@
 use crate::ledger::CrashChange;
 use crate::messages::CrashList;
 
-/// Delay before a gateway writes the row of a request that another gateway quarantined: time for two calls by
+/// Delay before a gateway writes the row of a subject that another gateway quarantined: time for two calls by
 /// that gateway. The other gateways are spread at random over a further period of the same length. The row is
 /// thus stored well before every gateway must know of the quarantine, also if the crashes were observed by
 /// different gateways.
@@ -28,10 +28,10 @@
 pub enum QuarantineCall {
     /// Read every row.
     Read,
-    /// Write the row of a request, with the runner incarnations that crashed under it. The call is
+    /// Write the row of a subject, with the runner incarnations that crashed under it. The call is
     /// idempotent.
     Write(SubjectDigest, Vec<IncarnationDigest>),
-    /// Remove the row of a request that succeeded.
+    /// Remove the row of a subject that succeeded, or whose crashes others explain.
     Remove(SubjectDigest),
 }
 
@@ -92,13 +92,16 @@
             CrashChange::Cleared { digest, was_quarantined } if *is_own && *was_quarantined => {
                 self.rows.insert(*digest, (TargetState::Absent, now));
             }
-            CrashChange::Cleared { digest, .. } => {
+            CrashChange::Explained(digest) if *is_own => {
+                self.rows.insert(*digest, (TargetState::Absent, now));
+            }
+            CrashChange::Cleared { digest, .. } | CrashChange::Explained(digest) => {
                 self.rows.remove(digest);
             }
         }
     }
 
-    /// Handles that the store was restored from an older copy. The rows of the `quarantined` requests are
+    /// Handles that the store was restored from an older copy. The rows of the `quarantined` subjects are
     /// written again, and those that were removed recently are removed again, because the copy may contain
     /// them.
     pub fn handle_store_restore(
@@ -118,7 +121,7 @@
     }
 
     /// The call that is due. `incarnations` returns the runner incarnations that crashed under a quarantined
-    /// request; if its second argument is true, only for a request whose row is not known to be stored.
+    /// subject; if its second argument is true, only for a subject whose row is not known to be stored.
     pub fn due(
         &mut self,
         now: Millis,
@@ -148,7 +151,7 @@
         self.rows.values().map(|it| it.1).chain(self.read_at).min()
     }
 
-    /// Handles the result of a call. Returns the request whose row was written.
+    /// Handles the result of a call. Returns the subject whose row was written.
     pub fn handle_answer(
         &mut self,
         now: Millis,
--- a/components/quarantine/tests/ledger.rs
+++ b/components/quarantine/tests/ledger.rs
@@ -19,7 +19,7 @@
     Millis(1_000_000 + ms)
 }
 
-fn crash(ledger: &mut CrashLedger, ms: u64, number: u8) -> Option<CrashChange> {
+fn crash(ledger: &mut CrashLedger, ms: u64, number: u8) -> Vec<CrashChange> {
     ledger.note_crash(at(ms), REQUEST, life(number), at(ms))
 }
 
@@ -44,14 +44,14 @@
 fn three_crashes_quarantine_a_request() {
     let mut ledger = crashed(2);
     assert_eq!(status(&mut ledger, 2000), SubjectStatus::Suspect);
-    assert_eq!(crash(&mut ledger, 2000, 2), Some(CrashChange::Quarantined(REQUEST)));
+    assert_eq!(crash(&mut ledger, 2000, 2), [CrashChange::Quarantined(REQUEST)]);
     assert!(is_quarantined(status(&mut ledger, 2000)));
 }
 
 #[test]
 fn each_incarnation_of_a_runner_counts_once() {
     let mut ledger = crashed(2);
-    assert_eq!(crash(&mut ledger, 2000, 1), None);
+    assert_eq!(crash(&mut ledger, 2000, 1), []);
     assert_eq!(status(&mut ledger, 2000), SubjectStatus::Suspect);
     let restarted = IncarnationDigest::of(&"i-1".into(), Some(1));
     assert_ne!(restarted, life(1));
@@ -73,7 +73,7 @@
     let older = ledger.list(at(2500), ListScope::Suspects, 0);
     let cleared = ledger.note_success(at(3000), REQUEST, at(3000));
     let change = CrashChange::Cleared { digest: REQUEST, was_quarantined: true };
-    assert_eq!(cleared, Some(change));
+    assert_eq!(cleared, [change]);
     assert_eq!(status(&mut ledger, 3000), SubjectStatus::Clear);
     // The list was in transit for 900 ms; its ages are as of when it was sent.
     assert_eq!(ledger.merge(at(2900), &older), []);
@@ -109,7 +109,7 @@
 #[test]
 fn a_success_of_an_unsuspected_request_is_not_kept() {
     let mut ledger = CrashLedger::default();
-    assert_eq!(ledger.note_success(at(0), REQUEST, at(0)), None);
+    assert_eq!(ledger.note_success(at(0), REQUEST, at(0)), []);
     assert_eq!(ledger.list(at(0), ListScope::Fresh, 0).0, []);
 }
 
--- a/components/reducer/src/entry/crashes.rs
+++ b/components/reducer/src/entry/crashes.rs
@@ -32,13 +32,13 @@
     /// when a probe is due.
     pub(super) fn is_quarantined(&mut self, now: Millis, arrival: &Arrival) -> bool {
         let crashes = &mut self.known_crashes.crashes;
-        let admission = crashes.admit(now, arrival.request, arrival.digest, || true);
+        let admission = crashes.admit(now, arrival.request, &arrival.digest.into(), |_| true);
         matches!(admission, Admission::Refused { .. })
     }
 
     /// Whether a further attempt of a request is rejected because it crashes upstreams.
     pub(super) fn is_barred(&self, now: Millis, request: RequestId, digest: SubjectDigest) -> bool {
-        let admission = self.known_crashes.crashes.still_admits(now, request, digest);
+        let admission = self.known_crashes.crashes.still_admits(now, request, &digest.into());
         matches!(admission, Admission::Refused { .. })
     }
 
@@ -54,7 +54,7 @@
             return Vec::new();
         }
         let life = IncarnationDigest::of(agent, None);
-        let changes = self.known_crashes.crashes.note_crash(now, digest, agent.clone(), life);
+        let changes = self.known_crashes.crashes.note_crash(now, &digest.into(), agent, life);
         self.schedule_report(now, changes)
     }
 
@@ -64,13 +64,13 @@
         now: Millis,
         digest: SubjectDigest,
     ) -> Vec<EntryEffect> {
-        let changes = self.known_crashes.crashes.note_success(now, digest);
-        self.schedule_report(now, changes.into_iter().collect())
+        let changes = self.known_crashes.crashes.note_success(now, [digest]);
+        self.schedule_report(now, changes)
     }
 
     /// Removes the crash state of a request that has ended.
     pub(super) fn remove_crash_state(&mut self, request: RequestId, digest: SubjectDigest) {
-        self.known_crashes.crashes.remove(request, digest);
+        self.known_crashes.crashes.remove(request, &digest.into());
     }
 
     /// Merges a crash list from another entry.
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -252,7 +252,8 @@
         self.orders.add(1, &[KeyValue::new("reason", reason)]);
     }
 
-    /// Counts a runner that `crashed` while it executed a request, or a request that was `quarantined` or `cleared`.
+    /// Counts a runner that `crashed` while it executed a request, or a subject that was `quarantined`, `cleared` or
+    /// `explained` by the crashes of others.
     pub fn count_crash(&self, what: &'static str) {
         self.crashes.add(1, &[KeyValue::new("what", what)]);
     }
