Gateway: a stream that ends inside an event is cut, also one that cannot be resumed

Callers of a stream that can't be resumed got half an event at the end of an answer that looked complete, when its runner crashed and the answer had neither a length nor chunks.

Cause: the bytes of such a stream were forwarded without passing the splitter, so an end inside an event was never seen. Ruled out: streams that can be resumed, which passed it and were cut. Change: all streams pass the splitter; those that can't be resumed are forwarded unchanged as before. An event larger than the buffer is flushed but for three bytes, so that its end is still found; it counted as complete before.

--- a/components/edge/src/gateway/event_splitter.rs
+++ b/components/edge/src/gateway/event_splitter.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// The length of the longest end of an event: two line ends of two bytes each.
+const MAX_END_BYTES: usize = 4;
+
 /// Buffers an incomplete event, so that another run can resume after the last complete one.
 #[derive(Debug)]
 pub struct EventSplitter {
@@ -22,7 +25,9 @@
         self.partial.extend_from_slice(bytes);
         let Some(end) = end_of_events(&self.partial) else {
             if self.partial.len() > self.max_bytes {
-                return self.partial.split().freeze();
+                // The rest may be the beginning of the event's end.
+                let flushed = self.partial.len().saturating_sub(MAX_END_BYTES - 1);
+                return self.partial.split_to(flushed).freeze();
             }
             return Bytes::new();
         };
@@ -62,3 +67,6 @@
     let text = std::str::from_utf8(value).ok()?;
     Some(text.trim().to_owned())
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -203,10 +203,11 @@
         None
     }
 
-    /// Bytes of a stream that cannot be resumed are forwarded unchanged.
+    /// The bytes to forward. Those of a stream that cannot be resumed are forwarded unchanged.
     fn split_events(&mut self, bytes: &Bytes) -> Bytes {
+        let complete = self.splitter.push(bytes);
         if self.current.context.kind.is_repeatable() {
-            self.splitter.push(bytes)
+            complete
         } else {
             bytes.clone()
         }
