Gateway: an answer that is no success clears no part of a prompt

A runner's own 500, or its 504 after a request has waited in its queue, took all suspicion from the request and spoke for it for three seconds more; with parts as subjects it would have done so for a part on which nothing was written, and requests with the part would reach runners again.

Change: a part is cleared by a whole answer that is a success, and by nothing else. A request as a whole is still cleared by an answer that shows that it was processed to its end, a 4xx or 500: otherwise one that always gets such an answer and shared three runners that crashed would be refused for an hour. A 504 clears nothing. Attempts tell the reducer these outcomes apart; what else follows from them is as before.

Both tests were red with the outcomes as they were (Finished for any status below 500, Failed for 504) and pass.

--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -290,7 +290,11 @@
         let mut answer = Response::new(full_body(text));
         *answer.status_mut() = head.status;
         *answer.headers_mut() = headers;
-        AttemptResult::Failure { outcome: AttemptOutcome::Failed, answer: Some(answer) }
+        let outcome = match head.status {
+            StatusCode::GATEWAY_TIMEOUT => AttemptOutcome::OutOfTime,
+            _ => AttemptOutcome::Failed,
+        };
+        AttemptResult::Failure { outcome, answer: Some(answer) }
     }
 }
 
--- a/components/edge/src/gateway/attempts.rs
+++ b/components/edge/src/gateway/attempts.rs
@@ -222,9 +222,9 @@
         }
     }
 
-    /// Tells the reducer that the answer is complete.
-    pub fn finish(&self) {
-        self.core.dispatch(Event::Attempt(self.handle.key, AttemptOutcome::Finished));
+    /// Tells the reducer that the answer is complete, and with which outcome.
+    pub fn finish(&self, outcome: AttemptOutcome) {
+        self.core.dispatch(Event::Attempt(self.handle.key, outcome));
     }
 
     /// Whether a runner may have received the request and run it.
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -62,7 +62,10 @@
 
     /// Records that the answer is complete.
     fn finish(&self) {
-        self.attempts.finish();
+        self.attempts.finish(match self.answer.status.is_success() {
+            true => AttemptOutcome::Finished,
+            false => AttemptOutcome::Unsuccessful,
+        });
         self.core
             .metrics
             .record_duration(MeasuredDuration::FullResponse, self.context.trace.age_ms());
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -123,8 +123,10 @@
 pub enum AttemptOutcome {
     /// The runner began to respond, and the response is forwarded to the caller.
     Answered,
-    /// The response is complete.
+    /// The response is complete and is a success.
     Finished,
+    /// The response is complete and is no success, but no error of the runner either.
+    Unsuccessful,
     /// The connection failed; nothing was sent.
     NotSent,
     /// The runner's sidecar denied the reservation; nothing was sent.
@@ -148,6 +150,8 @@
     Misdirected,
     /// The runner responded with an error of its own.
     Failed,
+    /// The runner responded that the request's deadline has passed. It may not have begun to process it.
+    OutOfTime,
     /// The request was sent, but the runner had not begun to respond by the time from which
     /// requests may no longer start on its version.
     VersionDeadlinePassed,
@@ -166,8 +170,9 @@
     /// Whether the runner or its sidecar answered, which shows that its data hall is reachable.
     pub(crate) fn was_answered(self) -> bool {
         match self {
-            Self::Answered | Self::Finished | Self::Denied { .. } => true,
-            Self::Full | Self::Misdirected | Self::Failed => true,
+            Self::Answered | Self::Finished | Self::Unsuccessful => true,
+            Self::Denied { .. } | Self::Full | Self::Misdirected => true,
+            Self::Failed | Self::OutOfTime => true,
             Self::NotSent | Self::Silent | Self::Expired | Self::Withdrawn => false,
             Self::VersionDeadlinePassed | Self::Lost | Self::Cut => false,
         }
@@ -179,9 +184,24 @@
         matches!(self, Self::Lost | Self::Cut)
     }
 
+    /// Whether the caller has the complete response.
+    pub(crate) fn is_complete(self) -> bool {
+        matches!(self, Self::Finished | Self::Unsuccessful)
+    }
+
     /// Whether the runner finished the request, with a complete response or an error of its own.
     pub(crate) fn has_ended_well(self) -> bool {
-        matches!(self, Self::Finished | Self::Failed)
+        self.is_complete() || matches!(self, Self::Failed | Self::OutOfTime)
+    }
+
+    /// Whether the end of the attempt shows that a subject of its request does not crash runners: the runner
+    /// wrote a whole response on each part of the prompt, or at least processed the request to its end.
+    pub(crate) fn clears(self, subject: SubjectDigest) -> bool {
+        match self {
+            Self::Finished => true,
+            Self::Unsuccessful | Self::Failed => !subject.is_part(),
+            _ => false,
+        }
     }
 
     /// The code for an attempt that did not end in a response.
@@ -190,12 +210,12 @@
             Self::NotSent | Self::Silent => Code::Unreachable,
             Self::Full | Self::Denied { .. } | Self::Expired => Code::Overloaded,
             Self::Misdirected => Code::NotServing,
-            Self::Failed => Code::UpstreamFailed,
+            Self::Failed | Self::OutOfTime => Code::UpstreamFailed,
             Self::Withdrawn => Code::Withdrawn,
             Self::VersionDeadlinePassed => Code::TimedOut,
             Self::Lost => Code::ConnectionLost,
             Self::Cut => Code::CutShort,
-            Self::Answered | Self::Finished => Code::Internal,
+            Self::Answered | Self::Finished | Self::Unsuccessful => Code::Internal,
         }
     }
 
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -40,7 +40,7 @@
             return Vec::new();
         };
         let mut effects = self.end_attempt(now, key, &attempt, outcome);
-        if outcome == AttemptOutcome::Finished {
+        if outcome.is_complete() {
             self.finish(key);
         } else {
             effects.extend(self.retry_or_end(now, random, key, outcome));
@@ -139,7 +139,9 @@
         runner.notices.backoff.note_end(key);
         let is_limited = runner.notices.limit.rate().is_some();
         match outcome {
-            AttemptOutcome::Answered | AttemptOutcome::Finished => runner.note_response(),
+            AttemptOutcome::Answered | AttemptOutcome::Finished | AttemptOutcome::Unsuccessful => {
+                runner.note_response();
+            }
             AttemptOutcome::Full => runner.note_full(now, FULL_PAUSE_MS),
             // The sidecar enforces the rate limit, so it knows when the next reservation is
             // possible.
@@ -165,6 +167,7 @@
                 runner.note_rate_exhausted(now, MAX_DENIED_PAUSE_MS);
             }
             AttemptOutcome::Failed
+            | AttemptOutcome::OutOfTime
             | AttemptOutcome::Expired
             | AttemptOutcome::Withdrawn
             | AttemptOutcome::VersionDeadlinePassed => {}
--- a/components/gateway/src/reducer/crashes.rs
+++ b/components/gateway/src/reducer/crashes.rs
@@ -73,10 +73,8 @@
             let life = selected.incarnation.digest;
             self.crashes.record_suspicion(now, subjects.iter(), &selected.id, life);
         }
-        if !outcome.has_ended_well() {
-            return Vec::new();
-        }
-        effects(self.crashes.note_success(now, subjects.iter()))
+        let cleared = subjects.iter().filter(|it| outcome.clears(*it));
+        effects(self.crashes.note_success(now, cleared))
     }
 
     /// Decides which of the attempts that were cut off were crashes.
--- a/components/gateway/tests/crashes.rs
+++ b/components/gateway/tests/crashes.rs
@@ -414,3 +414,44 @@
     let step = fixture.step(1, Event::Crashes(reported));
     assert_eq!(refusal(step).0, Code::Quarantined);
 }
+
+/// Crashes runners by the part `bad` of requests that differ, while another request with it gets this answer.
+fn crash_beside(answer: AttemptOutcome) -> Fixture {
+    let mut fixture = fixture(8);
+    for key in 1..=3 {
+        sent_to(fixture.arrive(prompt(10 + key, &["bad"])));
+        fixture.outcome(10 + key, answer);
+        let runner = sent_to(fixture.arrive(prompt(key, &["bad"])));
+        fixture.outcome(key, AttemptOutcome::Answered);
+        fixture.outcome(key, AttemptOutcome::Cut);
+        fixture.pass(SETTLE_MS);
+        fixture.feed(Event::Unlisted(runner));
+    }
+    fixture
+}
+
+#[test]
+fn an_answer_that_is_no_success_clears_a_part_on_which_nothing_was_written() {
+    for answer in [AttemptOutcome::Failed, AttemptOutcome::OutOfTime, AttemptOutcome::Unsuccessful]
+    {
+        let mut fixture = crash_beside(answer);
+        let step = fixture.arrive(prompt(20, &["bad"]));
+        assert_eq!(refusal(step).0, Code::Quarantined, "{answer:?}");
+    }
+    let mut fixture = crash_beside(AttemptOutcome::Finished);
+    sent_to(fixture.arrive(prompt(20, &["bad"])));
+}
+
+#[test]
+fn a_runner_that_is_out_of_time_clears_a_request_that_it_may_not_have_begun() {
+    let mut fixture = fixture(8);
+    for key in 1..=3 {
+        sent_to(fixture.arrive(Arrival { attempts: 1, ..attempt_of_request(10 + key) }));
+        fixture.outcome(10 + key, AttemptOutcome::OutOfTime);
+        let runner = sent_to(fixture.arrive(Arrival { attempts: 1, ..attempt_of_request(key) }));
+        fixture.outcome(key, AttemptOutcome::Cut);
+        fixture.pass(SETTLE_MS);
+        fixture.feed(Event::Unlisted(runner));
+    }
+    assert_eq!(refusal(fixture.arrive(attempt_of_request(20))).0, Code::Quarantined);
+}
