Gateway: an answer that ends with its connection is a success once its runner is known to live

Change: such an end is no success by itself. Without a sidecar it counts as a success as before, since silence of a plain runner shows nothing; after a runner has left the list nothing is concluded. The callers' answers are as before, but that a stream of which no event came before such an end is cut.

With the outcome treated as before (success at once), a_response_that_ended_with_its_connection_hides_that_its_runner_crashed is red; it passes now.

--- a/components/edge/src/gateway/event_splitter.rs
+++ b/components/edge/src/gateway/event_splitter.rs
@@ -11,13 +11,14 @@
     /// The most bytes of one event that are buffered.
     max_bytes: usize,
     partial: BytesMut,
+    has_events: bool,
     last_id: Option<String>,
 }
 
 impl EventSplitter {
     /// Creates a splitter that buffers at most `max_bytes` bytes of one event.
     pub fn new(max_bytes: usize) -> Self {
-        Self { max_bytes, partial: BytesMut::new(), last_id: None }
+        Self { max_bytes, partial: BytesMut::new(), has_events: false, last_id: None }
     }
 
     /// Adds bytes and returns those that end with a complete event.
@@ -32,6 +33,7 @@
             return Bytes::new();
         };
         let complete = self.partial.split_to(end).freeze();
+        self.has_events = true;
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
@@ -43,6 +45,11 @@
         !self.partial.is_empty()
     }
 
+    /// Whether an event has been complete.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Discards an event that a runner started and did not finish.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -62,9 +62,11 @@
 
     /// Records that the answer is complete.
     fn finish(&self) {
-        self.attempts.finish(match self.answer.status.is_success() {
-            true => AttemptOutcome::Finished,
-            false => AttemptOutcome::Unsuccessful,
+        let answer = &self.answer;
+        self.attempts.finish(match (answer.status.is_success(), answer.ends_with_connection) {
+            (true, false) => AttemptOutcome::Finished,
+            (true, true) => AttemptOutcome::EndedWithConnection,
+            (false, _) => AttemptOutcome::Unsuccessful,
         });
         self.core
             .metrics
@@ -185,13 +187,12 @@
                         return Some(Ok(events));
                     }
                 }
-                RelayEvent::End if !self.splitter.has_partial() => {
+                RelayEvent::End if !self.is_broken_off() => {
                     self.note_sending();
                     self.ended = true;
                     self.current.context.caller.set_stream_deadline(None);
                     self.current.finish();
                 }
-                // A stream that ends within an event was truncated, however its connection ended.
                 RelayEvent::Cut | RelayEvent::End => self.lose_runner(),
                 RelayEvent::Stalled => self.note_silence(),
                 RelayEvent::Attempts(AttemptsResult::Answered(answered)) => {
@@ -206,6 +207,13 @@
         None
     }
 
+    /// Whether the stream that has ended was broken off: within an event, or before the first one by a connection whose
+    /// end alone says that the stream is over.
+    fn is_broken_off(&self) -> bool {
+        let is_empty = self.current.answer.ends_with_connection && !self.splitter.has_events();
+        self.splitter.has_partial() || is_empty
+    }
+
     /// The bytes to forward. Those of a stream that cannot be resumed are forwarded unchanged.
     fn split_events(&mut self, bytes: &Bytes) -> Bytes {
         let complete = self.splitter.push(bytes);
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -125,6 +125,9 @@
     Answered,
     /// The response is complete and is a success.
     Finished,
+    /// The response is a success and has ended with its connection, without a length or chunks. It is complete
+    /// unless the runner has crashed.
+    EndedWithConnection,
     /// The response is complete and is no success, but no error of the runner either.
     Unsuccessful,
     /// The connection failed; nothing was sent.
@@ -170,7 +173,8 @@
     /// Whether the runner or its sidecar answered, which shows that its data hall is reachable.
     pub(crate) fn was_answered(self) -> bool {
         match self {
-            Self::Answered | Self::Finished | Self::Unsuccessful => true,
+            Self::Answered | Self::Finished => true,
+            Self::EndedWithConnection | Self::Unsuccessful => true,
             Self::Denied { .. } | Self::Full | Self::Misdirected => true,
             Self::Failed | Self::OutOfTime => true,
             Self::NotSent | Self::Silent | Self::Expired | Self::Withdrawn => false,
@@ -184,9 +188,9 @@
         matches!(self, Self::Lost | Self::Cut)
     }
 
-    /// Whether the caller has the complete response.
+    /// Whether the caller has the complete response, as far as is known.
     pub(crate) fn is_complete(self) -> bool {
-        matches!(self, Self::Finished | Self::Unsuccessful)
+        matches!(self, Self::Finished | Self::EndedWithConnection | Self::Unsuccessful)
     }
 
     /// Whether the runner finished the request, with a complete response or an error of its own.
@@ -215,7 +219,8 @@
             Self::VersionDeadlinePassed => Code::TimedOut,
             Self::Lost => Code::ConnectionLost,
             Self::Cut => Code::CutShort,
-            Self::Answered | Self::Finished | Self::Unsuccessful => Code::Internal,
+            Self::Answered | Self::Finished => Code::Internal,
+            Self::EndedWithConnection | Self::Unsuccessful => Code::Internal,
         }
     }
 
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -139,9 +139,10 @@
         runner.notices.backoff.note_end(key);
         let is_limited = runner.notices.limit.rate().is_some();
         match outcome {
-            AttemptOutcome::Answered | AttemptOutcome::Finished | AttemptOutcome::Unsuccessful => {
-                runner.note_response();
-            }
+            AttemptOutcome::Answered
+            | AttemptOutcome::Finished
+            | AttemptOutcome::EndedWithConnection
+            | AttemptOutcome::Unsuccessful => runner.note_response(),
             AttemptOutcome::Full => runner.note_full(now, FULL_PAUSE_MS),
             // The sidecar enforces the rate limit, so it knows when the next reservation is
             // possible.
--- a/components/gateway/src/reducer/crashes.rs
+++ b/components/gateway/src/reducer/crashes.rs
@@ -4,7 +4,7 @@
 use fleet::{InstanceId, Millis};
 use quarantine::{
     Admission, CrashEvent, CrashList, Crashes, IncarnationDigest, ListScope, RunnerLiveness,
-    SubjectDigest, Subjects,
+    SubjectDigest, Subjects, UnclearEnd,
 };
 use rand::rngs::SmallRng;
 
@@ -69,14 +69,30 @@
         selected: &SelectedRunner,
         outcome: AttemptOutcome,
     ) -> Vec<Effect> {
-        if outcome.may_have_crashed() {
+        if let Some(end) = self.unclear_end(now, selected, outcome) {
             let life = selected.incarnation.digest;
-            self.crashes.record_suspicion(now, subjects.iter(), &selected.id, life);
+            self.crashes.record_suspicion(now, subjects.iter(), &selected.id, life, end);
         }
         let cleared = subjects.iter().filter(|it| outcome.clears(*it));
         effects(self.crashes.note_success(now, cleared))
     }
 
+    /// How an attempt ended, if that does not show whether its runner has crashed.
+    fn unclear_end(
+        &self,
+        now: Millis,
+        selected: &SelectedRunner,
+        outcome: AttemptOutcome,
+    ) -> Option<UnclearEnd> {
+        if outcome.may_have_crashed() {
+            return Some(UnclearEnd::Failed);
+        }
+        let runner = self.pool.runner(&selected.id).filter(|it| it.is_open())?;
+        let is_reported = runner.load(now).is_some();
+        (outcome == AttemptOutcome::EndedWithConnection)
+            .then_some(UnclearEnd::LooksComplete { is_reported })
+    }
+
     /// Decides which of the attempts that were cut off were crashes.
     pub(super) fn classify_crashes(&mut self, now: Millis) -> Vec<Effect> {
         self.crashes.ledger.forget_old(now);
--- a/components/gateway/tests/crashes.rs
+++ b/components/gateway/tests/crashes.rs
@@ -455,3 +455,45 @@
     }
     assert_eq!(refusal(fixture.arrive(attempt_of_request(20))).0, Code::Quarantined);
 }
+
+/// Has runners answer requests with the part `bad` that differ, with responses that end with their connections. With
+/// `is_alive`, the runners go on reporting.
+fn end_with_connection(is_alive: bool) -> Fixture {
+    let mut fixture = fixture(8);
+    for key in 1..=3 {
+        for port in 1..=8 {
+            fixture.feed(Event::Load(([127, 0, 0, 1], port).into(), load(1, 0)));
+        }
+        let target = target_of(fixture.arrive(prompt(key, &["bad"])));
+        fixture.outcome(key, AttemptOutcome::Answered);
+        fixture.outcome(key, AttemptOutcome::EndedWithConnection);
+        fixture.pass(100);
+        if is_alive {
+            fixture.feed(Event::Load(target.address, load(1, 0)));
+        }
+        fixture.pass(SETTLE_MS);
+        fixture.feed(Event::Unlisted(target.id));
+    }
+    fixture
+}
+
+#[test]
+fn a_response_that_ended_with_its_connection_hides_that_its_runner_crashed() {
+    let mut fixture = end_with_connection(false);
+    assert_eq!(refusal(fixture.arrive(prompt(20, &["bad"]))).0, Code::Quarantined);
+}
+
+#[test]
+fn a_response_that_ended_with_its_connection_is_no_success_though_its_runner_is_alive() {
+    let mut fixture = end_with_connection(true);
+    assert_eq!(fixture.gateway.crash_counts(), (0, 0));
+    let runner = sent_to(fixture.arrive(prompt(20, &["bad"])));
+    fixture.outcome(20, AttemptOutcome::Cut);
+    fixture.feed(Event::Unlisted(runner));
+    fixture.pass(100);
+    assert_eq!(
+        fixture.gateway.crash_counts().0,
+        1,
+        "the success speaks for the part, not the request"
+    );
+}
--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -38,12 +38,58 @@
     Gone,
 }
 
+/// How an attempt ended that does not show by itself whether its runner has crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnclearEnd {
+    /// It failed midway.
+    Failed,
+    /// Its response looks complete and ended with the connection, as one of a runner that crashes may.
+    LooksComplete {
+        /// Whether the sidecar of the runner reports on it, so that a silence shows that it has crashed.
+        is_reported: bool,
+    },
+}
+
 /// An attempt that may have crashed its runner, held against one of its subjects.
 #[derive(Clone, Debug)]
 struct Suspicion {
     runner: InstanceId,
     life: IncarnationDigest,
     at: Millis,
+    end: UnclearEnd,
+}
+
+/// What a suspicion turned out to be.
+enum Verdict {
+    /// Not known yet.
+    Unknown,
+    /// The runner crashed.
+    Crashed,
+    /// The response was complete.
+    Succeeded,
+    /// Neither is shown.
+    Nothing,
+}
+
+impl Suspicion {
+    fn verdict(&self, now: Millis, liveness: RunnerLiveness) -> Verdict {
+        let is_due = now.since(self.at).0 >= CRASH_CONFIRM_DELAY_MS;
+        let is_alive = match liveness {
+            RunnerLiveness::ReportedAt(at) => at >= self.at.plus(REPORT_TRANSIT_MS),
+            RunnerLiveness::Gone => false,
+        };
+        let is_gone = liveness == RunnerLiveness::Gone;
+        match self.end {
+            UnclearEnd::Failed if is_alive => Verdict::Nothing,
+            UnclearEnd::Failed if is_gone || is_due => Verdict::Crashed,
+            UnclearEnd::LooksComplete { .. } if is_alive => Verdict::Succeeded,
+            // A runner may leave the list as planned right after a complete response.
+            UnclearEnd::LooksComplete { .. } if is_gone => Verdict::Nothing,
+            UnclearEnd::LooksComplete { is_reported: true } if is_due => Verdict::Crashed,
+            UnclearEnd::LooksComplete { is_reported: false } if is_due => Verdict::Succeeded,
+            UnclearEnd::Failed | UnclearEnd::LooksComplete { .. } => Verdict::Unknown,
+        }
+    }
 }
 
 /// A change in what is known of subjects and crashes.
@@ -118,16 +164,17 @@
 }
 
 impl<K: Copy + PartialEq> Crashes<K> {
-    /// Records for these subjects of an attempt that it failed midway and may have run.
+    /// Records for these subjects of an attempt that its end does not show whether the runner has crashed.
     pub fn record_suspicion(
         &mut self,
         now: Millis,
         subjects: impl IntoIterator<Item = SubjectDigest>,
         runner: &InstanceId,
         life: IncarnationDigest,
+        end: UnclearEnd,
     ) {
         for digest in subjects {
-            let suspicion = Suspicion { runner: runner.clone(), life, at: now };
+            let suspicion = Suspicion { runner: runner.clone(), life, at: now, end };
             self.pending.entry(digest).or_default().push(suspicion);
         }
     }
@@ -142,16 +189,14 @@
         let mut events = Vec::new();
         for (digest, suspicions) in std::mem::take(&mut self.pending) {
             for suspicion in suspicions {
-                let is_due = now.since(suspicion.at).0 >= CRASH_CONFIRM_DELAY_MS;
-                match liveness(&suspicion.runner, suspicion.life) {
-                    RunnerLiveness::ReportedAt(seen)
-                        if seen >= suspicion.at.plus(REPORT_TRANSIT_MS) => {}
-                    RunnerLiveness::ReportedAt(_) if !is_due => {
+                let liveness = liveness(&suspicion.runner, suspicion.life);
+                match suspicion.verdict(now, liveness) {
+                    Verdict::Unknown => {
                         self.pending.entry(digest).or_default().push(suspicion);
                     }
-                    RunnerLiveness::ReportedAt(_) | RunnerLiveness::Gone => {
-                        events.extend(self.confirm(now, digest, suspicion));
-                    }
+                    Verdict::Crashed => events.extend(self.confirm(now, digest, suspicion)),
+                    Verdict::Succeeded => events.extend(self.succeed(now, digest, suspicion.at)),
+                    Verdict::Nothing => {}
                 }
             }
         }
@@ -168,7 +213,8 @@
     ) -> Vec<CrashEvent> {
         let mut events = Vec::new();
         for digest in subjects.iter() {
-            let suspicion = Suspicion { runner: runner.clone(), life, at: now };
+            let end = UnclearEnd::Failed;
+            let suspicion = Suspicion { runner: runner.clone(), life, at: now, end };
             events.extend(self.confirm(now, digest, suspicion));
         }
         events
@@ -180,7 +226,7 @@
         digest: SubjectDigest,
         suspicion: Suspicion,
     ) -> Vec<CrashEvent> {
-        let Suspicion { runner, life, at } = suspicion;
+        let Suspicion { runner, life, at, .. } = suspicion;
         if self.has_recent_success(digest, at) {
             return Vec::new();
         }
@@ -199,19 +245,20 @@
         let mut events = Vec::new();
         for digest in subjects {
             self.pending.remove(&digest);
-            events.extend(self.succeed(now, digest));
+            events.extend(self.succeed(now, digest, now));
         }
         events
     }
 
-    fn succeed(&mut self, now: Millis, digest: SubjectDigest) -> Vec<CrashEvent> {
+    /// Records that a request with a subject succeeded at some time.
+    fn succeed(&mut self, now: Millis, digest: SubjectDigest, at: Millis) -> Vec<CrashEvent> {
         if self.successes.len() >= MAX_SUCCESSES {
             self.successes.retain(|_, at| now.since(*at).0 <= SUCCESS_GRACE_MS);
         }
         if self.successes.len() < MAX_SUCCESSES {
-            self.successes.insert(digest, now);
+            self.successes.insert(digest, at);
         }
-        own_changes(self.ledger.note_success(now, digest, now)).collect()
+        own_changes(self.ledger.note_success(now, digest, at)).collect()
     }
 
     /// Whether a request with a subject succeeded here at most `SUCCESS_GRACE_MS` before `moment`, or after it.
@@ -302,7 +349,8 @@
     /// cannot reach more runners than the quarantine threshold.
     fn status(&self, now: Millis, digest: SubjectDigest) -> SubjectStatus {
         let pending = self.pending.get(&digest).into_iter().flatten();
-        let counted = pending.filter(|it| !self.has_recent_success(digest, it.at));
+        let counted = pending
+            .filter(|it| it.end == UnclearEnd::Failed && !self.has_recent_success(digest, it.at));
         // Many requests share a part, and all of them fail midway when a network fails.
         let is_known = !digest.is_part() || self.ledger.crashes(digest) > 0;
         let most = if is_known { usize::MAX } else { 1 };
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -12,7 +12,7 @@
 mod record;
 mod subjects;
 
-pub use crashes::{Admission, CrashEvent, Crashes, RunnerLiveness};
+pub use crashes::{Admission, CrashEvent, Crashes, RunnerLiveness, UnclearEnd};
 pub use digest::SubjectDigest;
 pub use incarnation::IncarnationDigest;
 pub use ledger::{CrashChange, CrashLedger, SubjectStatus};
--- a/components/quarantine/tests/blame.rs
+++ b/components/quarantine/tests/blame.rs
@@ -7,7 +7,7 @@
 use quarantine::{
     Admission, CrashChange, CrashEvent, CrashLedger, Crashes, IncarnationDigest, ListScope,
     QuarantineAnswer, QuarantineCall, QuarantineRecord, RunnerLiveness, SubjectDigest,
-    SubjectStatus, Subjects,
+    SubjectStatus, Subjects, UnclearEnd,
 };
 
 const REQUEST: SubjectDigest = SubjectDigest(7);
@@ -111,7 +111,8 @@
     for request in 0..40 {
         let subjects = prompt(request, &["shared"]);
         let runner = format!("i-{request}").as_str().into();
-        crashes.record_suspicion(NOW, subjects.iter(), &runner, life(request as u32));
+        let life = life(request as u32);
+        crashes.record_suspicion(NOW, subjects.iter(), &runner, life, UnclearEnd::Failed);
     }
     assert!(is_admitted(&mut crashes, &prompt(100, &["shared"])));
     let events =
