Gateway: attempts whose runners fell silent blame no part of a prompt

A gateway that is cut off hears no runner, so after 600 ms each attempt that failed there counts as a crash of its runner. For whole requests that was one or two crashes each. A part that several requests at that gateway share would come into quarantine for all callers once the gateway is back, for 10 to 40 s. Found by reading while looking for wrong blames.

Change: an attempt whose connection timed out, or whose runner was silent until another attempt took its place, ends with an outcome of its own, which is held against the whole request only. A runner that crashes closes its connections, so a part that crashes runners is seen all the same.

--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -6,6 +6,7 @@
 
 use account::Decision;
 use bytes::Bytes;
+use errors::{Code, Error};
 use fleet::AdvertisedLimit;
 use futures_lite::future;
 use gateway::{AttemptOutcome, Event, Notice, RequestKey, RunnerTarget, StalledEvent};
@@ -133,7 +134,7 @@
         }
         self.state.sent.set(true);
         let started = Instant::now();
-        let answer = async { connection.send(request).await.map_err(|_| AttemptOutcome::Lost) };
+        let answer = async { connection.send(request).await.map_err(lost_outcome) };
         let withdrawal = async { Err(self.wait_for_withdrawal().await) };
         let silence = async { Err(self.report_silence().await) };
         let answer = match future::or(answer, future::or(withdrawal, silence)).await {
@@ -298,6 +299,14 @@
     }
 }
 
+/// The outcome if the connection ended before the head of an answer.
+fn lost_outcome(error: Error) -> AttemptOutcome {
+    match error.code {
+        Code::TimedOut => AttemptOutcome::FellSilent,
+        _ => AttemptOutcome::Lost,
+    }
+}
+
 /// The outcome if the runner refused the request.
 fn refusal_outcome(
     status: StatusCode,
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -159,8 +159,8 @@
     Bytes(Bytes),
     /// The end of its answer.
     End,
-    /// Its connection has ended within its answer.
-    Cut,
+    /// Its connection has ended within its answer, with this outcome.
+    Cut(AttemptOutcome),
     /// It has been silent for too long.
     Stalled,
     /// The result of attempts at other runners.
@@ -193,7 +193,8 @@
                     self.current.context.caller.set_stream_deadline(None);
                     self.current.finish();
                 }
-                RelayEvent::Cut | RelayEvent::End => self.lose_runner(),
+                RelayEvent::End => self.lose_runner(AttemptOutcome::Cut),
+                RelayEvent::Cut(outcome) => self.lose_runner(outcome),
                 RelayEvent::Stalled => self.note_silence(),
                 RelayEvent::Attempts(AttemptsResult::Answered(answered)) => {
                     self.resume(answered);
@@ -238,7 +239,10 @@
             }
             match connection.next_bytes(body).await {
                 Some(Ok(bytes)) => RelayEvent::Bytes(bytes),
-                Some(Err(_)) => RelayEvent::Cut,
+                Some(Err(error)) if error.code == Code::TimedOut => {
+                    RelayEvent::Cut(AttemptOutcome::FellSilent)
+                }
+                Some(Err(_)) => RelayEvent::Cut(AttemptOutcome::Cut),
                 None => RelayEvent::End,
             }
         };
@@ -289,11 +293,11 @@
     }
 
     /// Ends the part of a runner whose connection has ended.
-    fn lose_runner(&mut self) {
-        self.note_failure(AttemptOutcome::Cut);
+    fn lose_runner(&mut self, outcome: AttemptOutcome) {
+        self.note_failure(outcome);
         self.current.answer.connection.close();
         let was_silent = self.runner == RunnerState::Stalled;
-        self.current.attempts.end(&self.current.target, was_silent, AttemptOutcome::Cut);
+        self.current.attempts.end(&self.current.target, was_silent, outcome);
         self.runner = RunnerState::Lost;
         self.splitter.discard_partial();
     }
--- a/components/edge/src/http_connection.rs
+++ b/components/edge/src/http_connection.rs
@@ -3,7 +3,9 @@
 //! The connection has no task of its own: a frame then costs a single wake-up, and dropping the connection
 //! closes the socket, which frees the runner at once.
 
+use std::error::Error as _;
 use std::future::{poll_fn, Future};
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -74,7 +76,7 @@
             poll_driver(driver, ended, cx);
             answer.as_mut().poll(cx)
         });
-        answer.await.map_err(|error| Error::new(Code::ConnectionLost, error.to_string()))
+        answer.await.map_err(|error| failure(Code::ConnectionLost, &error))
     }
 
     /// Waits for the next bytes of a body. `None` at its end.
@@ -89,7 +91,7 @@
         });
         let frame = frame.await?;
         let bytes = frame.map(|it| it.into_data().unwrap_or_default());
-        Some(bytes.map_err(|error| Error::new(Code::CutShort, error.to_string())))
+        Some(bytes.map_err(|error| failure(Code::CutShort, &error)))
     }
 
     /// Reads a whole body of at most `limit` bytes.
@@ -105,6 +107,20 @@
     }
 }
 
+/// The error of a connection that failed: `TimedOut` if the network no longer reached the peer, otherwise `code`.
+fn failure(code: Code, error: &hyper::Error) -> Error {
+    let cause = error.source().and_then(|it| it.downcast_ref::<io::Error>());
+    let is_unreachable = cause.is_some_and(|it| {
+        let kinds = [
+            io::ErrorKind::TimedOut,
+            io::ErrorKind::HostUnreachable,
+            io::ErrorKind::NetworkUnreachable,
+        ];
+        kinds.contains(&it.kind())
+    });
+    Error::new(if is_unreachable { Code::TimedOut } else { code }, error.to_string())
+}
+
 /// Polls the connection, so that it reads and writes what it can.
 fn poll_driver(driver: &mut Option<Pin<Box<Driver>>>, ended: &mut bool, cx: &mut Context<'_>) {
     let Some(driver) = driver.as_mut().filter(|_| !*ended) else {
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -162,6 +162,9 @@
     Lost,
     /// The response ended before it was complete.
     Cut,
+    /// The request was sent and the runner fell silent: nothing closed the connection, which timed out, or another
+    /// attempt took the place of this one.
+    FellSilent,
 }
 
 impl AttemptOutcome {
@@ -178,14 +181,20 @@
             Self::Denied { .. } | Self::Full | Self::Misdirected => true,
             Self::Failed | Self::OutOfTime => true,
             Self::NotSent | Self::Silent | Self::Expired | Self::Withdrawn => false,
-            Self::VersionDeadlinePassed | Self::Lost | Self::Cut => false,
+            Self::VersionDeadlinePassed | Self::Lost | Self::Cut | Self::FellSilent => false,
         }
     }
 
     /// Whether the request was sent and no complete response arrived, so that the runner may have
     /// crashed while running it.
     pub(crate) fn may_have_crashed(self) -> bool {
-        matches!(self, Self::Lost | Self::Cut)
+        matches!(self, Self::Lost | Self::Cut | Self::FellSilent)
+    }
+
+    /// Whether a subject of the request is suspected if the runner may have crashed. A crash closes connections. A
+    /// network that fails closes none, and many requests that share a part fail with it.
+    pub(crate) fn suspects(self, subject: SubjectDigest) -> bool {
+        self != Self::FellSilent || !subject.is_part()
     }
 
     /// Whether the caller has the complete response, as far as is known.
@@ -216,7 +225,7 @@
             Self::Misdirected => Code::NotServing,
             Self::Failed | Self::OutOfTime => Code::UpstreamFailed,
             Self::Withdrawn => Code::Withdrawn,
-            Self::VersionDeadlinePassed => Code::TimedOut,
+            Self::VersionDeadlinePassed | Self::FellSilent => Code::TimedOut,
             Self::Lost => Code::ConnectionLost,
             Self::Cut => Code::CutShort,
             Self::Answered | Self::Finished => Code::Internal,
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -104,7 +104,8 @@
         }
         progress.reason = outcome.code();
         let subjects = progress.arrival.subjects.clone();
-        if outcome == AttemptOutcome::Lost && !attempt.answered {
+        let ended_early = matches!(outcome, AttemptOutcome::Lost | AttemptOutcome::FellSilent);
+        if ended_early && !attempt.answered {
             self.note_wait(now, selected, now.since(attempt.sent_at));
         }
         self.record_outcome(now, key, attempt, outcome);
@@ -153,7 +154,10 @@
                 runner.note_full(now, retry_after_ms.min(MAX_DENIED_PAUSE_MS));
             }
             AttemptOutcome::Misdirected => runner.misdirected = true,
-            AttemptOutcome::NotSent | AttemptOutcome::Lost | AttemptOutcome::Cut => {
+            AttemptOutcome::NotSent
+            | AttemptOutcome::Lost
+            | AttemptOutcome::Cut
+            | AttemptOutcome::FellSilent => {
                 if is_suspicion_enabled {
                     runner.note_failure(now);
                 }
--- a/components/gateway/src/reducer/crashes.rs
+++ b/components/gateway/src/reducer/crashes.rs
@@ -71,7 +71,8 @@
     ) -> Vec<Effect> {
         if let Some(end) = self.unclear_end(now, selected, outcome) {
             let life = selected.incarnation.digest;
-            self.crashes.record_suspicion(now, subjects.iter(), &selected.id, life, end);
+            let suspected = subjects.iter().filter(|it| outcome.suspects(*it));
+            self.crashes.record_suspicion(now, suspected, &selected.id, life, end);
         }
         let cleared = subjects.iter().filter(|it| outcome.clears(*it));
         effects(self.crashes.note_success(now, cleared))
--- a/components/gateway/src/reducer/progress.rs
+++ b/components/gateway/src/reducer/progress.rs
@@ -6,7 +6,7 @@
 use fleet::{InstanceId, Millis};
 
 use crate::choice::Availability;
-use crate::event::{Arrival, AttemptOutcome, RunnerScope};
+use crate::event::{Arrival, RunnerScope};
 use crate::runner::RunnerIncarnation;
 
 /// The incarnation of a runner that a request was sent to.
@@ -31,17 +31,6 @@
     pub(super) is_suspect: bool,
 }
 
-impl ActiveAttempt {
-    /// How it counts as ended if another attempt takes its place.
-    pub(super) fn replaced_outcome(&self) -> AttemptOutcome {
-        if self.answered {
-            AttemptOutcome::Cut
-        } else {
-            AttemptOutcome::Lost
-        }
-    }
-}
-
 /// An active request.
 #[derive(Clone, Debug)]
 pub(super) struct Progress {
--- a/components/gateway/src/reducer/stalled.rs
+++ b/components/gateway/src/reducer/stalled.rs
@@ -134,7 +134,7 @@
         };
         for attempt in std::mem::take(&mut progress.stalled) {
             // An attempt that was replaced ends without effects.
-            self.end_attempt(now, key, &attempt, attempt.replaced_outcome());
+            self.end_attempt(now, key, &attempt, AttemptOutcome::FellSilent);
         }
     }
 
--- a/components/gateway/tests/crashes.rs
+++ b/components/gateway/tests/crashes.rs
@@ -497,3 +497,14 @@
         "the success speaks for the part, not the request"
     );
 }
+
+#[test]
+fn a_part_is_refused_after_the_network_of_its_gateway_failed() {
+    let mut fixture = fixture(8);
+    for key in 1..=4 {
+        sent_to(fixture.arrive(prompt(key, &["shared"])));
+        fixture.outcome(key, AttemptOutcome::FellSilent);
+    }
+    fixture.pass(SETTLE_MS);
+    sent_to(fixture.arrive(prompt(20, &["shared"])));
+}
