Quarantine: probe a part with five to seven crashes, so that a wrong blame ends

A part that was on five crashed runners by chance, with no success between, was refused until nobody had asked for it for an hour: probes ended after four crashes. The bound allows three runners after the fifth crash; each probe costs one at most. Delays go on as before, four times longer with each crash: 160 s, 640 s and 2,560 s after the fifth to seventh. Whole requests keep two probes. The new test was red (no probe at five) and passes.

--- a/components/quarantine/src/ledger.rs
+++ b/components/quarantine/src/ledger.rs
@@ -189,7 +189,7 @@
     ) -> SubjectStatus {
         let known = self.subjects.get(&digest);
         if self.blame.quarantined.contains(&digest) {
-            let probe_at = known.and_then(Entry::probe_at);
+            let probe_at = known.and_then(|it| it.probe_at(digest));
             return SubjectStatus::Quarantined { probe_in_ms: probe_at.map(|at| at.since(now).0) };
         }
         let is_new = |life: &&IncarnationDigest| {
--- a/components/quarantine/src/ledger/entry.rs
+++ b/components/quarantine/src/ledger/entry.rs
@@ -28,12 +28,15 @@
 /// that starts it never succeeds. A request that many callers send runs on every runner that crashes, and
 /// would otherwise be quarantined along with the request that causes the crashes.
 pub(crate) const SUCCESS_GRACE_MS: u64 = 3000;
-/// Delay before a quarantined request may be probed for the first time; it is multiplied by four with each
+/// Delay before a quarantined subject may be probed for the first time; it is multiplied by four with each
 /// further crash. Longer than the capacity shortage that the crashes cause.
 const FIRST_PROBE_DELAY_MS: u64 = 10_000;
-/// Largest number of crashes after which a probe is allowed. There are at most two probes, so a request that
-/// was probed twice has crashed five runners.
+/// Largest number of crashes after which a probe of a request is allowed. There are at most two probes, so a request
+/// that was probed twice has crashed five runners.
 const MAX_CRASHES_FOR_PROBE: usize = QUARANTINE_THRESHOLD + 1;
+/// The same for a part of prompts: it may reach three runners after the fifth crash, so that a part that was on five
+/// by chance is not refused for good.
+const MAX_CRASHES_FOR_PART_PROBE: usize = 7;
 
 /// The crashes and the last success of a request.
 #[derive(Clone, Debug)]
@@ -114,11 +117,13 @@
         is_changed
     }
 
-    /// When the request may be probed, if it may.
-    pub(super) fn probe_at(&self) -> Option<Millis> {
+    /// When the subject may be probed, if it may.
+    pub(super) fn probe_at(&self, digest: SubjectDigest) -> Option<Millis> {
+        let most =
+            if digest.is_part() { MAX_CRASHES_FOR_PART_PROBE } else { MAX_CRASHES_FOR_PROBE };
         let last = self.crashes.values().max()?;
         let delay = FIRST_PROBE_DELAY_MS << (2 * (self.crashes.len() - QUARANTINE_THRESHOLD));
-        (self.crashes.len() <= MAX_CRASHES_FOR_PROBE).then(|| last.plus(delay))
+        (self.crashes.len() <= most).then(|| last.plus(delay))
     }
 
     /// The entry in the form that is sent to other processes.
--- a/components/quarantine/tests/blame.rs
+++ b/components/quarantine/tests/blame.rs
@@ -97,6 +97,23 @@
     assert_eq!(list.0[0].digest, part("bad"));
 }
 
+#[test]
+fn a_part_that_was_on_five_crashed_runners_by_chance_is_refused_for_good() {
+    let mut ledger = CrashLedger::default();
+    crash(&mut ledger, part("sound"), &[1, 2, 3, 4, 5]);
+    let mut probes_in = Vec::new();
+    for runner in 6..=8 {
+        match ledger.status(NOW, part("sound"), &BTreeSet::new()) {
+            SubjectStatus::Quarantined { probe_in_ms } => probes_in.push(probe_in_ms),
+            other => panic!("{other:?}"),
+        }
+        crash(&mut ledger, part("sound"), &[runner]);
+    }
+    assert_eq!(probes_in, [Some(160_000), Some(640_000), Some(2_560_000)]);
+    let status = ledger.status(NOW, part("sound"), &BTreeSet::new());
+    assert_eq!(status, SubjectStatus::Quarantined { probe_in_ms: None }, "three runners later");
+}
+
 fn prompt(request: u64, parts: &[&str]) -> Subjects {
     Subjects::new(SubjectDigest(request), parts.iter().map(|it| part(it)))
 }
