Entries: messages of conversations are subjects of crashes too

Change: each message of a conversation but the last is a subject beside the whole request, in the same component. Nothing changes on the wire: entries tell each other digests as before.

The new test was red on the entry as it was (whole requests only, no third crash of any) and passes.

--- a/components/node/src/entry/callers.rs
+++ b/components/node/src/entry/callers.rs
@@ -10,7 +10,7 @@
 use futures_lite::FutureExt;
 use http_types::{Request, Response, StatusCode};
 use net::{error_response, Caller, Handler, Reply};
-use quarantine::SubjectDigest;
+use quarantine::{SubjectDigest, Subjects};
 use reducer::{Arrival, EntryEvent, SavedAnswer, Target};
 use serde::Deserialize;
 use settings::RequestKind;
@@ -94,18 +94,19 @@
     let workspace = header(request, "x-workspace").unwrap_or_else(|| DEFAULT_WORKSPACE.to_owned());
     let workspace = WorkspaceId(workspace);
     let query = request.url().query().map(|query| format!("?{query}")).unwrap_or_default();
-    let (target, prefix, stream) = match kind.and_then(|it| it.service.clone()) {
-        Some(service) => (Target::Service(service), 0, false),
+    let Prompt { target, prefix, parts, stream } = match kind.and_then(|it| it.service.clone()) {
+        Some(service) => Prompt::none(Target::Service(service)),
         None => read_completion(&path, &body)?,
     };
+    let whole = SubjectDigest::of_request(
+        request.method().as_ref(),
+        &format!("{path}{query}"),
+        Some(&workspace),
+        &body,
+    );
     let arrival = Arrival {
         request: id,
-        digest: SubjectDigest::of_request(
-            request.method().as_ref(),
-            &format!("{path}{query}"),
-            Some(&workspace),
-            &body,
-        ),
+        subjects: Subjects::new(whole, parts),
         target: target.clone(),
         workspace,
         prefix,
@@ -142,7 +143,24 @@
     matching.max_by_key(|kind| kind.path.len())
 }
 
-fn read_completion(path: &str, body: &[u8]) -> Result<(Target, u64, bool)> {
+/// What a request addresses, and what its prompt consists of.
+struct Prompt {
+    target: Target,
+    /// A hash of its start.
+    prefix: u64,
+    /// All messages but the last one, which is the request's own.
+    parts: Vec<SubjectDigest>,
+    /// Whether the answer is a stream.
+    stream: bool,
+}
+
+impl Prompt {
+    fn none(target: Target) -> Self {
+        Self { target, prefix: 0, parts: Vec::new(), stream: false }
+    }
+}
+
+fn read_completion(path: &str, body: &[u8]) -> Result<Prompt> {
     if path != CHAT_PATH {
         return Err(Error::new(
             Code::UnknownTarget,
@@ -152,11 +170,14 @@
     let completion: Completion = serde_json::from_slice(body).map_err(|error| {
         Error::new(Code::BadRequest, format!("cannot parse the request body: {error}"))
     })?;
+    let shared = completion.messages.split_last().map_or(&[][..], |(_, shared)| shared);
+    let parts = shared.iter().map(|it| SubjectDigest::of_part(&it.content)).collect();
     let prompt: String = completion.messages.into_iter().map(|it| it.content).collect();
     let prefix = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
     let digest = blake3::hash(prefix);
     let prefix = u64::from_le_bytes(digest.as_bytes()[..8].try_into().expect("eight bytes"));
-    Ok((Target::Model(completion.model), prefix, completion.stream))
+    let target = Target::Model(completion.model);
+    Ok(Prompt { target, prefix, parts, stream: completion.stream })
 }
 
 fn read_budget(shared: &Shared, request: &Request) -> Result<Duration> {
--- a/components/reducer/src/entry/attempts.rs
+++ b/components/reducer/src/entry/attempts.rs
@@ -32,8 +32,8 @@
             self.router.record_end(now, agent, Some(load), None);
             self.shares.release(&progress.arrival.workspace);
         }
-        let mut effects = self.record_success(now, progress.arrival.digest);
-        self.remove_crash_state(attempt.request, progress.arrival.digest);
+        let mut effects = self.record_success(now, &progress.arrival.subjects);
+        self.remove_crash_state(attempt.request, &progress.arrival.subjects);
         effects.extend(self.dispatch_freed(now));
         effects
     }
@@ -53,13 +53,13 @@
             self.router.record_end(now, &agent, failure.load, Some(failure.code));
             self.router.exclude(now, &agent, failure.retry_after_ms);
             self.shares.release(&progress.arrival.workspace);
-            effects = self.record_failure(now, progress.arrival.digest, &agent, failure.code);
+            effects = self.record_failure(now, &progress.arrival.subjects, &agent, failure.code);
         }
         if failure.code.ran() == Ran::Unknown {
             progress.unknown_outcome = Some(failure.code);
         }
         let request = attempt.request;
-        let is_barred = self.is_barred(now, request, progress.arrival.digest);
+        let is_barred = self.is_barred(now, request, &progress.arrival.subjects);
         let decision = if is_barred {
             Err(Code::Quarantined)
         } else {
--- a/components/reducer/src/entry/crashes.rs
+++ b/components/reducer/src/entry/crashes.rs
@@ -7,7 +7,7 @@
 use errors::Code;
 use fleet::{InstanceId, Millis, Process, RequestId};
 use quarantine::{
-    Admission, CrashEvent, CrashList, Crashes, IncarnationDigest, ListScope, SubjectDigest,
+    Admission, CrashEvent, CrashList, Crashes, IncarnationDigest, ListScope, Subjects,
 };
 use wire::DatagramBody;
 
@@ -32,13 +32,13 @@
     /// when a probe is due.
     pub(super) fn is_quarantined(&mut self, now: Millis, arrival: &Arrival) -> bool {
         let crashes = &mut self.known_crashes.crashes;
-        let admission = crashes.admit(now, arrival.request, &arrival.digest.into(), |_| true);
+        let admission = crashes.admit(now, arrival.request, &arrival.subjects, |_| true);
         matches!(admission, Admission::Refused { .. })
     }
 
     /// Whether a further attempt of a request is rejected because it crashes upstreams.
-    pub(super) fn is_barred(&self, now: Millis, request: RequestId, digest: SubjectDigest) -> bool {
-        let admission = self.known_crashes.crashes.still_admits(now, request, &digest.into());
+    pub(super) fn is_barred(&self, now: Millis, request: RequestId, subjects: &Subjects) -> bool {
+        let admission = self.known_crashes.crashes.still_admits(now, request, subjects);
         matches!(admission, Admission::Refused { .. })
     }
 
@@ -46,7 +46,7 @@
     pub(super) fn record_failure(
         &mut self,
         now: Millis,
-        digest: SubjectDigest,
+        subjects: &Subjects,
         agent: &InstanceId,
         code: Code,
     ) -> Vec<EntryEffect> {
@@ -54,23 +54,19 @@
             return Vec::new();
         }
         let life = IncarnationDigest::of(agent, None);
-        let changes = self.known_crashes.crashes.note_crash(now, &digest.into(), agent, life);
+        let changes = self.known_crashes.crashes.note_crash(now, subjects, agent, life);
         self.schedule_report(now, changes)
     }
 
     /// Records that a request received its complete answer.
-    pub(super) fn record_success(
-        &mut self,
-        now: Millis,
-        digest: SubjectDigest,
-    ) -> Vec<EntryEffect> {
-        let changes = self.known_crashes.crashes.note_success(now, [digest]);
+    pub(super) fn record_success(&mut self, now: Millis, subjects: &Subjects) -> Vec<EntryEffect> {
+        let changes = self.known_crashes.crashes.note_success(now, subjects.iter());
         self.schedule_report(now, changes)
     }
 
     /// Removes the crash state of a request that has ended.
-    pub(super) fn remove_crash_state(&mut self, request: RequestId, digest: SubjectDigest) {
-        self.known_crashes.crashes.remove(request, &digest.into());
+    pub(super) fn remove_crash_state(&mut self, request: RequestId, subjects: &Subjects) {
+        self.known_crashes.crashes.remove(request, subjects);
     }
 
     /// Merges a crash list from another entry.
--- a/components/reducer/src/entry/event.rs
+++ b/components/reducer/src/entry/event.rs
@@ -4,7 +4,7 @@
 
 use errors::{Code, Error};
 use fleet::{InstanceId, Millis, ModelName, RequestId, ServiceName, WorkspaceId};
-use quarantine::{CrashEvent, SubjectDigest};
+use quarantine::{CrashEvent, Subjects};
 use wire::Load;
 
 use crate::changes::{ChangeEffect, ChangeEvent};
@@ -42,8 +42,8 @@
 pub struct Arrival {
     /// Its id.
     pub request: RequestId,
-    /// A digest of its content, which stays the same when the caller sends the request again.
-    pub digest: SubjectDigest,
+    /// What it holds that may crash its upstream: the same when the caller sends the request again.
+    pub subjects: Subjects,
     /// The model or service that it addresses.
     pub target: Target,
     /// The workspace that it is accounted to.
--- a/components/reducer/src/entry/queue.rs
+++ b/components/reducer/src/entry/queue.rs
@@ -19,15 +19,15 @@
 impl Entry {
     /// Sends a request to the best upstream with a free slot, or queues it.
     pub(super) fn route(&mut self, now: Millis, request: RequestId) -> Vec<EntryEffect> {
-        let Some(progress) = self.requests.get_mut(&request) else {
+        let Some(progress) = self.requests.get(&request) else {
             return Vec::new();
         };
         let arrival = &progress.arrival;
         if now >= arrival.deadline {
             return self.refuse(request, Code::TooLate);
         }
-        let (target, prefix, digest) = (arrival.target.clone(), arrival.prefix, arrival.digest);
-        if self.is_barred(now, request, digest) {
+        let (target, prefix) = (arrival.target.clone(), arrival.prefix);
+        if self.is_barred(now, request, &arrival.subjects) {
             return self.refuse(request, Code::Quarantined);
         }
         let Some(progress) = self.requests.get_mut(&request) else {
--- a/components/reducer/src/entry/requests.rs
+++ b/components/reducer/src/entry/requests.rs
@@ -122,7 +122,7 @@
         let Some(progress) = self.requests.remove(&request) else {
             return Vec::new();
         };
-        self.remove_crash_state(request, progress.arrival.digest);
+        self.remove_crash_state(request, &progress.arrival.subjects);
         let mut effects = Vec::new();
         if let Some(agent) = &progress.upstream {
             self.router.record_end(now, agent, None, None);
@@ -142,7 +142,7 @@
         let mut error = error.into();
         let progress = self.requests.remove(&request);
         if let Some(progress) = &progress {
-            self.remove_crash_state(request, progress.arrival.digest);
+            self.remove_crash_state(request, &progress.arrival.subjects);
         }
         let unknown_outcome = progress.as_ref().and_then(|it| it.unknown_outcome);
         if let (Some(code), Ran::NotRun) = (unknown_outcome, error.code.ran()) {
--- a/components/reducer/src/entry/tests.rs
+++ b/components/reducer/src/entry/tests.rs
@@ -6,7 +6,7 @@
 use crate::routing::RoutingStrategy;
 use errors::{Code, Ran};
 use fleet::{Incarnation, Instance, InstanceId, ListedState, Location, Process};
-use quarantine::SubjectDigest;
+use quarantine::{SubjectDigest, Subjects};
 use wire::{DatagramBody, Load, MemberState};
 
 const NOW: Millis = Millis(1_000);
@@ -55,7 +55,7 @@
 fn arrival(serial: u64, repeatable: bool) -> Arrival {
     Arrival {
         request: RequestId { entry: Incarnation(1), serial },
-        digest: SubjectDigest(serial),
+        subjects: SubjectDigest(serial).into(),
         target: Target::Service("till".into()),
         workspace: "w".into(),
         prefix: 0,
@@ -334,7 +334,7 @@
 
 /// A request that its caller sends repeatedly, each time with a new id.
 fn repeated(serial: u64) -> Arrival {
-    Arrival { digest: SubjectDigest(77), ..arrival(serial, true) }
+    Arrival { subjects: SubjectDigest(77).into(), ..arrival(serial, true) }
 }
 
 /// Lets a request crash three upstreams.
@@ -356,6 +356,23 @@
     attempt_of(&arrive(&mut entry, arrival(3, true)));
 }
 
+#[test]
+fn requests_that_differ_crash_upstreams_by_a_common_message() {
+    let mut entry = entry(8, 10);
+    let conversation = |serial: u64, message: &str| {
+        let parts = [SubjectDigest::of_part(message)];
+        let subjects = Subjects::new(SubjectDigest(serial), parts);
+        Arrival { subjects, repeatable: false, ..arrival(serial, true) }
+    };
+    for serial in 1..=3 {
+        let sent = arrive(&mut entry, conversation(serial, "bad"));
+        fail(&mut entry, attempt_of(&sent), Code::CutShort);
+    }
+    let refused = arrive(&mut entry, conversation(4, "bad"));
+    assert_eq!(refusal_of(&refused), Some(Code::Quarantined));
+    attempt_of(&arrive(&mut entry, conversation(5, "other")));
+}
+
 #[test]
 fn an_attempt_that_crashed_three_upstreams_is_not_retried() {
     let mut entry = entry(6, 10);
--- a/examples/slopes/entry.rs
+++ b/examples/slopes/entry.rs
@@ -40,7 +40,7 @@
             let request = RequestId { entry: Incarnation(1), serial: u64::from(n) };
             let arrival = Arrival {
                 request,
-                digest: SubjectDigest(u64::from(n)),
+                subjects: SubjectDigest(u64::from(n)).into(),
                 target: Target::Service("till".into()),
                 workspace: "w".into(),
                 prefix: u64::from(n),
