--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -19,6 +19,7 @@
 
 use self::connection::{Observations, ObservedStream};
 use self::exchange::{exchange, with_timeout, Exchange, RequestBody, RequestPlan};
+use crate::faults::CRASH_PART;
 use crate::history::{Kind, Outcome, Request};
 
 /// Deadline that a caller states in most requests, in milliseconds.
@@ -51,6 +52,12 @@
 /// Share of requests that crash runners, while the fault is active.
 const CRASH_REQUEST_SHARE: f64 = 0.05;
 
+/// Number of different first parts of prompts, and of parts that follow them.
+const FIRST_PARTS: u64 = 2;
+const MIDDLE_PARTS: u64 = 12;
+/// Of this many requests with a part that crashes runners, one begins with it.
+const CRASH_FIRST_INTERVAL: u64 = 3;
+
 /// State shared by all callers.
 #[derive(Clone)]
 pub struct Shared {
@@ -62,6 +69,8 @@
     pub configuration: Arc<AtomicU64>,
     /// Number of the request that crashes runners, or zero while callers do not send one.
     pub crash_request: Arc<AtomicU64>,
+    /// Number of the prompt part that crashes runners, or zero while callers send no requests with one.
+    pub crash_part: Arc<AtomicU64>,
     /// Whether callers are to stop.
     pub stopped: Arc<AtomicBool>,
     /// Finished requests of all callers.
@@ -165,6 +174,7 @@
     fn plan_request(&mut self) -> RequestPlan {
         let kind = self.kind();
         let id = format!("{}-{}", self.name, self.sent);
+        let prompt = self.prompt(kind, &id);
         self.sent += 1;
         let deadline_ms = match kind {
             Kind::LongStream(_) | Kind::LongUnsafe(_) => self.random.random_range(LONG_DEADLINE_MS),
@@ -175,6 +185,7 @@
         let pieces = if in_pieces { self.random.random_range(PIECES) } else { 0 };
         let pauses = (0..pieces).map(|_| self.random.random_range(PIECE_PAUSE_MS));
         RequestPlan {
+            prompt,
             id,
             kind,
             deadline: Duration::from_millis(deadline_ms),
@@ -184,12 +195,31 @@
         }
     }
 
+    /// The parts of the prompt of a request; empty if it has none.
+    fn prompt(&self, kind: Kind, id: &str) -> Vec<String> {
+        let first = format!("first{}", self.sent % FIRST_PARTS);
+        let middle = format!("middle{}", self.sent / FIRST_PARTS % MIDDLE_PARTS);
+        let shared = match kind {
+            Kind::CrashPart(number) if self.sent.is_multiple_of(CRASH_FIRST_INTERVAL) => {
+                [format!("{CRASH_PART}{number}"), middle]
+            }
+            Kind::CrashPart(number) => [first, format!("{CRASH_PART}{number}")],
+            kind if kind.is_stream() => [first, middle],
+            _ => return Vec::new(),
+        };
+        shared.into_iter().chain([format!("own-{id}")]).collect()
+    }
+
     fn kind(&mut self) -> Kind {
         let newest = self.shared.configuration.load(Ordering::Relaxed);
         let crash_request = self.shared.crash_request.load(Ordering::Relaxed);
         if crash_request > 0 && self.random.random_bool(CRASH_REQUEST_SHARE) {
             return Kind::Crash(crash_request);
         }
+        let crash_part = self.shared.crash_part.load(Ordering::Relaxed);
+        if crash_part > 0 && self.random.random_bool(CRASH_REQUEST_SHARE) {
+            return Kind::CrashPart(crash_part);
+        }
         if self.random.random_bool(LONG_SHARE) {
             let millis = self.random.random_range(LONG_RUN_MS);
             let is_stream = self.random.random_bool(0.5);
--- a/examples/soak/callers/exchange.rs
+++ b/examples/soak/callers/exchange.rs
@@ -11,7 +11,9 @@
 use http::{Method, Request as HttpRequest, Response};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
-use platform_standin::{headers, leaving_runner, limited_runner, HOST, KEY, PADDING};
+use platform_standin::{
+    headers, leaving_runner, limited_runner, prompt_header, HOST, KEY, PADDING,
+};
 
 use super::connection::Observations;
 use super::Connection;
@@ -32,6 +34,8 @@
 pub(super) struct RequestPlan {
     pub(super) id: String,
     pub(super) kind: Kind,
+    /// The parts of the prompt; empty if there is none.
+    pub(super) prompt: Vec<String>,
     pub(super) deadline: Duration,
     /// Number of pieces of the answer that are read slowly.
     pub(super) slow_pieces: usize,
@@ -135,6 +139,7 @@
     let (method, path) = match plan.kind {
         Kind::Stream => (Method::POST, "/s/x".to_owned()),
         Kind::Crash(number) => (Method::POST, format!("{CRASH_PATH}{number}")),
+        Kind::CrashPart(_) => (Method::POST, format!("/s/{}", plan.id)),
         Kind::LongStream(millis) => (Method::POST, format!("{LONG_STREAM_PATH}{millis}")),
         Kind::LongUnsafe(millis) => (Method::POST, format!("{LONG_UNSAFE_PATH}{millis}")),
         Kind::Safe => (Method::GET, "/get/x".to_owned()),
@@ -146,6 +151,10 @@
     for (name, value) in headers(&plan.id, KEY, plan.deadline.as_millis() as u64) {
         request = request.header(name, value);
     }
+    if !plan.prompt.is_empty() {
+        let (name, value) = prompt_header(&plan.prompt);
+        request = request.header(name, value);
+    }
     if plan.body_pauses.is_empty() {
         return request.body(Box::pin(Full::new(Bytes::from_static(BODY))) as RequestBody).ok();
     }
--- a/examples/soak/checker/mod.rs
+++ b/examples/soak/checker/mod.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod limits;
 mod lost;
+mod parts;
 mod placement;
 mod quarantine;
 mod runners;
@@ -17,6 +18,7 @@
 use self::limits::check_limits;
 use self::lost::check_lost;
 pub use self::lost::is_close_race;
+use self::parts::{check_parts, check_sound_requests};
 use self::placement::{check_bound, check_evacuated, check_homes};
 use self::quarantine::check_quarantine;
 use self::runners::{check_cold, check_leave_notices, check_leaving, check_rest_periods};
@@ -60,6 +62,8 @@
     }
     violations.extend(history.cold.iter().filter_map(|cold| check_cold(history, cold)));
     violations.extend(check_quarantine(history));
+    violations.extend(check_parts(history));
+    violations.extend(check_sound_requests(history));
     violations.extend(check_rest_periods(history));
     violations.extend(check_limits(history));
     violations.extend(check_configuration(history));
@@ -125,7 +129,8 @@
         let request_kind = match request.kind {
             Kind::Stream => "streams",
             Kind::Safe | Kind::Unsafe | Kind::Bound => "plain requests",
-            Kind::Probe(_) | Kind::Crash(_) | Kind::LongStream(_) | Kind::LongUnsafe(_) => continue,
+            Kind::Probe(_) | Kind::Crash(_) | Kind::CrashPart(_) => continue,
+            Kind::LongStream(_) | Kind::LongUnsafe(_) => continue,
         };
         let whole = matches!(request.outcome, Outcome::Answer { status: 200, whole: true, .. });
         let (complete, all) = served.entry((request.gateway.0, request_kind)).or_default();
--- a/examples/soak/fault_injector.rs
+++ b/examples/soak/fault_injector.rs
@@ -80,6 +80,8 @@
     EndLargeAnswers(usize),
     /// Has callers stop sending the request that crashes runners.
     EndCrashRequests,
+    /// Has callers stop sending requests with a part that crashes runners.
+    EndCrashParts,
 }
 
 /// Injects the planned faults and records whom they affect.
@@ -96,6 +98,8 @@
     version: u64,
     /// Number of requests that crash runners so far.
     crash_requests: u64,
+    /// Number of parts that crash runners so far.
+    crash_parts: u64,
     /// Number of rate limits that runners have stated so far.
     limits_stated: u32,
     /// Number of times that foreign rows were written so far.
@@ -114,6 +118,7 @@
             action_start: Duration::ZERO,
             version: 1,
             crash_requests: 0,
+            crash_parts: 0,
             limits_stated: 0,
             foreign_writes: 0,
         }
@@ -236,6 +241,7 @@
                 self.change_runner(number, |it| it.corrupt_chunk(index))
             }
             Fault::CrashRequests => self.send_crash_requests(until),
+            Fault::CrashParts => self.send_crash_parts(until),
             Fault::ForeignRows(number) => self.write_foreign_rows(number, until),
             Fault::Shed(number, backoff_ms) => {
                 self.shed_load(number, Duration::from_millis(backoff_ms), until);
@@ -325,6 +331,7 @@
             DelayedAction::EndCrashRequests => {
                 self.shared.crash_request.store(0, Ordering::Relaxed)
             }
+            DelayedAction::EndCrashParts => self.shared.crash_part.store(0, Ordering::Relaxed),
             DelayedAction::RewriteLostRows(lost) => self.fleet.standin.rewrite_lost_rows(lost),
             DelayedAction::EvacuateAfterRollback(hall) => self.evacuate_hall(hall, self.now()),
             DelayedAction::EndEvacuation(hall) => self.end_evacuation(hall),
--- a/examples/soak/fault_injector/runners.rs
+++ b/examples/soak/fault_injector/runners.rs
@@ -8,14 +8,17 @@
 use serde_json::{json, Value};
 
 use super::{DelayedAction, FaultInjector, POLL_INTERVAL, RESTART_DELAY};
-use crate::faults::{Silence, StatedLimit};
+use crate::faults::{Silence, StatedLimit, CRASH_PARTS};
 use crate::fleet::{hall_name, COLD_START};
-use crate::history::{Cold, Leaving, Target};
+use crate::history::{Cold, Leaving, PartPeriod, Target};
 use crate::proxy::LinkFault;
 
 /// Minimum time that callers send a request that crashes runners: until all gateways must know of it, and some
 /// time in which that is checked.
 const MIN_CRASH_REQUESTS: Duration = Duration::from_millis(5000);
+/// Minimum time that callers send requests with a part that crashes runners: until sound requests must be served
+/// again, and some time in which that is checked.
+const MIN_CRASH_PARTS: Duration = Duration::from_millis(10_000);
 /// Minimum time that a runner states a rate limit: until the limit must be known, and the window in which
 /// requests are counted.
 const MIN_LIMIT: Duration = Duration::from_millis(8000);
@@ -206,6 +209,24 @@
         self.schedule(until, DelayedAction::EndCrashRequests);
     }
 
+    /// Has callers send requests with a part that crashes runners. They can reach any model runner.
+    pub(super) fn send_crash_parts(&mut self, until: Duration) {
+        let is_active = |action: &DelayedAction| matches!(action, DelayedAction::EndCrashParts);
+        let active = self.delayed_actions.iter().any(|(_, action)| is_active(action));
+        if active || self.crash_parts == CRASH_PARTS {
+            return;
+        }
+        self.crash_parts += 1;
+        self.shared.crash_part.store(self.crash_parts, Ordering::Relaxed);
+        let until = until + MIN_CRASH_PARTS;
+        for runner in 0..self.fleet.sidecars.len() {
+            self.record_disruption(Target::Runner(runner), until);
+        }
+        let from = self.history.disruptions.last().map_or(self.action_start, |it| it.from);
+        self.history.part_periods.push(PartPeriod { number: self.crash_parts, from, until });
+        self.schedule(until, DelayedAction::EndCrashParts);
+    }
+
     /// Writes rows of a foreign writer: a new one, and one in place of a runner's entry. That runner must
     /// receive no requests until its own entry is back, which the stand-in records: runners write theirs
     /// whenever it changes. Every other time the rows are valid and name an unknown service.
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -58,6 +58,7 @@
     "hup_storm",
     "config_storm",
     "release",
+    "crash_part",
 ];
 
 /// Names of the kinds of planned work, and of those that are no trouble.
@@ -80,6 +81,11 @@
 /// Path prefix of requests that crash model runners. The number of the fault follows it.
 pub const CRASH_PATH: &str = "/s/crash";
 
+/// Beginning of the ids of prompt parts that crash model runners. The number of the fault follows it.
+pub const CRASH_PART: &str = "bad";
+/// Number of parts that crash model runners.
+pub const CRASH_PARTS: u64 = 40;
+
 /// Path prefixes of requests for which runners take long. The time in milliseconds follows them.
 pub const LONG_STREAM_PATH: &str = "/long/";
 /// As `LONG_STREAM_PATH`, for plain requests that may not be repeated.
@@ -157,6 +163,9 @@
     ColdStart(usize),
     /// Callers repeatedly send a request that crashes each runner that starts it, for a while.
     CrashRequests,
+    /// Callers send requests with a part of their prompts that crashes each runner that begins to answer it, for a
+    /// while. No two of the requests are alike.
+    CrashParts,
     /// A model runner restarts without weights and under the same id.
     RestartWithSameId(usize),
     /// A foreign writer writes rows to the list of runners, one of them in place of a runner's entry, for a
@@ -336,6 +345,7 @@
         }
         "cold" => Fault::ColdStart(random.random_range(sizes.models..sizes.runners)),
         "crash" => Fault::CrashRequests,
+        "crash_part" => Fault::CrashParts,
         "reborn" => Fault::RestartWithSameId(model),
         "foreign" => Fault::ForeignRows(runner),
         "shed" => Fault::Shed(runner, random.random_range(600..3000)),
--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -13,7 +13,9 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 
-use crate::faults::{CRASH_PATH, HALLS, LONG_STREAM_PATH, LONG_UNSAFE_PATH};
+use crate::faults::{
+    CRASH_PART, CRASH_PARTS, CRASH_PATH, HALLS, LONG_STREAM_PATH, LONG_UNSAFE_PATH,
+};
 use crate::proxy::Proxy;
 
 /// Port of the proxies in front of runners.
@@ -180,6 +182,8 @@
         if engine.model {
             engine.started_at_ms = Some(FIRST_START_MS);
             engine.crashes_on = Some(CRASH_PATH.into());
+            engine.crashes_on_parts =
+                (1..=CRASH_PARTS).map(|it| format!("{CRASH_PART}{it}")).collect();
         }
         let address = SocketAddr::new(machine, ENGINE_PORT);
         let proxy = Proxy::start(listed, address).wrap_err("failed to start a proxy")?;
--- a/examples/soak/history.rs
+++ b/examples/soak/history.rs
@@ -13,6 +13,9 @@
     Stream,
     /// A stream that crashes each runner that starts it, with its number.
     Crash(u64),
+    /// A stream with a part of its prompt that crashes each runner that begins to answer it, with the number of the
+    /// part. No two are alike.
+    CrashPart(u64),
     /// A plain request that may be repeated.
     Safe,
     /// A plain request that may not be repeated.
@@ -31,7 +34,7 @@
 impl Kind {
     /// Whether requests of this kind are streams.
     pub fn is_stream(self) -> bool {
-        matches!(self, Kind::Stream | Kind::Crash(_) | Kind::LongStream(_))
+        matches!(self, Kind::Stream | Kind::Crash(_) | Kind::CrashPart(_) | Kind::LongStream(_))
     }
 
     /// Whether requests of this kind may run only once.
@@ -194,6 +197,17 @@
     pub planned: bool,
 }
 
+/// A period in which callers send requests with a part that crashes runners.
+#[derive(Clone, Copy, Debug)]
+pub struct PartPeriod {
+    /// The number of the part.
+    pub number: u64,
+    /// Beginning of the period. The disruptions of runners that it causes begin and end with it.
+    pub from: Moment,
+    /// End of the period.
+    pub until: Moment,
+}
+
 /// Work that operators did on purpose, for the descriptions of violations.
 #[derive(Clone, Debug)]
 pub struct PlannedWork {
@@ -285,6 +299,8 @@
     pub runs: BTreeMap<String, Vec<Run>>,
     /// Disruptions by injected faults.
     pub disruptions: Vec<Disruption>,
+    /// Periods in which callers sent requests with a part that crashes runners.
+    pub part_periods: Vec<PartPeriod>,
     /// Planned work.
     pub planned_work: Vec<PlannedWork>,
     /// Number of model runners. Runners with smaller numbers serve streams, all others plain requests.
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -85,6 +85,7 @@
         gateways: Arc::new(addresses.map(|it| (it, AtomicU64::new(0))).collect()),
         configuration: Arc::default(),
         crash_request: Arc::default(),
+        crash_part: Arc::default(),
         stopped: Arc::new(AtomicBool::new(false)),
         requests: Arc::new(Mutex::new(Vec::new())),
     };
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -496,6 +496,59 @@
     );
 }
 
+/// Returns a history of requests with a part that crashes runners, with the times at which they reached one, and of sound
+/// requests every 100 ms from 1 s to 40 s. Those sent from `unserved_from` to 30 s reach no runner.
+fn part_history(moments: &[u64], unserved_from: u64) -> History {
+    let mut history = History { faults_ended_at: at(100_000), ..History::default() };
+    for (number, moment) in moments.iter().enumerate() {
+        let id = format!("k{number}");
+        let crashed = request(&id, Kind::CrashPart(1), Outcome::Lost);
+        let (sent, ended) = (at(moment - 10), at(moment + 40));
+        history.requests.push(Request { sent, ended, ..crashed });
+        let run = Run { service: "assistant".into(), broken_off: true, ..run_at("e1", *moment) };
+        history.runs.insert(id, vec![run]);
+    }
+    for moment in (1_000..40_000).step_by(100) {
+        let id = format!("s{moment}");
+        let (sent, ended) = (at(moment), at(moment + 50));
+        let is_served = !(unserved_from..30_000).contains(&moment);
+        let outcome = match is_served {
+            true => answer(200, &complete_body(Kind::Stream, &id)),
+            false => answer(503, ""),
+        };
+        history.requests.push(Request { sent, ended, ..request(&id, Kind::Stream, outcome) });
+        let run = Run { service: "assistant".into(), ..run_at("e1", moment + 10) };
+        history.runs.insert(id, if is_served { vec![run] } else { Vec::new() });
+    }
+    let (from, until) = (at(10_000), at(30_000));
+    history.part_periods.push(PartPeriod { number: 1, from, until });
+    history.disruptions.push(disruption(Target::Runner(0), 10_000, 30_000));
+    history
+}
+
+#[test]
+fn requests_with_a_part_that_crashes_runners_are_reported() {
+    let few = [10_000, 10_200, 10_400, 10_600, 10_800, 12_000, 14_000, 16_000, 18_000];
+    assert_eq!(violated_guarantee(&part_history(&few, 30_000)), None, "three late runs");
+    let many = [&few[..], &[20_000]].concat();
+    let guarantee = "requests with a part that crashes runners are not sent on";
+    assert_eq!(violated_guarantee(&part_history(&many, 30_000)), Some(guarantee));
+    let mut disrupted = part_history(&many, 30_000);
+    disrupted.disruptions.push(disruption(Target::Gateway(0), 15_000, 16_000));
+    assert_eq!(violated_guarantee(&disrupted), None, "a gateway was disrupted");
+}
+
+#[test]
+fn sound_requests_that_are_refused_beside_a_part_that_crashes_runners_are_reported() {
+    let crashes = [10_000, 10_200, 10_400, 10_600, 10_800];
+    let guarantee = "sound requests are served beside a part that crashes runners";
+    assert_eq!(violated_guarantee(&part_history(&crashes, 24_000)), None, "over half begin");
+    assert_eq!(violated_guarantee(&part_history(&crashes, 20_000)), Some(guarantee));
+    let mut disrupted = part_history(&crashes, 20_000);
+    disrupted.disruptions.push(disruption(Target::Store, 10_000, 30_000));
+    assert_eq!(violated_guarantee(&disrupted), None, "the store was disrupted as well");
+}
+
 /// Returns a history in which the answer to `a` stated at 5 s that a runner leaves, and `b` is sent at 10 s and
 /// runs there.
 fn history_with_leave_notice(life: u64) -> History {
