--- a/components/quarantine/src/ledger/blame.rs
+++ b/components/quarantine/src/ledger/blame.rs
@@ -1,8 +1,8 @@
 //! Decides which subjects are to blame for crashes that several subjects have in common.
 //!
-//! Everything that runs on a runner when it crashes shares the crash. What causes crashes has all of its own, and
-//! what only accompanies it has some of these. Subjects are therefore considered by their numbers of crashes, and a
-//! crash that a subject with more of them is quarantined for is not held against the others.
+//! Everything that runs on a runner when it crashes shares the crash. The cause has every crash that it caused, and
+//! what accompanies it has only some of these. Subjects are therefore considered from the most crashes down, and a crash
+//! of a quarantined subject is not held against those with fewer.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/components/quarantine/src/ledger/entry.rs
+++ b/components/quarantine/src/ledger/entry.rs
@@ -8,9 +8,8 @@
 use crate::incarnation::IncarnationDigest;
 use crate::messages::{CrashReport, SubjectReport};
 
-/// Number of runners that must crash under a request, with no success in between, to quarantine it. One or
-/// two may crash under a harmless request, because every request on a runner fails when another one crashes
-/// it.
+/// Number of runners that must crash under a subject, with no success in between, to quarantine it. One or
+/// two may crash under a harmless one, because every request on a runner fails when another one crashes it.
 pub(super) const QUARANTINE_THRESHOLD: usize = 3;
 /// Most crashes that are kept of one subject: all that happen until every gateway refuses it. Crashes that are not
 /// kept would count against the subjects that accompany it.
@@ -18,15 +17,15 @@
 /// How long a change is sent to other processes. Gateways and sidecars exchange messages every second, and
 /// one or two datagrams may be lost.
 const FRESH_MS: u64 = 3000;
-/// How long one or two crashes are kept. A request that is retried less often does little harm.
+/// How long one or two crashes are kept. A subject that arrives less often does little harm.
 const SUSPECT_TTL_MS: u64 = 600_000;
-/// How long a request stays in quarantine after a caller last asked for it.
+/// How long a subject stays in quarantine after a caller last asked for it.
 const QUARANTINE_TTL_MS: u64 = 3_600_000;
 /// How long a success is kept: as long as earlier crashes may still be reported.
 const SUCCESS_TTL_MS: u64 = 10_000;
-/// How long after a success crashes are not attributed to the request. A request that crashes every runner
-/// that starts it never succeeds. A request that many callers send runs on every runner that crashes, and
-/// would otherwise be quarantined along with the request that causes the crashes.
+/// How long after a success crashes are not attributed to the subject. One that crashes every runner that starts a
+/// request with it never succeeds. One that many requests have runs on every runner that crashes, and would
+/// otherwise be quarantined along with the cause of the crashes.
 pub(crate) const SUCCESS_GRACE_MS: u64 = 3000;
 /// Delay before a quarantined subject may be probed for the first time; it is multiplied by four with each
 /// further crash. Longer than the capacity shortage that the crashes cause.
@@ -38,16 +37,16 @@
 /// by chance is not refused for good.
 const MAX_CRASHES_FOR_PART_PROBE: usize = 7;
 
-/// The crashes and the last success of a request.
+/// The crashes and the last success of a subject.
 #[derive(Clone, Debug)]
 pub(super) struct Entry {
     pub(super) crashes: BTreeMap<IncarnationDigest, Millis>,
     succeeded_at: Option<Millis>,
     /// When the entry last changed.
     pub(super) changed_at: Millis,
-    /// When a caller last asked for the request.
+    /// When a caller last asked for the subject.
     pub(super) asked_at: Millis,
-    /// Whether the platform's store contains the quarantine of the request.
+    /// Whether the platform's store contains the quarantine of the subject.
     pub(super) is_recorded: bool,
 }
 
@@ -104,7 +103,7 @@
         self.crashes.len() < before
     }
 
-    /// Merges what another process reports of the request. Returns whether the entry changed.
+    /// Merges what another process reports of the subject. Returns whether the entry changed.
     pub(super) fn merge(&mut self, now: Millis, report: &SubjectReport) -> bool {
         let is_recorded = report.is_recorded && !self.is_recorded;
         self.is_recorded |= report.is_recorded;
