Quarantine: a late confirmation does not take back a later success

Two answers that end with their connections may be confirmed in the other order: the runner of the later one reports at once, that of the earlier one is given the benefit after 600 ms. The earlier time then replaced the later one, and the success spoke for the subject for up to 600 ms less. Found by reading the change once more. The latest time counts now; the test was red.

--- a/components/quarantine/src/crashes.rs
+++ b/components/quarantine/src/crashes.rs
@@ -188,7 +188,9 @@
             self.successes.retain(|_, at| now.since(*at).0 <= SUCCESS_GRACE_MS);
         }
         if self.successes.len() < MAX_SUCCESSES {
-            self.successes.insert(digest, at);
+            // The end of a response may have been confirmed only after a later one succeeded.
+            let latest = self.successes.entry(digest).or_insert(at);
+            *latest = at.max(*latest);
         }
         own_changes(self.ledger.note_success(now, digest, at)).collect()
     }
--- a/components/quarantine/tests/blame.rs
+++ b/components/quarantine/tests/blame.rs
@@ -137,6 +137,23 @@
     assert_eq!(events, []);
 }
 
+#[test]
+fn an_end_that_is_confirmed_late_takes_back_a_later_success() {
+    let mut crashes = Crashes::<u64>::default();
+    let end = UnclearEnd::LooksComplete { is_reported: false };
+    let (slow, fast) = ("slow".into(), "fast".into());
+    crashes.record_suspicion(NOW, [REQUEST], &slow, life(1), end);
+    crashes.record_suspicion(NOW.plus(400), [REQUEST], &fast, life(2), end);
+    let liveness = |runner: &_, _| match *runner == fast {
+        true => RunnerLiveness::ReportedAt(NOW.plus(490)),
+        false => RunnerLiveness::ReportedAt(NOW),
+    };
+    crashes.resolve_suspicions(NOW.plus(500), liveness);
+    crashes.resolve_suspicions(NOW.plus(600), liveness);
+    let at = NOW.plus(3_300);
+    assert_eq!(crashes.note_crash(at, &REQUEST.into(), &"i".into(), life(3)), []);
+}
+
 #[test]
 fn a_request_is_admitted_though_one_part_of_its_prompt_is_refused() {
     let mut crashes = Crashes::default();
--- a/daemon/tests/deployment/crash_parts.rs
+++ b/daemon/tests/deployment/crash_parts.rs
@@ -70,6 +70,14 @@
         Self { deployment, runners, gateways }
     }
 
+    /// Changes the route of streams so that they may not be resumed, and waits until all gateways know that.
+    fn make_streams_final(&mut self) {
+        self.deployment.standin.reconfigure(|configuration| {
+            configuration["routes"][0]["resumable"] = false.into();
+        });
+        std::thread::sleep(Duration::from_secs(2));
+    }
+
     /// Sends requests to the gateways in turn: some with these prompts, to which a part of their own is added, and sound
     /// ones with the same first part. No two are alike. When `CONTACT` has passed after the counted crashes, the
     /// machines of `killed` lose power once. Returns the sound requests.
@@ -213,16 +221,6 @@
     parts.expect_sound_service(&sound);
 }
 
-impl Parts {
-    /// Changes the route of streams so that they may not be resumed, and waits until all gateways know that.
-    fn make_streams_final(&mut self) {
-        self.deployment.standin.reconfigure(|configuration| {
-            configuration["routes"][0]["resumable"] = false.into();
-        });
-        std::thread::sleep(Duration::from_secs(2));
-    }
-}
-
 #[test]
 fn a_stream_that_cannot_be_resumed_and_ends_inside_an_event_looks_complete() {
     let mut parts = Parts::start(&[BAD_PART], RunnerFault::NoFraming);
