--- a/review/support/standins.py
+++ b/review/support/standins.py
@@ -726,6 +726,9 @@
 def play(case, scenario):
     """Plays a case: exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run."""
     async def run():
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for stop in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(stop, task.cancel)
         platform = Platform(case)
         try:
             return await asyncio.wait_for(scenario(platform), 112)
@@ -733,7 +736,7 @@
             platform.close()
     try:
         is_broken, text = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
         print(f"cannot run: {type(error).__name__} {error}")
         sys.exit(2)
     print(text)
