Answers that break the protocol: a result code, an outcome of attempts and a counter

A runner that sent bytes that are no answer was logged as a lost or cut connection, so nothing told it from one that crashed, and no counter told where such bytes were read. 601 MalformedAnswer and silverdock_malformed_answers_total (by source and fault) name it. The outcome Malformed pauses its runner as a cut does and keeps a request that may not be repeated from running again, but is no crash: who writes is running. Nothing uses it yet, so nothing changes for callers. Tests: the reducer's cases for both, and the fuzzers play the outcome; all tests of errors, telemetry and gateway pass.

--- a/components/errors/src/code.rs
+++ b/components/errors/src/code.rs
@@ -125,6 +125,8 @@
     NotFound,
     /// Every eligible upstream advertises a request rate limit, and that limit is reached.
     RateLimited,
+    /// The server sent bytes that are no answer.
+    MalformedAnswer,
 }
 
 /// The properties of one code.
@@ -245,6 +247,7 @@
     Row { code: Code::RowChanged, number: 506, name: "RowChanged", ran: Ran::NotRun, retry: false, status: 409, meaning: "The row in the table is not the one the write was based on." },
     Row { code: Code::NotFound, number: 507, name: "NotFound", ran: Ran::NotRun, retry: false, status: 404, meaning: "The platform holds no object of this name." },
     Row { code: Code::RateLimited, number: 600, name: "RateLimited", ran: Ran::NotRun, retry: true, status: 503, meaning: "Every upstream that may run it names a rate of requests that it takes, and has had as many." },
+    Row { code: Code::MalformedAnswer, number: 601, name: "MalformedAnswer", ran: Ran::Unknown, retry: false, status: 502, meaning: "The upstream sent bytes that are no answer." },
 ];
 
 #[cfg(test)]
--- a/components/gateway/src/event.rs
+++ b/components/gateway/src/event.rs
@@ -165,6 +165,8 @@
     /// The request was sent and the runner fell silent: nothing closed the connection, which timed out, or another
     /// attempt took the place of this one.
     FellSilent,
+    /// The request was sent and the runner, which is running, sent bytes that are no answer.
+    Malformed,
 }
 
 impl AttemptOutcome {
@@ -179,7 +181,7 @@
             Self::Answered | Self::Finished => true,
             Self::EndedWithConnection | Self::Unsuccessful => true,
             Self::Denied { .. } | Self::Full | Self::Misdirected => true,
-            Self::Failed | Self::OutOfTime => true,
+            Self::Failed | Self::OutOfTime | Self::Malformed => true,
             Self::NotSent | Self::Silent | Self::Expired | Self::Withdrawn => false,
             Self::VersionDeadlinePassed | Self::Lost | Self::Cut | Self::FellSilent => false,
         }
@@ -228,6 +230,7 @@
             Self::VersionDeadlinePassed | Self::FellSilent => Code::TimedOut,
             Self::Lost => Code::ConnectionLost,
             Self::Cut => Code::CutShort,
+            Self::Malformed => Code::MalformedAnswer,
             Self::Answered | Self::Finished => Code::Internal,
             Self::EndedWithConnection | Self::Unsuccessful => Code::Internal,
         }
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -157,7 +157,8 @@
             AttemptOutcome::NotSent
             | AttemptOutcome::Lost
             | AttemptOutcome::Cut
-            | AttemptOutcome::FellSilent => {
+            | AttemptOutcome::FellSilent
+            | AttemptOutcome::Malformed => {
                 if is_suspicion_enabled {
                     runner.note_failure(now);
                 }
--- a/components/gateway/tests/crashes.rs
+++ b/components/gateway/tests/crashes.rs
@@ -90,6 +90,17 @@
     assert_eq!(fixture.gateway.crash_counts(), (0, 0));
 }
 
+#[test]
+fn a_runner_that_sends_bytes_that_are_no_answer_has_not_crashed() {
+    let mut fixture = fixture(6);
+    for key in 1..=4 {
+        sent_to(fixture.arrive(Arrival { attempts: 1, ..attempt_of_request(key) }));
+        fixture.outcome(key, AttemptOutcome::Malformed);
+        fixture.pass(SETTLE_MS);
+    }
+    assert_eq!(fixture.gateway.crash_counts(), (0, 0));
+}
+
 #[test]
 fn a_report_sent_before_the_crash_does_not_show_that_the_runner_is_alive() {
     let mut fixture = fixture(6);
--- a/components/gateway/tests/fuzz.rs
+++ b/components/gateway/tests/fuzz.rs
@@ -16,7 +16,7 @@
     RouteKind::Stream { resumable: true },
     RouteKind::Stream { resumable: false },
 ];
-const OUTCOMES: [AttemptOutcome; 11] = [
+const OUTCOMES: [AttemptOutcome; 12] = [
     AttemptOutcome::Denied { retry_after_ms: 30, shortage_ms: 0 },
     AttemptOutcome::Silent,
     AttemptOutcome::Withdrawn,
@@ -28,6 +28,7 @@
     AttemptOutcome::Failed,
     AttemptOutcome::Lost,
     AttemptOutcome::Cut,
+    AttemptOutcome::Malformed,
 ];
 
 /// Time after which a load report does not count any more, in milliseconds.
@@ -37,16 +38,17 @@
 const HOMES: [&[&str]; 4] = [&[], &["north"], &["south"], &["nowhere"]];
 
 /// Outcomes of an attempt that was sent and has no response yet.
-const OUTCOMES_OF_STALLED: [AttemptOutcome; 5] = [
+const OUTCOMES_OF_STALLED: [AttemptOutcome; 6] = [
     AttemptOutcome::Full,
     AttemptOutcome::Misdirected,
     AttemptOutcome::Failed,
     AttemptOutcome::VersionDeadlinePassed,
     AttemptOutcome::Lost,
+    AttemptOutcome::Malformed,
 ];
 
-const OUTCOMES_AFTER_RESPONSE: [AttemptOutcome; 2] =
-    [AttemptOutcome::Finished, AttemptOutcome::Cut];
+const OUTCOMES_AFTER_RESPONSE: [AttemptOutcome; 3] =
+    [AttemptOutcome::Finished, AttemptOutcome::Cut, AttemptOutcome::Malformed];
 
 /// The model's state of a request.
 #[derive(Clone, Debug)]
--- a/components/gateway/tests/retries.rs
+++ b/components/gateway/tests/retries.rs
@@ -51,6 +51,25 @@
     assert_ne!(first, second);
 }
 
+#[test]
+fn a_malformed_stream_is_resumed_elsewhere_and_its_runner_is_passed_over() {
+    let mut fixture = two_runners(MODEL_SERVICE);
+    let stream = |key| arrival(key, MODEL_SERVICE, RouteKind::Stream { resumable: true });
+    let first = sent_to(fixture.arrive(stream(1)));
+    fixture.outcome(1, AttemptOutcome::Answered);
+    let second = sent_to(fixture.outcome(1, AttemptOutcome::Malformed));
+    assert_ne!(first, second);
+    assert_eq!(sent_to(fixture.arrive(stream(2))), second);
+}
+
+#[test]
+fn an_unsafe_request_with_a_malformed_answer_is_not_retried() {
+    let mut fixture = two_runners(PLAIN_SERVICE);
+    sent_to(fixture.arrive(arrival(1, PLAIN_SERVICE, RouteKind::Unsafe)));
+    let step = fixture.outcome(1, AttemptOutcome::Malformed);
+    assert_eq!(step, Some(NextStep::GiveUp(Code::MalformedAnswer)));
+}
+
 #[test]
 fn a_stream_that_cannot_be_resumed_ends_when_it_is_cut() {
     let mut fixture = two_runners(MODEL_SERVICE);
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -65,6 +65,7 @@
     crossings: Counter<u64>,
     store_restores: Counter<u64>,
     foreign_messages: Counter<u64>,
+    malformed_answers: Counter<u64>,
     suspensions: Counter<u64>,
     reloaded_settings: Counter<u64>,
     state: Gauge<u64>,
@@ -172,6 +173,12 @@
                     "Messages of other builds that were passed over, wholly or in part, by kind",
                 )
                 .build(),
+            malformed_answers: meter
+                .u64_counter("silverdock_malformed_answers")
+                .with_description(
+                    "Answers of servers that break the protocol, by what was read and by the fault",
+                )
+                .build(),
             suspensions: meter
                 .u64_counter("silverdock_suspensions")
                 .with_description("How often the machine was suspended while the process ran")
@@ -310,6 +317,13 @@
         self.foreign_messages.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts an answer that breaks the protocol, by what was read (`stream`, `answer`, `report`, `store`, ..) and by the
+    /// fault.
+    pub fn count_malformed_answer(&self, source: &'static str, fault: &'static str) {
+        let source = KeyValue::new("source", source);
+        self.malformed_answers.add(1, &[source, KeyValue::new("fault", fault)]);
+    }
+
     /// Counts a suspension of the machine.
     pub fn count_suspension(&self) {
         self.suspensions.add(1, &[]);
