Streams: log and count what a runner sends that is no event

Callers of streams received events that no runner sent, and no line said which runner had sent them, behind how many events, or how its body was framed. A reader now checks beside the splitter that each event is a block of fields with exactly one id that rises; what callers get is unchanged. When a runner's part of a stream does not end well, one warning names the request, the runner, the framing, the events so far, the last id and the kind of end: a fault of an event (a status line is told apart from other bytes), within an event, without one, or a cut. Faults also count in silverdock_malformed_answers.

--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -18,8 +18,10 @@
 use super::attempt::RunnerAnswer;
 use super::attempts::{AnsweredAttempt, Attempts, AttemptsResult};
 use super::core::Core;
+use super::event_reader::EventReader;
 use super::event_splitter::EventSplitter;
 use super::request::{with_request_deadline, RequestContext};
+use super::stream_end_log::{StreamEnd, StreamPart};
 use super::trace::RequestEnd;
 
 /// Another runner is asked to resume a stream after a silence of this multiple of its target for the pause
@@ -101,19 +103,32 @@
     fn forward_stream(self) -> Response<AnswerBody> {
         let (status, headers) = (self.answer.status, self.answer.headers.clone());
         let splitter = EventSplitter::new(self.context.caller.limits().answer);
+        let reader = EventReader::new(self.context.caller.limits().answer, self.first_id_after());
         // The relay is not polled while the caller does not read, and no runner may be occupied longer than
         // the request's time limit.
         self.context
             .caller
             .set_stream_deadline(Some(self.core.clock.instant(self.context.answer_deadline)));
-        let relay =
-            StreamRelay { current: self, runner: RunnerState::Sending, splitter, ended: false };
+        let relay = StreamRelay {
+            current: self,
+            runner: RunnerState::Sending,
+            splitter,
+            reader,
+            is_end_logged: false,
+            ended: false,
+        };
         let frames = stream::unfold(relay, |mut relay| async move {
             let bytes = relay.next().await?;
             Some((bytes.map(Frame::data), relay))
         });
         answer_with(Box::pin(StreamBody::new(frames)), status, headers)
     }
+
+    /// The id that the first event has to exceed, if the caller resumes a stream.
+    fn first_id_after(&self) -> Option<u64> {
+        let last_event = self.context.request_headers.last_event.as_deref();
+        last_event.filter(|_| self.context.kind.is_repeatable())?.parse().ok()
+    }
 }
 
 /// An answer with the status and headers of a runner's answer. The length header is removed, since a stream
@@ -137,6 +152,10 @@
     /// The state of the current runner.
     runner: RunnerState,
     splitter: EventSplitter,
+    /// Checks the events that are forwarded.
+    reader: EventReader,
+    /// Whether the end of the current runner's part was logged.
+    is_end_logged: bool,
     ended: bool,
 }
 
@@ -182,6 +201,7 @@
             match self.next_event().await {
                 RelayEvent::Bytes(bytes) => {
                     self.note_sending();
+                    self.check_events(&bytes);
                     let events = self.split_events(&bytes);
                     if !events.is_empty() {
                         return Some(Ok(events));
@@ -193,8 +213,19 @@
                     self.current.context.caller.set_stream_deadline(None);
                     self.current.finish();
                 }
-                RelayEvent::End => self.lose_runner(AttemptOutcome::Cut),
-                RelayEvent::Cut(outcome) => self.lose_runner(outcome),
+                RelayEvent::End => {
+                    let is_empty = self.reader.events() == 0 && !self.reader.has_partial();
+                    self.log_end(if is_empty {
+                        StreamEnd::WithoutEvent
+                    } else {
+                        StreamEnd::WithinEvent
+                    });
+                    self.lose_runner(AttemptOutcome::Cut);
+                }
+                RelayEvent::Cut(outcome) => {
+                    self.log_end(StreamEnd::Cut);
+                    self.lose_runner(outcome);
+                }
                 RelayEvent::Stalled => self.note_silence(),
                 RelayEvent::Attempts(AttemptsResult::Answered(answered)) => {
                     self.resume(answered);
@@ -215,6 +246,33 @@
         self.splitter.has_partial() || is_empty
     }
 
+    /// Logs and counts bytes that are not an event, once for each runner.
+    fn check_events(&mut self, bytes: &Bytes) {
+        if self.is_end_logged {
+            return;
+        }
+        if let Some(fault) = self.reader.push(bytes).fault {
+            self.current.core.metrics.count_malformed_answer("stream", fault.name());
+            self.log_end(StreamEnd::Fault(fault));
+        }
+    }
+
+    /// Logs how the current runner's part ended, unless that was done.
+    fn log_end(&mut self, end: StreamEnd) {
+        if std::mem::replace(&mut self.is_end_logged, true) {
+            return;
+        }
+        let StartedAnswer { context, target, answer, .. } = &self.current;
+        let part = StreamPart {
+            request: context.request_headers.id.as_deref().unwrap_or(""),
+            runner: &target.id.0,
+            ends_with_connection: answer.ends_with_connection,
+            events: self.reader.events(),
+            last_id: self.reader.last_id(),
+        };
+        part.log_end(end);
+    }
+
     /// The bytes to forward. Those of a stream that cannot be resumed are forwarded unchanged.
     fn split_events(&mut self, bytes: &Bytes) -> Bytes {
         let complete = self.splitter.push(bytes);
@@ -333,6 +391,8 @@
         self.current.context.trace.add(Decision::Resumed { after_event });
         self.current.target = answered.target;
         self.current.answer = answered.answer;
+        self.reader.begin_answer();
+        self.is_end_logged = false;
         self.runner = RunnerState::Sending;
     }
 }
