Tests: a key that must be escaped stops a listing where a page ends

The call for the next page fails before it is sent, so that a gateway that starts never becomes ready.

--- a/daemon/tests/deployment/foreign_pages.rs
+++ b/daemon/tests/deployment/foreign_pages.rs
@@ -4,6 +4,7 @@
 
 use http::Method;
 use platform_standin::Caller;
+use serde_json::json;
 
 use crate::machine_address;
 use crate::support::{wait_until, Deployment};
@@ -85,10 +86,25 @@
     let row = unreadable_rows()[0].replace("KEY", "config");
     deployment.standin.write_raw_row("op", "config", &row);
     wait_until("the row is read", || deployment.log(gateway.ip()).contains("row cannot be read"));
-    deployment.standin.write_row("op", "evacuate/b", serde_json::json!({}));
+    deployment.standin.write_row("op", "evacuate/b", json!({}));
     for call in 0..10 {
         runner_of(&deployment, gateway, &format!("r-{call}"));
     }
     deployment.standin.configure();
     runner_of(&deployment, gateway, "last");
 }
+
+/// The rows of the first page of a listing.
+const FIRST_PAGE_ROWS: usize = 100;
+
+#[test]
+fn a_listing_goes_on_behind_a_key_that_has_to_be_escaped() {
+    let mut deployment = Deployment::start();
+    for number in 1..FIRST_PAGE_ROWS {
+        deployment.standin.write_row("servers", &format!("a-{number}"), json!({}));
+    }
+    deployment.standin.write_row("servers", "b 1 (spare) &limit=1 #+%41é", json!({}));
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    wait_until_listed(&deployment, gateway, 2);
+}
