Tests: a page without any readable key ends a listing as if it were complete

Another writer's rows whose keys can't be read fill a whole page of the list of runners. The listing ends there without an error, so that the runners behind it are unknown to a gateway that starts, and gone for one that runs. The test fails at present.

--- a/daemon/tests/deployment/foreign_pages.rs
+++ b/daemon/tests/deployment/foreign_pages.rs
@@ -108,3 +108,15 @@
     deployment.wait_until_ready(gateway);
     wait_until_listed(&deployment, gateway, 2);
 }
+
+#[test]
+fn a_listing_goes_on_behind_pages_without_a_readable_key() {
+    let mut deployment = Deployment::start();
+    for number in 0..2 * FIRST_PAGE_ROWS {
+        let key = format!("a-{number}");
+        deployment.standin.write_raw_row("servers", &key, r#"{"privateKey":1e999,"ver":3}"#);
+    }
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    wait_until_listed(&deployment, gateway, 2);
+}
