Edge: a listing goes on behind a page without a readable key, or fails

Rows of another writer whose keys can't be read, enough to fill a page of 100 rows, ended the list of runners without an error: the runners behind them were unknown to a gateway that started.

Cause: the next page starts after the last readable key, and a page without one was taken for the last. By reading, a page that ended at an earlier key was requested again without end. Change: a cursor decides where a listing continues. It only moves forward; a page that does not move it is requested once more with as many rows as the store allows, and is an error after that, which is retried after the usual pauses. Then a full page of the store has no readable key at all.

--- a/components/edge/src/listing.rs
+++ b/components/edge/src/listing.rs
@@ -1,5 +1,7 @@
 //! Lists a complete table of the platform's store and reports its unreadable rows.
 
+mod cursor;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -11,6 +13,7 @@
 use telemetry::Metrics;
 use uptime::Instant;
 
+use self::cursor::Cursor;
 use crate::era::Era;
 use crate::gateway::{read_age, ReportedAge};
 use crate::http_client::HttpClient;
@@ -94,12 +97,12 @@
     mut paging: Paging,
     cost: &mut ListingCost,
 ) -> Result<Listing> {
-    let mut from = String::new();
+    let mut cursor = Cursor::default();
     let (mut changes, mut faults) = (Vec::new(), Vec::new());
     let mut pages = Vec::new();
     let mut first = None;
     loop {
-        let call = page_call(table, &from, &paging);
+        let call = page_call(table, &cursor, &paging);
         let sent_at = Instant::now();
         let answer = client
             .call_with_pause_limit(call, StoreTimeouts::LIST_START_TIMEOUT, MAX_ANSWER_PAUSE)
@@ -110,6 +113,7 @@
         let body = answer.success()?;
         cost.count(table, body.len(), metrics);
         let page = store::read(table, &body)?;
+        let has_more = cursor.advance(&page)?;
         pages.push(body);
         faults.extend(page.faults);
         // Changes after the first page's revision may be missing on that page, so the feed starts there.
@@ -119,25 +123,22 @@
             return Err(Error::new(Code::NotFound, "the store came back from an older copy"));
         }
         changes.extend(page.changes);
-        match page.next_key {
-            Some(next) => {
-                from = next;
-                Timer::after(paging.pause()).await;
-            }
-            None => {
-                let age = age?;
-                return Ok(Listing { position, clock_ms, changes, faults, pages, age });
-            }
+        if !has_more {
+            let age = age?;
+            return Ok(Listing { position, clock_ms, changes, faults, pages, age });
         }
+        Timer::after(paging.pause()).await;
     }
 }
 
 /// The call for the next page. The operator table has few rows, some of them large, so its pages are not
 /// limited.
-fn page_call(table: Table, from: &str, paging: &Paging) -> Call {
+fn page_call(table: Table, cursor: &Cursor, paging: &Paging) -> Call {
     match table {
-        Table::Operator | Table::Versions => store::list(table, from),
-        Table::Runners => store::list_at_most(table, from, paging.rows()),
+        Table::Runners if !cursor.needs_whole_page() => {
+            store::list_at_most(table, cursor.start(), paging.rows())
+        }
+        Table::Operator | Table::Versions | Table::Runners => store::list(table, cursor.start()),
     }
 }
 
