--- /dev/null
+++ b/daemon/tests/deployment/garbage_streams.rs
@@ -0,0 +1,272 @@
+//! Tests of streams whose runners send bytes that are no event, with gateways as processes.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use http::Method;
+use platform_standin::{
+    Answer, Caller, Framing, Garbage, GarbageContent, GarbagePlace, RunnerFault,
+};
+use serde_json::json;
+
+use crate::raw_runner::{add_raw_runner, read_feed};
+use crate::support::{is_whole_stream, stream, wait_until, Deployment};
+
+/// The number of events of a whole stream.
+const EVENTS: u64 = 12;
+/// The number of events before garbage in the middle of a stream.
+const EVENTS_BEFORE_GARBAGE: u64 = 5;
+/// What is no event, although an empty line ends most of it.
+const NO_EVENTS: [GarbageContent; 7] = [
+    GarbageContent::Noise,
+    GarbageContent::TextWithEmptyLine,
+    GarbageContent::EventWithoutId,
+    GarbageContent::EventWithEmptyId,
+    GarbageContent::EventWithLowerId,
+    GarbageContent::Head,
+    GarbageContent::Answer,
+];
+/// The time limit of the routes.
+const TIME_LIMIT: Duration = Duration::from_millis(4000);
+/// How far beyond its time limit a stream may end.
+const TIME_LIMIT_SLACK: Duration = Duration::from_millis(1000);
+/// How long a request to another runner may take while a runner floods the gateway.
+const MAX_TIME_BESIDE_FLOOD: Duration = Duration::from_millis(1500);
+
+fn garbage(content: GarbageContent, after: u64, framing: Framing) -> Garbage {
+    Garbage {
+        place: GarbagePlace::WithinBody(after),
+        content,
+        framing,
+        continues: false,
+        is_endless: false,
+        percent: 100,
+    }
+}
+
+/// Garbage of each content in the middle of a stream and behind it, alone and with more events, in both framings in
+/// which the end of a stream is not known in advance.
+fn all_garbage() -> Vec<Garbage> {
+    let mut all = Vec::new();
+    for content in NO_EVENTS {
+        for after in [EVENTS_BEFORE_GARBAGE, EVENTS] {
+            for framing in [Framing::Connection, Framing::Chunks] {
+                let garbage = garbage(content, after, framing);
+                let is_last = after == EVENTS;
+                all.push(Garbage { continues: is_last, ..garbage });
+                if !is_last {
+                    all.push(Garbage { continues: true, ..garbage });
+                }
+            }
+        }
+    }
+    all
+}
+
+/// A deployment with model runners, and a gateway that serves streams.
+fn start(runners: &[&str]) -> (Deployment, SocketAddr, Vec<SocketAddr>) {
+    let mut deployment = Deployment::start();
+    let addresses: Vec<_> =
+        runners.iter().map(|id| deployment.add_model_runner(id, Some(1))).collect();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    for runner in runners {
+        first_stream_at(&deployment, gateway, runner, &format!("start-{runner}"));
+    }
+    (deployment, gateway, addresses)
+}
+
+fn set_fault(deployment: &Deployment, runners: &[SocketAddr], garbage: Garbage) {
+    for runner in runners {
+        deployment.standin.change_runner(*runner, |it| it.fault = RunnerFault::Garbage(garbage));
+    }
+}
+
+fn make_streams_not_resumable(deployment: &Deployment) {
+    deployment.standin.reconfigure(|it| it["routes"][0]["resumable"] = json!(false));
+    std::thread::sleep(Duration::from_millis(1000));
+}
+
+/// The first events of the stream of a request.
+fn events(id: &str, count: u64) -> String {
+    (1..=count).map(|it| format!("id: {it}\ndata: {id}/{it}\n\n")).collect()
+}
+
+/// The answer to the first stream that reaches one of the runners, and its id. A runner that sent garbage gets no
+/// requests for a while.
+fn first_stream_at(
+    deployment: &Deployment,
+    gateway: SocketAddr,
+    runner: &str,
+    prefix: &str,
+) -> (Answer, String) {
+    let mut number = 0;
+    let mut found = None;
+    wait_until("a stream reaches the runner", || {
+        number += 1;
+        let id = format!("{prefix}-{number}");
+        let answer = stream(gateway, &id);
+        let runs = deployment.standin.runs(&id);
+        if runs.first().is_some_and(|it| it.runner.starts_with(runner)) {
+            found = Some((answer, id));
+        }
+        found.is_some()
+    });
+    found.unwrap()
+}
+
+#[test]
+fn garbage_within_or_behind_a_resumable_stream_reaches_its_caller() {
+    let (deployment, gateway, runners) = start(&["e1", "e2"]);
+    for (number, garbage) in all_garbage().into_iter().enumerate() {
+        set_fault(&deployment, &runners[..1], garbage);
+        let (answer, id) = first_stream_at(&deployment, gateway, "e1", &format!("r{number}"));
+        let runs = deployment.standin.runs(&id);
+        assert!(is_whole_stream(&answer, &id), "{garbage:?} {answer:?} {runs:?}");
+        assert_eq!(runs.len(), 2, "{garbage:?} {runs:?}");
+        let GarbagePlace::WithinBody(after) = garbage.place else { unreachable!() };
+        assert_eq!(runs[1].last_event, after, "{garbage:?}");
+    }
+}
+
+#[test]
+fn garbage_within_or_behind_a_stream_that_cannot_be_resumed_reaches_its_caller() {
+    let (deployment, gateway, runners) = start(&["e1"]);
+    make_streams_not_resumable(&deployment);
+    for (number, garbage) in all_garbage().into_iter().enumerate() {
+        set_fault(&deployment, &runners, garbage);
+        let (answer, id) = first_stream_at(&deployment, gateway, "e1", &format!("n{number}"));
+        let GarbagePlace::WithinBody(after) = garbage.place else { unreachable!() };
+        assert!(!answer.is_complete, "{garbage:?} {answer:?}");
+        assert_eq!(answer.body, events(&id, after), "{garbage:?}");
+        assert_eq!(deployment.standin.runs(&id).len(), 1, "{garbage:?}");
+    }
+}
+
+#[test]
+fn garbage_of_every_runner_makes_a_stream_look_complete_or_repeats_events() {
+    let (deployment, gateway, runners) = start(&["e1", "e2", "e3"]);
+    for (number, content) in NO_EVENTS.into_iter().enumerate() {
+        // A runner that continues has fewer events left than that.
+        set_fault(&deployment, &runners, garbage(content, 2, Framing::Connection));
+        let (answer, id) = first_stream_at(&deployment, gateway, "e", &format!("a{number}"));
+        let runs = deployment.standin.runs(&id);
+        assert!(!answer.is_complete, "{content:?} {answer:?} {runs:?}");
+        assert_eq!(answer.body, events(&id, 2 * runs.len() as u64), "{content:?} {runs:?}");
+    }
+}
+
+#[test]
+fn garbage_in_place_of_the_first_event_reaches_the_caller() {
+    let (deployment, gateway, runners) = start(&["e1", "e2"]);
+    for (number, content) in NO_EVENTS.into_iter().enumerate() {
+        // An event with the lowest id is a sound first one.
+        if content == GarbageContent::EventWithLowerId {
+            continue;
+        }
+        set_fault(&deployment, &runners[..1], garbage(content, 0, Framing::Chunks));
+        let (answer, id) = first_stream_at(&deployment, gateway, "e1", &format!("b{number}"));
+        let runs = deployment.standin.runs(&id);
+        assert!(is_whole_stream(&answer, &id), "{content:?} {answer:?} {runs:?}");
+    }
+}
+
+#[test]
+fn empty_lines_within_or_behind_a_stream_reach_its_caller() {
+    let (deployment, gateway, runners) = start(&["e1"]);
+    for (number, after) in [EVENTS_BEFORE_GARBAGE, EVENTS].into_iter().enumerate() {
+        let garbage = garbage(GarbageContent::EmptyLine, after, Framing::Chunks);
+        set_fault(&deployment, &runners, Garbage { continues: true, ..garbage });
+        let (answer, id) = first_stream_at(&deployment, gateway, "e1", &format!("l{number}"));
+        assert!(is_whole_stream(&answer, &id), "{garbage:?} {answer:?}");
+    }
+}
+
+#[test]
+fn an_answer_without_events_on_a_stream_route_reaches_the_caller_as_a_whole_stream() {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    for (number, resumable) in [true, false].into_iter().enumerate() {
+        deployment.standin.reconfigure(|it| {
+            it["routes"][1]["kind"] = json!("stream");
+            it["routes"][1]["resumable"] = json!(resumable);
+        });
+        std::thread::sleep(Duration::from_millis(1000));
+        let answer = Caller::new(Method::GET, "/get/x", &format!("p{number}")).call(gateway);
+        assert!(!answer.is_complete || answer.status != 200, "{answer:?}");
+        assert_eq!(answer.body, "");
+    }
+}
+
+#[test]
+fn a_flood_within_a_stream_holds_up_its_caller_or_other_requests() {
+    let (deployment, gateway, runners) = start(&["e1"]);
+    let contents = [GarbageContent::EmptyLine, GarbageContent::Noise, GarbageContent::Answer];
+    for (number, content) in contents.into_iter().enumerate() {
+        let flood = garbage(content, EVENTS_BEFORE_GARBAGE, Framing::Connection);
+        set_fault(&deployment, &runners, Garbage { is_endless: true, ..flood });
+        let caller = std::thread::spawn(move || stream(gateway, &format!("f{number}")));
+        while !caller.is_finished() {
+            let answer = Caller::new(Method::GET, "/get/x", &format!("o{number}")).call(gateway);
+            assert_eq!(answer.status, 200, "{content:?} {answer:?}");
+            assert!(answer.duration < MAX_TIME_BESIDE_FLOOD, "{content:?} {answer:?}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        let answer = caller.join().unwrap();
+        assert!(!answer.is_complete, "{content:?}");
+        let expected = events(&format!("f{number}"), EVENTS_BEFORE_GARBAGE);
+        assert!(answer.body == expected || answer.status != 200, "{content:?} {}", answer.body);
+        assert!(answer.duration < TIME_LIMIT, "{content:?} {:?}", answer.duration);
+        std::thread::sleep(Duration::from_millis(1000));
+    }
+}
+
+/// Writes events with rising ids as fast as the gateway reads them.
+fn write_events_without_end(stream: &mut TcpStream) -> std::io::Result<()> {
+    let data = ".".repeat(1000);
+    let mut next_id = 1;
+    loop {
+        let ids = next_id..next_id + 50;
+        next_id = ids.end;
+        let events: String = ids.map(|id| format!("id: {id}\ndata: {data}\n\n")).collect();
+        stream.write_all(events.as_bytes())?;
+    }
+}
+
+#[test]
+fn events_without_end_hold_a_stream_beyond_its_time_limit_or_hold_up_other_requests() {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    add_raw_runner(&deployment, gateway, true, write_events_without_end);
+    let limit = Duration::from_millis(1500);
+    let caller = std::thread::spawn(move || read_feed(gateway, limit, None, TIME_LIMIT));
+    while !caller.is_finished() {
+        let answer = Caller::new(Method::GET, "/get/x", "beside").call(gateway);
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert!(answer.duration < MAX_TIME_BESIDE_FLOOD, "{answer:?}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let answer = caller.join().unwrap();
+    assert!(answer.beginning.contains("id: 1\n"), "{}", answer.beginning);
+    assert!(!answer.is_complete);
+    assert!(answer.duration < limit + TIME_LIMIT_SLACK, "{:?}", answer.duration);
+}
+
+#[test]
+fn a_runner_that_ignores_the_last_event_of_a_caller_repeats_events() {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    add_raw_runner(&deployment, gateway, true, |stream| {
+        stream.write_all(b"id: 4\ndata: a\n\nid: 5\ndata: b\n\nid: 6\ndata: c\n\n")
+    });
+    let answer = read_feed(gateway, TIME_LIMIT, Some(4), 2 * TIME_LIMIT);
+    assert!(!answer.is_complete);
+    assert!(!answer.beginning.contains("id: "), "{}", answer.beginning);
+    assert!(answer.beginning.starts_with("HTTP/1.1 200"), "{}", answer.beginning);
+    let answer = read_feed(gateway, TIME_LIMIT, Some(3), 2 * TIME_LIMIT);
+    assert!(answer.is_complete && answer.beginning.contains("id: 6\n"), "{}", answer.beginning);
+}
