Process tests of runners that send bytes without end

A runner that sends as fast as it can takes the whole thread of a gateway: requests beside it wait, and timers don't fire. Seven shapes are played against a gateway as a process: interim answers, a head, small chunks, trailers, a body that ends with its connection, an error answer and a stream of valid events. Each flooded caller has to be answered within its time limit, the requests beside it within their target, and the gateway may use half a processor.

--- /dev/null
+++ b/daemon/tests/deployment/floods.rs
@@ -0,0 +1,214 @@
+//! Tests of a runner that sends bytes without end, as fast as it can, to a gateway as a process.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use http::Method;
+use platform_standin::{Answer, Caller};
+use serde_json::json;
+
+use crate::machine_address;
+use crate::support::{wait_until, Deployment};
+
+/// How long the runner sends on one connection, unless the gateway closes it.
+const FLOOD_TIME: Duration = Duration::from_secs(6);
+/// Number of parts that the runner writes at once.
+const BATCH_PARTS: u64 = 4096;
+/// Machine and port of the runner.
+const FLOODING_RUNNER: (u8, u16) = (41, 8001);
+/// The time limit of the flooded route.
+const TIME_LIMIT: Duration = Duration::from_millis(1500);
+/// How much later than its time limit the answer to a flooded request may be complete.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Latency target of the route whose requests go on.
+const TARGET: Duration = Duration::from_millis(400);
+/// How long requests are sent beside a flooded one.
+const OBSERVED_PERIOD: Duration = Duration::from_millis(2000);
+/// The largest part of the processor that a flood may take.
+const MAX_PROCESSOR_SHARE: f64 = 0.5;
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nresponse-stamp: f1.1\r\n";
+const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
+
+/// What a runner sends on each connection, behind the head of a request.
+#[derive(Clone)]
+struct Flood {
+    /// Sent once.
+    start: String,
+    /// The parts that follow.
+    parts: Parts,
+}
+
+#[derive(Clone)]
+enum Parts {
+    /// The same part again and again.
+    Same(&'static str),
+    /// Parts by their number.
+    Numbered(fn(u64) -> String),
+}
+
+impl Parts {
+    /// A batch of parts that begins with this number.
+    fn batch(&self, first: u64) -> String {
+        match self {
+            Self::Same(part) => part.repeat(BATCH_PARTS as usize),
+            Self::Numbered(part) => (first..first + BATCH_PARTS).map(part).collect(),
+        }
+    }
+}
+
+impl Flood {
+    fn new(start: impl Into<String>, part: &'static str) -> Self {
+        Self { start: start.into(), parts: Parts::Same(part) }
+    }
+
+    /// Accepts connections and floods them.
+    fn serve(self, address: SocketAddr) {
+        let listener = TcpListener::bind(address).unwrap();
+        thread::spawn(move || {
+            for connection in listener.incoming().flatten() {
+                let flood = self.clone();
+                thread::spawn(move || flood.send(connection));
+            }
+        });
+    }
+
+    /// Sends until the peer closes the connection or the time is over.
+    fn send(&self, mut connection: TcpStream) -> std::io::Result<()> {
+        let until = Instant::now() + FLOOD_TIME;
+        let mut request = [0; 4096];
+        connection.set_write_timeout(Some(FLOOD_TIME))?;
+        let _ = connection.read(&mut request)?;
+        connection.write_all(self.start.as_bytes())?;
+        let mut first = 1;
+        while Instant::now() < until {
+            connection.write_all(self.parts.batch(first).as_bytes())?;
+            first += BATCH_PARTS;
+        }
+        Ok(())
+    }
+}
+
+/// What happened while a request was flooded.
+#[derive(Debug)]
+struct Observed {
+    flooded: Answer,
+    beside: Vec<(u16, Duration)>,
+    processor_share: f64,
+}
+
+impl Observed {
+    fn assert_bounded(&self) {
+        let slowest = self.beside.iter().map(|it| it.1).max();
+        assert!(self.beside.iter().all(|it| it.0 == 200), "others are served: {:?}", self.beside);
+        assert!(slowest < Some(TARGET), "others are served in time: {slowest:?}");
+        let took = self.flooded.duration;
+        assert!(took < TIME_LIMIT + ANSWER_SLACK, "the flooded caller is answered: {took:?}");
+        let share = self.processor_share;
+        assert!(share < MAX_PROCESSOR_SHARE, "the gateway used {share} of a processor");
+    }
+
+    /// The caller of a plain answer gets an error of the gateway in place of it.
+    fn assert_rejected(&self) {
+        self.assert_bounded();
+        assert!([502, 504].contains(&self.flooded.status), "{:?}", self.flooded);
+    }
+}
+
+/// Sends a request to a runner that floods, and others beside it.
+fn observe(kind: &str, flood: Flood) -> Observed {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    let (machine, port) = FLOODING_RUNNER;
+    let runner = SocketAddr::new(machine_address(gateway, machine), port);
+    flood.serve(runner);
+    let entry = json!({
+        "service": "flooded", "address": runner, "zone": "a", "version": "v1", "slots": 16,
+        "state": "ready", "coldRemainingMs": 0, "sequence": 0,
+    });
+    deployment.standin.reconfigure(|it| add_route(it, kind));
+    wait_until("the route is known", || {
+        Caller::new(Method::GET, "/flooded/x", "").call(gateway).status != 404
+    });
+    deployment.standin.write_row("servers", "f1", entry);
+    wait_until("the runner is known", || {
+        let metrics = deployment.metrics(gateway.ip());
+        let listed = metrics.lines().find(|it| it.contains("name=\"runners_listed\""));
+        listed.is_some_and(|it| it.ends_with(" 3"))
+    });
+    let used = deployment.processor_time(gateway.ip());
+    let begun = Instant::now();
+    let flooded =
+        thread::spawn(move || Caller::new(Method::GET, "/flooded/x", "flooded").call(gateway));
+    let mut beside = Vec::new();
+    while begun.elapsed() < OBSERVED_PERIOD {
+        let answer =
+            Caller::new(Method::GET, "/get/x", &format!("b{}", beside.len())).call(gateway);
+        beside.push((answer.status, answer.duration));
+        thread::sleep(Duration::from_millis(20));
+    }
+    let used = deployment.processor_time(gateway.ip()) - used;
+    let processor_share = used.as_secs_f64() / begun.elapsed().as_secs_f64();
+    Observed { flooded: flooded.join().unwrap(), beside, processor_share }
+}
+
+fn add_route(configuration: &mut serde_json::Value, kind: &str) {
+    let mut route = configuration["routes"][1].clone();
+    route["name"] = json!("flooded");
+    route["kind"] = json!(kind);
+    route["pathPrefix"] = json!("/flooded/");
+    route["service"] = json!("flooded");
+    route["timeoutMs"] = json!(TIME_LIMIT.as_millis() as u64);
+    let mut service = configuration["services"][1].clone();
+    service["name"] = json!("flooded");
+    configuration["routes"].as_array_mut().unwrap().push(route);
+    configuration["services"].as_array_mut().unwrap().push(service);
+}
+
+#[test]
+fn interim_answers_without_end_stop_neither_other_requests_nor_timers() {
+    let flood = Flood::new("", "HTTP/1.1 100 Continue\r\n\r\n");
+    observe("safe", flood).assert_rejected();
+}
+
+#[test]
+fn a_head_without_end_stops_neither_other_requests_nor_timers() {
+    let flood = Flood::new(HEAD, "x-more: and more\r\n");
+    observe("safe", flood).assert_rejected();
+}
+
+#[test]
+fn small_chunks_without_end_stop_neither_other_requests_nor_timers() {
+    let flood = Flood::new(format!("{HEAD}{CHUNKED}"), "1\r\nx\r\n");
+    observe("safe", flood).assert_rejected();
+}
+
+#[test]
+fn trailers_without_end_stop_neither_other_requests_nor_timers() {
+    let start = format!("{HEAD}{CHUNKED}0\r\n");
+    let flood = Flood::new(start, "x-more: and more\r\n");
+    observe("safe", flood).assert_rejected();
+}
+
+#[test]
+fn a_body_without_end_stops_neither_other_requests_nor_timers() {
+    let flood = Flood::new(format!("{HEAD}\r\n"), "and more ");
+    observe("safe", flood).assert_rejected();
+}
+
+#[test]
+fn an_error_answer_without_end_stops_neither_other_requests_nor_timers() {
+    let start = format!("{}{CHUNKED}", HEAD.replace("200 OK", "500 Failed"));
+    let flood = Flood::new(start, "1\r\nx\r\n");
+    observe("safe", flood).assert_rejected();
+}
+
+#[test]
+fn a_stream_without_end_stops_neither_other_requests_nor_timers() {
+    let event = |number| format!("id: {number}\ndata: and more\n\n");
+    let flood = Flood { start: format!("{HEAD}\r\n"), parts: Parts::Numbered(event) };
+    observe("stream", flood).assert_bounded();
+}
--- a/daemon/tests/deployment/support.rs
+++ b/daemon/tests/deployment/support.rs
@@ -254,6 +254,16 @@
         }
     }
 
+    /// The processor time that the process of a machine has used.
+    pub fn processor_time(&self, machine: IpAddr) -> Duration {
+        let process = self.processes.iter().rev().find(|it| it.0 == machine);
+        let (_, child) = process.expect("the machine has a process");
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap();
+        let (_, fields) = text.rsplit_once(')').unwrap();
+        let ticks = fields.split_whitespace().skip(11).take(2).map(|it| it.parse::<u64>().unwrap());
+        Duration::from_millis(ticks.sum::<u64>() * 1000 / rustix::param::clock_ticks_per_second())
+    }
+
     /// Whether a gateway reports that it is ready.
     pub fn is_ready(&self, gateway: SocketAddr) -> bool {
         let readiness = SocketAddr::new(gateway.ip(), READINESS_PORT);
