Streams: search only the new bytes for the end of an event

A stream whose event came in many small reads cost a gateway time that grew with the square of the event's size, since each read searched the whole incomplete event again. Only the new bytes and the three before them are searched.

--- a/components/edge/src/gateway/event_splitter.rs
+++ b/components/edge/src/gateway/event_splitter.rs
@@ -23,8 +23,9 @@
 
     /// Adds bytes and returns those that end with a complete event.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        let from = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = end_of_events(&self.partial) else {
+        let Some(end) = end_of_events(&self.partial[from..]).map(|it| it + from) else {
             if self.partial.len() > self.max_bytes {
                 // The rest may be the beginning of the event's end.
                 let flushed = self.partial.len().saturating_sub(MAX_END_BYTES - 1);
