Edge: bound what a peer can make a process read

A runner that repeated 100 Continue took a gateway's whole thread for as long as it liked: one poll of the HTTP library reads on while bytes are there, so neither other requests nor timers had their turn. Small chunks did so for 1 s, and a stream of valid events for as long as it lasted. Ruled out: a wider time limit for polls, since the library has none.

--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -22,6 +22,7 @@
 use super::request::RequestContext;
 use super::reservations::{ReservedSlot, SlotRequest};
 use super::withdrawal::wait_for_withdrawal;
+use crate::bounded_stream::Pace;
 use crate::http_connection::HttpConnection;
 
 /// How long opening a connection to a runner may take.
@@ -35,6 +36,8 @@
 const HEAD_SILENCE_FACTOR: f64 = 2.0;
 /// The shortest such silence, in milliseconds.
 const MIN_SILENCE_MS: u64 = 600;
+/// The rate at which a stream of events is read.
+const STREAM_PACE: Pace = Pace { bytes_per_s: 2 << 20, burst_bytes: 4 << 20 };
 /// The largest error answer of a runner that is buffered to be forwarded, in bytes.
 const MAX_ERROR_ANSWER_BYTES: usize = 64 * 1024;
 
@@ -275,6 +278,9 @@
             return AttemptOutcome::Lost.into();
         }
         let headers = headers::without_hop_by_hop(&head.headers);
+        if self.context.kind.is_stream() {
+            connection.set_pace(STREAM_PACE);
+        }
         if !head.status.is_server_error() {
             return AttemptResult::Answer(RunnerAnswer {
                 status: head.status,
--- a/components/edge/src/http_connection.rs
+++ b/components/edge/src/http_connection.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 use smol_hyper::rt::FuturesIo;
 use uptime::Instant;
 
+use crate::bounded_stream::{BoundedStream, Pace, ReadBounds};
+
 /// How long a peer may leave sent bytes unacknowledged, in milliseconds.
 const USER_TIMEOUT_MS: u32 = 4000;
 /// Idle time before the peer is probed with TCP keep-alive, and interval between probes: the shortest that
@@ -33,7 +36,15 @@
 /// Unanswered probes after which a connection is considered lost.
 const MAX_UNANSWERED_PROBES: u32 = 2;
 
-type Driver = Connection<FuturesIo<TcpStream>, Full<Bytes>>;
+/// The most bytes until the head of an answer is complete, with interim answers before it and the beginning of the body
+/// behind it.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// The most bytes of framing in a body, beside those that `FRAMING_FACTOR` allows.
+const MAX_FRAMING_BYTES: u64 = 64 * 1024;
+/// The bytes on the wire that each byte of a body allows.
+const FRAMING_FACTOR: u64 = 4;
+
+type Driver = Connection<FuturesIo<BoundedStream<TcpStream>>, Full<Bytes>>;
 
 /// A connection to a server.
 pub struct HttpConnection {
@@ -42,17 +53,26 @@
     /// Whether the connection has ended.
     ended: bool,
     sender: SendRequest<Full<Bytes>>,
+    bounds: Rc<ReadBounds>,
 }
 
 impl HttpConnection {
     /// Opens a connection.
     pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self> {
-        let stream = connect(address, timeout).await?;
+        let bounds = Rc::new(ReadBounds::new());
+        let stream = BoundedStream::new(connect(address, timeout).await?, bounds.clone());
         let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .max_header_size(MAX_HEAD_BYTES)
             .handshake(FuturesIo::new(stream))
             .await
             .map_err(|error| Error::new(Code::Unreachable, error.to_string()))?;
-        Ok(Self { driver: Some(Box::pin(connection)), ended: false, sender })
+        Ok(Self { driver: Some(Box::pin(connection)), ended: false, sender, bounds })
+    }
+
+    /// Limits the rate at which answers are read.
+    pub fn set_pace(&self, pace: Pace) {
+        self.bounds.set_pace(pace);
     }
 
     /// Closes the connection.
@@ -67,7 +87,8 @@
 
     /// Sends a request and waits for the head of the answer.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
-        let Self { driver, ended, sender } = self;
+        let Self { driver, ended, sender, bounds } = self;
+        bounds.begin(MAX_HEAD_BYTES as u64);
         let mut answer = std::pin::pin!(sender.send_request(request));
         let answer = poll_fn(|cx| {
             if let Poll::Ready(answer) = answer.as_mut().poll(cx) {
@@ -76,12 +97,14 @@
             poll_driver(driver, ended, cx);
             answer.as_mut().poll(cx)
         });
-        answer.await.map_err(|error| failure(Code::ConnectionLost, &error))
+        let answer = answer.await.map_err(|error| failure(Code::ConnectionLost, &error));
+        bounds.begin(MAX_FRAMING_BYTES);
+        answer
     }
 
     /// Waits for the next bytes of a body. `None` at its end.
     pub async fn next_bytes(&mut self, body: &mut Incoming) -> Option<Result<Bytes>> {
-        let Self { driver, ended, .. } = self;
+        let Self { driver, ended, bounds, .. } = self;
         let frame = poll_fn(|cx| {
             if let Poll::Ready(frame) = Pin::new(&mut *body).poll_frame(cx) {
                 return Poll::Ready(frame);
@@ -91,6 +114,9 @@
         });
         let frame = frame.await?;
         let bytes = frame.map(|it| it.into_data().unwrap_or_default());
+        if let Ok(bytes) = &bytes {
+            bounds.extend(FRAMING_FACTOR * bytes.len() as u64);
+        }
         Some(bytes.map_err(|error| failure(Code::CutShort, &error)))
     }
 
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -2,6 +2,7 @@
 //! `gateway` and `rollout`.
 
 mod answer_log;
+mod bounded_stream;
 mod caller;
 mod caller_buffers;
 mod catch_up;
