Tests: a row without a revision makes readers list their table again and again

Another writer's row without a revision, or with one that is no number, can't be copied for other gateways. The copy is dropped, so the gateway that reads for its hall lists the table again after each feed: 97 listings of 11 gateways in three seconds in the process test.

--- a/daemon/tests/deployment/table_readers.rs
+++ b/daemon/tests/deployment/table_readers.rs
@@ -103,3 +103,14 @@
         assert_eq!(answer.status, 200, "{gateway}");
     }
 }
+
+#[test]
+fn readers_do_not_list_again_and_again_for_a_row_without_a_revision() {
+    let (deployment, gateways) = start_hall();
+    deployment.standin.write_raw_row("op", "odd", r#"{"privateKey":"odd","value":"e30="}"#);
+    expect_in_force_in_time(&deployment, &gateways, "odd");
+    let listings = deployment.standin.configuration_reads();
+    thread::sleep(Duration::from_secs(3));
+    assert_eq!(deployment.standin.configuration_reads(), listings);
+    expect_in_force_in_time(&deployment, &gateways, "later");
+}
