Gateway: an entry whose address rejects its requests again and again is used ever more rarely

An entry of another writer that claims the address of a runner drew one request after each rewrite: 119 of 1200 within a minute at two rewrites a second. Callers of a route with one attempt were refused, though the runners had room.

Cause: a runner that answers 421 gets nothing until its entry changes, and each rewrite is a change. Ruled out: the number of slots in the entry, which the comparison of runners does not use. Change: rejections are remembered by runner and address, beyond the entry. A runner that serves is back at the start, so runners that reject single requests during an update are used as before.

--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -208,7 +208,7 @@
 
     /// Whether a runner accepts requests and this request may use it.
     fn may_serve(&self, now: Millis, runner: &Runner, arrival: &Arrival) -> bool {
-        runner.is_open() && !runner.misdirected && self.is_allowed(now, runner, arrival)
+        runner.is_open() && !runner.is_misdirected(now) && self.is_allowed(now, runner, arrival)
     }
 
     /// Counts the listed, usable and evacuated runners of a service for a request; `tried` are the
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod home_faults;
 mod limits;
 mod members;
+mod misdirections;
 mod notices;
 mod pauses;
 mod pool;
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -13,6 +13,7 @@
 use crate::followed::{self, Candidate};
 use crate::limits::IncarnationLimit;
 use crate::members::weight;
+use crate::misdirections::Misdirections;
 use crate::notices::{Notice, Notices};
 use crate::runner::{Runner, RunnerIncarnation, RunnerLoad, RunnerRecord};
 use crate::silent_halls::SilentHalls;
@@ -35,6 +36,7 @@
     by_address: HashMap<SocketAddr, BTreeMap<ServiceName, InstanceId>>,
     /// Information sent by runners that are no longer listed, and when their entries were removed.
     unlisted: BTreeMap<InstanceId, (RunnerIncarnation, Notices, Millis)>,
+    misdirections: Misdirections,
     announced: AnnouncedVersions,
     /// The evacuated data halls.
     pub evacuations: Evacuations,
@@ -112,6 +114,7 @@
             }
         }
         runner.note_listed_state(now);
+        runner.misdirected_until = self.misdirections.until(&id, runner.record.address);
         self.runners.insert(id, runner);
     }
 
@@ -229,6 +232,22 @@
         }
     }
 
+    /// Records that a runner rejected a request as misdirected.
+    pub fn note_misdirected(&mut self, now: Millis, id: &InstanceId) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.misdirected = true;
+            runner.misdirected_until = self.misdirections.note(now, id, runner.record.address);
+        }
+    }
+
+    /// Records that a runner served a request, which shows that its entry is correct.
+    pub fn note_served(&mut self, id: &InstanceId) {
+        if let Some(runner) = self.runners.get_mut(id) {
+            runner.misdirected_until = Millis(0);
+            self.misdirections.forget(id, runner.record.address);
+        }
+    }
+
     /// Records that a runner did not answer.
     pub fn note_unanswered(&mut self, now: Millis, id: &InstanceId) {
         if let Some(runner) = self.runners.get(id) {
--- a/components/gateway/src/reducer/attempts.rs
+++ b/components/gateway/src/reducer/attempts.rs
@@ -153,7 +153,7 @@
             AttemptOutcome::Denied { retry_after_ms, .. } => {
                 runner.note_full(now, retry_after_ms.min(MAX_DENIED_PAUSE_MS));
             }
-            AttemptOutcome::Misdirected => runner.misdirected = true,
+            AttemptOutcome::Misdirected => self.pool.note_misdirected(now, &selected.id),
             AttemptOutcome::NotSent
             | AttemptOutcome::Lost
             | AttemptOutcome::Cut
@@ -178,6 +178,9 @@
             | AttemptOutcome::Withdrawn
             | AttemptOutcome::VersionDeadlinePassed => {}
         }
+        if outcome.has_ended_well() {
+            self.pool.note_served(&selected.id);
+        }
         if outcome.was_answered() {
             self.pool.note_answered(now, &selected.id, selected.incarnation);
         } else if is_suspicion_enabled
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -165,6 +165,8 @@
     rate_exhausted_until: Millis,
     /// The runner rejected a request as misdirected; nothing is sent until its list entry changes.
     pub misdirected: bool,
+    /// Until when nothing is sent, because requests were rejected as misdirected repeatedly.
+    pub misdirected_until: Millis,
 }
 
 impl Runner {
@@ -200,6 +202,7 @@
             is_limit_enforced: false,
             rate_exhausted_until: Millis(0),
             misdirected: false,
+            misdirected_until: Millis(0),
         }
     }
 
@@ -325,6 +328,11 @@
         self.record.state == RunnerState::Ready && !self.notices.is_leaving()
     }
 
+    /// Whether its list entry is considered wrong.
+    pub fn is_misdirected(&self, now: Millis) -> bool {
+        self.misdirected || now < self.misdirected_until
+    }
+
     /// Applies a load report.
     pub fn apply_load(&mut self, now: Millis, load: RunnerLoad) {
         self.last_alive_at = now;
