Gateway: sums of an entry's and a report's values saturate

The largest number of slots in an entry, and the largest numbers of requests in a report, made sums overflow: a debug build panicked, and a release build wrapped around, so that a runner with the most slots counted as one with three.

Cause: additions of values that other programs write. Times were ruled out, which saturate already. Change: the sums saturate, and the cost of a runner is computed in floating point.

Measured: the test was red, with a panic in a debug build, and passes.

--- a/components/gateway/src/choice.rs
+++ b/components/gateway/src/choice.rs
@@ -277,7 +277,7 @@
 
     fn cost(&self, now: Millis, runner: &Runner, arrival: &Arrival) -> f64 {
         let pace = runner.load(now).map_or(1.0, |load| load.pace.max(1.0));
-        let mut cost = f64::from(runner.occupancy(now) + 1) * pace;
+        let mut cost = (f64::from(runner.occupancy(now)) + 1.0) * pace;
         cost += self.expected_first_byte_ms(now, runner) / FIRST_BYTE_MS_PER_SLOT;
         if self.options.ablation.is_enabled(Mechanism::ReadingCredit) {
             cost += runner.reading_ms(now) / PROMPT_MS_PER_SLOT;
@@ -334,7 +334,8 @@
         let held_back = if tight.is_empty() { 0 } else { self.held_back(runner, tight) };
         let may_wait_at_sidecar = arrival.model.is_some() && held_back == 0;
         let extra = if may_wait_at_sidecar { MAX_WAITING_AT_SIDECAR } else { 0 };
-        let has_slot = runner.occupancy(now) + held_back < runner.record.slots + extra;
+        let taken = runner.occupancy(now).saturating_add(held_back);
+        let has_slot = taken < runner.record.slots.saturating_add(extra);
         let has_token = self.rate_allows_in_ms(now, runner, arrival) == 0;
         has_slot && has_token && self.cold.admit(now, runner)
     }
--- a/components/gateway/src/runner.rs
+++ b/components/gateway/src/runner.rs
@@ -369,8 +369,8 @@
         if now.since(reported.at).0 > REPORT_VALIDITY_MS {
             return self.in_flight;
         }
-        let total = reported.load.running + reported.load.waiting;
-        self.in_flight + total.saturating_sub(reported.own_requests)
+        let total = reported.load.running.saturating_add(reported.load.waiting);
+        self.in_flight.saturating_add(total.saturating_sub(reported.own_requests))
     }
 
     /// In how many milliseconds the runner accepts requests, according to the last report and its
