--- a/components/edge/src/http_connection.rs
+++ b/components/edge/src/http_connection.rs
@@ -186,3 +186,6 @@
     })
     .await
 }
+
+#[cfg(test)]
+mod tests;
