Edge: report bytes that are no answer as a malformed answer

A server that sent garbage, a head too large or bytes without end was reported as a lost connection or a cut answer, so it could not be told from one that crashed. What the HTTP library can't parse, what exceeds the bounds of the connection, and an answer that is there before its request are now MalformedAnswer; half a head, an early close and a reset stay ConnectionLost or CutShort.

--- a/components/edge/src/http_connection.rs
+++ b/components/edge/src/http_connection.rs
@@ -97,7 +97,12 @@
             poll_driver(driver, ended, cx);
             answer.as_mut().poll(cx)
         });
-        let answer = answer.await.map_err(|error| failure(Code::ConnectionLost, &error));
+        let answer = answer.await.map_err(|error| {
+            // The library does not send a request if an answer is already there.
+            let has_early_bytes = error.is_canceled() && bounds.bytes_read() > 0;
+            let code = if has_early_bytes { Code::MalformedAnswer } else { Code::ConnectionLost };
+            failure(code, &error)
+        });
         bounds.begin(MAX_FRAMING_BYTES);
         answer
     }
@@ -133,18 +138,21 @@
     }
 }
 
-/// The error of a connection that failed: `TimedOut` if the network no longer reached the peer, otherwise `code`.
+/// The error of a connection that failed: `MalformedAnswer` if the peer sent bytes that are no answer or more than is
+/// allowed, `TimedOut` if the network no longer reached the peer, otherwise `code`.
 fn failure(code: Code, error: &hyper::Error) -> Error {
     let cause = error.source().and_then(|it| it.downcast_ref::<io::Error>());
-    let is_unreachable = cause.is_some_and(|it| {
-        let kinds = [
-            io::ErrorKind::TimedOut,
-            io::ErrorKind::HostUnreachable,
-            io::ErrorKind::NetworkUnreachable,
-        ];
-        kinds.contains(&it.kind())
-    });
-    Error::new(if is_unreachable { Code::TimedOut } else { code }, error.to_string())
+    let code = match cause.map(io::Error::kind) {
+        _ if error.is_parse() => Code::MalformedAnswer,
+        Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput) => Code::MalformedAnswer,
+        Some(
+            io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable,
+        ) => Code::TimedOut,
+        _ => code,
+    };
+    Error::new(code, error.to_string())
 }
 
 /// Polls the connection, so that it reads and writes what it can.
