Process tests of runners whose answers can't be read

Nothing tells an operator that a runner sent bytes that are no answer: neither a counter nor a line names the runner, the request or the fault, and the attempt counts as a lost connection.

--- a/daemon/tests/deployment/floods.rs
+++ b/daemon/tests/deployment/floods.rs
@@ -155,7 +155,8 @@
     Observed { flooded: flooded.join().unwrap(), beside, processor_share }
 }
 
-fn add_route(configuration: &mut serde_json::Value, kind: &str) {
+/// Adds a route and a service without runners, both with the name `flooded`.
+pub fn add_route(configuration: &mut serde_json::Value, kind: &str) {
     let mut route = configuration["routes"][1].clone();
     route["name"] = json!("flooded");
     route["kind"] = json!(kind);
--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -12,6 +12,7 @@
 mod leaving;
 mod limits;
 mod logs;
+mod malformed_answers;
 mod narrow_paths;
 mod narrow_store_links;
 mod orders;
--- /dev/null
+++ b/daemon/tests/deployment/malformed_answers.rs
@@ -0,0 +1,164 @@
+//! Tests of a runner whose plain answers are broken, at a gateway as a process.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use http::Method;
+use platform_standin::{Answer, Caller, RunnerStandin};
+use serde_json::json;
+
+use crate::floods::add_route;
+use crate::machine_address;
+use crate::support::{wait_until, Deployment};
+
+/// Machines of the broken runner and of the one that works.
+const BROKEN_MACHINE: u8 = 41;
+const WORKING_MACHINE: u8 = 42;
+const RUNNER_PORT: u16 = 8001;
+const HEAD: &str = "HTTP/1.1 200 OK\r\nresponse-stamp: f1.1\r\nrequest-id: {id}\r\n";
+const ERROR_HEAD: &str = "HTTP/1.1 500 Failed\r\nresponse-stamp: f1.1\r\nrequest-id: {id}\r\n";
+const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
+
+/// A runner that sends the same bytes on each connection and closes it.
+#[derive(Clone)]
+struct BrokenRunner {
+    /// `{id}` stands for the id of the request.
+    answer: String,
+    /// The ids of the requests that it received.
+    requests: Arc<Mutex<Vec<String>>>,
+}
+
+impl BrokenRunner {
+    fn start(address: SocketAddr, answer: String) -> Self {
+        let runner = Self { answer, requests: Arc::default() };
+        let (listener, serving) = (TcpListener::bind(address).unwrap(), runner.clone());
+        thread::spawn(move || {
+            for connection in listener.incoming().flatten() {
+                let _ = serving.answer(connection);
+            }
+        });
+        runner
+    }
+
+    fn answer(&self, mut connection: TcpStream) -> std::io::Result<()> {
+        let mut request = vec![0; 4096];
+        let length = connection.read(&mut request)?;
+        let request = String::from_utf8_lossy(&request[..length]).into_owned();
+        let id = request.lines().find_map(|it| it.strip_prefix("request-id: ")).unwrap_or("");
+        self.requests.lock().unwrap().push(id.to_owned());
+        connection.write_all(self.answer.replace("{id}", id).as_bytes())?;
+        connection.shutdown(Shutdown::Write)
+    }
+
+    fn has_received(&self, id: &str) -> bool {
+        self.requests.lock().unwrap().iter().any(|it| it == id)
+    }
+}
+
+/// What became of the first request that a broken runner received.
+struct Played {
+    deployment: Deployment,
+    gateway: SocketAddr,
+    id: String,
+    answer: Answer,
+}
+
+impl Played {
+    fn assert_served_by_the_other(&self) {
+        assert_eq!(self.answer.status, 200, "{:?}", self.answer);
+        assert_eq!(self.answer.body, format!("flooded {}", self.id));
+        assert_eq!(self.deployment.standin.runs(&self.id).len(), 1);
+    }
+
+    fn assert_failed(&self) {
+        assert_eq!(self.answer.status, 502, "{:?}", self.answer);
+        assert!(self.deployment.standin.runs(&self.id).is_empty(), "it isn't repeated");
+    }
+
+    fn assert_counted(&self, source: &str, fault: &str) {
+        let metrics = self.deployment.metrics(self.gateway.ip());
+        let name = "silverdock_malformed_answers_total";
+        let labels = [format!("source=\"{source}\""), format!("fault=\"{fault}\"")];
+        let is_counted = |line: &str| {
+            line.starts_with(name) && labels.iter().all(|it| line.contains(it.as_str()))
+        };
+        assert!(metrics.lines().any(is_counted), "{source} {fault} isn't counted\n{metrics}");
+        let log = self.deployment.log(self.gateway.ip());
+        let names_all = |line: &str| {
+            line.contains("no answer") && line.contains(&self.id) && line.contains("\"f1\"")
+        };
+        assert!(
+            log.lines().any(names_all),
+            "the log doesn't name the request and the runner\n{log}"
+        );
+    }
+}
+
+/// Sends requests to a route of this kind until the broken runner has received one.
+fn play(kind: &str, answer: String) -> Played {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    let address = |machine| SocketAddr::new(machine_address(gateway, machine), RUNNER_PORT);
+    let broken = BrokenRunner::start(address(BROKEN_MACHINE), answer);
+    let working = RunnerStandin::plain("g1", "flooded", "a");
+    deployment.standin.add_runner(address(WORKING_MACHINE), working);
+    let entry = json!({
+        "service": "flooded", "address": address(BROKEN_MACHINE), "zone": "a", "version": "v1",
+        "slots": 16, "state": "ready", "coldRemainingMs": 0, "sequence": 0,
+    });
+    deployment.standin.write_row("servers", "f1", entry);
+    deployment.standin.reconfigure(|it| add_route(it, kind));
+    let mut number = 0;
+    let mut received = None;
+    wait_until("the broken runner receives a request", || {
+        number += 1;
+        let id = format!("m{number}");
+        let method = if kind == "safe" { Method::GET } else { Method::POST };
+        let answer = Caller::new(method, "/flooded/x", &id).call(gateway);
+        if broken.has_received(&id) {
+            received = Some((id, answer));
+        }
+        received.is_some()
+    });
+    let (id, answer) = received.unwrap();
+    Played { deployment, gateway, id, answer }
+}
+
+#[test]
+fn garbage_in_place_of_an_answer_is_counted_and_another_runner_serves_the_request() {
+    let played = play("safe", "%% garbage\r\n\r\n".into());
+    played.assert_served_by_the_other();
+    played.assert_counted("answer", "head");
+}
+
+#[test]
+fn garbage_in_place_of_an_answer_is_not_repeated_for_an_unsafe_request() {
+    let played = play("unsafe", "%% garbage\r\n\r\n".into());
+    played.assert_failed();
+    played.assert_counted("answer", "head");
+}
+
+#[test]
+fn the_answer_to_another_request_is_counted_and_given_to_no_caller() {
+    let head = HEAD.replace("{id}", "another");
+    let played = play("safe", format!("{head}content-length: 5\r\n\r\nother"));
+    played.assert_served_by_the_other();
+    played.assert_counted("answer", "other_request");
+}
+
+#[test]
+fn a_broken_body_of_an_error_answer_is_counted_and_another_runner_serves_the_request() {
+    let played = play("safe", format!("{ERROR_HEAD}{CHUNKED}2\r\nab\r\n%%"));
+    played.assert_served_by_the_other();
+    played.assert_counted("error_answer", "body");
+}
+
+#[test]
+fn an_error_answer_without_end_is_counted() {
+    let played = play("unsafe", format!("{ERROR_HEAD}\r\n{}", "more ".repeat(100_000)));
+    played.assert_failed();
+    played.assert_counted("error_answer", "too_large");
+}
