Streams: how the part of a runner ended is a decision of its request

The warning that a runner's stream did not end well held the id of the request, and the account of a request takes every line that it cannot read for a gap: logs::the_log_explains_a_stream_that_was_cut_off failed since that warning. The end is now the decision broke_off of the request, written with its other lines, so the account shows it beside the attempts; it is a remark in profiles, and a stream with one is always written, also if another runner completed it.

--- a/components/account/src/account.rs
+++ b/components/account/src/account.rs
@@ -186,6 +186,12 @@
         Decision::Continued { runner, after_ms } => {
             format!("{runner} goes on after {after_ms} ms")
         }
+        Decision::BrokeOff { runner, end, ends_with_connection, events, last_id } => {
+            let framing =
+                if *ends_with_connection { "its connection" } else { "a length or chunks" };
+            let last = last_id.map_or(String::new(), |id| format!(", the last with id {id}"));
+            format!("the stream of {runner}, framed by {framing}, ends after {events} events{last}: {end}")
+        }
         Decision::Resumed { after_event } => format!("resumes after event {after_event:?}"),
         Decision::Ended {
             outcome,
--- a/components/account/src/decision.rs
+++ b/components/account/src/decision.rs
@@ -132,6 +132,21 @@
         /// The time since the arrival of the request, in milliseconds.
         after_ms: u64,
     },
+    /// The part of a stream that a runner sent did not end well.
+    BrokeOff {
+        /// The runner.
+        runner: String,
+        /// `cut` within the framing of the answer, `within_event`, `without_event`, or the fault of bytes that are not an
+        /// event.
+        end: String,
+        /// Whether the response ends with its connection, without a length or chunks.
+        #[serde(default, skip_serializing_if = "is_false")]
+        ends_with_connection: bool,
+        /// The number of events of the stream that were forwarded, including those of earlier runners.
+        events: u64,
+        /// The id of the last of them.
+        last_id: Option<u64>,
+    },
     /// A stream was resumed after an interruption.
     Resumed {
         /// The id of the last event that was received; empty if there was none.
--- a/components/account/src/profile.rs
+++ b/components/account/src/profile.rs
@@ -142,7 +142,13 @@
 
 /// Whether a line accompanies an attempt and does not mark the end of a step.
 fn is_remark(decision: &Decision) -> bool {
-    matches!(decision, Decision::Told { .. } | Decision::Silent { .. } | Decision::Continued { .. })
+    matches!(
+        decision,
+        Decision::Told { .. }
+            | Decision::Silent { .. }
+            | Decision::Continued { .. }
+            | Decision::BrokeOff { .. }
+    )
 }
 
 /// Classifies the time between two consecutive lines; `None` if the second one does not end a step.
@@ -160,7 +166,9 @@
         (_, Decision::Ended { .. }) => Some(Step::Concluded),
         (_, Decision::Routed { .. } | Decision::Unrouted { .. }) => None,
         (_, Decision::Denied { .. } | Decision::Told { .. }) => None,
-        (_, Decision::Silent { .. } | Decision::Continued { .. }) => None,
+        (_, Decision::Silent { .. } | Decision::Continued { .. } | Decision::BrokeOff { .. }) => {
+            None
+        }
     }
 }
 
--- a/components/account/tests/accounts.rs
+++ b/components/account/tests/accounts.rs
@@ -90,3 +90,12 @@
     let silence = "i-1 has been silent for 1000 ms in its response, its connection is open";
     assert!(text.contains(silence), "{text}");
 }
+
+#[test]
+fn bytes_that_are_no_event_are_not_told_from_a_lost_connection() {
+    let lines = r#"{"ts_ms":1001,"instance":"g1","request":"r1","decision":"broke_off","runner":"i-1","end":"status_line","ends_with_connection":true,"events":12,"last_id":12}
+{"ts_ms":1001,"instance":"g1","request":"r1","decision":"failed","runner":"i-1","code":601,"name":"MalformedAnswer","not_run":false,"took_ms":160}"#;
+    let text = Account::of("r1", [lines]).to_string();
+    let end = "the stream of i-1, framed by its connection, ends after 12 events, the last with id 12: status_line";
+    assert!(text.contains(end), "{text}");
+}
--- a/components/edge/src/gateway/mod.rs
+++ b/components/edge/src/gateway/mod.rs
@@ -20,7 +20,7 @@
 mod sidecar_list;
 mod state_log;
 mod stop;
-mod stream_end_log;
+mod stream_end;
 mod table_server;
 mod table_state;
 mod trace;
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -21,7 +21,7 @@
 use super::event_reader::EventReader;
 use super::event_splitter::EventSplitter;
 use super::request::{with_request_deadline, RequestContext};
-use super::stream_end_log::{StreamEnd, StreamPart};
+use super::stream_end::StreamEnd;
 use super::trace::RequestEnd;
 
 /// Another runner is asked to resume a stream after a silence of this multiple of its target for the pause
@@ -263,14 +263,13 @@
             return;
         }
         let StartedAnswer { context, target, answer, .. } = &self.current;
-        let part = StreamPart {
-            request: context.request_headers.id.as_deref().unwrap_or(""),
-            runner: &target.id.0,
+        context.trace.add(Decision::BrokeOff {
+            runner: target.id.0.clone(),
+            end: end.name().into(),
             ends_with_connection: answer.ends_with_connection,
             events: self.reader.events(),
             last_id: self.reader.last_id(),
-        };
-        part.log_end(end);
+        });
     }
 
     /// The bytes to forward. Those of a stream that cannot be resumed are forwarded unchanged.
--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -51,6 +51,7 @@
     !matches!(
         entry.decision,
         Decision::Failed { .. }
+            | Decision::BrokeOff { .. }
             | Decision::Resumed { .. }
             | Decision::Silent { .. }
             | Decision::Continued { .. }
