The own interface reads answers within bounds and tells the end of a body from its loss

Callers of an entry got status 100 with an empty body when an engine said Continue, an empty 200 for a body that ends with its connection, the first bytes of a body with two lengths, and a cut chunked body as whole where an empty line stood in place of a chunk's size. A chunk size of zeros without end kept a thread of the agent for good, past every deadline, and a header line was buffered without bound. The cause is the reader of async-h1, and that reading a socket which is always ready never waits. async-h1 still writes requests and parses heads; components/net now bounds the head, interim answers, chunk lines, trailers and the framing in relation to the content, and yields after 64 KiB. A body without length or chunks is refused: a process that crashes closes its connection as one that is done does, so its end can't be told. HEAD, 204 and 304 have no body. Bytes behind a whole answer stay unread. Agents send UpstreamFailed for such bytes, as earlier builds can't decode the new code; a confirmation that got garbage has an unknown outcome. Ruled out: a bounding reader below async-h1, which would still take an empty size for the end and wait for good on a trailer in two pieces.

--- a/components/client/src/operator.rs
+++ b/components/client/src/operator.rs
@@ -116,7 +116,7 @@
 /// Converts the error of a confirmation whose response did not arrive: the plan may have been accepted.
 fn unknown_outcome(error: Error) -> Error {
     match error.code {
-        Code::ConnectionLost | Code::TimedOut | Code::CutShort => {
+        Code::ConnectionLost | Code::TimedOut | Code::CutShort | Code::MalformedAnswer => {
             Error::new(Code::OutcomeUnknown, error.detail)
         }
         _ => error,
--- a/components/externals/src/http_upstream.rs
+++ b/components/externals/src/http_upstream.rs
@@ -6,8 +6,8 @@
 use async_trait::async_trait;
 use errors::{Code, Error, Result};
 use fleet::{RequestId, UNREADABLE_BACKOFF_MS};
-use http_types::{Method, Request, Response, StatusCode};
-use net::{read_body, send, Deadline, HttpBody};
+use http_types::{Method, Request};
+use net::{read_body, send, Answer, Deadline, HttpBody};
 
 use crate::http_platform::build_request;
 use crate::traits::{
@@ -21,6 +21,9 @@
 /// Maximum size of the response to a control call, in bytes.
 const MAX_CONTROL_BODY_BYTES: usize = 64 * 1024;
 
+/// The status of an upstream that takes no request at the moment.
+const SERVICE_UNAVAILABLE: u16 = 503;
+
 /// Client of the upstream next to the agent.
 pub struct HttpUpstream(pub SocketAddr);
 
@@ -34,13 +37,12 @@
         request.set_body(call.body);
         request.insert_header("content-type", call.content_type.as_str());
         let deadline = Deadline::after(Duration::from_millis(call.time_left_ms));
-        let response = send(self.0, request, deadline).await?;
-        let content_type = response.header("content-type");
+        let answer = send(self.0, request, deadline).await?;
         Ok(UpstreamResponse {
-            status: response.status().into(),
-            retry_after_ms: retry_after_ms(&response),
-            content_type: content_type.map(|it| it.last().to_string()).unwrap_or_default(),
-            body: Box::new(HttpBody::new(response)),
+            status: answer.status(),
+            retry_after_ms: retry_after_ms(&answer),
+            content_type: answer.header("content-type").unwrap_or_default().to_owned(),
+            body: Box::new(answer.body),
         })
     }
 
@@ -102,9 +104,9 @@
 
 /// Returns the backoff that an upstream requests with a 503 response, in milliseconds. A `Retry-After` value that
 /// cannot be parsed still requests a backoff, of `UNREADABLE_BACKOFF_MS`.
-fn retry_after_ms(response: &Response) -> Option<u64> {
-    let text = response.header("retry-after")?.last().as_str();
-    if response.status() != StatusCode::ServiceUnavailable {
+fn retry_after_ms(answer: &Answer) -> Option<u64> {
+    let text = answer.header("retry-after")?;
+    if answer.status() != SERVICE_UNAVAILABLE {
         return None;
     }
     Some(fleet::backoff_ms(text).unwrap_or_else(|| {
--- a/components/lab/src/caller.rs
+++ b/components/lab/src/caller.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use errors::{Code, Error, Result};
-use http_types::{Method, Request, Response, Url};
-use net::{read_body, send, Deadline, HttpBody, HttpResponse};
+use http_types::{Method, Request, Url};
+use net::{read_body, send, Answer, Deadline, HttpResponse};
 use serde_json::{json, Value};
 use standins::answer_text;
 
@@ -84,7 +84,7 @@
         let path = "/v1/chat/completions";
         let response =
             post_request(self.address, path, &[], body.to_string().into_bytes(), deadline).await?;
-        if response.status().is_success() && self.stream {
+        if (200..300).contains(&response.status()) && self.stream {
             let stream_answer = async { Ok(self.read_stream(prompt, response, started).await) };
             return deadline.run(Code::TimedOut, stream_answer).await?;
         }
@@ -105,11 +105,11 @@
     async fn read_stream(
         &self,
         prompt: &str,
-        response: Response,
+        answer: Answer,
         started: Instant,
     ) -> Result<ChatAnswer> {
         let mut stream = EventStream::default();
-        let mut body = HttpBody::new(response);
+        let mut body = answer.body;
         let mut last_part_at = started;
         let mut first_token = None;
         let mut longest_gap = Duration::ZERO;
@@ -195,7 +195,7 @@
     headers: &[(&str, &str)],
     body: Vec<u8>,
     deadline: Deadline,
-) -> Result<Response> {
+) -> Result<Answer> {
     let url = Url::parse(&format!("http://{address}{path}"))
         .map_err(|error| Error::new(Code::BadRequest, error.to_string()))?;
     let mut request = Request::new(Method::Post, url);
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -1,9 +1,11 @@
-//! HTTP calls through the client of `async-h1`.
+//! HTTP calls over connections of their own.
 //!
-//! This module relies on the following behaviour of `async-h1` 2.3, which the tests check. It reads a body with a
-//! `content-length` up to that length or to the end of the connection and does not report which of them it reached, so
-//! the length is counted here. A truncated chunked body is an error. A body with neither a length nor chunks is read as
-//! empty.
+//! `async-h1` writes requests and parses heads. Heads and bodies are read here, because its reader neither bounds a head
+//! nor leaves turns to other tasks, and reads a body without a length as empty.
+
+mod body;
+mod head;
+mod input;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,14 +13,16 @@
 use async_net::TcpStream;
 use errors::{Code, Error, Result};
 use futures_lite::future::FutureExt;
-use futures_lite::io::{AsyncBufRead, AsyncReadExt};
+use futures_lite::io::{copy, AsyncWriteExt};
 use http_types::{Request, Response};
 use uptime::Instant;
 
+pub use body::HttpBody;
+use head::{framing, read_head};
+use input::Input;
+
 /// The time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// The largest part of a body that is read at once, in bytes.
-const MAX_PART_BYTES: usize = 16 * 1024;
 
 /// The time by which a call must be complete.
 #[derive(Clone, Copy, Debug)]
@@ -55,9 +59,30 @@
     pub body: Vec<u8>,
 }
 
+/// The head of an answer, and its body, which is not read yet.
+#[derive(Debug)]
+pub struct Answer {
+    head: Response,
+    /// The body.
+    pub body: HttpBody,
+}
+
+impl Answer {
+    /// The HTTP status.
+    pub fn status(&self) -> u16 {
+        self.head.status().into()
+    }
+
+    /// The last value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.header(name).map(|values| values.last().as_str())
+    }
+}
+
 /// Sends a request on a new connection. Fails with `Unreachable` if no connection could be established, in which case
-/// nothing was sent, and with `ConnectionLost` if the connection failed before the response arrived.
-pub async fn send(address: SocketAddr, request: Request, deadline: Deadline) -> Result<Response> {
+/// nothing was sent, with `ConnectionLost` if the connection failed before the head of the answer arrived, and with
+/// `MalformedAnswer` if the bytes that arrived are no head.
+pub async fn send(address: SocketAddr, request: Request, deadline: Deadline) -> Result<Answer> {
     let connect = async {
         let stream = TcpStream::connect(address).await;
         stream.map_err(|error| Error::new(Code::Unreachable, format!("{address}: {error}")))
@@ -67,69 +92,49 @@
     // Without this option small requests would wait for the acknowledgement of earlier ones.
     let _ = stream.set_nodelay(true);
     let exchange = async {
-        let response = async_h1::connect(stream, request).await;
-        response.map_err(|error| Error::new(Code::ConnectionLost, format!("{address}: {error}")))
+        let answer = exchange(stream, request).await;
+        answer.map_err(|error| Error::new(error.code, format!("{address}: {}", error.detail)))
     };
     deadline.run(Code::TimedOut, exchange).await
 }
 
-/// Reads the complete body of a response; fails with `TooLarge` beyond `max_bytes`.
+async fn exchange(mut stream: TcpStream, request: Request) -> Result<Answer> {
+    let method = request.method();
+    let writing = async {
+        copy(async_h1::client::Encoder::new(request), &mut stream).await?;
+        stream.flush().await
+    };
+    writing.await.map_err(|error| Error::new(Code::ConnectionLost, error.to_string()))?;
+    let mut input = Input::new(stream);
+    let head = read_head(&mut input).await?;
+    let framing = framing(method, &head)?;
+    Ok(Answer { head, body: HttpBody::new(input, framing) })
+}
+
+/// Reads the complete body of an answer; fails with `TooLarge` beyond `max_bytes`.
 pub async fn read_body(
-    response: Response,
+    answer: Answer,
     max_bytes: usize,
     deadline: Deadline,
 ) -> Result<HttpResponse> {
-    let status = response.status().into();
-    let etag = response.header("etag").map(|values| values.last().as_str().to_owned());
-    let mut body = HttpBody::new(response);
+    let status = answer.status();
+    let etag = answer.header("etag").map(str::to_owned);
+    let mut body = answer.body;
     let read = async {
         let mut content = Vec::new();
-        while let Some(part) = body.next().await? {
-            content.extend_from_slice(&part);
-            if content.len() > max_bytes {
+        loop {
+            if body.known_bytes().saturating_add(content.len() as u64) > max_bytes as u64 {
                 return Err(Error::new(Code::TooLarge, "the body is larger than the limit"));
             }
+            let Some(part) = body.next().await? else {
+                return Ok(content);
+            };
+            content.extend_from_slice(&part);
         }
-        Ok(content)
     };
     let body = deadline.run(Code::TimedOut, read).await?;
     Ok(HttpResponse { status, etag, body })
 }
 
-/// The body of a response, read in parts. Its length is compared with the `content-length` header.
-pub struct HttpBody {
-    reader: Box<dyn AsyncBufRead + Unpin + Send + Sync>,
-    remaining: Option<usize>,
-}
-
-impl HttpBody {
-    /// Takes the body out of a response.
-    pub fn new(mut response: Response) -> Self {
-        let remaining = response.len();
-        Self { reader: response.take_body().into_reader(), remaining }
-    }
-
-    /// The next part, or `None` at the end of the body. Fails with `CutShort` if the body ends early.
-    pub async fn next(&mut self) -> Result<Option<Vec<u8>>> {
-        let mut part = vec![0; MAX_PART_BYTES];
-        let read = self.reader.read(&mut part).await;
-        let read = read.map_err(|error| Error::new(Code::CutShort, error.to_string()))?;
-        if let Some(remaining) = &mut self.remaining {
-            *remaining = remaining.saturating_sub(read);
-        }
-        if read > 0 {
-            part.truncate(read);
-            return Ok(Some(part));
-        }
-        match self.remaining {
-            Some(remaining) if remaining > 0 => Err(Error::new(
-                Code::CutShort,
-                format!("{remaining} bytes of the body are missing"),
-            )),
-            _ => Ok(None),
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/components/net/src/client/tests.rs
+++ b/components/net/src/client/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use async_net::TcpListener;
 use futures_lite::future::{block_on, zip};
-use futures_lite::io::AsyncWriteExt;
+use futures_lite::io::AsyncReadExt;
 use http_types::{Method, Url};
 
 /// Sends a request to a server that responds with `raw` and closes the connection.
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -10,7 +10,7 @@
 mod tasks;
 
 pub use body::{stream_body, BodySender};
-pub use client::{read_body, send, Deadline, HttpBody, HttpResponse};
+pub use client::{read_body, send, Answer, Deadline, HttpBody, HttpResponse};
 pub use pacer::{write_paced, Pacer};
 pub use server::{
     bearer_token, error_response, json_response, Caller, Handler, Reply, Server, ServerLimits,
--- a/components/net/tests/garbage_answers.rs
+++ b/components/net/tests/garbage_answers.rs
@@ -268,3 +268,30 @@
     let (code, _) = flooded(CHUNKED, "1;extension=a-long-extension-of-a-chunk\r\nx\r\n");
     assert_eq!(code, Code::MalformedAnswer);
 }
+
+#[test]
+fn bytes_that_never_stop_leave_turns_to_other_tasks_and_end_at_the_deadline() {
+    let address = server(&[&format!("{CHUNKED}7fffffffffffffff\r\n")], "x");
+    let called = Instant::now();
+    let mut turns = 0;
+    let others = async {
+        loop {
+            turns += 1;
+            yield_now().await;
+        }
+    };
+    let reading = async {
+        let url = Url::parse(&format!("http://{address}/")).unwrap();
+        let deadline = Deadline::after(SHORT);
+        let mut body = send(address, Request::new(Method::Get, url), deadline).await?.body;
+        let endless = async {
+            while body.next().await?.is_some() {}
+            Ok(())
+        };
+        deadline.run(Code::TimedOut, endless).await
+    };
+    let code = block_on(async { reading.await.expect_err("there is no end").code }.or(others));
+    assert_eq!(code, Code::TimedOut);
+    assert!(called.elapsed() < SHORT + SLACK, "{:?}", called.elapsed());
+    assert!(turns > 0);
+}
--- a/components/node/src/agent/calls.rs
+++ b/components/node/src/agent/calls.rs
@@ -76,7 +76,8 @@
         // The upstream may have run the request if it was sent at all, which the code tells the entry.
         let load = shared.with_agent(|agent| agent.load());
         let request = call.request;
-        writer.send(&Message::AnswerFailed { request, code: error.code, load }).await?;
+        let code = failure_code(shared, &error);
+        writer.send(&Message::AnswerFailed { request, code, load }).await?;
         if error.code == Code::TimedOut {
             cancel(shared, request).await;
         }
@@ -91,6 +92,16 @@
     relay.or(closed).await
 }
 
+/// The code that entries receive for a failure. Earlier builds can't decode `MalformedAnswer`.
+fn failure_code(shared: &Shared, error: &Error) -> Code {
+    if error.code != Code::MalformedAnswer {
+        return error.code;
+    }
+    log::warn!("the upstream sent bytes that are no answer: {}", error.detail);
+    shared.context.services.metrics.count_malformed_answer("answer", "framing");
+    Code::UpstreamFailed
+}
+
 async fn relay(
     shared: &Arc<Shared>,
     writer: &mut wire::FrameWriter<async_net::TcpStream>,
--- a/components/standins/src/engine.rs
+++ b/components/standins/src/engine.rs
@@ -12,8 +12,8 @@
 use fleet::{ModelName, Revision};
 use http_types::{Method, Request, Response, StatusCode, Url};
 use net::{
-    error_response, json_response, read_body, send, stream_body, Caller, Deadline, Handler,
-    HttpBody, Reply, Tasks,
+    error_response, json_response, read_body, send, stream_body, Caller, Deadline, Handler, Reply,
+    Tasks,
 };
 use serde::Deserialize;
 use serde_json::json as json_value;
@@ -297,14 +297,14 @@
 async fn read_weights_digest(order: &EngineOrder, request: Request) -> Result<String> {
     let deadline = Deadline::after(WEIGHTS_TIMEOUT);
     let response = send(order.weights, request, deadline).await?;
-    if !response.status().is_success() {
+    if !(200..300).contains(&response.status()) {
         let answer = read_body(response, MAX_ERROR_BODY_BYTES, deadline).await?;
         return Err(Error::new(
             Code::UpstreamFailed,
             format!("the agent responded to the read of weights with status {}", answer.status),
         ));
     }
-    let mut body = HttpBody::new(response);
+    let mut body = response.body;
     let mut hasher = blake3::Hasher::new();
     let mut bytes = 0;
     while let Some(part) = body.next().await? {
