--- a/components/reducer/src/entry/tests.rs
+++ b/components/reducer/src/entry/tests.rs
@@ -383,6 +383,19 @@
     assert_eq!(refusal_of(&effects), Some(Code::CutShort), "it has run");
 }
 
+#[test]
+fn an_answer_that_is_none_is_retried_elsewhere_and_is_no_crash() {
+    let mut entry = entry(8, 10);
+    for serial in 1..=4 {
+        let sent = arrive(&mut entry, repeated(serial));
+        let retry = attempt_of(&fail(&mut entry, attempt_of(&sent), Code::UpstreamFailed));
+        assert_eq!(retry.number, 2);
+    }
+    let sent = arrive(&mut entry, arrival(5, false));
+    let effects = fail(&mut entry, attempt_of(&sent), Code::UpstreamFailed);
+    assert_eq!(refusal_of(&effects), Some(Code::UpstreamFailed), "it may have run");
+}
+
 #[test]
 fn a_complete_answer_clears_the_request() {
     let mut entry = entry(6, 10);
