Entries send a repeatable request elsewhere after an answer that is none

Callers whose engine sent bytes that are no answer got 502 UpstreamFailed though another engine was free. The reducer took that code for a final answer. It now counts as transient, like a cut: the upstream is avoided, a repeatable request goes on, one that is not ends with the code, and no crash is recorded, because who writes is running. An answer beyond 16 MiB has this code too and now takes a second attempt.

--- a/components/reducer/src/entry/attempts.rs
+++ b/components/reducer/src/entry/attempts.rs
@@ -125,5 +125,6 @@
             | Code::Unreachable
             | Code::CutShort
             | Code::ConnectionLost
+            | Code::UpstreamFailed
     )
 }
