Tests: entries with the address of the gateway itself, or with one that no server can have

A gateway sends the requests for an entry with its own address to itself, again and again: in the process test the caller gets a 502 after 0.6 s where no runner is left. Entries with port 0, or with an address of many machines or of none, are tried like others.

--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -4,6 +4,7 @@
 mod crash_parts;
 mod crashes;
 mod evacuations;
+mod false_entries;
 mod floods;
 mod foreign_pages;
 mod foreign_rows;
