Gateway: an entry with an address of the gateway itself names no runner

Another writer's entry with the address on which a gateway accepts callers led requests back to that gateway, again and again until their deadline: in the process test, with no runner left, the caller got a 502 after 0.6 s in place of a 503 at once.

Cause: an entry is believed whatever address it has, and a gateway does not reject what names another instance, because callers may send that header. Ruled out: rejecting such requests, which callers that send it themselves would feel. Change: an entry with an address on which the process listens is handled like an invalid one, and logged. An entry with the address of another gateway still leads there: that one does not send the request on to itself.

--- a/components/edge/src/gateway/follow_table.rs
+++ b/components/edge/src/gateway/follow_table.rs
@@ -12,6 +12,7 @@
 use settings::{BoundSettings, DeploymentSettings};
 
 use super::core::Core;
+use super::own_addresses::OwnAddresses;
 use super::readers::HallReaders;
 use super::version_record::{self, ReceivedVersion, RecordUpdate};
 use crate::spawner::Spawner;
@@ -67,6 +68,7 @@
         ));
     }
     let core = core.clone();
+    let own_addresses = OwnAddresses::new(settings);
     let version_ms = settings.bounds.version_ms;
     spawner.detach(watch(options, move |event| match event {
         TableEvent::Complete => {
@@ -93,6 +95,7 @@
             }
         }
         TableEvent::Change { change, date } => {
+            let change = own_addresses.reject(change);
             let should_notify_sidecars =
                 should_notify_sidecars(&change) || turns_cold(&core, &change);
             // A gateway that follows another gateway leaves the record to it.
--- a/components/edge/src/gateway/mod.rs
+++ b/components/edge/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod home_fault_log;
 mod node;
 mod notice_log;
+mod own_addresses;
 mod quarantine_record;
 mod readers;
 mod relay;
