Process tests: engines that send garbage in place of completions

Entry and agent run as processes, the engine is a raw server that takes orders and reports its load. Callers of half a head, an interim answer, contradictory lengths, bodies that end with their connection and garbage between chunks get an error or a stream that is visibly broken off; floods are given up early, the agent answers its operator and other callers are served.

--- a/daemon/tests/processes.rs
+++ b/daemon/tests/processes.rs
@@ -1,5 +1,6 @@
 //! Tests of daemons as separate processes, with signals and kills.
 
+mod garbage_engine;
 mod support;
 
 use std::time::{Duration, Instant};
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -106,17 +106,21 @@
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let serving = Server::start(&self.tasks, any_port, ServerLimits::default(), engine.clone());
         let server = async_io::block_on(serving).unwrap();
-        let machine = self.new_machine();
-        let weights = SocketAddr::new(machine, WEIGHTS_PORT);
-        let role =
-            format!("[agent]\nupstream = {}\nweights_listen = {weights}\n", server.address());
+        let mut daemon = self.agent(name, server.address());
         // The engine runs until the test process ends.
         std::mem::forget(server);
-        let mut daemon = self.start(name, "agent", Process::Engine, machine, &role);
         daemon.engine = Some(engine);
         daemon
     }
 
+    /// Starts the agent of an engine at an address.
+    pub fn agent(&self, name: &str, engine: SocketAddr) -> Daemon {
+        let machine = self.new_machine();
+        let weights = SocketAddr::new(machine, WEIGHTS_PORT);
+        let role = format!("[agent]\nupstream = {engine}\nweights_listen = {weights}\n");
+        self.start(name, "agent", Process::Engine, machine, &role)
+    }
+
     fn start(
         &self,
         name: &str,
