--- a/components/edge/src/sidecar/runner.rs
+++ b/components/edge/src/sidecar/runner.rs
@@ -125,8 +125,11 @@
 ) -> Result<(runner::Report, ResponseHeaders)> {
     let answer = client.call(runner::report(), CALL_TIMEOUT).await?;
     let response_headers = headers::read_response(&answer.headers);
-    let report = runner::read_report(&answer.success()?, *core.layers.borrow())?;
-    Ok((report, response_headers))
+    let report = runner::read_report(&answer.success()?, *core.layers.borrow());
+    if report.is_err() {
+        core.metrics.count_malformed_answer("report", "content");
+    }
+    Ok((report?, response_headers))
 }
 
 /// Records whether the runner is leaving. `known` is its previous statement.
