Sidecars refuse manifests whose sizes or digests are none

A manifest without chunks, with chunks of no bytes, or with more chunks than a summary can list was taken for the weights of its version; the sidecar then staged nothing or asked for chunks without end. The check that the own store's manifests get now applies to the origin's and to a peer's; what fails it is fetched again later, and silverdock_malformed_answers_total{source="origin"} counts it. Not covered: a manifest that lists fewer digests than its version has, as no message to sidecars carries that number.

--- a/components/edge/src/sidecar/fetches.rs
+++ b/components/edge/src/sidecar/fetches.rs
@@ -52,7 +52,11 @@
     let (origin, model) = origin(core)?;
     let call = weights::manifest(&model, version);
     let body = HttpClient::new(origin).call(call, MANIFEST_TIMEOUT).await?.success()?;
-    weights::read_manifest(&model.0, version, &body)
+    let manifest = weights::read_manifest(&model.0, version, &body);
+    if manifest.is_err() {
+        core.metrics.count_malformed_answer("origin", "manifest");
+    }
+    manifest
 }
 
 async fn manifest_from_peer(
@@ -62,7 +66,7 @@
 ) -> Result<Arc<Manifest>> {
     let until = Instant::now() + PEER_MANIFEST_TIMEOUT;
     match call_peer(core, address, until, &PeerRequest::Manifest { version }).await? {
-        PeerAnswer::Manifest(manifest) => Ok(Arc::new(manifest)),
+        PeerAnswer::Manifest(manifest) => manifest.check().map(|()| Arc::new(manifest)),
         PeerAnswer::Busy => Err(Error::new(Code::PeerBusy, "too many uploads")),
         _ => Err(Error::new(Code::NotFound, "the peer does not hold the manifest")),
     }
--- a/components/fleet/src/manifest.rs
+++ b/components/fleet/src/manifest.rs
@@ -89,7 +89,8 @@
         bytes.len() == self.range(index).1 as usize && blake3::hash(bytes).as_bytes() == &digest.0
     }
 
-    fn check(&self) -> Result<()> {
+    /// Fails if the sizes contradict each other or exceed their limits. A manifest from another process is not trusted.
+    pub fn check(&self) -> Result<()> {
         let expected = self.bytes.div_ceil(u64::from(self.chunk_bytes.max(1)));
         if self.chunk_bytes == 0 || expected != self.digests.len() as u64 || self.bytes == 0 {
             return Err(Error::new(Code::ChunkCorrupt, "the manifest's sizes do not agree"));
