Streams: only whole events with rising ids reach the caller

Callers got events that no runner sent: text with an empty line, an event without an id or with a lower one, the head of another answer; streams that were broken off looked complete, and an empty id became the Last-Event-Id of the next runner. The splitter took any empty line for the end of an event, and streams that cannot be resumed were passed on unread. Ruled out: a partial event kept over a change of runner; it was discarded.

The reader that observed now decides. It yields whole events and finds the fault of anything else, at the end of a line; bytes are searched once, and one event with the comments before it is bounded by the limit of an answer. A runner with a fault ends as Malformed and its connection is closed: a resumable stream goes on at another one after the last id, any other stream is aborted with MalformedAnswer, behind the events that were valid. A runner that continues a stream in a body that ends with its connection has to send an event, else the stream is broken off: its end cannot be told from a crash. Bytes that are a fault do not count as a sign of life of a silent runner.

--- a/components/edge/src/gateway/event_reader.rs
+++ b/components/edge/src/gateway/event_reader.rs
@@ -30,7 +30,10 @@
     dropped: usize,
     /// The id that the next event has to exceed.
     last_id: Option<u64>,
+    /// The number of complete events.
     events: u64,
+    /// Whether one of them is in the current answer.
+    has_events: bool,
 }
 
 /// The result of adding bytes to a reader.
@@ -62,6 +65,7 @@
             dropped: 0,
             last_id: after_id,
             events: 0,
+            has_events: false,
         }
     }
 
@@ -73,13 +77,19 @@
         ReadEvents { events: events.freeze(), fault }
     }
 
-    /// Discards an event that a runner started and did not finish, since another answer continues the stream.
+    /// Begins an answer that continues the stream. What the one before started and did not finish is discarded.
     pub fn begin_answer(&mut self) {
         self.block.clear();
         self.dropped = 0;
+        self.has_events = false;
         self.begin_block();
     }
 
+    /// Whether an event of the current answer is complete.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Whether an event has started and not ended.
     pub fn has_partial(&self) -> bool {
         !self.block.is_empty()
@@ -143,6 +153,7 @@
         events.unsplit(self.block.split_to(self.checked));
         self.last_id = Some(id);
         self.events += 1;
+        self.has_events = true;
         self.dropped = 0;
         self.begin_block();
         Ok(())
--- a/components/edge/src/gateway/mod.rs
+++ b/components/edge/src/gateway/mod.rs
@@ -6,7 +6,6 @@
 mod core;
 mod event_fault;
 mod event_reader;
-mod event_splitter;
 mod follow_table;
 mod home_fault_log;
 mod node;
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -18,8 +18,7 @@
 use super::attempt::RunnerAnswer;
 use super::attempts::{AnsweredAttempt, Attempts, AttemptsResult};
 use super::core::Core;
-use super::event_reader::EventReader;
-use super::event_splitter::EventSplitter;
+use super::event_reader::{EventReader, ReadEvents};
 use super::request::{with_request_deadline, RequestContext};
 use super::stream_end::StreamEnd;
 use super::trace::RequestEnd;
@@ -102,21 +101,14 @@
 
     fn forward_stream(self) -> Response<AnswerBody> {
         let (status, headers) = (self.answer.status, self.answer.headers.clone());
-        let splitter = EventSplitter::new(self.context.caller.limits().answer);
         let reader = EventReader::new(self.context.caller.limits().answer, self.first_id_after());
         // The relay is not polled while the caller does not read, and no runner may be occupied longer than
         // the request's time limit.
         self.context
             .caller
             .set_stream_deadline(Some(self.core.clock.instant(self.context.answer_deadline)));
-        let relay = StreamRelay {
-            current: self,
-            runner: RunnerState::Sending,
-            splitter,
-            reader,
-            is_end_logged: false,
-            ended: false,
-        };
+        let relay =
+            StreamRelay { current: self, runner: RunnerState::Sending, reader, ended: false };
         let frames = stream::unfold(relay, |mut relay| async move {
             let bytes = relay.next().await?;
             Some((bytes.map(Frame::data), relay))
@@ -151,11 +143,8 @@
     current: StartedAnswer,
     /// The state of the current runner.
     runner: RunnerState,
-    splitter: EventSplitter,
-    /// Checks the events that are forwarded.
+    /// Yields the events that are forwarded.
     reader: EventReader,
-    /// Whether the end of the current runner's part was logged.
-    is_end_logged: bool,
     ended: bool,
 }
 
@@ -200,68 +189,72 @@
         while !self.ended {
             match self.next_event().await {
                 RelayEvent::Bytes(bytes) => {
-                    self.note_sending();
-                    self.check_events(&bytes);
-                    let events = self.split_events(&bytes);
+                    let events = self.read_events(&bytes);
                     if !events.is_empty() {
                         return Some(Ok(events));
                     }
                 }
-                RelayEvent::End if !self.is_broken_off() => {
-                    self.note_sending();
-                    self.ended = true;
-                    self.current.context.caller.set_stream_deadline(None);
-                    self.current.finish();
-                }
-                RelayEvent::End => {
-                    let is_empty = self.reader.events() == 0 && !self.reader.has_partial();
-                    self.log_end(if is_empty {
-                        StreamEnd::WithoutEvent
-                    } else {
-                        StreamEnd::WithinEvent
-                    });
-                    self.lose_runner(AttemptOutcome::Cut);
-                }
+                RelayEvent::End => match self.early_end() {
+                    Some(end) => {
+                        self.note_end(end);
+                        self.lose_runner(AttemptOutcome::Cut);
+                    }
+                    None => self.finish(),
+                },
                 RelayEvent::Cut(outcome) => {
-                    self.log_end(StreamEnd::Cut);
+                    self.note_end(StreamEnd::Cut);
                     self.lose_runner(outcome);
                 }
                 RelayEvent::Stalled => self.note_silence(),
                 RelayEvent::Attempts(AttemptsResult::Answered(answered)) => {
                     self.resume(answered);
                 }
+                RelayEvent::Attempts(AttemptsResult::GaveUp(Code::MalformedAnswer)) => {
+                    return Some(Err(self.abort(Code::MalformedAnswer).await));
+                }
                 RelayEvent::Attempts(
                     AttemptsResult::Refused { .. } | AttemptsResult::GaveUp(_),
-                ) => return Some(Err(self.abort(Code::CutShort))),
-                RelayEvent::Late => return Some(Err(self.abort(Code::TimedOut))),
+                ) => return Some(Err(self.abort(Code::CutShort).await)),
+                RelayEvent::Late => return Some(Err(self.abort(Code::TimedOut).await)),
             }
         }
         None
     }
 
-    /// Whether the stream that has ended was broken off: within an event, or before the first one by a connection whose
-    /// end alone says that the stream is over.
-    fn is_broken_off(&self) -> bool {
-        let is_empty = self.current.answer.ends_with_connection && !self.splitter.has_events();
-        self.splitter.has_partial() || is_empty
+    /// How the answer that has ended was broken off, if it was: within an event, or before its first one by a connection
+    /// whose end alone says that the stream is over.
+    fn early_end(&self) -> Option<StreamEnd> {
+        if self.reader.has_partial() {
+            return Some(StreamEnd::WithinEvent);
+        }
+        let is_empty = self.current.answer.ends_with_connection && !self.reader.has_events();
+        is_empty.then_some(StreamEnd::WithoutEvent)
     }
 
-    /// Logs and counts bytes that are not an event, once for each runner.
-    fn check_events(&mut self, bytes: &Bytes) {
-        if self.is_end_logged {
-            return;
+    /// Ends a stream that is complete.
+    fn finish(&mut self) {
+        self.note_sending();
+        self.ended = true;
+        self.current.context.caller.set_stream_deadline(None);
+        self.current.finish();
+    }
+
+    /// The events that bytes of the runner complete. One that sends anything else is left.
+    fn read_events(&mut self, bytes: &Bytes) -> Bytes {
+        let ReadEvents { events, fault } = self.reader.push(bytes);
+        if fault.is_none() || !events.is_empty() {
+            self.note_sending();
         }
-        if let Some(fault) = self.reader.push(bytes).fault {
+        if let Some(fault) = fault {
             self.current.core.metrics.count_malformed_answer("stream", fault.name());
-            self.log_end(StreamEnd::Fault(fault));
+            self.note_end(StreamEnd::Fault(fault));
+            self.lose_runner(AttemptOutcome::Malformed);
         }
+        events
     }
 
-    /// Logs how the current runner's part ended, unless that was done.
-    fn log_end(&mut self, end: StreamEnd) {
-        if std::mem::replace(&mut self.is_end_logged, true) {
-            return;
-        }
+    /// Records how the current runner's part ended.
+    fn note_end(&self, end: StreamEnd) {
         let StartedAnswer { context, target, answer, .. } = &self.current;
         context.trace.add(Decision::BrokeOff {
             runner: target.id.0.clone(),
@@ -272,16 +265,6 @@
         });
     }
 
-    /// The bytes to forward. Those of a stream that cannot be resumed are forwarded unchanged.
-    fn split_events(&mut self, bytes: &Bytes) -> Bytes {
-        let complete = self.splitter.push(bytes);
-        if self.current.context.kind.is_repeatable() {
-            complete
-        } else {
-            bytes.clone()
-        }
-    }
-
     async fn next_event(&mut self) -> RelayEvent {
         let runner = self.runner;
         let now = self.current.core.clock.now();
@@ -329,8 +312,9 @@
         if self.runner == RunnerState::Sending {
             return None;
         }
-        let received = self.splitter.last_id();
-        received.or(self.current.context.request_headers.last_event.as_deref()).map(str::to_owned)
+        let named = self.current.context.request_headers.last_event.as_deref();
+        let received = self.reader.last_id().map(|it| it.to_string());
+        received.or(named.filter(|it| !it.is_empty()).map(str::to_owned))
     }
 
     /// Records that the runner sends something, which decides for it if it was silent.
@@ -356,7 +340,6 @@
         let was_silent = self.runner == RunnerState::Stalled;
         self.current.attempts.end(&self.current.target, was_silent, outcome);
         self.runner = RunnerState::Lost;
-        self.splitter.discard_partial();
     }
 
     fn note_failure(&self, outcome: AttemptOutcome) {
@@ -365,8 +348,10 @@
     }
 
     /// Ends the stream with an error, so that it does not look complete.
-    fn abort(&mut self, code: Code) -> Error {
+    async fn abort(&mut self, code: Code) -> Error {
         self.ended = true;
+        // The HTTP library sends the events so far only when it has to wait for more.
+        future::yield_now().await;
         self.current.context.trace.end(
             RequestEnd::Cut,
             self.current.answer.status.as_u16(),
@@ -384,14 +369,12 @@
         if self.runner == RunnerState::Stalled {
             self.note_failure(AttemptOutcome::Cut);
         }
-        self.splitter.discard_partial();
         self.current.attempts.accept(&answered);
-        let after_event = self.splitter.last_id().unwrap_or("").to_owned();
+        let after_event = self.reader.last_id().map(|it| it.to_string()).unwrap_or_default();
         self.current.context.trace.add(Decision::Resumed { after_event });
         self.current.target = answered.target;
         self.current.answer = answered.answer;
         self.reader.begin_answer();
-        self.is_end_logged = false;
         self.runner = RunnerState::Sending;
     }
 }
