Streams: the time limit holds while bytes keep coming

A caller that reads fast got a stream far beyond the time limit of its request, from a runner that sends as fast as it can: the relay asks its connection for bytes before it polls the timer, and bytes were there at every call. The limit is now checked before bytes are taken.

--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -269,6 +269,10 @@
         let runner = self.runner;
         let now = self.current.core.clock.now();
         let left = Duration::from_millis(self.current.context.answer_deadline.since(now).0);
+        // Bytes may be there at every call, so that the timer is never polled.
+        if left.is_zero() {
+            return RelayEvent::Late;
+        }
         let silence = self.silence_limit().filter(|it| *it < left);
         let last_event = self.last_event();
         let StartedAnswer { attempts, answer, .. } = &mut self.current;
