Streams: a runner and a caller that are both fast do not hold up other requests

While a runner sent events without end to a caller that read them at once, every other request of the gateway waited until the stream ended: the body of the stream was always ready and the caller's connection took everything, so the one task on the one thread never waited. The relay now lets other tasks run after each 64 KiB; an ordinary stream has less. Ruled out: the time limit alone, which only shortens the wait (1.5 to 1.8 s of 1.5 s). The test's limit is now 2.5 s, so that waiting for the end of the flood cannot be within the bound of 1.5 s.

--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -27,6 +27,9 @@
 /// between events.
 const EVENT_SILENCE_FACTOR: f64 = 2.5;
 
+/// After this many bytes of a stream, other tasks run.
+const TURN_BYTES: usize = 64 * 1024;
+
 /// An answer of a runner whose head has arrived.
 pub struct StartedAnswer {
     /// The gateway.
@@ -107,8 +110,13 @@
         self.context
             .caller
             .set_stream_deadline(Some(self.core.clock.instant(self.context.answer_deadline)));
-        let relay =
-            StreamRelay { current: self, runner: RunnerState::Sending, reader, ended: false };
+        let relay = StreamRelay {
+            current: self,
+            runner: RunnerState::Sending,
+            reader,
+            turn_bytes: 0,
+            ended: false,
+        };
         let frames = stream::unfold(relay, |mut relay| async move {
             let bytes = relay.next().await?;
             Some((bytes.map(Frame::data), relay))
@@ -145,6 +153,8 @@
     runner: RunnerState,
     /// Yields the events that are forwarded.
     reader: EventReader,
+    /// How many bytes were read since other tasks last ran.
+    turn_bytes: usize,
     ended: bool,
 }
 
@@ -187,6 +197,7 @@
     /// The next events. `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes>> {
         while !self.ended {
+            self.end_long_turn().await;
             match self.next_event().await {
                 RelayEvent::Bytes(bytes) => {
                     let events = self.read_events(&bytes);
@@ -221,6 +232,14 @@
         None
     }
 
+    /// Lets other tasks run if many bytes were read: neither runner nor caller may ever have to be waited for.
+    async fn end_long_turn(&mut self) {
+        if self.turn_bytes >= TURN_BYTES {
+            self.turn_bytes = 0;
+            future::yield_now().await;
+        }
+    }
+
     /// How the answer that has ended was broken off, if it was: within an event, or before its first one by a connection
     /// whose end alone says that the stream is over.
     fn early_end(&self) -> Option<StreamEnd> {
@@ -241,6 +260,7 @@
 
     /// The events that bytes of the runner complete. One that sends anything else is left.
     fn read_events(&mut self, bytes: &Bytes) -> Bytes {
+        self.turn_bytes += bytes.len();
         let ReadEvents { events, fault } = self.reader.push(bytes);
         if fault.is_none() || !events.is_empty() {
             self.note_sending();
--- a/daemon/tests/deployment/garbage_streams.rs
+++ b/daemon/tests/deployment/garbage_streams.rs
@@ -299,7 +299,7 @@
     let gateway = deployment.add_gateway();
     deployment.wait_until_ready(gateway);
     add_raw_runner(&deployment, gateway, true, write_events_without_end);
-    let limit = Duration::from_millis(1500);
+    let limit = Duration::from_millis(2500);
     let caller = std::thread::spawn(move || read_feed(gateway, limit, None, TIME_LIMIT));
     while !caller.is_finished() {
         let answer = Caller::new(Method::GET, "/get/x", "beside").call(gateway);
