Gateway: judge a runner that sends bytes that are no answer

An answer that can't be read, the answer to another request, one without a signature and a broken error answer counted as a lost connection, so the runner was suspected of a crash, and nothing named it. They are now Malformed; each is counted by source and fault, and a warning names the request and the runner. An error answer that is cut short is Cut, and one whose runner falls silent within it no longer holds a repeatable request until its time limit (its caller got 504 after 1.5 s, test added here): its body is read under the same timers as its head.

--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -21,6 +21,7 @@
 use super::core::Core;
 use super::request::RequestContext;
 use super::reservations::{ReservedSlot, SlotRequest};
+use super::trace::Trace;
 use super::withdrawal::wait_for_withdrawal;
 use crate::bounded_stream::Pace;
 use crate::http_connection::HttpConnection;
@@ -137,17 +138,15 @@
         }
         self.state.sent.set(true);
         let started = Instant::now();
-        let answer = async { connection.send(request).await.map_err(lost_outcome) };
+        let exchange = async {
+            let answer = connection.send(request).await.map_err(|it| self.lost_outcome(&it))?;
+            let took_ms = started.elapsed().as_millis() as u64;
+            self.core.metrics.record_duration(MeasuredDuration::RunnerHeaders, took_ms);
+            Ok(self.evaluate(connection, answer, slot).await)
+        };
         let withdrawal = async { Err(self.wait_for_withdrawal().await) };
         let silence = async { Err(self.report_silence().await) };
-        let answer = match future::or(answer, future::or(withdrawal, silence)).await {
-            Ok(answer) => answer,
-            Err(outcome) => return outcome.into(),
-        };
-        self.core
-            .metrics
-            .record_duration(MeasuredDuration::RunnerHeaders, started.elapsed().as_millis() as u64);
-        self.evaluate(connection, answer, slot).await
+        future::or(exchange, future::or(withdrawal, silence)).await.unwrap_or_else(Into::into)
     }
 
     /// Asks the sidecar for a slot, if the runner has a sidecar. The connection is opened afterwards: under
@@ -260,6 +259,22 @@
         }
     }
 
+    /// The outcome if the connection ended before the head of an answer.
+    fn lost_outcome(&self, error: &Error) -> AttemptOutcome {
+        match error.code {
+            Code::TimedOut => AttemptOutcome::FellSilent,
+            Code::MalformedAnswer => self.malformed("answer", "head"),
+            _ => AttemptOutcome::Lost,
+        }
+    }
+
+    /// The outcome if the runner sent bytes that are no answer to this request.
+    fn malformed(&self, source: &'static str, fault: &'static str) -> AttemptOutcome {
+        self.context.trace.add_malformed_answer(&self.target, source, fault);
+        AttemptOutcome::Malformed
+    }
+
+    /// Evaluates the head of an answer, and reads the body of an error answer.
     async fn evaluate(
         &self,
         mut connection: HttpConnection,
@@ -274,8 +289,11 @@
         }
         let is_for_other_request =
             response_headers.id.is_some() && response_headers.id != self.context.request_headers.id;
-        if is_for_other_request || !response_headers.signed {
-            return AttemptOutcome::Lost.into();
+        if is_for_other_request {
+            return self.malformed("answer", "other_request").into();
+        }
+        if !response_headers.signed {
+            return self.malformed("answer", "unsigned").into();
         }
         let headers = headers::without_hop_by_hop(&head.headers);
         if self.context.kind.is_stream() {
@@ -291,8 +309,12 @@
                 _slot: slot,
             });
         }
-        let Ok(text) = connection.collect(&mut body, MAX_ERROR_ANSWER_BYTES).await else {
-            return AttemptOutcome::Lost.into();
+        let text = match connection.collect(&mut body, MAX_ERROR_ANSWER_BYTES).await {
+            Ok(text) => text,
+            Err(error) => {
+                let trace = &self.context.trace;
+                return broken_body_outcome(trace, &self.target, "error_answer", &error).into();
+            }
         };
         let mut answer = Response::new(full_body(text));
         *answer.status_mut() = head.status;
@@ -305,12 +327,21 @@
     }
 }
 
-/// The outcome if the connection ended before the head of an answer.
-fn lost_outcome(error: Error) -> AttemptOutcome {
-    match error.code {
-        Code::TimedOut => AttemptOutcome::FellSilent,
-        _ => AttemptOutcome::Lost,
-    }
+/// The outcome if the body of an answer could not be read. `source` is what was read, in the metrics.
+pub fn broken_body_outcome(
+    trace: &Trace,
+    target: &RunnerTarget,
+    source: &'static str,
+    error: &Error,
+) -> AttemptOutcome {
+    let fault = match error.code {
+        Code::TimedOut => return AttemptOutcome::FellSilent,
+        Code::MalformedAnswer => "body",
+        Code::TooLarge => "too_large",
+        _ => return AttemptOutcome::Cut,
+    };
+    trace.add_malformed_answer(target, source, fault);
+    AttemptOutcome::Malformed
 }
 
 /// The outcome if the runner refused the request.
--- a/components/edge/src/gateway/trace.rs
+++ b/components/edge/src/gateway/trace.rs
@@ -153,6 +153,18 @@
         });
     }
 
+    /// Counts and logs that a runner sent bytes that are no answer.
+    pub fn add_malformed_answer(
+        &self,
+        target: &RunnerTarget,
+        source: &'static str,
+        fault: &'static str,
+    ) {
+        self.core.metrics.count_malformed_answer(source, fault);
+        let (request, runner) = (self.id.as_str(), target.id.0.as_str());
+        log::warn!(request = request, runner = runner, source = source, fault = fault; "a runner sent bytes that are no answer");
+    }
+
     /// How long a runner has been responding, if its response has begun.
     fn answering_ms(&self, target: &RunnerTarget) -> Option<u64> {
         let entries = self.entries.borrow();
--- a/daemon/tests/deployment/malformed_answers.rs
+++ b/daemon/tests/deployment/malformed_answers.rs
@@ -26,13 +26,15 @@
 struct BrokenRunner {
     /// `{id}` stands for the id of the request.
     answer: String,
+    /// Whether it leaves its connections open behind the answer.
+    hangs: bool,
     /// The ids of the requests that it received.
     requests: Arc<Mutex<Vec<String>>>,
 }
 
 impl BrokenRunner {
-    fn start(address: SocketAddr, answer: String) -> Self {
-        let runner = Self { answer, requests: Arc::default() };
+    fn start(address: SocketAddr, answer: String, hangs: bool) -> Self {
+        let runner = Self { answer, hangs, requests: Arc::default() };
         let (listener, serving) = (TcpListener::bind(address).unwrap(), runner.clone());
         thread::spawn(move || {
             for connection in listener.incoming().flatten() {
@@ -49,6 +51,11 @@
         let id = request.lines().find_map(|it| it.strip_prefix("request-id: ")).unwrap_or("");
         self.requests.lock().unwrap().push(id.to_owned());
         connection.write_all(self.answer.replace("{id}", id).as_bytes())?;
+        if self.hangs {
+            // The connection ends with the test.
+            std::mem::forget(connection);
+            return Ok(());
+        }
         connection.shutdown(Shutdown::Write)
     }
 
@@ -98,11 +105,15 @@
 
 /// Sends requests to a route of this kind until the broken runner has received one.
 fn play(kind: &str, answer: String) -> Played {
+    play_with(kind, answer, false)
+}
+
+fn play_with(kind: &str, answer: String, hangs: bool) -> Played {
     let mut deployment = Deployment::start();
     let gateway = deployment.add_gateway();
     deployment.wait_until_ready(gateway);
     let address = |machine| SocketAddr::new(machine_address(gateway, machine), RUNNER_PORT);
-    let broken = BrokenRunner::start(address(BROKEN_MACHINE), answer);
+    let broken = BrokenRunner::start(address(BROKEN_MACHINE), answer, hangs);
     let working = RunnerStandin::plain("g1", "flooded", "a");
     deployment.standin.add_runner(address(WORKING_MACHINE), working);
     let entry = json!({
@@ -162,3 +173,9 @@
     played.assert_failed();
     played.assert_counted("error_answer", "too_large");
 }
+
+#[test]
+fn a_runner_that_is_silent_within_an_error_answer_does_not_hold_a_safe_request() {
+    let played = play_with("safe", format!("{ERROR_HEAD}content-length: 5\r\n\r\nab"), true);
+    played.assert_served_by_the_other();
+}
