Process tests of plain answers whose body is broken

A plain answer that is cut short, holds garbage or has no end becomes 502 though nothing of it has reached the caller and another runner is free, and its runner is not judged. A head without a length whose connection closes at once becomes 200 with an empty body.

--- a/daemon/tests/deployment/malformed_answers.rs
+++ b/daemon/tests/deployment/malformed_answers.rs
@@ -179,3 +179,57 @@
     let played = play_with("safe", format!("{ERROR_HEAD}content-length: 5\r\n\r\nab"), true);
     played.assert_served_by_the_other();
 }
+
+#[test]
+fn a_plain_answer_that_is_cut_short_is_repeated_at_another_runner() {
+    play("safe", format!("{HEAD}content-length: 5\r\n\r\nab")).assert_served_by_the_other();
+}
+
+#[test]
+fn a_plain_answer_with_garbage_in_its_body_is_counted_and_repeated_at_another_runner() {
+    let played = play("safe", format!("{HEAD}{CHUNKED}2\r\nab\r\n%%"));
+    played.assert_served_by_the_other();
+    played.assert_counted("answer", "body");
+}
+
+#[test]
+fn a_plain_answer_without_end_is_counted_and_repeated_at_another_runner() {
+    let played = play("safe", format!("{HEAD}\r\n{}", "more ".repeat(1_000_000)));
+    played.assert_served_by_the_other();
+    played.assert_counted("answer", "too_large");
+}
+
+#[test]
+fn a_plain_answer_that_is_cut_short_is_not_repeated_for_an_unsafe_request() {
+    play("unsafe", format!("{HEAD}content-length: 5\r\n\r\nab")).assert_failed();
+}
+
+#[test]
+fn a_head_without_a_body_at_the_end_of_its_connection_is_no_whole_answer() {
+    play("safe", format!("{HEAD}\r\n")).assert_served_by_the_other();
+    play("unsafe", format!("{HEAD}\r\n")).assert_failed();
+}
+
+#[test]
+fn an_answer_that_says_that_it_has_no_body_is_whole() {
+    for head in [HEAD.replace("200 OK", "204 None"), format!("{HEAD}content-length: 0\r\n")] {
+        let played = play("unsafe", format!("{head}\r\n"));
+        assert!([200, 204].contains(&played.answer.status), "{:?}", played.answer);
+        assert!(played.answer.is_complete && played.answer.body.is_empty());
+    }
+}
+
+#[test]
+fn an_answer_behind_a_whole_one_is_given_to_no_caller() {
+    let second = HEAD.replace("{id}", "second");
+    let answer = format!("{HEAD}content-length: 2\r\n\r\nab{second}content-length: 2\r\n\r\ncd");
+    let played = play("unsafe", answer);
+    assert_eq!((played.answer.status, played.answer.body.as_str()), (200, "ab"));
+}
+
+#[test]
+fn an_answer_before_the_own_one_is_given_to_no_caller() {
+    let first = HEAD.replace("{id}", "first");
+    let answer = format!("{first}content-length: 2\r\n\r\nab{HEAD}content-length: 2\r\n\r\ncd");
+    play("unsafe", answer).assert_failed();
+}
