Gateway: judge a runner whose plain answer is broken, and repeat the request

A plain answer whose body was cut short, held garbage or had no end became 502 and the reducer was not told, so its runner stayed in use and a repeatable request was not sent elsewhere, although its caller had received nothing. The outcome now reaches the reducer, which decides on another attempt as for a lost connection; an unsafe request still ends in 502. An empty body of a 2xx without a length that ends with its connection counts as cut short (204 and HEAD excepted): its caller got 200 without a body.

--- a/components/edge/src/gateway/attempts.rs
+++ b/components/edge/src/gateway/attempts.rs
@@ -189,6 +189,15 @@
         self.fail(&target, &state, started_ms, AttemptOutcome::Failed);
     }
 
+    /// Counts an answer that was accepted, and of which nothing has reached the caller, as a failure.
+    pub fn lose_answer(&mut self, target: &RunnerTarget, outcome: AttemptOutcome) {
+        self.may_have_run = true;
+        self.error_answer = None;
+        let took_ms = self.context.trace.age_ms();
+        self.context.trace.add_failure(target, outcome, took_ms);
+        self.end(target, false, outcome);
+    }
+
     /// Decides for an answer. All other attempts are dropped.
     pub fn accept(&mut self, answered: &AnsweredAttempt) {
         if answered.state.is_stalled() {
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -9,13 +9,13 @@
 use futures_lite::{future, stream};
 use gateway::{AttemptOutcome, RunnerTarget};
 use http::header::CONTENT_LENGTH;
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Method, Response, StatusCode};
 use http_body::Frame;
 use http_body_util::StreamBody;
 use telemetry::MeasuredDuration;
 
 use super::answer::{error_answer, full_body, AnswerBody};
-use super::attempt::RunnerAnswer;
+use super::attempt::{broken_body_outcome, RunnerAnswer};
 use super::attempts::{AnsweredAttempt, Attempts, AttemptsResult};
 use super::core::Core;
 use super::event_reader::{EventReader, ReadEvents};
@@ -44,12 +44,22 @@
     pub answer: RunnerAnswer,
 }
 
+/// What became of an answer whose head had arrived.
+// It is moved once per answer; a box would cost more than it saves.
+#[allow(clippy::large_enum_variant)]
+pub enum Forwarded {
+    /// The answer to the caller.
+    Answer(Response<AnswerBody>),
+    /// The answer was broken before the caller received any of it. The attempts go on.
+    Broken(Attempts),
+}
+
 impl StartedAnswer {
     /// Forwards the answer.
-    pub async fn forward(self) -> Response<AnswerBody> {
+    pub async fn forward(self) -> Forwarded {
         self.record_start();
         if self.context.kind.is_stream() && self.answer.status.is_success() {
-            return self.forward_stream();
+            return Forwarded::Answer(self.forward_stream());
         }
         self.forward_plain().await
     }
@@ -79,29 +89,53 @@
     }
 
     /// Buffers a plain answer until it is complete, so that the caller never receives a truncated one.
-    async fn forward_plain(mut self) -> Response<AnswerBody> {
+    async fn forward_plain(mut self) -> Forwarded {
         let max_bytes = self.context.caller.limits().answer;
         let RunnerAnswer { connection, body, .. } = &mut self.answer;
         let collecting = connection.collect(body, max_bytes);
         let collected =
             with_request_deadline(&self.core, self.context.answer_deadline, collecting).await;
-        let id = self.context.request_headers.id.as_deref();
-        match collected {
-            Some(Ok(text)) => {
+        let Some(collected) = collected else {
+            self.context.trace.end(RequestEnd::Unknown, 504, Some(Code::TimedOut));
+            let id = self.context.request_headers.id.as_deref();
+            let answer = error_answer(StatusCode::GATEWAY_TIMEOUT, id, Code::TimedOut);
+            return Forwarded::Answer(answer);
+        };
+        match self.check_body(collected) {
+            Ok(text) => {
                 self.finish();
-                answer_with(full_body(text), self.answer.status, self.answer.headers)
+                let answer = answer_with(full_body(text), self.answer.status, self.answer.headers);
+                Forwarded::Answer(answer)
             }
-            Some(Err(error)) => {
-                self.context.trace.end(RequestEnd::Unknown, 502, Some(error.code));
-                error_answer(StatusCode::BAD_GATEWAY, id, Code::CutShort)
+            Err(outcome) => {
+                self.attempts.lose_answer(&self.target, outcome);
+                Forwarded::Broken(self.attempts)
             }
-            None => {
-                self.context.trace.end(RequestEnd::Unknown, 504, Some(Code::TimedOut));
-                error_answer(StatusCode::GATEWAY_TIMEOUT, id, Code::TimedOut)
+        }
+    }
+
+    /// The body of a plain answer if it is whole, or how it is broken.
+    fn check_body(
+        &self,
+        collected: Result<Vec<u8>>,
+    ) -> std::result::Result<Vec<u8>, AttemptOutcome> {
+        match collected {
+            Ok(text) if text.is_empty() && self.needs_body() => Err(AttemptOutcome::Cut),
+            Ok(text) => Ok(text),
+            Err(error) => {
+                let trace = &self.context.trace;
+                Err(broken_body_outcome(trace, &self.target, "answer", &error))
             }
         }
     }
 
+    /// Whether an empty body means that the connection ended before it.
+    fn needs_body(&self) -> bool {
+        let RunnerAnswer { status, ends_with_connection, .. } = &self.answer;
+        let has_none = *status == StatusCode::NO_CONTENT || self.context.method == Method::HEAD;
+        *ends_with_connection && status.is_success() && !has_none
+    }
+
     fn forward_stream(self) -> Response<AnswerBody> {
         let (status, headers) = (self.answer.status, self.answer.headers.clone());
         let reader = EventReader::new(self.context.caller.limits().answer, self.first_id_after());
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -19,7 +19,7 @@
 use super::answer::{error_answer, refusal, AnswerBody};
 use super::attempts::{AnsweredAttempt, Attempts, AttemptsResult};
 use super::core::{Core, RequestHandle};
-use super::relay::StartedAnswer;
+use super::relay::{Forwarded, StartedAnswer};
 use super::trace::{RequestEnd, Trace};
 use crate::caller::Caller;
 
@@ -349,20 +349,27 @@
 ) -> Response<AnswerBody> {
     let deadline = context.answer_deadline;
     let mut attempts = Attempts::new(core.clone(), context.clone(), handle);
-    match with_request_deadline(&core, deadline, attempts.next(None)).await {
-        None => deadline_expired(&context, attempts.may_have_run()),
-        Some(AttemptsResult::Refused { code, retry_after_ms, service_state }) => {
-            context.trace.refuse(503, code, Some(retry_after_ms), service_state);
-            refusal(context.request_headers.id.as_deref(), code, retry_after_ms)
-        }
-        Some(AttemptsResult::GaveUp(code)) => {
-            final_failure(&context, attempts.take_error_answer(), code)
-        }
-        Some(AttemptsResult::Answered(answered)) => {
-            attempts.accept(&answered);
-            let AnsweredAttempt { target, answer, .. } = answered;
-            StartedAnswer { core, context, attempts, target, answer }.forward().await
-        }
+    loop {
+        let next = with_request_deadline(&core, deadline, attempts.next(None)).await;
+        let answered = match next {
+            None => return deadline_expired(&context, attempts.may_have_run()),
+            Some(AttemptsResult::Refused { code, retry_after_ms, service_state }) => {
+                context.trace.refuse(503, code, Some(retry_after_ms), service_state);
+                return refusal(context.request_headers.id.as_deref(), code, retry_after_ms);
+            }
+            Some(AttemptsResult::GaveUp(code)) => {
+                return final_failure(&context, attempts.take_error_answer(), code);
+            }
+            Some(AttemptsResult::Answered(answered)) => answered,
+        };
+        attempts.accept(&answered);
+        let AnsweredAttempt { target, answer, .. } = answered;
+        let (core, context) = (core.clone(), context.clone());
+        let started = StartedAnswer { core, context, attempts, target, answer };
+        attempts = match started.forward().await {
+            Forwarded::Answer(answer) => return answer,
+            Forwarded::Broken(attempts) => attempts,
+        };
     }
 }
 
