--- a/daemon/tests/deployment/garbage_streams.rs
+++ b/daemon/tests/deployment/garbage_streams.rs
@@ -11,7 +11,7 @@
 };
 use serde_json::json;
 
-use crate::raw_runner::{add_raw_runner, read_feed};
+use crate::raw_runner::{add_raw_runners, read_feed};
 use crate::support::{is_whole_stream, stream, unix_millis, wait_until, Deployment};
 
 /// The number of events of a whole stream.
@@ -298,7 +298,7 @@
     let mut deployment = Deployment::start();
     let gateway = deployment.add_gateway();
     deployment.wait_until_ready(gateway);
-    add_raw_runner(&deployment, gateway, true, write_events_without_end);
+    add_raw_runners(&deployment, gateway, true, |stream, _| write_events_without_end(stream));
     let limit = Duration::from_millis(2500);
     let caller = std::thread::spawn(move || read_feed(gateway, limit, None, TIME_LIMIT));
     while !caller.is_finished() {
@@ -318,7 +318,7 @@
     let mut deployment = Deployment::start();
     let gateway = deployment.add_gateway();
     deployment.wait_until_ready(gateway);
-    add_raw_runner(&deployment, gateway, true, |stream| {
+    add_raw_runners(&deployment, gateway, true, |stream, _| {
         stream.write_all(b"id: 4\ndata: a\n\nid: 5\ndata: b\n\nid: 6\ndata: c\n\n")
     });
     let answer = read_feed(gateway, TIME_LIMIT, Some(4), 2 * TIME_LIMIT);
@@ -328,3 +328,27 @@
     let answer = read_feed(gateway, TIME_LIMIT, Some(3), 2 * TIME_LIMIT);
     assert!(answer.is_complete && answer.beginning.contains("id: 6\n"), "{}", answer.beginning);
 }
+
+/// The filler is sent more often than the longest silence that a gateway accepts.
+#[test]
+fn a_stream_waits_for_a_runner_that_sends_anything_but_events() {
+    for filler in ["\n", ": wait\n\n", "data: x\n", "x"] {
+        let mut deployment = Deployment::start();
+        let gateway = deployment.add_gateway();
+        deployment.wait_until_ready(gateway);
+        add_raw_runners(&deployment, gateway, true, move |stream, last_event| {
+            let next_id = last_event.unwrap_or(0) + 1;
+            let events: String = (next_id..next_id + 3).map(|it| format!("id: {it}\n\n")).collect();
+            stream.write_all(events.as_bytes())?;
+            while last_event.is_none() {
+                stream.write_all(filler.as_bytes())?;
+                std::thread::sleep(Duration::from_millis(50));
+            }
+            Ok(())
+        });
+        let answer = read_feed(gateway, TIME_LIMIT, None, 2 * TIME_LIMIT);
+        assert!(answer.is_complete, "{filler:?} {}", answer.beginning);
+        let ids: Vec<_> = answer.beginning.lines().filter(|it| it.starts_with("id: ")).collect();
+        assert_eq!(ids, ["id: 1", "id: 2", "id: 3", "id: 4", "id: 5", "id: 6"], "{filler:?}");
+    }
+}
--- a/daemon/tests/deployment/raw_runner.rs
+++ b/daemon/tests/deployment/raw_runner.rs
@@ -1,4 +1,4 @@
-//! A runner that writes whatever bytes a test wants, and a caller that reads whatever bytes come.
+//! Runners that write whatever bytes a test wants, and a caller that reads whatever bytes come.
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -10,29 +10,23 @@
 use crate::machine_address;
 use crate::support::Deployment;
 
-/// The machine of the runner in its network, and its port.
-const MACHINE: (u8, u16) = (40, 8001);
+/// The machines of the runners in their network.
+const MACHINES: [u8; 2] = [40, 41];
+/// Their port.
+const PORT: u16 = 8001;
 /// How much of the beginning of an answer a caller keeps, in bytes.
 const MAX_BEGINNING_BYTES: usize = 1000;
 /// The last chunk of a body.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
-/// Adds a service `feed` with one runner and a route `/feed/` of streams. The runner answers each request with what
-/// `answer` writes after the head, and then closes the connection.
-pub fn add_raw_runner(
+/// Adds a service `feed` with two runners and a route `/feed/` of streams. A runner answers each request with what
+/// `answer` writes after the head, by the id after which the stream resumes, and then closes the connection.
+pub fn add_raw_runners(
     deployment: &Deployment,
     gateway: SocketAddr,
     resumable: bool,
-    answer: impl Fn(&mut TcpStream) -> std::io::Result<()> + Clone + Send + 'static,
+    answer: impl Fn(&mut TcpStream, Option<u64>) -> std::io::Result<()> + Clone + Send + 'static,
 ) {
-    let address = SocketAddr::new(machine_address(gateway, MACHINE.0), MACHINE.1);
-    let listener = TcpListener::bind(address).unwrap();
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let answer = answer.clone();
-            std::thread::spawn(move || serve(stream?, answer));
-        }
-    });
     deployment.standin.reconfigure(|it| {
         let mut service = it["services"][1].clone();
         service["name"] = json!("feed");
@@ -44,35 +38,54 @@
         route["resumable"] = json!(resumable);
         it["routes"].as_array_mut().unwrap().push(route);
     });
-    let entry = json!({
-        "service": "feed", "address": address, "zone": "a", "version": "v1", "slots": 16,
-        "state": "ready", "coldRemainingMs": 0, "sequence": 0,
-    });
-    deployment.standin.write_row("servers", "f1", entry);
+    for machine in MACHINES {
+        let address = SocketAddr::new(machine_address(gateway, machine), PORT);
+        let (listener, answer) = (TcpListener::bind(address).unwrap(), answer.clone());
+        std::thread::spawn(move || accept(&listener, answer));
+        let entry = json!({
+            "service": "feed", "address": address, "zone": "a", "version": "v1", "slots": 16,
+            "state": "ready", "coldRemainingMs": 0, "sequence": 0,
+        });
+        deployment.standin.write_row("servers", &format!("f{machine}"), entry);
+    }
     std::thread::sleep(Duration::from_millis(1000));
 }
 
+/// Answers each connection on a thread of its own.
+fn accept(
+    listener: &TcpListener,
+    answer: impl Fn(&mut TcpStream, Option<u64>) -> std::io::Result<()> + Clone + Send + 'static,
+) {
+    for stream in listener.incoming() {
+        let (stream, answer) = (stream.unwrap(), answer.clone());
+        std::thread::spawn(move || serve(stream, answer));
+    }
+}
+
 /// Answers one request with a body that ends with the connection.
 fn serve(
     mut stream: TcpStream,
-    answer: impl Fn(&mut TcpStream) -> std::io::Result<()>,
+    answer: impl Fn(&mut TcpStream, Option<u64>) -> std::io::Result<()>,
 ) -> std::io::Result<()> {
-    let mut id = String::new();
+    let (mut id, mut last_event) = (String::new(), None);
     for line in BufReader::new(stream.try_clone()?).lines() {
         let line = line?.to_ascii_lowercase();
         if let Some(value) = line.strip_prefix("request-id: ") {
             value.clone_into(&mut id);
         }
+        if let Some(value) = line.strip_prefix("last-event-id: ") {
+            last_event = value.parse().ok();
+        }
         if line.is_empty() {
             break;
         }
     }
     write!(
         stream,
-        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-stamp: f1.1.{id}\r\n\
+        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-stamp: f.1.{id}\r\n\
          content-type: text/event-stream\r\n\r\n"
     )?;
-    answer(&mut stream)
+    answer(&mut stream, last_event)
 }
 
 /// What a caller received.
