Test of a caller that does not read: events within the limit of an answer

slow_callers::a_caller_that_does_not_read_its_stream failed since streams are forwarded by whole events: its events of 2 MB exceed the limit of an answer of a gateway with 128 MB, 512 KiB, so the gateway left the runner for an event that is too large and never came to wait for the caller. The test is about callers, and as strict as before: events of the same size, the same bounds, at a gateway with 1024 MB, whose limit of an answer is 4 MiB. That a larger event is a fault is tested by the reader.

--- a/daemon/tests/deployment/slow_callers.rs
+++ b/daemon/tests/deployment/slow_callers.rs
@@ -104,6 +104,9 @@
     let mut deployment = Deployment::start();
     let runner = deployment.add_model_runner("e1", Some(1));
     let gateway = deployment.add_gateway();
+    // An event may be as large as an answer, whose limit is a share of the memory.
+    deployment.rewrite_settings(gateway.ip(), "memory_mb = 128", "memory_mb = 1024");
+    deployment.kill_and_restart(&[gateway.ip()]);
     deployment.standin.reconfigure(|it| it["routes"][0]["timeoutMs"] = json!(TIMEOUT_MS));
     deployment.wait_until_ready(gateway);
     wait_until("streams are served", || stream(gateway, "first").is_complete);
