Streams: a runner that sends no event is silent, whatever else it sends

A runner in trouble that sent empty lines, comments or parts of an event, again and again, kept its stream until the time limit, for any byte counted as a sign of life. The silence after which another runner is asked as well is now counted from when the next event is waited for, and only an event decides for a runner that was silent; while the caller does not read, no silence is counted. A runner that pauses within an event and goes on still serves its caller.

--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -6,6 +6,7 @@
 use account::Decision;
 use bytes::Bytes;
 use errors::{Code, Error, Result};
+use fleet::Millis;
 use futures_lite::{future, stream};
 use gateway::{AttemptOutcome, RunnerTarget};
 use http::header::CONTENT_LENGTH;
@@ -144,10 +145,12 @@
         self.context
             .caller
             .set_stream_deadline(Some(self.core.clock.instant(self.context.answer_deadline)));
+        let now = self.core.clock.now();
         let relay = StreamRelay {
             current: self,
             runner: RunnerState::Sending,
             reader,
+            silent_since: now,
             turn_bytes: 0,
             ended: false,
         };
@@ -187,6 +190,8 @@
     runner: RunnerState,
     /// Yields the events that are forwarded.
     reader: EventReader,
+    /// Since when the next event is waited for.
+    silent_since: Millis,
     /// How many bytes were read since other tasks last ran.
     turn_bytes: usize,
     ended: bool,
@@ -230,6 +235,8 @@
 impl StreamRelay {
     /// The next events. `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes>> {
+        // The runner waits while the caller does not read what came before.
+        self.silent_since = self.current.core.clock.now();
         while !self.ended {
             self.end_long_turn().await;
             match self.next_event().await {
@@ -296,7 +303,7 @@
     fn read_events(&mut self, bytes: &Bytes) -> Bytes {
         self.turn_bytes += bytes.len();
         let ReadEvents { events, fault } = self.reader.push(bytes);
-        if fault.is_none() || !events.is_empty() {
+        if !events.is_empty() {
             self.note_sending();
         }
         if let Some(fault) = fault {
@@ -323,11 +330,13 @@
         let runner = self.runner;
         let now = self.current.core.clock.now();
         let left = Duration::from_millis(self.current.context.answer_deadline.since(now).0);
-        // Bytes may be there at every call, so that the timer is never polled.
+        // Bytes may be there at every call, so that the timer below is never polled.
         if left.is_zero() {
             return RelayEvent::Late;
         }
-        let silence = self.silence_limit().filter(|it| *it < left);
+        let silent = Duration::from_millis(now.since(self.silent_since).0);
+        let silence = self.silence_limit().map(|it| it.saturating_sub(silent));
+        let silence = silence.filter(|it| *it < left);
         let last_event = self.last_event();
         let StartedAnswer { attempts, answer, .. } = &mut self.current;
         let RunnerAnswer { connection, body, .. } = answer;
@@ -357,7 +366,7 @@
         future::or(bytes, future::or(others, timer)).await
     }
 
-    /// How long the runner may be silent before another one is asked, if it is sending.
+    /// How long the runner may send no event before another one is asked, if it is sending.
     fn silence_limit(&self) -> Option<Duration> {
         let context = &self.current.context;
         let is_watched = self.runner == RunnerState::Sending && context.kind.is_repeatable();
@@ -375,7 +384,7 @@
         received.or(named.filter(|it| !it.is_empty()).map(str::to_owned))
     }
 
-    /// Records that the runner sends something, which decides for it if it was silent.
+    /// Records that the runner sends events, which decides for it if it was silent.
     fn note_sending(&mut self) {
         if self.runner == RunnerState::Stalled {
             self.current.attempts.keep(&self.current.target);
@@ -433,6 +442,7 @@
         self.current.target = answered.target;
         self.current.answer = answered.answer;
         self.reader.begin_answer();
+        self.silent_since = self.current.core.clock.now();
         self.runner = RunnerState::Sending;
     }
 }
