Tests of calls to a server that sends more than answers

Calls over a kept connection meet a late extra answer, a closed connection, and answers that trickle or flood without end.

--- a/components/edge/src/http_client.rs
+++ b/components/edge/src/http_client.rs
@@ -155,3 +155,6 @@
         .body(Full::new(Bytes::from(call.body)))
         .map_err(|error| Error::new(Code::Internal, error.to_string()))
 }
+
+#[cfg(test)]
+mod tests;
