Edge: close a kept connection on which anything has arrived

A late extra answer on a kept connection made the next call fail: the library finds the bytes when it is polled with the call, so the call was lost with its connection and counted against a server that would have answered. The connection is now polled before it is used again, and closed if bytes or its end have arrived; the call goes to a new one. Ruled out: that the extra answer was taken for the next one, which the library refuses.

--- a/components/edge/src/http_client.rs
+++ b/components/edge/src/http_client.rs
@@ -89,9 +89,7 @@
         start_timeout: Duration,
         max_pause: Duration,
     ) -> Result<CallAnswer> {
-        // Taken out, so that a cancelled call does not leave its connection behind.
-        let idle_connection =
-            self.connection.take().filter(is_reusable).map(|(connection, _)| connection);
+        let idle_connection = self.take_idle_connection().await;
         let timed_out = || Error::new(Code::TimedOut, "no answer in time");
         let started = start_call(self.address, idle_connection, call, start_timeout);
         let (mut connection, answer) = with_deadline(Instant::now() + start_timeout, started)
@@ -102,12 +100,14 @@
         self.connection = Some((connection, Instant::now()));
         Ok(CallAnswer { status: head.status.as_u16(), headers: head.headers, body })
     }
-}
 
-/// Whether a kept connection can be used again. Servers close idle connections, and the connection is not
-/// polled meanwhile.
-fn is_reusable((connection, since): &(HttpConnection, Instant)) -> bool {
-    connection.is_open() && since.elapsed() < MAX_IDLE_TIME
+    /// Takes the kept connection out, so that a cancelled call does not leave it behind. Servers close idle
+    /// connections, and what they send on one belongs to no call.
+    async fn take_idle_connection(&mut self) -> Option<HttpConnection> {
+        let (mut connection, since) = self.connection.take()?;
+        let is_usable = since.elapsed() < MAX_IDLE_TIME && connection.is_quiet().await;
+        is_usable.then_some(connection)
+    }
 }
 
 /// Sends a call and waits for the head of its answer.
--- a/components/edge/src/http_connection.rs
+++ b/components/edge/src/http_connection.rs
@@ -80,9 +80,16 @@
         self.driver = None;
     }
 
-    /// Whether another request can be sent.
-    pub fn is_open(&self) -> bool {
-        !self.ended && self.driver.is_some() && !self.sender.is_closed()
+    /// Whether another request can be sent: the connection is open, and nothing has arrived behind the last answer.
+    pub async fn is_quiet(&mut self) -> bool {
+        let Self { driver, ended, sender, bounds } = self;
+        bounds.begin_turn();
+        poll_fn(|cx| {
+            poll_driver(driver, ended, cx);
+            Poll::Ready(())
+        })
+        .await;
+        !*ended && driver.is_some() && !sender.is_closed()
     }
 
     /// Sends a request and waits for the head of the answer.
