Edge: give up an answer that trickles without end

A call whose answer must only not pause for long never ended while its server sent a byte now and then, so a table was no longer followed and a fetch of weights held its place. An answer now has to reach 16 KB a second beside eight of its longest pauses (7.2 s for the store): a link that is slow but honest keeps it, and the 8 MB that a call accepts take at most 9 minutes. The red test passes, and one with an answer at 80 KB a second that takes longer than the pauses alone allow.

--- a/components/edge/src/http_client.rs
+++ b/components/edge/src/http_client.rs
@@ -17,6 +17,11 @@
 /// The largest answer to a call, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// The rate that an answer has to reach, in bytes a second, from `SLOW_PAUSES` of its longest pauses after its head on.
+const MIN_BYTES_PER_S: u32 = 16 * 1024;
+/// How many of its longest pauses an answer may take in all, beside the time that its bytes take at the lowest rate.
+const SLOW_PAUSES: u32 = 8;
+
 /// The answer to a call.
 pub struct CallAnswer {
     /// The status.
@@ -80,9 +85,9 @@
             .ok_or_else(timed_out)?
     }
 
-    /// Makes a call whose answer must start within `start_timeout` and may take as long as it likes after that, with
-    /// no pause longer than `max_pause`. A large answer on a narrow link would never arrive if it were cut off
-    /// and requested again.
+    /// Makes a call whose answer must start within `start_timeout`. After that it has no time limit as long as no pause
+    /// is longer than `max_pause` and it does not fall below the lowest rate. A large answer on a narrow link would
+    /// never arrive if it were cut off and requested again.
     pub async fn call_with_pause_limit(
         &mut self,
         call: Call,
@@ -125,15 +130,19 @@
     Ok((connection, answer))
 }
 
-/// Reads a body of at most `MAX_ANSWER_BYTES` bytes, with no pause between them longer than `max_pause`.
+/// Reads a body of at most `MAX_ANSWER_BYTES` bytes, with no pause between them longer than `max_pause`, and no slower
+/// than the lowest rate.
 async fn collect(
     connection: &mut HttpConnection,
     body: &mut Incoming,
     max_pause: Duration,
 ) -> Result<Vec<u8>> {
+    let begun = Instant::now();
     let mut body_bytes = Vec::new();
     loop {
-        let next = with_deadline(Instant::now() + max_pause, connection.next_bytes(body)).await;
+        let slowest = slowest_time(body_bytes.len(), max_pause);
+        let until = (Instant::now() + max_pause).min(begun + slowest);
+        let next = with_deadline(until, connection.next_bytes(body)).await;
         let next = next.ok_or_else(|| Error::new(Code::TimedOut, "the answer stalled"))?;
         let Some(bytes) = next else {
             return Ok(body_bytes);
@@ -145,6 +154,12 @@
     }
 }
 
+/// The longest time from the head of an answer until more than `bytes` bytes of it have arrived.
+fn slowest_time(bytes: usize, max_pause: Duration) -> Duration {
+    let at_lowest_rate = Duration::from_secs_f64(bytes as f64 / f64::from(MIN_BYTES_PER_S));
+    SLOW_PAUSES * max_pause + at_lowest_rate
+}
+
 fn request(address: SocketAddr, call: Call) -> Result<Request<Full<Bytes>>> {
     let mut request =
         Request::builder().method(call.method).uri(call.path).header(HOST, address.to_string());
