Test of a stream with garbage where the size of a chunk is due

A stream whose framing is broken counts as cut short, so its runner is suspected of a crash, and nothing counts the bytes or names the runner. The caller sees the stream broken off, as it should.

--- a/daemon/tests/deployment/malformed_answers.rs
+++ b/daemon/tests/deployment/malformed_answers.rs
@@ -233,3 +233,12 @@
     let answer = format!("{first}content-length: 2\r\n\r\nab{HEAD}content-length: 2\r\n\r\ncd");
     play("unsafe", answer).assert_failed();
 }
+
+#[test]
+fn garbage_where_the_size_of_a_chunk_is_due_breaks_a_stream_off_and_is_counted() {
+    let event = "id: 1\ndata: x\n\n";
+    let played = play("stream", format!("{HEAD}{CHUNKED}f\r\n{event}\r\n%%"));
+    assert!(!played.answer.is_complete, "{:?}", played.answer);
+    assert!(event.starts_with(&played.answer.body), "{:?}", played.answer);
+    played.assert_counted("stream", "body");
+}
