Streams: a stream whose framing is broken is malformed, not cut short

Garbage where the size of a chunk is due, and framing above its bound, ended a stream as cut short: the runner was suspected of a crash, and nothing counted the bytes. They are now judged, counted and logged as in plain answers, with the source stream.

--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -338,7 +338,7 @@
         let silence = self.silence_limit().map(|it| it.saturating_sub(silent));
         let silence = silence.filter(|it| *it < left);
         let last_event = self.last_event();
-        let StartedAnswer { attempts, answer, .. } = &mut self.current;
+        let StartedAnswer { attempts, answer, context, target, .. } = &mut self.current;
         let RunnerAnswer { connection, body, .. } = answer;
         let bytes = async {
             if runner == RunnerState::Lost {
@@ -346,10 +346,10 @@
             }
             match connection.next_bytes(body).await {
                 Some(Ok(bytes)) => RelayEvent::Bytes(bytes),
-                Some(Err(error)) if error.code == Code::TimedOut => {
-                    RelayEvent::Cut(AttemptOutcome::FellSilent)
+                Some(Err(error)) => {
+                    let trace = &context.trace;
+                    RelayEvent::Cut(broken_body_outcome(trace, target, "stream", &error))
                 }
-                Some(Err(_)) => RelayEvent::Cut(AttemptOutcome::Cut),
                 None => RelayEvent::End,
             }
         };
