Gateway: an answer whose length is above the limit is not held against its runner

Such a request now ends in 502 as before, at once and without judging the runner; a body without a stated end that grows above the limit stays malformed. A test of an answer without a signature is added too.

--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -11,7 +11,7 @@
 use gateway::{AttemptOutcome, RunnerTarget};
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Method, Response, StatusCode};
-use http_body::Frame;
+use http_body::{Body, Frame};
 use http_body_util::StreamBody;
 use telemetry::MeasuredDuration;
 
@@ -92,6 +92,9 @@
     /// Buffers a plain answer until it is complete, so that the caller never receives a truncated one.
     async fn forward_plain(mut self) -> Forwarded {
         let max_bytes = self.context.caller.limits().answer;
+        if self.answer.body.size_hint().lower() > max_bytes as u64 {
+            return Forwarded::Answer(self.fail_too_large());
+        }
         let RunnerAnswer { connection, body, .. } = &mut self.answer;
         let collecting = connection.collect(body, max_bytes);
         let collected =
@@ -115,6 +118,14 @@
         }
     }
 
+    /// Ends a request whose answer has a length above the limit. Its runner is not at fault, and another one would send
+    /// as much.
+    fn fail_too_large(&self) -> Response<AnswerBody> {
+        self.context.trace.end(RequestEnd::Unknown, 502, Some(Code::TooLarge));
+        let id = self.context.request_headers.id.as_deref();
+        error_answer(StatusCode::BAD_GATEWAY, id, Code::CutShort)
+    }
+
     /// The body of a plain answer if it is whole, or how it is broken.
     fn check_body(
         &self,
--- a/daemon/tests/deployment/malformed_answers.rs
+++ b/daemon/tests/deployment/malformed_answers.rs
@@ -242,3 +242,20 @@
     assert!(event.starts_with(&played.answer.body), "{:?}", played.answer);
     played.assert_counted("stream", "body");
 }
+
+#[test]
+fn an_answer_that_says_that_it_is_too_large_is_not_held_against_its_runner() {
+    let size = 5_000_000;
+    let played = play("safe", format!("{HEAD}content-length: {size}\r\n\r\n{}", "x".repeat(size)));
+    played.assert_failed();
+    let metrics = played.deployment.metrics(played.gateway.ip());
+    assert!(!metrics.contains("silverdock_malformed_answers_total{"), "{metrics}");
+}
+
+#[test]
+fn an_answer_without_a_signature_is_counted_and_given_to_no_caller() {
+    let head = HEAD.replace("response-stamp: f1.1\r\n", "");
+    let played = play("safe", format!("{head}content-length: 2\r\n\r\nab"));
+    played.assert_served_by_the_other();
+    played.assert_counted("answer", "unsigned");
+}
