Tests: sidecars that list the runners themselves log unreadable rows each time

A sidecar without a gateway lists the runners every few seconds and logs every unreadable row each time: six lines after two listings with three such rows.

--- a/components/gateway/tests/false_entries.rs
+++ b/components/gateway/tests/false_entries.rs
@@ -170,3 +170,23 @@
         assert_eq!(steps[0], Some("r1".into()), "{service}");
     }
 }
+
+#[test]
+fn the_slots_of_an_entry_draw_no_requests_while_other_runners_have_room() {
+    let mut fixture = Fixture::new();
+    let mut counts = [0; 4];
+    for number in 0..4_u16 {
+        let slots = if number == 0 { u32::MAX } else { 4 };
+        let record = record(&format!("r{number}"), PLAIN_SERVICE, PORT + number);
+        fixture.feed(Event::Listed(RunnerRecord { slots, ..record }));
+    }
+    for key in 0..2000 {
+        let id = sent_to(fixture.arrive(arrival(key, PLAIN_SERVICE, RouteKind::Safe)));
+        counts[usize::from(id.0.as_bytes()[1] - b'0')] += 1;
+        if let Some(ended) = key.checked_sub(8) {
+            fixture.outcome(ended, AttemptOutcome::Finished);
+        }
+        fixture.pass(5);
+    }
+    assert!(counts.iter().all(|it| (300..700).contains(it)), "{counts:?}");
+}
--- a/daemon/tests/deployment/foreign_pages.rs
+++ b/daemon/tests/deployment/foreign_pages.rs
@@ -120,3 +120,17 @@
     deployment.wait_until_ready(gateway);
     wait_until_listed(&deployment, gateway, 2);
 }
+
+#[test]
+fn a_sidecar_without_gateways_logs_each_unreadable_row_once() {
+    let mut deployment = Deployment::start();
+    write_unreadable_rows(&deployment, "servers");
+    let runner = deployment.add_model_runner("e1", Some(1));
+    let log = || deployment.log(runner.ip());
+    wait_until("the sidecar has listed the runners twice", || {
+        let log = log();
+        let listed = log.lines().filter(|it| it.contains("table listed") && it.contains("Runners"));
+        listed.count() >= 2
+    });
+    assert_eq!(log().matches("row cannot be read").count(), 3, "{}", log());
+}
