Edge: sidecars log an unreadable row of the list of runners once

A sidecar without a gateway logged every unreadable row at each listing, every few seconds, which takes lines from the share that the log allows.

Cause: only gateways remembered what they had logged. Change: sidecars do too, for the list of runners; the rarer listings of the operator's table are as before.

Measured: the process test was red, with 6 lines for 3 rows after two listings, and passes.

--- a/components/edge/src/sidecar/directory.rs
+++ b/components/edge/src/sidecar/directory.rs
@@ -23,7 +23,7 @@
 use crate::datagram_socket::DatagramSocket;
 use crate::http_client::HttpClient;
 use crate::http_connection::with_deadline;
-use crate::listing::{list, log_faults};
+use crate::listing::{list, LoggedFaults};
 use crate::message::{Datagram, SidecarsPart};
 use crate::paging::Urgency;
 
@@ -59,6 +59,7 @@
         parts,
         requests: 0,
         has_list: false,
+        logged_faults: LoggedFaults::default(),
     };
     loop {
         let answer = directory_client.ask_gateways().await;
@@ -135,6 +136,7 @@
     requests: u64,
     /// Whether a list was applied.
     has_list: bool,
+    logged_faults: LoggedFaults,
 }
 
 impl DirectoryClient {
@@ -284,7 +286,7 @@
             Urgency::Background,
         )
         .await?;
-        log_faults(Table::Runners, &listing.faults);
+        self.logged_faults.log_listing(Table::Runners, &self.core.metrics, &listing.faults);
         let mut peers = Vec::new();
         for change in listing.changes {
             let Change::Runner(record) = change else {
