Edge: only a page without any row shows that a feed has caught up

After a time without answers, changes count as old until an answer shows that nothing older is left. A page whose rows say nothing, for example 500 unreadable ones without keys, counted as such an answer, so that the changes behind it would have been dated as new: versions would have got later deadlines at this gateway than elsewhere.

Cause: the sign was a page without changes. Change: a page is empty if it has no rows.

--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -292,7 +292,7 @@
             self.link_yield.record_answer(self.started.elapsed(), page.clock_ms, body.len());
         }
         let before = self.known_until;
-        let waited_for = Some(self.wait).filter(|_| page.rows == 0);
+        let waited_for = Some(self.wait).filter(|_| page.is_empty());
         let produced_at = self.record_answer_time(waited_for, page.clock_ms, reader_age);
         let read = StorePosition { era, revision: page.revision };
         if page.is_up_to_date {
@@ -300,7 +300,7 @@
         }
         self.logged_faults.log_new(self.options.table, &self.options.metrics, &page.faults);
         let was_silent = self.was_silent();
-        let late = self.catch_up.record_feed(was_silent, page.changes.is_empty());
+        let late = self.catch_up.record_feed(was_silent, page.is_empty());
         let now = Instant::now();
         let summary = AnswerSummary { rows: page.rows, position: read };
         let evacuated = self.evacuated.apply_feed(now, read, &page.changes, late);
