Tests: a runner that a restored copy lists comes back although its row is unreadable

A runner leaves, the store is restored from an older copy that lists it again, and another writer replaces that row by an unreadable one. Four seconds after the restore the gateway uses the runner again, from the copy's row, for as long as the unreadable row stands.

--- a/daemon/tests/deployment/foreign_pages.rs
+++ b/daemon/tests/deployment/foreign_pages.rs
@@ -1,6 +1,8 @@
 //! Tests of rows that another writer made unreadable as a whole, with gateways as processes.
 
 use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use http::Method;
 use platform_standin::Caller;
@@ -11,6 +13,8 @@
 
 /// Port of the runners.
 const RUNNER_PORT: u16 = 8001;
+/// How long a gateway does not use a runner that a restored copy of the store lists again.
+const RETURN_DELAY: Duration = Duration::from_secs(4);
 /// Nesting that no parser follows.
 const DEPTH: usize = 20_000;
 
@@ -134,3 +138,27 @@
     });
     assert_eq!(log().matches("row cannot be read").count(), 3, "{}", log());
 }
+
+#[test]
+fn a_runner_that_a_restored_copy_lists_is_not_used_once_its_row_is_unreadable() {
+    let mut deployment = Deployment::start();
+    let gateway = deployment.add_gateway();
+    deployment.wait_until_ready(gateway);
+    wait_until_listed(&deployment, gateway, 2);
+    let leaving = SocketAddr::new(machine_address(gateway, 1), RUNNER_PORT);
+    thread::sleep(Duration::from_secs(1));
+    deployment.standin.remove_runner_from_list(leaving);
+    let removed_at = Instant::now();
+    wait_until_listed(&deployment, gateway, 1);
+    deployment.standin.restore_older_copy(removed_at.elapsed() + Duration::from_millis(500));
+    wait_until("the copy is listed", || {
+        deployment.log(gateway.ip()).contains("runner listed again by the store's copy")
+    });
+    let row = unreadable_rows()[0].replace("KEY", "l1");
+    deployment.standin.write_raw_row("servers", "l1", &row);
+    thread::sleep(RETURN_DELAY + Duration::from_secs(1));
+    wait_until_listed(&deployment, gateway, 1);
+    for call in 0..10 {
+        assert_eq!(runner_of(&deployment, gateway, &format!("r-{call}")), "l2");
+    }
+}
