Edge: an unreadable row ends the return of a runner that a restored copy lists

A runner that left was used again four seconds after the store was restored from an older copy, although another writer's unreadable row stood in the place of its entry.

Cause: the return of a runner that a restored copy lists is delayed, and an unreadable row did not cancel it. Ruled out: readable rows and removals, which do. Change: an unreadable row cancels it too.

Measured: the process test was red and passes.

--- a/components/edge/src/delayed_returns.rs
+++ b/components/edge/src/delayed_returns.rs
@@ -33,7 +33,7 @@
         self.delayed.remove(id);
     }
 
-    /// Records that a row was written.
+    /// Records that a row was written, readable or not.
     pub fn record_listed(&mut self, id: &InstanceId) {
         self.removed_at.remove(id);
         self.delayed.remove(id);
--- a/components/edge/src/watch.rs
+++ b/components/edge/src/watch.rs
@@ -404,6 +404,7 @@
             }
             Change::RunnerInvalid(id) => {
                 // Another writer has replaced the earlier row.
+                self.delayed_returns.record_listed(id);
                 if self.runners.remove(id) {
                     let change = Change::RunnerRemoved(id.clone());
                     deliver(TableEvent::Change { change, date: ChangeDate::default() });
