Process tests: runners whose reports are none, beside a real sidecar

A proxy in front of a runner replaces its reports: no report, deep nesting, absurd counts, a negative pace, half a head, a negative length, no answer.

--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -8,6 +8,7 @@
 mod floods;
 mod foreign_pages;
 mod foreign_rows;
+mod garbage_reports;
 mod garbage_streams;
 mod kept_connection;
 mod leaving;
