Operators' client: test for confirmations whose answer is none

An entry answers a confirmation with a whole body that is no reply, or with an error that can't be read. The plan may have been accepted, so its outcome is unknown; the client fails with Internal, whose meaning tells nothing of the write.

--- a/components/client/src/operator.rs
+++ b/components/client/src/operator.rs
@@ -122,3 +122,6 @@
         _ => error,
     }
 }
+
+#[cfg(test)]
+mod tests;
