Operators' client: a confirmation that got no reply has an unknown outcome

An operator whose confirmation was answered with a body that is no reply saw 500 Internal and could take the plan for not accepted. The client reported what it could not parse as an error of its own. It now reports MalformedAnswer, and OutcomeUnknown for a confirmation: confirm the same plan again. Errors that can be read keep their codes.

--- a/components/client/src/operator.rs
+++ b/components/client/src/operator.rs
@@ -96,7 +96,7 @@
             return Err(response_error(&answer));
         }
         serde_json::from_slice(&answer.body).map_err(|error| {
-            Error::new(Code::Internal, format!("cannot parse the response: {error}"))
+            Error::new(Code::MalformedAnswer, format!("cannot parse the response: {error}"))
         })
     }
 }
@@ -105,7 +105,7 @@
 fn response_error(answer: &HttpResponse) -> Error {
     let Ok(error_response) = serde_json::from_slice::<ErrorResponse>(&answer.body) else {
         return Error::new(
-            Code::Internal,
+            Code::MalformedAnswer,
             format!("the entry responded with status {}", answer.status),
         );
     };
@@ -113,7 +113,7 @@
     Error::new(code, error_response.error.message)
 }
 
-/// Converts the error of a confirmation whose response did not arrive: the plan may have been accepted.
+/// Converts the error of a confirmation whose response did not arrive or is none: the plan may have been accepted.
 fn unknown_outcome(error: Error) -> Error {
     match error.code {
         Code::ConnectionLost | Code::TimedOut | Code::CutShort | Code::MalformedAnswer => {
