Sidecars take a manifest with another number of chunks in place of a wrong one

After a manifest with one digest instead of 64, a runner never got its version: the digest mismatch had the manifest read again, but the reducer ignored a manifest while it had one, and the store kept the first if the counts differed. Both now start over when the number of chunks differs, as one of the two was no manifest of the version; verified chunks stay only if it is the same. Ruled out: comparing with the configuration, as no message to sidecars carries the number of chunks. Still open: a manifest that lists only some of the right digests, whose chunks all verify.

--- a/components/edge/src/sidecar/chunk_store.rs
+++ b/components/edge/src/sidecar/chunk_store.rs
@@ -23,15 +23,15 @@
 
 impl ChunkStore {
     /// Starts a version and removes versions that are too old. A manifest that is read again replaces the
-    /// previous one; chunks that are already verified stay.
+    /// previous one; chunks that are already verified stay if it has as many.
     pub fn begin_version(&mut self, version: u64, manifest: Arc<Manifest>) {
-        let chunks = vec![None; manifest.chunks() as usize];
-        let known = self
-            .versions
-            .entry(version)
-            .or_insert_with(|| VersionChunks { manifest: manifest.clone(), chunks });
-        if known.manifest.chunks() == manifest.chunks() {
-            known.manifest = manifest;
+        let chunks = manifest.chunks();
+        match self.versions.get_mut(&version).filter(|it| it.manifest.chunks() == chunks) {
+            Some(known) => known.manifest = manifest,
+            None => {
+                let chunks = vec![None; chunks as usize];
+                self.versions.insert(version, VersionChunks { manifest, chunks });
+            }
         }
         while self.versions.len() > MAX_VERSIONS {
             self.versions.pop_first();
--- a/components/rollout/src/reducer.rs
+++ b/components/rollout/src/reducer.rs
@@ -244,7 +244,7 @@
                 };
                 let options = self.options.clone();
                 let serves = self.serves();
-                let Some(target) = self.target(version).filter(|it| it.awaits_manifest()) else {
+                let Some(target) = self.target(version).filter(|it| it.needs(&manifest)) else {
                     return Vec::new();
                 };
                 target.start_spread(now, &options, &plan, &all, manifest, serves);
--- a/components/rollout/src/target.rs
+++ b/components/rollout/src/target.rs
@@ -252,6 +252,13 @@
         !self.has_manifest() || matches!(self.step, Step::FetchingManifest { .. })
     }
 
+    /// Returns whether the distribution has to start with this manifest: none is known, or one with another number of
+    /// chunks, which was no manifest of this version.
+    pub(crate) fn needs(&self, manifest: &Manifest) -> bool {
+        let known = self.spread.as_ref().map(|it| it.manifest.chunks());
+        self.awaits_manifest() || known.is_some_and(|it| it != manifest.chunks())
+    }
+
     /// Returns whether the manifest is known.
     fn has_manifest(&self) -> bool {
         self.spread.is_some()
