Messages of sidecars: property tests for bytes that are none

Frames that never arrive, absurd lengths and counts, any bytes and changed messages are read or refused: no panic and no large allocation.

--- a/components/edge/src/message.rs
+++ b/components/edge/src/message.rs
@@ -471,6 +471,8 @@
     Error::new(Code::ConnectionLost, error.to_string())
 }
 
+#[cfg(test)]
+mod garbage;
 #[cfg(test)]
 mod samples;
 #[cfg(test)]
