Gateways: test for load reports with absurd counts

Sidecars of earlier builds pass on what their runner reported. The gateway adds the counts: the test ends with an overflow, and release builds wrap to a small number, which draws requests to the runner in trouble.

--- a/components/gateway/tests/routing.rs
+++ b/components/gateway/tests/routing.rs
@@ -205,6 +205,20 @@
     assert_eq!(sent_to(fixture.arrive(arrival(1, MODEL_SERVICE, STREAM))), "quick".into());
 }
 
+#[test]
+fn a_runner_with_absurd_counts_does_not_look_free() {
+    for (running, waiting) in [(u32::MAX, u32::MAX), (u32::MAX, 1), (u32::MAX, 0)] {
+        let mut fixture = Fixture::new();
+        for (name, port, absurd) in [("absurd", 1, true), ("usual", 2, false)] {
+            fixture.list(name, MODEL_SERVICE, port);
+            let usual = load(1, 1);
+            let load = if absurd { RunnerLoad { running, waiting, ..usual } } else { usual };
+            fixture.feed(Event::Load(([127, 0, 0, 1], port).into(), load));
+        }
+        assert_eq!(sent_to(fixture.arrive(arrival(1, MODEL_SERVICE, STREAM))), "usual".into());
+    }
+}
+
 #[test]
 fn a_reservation_query_waits_only_if_no_other_runner_may_have_a_slot() {
     let mut fixture = Fixture::new();
