Soak: servers that send no answer, odd rows, and checks of broken answers

Runners, their reports, the store and the origin send garbage (garbage, flood, garbage_reports, garbage_store), and a row that is itself odd is written (foreign_page).

The fixture of a cut answer held the beginning of a stream for plain requests too, which the new check rightly reports; it now holds the beginning of its own answer.

The faults of a run stand in faults.log beside the logs that are kept.

--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -226,7 +226,8 @@
             return if is_stream { Kind::LongStream(millis) } else { Kind::LongUnsafe(millis) };
         }
         match self.random.random_range(0..10) {
-            0..4 => Kind::Stream,
+            0..3 => Kind::Stream,
+            3..4 => Kind::OnceStream,
             4..5 => Kind::Safe,
             5..6 => Kind::Bound,
             6..8 => Kind::Unsafe,
--- a/examples/soak/callers/exchange.rs
+++ b/examples/soak/callers/exchange.rs
@@ -17,13 +17,15 @@
 
 use super::connection::Observations;
 use super::Connection;
-use crate::faults::{CRASH_PATH, LONG_STREAM_PATH, LONG_UNSAFE_PATH};
+use crate::faults::{CRASH_PATH, LONG_STREAM_PATH, LONG_UNSAFE_PATH, ONCE_STREAM_PATH};
 use crate::history::{Ending, Kind, LeaveNotice, LimitNotice, Outcome};
 
 /// How long after its deadline a caller waits for the head and for each piece of an answer.
 const EXTRA_WAIT: Duration = Duration::from_millis(1000);
 /// Pause before each of the first pieces of a slowly read answer.
 const SLOW_READ_PAUSE: Duration = Duration::from_millis(120);
+/// Number of bytes of a body after which a caller stops reading. No runner has so many in an answer.
+const MAX_BODY_BYTES: usize = 2 << 20;
 /// The body of each request.
 const BODY: &[u8] = b"question";
 
@@ -121,6 +123,7 @@
         pieces += 1;
         match with_timeout(wait, body.frame()).await {
             Some(None) => break Ending::Complete,
+            Some(Some(Ok(_))) if bytes.len() > MAX_BODY_BYTES => break Ending::TooLong,
             Some(Some(Ok(frame))) => {
                 bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
             }
@@ -138,6 +141,7 @@
 ) -> Option<HttpRequest<RequestBody>> {
     let (method, path) = match plan.kind {
         Kind::Stream => (Method::POST, "/s/x".to_owned()),
+        Kind::OnceStream => (Method::POST, format!("{ONCE_STREAM_PATH}x")),
         Kind::Crash(number) => (Method::POST, format!("{CRASH_PATH}{number}")),
         Kind::CrashPart(_) => (Method::POST, format!("/s/{}", plan.id)),
         Kind::LongStream(millis) => (Method::POST, format!("{LONG_STREAM_PATH}{millis}")),
--- a/examples/soak/checker/mod.rs
+++ b/examples/soak/checker/mod.rs
@@ -1,6 +1,7 @@
 //! Checks the guarantees of silverdock, based only on what callers and runners observed.
 
 mod answers;
+mod beside;
 mod configuration;
 mod limits;
 mod lost;
@@ -13,7 +14,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use self::answers::{check_answer, check_refusals, check_runs};
+use self::answers::{check_answer, check_beginning, check_refusals, check_runs};
+use self::beside::check_beside;
 use self::configuration::{check_configuration, check_in_force};
 use self::limits::check_limits;
 use self::lost::check_lost;
@@ -49,6 +51,7 @@
     for request in &history.requests {
         let runs = history.runs.get(&request.id).map_or(&[][..], Vec::as_slice);
         violations.extend(check_answer(request));
+        violations.extend(check_beginning(request));
         violations.extend(check_runs(request, runs));
         violations.extend(check_refusals(request, runs));
         violations.extend(check_lost(history, request, runs));
@@ -67,6 +70,7 @@
     violations.extend(check_rest_periods(history));
     violations.extend(check_limits(history));
     violations.extend(check_configuration(history));
+    violations.extend(check_beside(history));
     violations.extend(check_recovery(history));
     violations.extend(history.mixed_weights.iter().map(|runner| Violation {
         guarantee: "no runner takes partial or mixed weights",
@@ -127,7 +131,7 @@
     let mut served: BTreeMap<(usize, &'static str), (u32, u32)> = BTreeMap::new();
     for request in history.requests.iter().filter(|it| it.sent >= from) {
         let request_kind = match request.kind {
-            Kind::Stream => "streams",
+            Kind::Stream | Kind::OnceStream => "streams",
             Kind::Safe | Kind::Unsafe | Kind::Bound => "plain requests",
             Kind::Probe(_) | Kind::Crash(_) | Kind::CrashPart(_) => continue,
             Kind::LongStream(_) | Kind::LongUnsafe(_) => continue,
--- a/examples/soak/fault_injector.rs
+++ b/examples/soak/fault_injector.rs
@@ -1,5 +1,6 @@
 //! Injects the planned faults into a fleet.
 
+mod garbage;
 mod operators;
 mod processes;
 mod runners;
@@ -7,6 +8,8 @@
 mod store;
 
 use std::collections::BTreeSet;
+use std::fs::OpenOptions;
+use std::io::Write;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -50,6 +53,12 @@
     RestoreRunnerLink(usize),
     /// Ends the fault of a runner.
     RestoreRunner(usize),
+    /// Ends the garbage in the answers of a model runner to its sidecar.
+    EndGarbageForSidecar(usize),
+    /// Ends the garbage of the origin.
+    EndGarbageOfOrigin,
+    /// Deletes a row of a foreign writer.
+    DeleteRow(&'static str, String),
     /// Stops a process, and restarts it with the other build if the flag is set.
     StopProcess(usize, bool),
     /// Changes the settings of a process or not, and sends it SIGHUP.
@@ -102,6 +111,8 @@
     crash_parts: u64,
     /// Number of rate limits that runners have stated so far.
     limits_stated: u32,
+    /// Number of odd rows that were written so far.
+    odd_rows: u64,
     /// Number of times that foreign rows were written so far.
     foreign_writes: u64,
 }
@@ -120,6 +131,7 @@
             crash_requests: 0,
             crash_parts: 0,
             limits_stated: 0,
+            odd_rows: 0,
             foreign_writes: 0,
         }
     }
@@ -188,6 +200,13 @@
         self.history.planned_work.push(PlannedWork { what, at });
     }
 
+    /// Writes a fault to a log beside those of the processes.
+    fn log_fault(&self, fault: Fault, until: Duration) -> eyre::Result<()> {
+        let path = self.fleet.directory.join("faults.log");
+        let mut log = OpenOptions::new().create(true).append(true).open(path)?;
+        Ok(writeln!(log, "{:?} to {until:?}: {fault:?}", self.action_start)?)
+    }
+
     /// Schedules an action.
     fn schedule(&mut self, at: Duration, action: DelayedAction) {
         self.delayed_actions.push((at, action));
@@ -198,6 +217,7 @@
     fn inject(&mut self, PlannedFault { span, fault, .. }: PlannedFault) -> eyre::Result<()> {
         self.action_start = self.now();
         let until = self.now() + span;
+        self.log_fault(fault, until)?;
         if fault.is_planned_work() {
             self.record_planned_work(format!("{fault:?}"));
         }
@@ -249,6 +269,15 @@
             Fault::RateLimit(number, limit, reported) => {
                 self.state_limit(number, limit, reported, until);
             }
+            Fault::Garbage(number, garbage) => self.send_garbage(number, garbage, until),
+            Fault::GarbageForSidecar(number, garbage) => {
+                self.send_garbage_to_sidecar(number, garbage, until);
+            }
+            Fault::GarbageOfStore(garbage) => {
+                self.set_store_fault(StoreFault::Garbage(garbage), until)
+            }
+            Fault::GarbageOfOrigin(garbage) => self.send_garbage_from_origin(garbage, until),
+            Fault::OddRow(row, stays) => self.write_odd_row(row, stays, until),
             Fault::LargeAnswers(number) => {
                 self.change_runner(number, |it| it.padding = LARGE_PADDING_BYTES);
                 self.schedule(until, DelayedAction::EndLargeAnswers(number));
@@ -308,6 +337,11 @@
             DelayedAction::RestoreRunner(number) => {
                 self.change_runner(number, |it| it.fault = RunnerFault::None);
             }
+            DelayedAction::EndGarbageForSidecar(number) => {
+                self.change_runner(number, |it| it.garbage_for_sidecar = None)
+            }
+            DelayedAction::EndGarbageOfOrigin => self.fleet.standin.set_origin_garbage(None),
+            DelayedAction::DeleteRow(table, key) => self.fleet.standin.delete_row(table, &key),
             DelayedAction::StopProcess(number, upgrade) => self.stop_in_turn(number, upgrade),
             DelayedAction::ReloadProcess(number, rewrite) => {
                 self.reload_in_turn(number, rewrite)?
--- a/examples/soak/fault_injector/operators.rs
+++ b/examples/soak/fault_injector/operators.rs
@@ -16,7 +16,7 @@
 const SLOW_ORIGIN_BYTES_PER_S: u64 = 44_000;
 const MIN_SLOW_ORIGIN: Duration = Duration::from_millis(10_000);
 /// Number of routes that every configuration has.
-const PERMANENT_ROUTES: usize = 6;
+const PERMANENT_ROUTES: usize = 7;
 
 impl FaultInjector<'_> {
     /// Writes a new version of the configuration. It has a route named after the version, in place of that of
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -1,11 +1,16 @@
 //! Plans the faults of a run and their times. The plan depends only on the seed and the sizes of the fleet.
 
+mod garbage;
+mod kinds;
+
 use std::time::Duration;
 
-use platform_standin::{RunnerFault, StoreFault};
+use platform_standin::{Garbage, RunnerFault, StoreFault};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use self::garbage::{random_flood, random_garbage, random_page_garbage};
+pub use self::kinds::{FAULT_KINDS, PLANNED_KINDS};
 use crate::proxy::LinkFault;
 
 /// Number of data halls, each in a region of its own.
@@ -18,66 +23,6 @@
 /// Time of the first fault, in milliseconds after the start of the run.
 const FIRST_FAULT_MS: u64 = 3000;
 
-/// Names of all kinds of faults on the command line.
-pub const FAULT_KINDS: &[&str] = &[
-    "kill",
-    "pause",
-    "stop",
-    "hup",
-    "store",
-    "store_link",
-    "runner_link",
-    "store_silence",
-    "runner_silence",
-    "runner",
-    "restart",
-    "drain",
-    "configuration",
-    "version",
-    "spoil",
-    "evacuate",
-    "homes",
-    "cold",
-    "settings",
-    "crash",
-    "reborn",
-    "foreign",
-    "shed",
-    "limit",
-    "store_copy",
-    "upgrade",
-    "bulk",
-    "slow_origin",
-    "slow_store",
-    "uneven_link",
-    "new_gateway",
-    "reading",
-    "busy_version",
-    "silence",
-    "rolling",
-    "hup_storm",
-    "config_storm",
-    "release",
-    "crash_part",
-];
-
-/// Names of the kinds of planned work, and of those that are no trouble.
-pub const PLANNED_KINDS: &[&str] = &[
-    "stop",
-    "hup",
-    "configuration",
-    "version",
-    "drain",
-    "evacuate",
-    "homes",
-    "settings",
-    "silence",
-    "rolling",
-    "hup_storm",
-    "config_storm",
-    "release",
-];
-
 /// Path prefix of requests that crash model runners. The number of the fault follows it.
 pub const CRASH_PATH: &str = "/s/crash";
 
@@ -86,6 +31,9 @@
 /// Number of parts that crash model runners.
 pub const CRASH_PARTS: u64 = 40;
 
+/// Path prefix of streams that may not be resumed.
+pub const ONCE_STREAM_PATH: &str = "/once/";
+
 /// Path prefixes of requests for which runners take long. The time in milliseconds follows them.
 pub const LONG_STREAM_PATH: &str = "/long/";
 /// As `LONG_STREAM_PATH`, for plain requests that may not be repeated.
@@ -183,6 +131,16 @@
     Upgrade(usize),
     /// The answers of a runner are large for a while.
     LargeAnswers(usize),
+    /// A runner sends garbage in its answers to requests for a while.
+    Garbage(usize, Garbage),
+    /// A model runner sends garbage in its answers to its sidecar for a while.
+    GarbageForSidecar(usize, Garbage),
+    /// The store sends garbage in its answers for a while.
+    GarbageOfStore(Garbage),
+    /// The origin of weights sends garbage in its answers for a while.
+    GarbageOfOrigin(Garbage),
+    /// A foreign writer writes a row that is odd itself, for a while or, if the flag is set, for the rest of the run.
+    OddRow(OddRow, bool),
     /// The settings file of a process changes; if the flag is set, the process receives SIGHUP.
     Settings(usize, bool),
 }
@@ -246,6 +204,19 @@
 const SERIES_COUNT: std::ops::Range<u64> = 4..25;
 const SERIES_INTERVAL_MS: std::ops::Range<u64> = 10..250;
 
+/// A row of a foreign writer.
+#[derive(Clone, Copy, Debug)]
+pub enum OddRow {
+    /// A row in the list of runners, or beside the configuration if the flag is set, that is nested deeply.
+    Deep(bool),
+    /// As `Deep`, with a number that is too large.
+    LargeNumber(bool),
+    /// An entry in the list of runners under a key that is no plain text, with the address of a runner.
+    StrangeKey(usize),
+    /// An entry in the list of runners with the address of a runner and the largest number of slots.
+    BorrowedAddress(usize),
+}
+
 /// The silence of a runner.
 #[derive(Clone, Copy, Debug)]
 pub enum Silence {
@@ -374,6 +345,14 @@
         "hup_storm" => Fault::ReloadStorm(random_series(random)),
         "config_storm" => Fault::ConfigurationStorm(random_series(random)),
         "release" => Fault::Release(random_rolling(random), random_series(random)),
+        "garbage" => Fault::Garbage(runner, random_garbage(random, runner < sizes.models)),
+        "flood" => Fault::Garbage(runner, random_flood(random, runner < sizes.models)),
+        "garbage_reports" => Fault::GarbageForSidecar(model, random_page_garbage(random)),
+        "garbage_store" if random.random_bool(0.7) => {
+            Fault::GarbageOfStore(random_page_garbage(random))
+        }
+        "garbage_store" => Fault::GarbageOfOrigin(random_page_garbage(random)),
+        "foreign_page" => Fault::OddRow(random_odd_row(random, runner), random.random_bool(0.5)),
         "settings" => Fault::Settings(process, random.random_bool(0.5)),
         _ => Fault::CorruptChunk(model, random.random_range(0..64)),
     }
@@ -410,6 +389,15 @@
     }
 }
 
+fn random_odd_row(random: &mut SmallRng, runner: usize) -> OddRow {
+    match random.random_range(0..4) {
+        0 => OddRow::Deep(random.random_bool(0.3)),
+        1 => OddRow::LargeNumber(random.random_bool(0.3)),
+        2 => OddRow::StrangeKey(runner),
+        _ => OddRow::BorrowedAddress(runner),
+    }
+}
+
 fn random_link_fault(random: &mut SmallRng) -> LinkFault {
     match random.random_range(0..4) {
         0 => LinkFault::Delay(random.random_range(20..400)),
--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -15,6 +15,7 @@
 
 use crate::faults::{
     CRASH_PART, CRASH_PARTS, CRASH_PATH, HALLS, LONG_STREAM_PATH, LONG_UNSAFE_PATH,
+    ONCE_STREAM_PATH,
 };
 use crate::proxy::Proxy;
 
@@ -337,7 +338,7 @@
 }
 
 /// Extends the configuration by home regions of routes and workspaces, a route that is always bound to a
-/// region, routes for requests that take long, and a plain service whose runners start cold.
+/// region, routes for requests that take long, a route for streams that may not be resumed, and a plain service whose runners start cold.
 fn extend_configuration(configuration: &mut Value) {
     let mut bound = configuration["routes"][1].clone();
     bound["name"] = json!("bound");
@@ -346,10 +347,15 @@
         long_route(&configuration["routes"][0], "long", LONG_STREAM_PATH),
         long_route(&configuration["routes"][2], "slow", LONG_UNSAFE_PATH),
     ];
+    let mut once = configuration["routes"][0].clone();
+    once["name"] = json!("once");
+    once["pathPrefix"] = json!(ONCE_STREAM_PATH);
+    once["resumable"] = json!(false);
     let routes = configuration["routes"].as_array_mut();
     routes.into_iter().for_each(|it| {
         it.push(bound.clone());
         it.extend(long.clone());
+        it.push(once.clone());
     });
     for list in ["routes", "tenants"] {
         let entries = configuration[list].as_array_mut().into_iter().flatten();
--- a/examples/soak/history.rs
+++ b/examples/soak/history.rs
@@ -11,6 +11,8 @@
 pub enum Kind {
     /// A stream that may be resumed.
     Stream,
+    /// A stream that may not be resumed.
+    OnceStream,
     /// A stream that crashes each runner that starts it, with its number.
     Crash(u64),
     /// A stream with a part of its prompt that crashes each runner that begins to answer it, with the number of the
@@ -34,12 +36,16 @@
 impl Kind {
     /// Whether requests of this kind are streams.
     pub fn is_stream(self) -> bool {
-        matches!(self, Kind::Stream | Kind::Crash(_) | Kind::CrashPart(_) | Kind::LongStream(_))
+        match self {
+            Kind::Stream | Kind::OnceStream | Kind::LongStream(_) => true,
+            Kind::Crash(_) | Kind::CrashPart(_) => true,
+            Kind::Safe | Kind::Unsafe | Kind::Bound | Kind::LongUnsafe(_) | Kind::Probe(_) => false,
+        }
     }
 
     /// Whether requests of this kind may run only once.
     pub fn is_unsafe(self) -> bool {
-        matches!(self, Kind::Unsafe | Kind::LongUnsafe(_))
+        matches!(self, Kind::Unsafe | Kind::LongUnsafe(_) | Kind::OnceStream)
     }
 }
 
@@ -54,6 +60,8 @@
     Reset,
     /// The gateway sent bytes that are not HTTP.
     Invalid,
+    /// The body was longer than any that runners send, and the caller stopped reading.
+    TooLong,
     /// The caller waited for longer than its deadline and gave up.
     TimedOut,
 }
@@ -208,6 +216,19 @@
     pub until: Moment,
 }
 
+/// A period of a trouble beside which other requests are served.
+#[derive(Clone, Debug)]
+pub struct Beside {
+    /// The trouble.
+    pub what: String,
+    /// The runner in trouble. Requests of its service are not checked.
+    pub runner: Option<usize>,
+    /// Beginning of the period.
+    pub from: Moment,
+    /// End of the period.
+    pub until: Moment,
+}
+
 /// Work that operators did on purpose, for the descriptions of violations.
 #[derive(Clone, Debug)]
 pub struct PlannedWork {
@@ -301,6 +322,8 @@
     pub disruptions: Vec<Disruption>,
     /// Periods in which callers sent requests with a part that crashes runners.
     pub part_periods: Vec<PartPeriod>,
+    /// Troubles beside which other requests are served.
+    pub beside: Vec<Beside>,
     /// Planned work.
     pub planned_work: Vec<PlannedWork>,
     /// Number of model runners. Runners with smaller numbers serve streams, all others plain requests.
--- a/tests/soak_checker.rs
+++ b/tests/soak_checker.rs
@@ -1,5 +1,9 @@
 //! Tests that the checker of the soak example reports every violated guarantee and nothing else.
 
+#[path = "soak_checker/answers.rs"]
+mod answers;
+#[path = "soak_checker/beside.rs"]
+mod beside;
 #[path = "../examples/soak/checker/mod.rs"]
 mod checker;
 #[path = "../examples/soak/history.rs"]
@@ -237,7 +241,8 @@
 /// Returns a history in which a stream with a deadline of nine seconds, sent at 10 s, is cut at `ended` within its
 /// answer. Its runner is at work until then.
 fn cut_history(kind: Kind, ended: u64) -> History {
-    let outcome = Outcome::Answer { status: 200, whole: false, body: "id: 1".into() };
+    let body = complete_body(kind, "a")[..5].to_owned();
+    let outcome = Outcome::Answer { status: 200, whole: false, body };
     let (deadline, ended) = (at(9_000), at(ended));
     let cut = Request { deadline, ended, ..request("a", kind, outcome) };
     let service = if kind.is_stream() { "assistant" } else { "ledger" };
