Soak: what a flood costs a gateway

A gateway spent a whole processor on a runner that repeats interim answers, and the soak saw of it only what requests beside it saw. The processor time of each gateway from the begin to the end of a flood is recorded now, and must be at most half of that time.

--- a/examples/soak/checker/beside.rs
+++ b/examples/soak/checker/beside.rs
@@ -1,10 +1,10 @@
-//! Checks that requests are served beside a trouble that is not theirs.
+//! Checks that requests are served beside a trouble that is not theirs, and what it costs gateways.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::{no_disruption, Violation, UNDISTURBED_PERIOD};
-use crate::history::{Beside, Disruption, History, Kind, Outcome, Request, Target};
+use crate::history::{Beside, Disruption, FloodCost, History, Kind, Outcome, Request, Target};
 
 /// Within what time a request must be served.
 const SERVE_BOUND: Duration = Duration::from_millis(1500);
@@ -82,6 +82,19 @@
     of_service.collect::<BTreeSet<usize>>().len()
 }
 
+/// A gateway spends at most half of a processor while a runner sends bytes without end.
+pub(super) fn check_flood_costs(history: &History) -> Vec<Violation> {
+    let excessive = |it: &&FloodCost| it.used * 2 > it.until.saturating_sub(it.from);
+    let violation = |cost: &FloodCost| Violation {
+        guarantee: "a flood costs a gateway at most half of a processor",
+        details: format!(
+            "gateway {}: {:?} of processor time from {:?} to {:?}",
+            cost.gateway, cost.used, cost.from, cost.until
+        ),
+    };
+    history.flood_costs.iter().filter(excessive).map(violation).collect()
+}
+
 fn is_served_soon(request: &Request) -> bool {
     let is_whole = matches!(request.outcome, Outcome::Answer { status: 200, whole: true, .. });
     is_whole && request.ended - request.sent <= SERVE_BOUND
--- a/examples/soak/checker/mod.rs
+++ b/examples/soak/checker/mod.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use self::answers::{check_answer, check_beginning, check_refusals, check_runs};
-use self::beside::check_beside;
+use self::beside::{check_beside, check_flood_costs};
 use self::configuration::{check_configuration, check_in_force};
 use self::limits::check_limits;
 use self::lost::check_lost;
@@ -71,6 +71,7 @@
     violations.extend(check_limits(history));
     violations.extend(check_configuration(history));
     violations.extend(check_beside(history));
+    violations.extend(check_flood_costs(history));
     violations.extend(check_recovery(history));
     violations.extend(history.mixed_weights.iter().map(|runner| Violation {
         guarantee: "no runner takes partial or mixed weights",
--- a/examples/soak/fault_injector.rs
+++ b/examples/soak/fault_injector.rs
@@ -57,6 +57,8 @@
     EndGarbageForSidecar(usize),
     /// Ends the garbage of the origin.
     EndGarbageOfOrigin,
+    /// Records what a flood that began at this time has cost the gateways.
+    RecordFloodCost(Duration, Vec<ProcessorTime>),
     /// Deletes a row of a foreign writer.
     DeleteRow(&'static str, String),
     /// Stops a process, and restarts it with the other build if the flag is set.
@@ -93,6 +95,9 @@
     EndCrashParts,
 }
 
+/// How often a gateway was restarted, and the processor time that it has used since.
+type ProcessorTime = (u32, Duration);
+
 /// Injects the planned faults and records whom they affect.
 pub struct FaultInjector<'a> {
     fleet: &'a mut Fleet,
@@ -341,6 +346,7 @@
                 self.change_runner(number, |it| it.garbage_for_sidecar = None)
             }
             DelayedAction::EndGarbageOfOrigin => self.fleet.standin.set_origin_garbage(None),
+            DelayedAction::RecordFloodCost(from, before) => self.record_flood_cost(from, &before),
             DelayedAction::DeleteRow(table, key) => self.fleet.standin.delete_row(table, &key),
             DelayedAction::StopProcess(number, upgrade) => self.stop_in_turn(number, upgrade),
             DelayedAction::ReloadProcess(number, rewrite) => {
--- a/examples/soak/fault_injector/garbage.rs
+++ b/examples/soak/fault_injector/garbage.rs
@@ -5,10 +5,10 @@
 use platform_standin::{Garbage, RunnerFault};
 use serde_json::{json, Value};
 
-use super::{DelayedAction, FaultInjector};
+use super::{DelayedAction, FaultInjector, ProcessorTime};
 use crate::faults::OddRow;
 use crate::fleet::hall_name;
-use crate::history::{Beside, Target};
+use crate::history::{Beside, FloodCost, Target};
 
 /// Minimum time that a flood goes on, in which it is checked that other requests are served.
 const MIN_FLOOD: Duration = Duration::from_millis(2000);
@@ -27,6 +27,24 @@
         self.set_runner_fault(number, RunnerFault::Garbage(garbage), until);
         let runner = Some(number);
         self.history.beside.push(Beside { what: format!("{garbage:?}"), runner, from, until });
+        let before = self.processor_times();
+        self.schedule(until, DelayedAction::RecordFloodCost(from, before));
+    }
+
+    /// Records the processor time that each gateway has used since a flood began, unless it was restarted.
+    pub(super) fn record_flood_cost(&mut self, from: Duration, before: &[ProcessorTime]) {
+        let until = self.now();
+        let now = self.processor_times();
+        for (gateway, (before, now)) in before.iter().zip(now).enumerate() {
+            if before.0 == now.0 {
+                let used = now.1.saturating_sub(before.1);
+                self.history.flood_costs.push(FloodCost { gateway, from, until, used });
+            }
+        }
+    }
+
+    fn processor_times(&self) -> Vec<ProcessorTime> {
+        self.fleet.gateways.iter().map(|it| (it.restarts, it.processor_time())).collect()
     }
 
     /// Has a model runner send garbage in its answers to its sidecar.
--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -49,6 +49,10 @@
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// SIGHUP in the signal masks of `/proc`.
 const SIGHUP_MASK: u64 = 1;
+/// Clock ticks per second, the unit of processor times in `/proc`, and the positions of the times of a process behind its
+/// name there.
+const CLOCK_TICKS_PER_S: f64 = 100.0;
+const PROCESSOR_TIMES: std::ops::Range<usize> = 11..13;
 /// Rate limit of a cold runner, in requests per second.
 const COLD_REQUESTS_PER_S: f64 = 6.0;
 
@@ -278,6 +282,17 @@
         Ok(fs::write(&self.settings, text)?)
     }
 
+    /// The processor time that the process has used since its start, or zero if the system doesn't tell.
+    pub fn processor_time(&self) -> Duration {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.unwrap_or_default();
+        // The name of the program may contain spaces.
+        let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
+        let times = fields.skip(PROCESSOR_TIMES.start).take(PROCESSOR_TIMES.len());
+        let ticks: f64 = times.filter_map(|it| it.parse::<f64>().ok()).sum();
+        Duration::from_secs_f64(ticks / CLOCK_TICKS_PER_S)
+    }
+
     /// Describes how the process ended, if it has.
     fn end(&mut self) -> Option<String> {
         let status = self.child.try_wait().ok().flatten()?;
--- a/examples/soak/history.rs
+++ b/examples/soak/history.rs
@@ -229,6 +229,19 @@
     pub until: Moment,
 }
 
+/// What a flood cost a gateway.
+#[derive(Clone, Copy, Debug)]
+pub struct FloodCost {
+    /// The gateway.
+    pub gateway: usize,
+    /// Beginning of the flood.
+    pub from: Moment,
+    /// End of the flood.
+    pub until: Moment,
+    /// The processor time that the gateway used meanwhile.
+    pub used: Duration,
+}
+
 /// Work that operators did on purpose, for the descriptions of violations.
 #[derive(Clone, Debug)]
 pub struct PlannedWork {
@@ -324,6 +337,8 @@
     pub part_periods: Vec<PartPeriod>,
     /// Troubles beside which other requests are served.
     pub beside: Vec<Beside>,
+    /// What floods cost gateways.
+    pub flood_costs: Vec<FloodCost>,
     /// Planned work.
     pub planned_work: Vec<PlannedWork>,
     /// Number of model runners. Runners with smaller numbers serve streams, all others plain requests.
--- a/tests/soak_checker/beside.rs
+++ b/tests/soak_checker/beside.rs
@@ -52,3 +52,14 @@
     flooded.disruptions.push(disruption(Target::Runner(2), 9_900, 12_000));
     assert_eq!(violated_guarantee(&flooded), Some(BESIDE), "three plain runners were sound");
 }
+
+#[test]
+fn a_gateway_that_spends_most_of_a_processor_on_a_flood_is_reported() {
+    let mut flooded = history_beside_a_flood(Kind::Safe, 8);
+    let (from, until) = (at(9_900), at(12_900));
+    flooded.flood_costs.push(FloodCost { gateway: 0, from, until, used: at(1_500) });
+    assert_eq!(violated_guarantee(&flooded), None);
+    flooded.flood_costs[0].used = at(1_510);
+    let guarantee = violated_guarantee(&flooded);
+    assert_eq!(guarantee, Some("a flood costs a gateway at most half of a processor"));
+}
