Test of a stream whose second runner sends garbage at once

A runner that continues a stream may be in trouble too, from its first byte on. The test plays all seven shapes at once at the second runner, behind two events of the first: the caller gets these two, once, and a stream that is visibly broken off.

--- a/daemon/tests/deployment/garbage_streams.rs
+++ b/daemon/tests/deployment/garbage_streams.rs
@@ -183,7 +183,6 @@
 fn garbage_of_every_runner_makes_a_stream_look_complete_or_repeats_events() {
     let (deployment, gateway, runners) = start(&["e1", "e2", "e3"]);
     for (number, content) in NO_EVENTS.into_iter().enumerate() {
-        // A runner that continues has fewer events left than that.
         set_fault(&deployment, &runners, garbage(content, 2, Framing::Connection));
         let (answer, id) = first_stream_at(&deployment, gateway, "e", &format!("a{number}"));
         let runs = deployment.standin.runs(&id);
@@ -192,6 +191,21 @@
     }
 }
 
+#[test]
+fn garbage_at_once_of_the_runner_that_continues_a_stream_reaches_its_caller() {
+    let (deployment, gateway, runners) = start(&["e1", "e2"]);
+    for (number, content) in NO_EVENTS.into_iter().enumerate() {
+        set_fault(&deployment, &runners[..1], garbage(content, 2, Framing::Connection));
+        set_fault(&deployment, &runners[1..], garbage(content, 0, Framing::Connection));
+        let (answer, id) = first_stream_at(&deployment, gateway, "e1", &format!("c{number}"));
+        let runs = deployment.standin.runs(&id);
+        assert!(!answer.is_complete, "{content:?} {answer:?} {runs:?}");
+        assert_eq!(answer.body, events(&id, 2), "{content:?} {runs:?}");
+        clear_fault(&deployment, gateway, runners[0], "e1");
+        clear_fault(&deployment, gateway, runners[1], "e2");
+    }
+}
+
 #[test]
 fn garbage_in_place_of_the_first_event_reaches_the_caller() {
     let (deployment, gateway, runners) = start(&["e1", "e2"]);
