Gateway: an answer counts only if it names its request and is a plain final one

A refusal with the id of another request, or a 421 with one, counted as not run: an unsafe request went to a second runner, or its caller would have got 503 for a request that may run. Answers without an id, with two, or with one that is no text were given to callers as their own; so were a signed 101, a body with a content encoding, and one with a transfer encoding other than chunked, which ends with its connection and was taken for framed. The id is now read first and has to be the request's own and the only one; a refusal alone may have none, since each attempt has a connection of its own. The rest are faults of the head. The three process tests failed before and pass, with 18 others; the runners of the flood tests now give the id back, so that they still flood the gateway with bodies, and these seven pass.

--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use platform::headers::{self, AddedHeaders, ResponseHeaders};
+use platform::headers::{self, AddedHeaders, AnsweredRequest, ResponseHeaders};
 use telemetry::MeasuredDuration;
 use uptime::Instant;
 
@@ -250,8 +250,7 @@
     /// What an answer says about the runner's rate limit. That there is no limit matters only if one is
     /// known, and only if it is the answer to this request.
     fn limit_change(&self, response_headers: &ResponseHeaders) -> Option<AdvertisedLimit> {
-        let is_own =
-            response_headers.id.is_some() && response_headers.id == self.context.request_headers.id;
+        let is_own = matches!(response_headers.request, AnsweredRequest::Named(_));
         let is_limited = || self.core.read(|gateway| gateway.is_limited(&self.target.id));
         match response_headers.limit {
             AdvertisedLimit::Unlimited if !is_own || !is_limited() => None,
@@ -283,17 +282,21 @@
     ) -> AttemptResult {
         let (head, mut body) = answer.into_parts();
         let response_headers = headers::read_response(&head.headers);
+        let refusal = refusal_outcome(head.status, &response_headers);
+        let own_id = self.context.request_headers.id.as_deref();
+        // A refusal may name no request: it came on a connection that has only had this one.
+        let may_be_unnamed = refusal.is_some();
+        let is_own = response_headers.request.is(own_id)
+            || (may_be_unnamed && response_headers.request == AnsweredRequest::Unnamed);
+        if !is_own {
+            return self.malformed("answer", "other_request").into();
+        }
         self.record_notice(self.notice(head.status, &response_headers));
-        if let Some(outcome) = refusal_outcome(head.status, &response_headers) {
+        if let Some(outcome) = refusal {
             return outcome.into();
         }
-        let is_for_other_request =
-            response_headers.id.is_some() && response_headers.id != self.context.request_headers.id;
-        if is_for_other_request {
-            return self.malformed("answer", "other_request").into();
-        }
-        if !response_headers.signed {
-            return self.malformed("answer", "unsigned").into();
+        if let Some(fault) = head_fault(head.status, &response_headers) {
+            return self.malformed("answer", fault).into();
         }
         let headers = headers::without_hop_by_hop(&head.headers);
         if self.context.kind.is_stream() {
@@ -344,6 +347,17 @@
     AttemptOutcome::Malformed
 }
 
+/// Why a head is not that of a runner's final answer, if it is not.
+fn head_fault(status: StatusCode, response_headers: &ResponseHeaders) -> Option<&'static str> {
+    if status.is_informational() {
+        return Some("not_final");
+    }
+    if !response_headers.signed {
+        return Some("unsigned");
+    }
+    response_headers.is_encoded.then_some("encoded")
+}
+
 /// The outcome if the runner refused the request.
 fn refusal_outcome(
     status: StatusCode,
--- a/daemon/tests/deployment/floods.rs
+++ b/daemon/tests/deployment/floods.rs
@@ -29,7 +29,7 @@
 /// The largest part of the processor that a flood may take.
 const MAX_PROCESSOR_SHARE: f64 = 0.5;
 
-const HEAD: &str = "HTTP/1.1 200 OK\r\nresponse-stamp: f1.1\r\n";
+const HEAD: &str = "HTTP/1.1 200 OK\r\nresponse-stamp: f1.1\r\nrequest-id: {id}\r\n";
 const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
 
 /// What a runner sends on each connection, behind the head of a request.
@@ -80,8 +80,10 @@
         let until = Instant::now() + FLOOD_TIME;
         let mut request = [0; 4096];
         connection.set_write_timeout(Some(FLOOD_TIME))?;
-        let _ = connection.read(&mut request)?;
-        connection.write_all(self.start.as_bytes())?;
+        let length = connection.read(&mut request)?;
+        let request = String::from_utf8_lossy(&request[..length]);
+        let id = request.lines().find_map(|it| it.strip_prefix("request-id: ")).unwrap_or("");
+        connection.write_all(self.start.replace("{id}", id).as_bytes())?;
         let mut first = 1;
         while Instant::now() < until {
             connection.write_all(self.parts.batch(first).as_bytes())?;
--- a/daemon/tests/deployment/malformed_answers.rs
+++ b/daemon/tests/deployment/malformed_answers.rs
@@ -261,6 +261,49 @@
     assert!(!metrics.contains("silverdock_malformed_answers_total{"), "{metrics}");
 }
 
+#[test]
+fn a_refusal_of_another_request_is_no_promise_for_this_one() {
+    for status in ["503 Full\r\nnot-executed: 1", "421 Elsewhere"] {
+        let answer = format!("HTTP/1.1 {status}\r\nrequest-id: other\r\ncontent-length: 0\r\n\r\n");
+        let played = play("unsafe", answer);
+        played.assert_failed();
+        played.assert_counted("answer", "other_request");
+    }
+}
+
+#[test]
+fn an_answer_that_does_not_name_its_request_clearly_is_given_to_no_caller() {
+    let without_id = HEAD.replace("request-id: {id}\r\n", "");
+    let with_two_ids = format!("{HEAD}request-id: other\r\n");
+    let with_unreadable_id = HEAD.replace("{id}", "{id}\u{e4}");
+    for head in [without_id, with_two_ids, with_unreadable_id] {
+        let played = play("safe", format!("{head}content-length: 2\r\n\r\nab"));
+        played.assert_served_by_the_other();
+        played.assert_counted("answer", "other_request");
+    }
+}
+
+#[test]
+fn a_head_that_is_not_that_of_a_plain_final_answer_is_given_to_no_caller() {
+    let switching =
+        HEAD.replace("200 OK", "101 Switching") + "upgrade: x\r\nconnection: upgrade\r\n\r\n";
+    let identity = format!("{HEAD}transfer-encoding: identity\r\n\r\n");
+    let gzip_in_chunks =
+        format!("{HEAD}transfer-encoding: gzip, chunked\r\n\r\n1\r\na\r\n0\r\n\r\n");
+    let gzip = format!("{HEAD}content-encoding: gzip\r\ncontent-length: 2\r\n\r\nab");
+    let cases = [
+        (switching, "not_final"),
+        (identity, "encoded"),
+        (gzip_in_chunks, "encoded"),
+        (gzip, "encoded"),
+    ];
+    for (answer, fault) in cases {
+        let played = play("safe", answer);
+        played.assert_served_by_the_other();
+        played.assert_counted("answer", fault);
+    }
+}
+
 #[test]
 fn an_answer_without_a_signature_is_counted_and_given_to_no_caller() {
     let head = HEAD.replace("response-stamp: f1.1\r\n", "");
