Own interface: a row without a tag is no row

A response of the table without an ETag was read as a row with an empty tag: each later write was refused for a condition that no row can meet. The client filled in a missing field.

--- a/components/externals/src/http_platform.rs
+++ b/components/externals/src/http_platform.rs
@@ -33,7 +33,7 @@
         let request = build_request(self.0, Method::Get, &format!("/rows/{key}"))?;
         let response = exchange(self.0, request, SMALL_CALL_TIMEOUT, MAX_SMALL_BODY_BYTES).await?;
         match response.status {
-            200 => Ok(Some(Row { value: response.body, tag: response.etag.unwrap_or_default() })),
+            200 => read_row(response).map(Some),
             404 => Ok(None),
             status => Err(status_error(status)),
         }
@@ -123,6 +123,12 @@
     })
 }
 
+/// Takes a row from a response. Without its tag, no write could refer to it.
+fn read_row(response: HttpResponse) -> Result<Row> {
+    let missing = || Error::new(Code::PlatformUnavailable, "the row has no tag");
+    Ok(Row { tag: response.etag.ok_or_else(missing)?, value: response.body })
+}
+
 fn success_body(response: HttpResponse) -> Result<Vec<u8>> {
     match response.status {
         200..=299 => Ok(response.body),
