Streams: a framed stream without any event is broken off

A runner that ended its stream with a length of zero, or with the last chunk, before the first event gave its caller a 200 that looked complete and had nothing in it; only a body that ends with its connection was checked. An answer without an event now ends a stream only if it continues one and is framed: then it shows that nothing was left. The runner of a framed one is malformed, not crashed, since it sent the end. HEAD and 204 have no events and pass as plain answers.

--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -59,7 +59,8 @@
     /// Forwards the answer.
     pub async fn forward(self) -> Forwarded {
         self.record_start();
-        if self.context.kind.is_stream() && self.answer.status.is_success() {
+        let is_success = self.answer.status.is_success();
+        if self.context.kind.is_stream() && is_success && self.may_have_body() {
             return Forwarded::Answer(self.forward_stream());
         }
         self.forward_plain().await
@@ -144,8 +145,12 @@
     /// Whether an empty body means that the connection ended before it.
     fn needs_body(&self) -> bool {
         let RunnerAnswer { status, ends_with_connection, .. } = &self.answer;
-        let has_none = *status == StatusCode::NO_CONTENT || self.context.method == Method::HEAD;
-        *ends_with_connection && status.is_success() && !has_none
+        *ends_with_connection && status.is_success() && self.may_have_body()
+    }
+
+    /// Whether an answer with this status to a request with this method may have a body.
+    fn may_have_body(&self) -> bool {
+        self.answer.status != StatusCode::NO_CONTENT && self.context.method != Method::HEAD
     }
 
     fn forward_stream(self) -> Response<AnswerBody> {
@@ -258,9 +263,9 @@
                     }
                 }
                 RelayEvent::End => match self.early_end() {
-                    Some(end) => {
+                    Some((end, outcome)) => {
                         self.note_end(end);
-                        self.lose_runner(AttemptOutcome::Cut);
+                        self.lose_runner(outcome);
                     }
                     None => self.finish(),
                 },
@@ -292,14 +297,18 @@
         }
     }
 
-    /// How the answer that has ended was broken off, if it was: within an event, or before its first one by a connection
-    /// whose end alone says that the stream is over.
-    fn early_end(&self) -> Option<StreamEnd> {
+    /// How the answer that has ended was broken off, if it was, and with which outcome: within an event, or without one.
+    /// Only an answer with a length or chunks may continue a stream without an event, since it shows that it is whole.
+    fn early_end(&self) -> Option<(StreamEnd, AttemptOutcome)> {
         if self.reader.has_partial() {
-            return Some(StreamEnd::WithinEvent);
+            return Some((StreamEnd::WithinEvent, AttemptOutcome::Cut));
+        }
+        if self.current.answer.ends_with_connection {
+            let is_empty = !self.reader.has_events();
+            return is_empty.then_some((StreamEnd::WithoutEvent, AttemptOutcome::Cut));
         }
-        let is_empty = self.current.answer.ends_with_connection && !self.reader.has_events();
-        is_empty.then_some(StreamEnd::WithoutEvent)
+        let is_empty = self.reader.last_id().is_none();
+        is_empty.then_some((StreamEnd::WithoutEvent, AttemptOutcome::Malformed))
     }
 
     /// Ends a stream that is complete.
--- a/daemon/tests/deployment/malformed_answers.rs
+++ b/daemon/tests/deployment/malformed_answers.rs
@@ -243,6 +243,15 @@
     assert_eq!(played.answer.body, event);
 }
 
+#[test]
+fn a_stream_without_an_event_looks_complete() {
+    for body in ["content-length: 0\r\n\r\n", "transfer-encoding: chunked\r\n\r\n0\r\n\r\n", "\r\n"]
+    {
+        let played = play("stream", format!("{HEAD}{body}"));
+        assert!(!played.answer.is_complete, "{body:?}: {:?}", played.answer);
+    }
+}
+
 #[test]
 fn garbage_where_the_size_of_a_chunk_is_due_breaks_a_stream_off_and_is_counted() {
     let event = "id: 1\ndata: x\n\n";
