Plain answers: a runner that is silent or dribbles within a body is left and judged

A runner that fell silent within the body of a plain answer (a length of five bytes, two of them sent, the connection open) held its caller to the end of the time limit although another runner was free, and was judged by nobody: the requests that followed at once were sent to it as well. The same held for a body that dribbles. The body was read with no other bound than the deadline.

The read of a body now watches for silence like the wait for a head, by the time since the last bytes. A body of a known length is also watched for a rate at which it cannot be whole in time. As within a stream, the silent runner keeps the request and another one is asked as well; the first that goes on serves the caller, so that a sound runner that pauses while no other one is free still does. A body of no known length that keeps dribbling may be an honest slow one and is read to the deadline. A body that is not whole at the deadline is told to the reducer as a runner that fell silent, also for a request that may not be repeated, which still ends with 504; not so at the end of the process.

The code moves from relay.rs into a module of its own.

--- a/components/edge/src/gateway/attempt.rs
+++ b/components/edge/src/gateway/attempt.rs
@@ -176,10 +176,9 @@
     /// still answer.
     async fn report_silence(&self) -> AttemptOutcome {
         if self.context.kind.is_repeatable() {
-            let target_ms = self.context.target_latency_ms as f64;
-            let silent_ms = ((target_ms * HEAD_SILENCE_FACTOR) as u64).max(MIN_SILENCE_MS);
-            uptime::sleep(Duration::from_millis(silent_ms)).await;
-            self.context.trace.add_silence(&self.target, silent_ms, false);
+            let silence = silence_limit(&self.context);
+            uptime::sleep(silence).await;
+            self.context.trace.add_silence(&self.target, silence.as_millis() as u64, false);
             self.state.stalled.set(true);
             self.core.dispatch(Event::Stalled(self.key));
         }
@@ -330,6 +329,12 @@
     }
 }
 
+/// How long a runner may be silent before the head of an answer, or within a plain one, until another runner is asked.
+pub fn silence_limit(context: &RequestContext) -> Duration {
+    let silent_ms = (context.target_latency_ms as f64 * HEAD_SILENCE_FACTOR) as u64;
+    Duration::from_millis(silent_ms.max(MIN_SILENCE_MS))
+}
+
 /// The outcome if the body of an answer could not be read. `source` is what was read, in the metrics.
 pub fn broken_body_outcome(
     trace: &Trace,
--- a/components/edge/src/gateway/attempts.rs
+++ b/components/edge/src/gateway/attempts.rs
@@ -190,12 +190,21 @@
     }
 
     /// Counts an answer that was accepted, and of which nothing has reached the caller, as a failure.
-    pub fn lose_answer(&mut self, target: &RunnerTarget, outcome: AttemptOutcome) {
+    pub fn lose_answer(
+        &mut self,
+        target: &RunnerTarget,
+        is_stalled: bool,
+        outcome: AttemptOutcome,
+    ) {
         self.may_have_run = true;
         self.error_answer = None;
-        let took_ms = self.context.trace.age_ms();
-        self.context.trace.add_failure(target, outcome, took_ms);
-        self.end(target, false, outcome);
+        self.context.trace.add_failure(target, outcome, self.answer_age_ms());
+        self.end(target, is_stalled, outcome);
+    }
+
+    /// How long the answer that was accepted has taken, in milliseconds.
+    pub fn answer_age_ms(&self) -> u64 {
+        self.context.trace.age_ms()
     }
 
     /// Decides for an answer. All other attempts are dropped.
--- a/components/edge/src/gateway/mod.rs
+++ b/components/edge/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod node;
 mod notice_log;
 mod own_addresses;
+mod plain_answer;
 mod quarantine_record;
 mod readers;
 mod relay;
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -11,16 +11,17 @@
 use gateway::{AttemptOutcome, RunnerTarget};
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Method, Response, StatusCode};
-use http_body::{Body, Frame};
+use http_body::Frame;
 use http_body_util::StreamBody;
 use telemetry::MeasuredDuration;
 
-use super::answer::{error_answer, full_body, AnswerBody};
+use super::answer::AnswerBody;
 use super::attempt::{broken_body_outcome, RunnerAnswer};
 use super::attempts::{AnsweredAttempt, Attempts, AttemptsResult};
 use super::core::Core;
 use super::event_reader::{EventReader, ReadEvents};
-use super::request::{with_request_deadline, RequestContext};
+use super::plain_answer::PlainAnswer;
+use super::request::RequestContext;
 use super::stream_end::StreamEnd;
 use super::trace::RequestEnd;
 
@@ -53,6 +54,8 @@
     Answer(Response<AnswerBody>),
     /// The answer was broken before the caller received any of it. The attempts go on.
     Broken(Attempts),
+    /// It was not whole in time, and the attempts that went on beside it have a result.
+    Replaced(Attempts, AttemptsResult),
 }
 
 impl StartedAnswer {
@@ -63,7 +66,7 @@
         if self.context.kind.is_stream() && is_success && self.may_have_body() {
             return Forwarded::Answer(self.forward_stream());
         }
-        self.forward_plain().await
+        PlainAnswer::new(self).forward().await
     }
 
     /// Records that a runner started to answer.
@@ -77,7 +80,7 @@
     }
 
     /// Records that the answer is complete.
-    fn finish(&self) {
+    pub fn finish(&self) {
         let answer = &self.answer;
         self.attempts.finish(match (answer.status.is_success(), answer.ends_with_connection) {
             (true, false) => AttemptOutcome::Finished,
@@ -90,66 +93,8 @@
         self.context.trace.end(RequestEnd::Complete, self.answer.status.as_u16(), None);
     }
 
-    /// Buffers a plain answer until it is complete, so that the caller never receives a truncated one.
-    async fn forward_plain(mut self) -> Forwarded {
-        let max_bytes = self.context.caller.limits().answer;
-        if self.answer.body.size_hint().lower() > max_bytes as u64 {
-            return Forwarded::Answer(self.fail_too_large());
-        }
-        let RunnerAnswer { connection, body, .. } = &mut self.answer;
-        let collecting = connection.collect(body, max_bytes);
-        let collected =
-            with_request_deadline(&self.core, self.context.answer_deadline, collecting).await;
-        let Some(collected) = collected else {
-            self.context.trace.end(RequestEnd::Unknown, 504, Some(Code::TimedOut));
-            let id = self.context.request_headers.id.as_deref();
-            let answer = error_answer(StatusCode::GATEWAY_TIMEOUT, id, Code::TimedOut);
-            return Forwarded::Answer(answer);
-        };
-        match self.check_body(collected) {
-            Ok(text) => {
-                self.finish();
-                let answer = answer_with(full_body(text), self.answer.status, self.answer.headers);
-                Forwarded::Answer(answer)
-            }
-            Err(outcome) => {
-                self.attempts.lose_answer(&self.target, outcome);
-                Forwarded::Broken(self.attempts)
-            }
-        }
-    }
-
-    /// Ends a request whose answer has a length above the limit. Its runner is not at fault, and another one would send
-    /// as much.
-    fn fail_too_large(&self) -> Response<AnswerBody> {
-        self.context.trace.end(RequestEnd::Unknown, 502, Some(Code::TooLarge));
-        let id = self.context.request_headers.id.as_deref();
-        error_answer(StatusCode::BAD_GATEWAY, id, Code::CutShort)
-    }
-
-    /// The body of a plain answer if it is whole, or how it is broken.
-    fn check_body(
-        &self,
-        collected: Result<Vec<u8>>,
-    ) -> std::result::Result<Vec<u8>, AttemptOutcome> {
-        match collected {
-            Ok(text) if text.is_empty() && self.needs_body() => Err(AttemptOutcome::Cut),
-            Ok(text) => Ok(text),
-            Err(error) => {
-                let trace = &self.context.trace;
-                Err(broken_body_outcome(trace, &self.target, "answer", &error))
-            }
-        }
-    }
-
-    /// Whether an empty body means that the connection ended before it.
-    fn needs_body(&self) -> bool {
-        let RunnerAnswer { status, ends_with_connection, .. } = &self.answer;
-        *ends_with_connection && status.is_success() && self.may_have_body()
-    }
-
     /// Whether an answer with this status to a request with this method may have a body.
-    fn may_have_body(&self) -> bool {
+    pub fn may_have_body(&self) -> bool {
         self.answer.status != StatusCode::NO_CONTENT && self.context.method != Method::HEAD
     }
 
@@ -186,7 +131,7 @@
 
 /// An answer with the status and headers of a runner's answer. The length header is removed, since a stream
 /// may resume at another runner.
-fn answer_with(
+pub fn answer_with(
     body: AnswerBody,
     status: StatusCode,
     mut headers: HeaderMap,
--- a/components/edge/src/gateway/request.rs
+++ b/components/edge/src/gateway/request.rs
@@ -349,9 +349,9 @@
 ) -> Response<AnswerBody> {
     let deadline = context.answer_deadline;
     let mut attempts = Attempts::new(core.clone(), context.clone(), handle);
+    let mut result = with_request_deadline(&core, deadline, attempts.next(None)).await;
     loop {
-        let next = with_request_deadline(&core, deadline, attempts.next(None)).await;
-        let answered = match next {
+        let answered = match result {
             None => return deadline_expired(&context, attempts.may_have_run()),
             Some(AttemptsResult::Refused { code, retry_after_ms, service_state }) => {
                 context.trace.refuse(503, code, Some(retry_after_ms), service_state);
@@ -364,11 +364,20 @@
         };
         attempts.accept(&answered);
         let AnsweredAttempt { target, answer, .. } = answered;
-        let (core, context) = (core.clone(), context.clone());
-        let started = StartedAnswer { core, context, attempts, target, answer };
-        attempts = match started.forward().await {
+        let started = StartedAnswer {
+            core: core.clone(),
+            context: context.clone(),
+            attempts,
+            target,
+            answer,
+        };
+        (attempts, result) = match started.forward().await {
             Forwarded::Answer(answer) => return answer,
-            Forwarded::Broken(attempts) => attempts,
+            Forwarded::Broken(mut attempts) => {
+                let next = with_request_deadline(&core, deadline, attempts.next(None)).await;
+                (attempts, next)
+            }
+            Forwarded::Replaced(attempts, result) => (attempts, Some(result)),
         };
     }
 }
--- a/daemon/tests/deployment/malformed_answers.rs
+++ b/daemon/tests/deployment/malformed_answers.rs
@@ -4,9 +4,10 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 use http::Method;
-use platform_standin::{Answer, Caller, RunnerStandin};
+use platform_standin::{Answer, Caller, RunnerFault, RunnerStandin};
 use serde_json::json;
 
 use crate::floods::add_route;
@@ -21,20 +22,59 @@
 const ERROR_HEAD: &str = "HTTP/1.1 500 Failed\r\nresponse-stamp: f1.1\r\nrequest-id: {id}\r\n";
 const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
 
-/// A runner that sends the same bytes on each connection and closes it.
+/// The pause between the bytes of a runner that dribbles.
+const DRIBBLE_PAUSE: Duration = Duration::from_millis(100);
+/// Longer than a gateway waits for the next bytes of a plain answer before it asks another runner.
+const PAUSE: Duration = Duration::from_millis(1100);
+
+/// What a runner does behind the bytes that it sends on a connection.
+#[derive(Clone, Copy, Debug)]
+enum Ending {
+    /// It closes the connection.
+    Close,
+    /// It leaves the connection open.
+    Hang,
+    /// It sends single bytes with pauses.
+    Dribble,
+    /// It sends the rest after a pause.
+    GoOn(&'static str),
+}
+
+impl Ending {
+    fn play(self, mut connection: TcpStream) -> std::io::Result<()> {
+        match self {
+            Self::Close => connection.shutdown(Shutdown::Write),
+            Self::Hang => {
+                // The connection ends with the test.
+                std::mem::forget(connection);
+                Ok(())
+            }
+            Self::Dribble => loop {
+                thread::sleep(DRIBBLE_PAUSE);
+                connection.write_all(b"x")?;
+            },
+            Self::GoOn(rest) => {
+                thread::sleep(PAUSE);
+                connection.write_all(rest.as_bytes())
+            }
+        }
+    }
+}
+
+/// A runner that sends the same bytes on each connection.
 #[derive(Clone)]
 struct BrokenRunner {
     /// `{id}` stands for the id of the request.
     answer: String,
-    /// Whether it leaves its connections open behind the answer.
-    hangs: bool,
+    /// What it does behind the answer.
+    ending: Ending,
     /// The ids of the requests that it received.
     requests: Arc<Mutex<Vec<String>>>,
 }
 
 impl BrokenRunner {
-    fn start(address: SocketAddr, answer: String, hangs: bool) -> Self {
-        let runner = Self { answer, hangs, requests: Arc::default() };
+    fn start(address: SocketAddr, answer: String, ending: Ending) -> Self {
+        let runner = Self { answer, ending, requests: Arc::default() };
         let (listener, serving) = (TcpListener::bind(address).unwrap(), runner.clone());
         thread::spawn(move || {
             for connection in listener.incoming().flatten() {
@@ -51,12 +91,9 @@
         let id = request.lines().find_map(|it| it.strip_prefix("request-id: ")).unwrap_or("");
         self.requests.lock().unwrap().push(id.to_owned());
         connection.write_all(self.answer.replace("{id}", id).as_bytes())?;
-        if self.hangs {
-            // The connection ends with the test.
-            std::mem::forget(connection);
-            return Ok(());
-        }
-        connection.shutdown(Shutdown::Write)
+        let ending = self.ending;
+        thread::spawn(move || ending.play(connection));
+        Ok(())
     }
 
     fn has_received(&self, id: &str) -> bool {
@@ -68,6 +105,7 @@
 struct Played {
     deployment: Deployment,
     gateway: SocketAddr,
+    broken: BrokenRunner,
     id: String,
     answer: Answer,
 }
@@ -84,6 +122,16 @@
         assert!(self.deployment.standin.runs(&self.id).is_empty(), "it isn't repeated");
     }
 
+    /// The requests that follow at once are served, and not by the broken runner.
+    fn assert_left_alone(&self) {
+        for number in 0..4 {
+            let id = format!("next-{number}");
+            let answer = Caller::new(Method::GET, "/flooded/x", &id).call(self.gateway);
+            assert_eq!(answer.status, 200, "{answer:?}");
+            assert!(!self.broken.has_received(&id), "{id} is sent to the broken runner");
+        }
+    }
+
     fn assert_counted(&self, source: &str, fault: &str) {
         let metrics = self.deployment.metrics(self.gateway.ip());
         let name = "silverdock_malformed_answers_total";
@@ -105,15 +153,15 @@
 
 /// Sends requests to a route of this kind until the broken runner has received one.
 fn play(kind: &str, answer: String) -> Played {
-    play_with(kind, answer, false)
+    play_with(kind, answer, Ending::Close)
 }
 
-fn play_with(kind: &str, answer: String, hangs: bool) -> Played {
+fn play_with(kind: &str, answer: String, ending: Ending) -> Played {
     let mut deployment = Deployment::start();
     let gateway = deployment.add_gateway();
     deployment.wait_until_ready(gateway);
     let address = |machine| SocketAddr::new(machine_address(gateway, machine), RUNNER_PORT);
-    let broken = BrokenRunner::start(address(BROKEN_MACHINE), answer, hangs);
+    let broken = BrokenRunner::start(address(BROKEN_MACHINE), answer, ending);
     let working = RunnerStandin::plain("g1", "flooded", "a");
     deployment.standin.add_runner(address(WORKING_MACHINE), working);
     let entry = json!({
@@ -135,7 +183,7 @@
         received.is_some()
     });
     let (id, answer) = received.unwrap();
-    Played { deployment, gateway, id, answer }
+    Played { deployment, gateway, broken, id, answer }
 }
 
 #[test]
@@ -176,7 +224,8 @@
 
 #[test]
 fn a_runner_that_is_silent_within_an_error_answer_does_not_hold_a_safe_request() {
-    let played = play_with("safe", format!("{ERROR_HEAD}content-length: 5\r\n\r\nab"), true);
+    let played =
+        play_with("safe", format!("{ERROR_HEAD}content-length: 5\r\n\r\nab"), Ending::Hang);
     played.assert_served_by_the_other();
 }
 
@@ -320,3 +369,60 @@
     played.assert_served_by_the_other();
     played.assert_counted("answer", "unsigned");
 }
+
+#[test]
+fn a_runner_that_is_silent_within_a_plain_answer_does_not_hold_a_safe_request() {
+    let answer = format!("{HEAD}content-length: 5\r\n\r\nab");
+    let played = play_with("safe", answer, Ending::Hang);
+    played.assert_served_by_the_other();
+    played.assert_left_alone();
+}
+
+#[test]
+fn a_runner_that_dribbles_a_plain_answer_does_not_hold_a_safe_request() {
+    let answer = format!("{HEAD}content-length: 1000\r\n\r\nab");
+    let played = play_with("safe", answer, Ending::Dribble);
+    played.assert_served_by_the_other();
+    played.assert_left_alone();
+}
+
+#[test]
+fn a_runner_that_dribbles_an_answer_of_no_length_past_its_time_limit_gets_no_more_requests() {
+    let played = play_with("safe", format!("{HEAD}\r\nab"), Ending::Dribble);
+    assert_eq!(played.answer.status, 504, "{:?}", played.answer);
+    played.assert_left_alone();
+}
+
+#[test]
+fn a_runner_that_is_silent_within_the_answer_to_an_unsafe_request_gets_no_more_requests() {
+    let answer = format!("{HEAD}content-length: 5\r\n\r\nab");
+    let played = play_with("unsafe", answer, Ending::Hang);
+    assert_eq!(played.answer.status, 504, "{:?}", played.answer);
+    assert!(played.deployment.standin.runs(&played.id).is_empty(), "it isn't repeated");
+    played.assert_left_alone();
+}
+
+#[test]
+fn a_plain_answer_that_arrives_slowly_and_in_time_is_not_repeated() {
+    let answer = format!("{HEAD}content-length: 12\r\n\r\nab");
+    let played = play_with("safe", answer, Ending::Dribble);
+    assert_eq!(played.answer.body, format!("ab{}", "x".repeat(10)), "{:?}", played.answer);
+    assert!(played.deployment.standin.runs(&played.id).is_empty(), "it isn't repeated");
+}
+
+#[test]
+fn a_plain_answer_survives_a_pause_within_its_body_without_another_runner() {
+    let answer = format!("{HEAD}content-length: 5\r\n\r\nab");
+    let played = play_with("safe", answer, Ending::GoOn("cde"));
+    let working = SocketAddr::new(machine_address(played.gateway, WORKING_MACHINE), RUNNER_PORT);
+    played.deployment.standin.change_runner(working, |it| it.fault = RunnerFault::RejectAll);
+    let mut number = 0;
+    wait_until("the runner that pauses receives a request", || {
+        number += 1;
+        let id = format!("pause-{number}");
+        let answer = Caller::new(Method::GET, "/flooded/x", &id).call(played.gateway);
+        let is_received = played.broken.has_received(&id);
+        assert!(!is_received || answer.body == "abcde", "{answer:?}");
+        is_received
+    });
+}
