Account: a broken answer took the time of its own attempt, not the age of the request

An attempt that fails before its answer is accepted is recorded with the time since it was started, one whose accepted answer is broken with the age of the whole request. The account then held the time that earlier attempts and the queue took against the runner that came last.

The attempts keep when the one was started whose answer was accepted, and both ways of failing mean the same. The failures that a stream records on its way still carry the age of the request.

--- a/components/edge/src/gateway/attempts.rs
+++ b/components/edge/src/gateway/attempts.rs
@@ -26,6 +26,8 @@
     in_progress: Vec<AttemptInProgress>,
     /// How many were started.
     started: u32,
+    /// Age of the request when the attempt was started whose answer was accepted last, in milliseconds.
+    accepted_ms: u64,
     /// Whether an attempt that has ended may have run the request.
     may_have_run: bool,
     /// The error answer of the runner whose attempt ended last.
@@ -86,6 +88,7 @@
             handle,
             in_progress: Vec::new(),
             started: 0,
+            accepted_ms: 0,
             may_have_run: false,
             error_answer: None,
         }
@@ -202,13 +205,14 @@
         self.end(target, is_stalled, outcome);
     }
 
-    /// How long the answer that was accepted has taken, in milliseconds.
+    /// Time since the attempt was started whose answer was accepted last, in milliseconds.
     pub fn answer_age_ms(&self) -> u64 {
-        self.context.trace.age_ms()
+        self.context.trace.age_ms() - self.accepted_ms
     }
 
     /// Decides for an answer. All other attempts are dropped.
     pub fn accept(&mut self, answered: &AnsweredAttempt) {
+        self.accepted_ms = answered.started_ms;
         if answered.state.is_stalled() {
             self.keep(&answered.target);
         } else {
--- a/daemon/tests/deployment/malformed_answers.rs
+++ b/daemon/tests/deployment/malformed_answers.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use account::Decision;
 use http::Method;
 use platform_standin::{Answer, Caller, RunnerFault, RunnerStandin};
 use serde_json::json;
@@ -17,6 +18,8 @@
 /// Machines of the broken runner and of the one that works.
 const BROKEN_MACHINE: u8 = 41;
 const WORKING_MACHINE: u8 = 42;
+/// Machine of a second broken runner.
+const SECOND_MACHINE: u8 = 43;
 const RUNNER_PORT: u16 = 8001;
 const HEAD: &str = "HTTP/1.1 200 OK\r\nresponse-stamp: f1.1\r\nrequest-id: {id}\r\n";
 const ERROR_HEAD: &str = "HTTP/1.1 500 Failed\r\nresponse-stamp: f1.1\r\nrequest-id: {id}\r\n";
@@ -164,11 +167,7 @@
     let broken = BrokenRunner::start(address(BROKEN_MACHINE), answer, ending);
     let working = RunnerStandin::plain("g1", "flooded", "a");
     deployment.standin.add_runner(address(WORKING_MACHINE), working);
-    let entry = json!({
-        "service": "flooded", "address": address(BROKEN_MACHINE), "zone": "a", "version": "v1",
-        "slots": 16, "state": "ready", "coldRemainingMs": 0, "sequence": 0,
-    });
-    deployment.standin.write_row("servers", "f1", entry);
+    deployment.standin.write_row("servers", "f1", entry(address(BROKEN_MACHINE)));
     deployment.standin.reconfigure(|it| add_route(it, kind));
     let mut number = 0;
     let mut received = None;
@@ -186,6 +185,14 @@
     Played { deployment, gateway, broken, id, answer }
 }
 
+/// The row of a broken runner.
+fn entry(address: SocketAddr) -> serde_json::Value {
+    json!({
+        "service": "flooded", "address": address, "zone": "a", "version": "v1", "slots": 16,
+        "state": "ready", "coldRemainingMs": 0, "sequence": 0,
+    })
+}
+
 #[test]
 fn garbage_in_place_of_an_answer_is_counted_and_another_runner_serves_the_request() {
     let played = play("safe", "%% garbage\r\n\r\n".into());
@@ -426,3 +433,31 @@
         is_received
     });
 }
+
+/// The first runner is silent until the second one is asked, whose answer is cut short at once.
+#[test]
+fn the_time_that_a_broken_answer_took_is_counted_from_its_own_attempt() {
+    let body = "content-length: 5\r\n\r\nab";
+    let played = play_with("safe", format!("{HEAD}{body}"), Ending::Hang);
+    let Played { deployment, gateway, .. } = &played;
+    let address = |machine| SocketAddr::new(machine_address(*gateway, machine), RUNNER_PORT);
+    let (working, second) = (address(WORKING_MACHINE), address(SECOND_MACHINE));
+    deployment.standin.change_runner(working, |it| it.fault = RunnerFault::RejectAll);
+    BrokenRunner::start(second, format!("{HEAD}{body}").replace("f1", "f2"), Ending::Close);
+    deployment.standin.write_row("servers", "f2", entry(second));
+    let (mut number, mut took) = (0, None);
+    wait_until("the second runner is asked after a silence of the first one", || {
+        number += 1;
+        let id = format!("both-{number}");
+        Caller::new(Method::GET, "/flooded/x", &id).call(*gateway);
+        let lines = deployment.account(&id).lines;
+        let decisions = lines.iter().map(|it| &it.decision);
+        let mut after = decisions.skip_while(|it| !matches!(it, Decision::Silent { .. }));
+        took = after.find_map(|it| match it {
+            Decision::Failed { runner, took_ms, .. } if runner == "f2" => Some(*took_ms),
+            _ => None,
+        });
+        took.is_some()
+    });
+    assert!(took < Some(PAUSE.as_millis() as u64 / 2), "{took:?}");
+}
