Listings: a table without end fails at a bound and does not fill the memory

A listing kept every page, of up to 8 MB each, for as long as the server said that there are more rows and its keys rose. A store or a reader in trouble could thus fill the memory of a process, which lists at its start and after outages.

The bytes of a listing are bounded at 64 MiB in all, more than 600 runners with rows of 64 KiB take; above it the listing fails as any other one does, and what is known stays in force.

--- a/components/edge/src/listing.rs
+++ b/components/edge/src/listing.rs
@@ -23,6 +23,8 @@
 /// The longest pause within an answer. A large configuration may take seconds on a narrow link that others
 /// use too.
 pub const MAX_ANSWER_PAUSE: Duration = Duration::from_millis(900);
+/// The largest listing, in bytes of its pages.
+const MAX_LISTING_BYTES: u64 = 64 << 20;
 /// The most unreadable rows that are logged, each with its key and the reason.
 const MAX_LOGGED_FAULTS: usize = 256;
 
@@ -50,7 +52,7 @@
     pub age: Option<ReportedAge>,
 }
 
-/// Lists a complete table. The listing fails if its pages are of different eras.
+/// Lists a complete table. The listing fails if its pages are of different eras, or larger in all than allowed.
 pub async fn list(
     client: &mut HttpClient,
     table: Table,
@@ -76,10 +78,15 @@
         Self { started: Instant::now(), pages: 0, bytes: 0 }
     }
 
-    fn count(&mut self, table: Table, bytes: usize, metrics: &Metrics) {
+    /// Counts a page. It is an error if the listing is now larger than allowed.
+    fn count(&mut self, table: Table, bytes: usize, metrics: &Metrics) -> Result<()> {
         self.pages += 1;
         self.bytes += bytes as u64;
         metrics.count_store_bytes(call_name(table), "listing", bytes as u64);
+        if self.bytes > MAX_LISTING_BYTES {
+            return Err(Error::new(Code::TooLarge, "the table is too large"));
+        }
+        Ok(())
     }
 
     fn log(&self, table: Table, fault: Option<&Error>) {
@@ -111,7 +118,7 @@
         let era = era.record(&answer.headers)?;
         let age = read_age(&answer.headers);
         let body = answer.success()?;
-        cost.count(table, body.len(), metrics);
+        cost.count(table, body.len(), metrics)?;
         let page = store::read(table, &body)?;
         let has_more = cursor.advance(&page)?;
         pages.push(body);
@@ -173,3 +180,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
