--- a/daemon/tests/deployment/main.rs
+++ b/daemon/tests/deployment/main.rs
@@ -1,5 +1,6 @@
 //! Tests of gateways and sidecars as processes, with a stand-in of the users' platform.
 
+mod broken_runner;
 mod configuration_changes;
 mod crash_parts;
 mod crashes;
--- a/daemon/tests/deployment/malformed_answers.rs
+++ b/daemon/tests/deployment/malformed_answers.rs
@@ -1,198 +1,22 @@
 //! Tests of a runner whose plain answers are broken, at a gateway as a process.
 
-use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
-use std::thread;
-use std::time::Duration;
+use std::net::SocketAddr;
 
 use account::Decision;
 use http::Method;
-use platform_standin::{Answer, Caller, RunnerFault, RunnerStandin};
-use serde_json::json;
+use platform_standin::{Caller, RunnerFault};
 
-use crate::floods::add_route;
+use crate::broken_runner::{
+    entry, play, play_with, BrokenRunner, Ending, Played, HEAD, PAUSE, RUNNER_PORT, WORKING_MACHINE,
+};
 use crate::machine_address;
-use crate::support::{wait_until, Deployment};
+use crate::support::wait_until;
 
-/// Machines of the broken runner and of the one that works.
-const BROKEN_MACHINE: u8 = 41;
-const WORKING_MACHINE: u8 = 42;
 /// Machine of a second broken runner.
 const SECOND_MACHINE: u8 = 43;
-const RUNNER_PORT: u16 = 8001;
-const HEAD: &str = "HTTP/1.1 200 OK\r\nresponse-stamp: f1.1\r\nrequest-id: {id}\r\n";
 const ERROR_HEAD: &str = "HTTP/1.1 500 Failed\r\nresponse-stamp: f1.1\r\nrequest-id: {id}\r\n";
 const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
 
-/// The pause between the bytes of a runner that dribbles.
-const DRIBBLE_PAUSE: Duration = Duration::from_millis(100);
-/// Longer than a gateway waits for the next bytes of a plain answer before it asks another runner.
-const PAUSE: Duration = Duration::from_millis(1100);
-
-/// What a runner does behind the bytes that it sends on a connection.
-#[derive(Clone, Copy, Debug)]
-enum Ending {
-    /// It closes the connection.
-    Close,
-    /// It leaves the connection open.
-    Hang,
-    /// It sends single bytes with pauses.
-    Dribble,
-    /// It sends the rest after a pause.
-    GoOn(&'static str),
-}
-
-impl Ending {
-    fn play(self, mut connection: TcpStream) -> std::io::Result<()> {
-        match self {
-            Self::Close => connection.shutdown(Shutdown::Write),
-            Self::Hang => {
-                // The connection ends with the test.
-                std::mem::forget(connection);
-                Ok(())
-            }
-            Self::Dribble => loop {
-                thread::sleep(DRIBBLE_PAUSE);
-                connection.write_all(b"x")?;
-            },
-            Self::GoOn(rest) => {
-                thread::sleep(PAUSE);
-                connection.write_all(rest.as_bytes())
-            }
-        }
-    }
-}
-
-/// A runner that sends the same bytes on each connection.
-#[derive(Clone)]
-struct BrokenRunner {
-    /// `{id}` stands for the id of the request.
-    answer: String,
-    /// What it does behind the answer.
-    ending: Ending,
-    /// The ids of the requests that it received.
-    requests: Arc<Mutex<Vec<String>>>,
-}
-
-impl BrokenRunner {
-    fn start(address: SocketAddr, answer: String, ending: Ending) -> Self {
-        let runner = Self { answer, ending, requests: Arc::default() };
-        let (listener, serving) = (TcpListener::bind(address).unwrap(), runner.clone());
-        thread::spawn(move || {
-            for connection in listener.incoming().flatten() {
-                let _ = serving.answer(connection);
-            }
-        });
-        runner
-    }
-
-    fn answer(&self, mut connection: TcpStream) -> std::io::Result<()> {
-        let mut request = vec![0; 4096];
-        let length = connection.read(&mut request)?;
-        let request = String::from_utf8_lossy(&request[..length]).into_owned();
-        let id = request.lines().find_map(|it| it.strip_prefix("request-id: ")).unwrap_or("");
-        self.requests.lock().unwrap().push(id.to_owned());
-        connection.write_all(self.answer.replace("{id}", id).as_bytes())?;
-        let ending = self.ending;
-        thread::spawn(move || ending.play(connection));
-        Ok(())
-    }
-
-    fn has_received(&self, id: &str) -> bool {
-        self.requests.lock().unwrap().iter().any(|it| it == id)
-    }
-}
-
-/// What became of the first request that a broken runner received.
-struct Played {
-    deployment: Deployment,
-    gateway: SocketAddr,
-    broken: BrokenRunner,
-    id: String,
-    answer: Answer,
-}
-
-impl Played {
-    fn assert_served_by_the_other(&self) {
-        assert_eq!(self.answer.status, 200, "{:?}", self.answer);
-        assert_eq!(self.answer.body, format!("flooded {}", self.id));
-        assert_eq!(self.deployment.standin.runs(&self.id).len(), 1);
-    }
-
-    fn assert_failed(&self) {
-        assert_eq!(self.answer.status, 502, "{:?}", self.answer);
-        assert!(self.deployment.standin.runs(&self.id).is_empty(), "it isn't repeated");
-    }
-
-    /// The requests that follow at once are served, and not by the broken runner.
-    fn assert_left_alone(&self) {
-        for number in 0..4 {
-            let id = format!("next-{number}");
-            let answer = Caller::new(Method::GET, "/flooded/x", &id).call(self.gateway);
-            assert_eq!(answer.status, 200, "{answer:?}");
-            assert!(!self.broken.has_received(&id), "{id} is sent to the broken runner");
-        }
-    }
-
-    fn assert_counted(&self, source: &str, fault: &str) {
-        let metrics = self.deployment.metrics(self.gateway.ip());
-        let name = "silverdock_malformed_answers_total";
-        let labels = [format!("source=\"{source}\""), format!("fault=\"{fault}\"")];
-        let is_counted = |line: &str| {
-            line.starts_with(name) && labels.iter().all(|it| line.contains(it.as_str()))
-        };
-        assert!(metrics.lines().any(is_counted), "{source} {fault} isn't counted\n{metrics}");
-        let log = self.deployment.log(self.gateway.ip());
-        let names_all = |line: &str| {
-            line.contains("no answer") && line.contains(&self.id) && line.contains("\"f1\"")
-        };
-        assert!(
-            log.lines().any(names_all),
-            "the log doesn't name the request and the runner\n{log}"
-        );
-    }
-}
-
-/// Sends requests to a route of this kind until the broken runner has received one.
-fn play(kind: &str, answer: String) -> Played {
-    play_with(kind, answer, Ending::Close)
-}
-
-fn play_with(kind: &str, answer: String, ending: Ending) -> Played {
-    let mut deployment = Deployment::start();
-    let gateway = deployment.add_gateway();
-    deployment.wait_until_ready(gateway);
-    let address = |machine| SocketAddr::new(machine_address(gateway, machine), RUNNER_PORT);
-    let broken = BrokenRunner::start(address(BROKEN_MACHINE), answer, ending);
-    let working = RunnerStandin::plain("g1", "flooded", "a");
-    deployment.standin.add_runner(address(WORKING_MACHINE), working);
-    deployment.standin.write_row("servers", "f1", entry(address(BROKEN_MACHINE)));
-    deployment.standin.reconfigure(|it| add_route(it, kind));
-    let mut number = 0;
-    let mut received = None;
-    wait_until("the broken runner receives a request", || {
-        number += 1;
-        let id = format!("m{number}");
-        let method = if kind == "safe" { Method::GET } else { Method::POST };
-        let answer = Caller::new(method, "/flooded/x", &id).call(gateway);
-        if broken.has_received(&id) {
-            received = Some((id, answer));
-        }
-        received.is_some()
-    });
-    let (id, answer) = received.unwrap();
-    Played { deployment, gateway, broken, id, answer }
-}
-
-/// The row of a broken runner.
-fn entry(address: SocketAddr) -> serde_json::Value {
-    json!({
-        "service": "flooded", "address": address, "zone": "a", "version": "v1", "slots": 16,
-        "state": "ready", "coldRemainingMs": 0, "sequence": 0,
-    })
-}
-
 #[test]
 fn garbage_in_place_of_an_answer_is_counted_and_another_runner_serves_the_request() {
     let played = play("safe", "%% garbage\r\n\r\n".into());
