Test: a plain answer that is not whole in time is no crash of its runner

A guard, not a fault: a runner that is silent within a plain body at the deadline is told to the reducer as one that fell silent, and a reader feared that a harmless request would so come into quarantine.

--- a/daemon/tests/deployment/malformed_answers.rs
+++ b/daemon/tests/deployment/malformed_answers.rs
@@ -233,6 +233,16 @@
     played.assert_left_alone();
 }
 
+#[test]
+fn a_plain_answer_that_is_not_whole_in_time_counts_as_a_crash_of_its_runner() {
+    let answer = format!("{HEAD}content-length: 5\r\n\r\nab");
+    let played = play_with("unsafe", answer, Ending::Hang);
+    // The gateway takes a runner for crashed that is not heard of meanwhile.
+    std::thread::sleep(2 * PAUSE);
+    let metrics = played.deployment.metrics(played.gateway.ip());
+    assert!(!metrics.contains("silverdock_crashes_total{"), "{metrics}");
+}
+
 #[test]
 fn a_plain_answer_that_arrives_slowly_and_in_time_is_not_repeated() {
     let answer = format!("{HEAD}content-length: 12\r\n\r\nab");
