Plain answers: one that is not whole in time is no sign of a crash

At the deadline a runner that was silent within a plain body was told to the reducer as one that fell silent, which suspects its request of a crash; a plain service is heard of only by its answers, so three such answers could bring a harmless request into quarantine. The outcome is now Malformed, which pauses the runner and suspects nothing. The guard and six tests of silent and dribbling runners pass in three plays.

--- a/components/edge/src/gateway/plain_answer.rs
+++ b/components/edge/src/gateway/plain_answer.rs
@@ -186,7 +186,8 @@
     fn fail_late(mut self) -> Response<AnswerBody> {
         let StartedAnswer { core, attempts, context, target, .. } = &mut self.current;
         if !core.stop.is_over() {
-            attempts.lose_answer(target, self.stalled, AttemptOutcome::FellSilent);
+            // Its connection is open, so this is no sign of a crash.
+            attempts.lose_answer(target, self.stalled, AttemptOutcome::Malformed);
         }
         context.trace.end(RequestEnd::Unknown, 504, Some(Code::TimedOut));
         let id = context.request_headers.id.as_deref();
