Streams: an event may take an eighth of the buffered bytes, and counts among them

Since only whole events are passed on, an event larger than the limit of a plain answer (512 KB of 128 MB) was broken off, where it had been passed on in pieces before; two tests with events of 2 MB had been given more memory for that. And the parts of events that wait for their end were not accounted for, so many runners that send no end could take more than the process has. The limit is now an eighth of the bytes that the process may buffer, and incomplete events count among these; without room for one its stream ends as malformed.

--- a/components/edge/src/caller.rs
+++ b/components/edge/src/caller.rs
@@ -244,6 +244,11 @@
         self.callers.0.buffers.borrow_mut().reserve_body(self.id, bytes)
     }
 
+    /// Accounts for the bytes of an event that is not complete.
+    pub fn reserve_event(&self, bytes: usize) -> Result<(), NoMemory> {
+        self.callers.0.buffers.borrow_mut().reserve_event(self.id, bytes)
+    }
+
     /// Releases the body of the request.
     pub fn release_body(&self) {
         self.callers.0.buffers.borrow_mut().release_body(self.id);
--- a/components/edge/src/caller_buffers.rs
+++ b/components/edge/src/caller_buffers.rs
@@ -1,5 +1,5 @@
-//! Accounting of the bytes that a process buffers for callers: request bodies and answers that are not read
-//! yet.
+//! Accounting of the bytes that a process buffers for callers: request bodies, events that are not complete, and
+//! answers that are not read yet.
 //!
 //! A decision without I/O: which connections are closed when the buffered bytes exceed their share of the
 //! memory.
@@ -12,6 +12,8 @@
 const MEMORY_DIVISOR: u64 = 4;
 /// A single answer may take 1/64 of the bytes that the process may buffer.
 const ANSWER_DIVISOR: usize = 64;
+/// An event of a stream may take 1/8 of them.
+const EVENT_DIVISOR: usize = 8;
 /// 1/4 of the limit of an answer is buffered ahead of its reader.
 const READ_AHEAD_DIVISOR: usize = 4;
 /// The smallest buffer, in bytes: the head of a request has to fit.
@@ -24,6 +26,8 @@
     pub process: usize,
     /// For one answer.
     pub answer: usize,
+    /// For one event of a stream.
+    pub event: usize,
     /// Ahead of the reader of an answer that is still being produced.
     pub read_ahead: usize,
 }
@@ -36,6 +40,7 @@
         Self {
             process,
             answer,
+            event: process / EVENT_DIVISOR,
             read_ahead: (answer / READ_AHEAD_DIVISOR).max(MIN_READ_AHEAD_BYTES),
         }
     }
@@ -50,6 +55,8 @@
 struct BufferedBytes {
     /// Bytes of the request's body.
     body: usize,
+    /// Bytes of an event that is not complete.
+    event: usize,
     /// Bytes of the answer that are not read yet.
     unread: usize,
     /// Bytes read since the answer last had unread bytes after none.
@@ -59,6 +66,10 @@
 }
 
 impl BufferedBytes {
+    fn total(&self) -> usize {
+        self.body + self.event + self.unread
+    }
+
     fn age_ms(&self, now: Millis) -> u64 {
         now.since(self.unread_since).0
     }
@@ -82,7 +93,7 @@
     pub age_ms: u64,
 }
 
-/// There is no memory for the body of a request.
+/// There is no memory for the body of a request, or for an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoMemory;
 
@@ -122,7 +133,7 @@
     /// Removes a connection and the bytes that were buffered for it.
     pub fn close(&mut self, id: ConnectionId) {
         if let Some(buffered) = self.connections.remove(&id) {
-            self.total -= buffered.body + buffered.unread;
+            self.total -= buffered.total();
         }
     }
 
@@ -145,6 +156,21 @@
         }
     }
 
+    /// Accounts for the bytes of an event that is not complete, in place of those before, unless there is no memory for
+    /// them.
+    pub fn reserve_event(&mut self, id: ConnectionId, bytes: usize) -> Result<(), NoMemory> {
+        let Some(buffered) = self.connections.get_mut(&id) else {
+            return Ok(());
+        };
+        self.total -= std::mem::take(&mut buffered.event);
+        if self.total + bytes > self.limits.process {
+            return Err(NoMemory);
+        }
+        buffered.event = bytes;
+        self.total += bytes;
+        Ok(())
+    }
+
     /// Accounts for bytes of an answer until they are read. Returns the connections that are closed to make
     /// room: first those that would need the longest time to read the rest.
     pub fn reserve_answer(
@@ -175,7 +201,7 @@
         let unread = self.connections.iter().filter(|(_, buffered)| buffered.unread > 0);
         let (id, buffered) = unread
             .max_by_key(|(_, buffered)| buffered.remaining_ms(now, self.limits.read_ahead))?;
-        let bytes = buffered.body + buffered.unread;
+        let bytes = buffered.total();
         Some(SlowConnection { id: *id, bytes, age_ms: buffered.age_ms(now) })
     }
 
@@ -192,7 +218,7 @@
 
     /// The bytes that are buffered for a connection.
     pub fn bytes_of(&self, id: ConnectionId) -> usize {
-        self.connections.get(&id).map_or(0, |buffered| buffered.body + buffered.unread)
+        self.connections.get(&id).map_or(0, BufferedBytes::total)
     }
 }
 
--- a/components/edge/src/caller_buffers/tests.rs
+++ b/components/edge/src/caller_buffers/tests.rs
@@ -6,7 +6,7 @@
 const SECOND_MS: u64 = 1000;
 
 fn buffers() -> CallerBuffers {
-    CallerBuffers::new(BufferLimits { process: 1000, answer: 400, read_ahead: 100 })
+    CallerBuffers::new(BufferLimits { process: 1000, answer: 400, event: 500, read_ahead: 100 })
 }
 
 fn ids_of(slow: Vec<super::SlowConnection>) -> Vec<ConnectionId> {
@@ -50,6 +50,22 @@
     assert_eq!(buffers.total(), 200);
 }
 
+#[test]
+fn incomplete_events_of_many_streams_fill_the_memory() {
+    let mut buffers = buffers();
+    let [first, second] = [buffers.open(), buffers.open()];
+    for bytes in [100, 500, 300, 600] {
+        assert_eq!(buffers.reserve_event(first, bytes), Ok(()));
+        assert_eq!(buffers.total(), bytes);
+    }
+    assert_eq!(buffers.reserve_event(second, 401), Err(NoMemory));
+    assert_eq!(buffers.total(), 600);
+    assert_eq!(buffers.reserve_event(first, 0), Ok(()));
+    assert_eq!(buffers.reserve_event(second, 401), Ok(()));
+    buffers.close(second);
+    assert_eq!(buffers.total(), 0);
+}
+
 #[test]
 fn a_caller_that_has_read_everything_is_not_slow_at_the_next_answer() {
     let mut buffers = buffers();
--- a/components/edge/src/gateway/event_reader.rs
+++ b/components/edge/src/gateway/event_reader.rs
@@ -98,6 +98,11 @@
         !self.block.is_empty()
     }
 
+    /// The bytes of the event that has started.
+    pub fn partial_bytes(&self) -> usize {
+        self.block.len()
+    }
+
     /// The number of complete events.
     pub fn events(&self) -> u64 {
         self.events
--- a/components/edge/src/gateway/relay.rs
+++ b/components/edge/src/gateway/relay.rs
@@ -19,6 +19,7 @@
 use super::attempt::{broken_body_outcome, RunnerAnswer};
 use super::attempts::{AnsweredAttempt, Attempts, AttemptsResult};
 use super::core::Core;
+use super::event_fault::EventFault;
 use super::event_reader::{EventReader, ReadEvents};
 use super::plain_answer::PlainAnswer;
 use super::request::RequestContext;
@@ -100,7 +101,7 @@
 
     fn forward_stream(self) -> Response<AnswerBody> {
         let (status, headers) = (self.answer.status, self.answer.headers.clone());
-        let reader = EventReader::new(self.context.caller.limits().answer, self.first_id_after());
+        let reader = EventReader::new(self.context.caller.limits().event, self.first_id_after());
         // The relay is not polled while the caller does not read, and no runner may be occupied longer than
         // the request's time limit.
         self.context
@@ -112,6 +113,7 @@
             runner: RunnerState::Sending,
             reader,
             silent_since: now,
+            partial: 0,
             turn_bytes: 0,
             ended: false,
         };
@@ -153,6 +155,8 @@
     reader: EventReader,
     /// Since when the next event is waited for.
     silent_since: Millis,
+    /// The bytes of an event that is not complete, as they are accounted for.
+    partial: usize,
     /// How many bytes were read since other tasks last ran.
     turn_bytes: usize,
     ended: bool,
@@ -190,6 +194,7 @@
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         self.current.context.caller.set_stream_deadline(None);
+        self.reserve_partial(0);
     }
 }
 
@@ -271,7 +276,9 @@
         if !events.is_empty() {
             self.note_sending();
         }
-        if let Some(fault) = fault {
+        let partial = if fault.is_some() { 0 } else { self.reader.partial_bytes() };
+        let has_memory = self.reserve_partial(partial);
+        if let Some(fault) = fault.or((!has_memory).then_some(EventFault::TooLarge)) {
             self.current.core.metrics.count_malformed_answer("stream", fault.name());
             self.note_end(StreamEnd::Fault(fault));
             self.lose_runner(AttemptOutcome::Malformed);
@@ -279,6 +286,14 @@
         events
     }
 
+    /// Accounts for the bytes of an event that is not complete. Returns whether there is memory for them.
+    fn reserve_partial(&mut self, bytes: usize) -> bool {
+        if std::mem::replace(&mut self.partial, bytes) == bytes {
+            return true;
+        }
+        self.current.context.caller.reserve_event(bytes).is_ok()
+    }
+
     /// Records how the current runner's part ended.
     fn note_end(&self, end: StreamEnd) {
         let StartedAnswer { context, target, answer, .. } = &self.current;
@@ -407,6 +422,7 @@
         self.current.target = answered.target;
         self.current.answer = answered.answer;
         self.reader.begin_answer();
+        self.reserve_partial(0);
         self.silent_since = self.current.core.clock.now();
         self.runner = RunnerState::Sending;
     }
--- a/daemon/tests/deployment/support.rs
+++ b/daemon/tests/deployment/support.rs
@@ -38,8 +38,6 @@
     processes: Vec<(IpAddr, Child)>,
     /// Whether the logs of processes go to a pipe that nobody reads, without a limit on lines.
     pub unread_logs: bool,
-    /// The memory of processes, in MB. An answer, and an event of a stream, may be as large as a share of it.
-    pub memory_mb: u64,
 }
 
 impl Deployment {
@@ -58,7 +56,6 @@
             directory,
             processes: Vec::new(),
             unread_logs: false,
-            memory_mb: 128,
         };
         for name in ["l1", "l2"] {
             let address = SocketAddr::new(deployment.new_machine(), RUNNER_PORT);
@@ -174,11 +171,10 @@
     fn write_settings(&self, machine: IpAddr, role: &str) -> PathBuf {
         let path = self.directory.join(format!("{machine}.ini"));
         let store = self.standin.store;
-        let memory_mb = self.memory_mb;
         let log_lines_per_s = if self.unread_logs { 100_000 } else { 1000 };
         let text = format!(
             "[node]\nname = m-{machine}\nregion = r\nhall = a\nhalls = a=r\naddress = {machine}\n\
-             first_port = 7700\nlast_port = 7715\nmemory_mb = {memory_mb}\nlink_mbps = 100\nlog_lines_per_s = {log_lines_per_s}\n\n{role}\n\
+             first_port = 7700\nlast_port = 7715\nmemory_mb = 128\nlink_mbps = 100\nlog_lines_per_s = {log_lines_per_s}\n\n{role}\n\
              [store]\naddress = {store}\nwrites_per_s = 100\nreads_per_s = 1000\n\n\
              [bounds]\ngrace_s = 8\ncontact_ms = 3000\ndrain_ms = 2000\nconfiguration_ms = 2000\nversion_ms = 8000\nrepeat_ratio = 0.2\nrepeat_window_s = 10\n\
              repeat_allowance = 200\n"
