--- a/components/edge/src/gateway/stream_end.rs
+++ b/components/edge/src/gateway/stream_end.rs
@@ -9,7 +9,7 @@
     Fault(EventFault),
     /// Within an event.
     WithinEvent,
-    /// Before the first event, by a connection whose end alone says that the stream is over.
+    /// Without an event, although the answer does not show that none was left.
     WithoutEvent,
     /// Within the answer: the connection was lost, or its chunks or length do not fit.
     Cut,
